--- /dev/null
+++ b/relay/peer/keys.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/wire"
+)
+
+// keyCheckInterval is how often the key files' modification times are read.
+const keyCheckInterval = 2 * time.Second
+
+// Keys holds a process's certificate and authority and reads the files again
+// when they change, so that keys are replaced without a restart.
+type Keys struct {
+	files *wire.TlsSettings
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	pair     tls.Certificate
+	pool     *x509.CertPool
+	modified time.Time // newest modification time among the files in use
+	checked  time.Time
+}
+
+// NewKeys reads the key files once; later reads happen on use.
+func NewKeys(files *wire.TlsSettings, clock clockwork.Clock) (*Keys, error) {
+	k := &Keys{files: files, clock: clock}
+	if err := k.read(); err != nil {
+		return nil, err
+	}
+	k.checked = clock.Now()
+	return k, nil
+}
+
+func (k *Keys) read() error {
+	pair, err := tls.LoadX509KeyPair(k.files.GetCertificateFile(), k.files.GetKeyFile())
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, "cannot read the process's certificate and key",
+			"name a PEM certificate and its key in tls.certificateFile and tls.keyFile")
+	}
+	pem, err := os.ReadFile(k.files.GetAuthorityFile())
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, "cannot read the authority's certificate",
+			"name a PEM file in tls.authorityFile")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return failure.New(failure.Invalid, "tls.authorityFile holds no PEM certificate",
+			"put the authority's certificate there")
+	}
+	k.pair, k.pool, k.modified = pair, pool, k.newest()
+	return nil
+}
+
+func (k *Keys) newest() time.Time {
+	var newest time.Time
+	for _, name := range []string{k.files.GetCertificateFile(), k.files.GetKeyFile(), k.files.GetAuthorityFile()} {
+		info, err := os.Stat(name)
+		if err == nil && info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest
+}
+
+// current returns the keys in use. Files that are half written while being
+// replaced would fail to parse and cut every connection; the last good keys
+// stay in use until the new ones parse.
+func (k *Keys) current() (tls.Certificate, *x509.CertPool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	if now.Sub(k.checked) >= keyCheckInterval {
+		k.checked = now
+		if !k.newest().Equal(k.modified) {
+			_ = k.read()
+		}
+	}
+	return k.pair, k.pool
+}
+
+// ServerConfig returns a configuration that demands a certificate of the same
+// authority from every client.
+func (k *Keys) ServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			pair, pool := k.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{pair},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    pool,
+			}, nil
+		},
+	}
+}
+
+// ClientConfig returns a configuration for dialling a process by IP number:
+// certificates name the process, not its address, so the chain is verified
+// here and the host name is not.
+func (k *Keys) ClientConfig() *tls.Config {
+	pair, pool := k.current()
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{pair},
+		InsecureSkipVerify: true, //nolint:gosec // VerifyConnection checks the chain.
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verifyChain(state, pool)
+		},
+	}
+}
+
+func verifyChain(state tls.ConnectionState, pool *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return failure.New(failure.Unauthorized, "the peer showed no certificate",
+			"give it keys signed by the house's authority")
+	}
+	intermediates := x509.NewCertPool()
+	for _, cert := range state.PeerCertificates[1:] {
+		intermediates.AddCert(cert)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         pool,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return err
+}
