--- /dev/null
+++ b/agent/internal/link/link.go
@@ -0,0 +1,164 @@
+// Package link paces what a host sends and receives. Bytes of live requests go
+// first: they are charged at once and never wait, and transfers of weights
+// take what the link has left.
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/wire"
+)
+
+// Direction is one side of a host's link.
+type Direction int
+
+// The directions, as the host sees them.
+const (
+	Up Direction = iota
+	Down
+)
+
+const (
+	// PieceBytes is the most that a transfer takes from a link at once, so
+	// that live requests get between the pieces.
+	PieceBytes = 16 << 10
+	// burstTime is how far a link may run ahead after it was idle.
+	burstTime = 10 * time.Millisecond
+	// minShare is the least part of its rate that a throttled link keeps for
+	// transfers, so that a rollout always goes on.
+	minShare = 0.1
+)
+
+// Link paces one host's network link. It is safe for concurrent use.
+type Link struct {
+	clock clockwork.Clock
+	// Both entries hold the same bucket where the directions share one rate;
+	// a nil bucket does not pace.
+	buckets [2]*bucket
+}
+
+// New returns a link with the rates of the settings; nil settings do not pace.
+func New(set *wire.LinkSettings, clock clockwork.Clock) *Link {
+	lnk := &Link{clock: clock}
+	if shared := set.GetShared(); shared > 0 {
+		both := newBucket(float64(shared), clock.Now())
+		lnk.buckets = [2]*bucket{both, both}
+		return lnk
+	}
+	if rate := set.GetUp(); rate > 0 {
+		lnk.buckets[Up] = newBucket(float64(rate), clock.Now())
+	}
+	if rate := set.GetDown(); rate > 0 {
+		lnk.buckets[Down] = newBucket(float64(rate), clock.Now())
+	}
+	return lnk
+}
+
+// Rate returns the bytes per second of one direction; 0 means unlimited.
+func (l *Link) Rate(dir Direction) float64 {
+	if l.buckets[dir] == nil {
+		return 0
+	}
+	return l.buckets[dir].rate
+}
+
+// Reserve charges bytes of a live request without waiting: transfers that come
+// after it wait for them instead.
+func (l *Link) Reserve(dir Direction, bytes int) {
+	if buck := l.buckets[dir]; buck != nil {
+		buck.take(l.clock.Now(), float64(bytes))
+	}
+}
+
+// SetSlow tells how much live requests suffer, 0 to 1; transfers leave that
+// part of the link free.
+func (l *Link) SetSlow(slow float64) {
+	share := max(minShare, 1-slow)
+	for _, buck := range l.buckets {
+		if buck != nil {
+			buck.setShare(share)
+		}
+	}
+}
+
+// Wait charges bytes of a transfer and returns when the link has room for
+// them, or with an error once ctx is done.
+func (l *Link) Wait(ctx context.Context, dir Direction, bytes int) error {
+	buck := l.buckets[dir]
+	if buck == nil {
+		return ctx.Err()
+	}
+	for bytes > 0 {
+		piece := min(bytes, PieceBytes)
+		bytes -= piece
+		wait := buck.transfer(l.clock.Now(), float64(piece))
+		if err := l.sleep(ctx, wait); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Link) sleep(ctx context.Context, wait time.Duration) error {
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.clock.After(wait):
+		return nil
+	}
+}
+
+// bucket is a token bucket that may go into debt: its level below zero is what
+// has been promised and not yet sent.
+type bucket struct {
+	rate float64 // bytes per second, positive
+
+	mu    sync.Mutex
+	share float64   // part of the rate for transfers, minShare to 1
+	level float64   // bytes, at most rate*burstTime
+	at    time.Time // when level was last brought up to date
+}
+
+func newBucket(rate float64, now time.Time) *bucket {
+	return &bucket{rate: rate, share: 1, at: now}
+}
+
+func (b *bucket) setShare(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share = share
+}
+
+// take charges bytes and returns how long the link needs to carry them.
+func (b *bucket) take(now time.Time, bytes float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.charge(now, bytes)
+}
+
+// transfer charges bytes as if they were larger by the part of the rate that
+// transfers must leave free.
+func (b *bucket) transfer(now time.Time, bytes float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.charge(now, bytes/b.share)
+}
+
+func (b *bucket) charge(now time.Time, bytes float64) time.Duration {
+	if gone := now.Sub(b.at).Seconds(); gone > 0 {
+		b.level = min(b.level+gone*b.rate, b.rate*burstTime.Seconds())
+		b.at = now
+	}
+	b.level -= bytes
+	if b.level >= 0 {
+		return 0
+	}
+	return time.Duration(-b.level / b.rate * float64(time.Second))
+}
