Key-value client, its memory twin and the call budget

Cause: every process needs the platform's key-value service, within its share of the calls and without guessing after a lost reply. Measured: not yet. Conclusion: the control path can be written against them.

--- /dev/null
+++ b/relay/kv/calls.go
@@ -0,0 +1,143 @@
+package kv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"comfreyrelay.example/relay/budget"
+	"comfreyrelay.example/relay/failure"
+)
+
+const (
+	// callTimeout ends a call whose context has no nearer end, so that a
+	// service that accepts calls and never answers is noticed.
+	callTimeout = 10 * time.Second
+	// watchGrace is what a watch may take beyond the wait it asked for; longer
+	// means that the watch went silent.
+	watchGrace = 5 * time.Second
+	// maxAnswerBytes bounds what is read of one answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// caller makes the HTTP calls to the service.
+type caller struct {
+	base   string // without a trailing slash
+	agent  string // User-Agent
+	budget *budget.Budget
+	client *http.Client // never follows a redirect: that would send a write twice
+}
+
+// call is one HTTP call before it is made.
+type call struct {
+	kind    budget.Kind
+	key     string
+	method  string
+	path    string // unescaped, starts with a slash
+	query   url.Values
+	body    []byte
+	timeout time.Duration
+}
+
+// do waits for the budget, makes the call once and decodes a 200 into answer.
+func (c *caller) do(ctx context.Context, call call, answer any) error {
+	if err := c.budget.Wait(ctx, budget.Call{Kind: call.kind, Key: call.key}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.timeout)
+	defer cancel()
+	status, text, err := c.send(ctx, call)
+	if err != nil {
+		return err
+	}
+	if err := statusError(call, status); err != nil {
+		return err
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(text, answer); err != nil {
+		return lost(err, call)
+	}
+	return nil
+}
+
+// send returns the whole answer. A write that fails after it got a connection
+// may have taken effect; one that never got a connection has not.
+func (c *caller) send(ctx context.Context, call call) (int, []byte, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := c.request(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		return 0, nil, failure.Wrap(err, failure.Invalid, "the key-value call cannot be formed", "check kvUrl in the settings")
+	}
+	answer, err := c.client.Do(request)
+	if err != nil && !connected.Load() {
+		return 0, nil, unavailable(err)
+	}
+	if err != nil {
+		return 0, nil, lost(err, call)
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	if err != nil {
+		return 0, nil, lost(err, call)
+	}
+	return answer.StatusCode, text, nil
+}
+
+func (c *caller) request(ctx context.Context, call call) (*http.Request, error) {
+	at := c.base + (&url.URL{Path: call.path}).EscapedPath()
+	if len(call.query) > 0 {
+		at += "?" + call.query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, at, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport cannot send the body a second time by itself.
+	request.GetBody = nil
+	request.Header.Set("User-Agent", c.agent)
+	return request, nil
+}
+
+// statusError maps the service's status to an error; nil for 200.
+func statusError(call call, status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return failure.New(failure.NotFound, "the key-value service does not know "+call.path, "create it first")
+	case http.StatusConflict:
+		return failure.New(failure.Conflict, "the key "+call.key+" was changed by somebody else", "read it again and decide anew")
+	case http.StatusGone:
+		return failure.New(failure.Stale, "the history of "+call.key+" is compacted", "list the keys again")
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return unavailable(nil)
+	}
+	if status >= http.StatusInternalServerError {
+		return lost(nil, call)
+	}
+	return failure.New(failure.Invalid, "the key-value service refused "+call.path+": "+http.StatusText(status),
+		"check the key and that the value has at most 1 MiB")
+}
+
+func unavailable(cause error) error {
+	return failure.Wrap(cause, failure.Unavailable, "the key-value service cannot be reached or is over its rate",
+		"try again later; nothing was changed")
+}
+
+// lost is the error of a call that went out and whose answer did not come back.
+func lost(cause error, call call) error {
+	if !call.kind.Writes() {
+		return unavailable(cause)
+	}
+	return failure.Wrap(cause, failure.Ambiguous, "the key-value service did not answer; the write may have taken effect",
+		"read the key again to see whether it did")
+}
--- /dev/null
+++ b/relay/kv/memory.go
@@ -0,0 +1,305 @@
+package kv
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+const (
+	// MaxValueBytes is the largest value that the service holds.
+	MaxValueBytes = 1 << 20
+	// historyLength is how many changes a Memory keeps at least for its watches.
+	historyLength = 10000
+)
+
+// Memory is the service's state machine in memory, for tests and the stand-in;
+// no program of the product uses it. Its methods fail with the kinds that
+// Store documents, but never with Unavailable or Ambiguous.
+type Memory struct {
+	clock clockwork.Clock
+
+	mu        sync.Mutex
+	revision  uint64            // of the last change
+	entries   map[string]Entry  // the live keys
+	bound     map[string]string // key -> lease
+	leases    map[string]*memoryLease
+	granted   int           // leases ever made; names the next
+	history   []Entry       // changes after compacted, by revision
+	compacted uint64        // the revision that the history starts after
+	changed   chan struct{} // closed and replaced at every change
+}
+
+// memoryLease lapses at until, unless that moved meanwhile.
+type memoryLease struct {
+	ttl   time.Duration
+	until time.Time
+	keys  map[string]bool
+}
+
+// NewMemory returns a Store over a service of its own; a test puts faults into
+// it by wrapping the Store's fields.
+func NewMemory(clock clockwork.Clock) *Store { return NewMemoryService(clock).Store() }
+
+// NewMemoryService returns an empty service.
+func NewMemoryService(clock clockwork.Clock) *Memory {
+	return &Memory{
+		clock:   clock,
+		entries: map[string]Entry{},
+		bound:   map[string]string{},
+		leases:  map[string]*memoryLease{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Store returns a Store that calls the service directly.
+func (m *Memory) Store() *Store {
+	return &Store{
+		Get: func(_ context.Context, key string) (Entry, bool, error) {
+			entry, found := m.Get(key)
+			return entry, found, nil
+		},
+		List: func(_ context.Context, prefix string) ([]Entry, error) {
+			found, _ := m.List(prefix)
+			return found, nil
+		},
+		Swap: func(_ context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+			return m.Swap(key, value, ifRevision, lease)
+		},
+		Delete: func(_ context.Context, key string, ifRevision uint64) error { return m.Delete(key, ifRevision) },
+		Watch:  m.Watch,
+		Grant: func(_ context.Context, ttl time.Duration) (string, error) {
+			return m.Grant(ttl), nil
+		},
+		KeepAlive: func(_ context.Context, lease string) error { return m.KeepAlive(lease) },
+		Revoke: func(_ context.Context, lease string) error {
+			m.Revoke(lease)
+			return nil
+		},
+	}
+}
+
+// lock takes m.mu and ends the leases that are due, so that no call sees a
+// lease that lapsed a moment before its timer ran.
+func (m *Memory) lock() {
+	m.mu.Lock()
+	now := m.clock.Now()
+	for name, lease := range m.leases {
+		if !lease.until.After(now) {
+			m.end(name)
+		}
+	}
+}
+
+// Get returns the entry of a live key.
+func (m *Memory) Get(key string) (Entry, bool) {
+	m.lock()
+	defer m.mu.Unlock()
+	entry, found := m.entries[key]
+	return entry, found
+}
+
+// List returns the live entries below the prefix by key, and the revision.
+func (m *Memory) List(prefix string) ([]Entry, uint64) {
+	m.lock()
+	defer m.mu.Unlock()
+	var found []Entry
+	for key, entry := range m.entries {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, entry)
+		}
+	}
+	slices.SortFunc(found, func(a, b Entry) int { return cmp.Compare(a.key, b.key) })
+	return found, m.revision
+}
+
+// Swap writes the value if the key's revision is ifRevision; see Store.Swap.
+// Where it fails with kind Conflict the revision is the present one.
+func (m *Memory) Swap(key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+	if len(value) > MaxValueBytes {
+		return 0, failure.New(failure.Invalid, "the value is over 1 MiB", "split it into parts")
+	}
+	m.lock()
+	defer m.mu.Unlock()
+	if current := m.entries[key].revision; current != ifRevision {
+		return current, conflict(key)
+	}
+	if _, alive := m.leases[lease]; lease != "" && !alive {
+		return 0, lapsed(lease)
+	}
+	m.unbind(key)
+	if lease != "" {
+		m.bound[key] = lease
+		m.leases[lease].keys[key] = true
+	}
+	m.record(Entry{key: key, value: slices.Clone(value)})
+	return m.revision, nil
+}
+
+// Delete removes the key if its revision is ifRevision.
+func (m *Memory) Delete(key string, ifRevision uint64) error {
+	m.lock()
+	defer m.mu.Unlock()
+	current, found := m.entries[key]
+	if !found || current.revision != ifRevision {
+		return conflict(key)
+	}
+	m.remove(key)
+	return nil
+}
+
+// Changes returns what changed below the prefix after the revision, the present
+// revision, and a channel that closes at the next change of any key.
+func (m *Memory) Changes(prefix string, after uint64) ([]Entry, uint64, <-chan struct{}, error) {
+	m.lock()
+	defer m.mu.Unlock()
+	if after < m.compacted {
+		return nil, m.revision, nil, failure.New(failure.Stale, "the history is compacted", "list the keys again")
+	}
+	var found []Entry
+	start, _ := slices.BinarySearchFunc(m.history, after+1, func(entry Entry, revision uint64) int {
+		return cmp.Compare(entry.revision, revision)
+	})
+	if after == Latest {
+		start = len(m.history)
+	}
+	for _, entry := range m.history[start:] {
+		if strings.HasPrefix(entry.key, prefix) {
+			found = append(found, entry)
+		}
+	}
+	return found, m.revision, m.changed, nil
+}
+
+// Watch waits for changes; see Store.Watch.
+func (m *Memory) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error) {
+	timeout := m.clock.After(wait)
+	for {
+		found, now, changed, err := m.Changes(prefix, after)
+		if err != nil || len(found) > 0 || after > now {
+			return found, now, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, now, nil
+		case <-ctx.Done():
+			return nil, after, failure.Wrap(ctx.Err(), failure.Unavailable, "the watch was given up", "watch again")
+		}
+	}
+}
+
+// Grant makes a lease.
+func (m *Memory) Grant(ttl time.Duration) string {
+	m.lock()
+	defer m.mu.Unlock()
+	m.granted++
+	name := fmt.Sprintf("lease-%d", m.granted)
+	m.leases[name] = &memoryLease{ttl: ttl, until: m.clock.Now().Add(ttl), keys: map[string]bool{}}
+	m.clock.AfterFunc(ttl, func() { m.expire(name) })
+	return name
+}
+
+// KeepAlive renews the lease; kind NotFound where it lapsed.
+func (m *Memory) KeepAlive(name string) error {
+	m.lock()
+	defer m.mu.Unlock()
+	lease, alive := m.leases[name]
+	if !alive {
+		return lapsed(name)
+	}
+	lease.until = m.clock.Now().Add(lease.ttl)
+	return nil
+}
+
+// Revoke ends the lease and deletes its keys.
+func (m *Memory) Revoke(name string) {
+	m.lock()
+	defer m.mu.Unlock()
+	m.end(name)
+}
+
+// Compact forgets the history of changes.
+func (m *Memory) Compact() {
+	m.lock()
+	defer m.mu.Unlock()
+	m.history = nil
+	m.compacted = m.revision
+}
+
+// expire ends the lease once its time has come, else comes back then.
+func (m *Memory) expire(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lease, alive := m.leases[name]
+	if !alive {
+		return
+	}
+	if left := lease.until.Sub(m.clock.Now()); left > 0 {
+		m.clock.AfterFunc(left, func() { m.expire(name) })
+		return
+	}
+	m.end(name)
+}
+
+func (m *Memory) end(name string) {
+	lease, alive := m.leases[name]
+	if !alive {
+		return
+	}
+	delete(m.leases, name)
+	for _, key := range slices.Sorted(maps.Keys(lease.keys)) {
+		m.remove(key)
+	}
+}
+
+func (m *Memory) remove(key string) {
+	m.unbind(key)
+	m.record(Entry{key: key, deleted: true})
+}
+
+func (m *Memory) unbind(key string) {
+	lease, found := m.bound[key]
+	if !found {
+		return
+	}
+	delete(m.bound, key)
+	if owner, alive := m.leases[lease]; alive {
+		delete(owner.keys, key)
+	}
+}
+
+// record gives the change the next revision, stores it and wakes the watches.
+func (m *Memory) record(entry Entry) {
+	m.revision++
+	entry.revision = m.revision
+	if entry.deleted {
+		delete(m.entries, entry.key)
+	} else {
+		m.entries[entry.key] = entry
+	}
+	m.history = append(m.history, entry)
+	if len(m.history) > 2*historyLength {
+		m.compacted = m.history[historyLength-1].revision
+		m.history = slices.Clone(m.history[historyLength:])
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func conflict(key string) error {
+	return failure.New(failure.Conflict, "the key "+key+" was changed by somebody else", "read it again and decide anew")
+}
+
+func lapsed(lease string) error {
+	return failure.New(failure.NotFound, "the lease "+lease+" lapsed", "ask for a new one")
+}
--- a/relay/kv/store.go
+++ b/relay/kv/store.go
@@ -3,9 +3,15 @@
 
 import (
 	"context"
+	"math"
 	"time"
 )
 
+// Latest, given to Watch as the revision to start after, answers at once with
+// no changes and the service's present revision. The greatest revision of a
+// List is no substitute: it may lie before the start of a compacted history.
+const Latest = math.MaxUint64
+
 // Entry is one key's value at one revision.
 type Entry struct {
 	key      string
@@ -49,7 +55,8 @@
 	Delete func(ctx context.Context, key string, ifRevision uint64) error
 	// Watch waits until a key below the prefix changed after the service
 	// revision and returns the changes and the revision to go on from; none
-	// after the wait. Kind Stale: the history is compacted, List again.
+	// after the wait. Kind Stale: the history is compacted; learn the present
+	// revision with Latest, List, and watch from that revision.
 	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) (changes []Entry, now uint64, err error)
 	// Grant makes a lease that lapses unless kept alive within the time.
 	Grant func(ctx context.Context, ttl time.Duration) (lease string, err error)
