The document: schema, semantic checks, parts, diff

Cause: operators need every mistake in a document told at once, with its path and remedy, and the store holds values under a megabyte.

Change: relay/document parses (JSON schema, then meaning), splits into content-addressed parts, joins verified parts, and compares by item name. Customers are sharded by name hash so that one change moves one part. relay/schema checks JSON texts; the settings will use it too.

Conclusion: ready for the entry, the agents and comfreyctl.

--- /dev/null
+++ b/relay/document/join.go
@@ -0,0 +1,65 @@
+package document
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/wire"
+)
+
+// maxParts bounds what a root may list: the sections and the shards.
+const maxParts = 5 + maxShards
+
+// Join puts a document together from its parts. get returns a part's bytes by
+// hash, nil where they are not there. Every part is verified, so that a wrong
+// or cut part is noticed before any of it comes into force.
+func Join(root *wire.Root, get func(hash string) []byte) (*wire.Document, error) {
+	if len(root.GetParts()) > maxParts {
+		return nil, failure.New(failure.Corrupt, fmt.Sprintf("revision %d lists %d parts, more than %d",
+			root.GetRevision(), len(root.GetParts()), maxParts), "submit the document again")
+	}
+	doc := &wire.Document{}
+	for _, part := range root.GetParts() {
+		piece, err := readPart(part, get(part.GetHash()))
+		if err != nil {
+			return nil, err
+		}
+		proto.Merge(doc, piece)
+	}
+	return Canonical(doc), nil
+}
+
+func readPart(part *wire.Part, content []byte) (*wire.Document, error) {
+	if content == nil {
+		return nil, failure.New(failure.Unavailable, "the part "+part.GetName()+" of the document is missing",
+			"wait for another process to send it, or submit the document again")
+	}
+	if HashBytes(content) != part.GetHash() {
+		return nil, failure.New(failure.Corrupt, "the part "+part.GetName()+" of the document does not match its hash",
+			"fetch it again from the store or another process")
+	}
+	piece := &wire.Document{}
+	if err := proto.Unmarshal(content, piece); err != nil {
+		return nil, failure.Wrap(err, failure.Corrupt, "the part "+part.GetName()+" of the document cannot be read",
+			"submit the document again")
+	}
+	return piece, nil
+}
+
+// Missing returns the hashes of the root's parts for which have returns false,
+// in order and each once.
+func Missing(root *wire.Root, have func(hash string) bool) []string {
+	var hashes []string
+	seen := map[string]bool{}
+	for _, part := range root.GetParts() {
+		hash := part.GetHash()
+		if seen[hash] || have(hash) {
+			continue
+		}
+		seen[hash] = true
+		hashes = append(hashes, hash)
+	}
+	return hashes
+}
--- /dev/null
+++ b/relay/document/split_test.go
@@ -0,0 +1,122 @@
+package document_test
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/wire"
+)
+
+func withCustomers(count int) *wire.Document {
+	doc := document.Example()
+	for i := range count {
+		name := fmt.Sprintf("customer-%d", i)
+		doc.Customers = append(doc.Customers, &wire.Customer{
+			Name: name, KeyHashes: []string{document.KeyHash(name)}, Weight: 1, RequestsPerSecond: 10,
+		})
+	}
+	return doc
+}
+
+// store keeps parts by hash.
+type store map[string][]byte
+
+func (s store) put(parts []document.PartBytes) {
+	for _, part := range parts {
+		s[part.Part().GetHash()] = part.Bytes()
+	}
+}
+
+func (s store) get(hash string) []byte { return s[hash] }
+
+func rootOf(parts []document.PartBytes) *wire.Root {
+	return &wire.Root{Revision: 1, Parts: document.Parts(parts)}
+}
+
+func TestOneCustomersChangeMovesOnePart(t *testing.T) {
+	for _, count := range []int{1, 10, 100, 1000} {
+		doc := withCustomers(count)
+		have := store{}
+		have.put(document.Split(doc))
+		doc.Customers[count].Priority = 5
+		root := rootOf(document.Split(doc))
+		missing := document.Missing(root, func(hash string) bool { return have[hash] != nil })
+		if got, want := len(missing), 1; got != want {
+			t.Errorf("%d customers: got %d parts changed, want %d", count, got, want)
+		}
+		if got, want := proto.Size(root), 9<<10; got > want {
+			t.Errorf("%d customers: got a root of %d bytes, want at most %d", count, got, want)
+		}
+	}
+}
+
+func TestPartsAreSmall(t *testing.T) {
+	for _, part := range document.Split(withCustomers(1000)) {
+		if got, want := len(part.Bytes()), 16<<10; got > want {
+			t.Errorf("got %d bytes in %s, want at most %d", got, part.Part().GetName(), want)
+		}
+	}
+}
+
+// Symptom: a process would serve a mix of two documents. Events: a peer sends
+// part bytes that were cut or changed on the way. Cause: bytes taken without a
+// look at their hash.
+func TestJoinRefusesWrongBytes(t *testing.T) {
+	parts := document.Split(document.Example())
+	have := store{}
+	have.put(parts)
+	root := rootOf(parts)
+	hash := parts[0].Part().GetHash()
+	have[hash] = have[hash][:1]
+	_, err := document.Join(root, have.get)
+	if got, want := failure.KindOf(err), failure.Corrupt; got != want {
+		t.Errorf("got %v (%v), want %v", got, err, want)
+	}
+	delete(have, hash)
+	_, err = document.Join(root, have.get)
+	if got, want := failure.KindOf(err), failure.Unavailable; got != want {
+		t.Errorf("got %v (%v), want %v", got, err, want)
+	}
+}
+
+func drawDocument(t *rapid.T, label string) *wire.Document {
+	doc := document.Example()
+	names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-d][a-d/~]?`), 0, 6, rapid.ID).Draw(t, label+" customers")
+	for _, name := range names {
+		doc.Customers = append(doc.Customers, &wire.Customer{
+			Name:      name,
+			KeyHashes: []string{document.KeyHash(name), document.KeyHash(name + "2")},
+			Priority:  rapid.Uint32Range(0, 1).Draw(t, label+" priority"),
+		})
+	}
+	doc.Models[0].Customers = rapid.Permutation(names).Draw(t, label+" model customers")
+	if rapid.Bool().Draw(t, label+" deadlines") {
+		doc.Deadlines = nil
+	}
+	return doc
+}
+
+func TestSplitJoinAndDiffAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawDocument(t, "a"), drawDocument(t, "b")
+		partsA, partsB := document.Split(a), document.Split(b)
+		have := store{}
+		have.put(partsA)
+		joined, err := document.Join(rootOf(partsA), have.get)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := document.Canonical(a); !proto.Equal(joined, want) {
+			t.Errorf("got %v, want %v", joined, want)
+		}
+		sameHash := document.ContentHash(document.Parts(partsA)) == document.ContentHash(document.Parts(partsB))
+		if got, want := len(document.Diff(a, b)) == 0, sameHash; got != want {
+			t.Errorf("got an empty diff %t, want %t as the content hashes say", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/relay/schema/pointer.go
@@ -0,0 +1,60 @@
+package schema
+
+import (
+	"strconv"
+	"strings"
+)
+
+var (
+	escaper   = strings.NewReplacer("~", "~0", "/", "~1")
+	unescaper = strings.NewReplacer("~1", "/", "~0", "~")
+)
+
+// Pointer joins tokens to a JSON pointer and escapes them.
+func Pointer(tokens ...string) string {
+	var out strings.Builder
+	for _, token := range tokens {
+		out.WriteByte('/')
+		out.WriteString(escaper.Replace(token))
+	}
+	return out.String()
+}
+
+// Tokens splits a JSON pointer and unescapes its tokens.
+func Tokens(pointer string) []string {
+	if pointer == "" {
+		return nil
+	}
+	tokens := strings.Split(strings.TrimPrefix(pointer, "/"), "/")
+	for i, token := range tokens {
+		tokens[i] = unescaper.Replace(token)
+	}
+	return tokens
+}
+
+// At returns the value that the tokens lead to, and whether there is one.
+func At(tree any, tokens []string) (any, bool) {
+	for _, token := range tokens {
+		child, ok := step(tree, token)
+		if !ok {
+			return nil, false
+		}
+		tree = child
+	}
+	return tree, true
+}
+
+func step(tree any, token string) (any, bool) {
+	switch node := tree.(type) {
+	case map[string]any:
+		child, ok := node[token]
+		return child, ok
+	case []any:
+		i, err := strconv.Atoi(token)
+		if err != nil || i < 0 || i >= len(node) {
+			return nil, false
+		}
+		return node[i], true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/relay/schema/problem.go
@@ -0,0 +1,76 @@
+package schema
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+)
+
+// Problem is one thing wrong in a JSON text, told to the person who wrote it.
+type Problem struct {
+	path    string // JSON pointer; empty means the whole text
+	message string // what is wrong, without a trailing period
+	remedy  string // what to write instead; never empty
+}
+
+// NewProblem makes a Problem at a JSON pointer.
+func NewProblem(path, message, remedy string) Problem {
+	return Problem{path: path, message: message, remedy: remedy}
+}
+
+// Path returns the JSON pointer of the value that is wrong or missing.
+func (p Problem) Path() string { return p.path }
+
+// Message returns what is wrong.
+func (p Problem) Message() string { return p.message }
+
+// Remedy returns the advice.
+func (p Problem) Remedy() string { return p.remedy }
+
+// String returns path, message and remedy in one line.
+func (p Problem) String() string {
+	path := p.path
+	if path == "" {
+		path = "/"
+	}
+	return path + ": " + p.message + "; " + p.remedy
+}
+
+// problemJSON is the form that the operators' API sends.
+type problemJSON struct {
+	Path    string `json:"path"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (p Problem) MarshalJSON() ([]byte, error) {
+	return json.Marshal(problemJSON{Path: p.path, Message: p.message, Remedy: p.remedy})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *Problem) UnmarshalJSON(text []byte) error {
+	var body problemJSON
+	if err := json.Unmarshal(text, &body); err != nil {
+		return err
+	}
+	*p = Problem{path: body.Path, message: body.Message, remedy: body.Remedy}
+	return nil
+}
+
+// Sort orders problems by path, then message, and drops repeated ones.
+func Sort(problems []Problem) []Problem {
+	slices.SortFunc(problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.path, b.path), cmp.Compare(a.message, b.message))
+	})
+	return slices.Compact(problems)
+}
+
+// Covers reports whether the path of one of the problems is, or lies above,
+// the given path.
+func Covers(problems []Problem, path string) bool {
+	return slices.ContainsFunc(problems, func(p Problem) bool {
+		return p.path == path || strings.HasPrefix(path, p.path+"/")
+	})
+}
--- /dev/null
+++ b/relay/schema/schema.go
@@ -0,0 +1,230 @@
+// Package schema checks JSON texts against a JSON schema and tells everything
+// that is wrong at once, each with its path and a remedy.
+//
+// Beside the standard keywords it reads "x-remedy": the advice to give where a
+// value breaks the schema that holds it. A schema with "writeOnly" keeps its
+// values out of messages.
+package schema
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/big"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// maxShown bounds the part of a wrong value that a message repeats, in bytes.
+const maxShown = 60
+
+var printer = message.NewPrinter(language.English)
+
+// Checker holds one compiled schema; it is safe for concurrent use.
+type Checker struct {
+	raw      any // the schema's own JSON tree; read only
+	compiled *jsonschema.Schema
+}
+
+// MustCompile compiles an embedded schema and panics where it is wrong.
+func MustCompile(name string, text []byte) *Checker {
+	raw, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(fmt.Sprintf("schema %s: %v", name, err))
+	}
+	compiler := jsonschema.NewCompiler()
+	compiler.AssertFormat()
+	for _, format := range formats {
+		compiler.RegisterFormat(format)
+	}
+	if err := compiler.AddResource(name, raw); err != nil {
+		panic(fmt.Sprintf("schema %s: %v", name, err))
+	}
+	return &Checker{raw: raw, compiled: compiler.MustCompile(name)}
+}
+
+// ParseTree reads a JSON text into maps, lists and json.Number values.
+func ParseTree(text []byte) (any, []Problem) {
+	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err == nil {
+		return tree, nil
+	}
+	where := ""
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		before := text[:min(int(syntax.Offset), len(text))]
+		where = fmt.Sprintf(" in line %d", 1+bytes.Count(before, []byte("\n")))
+	}
+	return nil, []Problem{NewProblem("", "this is not JSON: "+err.Error()+where, "correct the JSON syntax there")}
+}
+
+// Check returns everything in which the tree breaks the schema.
+func (c *Checker) Check(tree any) []Problem {
+	err := c.compiled.Validate(tree)
+	if err == nil {
+		return nil
+	}
+	var problem *jsonschema.ValidationError
+	if !errors.As(err, &problem) {
+		return []Problem{NewProblem("", err.Error(), "correct the text")}
+	}
+	return Sort(c.collect(problem, tree, nil))
+}
+
+// collect turns the leaves of the tree of causes into problems.
+func (c *Checker) collect(problem *jsonschema.ValidationError, tree any, found []Problem) []Problem {
+	if len(problem.Causes) > 0 {
+		for _, cause := range problem.Causes {
+			found = c.collect(cause, tree, found)
+		}
+		return found
+	}
+	switch broken := problem.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		return append(found, c.unknownKeys(problem, broken.Properties)...)
+	case *kind.Required:
+		return append(found, c.missingKeys(problem, broken.Missing)...)
+	}
+	path := Pointer(problem.InstanceLocation...)
+	return append(found, NewProblem(path, c.describe(problem, tree), c.remedy(c.schemaAt(problem))))
+}
+
+func (c *Checker) unknownKeys(problem *jsonschema.ValidationError, keys []string) []Problem {
+	known := strings.Join(c.knownKeys(c.schemaAt(problem)), ", ")
+	var found []Problem
+	for _, key := range keys {
+		path := Pointer(append(slices.Clone(problem.InstanceLocation), key)...)
+		found = append(found, NewProblem(path, fmt.Sprintf("the key %q is not known", shorten(key)),
+			"remove it or correct its spelling; known here are: "+known))
+	}
+	return found
+}
+
+func (c *Checker) missingKeys(problem *jsonschema.ValidationError, keys []string) []Problem {
+	holder := c.schemaAt(problem)
+	var found []Problem
+	for _, key := range keys {
+		path := Pointer(append(slices.Clone(problem.InstanceLocation), key)...)
+		found = append(found, NewProblem(path, "this key is missing", c.remedy(c.property(holder, key))))
+	}
+	return found
+}
+
+func (c *Checker) describe(problem *jsonschema.ValidationError, tree any) string {
+	text := problem.ErrorKind.LocalizedString(printer)
+	value, ok := At(tree, problem.InstanceLocation)
+	if !ok || c.isSecret(c.schemaAt(problem)) {
+		value = nil
+	}
+	switch broken := problem.ErrorKind.(type) {
+	case *kind.Pattern:
+		text = "the value does not have the right form"
+	case *kind.Format:
+		text = "the value " + broken.Err.Error()
+	case *kind.Type:
+		return fmt.Sprintf("the value's type is %s, not %s", broken.Got, strings.Join(broken.Want, " or "))
+	case *kind.Enum:
+		text = "the value is not one of those allowed"
+	case *kind.Minimum:
+		text = "the value is less than " + number(broken.Want)
+	case *kind.Maximum:
+		text = "the value is more than " + number(broken.Want)
+	case *kind.MinItems:
+		return fmt.Sprintf("the list has %d items, %d at least are needed", broken.Got, broken.Want)
+	case *kind.MaxItems:
+		return fmt.Sprintf("the list has %d items, %d at most are allowed", broken.Got, broken.Want)
+	case *kind.UniqueItems:
+		return fmt.Sprintf("items %d and %d are equal", broken.Duplicates[0], broken.Duplicates[1])
+	}
+	switch value.(type) {
+	case string, json.Number, bool:
+		return text + ": " + shorten(jsonText(value))
+	}
+	return text
+}
+
+func jsonText(value any) string {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+func number(value *big.Rat) string {
+	float, _ := value.Float64()
+	return strconv.FormatFloat(float, 'f', -1, 64)
+}
+
+func shorten(text string) string {
+	if len(text) <= maxShown {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxShown], "") + "..."
+}
+
+// schemaAt returns the schema object that the problem's value breaks.
+func (c *Checker) schemaAt(problem *jsonschema.ValidationError) any {
+	_, fragment, _ := strings.Cut(problem.SchemaURL, "#")
+	found, _ := At(c.raw, Tokens(fragment))
+	return found
+}
+
+// property returns the schema of one property with references followed.
+func (c *Checker) property(holder any, key string) any {
+	found, _ := At(c.resolve(holder), []string{"properties", key})
+	return found
+}
+
+func (c *Checker) knownKeys(holder any) []string {
+	properties, _ := At(c.resolve(holder), []string{"properties"})
+	object, _ := properties.(map[string]any)
+	var keys []string
+	for key := range object {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// resolve follows a reference within the schema.
+func (c *Checker) resolve(sub any) any {
+	object, _ := sub.(map[string]any)
+	ref, ok := object["$ref"].(string)
+	if !ok {
+		return sub
+	}
+	target, _ := At(c.raw, Tokens(strings.TrimPrefix(ref, "#")))
+	return target
+}
+
+func (c *Checker) isSecret(sub any) bool {
+	object, _ := sub.(map[string]any)
+	secret, _ := object["writeOnly"].(bool)
+	return secret
+}
+
+// remedy returns the schema's advice: its own, else that of what it refers to.
+func (c *Checker) remedy(sub any) string {
+	for _, level := range []any{sub, c.resolve(sub)} {
+		object, _ := level.(map[string]any)
+		if advice, ok := object["x-remedy"].(string); ok {
+			return advice
+		}
+	}
+	return "correct it as the schema says"
+}
+
+// DecodeMessage returns protojson's error text without the space that varies
+// between builds of a program.
+func DecodeMessage(err error) string {
+	text := strings.ReplaceAll(err.Error(), "\u00a0", " ")
+	return strings.TrimPrefix(text, "proto: ")
+}
