Stand-ins of the key-value service and the host list

Cause: the thin path needs the platform's services as processes with fault knobs. Change: comfreystandin kv and hosts, with POST /faults and GET /ledger; fault.Knobs is the handler that all stand-ins share. Conclusion: other engineers can start them.

--- /dev/null
+++ b/standin/internal/hostlist/hostlist.go
@@ -0,0 +1,203 @@
+// Package hostlist is a stand-in of the platform's lagging list of hosts.
+package hostlist
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/standin/internal/fault"
+)
+
+const (
+	// maxBodyBytes bounds the body of a change; a few thousand hosts fit.
+	maxBodyBytes = 8 << 20
+	// maxPending bounds the changes that wait for their lag to pass.
+	maxPending = 10000
+)
+
+// Host is one line of the list, as in the protocol.
+type Host struct {
+	ID             string `json:"id"`
+	Role           string `json:"role"`
+	Region         string `json:"region"`
+	FailureDomain  string `json:"failureDomain"`
+	ControlAddress string `json:"controlAddress"`
+	CallersAddress string `json:"callersAddress"`
+	Endpoint       string `json:"endpoint"`
+	Service        string `json:"service"`
+	State          string `json:"state"`
+}
+
+// List is the body of GET /hosts and POST /hosts.
+type List struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// Faults are the knobs of POST /faults.
+type Faults struct {
+	// Empty answers with no hosts at all.
+	Empty bool `json:"empty"`
+	// Wrong holds the identifiers of hosts that the answer leaves out.
+	Wrong []string `json:"wrong"`
+	// Down answers 503.
+	Down bool `json:"down"`
+	// LagMillis is how late changes made from now on appear.
+	LagMillis int `json:"lagMillis"`
+	// DelayMillis delays every answer.
+	DelayMillis int `json:"delayMillis"`
+}
+
+// Service is the stand-in.
+type Service struct {
+	clock  clockwork.Clock
+	faults fault.Knobs[Faults]
+
+	mu      sync.Mutex
+	hosts   map[string]Host
+	pending []change // by due time
+	calls   map[string]int
+}
+
+// change is an edit of the list that shows once it is due.
+type change struct {
+	due   time.Time
+	apply func(hosts map[string]Host)
+}
+
+// New makes a Service that starts with the hosts; changes appear after lag.
+func New(clock clockwork.Clock, hosts []Host, lag time.Duration) *Service {
+	service := &Service{clock: clock, hosts: map[string]Host{}, calls: map[string]int{}}
+	replaceAll(hosts)(service.hosts)
+	service.faults.Set(Faults{LagMillis: int(lag.Milliseconds())})
+	return service
+}
+
+// Handler returns the service's routes.
+func (s *Service) Handler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get("/hosts", s.get)
+	mux.Post("/hosts", s.post)
+	mux.Put("/hosts/{id}", s.put)
+	mux.Delete("/hosts/{id}", s.remove)
+	mux.Handle("/faults", &s.faults)
+	mux.Get("/ledger", s.ledger)
+	return mux
+}
+
+func (s *Service) get(w http.ResponseWriter, r *http.Request) {
+	s.countCall(r.UserAgent())
+	knobs := s.faults.Get()
+	if knobs.DelayMillis > 0 {
+		s.clock.Sleep(time.Duration(knobs.DelayMillis) * time.Millisecond)
+	}
+	if knobs.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, List{Hosts: s.visible(knobs)})
+}
+
+func (s *Service) post(w http.ResponseWriter, r *http.Request) {
+	var list List
+	if !decode(w, r, &list) {
+		return
+	}
+	s.change(w, replaceAll(list.Hosts))
+}
+
+func (s *Service) put(w http.ResponseWriter, r *http.Request) {
+	var host Host
+	if !decode(w, r, &host) {
+		return
+	}
+	host.ID = chi.URLParam(r, "id")
+	s.change(w, func(hosts map[string]Host) { hosts[host.ID] = host })
+}
+
+func (s *Service) remove(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	s.change(w, func(hosts map[string]Host) { delete(hosts, id) })
+}
+
+func replaceAll(list []Host) func(map[string]Host) {
+	return func(hosts map[string]Host) {
+		clear(hosts)
+		for _, host := range list {
+			hosts[host.ID] = host
+		}
+	}
+}
+
+func (s *Service) change(w http.ResponseWriter, apply func(map[string]Host)) {
+	lag := time.Duration(s.faults.Get().LagMillis) * time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pending) >= maxPending {
+		http.Error(w, "too many changes wait", http.StatusTooManyRequests)
+		return
+	}
+	due := s.clock.Now().Add(lag)
+	if n := len(s.pending); n > 0 && due.Before(s.pending[n-1].due) {
+		due = s.pending[n-1].due // a shorter lag must not reorder changes
+	}
+	s.pending = append(s.pending, change{due: due, apply: apply})
+	reply(w, struct{}{})
+}
+
+// visible returns what callers see now, by identifier.
+func (s *Service) visible(knobs Faults) []Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for len(s.pending) > 0 && !s.pending[0].due.After(now) {
+		s.pending[0].apply(s.hosts)
+		s.pending = s.pending[1:]
+	}
+	seen := []Host{}
+	for _, host := range s.hosts {
+		if !knobs.Empty && !slices.Contains(knobs.Wrong, host.ID) {
+			seen = append(seen, host)
+		}
+	}
+	slices.SortFunc(seen, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+	return seen
+}
+
+func (s *Service) countCall(caller string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.calls) < maxPending {
+		s.calls[caller]++
+	}
+}
+
+// ledger tells how often each caller asked.
+func (s *Service) ledger(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply(w, struct {
+		Calls map[string]int `json:"calls"`
+	}{s.calls})
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/internal/kvservice/faults.go
@@ -0,0 +1,46 @@
+package kvservice
+
+import (
+	"math/rand/v2"
+	"sync"
+)
+
+// Faults are the knobs of POST /faults.
+type Faults struct {
+	// Down answers every call with 503; leases lapse meanwhile.
+	Down bool `json:"down"`
+	// DelayMillis delays every call before it takes effect.
+	DelayMillis int `json:"delayMillis"`
+	// LoseReplies is the fraction of writes that take effect and whose
+	// connection is closed without a reply.
+	LoseReplies float64 `json:"loseReplies"`
+	// LoseRequests is the fraction of writes whose connection is closed
+	// without a reply and without an effect.
+	LoseRequests float64 `json:"loseRequests"`
+	// WatchSilent lets watches hang and tell nothing.
+	WatchSilent bool `json:"watchSilent"`
+	// Compact forgets the history once.
+	Compact bool `json:"compact"`
+	// DropWatch closes the connections of all waiting watches once.
+	DropWatch bool `json:"dropWatch"`
+}
+
+// dice throws with a fixed seed, so that a run can be repeated.
+type dice struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func newDice(seed uint64) *dice {
+	return &dice{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// hits reports whether an event of the given fraction happens.
+func (d *dice) hits(fraction float64) bool {
+	if fraction <= 0 {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.random.Float64() < fraction
+}
--- /dev/null
+++ b/standin/internal/kvservice/handlers.go
@@ -0,0 +1,194 @@
+package kvservice
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+)
+
+// maxWait bounds how long a watch may ask to wait.
+const maxWait = 5 * time.Minute
+
+type entryBody struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+type revisionBody struct {
+	Revision uint64 `json:"revision"`
+}
+
+type listBody struct {
+	Entries  []entryBody `json:"entries"`
+	Revision uint64      `json:"revision"`
+}
+
+type watchBody struct {
+	Changes  []entryBody `json:"changes"`
+	Revision uint64      `json:"revision"`
+}
+
+type leaseBody struct {
+	Lease string `json:"lease"`
+}
+
+func body(entry kv.Entry) entryBody {
+	return entryBody{Key: entry.Key(), Value: entry.Value(), Revision: entry.Revision(), Deleted: entry.Deleted()}
+}
+
+func bodies(found []kv.Entry) []entryBody {
+	out := make([]entryBody, 0, len(found))
+	for _, entry := range found {
+		out = append(out, body(entry))
+	}
+	return out
+}
+
+// keyOf returns the key or the prefix that the call is about.
+func keyOf(r *http.Request) string {
+	if key, found := strings.CutPrefix(r.URL.Path, "/kv/"); found {
+		return key
+	}
+	return r.URL.Query().Get("prefix")
+}
+
+func (s *Service) get(r *http.Request) answer {
+	entry, found := s.memory.Get(keyOf(r))
+	if !found {
+		return answer{status: http.StatusNotFound}
+	}
+	return answer{http.StatusOK, body(entry)}
+}
+
+func (s *Service) list(r *http.Request) answer {
+	found, revision := s.memory.List(keyOf(r))
+	return answer{http.StatusOK, listBody{Entries: bodies(found), Revision: revision}}
+}
+
+func (s *Service) put(r *http.Request) answer {
+	condition, err := number(r, "ifRevision")
+	if err != nil {
+		return answer{http.StatusBadRequest, err.Error()}
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, kv.MaxValueBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return answer{http.StatusRequestEntityTooLarge, "the value is over 1 MiB"}
+	}
+	if err != nil {
+		return answer{}
+	}
+	revision, err := s.memory.Swap(keyOf(r), value, condition, r.URL.Query().Get("lease"))
+	return outcome(revisionBody{Revision: revision}, err)
+}
+
+func (s *Service) remove(r *http.Request) answer {
+	condition, err := number(r, "ifRevision")
+	if err != nil {
+		return answer{http.StatusBadRequest, err.Error()}
+	}
+	err = s.memory.Delete(keyOf(r), condition)
+	entry, _ := s.memory.Get(keyOf(r))
+	return outcome(revisionBody{Revision: entry.Revision()}, err)
+}
+
+// watch has no answer, status 0, where the connection is to be cut.
+func (s *Service) watch(r *http.Request) answer {
+	after, err := number(r, "after")
+	if err != nil {
+		return answer{http.StatusBadRequest, err.Error()}
+	}
+	millis, err := number(r, "waitMillis")
+	if err != nil {
+		return answer{http.StatusBadRequest, err.Error()}
+	}
+	wait := min(time.Duration(millis)*time.Millisecond, maxWait)
+	return s.await(r, after, s.clock.After(wait), s.droppedSignal())
+}
+
+func (s *Service) await(r *http.Request, after uint64, timeout <-chan time.Time, dropped <-chan struct{}) answer {
+	for {
+		found, revision, changed, err := s.memory.Changes(keyOf(r), after)
+		silent := s.faults.Get().WatchSilent
+		if err != nil {
+			return outcome(nil, err)
+		}
+		if !silent && (len(found) > 0 || after > revision) {
+			return answer{http.StatusOK, watchBody{Changes: bodies(found), Revision: revision}}
+		}
+		select {
+		case <-changed:
+		case <-dropped:
+			return answer{}
+		case <-r.Context().Done():
+			return answer{}
+		case <-timeout:
+			if s.faults.Get().WatchSilent {
+				timeout = nil // hang until the caller gives up
+				continue
+			}
+			return answer{http.StatusOK, watchBody{Changes: []entryBody{}, Revision: revision}}
+		}
+	}
+}
+
+func (s *Service) grant(r *http.Request) answer {
+	millis, err := number(r, "ttlMillis")
+	if err != nil || millis == 0 {
+		return answer{http.StatusBadRequest, "ttlMillis is missing"}
+	}
+	return answer{http.StatusOK, leaseBody{Lease: s.memory.Grant(time.Duration(millis) * time.Millisecond)}}
+}
+
+func (s *Service) keepAlive(r *http.Request) answer {
+	return outcome(struct{}{}, s.memory.KeepAlive(chi.URLParam(r, "id")))
+}
+
+func (s *Service) revoke(r *http.Request) answer {
+	s.memory.Revoke(chi.URLParam(r, "id"))
+	return answer{http.StatusOK, struct{}{}}
+}
+
+func number(r *http.Request, name string) (uint64, error) {
+	value, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return 0, failure.Wrap(err, failure.Invalid, name+" is missing or no number", "give "+name+" in the query")
+	}
+	return value, nil
+}
+
+// outcome maps the memory's errors to the protocol's status.
+func outcome(body any, err error) answer {
+	if err == nil {
+		return answer{http.StatusOK, body}
+	}
+	switch failure.KindOf(err) {
+	case failure.Conflict:
+		return answer{http.StatusConflict, body}
+	case failure.NotFound:
+		return answer{http.StatusNotFound, nil}
+	case failure.Stale:
+		return answer{http.StatusGone, nil}
+	default:
+		return answer{http.StatusBadRequest, err.Error()}
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"comfreyrelay.example/standin/internal/cmd"
 )
@@ -14,5 +16,8 @@
 var version = "dev"
 
 func main() {
-	os.Exit(cmd.Main(context.Background(), version, os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := cmd.Main(ctx, version, os.Args[1:])
+	stop()
+	os.Exit(code)
 }
