Stand-ins of the engine and of plain services

Change: an engine that batches, caches prefixes, checks chunks against the version that an order names, cuts what runs when weights are taken away, and counts runs by request id; a plain service with fault knobs. Measured: not yet.

--- a/standin/internal/cmd/endpoint.go
+++ b/standin/internal/cmd/endpoint.go
@@ -1,8 +1,54 @@
 package cmd
 
-import "comfreyrelay.example/relay/cli"
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
 
-// endpointCommands are the stand-ins of back ends and the caller.
+	"golang.org/x/sync/errgroup"
+
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/failure"
+)
+
+// endpointCommands are the stand-ins of back ends.
 func endpointCommands() []*cli.Command {
-	return nil
+	return []*cli.Command{engineCommand(), serviceCommand()}
+}
+
+// endpoint is one stand-in with its address.
+type endpoint struct {
+	address string
+	handler http.Handler
+}
+
+// serveEndpoints serves all until the context ends or one of them fails.
+func serveEndpoints(ctx context.Context, endpoints []endpoint) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, one := range endpoints {
+		group.Go(func() error { return serve(ctx, one.address, one.handler) })
+	}
+	return group.Wait()
+}
+
+// addresses returns count addresses on consecutive ports from the first; with
+// port 0 each gets a free one.
+func addresses(first string, count int) ([]string, error) {
+	start, err := netip.ParseAddrPort(first)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "the address is not an IP number with a port", "write --listen 127.0.0.1:7100")
+	}
+	if count < 1 || int(start.Port())+count > 1<<16 {
+		return nil, failure.New(failure.Invalid, fmt.Sprintf("%d stand-ins do not fit behind port %d", count, start.Port()), "choose another --count or --listen")
+	}
+	all := make([]string, count)
+	for i := range all {
+		port := start.Port()
+		if port != 0 {
+			port += uint16(i)
+		}
+		all[i] = netip.AddrPortFrom(start.Addr(), port).String()
+	}
+	return all, nil
 }
--- /dev/null
+++ b/standin/internal/engine/chunks.go
@@ -0,0 +1,119 @@
+package engine
+
+import (
+	"encoding/hex"
+	"sort"
+	"sync"
+
+	"github.com/zeebo/blake3"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+// Pool keeps equal chunks of several engines once. It saves memory only: what
+// an engine holds is for its own store to say.
+type Pool struct {
+	mu     sync.Mutex
+	chunks map[string]*pooled
+}
+
+type pooled struct {
+	bytes  []byte
+	owners int // stores that hold it; at least 1
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{chunks: map[string]*pooled{}}
+}
+
+func (p *Pool) keep(hash string, bytes []byte) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	chunk := p.chunks[hash]
+	if chunk == nil {
+		chunk = &pooled{bytes: bytes}
+		p.chunks[hash] = chunk
+	}
+	chunk.owners++
+	return chunk.bytes
+}
+
+func (p *Pool) drop(hash string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	chunk := p.chunks[hash]
+	chunk.owners--
+	if chunk.owners == 0 {
+		delete(p.chunks, hash)
+	}
+}
+
+// chunkStore is one host's memory for weights, addressed by content.
+type chunkStore struct {
+	pool  *Pool
+	limit int64 // bytes
+
+	mu    sync.Mutex
+	used  int64 // bytes, never above limit
+	bytes map[string][]byte
+}
+
+func newChunkStore(pool *Pool, limit int64) *chunkStore {
+	return &chunkStore{pool: pool, limit: limit, bytes: map[string][]byte{}}
+}
+
+// put keeps a chunk after checking it against its hash.
+func (s *chunkStore) put(hash string, bytes []byte) error {
+	sum := blake3.Sum256(bytes)
+	if hex.EncodeToString(sum[:]) != hash {
+		return failure.New(failure.Corrupt, "the bytes do not match chunk "+hash, "fetch the chunk elsewhere")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, held := s.bytes[hash]; held {
+		return nil
+	}
+	if s.used+int64(len(bytes)) > s.limit {
+		return failure.New(failure.Exhausted, "the host's memory for weights is full", "delete chunks that no version needs")
+	}
+	s.used += int64(len(bytes))
+	s.bytes[hash] = s.pool.keep(hash, bytes)
+	return nil
+}
+
+func (s *chunkStore) get(hash string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bytes, held := s.bytes[hash]
+	return bytes, held
+}
+
+func (s *chunkStore) remove(hash string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bytes, held := s.bytes[hash]
+	if !held {
+		return
+	}
+	s.used -= int64(len(bytes))
+	delete(s.bytes, hash)
+	s.pool.drop(hash)
+}
+
+func (s *chunkStore) removeAll() {
+	for _, hash := range s.hashes() {
+		s.remove(hash)
+	}
+}
+
+func (s *chunkStore) hashes() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hashes := make([]string, 0, len(s.bytes))
+	for hash := range s.bytes {
+		hashes = append(hashes, hash)
+	}
+	sort.Strings(hashes)
+	return hashes
+}
--- /dev/null
+++ b/standin/internal/engine/kvcache.go
@@ -0,0 +1,44 @@
+package engine
+
+import (
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/standin/internal/answer"
+)
+
+// maxImported bounds the imported caches that wait for their request.
+const maxImported = 1024
+
+// KVCache is what moves between engines of one version: here only its name,
+// as the stand-in has nothing to compute with.
+type KVCache struct {
+	RequestID string `json:"requestId"`
+	Version   string `json:"version"`
+	Prompt    string `json:"prompt"`
+}
+
+// Export returns the KV cache of a request that runs here.
+func (e *Engine) Export(id string) (KVCache, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, current := range e.running[id] {
+		if current.weights != nil {
+			return KVCache{RequestID: id, Version: current.weights.version, Prompt: current.request.Prompt}, nil
+		}
+	}
+	return KVCache{}, failure.New(failure.NotFound, "request "+id+" does not run here", "export while the request runs")
+}
+
+// Import makes the first token of the request cheap.
+func (e *Engine) Import(id string, moved KVCache) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loaded == nil || e.loaded.version != moved.Version {
+		return failure.New(failure.Conflict, "the KV cache belongs to version "+moved.Version, "import it on a host of that version")
+	}
+	if len(e.imported) >= maxImported {
+		return failure.New(failure.Exhausted, "too many imported caches wait", "send their requests first")
+	}
+	e.imported[id] = true
+	e.cache.use(answer.Prefix(moved.Prompt), e.clock.Now())
+	return nil
+}
--- /dev/null
+++ b/standin/internal/engine/orders.go
@@ -0,0 +1,245 @@
+package engine
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/manifest"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Orders by name.
+const (
+	orderLoad   = "load"
+	orderUnload = "unload"
+	orderRole   = "role"
+)
+
+// Order is what the host's agent tells the engine to do.
+type Order struct {
+	Fence       uint64         `json:"fence"`
+	Order       string         `json:"order"`
+	Model       string         `json:"model"`
+	Version     string         `json:"version"`
+	ChunkHashes []string       `json:"chunkHashes"`
+	Adapters    []AdapterOrder `json:"adapters"`
+	Role        string         `json:"role"`
+}
+
+// AdapterOrder names one adapter to load over the base.
+type AdapterOrder struct {
+	Name        string   `json:"name"`
+	Version     string   `json:"version"`
+	ChunkHashes []string `json:"chunkHashes"`
+}
+
+// weights is one version in the engine's memory with its adapters.
+type weights struct {
+	model    string
+	version  string
+	adapters []*adapterWeights
+	gone     chan struct{} // closed when the version is taken away
+}
+
+type adapterWeights struct {
+	name    string
+	version string
+	gone    chan struct{} // closed when the adapter is taken away
+}
+
+func (w *weights) adapter(name string) *adapterWeights {
+	for _, adapter := range w.adapters {
+		if adapter.name == name {
+			return adapter
+		}
+	}
+	return nil
+}
+
+// Obey carries out one order, or says why not. Orders run one at a time.
+func (e *Engine) Obey(order Order) error {
+	e.orders.Lock()
+	defer e.orders.Unlock()
+	if err := e.checkFence(order.Fence); err != nil {
+		return err
+	}
+	if err := e.carryOut(order); err != nil {
+		return err
+	}
+	e.ledger.order(func(totals *OrderTotals) { totals.Obeyed++ })
+	return nil
+}
+
+func (e *Engine) carryOut(order Order) error {
+	switch order.Order {
+	case orderLoad:
+		return e.loadVersion(order)
+	case orderUnload:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.unloadLocked()
+		return nil
+	case orderRole:
+		return e.setRole(order.Role)
+	}
+	return failure.New(failure.Invalid, fmt.Sprintf("the order %q is unknown", order.Order), "order load, unload or role")
+}
+
+// checkFence refuses or merely counts an order from a past holder of the
+// lease, depending on the kind of engine.
+func (e *Engine) checkFence(fence uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if fence >= e.fence {
+		e.fence = fence
+		return nil
+	}
+	if e.options.ChecksFencing {
+		e.ledger.order(func(totals *OrderTotals) { totals.OldRefused++ })
+		return failure.New(failure.Stale, fmt.Sprintf("fence %d is older than %d", fence, e.fence), "take the lease again before ordering")
+	}
+	e.ledger.order(func(totals *OrderTotals) { totals.OldObeyed++ })
+	return nil
+}
+
+func (e *Engine) setRole(role string) error {
+	if role != roleBoth && role != rolePrefill && role != roleDecode {
+		return failure.New(failure.Invalid, fmt.Sprintf("the role %q is unknown", role), "use both, prefill or decode")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.role = role
+	return nil
+}
+
+// loadVersion takes the old weights away, cutting what runs on them, and
+// serves the new ones after the load time.
+func (e *Engine) loadVersion(order Order) error {
+	faults := e.Faults()
+	if faults.RefuseLoad {
+		return failure.New(failure.Unavailable, "the engine refuses to load", "try again later or take the host out")
+	}
+	if err := e.checkWhole(order); err != nil {
+		e.ledger.order(func(totals *OrderTotals) { totals.NotWhole++ })
+		return err
+	}
+	if faults.DropLoad {
+		return nil
+	}
+	if e.changeAdapters(order) {
+		return nil
+	}
+	e.mu.Lock()
+	e.unloadLocked()
+	e.mu.Unlock()
+	e.clock.Sleep(time.Duration(float64(e.options.LoadTime) * faults.slowness()))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Dead {
+		return failure.New(failure.Unavailable, "the host died", "order another host")
+	}
+	e.cache.clear(e.clock.Now())
+	e.loaded = &weights{model: order.Model, version: order.Version, gone: make(chan struct{})}
+	e.loaded.setAdapters(order.Adapters)
+	e.ledger.order(func(totals *OrderTotals) { totals.Loads++ })
+	return nil
+}
+
+// changeAdapters does the whole load where the base is loaded already.
+func (e *Engine) changeAdapters(order Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loaded == nil || e.loaded.model != order.Model || e.loaded.version != order.Version {
+		return false
+	}
+	e.loaded.setAdapters(order.Adapters)
+	return true
+}
+
+// setAdapters keeps the adapters that stay and takes the others away.
+func (w *weights) setAdapters(orders []AdapterOrder) {
+	kept := make([]*adapterWeights, 0, len(orders))
+	for _, order := range orders {
+		adapter := w.adapter(order.Name)
+		if adapter == nil || adapter.version != order.Version {
+			adapter = &adapterWeights{name: order.Name, version: order.Version, gone: make(chan struct{})}
+		}
+		kept = append(kept, adapter)
+	}
+	before := w.adapters
+	w.adapters = kept
+	for _, adapter := range before {
+		if w.adapter(adapter.name) != adapter {
+			close(adapter.gone)
+		}
+	}
+}
+
+func (e *Engine) unloadLocked() {
+	if e.loaded == nil {
+		return
+	}
+	for _, adapter := range e.loaded.adapters {
+		close(adapter.gone)
+	}
+	close(e.loaded.gone)
+	e.loaded = nil
+}
+
+// checkWhole checks that every chunk is held and that together they are the
+// version that the order names.
+func (e *Engine) checkWhole(order Order) error {
+	if err := e.checkChunks(order.Model, order.Version, "", order.ChunkHashes); err != nil {
+		return err
+	}
+	for _, adapter := range order.Adapters {
+		if err := e.checkChunks(order.Model, adapter.Version, order.Version, adapter.ChunkHashes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Engine) checkChunks(model, version, base string, hashes []string) error {
+	if len(hashes) == 0 {
+		return failure.New(failure.Corrupt, "the order names no chunks of version "+version, "name all chunks of its manifest")
+	}
+	sizes := make([]int, len(hashes))
+	for i, hash := range hashes {
+		bytes, held := e.chunks.get(hash)
+		if !held {
+			return failure.New(failure.Corrupt, fmt.Sprintf("chunk %d (%s) of version %s is missing", i, hash, version), "put the chunk and order again")
+		}
+		sizes[i] = len(bytes)
+	}
+	if len(hashes) == 1 {
+		return nil // one chunk is whole by itself, and its manifest's chunk size cannot be told
+	}
+	if rebuilt := rebuild(model, base, hashes, sizes); rebuilt != version {
+		return failure.New(failure.Corrupt, "the chunks are not those of version "+version, "order the chunks of one manifest, in its order")
+	}
+	return nil
+}
+
+// rebuild returns the version whose manifest lists these chunks.
+func rebuild(model, base string, hashes []string, sizes []int) string {
+	man := &wire.Manifest{Model: model, Kind: manifest.KindBase, BaseVersion: base, ChunkBytes: uint32(sizes[0])}
+	if base != "" {
+		man.Kind = manifest.KindAdapter
+	}
+	for i, hash := range hashes {
+		sum, err := hex.DecodeString(hash)
+		if err != nil {
+			return ""
+		}
+		man.ChunkHashes = append(man.ChunkHashes, sum)
+		man.TotalBytes += uint64(sizes[i])
+	}
+	encoded, err := manifest.Encode(man)
+	if err != nil {
+		return ""
+	}
+	return manifest.Version(encoded)
+}
--- /dev/null
+++ b/standin/internal/service/service.go
@@ -0,0 +1,234 @@
+// Package service is a stand-in for a plain service or the mainframe bridge:
+// it runs calls, some of which may not be repeated, and records every run.
+package service
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/standin/internal/answer"
+)
+
+// maxAccounts bounds the request ids remembered; the oldest go first.
+const maxAccounts = 1 << 18
+
+// queuePerSlot bounds the calls that wait, per slot.
+const queuePerSlot = 8
+
+// errReplyLost means that the call ran and its answer must not be sent.
+var errReplyLost = errors.New("the reply is lost")
+
+// Options configures a Service.
+type Options struct {
+	// CallTime is how long one call runs.
+	CallTime time.Duration
+	// Slots is how many calls run at once, at least 1.
+	Slots int
+	// Seed of the random faults.
+	Seed uint64
+	// Clock paces the calls.
+	Clock clockwork.Clock
+}
+
+// Faults are the knobs that a test turns; the zero value is a healthy service.
+type Faults struct {
+	// FailBeforeRun is the fraction of calls refused with 503.
+	FailBeforeRun float64 `json:"failBeforeRun"`
+	// LoseReply is the fraction of calls that run and whose connection is
+	// closed in place of an answer.
+	LoseReply float64 `json:"loseReply"`
+	// Stall stops all calls before they run; connections stay open.
+	Stall bool `json:"stall"`
+	// SlowFactor makes calls so many times slower; 0 stands for 1.
+	SlowFactor float64 `json:"slowFactor"`
+	// Dead breaks all connections.
+	Dead bool `json:"dead"`
+}
+
+// Ledger is the service's record as JSON.
+type Ledger struct {
+	// Runs counts all runs, also of ids forgotten since.
+	Runs    int `json:"runs"`
+	Refused int `json:"refused"`
+	// Lost replies belong to calls that ran.
+	LostReplies int `json:"lostReplies"`
+	// MaxRuns is the most runs of one id.
+	MaxRuns int `json:"maxRuns"`
+	// Forgotten counts the ids dropped at the bound.
+	Forgotten int            `json:"forgotten"`
+	RunsByID  map[string]int `json:"runsById,omitempty"`
+}
+
+// Service is one stand-in; its methods may be called at once.
+type Service struct {
+	options Options
+	places  chan struct{} // one for each call that runs or waits
+	slots   chan struct{} // one for each call that runs
+
+	// mu guards all below.
+	mu     sync.Mutex
+	random *rand.Rand
+	faults Faults
+	// faultsChanged is closed and replaced when faults change.
+	faultsChanged chan struct{}
+	ledger        Ledger
+	arrivals      []string // ring of the ids in ledger.RunsByID
+	oldest        int      // index in arrivals once it is full
+}
+
+// New returns a healthy service.
+func New(options Options) *Service {
+	return &Service{
+		options:       options,
+		places:        make(chan struct{}, options.Slots*(1+queuePerSlot)),
+		slots:         make(chan struct{}, options.Slots),
+		random:        rand.New(rand.NewPCG(options.Seed, uint64(options.Slots))),
+		faultsChanged: make(chan struct{}),
+		ledger:        Ledger{RunsByID: map[string]int{}},
+	}
+}
+
+// Call runs one call. A failure.Error means that it was certainly not run.
+func (s *Service) Call(ctx context.Context, id string, body []byte) ([]byte, error) {
+	if id == "" {
+		return nil, failure.New(failure.Invalid, "the call lacks a requestId", "send one")
+	}
+	release, err := s.enter(ctx)
+	if err != nil {
+		s.refuse()
+		return nil, err
+	}
+	defer release()
+	lose := s.begin(id)
+	s.options.Clock.Sleep(s.callTime())
+	if lose {
+		return nil, errReplyLost
+	}
+	return answer.Service(body), nil
+}
+
+// enter waits for a slot; the function that it returns frees the slot.
+func (s *Service) enter(ctx context.Context) (func(), error) {
+	if s.roll(func(faults Faults) float64 { return faults.FailBeforeRun }) {
+		return nil, failure.New(failure.Unavailable, "the service refuses the call", "send it again")
+	}
+	select {
+	case s.places <- struct{}{}:
+	default:
+		return nil, failure.New(failure.Exhausted, "the service's queue is full", "send the call again later")
+	}
+	if err := s.waitForSlot(ctx); err != nil {
+		<-s.places
+		return nil, err
+	}
+	return func() { <-s.slots; <-s.places }, nil
+}
+
+func (s *Service) waitForSlot(ctx context.Context) error {
+	gone := failure.New(failure.Unavailable, "the client went away before the call began", "send it again")
+	for {
+		s.mu.Lock()
+		stalled, changed := s.faults.Stall, s.faultsChanged
+		s.mu.Unlock()
+		if !stalled {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return gone
+		}
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return gone
+	}
+}
+
+func (s *Service) roll(fraction func(Faults) float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < fraction(s.faults)
+}
+
+// begin records a run and says whether its reply will be lost.
+func (s *Service) begin(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.ledger.RunsByID[id]; !known {
+		s.remember(id)
+	}
+	s.ledger.RunsByID[id]++
+	s.ledger.Runs++
+	s.ledger.MaxRuns = max(s.ledger.MaxRuns, s.ledger.RunsByID[id])
+	lose := s.random.Float64() < s.faults.LoseReply
+	if lose {
+		s.ledger.LostReplies++
+	}
+	return lose
+}
+
+func (s *Service) remember(id string) {
+	if len(s.arrivals) < maxAccounts {
+		s.arrivals = append(s.arrivals, id)
+		return
+	}
+	delete(s.ledger.RunsByID, s.arrivals[s.oldest])
+	s.ledger.Forgotten++
+	s.arrivals[s.oldest] = id
+	s.oldest = (s.oldest + 1) % maxAccounts
+}
+
+func (s *Service) refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Refused++
+}
+
+func (s *Service) callTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.SlowFactor <= 0 {
+		return s.options.CallTime
+	}
+	return time.Duration(float64(s.options.CallTime) * s.faults.SlowFactor)
+}
+
+// SetFaults replaces the fault knobs.
+func (s *Service) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	close(s.faultsChanged)
+	s.faultsChanged = make(chan struct{})
+}
+
+func (s *Service) dead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Dead
+}
+
+// Ledger returns the record; runs by id only on request, as they are many.
+func (s *Service) Ledger(withRuns bool) Ledger {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.ledger
+	out.RunsByID = nil
+	if !withRuns {
+		return out
+	}
+	out.RunsByID = make(map[string]int, len(s.ledger.RunsByID))
+	for id, runs := range s.ledger.RunsByID {
+		out.RunsByID[id] = runs
+	}
+	return out
+}
