Stand-in of the origin of weights, and publish

Cause: the thin path needs weights to draw, over a link with a rate. Change: comfreystandin origin makes chunks from a seed when they are asked for, so that it keeps none, and paces all transfers together; publish lets it make a version, whole or changed in part.

--- /dev/null
+++ b/standin/internal/origin/link.go
@@ -0,0 +1,66 @@
+package origin
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// quantum is what one transfer sends before the next one's turn; transfers
+	// wait in order of arrival, so that they share the link evenly.
+	quantum = 16 << 10
+	// burstSeconds is how much of a second the link may catch up after a
+	// delay of the scheduler.
+	burstSeconds = 0.01
+)
+
+// link paces all transfers together.
+type link struct {
+	limiter *rate.Limiter
+}
+
+func newLink(bytesPerSecond float64) *link {
+	held := &link{limiter: rate.NewLimiter(rate.Inf, quantum)}
+	held.setRate(bytesPerSecond)
+	return held
+}
+
+// setRate changes the rate at once; 0 means unlimited.
+func (l *link) setRate(bytesPerSecond float64) {
+	limit := rate.Limit(bytesPerSecond)
+	if bytesPerSecond <= 0 {
+		limit = rate.Inf
+	}
+	l.limiter.SetBurst(max(quantum, int(bytesPerSecond*burstSeconds)))
+	l.limiter.SetLimit(limit)
+}
+
+// copy sends the source at the link's pace. Before each quantum it calls
+// before, which may hold it up; it returns the bytes sent.
+func (l *link) copy(ctx context.Context, w http.ResponseWriter, source io.Reader, before func([]byte) error) (int64, error) {
+	sent := int64(0)
+	buffer := make([]byte, quantum)
+	for {
+		n, err := io.ReadFull(source, buffer)
+		if n == 0 {
+			return sent, nil
+		}
+		if err := before(buffer[:n]); err != nil {
+			return sent, err
+		}
+		if err := l.limiter.WaitN(ctx, n); err != nil {
+			return sent, err
+		}
+		written, failed := w.Write(buffer[:n])
+		sent += int64(written)
+		if failed != nil {
+			return sent, failed
+		}
+		if err != nil {
+			return sent, nil
+		}
+	}
+}
--- /dev/null
+++ b/standin/internal/origin/origin.go
@@ -0,0 +1,259 @@
+// Package origin is a stand-in of the origin of weights: it makes pseudo-random
+// weights by itself and serves them over one paced link.
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/standin/internal/fault"
+)
+
+const (
+	maxBodyBytes = 1 << 16
+	maxVersions  = 1000
+	// retryAfterSeconds is what a refused caller is told to wait.
+	retryAfterSeconds = "1"
+)
+
+// Options configure a Service.
+type Options struct {
+	// BytesPerSecond is the rate of the link that all transfers share; 0 means
+	// unlimited.
+	BytesPerSecond float64
+	// RequestsPerSecond is the rate beyond which calls get 429; 0 means no limit.
+	RequestsPerSecond float64
+	// Seed fixes which chunks get corrupted.
+	Seed  uint64
+	Clock clockwork.Clock
+}
+
+// Faults are the knobs of POST /faults.
+type Faults struct {
+	// Down answers 503.
+	Down bool `json:"down"`
+	// DelayMillis delays every answer.
+	DelayMillis int `json:"delayMillis"`
+	// CorruptFraction is the fraction of chunks sent with a wrong byte.
+	CorruptFraction float64 `json:"corruptFraction"`
+	// CorruptManifest sends manifests with a wrong byte.
+	CorruptManifest bool `json:"corruptManifest"`
+	// Stall holds all transfers up without closing them.
+	Stall bool `json:"stall"`
+	// Refuse answers 429 to every call.
+	Refuse bool `json:"refuse"`
+	// BytesPerSecond changes the link's rate; 0 means the one it started with.
+	BytesPerSecond float64 `json:"bytesPerSecond"`
+}
+
+// Service is the stand-in.
+type Service struct {
+	clock    clockwork.Clock
+	rate     float64 // of the link as configured, bytes per second
+	link     *link
+	requests *rate.Limiter
+	faults   fault.Knobs[Faults]
+	book     *book
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	versions map[string]*version
+	order    []*version        // by publication
+	recipes  map[string]recipe // by hash, hexadecimal
+}
+
+// New makes a Service without versions.
+func New(opts Options) *Service {
+	service := &Service{
+		clock:    opts.Clock,
+		rate:     opts.BytesPerSecond,
+		link:     newLink(opts.BytesPerSecond),
+		requests: requestLimiter(opts.RequestsPerSecond),
+		book:     newBook(),
+		random:   rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
+		versions: map[string]*version{},
+		recipes:  map[string]recipe{},
+	}
+	service.faults.Changed = service.apply
+	return service
+}
+
+func requestLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+func (s *Service) apply(knobs Faults) Faults {
+	bytesPerSecond := knobs.BytesPerSecond
+	if bytesPerSecond <= 0 {
+		bytesPerSecond = s.rate
+	}
+	s.link.setRate(bytesPerSecond)
+	return knobs
+}
+
+// Handler returns the service's routes.
+func (s *Service) Handler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get("/manifests/{version}", s.admit(s.manifest))
+	mux.Get("/chunks/{hash}", s.admit(s.chunk))
+	mux.Post("/publish", s.publish)
+	mux.Handle("/faults", &s.faults)
+	mux.Get("/ledger", s.ledger)
+	mux.Delete("/ledger", func(http.ResponseWriter, *http.Request) { s.book.reset() })
+	return mux
+}
+
+// Publish makes a version and serves it from now on.
+func (s *Service) Publish(pub Publication) (Published, error) {
+	s.mu.Lock()
+	from := s.versions[pub.FromVersion]
+	s.mu.Unlock()
+	if pub.FromVersion != "" && from == nil {
+		return Published{}, failure.New(failure.NotFound, "there is no version "+pub.FromVersion, "publish it first")
+	}
+	made, err := build(pub, from)
+	if err != nil {
+		return Published{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.order) >= maxVersions {
+		return Published{}, failure.New(failure.Exhausted, "too many versions", "start a new origin")
+	}
+	if _, found := s.versions[made.name]; !found {
+		s.order = append(s.order, made)
+	}
+	s.versions[made.name] = made
+	for i, hash := range made.hashes {
+		s.recipes[hash] = made.recipes[i]
+	}
+	return Published{Version: made.name, Chunks: made.chunks, Bytes: made.size}, nil
+}
+
+// admit applies faults and rate before a transfer.
+func (s *Service) admit(run http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		knobs := s.faults.Get()
+		s.book.add(func(totals *Ledger) { totals.Requests++ })
+		if knobs.Refuse || !s.requests.AllowN(s.clock.Now(), 1) {
+			s.book.add(func(totals *Ledger) { totals.Refused++ })
+			w.Header().Set("Retry-After", retryAfterSeconds)
+			http.Error(w, "over the rate", http.StatusTooManyRequests)
+			return
+		}
+		if !s.sleep(r.Context(), time.Duration(knobs.DelayMillis)*time.Millisecond) {
+			return
+		}
+		if knobs.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		run(w, r)
+	}
+}
+
+func (s *Service) manifest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	found := s.versions[chi.URLParam(r, "version")]
+	s.mu.Unlock()
+	if found == nil {
+		http.NotFound(w, r)
+		return
+	}
+	encoded := append([]byte(nil), found.encoded...)
+	if s.faults.Get().CorruptManifest {
+		encoded[len(encoded)-1]++
+	}
+	s.book.add(func(totals *Ledger) { totals.ManifestBytes += int64(len(encoded)) })
+	_, _ = w.Write(encoded)
+}
+
+func (s *Service) chunk(w http.ResponseWriter, r *http.Request) {
+	hash := chi.URLParam(r, "hash")
+	s.mu.Lock()
+	recipe, found := s.recipes[hash]
+	corrupt := s.random.Float64() < s.faults.Get().CorruptFraction
+	s.mu.Unlock()
+	if !found {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(recipe.size))
+	before := func(part []byte) error {
+		if corrupt {
+			part[0]++
+			corrupt = false
+			s.book.add(func(totals *Ledger) { totals.Corrupted++ })
+		}
+		return s.stalled(r.Context())
+	}
+	sent, err := s.link.copy(r.Context(), w, recipe.source(), before)
+	s.book.sent(r, hash, sent, err == nil)
+}
+
+// stallPoll is how often a stalled transfer looks whether it may go on.
+const stallPoll = 50 * time.Millisecond
+
+// stalled returns once the stall knob is off.
+func (s *Service) stalled(ctx context.Context) error {
+	for s.faults.Get().Stall {
+		if !s.sleep(ctx, stallPoll) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// sleep waits; false where the caller went away meanwhile.
+func (s *Service) sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-s.clock.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Service) publish(w http.ResponseWriter, r *http.Request) {
+	var pub Publication
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&pub); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	published, err := s.Publish(pub)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply(w, published)
+}
+
+func (s *Service) ledger(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	order := append([]*version(nil), s.order...)
+	s.mu.Unlock()
+	reply(w, s.book.report(order))
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/internal/origin/weights.go
@@ -0,0 +1,136 @@
+package origin
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+	"math"
+	"math/rand/v2"
+
+	"github.com/zeebo/blake3"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/manifest"
+	"comfreyrelay.example/relay/wire"
+)
+
+// maxBytes bounds one version.
+const maxBytes = 4 << 30
+
+// Publication is the body of POST /publish: what to make weights of. Equal
+// publications make the same version.
+type Publication struct {
+	Model string `json:"model"`
+	// Kind is "base" or "adapter"; empty stands for "base".
+	Kind        string  `json:"kind"`
+	BaseVersion string  `json:"baseVersion"`
+	Mib         float64 `json:"mib"`
+	ChunkKib    int     `json:"chunkKib"`
+	Seed        uint64  `json:"seed"`
+	// FromVersion, where set, gives size and chunks; ChangeFraction of its
+	// chunks are made anew.
+	FromVersion    string  `json:"fromVersion"`
+	ChangeFraction float64 `json:"changeFraction"`
+}
+
+// Published is the answer of POST /publish.
+type Published struct {
+	Version string `json:"version"`
+	Chunks  int    `json:"chunks"`
+	Bytes   uint64 `json:"bytes"`
+}
+
+// recipe makes the bytes of one chunk, so that none have to be kept.
+type recipe struct {
+	seed [32]byte
+	size int
+}
+
+// source returns the chunk's bytes as a stream.
+func (r recipe) source() io.Reader {
+	return io.LimitReader(rand.NewChaCha8(r.seed), int64(r.size))
+}
+
+func (r recipe) hash() ([]byte, error) {
+	hasher := blake3.New()
+	if _, err := io.Copy(hasher, r.source()); err != nil {
+		return nil, err
+	}
+	return hasher.Sum(nil), nil
+}
+
+// seedOf mixes everything that tells one chunk from another.
+func seedOf(pub Publication, index int) [32]byte {
+	hasher := blake3.New()
+	_, _ = hasher.WriteString(pub.Model + "\x00" + pub.Kind + "\x00")
+	_, _ = hasher.Write(binary.LittleEndian.AppendUint64(nil, pub.Seed))
+	_, _ = hasher.Write(binary.LittleEndian.AppendUint64(nil, uint64(index)))
+	return [32]byte(hasher.Sum(nil))
+}
+
+// version is one published version.
+type version struct {
+	name    string
+	encoded []byte // the manifest as served
+	size    uint64
+	chunks  int
+	recipes []recipe
+	hashes  []string // by recipe, hexadecimal
+}
+
+// build makes a version; from is the one to change, nil for none.
+func build(pub Publication, from *version) (*version, error) {
+	if pub.Kind == "" {
+		pub.Kind = manifest.KindBase
+	}
+	recipes, chunkBytes, err := plan(pub, from)
+	if err != nil {
+		return nil, err
+	}
+	man := &wire.Manifest{Model: pub.Model, Kind: pub.Kind, BaseVersion: pub.BaseVersion, ChunkBytes: uint32(chunkBytes)}
+	made := &version{recipes: recipes, chunks: len(recipes)}
+	for _, recipe := range recipes {
+		hash, err := recipe.hash()
+		if err != nil {
+			return nil, err
+		}
+		man.ChunkHashes = append(man.ChunkHashes, hash)
+		made.hashes = append(made.hashes, hex.EncodeToString(hash))
+		made.size += uint64(recipe.size)
+	}
+	man.TotalBytes = made.size
+	made.encoded, err = manifest.Encode(man)
+	made.name = manifest.Version(made.encoded)
+	return made, err
+}
+
+// plan returns the recipes of the chunks and the size of a whole one.
+func plan(pub Publication, from *version) ([]recipe, int, error) {
+	if from != nil {
+		return replan(pub, from), from.recipes[0].size, nil
+	}
+	total := int64(pub.Mib * (1 << 20))
+	chunkBytes := pub.ChunkKib << 10
+	if pub.Model == "" || total <= 0 || total > maxBytes || chunkBytes <= 0 || chunkBytes > manifest.MaxChunkBytes {
+		return nil, 0, failure.New(failure.Invalid, "the publication is incomplete or too large",
+			"name a model, at most 4096 MiB, and chunks of 1 to 2048 KiB")
+	}
+	var recipes []recipe
+	for left := total; left > 0; left -= int64(chunkBytes) {
+		size := int(min(left, int64(chunkBytes)))
+		recipes = append(recipes, recipe{seed: seedOf(pub, len(recipes)), size: size})
+	}
+	return recipes, chunkBytes, nil
+}
+
+// replan makes the given fraction of from's chunks anew, at least one unless
+// the fraction is 0.
+func replan(pub Publication, from *version) []recipe {
+	recipes := append([]recipe(nil), from.recipes...)
+	changed := int(math.Ceil(min(pub.ChangeFraction, 1) * float64(len(recipes))))
+	order := rand.New(rand.NewPCG(pub.Seed, pub.Seed)).Perm(len(recipes))
+	for _, index := range order[:max(changed, 0)] {
+		recipes[index].seed = seedOf(pub, index)
+	}
+	return recipes
+}
