Settings: schema check, defaults, overrides; costly numbers refused

Change: relay/settings checks the published schema and then the meaning (keys or an explicit insecure, listeners apart, bounds), fills in the schema's defaults and takes key.path=value overrides. relay/schema refuses numbers that are costly to compute with.

--- a/relay/schema/schema.go
+++ b/relay/schema/schema.go
@@ -54,7 +54,7 @@
 func ParseTree(text []byte) (any, []Problem) {
 	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err == nil {
-		return tree, nil
+		return tree, checkNumbers(tree, nil)
 	}
 	where := ""
 	var syntax *json.SyntaxError
--- /dev/null
+++ b/relay/schema/schema_test.go
@@ -0,0 +1,33 @@
+package schema_test
+
+import (
+	"strings"
+	"testing"
+
+	"comfreyrelay.example/relay/schema"
+)
+
+// Symptom: an entry spends seconds of processor time on one small body and
+// answers nobody. Events: a body full of numbers such as 1e999999 is
+// validated. Cause: the schema library computes with exact fractions.
+func TestCostlyNumbersAreRefused(t *testing.T) {
+	for text, want := range map[string]int{
+		`{"a":[1e999999,{"b":-1E-400}]}`:    2,
+		`[` + strings.Repeat("9", 41) + `]`: 1,
+		`[1e30, -0.25, 12, 1E-30]`:          0,
+	} {
+		if _, problems := schema.ParseTree([]byte(text)); len(problems) != want {
+			t.Errorf("%s: got problems %v, want %d", text, problems, want)
+		}
+	}
+}
+
+func TestPointersEscape(t *testing.T) {
+	pointer := schema.Pointer("a/b", "~c", "")
+	if got, want := pointer, "/a~1b/~0c/"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got, want := strings.Join(schema.Tokens(pointer), "|"), "a/b|~c|"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/relay/settings/check.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"comfreyrelay.example/relay/schema"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	minWindowBytes = 4 << 20
+	maxWindowBytes = 64 << 20
+	maxDuration    = time.Hour
+	minInterval    = 10 * time.Millisecond
+	// minLease leaves the holder time to notice and stop before it ends.
+	minLease = 500 * time.Millisecond
+)
+
+func checkEntry(set *wire.EntrySettings) []schema.Problem {
+	found := checkNode(set.GetNode())
+	found = append(found, checkDuration(set.GetDirectoryTtl(), time.Second, "directoryTtl")...)
+	found = append(found, checkDuration(set.GetSyncInterval(), minInterval, "syncInterval")...)
+	found = append(found, checkDuration(set.GetLeaseTtl(), minLease, "leaseTtl")...)
+	found = append(found, checkDuration(set.GetDrainTimeout(), 0, "drainTimeout")...)
+	found = append(found, checkApart(listeners{
+		{"/node/controlAddress", set.GetNode().GetControlAddress()},
+		{"/node/operatorsAddress", set.GetNode().GetOperatorsAddress()},
+		{"/callersAddress", set.GetCallersAddress()},
+	})...)
+	return schema.Sort(found)
+}
+
+func checkAgent(set *wire.AgentSettings) []schema.Problem {
+	found := checkNode(set.GetNode())
+	found = append(found, checkDuration(set.GetSyncInterval(), minInterval, "syncInterval")...)
+	found = append(found, checkDuration(set.GetDrainTimeout(), 0, "drainTimeout")...)
+	found = append(found, checkApart(listeners{
+		{"/node/controlAddress", set.GetNode().GetControlAddress()},
+		{"/node/operatorsAddress", set.GetNode().GetOperatorsAddress()},
+	})...)
+	if window := set.GetWindowBytes(); window < minWindowBytes || window > maxWindowBytes {
+		found = append(found, schema.NewProblem("/windowBytes", fmt.Sprintf("%d bytes are out of bounds", window),
+			fmt.Sprintf("write a whole number of bytes from %d to %d", minWindowBytes, maxWindowBytes)))
+	}
+	if set.GetService() == "" && set.GetOriginUrl() == "" {
+		found = append(found, schema.NewProblem("/originUrl", "this key is missing, and no service is named",
+			"give the origin's base address for a model engine, or the service's name"))
+	}
+	return schema.Sort(found)
+}
+
+// checkNode refuses clear text between processes unless it is asked for, so
+// that a forgotten key file doesn't open the system to anyone.
+func checkNode(node *wire.NodeSettings) []schema.Problem {
+	if node.GetTls() == nil && !node.GetInsecure() {
+		return []schema.Problem{schema.NewProblem("/node/tls", "there are no keys for the connections between processes",
+			"give certificateFile, keyFile and authorityFile, or set node.insecure to true for a test")}
+	}
+	if node.GetTls() != nil && node.GetInsecure() {
+		return []schema.Problem{schema.NewProblem("/node/insecure", "clear text is asked for though keys are given",
+			"remove node.insecure, or node.tls for a test")}
+	}
+	return nil
+}
+
+func checkDuration(length *durationpb.Duration, least time.Duration, key string) []schema.Problem {
+	got := length.AsDuration()
+	if got >= least && got <= maxDuration {
+		return nil
+	}
+	return []schema.Problem{schema.NewProblem(schema.Pointer(key), fmt.Sprintf("%v is out of bounds", got),
+		fmt.Sprintf("give %v to %v in seconds, for example %q", least, maxDuration, "5s"))}
+}
+
+// listeners are the addresses that one process listens on, by path.
+type listeners []struct{ path, address string }
+
+func checkApart(list listeners) []schema.Problem {
+	var found []schema.Problem
+	for i, later := range list {
+		for _, earlier := range list[:i] {
+			if later.address != earlier.address || anyPort(later.address) {
+				continue
+			}
+			found = append(found, schema.NewProblem(later.path, fmt.Sprintf("the address %s is that of another listener too", later.address),
+				"give each listener its own port"))
+		}
+	}
+	return found
+}
+
+func anyPort(address string) bool {
+	at, err := netip.ParseAddrPort(address)
+	return err == nil && at.Port() == 0
+}
--- /dev/null
+++ b/relay/settings/override.go
@@ -0,0 +1,56 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/schema"
+)
+
+// apply writes one override, "key.path=value", into the tree. A value is JSON,
+// except where the schema wants a string.
+func apply(tree any, override string, checker *schema.Checker) error {
+	path, value, ok := strings.Cut(override, "=")
+	if !ok || path == "" {
+		return failure.New(failure.Invalid, fmt.Sprintf("the override %q has no value", override),
+			"write it as key.path=value, for example node.logLevel=debug")
+	}
+	tokens := strings.Split(path, ".")
+	holder, err := objectAt(tree, tokens[:len(tokens)-1], override)
+	if err != nil {
+		return err
+	}
+	holder[tokens[len(tokens)-1]] = overrideValue(value, checker.IsString(tokens))
+	return nil
+}
+
+func overrideValue(value string, isString bool) any {
+	if isString {
+		return value
+	}
+	parsed, problems := schema.ParseTree([]byte(value))
+	if len(problems) > 0 {
+		return value // an enumeration's word; else the schema refuses it
+	}
+	return parsed
+}
+
+// objectAt returns the object that the tokens lead to and makes absent ones.
+func objectAt(tree any, tokens []string, override string) (map[string]any, error) {
+	holder, ok := tree.(map[string]any)
+	for _, token := range tokens {
+		if !ok {
+			break
+		}
+		if _, present := holder[token]; !present {
+			holder[token] = map[string]any{}
+		}
+		holder, ok = holder[token].(map[string]any)
+	}
+	if !ok {
+		return nil, failure.New(failure.Invalid, fmt.Sprintf("the override %q leads into a value that is no object", override),
+			"correct its key; the settings' schema lists them")
+	}
+	return holder, nil
+}
--- a/relay/settings/settings.go
+++ b/relay/settings/settings.go
@@ -1,35 +1,163 @@
-// Package settings reads a process's JSON settings file.
+// Package settings reads a process's JSON settings file, checks it against the
+// published schema and fills in the schema's defaults.
 package settings
 
 import (
+	_ "embed" // for the schemas
+	"encoding/json"
+	"fmt"
 	"os"
+	"strings"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/schema"
 	"comfreyrelay.example/relay/wire"
 )
 
+// maxBytes bounds a settings file.
+const maxBytes = 1 << 20
+
+//go:embed entry.schema.json
+var entrySchema []byte
+
+//go:embed agent.schema.json
+var agentSchema []byte
+
+var (
+	entryChecker = schema.MustCompile("entry.schema.json", entrySchema)
+	agentChecker = schema.MustCompile("agent.schema.json", agentSchema)
+)
+
 // LoadEntry reads and checks the settings of comfreyentry.
 func LoadEntry(name string) (*wire.EntrySettings, error) {
+	return LoadEntryWith(name, nil)
+}
+
+// LoadEntryWith is like LoadEntry, with overrides of the form "key.path=value"
+// that go before the file.
+func LoadEntryWith(name string, overrides []string) (*wire.EntrySettings, error) {
 	set := &wire.EntrySettings{}
-	return set, load(name, set)
+	if err := load(name, overrides, entryChecker, set); err != nil {
+		return nil, err
+	}
+	if err := report(name, checkEntry(set)); err != nil {
+		return nil, err
+	}
+	return set, nil
 }
 
 // LoadAgent reads and checks the settings of comfreyagent.
 func LoadAgent(name string) (*wire.AgentSettings, error) {
+	return LoadAgentWith(name, nil)
+}
+
+// LoadAgentWith is like LoadAgent, with overrides of the form "key.path=value"
+// that go before the file.
+func LoadAgentWith(name string, overrides []string) (*wire.AgentSettings, error) {
 	set := &wire.AgentSettings{}
-	return set, load(name, set)
+	if err := load(name, overrides, agentChecker, set); err != nil {
+		return nil, err
+	}
+	if err := report(name, checkAgent(set)); err != nil {
+		return nil, err
+	}
+	return set, nil
+}
+
+func load(name string, overrides []string, checker *schema.Checker, set proto.Message) error {
+	text, err := read(name)
+	if err != nil {
+		return err
+	}
+	return parse(name, text, overrides, checker, set)
 }
 
-func load(name string, set proto.Message) error {
+func read(name string) ([]byte, error) {
+	info, err := os.Stat(name)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "cannot read the settings", "name an existing file with --settings")
+	}
+	if info.Size() > maxBytes {
+		return nil, failure.New(failure.Invalid, fmt.Sprintf("%s has %d bytes, more than %d", name, info.Size(), maxBytes),
+			"name a settings file with --settings")
+	}
 	text, err := os.ReadFile(name)
 	if err != nil {
-		return failure.Wrap(err, failure.Invalid, "cannot read the settings", "name an existing file with --settings")
+		return nil, failure.Wrap(err, failure.Invalid, "cannot read the settings", "name a readable file with --settings")
+	}
+	return text, nil
+}
+
+func parse(name string, text []byte, overrides []string, checker *schema.Checker, set proto.Message) error {
+	tree, problems := schema.ParseTree(text)
+	if len(problems) > 0 {
+		return report(name, problems)
+	}
+	if err := refuseDoubleKeys(name, text, set); err != nil {
+		return err
+	}
+	for _, override := range overrides {
+		if err := apply(tree, override, checker); err != nil {
+			return err
+		}
+	}
+	if problems := checker.Check(tree); len(problems) > 0 {
+		return report(name, problems)
+	}
+	checker.FillDefaults(tree)
+	if root, ok := tree.(map[string]any); ok {
+		delete(root, "$schema")
+	}
+	return decode(name, tree, set)
+}
+
+func decode(name string, tree any, set proto.Message) error {
+	filled, err := json.Marshal(tree)
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, name+" cannot be read", "correct the JSON there")
 	}
-	if err := protojson.Unmarshal(text, set); err != nil {
-		return failure.Wrap(err, failure.Invalid, name+" is not valid", "correct the key that the message names")
+	if err := protojson.Unmarshal(filled, set); err != nil {
+		return failure.New(failure.Invalid, name+" cannot be read: "+schema.DecodeMessage(err),
+			"correct the key that the message names")
 	}
 	return nil
 }
+
+// refuseDoubleKeys notices a key that stands twice: the tree would silently
+// keep the last, and the process run with settings nobody meant.
+func refuseDoubleKeys(name string, text []byte, set proto.Message) error {
+	scratch := set.ProtoReflect().New().Interface()
+	err := protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(text, scratch)
+	if err == nil || !strings.Contains(err.Error(), "duplicate field") {
+		return nil // other mistakes are told by the schema
+	}
+	return failure.New(failure.Invalid, name+": "+schema.DecodeMessage(err), "keep one of the two")
+}
+
+// report makes one error of all problems; nil where there are none.
+func report(name string, problems []schema.Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	if len(problems) == 1 {
+		only := problems[0]
+		return failure.New(failure.Invalid, name+": "+keyPath(only.Path())+only.Message(), only.Remedy())
+	}
+	lines := make([]string, len(problems))
+	for i, problem := range problems {
+		lines[i] = fmt.Sprintf("  %s%s; %s", keyPath(problem.Path()), problem.Message(), problem.Remedy())
+	}
+	return failure.New(failure.Invalid, fmt.Sprintf("%s has %d mistakes:\n%s", name, len(problems), strings.Join(lines, "\n")),
+		"correct them all and start again")
+}
+
+// keyPath writes a JSON pointer as overrides do, "node.controlAddress: ".
+func keyPath(pointer string) string {
+	if pointer == "" {
+		return ""
+	}
+	return strings.Join(schema.Tokens(pointer), ".") + ": "
+}
