The caller's load: open arrivals, each answer checked by the caller

Change: comfreystandin load sends requests at random times, keeps the answer to which entry it should use, retries what was not run, sends some keys that are not repeatable through two entries at once, and judges every answer by the tokens, the version and the end.

--- a/standin/internal/cmd/endpoint.go
+++ b/standin/internal/cmd/endpoint.go
@@ -12,9 +12,9 @@
 	"comfreyrelay.example/relay/failure"
 )
 
-// endpointCommands are the stand-ins of back ends.
+// endpointCommands are the stand-ins of back ends and the caller.
 func endpointCommands() []*cli.Command {
-	return []*cli.Command{engineCommand(), serviceCommand()}
+	return []*cli.Command{engineCommand(), serviceCommand(), loadCommand()}
 }
 
 // endpoint is one stand-in with its address.
--- /dev/null
+++ b/standin/internal/load/caller.go
@@ -0,0 +1,178 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// grace is how long beyond the deadline the caller still waits, to tell a late
+// answer from none.
+const grace = 2 * time.Second
+
+// defaultRetryAfter is the wait where the system names none.
+const defaultRetryAfter = 100 * time.Millisecond
+
+// jitter spreads retries by up to this fraction of the wait.
+const jitter = 0.25
+
+// maxAddresses bounds the entries tried for one attempt.
+const maxAddresses = 4
+
+// result is what became of one request.
+type result struct {
+	verdict
+	attempts int
+	// refused tells that an earlier attempt was not run.
+	refused bool
+	took    time.Duration // from the arrival
+	key     string
+	// contradicted: one of two sendings was answered, the other called not run.
+	contradicted bool
+}
+
+// caller carries one request through to its end.
+type caller struct {
+	load      *Load
+	asked     request
+	customer  Customer
+	directory *directory
+	arrived   time.Time
+	key       string
+}
+
+// run sends the request until it has an outcome.
+func (c *caller) run(ctx context.Context) result {
+	ctx, cancel := context.WithDeadline(ctx, c.arrived.Add(c.load.options.Deadline+grace))
+	defer cancel()
+	found := c.runOnceKeyed(ctx)
+	found.took = c.load.clock.Since(c.arrived)
+	found.key = c.key
+	return found
+}
+
+func (c *caller) runOnceKeyed(ctx context.Context) result {
+	if c.load.direct() {
+		return c.persist(ctx, 0)
+	}
+	if c.asked.repeatable {
+		return c.persist(ctx, 0)
+	}
+	known, err := c.directory.get(ctx)
+	if err != nil {
+		return result{verdict: verdict{outcome: NotRun, kind: kindUnreachable, detail: err.Error()}}
+	}
+	c.key = known.Owner + "." + uuid.Must(uuid.NewV7()).String()
+	if !c.asked.double {
+		return c.persist(ctx, 0)
+	}
+	return c.sendTwice(ctx)
+}
+
+// sendTwice sends the same key through two entries at once; the better outcome
+// counts.
+func (c *caller) sendTwice(ctx context.Context) result {
+	second := make(chan result, 1)
+	go func() { second <- c.persist(ctx, 1) }()
+	return better(c.persist(ctx, 0), <-second)
+}
+
+// severity orders outcomes: an answer settles the request unless the other
+// sending shows a fault, and what may have run outweighs what did not.
+var severity = map[string]int{NotRun: 0, Unknown: 1, Answered: 2, CutOff: 3, WrongVersion: 4, WrongAnswer: 5}
+
+func better(one, other result) result {
+	if severity[other.outcome] > severity[one.outcome] {
+		one, other = other, one
+	}
+	one.attempts += other.attempts
+	one.contradicted = one.outcome == Answered && other.outcome == NotRun
+	return one
+}
+
+// persist sends again what was not run, while time and retries last. The skip
+// chooses another entry than the best.
+func (c *caller) persist(ctx context.Context, skip int) result {
+	var found result
+	var spares []string
+	for {
+		found.attempts++
+		found.verdict = c.attempt(ctx, skip, spares)
+		if !c.mayRepeat(found) {
+			return found
+		}
+		found.refused = found.refused || found.outcome == NotRun
+		spares = found.spares
+		if !c.wait(ctx, found.retryAfter) {
+			return found
+		}
+	}
+}
+
+func (c *caller) mayRepeat(found result) bool {
+	if found.attempts > c.load.options.Retries {
+		return false
+	}
+	if found.outcome == Unknown {
+		return c.asked.repeatable && c.load.options.ResendUnknown
+	}
+	return found.outcome == NotRun
+}
+
+// wait returns false where the deadline comes before the next attempt.
+func (c *caller) wait(ctx context.Context, pause time.Duration) bool {
+	if pause <= 0 {
+		pause = defaultRetryAfter
+	}
+	pause += time.Duration(rand.Float64() * jitter * float64(pause))
+	if c.left() <= pause {
+		return false
+	}
+	select {
+	case <-c.load.clock.After(pause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// left is the time to the deadline.
+func (c *caller) left() time.Duration {
+	return c.load.options.Deadline - c.load.clock.Since(c.arrived)
+}
+
+// attempt sends the request to the first entry that can be reached.
+func (c *caller) attempt(ctx context.Context, skip int, spares []string) verdict {
+	sent := attempt{
+		asked:    c.asked,
+		model:    c.load.options.Model,
+		bearer:   c.customer.Key,
+		key:      c.key,
+		deadline: c.left(),
+	}
+	if c.load.direct() {
+		sent.address = c.load.options.Direct[c.asked.number%len(c.load.options.Direct)]
+		return c.load.sender.sendDirect(ctx, sent)
+	}
+	known, err := c.directory.get(ctx)
+	if err != nil {
+		return verdict{outcome: NotRun, kind: kindUnreachable, detail: err.Error()}
+	}
+	addresses := append(spares[:len(spares):len(spares)], known.addresses()...)
+	skip = min(skip, len(addresses)-1)
+	var judged verdict
+	for _, address := range addresses[skip:min(len(addresses), skip+maxAddresses)] {
+		sent.address = address
+		judged = c.load.sender.send(ctx, sent)
+		if judged.kind != kindUnreachable {
+			break
+		}
+		c.directory.forget()
+	}
+	if len(judged.spares) > 0 {
+		c.directory.forget()
+	}
+	return judged
+}
--- /dev/null
+++ b/standin/internal/load/direct.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// engineBody is a request straight to an engine.
+type engineBody struct {
+	RequestID string `json:"requestId"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"maxTokens"`
+}
+
+// sendDirect sends the attempt straight to an engine, past the system, so that
+// what the system adds can be measured.
+func (s *sender) sendDirect(ctx context.Context, sent attempt) verdict {
+	id := uuid.NewString()
+	body := engineBody{
+		RequestID: id,
+		Model:     sent.model,
+		Adapter:   sent.asked.adapter.Name,
+		Prompt:    sent.asked.prompt,
+		MaxTokens: sent.asked.maxTokens,
+	}
+	current := &reading{asked: sent.asked, askedAt: s.clock.Now(), versions: s.versions, requestID: id}
+	response, failed := s.post(ctx, sent.address+"/generate", sent, body)
+	if response == nil {
+		return failed
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return directRefusal(response)
+	}
+	judged := s.readStream(ctx, current, response.Body, engineEvent)
+	judged.requestID = id
+	return judged
+}
+
+// directRefusal: an engine's refusal proves that it did not run the request.
+func directRefusal(response *http.Response) verdict {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxDirectory))
+	if err != nil {
+		text = []byte(err.Error())
+	}
+	return verdict{outcome: NotRun, kind: response.Status, detail: string(text)}
+}
+
+// engineEvent takes an event of an engine's stream.
+func engineEvent(current *reading, name string, data []byte, now time.Time) error {
+	var event struct {
+		Version string `json:"version"`
+		I       int    `json:"i"`
+		Text    string `json:"text"`
+		Count   int    `json:"count"`
+	}
+	if err := json.Unmarshal(data, &event); err != nil {
+		return fmt.Errorf("%s event: %w", name, err)
+	}
+	switch name {
+	case "begin":
+		current.begin(current.requestID, event.Version)
+	case "token":
+		if event.I != len(current.tokens) {
+			return fmt.Errorf("token %d came in place of %d", event.I, len(current.tokens))
+		}
+		current.more([]string{event.Text}, now)
+	case "end":
+		current.end(event.Version, "", event.Count)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/internal/load/ledger.go
@@ -0,0 +1,53 @@
+package load
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+)
+
+// Entry is the caller's record of one request, to be matched with the ledgers
+// of the back ends by request id.
+type Entry struct {
+	ID         int    `json:"id"`
+	RequestID  string `json:"requestId"`
+	Key        string `json:"key,omitempty"`
+	Customer   string `json:"customer"`
+	Service    string `json:"service,omitempty"`
+	Repeatable bool   `json:"repeatable"`
+	Outcome    string `json:"outcome"`
+	Detail     string `json:"detail,omitempty"`
+	Version    string `json:"version,omitempty"`
+	Tokens     int    `json:"tokens"`
+	Attempts   int    `json:"attempts"`
+	Millis     int64  `json:"millis"`
+}
+
+// ledger writes one line a request.
+type ledger struct {
+	mu  sync.Mutex
+	out *json.Encoder // nil where none is wanted
+	err error         // of the first write that failed
+}
+
+func newLedger(out io.Writer) *ledger {
+	if out == nil {
+		return &ledger{}
+	}
+	return &ledger{out: json.NewEncoder(out)}
+}
+
+func (l *ledger) write(entry Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out == nil || l.err != nil {
+		return
+	}
+	l.err = l.out.Encode(entry)
+}
+
+func (l *ledger) failed() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.err
+}
--- /dev/null
+++ b/standin/internal/load/load.go
@@ -0,0 +1,183 @@
+// Package load is the caller of tests, demo and benchmarks: it sends requests
+// at random times whatever the answers, and checks every answer by itself.
+package load
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+// progressInterval is how often the progress is logged.
+const progressInterval = time.Second
+
+// Load is one run of the caller.
+type Load struct {
+	options     Options
+	clock       clockwork.Clock
+	log         *slog.Logger
+	sender      *sender
+	directories [][]*directory // by customer and caller
+	versions    *versions
+	tally       *tally
+	ledger      *ledger
+	places      chan struct{} // one for each request in flight
+	started     time.Time
+}
+
+// New checks the options and returns a load that has not started. One line a
+// request goes to record, unless that is nil.
+func New(options Options, clock clockwork.Clock, log *slog.Logger, record io.Writer) (*Load, error) {
+	if err := options.check(); err != nil {
+		return nil, err
+	}
+	client := newClient()
+	intended := newVersions(options.Versions, options.Adapters)
+	made := &Load{
+		options:  options,
+		clock:    clock,
+		log:      log,
+		sender:   &sender{client: client, clock: clock, versions: intended},
+		versions: intended,
+		tally:    newTally(options.Customers, options.Deadline),
+		ledger:   newLedger(record),
+		places:   make(chan struct{}, options.MaxInFlight),
+		started:  clock.Now(),
+	}
+	for _, customer := range options.Customers {
+		made.directories = append(made.directories, newDirectories(options, customer, client, clock))
+	}
+	return made, nil
+}
+
+func newDirectories(options Options, customer Customer, client *http.Client, clock clockwork.Clock) []*directory {
+	made := make([]*directory, options.Callers)
+	for i := range made {
+		made[i] = &directory{entries: options.Entries, key: customer.Key, client: client, clock: clock}
+	}
+	return made
+}
+
+func (l *Load) direct() bool { return len(l.options.Direct) > 0 }
+
+// Run sends the planned requests and returns when the last one has its outcome.
+// When the context ends, no more arrive.
+func (l *Load) Run(ctx context.Context) (Summary, error) {
+	l.started = l.clock.Now()
+	progress, stopProgress := context.WithCancel(context.Background())
+	defer stopProgress()
+	go l.logProgress(progress)
+
+	var calls sync.WaitGroup
+	requests := newPlan(l.options)
+	for {
+		planned, more := requests.next()
+		if !more || !l.waitUntil(ctx, planned.arrival) {
+			break
+		}
+		l.launch(&calls, planned)
+	}
+	calls.Wait()
+	if err := l.ledger.failed(); err != nil {
+		return l.Summary(), failure.Wrap(err, failure.Unavailable, "cannot write the caller's ledger", "free the disk or leave out --ledger-file")
+	}
+	return l.Summary(), nil
+}
+
+// waitUntil returns false where the run is stopped before.
+func (l *Load) waitUntil(ctx context.Context, arrival time.Duration) bool {
+	pause := arrival - l.clock.Since(l.started)
+	if pause <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-l.clock.After(pause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// launch sends one request without waiting for it: arrivals don't slow down
+// when answers do.
+func (l *Load) launch(calls *sync.WaitGroup, planned request) {
+	select {
+	case l.places <- struct{}{}:
+	default:
+		l.tally.skip()
+		return
+	}
+	customer := l.options.Customers[planned.customer]
+	current := &caller{
+		load:      l,
+		asked:     planned,
+		customer:  customer,
+		directory: l.directories[planned.customer][planned.caller],
+		arrived:   l.started.Add(planned.arrival),
+	}
+	calls.Go(func() {
+		defer func() { <-l.places }()
+		// Requests in flight go on when the run is stopped: their own deadline
+		// ends them.
+		found := current.run(context.Background())
+		l.tally.add(customer.Name, found, current.arrived)
+		l.ledger.write(entryOf(planned, customer, found))
+	})
+}
+
+func entryOf(planned request, customer Customer, found result) Entry {
+	return Entry{
+		ID:         planned.number,
+		RequestID:  found.requestID,
+		Key:        found.key,
+		Customer:   customer.Name,
+		Service:    planned.service,
+		Repeatable: planned.repeatable,
+		Outcome:    found.outcome,
+		Detail:     found.detail,
+		Version:    found.version,
+		Tokens:     found.tokens,
+		Attempts:   found.attempts,
+		Millis:     found.took.Milliseconds(),
+	}
+}
+
+// Summary returns the record so far.
+func (l *Load) Summary() Summary {
+	return l.tally.summary(l.clock.Since(l.started).Seconds())
+}
+
+func (l *Load) logProgress(ctx context.Context) {
+	ticker := l.clock.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			l.logCounts()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Load) logCounts() {
+	counts := l.tally.counts()
+	l.log.Info("progress",
+		"seconds", int(l.clock.Since(l.started).Seconds()),
+		"requests", counts.Requests,
+		"answered", counts.Answered,
+		"late", counts.Late,
+		"notRun", counts.NotRun,
+		"unknown", counts.Unknown,
+		"wrongAnswer", counts.WrongAnswer,
+		"wrongVersion", counts.WrongVersion,
+		"cutOff", counts.CutOff,
+		"inFlight", len(l.places))
+}
--- /dev/null
+++ b/standin/internal/load/reading.go
@@ -0,0 +1,235 @@
+package load
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"comfreyrelay.example/standin/internal/answer"
+)
+
+// Outcomes of a request, as the caller judges them; each request has one.
+const (
+	Answered     = "answered"     // whole and right
+	NotRun       = "notRun"       // the system says that it was not run
+	Unknown      = "unknown"      // it may have run or not
+	WrongAnswer  = "wrongAnswer"  // not this request's tokens or body
+	WrongVersion = "wrongVersion" // of a version that nobody intends
+	CutOff       = "cutOff"       // ended before its end
+)
+
+// Kinds of failure that the caller itself finds; the others come from the
+// system's errors.
+const (
+	kindUnreachable = "unreachable"
+	kindBroken      = "connectionBroken"
+	kindTimeout     = "timeout"
+	kindMalformed   = "malformed"
+)
+
+// verdict is what the caller makes of one reply.
+type verdict struct {
+	outcome string
+	// detail says what was wrong with an outcome other than answered.
+	detail string
+	// kind classifies failures.
+	kind       string
+	requestID  string
+	version    string
+	tokens     int
+	retryAfter time.Duration // 0 if unknown
+	spares     []string      // entries to use instead
+
+	firstToken time.Time // zero before any
+	gaps       []time.Duration
+}
+
+// reading judges one reply as it comes in.
+type reading struct {
+	asked      request
+	key        string // once key, "" for repeatable requests
+	askedAt    time.Time
+	versions   *versions
+	requestID  string
+	version    string
+	tokens     []string
+	begun      bool
+	ended      bool
+	problem    *verdict // the first thing wrong with it
+	firstToken time.Time
+	lastToken  time.Time
+	gaps       []time.Duration // at most one for each token
+}
+
+// begin takes the first event of a stream.
+func (r *reading) begin(requestID, version string) {
+	if r.begun {
+		r.wrong(WrongAnswer, "a second begin")
+		return
+	}
+	r.begun = true
+	r.identify(requestID)
+	r.version = version
+}
+
+func (r *reading) identify(requestID string) {
+	r.requestID = requestID
+	if r.key != "" && requestID != r.key {
+		r.wrong(WrongAnswer, fmt.Sprintf("the answer bears id %q, the request had key %q", requestID, r.key))
+	}
+}
+
+// more takes tokens that arrived now.
+func (r *reading) more(tokens []string, now time.Time) {
+	if r.ended {
+		r.wrong(WrongAnswer, "tokens after the end")
+		return
+	}
+	if len(r.tokens)+len(tokens) > r.asked.maxTokens {
+		r.wrong(WrongAnswer, "more tokens than asked for")
+		return
+	}
+	if len(tokens) == 0 {
+		return
+	}
+	if r.firstToken.IsZero() {
+		r.firstToken = now
+	} else {
+		r.gaps = append(r.gaps, now.Sub(r.lastToken)/time.Duration(len(tokens)))
+	}
+	r.lastToken = now
+	r.tokens = append(r.tokens, tokens...)
+}
+
+// end takes the end event. The digest is "" where the protocol has none.
+func (r *reading) end(version, digest string, count int) {
+	switch {
+	case r.ended:
+		r.wrong(WrongAnswer, "a second end")
+	case !r.begun:
+		r.wrong(WrongAnswer, "an end without a begin")
+	case version != r.version:
+		r.wrong(WrongVersion, fmt.Sprintf("begun by version %s, ended by %s", r.version, version))
+	case count != len(r.tokens):
+		r.wrong(CutOff, fmt.Sprintf("the end counts %d tokens, %d came", count, len(r.tokens)))
+	case digest != "" && digest != answer.Digest(r.tokens):
+		r.wrong(CutOff, "the digest does not match the tokens")
+	}
+	r.ended = true
+}
+
+// failed takes an error that the system reports.
+func (r *reading) failed(reported replyError) {
+	if r.ended {
+		r.wrong(WrongAnswer, "an error after the end")
+		return
+	}
+	if reported.Outcome == NotRun && len(r.tokens) > 0 {
+		r.wrong(WrongAnswer, "called not run after tokens had come")
+		return
+	}
+	r.ended = true
+	r.keep(reported.verdict())
+}
+
+// closed takes the end of the connection and returns the verdict.
+func (r *reading) closed(err error) verdict {
+	if !r.ended {
+		r.wrong(CutOff, fmt.Sprintf("the stream closed after %d tokens without an end: %v", len(r.tokens), err))
+	}
+	return r.judge()
+}
+
+// judge returns the verdict on a stream that ended.
+func (r *reading) judge() verdict {
+	if r.problem == nil {
+		r.check()
+	}
+	judged := verdict{outcome: Answered}
+	if r.problem != nil {
+		judged = *r.problem
+	}
+	if judged.requestID == "" {
+		judged.requestID = r.requestID
+	}
+	judged.version = r.version
+	judged.tokens = len(r.tokens)
+	judged.firstToken = r.firstToken
+	judged.gaps = r.gaps
+	return judged
+}
+
+// check compares the whole answer with what the version generates.
+func (r *reading) check() {
+	if len(r.tokens) < r.asked.maxTokens {
+		r.wrong(CutOff, fmt.Sprintf("%d tokens of %d", len(r.tokens), r.asked.maxTokens))
+		return
+	}
+	if !r.rightTokens() {
+		r.wrong(WrongAnswer, "the tokens are not those of the version and the prompt")
+		return
+	}
+	if !r.versions.allowed(r.version, r.askedAt) {
+		r.wrong(WrongVersion, "nobody intends version "+r.version)
+	}
+}
+
+// rightTokens reports whether one of the adapter's intended versions makes the
+// tokens.
+func (r *reading) rightTokens() bool {
+	if r.asked.adapter.Name == "" {
+		return matches(answer.New(r.version, "", r.asked.prompt), r.tokens)
+	}
+	for _, version := range r.versions.ofAdapter(r.asked.adapter.Name) {
+		if matches(answer.New(r.version, version, r.asked.prompt), r.tokens) {
+			return true
+		}
+	}
+	return false
+}
+
+func matches(text answer.Text, tokens []string) bool {
+	for i, token := range tokens {
+		if token != text.Token(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// whole judges an answer that came in one piece.
+func (r *reading) whole(reply wholeReply, now time.Time) verdict {
+	r.begin(reply.RequestID, reply.Version)
+	if r.asked.service != "" {
+		return r.wholeService(reply)
+	}
+	r.more(reply.Tokens, now)
+	r.ended = true
+	judged := r.judge()
+	judged.firstToken = time.Time{} // the first token was not seen on its own
+	return judged
+}
+
+func (r *reading) wholeService(reply wholeReply) verdict {
+	r.ended = true
+	if !bytes.Equal(reply.Body, answer.Service([]byte(r.asked.prompt))) {
+		r.wrong(WrongAnswer, "the body is not the service's answer to this call")
+	}
+	judged := verdict{outcome: Answered}
+	if r.problem != nil {
+		judged = *r.problem
+	}
+	judged.requestID = r.requestID
+	return judged
+}
+
+func (r *reading) wrong(outcome, detail string) {
+	r.keep(verdict{outcome: outcome, detail: detail, kind: outcome})
+}
+
+// keep remembers the first problem only: what follows from it says less.
+func (r *reading) keep(found verdict) {
+	if r.problem == nil {
+		r.problem = &found
+	}
+}
--- /dev/null
+++ b/standin/internal/load/reply.go
@@ -0,0 +1,44 @@
+package load
+
+import "time"
+
+// wholeReply is an answer in one piece.
+type wholeReply struct {
+	Outcome   string   `json:"outcome"`
+	RequestID string   `json:"requestId"`
+	Version   string   `json:"version"`
+	Tokens    []string `json:"tokens"`
+	Body      []byte   `json:"body"`
+}
+
+// replyError is an error body or an error event.
+type replyError struct {
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"requestId"`
+	Error     struct {
+		Kind             string   `json:"kind"`
+		Message          string   `json:"message"`
+		Remedy           string   `json:"remedy"`
+		RetryAfterMillis int64    `json:"retryAfterMillis"`
+		Spares           []string `json:"spares"`
+	} `json:"error"`
+}
+
+// verdict trusts notRun only where it is said: anything unclear is unknown.
+func (e replyError) verdict() verdict {
+	judged := verdict{
+		outcome:    Unknown,
+		detail:     e.Error.Message,
+		kind:       e.Error.Kind,
+		requestID:  e.RequestID,
+		retryAfter: time.Duration(e.Error.RetryAfterMillis) * time.Millisecond,
+		spares:     e.Error.Spares,
+	}
+	if e.Outcome == NotRun {
+		judged.outcome = NotRun
+	}
+	if judged.kind == "" {
+		judged.kind = kindMalformed
+	}
+	return judged
+}
--- /dev/null
+++ b/standin/internal/load/send.go
@@ -0,0 +1,232 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Bounds of the client.
+const (
+	maxReply     = 16 << 20 // bytes of an answer in one piece
+	idlePerEntry = 1024
+	idleTimeout  = 30 * time.Second
+	dialTimeout  = 2 * time.Second
+)
+
+// sender sends one attempt and judges the reply.
+type sender struct {
+	client   *http.Client
+	clock    clockwork.Clock
+	versions *versions
+}
+
+// newClient returns a client that never sends a request twice by itself: it
+// follows no redirect and the requests carry no idempotency header.
+func newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idlePerEntry,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// modelBody is a request on a model.
+type modelBody struct {
+	Model          string `json:"model"`
+	Adapter        string `json:"adapter,omitempty"`
+	Prompt         string `json:"prompt"`
+	MaxTokens      int    `json:"maxTokens"`
+	Repeatable     bool   `json:"repeatable"`
+	DeadlineMillis int64  `json:"deadlineMillis"`
+	Key            string `json:"key,omitempty"`
+}
+
+// serviceBody is a call to a plain service.
+type serviceBody struct {
+	Body           []byte `json:"body"`
+	Repeatable     bool   `json:"repeatable"`
+	DeadlineMillis int64  `json:"deadlineMillis"`
+	Key            string `json:"key,omitempty"`
+}
+
+// attempt is one sending of a request.
+type attempt struct {
+	asked    request
+	model    string
+	bearer   string
+	key      string
+	address  string
+	deadline time.Duration // left when sent
+}
+
+// send sends the attempt to its entry.
+func (s *sender) send(ctx context.Context, sent attempt) verdict {
+	var url string
+	var body any
+	if sent.asked.service != "" {
+		url = "http://" + sent.address + "/v1/services/" + sent.asked.service
+		body = serviceBody{
+			Body:           []byte(sent.asked.prompt),
+			Repeatable:     sent.asked.repeatable,
+			DeadlineMillis: sent.deadline.Milliseconds(),
+			Key:            sent.key,
+		}
+	} else {
+		url = "http://" + sent.address + "/v1/requests"
+		body = modelBody{
+			Model:          sent.model,
+			Adapter:        sent.asked.adapter.Name,
+			Prompt:         sent.asked.prompt,
+			MaxTokens:      sent.asked.maxTokens,
+			Repeatable:     sent.asked.repeatable,
+			DeadlineMillis: sent.deadline.Milliseconds(),
+			Key:            sent.key,
+		}
+	}
+	current := &reading{asked: sent.asked, key: sent.key, askedAt: s.clock.Now(), versions: s.versions}
+	response, failed := s.post(ctx, url, sent, body)
+	if response == nil {
+		return failed
+	}
+	defer response.Body.Close()
+	return s.read(ctx, current, response)
+}
+
+// post returns the response, or the verdict where there is none.
+func (s *sender) post(ctx context.Context, url string, sent attempt, body any) (*http.Response, verdict) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, verdict{outcome: NotRun, kind: kindMalformed, detail: err.Error()}
+	}
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, verdict{outcome: NotRun, kind: kindMalformed, detail: err.Error()}
+	}
+	post.Header.Set("Content-Type", "application/json")
+	post.Header.Set("Authorization", "Bearer "+sent.bearer)
+	if sent.asked.stream {
+		post.Header.Set("Accept", "text/event-stream")
+	}
+	response, err := s.client.Do(post)
+	if err != nil {
+		return nil, verdictOnError(ctx, err)
+	}
+	return response, verdict{}
+}
+
+// verdictOnError judges a request that got no response: only where no
+// connection came about it was certainly not run.
+func verdictOnError(ctx context.Context, err error) verdict {
+	var dial *net.OpError
+	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return verdict{outcome: NotRun, kind: kindUnreachable, detail: err.Error()}
+	case ctx.Err() != nil:
+		return verdict{outcome: Unknown, kind: kindTimeout, detail: "no answer in time"}
+	}
+	return verdict{outcome: Unknown, kind: kindBroken, detail: err.Error()}
+}
+
+func (s *sender) read(ctx context.Context, current *reading, response *http.Response) verdict {
+	if response.StatusCode != http.StatusOK {
+		return readError(ctx, response)
+	}
+	if current.asked.stream {
+		return s.readStream(ctx, current, response.Body, entryEvent)
+	}
+	var reply wholeReply
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(&reply); err != nil {
+		return unlessLate(ctx, verdict{outcome: CutOff, kind: CutOff, detail: err.Error()})
+	}
+	return current.whole(reply, s.clock.Now())
+}
+
+func readError(ctx context.Context, response *http.Response) verdict {
+	var reported replyError
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(&reported); err != nil {
+		return unlessLate(ctx, verdict{outcome: Unknown, kind: kindMalformed, detail: response.Status + ": " + err.Error()})
+	}
+	return reported.verdict()
+}
+
+// unlessLate replaces the verdict where the caller itself gave up.
+func unlessLate(ctx context.Context, judged verdict) verdict {
+	if ctx.Err() == nil {
+		return judged
+	}
+	judged.outcome, judged.kind = Unknown, kindTimeout
+	return judged
+}
+
+// takeEvent hands one event to the reading.
+type takeEvent func(current *reading, name string, data []byte, now time.Time) error
+
+func (s *sender) readStream(ctx context.Context, current *reading, body io.Reader, take takeEvent) verdict {
+	events := newEventReader(body)
+	for {
+		name, data, err := events.next()
+		if err != nil {
+			return s.closed(ctx, current, err)
+		}
+		if err := take(current, name, data, s.clock.Now()); err != nil {
+			current.wrong(WrongAnswer, err.Error())
+			return current.judge()
+		}
+	}
+}
+
+func (s *sender) closed(ctx context.Context, current *reading, err error) verdict {
+	judged := current.closed(err)
+	if judged.outcome == CutOff && !current.ended {
+		return unlessLate(ctx, judged)
+	}
+	return judged
+}
+
+// entryEvent takes an event of the callers' API.
+func entryEvent(current *reading, name string, data []byte, now time.Time) error {
+	var event struct {
+		RequestID string   `json:"requestId"`
+		Version   string   `json:"version"`
+		Tokens    []string `json:"tokens"`
+		Digest    string   `json:"digest"`
+		Count     int      `json:"count"`
+	}
+	if name == "error" {
+		var reported replyError
+		if err := json.Unmarshal(data, &reported); err != nil {
+			return fmt.Errorf("error event: %w", err)
+		}
+		current.failed(reported)
+		return nil
+	}
+	if err := json.Unmarshal(data, &event); err != nil {
+		return fmt.Errorf("%s event: %w", name, err)
+	}
+	switch name {
+	case "begin":
+		current.begin(event.RequestID, event.Version)
+	case "tokens":
+		current.more(event.Tokens, now)
+	case "end":
+		if event.Digest == "" {
+			return errors.New("an end without a digest")
+		}
+		current.end(event.Version, event.Digest, event.Count)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/internal/load/tally.go
@@ -0,0 +1,256 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range of the histograms in microseconds.
+const (
+	lowestMicros  = 1
+	highestMicros = 600_000_000
+	digits        = 3
+)
+
+// maxExamples bounds the faults told in detail, and the kinds of failure.
+const (
+	maxExamples = 20
+	maxKinds    = 50
+)
+
+// Counts are the outcomes of requests. Requests is the sum of the six outcomes;
+// Late and NotRunThenAnswered are parts of Answered.
+type Counts struct {
+	Requests           int `json:"requests"`
+	Answered           int `json:"answered"`
+	Late               int `json:"late"`
+	NotRun             int `json:"notRun"`
+	NotRunThenAnswered int `json:"notRunThenAnswered"`
+	Unknown            int `json:"unknown"`
+	WrongAnswer        int `json:"wrongAnswer"`
+	WrongVersion       int `json:"wrongVersion"`
+	CutOff             int `json:"cutOff"`
+	// Attempts counts all sendings.
+	Attempts int `json:"attempts"`
+	// Tokens of whole, right answers.
+	Tokens int `json:"tokens"`
+	// Contradicted requests were sent twice, answered once and called not run
+	// the other time.
+	Contradicted int `json:"contradicted"`
+}
+
+// Times are percentiles in milliseconds, counted from a request's planned
+// arrival; a retry's wait is in them.
+type Times struct {
+	FirstTokenMsP50    float64 `json:"firstTokenMsP50"`
+	FirstTokenMsP95    float64 `json:"firstTokenMsP95"`
+	FirstTokenMsP99    float64 `json:"firstTokenMsP99"`
+	BetweenTokensMsP50 float64 `json:"betweenTokensMsP50"`
+	BetweenTokensMsP95 float64 `json:"betweenTokensMsP95"`
+	BetweenTokensMsP99 float64 `json:"betweenTokensMsP99"`
+	AnswerMsP50        float64 `json:"answerMsP50"`
+	AnswerMsP95        float64 `json:"answerMsP95"`
+	AnswerMsP99        float64 `json:"answerMsP99"`
+}
+
+// Share is what one customer, or all, got.
+type Share struct {
+	Counts
+	Times
+}
+
+// Example is one request with an outcome other than answered.
+type Example struct {
+	RequestID string `json:"requestId"`
+	Outcome   string `json:"outcome"`
+	Detail    string `json:"detail"`
+}
+
+// Summary is the caller's whole record.
+type Summary struct {
+	Share
+	Seconds float64 `json:"seconds"`
+	// Overrun requests were never sent: too many were in flight.
+	Overrun    int              `json:"overrun"`
+	ByVersion  map[string]int   `json:"byVersion"`
+	Failures   map[string]int   `json:"failures"` // attempts' last failures by kind
+	ByCustomer map[string]Share `json:"byCustomer"`
+	Examples   []Example        `json:"examples"`
+}
+
+// account gathers the record of one customer, or of all.
+type account struct {
+	counts     Counts
+	firstToken *hdrhistogram.Histogram
+	between    *hdrhistogram.Histogram
+	whole      *hdrhistogram.Histogram
+}
+
+func newAccount() *account {
+	histogram := func() *hdrhistogram.Histogram {
+		return hdrhistogram.New(lowestMicros, highestMicros, digits)
+	}
+	return &account{firstToken: histogram(), between: histogram(), whole: histogram()}
+}
+
+// add counts one result. Only right answers give times: others would flatter.
+func (a *account) add(found result, arrived time.Time, deadline time.Duration) {
+	a.counts.Requests++
+	a.counts.Attempts += found.attempts
+	if found.contradicted {
+		a.counts.Contradicted++
+	}
+	switch found.outcome {
+	case Answered:
+		a.addAnswer(found, arrived, deadline)
+	case NotRun:
+		a.counts.NotRun++
+	case WrongAnswer:
+		a.counts.WrongAnswer++
+	case WrongVersion:
+		a.counts.WrongVersion++
+	case CutOff:
+		a.counts.CutOff++
+	default:
+		a.counts.Unknown++
+	}
+}
+
+func (a *account) addAnswer(found result, arrived time.Time, deadline time.Duration) {
+	a.counts.Answered++
+	a.counts.Tokens += found.tokens
+	if found.took > deadline {
+		a.counts.Late++
+	}
+	if found.refused {
+		a.counts.NotRunThenAnswered++
+	}
+	record(a.whole, found.took)
+	if !found.firstToken.IsZero() {
+		record(a.firstToken, found.firstToken.Sub(arrived))
+	}
+	for _, gap := range found.gaps {
+		record(a.between, gap)
+	}
+}
+
+// record clamps to the range, so that nothing is lost.
+func record(histogram *hdrhistogram.Histogram, took time.Duration) {
+	micros := min(max(took.Microseconds(), lowestMicros), highestMicros)
+	_ = histogram.RecordValue(micros) // within the range it never fails
+}
+
+func (a *account) share() Share {
+	return Share{Counts: a.counts, Times: Times{
+		FirstTokenMsP50:    quantile(a.firstToken, 50),
+		FirstTokenMsP95:    quantile(a.firstToken, 95),
+		FirstTokenMsP99:    quantile(a.firstToken, 99),
+		BetweenTokensMsP50: quantile(a.between, 50),
+		BetweenTokensMsP95: quantile(a.between, 95),
+		BetweenTokensMsP99: quantile(a.between, 99),
+		AnswerMsP50:        quantile(a.whole, 50),
+		AnswerMsP95:        quantile(a.whole, 95),
+		AnswerMsP99:        quantile(a.whole, 99),
+	}}
+}
+
+// quantile returns milliseconds.
+func quantile(histogram *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(histogram.ValueAtQuantile(percent)) / 1000
+}
+
+// tally gathers the records of all customers; it may be used at once.
+type tally struct {
+	deadline time.Duration
+
+	mu         sync.Mutex
+	all        *account
+	byCustomer map[string]*account
+	byVersion  map[string]int
+	failures   map[string]int // at most maxKinds
+	overrun    int
+	examples   []Example // at most maxExamples, faults only
+}
+
+func newTally(customers []Customer, deadline time.Duration) *tally {
+	made := &tally{
+		deadline:   deadline,
+		all:        newAccount(),
+		byCustomer: map[string]*account{},
+		byVersion:  map[string]int{},
+		failures:   map[string]int{},
+	}
+	for _, customer := range customers {
+		made.byCustomer[customer.Name] = newAccount()
+	}
+	return made
+}
+
+func (t *tally) add(customer string, found result, arrived time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all.add(found, arrived, t.deadline)
+	t.byCustomer[customer].add(found, arrived, t.deadline)
+	if found.outcome == Answered {
+		t.count(t.byVersion, found.version)
+		return
+	}
+	t.count(t.failures, found.kind)
+	t.example(found)
+}
+
+// example keeps details, faults before refusals.
+func (t *tally) example(found result) {
+	if len(t.examples) >= maxExamples {
+		return
+	}
+	if severity[found.outcome] < severity[Answered] && len(t.examples) >= maxExamples/2 {
+		return
+	}
+	t.examples = append(t.examples, Example{RequestID: found.requestID, Outcome: found.outcome, Detail: found.detail})
+}
+
+func (t *tally) count(counts map[string]int, name string) {
+	if _, known := counts[name]; !known && len(counts) >= maxKinds {
+		name = "other"
+	}
+	counts[name]++
+}
+
+func (t *tally) skip() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.overrun++
+}
+
+func (t *tally) counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.all.counts
+}
+
+func (t *tally) summary(seconds float64) Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := Summary{
+		Share:      t.all.share(),
+		Seconds:    seconds,
+		Overrun:    t.overrun,
+		ByVersion:  map[string]int{},
+		Failures:   map[string]int{},
+		ByCustomer: map[string]Share{},
+		Examples:   append([]Example{}, t.examples...),
+	}
+	for version, count := range t.byVersion {
+		out.ByVersion[version] = count
+	}
+	for kind, count := range t.failures {
+		out.Failures[kind] = count
+	}
+	for name, one := range t.byCustomer {
+		out.ByCustomer[name] = one.share()
+	}
+	return out
+}
--- /dev/null
+++ b/standin/internal/load/versions.go
@@ -0,0 +1,64 @@
+package load
+
+import (
+	"sync"
+	"time"
+)
+
+// versions are those that answers may bear. A version taken away stays right
+// for requests that were sent before.
+type versions struct {
+	mu sync.Mutex
+	// intended maps a version to when it was taken away, zero while it is not;
+	// empty means that any version is right.
+	intended map[string]time.Time
+	adapters map[string][]string // versions by adapter name
+}
+
+func newVersions(intended []string, adapters []Target) *versions {
+	made := &versions{intended: map[string]time.Time{}, adapters: map[string][]string{}}
+	for _, version := range intended {
+		made.intended[version] = time.Time{}
+	}
+	for _, adapter := range adapters {
+		made.addAdapter(adapter.Name, adapter.Version)
+	}
+	return made
+}
+
+func (v *versions) add(version string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.intended[version] = time.Time{}
+}
+
+func (v *versions) remove(version string, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if gone, known := v.intended[version]; known && gone.IsZero() {
+		v.intended[version] = now
+	}
+}
+
+func (v *versions) addAdapter(name, version string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.adapters[name] = append(v.adapters[name], version)
+}
+
+// allowed reports whether a request sent at askedAt may be answered by it.
+func (v *versions) allowed(version string, askedAt time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.intended) == 0 {
+		return true
+	}
+	gone, known := v.intended[version]
+	return known && (gone.IsZero() || askedAt.Before(gone))
+}
+
+func (v *versions) ofAdapter(name string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append([]string(nil), v.adapters[name]...)
+}
