burst: core that decides which chunk comes from whom

Cause: a new version must reach all hosts near the bound of the links, with little more than one copy from the origin. Change: pure core with owners by rendezvous hash that draw in index order, a few at a time, opened by the hosts' knowledge of what was drawn; all else moves between a bounded set of neighbours, rarest first. Baselines originOnly, tree and random. Discrete-event harness inside the tests.

--- /dev/null
+++ b/relay/burst/baselines.go
@@ -0,0 +1,98 @@
+package burst
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"comfreyrelay.example/relay/rendezvous"
+)
+
+// drawAll is the OriginOnly strategy.
+func (c *Core) drawAll(now time.Time) {
+	for chunk, ok := c.held.NextClear(0); ok; chunk, ok = c.held.NextClear(chunk + 1) {
+		if len(c.flights) >= originFetches || now.Before(c.originWait) {
+			return
+		}
+		if c.inFlight[chunk] == 0 {
+			c.fetch(now, int(chunk), nil)
+		}
+	}
+}
+
+// findParent returns the host above this one in the Tree strategy; nil for the
+// root.
+func (c *Core) findParent() *peerState {
+	if c.cfg.Strategy != Tree {
+		return nil
+	}
+	ranked := append(slices.Clone(c.order), nil)
+	score := func(pst *peerState) uint64 {
+		if pst == nil {
+			return rendezvous.Score(c.versionSeed, c.selfSeed)
+		}
+		return rendezvous.Score(c.versionSeed, pst.seed)
+	}
+	slices.SortFunc(ranked, func(left, right *peerState) int { return cmp.Compare(score(right), score(left)) })
+	place := slices.Index(ranked, nil)
+	if place == 0 {
+		return nil
+	}
+	return ranked[(place-1)/treeFanOut]
+}
+
+// pullFromParent is the Tree strategy.
+func (c *Core) pullFromParent(now time.Time) {
+	if c.parent == nil {
+		c.drawAll(now)
+		return
+	}
+	if c.parent.held == nil && !c.parent.neighbour {
+		c.setNeighbour(c.parent, true)
+	}
+	for chunk, ok := c.held.NextClear(0); ok; chunk, ok = c.held.NextClear(chunk + 1) {
+		if len(c.flights) >= c.cfg.MaxFetches || !c.parent.usable(now) {
+			return
+		}
+		if c.inFlight[chunk] == 0 && c.parent.held.Test(chunk) {
+			c.fetch(now, int(chunk), c.parent)
+		}
+	}
+}
+
+// pullAtRandom is the Random strategy: the origin is a neighbour that holds
+// everything.
+func (c *Core) pullAtRandom(now time.Time) {
+	for len(c.flights) < c.cfg.MaxFetches {
+		var sources []*peerState
+		for _, pst := range c.neighbours {
+			if pst.usable(now) && pst.inFlight < perPeerFetches {
+				sources = append(sources, pst)
+			}
+		}
+		if !now.Before(c.originWait) && c.drawsInFlight() == 0 {
+			sources = append(sources, nil)
+		}
+		if !c.fetchRandom(now, sources) {
+			return
+		}
+	}
+}
+
+// fetchRandom requests a random chunk from a random one of the sources.
+func (c *Core) fetchRandom(now time.Time, sources []*peerState) bool {
+	c.rng.Shuffle(len(sources), func(i, j int) { sources[i], sources[j] = sources[j], sources[i] })
+	for _, source := range sources {
+		var wanted []int
+		for chunk, ok := c.held.NextClear(0); ok; chunk, ok = c.held.NextClear(chunk + 1) {
+			if c.inFlight[chunk] == 0 && (source == nil || source.held.Test(chunk)) {
+				wanted = append(wanted, int(chunk))
+			}
+		}
+		if len(wanted) > 0 {
+			c.fetch(now, wanted[c.rng.IntN(len(wanted))], source)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/relay/burst/burst.go
@@ -0,0 +1,154 @@
+// Package burst decides which chunk of a version a host fetches from whom, so
+// that a version reaches all hosts near the bound that the links set and the
+// origin sends little more than one copy.
+//
+// Core is pure: events in, actions out, the time passed in. One Core serves one
+// version on one host; it is not safe for concurrent use.
+//
+// Two rules carry the design. Chunks leave the origin in the order of their
+// index, each drawn by its first owner by rendezvous hash, a few at a time: the
+// hosts tell each other which chunks were drawn, and that knowledge opens the
+// next ones. Everything else moves between peers over a bounded set of
+// neighbours, rarest chunk first, from the neighbour that should answer soonest.
+package burst
+
+import "time"
+
+// Strategies. All but Swarm are baselines for measurements.
+const (
+	Swarm      = "swarm"      // owners draw from the origin, the rest from peers
+	OriginOnly = "originOnly" // every host draws everything from the origin
+	Tree       = "tree"       // a fixed tree of hosts, the root draws from the origin
+	Random     = "random"     // random chunks from random peers, the origin among them
+)
+
+// Objectives of a rollout.
+const (
+	ObjectiveTime        = "time"
+	ObjectiveOriginBytes = "originBytes"
+)
+
+// Origin stands for the origin where an action or event names a source.
+const Origin = ""
+
+const (
+	// treeFanOut is the children of one host in the Tree strategy.
+	treeFanOut = 2
+	// closeNeighbours are chosen within the failure domain, farNeighbours
+	// anywhere: the near ones save latency and links between regions, the far
+	// ones keep the whole fleet one connected graph.
+	closeNeighbours = 2
+	farNeighbours   = 5
+	// maxNeighbours bounds the neighbours chosen and those that chose us.
+	maxNeighbours = 16
+	// fetchTarget is the chunks requested at once, as memory allows.
+	fetchTarget = 6
+	// perPeerFetches bounds the chunks requested at once from one peer.
+	perPeerFetches = 2
+	// originFetches bounds the chunks that one host draws at once.
+	originFetches = 2
+	// drawWindow is the chunks that the fleet draws at once: enough to keep
+	// the origin's link busy, few enough that each comes soon.
+	drawWindow = 6
+	// askWindow is the chunks whose owners are looked up ahead.
+	askWindow = 4 * drawWindow
+	// maxDuplicates bounds the chunks requested twice at once near the end.
+	maxDuplicates = 2
+	// ownerRanks is how many hosts may draw a chunk in turn.
+	ownerRanks = 8
+)
+
+const (
+	newsInterval   = 100 * time.Millisecond // between exchanges with a neighbour while there is news
+	urgentInterval = 25 * time.Millisecond  // the same while the own uplink is idle
+	idleInterval   = time.Second            // the same without news
+	wholeInterval  = 10 * time.Second       // the same once both sides are whole
+
+	firstFetchTime = time.Second      // assumed time of one fetch before any was measured
+	minTimeout     = time.Second      // least time until a fetch is given up
+	maxTimeout     = 60 * time.Second // greatest such time
+	timeoutFactor  = 8                // such time in measured fetch times
+
+	settleTime    = time.Second            // greatest time before the first draw
+	outsideWait   = 2 * time.Second        // pause with a peer that takes no part
+	scanInterval  = 50 * time.Millisecond  // between looks at what is due, unless something was drawn
+	lostInterval  = 250 * time.Millisecond // between looks for chunks whose holders are gone
+	busyWait      = 50 * time.Millisecond  // least pause with a busy peer
+	lacksWait     = 200 * time.Millisecond
+	suspectWait   = 5 * time.Second // pause with an unreachable peer
+	stallPenalty  = 2 * time.Second // pause with a peer that let a fetch time out; doubles
+	corruptBan    = 5 * time.Second // pause with a peer that sent corrupt bytes; doubles
+	maxPenalty    = time.Minute
+	originBackoff = 500 * time.Millisecond // pause after a failed draw; doubles
+	maxBackoff    = 15 * time.Second
+	// minTurn is the least time that an owner has before the next in rank asks
+	// after it; maxTurn the greatest.
+	minTurn = 500 * time.Millisecond
+	maxTurn = 30 * time.Second
+	// takeoverTurns is the turns after which the next rank draws although the
+	// owner says that it is still fetching.
+	takeoverTurns = 6
+)
+
+// Peer is another agent.
+type Peer struct {
+	ID            string
+	Region        string
+	FailureDomain string
+}
+
+// Config sets a Core up.
+type Config struct {
+	Self      Peer
+	Version   string
+	Chunks    int
+	Strategy  string // empty means Swarm
+	Objective string // empty means ObjectiveTime
+	// OriginCopies bounds the copies that the origin sends with ObjectiveTime;
+	// 0 stands for 1.
+	OriginCopies int
+	// MaxFetches bounds the chunks requested at once; 0 stands for the
+	// default.
+	MaxFetches int
+	// Seed makes the choices among equals differ from host to host.
+	Seed uint64
+}
+
+// ActionKind says what an Action asks for.
+type ActionKind int
+
+// The actions.
+const (
+	Fetch    ActionKind = iota + 1 // request the chunk from the source
+	Cancel                         // give up such a request
+	Exchange                       // swap reports with the peer
+)
+
+// Action is something for the program to do; its end comes back as an event.
+type Action struct {
+	Kind   ActionKind
+	Chunk  int    // of Fetch and Cancel
+	Source string // id of a peer, or Origin
+}
+
+// Report is what two peers tell each other in an exchange. The bitmaps are
+// little-endian words, one bit a chunk.
+type Report struct {
+	Held     []uint64 // verified and kept
+	Fetching []uint64 // being drawn from the origin
+	Drawn    []uint64 // drawn by some host, as far as known
+	Queue    int      // requests waiting at the uplink
+}
+
+// Cause says why a fetch failed.
+type Cause int
+
+// The causes.
+const (
+	Broken  Cause = iota + 1 // the connection failed or the source answered an error
+	Busy                     // the source asks to come back later
+	Lacks                    // the source does not hold the chunk
+	Corrupt                  // the bytes do not match the chunk's hash
+	TimedOut
+	Dropped // our own store refused the bytes: the source is not to blame
+)
--- /dev/null
+++ b/relay/burst/chunkset.go
@@ -0,0 +1,53 @@
+package burst
+
+import "github.com/bits-and-blooms/bitset"
+
+const wordBits = 64
+
+// newChunkSet returns an empty set of a version's chunks.
+func newChunkSet(chunks int) *bitset.BitSet { return bitset.New(uint(chunks)) }
+
+// addWords adds the chunks of a bitmap that came from another process; bits
+// past the version's end are ignored.
+func addWords(set *bitset.BitSet, words []uint64, added func(chunk int)) {
+	own := set.Words()
+	for i := range own {
+		fresh := wordOf(set, words, i) &^ own[i]
+		own[i] |= fresh
+		eachBit(fresh, i*wordBits, added)
+	}
+}
+
+// replaceWords makes the set equal to a bitmap that came from another process.
+func replaceWords(set *bitset.BitSet, words []uint64, added, removed func(chunk int)) {
+	own := set.Words()
+	for i := range own {
+		word := wordOf(set, words, i)
+		gone := own[i] &^ word
+		fresh := word &^ own[i]
+		own[i] = word
+		eachBit(fresh, i*wordBits, added)
+		eachBit(gone, i*wordBits, removed)
+	}
+}
+
+// wordOf returns word i of a foreign bitmap, without bits past the set's end.
+func wordOf(set *bitset.BitSet, words []uint64, i int) uint64 {
+	if i >= len(words) {
+		return 0
+	}
+	last := set.Len() % wordBits
+	if i == len(set.Words())-1 && last != 0 {
+		return words[i] & (1<<last - 1)
+	}
+	return words[i]
+}
+
+func eachBit(word uint64, base int, visit func(chunk int)) {
+	for bit := 0; word != 0; bit++ {
+		if word&1 != 0 {
+			visit(base + bit)
+		}
+		word >>= 1
+	}
+}
--- /dev/null
+++ b/relay/burst/draw.go
@@ -0,0 +1,234 @@
+package burst
+
+import (
+	"slices"
+	"time"
+
+	"comfreyrelay.example/relay/rendezvous"
+)
+
+// draw requests chunks from the origin that are this host's turn. The first
+// drawWindow chunks that nobody is known to have drawn are due; of those a host
+// draws the ones it ranks first for. The hosts of lower rank wait a turn for
+// each rank before them and then ask the hosts before them: they draw only when
+// all of those are unreachable or neither hold nor fetch the chunk, or when
+// takeoverTurns went by.
+//
+// So at most drawWindow chunks are requested from the origin at once, each by
+// one host at a time among hosts that can reach each other, however many fail.
+func (c *Core) draw(now time.Time) {
+	if now.Before(c.drawScan) || !c.settled(now) {
+		return
+	}
+	c.drawScan = now.Add(scanInterval)
+	due := 0
+	for chunk, ok := c.drawn.NextClear(0); ok && due < askWindow; chunk, ok = c.drawn.NextClear(chunk + 1) {
+		due++
+		c.askAhead(now, int(chunk))
+		if due <= drawWindow {
+			c.drawIfOwner(now, int(chunk))
+		}
+	}
+	if now.Before(c.lostScan) {
+		return
+	}
+	c.lostScan = now.Add(lostInterval)
+	for chunk := range c.dueSince {
+		if c.drawn.Test(uint(chunk)) && (c.held.Test(uint(chunk)) || c.holders[chunk] > 0) {
+			delete(c.dueSince, chunk)
+		}
+	}
+	c.findLost(now)
+}
+
+// settled reports whether enough is known to draw. A host that just started
+// knows few peers and would take itself for the owner of every chunk, the more
+// the worse: it first hears neighbours, or waits a little where none answers.
+func (c *Core) settled(now time.Time) bool {
+	if c.listedAt.IsZero() {
+		return false
+	}
+	heard, chosen := 0, 0
+	for _, pst := range c.neighbours {
+		if pst.chosen {
+			chosen++
+		}
+		if pst.chosen && pst.held != nil {
+			heard++
+		}
+	}
+	if chosen > 0 && 2*heard >= chosen {
+		return true
+	}
+	return now.Sub(c.listedAt) >= settleTime
+}
+
+// findLost looks for chunks that were drawn but whose holders may be gone.
+func (c *Core) findLost(now time.Time) {
+	for chunk, ok := c.held.NextClear(0); ok; chunk, ok = c.held.NextClear(chunk + 1) {
+		if c.drawn.Test(chunk) && c.holders[chunk] == 0 && c.inFlight[chunk] == 0 {
+			c.drawIfOwner(now, int(chunk))
+		}
+	}
+}
+
+func (c *Core) drawIfOwner(now time.Time, chunk int) {
+	if c.held.Test(uint(chunk)) || c.inFlight[chunk] > 0 {
+		return
+	}
+	since, ok := c.dueSince[chunk]
+	if !ok {
+		since = now
+		c.dueSince[chunk] = now
+	}
+	if c.myTurn(now, chunk, now.Sub(since)) {
+		c.drawNow(now, chunk)
+	}
+}
+
+func (c *Core) drawNow(now time.Time, chunk int) {
+	if now.Before(c.originWait) || c.drawsInFlight() >= originFetches {
+		return
+	}
+	c.fetch(now, chunk, nil)
+}
+
+func (c *Core) drawsInFlight() int {
+	draws := 0
+	for _, flt := range c.flights {
+		if flt.source == nil {
+			draws++
+		}
+	}
+	return draws
+}
+
+// myTurn reports whether this host should draw a chunk that has been due for
+// the time given.
+func (c *Core) myTurn(now time.Time, chunk int, waited time.Duration) bool {
+	turn := c.turn()
+	// A chunk that somebody drew is probably on its way here.
+	lost := c.drawn.Test(uint(chunk))
+	if lost {
+		turn *= 4
+		waited -= turn
+	}
+	before := 0
+	for _, owner := range c.ownersOf(chunk) {
+		if owner == nil {
+			return waited >= 0
+		}
+		if owner.absent(now) {
+			continue
+		}
+		before++
+		if waited < time.Duration(before)*turn {
+			return false
+		}
+		if waited >= time.Duration(before)*turn*takeoverTurns && !lost {
+			continue
+		}
+		if !c.excluded(now, owner, chunk, turn) {
+			return false
+		}
+	}
+	return false
+}
+
+// excluded reports whether a host of higher rank said lately that it neither
+// holds nor fetches the chunk; it asks where that is unknown.
+func (c *Core) excluded(now time.Time, owner *peerState, chunk int, turn time.Duration) bool {
+	if owner.exchanging {
+		return false
+	}
+	query := ownerQuery{peer: owner.peer.ID, chunk: chunk}
+	asked, ok := c.asked[query]
+	if !ok || now.Sub(asked) > 4*turn {
+		c.asked[query] = now
+		c.exchangeWith(owner)
+		return false
+	}
+	if owner.heardAt.Before(asked) {
+		return false
+	}
+	if owner.held != nil && owner.held.Test(uint(chunk)) {
+		return false
+	}
+	return !owner.is(owner.fetching, chunk)
+}
+
+// turn is the time that each rank has, from the measured pace of the draws.
+func (c *Core) turn() time.Duration {
+	if c.drawTime == 0 {
+		return 2 * firstFetchTime
+	}
+	return min(max(4*drawWindow*c.drawTime, minTurn), maxTurn)
+}
+
+// ownersOf returns the hosts that may draw a chunk, by rank; nil stands for
+// this one.
+func (c *Core) ownersOf(chunk int) []*peerState {
+	if owners, ok := c.owners[chunk]; ok {
+		return owners
+	}
+	key := rendezvous.Mix(c.versionSeed + uint64(chunk))
+	ranked := []scoredPeer{{score: rendezvous.Score(key, c.selfSeed)}}
+	for _, pst := range c.order {
+		ranked = append(ranked, scoredPeer{score: rendezvous.Score(key, pst.seed), pst: pst})
+	}
+	slices.SortFunc(ranked, byScore)
+	owners := make([]*peerState, 0, ownerRanks)
+	for _, entry := range ranked[:min(ownerRanks, len(ranked))] {
+		owners = append(owners, entry.pst)
+	}
+	c.owners[chunk] = owners
+	return owners
+}
+
+// askAhead asks the hosts that rank before this one for a chunk that is due
+// soon, one after the other while they turn out to be absent, so that nobody
+// waits for a host that is gone or takes no part.
+func (c *Core) askAhead(now time.Time, chunk int) {
+	for _, owner := range c.ownersOf(chunk) {
+		if owner == nil {
+			return
+		}
+		if owner.absent(now) {
+			continue
+		}
+		if owner.heardAt.IsZero() && !owner.exchanging {
+			c.exchangeWith(owner)
+		}
+		return
+	}
+}
+
+// wakeNextOwner tells the owner of the chunk that became due what was drawn,
+// so that the origin's link does not wait for the next exchange.
+func (c *Core) wakeNextOwner() {
+	due := 0
+	for chunk, ok := c.drawn.NextClear(0); ok; chunk, ok = c.drawn.NextClear(chunk + 1) {
+		due++
+		if due < drawWindow {
+			continue
+		}
+		first := c.ownersOf(int(chunk))[0]
+		if first != nil && !first.exchanging {
+			c.exchangeWith(first)
+		}
+		return
+	}
+}
+
+// originFailed backs off. A refusal over the origin's rate says how long; other
+// failures double the pause, so that a failing origin is left in peace.
+func (c *Core) originFailed(now time.Time, cause Cause, retryAfter time.Duration) {
+	if cause == Dropped {
+		return
+	}
+	pause := min(originBackoff<<min(c.originFail, 8), maxBackoff)
+	c.originFail++
+	pause = max(pause, retryAfter)
+	jitter := time.Duration(c.rng.Int64N(int64(pause)/2 + 1))
+	c.originWait = now.Add(pause + jitter)
+}
--- /dev/null
+++ b/relay/burst/peers.go
@@ -0,0 +1,189 @@
+package burst
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+
+	"comfreyrelay.example/relay/rendezvous"
+)
+
+// peerState is what a Core knows of another agent.
+type peerState struct {
+	peer      Peer
+	seed      uint64
+	listed    bool // in the newest list of peers
+	neighbour bool // exchanged with regularly
+	chosen    bool // neighbour by our own choice
+	heldCount int  // bits of held
+
+	held     *bitset.BitSet // nil until it was heard; only grows
+	fetching []uint64
+	heardAt  time.Time
+
+	exchanging bool
+	exchanged  time.Time // when the last exchange ended, either side's
+	told       int       // c.news when it was last told; -1 before
+	telling    int       // c.news when the exchange in progress began
+
+	queue    int // requests waiting at its uplink when last heard
+	inFlight int
+	serve    time.Duration // moving average of a fetch from it; 0 until measured
+
+	busyUntil    time.Time // asked to come back then
+	penaltyUntil time.Time // stalled, corrupt or unreachable until then
+	suspect      bool      // the penalty is for being unreachable
+	outsideUntil time.Time // takes no part in the version until then
+	strikes      int       // penalties since it last delivered
+	corrupts     int       // corrupt chunks, ever
+}
+
+// usable reports whether chunks may be requested from the peer.
+func (p *peerState) usable(now time.Time) bool {
+	return p.held != nil && !now.Before(p.busyUntil) && !now.Before(p.penaltyUntil)
+}
+
+// absent reports whether the peer is taken to be unreachable or not to take
+// part in the version.
+func (p *peerState) absent(now time.Time) bool {
+	return p.suspect && now.Before(p.penaltyUntil) || now.Before(p.outsideUntil)
+}
+
+// penalise pauses requests to the peer, twice as long at each strike.
+func (p *peerState) penalise(now time.Time, base time.Duration) {
+	p.penaltyUntil = now.Add(min(base<<min(p.strikes, 6), maxPenalty))
+	p.strikes++
+}
+
+func (p *peerState) is(set []uint64, chunk int) bool {
+	word := chunk / wordBits
+	return word < len(set) && set[word]&(1<<(chunk%wordBits)) != 0
+}
+
+// SetPeers replaces the list of agents known to live; Self is ignored. A
+// neighbour that left the list stays while it answers, because the list lags.
+func (c *Core) SetPeers(now time.Time, list []Peer) {
+	if slices.Equal(list, c.list) {
+		return
+	}
+	c.list = slices.Clone(list)
+	if c.listedAt.IsZero() {
+		c.listedAt = now
+	}
+	for _, pst := range c.order {
+		pst.listed = false
+	}
+	for _, peer := range list {
+		if peer.ID == c.cfg.Self.ID {
+			continue
+		}
+		pst := c.ensure(peer)
+		pst.listed = true
+		pst.peer = peer
+	}
+	c.order = slices.DeleteFunc(c.order, func(pst *peerState) bool {
+		gone := !pst.listed && now.Sub(pst.heardAt) > wholeInterval
+		if gone {
+			c.forget(pst)
+		}
+		return gone
+	})
+	c.membershipChanged(now)
+}
+
+func (c *Core) ensure(peer Peer) *peerState {
+	if pst := c.peers[peer.ID]; pst != nil {
+		return pst
+	}
+	pst := &peerState{peer: peer, seed: rendezvous.Seed(peer.ID), told: -1}
+	c.peers[peer.ID] = pst
+	at, _ := slices.BinarySearchFunc(c.order, peer.ID, func(other *peerState, id string) int {
+		return cmp.Compare(other.peer.ID, id)
+	})
+	c.order = slices.Insert(c.order, at, pst)
+	return pst
+}
+
+func (c *Core) forget(pst *peerState) {
+	delete(c.peers, pst.peer.ID)
+	c.setNeighbour(pst, false)
+}
+
+// membershipChanged recomputes what depends on who is there.
+func (c *Core) membershipChanged(now time.Time) {
+	clear(c.owners)
+	c.chooseNeighbours(now)
+	c.parent = c.findParent()
+}
+
+// chooseNeighbours picks by a hash of the pair, so that most choices are
+// mutual and one host's coming or going changes few of them.
+func (c *Core) chooseNeighbours(now time.Time) {
+	ranked := make([]scoredPeer, 0, len(c.order))
+	for _, pst := range c.order {
+		pst.chosen = false
+		if !pst.absent(now) {
+			ranked = append(ranked, scoredPeer{score: c.pairScore(pst), pst: pst})
+		}
+	}
+	slices.SortFunc(ranked, byScore)
+	near, far := closeNeighbours, farNeighbours
+	for _, entry := range ranked {
+		if near > 0 && entry.pst.peer.FailureDomain == c.cfg.Self.FailureDomain {
+			near--
+			entry.pst.chosen = true
+		} else if far > 0 {
+			far--
+			entry.pst.chosen = true
+		}
+	}
+	for _, pst := range c.order {
+		if pst.chosen {
+			c.setNeighbour(pst, true)
+		} else if pst.absent(now) || now.Sub(pst.heardAt) > wholeInterval {
+			c.setNeighbour(pst, false)
+		}
+	}
+}
+
+// scoredPeer is a candidate of a ranking by rendezvous hash.
+type scoredPeer struct {
+	score uint64
+	pst   *peerState // nil stands for this host
+}
+
+func byScore(left, right scoredPeer) int { return cmp.Compare(right.score, left.score) }
+
+func (c *Core) pairScore(pst *peerState) uint64 {
+	return rendezvous.Score(c.versionSeed, min(c.selfSeed, pst.seed)^rendezvous.Mix(max(c.selfSeed, pst.seed)))
+}
+
+func (c *Core) setNeighbour(pst *peerState, on bool) {
+	if pst.neighbour == on {
+		return
+	}
+	pst.neighbour = on
+	if on {
+		c.neighbours = append(c.neighbours, pst)
+	} else {
+		c.neighbours = slices.DeleteFunc(c.neighbours, func(other *peerState) bool { return other == pst })
+	}
+	c.countHolders(pst, on)
+}
+
+// countHolders adds a neighbour's chunks to the rarity counts, or takes them
+// out.
+func (c *Core) countHolders(pst *peerState, on bool) {
+	if pst.held == nil {
+		return
+	}
+	for i, ok := pst.held.NextSet(0); ok; i, ok = pst.held.NextSet(i + 1) {
+		if on {
+			c.holders[i]++
+		} else {
+			c.holders[i]--
+		}
+	}
+}
--- /dev/null
+++ b/relay/burst/sim_test.go
@@ -0,0 +1,512 @@
+package burst
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// The harness of this package's tests: a discrete-event run of many Cores with
+// paced links and latency, without sockets or goroutines. It exercises the
+// Core's decisions; it is no model of the other programs.
+
+const (
+	simPieces  = 4                    // pieces of a chunk on a link
+	simProcess = 2 * time.Millisecond // reading, verifying and keeping a chunk
+	simTick    = 25 * time.Millisecond
+	// simListInterval is how often a host gets the list of peers.
+	simListInterval = time.Second
+)
+
+var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type simConfig struct {
+	hosts, chunks int
+	window        time.Duration // W
+	strategy      string
+	objective     string
+	copies        int
+	shared        bool // one rate for both directions of a host's link
+	seed          uint64
+	corrupt       float64 // part of the chunks that arrive corrupt
+	limit         time.Duration
+	verbose       bool
+}
+
+type simEvent struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := len(*q) - 1
+	ev := (*q)[last]
+	*q = (*q)[:last]
+	return ev
+}
+
+type sim struct {
+	cfg     simConfig
+	rng     *rand.Rand
+	now     time.Duration
+	seq     int
+	queue   simQueue
+	hosts   []*simHost
+	byID    map[string]*simHost
+	origin  *simSender
+	sent    int // chunks that left the origin whole or in part, in pieces
+	control int // bytes of exchanges
+	// originFault returns the cause to refuse a draw with, or 0.
+	originFault func(now time.Duration) (Cause, time.Duration)
+	originReqs  int
+	maxDraws    int // most draws in progress at the origin
+	// cut reports whether two hosts cannot reach each other now.
+	cut func(a, b *simHost) bool
+	// list returns the hosts that a host is told of.
+	list func(now time.Duration) []*simHost
+}
+
+// simLink carries pieces one after the other.
+type simLink struct {
+	free    time.Duration
+	piece   time.Duration // time that one piece takes
+	carried time.Duration
+}
+
+func (l *simLink) carry(now time.Duration) time.Duration {
+	l.free = max(l.free, now) + l.piece
+	l.carried += l.piece
+	return l.free
+}
+
+type simSender struct {
+	link   *simLink
+	active []*simTransfer
+	busy   bool
+}
+
+type simTransfer struct {
+	chunk    int
+	from     *simHost // nil: the origin
+	to       *simHost
+	left     int
+	dead     bool
+	queuedAt time.Duration
+	begun    time.Duration
+}
+
+type simHost struct {
+	peer     Peer
+	core     *Core
+	uploads  Uploads
+	waiting  []*simTransfer
+	sender   *simSender
+	down     *simLink
+	incoming map[string]*simTransfer
+	dead     bool
+	stalled  bool // takes requests and sends nothing
+	corrupts bool // all it sends is corrupt
+	life     int
+	listAt   time.Duration // when it next gets the list of peers
+	wholeAt  time.Duration
+}
+
+func newSim(cfg simConfig) *sim {
+	if cfg.limit == 0 {
+		cfg.limit = 4 * cfg.window
+	}
+	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1)), byID: map[string]*simHost{}}
+	piece := cfg.window / time.Duration(cfg.chunks*simPieces)
+	s.origin = &simSender{link: &simLink{piece: piece / 4}}
+	for i := range cfg.hosts {
+		s.addHost(i, piece/2)
+	}
+	s.list = func(time.Duration) []*simHost { return s.hosts }
+	for _, host := range s.hosts {
+		s.start(host)
+	}
+	return s
+}
+
+func (s *sim) addHost(i int, piece time.Duration) {
+	domain := i % 9
+	host := &simHost{
+		peer: Peer{
+			ID:            fmt.Sprintf("host-%03d", i),
+			Region:        fmt.Sprintf("region-%d", domain/3),
+			FailureDomain: fmt.Sprintf("domain-%d", domain),
+		},
+		sender: &simSender{link: &simLink{piece: piece}},
+		down:   &simLink{piece: piece},
+	}
+	if s.cfg.shared {
+		host.down = host.sender.link
+	}
+	s.hosts = append(s.hosts, host)
+	s.byID[host.peer.ID] = host
+}
+
+// start begins a new life of the host, which holds nothing.
+func (s *sim) start(host *simHost) {
+	host.life++
+	host.dead = false
+	host.wholeAt, host.listAt = 0, 0
+	host.incoming = map[string]*simTransfer{}
+	host.waiting = nil
+	host.uploads = Uploads{}
+	host.sender.active = nil
+	host.core = New(Config{
+		Self: host.peer, Version: "version", Chunks: s.cfg.chunks, Strategy: s.cfg.strategy,
+		Objective: s.cfg.objective, OriginCopies: s.cfg.copies, Seed: s.cfg.seed + uint64(host.life),
+	})
+	s.tick(host, host.life, true)
+}
+
+func (s *sim) tick(host *simHost, life int, first bool) {
+	wait := simTick
+	if first {
+		wait = time.Duration(s.rng.Int64N(int64(simTick)))
+	}
+	s.after(wait, func() {
+		if host.dead || host.life != life {
+			return
+		}
+		if s.now >= host.listAt {
+			host.listAt = s.now + simListInterval
+			host.core.SetPeers(s.time(), s.peersFor(host))
+		}
+		s.decide(host)
+		s.tick(host, life, false)
+	})
+}
+
+func (s *sim) peersFor(host *simHost) []Peer {
+	var list []Peer
+	for _, other := range s.list(s.now) {
+		list = append(list, other.peer)
+	}
+	return list
+}
+
+func (s *sim) time() time.Time { return simStart.Add(s.now) }
+
+func (s *sim) after(wait time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, simEvent{at: s.now + wait, seq: s.seq, run: run})
+}
+
+func (s *sim) latency(a, b *simHost) time.Duration {
+	if a.peer.Region == b.peer.Region {
+		return 1500 * time.Microsecond
+	}
+	return 3 * time.Millisecond
+}
+
+func (s *sim) reachable(a, b *simHost) bool {
+	return !a.dead && !b.dead && (s.cut == nil || !s.cut(a, b))
+}
+
+// on runs an event of a host unless it died or restarted meanwhile.
+func (s *sim) on(host *simHost, wait time.Duration, run func()) {
+	life := host.life
+	s.after(wait, func() {
+		if !host.dead && host.life == life {
+			run()
+		}
+	})
+}
+
+func (s *sim) decide(host *simHost) {
+	host.core.SetUploads(host.uploads.Load())
+	for _, act := range host.core.Decide(s.time()) {
+		switch act.Kind {
+		case Fetch:
+			s.request(host, act)
+		case Cancel:
+			s.cancel(host, act)
+		case Exchange:
+			s.exchange(host, s.byID[act.Source])
+		}
+	}
+	if host.wholeAt == 0 && host.core.Whole() {
+		host.wholeAt = s.now
+	}
+}
+
+func (s *sim) exchange(host, peer *simHost) {
+	rep := host.core.Report()
+	s.control += 2 * (60 + 3*s.cfg.chunks/8)
+	lat := s.latency(host, peer)
+	if !s.reachable(host, peer) {
+		s.on(host, 2*lat, func() { host.core.Unreachable(s.time(), peer.peer.ID) })
+		return
+	}
+	s.on(peer, lat, func() {
+		peer.core.SetUploads(peer.uploads.Load())
+		peer.core.Heard(s.time(), host.peer, rep)
+		reply := peer.core.Report()
+		s.decide(peer)
+		s.on(host, lat, func() {
+			host.core.Replied(s.time(), peer.peer.ID, reply)
+			s.decide(host)
+		})
+	})
+}
+
+func flightKey(chunk int, source string) string { return fmt.Sprint(chunk, source) }
+
+func (s *sim) request(host *simHost, act Action) {
+	key := flightKey(act.Chunk, act.Source)
+	trans := &simTransfer{chunk: act.Chunk, to: host, left: simPieces, queuedAt: s.now}
+	host.incoming[key] = trans
+	if act.Source == Origin {
+		s.originRequest(host, trans)
+		return
+	}
+	peer := s.byID[act.Source]
+	trans.from = peer
+	lat := s.latency(host, peer)
+	if !s.reachable(host, peer) {
+		s.failLater(trans, 2*lat, Broken, 0)
+		return
+	}
+	s.after(lat, func() {
+		if peer.dead {
+			s.failLater(trans, lat, Broken, 0)
+			return
+		}
+		if !peer.core.Holds(act.Chunk) {
+			s.failLater(trans, lat, Lacks, 0)
+			return
+		}
+		ok, retryAfter := peer.uploads.Admit()
+		if !ok {
+			s.failLater(trans, lat, Busy, retryAfter)
+			return
+		}
+		peer.waiting = append(peer.waiting, trans)
+		s.startUploads(peer)
+	})
+}
+
+func (s *sim) originRequest(host *simHost, trans *simTransfer) {
+	s.originReqs++
+	if s.originFault != nil {
+		if cause, retry := s.originFault(s.now); cause != 0 {
+			s.failLater(trans, 6*time.Millisecond, cause, retry)
+			return
+		}
+	}
+	s.after(3*time.Millisecond, func() {
+		s.origin.active = append(s.origin.active, trans)
+		s.maxDraws = max(s.maxDraws, len(s.origin.active))
+		s.pump(s.origin, nil)
+	})
+}
+
+func (s *sim) failLater(trans *simTransfer, wait time.Duration, cause Cause, retry time.Duration) {
+	s.on(trans.to, wait, func() { s.end(trans, cause, retry) })
+}
+
+// end reports the transfer's end to its receiver, unless that gave it up.
+func (s *sim) end(trans *simTransfer, cause Cause, retry time.Duration) {
+	source := Origin
+	if trans.from != nil {
+		source = trans.from.peer.ID
+	}
+	key := flightKey(trans.chunk, source)
+	if trans.to.incoming[key] != trans {
+		return
+	}
+	delete(trans.to.incoming, key)
+	if cause == 0 {
+		trans.to.core.Arrived(s.time(), trans.chunk, source)
+	} else {
+		trans.to.core.Failed(s.time(), trans.chunk, source, cause, retry)
+	}
+	s.decide(trans.to)
+}
+
+func (s *sim) cancel(host *simHost, act Action) {
+	key := flightKey(act.Chunk, act.Source)
+	trans := host.incoming[key]
+	delete(host.incoming, key)
+	if trans != nil {
+		s.after(3*time.Millisecond, func() { trans.dead = true })
+	}
+}
+
+func (s *sim) startUploads(peer *simHost) {
+	for len(peer.waiting) > 0 {
+		trans := peer.waiting[0]
+		if trans.dead || trans.to.dead {
+			peer.waiting = peer.waiting[1:]
+			peer.uploads.Leave()
+			continue
+		}
+		if !peer.uploads.Start() {
+			break
+		}
+		peer.waiting = peer.waiting[1:]
+		trans.begun = s.now
+		peer.sender.active = append(peer.sender.active, trans)
+	}
+	s.pump(peer.sender, peer)
+}
+
+// pump sends the next piece of the next active transfer in turn.
+func (s *sim) pump(sender *simSender, host *simHost) {
+	if sender.busy || (host != nil && (host.stalled || host.dead)) {
+		return
+	}
+	for len(sender.active) > 0 {
+		trans := sender.active[0]
+		sender.active = sender.active[1:]
+		if trans.dead || trans.to.dead {
+			s.uploadEnded(trans, host)
+			continue
+		}
+		s.sendPiece(sender, host, trans)
+		return
+	}
+}
+
+func (s *sim) sendPiece(sender *simSender, host *simHost, trans *simTransfer) {
+	sender.busy = true
+	trans.left--
+	last := trans.left == 0
+	if host == nil {
+		s.sent++
+	}
+	life := 0
+	if host != nil {
+		life = host.life
+	}
+	s.after(sender.link.carry(s.now)-s.now, func() {
+		sender.busy = false
+		if host != nil && (host.dead || host.life != life) {
+			return
+		}
+		if !last {
+			sender.active = append(sender.active, trans)
+		} else {
+			s.uploadEnded(trans, host)
+		}
+		s.on(trans.to, 2*time.Millisecond, func() { s.receive(trans, last) })
+		if host != nil {
+			s.startUploads(host)
+			return
+		}
+		s.pump(sender, nil)
+	})
+}
+
+func (s *sim) uploadEnded(trans *simTransfer, host *simHost) {
+	if host != nil {
+		host.uploads.Done(s.now - trans.begun)
+		s.decide(host)
+	}
+}
+
+func (s *sim) receive(trans *simTransfer, last bool) {
+	at := trans.to.down.carry(s.now)
+	if !last {
+		return
+	}
+	var cause Cause
+	if (trans.from != nil && trans.from.corrupts) || s.rng.Float64() < s.cfg.corrupt {
+		cause = Corrupt
+	}
+	s.on(trans.to, at-s.now+simProcess, func() { s.end(trans, cause, 0) })
+}
+
+func (s *sim) kill(host *simHost) {
+	host.dead = true
+	for _, other := range s.hosts {
+		for _, trans := range other.incoming {
+			if trans.from == host {
+				s.failLater(trans, 3*time.Millisecond, Broken, 0)
+			}
+		}
+	}
+}
+
+// run returns once every live host is whole, or at the limit.
+func (s *sim) run() {
+	for s.queue.Len() > 0 && s.now < s.cfg.limit {
+		ev := heap.Pop(&s.queue).(simEvent)
+		s.now = ev.at
+		ev.run()
+		if s.wholeCount() == s.liveCount() && s.seq%16 == 0 && s.quiet() {
+			return
+		}
+	}
+}
+
+// quiet reports whether nothing that is still planned can undo the result.
+func (s *sim) quiet() bool { return true }
+
+func (s *sim) wholeCount() int {
+	count := 0
+	for _, host := range s.hosts {
+		if !host.dead && host.wholeAt > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *sim) liveCount() int {
+	count := 0
+	for _, host := range s.hosts {
+		if !host.dead {
+			count++
+		}
+	}
+	return count
+}
+
+type simResult struct {
+	seconds, bound, ratio, copies float64
+	whole, live                   int
+	controlPerHost                float64 // bytes per second
+}
+
+func (s *sim) result() simResult {
+	var last time.Duration
+	for _, host := range s.hosts {
+		if !host.dead {
+			last = max(last, host.wholeAt)
+		}
+	}
+	n := float64(s.cfg.hosts)
+	window := s.cfg.window.Seconds()
+	bound := max(1.0/4, 1.0/2, n/(4+2*n)) * window
+	if s.cfg.shared {
+		bound = max(bound, (2*n-1)/(4+2*n)*window)
+	}
+	return simResult{
+		seconds: last.Seconds(), bound: bound, ratio: last.Seconds() / bound,
+		copies: float64(s.sent) / float64(simPieces*s.cfg.chunks),
+		whole:  s.wholeCount(), live: s.liveCount(),
+		controlPerHost: float64(s.control) / n / s.now.Seconds(),
+	}
+}
+
+func (r simResult) String() string {
+	return fmt.Sprintf("seconds=%.2f bound=%.2f ratio=%.3f copies=%.3f whole=%d/%d control=%.0fB/s",
+		r.seconds, r.bound, r.ratio, r.copies, r.whole, r.live, r.controlPerHost)
+}
