comfreybench: houses of real processes, audit, demo

Cause: nothing starts the whole path or counts what back ends ran. Change: processes started and ended by id, throw-away keys, settings files, fault knobs, the callers' record compared with the back ends', the demo.

--- /dev/null
+++ b/bench/internal/audit/audit.go
@@ -0,0 +1,159 @@
+// Package audit compares what the callers were told with what the back ends
+// ran, both from their own records, never from the system's.
+package audit
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+const (
+	// maxLine bounds one line of the caller's record.
+	maxLine = 1 << 20
+	// maxExamples bounds the breaches told in detail.
+	maxExamples = 20
+)
+
+// Outcomes in the caller's record that the audit looks at.
+const (
+	outcomeNotRun   = "notRun"
+	outcomeAnswered = "answered"
+)
+
+// Line is one request in the caller's record.
+type Line struct {
+	ID         int    `json:"id"`
+	RequestID  string `json:"requestId"`
+	Key        string `json:"key"`
+	Customer   string `json:"customer"`
+	Service    string `json:"service"`
+	Repeatable bool   `json:"repeatable"`
+	Outcome    string `json:"outcome"`
+	Detail     string `json:"detail"`
+	Version    string `json:"version"`
+	Attempts   int    `json:"attempts"`
+}
+
+// Runs counts how often back ends began each request id.
+type Runs struct {
+	byID map[string]int
+	// forgotten counts ids that a back end no longer remembers: the audit is
+	// incomplete unless it is 0.
+	forgotten int
+	breaches  []Breach
+}
+
+// NewRuns returns an empty count.
+func NewRuns() *Runs { return &Runs{byID: map[string]int{}} }
+
+// AddEngine adds one engine's record.
+func (r *Runs) AddEngine(host string, ledger house.EngineLedger) {
+	for id, account := range ledger.RunsByID {
+		r.byID[id] += account.Begun
+	}
+	r.forgotten += ledger.Forgotten
+	for _, seen := range ledger.Violations {
+		r.breaches = append(r.breaches, Breach{Kind: seen.Kind, RequestID: seen.RequestID, Detail: host + ": " + seen.Detail})
+	}
+}
+
+// AddService adds one plain service's record.
+func (r *Runs) AddService(ledger house.ServiceLedger) {
+	for id, runs := range ledger.RunsByID {
+		r.byID[id] += runs
+	}
+	r.forgotten += ledger.Forgotten
+}
+
+// Kinds of breach beside those that engines see.
+const (
+	KindDoubled    = "doubled"
+	KindRanNotRun  = "notRunButRan"
+	KindUnverified = "unverified"
+	KindNeverRan   = "answeredButNeverRan"
+	kindCutOff     = "cutOff"
+)
+
+// Breach is one broken promise.
+type Breach struct {
+	Kind      string `json:"kind"`
+	RequestID string `json:"requestId"`
+	Detail    string `json:"detail"`
+}
+
+// Findings is the result of an audit.
+type Findings struct {
+	// Doubled counts requests that are not repeatable and ran more than once.
+	Doubled int
+	// NotRunButRan counts requests called not run that a back end began.
+	NotRunButRan int
+	// CutOff counts runs that an order to the engine cut.
+	CutOff int
+	// Other counts what else engines saw and must never happen.
+	Other int
+	// Unverified counts ids that a back end forgot.
+	Unverified int
+	// NeverRan counts answers to requests that no record shows; records of
+	// back ends that died are gone with them.
+	NeverRan int
+	// Examples holds the first breaches.
+	Examples []Breach
+}
+
+// Breaches returns the sum of all that must be 0.
+func (f Findings) Breaches() int {
+	return f.Doubled + f.NotRunButRan + f.CutOff + f.Other
+}
+
+func (f *Findings) add(breach Breach) {
+	if len(f.Examples) < maxExamples {
+		f.Examples = append(f.Examples, breach)
+	}
+}
+
+// Compare reads the caller's record, one JSON object a line, and compares it
+// with the runs.
+func Compare(record io.Reader, runs *Runs) (Findings, error) {
+	found := Findings{Unverified: runs.forgotten}
+	for _, breach := range runs.breaches {
+		if breach.Kind == kindCutOff {
+			found.CutOff++
+		} else {
+			found.Other++
+		}
+		found.add(breach)
+	}
+	lines := bufio.NewScanner(record)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		var line Line
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return found, fmt.Errorf("the caller's record cannot be read: %w", err)
+		}
+		found.compare(line, runs)
+	}
+	return found, lines.Err()
+}
+
+func (f *Findings) compare(line Line, runs *Runs) {
+	id := line.RequestID
+	if line.Key != "" {
+		id = line.Key
+	}
+	count := runs.byID[id]
+	if !line.Repeatable && count > 1 {
+		f.Doubled++
+		f.add(Breach{Kind: KindDoubled, RequestID: id, Detail: fmt.Sprintf("request %d ran %d times", line.ID, count)})
+	}
+	if line.Outcome == outcomeNotRun && id != "" && count > 0 {
+		f.NotRunButRan++
+		f.add(Breach{Kind: KindRanNotRun, RequestID: id, Detail: fmt.Sprintf("request %d: told %q, ran %d times", line.ID, line.Detail, count)})
+	}
+	if line.Outcome == outcomeAnswered && count == 0 {
+		f.NeverRan++
+	}
+}
--- /dev/null
+++ b/bench/internal/cmd/cmd_demo.go
@@ -0,0 +1,100 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"comfreyrelay.example/bench/internal/demo"
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/logging"
+)
+
+type demoOptions struct {
+	common
+	Hosts     int     `long:"hosts" default:"12" description:"hosts, each an engine with its agent"`
+	Objective string  `long:"objective" default:"time" choice:"time" choice:"originBytes" description:"what rollouts optimise"`
+	ModelMiB  float64 `long:"model-mib" default:"8" description:"size of the weights"`
+}
+
+const demoHelp = `Starts one whole house over loopback, rolls a model out, sends requests, rolls to
+a second version while they run, lets one entry and one host leave, and ends
+all that it started. Progress goes to standard error; the last line on standard
+output is one JSON object. The exit code is 1 where an invariant broke.
+
+Example:
+  comfreybench demo --hosts 12 --objective originBytes --model-mib 16`
+
+func demoCommand() *cli.Command {
+	options := &demoOptions{}
+	return &cli.Command{
+		Name:    "demo",
+		Short:   "run one whole house and check it",
+		Long:    demoHelp,
+		Options: options,
+		Run:     func(ctx context.Context, _ []string) error { return runDemo(ctx, options) },
+	}
+}
+
+func runDemo(ctx context.Context, options *demoOptions) error {
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	log, closeLog, err := options.processLog("demo.log")
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	result, err := demo.Run(ctx, demo.Options{
+		Bin:        options.Bin,
+		Hosts:      options.Hosts,
+		Objective:  options.Objective,
+		ModelMiB:   options.ModelMiB,
+		Log:        logger(),
+		Progress:   os.Stderr,
+		ProcessLog: log,
+		Seed:       options.Seed,
+	})
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "the demo did not come to its end",
+			"read "+filepath.Join(options.Out, "demo.log"))
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(result); err != nil {
+		return err
+	}
+	if result.Broken() {
+		return failure.New(failure.Internal, "an invariant broke", "read "+filepath.Join(options.Out, "demo.log"))
+	}
+	return nil
+}
+
+// common are the options of every subcommand.
+type common struct {
+	Bin  string `long:"bin" default:"bin" description:"directory of the built programs"`
+	Out  string `long:"out" default:"out" description:"directory for the processes' logs"`
+	Seed uint64 `long:"seed" default:"1" description:"seed of loads, contents and faults"`
+}
+
+// processLog opens the file that takes the log lines of all processes.
+func (c *common) processLog(name string) (*os.File, func(), error) {
+	const dirMode = 0o755
+	if err := os.MkdirAll(c.Out, dirMode); err != nil {
+		return nil, nil, failure.Wrap(err, failure.Invalid, "cannot make the directory of logs", "name another with --out")
+	}
+	file, err := os.Create(filepath.Join(c.Out, name))
+	if err != nil {
+		return nil, nil, failure.Wrap(err, failure.Invalid, "cannot write the processes' log", "name another directory with --out")
+	}
+	return file, func() { _ = file.Close() }, nil
+}
+
+func logger() *slog.Logger { return logging.New(os.Stderr, "info", program, "bench") }
+
+// untilSignal returns a context that ends when the user wants the run to end.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+}
--- /dev/null
+++ b/bench/internal/demo/demo.go
@@ -0,0 +1,321 @@
+// Package demo runs one whole house through a working day in under a minute:
+// a model is rolled out, requests are served, a second version follows while
+// they run, and one entry and one host leave.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"comfreyrelay.example/bench/internal/audit"
+	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Options say what house to show.
+type Options struct {
+	// Bin is the directory of the built programs.
+	Bin string
+	// Hosts counts the engines with their agents.
+	Hosts int
+	// Objective is "time" or "originBytes".
+	Objective string
+	// ModelMiB is the size of the weights.
+	ModelMiB float64
+	// Log receives the demo's own progress, ProcessLog the processes' logs.
+	Log        *slog.Logger
+	Progress   io.Writer
+	ProcessLog io.Writer
+	Seed       uint64
+}
+
+// Sizes and times of the demo.
+const (
+	entryCount     = 9
+	serviceCount   = 1
+	customerCount  = 10
+	chunkKiB       = 64
+	changeFraction = 0.25 // of the chunks, between the two versions
+	loadRate       = 80   // requests a second
+	loadTime       = 18 * time.Second
+	rollAfter      = 3 * time.Second
+	leaveAfter     = 3 * time.Second // behind the start of the roll
+	answerTokens   = 16
+	linkFactor     = 2 // copies of the model a window, each host's link
+	originFactor   = 4 // copies of the model a window, the origin's link
+	window         = 6 * time.Second
+	limit          = 58 * time.Second
+	requestTime    = 8 * time.Second
+)
+
+// Result is the demo's JSON line. The callers and the back ends' stand-ins
+// counted all of it; the system says nothing about itself.
+type Result struct {
+	Demo             string  `json:"demo"`
+	Hosts            int     `json:"hosts"`
+	Objective        string  `json:"objective"`
+	ServingSeconds   float64 `json:"servingSeconds"`
+	OriginCopies     float64 `json:"originCopies"`
+	RollSeconds      float64 `json:"rollSeconds"`
+	RollOriginCopies float64 `json:"rollOriginCopies"`
+	Requests         int     `json:"requests"`
+	Answered         int     `json:"answered"`
+	NotRun           int     `json:"notRun"`
+	Unknown          int     `json:"unknown"`
+	Doubled          int     `json:"doubled"`
+	WrongAnswer      int     `json:"wrongAnswer"`
+	WrongVersion     int     `json:"wrongVersion"`
+	CutOff           int     `json:"cutOff"`
+	NotRunButRan     int     `json:"notRunButRan"`
+	// OtherBreaches counts what engines saw and must never happen, and members
+	// that did not end cleanly.
+	OtherBreaches int     `json:"otherBreaches"`
+	Seconds       float64 `json:"seconds"`
+}
+
+// Values of Result.Demo.
+const (
+	stateOK     = "ok"
+	stateBroken = "broken"
+)
+
+func (r *Result) judge() {
+	r.Demo = stateOK
+	if r.Doubled+r.WrongAnswer+r.WrongVersion+r.CutOff+r.NotRunButRan+r.OtherBreaches > 0 || r.Answered == 0 {
+		r.Demo = stateBroken
+	}
+}
+
+// Broken reports whether an invariant broke.
+func (r *Result) Broken() bool { return r.Demo != stateOK }
+
+// demo is one run.
+type demo struct {
+	options Options
+	house   *house.House
+	log     *slog.Logger
+	result  Result
+	leaving struct{ entry, host *house.Member }
+}
+
+// Run runs the demo and ends all that it started.
+func Run(ctx context.Context, options Options) (Result, error) {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	d := &demo{options: options, log: options.Log}
+	d.result.Hosts, d.result.Objective = options.Hosts, options.Objective
+	if err := d.start(ctx); err != nil {
+		return d.result, err
+	}
+	defer d.house.Stop()
+	if err := d.run(ctx); err != nil {
+		return d.result, err
+	}
+	d.result.Seconds = time.Since(started).Seconds()
+	d.result.judge()
+	return d.result, nil
+}
+
+func (d *demo) start(ctx context.Context) (err error) {
+	d.log.Info("starting the house", "entries", entryCount, "hosts", d.options.Hosts, "services", serviceCount)
+	bytes := d.options.ModelMiB * (1 << 20)
+	link := uint64(linkFactor * bytes / window.Seconds())
+	d.house, err = house.Start(ctx, house.Config{
+		Bin:                  d.options.Bin,
+		Log:                  d.options.ProcessLog,
+		Places:               house.Quetzal(),
+		Entries:              entryCount,
+		Hosts:                d.options.Hosts,
+		Services:             serviceCount,
+		Link:                 house.Link{Up: link, Down: link},
+		OriginBytesPerSecond: uint64(originFactor * bytes / window.Seconds()),
+		Mixed:                true,
+		LogLevel:             "info",
+	})
+	return err
+}
+
+func (d *demo) run(ctx context.Context) error {
+	first, err := d.publish(ctx, house.Publication{Seed: d.options.Seed})
+	if err != nil {
+		return err
+	}
+	customers := house.Customers(customerCount)
+	want := house.Desired{Version: first, Objective: d.options.Objective, Customers: customers}
+	if d.result.ServingSeconds, err = d.rollOut(ctx, want, d.house.Agents()); err != nil {
+		return err
+	}
+	if err := d.house.WaitAnswering(ctx, customers[0]); err != nil {
+		return err
+	}
+	d.log.Info("callers start", "requestsPerSecond", loadRate, "seconds", loadTime.Seconds())
+	load, err := d.house.StartLoad(ctx, house.LoadOptions{
+		Customers:     house.EvenShares(customers),
+		Rate:          loadRate,
+		Time:          loadTime,
+		Seed:          d.options.Seed,
+		Versions:      []string{first},
+		MaxTokens:     answerTokens,
+		NonRepeatable: 0.3,
+		DoubleSend:    0.2,
+		Services:      0.15,
+		Deadline:      requestTime,
+		Log:           d.options.Progress,
+	})
+	if err != nil {
+		return err
+	}
+	if err := d.changeUnderLoad(ctx, load, want); err != nil {
+		return err
+	}
+	summary, err := load.Wait(ctx)
+	if err != nil {
+		return err
+	}
+	return d.count(ctx, load, summary, first)
+}
+
+func (d *demo) publish(ctx context.Context, pub house.Publication) (string, error) {
+	pub.Model, pub.Mib, pub.ChunkKib = house.ModelName, d.options.ModelMiB, chunkKiB
+	made, err := d.house.Publish(ctx, pub)
+	if err != nil {
+		return "", fmt.Errorf("publish: %w", err)
+	}
+	d.log.Info("version published", "version", made.Version, "bytes", made.Bytes, "chunks", made.Chunks)
+	return made.Version, nil
+}
+
+// rollOut applies the document with comfreyctl, as an operator would, and
+// returns the seconds until each of the hosts serves the version.
+func (d *demo) rollOut(ctx context.Context, want house.Desired, hosts []*house.Member) (float64, error) {
+	started := time.Now()
+	if err := d.apply(ctx, d.house.Document(want)); err != nil {
+		return 0, err
+	}
+	d.log.Info("document applied", "version", want.Version)
+	if err := d.house.WaitServing(ctx, hosts, want.Version, d.staying); err != nil {
+		return 0, err
+	}
+	took := time.Since(started).Seconds()
+	d.log.Info("every host serves the version", "version", want.Version, "seconds", took)
+	return took, nil
+}
+
+// staying leaves out the host that is asked to leave: it need not turn.
+func (d *demo) staying(m *house.Member) bool { return m != d.leaving.host }
+
+func (d *demo) apply(ctx context.Context, doc *wire.Document) error {
+	name, err := d.house.WriteDocument(doc)
+	if err != nil {
+		return err
+	}
+	command := exec.CommandContext(ctx, filepath.Join(d.options.Bin, "comfreyctl"), "apply",
+		"--entry", d.house.Entries()[0].CallersAddress(), "--reason", "comfreybench demo", name)
+	command.Env = append(os.Environ(), "COMFREY_KEY="+house.OperatorKey)
+	out, err := command.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("comfreyctl apply: %w: %s", err, out)
+	}
+	return nil
+}
+
+// changeUnderLoad rolls to a second version while the callers go on, and lets
+// one entry and one host leave meanwhile.
+func (d *demo) changeUnderLoad(ctx context.Context, load *house.Load, want house.Desired) error {
+	if err := pause(ctx, rollAfter); err != nil {
+		return err
+	}
+	first := want.Version
+	second, err := d.publish(ctx, house.Publication{Seed: d.options.Seed + 1, FromVersion: first, ChangeFraction: changeFraction})
+	if err != nil {
+		return err
+	}
+	if err := load.AddVersion(ctx, second); err != nil {
+		return err
+	}
+	want.Version = second
+	// The last ones are taken, so that comfreyctl's entry stays.
+	entries, hosts := d.house.Entries(), d.house.Agents()
+	d.leaving.entry, d.leaving.host = entries[len(entries)-1], hosts[len(hosts)-1]
+	left := make(chan error, 1)
+	go func() { left <- d.leave(ctx) }()
+	d.result.RollSeconds, err = d.rollOut(ctx, want, hosts)
+	if err = errors.Join(err, <-left); err != nil {
+		return err
+	}
+	d.result.RollOriginCopies, err = d.copies(ctx, second)
+	return errors.Join(err, load.RemoveVersion(ctx, first))
+}
+
+// leave ends one entry and one host gracefully.
+func (d *demo) leave(ctx context.Context) error {
+	if err := pause(ctx, leaveAfter); err != nil {
+		return err
+	}
+	for _, m := range []*house.Member{d.leaving.entry, d.leaving.host} {
+		d.log.Info("asking to leave", "node", m.ID())
+		if err := d.house.ListLeaving(ctx, m); err != nil {
+			return err
+		}
+		if err := m.Terminate(ctx); err != nil {
+			d.log.Error("did not leave cleanly", "node", m.ID(), "error", err)
+			d.result.OtherBreaches++
+			continue
+		}
+		d.log.Info("left", "node", m.ID())
+	}
+	return nil
+}
+
+func (d *demo) copies(ctx context.Context, version string) (float64, error) {
+	ledger, err := d.house.OriginLedger(ctx)
+	return ledger.Copies(version), err
+}
+
+// count fills the result from the callers' and the back ends' records.
+func (d *demo) count(ctx context.Context, load *house.Load, summary house.LoadSummary, first string) (err error) {
+	if d.result.OriginCopies, err = d.copies(ctx, first); err != nil {
+		return err
+	}
+	ledgers := audit.Collect(ctx, d.house)
+	found, err := audit.CompareFile(load.Record(), ledgers.Runs)
+	if err != nil {
+		return err
+	}
+	for _, breach := range found.Examples {
+		d.log.Error("invariant broke", "kind", breach.Kind, "request", breach.RequestID, "detail", breach.Detail)
+	}
+	for _, example := range summary.Examples {
+		d.log.Info("request without an answer", "outcome", example.Outcome, "request", example.RequestID, "detail", example.Detail)
+	}
+	d.result.Requests = summary.Requests
+	d.result.Answered = summary.Answered
+	d.result.NotRun = summary.NotRun
+	d.result.Unknown = summary.Unknown
+	d.result.WrongAnswer = summary.WrongAnswer
+	d.result.WrongVersion = summary.WrongVersion
+	d.result.CutOff = summary.CutOff + found.CutOff
+	d.result.Doubled = found.Doubled
+	d.result.NotRunButRan = found.NotRunButRan + summary.Contradicted
+	d.result.OtherBreaches += found.Other + found.NeverRan + found.Unverified + ledgers.Lost
+	return nil
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/bench/internal/house/answering.go
@@ -0,0 +1,42 @@
+package house
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+)
+
+// probe is a request that any caller may send again.
+type probe struct {
+	Model          string `json:"model"`
+	Prompt         string `json:"prompt"`
+	MaxTokens      int    `json:"maxTokens"`
+	Repeatable     bool   `json:"repeatable"`
+	DeadlineMillis int    `json:"deadlineMillis"`
+}
+
+// WaitAnswering waits until every running entry answers a request of the
+// customer's: entries learn of serving hosts a little after the hosts serve.
+func (h *House) WaitAnswering(ctx context.Context, customer Customer) error {
+	for _, m := range h.entries {
+		if err := h.waitAnswer(ctx, m, customer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *House) waitAnswer(ctx context.Context, m *Member, customer Customer) error {
+	const deadlineMillis = 2000
+	body := probe{Model: ModelName, Prompt: "probe", MaxTokens: 1, Repeatable: true, DeadlineMillis: deadlineMillis}
+	for !m.process.Ended() {
+		err := callWith(ctx, http.MethodPost, "http://"+m.callers+"/v1/requests", customer.Key(), body, nil)
+		if err == nil {
+			return nil
+		}
+		if stopped := sleep(ctx, pollInterval); stopped != nil {
+			return fmt.Errorf("%s does not answer requests: %w", m.id, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/internal/house/faults.go
@@ -0,0 +1,84 @@
+package house
+
+import (
+	"context"
+	"net/http"
+)
+
+// EngineFaults are the knobs of an engine stand-in; each call sets all.
+type EngineFaults struct {
+	SlowFactor      float64 `json:"slowFactor"`
+	FailFast        bool    `json:"failFast"`
+	ErrorAfterBegin bool    `json:"errorAfterBegin"`
+	Stall           bool    `json:"stall"`
+	RefuseLoad      bool    `json:"refuseLoad"`
+	DropLoad        bool    `json:"dropLoad"`
+	DieAfterTokens  int     `json:"dieAfterTokens"`
+	ReportIdle      bool    `json:"reportIdle"`
+	Dead            bool    `json:"dead"`
+}
+
+// ServiceFaults are the knobs of a plain service; each call sets all.
+type ServiceFaults struct {
+	FailBeforeRun float64 `json:"failBeforeRun"`
+	LoseReply     float64 `json:"loseReply"`
+	Stall         bool    `json:"stall"`
+	SlowFactor    float64 `json:"slowFactor"`
+	Dead          bool    `json:"dead"`
+}
+
+// KVFaults are the knobs of the key-value service.
+type KVFaults struct {
+	Down         bool    `json:"down"`
+	DelayMillis  int     `json:"delayMillis"`
+	LoseReplies  float64 `json:"loseReplies"`
+	LoseRequests float64 `json:"loseRequests"`
+	WatchSilent  bool    `json:"watchSilent"`
+	Compact      bool    `json:"compact"`
+	DropWatch    bool    `json:"dropWatch"`
+}
+
+// OriginFaults are the knobs of the origin.
+type OriginFaults struct {
+	Down            bool    `json:"down"`
+	DelayMillis     int     `json:"delayMillis"`
+	CorruptFraction float64 `json:"corruptFraction"`
+	CorruptManifest bool    `json:"corruptManifest"`
+	Stall           bool    `json:"stall"`
+	Refuse          bool    `json:"refuse"`
+	BytesPerSecond  float64 `json:"bytesPerSecond"`
+}
+
+// HostListFaults are the knobs of the host list.
+type HostListFaults struct {
+	Empty       bool     `json:"empty"`
+	Wrong       []string `json:"wrong"`
+	Down        bool     `json:"down"`
+	LagMillis   int      `json:"lagMillis"`
+	DelayMillis int      `json:"delayMillis"`
+}
+
+// SetEngineFaults turns the knobs of the member's engine.
+func (h *House) SetEngineFaults(ctx context.Context, m *Member, faults EngineFaults) error {
+	return h.call(ctx, http.MethodPost, m.endpointURL+"/faults", faults, nil)
+}
+
+// SetServiceFaults turns the knobs of the member's plain service.
+func (h *House) SetServiceFaults(ctx context.Context, m *Member, faults ServiceFaults) error {
+	return h.call(ctx, http.MethodPost, m.endpointURL+"/faults", faults, nil)
+}
+
+// SetKVFaults turns the knobs of the key-value service.
+func (h *House) SetKVFaults(ctx context.Context, faults KVFaults) error {
+	return h.call(ctx, http.MethodPost, h.kvURL+"/faults", faults, nil)
+}
+
+// SetOriginFaults turns the knobs of the origin.
+func (h *House) SetOriginFaults(ctx context.Context, faults OriginFaults) error {
+	return h.call(ctx, http.MethodPost, h.originURL+"/faults", faults, nil)
+}
+
+// SetHostListFaults turns the knobs of the host list.
+func (h *House) SetHostListFaults(ctx context.Context, faults HostListFaults) error {
+	return h.call(ctx, http.MethodPost, h.hostsURL+"/faults", faults, nil)
+}
--- /dev/null
+++ b/bench/internal/house/hostlist.go
@@ -0,0 +1,62 @@
+package house
+
+import (
+	"context"
+	"net/http"
+)
+
+// States of a host in the platform's list.
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
+// HostLine is one host in the platform's list.
+type HostLine struct {
+	ID             string `json:"id"`
+	Role           string `json:"role"`
+	Region         string `json:"region"`
+	FailureDomain  string `json:"failureDomain"`
+	ControlAddress string `json:"controlAddress"`
+	CallersAddress string `json:"callersAddress"`
+	Endpoint       string `json:"endpoint"`
+	Service        string `json:"service"`
+	State          string `json:"state"`
+}
+
+type hostList struct {
+	Hosts []HostLine `json:"hosts"`
+}
+
+func (m *Member) line(state string) HostLine {
+	return HostLine{
+		ID:             m.id,
+		Role:           m.kind,
+		Region:         m.place.Region,
+		FailureDomain:  m.place.FailureDomain,
+		ControlAddress: m.control,
+		CallersAddress: m.callers,
+		Endpoint:       m.endpoint,
+		Service:        m.service,
+		State:          state,
+	}
+}
+
+// List puts the member into the platform's list as live.
+func (h *House) List(ctx context.Context, m *Member) error {
+	return h.putHost(ctx, m, stateLive)
+}
+
+// ListLeaving marks the member as leaving in the platform's list.
+func (h *House) ListLeaving(ctx context.Context, m *Member) error {
+	return h.putHost(ctx, m, stateLeaving)
+}
+
+// Unlist takes the member out of the platform's list.
+func (h *House) Unlist(ctx context.Context, m *Member) error {
+	return h.call(ctx, http.MethodDelete, h.hostsURL+"/hosts/"+m.id, nil, nil)
+}
+
+func (h *House) putHost(ctx context.Context, m *Member, state string) error {
+	return h.call(ctx, http.MethodPut, h.hostsURL+"/hosts/"+m.id, m.line(state), nil)
+}
--- /dev/null
+++ b/bench/internal/house/http.go
@@ -0,0 +1,66 @@
+package house
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// callTimeout bounds one call to a stand-in or an operators' address.
+	callTimeout = 10 * time.Second
+	// maxBody bounds an answer: the ledgers of long runs are large.
+	maxBody = 256 << 20
+)
+
+// client talks to the stand-ins and operators' addresses; one connection each
+// is enough, so none is kept.
+var client = &http.Client{
+	Timeout:   callTimeout,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+// call sends a JSON body where one is given and reads a JSON answer where one
+// is wanted.
+func (h *House) call(ctx context.Context, method, url string, body, into any) error {
+	return callWith(ctx, method, url, "", body, into)
+}
+
+func callWith(ctx context.Context, method, url, key string, body, into any) error {
+	var reader io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		reader = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return err
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxBody))
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: status %d: %s", method, url, answer.StatusCode, strings.TrimSpace(string(text)))
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(text, into)
+}
--- /dev/null
+++ b/bench/internal/house/load.go
@@ -0,0 +1,226 @@
+package house
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"comfreyrelay.example/bench/internal/process"
+)
+
+// LoadOptions say what the callers send; zero values keep the stand-in's
+// defaults, but for fractions, where 0 means none.
+type LoadOptions struct {
+	// Direct sends straight to the engines, past the system.
+	Direct bool
+	// Customers send the requests, each by its Share of them.
+	Customers []LoadCustomer
+	// Callers of each customer that keep an address of an entry each.
+	Callers int
+	// Rate is the mean of the arrivals a second, Time how long they arrive.
+	Rate float64
+	Time time.Duration
+	Seed uint64
+	// Versions that answers may bear.
+	Versions  []string
+	MaxTokens int
+	// PromptBytes is the length of a prompt, PromptGroups how many prefixes
+	// the prompts share.
+	PromptBytes, PromptGroups int
+	// Fractions of the requests.
+	NonRepeatable, DoubleSend, Services float64
+	Deadline                            time.Duration
+	// Retries of a request that was not run; negative means none.
+	Retries int
+	// Log receives the progress.
+	Log io.Writer
+}
+
+// LoadCustomer is one customer's part of the load.
+type LoadCustomer struct {
+	Customer
+	Share float64
+}
+
+// EvenShares gives each customer the same part.
+func EvenShares(customers []Customer) []LoadCustomer {
+	out := make([]LoadCustomer, 0, len(customers))
+	for _, customer := range customers {
+		out = append(out, LoadCustomer{Customer: customer, Share: 1})
+	}
+	return out
+}
+
+// LoadCounts are outcomes and times that the callers saw.
+type LoadCounts struct {
+	Requests           int     `json:"requests"`
+	Answered           int     `json:"answered"`
+	Late               int     `json:"late"`
+	NotRun             int     `json:"notRun"`
+	NotRunThenAnswered int     `json:"notRunThenAnswered"`
+	Unknown            int     `json:"unknown"`
+	WrongAnswer        int     `json:"wrongAnswer"`
+	WrongVersion       int     `json:"wrongVersion"`
+	CutOff             int     `json:"cutOff"`
+	Attempts           int     `json:"attempts"`
+	Tokens             int     `json:"tokens"`
+	Contradicted       int     `json:"contradicted"`
+	FirstTokenMsP50    float64 `json:"firstTokenMsP50"`
+	FirstTokenMsP95    float64 `json:"firstTokenMsP95"`
+	FirstTokenMsP99    float64 `json:"firstTokenMsP99"`
+	BetweenTokensMsP50 float64 `json:"betweenTokensMsP50"`
+	BetweenTokensMsP95 float64 `json:"betweenTokensMsP95"`
+	AnswerMsP50        float64 `json:"answerMsP50"`
+	AnswerMsP95        float64 `json:"answerMsP95"`
+	AnswerMsP99        float64 `json:"answerMsP99"`
+}
+
+// LoadSummary is the callers' whole record.
+type LoadSummary struct {
+	LoadCounts
+	Seconds    float64               `json:"seconds"`
+	Overrun    int                   `json:"overrun"`
+	ByVersion  map[string]int        `json:"byVersion"`
+	Failures   map[string]int        `json:"failures"`
+	ByCustomer map[string]LoadCounts `json:"byCustomer"`
+	Examples   []struct {
+		RequestID string `json:"requestId"`
+		Outcome   string `json:"outcome"`
+		Detail    string `json:"detail"`
+	} `json:"examples"`
+}
+
+// Load is a running load.
+type Load struct {
+	process *process.Process
+	record  string // file with one line a request
+	control string // base URL of its knobs
+	out     *output
+}
+
+// output collects what the load prints.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(text []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(text)
+}
+
+func (o *output) bytes() []byte {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return bytes.Clone(o.text.Bytes())
+}
+
+// StartLoad starts callers against the house.
+func (h *House) StartLoad(ctx context.Context, options LoadOptions) (*Load, error) {
+	control, err := h.addresses.take()
+	if err != nil {
+		return nil, err
+	}
+	load := &Load{
+		record:  filepath.Join(h.dir, "callers-"+uuid.NewString()+".jsonl"),
+		control: "http://" + control,
+		out:     &output{},
+	}
+	args := append(h.loadArgs(options), "--control", control, "--ledger-file", load.record)
+	load.process, err = h.run(ctx, process.Spec{
+		Name:    "callers",
+		Program: h.program(standin),
+		Args:    args,
+		Stdout:  load.out,
+		Log:     options.Log,
+	})
+	return load, err
+}
+
+func (h *House) loadArgs(options LoadOptions) []string {
+	args := []string{"load", "--model", ModelName}
+	flag := func(name, value string) { args = append(args, name, value) }
+	if options.Direct {
+		for _, m := range h.Agents() {
+			flag("--direct", m.endpointURL)
+		}
+	} else {
+		for _, m := range h.entries {
+			flag("--entry", m.callers)
+		}
+	}
+	for _, customer := range options.Customers {
+		flag("--customer", customer.Name+":"+customer.Key()+":"+decimal(customer.Share))
+	}
+	for _, version := range options.Versions {
+		flag("--versions", version)
+	}
+	number := func(name string, value int) {
+		if value > 0 {
+			flag(name, strconv.Itoa(value))
+		}
+	}
+	number("--callers", options.Callers)
+	number("--max-tokens", options.MaxTokens)
+	number("--prompt-bytes", options.PromptBytes)
+	number("--prompt-groups", options.PromptGroups)
+	if options.Retries != 0 {
+		flag("--retries", strconv.Itoa(max(0, options.Retries)))
+	}
+	if options.Deadline > 0 {
+		flag("--deadline", options.Deadline.String())
+	}
+	if options.Services > 0 {
+		flag("--services", ServiceName+":"+decimal(options.Services))
+	}
+	flag("--rate", decimal(options.Rate))
+	flag("--seconds", decimal(options.Time.Seconds()))
+	flag("--seed", strconv.FormatUint(max(1, options.Seed), 10))
+	flag("--nonrepeatable", decimal(options.NonRepeatable))
+	flag("--double-send", decimal(options.DoubleSend))
+	return args
+}
+
+// AddVersion tells the callers that answers may bear the version from now on.
+func (l *Load) AddVersion(ctx context.Context, version string) error {
+	return callWith(ctx, http.MethodPost, l.control+"/versions", "", map[string][]string{"add": {version}}, nil)
+}
+
+// RemoveVersion tells the callers that answers to requests sent from now on
+// may not bear the version.
+func (l *Load) RemoveVersion(ctx context.Context, version string) error {
+	return callWith(ctx, http.MethodPost, l.control+"/versions", "", map[string][]string{"remove": {version}}, nil)
+}
+
+// StopArrivals ends the arrivals; requests in progress go on.
+func (l *Load) StopArrivals(ctx context.Context) error {
+	return callWith(ctx, http.MethodPost, l.control+"/stop", "", struct{}{}, nil)
+}
+
+// Ended reports whether the last request has its outcome.
+func (l *Load) Ended() bool { return l.process.Ended() }
+
+// Record names the file with one line a request, complete once Wait returned.
+func (l *Load) Record() string { return l.record }
+
+// Wait waits for the last request's outcome and returns the summary.
+func (l *Load) Wait(ctx context.Context) (summary LoadSummary, err error) {
+	if err := l.process.Wait(ctx); err != nil {
+		return summary, fmt.Errorf("the callers failed: %w", err)
+	}
+	if err := json.Unmarshal(l.out.bytes(), &summary); err != nil {
+		return summary, fmt.Errorf("the callers' summary cannot be read: %w", err)
+	}
+	return summary, nil
+}
--- /dev/null
+++ b/bench/internal/house/settings.go
@@ -0,0 +1,114 @@
+package house
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// settingsMode: settings name key files, nobody else reads them.
+	settingsMode = 0o600
+	// syncInterval is how often processes tell each other what they know.
+	syncInterval = 500 * time.Millisecond
+	// leaseTTL is short, so that a killed lease-holder is replaced within a
+	// run's time.
+	leaseTTL = 3 * time.Second
+	// drainTimeout bounds a graceful end; longer than the longest request.
+	drainTimeout = 20 * time.Second
+	// defaultDirectoryTTL of the entry that a caller uses.
+	defaultDirectoryTTL = 5 * time.Second
+)
+
+// KeyHash returns the form in which the document and settings hold a bearer
+// key.
+func KeyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func (h *House) nodeSettings(m *Member, role string) (*wire.NodeSettings, error) {
+	files, err := h.authority.Issue(m.id, role)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.NodeSettings{
+		Id:               m.id,
+		Region:           m.place.Region,
+		FailureDomain:    m.place.FailureDomain,
+		ControlAddress:   m.control,
+		OperatorsAddress: m.operators,
+		Tls:              files,
+		HostsUrl:         h.hostsURL,
+		LogLevel:         h.logLevel(),
+	}, nil
+}
+
+func (h *House) logLevel() string {
+	if h.config.LogLevel == "" {
+		return "warn"
+	}
+	return h.config.LogLevel
+}
+
+func (h *House) writeEntrySettings(m *Member) error {
+	node, err := h.nodeSettings(m, peer.RoleEntry)
+	if err != nil {
+		return err
+	}
+	ttl := h.config.DirectoryTTL
+	if ttl == 0 {
+		ttl = defaultDirectoryTTL
+	}
+	return h.writeSettings(m, &wire.EntrySettings{
+		Node:               node,
+		CallersAddress:     m.callers,
+		KvUrl:              h.kvURL,
+		KvReadsPerSecond:   h.config.KVReadsPerSecond,
+		KvWritesPerSecond:  h.config.KVWritesPerSecond,
+		BootstrapKeyHashes: []string{KeyHash(OperatorKey)},
+		DirectoryTtl:       durationpb.New(ttl),
+		SyncInterval:       durationpb.New(syncInterval),
+		LeaseTtl:           durationpb.New(leaseTTL),
+		DrainTimeout:       durationpb.New(drainTimeout),
+		RoutePolicy:        h.config.RoutePolicy,
+	})
+}
+
+func (h *House) writeAgentSettings(m *Member) error {
+	node, err := h.nodeSettings(m, peer.RoleAgent)
+	if err != nil {
+		return err
+	}
+	link := h.config.Link
+	return h.writeSettings(m, &wire.AgentSettings{
+		Node:          node,
+		Endpoint:      m.endpoint,
+		Service:       m.service,
+		EndpointUrl:   m.endpointURL,
+		OriginUrl:     h.originURL,
+		Link:          &wire.LinkSettings{Up: link.Up, Down: link.Down, Shared: link.Shared},
+		SyncInterval:  durationpb.New(syncInterval),
+		DrainTimeout:  durationpb.New(drainTimeout),
+		WindowBytes:   h.config.WindowBytes,
+		BurstStrategy: h.config.BurstStrategy,
+	})
+}
+
+func (h *House) writeSettings(m *Member, set proto.Message) error {
+	text, err := protojson.MarshalOptions{Multiline: true}.Marshal(set)
+	if err != nil {
+		return err
+	}
+	m.settings = filepath.Join(h.dir, m.id+".json")
+	return os.WriteFile(m.settings, text, settingsMode)
+}
