Agent: gate, orders, control, reports and their cores

Cause: endpoint hosts had no process that gates requests and obeys plans. Change: comfreyagent with its wiring; cores fence, drain and attempt; the gate forwards attempts with proof of what ran; orders drain before a load and open the gate only for what the engine confirmed.

--- /dev/null
+++ b/agent/internal/cmd/host.go
@@ -0,0 +1,37 @@
+package cmd
+
+import (
+	"context"
+
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/wire"
+)
+
+// host serves wire.Host: requests come from entries, chunks go to agents.
+type host struct{ process *process }
+
+// Run executes one attempt.
+func (h *host) Run(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+	return h.process.Gate.Run(att, stream)
+}
+
+// Cancel leaves a tombstone or stops an attempt.
+func (h *host) Cancel(ctx context.Context, req *wire.CancelRequest) (*wire.CancelReply, error) {
+	return h.process.Gate.Cancel(ctx, req)
+}
+
+// Chunk sends one chunk of weights.
+func (h *host) Chunk(req *wire.ChunkRequest, stream wire.DRPCHost_ChunkStream) error {
+	if err := peer.Require(stream.Context(), h.process.Keys != nil, peer.RoleAgent); err != nil {
+		return err
+	}
+	return h.process.Weights.Chunk(req, stream)
+}
+
+// Have swaps knowledge of held chunks.
+func (h *host) Have(ctx context.Context, req *wire.HaveRequest) (*wire.HaveReply, error) {
+	if err := peer.Require(ctx, h.process.Keys != nil, peer.RoleAgent); err != nil {
+		return nil, err
+	}
+	return h.process.Weights.Have(ctx, req)
+}
--- /dev/null
+++ b/agent/internal/cmd/process.go
@@ -0,0 +1,237 @@
+package cmd
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/dig"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"comfreyrelay.example/agent/internal/control"
+	"comfreyrelay.example/agent/internal/gate"
+	"comfreyrelay.example/agent/internal/orders"
+	"comfreyrelay.example/agent/internal/report"
+	"comfreyrelay.example/agent/internal/weights"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/node"
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// listTimeout bounds a call to the platform's list as a whole.
+	listTimeout = 5 * time.Second
+	// defaultDrain is the drain's limit where the settings do not say.
+	defaultDrain = 30 * time.Second
+	// lingerFor is how long the agent goes on refusing after a drain: entries
+	// that have not heard of it yet get proof that nothing was run instead of
+	// a connection that breaks with their attempt on it.
+	lingerFor = 3 * time.Second
+	// stopGrace lets the last frames out after a second signal.
+	stopGrace = 200 * time.Millisecond
+	// pollInterval is how often the end of a drain is looked for.
+	pollInterval = 50 * time.Millisecond
+)
+
+// parts are what a running agent consists of.
+type parts struct {
+	dig.In
+
+	Settings *wire.AgentSettings
+	Self     *wire.Node
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	Keys     *peer.Keys
+	Pool     *peer.Pool
+	Listener net.Listener
+	View     *view.Holder
+	Gate     *gate.Gate
+	Weights  *weights.Manager
+	Orders   *orders.Runner
+	Reporter *report.Reporter
+	Control  *control.Client
+	Links    *links
+	Metrics  *metrics
+}
+
+// process is one agent.
+type process struct{ parts }
+
+func newProcess(all parts) *process {
+	all.Links.suspect = all.Orders.Suspect
+	all.Links.heard = all.Control.Heard
+	all.Links.nudge = all.Control.Nudge
+	all.Links.report = all.Reporter.Build
+	all.Links.agents = all.Control.Agents
+	all.Links.synced = all.Control.Synced
+	return &process{parts: all}
+}
+
+// Run runs an agent with the given settings. It drains when drain ends and
+// stops at once when kill does. A clean end is no error.
+func Run(drain, kill context.Context, set *wire.AgentSettings, out, errOut io.Writer) error {
+	box := build(set, errOut)
+	return dig.RootCause(box.Invoke(func(agent *process) error {
+		return agent.run(drain, kill, out)
+	}))
+}
+
+func (p *process) run(drain, kill context.Context, out io.Writer) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	operators, err := p.listenOperators()
+	if err != nil {
+		return err
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterHost(mux, &host{process: p}); err != nil {
+		return failure.Wrap(err, failure.Internal, "cannot register the host's calls", "report it")
+	}
+	p.publish()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return peer.Serve(ctx, p.Listener, p.Keys, mux, p.Log) })
+	group.Go(func() error { return p.serveOperators(ctx, operators) })
+	for _, work := range []func(context.Context) error{
+		p.Gate.Work, p.Weights.Run, p.Orders.Run, p.Reporter.Work, p.Control.Run,
+	} {
+		group.Go(func() error { return ignoreEnd(ctx, work(ctx)) })
+	}
+	fmt.Fprintf(out, "listening address=%s\n", p.Self.GetControlAddress())
+	p.Log.Info("started", "incarnation", p.Self.GetIncarnation(), "address", p.Self.GetControlAddress())
+	group.Go(func() error {
+		defer stop()
+		p.awaitEnd(ctx, drain, kill)
+		return nil
+	})
+	err = group.Wait()
+	_ = p.Pool.Close()
+	p.Log.Info("stopped")
+	return err
+}
+
+// ignoreEnd drops the error that a part returns because it was told to stop.
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// awaitEnd waits for the signal and drains.
+func (p *process) awaitEnd(ctx, drain, kill context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-drain.Done():
+	}
+	limit := p.Settings.GetDrainTimeout().AsDuration()
+	if limit <= 0 {
+		limit = defaultDrain
+	}
+	p.Log.Info("draining before the exit", "running", p.Gate.State().Running(), "limit", limit)
+	p.Gate.Exit(limit)
+	p.Control.Nudge()
+	began := p.Clock.Now()
+	for p.Gate.State().Running() > 0 || p.lingers(began) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-kill.Done():
+			p.Log.Warn("stopping at once", "running", p.Gate.State().Running())
+			p.Gate.Stop()
+			p.Clock.Sleep(stopGrace)
+			return
+		case <-p.Clock.After(pollInterval):
+		}
+	}
+}
+
+func (p *process) lingers(began time.Time) bool {
+	return p.Clock.Since(began) < lingerFor
+}
+
+func (p *process) listenOperators() (net.Listener, error) {
+	address := p.Settings.GetNode().GetOperatorsAddress()
+	if address == "" {
+		return nil, nil //nolint:nilnil // No address means no listener.
+	}
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, "cannot listen at node.operatorsAddress",
+			"stop the process that has the port, or give another")
+	}
+	return lis, nil
+}
+
+func (p *process) serveOperators(ctx context.Context, lis net.Listener) error {
+	if lis == nil {
+		return nil
+	}
+	server := &http.Server{
+		Handler:           node.OperatorsRouter(node.Health{Ready: p.ready}),
+		ReadHeaderTimeout: listTimeout,
+	}
+	release := context.AfterFunc(ctx, func() { server.Close() })
+	defer release()
+	return ignoreEnd(ctx, server.Serve(lis))
+}
+
+// ready reports whether the agent knows what is in force and its endpoint
+// answers.
+func (p *process) ready() error {
+	switch {
+	case p.Gate.State().Leaving():
+		return failure.New(failure.Leaving, "the host leaves", "use another")
+	case !p.Control.Synced():
+		return failure.New(failure.Unavailable, "no entry has answered yet", "check node.hostsUrl and the entries")
+	case !p.Orders.Answers():
+		return failure.New(failure.Unavailable, "the endpoint does not answer", "check endpointUrl and the endpoint")
+	}
+	return nil
+}
+
+// publish shows the process's figures under /debug/vars. A name that is taken
+// belongs to another agent of the same test process.
+func (p *process) publish() {
+	if expvar.Get("agent") != nil {
+		return
+	}
+	expvar.Publish("agent", p.Metrics.counters)
+	expvar.Publish("invariantFailures", p.Metrics.failures)
+	expvar.Publish("agentState", expvar.Func(p.figures))
+}
+
+// figures is the state shown under /debug/vars.
+func (p *process) figures() any {
+	known := p.Control.Known()
+	state := p.Gate.State()
+	age, confirmed := p.Control.Age()
+	ageMillis := int64(-1) // nobody confirmed it yet
+	if confirmed {
+		ageMillis = age.Milliseconds()
+	}
+	return map[string]any{
+		"incarnation":        p.Self.GetIncarnation(),
+		"revision":           known.GetRevision(),
+		"planRevision":       known.GetPlanRevision(),
+		"knowledgeAgeMillis": ageMillis,
+		"home":               p.Control.Home(),
+		"fence":              p.Orders.Fence(),
+		"phase":              state.Phase().String(),
+		"model":              state.Loaded().Model,
+		"version":            state.Loaded().Version,
+		"running":            state.Running(),
+		"leaving":            state.Leaving(),
+		"remembered":         p.Gate.Remembered(),
+		"tokenGapMillis":     p.Gate.TokenGap().Milliseconds(),
+	}
+}
--- /dev/null
+++ b/agent/internal/control/client.go
@@ -0,0 +1,378 @@
+// Package control keeps the agent in touch with the entries: it reports the
+// host to its home entry, takes the document and plan in force from it, and
+// learns of other agents. It needs neither the key-value service nor the
+// platform's list once it knows an entry that answers.
+package control
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"storj.io/drpc"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// syncMargin is how long after the held time a call counts as silent.
+	syncMargin = 2 * time.Second
+	// retryBase and retryMost bound the wait after every entry failed.
+	retryBase = 100 * time.Millisecond
+	retryMost = 5 * time.Second
+	// firstHeard is how many entries are asked at the start, so that the agent
+	// obeys the highest plan that they know rather than the first it meets.
+	firstHeard = 3
+	// publishInterval refreshes what only time changes: who is lost.
+	publishInterval = time.Second
+	// listFirst and listLater are the intervals of reading the list before and
+	// after the first entry answered.
+	listFirst = time.Second
+	listLater = 10 * time.Second
+	// roundGap keeps a fast sequence of changes from becoming as many calls.
+	roundGap = 200 * time.Millisecond
+)
+
+// Config holds what a Client needs from its process.
+type Config struct {
+	Self  *wire.Node
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	View  *view.Holder
+	// Dial returns a connection to a control address.
+	Dial     func(ctx context.Context, address string) drpc.Conn
+	HostsURL string
+	HTTP     *http.Client
+	// Wait is how long an entry may hold a Sync call.
+	Wait time.Duration
+	// Report returns the newest report of this host.
+	Report func() *wire.HostReport
+	// SetLeaving is told whether the list or an operator takes the host out.
+	SetLeaving func(leaving bool)
+	Counters   *expvar.Map
+}
+
+// Client is safe for concurrent use.
+type Client struct {
+	cfg       Config
+	knowledge *knowledge
+	synced    atomic.Bool
+	// acked is the highest sequence of a report that some entry took.
+	acked atomic.Uint64
+
+	mu        sync.Mutex
+	penalties *penalties
+	told      map[string]*wire.Known // by entry: what it knew in its last reply
+	interrupt context.CancelFunc     // ends the wait for the held call; nil: none
+	nudged    bool                   // a nudge came while no call was held
+	hint      *wire.Node             // an entry that knows something newer
+	home      string                 // id of the entry that answered last
+}
+
+// New returns a Client; Run makes it work.
+func New(cfg Config) *Client {
+	return &Client{
+		cfg:       cfg,
+		knowledge: newKnowledge(cfg.Clock.Now()),
+		penalties: newPenalties(),
+		told:      map[string]*wire.Known{},
+	}
+}
+
+// Synced reports whether the entries were heard since the start.
+func (c *Client) Synced() bool { return c.synced.Load() }
+
+// Acked returns the highest sequence number of a report that an entry took.
+func (c *Client) Acked() uint64 { return c.acked.Load() }
+
+// Known returns what messages of this process bear.
+func (c *Client) Known() *wire.Known { return c.knowledge.known(c.cfg.Clock.Now()) }
+
+// Age returns how old the knowledge of the document is; false while nobody
+// confirmed it.
+func (c *Client) Age() (time.Duration, bool) { return c.knowledge.age(c.cfg.Clock.Now()) }
+
+// Agents returns the other agents known, without lost ones.
+func (c *Client) Agents() []*wire.Node {
+	return c.knowledge.agents(c.cfg.Self.GetId(), c.cfg.Clock.Now())
+}
+
+// Home returns the id of the entry that answered last.
+func (c *Client) Home() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.home
+}
+
+// Nudge sends a report at once instead of after the held call.
+func (c *Client) Nudge() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nudged = true
+	if c.interrupt != nil {
+		c.interrupt()
+	}
+}
+
+// Heard takes the revisions that a caller knows. Where the caller knows more,
+// the home entry is behind too, and the caller is asked itself.
+func (c *Client) Heard(from *wire.Node, known *wire.Known) {
+	if known == nil || from.GetControlAddress() == "" || !c.knowledge.lacks(known) {
+		return
+	}
+	c.mu.Lock()
+	c.hint = from
+	c.mu.Unlock()
+	c.Nudge()
+}
+
+// Run syncs with the entries and reads the list until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { c.readList(ctx) })
+	group.Go(func() { c.refresh(ctx) })
+	c.first(ctx)
+	retries := 0
+	for ctx.Err() == nil {
+		if c.round(ctx) {
+			retries = 0
+			c.sleep(ctx, roundGap)
+			continue
+		}
+		wait := min(retryBase<<min(retries, 8), retryMost)
+		retries++
+		c.sleep(ctx, jitter(wait))
+	}
+	return nil
+}
+
+// jitter spreads the moments at which many agents try again.
+func jitter(wait time.Duration) time.Duration {
+	return wait/2 + rand.N(wait/2+1)
+}
+
+func (c *Client) sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-c.cfg.Clock.After(wait):
+	}
+}
+
+// first asks several entries, so that an entry that was started in an outage
+// and knows nothing is not the only one heard.
+func (c *Client) first(ctx context.Context) {
+	heard := 0
+	for retries := 0; ctx.Err() == nil && heard == 0; retries++ {
+		for _, entry := range c.candidates() {
+			if c.sync(ctx, entry, 0) == nil {
+				heard++
+			}
+			if heard >= firstHeard || ctx.Err() != nil {
+				break
+			}
+		}
+		if heard == 0 {
+			c.sleep(ctx, jitter(min(retryBase<<min(retries, 8), listFirst)))
+		}
+	}
+	if heard > 0 {
+		c.synced.Store(true)
+		c.publish()
+		c.cfg.Log.Info("synced", "entries", heard, "revision", c.Known().GetRevision(), "plan", c.Known().GetPlanRevision())
+	}
+}
+
+// round syncs with the best entry that answers.
+func (c *Client) round(ctx context.Context) bool {
+	if hint := c.takeHint(); hint != nil {
+		_ = c.sync(ctx, hint, 0)
+	}
+	for _, entry := range c.candidates() {
+		err := c.sync(ctx, entry, c.cfg.Wait)
+		if err == nil {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		c.sleep(ctx, jitter(retryBase))
+	}
+	return false
+}
+
+func (c *Client) takeHint() *wire.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hint := c.hint
+	c.hint = nil
+	return hint
+}
+
+func (c *Client) candidates() []*wire.Node {
+	now := c.cfg.Clock.Now()
+	entries, leaving := c.knowledge.entries(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return candidates(c.cfg.Self, entries, func(id string) bool {
+		return leaving[id] || c.penalties.in(id, now)
+	})
+}
+
+// sync does one call and takes its reply. A call that a nudge interrupted is no
+// failure of the entry.
+func (c *Client) sync(ctx context.Context, entry *wire.Node, wait time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait = c.hold(cancel, wait)
+	defer c.release()
+	call, stop := clockwork.WithTimeout(ctx, c.cfg.Clock, wait+syncMargin)
+	defer stop()
+	request := c.request(entry.GetId(), wait)
+	client := wire.NewDRPCControlClient(c.cfg.Dial(call, entry.GetControlAddress()))
+	reply, err := client.Sync(call, request)
+	if err == nil {
+		return c.take(call, entry, request, reply)
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	c.failed(entry, err)
+	return err
+}
+
+// hold lets a nudge end the call; after a nudge that came before, the call is
+// not held at all.
+func (c *Client) hold(cancel context.CancelFunc, wait time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.nudged || wait == 0 {
+		c.nudged = false
+		return 0
+	}
+	c.interrupt = cancel
+	return wait
+}
+
+func (c *Client) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupt = nil
+}
+
+func (c *Client) request(entry string, wait time.Duration) *wire.SyncRequest {
+	c.mu.Lock()
+	told := c.told[entry]
+	c.mu.Unlock()
+	request := &wire.SyncRequest{
+		From:       c.cfg.Self,
+		Known:      c.Known(),
+		WaitMillis: uint32(wait.Milliseconds()),
+		Hosts:      []*wire.HostReport{c.cfg.Report()},
+	}
+	request.Root, request.Parts = c.knowledge.offer(told)
+	return request
+}
+
+func (c *Client) failed(entry *wire.Node, err error) {
+	c.cfg.Counters.Add("syncsFailed", 1)
+	c.cfg.Log.Debug("entry does not answer", "entry", entry.GetId(), "error", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.penalties.failed(entry.GetId(), c.cfg.Clock.Now())
+}
+
+// take puts a reply in force.
+func (c *Client) take(ctx context.Context, entry *wire.Node, request *wire.SyncRequest, reply *wire.SyncReply) error {
+	now := c.cfg.Clock.Now()
+	c.cfg.Counters.Add("syncs", 1)
+	c.acked.Store(max(c.acked.Load(), request.GetHosts()[0].GetSequence()))
+	c.knowledge.hearMembers(reply, now)
+	ignored, err := c.knowledge.adopt(ctx, reply, now, func(ctx context.Context, hashes []string) ([][]byte, error) {
+		return c.parts(ctx, entry, hashes)
+	})
+	c.cfg.Counters.Add("olderIgnored", int64(ignored))
+	c.mu.Lock()
+	c.told[entry.GetId()] = reply.GetKnown()
+	c.home = entry.GetId()
+	c.penalties.worked(entry.GetId())
+	c.mu.Unlock()
+	c.publish()
+	if err == nil {
+		return nil
+	}
+	c.cfg.Log.Warn("document not taken", "entry", entry.GetId(), "revision", reply.GetRoot().GetRevision(), "error", err)
+	if failure.KindOf(err) == failure.Internal {
+		c.cfg.Counters.Add("invariantFailures", 1)
+	}
+	c.failed(entry, err)
+	return err
+}
+
+func (c *Client) parts(ctx context.Context, entry *wire.Node, hashes []string) ([][]byte, error) {
+	client := wire.NewDRPCControlClient(c.cfg.Dial(ctx, entry.GetControlAddress()))
+	reply, err := client.Parts(ctx, &wire.PartsRequest{From: c.cfg.Self, Known: c.Known(), Hashes: hashes})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetParts(), nil
+}
+
+// publish hands the present knowledge to the rest of the process.
+func (c *Client) publish() {
+	c.store()
+	c.cfg.SetLeaving(c.knowledge.leaving(c.cfg.Self.GetId()))
+}
+
+// store keeps two goroutines from publishing their snapshots in the wrong
+// order.
+func (c *Client) store() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	snap := c.knowledge.snapshot(c.cfg.Clock.Now())
+	before, _ := c.cfg.View.Load()
+	c.cfg.View.Store(snap)
+	if snap.Revision != before.Revision || snap.PlanRevision != before.PlanRevision {
+		c.cfg.Log.Info("in force", "revision", snap.Revision, "plan", snap.PlanRevision)
+	}
+}
+
+func (c *Client) refresh(ctx context.Context) {
+	ticker := c.cfg.Clock.NewTicker(publishInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			c.publish()
+		}
+	}
+}
+
+// readList reads the platform's list now and then. Its failures and empty
+// answers change nothing.
+func (c *Client) readList(ctx context.Context) {
+	for ctx.Err() == nil {
+		listed, err := fetchList(ctx, c.cfg.HTTP, c.cfg.HostsURL)
+		if err != nil {
+			c.cfg.Counters.Add("listFailed", 1)
+			c.cfg.Log.Debug("host list not read", "error", err)
+		} else {
+			c.knowledge.hearList(listed, c.cfg.Clock.Now())
+		}
+		wait := listFirst
+		if c.Synced() {
+			wait = listLater
+		}
+		c.sleep(ctx, jitter(wait))
+	}
+}
--- /dev/null
+++ b/agent/internal/control/home.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"comfreyrelay.example/relay/rendezvous"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Nearness of an entry, lower is nearer.
+const (
+	sameDomain = iota
+	sameRegion
+	elsewhere
+)
+
+// candidates orders the entries by how good a home each is for the agent:
+// usable ones first, then near ones, then by rendezvous hash, so that the
+// agents of a failure domain spread over its entries and move only when an
+// entry comes or goes.
+func candidates(self *wire.Node, entries []*wire.Node, shunned func(id string) bool) []*wire.Node {
+	type ranked struct {
+		node    *wire.Node
+		shunned bool
+		near    int
+		score   uint64
+	}
+	key := rendezvous.Seed(self.GetId())
+	list := make([]ranked, 0, len(entries))
+	for _, entry := range entries {
+		if entry.GetControlAddress() == "" {
+			continue
+		}
+		list = append(list, ranked{
+			node:    entry,
+			shunned: shunned(entry.GetId()),
+			near:    nearness(self, entry),
+			score:   rendezvous.Score(key, rendezvous.Seed(entry.GetId())),
+		})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if a.shunned != b.shunned {
+			if a.shunned {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.near, b.near), cmp.Compare(b.score, a.score))
+	})
+	nodes := make([]*wire.Node, len(list))
+	for i := range list {
+		nodes[i] = list[i].node
+	}
+	return nodes
+}
+
+func nearness(self, entry *wire.Node) int {
+	switch {
+	case entry.GetFailureDomain() == self.GetFailureDomain():
+		return sameDomain
+	case entry.GetRegion() == self.GetRegion():
+		return sameRegion
+	}
+	return elsewhere
+}
+
+// penalties keep an agent away from entries that failed it.
+type penalties struct {
+	until map[string]time.Time
+	count map[string]int
+}
+
+const (
+	penaltyBase = time.Second
+	penaltyMost = 30 * time.Second
+)
+
+func newPenalties() *penalties {
+	return &penalties{until: map[string]time.Time{}, count: map[string]int{}}
+}
+
+func (p *penalties) failed(id string, now time.Time) {
+	wait := min(penaltyBase<<min(p.count[id], 8), penaltyMost)
+	p.count[id]++
+	p.until[id] = now.Add(wait)
+}
+
+func (p *penalties) worked(id string) {
+	delete(p.until, id)
+	delete(p.count, id)
+}
+
+func (p *penalties) in(id string, now time.Time) bool { return now.Before(p.until[id]) }
+
+// draining returns the ids of entries that say they leave.
+func draining(entries []view.Peer) map[string]bool {
+	ids := map[string]bool{}
+	for _, entry := range entries {
+		if entry.Leaving() {
+			ids[entry.Report().GetNode().GetId()] = true
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/agent/internal/engine/cache.go
@@ -0,0 +1,38 @@
+package engine
+
+import (
+	"context"
+	"strconv"
+)
+
+// Kinds of CacheEvent.
+const (
+	Stored  = "stored"
+	Evicted = "evicted"
+)
+
+// CacheEvent tells that the engine's prefix cache took or lost a prefix. Events
+// come late and with gaps: they are hints.
+type CacheEvent struct {
+	N      uint64 `json:"n"`
+	Prefix string `json:"prefix"` // the hash in decimal
+	Kind   string `json:"kind"`
+}
+
+// Hash returns the prefix's hash; false where it is malformed.
+func (e CacheEvent) Hash() (uint64, bool) {
+	hash, err := strconv.ParseUint(e.Prefix, 10, 64)
+	return hash, err == nil
+}
+
+// CacheEvents returns the events after a number, and the number to go on from.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) (events []CacheEvent, next uint64, err error) {
+	var reply struct {
+		Events []CacheEvent `json:"events"`
+		Next   uint64       `json:"next"`
+	}
+	if err := c.get(ctx, "/cache/events?after="+strconv.FormatUint(after, 10), &reply); err != nil {
+		return nil, after, err
+	}
+	return reply.Events, reply.Next, nil
+}
--- /dev/null
+++ b/agent/internal/gate/capacity.go
@@ -0,0 +1,69 @@
+package gate
+
+import "sync"
+
+const (
+	// firstLimit is the concurrency before anything is known of the endpoint.
+	firstLimit = 32
+	// maxLimit is the concurrency that no endpoint is given more than.
+	maxLimit = 512
+	// overloadFactor is the share of the running work that is still let in
+	// after the endpoint showed that it had too much.
+	overloadFactor = 0.9
+)
+
+// capacity bounds the attempts at the endpoint. It starts from the slots that
+// the engine reports plus a small queue, shrinks when the endpoint refuses or
+// is late, and grows again by one for each full round of good answers.
+type capacity struct {
+	mu      sync.Mutex
+	limit   float64 // at least 1, at most ceiling
+	ceiling float64
+	running int
+}
+
+func newCapacity() *capacity {
+	return &capacity{limit: firstLimit, ceiling: maxLimit}
+}
+
+// setSlots takes the engine's own count; 0 means that it is unknown. The queue
+// keeps the engine's batch full while the next request is on its way.
+func (c *capacity) setSlots(slots int) {
+	if slots <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ceiling := float64(min(slots+max(2, slots/2), maxLimit))
+	if c.ceiling == ceiling {
+		return
+	}
+	c.ceiling, c.limit = ceiling, ceiling
+}
+
+func (c *capacity) acquire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if float64(c.running) >= c.limit {
+		return false
+	}
+	c.running++
+	return true
+}
+
+func (c *capacity) release(overloaded bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if overloaded {
+		c.limit = max(1, min(c.limit, float64(c.running)*overloadFactor))
+	} else {
+		c.limit = min(c.limit+1/c.limit, c.ceiling)
+	}
+	c.running--
+}
+
+func (c *capacity) inUse() (running, limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running, int(c.limit)
+}
