comfreyctl: the operators' command line

Cause: operators need to validate, compare, apply and watch documents from a desk, and must never be told that a change failed when it may be in force.

Change: thirteen subcommands over a client that tries entries in order. A lost reply is sent again with the same submission id; a conflict after a lost reply is settled by the audit trail; what stays open is reported as unknown (exit 5). Nothing is sent twice by the HTTP library: no kept connections, no redirects. Remote text is cleaned of control characters before it is shown.

--- /dev/null
+++ b/ctl/internal/client/attempts.go
@@ -0,0 +1,65 @@
+package client
+
+import (
+	"comfreyrelay.example/relay/failure"
+)
+
+// attempts remembers how the tries of one request ended.
+type attempts struct {
+	isChange  bool
+	ambiguous error // the last try whose effect is not known; nil if none
+	last      error
+}
+
+// settles reports whether no other entry needs to be asked.
+func (a *attempts) settles(err error) bool {
+	switch failure.KindOf(err) {
+	case failure.Unavailable, failure.Leaving, failure.Ambiguous, failure.Exhausted:
+		return false
+	default:
+		return true
+	}
+}
+
+// settled returns what a definite reply means after the earlier tries. A
+// conflict may be with a change of our own whose reply was lost.
+func (a *attempts) settled(err error) error {
+	if err != nil && a.ambiguous != nil && failure.KindOf(err) == failure.Conflict {
+		return &MaybeOwnConflict{conflict: err}
+	}
+	return err
+}
+
+func (a *attempts) note(err error) {
+	a.last = err
+	if a.isChange && failure.KindOf(err) == failure.Ambiguous {
+		a.ambiguous = err
+	}
+}
+
+// giveUp returns the error for a request that no entry settled; interrupted is
+// why the tries stopped early, nil where all were made.
+func (a *attempts) giveUp(interrupted error) error {
+	if a.ambiguous != nil {
+		return failure.Wrap(a.ambiguous, failure.Ambiguous, "it may have taken effect or not",
+			"look at status and audit before you try again")
+	}
+	cause := a.last
+	if cause == nil {
+		cause = interrupted
+	}
+	return failure.Wrap(cause, failure.Unavailable, "no entry answered, and nothing was changed",
+		"name other entries with --entry and try again")
+}
+
+// MaybeOwnConflict is a conflict that came after a try whose reply was lost:
+// the change in the way may be the caller's own.
+type MaybeOwnConflict struct {
+	conflict error
+}
+
+// Error implements error.
+func (m *MaybeOwnConflict) Error() string { return m.conflict.Error() }
+
+// Unwrap returns the conflict as the entry told it.
+func (m *MaybeOwnConflict) Unwrap() error { return m.conflict }
--- /dev/null
+++ b/ctl/internal/client/client_test.go
@@ -0,0 +1,77 @@
+package client_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/ctl/internal/client"
+	"comfreyrelay.example/relay/failure"
+)
+
+// Symptom: an operator is told that a change failed, though it is in force.
+// Events: the entry accepts the submission and its host dies before the reply
+// left. Cause: a broken connection taken for a refusal.
+func TestLostReplyOverTheNetworkIsSettled(t *testing.T) {
+	var mu sync.Mutex
+	ids := map[string]int{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var got client.Submission
+		if err := json.NewDecoder(r.Body).Decode(&got); err != nil {
+			t.Error(err)
+		}
+		mu.Lock()
+		ids[got.SubmissionID]++
+		first := ids[got.SubmissionID] == 1
+		mu.Unlock()
+		if first {
+			panic(http.ErrAbortHandler) // the connection breaks without a reply
+		}
+		_, _ = w.Write([]byte(`{"revision":8}`))
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	asked, err := client.New(client.Options{Entries: []string{address, address}, Timeout: 10 * time.Second, Clock: clockwork.NewFakeClock()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision, err := asked.Submit(t.Context(), &client.Submission{BaseRevision: 7, SubmissionID: "one", Document: []byte("{}")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := revision, uint32(8); got != want {
+		t.Errorf("got revision %d, want %d", got, want)
+	}
+	if got, want := ids["one"], 2; got != want || len(ids) != 1 {
+		t.Errorf("got %d tries under %d ids, want %d under one", got, len(ids), want)
+	}
+}
+
+func TestNobodyListensIsCertainlyNoChange(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	clock := clockwork.NewFakeClock()
+	asked, err := client.New(client.Options{Entries: []string{address}, Timeout: 10 * time.Second, Clock: clock})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for range 2 {
+			if clock.BlockUntilContext(t.Context(), 1) != nil {
+				return
+			}
+			clock.Advance(time.Minute)
+		}
+	}()
+	_, err = asked.Submit(t.Context(), &client.Submission{SubmissionID: "one", Document: []byte("{}")})
+	if got, want := failure.KindOf(err), failure.Unavailable; got != want {
+		t.Errorf("got %v (%v), want %v", got, err, want)
+	}
+}
--- /dev/null
+++ b/ctl/internal/client/reply.go
@@ -0,0 +1,137 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/failure"
+)
+
+// errorBody is the body of every reply that is no success.
+type errorBody struct {
+	Error struct {
+		Kind             failure.Kind `json:"kind"`
+		Message          string       `json:"message"`
+		Remedy           string       `json:"remedy"`
+		RetryAfterMillis int64        `json:"retryAfterMillis"`
+	} `json:"error"`
+	Errors          []document.Problem `json:"errors"`
+	CurrentRevision uint32             `json:"currentRevision"`
+	TheirDiff       []Change           `json:"theirDiff"`
+	YourDiff        []Change           `json:"yourDiff"`
+}
+
+// Conflict says that somebody else changed the document first.
+type Conflict struct {
+	CurrentRevision uint32   `json:"currentRevision"`
+	TheirDiff       []Change `json:"theirDiff"` // from the base to the current revision
+	YourDiff        []Change `json:"yourDiff"`  // from the base to what was submitted
+	cause           error
+}
+
+// Error implements error.
+func (c *Conflict) Error() string { return c.cause.Error() }
+
+// Unwrap returns the failure with its kind and remedy.
+func (c *Conflict) Unwrap() error { return c.cause }
+
+// InvalidDocument lists what an entry found wrong in a document.
+type InvalidDocument struct {
+	Problems []document.Problem `json:"errors"`
+	cause    error
+}
+
+// Error implements error.
+func (i *InvalidDocument) Error() string { return i.cause.Error() }
+
+// Unwrap returns the failure with its kind and remedy.
+func (i *InvalidDocument) Unwrap() error { return i.cause }
+
+// read decodes a success into the given value and turns the rest into errors.
+func read(answer *reply, into any, method string) error {
+	if answer.status != http.StatusOK {
+		return readError(answer, method)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer.body, into); err != nil {
+		return failure.Wrap(err, failure.Ambiguous, "the entry's reply cannot be read", "check that the address is an entry's")
+	}
+	return nil
+}
+
+func readError(answer *reply, method string) error {
+	var body errorBody
+	if err := json.Unmarshal(answer.body, &body); err != nil {
+		body = errorBody{}
+	}
+	cause := toFailure(answer.status, method, &body)
+	switch {
+	case answer.status == http.StatusConflict && body.CurrentRevision > 0:
+		return &Conflict{CurrentRevision: body.CurrentRevision, TheirDiff: body.TheirDiff, YourDiff: body.YourDiff, cause: cause}
+	case len(body.Errors) > 0:
+		return &InvalidDocument{Problems: body.Errors, cause: cause}
+	}
+	return cause
+}
+
+func toFailure(status int, method string, body *errorBody) error {
+	kind := body.Error.Kind
+	if kind == "" {
+		kind = kindOfStatus(status, method)
+	}
+	message := strings.TrimSpace(body.Error.Message)
+	if message == "" {
+		message = fmt.Sprintf("the entry replied with status %d", status)
+	}
+	remedy := strings.TrimSpace(body.Error.Remedy)
+	if remedy == "" {
+		remedy = remedyOf(kind)
+	}
+	wait := time.Duration(body.Error.RetryAfterMillis) * time.Millisecond
+	return failure.New(kind, message, remedy).WithRetryAfter(wait)
+}
+
+// kindOfStatus is for replies without a kind, such as those of something that
+// stands between.
+func kindOfStatus(status int, method string) failure.Kind {
+	switch status {
+	case http.StatusUnauthorized, http.StatusForbidden:
+		return failure.Unauthorized
+	case http.StatusNotFound:
+		return failure.NotFound
+	case http.StatusConflict:
+		return failure.Conflict
+	case http.StatusTooManyRequests:
+		return failure.Exhausted
+	case http.StatusServiceUnavailable:
+		return failure.Unavailable
+	}
+	if status < http.StatusInternalServerError {
+		return failure.Invalid
+	}
+	if method == http.MethodGet {
+		return failure.Unavailable
+	}
+	return failure.Ambiguous
+}
+
+func remedyOf(kind failure.Kind) string {
+	switch kind {
+	case failure.Unauthorized:
+		return "give an operator's key with --key-file or COMFREY_KEY"
+	case failure.NotFound:
+		return "check the name or revision"
+	case failure.Conflict:
+		return "look at the document in force, merge and apply again"
+	case failure.Invalid:
+		return "correct what the message names"
+	default:
+		return "try again later"
+	}
+}
--- /dev/null
+++ b/ctl/internal/cmd/cmd.go
@@ -0,0 +1,54 @@
+// Package cmd holds the subcommands of comfreyctl, one file each.
+package cmd
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/cli"
+)
+
+// program is the name in help and messages.
+const program = "comfreyctl"
+
+// terminal is what the subcommands touch outside of themselves; tests set the
+// fields.
+type terminal struct {
+	in          io.Reader
+	out, errOut io.Writer
+	clock       clockwork.Clock
+	// send replaces the network; nil uses it.
+	send func(*http.Request) (*http.Response, error)
+}
+
+// Main runs the subcommand that the arguments name and returns the exit code.
+func Main(ctx context.Context, version string, args []string) int {
+	term := &terminal{in: os.Stdin, out: os.Stdout, errOut: os.Stderr, clock: clockwork.NewRealClock()}
+	return run(ctx, version, args, term)
+}
+
+func run(ctx context.Context, version string, args []string, term *terminal) int {
+	return cli.Main(ctx, program, version, commands(term), args, term.out, term.errOut)
+}
+
+func commands(term *terminal) []*cli.Command {
+	return []*cli.Command{
+		initCommand(term),
+		keyCommand(term),
+		validateCommand(term),
+		diffCommand(term),
+		applyCommand(term),
+		statusCommand(term),
+		rolloutCommand(term),
+		drainCommand(term),
+		auditCommand(term),
+		rollbackCommand(term),
+		explainCommand(term),
+		entriesCommand(term),
+		completionCommand(term),
+	}
+}
--- /dev/null
+++ b/ctl/internal/cmd/print.go
@@ -0,0 +1,101 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"comfreyrelay.example/ctl/internal/client"
+	"comfreyrelay.example/relay/document"
+)
+
+const (
+	tabPadding = 2
+	maxCell    = 72
+)
+
+// table writes rows in columns.
+type table struct {
+	writer *tabwriter.Writer
+}
+
+func newTable(out io.Writer, heads ...string) *table {
+	t := &table{writer: tabwriter.NewWriter(out, 0, 0, tabPadding, ' ', 0)}
+	t.row(heads...)
+	return t
+}
+
+func (t *table) row(cells ...string) {
+	for i, cell := range cells {
+		cells[i] = clean(cell)
+	}
+	fmt.Fprintln(t.writer, strings.Join(cells, "\t"))
+}
+
+func (t *table) flush() error { return t.writer.Flush() }
+
+// clean keeps control characters of remote text from the terminal and a long
+// value from tearing the table apart.
+func clean(cell string) string {
+	cell = strings.Map(func(char rune) rune {
+		if char < ' ' || char == 0x7f {
+			return ' '
+		}
+		return char
+	}, cell)
+	if len(cell) <= maxCell {
+		return cell
+	}
+	return strings.ToValidUTF8(cell[:maxCell], "") + "..."
+}
+
+func printJSON(out io.Writer, value any) error {
+	writer := json.NewEncoder(out)
+	writer.SetIndent("", "  ")
+	writer.SetEscapeHTML(false)
+	return writer.Encode(value)
+}
+
+func printProblems(out io.Writer, problems []document.Problem) {
+	for _, problem := range problems {
+		path := problem.Path()
+		if path == "" {
+			path = "/"
+		}
+		fmt.Fprintf(out, "%s\n    %s\n    remedy: %s\n", path, problem.Message(), problem.Remedy())
+	}
+}
+
+func printChanges(out io.Writer, changes []client.Change) error {
+	if len(changes) == 0 {
+		fmt.Fprintln(out, "no change")
+		return nil
+	}
+	list := newTable(out, "PATH", "BEFORE", "AFTER")
+	for _, change := range changes {
+		list.row(change.Path, orDash(change.Before), orDash(change.After))
+	}
+	return list.flush()
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func millis(count int64) string {
+	return (time.Duration(count) * time.Millisecond).String()
+}
+
+func shortVersion(version string) string {
+	const digits = 12
+	if len(version) <= digits {
+		return version
+	}
+	return version[:digits]
+}
--- /dev/null
+++ b/ctl/internal/cmd/wait.go
@@ -0,0 +1,68 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"comfreyrelay.example/ctl/internal/client"
+	"comfreyrelay.example/relay/failure"
+)
+
+const pollInterval = 250 * time.Millisecond
+
+// waitInForce returns once every live node has the revision, or one above it,
+// in force.
+func waitInForce(ctx context.Context, term *terminal, asked *client.Client, revision uint32, limit time.Duration) error {
+	began := term.clock.Now()
+	for {
+		status, err := asked.Status(ctx)
+		if err != nil {
+			return err
+		}
+		behind := nodesBehind(status, revision)
+		if len(behind) == 0 {
+			fmt.Fprintf(term.errOut, "revision %d is in force on %d nodes\n", revision, len(status.Nodes))
+			return nil
+		}
+		if term.clock.Since(began) >= limit {
+			return failure.New(failure.Unavailable, fmt.Sprintf("revision %d is accepted, but after %v not in force on %d nodes: %s",
+				revision, limit, len(behind), firstNames(behind)), "watch comfreyctl status")
+		}
+		if err := sleep(ctx, term, pollInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// nodesBehind returns the nodes that do not have the revision in force. Those
+// that are lost are left out: they get no work, and learn it before they do.
+func nodesBehind(status *client.Status, revision uint32) []string {
+	var behind []string
+	for _, node := range status.Nodes {
+		if node.Revision < revision && !node.Lost {
+			behind = append(behind, node.ID)
+		}
+	}
+	if status.Revision < revision {
+		behind = append(behind, "the entry asked")
+	}
+	return behind
+}
+
+func firstNames(names []string) string {
+	const shown = 5
+	if len(names) <= shown {
+		return fmt.Sprint(names)
+	}
+	return fmt.Sprint(names[:shown]) + " and others"
+}
+
+func sleep(ctx context.Context, term *terminal, pause time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return failure.Wrap(ctx.Err(), failure.Unavailable, "interrupted", "run it again to go on watching")
+	case <-term.clock.After(pause):
+		return nil
+	}
+}
--- a/relay/document/document.go
+++ b/relay/document/document.go
@@ -39,6 +39,12 @@
 // Schema returns the JSON schema's text; the caller does not change it.
 func Schema() []byte { return schemaText }
 
+// Describe returns what the schema says of a path: a JSON pointer, or keys
+// joined by dots.
+func Describe(path string) (schema.Field, bool) {
+	return checker.Describe(schema.PathTokens(path))
+}
+
 // Parse reads a document's JSON text and returns every problem at once. The
 // document is nil where there are problems.
 func Parse(text []byte) (*wire.Document, []Problem) {
--- a/relay/schema/pointer.go
+++ b/relay/schema/pointer.go
@@ -32,6 +32,14 @@
 	return tokens
 }
 
+// PathTokens splits a JSON pointer, or keys joined by dots.
+func PathTokens(path string) []string {
+	if path == "" || strings.HasPrefix(path, "/") {
+		return Tokens(path)
+	}
+	return strings.Split(path, ".")
+}
+
 // At returns the value that the tokens lead to, and whether there is one.
 func At(tree any, tokens []string) (any, bool) {
 	for _, token := range tokens {
--- a/relay/settings/settings.go
+++ b/relay/settings/settings.go
@@ -67,6 +67,17 @@
 	return set, nil
 }
 
+// DescribeEntry returns what the schema of comfreyentry's settings says of a
+// path: a JSON pointer, or keys joined by dots.
+func DescribeEntry(path string) (schema.Field, bool) {
+	return entryChecker.Describe(schema.PathTokens(path))
+}
+
+// DescribeAgent is like DescribeEntry for comfreyagent.
+func DescribeAgent(path string) (schema.Field, bool) {
+	return agentChecker.Describe(schema.PathTokens(path))
+}
+
 func load(name string, overrides []string, checker *schema.Checker, set proto.Message) error {
 	text, err := read(name)
 	if err != nil {
@@ -150,7 +161,7 @@
 	for i, problem := range problems {
 		lines[i] = fmt.Sprintf("  %s%s; %s", keyPath(problem.Path()), problem.Message(), problem.Remedy())
 	}
-	return failure.New(failure.Invalid, fmt.Sprintf("%s has %d mistakes:\n%s", name, len(problems), strings.Join(lines, "\n")),
+	return failure.New(failure.Invalid, fmt.Sprintf("%s is not valid, mistakes: %d\n%s", name, len(problems), strings.Join(lines, "\n")),
 		"correct them all and start again")
 }
 
