Experiments: bursts and requests

Cause: the users' two figures and the promises to callers need runs that count them. Change: bench-burst and bench-requests with their cases, faults, bounds and baselines.

--- /dev/null
+++ b/bench/internal/burst/cases.go
@@ -0,0 +1,88 @@
+package burst
+
+import (
+	"slices"
+	"time"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// Case is one experiment.
+type Case struct {
+	Name      string
+	Hosts     int
+	Objective string
+	// Strategy is empty for the system's own, or a baseline's name.
+	Strategy string
+	// Window is the time in which a host's link carries two copies.
+	Window time.Duration
+	// Shared links carry both directions at one rate.
+	Shared bool
+	// Fault provokes the case's fault; nil for none.
+	Fault *Fault
+	// Roll measures the step from a serving version to the next.
+	Roll bool
+	// Load lets callers go on beside the roll.
+	Load bool
+	// HostListLag is how late the platform's list is.
+	HostListLag time.Duration
+}
+
+const (
+	// window gives a bound of 7.5 s, long against the processes' start-up and
+	// the intervals in which they tell each other what they have.
+	window = 15 * time.Second
+	// slowBaselineWindow keeps the slowest baseline under a minute.
+	slowBaselineWindow = 8 * time.Second
+	faultHosts         = 100
+	smallHosts         = 18
+	listLag            = time.Minute
+)
+
+// Cases returns all experiments in the order of the report.
+func Cases() []Case {
+	var cases []Case
+	for _, n := range []int{18, 50, 100, 200} {
+		for _, objective := range []string{house.ObjectiveTime, house.ObjectiveOriginBytes} {
+			cases = append(cases, Case{Name: plainName(n, objective), Hosts: n, Objective: objective, Window: window})
+		}
+	}
+	cases = append(cases, Case{Name: "n100-shared-link", Hosts: faultHosts, Objective: house.ObjectiveTime, Window: window, Shared: true})
+	cases = append(cases, baselines()...)
+	cases = append(cases, faultCases()...)
+	return append(cases,
+		Case{Name: "roll", Hosts: faultHosts, Objective: house.ObjectiveTime, Window: window, Roll: true},
+		Case{Name: "roll-live-load", Hosts: faultHosts, Objective: house.ObjectiveTime, Window: window, Roll: true, Load: true},
+	)
+}
+
+func plainName(n int, objective string) string {
+	names := map[string]string{house.ObjectiveTime: "time", house.ObjectiveOriginBytes: "origin-bytes"}
+	return "n" + itoa(n) + "-" + names[objective]
+}
+
+func baselines() []Case {
+	return []Case{
+		{Name: "baseline-own-n18", Hosts: smallHosts, Objective: house.ObjectiveTime, Window: slowBaselineWindow},
+		{Name: "baseline-origin-only-n18", Hosts: smallHosts, Objective: house.ObjectiveTime,
+			Strategy: house.StrategyOriginOnly, Window: slowBaselineWindow},
+		{Name: "baseline-tree-n100", Hosts: faultHosts, Objective: house.ObjectiveTime, Strategy: house.StrategyTree, Window: window},
+		{Name: "baseline-random-n100", Hosts: faultHosts, Objective: house.ObjectiveTime, Strategy: house.StrategyRandom, Window: window},
+	}
+}
+
+func faultCases() []Case {
+	var cases []Case
+	for _, fault := range faults() {
+		c := Case{Name: fault.Name, Hosts: faultHosts, Objective: house.ObjectiveTime, Window: window, Fault: fault}
+		if fault.LaggingList {
+			c.HostListLag = listLag
+		}
+		cases = append(cases, c)
+	}
+	// The users' question to a failing fleet, for the other objective too.
+	index := slices.IndexFunc(cases, func(c Case) bool { return c.Name == tenthDiesCorrupt })
+	again := cases[index]
+	again.Name, again.Objective = tenthDiesCorrupt+"-origin-bytes", house.ObjectiveOriginBytes
+	return append(cases, again)
+}
--- /dev/null
+++ b/bench/internal/burst/faults.go
@@ -0,0 +1,174 @@
+package burst
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// Fault is one kind of trouble in the middle of a burst.
+type Fault struct {
+	Name string
+	// LaggingList makes the platform's list of hosts a minute late.
+	LaggingList bool
+	// Before is called before the document is submitted; nil for nothing.
+	Before func(ctx context.Context, r *run) error
+	// Strike is called in the middle of the transfer.
+	Strike func(ctx context.Context, r *run) error
+}
+
+const (
+	tenthDiesCorrupt = "tenth-dies-and-corrupt"
+	// corruptFraction of the chunks arrive corrupt from the origin.
+	corruptFraction = 0.01
+	// tenth of the hosts are struck where the fault names no other number.
+	tenth = 10
+)
+
+// faults returns every fault in the order of the report.
+func faults() []*Fault {
+	return []*Fault{
+		{Name: "tenth-dies", Strike: killTenth},
+		{Name: "corrupt-chunks", Before: corruptChunks},
+		{Name: tenthDiesCorrupt, Before: corruptChunks, Strike: killTenth},
+		{Name: "origin-down", Strike: originDown},
+		{Name: "origin-refuses", Strike: originRefuses},
+		{Name: "corrupt-manifest", Before: corruptManifest},
+		{Name: "host-stalls", Strike: stallHost},
+		{Name: "agent-restarts", Strike: restartTenth},
+		{Name: "version-changes", Strike: changeVersion},
+		{Name: "version-changes-back", Strike: changeVersionBack},
+		{Name: "list-lags-tenth-dies", LaggingList: true, Strike: killTenth},
+		{Name: "region-pauses", Strike: pauseRegion},
+		{Name: "domain-dies", Strike: killDomain},
+		{Name: "engines-refuse-load", Before: refuseLoad},
+	}
+}
+
+// killTenth lets every tenth host die.
+func killTenth(ctx context.Context, r *run) error {
+	var err error
+	for i, m := range r.house.Agents() {
+		if i%tenth == 0 {
+			err = errors.Join(err, r.kill(ctx, m))
+		}
+	}
+	return err
+}
+
+func killDomain(ctx context.Context, r *run) error {
+	var err error
+	domain := house.Quetzal()[0].FailureDomain
+	for _, m := range r.house.Agents() {
+		if m.Place().FailureDomain == domain {
+			err = errors.Join(err, r.kill(ctx, m))
+		}
+	}
+	return err
+}
+
+func corruptChunks(ctx context.Context, r *run) error {
+	return r.house.SetOriginFaults(ctx, house.OriginFaults{CorruptFraction: corruptFraction})
+}
+
+// corruptManifest gives a manifest that does not match its hash for a part of
+// the bound.
+func corruptManifest(ctx context.Context, r *run) error {
+	return r.originTrouble(ctx, house.OriginFaults{CorruptManifest: true})
+}
+
+func originDown(ctx context.Context, r *run) error {
+	return r.originTrouble(ctx, house.OriginFaults{Down: true})
+}
+
+func originRefuses(ctx context.Context, r *run) error {
+	return r.originTrouble(ctx, house.OriginFaults{Refuse: true})
+}
+
+// originTrouble lasts a quarter of the bound.
+func (r *run) originTrouble(ctx context.Context, faults house.OriginFaults) error {
+	if err := r.house.SetOriginFaults(ctx, faults); err != nil {
+		return err
+	}
+	r.later(r.quarter(), func() error { return r.house.SetOriginFaults(ctx, house.OriginFaults{}) })
+	return nil
+}
+
+// stallHost stops one agent without closing its connections, for good.
+func stallHost(_ context.Context, r *run) error {
+	m := r.house.Agents()[1]
+	r.lose(m)
+	return m.Pause()
+}
+
+// restartTenth lets every tenth host die and come back with nothing.
+func restartTenth(ctx context.Context, r *run) error {
+	var err error
+	for i, m := range r.house.Agents() {
+		if i%tenth == 0 {
+			err = errors.Join(err, r.house.Kill(ctx, m), r.house.Restart(ctx, m))
+		}
+	}
+	return err
+}
+
+// changeVersion submits a second version that shares half of its chunks.
+func changeVersion(ctx context.Context, r *run) error {
+	const changed = 0.5
+	made, err := r.house.Publish(ctx, r.publication(changed))
+	if err != nil {
+		return err
+	}
+	return r.submit(ctx, made.Version)
+}
+
+// changeVersionBack submits a second version and soon the first one again.
+func changeVersionBack(ctx context.Context, r *run) error {
+	first := r.version
+	if err := changeVersion(ctx, r); err != nil {
+		return err
+	}
+	r.later(time.Second, func() error { return r.submit(ctx, first) })
+	r.pending.Wait()
+	return nil
+}
+
+// pauseRegion stops all processes of one region for a quarter of the bound, as
+// when it is cut off.
+func pauseRegion(_ context.Context, r *run) error {
+	var err error
+	var paused []*house.Member
+	region := house.Quetzal()[1].Region
+	for _, m := range r.house.Members() {
+		if m.Place().Region == region {
+			err = errors.Join(err, m.Pause())
+			paused = append(paused, m)
+		}
+	}
+	r.later(r.quarter(), func() error {
+		var err error
+		for _, m := range paused {
+			err = errors.Join(err, m.Resume())
+		}
+		return err
+	})
+	return err
+}
+
+// refuseLoad makes every tenth engine refuse to load until the bound has
+// passed.
+func refuseLoad(ctx context.Context, r *run) error {
+	set := func(faults house.EngineFaults) error {
+		var err error
+		for i, m := range r.house.Agents() {
+			if i%tenth == 0 {
+				err = errors.Join(err, r.house.SetEngineFaults(ctx, m, faults))
+			}
+		}
+		return err
+	}
+	r.later(time.Duration(r.bound*float64(time.Second)), func() error { return set(house.EngineFaults{}) })
+	return set(house.EngineFaults{RefuseLoad: true})
+}
--- /dev/null
+++ b/bench/internal/burst/run.go
@@ -0,0 +1,230 @@
+// Package burst measures how long it takes until a model serves on N hosts and
+// what the origin sends meanwhile, on real processes with paced links.
+package burst
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// Sizes of one case.
+const (
+	entryCount    = 9
+	customerCount = 10
+	chunkKiB      = 64
+	// caseLimit bounds one case, its start included.
+	caseLimit = 100 * time.Second
+)
+
+// Options configure a run of cases.
+type Options struct {
+	// Bin is the directory of the built programs.
+	Bin string
+	// ProcessLog receives the processes' logs.
+	ProcessLog io.Writer
+	Log        *slog.Logger
+	Seed       uint64
+	// ModelMiB is the size of the weights.
+	ModelMiB float64
+}
+
+// run is one case while it runs.
+type run struct {
+	options  Options
+	current  Case
+	links    Links
+	bound    float64 // seconds
+	house    *house.House
+	version  string // intended now
+	seed     uint64
+	revision uint32
+	pending  sync.WaitGroup
+
+	mu      sync.Mutex
+	lost    map[*house.Member]bool // not waited for
+	late    error                  // of what later did
+	minimum int                    // fewest hosts that served during a roll
+}
+
+// Run runs one case and returns its line.
+func Run(ctx context.Context, options Options, current Case) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, caseLimit)
+	defer cancel()
+	bytes := options.ModelMiB * (1 << 20)
+	r := &run{options: options, current: current, lost: map[*house.Member]bool{}, seed: options.Seed}
+	r.links = LinksFor(bytes, current.Window, current.Shared)
+	r.bound = FluidBound(bytes, current.Hosts, r.links)
+	if err := r.start(ctx); err != nil {
+		return Result{}, err
+	}
+	defer r.house.Stop()
+	// A fault that is still to be mended would meet a house that is gone.
+	defer r.pending.Wait()
+	if current.Roll {
+		return r.roll(ctx)
+	}
+	return r.burst(ctx)
+}
+
+func (r *run) start(ctx context.Context) (err error) {
+	config := house.Config{
+		Bin:                  r.options.Bin,
+		Log:                  r.options.ProcessLog,
+		Places:               house.Quetzal(),
+		Entries:              entryCount,
+		Hosts:                r.current.Hosts,
+		BurstStrategy:        r.current.Strategy,
+		OriginBytesPerSecond: uint64(r.links.Origin),
+		OneEngineProcess:     true,
+		HostListLag:          r.current.HostListLag,
+	}
+	if r.current.Shared {
+		config.Link.Shared = uint64(r.links.Host)
+	} else {
+		config.Link.Up, config.Link.Down = uint64(r.links.Host), uint64(r.links.Host)
+	}
+	r.house, err = house.Start(ctx, config)
+	if err != nil {
+		return err
+	}
+	return r.house.WaitRoutable(ctx)
+}
+
+// burst measures the first version's way to every host.
+func (r *run) burst(ctx context.Context) (Result, error) {
+	made, err := r.house.Publish(ctx, r.publication(0))
+	if err != nil {
+		return Result{}, err
+	}
+	if fault := r.current.Fault; fault != nil && fault.Before != nil {
+		if err := fault.Before(ctx, r); err != nil {
+			return Result{}, err
+		}
+	}
+	before := r.usage()
+	started := time.Now()
+	if err := r.submit(ctx, made.Version); err != nil {
+		return Result{}, err
+	}
+	if err := r.strike(ctx); err != nil {
+		return Result{}, err
+	}
+	if err := r.waitServing(ctx); err != nil {
+		return Result{}, err
+	}
+	return r.result(ctx, time.Since(started), before)
+}
+
+// strike provokes the fault when two fifths of the bound have passed.
+func (r *run) strike(ctx context.Context) error {
+	const share = 0.4
+	fault := r.current.Fault
+	if fault == nil || fault.Strike == nil {
+		return nil
+	}
+	if err := pause(ctx, time.Duration(r.bound*share*float64(time.Second))); err != nil {
+		return err
+	}
+	r.options.Log.Info("fault", "case", r.current.Name)
+	return fault.Strike(ctx, r)
+}
+
+func (r *run) waitServing(ctx context.Context) error {
+	err := r.house.WaitServing(ctx, r.house.Agents(), r.version, r.alive)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return errors.Join(err, r.late)
+}
+
+func (r *run) publication(changed float64) house.Publication {
+	r.seed++
+	pub := house.Publication{Model: house.ModelName, Mib: r.options.ModelMiB, ChunkKib: chunkKiB, Seed: r.seed}
+	if changed > 0 {
+		pub.FromVersion, pub.ChangeFraction = r.version, changed
+	}
+	return pub
+}
+
+func (r *run) submit(ctx context.Context, version string) error {
+	doc := r.house.Document(house.Desired{
+		Version:        version,
+		Objective:      r.current.Objective,
+		Customers:      house.Customers(customerCount),
+		MaxUnavailable: maxUnavailable(r.current.Hosts),
+	})
+	revision, err := r.house.Submit(ctx, r.house.Entries()[0], r.revision, doc, "comfreybench burst")
+	if err != nil {
+		return fmt.Errorf("submit: %w", err)
+	}
+	r.version, r.revision = version, revision
+	return nil
+}
+
+// maxUnavailable lets a fifth of each failure domain's hosts turn at once.
+func maxUnavailable(hosts int) uint32 {
+	const waves = 5
+	perDomain := hosts / len(house.Quetzal())
+	return uint32(max(1, perDomain/waves))
+}
+
+// kill lets a host die; the platform's list drops it, as late as it is.
+func (r *run) kill(ctx context.Context, m *house.Member) error {
+	r.lose(m)
+	return errors.Join(r.house.Kill(ctx, m), r.house.Unlist(ctx, m))
+}
+
+func (r *run) lose(m *house.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost[m] = true
+}
+
+func (r *run) alive(m *house.Member) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lost[m]
+}
+
+func (r *run) liveCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current.Hosts - len(r.lost)
+}
+
+func (r *run) quarter() time.Duration {
+	const parts = 4
+	return time.Duration(r.bound * float64(time.Second) / parts)
+}
+
+// later calls do after the wait; the case does not end before.
+func (r *run) later(wait time.Duration, do func() error) {
+	r.pending.Go(func() {
+		time.Sleep(wait)
+		if err := do(); err != nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.late = errors.Join(r.late, err)
+		}
+	})
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/bench/internal/cmd/cmd_burst.go
@@ -0,0 +1,105 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"comfreyrelay.example/bench/internal/burst"
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/failure"
+)
+
+type burstOptions struct {
+	common
+	Case     string  `long:"case" description:"one case's name; empty runs all"`
+	Runs     int     `long:"runs" default:"1" description:"runs of each case"`
+	ModelMiB float64 `long:"model-mib" default:"8" description:"size of the weights"`
+	List     bool    `long:"list" description:"print the cases' names and run none"`
+}
+
+const burstHelp = `Measures how long it takes until a model serves on N hosts, and what the origin
+sends meanwhile: real processes, paced links, one JSON line a case.
+
+Examples:
+  comfreybench burst --list
+  comfreybench burst --case n200-time --runs 3`
+
+func burstCommand() *cli.Command {
+	options := &burstOptions{}
+	return &cli.Command{
+		Name:    "burst",
+		Short:   "measure bursts of weights",
+		Long:    burstHelp,
+		Options: options,
+		Run:     func(ctx context.Context, _ []string) error { return runBurst(ctx, options) },
+	}
+}
+
+func runBurst(ctx context.Context, options *burstOptions) error {
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	log, closeLog, err := options.processLog("burst.log")
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	run := burst.Options{Bin: options.Bin, ProcessLog: log, Log: logger(), Seed: options.Seed, ModelMiB: options.ModelMiB}
+	return runCases(ctx, caseRun{name: options.Case, runs: options.Runs, list: options.List}, burst.Cases(),
+		func(c burst.Case) string { return c.Name },
+		func(ctx context.Context, c burst.Case) (any, error) {
+			result, err := burst.Run(ctx, run, c)
+			if err != nil {
+				result = burst.Named(run, c)
+				result.Error = err.Error()
+			}
+			return result, err
+		})
+}
+
+// caseRun says which cases to run and how often.
+type caseRun struct {
+	name string
+	runs int
+	list bool
+}
+
+// runCases runs the chosen cases one after the other and prints one JSON line
+// each; a case that fails does not stop the others.
+func runCases[C any](ctx context.Context, want caseRun, cases []C, name func(C) string, run func(context.Context, C) (any, error)) error {
+	out := json.NewEncoder(os.Stdout)
+	chosen, failed := 0, 0
+	for _, c := range cases {
+		if want.name != "" && want.name != name(c) {
+			continue
+		}
+		chosen++
+		if want.list {
+			if err := out.Encode(name(c)); err != nil {
+				return err
+			}
+			continue
+		}
+		for range want.runs {
+			logger().Info("case", "name", name(c))
+			line, err := run(ctx, c)
+			if err != nil {
+				failed++
+				logger().Error("case failed", "name", name(c), "error", err)
+			}
+			if err := out.Encode(line); err != nil {
+				return err
+			}
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+		}
+	}
+	if chosen == 0 {
+		return failure.New(failure.Invalid, "there is no case "+want.name, "choose one that --list names")
+	}
+	if failed > 0 {
+		return failure.New(failure.Internal, "cases failed", "read the lines with an error, and the processes' log in the output directory")
+	}
+	return nil
+}
--- a/bench/internal/house/house.go
+++ b/bench/internal/house/house.go
@@ -145,7 +145,7 @@
 	proc, err := h.run(ctx, process.Spec{
 		Name:      m.id,
 		Program:   h.program(program),
-		Args:      []string{"run", "--settings", m.settings},
+		Args:      []string{"--settings", m.settings},
 		Listening: 1,
 	})
 	m.process = proc
--- /dev/null
+++ b/bench/internal/requests/result.go
@@ -0,0 +1,129 @@
+package requests
+
+import (
+	"comfreyrelay.example/bench/internal/audit"
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// Result is the JSON line of one case.
+type Result struct {
+	Bench             string  `json:"bench"`
+	Case              string  `json:"case"`
+	Policy            string  `json:"policy"`
+	Entries           int     `json:"entries"`
+	Endpoints         int     `json:"endpoints"`
+	CapacityPerSecond float64 `json:"capacityPerSecond"`
+	OfferedPerSecond  float64 `json:"offeredPerSecond"`
+	AnsweredPerSecond float64 `json:"answeredPerSecond"`
+	// Goodput is the rate of answers in time over the engines' capacity.
+	Goodput                   float64 `json:"goodput"`
+	FirstTokenMsP50           float64 `json:"firstTokenMsP50"`
+	FirstTokenMsP95           float64 `json:"firstTokenMsP95"`
+	FirstTokenMsP99           float64 `json:"firstTokenMsP99"`
+	BetweenTokensMsP95        float64 `json:"betweenTokensMsP95"`
+	AnswerMsP99               float64 `json:"answerMsP99"`
+	CacheHitRatio             float64 `json:"cacheHitRatio"`
+	Requests                  int     `json:"requests"`
+	Answered                  int     `json:"answered"`
+	NotRunThenAnswered        int     `json:"notRunThenAnswered"`
+	NotRun                    int     `json:"notRun"`
+	Unknown                   int     `json:"unknown"`
+	Doubled                   int     `json:"doubled"`
+	WrongAnswer               int     `json:"wrongAnswer"`
+	WrongVersion              int     `json:"wrongVersion"`
+	CutOff                    int     `json:"cutOff"`
+	NotRunButRan              int     `json:"notRunButRan"`
+	OtherBreaches             int     `json:"otherBreaches"`
+	EntryCPUUsPerRequest      float64 `json:"entryCpuUsPerRequest"`
+	EntryAllocBytesPerRequest float64 `json:"entryAllocBytesPerRequest"`
+	AddedMsP50                float64 `json:"addedMsP50"`
+	// Calm and Small are set where the case compares with the same load before
+	// the trouble: all customers, and the small ones beside a greedy one.
+	Calm  *Compared `json:"calm,omitempty"`
+	Small *Compared `json:"small,omitempty"`
+	// Failures counts the last failures of requests without an answer by kind.
+	Failures map[string]int `json:"failures,omitempty"`
+	Examples []audit.Breach `json:"examples,omitempty"`
+	// Error tells why the case did not come to its end; the figures are void.
+	Error string `json:"error,omitempty"`
+}
+
+// Compared holds percentiles before and during the trouble.
+type Compared struct {
+	FirstTokenMsP95Before float64 `json:"firstTokenMsP95Before"`
+	FirstTokenMsP95       float64 `json:"firstTokenMsP95"`
+	FirstTokenMsP99Before float64 `json:"firstTokenMsP99Before"`
+	FirstTokenMsP99       float64 `json:"firstTokenMsP99"`
+	AnswerMsP99Before     float64 `json:"answerMsP99Before"`
+	AnswerMsP99           float64 `json:"answerMsP99"`
+}
+
+func compare(before, during house.LoadCounts) *Compared {
+	return &Compared{
+		FirstTokenMsP95Before: before.FirstTokenMsP95,
+		FirstTokenMsP95:       during.FirstTokenMsP95,
+		FirstTokenMsP99Before: before.FirstTokenMsP99,
+		FirstTokenMsP99:       during.FirstTokenMsP99,
+		AnswerMsP99Before:     before.AnswerMsP99,
+		AnswerMsP99:           during.AnswerMsP99,
+	}
+}
+
+// Violations returns the sum of all that must be 0.
+func (r Result) Violations() int {
+	return r.Doubled + r.WrongAnswer + r.WrongVersion + r.CutOff + r.NotRunButRan + r.OtherBreaches
+}
+
+// Named returns the line's fields that are known before the case runs.
+func Named(c Case) Result {
+	policy := c.Policy
+	if policy == "" {
+		policy = "affinity"
+	}
+	return Result{
+		Bench:             "requests",
+		Case:              c.Name,
+		Policy:            policy,
+		Entries:           entryCount,
+		Endpoints:         hostCount + serviceCount,
+		CapacityPerSecond: capacity(),
+		OfferedPerSecond:  c.offered(),
+	}
+}
+
+// offered is the rate of all callers together.
+func (c Case) offered() float64 {
+	load := c.Load
+	if c.Greedy {
+		load += greedyLoad
+	}
+	return load * capacity()
+}
+
+func (r *Result) addLoad(summary house.LoadSummary, seconds float64) {
+	r.Requests = summary.Requests
+	r.Answered = summary.Answered
+	r.NotRunThenAnswered = summary.NotRunThenAnswered
+	r.NotRun = summary.NotRun
+	r.Unknown = summary.Unknown
+	r.WrongAnswer = summary.WrongAnswer
+	r.WrongVersion = summary.WrongVersion
+	r.CutOff = summary.CutOff
+	r.NotRunButRan = summary.Contradicted
+	r.AnsweredPerSecond = float64(summary.Answered) / seconds
+	r.Goodput = float64(summary.Answered-summary.Late) / seconds / r.CapacityPerSecond
+	r.FirstTokenMsP50 = summary.FirstTokenMsP50
+	r.FirstTokenMsP95 = summary.FirstTokenMsP95
+	r.FirstTokenMsP99 = summary.FirstTokenMsP99
+	r.BetweenTokensMsP95 = summary.BetweenTokensMsP95
+	r.AnswerMsP99 = summary.AnswerMsP99
+	r.Failures = summary.Failures
+}
+
+func (r *Result) addFindings(found audit.Findings) {
+	r.Doubled += found.Doubled
+	r.NotRunButRan += found.NotRunButRan
+	r.CutOff += found.CutOff
+	r.OtherBreaches += found.Other + found.NeverRan + found.Unverified
+	r.Examples = append(r.Examples, found.Examples...)
+}
--- /dev/null
+++ b/bench/internal/requests/trouble.go
@@ -0,0 +1,154 @@
+package requests
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// trouble happens to the house while callers send; it returns once it is over
+// or set for good.
+type trouble func(ctx context.Context, h *house.House) error
+
+// Times within a case.
+const (
+	troubleTime = 4 * time.Second
+	restartGap  = 300 * time.Millisecond
+)
+
+// victim is the engine host that troubles strike.
+func victim(h *house.House) *house.Member { return h.Agents()[2] }
+
+// slowReplica makes one engine a tenth as fast; it goes on reporting as usual.
+func slowReplica(ctx context.Context, h *house.House) error {
+	return h.SetEngineFaults(ctx, victim(h), house.EngineFaults{SlowFactor: 10})
+}
+
+// failsFast makes one engine refuse all at once and so look idle.
+func failsFast(ctx context.Context, h *house.House) error {
+	return h.SetEngineFaults(ctx, victim(h), house.EngineFaults{FailFast: true, ReportIdle: true})
+}
+
+func engineStalls(ctx context.Context, h *house.House) error {
+	return forAWhile(ctx, h, house.EngineFaults{Stall: true})
+}
+
+func breaksAfterTokens(ctx context.Context, h *house.House) error {
+	return forAWhile(ctx, h, house.EngineFaults{DieAfterTokens: 5})
+}
+
+func forAWhile(ctx context.Context, h *house.House, faults house.EngineFaults) error {
+	if err := h.SetEngineFaults(ctx, victim(h), faults); err != nil {
+		return err
+	}
+	err := pause(ctx, troubleTime)
+	return errors.Join(err, h.SetEngineFaults(ctx, victim(h), house.EngineFaults{}))
+}
+
+func hostDies(ctx context.Context, h *house.House) error {
+	return h.Kill(ctx, victim(h))
+}
+
+// coldReplica lets a host die and come back with nothing.
+func coldReplica(ctx context.Context, h *house.House) error {
+	if err := h.Kill(ctx, victim(h)); err != nil {
+		return err
+	}
+	if err := pause(ctx, troubleTime); err != nil {
+		return err
+	}
+	return h.Restart(ctx, victim(h))
+}
+
+// agentPauses stops an agent past every deadline of its requests' first
+// attempts and lets it wake with what it held.
+func agentPauses(ctx context.Context, h *house.House) error {
+	if err := victim(h).Pause(); err != nil {
+		return err
+	}
+	err := pause(ctx, troubleTime)
+	return errors.Join(err, victim(h).Resume())
+}
+
+func entryDies(ctx context.Context, h *house.House) error {
+	return h.Kill(ctx, h.Entries()[1])
+}
+
+func entryLeaves(ctx context.Context, h *house.House) error {
+	return h.Entries()[1].Terminate(ctx)
+}
+
+func hostLeaves(ctx context.Context, h *house.House) error {
+	return victim(h).Terminate(ctx)
+}
+
+// restartAll restarts every entry and every agent gracefully: entries one by
+// one, and beside them as many agents at once as there are places.
+func restartAll(ctx context.Context, h *house.House) error {
+	agents := append(append([]*house.Member(nil), h.Agents()...), h.Services()...)
+	var both errgroup.Group
+	both.Go(func() error { return restartInTurn(ctx, h, h.Entries(), 1) })
+	both.Go(func() error { return restartInTurn(ctx, h, agents, len(house.Quetzal())) })
+	return both.Wait()
+}
+
+// restartInTurn restarts so many members at once.
+func restartInTurn(ctx context.Context, h *house.House, members []*house.Member, at int) error {
+	for group := range slices.Chunk(members, at) {
+		var together errgroup.Group
+		for _, m := range group {
+			together.Go(func() error {
+				if err := m.Terminate(ctx); err != nil {
+					return fmt.Errorf("%s did not leave: %w", m.ID(), err)
+				}
+				return h.Restart(ctx, m)
+			})
+		}
+		if err := together.Wait(); err != nil {
+			return err
+		}
+		if err := pause(ctx, restartGap); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serviceLosesReplies lets calls run whose replies are lost, and refuses some.
+func serviceLosesReplies(ctx context.Context, h *house.House) error {
+	var err error
+	for _, m := range h.Services() {
+		err = errors.Join(err, h.SetServiceFaults(ctx, m, house.ServiceFaults{LoseReply: 0.2, FailBeforeRun: 0.2}))
+	}
+	return err
+}
+
+// kvDown takes the key-value service away for longer than a lease.
+func kvDown(ctx context.Context, h *house.House) error {
+	if err := h.SetKVFaults(ctx, house.KVFaults{Down: true}); err != nil {
+		return err
+	}
+	err := pause(ctx, 2*troubleTime)
+	return errors.Join(err, h.SetKVFaults(ctx, house.KVFaults{}))
+}
+
+func listEmpty(ctx context.Context, h *house.House) error {
+	return h.SetHostListFaults(ctx, house.HostListFaults{Empty: true})
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
