--- /dev/null
+++ b/entry/internal/callers/account.go
@@ -0,0 +1,61 @@
+package callers
+
+import (
+	"expvar"
+	"log/slog"
+
+	"comfreyrelay.example/entry/internal/dispatch"
+)
+
+// counters counts what callers were told, by name, for /debug/vars.
+var counters = expvar.NewMap("callers")
+
+// account books a request that was dispatched.
+func (c *call) account(result dispatch.Result) {
+	counters.Add(string(result.Outcome), 1)
+	counters.Add("attempts", int64(result.Attempts))
+	counters.Add("tokens", int64(len(result.Tokens)))
+	if result.Affinity {
+		counters.Add("affinity", 1)
+	}
+	c.who.refund(c.req.MaxTokens - len(result.Tokens))
+	reason := ""
+	if result.Err != nil {
+		reason = result.Err.Message()
+	}
+	c.logEnd(result, reason)
+}
+
+// logEnd writes the request's one line.
+func (c *call) logEnd(result dispatch.Result, reason string) {
+	level := slog.LevelInfo
+	if !c.srv.cfg.Log.Enabled(c.r.Context(), level) {
+		return
+	}
+	attrs := make([]slog.Attr, 0, 16)
+	attrs = append(attrs,
+		slog.String("request", c.id),
+		slog.Uint64("revision", uint64(c.now.snapshot.Revision)),
+		slog.String("outcome", string(result.Outcome)),
+		slog.Duration("took", c.srv.cfg.Clock.Since(c.arrived)),
+	)
+	if c.keyed {
+		attrs = append(attrs, slog.String("key", c.key.String()))
+	}
+	if c.who != nil {
+		attrs = append(attrs, slog.String("customer", c.who.name))
+	}
+	if c.req != nil {
+		attrs = append(attrs, slog.String("lane", c.req.Lane))
+	}
+	if result.Attempts > 0 {
+		attrs = append(attrs,
+			slog.Int("attempts", result.Attempts), slog.String("host", result.Host),
+			slog.String("version", result.Version), slog.Duration("firstToken", result.FirstToken),
+			slog.Duration("queued", result.Queued), slog.Int("tokens", len(result.Tokens)))
+	}
+	if reason != "" {
+		attrs = append(attrs, slog.String("reason", reason))
+	}
+	c.srv.cfg.Log.LogAttrs(c.r.Context(), level, "request ended", attrs...)
+}
--- /dev/null
+++ b/entry/internal/callers/answer.go
@@ -0,0 +1,48 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"comfreyrelay.example/entry/internal/dispatch"
+)
+
+// answerBody is a whole answer in one piece. Its JSON is also what is kept for
+// a once key that is sent again.
+type answerBody struct {
+	Outcome   dispatch.Outcome `json:"outcome"`
+	RequestID string           `json:"requestId"`
+	Version   string           `json:"version,omitempty"`
+	Tokens    []string         `json:"tokens,omitempty"`
+	Body      []byte           `json:"body,omitempty"`
+}
+
+// writeAnswer answers in one piece.
+func writeAnswer(w http.ResponseWriter, raw []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(raw)
+}
+
+// replay answers with what an earlier sending of the key got.
+func replay(w http.ResponseWriter, r *http.Request, raw []byte) {
+	if !wantsStream(r) {
+		writeAnswer(w, raw)
+		return
+	}
+	var kept answerBody
+	if json.Unmarshal(raw, &kept) != nil {
+		writeAnswer(w, raw)
+		return
+	}
+	out := newStream(w, kept.RequestID)
+	if len(kept.Tokens) > 0 && out.tokens(kept.Version, kept.Tokens) != nil {
+		return
+	}
+	out.end(kept.Version, dispatch.DigestOf(kept.Tokens), len(kept.Tokens))
+}
+
+func wantsStream(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("Accept"), "text/event-stream")
+}
--- /dev/null
+++ b/entry/internal/callers/body.go
@@ -0,0 +1,119 @@
+package callers
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/zeebo/blake3"
+
+	"comfreyrelay.example/relay/once"
+)
+
+// idempotencyHeader may carry the once key in place of the body.
+const idempotencyHeader = "Idempotency-Key"
+
+// requestBody is what a caller sends to run a model.
+type requestBody struct {
+	Model          string `json:"model"`
+	Adapter        string `json:"adapter"`
+	Prompt         string `json:"prompt"`
+	MaxTokens      int    `json:"maxTokens"`
+	Repeatable     bool   `json:"repeatable"`
+	DeadlineMillis int64  `json:"deadlineMillis"`
+	Key            string `json:"key"`
+}
+
+// serviceBody is what a caller sends to a plain service.
+type serviceBody struct {
+	Body           []byte `json:"body"`
+	Repeatable     bool   `json:"repeatable"`
+	DeadlineMillis int64  `json:"deadlineMillis"`
+	Key            string `json:"key"`
+}
+
+// decodeRequest reads and checks the body of a request on a model.
+func decodeRequest(raw []byte) (requestBody, *problem) {
+	var body requestBody
+	if refused := decode(raw, &body); refused != nil {
+		return body, refused
+	}
+	switch {
+	case body.Model == "" || len(body.Model) > maxNameBytes:
+		return body, invalid("model is empty or too long", "name a model of the document")
+	case len(body.Adapter) > maxNameBytes:
+		return body, invalid("adapter is too long", "name an adapter of the model, or none")
+	case body.MaxTokens < 1 || body.MaxTokens > maxTokensBound:
+		return body, invalid("maxTokens is out of range", "send a number from 1 to 32768")
+	case body.DeadlineMillis < 0:
+		return body, invalid("deadlineMillis is negative", "send the milliseconds from now, or 0 for the usual")
+	}
+	return body, nil
+}
+
+// decodeService reads and checks the body of a call to a plain service.
+func decodeService(raw []byte) (serviceBody, *problem) {
+	var body serviceBody
+	if refused := decode(raw, &body); refused != nil {
+		return body, refused
+	}
+	if body.DeadlineMillis < 0 {
+		return body, invalid("deadlineMillis is negative", "send the milliseconds from now, or 0 for the usual")
+	}
+	return body, nil
+}
+
+func decode(raw []byte, into any) *problem {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return invalid("the body is not the JSON of this call: "+err.Error(), "see the protocol's description for its fields")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return invalid("the body holds more than one JSON value", "send one object")
+	}
+	return nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, invalid("the body cannot be read: "+err.Error(), "send at most 1 MiB, whole")
+	}
+	return raw, nil
+}
+
+// parseKey returns the once key of a request: from its body, else from the
+// header; given is false where it has none.
+func parseKey(r *http.Request, inBody string) (key once.Key, given bool, refused *problem) {
+	text := inBody
+	if text == "" {
+		text = r.Header.Get(idempotencyHeader)
+	}
+	if text == "" {
+		return once.Key{}, false, nil
+	}
+	key, err := once.Parse(text)
+	if err != nil {
+		return once.Key{}, false, invalid("the once key is malformed",
+			"send <owner>.<UUIDv7> with the owner from GET /v1/entries, both in lower case")
+	}
+	return key, true, nil
+}
+
+// contentHash identifies what a request asks for and for whom; its time limit
+// is no part of it. Every field is preceded by its length: without it, two
+// requests whose fields join to the same bytes would hash alike.
+func contentHash(customer string, fields ...[]byte) []byte {
+	sum := blake3.New()
+	var length [8]byte
+	for _, field := range append([][]byte{[]byte(customer)}, fields...) {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = sum.Write(length[:])
+		_, _ = sum.Write(field)
+	}
+	return sum.Sum(nil)
+}
--- /dev/null
+++ b/entry/internal/callers/claims_test.go
@@ -0,0 +1,170 @@
+package callers
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"comfreyrelay.example/entry/internal/dispatch"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// publishHosts shows only these hosts to the entry.
+func publishHosts(house *testHouse, entry *testEntry, reports ...*wire.HostReport) {
+	snapshot, _ := entry.view.Load()
+	next := *snapshot
+	next.Document = house.document()
+	next.Hosts = nil
+	for _, report := range reports {
+		next.Hosts = append(next.Hosts, view.NewHost(report, house.clock.Now(), false, false))
+	}
+	entry.view.Store(&next)
+}
+
+// Symptom: two prices on one lamp. The caller's library sends the same key
+// through two entries at once, over and over.
+func TestOneKeyThroughTwoEntriesAtOnce(t *testing.T) {
+	house := newTestHouse(t)
+	agent := house.addAgent("h1", answer("ok"))
+	entries := []*testEntry{house.addEntry("e1"), house.addEntry("e2")}
+	house.publish()
+	for round := range 20 {
+		key := newOnceKey(entries[round%2])
+		if round%3 == 0 {
+			key = uuid.Must(uuid.NewV7()).String() // claimed at the platform
+		}
+		before := len(agent.seen())
+		var senders sync.WaitGroup
+		for i := range 6 {
+			senders.Go(func() {
+				got := entries[i%2].request(t, map[string]any{"repeatable": false, "key": key})
+				if got.answer.Outcome == dispatch.NotRun {
+					t.Errorf("got notRun for a key that ran: %s", got.raw)
+				}
+			})
+		}
+		senders.Wait()
+		if got := len(agent.seen()) - before; got != 1 {
+			t.Fatalf("round %d: got %d runs of one key, want 1", round, got)
+		}
+	}
+}
+
+func TestResentKeyGetsTheKeptAnswer(t *testing.T) {
+	house := newTestHouse(t)
+	agent := house.addAgent("h1", answer("a", "notice"))
+	first, second := house.addEntry("e1"), house.addEntry("e2")
+	house.publish()
+	change := map[string]any{"repeatable": false, "key": newOnceKey(first)}
+	sent := second.request(t, change)
+	expect(t, sent, http.StatusOK, dispatch.Answered)
+	for first.srv.InFlight()+second.srv.InFlight() > 0 {
+		time.Sleep(time.Millisecond) // the settlement is under way
+	}
+	again := first.request(t, change)
+	expect(t, again, http.StatusOK, dispatch.Answered)
+	if again.raw != sent.raw {
+		t.Errorf("got %s, want %s", again.raw, sent.raw)
+	}
+	if got := len(agent.seen()); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+	change["prompt"] = "another envelope"
+	expect(t, first.request(t, change), http.StatusConflict, dispatch.NotRun)
+}
+
+// Symptom: "notRun" for a request that ran. The owner of its key restarted and
+// remembers nothing; the caller sends the key again.
+func TestKeyOfAnOwnerThatIsGone(t *testing.T) {
+	house := newTestHouse(t)
+	agent := house.addAgent("h1", answer("ok"))
+	entry := house.addEntry("e1")
+	house.publish()
+	gone := uuid.Must(uuid.NewV7()).String() + "." + uuid.Must(uuid.NewV7()).String()
+	got := entry.request(t, map[string]any{"repeatable": false, "key": gone})
+	expect(t, got, http.StatusBadGateway, dispatch.Unknown)
+	if got := len(agent.seen()); got != 0 {
+		t.Errorf("got %d runs, want 0", got)
+	}
+}
+
+// Symptom: the same notice runs again an hour later. The owner forgot the key
+// to stay within its memory; its age tells that it may have run.
+func TestKeyOfAnHourAgo(t *testing.T) {
+	house := newTestHouse(t)
+	house.addAgent("h1", answer("ok"))
+	entry := house.addEntry("e1")
+	house.publish()
+	old := uuid.Must(uuid.NewV7())
+	millis := time.Now().Add(-61 * time.Minute).UnixMilli()
+	for i := range 6 {
+		old[i] = byte(millis >> (40 - 8*i))
+	}
+	for _, key := range []string{entry.node.GetIncarnation() + "." + old.String(), old.String()} {
+		got := entry.request(t, map[string]any{"repeatable": false, "key": key})
+		expect(t, got, http.StatusBadGateway, dispatch.Unknown)
+	}
+}
+
+// Symptom: "notRun" for a request that ran. Its key has no owner, the
+// platform's service is down, and nobody can tell whether it ran before.
+func TestKeyWithoutOwnerWhileTheServiceIsDown(t *testing.T) {
+	house := newTestHouse(t)
+	agent := house.addAgent("h1", answer("ok"))
+	entry := house.addEntry("e1")
+	house.publish()
+	change := map[string]any{"repeatable": false, "key": uuid.Must(uuid.NewV7()).String()}
+	expect(t, entry.request(t, change), http.StatusOK, dispatch.Answered)
+	swap := house.store.Swap
+	house.store.Swap = func(context.Context, string, []byte, uint64, string) (uint64, error) {
+		return 0, failure.New(failure.Unavailable, "the service is down", "wait")
+	}
+	got := entry.request(t, change)
+	expect(t, got, http.StatusServiceUnavailable, dispatch.Unknown)
+	house.store.Swap = swap
+	expect(t, entry.request(t, change), http.StatusBadGateway, dispatch.Unknown)
+	if got := len(agent.seen()); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// Symptom: a request that nobody ran is answered unknown. The swap that claims
+// its key takes effect, but the reply is lost.
+func TestSwapWhoseReplyIsLost(t *testing.T) {
+	house := newTestHouse(t)
+	house.addAgent("h1", answer("ok"))
+	entry := house.addEntry("e1")
+	house.publish()
+	swap := house.store.Swap
+	lost := false
+	house.store.Swap = func(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+		revision, err := swap(ctx, key, value, ifRevision, lease)
+		if !lost {
+			lost = true
+			return 0, failure.New(failure.Ambiguous, "the reply was lost", "read it back")
+		}
+		return revision, err
+	}
+	got := entry.request(t, map[string]any{"repeatable": false, "key": uuid.Must(uuid.NewV7()).String()})
+	expect(t, got, http.StatusOK, dispatch.Answered)
+}
+
+// Symptom: "notRun" for a request that ran, because a refusal came before the
+// look at its key: the customer is over its limit when the key is sent again.
+func TestKeyThatRanIsNotRefusedAsNotRun(t *testing.T) {
+	house := newTestHouse(t)
+	house.limits = func(spec *wire.Customer) { spec.RequestsPerSecond = 1 }
+	house.addAgent("h1", answer("ok"))
+	entry := house.addEntry("e1")
+	house.publish()
+	change := map[string]any{"repeatable": false, "key": newOnceKey(entry)}
+	expect(t, entry.request(t, change), http.StatusOK, dispatch.Answered)
+	expect(t, entry.request(t, nil), http.StatusTooManyRequests, dispatch.NotRun)
+	expect(t, entry.request(t, change), http.StatusOK, dispatch.Answered)
+}
--- /dev/null
+++ b/entry/internal/callers/entries_test.go
@@ -0,0 +1,39 @@
+package callers
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+)
+
+func TestWhichEntryDoIUse(t *testing.T) {
+	house := newTestHouse(t)
+	first, second := house.addEntry("e1"), house.addEntry("e2")
+	house.publish()
+	first.srv.door.close()
+	ask, err := http.NewRequest(http.MethodGet, first.http.URL+"/v1/entries", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask.Header.Set("Authorization", "Bearer "+testKey)
+	got, err := http.DefaultClient.Do(ask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer got.Body.Close()
+	raw, err := io.ReadAll(got.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var body entriesBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		t.Fatal(err)
+	}
+	if body.Use != second.node.GetCallersAddress() || body.Owner != second.node.GetIncarnation() {
+		t.Errorf("got %s, want the entry that does not drain", raw)
+	}
+	if body.TTLSeconds != int(defaultTTL.Seconds()) {
+		t.Errorf("got ttlSeconds %d, want %v", body.TTLSeconds, defaultTTL.Seconds())
+	}
+}
--- /dev/null
+++ b/entry/internal/callers/harness_test.go
@@ -0,0 +1,317 @@
+package callers
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"storj.io/drpc/drpcmux"
+
+	"comfreyrelay.example/entry/internal/dispatch"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	testKey      = "quetzal-key"
+	otherKey     = "lindner-key"
+	testCustomer = "quetzal"
+	testVersion  = "v1"
+)
+
+// fakeAgent is an agent whose answers a test scripts.
+type fakeAgent struct {
+	wire.DRPCHostUnimplementedServer
+	node *wire.Node
+	run  func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error
+	// cancelState answers Cancel.
+	cancelState string
+
+	mu       sync.Mutex
+	attempts []*wire.Attempt
+	cancels  []*wire.CancelRequest
+}
+
+func (a *fakeAgent) Run(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+	a.mu.Lock()
+	a.attempts = append(a.attempts, att)
+	a.mu.Unlock()
+	return a.run(att, stream)
+}
+
+func (a *fakeAgent) Cancel(_ context.Context, ask *wire.CancelRequest) (*wire.CancelReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancels = append(a.cancels, ask)
+	return &wire.CancelReply{State: a.cancelState}, nil
+}
+
+func (a *fakeAgent) seen() []*wire.Attempt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]*wire.Attempt(nil), a.attempts...)
+}
+
+func (a *fakeAgent) report() *wire.HostReport {
+	return &wire.HostReport{
+		Node:     a.node,
+		Sequence: 1,
+		Slots:    8,
+		Versions: []*wire.VersionState{{Model: "parcel", Version: testVersion, State: "serving"}},
+	}
+}
+
+// frames sends frames of one attempt.
+type frames struct {
+	att    *wire.Attempt
+	stream wire.DRPCHost_RunStream
+	next   uint32
+}
+
+func (f *frames) send(frame *wire.Frame) error {
+	frame.RequestId, frame.Attempt, frame.Sequence = f.att.GetRequestId(), f.att.GetAttempt(), f.next
+	f.next++
+	return f.stream.Send(frame)
+}
+
+// answer sends a whole answer of the words.
+func answer(words ...string) func(*wire.Attempt, wire.DRPCHost_RunStream) error {
+	return func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+		out := &frames{att: att, stream: stream}
+		_ = out.send(&wire.Frame{Kind: "begin", Version: att.GetVersion()})
+		rest := words[len(att.GetResumeTokens()):]
+		for _, word := range rest {
+			_ = out.send(&wire.Frame{Kind: "tokens", Tokens: []string{word}})
+		}
+		return out.send(&wire.Frame{Kind: "end", Version: att.GetVersion(), Digest: dispatch.DigestOf(words)})
+	}
+}
+
+// refuse refuses every attempt.
+func refuse(reason string) func(*wire.Attempt, wire.DRPCHost_RunStream) error {
+	return func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+		out := &frames{att: att, stream: stream}
+		return out.send(&wire.Frame{Kind: "refused", Reason: reason, RetryAfterMillis: 1})
+	}
+}
+
+// cut begins, sends the words and breaks the stream off.
+func cut(words ...string) func(*wire.Attempt, wire.DRPCHost_RunStream) error {
+	return func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+		out := &frames{att: att, stream: stream}
+		_ = out.send(&wire.Frame{Kind: "begin", Version: att.GetVersion()})
+		for _, word := range words {
+			_ = out.send(&wire.Frame{Kind: "tokens", Tokens: []string{word}})
+		}
+		return io.ErrUnexpectedEOF
+	}
+}
+
+// testHouse is a house of fake agents and real Servers, on loopback.
+type testHouse struct {
+	t       testing.TB
+	agents  []*fakeAgent
+	entries []*testEntry
+	store   *kv.Store
+	clock   clockwork.Clock
+	model   *wire.Model
+	limits  func(*wire.Customer)
+}
+
+type testEntry struct {
+	srv  *Server
+	node *wire.Node
+	http *httptest.Server
+	view *view.Holder
+}
+
+func newTestHouse(t testing.TB) *testHouse {
+	clock := clockwork.NewRealClock()
+	return &testHouse{
+		t: t, clock: clock, store: kv.NewMemory(clock),
+		model: &wire.Model{Name: "parcel", Version: testVersion, Customers: []string{testCustomer}},
+	}
+}
+
+func (h *testHouse) addAgent(id string, run func(*wire.Attempt, wire.DRPCHost_RunStream) error) *fakeAgent {
+	agent := &fakeAgent{run: run, cancelState: "neverBegun"}
+	address := h.serve(func(mux *drpcmux.Mux) error { return wire.DRPCRegisterHost(mux, agent) })
+	agent.node = &wire.Node{
+		Id: id, Incarnation: uuid.Must(uuid.NewV7()).String(), Role: "agent",
+		Region: "gt", FailureDomain: "zona-uno", ControlAddress: address,
+	}
+	h.agents = append(h.agents, agent)
+	return agent
+}
+
+func (h *testHouse) serve(register func(*drpcmux.Mux) error) string {
+	h.t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := register(mux); err != nil {
+		h.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = peer.Serve(ctx, lis, nil, mux, slog.New(slog.DiscardHandler))
+	}()
+	h.t.Cleanup(func() { cancel(); <-done })
+	return lis.Addr().String()
+}
+
+// controlOf serves only the claims of an entry.
+type controlOf struct {
+	wire.DRPCControlUnimplementedServer
+	srv *Server
+}
+
+func (c *controlOf) Claim(ctx context.Context, ask *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	return c.srv.Claim(ctx, ask)
+}
+
+func (c *controlOf) Settle(ctx context.Context, ask *wire.SettleRequest) (*wire.SettleReply, error) {
+	return c.srv.Settle(ctx, ask)
+}
+
+func (h *testHouse) addEntry(id string) *testEntry {
+	entry := &testEntry{view: view.NewHolder()}
+	router := chi.NewRouter()
+	entry.http = httptest.NewServer(router)
+	h.t.Cleanup(entry.http.Close)
+	entry.node = &wire.Node{
+		Id: id, Incarnation: uuid.Must(uuid.NewV7()).String(), Role: "entry",
+		Region: "gt", FailureDomain: "zona-uno",
+		CallersAddress: strings.TrimPrefix(entry.http.URL, "http://"),
+	}
+	control := &controlOf{}
+	entry.node.ControlAddress = h.serve(func(mux *drpcmux.Mux) error { return wire.DRPCRegisterControl(mux, control) })
+	pool := peer.NewPool(nil)
+	h.t.Cleanup(func() { _ = pool.Close() })
+	entry.srv = New(Config{
+		Self: entry.node, View: entry.view, Pool: pool, Store: h.store, Clock: h.clock,
+		Log: slog.New(slog.DiscardHandler), Seed: 1, PanicOnBug: true,
+	})
+	control.srv = entry.srv
+	entry.srv.Routes(router)
+	h.entries = append(h.entries, entry)
+	return entry
+}
+
+func (h *testHouse) document() *wire.Document {
+	sum := func(key string) string {
+		hash := sha256.Sum256([]byte(key))
+		return hex.EncodeToString(hash[:])
+	}
+	quetzal := &wire.Customer{Name: testCustomer, KeyHashes: []string{sum(testKey)}}
+	if h.limits != nil {
+		h.limits(quetzal)
+	}
+	return &wire.Document{
+		Models:    []*wire.Model{h.model},
+		Customers: []*wire.Customer{quetzal, {Name: "lindner", KeyHashes: []string{sum(otherKey)}}},
+		Endpoints: []*wire.EndpointClass{{Name: "bridge", Kind: "bridge"}},
+		Services:  []*wire.Service{{Name: "ledger", Endpoint: "bridge", Customers: []string{testCustomer}}},
+		Deadlines: &wire.Deadlines{DefaultRequest: durationpb.New(5 * time.Second), MaxRequest: durationpb.New(10 * time.Second)},
+	}
+}
+
+// publish shows the house to every entry.
+func (h *testHouse) publish() {
+	document := h.document()
+	var hosts []view.Host
+	for _, agent := range h.agents {
+		hosts = append(hosts, view.NewHost(agent.report(), h.clock.Now(), false, false))
+	}
+	var entries []view.Peer
+	for _, entry := range h.entries {
+		entries = append(entries, view.NewPeer(&wire.EntryReport{Node: entry.node}, h.clock.Now(), false, false))
+	}
+	for _, entry := range h.entries {
+		entry.view.Store(&view.Snapshot{Revision: 1, PlanRevision: 1, Document: document, Hosts: hosts, Entries: entries})
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	raw    string
+	answer answerBody
+	failed errorBody
+}
+
+// body is a request on the model; change adjusts its fields.
+func body(change map[string]any) map[string]any {
+	fields := map[string]any{"model": "parcel", "prompt": "Envelope 7", "maxTokens": 8, "repeatable": true}
+	for name, value := range change {
+		fields[name] = value
+	}
+	return fields
+}
+
+func (e *testEntry) post(t testing.TB, path string, fields map[string]any, header ...string) reply {
+	t.Helper()
+	raw, err := json.Marshal(fields)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask, err := http.NewRequest(http.MethodPost, e.http.URL+path, bytes.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		ask.Header.Set(header[i], header[i+1])
+	}
+	got, err := http.DefaultClient.Do(ask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer got.Body.Close()
+	text, err := io.ReadAll(got.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result := reply{status: got.StatusCode, raw: string(text)}
+	_ = json.Unmarshal(text, &result.answer)
+	_ = json.Unmarshal(text, &result.failed)
+	return result
+}
+
+func (e *testEntry) request(t testing.TB, change map[string]any, header ...string) reply {
+	t.Helper()
+	return e.post(t, "/v1/requests", body(change), header...)
+}
+
+// newOnceKey makes a key that the entry owns.
+func newOnceKey(owner *testEntry) string {
+	return owner.node.GetIncarnation() + "." + uuid.Must(uuid.NewV7()).String()
+}
+
+func expect(t testing.TB, got reply, status int, outcome dispatch.Outcome) {
+	t.Helper()
+	if got.status != status || got.answer.Outcome != outcome {
+		t.Fatalf("got status %d outcome %q, want %d %q: %s", got.status, got.answer.Outcome, status, outcome, got.raw)
+	}
+}
--- /dev/null
+++ b/entry/internal/callers/house.go
@@ -0,0 +1,75 @@
+package callers
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"comfreyrelay.example/relay/wire"
+)
+
+// keyHash is the SHA-256 of a bearer key.
+type keyHash [sha256.Size]byte
+
+// house is what the request path needs of one document.
+type house struct {
+	document  *wire.Document // nil while none is in force
+	customers map[keyHash]*customer
+	models    map[string]*wire.Model
+	services  map[string]*wire.Service
+	classes   map[string]*wire.EndpointClass
+}
+
+func newHouse(document *wire.Document, known *customers) *house {
+	built := &house{
+		document:  document,
+		customers: make(map[keyHash]*customer),
+		models:    make(map[string]*wire.Model),
+		services:  make(map[string]*wire.Service),
+		classes:   make(map[string]*wire.EndpointClass),
+	}
+	for _, model := range document.GetModels() {
+		built.models[model.GetName()] = model
+	}
+	for _, service := range document.GetServices() {
+		built.services[service.GetName()] = service
+	}
+	for _, class := range document.GetEndpoints() {
+		built.classes[class.GetName()] = class
+	}
+	for _, spec := range document.GetCustomers() {
+		built.addCustomer(known.take(spec), spec)
+	}
+	return built
+}
+
+func (h *house) addCustomer(state *customer, spec *wire.Customer) {
+	for _, text := range spec.GetKeyHashes() {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != sha256.Size {
+			continue // the document's checks refuse such a hash
+		}
+		h.customers[keyHash(raw)] = state
+	}
+}
+
+// deadline returns the time that a request gets.
+func (h *house) deadline(askedMillis int64) time.Duration {
+	limits := h.document.GetDeadlines()
+	longest := min(maxDeadline, orElse(limits.GetMaxRequest().AsDuration(), maxDeadline))
+	asked := time.Duration(askedMillis) * time.Millisecond
+	if asked <= 0 {
+		asked = orElse(limits.GetDefaultRequest().AsDuration(), defaultDeadline)
+	}
+	return min(asked, longest)
+}
+
+func orElse(value, other time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+	return other
+}
+
+func allows(customers []string, name string) bool { return slices.Contains(customers, name) }
--- /dev/null
+++ b/entry/internal/callers/identify.go
@@ -0,0 +1,36 @@
+package callers
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"strings"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+const bearerPrefix = "Bearer "
+
+// identify returns the customer behind a call. The key is looked up by its
+// hash: how long that takes tells nothing of the keys that exist.
+func (x *index) identify(r *http.Request) (*customer, *problem) {
+	header := r.Header.Get("Authorization")
+	key, found := strings.CutPrefix(header, bearerPrefix)
+	if !found || key == "" {
+		return nil, unauthorized()
+	}
+	who := x.house.customers[sha256.Sum256([]byte(key))]
+	if who == nil {
+		return nil, unauthorized()
+	}
+	return who, nil
+}
+
+func unauthorized() *problem {
+	return notRun(http.StatusUnauthorized, failure.New(failure.Unauthorized, "the key is missing or unknown",
+		"send Authorization: Bearer <key> with a key of your house, and the same once key"))
+}
+
+func forbidden(what string) *problem {
+	return notRun(http.StatusForbidden, failure.New(failure.Unauthorized, "your house may not use this "+what,
+		"ask an operator to add the customer to it"))
+}
--- /dev/null
+++ b/entry/internal/callers/index.go
@@ -0,0 +1,272 @@
+package callers
+
+import (
+	"time"
+
+	"comfreyrelay.example/relay/directory"
+	"comfreyrelay.example/relay/route"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// indexInterval is how often at most an index is made for new reports alone.
+const indexInterval = 10 * time.Millisecond
+
+// Prefixes of the lanes' names.
+const (
+	modelLane   = "model/"
+	serviceLane = "service/"
+)
+
+// stateServing is the VersionState of a host that answers.
+const stateServing = "serving"
+
+// index is one snapshot of the view, arranged for the request path. It is
+// immutable.
+type index struct {
+	snapshot *view.Snapshot
+	house    *house
+	builtAt  time.Time
+	versions map[string][]string   // that may serve, by model
+	owners   map[string]*wire.Node // entries by incarnation
+	entries  []directory.Entry     // that callers may be sent to
+	reports  []*wire.EntryReport   // of the entries that are not lost
+}
+
+// index returns the arranged view, and brings it and the lanes up to date.
+func (s *Server) index() *index {
+	snapshot, _ := s.cfg.View.Load()
+	current := s.current.Load()
+	if current != nil && !s.outdated(current, snapshot) {
+		return current
+	}
+	if current == nil {
+		s.rebuild.Lock()
+	} else if !s.rebuild.TryLock() {
+		return current // somebody else is at it
+	}
+	defer s.rebuild.Unlock()
+	current = s.current.Load()
+	if current != nil && current.snapshot == snapshot {
+		return current
+	}
+	next := s.build(current, snapshot)
+	s.current.Store(next)
+	s.updateLanes(next)
+	return next
+}
+
+func (s *Server) outdated(current *index, snapshot *view.Snapshot) bool {
+	if current.snapshot == snapshot {
+		return false
+	}
+	sameOrders := current.snapshot.Document == snapshot.Document && current.snapshot.Plan == snapshot.Plan
+	return !sameOrders || s.cfg.Clock.Since(current.builtAt) >= indexInterval
+}
+
+func (s *Server) build(previous *index, snapshot *view.Snapshot) *index {
+	next := &index{
+		snapshot: snapshot,
+		builtAt:  s.cfg.Clock.Now(),
+		versions: make(map[string][]string),
+		owners:   make(map[string]*wire.Node),
+	}
+	if previous != nil && previous.snapshot.Document == snapshot.Document {
+		next.house = previous.house
+	} else {
+		next.house = newHouse(snapshot.Document, &s.customers)
+	}
+	next.addEntries(snapshot.Entries)
+	for name, model := range next.house.models {
+		next.versions[name] = s.allowed(model, snapshot)
+	}
+	return next
+}
+
+func (x *index) addEntries(peers []view.Peer) {
+	for _, peer := range peers {
+		report := peer.Report()
+		node := report.GetNode()
+		x.owners[node.GetIncarnation()] = node
+		if peer.Lost() {
+			continue
+		}
+		x.reports = append(x.reports, report)
+		if peer.Leaving() || report.GetDraining() {
+			continue
+		}
+		x.entries = append(x.entries, directory.Entry{
+			ID:            node.GetId(),
+			Incarnation:   node.GetIncarnation(),
+			Address:       node.GetCallersAddress(),
+			Region:        node.GetRegion(),
+			FailureDomain: node.GetFailureDomain(),
+			InFlight:      int(report.GetInFlight()),
+		})
+	}
+}
+
+// allowed returns the versions that may serve the model now.
+func (s *Server) allowed(model *wire.Model, snapshot *view.Snapshot) []string {
+	shift := s.shifts[model.GetName()]
+	if shift == nil {
+		shift = route.NewShift()
+		s.shifts[model.GetName()] = shift
+	}
+	serving := make(map[string]string) // version by host
+	for _, host := range snapshot.Hosts {
+		if state := servingState(host, model.GetName()); state != nil {
+			serving[host.Report().GetNode().GetId()] = state.GetVersion()
+		}
+	}
+	planned := 0
+	turned := 0
+	for _, assignment := range snapshot.Plan.GetAssignments() {
+		if assignment.GetModel() != model.GetName() || assignment.GetVersion() != model.GetVersion() {
+			continue
+		}
+		if gone(snapshot, assignment.GetHost()) {
+			continue
+		}
+		planned++
+		if serving[assignment.GetHost()] == model.GetVersion() {
+			turned++
+		}
+	}
+	return shift.Allowed(route.Roll{
+		Target:    model.GetVersion(),
+		WhenWhole: model.GetShift() == "whenWhole",
+		Serving:   serving,
+		Whole:     planned > 0 && turned == planned,
+	})
+}
+
+// gone reports whether a planned host is not there to wait for.
+func gone(snapshot *view.Snapshot, id string) bool {
+	for _, host := range snapshot.Hosts {
+		if host.Report().GetNode().GetId() == id {
+			return host.Lost() || host.Leaving()
+		}
+	}
+	return false
+}
+
+// servingState returns the state of the model's version on a host that may get
+// work; nil where it serves none.
+func servingState(host view.Host, model string) *wire.VersionState {
+	if host.Leaving() || host.Lost() || host.Report().GetLeaving() {
+		return nil
+	}
+	for _, state := range host.Report().GetVersions() {
+		if state.GetModel() == model && state.GetState() == stateServing {
+			return state
+		}
+	}
+	return nil
+}
+
+// updateLanes gives every lane its hosts. A lane whose model or service left
+// the document gets none.
+func (s *Server) updateLanes(next *index) {
+	lanes := make(map[string]bool)
+	entries := len(next.entries)
+	for name, model := range next.house.models {
+		lanes[modelLane+name] = true
+		s.dispatcher.Update(modelLane+name, modelHosts(next.snapshot, model), entries)
+	}
+	for name := range next.house.services {
+		lanes[serviceLane+name] = true
+		s.dispatcher.Update(serviceLane+name, serviceHosts(next.snapshot, name), entries)
+	}
+	for name := range s.lanes {
+		if !lanes[name] {
+			s.dispatcher.Update(name, nil, entries)
+		}
+	}
+	s.lanes = lanes
+}
+
+func modelHosts(snapshot *view.Snapshot, model *wire.Model) []route.Host {
+	var hosts []route.Host
+	for _, host := range snapshot.Hosts {
+		state := servingState(host, model.GetName())
+		if state == nil {
+			continue
+		}
+		serving := routeHost(host)
+		serving.Version = state.GetVersion()
+		for _, adapter := range state.GetAdapters() {
+			serving.Adapters = append(serving.Adapters, route.Adapter{Name: adapter.GetName(), Version: adapter.GetVersion()})
+		}
+		hosts = append(hosts, serving)
+	}
+	keepIntendedAdapters(hosts, model)
+	return hosts
+}
+
+// keepIntendedAdapters takes those adapters away that the document replaced on
+// the same base version, once a host serves the replacement.
+func keepIntendedAdapters(hosts []route.Host, model *wire.Model) {
+	for _, intended := range model.GetAdapters() {
+		want := route.Adapter{Name: intended.GetName(), Version: intended.GetVersion()}
+		if !anyServes(hosts, want) {
+			continue
+		}
+		for i := range hosts {
+			if hosts[i].Version == model.GetVersion() {
+				hosts[i].Adapters = withoutOthers(hosts[i].Adapters, want)
+			}
+		}
+	}
+}
+
+func anyServes(hosts []route.Host, want route.Adapter) bool {
+	for _, host := range hosts {
+		for _, adapter := range host.Adapters {
+			if adapter == want {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func withoutOthers(adapters []route.Adapter, want route.Adapter) []route.Adapter {
+	var kept []route.Adapter
+	for _, adapter := range adapters {
+		if adapter.Name != want.Name || adapter == want {
+			kept = append(kept, adapter)
+		}
+	}
+	return kept
+}
+
+func serviceHosts(snapshot *view.Snapshot, name string) []route.Host {
+	var hosts []route.Host
+	for _, host := range snapshot.Hosts {
+		if host.Leaving() || host.Lost() || host.Report().GetLeaving() || host.Report().GetService() != name {
+			continue
+		}
+		hosts = append(hosts, routeHost(host))
+	}
+	return hosts
+}
+
+func routeHost(host view.Host) route.Host {
+	report := host.Report()
+	node := report.GetNode()
+	return route.Host{
+		ID:            node.GetId(),
+		Incarnation:   node.GetIncarnation(),
+		Address:       node.GetControlAddress(),
+		Region:        node.GetRegion(),
+		FailureDomain: node.GetFailureDomain(),
+		Running:       int(report.GetRunning()),
+		Queued:        int(report.GetQueued()),
+		Slots:         int(report.GetSlots()),
+		Sequence:      report.GetSequence(),
+		HeardAt:       host.HeardAt(),
+		TokenGap:      time.Duration(report.GetTokenGapMillis() * float64(time.Millisecond)),
+		Prefixes:      report.GetPrefixes(),
+	}
+}
--- /dev/null
+++ b/entry/internal/callers/platform.go
@@ -0,0 +1,164 @@
+package callers
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/once"
+)
+
+// Constants of keys without an owner.
+const (
+	onceKeyPrefix   = "once/"
+	platformTimeout = 2 * time.Second
+	platformTries   = 3
+	platformRetry   = 2 * time.Second
+	// Keys are bound to a lease, so that the service forgets them by itself.
+	// It outlives the moment when the last entry refuses the youngest key
+	// bound to it: the horizon, twice the clocks' difference and leaseTurn.
+	leaseTurn = 5 * time.Minute
+	leaseTTL  = once.Horizon + 2*once.MaxAhead + leaseTurn + 10*time.Minute
+)
+
+// platform claims keys without an owner by compare-and-swap.
+type platform struct {
+	store *kv.Store // nil: there is none
+	clock clockwork.Clock
+
+	mu        sync.Mutex
+	lease     string
+	grantedAt time.Time
+}
+
+func newPlatform(store *kv.Store, clock clockwork.Clock) *platform {
+	return &platform{store: store, clock: clock}
+}
+
+// claimValue is what the service keeps of a key.
+type claimValue struct {
+	Nonce string `json:"nonce"`
+	Hash  string `json:"hash"`
+}
+
+// claimAtPlatform claims a key in the platform's service. As long as the
+// service cannot be asked, nobody can tell whether the key ran before.
+func (s *Server) claimAtPlatform(ctx context.Context, claim once.Claim) (*ticket, []byte, *problem) {
+	now, made := s.now(), claim.Key.Made()
+	if made.Before(now.Add(-once.Horizon)) {
+		return judge(nil, once.Verdict{State: once.Unknown})
+	}
+	if made.After(now.Add(once.MaxAhead)) {
+		return judge(nil, once.Verdict{State: once.Ahead})
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, s.cfg.Clock, platformTimeout)
+	defer cancel()
+	state, revision := s.platform.claim(ctx, claim)
+	if state == once.NotOwner {
+		return nil, nil, serviceDown()
+	}
+	return judge(&ticket{claim: claim, platform: true, revision: revision}, once.Verdict{State: state})
+}
+
+// claim swaps the key in where it does not exist. A swap that may or may not
+// have taken effect is tried again with the same value: then either it
+// succeeds or the nonce that is found tells whose swap it was. NotOwner means
+// that the service cannot tell.
+func (p *platform) claim(ctx context.Context, claim once.Claim) (once.State, uint64) {
+	if p.store == nil {
+		return once.NotOwner, 0
+	}
+	lease, err := p.currentLease(ctx)
+	if err != nil {
+		return once.NotOwner, 0
+	}
+	key := onceKeyPrefix + claim.Key.String()
+	value := claimValue{Nonce: claim.Nonce.String(), Hash: hex.EncodeToString(claim.Hash[:])}
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return once.NotOwner, 0
+	}
+	for range platformTries {
+		revision, err := p.store.Swap(ctx, key, raw, 0, lease)
+		switch {
+		case err == nil:
+			return once.Granted, revision
+		case failure.KindOf(err) == failure.Conflict:
+			return p.compare(ctx, key, value)
+		case failure.KindOf(err) == failure.NotFound:
+			p.forgetLease(lease)
+			return once.NotOwner, 0
+		case failure.KindOf(err) != failure.Ambiguous:
+			return once.NotOwner, 0
+		}
+	}
+	return once.NotOwner, 0
+}
+
+// compare reads who holds the key.
+func (p *platform) compare(ctx context.Context, key string, own claimValue) (once.State, uint64) {
+	entry, found, err := p.store.Get(ctx, key)
+	if err != nil || !found {
+		return once.NotOwner, 0
+	}
+	var holder claimValue
+	if err := json.Unmarshal(entry.Value(), &holder); err != nil {
+		return once.Unknown, 0
+	}
+	switch {
+	case holder.Nonce == own.Nonce:
+		return once.Granted, entry.Revision()
+	case holder.Hash != own.Hash:
+		return once.Mismatch, 0
+	default:
+		return once.Unknown, 0
+	}
+}
+
+// release deletes the key of a run that was proved not to have happened, so
+// that it can be sent again.
+func (p *platform) release(ctx context.Context, won *ticket) {
+	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), p.clock, settleTimeout)
+	defer cancel()
+	if err := p.store.Delete(ctx, onceKeyPrefix+won.claim.Key.String(), won.revision); err != nil {
+		counters.Add("settlesLost", 1)
+	}
+}
+
+// currentLease returns a lease that is young enough for a new key.
+func (p *platform) currentLease(ctx context.Context) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lease != "" && p.clock.Since(p.grantedAt) < leaseTurn {
+		return p.lease, nil
+	}
+	asked := p.clock.Now()
+	lease, err := p.store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return "", err
+	}
+	p.lease, p.grantedAt = lease, asked
+	return lease, nil
+}
+
+func (p *platform) forgetLease(lease string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lease == lease {
+		p.lease = ""
+	}
+}
+
+func serviceDown() *problem {
+	refused := unknown(failure.New(failure.Unavailable, "the service that keeps keys without an owner cannot be asked whether this one ran before",
+		"send the same key again later; if it was never sent before, make one with the owner from GET /v1/entries").WithRetryAfter(platformRetry))
+	refused.status = http.StatusServiceUnavailable
+	return refused
+}
--- /dev/null
+++ b/entry/internal/callers/requests_test.go
@@ -0,0 +1,257 @@
+package callers
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"comfreyrelay.example/entry/internal/dispatch"
+	"comfreyrelay.example/relay/wire"
+)
+
+func TestAnswerInOnePiece(t *testing.T) {
+	house := newTestHouse(t)
+	house.addAgent("h1", answer("a", "torn", "letter"))
+	entry := house.addEntry("e1")
+	house.publish()
+	got := entry.request(t, nil)
+	expect(t, got, http.StatusOK, dispatch.Answered)
+	if want := []string{"a", "torn", "letter"}; !slices.Equal(got.answer.Tokens, want) {
+		t.Errorf("got tokens %q, want %q", got.answer.Tokens, want)
+	}
+	if got.answer.Version != testVersion {
+		t.Errorf("got version %q, want %q", got.answer.Version, testVersion)
+	}
+}
+
+func TestAnswerAsStream(t *testing.T) {
+	house := newTestHouse(t)
+	house.addAgent("h1", answer("a", "torn", "letter"))
+	entry := house.addEntry("e1")
+	house.publish()
+	got := entry.request(t, nil, "Accept", "text/event-stream")
+	var events []string
+	for _, line := range strings.Split(got.raw, "\n") {
+		if name, found := strings.CutPrefix(line, "event: "); found {
+			events = append(events, name)
+		}
+	}
+	if want := []string{"begin", "tokens", "tokens", "tokens", "end"}; !slices.Equal(events, want) {
+		t.Errorf("got events %q, want %q", events, want)
+	}
+}
+
+// Symptom: a caller sees an answer that stops in the middle. The host dies
+// after two tokens of a stream; another host of the same version goes on.
+func TestStreamResumesOnAnotherHost(t *testing.T) {
+	house := newTestHouse(t)
+	words := []string{"a", "torn", "letter", "from", "Xela"}
+	first := true
+	run := func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+		if first {
+			first = false
+			return cut(words[:2]...)(att, stream)
+		}
+		return answer(words...)(att, stream)
+	}
+	house.addAgent("h1", run)
+	house.addAgent("h2", run)
+	entry := house.addEntry("e1")
+	house.publish()
+	got := entry.request(t, nil, "Accept", "text/event-stream")
+	var tokens []string
+	for _, line := range strings.Split(got.raw, "\n") {
+		var event tokensEvent
+		if text, found := strings.CutPrefix(line, "data: "); found && json.Unmarshal([]byte(text), &event) == nil {
+			tokens = append(tokens, event.Tokens...)
+		}
+	}
+	if !slices.Equal(tokens, words) {
+		t.Errorf("got tokens %q, want %q", tokens, words)
+	}
+	if got := strings.Count(got.raw, "event: end"); got != 1 {
+		t.Errorf("got %d end events, want 1", got)
+	}
+	seen := append(house.agents[0].seen(), house.agents[1].seen()...)
+	if got := len(seen); got != 2 {
+		t.Fatalf("got %d attempts, want 2", got)
+	}
+}
+
+// Symptom: a family gets two notices. The host takes a request that may not be
+// repeated and breaks off; the entry tries it again elsewhere.
+func TestBrokenRunIsNotRepeated(t *testing.T) {
+	house := newTestHouse(t)
+	for _, id := range []string{"h1", "h2"} {
+		house.addAgent(id, cut("a")).cancelState = "ended"
+	}
+	entry := house.addEntry("e1")
+	house.publish()
+	got := entry.request(t, map[string]any{"repeatable": false})
+	expect(t, got, http.StatusBadGateway, dispatch.Unknown)
+	if got := len(house.agents[0].seen()) + len(house.agents[1].seen()); got != 1 {
+		t.Errorf("got %d attempts, want 1", got)
+	}
+	if got.failed.Error.Remedy == "" {
+		t.Error("got no remedy, want one")
+	}
+}
+
+func TestRefusedIsTriedElsewhereAndNotRun(t *testing.T) {
+	house := newTestHouse(t)
+	house.addAgent("h1", refuse("busy"))
+	house.addAgent("h2", refuse("busy"))
+	entry := house.addEntry("e1")
+	house.publish()
+	key := newOnceKey(entry)
+	got := entry.request(t, map[string]any{"repeatable": false, "key": key, "deadlineMillis": 1000})
+	expect(t, got, got.status, dispatch.NotRun)
+	if got.failed.Error.RetryAfterMillis == 0 {
+		t.Error("got no retryAfterMillis, want one")
+	}
+	for _, agent := range house.agents {
+		agent.run = answer("ok")
+	}
+	got = entry.request(t, map[string]any{"repeatable": false, "key": key})
+	expect(t, got, http.StatusOK, dispatch.Answered)
+}
+
+func TestHostThatCannotBeReachedIsProvedNotRun(t *testing.T) {
+	house := newTestHouse(t)
+	house.addAgent("h1", answer("ok")).node.ControlAddress = "127.0.0.1:1"
+	entry := house.addEntry("e1")
+	house.publish()
+	got := entry.request(t, map[string]any{"repeatable": false, "deadlineMillis": 1000})
+	expect(t, got, got.status, dispatch.NotRun)
+}
+
+// Symptom: a stray frame of another request reaches a caller. A host sends
+// late frames of an earlier attempt between those of the current one.
+func TestFramesOfOtherAttemptsAreDropped(t *testing.T) {
+	house := newTestHouse(t)
+	house.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+		out := &frames{att: att, stream: stream}
+		_ = out.send(&wire.Frame{Kind: "begin", Version: att.GetVersion()})
+		_ = stream.Send(&wire.Frame{RequestId: att.GetRequestId(), Attempt: att.GetAttempt() + 1, Sequence: 1, Kind: "tokens", Tokens: []string{"late"}})
+		_ = stream.Send(&wire.Frame{RequestId: uuid.NewString(), Attempt: att.GetAttempt(), Sequence: 1, Kind: "tokens", Tokens: []string{"foreign"}})
+		_ = out.send(&wire.Frame{Kind: "tokens", Tokens: []string{"own"}})
+		_ = stream.Send(&wire.Frame{RequestId: att.GetRequestId(), Attempt: att.GetAttempt(), Sequence: 1, Kind: "tokens", Tokens: []string{"doubled"}})
+		return out.send(&wire.Frame{Kind: "end", Version: att.GetVersion(), Digest: dispatch.DigestOf([]string{"own"})})
+	})
+	entry := house.addEntry("e1")
+	house.publish()
+	got := entry.request(t, nil)
+	expect(t, got, http.StatusOK, dispatch.Answered)
+	if want := []string{"own"}; !slices.Equal(got.answer.Tokens, want) {
+		t.Errorf("got tokens %q, want %q", got.answer.Tokens, want)
+	}
+}
+
+func TestWhoMayNot(t *testing.T) {
+	house := newTestHouse(t)
+	house.addAgent("h1", answer("ok"))
+	entry := house.addEntry("e1")
+	house.publish()
+	cases := []struct {
+		name   string
+		change map[string]any
+		header []string
+		status int
+	}{
+		{"no key", nil, []string{"Authorization", ""}, http.StatusUnauthorized},
+		{"unknown key", nil, []string{"Authorization", "Bearer x"}, http.StatusUnauthorized},
+		{"another customer's model", nil, []string{"Authorization", "Bearer " + otherKey}, http.StatusForbidden},
+		{"unknown field", map[string]any{"modell": "x"}, nil, http.StatusBadRequest},
+		{"unknown model", map[string]any{"model": "x"}, nil, http.StatusBadRequest},
+		{"unknown adapter", map[string]any{"adapter": "x"}, nil, http.StatusBadRequest},
+		{"too many tokens", map[string]any{"maxTokens": 1 << 20}, nil, http.StatusBadRequest},
+		{"body over 1 MiB", map[string]any{"prompt": strings.Repeat("x", 1<<20)}, nil, http.StatusBadRequest},
+		{"bad key", map[string]any{"repeatable": false, "key": "x"}, nil, http.StatusBadRequest},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := entry.request(t, test.change, test.header...)
+			expect(t, got, test.status, dispatch.NotRun)
+		})
+	}
+	if got := len(house.agents[0].seen()); got != 0 {
+		t.Errorf("got %d attempts, want 0", got)
+	}
+}
+
+func TestServiceCall(t *testing.T) {
+	house := newTestHouse(t)
+	agent := house.addAgent("s1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+		out := &frames{att: att, stream: stream}
+		if att.GetRepeatable() {
+			t.Error("got a repeatable call, want the bridge's word to win over the caller's")
+		}
+		_ = out.send(&wire.Frame{Kind: "begin"})
+		_ = out.send(&wire.Frame{Kind: "body", Body: []byte("paid")})
+		return out.send(&wire.Frame{Kind: "end", Digest: dispatch.DigestOf([]string{"paid"})})
+	})
+	entry := house.addEntry("e1")
+	house.publish()
+	report := agent.report()
+	report.Service, report.Versions = "ledger", nil
+	publishHosts(house, entry, report)
+	got := entry.post(t, "/v1/services/ledger", map[string]any{"body": []byte("pay"), "repeatable": true})
+	expect(t, got, http.StatusOK, dispatch.Answered)
+	if got := string(got.answer.Body); got != "paid" {
+		t.Errorf("got body %q, want %q", got, "paid")
+	}
+}
+
+func TestLimitOfACustomer(t *testing.T) {
+	house := newTestHouse(t)
+	house.limits = func(spec *wire.Customer) { spec.RequestsPerSecond = 1 }
+	house.addAgent("h1", answer("ok"))
+	entry := house.addEntry("e1")
+	house.publish()
+	expect(t, entry.request(t, nil), http.StatusOK, dispatch.Answered)
+	got := entry.request(t, nil)
+	expect(t, got, http.StatusTooManyRequests, dispatch.NotRun)
+	if got.failed.Error.RetryAfterMillis == 0 {
+		t.Error("got no retryAfterMillis, want one")
+	}
+}
+
+// Symptom: a shutdown loses a request. One is in progress when the drain
+// begins, another arrives after.
+func TestDrainFinishesWhatRuns(t *testing.T) {
+	house := newTestHouse(t)
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	house.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+		close(begun)
+		<-goOn
+		return answer("ok")(att, stream)
+	})
+	entry := house.addEntry("e1")
+	spare := house.addEntry("e2")
+	house.publish()
+	inside := make(chan reply)
+	go func() { inside <- entry.request(t, nil) }()
+	<-begun
+	drained := make(chan struct{})
+	go func() {
+		entry.srv.Drain(context.Background())
+		close(drained)
+	}()
+	for entry.srv.door.isOpen() {
+		time.Sleep(time.Millisecond)
+	}
+	late := entry.request(t, nil)
+	expect(t, late, http.StatusServiceUnavailable, dispatch.NotRun)
+	if want := []string{spare.node.GetCallersAddress()}; !slices.Equal(late.failed.Error.Spares, want) {
+		t.Errorf("got spares %q, want %q", late.failed.Error.Spares, want)
+	}
+	close(goOn)
+	expect(t, <-inside, http.StatusOK, dispatch.Answered)
+	<-drained
+}
--- a/entry/internal/callers/server.go
+++ b/entry/internal/callers/server.go
@@ -1,24 +1,40 @@
 // Package callers serves the callers' HTTP API of an entry: which entry to
 // use, requests on models and calls of plain services. Its filters run in
-// order: identify, limit, admit, choose, dispatch, relay, account.
+// order: identify, claim, limit, dispatch (which admits, chooses and relays),
+// account.
 package callers
 
 import (
 	"context"
 	"log/slog"
-	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/jonboulle/clockwork"
 
-	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/entry/internal/dispatch"
 	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/once"
 	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/route"
 	"comfreyrelay.example/relay/view"
 	"comfreyrelay.example/relay/wire"
 )
 
+// Bounds of what callers may send.
+const (
+	// MaxHeaderBytes is for the http.Server that serves the routes.
+	MaxHeaderBytes  = 16 << 10
+	maxBodyBytes    = 1 << 20
+	maxNameBytes    = 256
+	maxTokensBound  = 32768
+	maxDeadline     = 10 * time.Minute // whatever the document says
+	defaultDeadline = 30 * time.Second // where the document says nothing
+	defaultTTL      = 30 * time.Second
+)
+
 // Config is what a Server needs from the program around it.
 type Config struct {
 	Self         *wire.Node      // this entry, with its incarnation
@@ -30,48 +46,97 @@
 	RoutePolicy  string        // a policy of package route; empty means affinity
 	DirectoryTTL time.Duration // how long callers may keep the answer of /v1/entries
 	Seed         uint64        // of the routing choices: the same seed repeats them
+	PanicOnBug   bool          // stop where an invariant broke, in tests
 }
 
 // Server serves callers and answers the other entries' claims.
 type Server struct {
-	cfg Config
+	cfg        Config
+	started    time.Time // keys' ages are measured from here; see now
+	hosts      dispatch.Hosts
+	owners     owners
+	platform   *platform
+	dispatcher *dispatch.Dispatcher
+	keys       *once.Store
+	door       *door
+	customers  customers
+	current    atomic.Pointer[index]
+	rebuild    sync.Mutex              // held while a new index is made
+	shifts     map[string]*route.Shift // by model; guarded by rebuild
+	lanes      map[string]bool         // lanes that have hosts; guarded by rebuild
 }
 
 // New returns a Server that serves nothing until its routes are mounted.
+// Settings are checked before: an unknown policy counts as the default.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg}
+	if cfg.DirectoryTTL <= 0 {
+		cfg.DirectoryTTL = defaultTTL
+	}
+	policy, err := route.ParsePolicy(cfg.RoutePolicy)
+	if err != nil {
+		cfg.Log.Error("routing policy not known, using the default", "error", err)
+		policy = route.Affinity
+	}
+	srv := &Server{
+		cfg:     cfg,
+		started: cfg.Clock.Now(),
+		hosts:   dispatch.NewHosts(cfg.Pool),
+		owners:  newOwners(cfg.Pool),
+		keys: once.NewStore(cfg.Self.GetIncarnation(), once.Options{
+			MaxKeys: once.DefaultMaxKeys, MaxAnswerBytes: once.DefaultMaxAnswerBytes,
+		}),
+		door:   newDoor(),
+		shifts: make(map[string]*route.Shift),
+		lanes:  make(map[string]bool),
+	}
+	srv.platform = newPlatform(cfg.Store, cfg.Clock)
+	srv.dispatcher = dispatch.New(dispatch.Config{
+		Self:       cfg.Self,
+		Clock:      cfg.Clock,
+		Log:        cfg.Log,
+		Hosts:      srv.hosts,
+		Policy:     policy,
+		Seed:       cfg.Seed,
+		Known:      srv.known,
+		Refresh:    func() { srv.index() },
+		Invariants: dispatch.Invariants{Log: cfg.Log, Panic: cfg.PanicOnBug},
+	})
+	return srv
 }
 
 // Routes adds the callers' API to r.
 func (s *Server) Routes(r chi.Router) {
-	missing := func(w http.ResponseWriter, _ *http.Request) {
-		http.Error(w, "not served yet", http.StatusNotImplemented)
-	}
-	r.Get("/v1/entries", missing)
-	r.Post("/v1/requests", missing)
-	r.Post("/v1/services/{name}", missing)
-}
-
-// Claim answers another entry that asks to run a key owned by this one.
-func (s *Server) Claim(context.Context, *wire.ClaimRequest) (*wire.ClaimReply, error) {
-	return nil, notYet()
-}
-
-// Settle takes another entry's word on how a claimed key ended.
-func (s *Server) Settle(context.Context, *wire.SettleRequest) (*wire.SettleReply, error) {
-	return nil, notYet()
+	r.Get("/v1/entries", s.serveEntries)
+	r.Post("/v1/requests", s.serveRequest)
+	r.Post("/v1/services/{name}", s.serveService)
 }
 
 // InFlight returns the number of requests in progress.
-func (s *Server) InFlight() int { return 0 }
+func (s *Server) InFlight() int { return s.door.inside() }
 
-// Demand returns each customer's use of this entry over the last second.
-func (s *Server) Demand() []*wire.Demand { return nil }
+// Demand returns each customer's use of this entry over the last second, what
+// was refused included: the shares of the limits follow what is wanted.
+func (s *Server) Demand() []*wire.Demand { return s.customers.demand(s.cfg.Clock.Now()) }
 
 // Drain stops taking new requests, which get notRun with the spares, and
 // returns when those in progress have ended or ctx has.
-func (s *Server) Drain(context.Context) {}
+func (s *Server) Drain(ctx context.Context) {
+	idle := s.door.close()
+	select {
+	case <-idle:
+		s.cfg.Log.Info("callers drained")
+	case <-ctx.Done():
+		s.cfg.Log.Warn("callers not drained in time", "inFlight", s.InFlight())
+	}
+}
+
+// now is the time by which keys' ages are judged: it runs evenly from the
+// process's start, however the machine's clock is set meanwhile.
+func (s *Server) now() time.Time {
+	return s.started.Round(0).Add(s.cfg.Clock.Since(s.started))
+}
 
-func notYet() error {
-	return failure.New(failure.Unavailable, "claims are not served yet", "ask again later")
+func (s *Server) known() *wire.Known {
+	snapshot := s.index().snapshot
+	return &wire.Known{Revision: snapshot.Revision, PlanRevision: snapshot.PlanRevision}
 }
--- /dev/null
+++ b/entry/internal/dispatch/dispatcher.go
@@ -0,0 +1,267 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/retry"
+	"comfreyrelay.example/relay/route"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Config is what a Dispatcher needs.
+type Config struct {
+	Self       *wire.Node
+	Clock      clockwork.Clock
+	Log        *slog.Logger
+	Hosts      Hosts
+	Policy     route.Policy
+	Seed       uint64
+	Known      func() *wire.Known // revisions in force, for the attempts
+	Refresh    func()             // brings the lanes up to date with the view
+	Invariants Invariants
+}
+
+// Request is one request as the filters before made it.
+type Request struct {
+	ID         string // new for each arrival at an entry
+	Customer   string
+	Weight     float64 // share under overload; above 0
+	Priority   uint32
+	Lane       string // names the hosts that serve it; see Update
+	Model      string
+	Adapter    string
+	Service    string
+	Prompt     string
+	MaxTokens  int
+	Body       []byte // to a plain service
+	Repeatable bool
+	Deadline   time.Time
+	// Versions returns those that may serve the request now.
+	Versions func() []string
+	// Retry takes one retry from the customer's budget; false: none is left.
+	Retry func() bool
+}
+
+// Sink takes the answer's tokens as they come, for callers who want a stream.
+// An error from it means that the caller is gone. The zero Sink takes nothing:
+// the answer is in the Result.
+type Sink struct {
+	Tokens func(version string, tokens []string) error
+}
+
+// Result is how a request ended.
+type Result struct {
+	Outcome    Outcome
+	Version    string
+	Tokens     []string
+	Body       []byte
+	Digest     []byte
+	Err        *failure.Error // nil with Answered
+	Attempts   int
+	Host       string        // of the last attempt; empty if there was none
+	FirstToken time.Duration // from the call of Do; 0 while there was none
+	Queued     time.Duration // waited for room, all attempts together
+	Affinity   bool          // the last host was expected to hold the prefix
+}
+
+// Dispatcher runs requests. Its state is in lanes, each under its own lock.
+type Dispatcher struct {
+	cfg Config
+
+	mu    sync.RWMutex
+	lanes map[string]*lane
+}
+
+// New returns a Dispatcher without lanes.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{cfg: cfg, lanes: make(map[string]*lane)}
+}
+
+// Update gives a lane the hosts that serve its model or service now, sorted by
+// id, and the number of entries that share them.
+func (d *Dispatcher) Update(name string, hosts []route.Host, entries int) {
+	d.lane(name).update(hosts, entries)
+}
+
+func (d *Dispatcher) lane(name string) *lane {
+	d.mu.RLock()
+	found := d.lanes[name]
+	d.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if found = d.lanes[name]; found == nil {
+		found = newLane(d.cfg.Clock, route.Options{
+			Policy:        d.cfg.Policy,
+			Region:        d.cfg.Self.GetRegion(),
+			FailureDomain: d.cfg.Self.GetFailureDomain(),
+			Seed:          d.cfg.Seed ^ xxhash.Sum64String(name),
+		}, d.cfg.Refresh)
+		d.lanes[name] = found
+	}
+	return found
+}
+
+// Do runs the request to its end: an answer, or the moment it is given up.
+// The end of ctx means that the caller is gone.
+func (d *Dispatcher) Do(ctx context.Context, req *Request, sink Sink) Result {
+	run := &run{
+		dispatcher: d,
+		lane:       d.lane(req.Lane),
+		req:        req,
+		sink:       sink,
+		progress:   NewProgress(req.ID, req.Repeatable),
+		started:    d.cfg.Clock.Now(),
+	}
+	// What may not be repeated goes on when its caller goes: the caller sends
+	// the key again and gets the answer, which a cancel would have lost.
+	if !req.Repeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := clockwork.WithDeadline(ctx, d.cfg.Clock, run.cutoff())
+	defer cancel()
+	err := run.loop(ctx)
+	return run.result(err)
+}
+
+// cutoff is when attempts are given up: a little before the deadline, so that
+// a cancel can still prove what happened and the caller hears of it in time.
+func (r *run) cutoff() time.Time {
+	left := r.req.Deadline.Sub(r.started)
+	return r.req.Deadline.Add(-min(cancelTimeout, left/cutoffShare))
+}
+
+func (r *run) loop(ctx context.Context) *failure.Error {
+	for {
+		choice, err := r.place(ctx)
+		if err != nil {
+			return err
+		}
+		end := r.attempt(ctx, choice)
+		if end.whole {
+			return nil
+		}
+		if !end.refused { // a host that refused asks for a pause by itself
+			r.exclude = append(r.exclude, choice.Host.ID)
+		}
+		if err := r.mayGoOn(ctx, end); err != nil {
+			return err
+		}
+		if !r.pause(ctx, end) {
+			return errGivenUp(end.reason)
+		}
+	}
+}
+
+// place waits for a host; a resumed answer stays with its version.
+func (r *run) place(ctx context.Context) (route.Choice, *failure.Error) {
+	before := r.dispatcher.cfg.Clock.Now()
+	choice, err := r.lane.acquire(ctx, r.req, r.ask)
+	r.queued += r.dispatcher.cfg.Clock.Since(before)
+	return choice, err
+}
+
+func (r *run) ask() route.Ask {
+	ask := route.Ask{
+		Prefix:   r.prefix(),
+		Tokens:   r.req.MaxTokens,
+		Versions: r.req.Versions(),
+		Adapter:  r.req.Adapter,
+		Exclude:  r.exclude,
+		Retry:    r.progress.Number() > 0,
+	}
+	if version, adapter, pinned := r.progress.Pinned(); pinned {
+		ask.Versions = []string{version}
+		ask.AdapterVersion = adapter
+	}
+	return ask
+}
+
+func (r *run) prefix() uint64 {
+	if r.hashed == 0 {
+		r.hashed = route.PrefixOf(r.req.Prompt)
+	}
+	return r.hashed
+}
+
+// mayGoOn applies the rules for another attempt. Only what may have cost a
+// back end work is charged to the retry budget: a refusal does not multiply
+// the load.
+func (r *run) mayGoOn(ctx context.Context, end attemptEnd) *failure.Error {
+	switch {
+	case !r.progress.MayRetry():
+		return errUnproved(end.reason)
+	case end.cancelled || ctx.Err() != nil:
+		return errGivenUp(end.reason)
+	case r.progress.Number() >= retry.MaxAttempts:
+		return errGivenUp(end.reason)
+	case !end.refused && !r.req.Retry():
+		return errBudget(end.reason)
+	}
+	return nil
+}
+
+// pause waits before the next attempt; false: the time is over. After a
+// refusal another host is tried at once, for the first time.
+func (r *run) pause(ctx context.Context, end attemptEnd) bool {
+	next := int(r.progress.Number()) + 1
+	if end.refused && next == 2 {
+		return true
+	}
+	timer := r.dispatcher.cfg.Clock.NewTimer(retry.Backoff(next, rand.Float64())) //nolint:gosec // jitter, not a secret
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *run) result(err *failure.Error) Result {
+	outcome := r.progress.Outcome()
+	check := r.dispatcher.cfg.Invariants.Check
+	check((err == nil) == (outcome == Answered), "answeredMeansWhole", "request", r.req.ID)
+	check(outcome != NotRun || len(r.progress.Tokens()) == 0, "notRunWithoutTokens", "request", r.req.ID)
+	result := Result{
+		Outcome:    outcome,
+		Err:        err,
+		Attempts:   int(r.progress.Number()),
+		Host:       r.host,
+		Version:    r.progress.Version(),
+		FirstToken: r.firstToken,
+		Queued:     r.queued,
+		Affinity:   r.affinity,
+	}
+	if outcome == Answered {
+		result.Tokens = r.progress.Tokens()
+		result.Body = r.progress.Body()
+		result.Digest = r.progress.Digest()
+	}
+	return result
+}
+
+func errUnproved(reason string) *failure.Error {
+	return failure.New(failure.Ambiguous, "the host did not answer to the end: "+reason,
+		"it may have run: look for its effect before you send it with a new key")
+}
+
+func errGivenUp(reason string) *failure.Error {
+	return failure.New(failure.Unavailable, "no host answered: "+reason,
+		"try again").WithRetryAfter(minRetry)
+}
+
+func errBudget(reason string) *failure.Error {
+	return failure.New(failure.Exhausted, "no host answered, and the customer's retries are used up: "+reason,
+		"try again later").WithRetryAfter(noHostRetry)
+}
--- /dev/null
+++ b/entry/internal/dispatch/outcome.go
@@ -0,0 +1,56 @@
+// Package dispatch runs requests on hosts: it waits for room, chooses a host,
+// hands the attempt out, checks what comes back and decides what may be tried
+// again and what the caller is told.
+package dispatch
+
+// Outcome is what a caller is told of a request. Its values are the API's.
+type Outcome string
+
+// The outcomes.
+const (
+	Answered Outcome = "answered" // the whole answer, verified
+	NotRun   Outcome = "notRun"   // proved: no back end ever began it
+	Unknown  Outcome = "unknown"  // anything else
+)
+
+// Proof is what is known of whether one attempt ran.
+type Proof int
+
+// The proofs. An attempt starts as NotHandedOut and loses that at the moment
+// its message may have left this process.
+const (
+	// NotHandedOut: the attempt's message was never given to a connection.
+	NotHandedOut Proof = iota
+	// Refused: the agent it was meant for answered "refused" as its first
+	// frame, which it does only for what the back end never saw, and remembers.
+	Refused
+	// NeverBegun: the agent it was meant for answered a cancel with
+	// "neverBegun"; its tombstone keeps a late delivery from beginning.
+	NeverBegun
+	// NoProof: it was handed out, and nothing proves that it did not run.
+	NoProof
+	// Whole: its answer arrived whole.
+	Whole
+)
+
+// provesNotRun reports whether the attempt surely never ran and never will.
+func (p Proof) provesNotRun() bool {
+	return p == NotHandedOut || p == Refused || p == NeverBegun
+}
+
+// outcomeOf applies the rule for what a caller may be told:
+//   - answered, if one attempt's answer arrived whole;
+//   - notRun, only if each attempt is proved not to have run;
+//   - unknown otherwise.
+func outcomeOf(attempts []Proof) Outcome {
+	outcome := NotRun
+	for _, proof := range attempts {
+		if proof == Whole {
+			return Answered
+		}
+		if !proof.provesNotRun() {
+			outcome = Unknown
+		}
+	}
+	return outcome
+}
--- /dev/null
+++ b/relay/admit/limit.go
@@ -0,0 +1,93 @@
+// Package admit decides how many requests one entry may have in progress on
+// one host, by what the host shows rather than by a fixed number.
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+// Constants of a Limit.
+const (
+	minLimit     = 1
+	maxLimit     = 1024
+	startLimit   = 8
+	decrease     = 0.8             // factor at a sign of overload
+	decreaseGap  = time.Second / 4 // signs within it count once
+	slowFactor   = 2.5             // first token later than this times the best is a sign
+	slowMargin   = 50.0            // and at least this many milliseconds later
+	queuedRatio  = 0.25            // queue per running request that is a sign
+	bestDecay    = 1.01            // the best first token rises by this per sample
+	smoothFactor = 0.2             // weight of a new first-token sample
+)
+
+// Limit adapts a concurrency limit: it grows by one for each round of requests
+// that needed all of it and shrinks by a factor at signs of overload (a
+// refusal, a queue in the engine, first tokens much later than the best). It
+// is not safe for concurrent use.
+type Limit struct {
+	limit       float64   // between minLimit and maxLimit
+	best        float64   // lowest first-token time lately, milliseconds; 0: none yet
+	smooth      float64   // smoothed first-token time, milliseconds
+	decreasedAt time.Time // last decrease
+}
+
+// NewLimit returns a Limit; slots is the engine's own number, 0 where unknown.
+func NewLimit(slots int) *Limit {
+	start := float64(startLimit)
+	if slots > 0 {
+		start = math.Max(minLimit, float64(slots))
+	}
+	return &Limit{limit: start}
+}
+
+// Allows reports whether one more request may start beside inFlight others.
+func (l *Limit) Allows(inFlight int) bool { return inFlight < int(l.limit) }
+
+// Current returns the limit, in requests.
+func (l *Limit) Current() int { return int(l.limit) }
+
+// FirstToken takes the time from dispatch to the first token.
+func (l *Limit) FirstToken(now time.Time, took time.Duration) {
+	sample := float64(took) / float64(time.Millisecond)
+	if l.best == 0 || sample < l.best {
+		l.best = sample
+	} else {
+		l.best *= bestDecay
+	}
+	if l.smooth == 0 {
+		l.smooth = sample
+	}
+	l.smooth += smoothFactor * (sample - l.smooth)
+	if l.smooth > l.best*slowFactor && l.smooth > l.best+slowMargin {
+		l.shrink(now)
+	}
+}
+
+// Queue takes the engine's own word on its load.
+func (l *Limit) Queue(now time.Time, running, queued int) {
+	if float64(queued) > math.Max(1, queuedRatio*float64(running)) {
+		l.shrink(now)
+	}
+}
+
+// Refused takes a refusal for want of room.
+func (l *Limit) Refused(now time.Time) { l.shrink(now) }
+
+// Done takes a whole answer; inFlight counts the requests beside it.
+func (l *Limit) Done(now time.Time, inFlight int) {
+	needed := inFlight+1 >= int(l.limit)
+	recent := now.Sub(l.decreasedAt) < decreaseGap
+	if !needed || recent {
+		return
+	}
+	l.limit = math.Min(maxLimit, l.limit+1/l.limit)
+}
+
+func (l *Limit) shrink(now time.Time) {
+	if now.Sub(l.decreasedAt) < decreaseGap {
+		return
+	}
+	l.decreasedAt = now
+	l.limit = math.Max(minLimit, l.limit*decrease)
+}
--- /dev/null
+++ b/relay/limit/bucket.go
@@ -0,0 +1,54 @@
+// Package limit holds the decisions that keep customers within their limits
+// and fair to one another: token buckets, the share of a house-wide limit that
+// one entry holds, and the fair queue.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// burstSpan is the time whose allowance a bucket can save up.
+const burstSpan = time.Second
+
+// Bucket is a token bucket whose rate may change. The zero Bucket is full at
+// its first use. It is not safe for concurrent use.
+type Bucket struct {
+	level float64   // units available; may fall below 0, never above the burst
+	at    time.Time // when level was computed; zero before the first use
+}
+
+// Take withdraws cost units if the bucket, filled at rate units a second, holds
+// them. A cost larger than the burst needs a full bucket and leaves it in debt,
+// so that it is possible at all and paid for afterwards. Otherwise wait tells
+// how long until it would succeed. A rate of 0 or less means no limit.
+func (b *Bucket) Take(now time.Time, rate, cost float64) (ok bool, wait time.Duration) {
+	if rate <= 0 {
+		return true, 0
+	}
+	burst := b.fill(now, rate)
+	needed := math.Min(cost, burst)
+	if b.level >= needed {
+		b.level -= cost
+		return true, 0
+	}
+	return false, time.Duration(math.Ceil((needed - b.level) / rate * float64(time.Second)))
+}
+
+// Refund gives back units that were taken and not used.
+func (b *Bucket) Refund(units float64) { b.level += units }
+
+func (b *Bucket) fill(now time.Time, rate float64) (burst float64) {
+	burst = math.Max(1, rate*burstSpan.Seconds())
+	if b.at.IsZero() {
+		b.level, b.at = burst, now
+		return burst
+	}
+	passed := now.Sub(b.at).Seconds()
+	if passed < 0 {
+		passed = 0
+	}
+	b.level = math.Min(burst, b.level+passed*rate)
+	b.at = now
+	return burst
+}
--- /dev/null
+++ b/relay/limit/rate.go
@@ -0,0 +1,35 @@
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Rate estimates events a second with exponential decay. The zero Rate is
+// ready for use. It is not safe for concurrent use.
+type Rate struct {
+	sum float64 // decayed count of units
+	at  time.Time
+}
+
+// rateSpan is the decay's time constant.
+const rateSpan = time.Second
+
+// Add counts units at now.
+func (r *Rate) Add(now time.Time, units float64) {
+	r.sum = r.decayed(now) + units
+	r.at = now
+}
+
+// PerSecond returns the estimate at now.
+func (r *Rate) PerSecond(now time.Time) float64 {
+	return r.decayed(now) / rateSpan.Seconds()
+}
+
+func (r *Rate) decayed(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	passed := max(0, now.Sub(r.at).Seconds())
+	return r.sum * math.Exp(-passed/rateSpan.Seconds())
+}
--- /dev/null
+++ b/relay/route/ring.go
@@ -0,0 +1,67 @@
+package route
+
+import (
+	"encoding/binary"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// pointsPerHost is the number of places that a host has on the ring.
+const pointsPerHost = 32
+
+// ring is a consistent-hash ring. Entries that know the same hosts agree on a
+// prefix's home without talking, and a host that comes or goes moves only its
+// own prefixes.
+type ring struct {
+	points []point // sorted by hash
+}
+
+type point struct {
+	hash uint64
+	host int // index into Table.hosts
+}
+
+func newRing(hosts []*host) ring {
+	points := make([]point, 0, len(hosts)*pointsPerHost)
+	for i, each := range hosts {
+		seed := xxhash.Sum64String(each.ID)
+		for n := range pointsPerHost {
+			points = append(points, point{mix(seed, uint64(n)), i})
+		}
+	}
+	slices.SortFunc(points, func(a, b point) int {
+		switch {
+		case a.hash < b.hash:
+			return -1
+		case a.hash > b.hash:
+			return 1
+		default:
+			return a.host - b.host
+		}
+	})
+	return ring{points: points}
+}
+
+func mix(a, b uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	return xxhash.Sum64(buf[:])
+}
+
+// walk visits hosts from the prefix's place on until visit returns false or
+// limit points were passed. A host may be visited more than once.
+func (r ring) walk(prefix uint64, limit int, visit func(host int) bool) {
+	if len(r.points) == 0 {
+		return
+	}
+	hash := mix(prefix, 0)
+	start := sort.Search(len(r.points), func(i int) bool { return r.points[i].hash >= hash })
+	for n := range min(limit, len(r.points)) {
+		if !visit(r.points[(start+n)%len(r.points)].host) {
+			return
+		}
+	}
+}
