--- a/standin/internal/load/reading.go
+++ b/standin/internal/load/reading.go
@@ -145,6 +145,11 @@
 	if r.problem == nil {
 		r.check()
 	}
+	// Tokens of another answer are a fault even where the stream then fails:
+	// they reached the caller.
+	if severity[r.problemOutcome()] < severity[WrongAnswer] && !r.rightTokens() {
+		r.problem = &verdict{outcome: WrongAnswer, kind: WrongAnswer, detail: "the tokens are not those of the version and the prompt"}
+	}
 	judged := verdict{outcome: Answered}
 	if r.problem != nil {
 		judged = *r.problem
@@ -159,16 +164,19 @@
 	return judged
 }
 
-// check compares the whole answer with what the version generates.
+func (r *reading) problemOutcome() string {
+	if r.problem == nil {
+		return Answered
+	}
+	return r.problem.outcome
+}
+
+// check looks for what is wrong with an answer that ended well.
 func (r *reading) check() {
 	if len(r.tokens) < r.asked.maxTokens {
 		r.wrong(CutOff, fmt.Sprintf("%d tokens of %d", len(r.tokens), r.asked.maxTokens))
 		return
 	}
-	if !r.rightTokens() {
-		r.wrong(WrongAnswer, "the tokens are not those of the version and the prompt")
-		return
-	}
 	if !r.versions.allowed(r.version, r.askedAt) {
 		r.wrong(WrongVersion, "nobody intends version "+r.version)
 	}
