Console of forms that makes the document

Cause: operators drive the system from forms, not from files. Change: server-rendered forms below /console/, without scripts; messages beside the field; a conflict shows both sides' changes and keeps what was typed; the key travels in a strict cookie, since any entry must serve the next request, and a token derived from it guards against forms posted from elsewhere. Measured: tests post the form as a browser would: the example document comes back equal, and wrong values are named beside their fields. Conclusion: to be mounted by the entry.

--- /dev/null
+++ b/entry/internal/console/console_test.go
@@ -0,0 +1,243 @@
+package console_test
+
+import (
+	"context"
+	"html"
+	"io"
+	"net/http"
+	"net/http/cookiejar"
+	"net/http/httptest"
+	"net/url"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/entry/internal/console"
+	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/wire"
+)
+
+// house is a fake of the entry behind the console.
+type house struct {
+	doc       *wire.Document
+	revision  uint32
+	submitted []console.Submission
+}
+
+func (h *house) config() console.Config {
+	return console.Config{
+		Authenticate: func(key string) (string, bool) {
+			return "first-operator", key == document.ExampleOperatorKey
+		},
+		Current:  func() (*wire.Document, uint32) { return h.doc, h.revision },
+		Problems: func(*wire.Document) []document.Problem { return nil },
+		Submit:   h.submit,
+	}
+}
+
+func (h *house) submit(_ context.Context, sub console.Submission) (uint32, *console.Conflict, error) {
+	if sub.BaseRevision != h.revision {
+		conflict := &console.Conflict{
+			Current: h.revision,
+			Theirs:  []*wire.Change{{Path: "/objective", Before: `"time"`, After: `"originBytes"`}},
+		}
+		return 0, conflict, failure.New(failure.Conflict, "somebody was first", "compare")
+	}
+	h.submitted = append(h.submitted, sub)
+	h.doc = sub.Document
+	h.revision++
+	return h.revision, nil, nil
+}
+
+// start serves the console and returns its address and a client with cookies.
+func start(t *testing.T, hse *house) (string, *http.Client) {
+	t.Helper()
+	mux := chi.NewRouter()
+	console.New(hse.config()).Routes(mux)
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	jar, err := cookiejar.New(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return srv.URL, &http.Client{Jar: jar}
+}
+
+func signIn(t *testing.T, client *http.Client, base string) string {
+	t.Helper()
+	return post(t, client, base+"/console/login", url.Values{"key": {document.ExampleOperatorKey}}, http.StatusOK)
+}
+
+func post(t *testing.T, client *http.Client, address string, values url.Values, want int) string {
+	t.Helper()
+	reply, err := client.PostForm(address, values)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reply.Body.Close()
+	body, err := io.ReadAll(reply.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := reply.StatusCode; got != want {
+		t.Fatalf("status: got %d, want %d: %s", got, want, body)
+	}
+	return string(body)
+}
+
+var (
+	inputs    = regexp.MustCompile(`<input[^>]* name="([^"]+)"[^>]*>`)
+	valueOf   = regexp.MustCompile(` value="([^"]*)"`)
+	textareas = regexp.MustCompile(`<textarea[^>]* name="([^"]+)"[^>]*>([^<]*)</textarea>`)
+	selects   = regexp.MustCompile(`(?s)<select[^>]* name="([^"]+)">(.*?)</select>`)
+	chosen    = regexp.MustCompile(`<option selected>([^<]*)`)
+	first     = regexp.MustCompile(`<option[^>]*>([^<]*)`)
+)
+
+// controls returns the values that a browser would post from the page.
+func controls(page string) url.Values {
+	values := url.Values{}
+	for _, match := range inputs.FindAllStringSubmatch(page, -1) {
+		tag := match[0]
+		if strings.Contains(tag, `type="checkbox"`) && !strings.Contains(tag, " checked") {
+			continue
+		}
+		if value := valueOf.FindStringSubmatch(tag); value != nil {
+			values.Set(match[1], html.UnescapeString(value[1]))
+		}
+	}
+	for _, match := range textareas.FindAllStringSubmatch(page, -1) {
+		values.Set(match[1], html.UnescapeString(match[2]))
+	}
+	for _, match := range selects.FindAllStringSubmatch(page, -1) {
+		option := chosen.FindStringSubmatch(match[2])
+		if option == nil {
+			option = first.FindStringSubmatch(match[2])
+		}
+		values.Set(match[1], option[1])
+	}
+	return values
+}
+
+func TestFormMakesTheDocumentInForce(t *testing.T) {
+	hse := &house{doc: document.Example(), revision: 7}
+	base, client := start(t, hse)
+	values := controls(signIn(t, client, base))
+	values.Set("action", "submit")
+	post(t, client, base+"/console/document", values, http.StatusOK)
+	if got, want := len(hse.submitted), 1; got != want {
+		t.Fatalf("submissions: got %d, want %d", got, want)
+	}
+	want := document.Canonical(document.Example())
+	want.Schema = ""
+	got := document.Canonical(hse.submitted[0].Document)
+	if !proto.Equal(got, want) {
+		t.Errorf("document: got %s, want %s", document.Format(got), document.Format(want))
+	}
+}
+
+func TestFormChangesAndAddsItems(t *testing.T) {
+	hse := &house{doc: document.Example(), revision: 7}
+	base, client := start(t, hse)
+	values := controls(signIn(t, client, base))
+	values.Set("objective", "originBytes")
+	values.Set("customers.1.name", "sorting")
+	values.Set("customers.1.newKey", "a new key")
+	values.Set("models.0.customers", "counter\nsorting")
+	values.Set("services.0.remove", "true")
+	values.Set("reason", "the sorting line joins")
+	values.Set("action", "submit")
+	page := post(t, client, base+"/console/document", values, http.StatusOK)
+	if want := "Accepted as revision 8."; !strings.Contains(page, want) {
+		t.Errorf("page: got %s, want it to hold %q", page, want)
+	}
+	sub := hse.submitted[0]
+	if got, want := sub.Document.GetObjective(), "originBytes"; got != want {
+		t.Errorf("objective: got %q, want %q", got, want)
+	}
+	if got, want := sub.Document.GetCustomers()[1].GetKeyHashes()[0], document.KeyHash("a new key"); got != want {
+		t.Errorf("key hash: got %q, want %q", got, want)
+	}
+	if got, want := len(sub.Document.GetServices()), 0; got != want {
+		t.Errorf("services: got %d, want %d", got, want)
+	}
+	if got, want := sub.Reason, "the sorting line joins"; got != want {
+		t.Errorf("reason: got %q, want %q", got, want)
+	}
+}
+
+func TestMessageStandsBesideItsField(t *testing.T) {
+	hse := &house{doc: document.Example(), revision: 7}
+	base, client := start(t, hse)
+	values := controls(signIn(t, client, base))
+	values.Set("models.0.version", "not a hash")
+	values.Set("originCopies", "many")
+	values.Set("action", "submit")
+	page := post(t, client, base+"/console/document", values, http.StatusUnprocessableEntity)
+	if got, want := len(hse.submitted), 0; got != want {
+		t.Errorf("submissions: got %d, want %d", got, want)
+	}
+	for _, id := range []string{"models.0.version", "originCopies"} {
+		beside := regexp.MustCompile(`<div class="bad">\s*<label for="` + regexp.QuoteMeta(id) + `">`)
+		if !beside.MatchString(page) {
+			t.Errorf("field %s: got no message beside it, want one", id)
+		}
+	}
+	if got, want := controls(page).Get("models.0.version"), "not a hash"; got != want {
+		t.Errorf("typed value: got %q, want %q", got, want)
+	}
+}
+
+// Symptom: an operator's form replaces a document that somebody else changed
+// meanwhile. Sequence: two operators open the form, both submit. Cause: the
+// second form starts from a revision that is no longer in force.
+func TestSecondOperatorIsToldOfTheConflict(t *testing.T) {
+	hse := &house{doc: document.Example(), revision: 7}
+	base, client := start(t, hse)
+	values := controls(signIn(t, client, base))
+	hse.revision = 8
+	values.Set("action", "submit")
+	page := post(t, client, base+"/console/document", values, http.StatusConflict)
+	again := controls(page)
+	if got, want := again.Get("base"), "8"; got != want {
+		t.Errorf("base of the next sending: got %s, want %s", got, want)
+	}
+	if again.Get("submissionId") == values.Get("submissionId") {
+		t.Error("submission id: got the same, want a new one")
+	}
+	if want := "<td>/objective</td>"; !strings.Contains(page, want) {
+		t.Errorf("page: want the other operator's change %q", want)
+	}
+}
+
+func TestNobodyUnknownGetsIn(t *testing.T) {
+	hse := &house{doc: document.Example(), revision: 7}
+	base, client := start(t, hse)
+	post(t, client, base+"/console/login", url.Values{"key": {"wrong"}}, http.StatusUnauthorized)
+	post(t, client, base+"/console/document", url.Values{"action": {"submit"}}, http.StatusUnauthorized)
+	values := controls(signIn(t, client, base))
+	values.Set("token", "forged")
+	post(t, client, base+"/console/document", values, http.StatusForbidden)
+	if got, want := len(hse.submitted), 0; got != want {
+		t.Errorf("submissions: got %d, want %d", got, want)
+	}
+}
+
+// Symptom: a half-filled new item vanishes without a word. Sequence: an
+// operator fills a customer's weight and forgets the name. Cause: a row
+// without a name was taken for a removed one.
+func TestRowWithoutNameIsAnError(t *testing.T) {
+	hse := &house{doc: document.Example(), revision: 7}
+	base, client := start(t, hse)
+	values := controls(signIn(t, client, base))
+	values.Set("customers.1.weight", "3")
+	values.Set("action", "check")
+	page := post(t, client, base+"/console/document", values, http.StatusUnprocessableEntity)
+	if got, want := controls(page).Get("customers.1.weight"), "3"; got != want {
+		t.Errorf("typed value: got %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/entry/internal/console/view.go
@@ -0,0 +1,121 @@
+package console
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"comfreyrelay.example/relay/document"
+)
+
+// sectionView is one section as the page shows it.
+type sectionView struct {
+	Title string
+	List  string // empty for the head
+	Count int    // rows, the blank one included
+	Rows  []rowView
+}
+
+// rowView is one list item.
+type rowView struct {
+	Title    string
+	RemoveID string // empty for the head and for the blank row
+	Fields   []fieldView
+}
+
+// fieldView is one control with what is wrong in it.
+type fieldView struct {
+	ID       string
+	Label    string
+	Help     string
+	Kind     string
+	Value    string
+	Options  []string
+	Messages []string
+}
+
+// viewSections returns the sections with the problems beside their fields.
+func viewSections(filled *form, problems []document.Problem) []sectionView {
+	var views []sectionView
+	for _, sec := range sections {
+		if sec.list == "" {
+			views = append(views, sectionView{Title: sec.title, Rows: []rowView{viewRow(sec, filled.head, "", "", problems)}})
+			continue
+		}
+		view := sectionView{Title: sec.title, List: sec.list}
+		for i, item := range slices.Concat(filled.rows[sec.list], []row{{}}) {
+			index := strconv.Itoa(i)
+			shown := viewRow(sec, item, sec.list+"."+index+".", "/"+sec.list+"/"+index, problems)
+			if i < len(filled.rows[sec.list]) {
+				shown.RemoveID = sec.list + "." + index + ".remove"
+			}
+			view.Rows = append(view.Rows, shown)
+		}
+		view.Count = len(view.Rows)
+		views = append(views, view)
+	}
+	return views
+}
+
+func viewRow(sec section, filled row, prefix, pointer string, problems []document.Problem) rowView {
+	view := rowView{Title: filled["name"]}
+	for _, fld := range sec.fields {
+		view.Fields = append(view.Fields, fieldView{
+			ID:       prefix + fld.name,
+			Label:    fld.label,
+			Help:     fld.help,
+			Kind:     fld.kind,
+			Value:    filled[fld.name],
+			Options:  fld.options,
+			Messages: messagesAt(pointer+"/"+strings.ReplaceAll(fld.name, ".", "/"), problems),
+		})
+	}
+	return view
+}
+
+// messagesAt returns the problems at the pointer or below it.
+func messagesAt(pointer string, problems []document.Problem) []string {
+	var messages []string
+	for _, problem := range problems {
+		if at(pointer, problem.Path()) {
+			messages = append(messages, problem.Message()+"; "+problem.Remedy())
+		}
+	}
+	return messages
+}
+
+func at(pointer, path string) bool {
+	return path == pointer || strings.HasPrefix(path, pointer+"/")
+}
+
+// unplaced returns the problems that no field shows.
+func unplaced(filled *form, problems []document.Problem) []string {
+	var messages []string
+	for _, problem := range problems {
+		if !placed(filled, problem.Path()) {
+			messages = append(messages, problem.Path()+": "+problem.Message()+"; "+problem.Remedy())
+		}
+	}
+	return messages
+}
+
+func placed(filled *form, path string) bool {
+	for _, sec := range sections {
+		count := 1
+		if sec.list != "" {
+			count = len(filled.rows[sec.list])
+		}
+		for i := range count {
+			pointer := ""
+			if sec.list != "" {
+				pointer = "/" + sec.list + "/" + strconv.Itoa(i)
+			}
+			for _, fld := range sec.fields {
+				if at(pointer+"/"+strings.ReplaceAll(fld.name, ".", "/"), path) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
