--- /dev/null
+++ b/entry/internal/cmd/process.go
@@ -0,0 +1,254 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/dig"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"comfreyrelay.example/entry/internal/callers"
+	"comfreyrelay.example/entry/internal/control"
+	"comfreyrelay.example/entry/internal/operators"
+	"comfreyrelay.example/entry/internal/planner"
+	"comfreyrelay.example/entry/internal/store"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/node"
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes callers' connections that nobody uses.
+	idleTimeout = 2 * time.Minute
+	// lingerFor is how long a drained entry goes on refusing: callers that hold
+	// its address get proof that nothing was run, and the spares.
+	lingerFor = 3 * time.Second
+	// shutdownTimeout bounds the end of idle connections.
+	shutdownTimeout = time.Second
+)
+
+// parts are what a running entry consists of.
+type parts struct {
+	dig.In
+
+	Settings  *wire.EntrySettings
+	Node      *wire.Node
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Keys      *peer.Keys
+	Pool      *peer.Pool
+	Listeners *listeners
+	Callers   *callers.Server
+	Operators *operators.API
+	House     *control.House
+	Self      *control.Self
+	Server    *control.Server
+	Syncer    *control.Syncer
+	Publisher *control.Publisher
+	HostList  *control.HostList
+	Watcher   *control.Watcher
+	Leases    *leases
+	Planner   *planner.Planner
+	Collector *store.Collector
+}
+
+// process is one entry.
+type process struct{ parts }
+
+func newProcess(all parts) *process { return &process{parts: all} }
+
+// Run runs an entry with the given settings. It drains when drain ends and
+// stops at once when kill does. A clean end is no error.
+func Run(drain, kill context.Context, set *wire.EntrySettings, out, errOut io.Writer) error {
+	box := build(set, errOut)
+	return dig.RootCause(box.Invoke(func(entry *process) error {
+		return entry.run(drain, kill, out)
+	}))
+}
+
+func (p *process) run(drain, kill context.Context, out io.Writer) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterControl(mux, p.Server); err != nil {
+		return failure.Wrap(err, failure.Internal, "cannot register the control calls", "report it")
+	}
+	p.publishFigures()
+	p.Publisher.Build()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return ignoreEnd(ctx, peer.Serve(ctx, p.Listeners.control, p.Keys, mux, p.Log)) })
+	group.Go(func() error { return p.serveHTTP(ctx, p.Listeners.callers, p.callersRoutes()) })
+	if p.Listeners.operators != nil {
+		routes := node.OperatorsRouter(node.Health{Ready: p.ready})
+		group.Go(func() error { return p.serveHTTP(ctx, p.Listeners.operators, routes) })
+	}
+	p.work(ctx, drain, group)
+	fmt.Fprintf(out, "listening address=%s\n", p.Node.GetCallersAddress())
+	p.Log.Info("started", "incarnation", p.Node.GetIncarnation(), "callersAddress", p.Node.GetCallersAddress(),
+		"controlAddress", p.Node.GetControlAddress())
+	group.Go(func() error {
+		defer stop()
+		p.awaitEnd(ctx, drain, kill)
+		return nil
+	})
+	err := group.Wait()
+	_ = p.Pool.Close()
+	p.Log.Info("stopped")
+	return err
+}
+
+// work starts what runs beside the listeners. The leases end with the drain's
+// start: a process that goes must not be in charge.
+func (p *process) work(ctx, drain context.Context, group *errgroup.Group) {
+	leaseCtx, giveBack := context.WithCancel(ctx)
+	context.AfterFunc(drain, giveBack)
+	for _, run := range []func(context.Context){
+		p.Publisher.Run, p.Syncer.Run, p.HostList.Run, p.Watcher.Run, p.Planner.Run,
+		func(ctx context.Context) { p.Collector.Run(ctx, p.inCharge) },
+	} {
+		group.Go(func() error {
+			run(ctx)
+			return nil
+		})
+	}
+	for _, contender := range []*control.Contender{p.Leases.watch, p.Leases.planner} {
+		group.Go(func() error {
+			contender.Run(leaseCtx)
+			return nil
+		})
+	}
+}
+
+func (p *process) inCharge() bool {
+	_, ok := p.Leases.planner.Holding()
+	return ok
+}
+
+// callersRoutes are those of the callers' listener. The console mounts itself
+// at /console/ beside the two APIs.
+func (p *process) callersRoutes() http.Handler {
+	mux := chi.NewRouter()
+	p.Callers.Routes(mux)
+	p.Operators.Routes(mux)
+	return mux
+}
+
+func (p *process) serveHTTP(ctx context.Context, lis net.Listener, routes http.Handler) error {
+	server := &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    callers.MaxHeaderBytes,
+	}
+	ended := make(chan struct{})
+	release := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		p.shutdown(server)
+	})
+	err := server.Serve(lis)
+	if !release() {
+		<-ended
+	}
+	return ignoreEnd(ctx, err)
+}
+
+// shutdown ends idle connections and lets answers in progress out, briefly:
+// the drain has waited for those before.
+func (p *process) shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
+// ignoreEnd drops the error that a part returns because it was told to stop.
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// awaitEnd waits for the signal and drains.
+func (p *process) awaitEnd(ctx, drain, kill context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-drain.Done():
+	}
+	limit := orDefault(p.Settings.GetDrainTimeout().AsDuration(), defaultDrain)
+	p.Log.Info("draining before the exit", "inFlight", p.Callers.InFlight(), "limit", limit)
+	p.announceDrain()
+	began := p.Clock.Now()
+	drainCtx, cancel := context.WithTimeout(kill, limit)
+	defer cancel()
+	p.Callers.Drain(drainCtx)
+	select {
+	case <-kill.Done():
+		p.Log.Warn("stopping at once", "inFlight", p.Callers.InFlight())
+	case <-ctx.Done():
+	case <-p.Clock.After(max(0, lingerFor-p.Clock.Since(began))):
+	}
+}
+
+// announceDrain tells the other entries at once that callers should go
+// elsewhere.
+func (p *process) announceDrain() {
+	p.Self.Drain()
+	p.House.Members().HearEntry(p.Self.Latest(), p.Clock.Now())
+	p.Publisher.Wake()
+	p.House.Hurry()
+}
+
+// ready reports whether this entry knows what is in force and takes callers.
+func (p *process) ready() error {
+	if p.Self.Draining() {
+		return failure.New(failure.Leaving, "the entry drains", "use another")
+	}
+	if _, confirmed := p.House.Age(); !confirmed {
+		return failure.New(failure.Unavailable, "nobody has confirmed a document yet", "check kvUrl, node.hostsUrl and the other entries")
+	}
+	return nil
+}
+
+// publishFigures shows the entry's state under /debug/vars. A name that is
+// taken belongs to another entry of the same test process.
+func (p *process) publishFigures() {
+	if expvar.Get("entryState") != nil {
+		return
+	}
+	expvar.Publish("entryState", expvar.Func(p.figures))
+}
+
+func (p *process) figures() any {
+	status := p.Operators.Status()
+	_, watching := p.Leases.watch.Holding()
+	fence, planning := p.Leases.planner.Holding()
+	return map[string]any{
+		"incarnation":        p.Node.GetIncarnation(),
+		"revision":           status.Revision,
+		"planRevision":       status.PlanRevision,
+		"knowledgeAgeMillis": status.AgeMillis,
+		"lowestRevision":     status.LowestRevision,
+		"nodes":              len(status.Nodes),
+		"inFlight":           p.Callers.InFlight(),
+		"draining":           p.Self.Draining(),
+		"watching":           watching,
+		"planning":           planning,
+		"fence":              fence,
+	}
+}
--- /dev/null
+++ b/entry/internal/cmd/wiring.go
@@ -0,0 +1,225 @@
+package cmd
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/dig"
+
+	"comfreyrelay.example/entry/internal/callers"
+	"comfreyrelay.example/entry/internal/control"
+	"comfreyrelay.example/entry/internal/operators"
+	"comfreyrelay.example/entry/internal/planner"
+	"comfreyrelay.example/entry/internal/store"
+	"comfreyrelay.example/relay/budget"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/lease"
+	"comfreyrelay.example/relay/logging"
+	"comfreyrelay.example/relay/node"
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// partsCacheBytes bounds the document parts kept in memory.
+	partsCacheBytes = 32 << 20
+	// defaultLeaseTTL, defaultSync and defaultDrain stand in for settings that
+	// are not given.
+	defaultLeaseTTL = 5 * time.Second
+	defaultSync     = 2 * time.Second
+	defaultDrain    = 30 * time.Second
+	// leaseMarginPart is the part of a lease's time that its holder leaves
+	// unused, for the difference of two clocks.
+	leaseMarginPart = 5
+)
+
+// build registers how each part of an entry is made.
+func build(set *wire.EntrySettings, errOut io.Writer) *dig.Container {
+	box := dig.New()
+	provide := func(makers ...any) {
+		for _, maker := range makers {
+			if err := box.Provide(maker); err != nil {
+				panic(err)
+			}
+		}
+	}
+	provide(
+		func() *wire.EntrySettings { return set },
+		clockwork.NewRealClock,
+		func() *slog.Logger {
+			return logging.New(errOut, set.GetNode().GetLogLevel(), program, set.GetNode().GetId())
+		},
+		func() *http.Client { return &http.Client{} },
+		func() *store.Parts { return store.NewParts(partsCacheBytes) },
+		newKeys, peer.NewPool, newListeners, newSelfNode, view.NewHolder, newService, store.New, store.NewCollector,
+		newCallers, control.NewHouse, newSelf, newExchange, newSyncer, newServer, newPublisher, newHostList,
+		newLeases, newWatcher, newPlanner, newOperators, newProcess,
+	)
+	return box
+}
+
+func newKeys(set *wire.EntrySettings, clock clockwork.Clock) (*peer.Keys, error) {
+	if set.GetNode().GetTls() == nil {
+		return nil, nil //nolint:nilnil // Nil keys mean clear text, which the settings ask for.
+	}
+	return peer.NewKeys(set.GetNode().GetTls(), clock)
+}
+
+// listeners are the addresses that an entry serves.
+type listeners struct {
+	control   net.Listener
+	callers   net.Listener
+	operators net.Listener // nil: not asked for
+}
+
+func newListeners(set *wire.EntrySettings) (*listeners, error) {
+	lis := &listeners{}
+	var err error
+	if lis.control, err = listen(set.GetNode().GetControlAddress(), "node.controlAddress"); err != nil {
+		return nil, err
+	}
+	if lis.callers, err = listen(set.GetCallersAddress(), "callersAddress"); err != nil {
+		return nil, err
+	}
+	if address := set.GetNode().GetOperatorsAddress(); address != "" {
+		lis.operators, err = listen(address, "node.operatorsAddress")
+	}
+	return lis, err
+}
+
+func listen(address, key string) (net.Listener, error) {
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, "cannot listen at "+key,
+			"stop the process that has the port, or give another")
+	}
+	return lis, nil
+}
+
+// newSelfNode names the ports that the listeners got where the settings leave
+// them open.
+func newSelfNode(set *wire.EntrySettings, lis *listeners) *wire.Node {
+	self := node.Describe(set.GetNode(), peer.RoleEntry, lis.callers.Addr().String())
+	self.ControlAddress = lis.control.Addr().String()
+	return self
+}
+
+func newService(set *wire.EntrySettings, clock clockwork.Clock) *kv.Store {
+	limit := budget.New(budget.Options{
+		Role:            peer.RoleEntry,
+		ReadsPerSecond:  set.GetKvReadsPerSecond(),
+		WritesPerSecond: set.GetKvWritesPerSecond(),
+		Clock:           clock,
+	})
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	return kv.NewHTTP(set.GetKvUrl(), set.GetNode().GetId(), limit, client)
+}
+
+func newCallers(set *wire.EntrySettings, self *wire.Node, holder *view.Holder, pool *peer.Pool,
+	service *kv.Store, clock clockwork.Clock, log *slog.Logger) *callers.Server {
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(self.GetIncarnation()))
+	return callers.New(callers.Config{
+		Self:         self,
+		View:         holder,
+		Pool:         pool,
+		Store:        service,
+		Clock:        clock,
+		Log:          log,
+		RoutePolicy:  set.GetRoutePolicy(),
+		DirectoryTTL: set.GetDirectoryTtl().AsDuration(),
+		Seed:         seed.Sum64(),
+	})
+}
+
+func newSelf(self *wire.Node, requests *callers.Server, house *control.House) *control.Self {
+	return control.NewSelf(self, requests.InFlight, requests.Demand, house.Known)
+}
+
+func newExchange(house *control.House, self *control.Self) *control.Exchange {
+	return control.NewExchange(house, self.Latest)
+}
+
+func newSyncer(set *wire.EntrySettings, exchange *control.Exchange, pool *peer.Pool, docs *store.Store) *control.Syncer {
+	return control.NewSyncer(exchange, pool, docs.Fetch, orDefault(set.GetSyncInterval().AsDuration(), defaultSync))
+}
+
+func newServer(exchange *control.Exchange, requests *callers.Server, keys *peer.Keys, syncer *control.Syncer) *control.Server {
+	delegate := control.Delegate{Claim: requests.Claim, Settle: requests.Settle}
+	return control.NewServer(exchange, delegate, keys != nil, syncer.Pull)
+}
+
+func newPublisher(house *control.House, self *control.Self) *control.Publisher {
+	return control.NewPublisher(house, self.Make)
+}
+
+func newHostList(set *wire.EntrySettings, house *control.House, client *http.Client) *control.HostList {
+	return control.NewHostList(house, set.GetNode().GetHostsUrl(), client)
+}
+
+// leases are what this entry may hold.
+type leases struct {
+	watch   *control.Contender // of its failure domain's watches
+	planner *control.Contender
+}
+
+func newLeases(set *wire.EntrySettings, house *control.House, self *wire.Node, service *kv.Store,
+	clock clockwork.Clock, log *slog.Logger) *leases {
+	ttl := orDefault(set.GetLeaseTtl().AsDuration(), defaultLeaseTTL)
+	claim := func(ctx context.Context, name string) *lease.Holder {
+		return lease.Run(ctx, service, clock, name, self.GetIncarnation(), ttl, ttl/leaseMarginPart, log)
+	}
+	near := func(other *wire.Node) bool { return other.GetFailureDomain() == self.GetFailureDomain() }
+	all := func(*wire.Node) bool { return true }
+	return &leases{
+		watch:   control.NewContender("watch/"+self.GetFailureDomain(), house, near, claim),
+		planner: control.NewContender("planner", house, all, claim),
+	}
+}
+
+func newWatcher(house *control.House, docs *store.Store, service *kv.Store, held *leases) *control.Watcher {
+	return control.NewWatcher(house, docs, service, func() bool {
+		_, ok := held.watch.Holding()
+		return ok
+	})
+}
+
+func newPlanner(house *control.House, holder *view.Holder, service *kv.Store, held *leases,
+	clock clockwork.Clock, log *slog.Logger) *planner.Planner {
+	return planner.New(planner.Config{
+		View:    holder,
+		Service: service,
+		Holding: held.planner.Holding,
+		Offer:   func(plan *wire.Plan) { house.OfferPlan(plan, "planner") },
+		Clock:   clock,
+		Log:     log,
+	})
+}
+
+func newOperators(set *wire.EntrySettings, holder *view.Holder, house *control.House, docs *store.Store,
+	service *kv.Store, clock clockwork.Clock, log *slog.Logger) *operators.API {
+	return operators.New(operators.Config{
+		View:               holder,
+		House:              house,
+		Docs:               docs,
+		Service:            service,
+		Clock:              clock,
+		Log:                log,
+		BootstrapKeyHashes: set.GetBootstrapKeyHashes(),
+	})
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/entry/internal/control/drains.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+)
+
+// DrainMark is the value of a key below "drain/". A host that is taken back
+// keeps its key with Drain false: deleting it would not move the revision that
+// orders the sets of marks.
+type DrainMark struct {
+	Drain       bool      `json:"drain"`
+	Operator    string    `json:"operator"`
+	At          time.Time `json:"at"`
+	FromAddress string    `json:"fromAddress"`
+}
+
+// IsDrained reports whether the value of a drain key takes the host out.
+func IsDrained(value []byte) bool {
+	mark := DrainMark{}
+	return json.Unmarshal(value, &mark) == nil && mark.Drain
+}
+
+// markAttempts bounds the tries against other writers and lost replies.
+const markAttempts = 4
+
+// MarkDrain writes an operator's mark on a host. The mark is absolute, so a
+// write whose reply was lost is simply made again.
+func MarkDrain(ctx context.Context, service *kv.Store, clock clockwork.Clock, host string, mark DrainMark) error {
+	mark.At = clock.Now().UTC()
+	value, err := json.Marshal(mark)
+	if err != nil {
+		return err
+	}
+	for range markAttempts {
+		entry, found, getErr := service.Get(ctx, DrainPrefix+host)
+		if getErr != nil {
+			return getErr
+		}
+		if found && IsDrained(entry.Value()) == mark.Drain || !found && !mark.Drain {
+			return nil
+		}
+		_, err = service.Swap(ctx, DrainPrefix+host, value, entry.Revision(), "")
+		if kind := failure.KindOf(err); err == nil || (kind != failure.Conflict && kind != failure.Ambiguous) {
+			return err
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/entry/internal/control/exchange.go
@@ -0,0 +1,264 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/spread"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// reportBytesPerSecond and reportBurst bound the host reports that this
+	// process sends to all other entries together.
+	reportBytesPerSecond = 3 << 10
+	reportBurst          = 64 << 10
+	// entryBytes bounds the reports of third entries in one message.
+	entryBytes = 4 << 10
+)
+
+// Exchange composes and takes in the messages between this entry and others.
+type Exchange struct {
+	house    *House
+	self     *wire.Node
+	sessions *sessions
+	// own returns this entry's report on itself.
+	own func() *wire.EntryReport
+
+	mu        sync.Mutex
+	allowance *spread.Allowance
+	basis     *view.Snapshot // that candidates was made from
+	hosts     []spread.Candidate
+}
+
+// NewExchange returns an Exchange; own returns this entry's newest report.
+func NewExchange(house *House, own func() *wire.EntryReport) *Exchange {
+	return &Exchange{
+		house:     house,
+		self:      house.self,
+		sessions:  newSessions(),
+		own:       own,
+		allowance: spread.NewAllowance(reportBytesPerSecond, reportBurst, house.clock.Now()),
+	}
+}
+
+// candidates returns the reports that could be sent, from the current view.
+func (x *Exchange) candidates() []spread.Candidate {
+	snap, _ := x.house.view.Load()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.basis == snap {
+		return x.hosts
+	}
+	x.basis = snap
+	x.hosts = make([]spread.Candidate, 0, len(snap.Hosts))
+	for _, host := range snap.Hosts {
+		x.hosts = append(x.hosts, x.candidate(host))
+	}
+	return x.hosts
+}
+
+func (x *Exchange) candidate(host view.Host) spread.Candidate {
+	report := host.Report()
+	home := report.GetHome() == x.self.GetId()
+	if home && host.Lost() && !report.GetLost() {
+		// Only this entry can tell that its host fell silent.
+		report = spread.Copy(report)
+		report.Lost = true
+	}
+	return spread.Candidate{Report: report, HeardAt: host.HeardAt(), Home: home, Nearness: spread.Nearness(x.self, report.GetNode())}
+}
+
+// hostsForEntry returns the host reports that another entry should hear.
+func (x *Exchange) hostsForEntry(with *session, now time.Time) []*wire.HostReport {
+	candidates := x.candidates()
+	x.mu.Lock()
+	left := x.allowance.Left(now)
+	x.mu.Unlock()
+	with.mu.Lock()
+	chosen := with.hosts.Select(candidates, now, left)
+	with.mu.Unlock()
+	x.mu.Lock()
+	x.allowance.Spend(reportSize(chosen))
+	x.mu.Unlock()
+	return chosen
+}
+
+func reportSize(reports []*wire.HostReport) int {
+	size := 0
+	for _, report := range reports {
+		size += proto.Size(report)
+	}
+	return size
+}
+
+// hostsForAgent returns the host reports that an agent should hear.
+func (x *Exchange) hostsForAgent(with *session, now time.Time) []*wire.HostReport {
+	peers := spread.WeightPeers(with.node, x.candidates())
+	near := make([]spread.Candidate, len(peers))
+	for i, peer := range peers {
+		peer.Home = false
+		peer.Nearness = spread.Nearness(with.node, peer.Report.GetNode())
+		near[i] = peer
+	}
+	with.mu.Lock()
+	defer with.mu.Unlock()
+	chosen := with.hosts.Select(near, now, with.agentCap.Left(now))
+	with.agentCap.Spend(reportSize(chosen))
+	for i := range chosen {
+		chosen[i].Prefixes = nil // only routers use them
+	}
+	return chosen
+}
+
+// entriesFor returns the entry reports that a node should hear.
+func (x *Exchange) entriesFor(with *session, now time.Time) []*wire.EntryReport {
+	snap, _ := x.house.view.Load()
+	with.mu.Lock()
+	defer with.mu.Unlock()
+	return with.entries.Select(x.own(), snap.Entries, with.node.GetId(), now, entryBytes)
+}
+
+// hearHosts takes in reports that another entry passed on.
+func (x *Exchange) hearHosts(with *session, reports []*wire.HostReport) {
+	now := x.house.clock.Now()
+	news, hurry := false, false
+	for _, report := range reports {
+		with.mu.Lock()
+		with.hosts.Heard(report, now)
+		with.mu.Unlock()
+		if x.house.hosts.HearHost(report, now) {
+			news = true
+			hurry = hurry || x.leaves(report)
+		}
+	}
+	x.stir(news, hurry)
+}
+
+// leaves reports whether a report tells of a host that leaves, and the view
+// does not know it yet.
+func (x *Exchange) leaves(report *wire.HostReport) bool {
+	if !report.GetLeaving() {
+		return false
+	}
+	snap, _ := x.house.view.Load()
+	host, known := findHost(snap, report.GetNode().GetId())
+	return known && !host.Report().GetLeaving()
+}
+
+// hearEntries takes in reports of entries.
+func (x *Exchange) hearEntries(with *session, reports []*wire.EntryReport) {
+	now := x.house.clock.Now()
+	news, hurry := false, false
+	for _, report := range reports {
+		if report.GetNode().GetId() == x.self.GetId() {
+			continue
+		}
+		with.mu.Lock()
+		with.entries.Heard(report, now)
+		with.mu.Unlock()
+		if x.house.hosts.HearEntry(report, now) {
+			news = true
+			hurry = hurry || x.drains(report)
+		}
+	}
+	x.stir(news, hurry)
+}
+
+func (x *Exchange) drains(report *wire.EntryReport) bool {
+	if !report.GetDraining() {
+		return false
+	}
+	snap, _ := x.house.view.Load()
+	for _, entry := range snap.Entries {
+		if entry.Report().GetNode().GetId() == report.GetNode().GetId() {
+			return !entry.Report().GetDraining()
+		}
+	}
+	return false
+}
+
+// stir has the view built anew and, where a node leaves, passes that on.
+func (x *Exchange) stir(news, hurry bool) {
+	if news {
+		x.house.touch()
+	}
+	if hurry {
+		x.house.Hurry()
+	}
+}
+
+// request composes a call to another entry.
+func (x *Exchange) request(with *session, wait time.Duration) *wire.SyncRequest {
+	now := x.house.clock.Now()
+	return &wire.SyncRequest{
+		From:       x.self,
+		Known:      x.house.Known(),
+		WaitMillis: uint32(wait.Milliseconds()),
+		Hosts:      x.hostsForEntry(with, now),
+		Entries:    x.entriesFor(with, now),
+	}
+}
+
+// reply composes the answer to a call.
+func (x *Exchange) reply(req *wire.SyncRequest, with *session) *wire.SyncReply {
+	now := x.house.clock.Now()
+	root, plan, drains := x.house.lacking(req.GetKnown())
+	reply := &wire.SyncReply{
+		From:    x.self,
+		Known:   x.house.Known(),
+		Root:    root,
+		Plan:    plan,
+		Drains:  drains,
+		Entries: x.entriesFor(with, now),
+	}
+	if isAgent(req.GetFrom()) {
+		reply.Plan = planFor(plan, req.GetFrom().GetFailureDomain())
+		reply.Hosts = x.hostsForAgent(with, now)
+	} else {
+		reply.Hosts = x.hostsForEntry(with, now)
+	}
+	return reply
+}
+
+// planFor returns the plan with one failure domain's assignments.
+func planFor(plan *wire.Plan, domain string) *wire.Plan {
+	if plan == nil {
+		return nil
+	}
+	part := &wire.Plan{PlanRevision: plan.GetPlanRevision(), Revision: plan.GetRevision(), Fence: plan.GetFence()}
+	for _, assignment := range plan.GetAssignments() {
+		if assignment.GetFailureDomain() == domain {
+			part.Assignments = append(part.Assignments, assignment)
+		}
+	}
+	return part
+}
+
+// takeReply brings in what another entry answered.
+func (x *Exchange) takeReply(ctx context.Context, with *session, reply *wire.SyncReply, fetch Fetch) {
+	source := "entry " + reply.GetFrom().GetId()
+	x.house.OfferDrains(reply.GetDrains(), source)
+	if err := x.house.OfferRoot(ctx, reply.GetRoot(), source, fetch); err != nil {
+		x.house.log.Warn("document not assembled", "revision", reply.GetRoot().GetRevision(), "source", source, "error", err)
+	}
+	x.house.OfferPlan(reply.GetPlan(), source)
+	x.house.HearKnown(reply.GetKnown())
+	x.hearHosts(with, reply.GetHosts())
+	x.hearEntries(with, reply.GetEntries())
+}
+
+func isAgent(node *wire.Node) bool { return node.GetRole() == "agent" }
+
+func findHost(snap *view.Snapshot, id string) (view.Host, bool) {
+	for _, host := range snap.Hosts {
+		if host.Report().GetNode().GetId() == id {
+			return host, true
+		}
+	}
+	return view.Host{}, false
+}
--- /dev/null
+++ b/entry/internal/control/house.go
@@ -0,0 +1,307 @@
+// Package control keeps an entry's knowledge of the house: which document,
+// plan and drain marks are in force, which hosts and entries there are, and
+// how it passes between the key-value service, the entries and the agents.
+package control
+
+import (
+	"context"
+	"encoding/hex"
+	"expvar"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/blake3"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/entry/internal/store"
+	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/revision"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// counters tell what this process did and which invariants broke.
+var counters = expvar.NewMap("control")
+
+// onBroken is called where an invariant broke; tests let it panic.
+var onBroken = func(string) {}
+
+// assembleWait is how long one offer of a root waits for another that is being
+// assembled, so that several peers' offers do not fetch the same parts.
+const assembleWait = 300 * time.Millisecond
+
+// Fetch gets parts by hash, in order; nil for those it lacks.
+type Fetch func(ctx context.Context, hashes []string) ([][]byte, error)
+
+// House is what one entry knows. Its methods are safe for concurrent use.
+type House struct {
+	self  *wire.Node
+	clock clockwork.Clock
+	log   *slog.Logger
+	parts *store.Parts
+	view  *view.Holder
+	hosts *Members
+
+	assembling chan struct{} // one token: who holds it assembles a root
+	dirty      chan struct{} // at most one signal: the view should be built anew
+
+	mu      sync.Mutex
+	state   revision.State
+	doc     *wire.Document // of the root in force; nil for revision 0
+	changed chan struct{}  // closed and replaced when a revision moved
+	urgent  chan struct{}  // closed and replaced when a node leaves
+}
+
+// NewHouse returns a House that knows nothing yet.
+func NewHouse(self *wire.Node, parts *store.Parts, holder *view.Holder, clock clockwork.Clock, log *slog.Logger) *House {
+	return &House{
+		self:       self,
+		clock:      clock,
+		log:        log,
+		parts:      parts,
+		view:       holder,
+		hosts:      NewMembers(self.GetId()),
+		assembling: make(chan struct{}, 1),
+		dirty:      make(chan struct{}, 1),
+		changed:    make(chan struct{}),
+		urgent:     make(chan struct{}),
+	}
+}
+
+// ID returns this entry's id.
+func (h *House) ID() string { return h.self.GetId() }
+
+// Members returns the hosts and entries known.
+func (h *House) Members() *Members { return h.hosts }
+
+// Known returns what messages to other processes bear.
+func (h *House) Known() *wire.Known {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.Known(h.clock.Now())
+}
+
+// Root returns the root in force, or nil.
+func (h *House) Root() *wire.Root {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.Root()
+}
+
+// Age returns how old the knowledge is; known is false where nobody ever
+// confirmed it.
+func (h *House) Age() (age time.Duration, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.Age(h.clock.Now())
+}
+
+// touch marks the view as outdated.
+func (h *House) touch() {
+	select {
+	case h.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// wakeLocked ends all calls that are held until a revision moves.
+func (h *House) wakeLocked() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Hurry ends the calls that entries hold, so that they hear at once of a node
+// that leaves. Agents' calls stay: with many agents that would be a storm.
+func (h *House) Hurry() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.urgent)
+	h.urgent = make(chan struct{})
+}
+
+// news returns the channels that close at the next change and the next hurry.
+func (h *House) news() (changed, urgent <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed, h.urgent
+}
+
+// HearKnown takes over the confirmation that a message bears and reports
+// whether its sender knows something newer.
+func (h *House) HearKnown(known *wire.Known) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state.HearKnown(known, h.clock.Now())
+	return h.state.Offers(known)
+}
+
+// Confirm notes that the service confirmed the revision at the moment.
+func (h *House) Confirm(rev uint32, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state.Confirm(rev, at)
+}
+
+// OfferRoot takes a root from anyone: where it is newer, it fetches the parts
+// that lack, assembles the document and brings it into force.
+func (h *House) OfferRoot(ctx context.Context, root *wire.Root, source string, fetch Fetch) error {
+	if root == nil || !h.wants(root, source) {
+		return nil
+	}
+	release := h.turn(ctx)
+	defer release()
+	if !h.wants(root, source) {
+		return nil
+	}
+	doc, err := h.assemble(ctx, root, fetch)
+	if err != nil {
+		counters.Add("assembleFailed", 1)
+		return err
+	}
+	h.adoptRoot(root, doc, source)
+	return nil
+}
+
+// wants judges a root before any part is fetched.
+func (h *House) wants(root *wire.Root, source string) bool {
+	h.mu.Lock()
+	verdict := h.state.JudgeRoot(root)
+	h.mu.Unlock()
+	if verdict == revision.Contradiction {
+		h.broken("oneContentPerRevision", "revision", root.GetRevision(), "source", source)
+	}
+	return verdict == revision.Newer
+}
+
+// broken counts and logs a broken invariant.
+func (h *House) broken(rule string, args ...any) {
+	counters.Add("broken."+rule, 1)
+	h.log.Error("invariant broke", append([]any{"rule", rule}, args...)...)
+	onBroken(rule)
+}
+
+// turn waits until no other root is being assembled, but not for long: the
+// other's source may hang.
+func (h *House) turn(ctx context.Context) (release func()) {
+	select {
+	case h.assembling <- struct{}{}:
+		return func() { <-h.assembling }
+	case <-h.clock.After(assembleWait):
+	case <-ctx.Done():
+	}
+	return func() {}
+}
+
+func (h *House) assemble(ctx context.Context, root *wire.Root, fetch Fetch) (*wire.Document, error) {
+	if document.ContentHash(root.GetParts()) != root.GetAudit().GetContentHash() {
+		return nil, failure.New(failure.Corrupt, "a root does not match its content hash", "fetch it from another process")
+	}
+	lacking := document.Missing(root, h.parts.Has)
+	contents := map[string][]byte{}
+	if len(lacking) > 0 {
+		fetched, err := fetch(ctx, lacking)
+		if err != nil {
+			return nil, err
+		}
+		for i, content := range fetched {
+			if i < len(lacking) && h.parts.Add(lacking[i], content) {
+				contents[lacking[i]] = content
+			}
+		}
+	}
+	return document.Join(root, func(hash string) []byte {
+		if content := contents[hash]; content != nil {
+			return content
+		}
+		return h.parts.Get(hash)
+	})
+}
+
+func (h *House) adoptRoot(root *wire.Root, doc *wire.Document, source string) {
+	h.mu.Lock()
+	adopted := h.state.AdoptRoot(root) == revision.Newer
+	if adopted {
+		h.doc = doc
+		h.wakeLocked()
+	}
+	h.mu.Unlock()
+	if !adopted {
+		return
+	}
+	counters.Add("rootsAdopted", 1)
+	h.log.Info("document in force", "revision", root.GetRevision(), "source", source)
+	h.touch()
+}
+
+// OfferPlan takes a plan from anyone.
+func (h *House) OfferPlan(plan *wire.Plan, source string) {
+	if plan == nil {
+		return
+	}
+	h.mu.Lock()
+	verdict := h.state.AdoptPlan(plan)
+	if verdict == revision.Newer {
+		h.wakeLocked()
+	}
+	h.mu.Unlock()
+	switch verdict {
+	case revision.Newer:
+		h.log.Info("plan in force", "planRevision", plan.GetPlanRevision(), "revision", plan.GetRevision(), "source", source)
+		h.touch()
+	case revision.Contradiction:
+		h.broken("onePlanPerRevision", "planRevision", plan.GetPlanRevision(), "source", source)
+	case revision.Older, revision.Same:
+	}
+}
+
+// OfferDrains takes the operators' marks from anyone.
+func (h *House) OfferDrains(marks *wire.DrainMarks, source string) {
+	if marks == nil {
+		return
+	}
+	h.mu.Lock()
+	adopted := h.state.AdoptDrains(marks) == revision.Newer
+	if adopted {
+		h.wakeLocked()
+	}
+	h.mu.Unlock()
+	if adopted {
+		h.log.Info("drain marks in force", "hosts", len(marks.GetHosts()), "source", source)
+		h.touch()
+	}
+}
+
+// lacking returns what a message's sender lacks, nil where it has it.
+func (h *House) lacking(known *wire.Known) (root *wire.Root, plan *wire.Plan, drains *wire.DrainMarks) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lacksRoot, lacksPlan, lacksDrains := h.state.Lacks(known)
+	if lacksRoot {
+		root = h.state.Root()
+	}
+	if lacksPlan {
+		plan = h.state.Plan()
+	}
+	if lacksDrains {
+		drains = h.state.Drains()
+	}
+	return root, plan, drains
+}
+
+// countMessage adds a control message's bytes to the counter of its direction.
+func countMessage(direction string, msg proto.Message) {
+	counters.Add(direction, int64(proto.Size(msg)))
+}
+
+// rootID names a root by its content, to compare offers of several agents.
+func rootID(root *wire.Root) string {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(root)
+	if err != nil {
+		return ""
+	}
+	sum := blake3.Sum256(encoded)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/entry/internal/control/members.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreyrelay.example/relay/membership"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// shardCount is how many locks the members' state is spread over.
+const shardCount = 16
+
+// memberShard is the part of the members whose ids hash to it.
+type memberShard struct {
+	mu    sync.Mutex
+	table *membership.Table
+}
+
+// Members is the table of hosts and entries, in shards by id. It is safe for
+// concurrent use.
+type Members struct {
+	self   string
+	shards [shardCount]memberShard
+}
+
+// NewMembers returns an empty table for the entry with the id.
+func NewMembers(self string) *Members {
+	members := &Members{self: self}
+	for i := range members.shards {
+		members.shards[i].table = membership.New(membership.DefaultLimits())
+	}
+	return members
+}
+
+func (m *Members) shard(id string) *memberShard {
+	return &m.shards[xxhash.Sum64String(id)%shardCount]
+}
+
+// with runs f on one shard's table, under its lock.
+func (s *memberShard) with(f func(*membership.Table)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.table)
+}
+
+func (m *Members) each(f func(*membership.Table)) {
+	for i := range m.shards {
+		m.shards[i].with(f)
+	}
+}
+
+// HearHost takes a host's report and tells whether it was news.
+func (m *Members) HearHost(report *wire.HostReport, now time.Time) (news bool) {
+	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { news = t.HearHost(report, now) })
+	return news
+}
+
+// HearEntry takes an entry's report and tells whether it was news.
+func (m *Members) HearEntry(report *wire.EntryReport, now time.Time) (news bool) {
+	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { news = t.HearEntry(report, now) })
+	return news
+}
+
+// Touch notes that a process was heard without a report.
+func (m *Members) Touch(node *wire.Node, now time.Time) {
+	m.shard(node.GetId()).with(func(t *membership.Table) { t.Touch(node.GetId(), node.GetIncarnation(), now) })
+}
+
+// HearList takes the platform's list.
+func (m *Members) HearList(list []membership.Listed, now time.Time) {
+	if len(list) == 0 {
+		return
+	}
+	byShard := map[*memberShard][]membership.Listed{}
+	for _, listed := range list {
+		shard := m.shard(listed.Node.GetId())
+		byShard[shard] = append(byShard[shard], listed)
+	}
+	for i := range m.shards {
+		shard := &m.shards[i]
+		shard.with(func(t *membership.Table) { t.HearList(byShard[shard], len(list), now) })
+	}
+}
+
+// Adjust moves the moments of hearing after this process stood still.
+func (m *Members) Adjust(jump time.Duration) {
+	m.each(func(t *membership.Table) { t.Adjust(jump) })
+}
+
+// Len returns the number of members known.
+func (m *Members) Len() int {
+	count := 0
+	m.each(func(t *membership.Table) { count += t.Len() })
+	return count
+}
+
+// Entries returns the entries heard, by id.
+func (m *Members) Entries(now time.Time) []view.Peer {
+	count := 0
+	m.each(func(t *membership.Table) { count += t.EntryCount() })
+	entries := make([]view.Peer, 0, count)
+	m.each(func(t *membership.Table) { entries = append(entries, t.Entries(now, count)...) })
+	membership.SortEntries(entries)
+	return entries
+}
+
+// Hosts returns the hosts heard, by id. entries are those of the same moment.
+func (m *Members) Hosts(now time.Time, drains *wire.DrainMarks, entries []view.Peer) []view.Host {
+	out := membership.Outlook{Self: m.self, HostCount: m.Len(), Drained: map[string]bool{}, LostEntries: map[string]bool{}}
+	for _, id := range drains.GetHosts() {
+		out.Drained[id] = true
+	}
+	for _, entry := range entries {
+		if entry.Lost() {
+			out.LostEntries[entry.Report().GetNode().GetId()] = true
+		}
+	}
+	hosts := make([]view.Host, 0, out.HostCount)
+	m.each(func(t *membership.Table) { hosts = append(hosts, t.Hosts(now, out)...) })
+	membership.SortHosts(hosts)
+	return hosts
+}
+
+// Reachable returns the entries worth calling.
+func (m *Members) Reachable(now time.Time) []*wire.Node {
+	var nodes []*wire.Node
+	m.each(func(t *membership.Table) { nodes = append(nodes, t.Reachable(now)...) })
+	return nodes
+}
+
+// EnginesByDomain counts the engine hosts known by failure domain.
+func (m *Members) EnginesByDomain() map[string]int {
+	count := map[string]int{}
+	m.each(func(t *membership.Table) { t.ListedEngines(count) })
+	return count
+}
--- /dev/null
+++ b/entry/internal/control/publisher.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// buildGap is the least time between two views.
+	buildGap = 50 * time.Millisecond
+	// buildShare keeps building to a small part of one core in large houses:
+	// the gap is at least this many times what the last view took.
+	buildShare = 50
+	// buildInterval is the most time between two views: silence is a change
+	// that nobody reports.
+	buildInterval = 500 * time.Millisecond
+	// pauseLimit is the time without a view after which this process must have
+	// stood still itself.
+	pauseLimit = 3 * time.Second
+	// heartbeat is how often this entry's own report is made anew.
+	heartbeat = 2 * time.Second
+)
+
+// Publisher builds the views that the rest of the entry reads.
+type Publisher struct {
+	house *House
+	own   func() *wire.EntryReport
+	// beatAt is when the own report was last made.
+	beatAt time.Time
+}
+
+// NewPublisher returns a Publisher; own makes a new report on this entry.
+func NewPublisher(house *House, own func() *wire.EntryReport) *Publisher {
+	return &Publisher{house: house, own: own}
+}
+
+// Run builds views until ctx ends.
+func (p *Publisher) Run(ctx context.Context) {
+	clock := p.house.clock
+	last := clock.Now()
+	for ctx.Err() == nil {
+		began := clock.Now()
+		p.noticePause(began.Sub(last))
+		last = began
+		p.Build()
+		sleep(ctx, clock, max(buildGap, buildShare*clock.Since(began)))
+		p.await(ctx)
+	}
+}
+
+func (p *Publisher) await(ctx context.Context) {
+	timer := p.house.clock.NewTimer(buildInterval)
+	defer timer.Stop()
+	select {
+	case <-p.house.dirty:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
+// noticePause forgives the others the silence of a time in which this process
+// itself stood still.
+func (p *Publisher) noticePause(gap time.Duration) {
+	if gap > pauseLimit {
+		p.house.log.Warn("this process stood still", "seconds", gap.Seconds())
+		counters.Add("pauses", 1)
+		p.house.hosts.Adjust(gap)
+	}
+}
+
+// Wake has a view built soon.
+func (p *Publisher) Wake() { p.house.touch() }
+
+// Build publishes one view.
+func (p *Publisher) Build() {
+	now := p.house.clock.Now()
+	if now.Sub(p.beatAt) >= heartbeat {
+		p.beatAt = now
+		p.house.hosts.HearEntry(p.own(), now)
+	}
+	p.house.mu.Lock()
+	root, plan, drains := p.house.state.Root(), p.house.state.Plan(), p.house.state.Drains()
+	doc, confirmedAt := p.house.doc, p.house.state.ConfirmedAt()
+	p.house.mu.Unlock()
+	entries := p.house.hosts.Entries(now)
+	p.house.view.Store(&view.Snapshot{
+		Revision:     root.GetRevision(),
+		PlanRevision: plan.GetPlanRevision(),
+		Document:     doc,
+		Plan:         plan,
+		Hosts:        p.house.hosts.Hosts(now, drains, entries),
+		Entries:      entries,
+		ConfirmedAt:  confirmedAt,
+	})
+}
--- /dev/null
+++ b/entry/internal/control/session.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"comfreyrelay.example/relay/spread"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// sessionTimeout ends the memory of a node that no longer calls.
+	sessionTimeout = 2 * time.Minute
+	// refreshEntry and refreshAgent are the ages at which an unchanged report
+	// is sent again to an entry and to an agent.
+	refreshEntry = 10 * time.Second
+	refreshAgent = 30 * time.Second
+	// relayEntries is the age at which the report of a third entry is passed on
+	// again.
+	relayEntries = 5 * time.Second
+	// agentBytesPerSecond and agentBurst bound the reports sent to one agent.
+	agentBytesPerSecond = 1 << 10
+	agentBurst          = 64 << 10
+)
+
+// session remembers what one other node was told, by calls in either direction.
+type session struct {
+	node *wire.Node // who it is and where; incarnation and addresses may be old
+
+	mu       sync.Mutex
+	hosts    *spread.Digest
+	entries  *spread.EntryDigest
+	agentCap *spread.Allowance // agents only; entries share the process's
+}
+
+// visit is a session with what its owner needs to keep or end it.
+type visit struct {
+	*session
+
+	incarnation string // empty while only called, never heard
+	seen        time.Time
+}
+
+// sessions holds the session of each node that calls or is called.
+type sessions struct {
+	mu   sync.Mutex
+	byID map[string]*visit
+}
+
+func newSessions() *sessions { return &sessions{byID: map[string]*visit{}} }
+
+// of returns the node's session; a new incarnation starts with an empty one,
+// since it remembers nothing of what the old one was told.
+func (s *sessions) of(node *wire.Node, now time.Time) *session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.byID[node.GetId()]
+	if found == nil || restarted(found.incarnation, node.GetIncarnation()) {
+		found = &visit{session: newSession(node, now)}
+		s.byID[node.GetId()] = found
+	}
+	if node.GetIncarnation() != "" {
+		found.incarnation = node.GetIncarnation()
+	}
+	found.seen = now
+	return found.session
+}
+
+func restarted(held, heard string) bool { return held != "" && heard != "" && held != heard }
+
+func newSession(node *wire.Node, now time.Time) *session {
+	refresh := refreshEntry
+	if node.GetRole() == "agent" {
+		refresh = refreshAgent
+	}
+	return &session{
+		node:     node,
+		hosts:    spread.NewDigest(refresh),
+		entries:  spread.NewEntryDigest(relayEntries),
+		agentCap: spread.NewAllowance(agentBytesPerSecond, agentBurst, now),
+	}
+}
+
+// prune ends the sessions of nodes that have not called for a while.
+func (s *sessions) prune(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, held := range s.byID {
+		if now.Sub(held.seen) > sessionTimeout {
+			delete(s.byID, id)
+		}
+	}
+}
--- /dev/null
+++ b/entry/internal/control/sleep.go
@@ -0,0 +1,18 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// sleep waits, or returns early when ctx ends.
+func sleep(ctx context.Context, clock clockwork.Clock, wait time.Duration) {
+	timer := clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/internal/control/syncer.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/spread"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// chooseInterval is how often the neighbours are chosen anew.
+	chooseInterval = time.Second
+	// callGrace is what a held call may take beyond its wait.
+	callGrace = 2 * time.Second
+	// retryLeast and retryMost bound the pause after a failed call.
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 5 * time.Second
+	// partsTimeout bounds one Parts call.
+	partsTimeout = 2 * time.Second
+)
+
+// Syncer keeps calls to this entry's neighbours.
+type Syncer struct {
+	exchange *Exchange
+	house    *House
+	// call makes one Sync call; parts one Parts call. Seams for tests.
+	call  func(ctx context.Context, node *wire.Node, req *wire.SyncRequest) (*wire.SyncReply, error)
+	parts func(ctx context.Context, node *wire.Node, req *wire.PartsRequest) (*wire.PartsReply, error)
+	// fallback gets parts from the service.
+	fallback Fetch
+	wait     time.Duration
+	log      *slog.Logger
+
+	mu      sync.Mutex
+	running map[string]context.CancelFunc // by neighbour's id
+	pulling map[string]bool               // by id
+	base    context.Context               //nolint:containedctx // of Run, for pulls
+}
+
+// NewSyncer returns a Syncer that calls through the pool. wait is how long the
+// neighbours may hold a call.
+func NewSyncer(exchange *Exchange, pool *peer.Pool, fallback Fetch, wait time.Duration) *Syncer {
+	client := func(ctx context.Context, node *wire.Node) wire.DRPCControlClient {
+		return wire.NewDRPCControlClient(pool.Conn(ctx, node.GetControlAddress()))
+	}
+	return &Syncer{
+		exchange: exchange,
+		house:    exchange.house,
+		call: func(ctx context.Context, node *wire.Node, req *wire.SyncRequest) (*wire.SyncReply, error) {
+			return client(ctx, node).Sync(ctx, req)
+		},
+		parts: func(ctx context.Context, node *wire.Node, req *wire.PartsRequest) (*wire.PartsReply, error) {
+			return client(ctx, node).Parts(ctx, req)
+		},
+		fallback: fallback,
+		wait:     wait,
+		log:      exchange.house.log,
+		running:  map[string]context.CancelFunc{},
+		pulling:  map[string]bool{},
+		base:     context.Background(),
+	}
+}
+
+// Run chooses neighbours and keeps a call to each until ctx ends.
+func (s *Syncer) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.base = ctx
+	s.mu.Unlock()
+	for ctx.Err() == nil {
+		s.choose(ctx)
+		s.exchange.sessions.prune(s.house.clock.Now())
+		sleep(ctx, s.house.clock, chooseInterval)
+	}
+}
+
+// choose starts and stops calls so that they match the neighbours.
+func (s *Syncer) choose(ctx context.Context) {
+	wanted := map[string]*wire.Node{}
+	for _, node := range spread.Neighbours(s.exchange.self, s.house.hosts.Reachable(s.house.clock.Now())) {
+		wanted[node.GetId()+" "+node.GetControlAddress()] = node
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, cancel := range s.running {
+		if wanted[key] == nil {
+			cancel()
+			delete(s.running, key)
+		}
+	}
+	for key, node := range wanted {
+		if s.running[key] == nil {
+			child, cancel := context.WithCancel(ctx)
+			s.running[key] = cancel
+			go s.keep(child, node)
+		}
+	}
+}
+
+// keep calls one neighbour again and again.
+func (s *Syncer) keep(ctx context.Context, node *wire.Node) {
+	pause := retryLeast
+	for ctx.Err() == nil {
+		began := s.house.clock.Now()
+		if err := s.once(ctx, node, s.wait); err != nil {
+			s.log.Debug("sync failed", "peer", node.GetId(), "error", err)
+			counters.Add("syncFailed", 1)
+			sleep(ctx, s.house.clock, jittered(pause))
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		pause = retryLeast
+		// A neighbour that answers at once each time (it drains, or knows less
+		// than it says) must not turn this into a busy loop.
+		if rest := retryLeast/4 - s.house.clock.Since(began); rest > 0 {
+			sleep(ctx, s.house.clock, rest)
+		}
+	}
+}
+
+func (s *Syncer) once(ctx context.Context, node *wire.Node, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callGrace)
+	defer cancel()
+	with := s.exchange.sessions.of(withoutIncarnation(node), s.house.clock.Now())
+	req := s.exchange.request(with, wait)
+	counters.Add("syncCalls", 1)
+	countMessage("bytesOut", req)
+	reply, err := s.call(ctx, node, req)
+	if err != nil {
+		return err
+	}
+	countMessage("bytesIn", reply)
+	s.exchange.takeReply(ctx, with, reply, s.fetchFrom(node))
+	return nil
+}
+
+// withoutIncarnation names a node whose incarnation the caller may not know.
+func withoutIncarnation(node *wire.Node) *wire.Node {
+	return &wire.Node{Id: node.GetId(), Role: node.GetRole(), FailureDomain: node.GetFailureDomain(), Region: node.GetRegion()}
+}
+
+// fetchFrom gets parts from the node, and what it lacks from the service.
+func (s *Syncer) fetchFrom(node *wire.Node) Fetch {
+	return func(ctx context.Context, hashes []string) ([][]byte, error) {
+		contents := make([][]byte, len(hashes))
+		for s.fetchSome(ctx, node, hashes, contents) {
+		}
+		lacking := indexesOfNil(contents)
+		if len(lacking) == 0 {
+			return contents, nil
+		}
+		rest := make([]string, len(lacking))
+		for i, at := range lacking {
+			rest[i] = hashes[at]
+		}
+		counters.Add("partsFromService", int64(len(rest)))
+		found, err := s.fallback(ctx, rest)
+		if err != nil {
+			return nil, err
+		}
+		for i, at := range lacking {
+			contents[at] = found[i]
+		}
+		return contents, nil
+	}
+}
+
+// fetchSome makes one Parts call for what lacks and reports whether another
+// one may bring more.
+func (s *Syncer) fetchSome(ctx context.Context, node *wire.Node, hashes []string, contents [][]byte) bool {
+	lacking := indexesOfNil(contents)
+	if len(lacking) == 0 {
+		return false
+	}
+	req := &wire.PartsRequest{From: s.exchange.self, Known: s.house.Known()}
+	for _, at := range lacking[:min(len(lacking), maxHashes)] {
+		req.Hashes = append(req.Hashes, hashes[at])
+	}
+	ctx, cancel := context.WithTimeout(ctx, partsTimeout)
+	defer cancel()
+	countMessage("bytesOut", req)
+	reply, err := s.parts(ctx, node, req)
+	if err != nil {
+		return false
+	}
+	countMessage("bytesIn", reply)
+	progress := false
+	for i, content := range reply.GetParts() {
+		if i < len(req.Hashes) && len(content) > 0 {
+			contents[lacking[i]] = content
+			progress = true
+		}
+	}
+	return progress
+}
+
+func indexesOfNil(contents [][]byte) []int {
+	var indexes []int
+	for i, content := range contents {
+		if content == nil {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
+// Pull asks a node that knows something newer, once and at once.
+func (s *Syncer) Pull(node *wire.Node) {
+	s.mu.Lock()
+	ctx := s.base
+	busy := s.pulling[node.GetId()] || node.GetControlAddress() == ""
+	if !busy {
+		s.pulling[node.GetId()] = true
+	}
+	s.mu.Unlock()
+	if busy || ctx.Err() != nil {
+		return
+	}
+	go func() {
+		if err := s.once(ctx, node, 0); err != nil {
+			s.log.Debug("pull failed", "peer", node.GetId(), "error", err)
+		}
+		s.mu.Lock()
+		delete(s.pulling, node.GetId())
+		s.mu.Unlock()
+	}()
+}
+
+// jittered returns a random time between half the pause and all of it.
+func jittered(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause/2+1)
+}
--- /dev/null
+++ b/entry/internal/control/watcher.go
@@ -0,0 +1,224 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/entry/internal/store"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Keys in the service, beside the document's.
+const (
+	PlanKey     = "plan"
+	DrainPrefix = "drain/"
+)
+
+const (
+	// watchWait is how long the service may hold a watch. A watch that says
+	// nothing for this long plus the client's grace has failed silently.
+	watchWait = 10 * time.Second
+	// holdCheck is how often a process that does not hold the lease looks
+	// whether it does.
+	holdCheck = 250 * time.Millisecond
+	// pollInterval is how often every entry reads the keys itself, watcher or
+	// not: the safety net under watches that lose a change.
+	pollInterval = 30 * time.Second
+	// backoffLeast and backoffMost bound the pause after the service failed.
+	backoffLeast = 250 * time.Millisecond
+	backoffMost  = 10 * time.Second
+)
+
+// Watcher learns from the service: by watches while this process holds its
+// failure domain's watch lease, and by rare reads always.
+type Watcher struct {
+	house   *House
+	docs    *store.Store
+	service *kv.Store
+	// holding reports whether this process should watch.
+	holding func() bool
+}
+
+// NewWatcher returns a Watcher.
+func NewWatcher(house *House, docs *store.Store, service *kv.Store, holding func() bool) *Watcher {
+	return &Watcher{house: house, docs: docs, service: service, holding: holding}
+}
+
+// Run watches and reads until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	go w.watch(ctx, store.RootKey, w.ReadRoot)
+	go w.watch(ctx, PlanKey, w.ReadPlan)
+	go w.watch(ctx, DrainPrefix, w.ReadDrains)
+	w.poll(ctx)
+}
+
+// poll reads all keys now and then, at random moments so that a fleet started
+// at once does not read as one.
+func (w *Watcher) poll(ctx context.Context) {
+	pause := backoffLeast
+	for ctx.Err() == nil {
+		if err := w.ReadAll(ctx); err != nil {
+			w.house.log.Debug("service not read", "error", err)
+			counters.Add("readFailed", 1)
+			sleep(ctx, w.house.clock, jittered(pause))
+			pause = min(2*pause, pollInterval)
+			continue
+		}
+		pause = backoffLeast
+		sleep(ctx, w.house.clock, jittered(2*pollInterval))
+	}
+}
+
+// ReadAll reads what is in force from the service.
+func (w *Watcher) ReadAll(ctx context.Context) error {
+	if err := w.ReadRoot(ctx); err != nil {
+		return err
+	}
+	if err := w.ReadPlan(ctx); err != nil {
+		return err
+	}
+	return w.ReadDrains(ctx)
+}
+
+// ReadRoot reads the root and brings it into force where it is newer.
+func (w *Watcher) ReadRoot(ctx context.Context) error {
+	began := w.house.clock.Now()
+	root, err := w.docs.Root(ctx)
+	if err != nil {
+		return err
+	}
+	return w.takeRoot(ctx, root, began)
+}
+
+func (w *Watcher) takeRoot(ctx context.Context, root *wire.Root, confirmedAt time.Time) error {
+	if root.GetRevision() < w.house.Root().GetRevision() {
+		// The service lost writes or was restored from an old backup. What is in
+		// force stays; operators must hear of it.
+		counters.Add("serviceBehind", 1)
+		w.house.log.Error("the service is behind", "serviceRevision", root.GetRevision(),
+			"revision", w.house.Root().GetRevision(), "remedy", "restore document/ in the key-value service")
+		return nil
+	}
+	if err := w.house.OfferRoot(ctx, root, "service", w.docs.Fetch); err != nil {
+		return err
+	}
+	w.house.Confirm(root.GetRevision(), confirmedAt)
+	return nil
+}
+
+// ReadPlan reads the plan and brings it into force where it is newer.
+func (w *Watcher) ReadPlan(ctx context.Context) error {
+	entry, found, err := w.service.Get(ctx, PlanKey)
+	if err != nil || !found {
+		return err
+	}
+	return w.takePlan(entry.Value())
+}
+
+func (w *Watcher) takePlan(value []byte) error {
+	plan := &wire.Plan{}
+	if err := proto.Unmarshal(value, plan); err != nil {
+		return failure.Wrap(err, failure.Corrupt, "the stored plan cannot be read", "delete the key plan; the planner writes it anew")
+	}
+	w.house.OfferPlan(plan, "service")
+	return nil
+}
+
+// ReadDrains reads the operators' drain marks.
+func (w *Watcher) ReadDrains(ctx context.Context) error {
+	entries, err := w.service.List(ctx, DrainPrefix)
+	if err != nil {
+		return err
+	}
+	marks := &wire.DrainMarks{}
+	for _, entry := range entries {
+		marks.Revision = max(marks.Revision, entry.Revision())
+		if IsDrained(entry.Value()) {
+			marks.Hosts = append(marks.Hosts, entry.Key()[len(DrainPrefix):])
+		}
+	}
+	if marks.Revision > 0 {
+		w.house.OfferDrains(marks, "service")
+	}
+	return nil
+}
+
+// watch follows the keys below one prefix while this process holds the lease;
+// read brings in their present state.
+func (w *Watcher) watch(ctx context.Context, prefix string, read func(context.Context) error) {
+	pause := backoffLeast
+	after := uint64(kv.Latest)
+	for ctx.Err() == nil {
+		if !w.holding() {
+			after = kv.Latest
+			sleep(ctx, w.house.clock, holdCheck)
+			continue
+		}
+		next, err := w.watchOnce(ctx, prefix, after, read)
+		if err == nil {
+			pause, after = backoffLeast, next
+			continue
+		}
+		// Compacted, broken or silent: begin anew with a read, which finds what
+		// the watch did not tell.
+		after = kv.Latest
+		counters.Add("watchFailed", 1)
+		w.house.log.Debug("watch failed", "prefix", prefix, "error", err)
+		sleep(ctx, w.house.clock, jittered(pause))
+		pause = min(2*pause, backoffMost)
+	}
+}
+
+// watchOnce waits for one change and returns the revision to go on from. From
+// kv.Latest it learns the service's revision first and reads after that, so
+// that no change falls between the two.
+func (w *Watcher) watchOnce(ctx context.Context, prefix string, after uint64, read func(context.Context) error) (uint64, error) {
+	if after == kv.Latest {
+		_, now, err := w.service.Watch(ctx, prefix, kv.Latest, 0)
+		if err != nil {
+			return 0, err
+		}
+		return now, read(ctx)
+	}
+	began := w.house.clock.Now()
+	changes, now, err := w.service.Watch(ctx, prefix, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	if len(changes) == 0 {
+		w.confirmQuiet(prefix, began)
+		return now, nil
+	}
+	counters.Add("watchChanges", int64(len(changes)))
+	return now, w.take(ctx, prefix, changes, began, read)
+}
+
+// confirmQuiet notes that the root did not change up to the end of a watch.
+func (w *Watcher) confirmQuiet(prefix string, began time.Time) {
+	if prefix == store.RootKey {
+		w.house.Confirm(w.house.Root().GetRevision(), began.Add(min(watchWait, w.house.clock.Since(began))))
+	}
+}
+
+// take brings in the last change of a key; drain marks are read as a whole.
+func (w *Watcher) take(ctx context.Context, prefix string, changes []kv.Entry, began time.Time, read func(context.Context) error) error {
+	last := changes[len(changes)-1]
+	if last.Deleted() {
+		return read(ctx)
+	}
+	switch last.Key() {
+	case store.RootKey:
+		root, err := store.DecodeRoot(last.Value())
+		if err != nil {
+			return err
+		}
+		return w.takeRoot(ctx, root, began)
+	case PlanKey:
+		return w.takePlan(last.Value())
+	}
+	return read(ctx)
+}
--- /dev/null
+++ b/entry/internal/operators/history.go
@@ -0,0 +1,57 @@
+package operators
+
+import (
+	"net/http"
+	"time"
+
+	"comfreyrelay.example/relay/wire"
+)
+
+const defaultAuditLimit = 50
+
+// Record is one entry of the audit trail.
+type Record struct {
+	Revision     uint32    `json:"revision"`
+	BaseRevision uint32    `json:"baseRevision"`
+	Operator     string    `json:"operator"`
+	At           time.Time `json:"at"`
+	FromAddress  string    `json:"fromAddress"`
+	Reason       string    `json:"reason"`
+	Diff         []Change  `json:"diff"`
+	ContentHash  string    `json:"contentHash"`
+	SubmissionID string    `json:"submissionId"`
+}
+
+// NewRecord turns a wire record into that of the API.
+func NewRecord(audit *wire.Audit) Record {
+	return Record{
+		Revision: audit.GetRevision(), BaseRevision: audit.GetBaseRevision(), Operator: audit.GetOperator(),
+		At: audit.GetAt().AsTime(), FromAddress: audit.GetFromAddress(), Reason: audit.GetReason(),
+		Diff: Changes(audit.GetDiff()), ContentHash: audit.GetContentHash(), SubmissionID: audit.GetSubmissionId(),
+	}
+}
+
+func (a *API) getAudit(w http.ResponseWriter, r *http.Request) {
+	from, err := uintOf(r, "from", 1)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	limit, err := uintOf(r, "limit", defaultAuditLimit)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	trail, err := a.Audit(r.Context(), from, int(limit))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	records := make([]Record, len(trail))
+	for i, audit := range trail {
+		records[i] = NewRecord(audit)
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Records []Record `json:"records"`
+	}{records})
+}
--- /dev/null
+++ b/entry/internal/operators/status.go
@@ -0,0 +1,215 @@
+package operators
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// NeverConfirmed is AgeMillis while the service confirmed nothing to anyone.
+const NeverConfirmed = -1
+
+// Node is one process as this entry knows it.
+type Node struct {
+	ID            string `json:"id"`
+	Role          string `json:"role"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	Incarnation   string `json:"incarnation"`
+	// Revision and PlanRevision are in force there, by its latest word.
+	Revision     uint32 `json:"revision"`
+	PlanRevision uint32 `json:"planRevision"`
+	// AgeMillis is how old that word is.
+	AgeMillis int64 `json:"ageMillis"`
+	Leaving   bool  `json:"leaving"`
+	Lost      bool  `json:"lost"`
+	// Load: requests running and queued on a host, or in flight at an entry.
+	Running uint32 `json:"running"`
+	Queued  uint32 `json:"queued"`
+}
+
+// Status says what is in force and who knows it.
+type Status struct {
+	// Entry is the id of the entry that answers.
+	Entry        string `json:"entry"`
+	Revision     uint32 `json:"revision"`
+	PlanRevision uint32 `json:"planRevision"`
+	// AgeMillis is the time since the key-value service confirmed the revision
+	// to anyone in the chain it came through; NeverConfirmed where it did not.
+	AgeMillis int64 `json:"ageMillis"`
+	// LowestRevision is the lowest in force on any node that is not lost.
+	LowestRevision uint32 `json:"lowestRevision"`
+	Nodes          []Node `json:"nodes"`
+}
+
+// Status returns what this entry knows of the house.
+func (a *API) Status() Status {
+	snap, _ := a.cfg.View.Load()
+	known := a.cfg.House.Known()
+	status := Status{
+		Entry:          a.cfg.House.ID(),
+		Revision:       known.GetRevision(),
+		PlanRevision:   known.GetPlanRevision(),
+		AgeMillis:      NeverConfirmed,
+		LowestRevision: known.GetRevision(),
+	}
+	if age, confirmed := a.cfg.House.Age(); confirmed {
+		status.AgeMillis = millisOf(age)
+	}
+	now := a.cfg.Clock.Now()
+	for _, entry := range snap.Entries {
+		report := entry.Report()
+		node := newNode(report.GetNode(), millisOf(now.Sub(entry.HeardAt())), entry.Leaving(), entry.Lost())
+		node.Revision, node.PlanRevision = report.GetRevision(), report.GetPlanRevision()
+		node.Running = report.GetInFlight()
+		status.add(node)
+	}
+	for _, host := range snap.Hosts {
+		report := host.Report()
+		node := newNode(report.GetNode(), millisOf(now.Sub(host.HeardAt())), host.Leaving(), host.Lost())
+		node.Revision, node.PlanRevision = report.GetRevision(), report.GetPlanRevision()
+		node.Running, node.Queued = report.GetRunning(), report.GetQueued()
+		status.add(node)
+	}
+	return status
+}
+
+func (s *Status) add(node Node) {
+	if node.ID == s.Entry {
+		node.Revision, node.PlanRevision = s.Revision, s.PlanRevision
+	}
+	if !node.Lost {
+		s.LowestRevision = min(s.LowestRevision, node.Revision)
+	}
+	s.Nodes = append(s.Nodes, node)
+}
+
+func newNode(node *wire.Node, ageMillis int64, leaving, lost bool) Node {
+	return Node{
+		ID: node.GetId(), Role: node.GetRole(), Region: node.GetRegion(), FailureDomain: node.GetFailureDomain(),
+		Incarnation: node.GetIncarnation(), AgeMillis: ageMillis, Leaving: leaving, Lost: lost,
+	}
+}
+
+func (a *API) getStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.Status())
+}
+
+// Progress is how far a version is in one failure domain.
+type Progress struct {
+	Model         string `json:"model"`
+	Version       string `json:"version"`
+	FailureDomain string `json:"failureDomain"`
+	// Wanted is the replicas that the document asks for; the rest count hosts.
+	Wanted   int `json:"wanted"`
+	Serving  int `json:"serving"`
+	Whole    int `json:"whole"`
+	Fetching int `json:"fetching"`
+	Failed   int `json:"failed"`
+	// ChunksHave and ChunksTotal are sums over the hosts.
+	ChunksHave  uint64   `json:"chunksHave"`
+	ChunksTotal uint64   `json:"chunksTotal"`
+	HoldUps     []string `json:"holdUps"`
+}
+
+// Rollout says how far the intended versions are.
+type Rollout struct {
+	Revision uint32 `json:"revision"`
+	// Done: every wanted replica serves its intended version.
+	Done   bool       `json:"done"`
+	Models []Progress `json:"models"`
+}
+
+// Rollout returns the progress as this entry knows it.
+func (a *API) Rollout() Rollout {
+	snap, _ := a.cfg.View.Load()
+	rollout := Rollout{Revision: snap.Revision, Done: snap.Document != nil, Models: []Progress{}}
+	for _, model := range snap.Document.GetModels() {
+		for _, replicas := range model.GetReplicas() {
+			line := progressOf(snap, model, replicas)
+			rollout.Done = rollout.Done && line.Serving >= line.Wanted
+			rollout.Models = append(rollout.Models, line)
+		}
+	}
+	return rollout
+}
+
+func progressOf(snap *view.Snapshot, model *wire.Model, replicas *wire.Replicas) Progress {
+	line := Progress{
+		Model: model.GetName(), Version: model.GetVersion(), FailureDomain: replicas.GetFailureDomain(),
+		Wanted: int(replicas.GetCount()), HoldUps: []string{},
+	}
+	assigned := 0
+	for _, assignment := range snap.Plan.GetAssignments() {
+		if assignment.GetModel() == model.GetName() && assignment.GetFailureDomain() == replicas.GetFailureDomain() {
+			assigned++
+		}
+	}
+	if assigned < line.Wanted {
+		line.HoldUps = append(line.HoldUps, "the plan has fewer hosts than wanted: hosts are missing, or no entry holds the planner's lease")
+	}
+	for _, host := range snap.Hosts {
+		if host.Report().GetNode().GetFailureDomain() == replicas.GetFailureDomain() {
+			line.count(host)
+		}
+	}
+	return line
+}
+
+// count adds one host's state to the line.
+func (l *Progress) count(host view.Host) {
+	id := host.Report().GetNode().GetId()
+	for _, state := range host.Report().GetVersions() {
+		if state.GetModel() != l.Model || state.GetVersion() != l.Version {
+			continue
+		}
+		if host.Lost() {
+			l.HoldUps = append(l.HoldUps, id+": not heard from")
+			return
+		}
+		l.ChunksHave += uint64(state.GetChunksHave())
+		l.ChunksTotal += uint64(state.GetChunksTotal())
+		switch state.GetState() {
+		case "serving":
+			l.Serving++
+		case "whole", "loading", "draining":
+			l.Whole++
+		case "fetching":
+			l.Fetching++
+		case "failed":
+			l.Failed++
+		}
+		if state.GetHoldUp() != "" {
+			l.HoldUps = append(l.HoldUps, id+": "+state.GetHoldUp())
+		}
+	}
+}
+
+func (a *API) getRollout(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.Rollout())
+}
+
+// drainBody asks to take a host out, or back.
+type drainBody struct {
+	Drain bool `json:"drain"`
+}
+
+func (a *API) postDrain(w http.ResponseWriter, r *http.Request) {
+	body := drainBody{}
+	if err := readJSON(w, r, &body); err != nil {
+		writeError(w, err)
+		return
+	}
+	host := chi.URLParam(r, "id")
+	if err := a.Drain(r.Context(), host, body.Drain, operatorOf(r), FromAddress(r)); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Host  string `json:"host"`
+		Drain bool   `json:"drain"`
+	}{host, body.Drain})
+}
--- /dev/null
+++ b/entry/internal/planner/planner.go
@@ -0,0 +1,277 @@
+// Package planner computes the plan while this process holds the planner's
+// lease, and swaps it into the key-value service.
+package planner
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/placement"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// PlanKey is the plan's key in the service.
+const PlanKey = "plan"
+
+const (
+	// planGap is the least time between two plans: a burst of changes makes one
+	// plan and one write.
+	planGap = 200 * time.Millisecond
+	// planInterval is the most time between two looks: hosts' absences grow
+	// without an event.
+	planInterval = time.Second
+	// failurePause follows a failed write.
+	failurePause = time.Second
+	// callTimeout bounds one call to the service.
+	callTimeout = 3 * time.Second
+)
+
+var counters = expvar.NewMap("planner")
+
+// Config is what a Planner needs.
+type Config struct {
+	View    *view.Holder
+	Service *kv.Store
+	// Holding returns the fencing number while this process is in charge.
+	Holding func() (fence uint64, ok bool)
+	// Offer brings a plan into force here, without waiting for a watch.
+	Offer func(plan *wire.Plan)
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	// Limits of placement; zero stands for the default.
+	Limits placement.Limits
+}
+
+// Planner is one process's planner, in charge or not. It is not safe for
+// concurrent use.
+type Planner struct {
+	cfg Config
+	// fence is that of the lease under which stored was read; 0: not read.
+	fence uint64
+	// stored is the plan in the service, as far as known, and its revision there.
+	stored   *wire.Plan
+	storedAt uint64
+	// since is when each host that is leaving, lost or unheard became so, or
+	// when this planner took charge.
+	since map[string]time.Time
+}
+
+// New returns a Planner.
+func New(cfg Config) *Planner {
+	if cfg.Limits == (placement.Limits{}) {
+		cfg.Limits = placement.DefaultLimits()
+	}
+	return &Planner{cfg: cfg, since: map[string]time.Time{}}
+}
+
+// Run plans until ctx ends.
+func (p *Planner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, changed := p.cfg.View.Load()
+		pause := planGap
+		if err := p.Step(ctx); err != nil {
+			counters.Add("failed", 1)
+			p.cfg.Log.Warn("plan not written", "error", err)
+			pause = failurePause
+		}
+		p.sleep(ctx, pause, nil)
+		p.sleep(ctx, planInterval, changed)
+	}
+}
+
+func (p *Planner) sleep(ctx context.Context, wait time.Duration, early <-chan struct{}) {
+	timer := p.cfg.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-early:
+	case <-ctx.Done():
+	}
+}
+
+// Step computes the plan once and writes it where it changed. It does nothing
+// where this process is not in charge.
+func (p *Planner) Step(ctx context.Context) error {
+	fence, ok := p.cfg.Holding()
+	if !ok {
+		p.fence = 0
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if p.fence != fence {
+		if err := p.takeCharge(ctx, fence); err != nil {
+			return err
+		}
+	}
+	snap, _ := p.cfg.View.Load()
+	if snap.Document == nil {
+		return nil
+	}
+	if p.stored.GetRevision() > snap.Revision {
+		return nil // An older holder knew a newer document; this process soon will.
+	}
+	next := placement.Next(placement.Input{
+		Document: snap.Document,
+		Revision: snap.Revision,
+		Hosts:    p.hosts(snap),
+		Previous: p.stored,
+		Fence:    fence,
+		Limits:   p.cfg.Limits,
+	})
+	if next == nil {
+		return nil
+	}
+	return p.write(ctx, next)
+}
+
+// takeCharge reads the stored plan anew: the former holder may have written
+// one that this process never saw.
+func (p *Planner) takeCharge(ctx context.Context, fence uint64) error {
+	entry, found, err := p.cfg.Service.Get(ctx, PlanKey)
+	if err != nil {
+		return err
+	}
+	stored := &wire.Plan{}
+	if err := proto.Unmarshal(entry.Value(), stored); err != nil {
+		return failure.Wrap(err, failure.Corrupt, "the stored plan cannot be read", "delete the key plan; the planner writes it anew")
+	}
+	if stored.GetFence() > fence {
+		return failure.New(failure.Stale, "a holder with a higher fencing number has planned",
+			"nothing to do: this process is no longer in charge")
+	}
+	if !found {
+		stored = nil
+	}
+	snap, _ := p.cfg.View.Load()
+	if known := snap.Plan; known.GetPlanRevision() > stored.GetPlanRevision() {
+		// The service lost the newest plan; going on from it keeps plan revisions
+		// growing in every process.
+		stored = known
+	}
+	p.fence, p.stored, p.storedAt = fence, stored, entry.Revision()
+	p.since = map[string]time.Time{}
+	p.cfg.Log.Info("planner in charge", "fence", fence, "planRevision", stored.GetPlanRevision())
+	return nil
+}
+
+// write swaps the plan in. A lost reply or a conflict makes the next step read
+// the stored plan again, which settles it.
+func (p *Planner) write(ctx context.Context, next *wire.Plan) error {
+	value, err := proto.Marshal(next)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "a plan cannot be encoded", "report this")
+	}
+	if len(value) > kv.MaxValueBytes {
+		return failure.New(failure.Exhausted, "the plan is larger than the service's largest value", "spread the models over more houses")
+	}
+	if _, ok := p.cfg.Holding(); !ok {
+		p.fence = 0
+		return nil
+	}
+	revision, err := p.cfg.Service.Swap(ctx, PlanKey, value, p.storedAt, "")
+	if err != nil {
+		p.fence = 0
+		return err
+	}
+	p.stored, p.storedAt = next, revision
+	counters.Add("written", 1)
+	p.cfg.Log.Info("plan written", "planRevision", next.GetPlanRevision(), "revision", next.GetRevision(),
+		"fence", next.GetFence(), "assignments", len(next.GetAssignments()))
+	p.cfg.Offer(next)
+	return nil
+}
+
+// hosts returns the engine hosts, with those of the stored plan that nobody
+// has heard of: a planner that just started knows few, and must not take the
+// others for gone.
+func (p *Planner) hosts(snap *view.Snapshot) []placement.Host {
+	now := p.cfg.Clock.Now()
+	hosts := make([]placement.Host, 0, len(snap.Hosts))
+	heard := make(map[string]bool, len(snap.Hosts))
+	for _, host := range snap.Hosts {
+		id := host.Report().GetNode().GetId()
+		heard[id] = true
+		if !isEngine(snap.Document, host.Report()) {
+			continue
+		}
+		hosts = append(hosts, p.host(host, p.away(id, host.Leaving() || host.Lost(), now)))
+	}
+	for _, assignment := range p.stored.GetAssignments() {
+		if id := assignment.GetHost(); !heard[id] {
+			hosts = append(hosts, placement.Host{ID: id, FailureDomain: assignment.GetFailureDomain(), Away: p.away(id, true, now)})
+		}
+	}
+	p.forget(heard)
+	return hosts
+}
+
+// away returns how long the host has been out of use, as this planner saw it;
+// more than 0 from the first moment on.
+func (p *Planner) away(id string, out bool, now time.Time) time.Duration {
+	if !out {
+		delete(p.since, id)
+		return 0
+	}
+	began, known := p.since[id]
+	if !known {
+		p.since[id] = now
+		return 1
+	}
+	return max(1, now.Sub(began))
+}
+
+// forget bounds since to the hosts that exist or are in the plan.
+func (p *Planner) forget(heard map[string]bool) {
+	planned := map[string]bool{}
+	for _, assignment := range p.stored.GetAssignments() {
+		planned[assignment.GetHost()] = true
+	}
+	for id := range p.since {
+		if !heard[id] && !planned[id] {
+			delete(p.since, id)
+		}
+	}
+}
+
+func (p *Planner) host(host view.Host, away time.Duration) placement.Host {
+	report := host.Report()
+	placed := placement.Host{
+		ID:            report.GetNode().GetId(),
+		FailureDomain: report.GetNode().GetFailureDomain(),
+		Leaving:       host.Leaving(),
+		Away:          away,
+	}
+	for _, state := range report.GetVersions() {
+		switch state.GetState() {
+		case "serving":
+			placed.ServingModel, placed.ServingVersion = state.GetModel(), state.GetVersion()
+			placed.Whole = append(placed.Whole, state.GetVersion())
+		case "whole", "loading":
+			placed.Whole = append(placed.Whole, state.GetVersion())
+		}
+	}
+	return placed
+}
+
+// isEngine leaves out the hosts of plain services and bridges.
+func isEngine(doc *wire.Document, report *wire.HostReport) bool {
+	if report.GetService() != "" {
+		return false
+	}
+	for _, class := range doc.GetEndpoints() {
+		if class.GetName() == report.GetEndpoint() {
+			return class.GetKind() == document.KindEngine
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/relay/membership/membership.go
@@ -0,0 +1,349 @@
+// Package membership decides which hosts and entries exist and may get work,
+// from three sources of unlike quality: the hosts' own reports, the platform's
+// lagging list and the operators' drain marks.
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// States that the platform's list gives a host.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
+// Roles of a node.
+const (
+	roleEntry = "entry"
+	roleAgent = "agent"
+)
+
+// Limits are the times that the decisions use.
+type Limits struct {
+	// LostAfter is the silence after which a host is not relied on, where it
+	// reports to this process.
+	LostAfter time.Duration
+	// FarLostAfter and FarLostPerHost bound the silence about a host that
+	// reports to another entry: its unchanged reports are passed on rarely, the
+	// more so the more hosts there are.
+	FarLostAfter, FarLostPerHost time.Duration
+	// EntryLostAfter and EntryLostPerEntry bound the silence about an entry;
+	// many entries hear of each other through others, and less often.
+	EntryLostAfter, EntryLostPerEntry time.Duration
+	// ForgetAfter is the silence after which a host that the platform's list
+	// lacks is forgotten; it bounds the table.
+	ForgetAfter time.Duration
+}
+
+// DefaultLimits suit reports once a second: two may go missing.
+func DefaultLimits() Limits {
+	return Limits{
+		LostAfter:      4 * time.Second,
+		FarLostAfter:   30 * time.Second,
+		FarLostPerHost: 150 * time.Millisecond,
+
+		EntryLostAfter:    7 * time.Second,
+		EntryLostPerEntry: 100 * time.Millisecond,
+
+		ForgetAfter: 30 * time.Minute,
+	}
+}
+
+// Listed is one line of the platform's list.
+type Listed struct {
+	Node    *wire.Node // without incarnation
+	State   string
+	Service string // empty for engine hosts and entries
+}
+
+// member is what is known of one host or entry.
+type member struct {
+	report  *wire.HostReport  // nil for entries and for hosts never heard
+	entry   *wire.EntryReport // nil for hosts and for entries never heard
+	heardAt time.Time         // zero: never heard
+	listed  *Listed           // nil: the newest list lacks it
+	// leavingOf is the incarnation that said it leaves; a later one is back.
+	leavingOf string
+}
+
+// Table holds the members. It is not safe for concurrent use: programs keep
+// one for each shard, under the shard's lock.
+type Table struct {
+	limits  Limits
+	members map[string]*member
+}
+
+// New returns an empty table.
+func New(limits Limits) *Table {
+	return &Table{limits: limits, members: map[string]*member{}}
+}
+
+// Len returns how many members are known.
+func (t *Table) Len() int { return len(t.members) }
+
+// EntryCount returns how many entries were heard.
+func (t *Table) EntryCount() int {
+	count := 0
+	for _, held := range t.members {
+		if held.entry != nil {
+			count++
+		}
+	}
+	return count
+}
+
+func (t *Table) at(id string) *member {
+	found := t.members[id]
+	if found == nil {
+		found = &member{}
+		t.members[id] = found
+	}
+	return found
+}
+
+// Newer reports whether a report of (incarnation, sequence) replaces the held
+// one. Incarnations are UUIDv7 texts: a restarted process sorts behind the one
+// it replaces.
+func Newer(incarnation string, sequence uint64, heldIncarnation string, heldSequence uint64) bool {
+	if incarnation != heldIncarnation {
+		return incarnation > heldIncarnation
+	}
+	return sequence > heldSequence
+}
+
+// HearHost takes a host's report and tells whether it was news.
+func (t *Table) HearHost(report *wire.HostReport, now time.Time) bool {
+	id := report.GetNode().GetId()
+	if id == "" || report.GetNode().GetIncarnation() == "" {
+		return false
+	}
+	held := t.at(id)
+	if held.report != nil && !replaces(report, held.report) {
+		return false
+	}
+	held.report = report
+	held.heardAt = later(held.heardAt, madeAt(report.GetAgeMillis(), now))
+	if report.GetLeaving() {
+		held.leavingOf = report.GetNode().GetIncarnation()
+	}
+	return true
+}
+
+// replaces reports whether a report is news. The word that a host is lost comes
+// from its home entry and bears the last sequence number that the host used.
+func replaces(report, held *wire.HostReport) bool {
+	incarnation, heldIncarnation := report.GetNode().GetIncarnation(), held.GetNode().GetIncarnation()
+	if incarnation == heldIncarnation && report.GetSequence() == held.GetSequence() {
+		return report.GetLost() && !held.GetLost()
+	}
+	return Newer(incarnation, report.GetSequence(), heldIncarnation, held.GetSequence())
+}
+
+// Touch notes that the host's process was heard, without a report: a call of
+// it ended here.
+func (t *Table) Touch(id, incarnation string, now time.Time) {
+	held := t.members[id]
+	if held != nil && held.report != nil && held.report.GetNode().GetIncarnation() == incarnation {
+		held.heardAt = later(held.heardAt, now)
+	}
+}
+
+// HearEntry takes an entry's report and tells whether it was news.
+func (t *Table) HearEntry(report *wire.EntryReport, now time.Time) bool {
+	id := report.GetNode().GetId()
+	if id == "" || report.GetNode().GetIncarnation() == "" {
+		return false
+	}
+	held := t.at(id)
+	if held.entry != nil && !Newer(report.GetNode().GetIncarnation(), report.GetSequence(),
+		held.entry.GetNode().GetIncarnation(), held.entry.GetSequence()) {
+		return false
+	}
+	held.entry = report
+	held.heardAt = later(held.heardAt, madeAt(report.GetAgeMillis(), now))
+	if report.GetDraining() {
+		held.leavingOf = report.GetNode().GetIncarnation()
+	}
+	return true
+}
+
+// later keeps a clock that jumped back from making a member look silent.
+func later(held, heard time.Time) time.Time {
+	if heard.Before(held) {
+		return held
+	}
+	return heard
+}
+
+func madeAt(ageMillis uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(ageMillis) * time.Millisecond)
+}
+
+// HearList takes the platform's list, or the table's share of it; absence alone
+// changes no host's use. total is the length of the whole list: an empty one is
+// an outage of the list, not of the house, and changes nothing.
+func (t *Table) HearList(list []Listed, total int, now time.Time) {
+	if total == 0 {
+		return
+	}
+	for _, held := range t.members {
+		held.listed = nil
+	}
+	for i := range list {
+		if id := list[i].Node.GetId(); id != "" {
+			t.at(id).listed = &list[i]
+		}
+	}
+	t.forget(now)
+}
+
+// Adjust moves the moments of hearing after this process itself stood still
+// (paused, or its clock jumped): otherwise it would wake, find the whole house
+// silent and route to nobody until every host has reported again.
+func (t *Table) Adjust(jump time.Duration) {
+	for _, held := range t.members {
+		if !held.heardAt.IsZero() {
+			held.heardAt = held.heardAt.Add(jump)
+		}
+	}
+}
+
+func (t *Table) forget(now time.Time) {
+	for id, held := range t.members {
+		if held.listed == nil && now.Sub(held.heardAt) > t.limits.ForgetAfter {
+			delete(t.members, id)
+		}
+	}
+}
+
+// Outlook is what the judgement of hosts needs from outside the table.
+type Outlook struct {
+	// Self is the id of the entry that judges.
+	Self string
+	// Drained are the hosts that operators took out.
+	Drained map[string]bool
+	// LostEntries are the ids of entries that fell silent.
+	LostEntries map[string]bool
+	// HostCount is the number of hosts in all shards.
+	HostCount int
+}
+
+// lostHost trusts the home entry of a far host: its word or its own loss counts
+// for more than silence about the host, which is the rule there.
+func (t *Table) lostHost(held *member, now time.Time, out Outlook) bool {
+	silence := now.Sub(held.heardAt)
+	home := held.report.GetHome()
+	switch {
+	case held.report.GetLost():
+		return true
+	case home == "" || home == out.Self || out.LostEntries[home]:
+		return silence > t.limits.LostAfter
+	}
+	return silence > t.limits.FarLostAfter+time.Duration(out.HostCount)*t.limits.FarLostPerHost
+}
+
+func (t *Table) lostEntry(held *member, now time.Time, entryCount int) bool {
+	if held.heardAt.IsZero() {
+		return true
+	}
+	return now.Sub(held.heardAt) > t.limits.EntryLostAfter+time.Duration(entryCount)*t.limits.EntryLostPerEntry
+}
+
+// leaving joins the three sources: any one of them stops new work. A host's
+// own word holds for that incarnation only, so that a restarted one is back.
+func leaving(held *member, incarnation string, drained bool) bool {
+	if drained || (held.leavingOf != "" && held.leavingOf == incarnation) {
+		return true
+	}
+	return held.listed != nil && held.listed.State == StateLeaving
+}
+
+// Hosts returns the hosts that reported at least once, in no order.
+func (t *Table) Hosts(now time.Time, out Outlook) []view.Host {
+	hosts := make([]view.Host, 0, len(t.members))
+	for id, held := range t.members {
+		if held.report == nil {
+			continue
+		}
+		away := leaving(held, held.report.GetNode().GetIncarnation(), out.Drained[id])
+		hosts = append(hosts, view.NewHost(held.report, held.heardAt, away, t.lostHost(held, now, out)))
+	}
+	return hosts
+}
+
+// Entries returns the entries that reported at least once, in no order.
+// entryCount is the number in all shards.
+func (t *Table) Entries(now time.Time, entryCount int) []view.Peer {
+	var entries []view.Peer
+	for _, held := range t.members {
+		if held.entry == nil {
+			continue
+		}
+		away := leaving(held, held.entry.GetNode().GetIncarnation(), false)
+		entries = append(entries, view.NewPeer(held.entry, held.heardAt, away, t.lostEntry(held, now, entryCount)))
+	}
+	return entries
+}
+
+// SortHosts sorts by id.
+func SortHosts(hosts []view.Host) {
+	slices.SortFunc(hosts, func(a, b view.Host) int {
+		return strings.Compare(a.Report().GetNode().GetId(), b.Report().GetNode().GetId())
+	})
+}
+
+// SortEntries sorts by id.
+func SortEntries(entries []view.Peer) {
+	slices.SortFunc(entries, func(a, b view.Peer) int {
+		return strings.Compare(a.Report().GetNode().GetId(), b.Report().GetNode().GetId())
+	})
+}
+
+// Reachable returns the entries worth calling, heard or only listed, in no
+// order: an entry starts with the platform's list and learns the rest from the
+// first that answers.
+func (t *Table) Reachable(now time.Time) []*wire.Node {
+	var nodes []*wire.Node
+	for _, held := range t.members {
+		if node := reachable(held); node != nil && !t.gone(held, now) {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+func reachable(held *member) *wire.Node {
+	if held.entry != nil {
+		return held.entry.GetNode()
+	}
+	if held.listed != nil && held.listed.Node.GetRole() == roleEntry {
+		return held.listed.Node
+	}
+	return nil
+}
+
+// gone leaves out an entry that fell silent long ago and is not listed.
+func (t *Table) gone(held *member, now time.Time) bool {
+	return held.entry != nil && held.listed == nil && now.Sub(held.heardAt) > t.limits.FarLostAfter
+}
+
+// ListedEngines counts, by failure domain, the engine hosts that the platform
+// lists or that reported, into the map given.
+func (t *Table) ListedEngines(count map[string]int) {
+	for _, held := range t.members {
+		switch {
+		case held.report != nil:
+			if held.report.GetService() == "" {
+				count[held.report.GetNode().GetFailureDomain()]++
+			}
+		case held.listed != nil && held.listed.Node.GetRole() == roleAgent && held.listed.Service == "":
+			count[held.listed.Node.GetFailureDomain()]++
+		}
+	}
+}
--- /dev/null
+++ b/relay/spread/entries.go
@@ -0,0 +1,110 @@
+package spread
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/membership"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// entryMark is what one receiver last heard of one entry.
+type entryMark struct {
+	incarnation string
+	sequence    uint64
+	draining    bool
+	at          time.Time
+}
+
+// EntryDigest remembers what one receiver knows of the entries. It is not safe
+// for concurrent use.
+type EntryDigest struct {
+	marks map[string]entryMark
+	// relay is the age at which the report of a third entry is sent again.
+	relay time.Duration
+}
+
+// NewEntryDigest returns the memory for one receiver.
+func NewEntryDigest(relay time.Duration) *EntryDigest {
+	return &EntryDigest{marks: map[string]entryMark{}, relay: relay}
+}
+
+// Heard notes that the receiver itself sent the report.
+func (d *EntryDigest) Heard(report *wire.EntryReport, now time.Time) {
+	d.marks[report.GetNode().GetId()] = entryMark{
+		incarnation: report.GetNode().GetIncarnation(),
+		sequence:    report.GetSequence(),
+		draining:    report.GetDraining(),
+		at:          now,
+	}
+}
+
+// Forget drops the marks of entries that are not in the set.
+func (d *EntryDigest) Forget(known func(id string) bool) {
+	for id := range d.marks {
+		if !known(id) {
+			delete(d.marks, id)
+		}
+	}
+}
+
+// newer reports whether the receiver did not hear this report yet.
+func (d *EntryDigest) newer(report *wire.EntryReport) bool {
+	held, told := d.marks[report.GetNode().GetId()]
+	return !told || membership.Newer(report.GetNode().GetIncarnation(), report.GetSequence(), held.incarnation, held.sequence)
+}
+
+// news reports whether a third entry's report is worth passing on.
+func (d *EntryDigest) news(report *wire.EntryReport, now time.Time) bool {
+	held, told := d.marks[report.GetNode().GetId()]
+	if !told {
+		return true
+	}
+	changed := report.GetDraining() != held.draining || report.GetNode().GetIncarnation() != held.incarnation
+	return d.newer(report) && (changed || now.Sub(held.at) >= d.relay)
+}
+
+// Select returns the sender's own report and those of third entries that the
+// receiver should hear, the nearest and newest first, at most the given bytes.
+func (d *EntryDigest) Select(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
+	var news []view.Peer
+	for _, other := range others {
+		id := other.Report().GetNode().GetId()
+		if id != receiver && id != own.GetNode().GetId() && d.news(other.Report(), now) {
+			news = append(news, other)
+		}
+	}
+	slices.SortFunc(news, func(a, b view.Peer) int {
+		byNearness := cmp.Compare(Nearness(own.GetNode(), a.Report().GetNode()), Nearness(own.GetNode(), b.Report().GetNode()))
+		return cmp.Or(byNearness, b.HeardAt().Compare(a.HeardAt()),
+			cmp.Compare(a.Report().GetNode().GetId(), b.Report().GetNode().GetId()))
+	})
+	var chosen []*wire.EntryReport
+	if d.newer(own) {
+		chosen = append(chosen, own)
+		d.Heard(own, now)
+	}
+	for _, other := range news {
+		size := proto.Size(other.Report())
+		if size > bytes {
+			break
+		}
+		bytes -= size
+		chosen = append(chosen, agedEntry(other.Report(), now.Sub(other.HeardAt())))
+		d.Heard(other.Report(), now)
+	}
+	return chosen
+}
+
+func agedEntry(report *wire.EntryReport, age time.Duration) *wire.EntryReport {
+	return &wire.EntryReport{
+		Node: report.GetNode(), Sequence: report.GetSequence(), Draining: report.GetDraining(),
+		InFlight: report.GetInFlight(), RequestsPerSecond: report.GetRequestsPerSecond(),
+		AgeMillis: uint32(min(max(0, age.Milliseconds()), int64(^uint32(0)))),
+		Demand:    report.GetDemand(), Revision: report.GetRevision(), PlanRevision: report.GetPlanRevision(),
+	}
+}
--- /dev/null
+++ b/relay/spread/neighbours.go
@@ -0,0 +1,72 @@
+// Package spread decides who tells whom what: which entries an entry keeps
+// calls to, which reports go into one message, and which hosts an agent hears
+// of.
+package spread
+
+import (
+	"slices"
+	"strings"
+
+	"comfreyrelay.example/relay/rendezvous"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// smallHouse is the number of other entries up to which each calls all.
+	smallHouse = 12
+	// nearNeighbours bounds the calls to entries of the own failure domain.
+	nearNeighbours = 4
+	// farNeighbours bounds the calls to entries of other failure domains.
+	farNeighbours = 3
+)
+
+// Neighbours returns the entries that self keeps a call to, of those given. A
+// few are of its own failure domain, a few of others by rendezvous hash, and
+// one is the next by id: along that ring news reaches every entry even where
+// the random choices leave a group apart.
+func Neighbours(self *wire.Node, entries []*wire.Node) []*wire.Node {
+	others := slices.DeleteFunc(slices.Clone(entries), func(node *wire.Node) bool {
+		return node.GetId() == self.GetId() || node.GetControlAddress() == ""
+	})
+	if len(others) <= smallHouse {
+		return others
+	}
+	byID := make(map[string]*wire.Node, len(others))
+	var near, far []string
+	for _, node := range others {
+		byID[node.GetId()] = node
+		if node.GetFailureDomain() == self.GetFailureDomain() {
+			near = append(near, node.GetId())
+		} else {
+			far = append(far, node.GetId())
+		}
+	}
+	chosen := []string{successor(self.GetId(), others)}
+	chosen = append(chosen, rendezvous.Top(self.GetId(), near, nearNeighbours)...)
+	chosen = append(chosen, rendezvous.Top(self.GetId(), far, farNeighbours)...)
+	slices.Sort(chosen)
+	chosen = slices.Compact(chosen)
+	nodes := make([]*wire.Node, len(chosen))
+	for i, id := range chosen {
+		nodes[i] = byID[id]
+	}
+	return nodes
+}
+
+// successor returns the id that follows in the ring of all ids.
+func successor(id string, others []*wire.Node) string {
+	first, next := "", ""
+	for _, node := range others {
+		other := node.GetId()
+		if first == "" || strings.Compare(other, first) < 0 {
+			first = other
+		}
+		if other > id && (next == "" || other < next) {
+			next = other
+		}
+	}
+	if next == "" {
+		return first
+	}
+	return next
+}
