--- a/ctl/internal/client/house.go
+++ b/ctl/internal/client/house.go
@@ -43,15 +43,23 @@
 	AgeMillis int64 `json:"ageMillis"`
 	Leaving   bool  `json:"leaving"`
 	Lost      bool  `json:"lost"`
+	// Load: requests running and queued on a host, or in flight at an entry.
+	Running uint32 `json:"running"`
+	Queued  uint32 `json:"queued"`
 }
 
 // Status says what is in force and who knows it.
 type Status struct {
+	// Entry is the id of the entry that answered.
+	Entry        string `json:"entry"`
 	Revision     uint32 `json:"revision"`
 	PlanRevision uint32 `json:"planRevision"`
-	// AgeMillis is the time since the key-value service confirmed the revision.
-	AgeMillis int64  `json:"ageMillis"`
-	Nodes     []Node `json:"nodes"`
+	// AgeMillis is the time since the key-value service confirmed the revision;
+	// negative where it never did.
+	AgeMillis int64 `json:"ageMillis"`
+	// LowestRevision is the lowest in force on any node that is not lost.
+	LowestRevision uint32 `json:"lowestRevision"`
+	Nodes          []Node `json:"nodes"`
 }
 
 // Status returns what one entry knows of the house.
--- a/ctl/internal/cmd/cmd_status.go
+++ b/ctl/internal/cmd/cmd_status.go
@@ -41,16 +41,23 @@
 }
 
 func printStatus(term *terminal, status *client.Status) error {
-	fmt.Fprintf(term.out, "revision %d, plan %d, confirmed by the key-value service %s ago\n\n",
-		status.Revision, status.PlanRevision, millis(status.AgeMillis))
-	list := newTable(term.out, "NODE", "ROLE", "REGION", "FAILURE DOMAIN", "REVISION", "PLAN", "HEARD AGO", "STATE")
+	fmt.Fprintf(term.out, "entry %s: revision %d (lowest in force %d), plan %d, %s\n\n",
+		clean(status.Entry), status.Revision, status.LowestRevision, status.PlanRevision, confirmed(status.AgeMillis))
+	list := newTable(term.out, "NODE", "ROLE", "REGION", "FAILURE DOMAIN", "REVISION", "PLAN", "HEARD AGO", "RUNNING", "QUEUED", "STATE")
 	for _, node := range status.Nodes {
 		list.row(node.ID, node.Role, node.Region, node.FailureDomain, fmt.Sprint(node.Revision), fmt.Sprint(node.PlanRevision),
-			millis(node.AgeMillis), nodeState(node))
+			millis(node.AgeMillis), fmt.Sprint(node.Running), fmt.Sprint(node.Queued), nodeState(node))
 	}
 	return list.flush()
 }
 
+func confirmed(ageMillis int64) string {
+	if ageMillis < 0 {
+		return "never confirmed by the key-value service"
+	}
+	return "confirmed by the key-value service " + millis(ageMillis) + " ago"
+}
+
 func nodeState(node client.Node) string {
 	switch {
 	case node.Lost:
--- a/relay/document/document.go
+++ b/relay/document/document.go
@@ -14,8 +14,9 @@
 	"comfreyrelay.example/relay/wire"
 )
 
-// MaxBytes bounds a document's JSON text.
-const MaxBytes = 8 << 20
+// MaxBytes bounds a document's JSON text. It leaves room for the rest of a
+// submission, which entries bound at 2 MiB.
+const MaxBytes = 2<<20 - 16<<10
 
 // Values of the document's enumerations.
 const (
--- a/relay/schema/describe.go
+++ b/relay/schema/describe.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path"
 	"strconv"
 	"strings"
 )
@@ -63,7 +64,7 @@
 
 func (c *Checker) field(sub any) Field {
 	target := c.resolve(sub)
-	found := Field{description: c.text(sub, "description"), remedy: c.remedy(sub), kind: c.kindOf(target)}
+	found := Field{description: c.text(sub, "description"), remedy: c.remedy(sub), kind: c.kindOf(sub)}
 	if value, ok := At(sub, []string{"default"}); ok {
 		found.fallback = jsonText(value)
 	}
@@ -85,13 +86,19 @@
 	return ""
 }
 
-func (c *Checker) kindOf(target any) string {
+// kindOf names the allowed values, or what the schema calls a string's form, or
+// the type.
+func (c *Checker) kindOf(sub any) string {
+	target := c.resolve(sub)
 	if allowed, ok := At(target, []string{"enum"}); ok {
-		return "one of " + strings.Trim(jsonText(allowed), "[]")
+		return "one of " + strings.ReplaceAll(strings.Trim(jsonText(allowed), "[]"), ",", ", ")
 	}
 	kind, _ := At(target, []string{"type"})
 	if list, ok := kind.([]any); ok {
 		return fmt.Sprint(list[0])
 	}
+	if ref, ok := At(sub, []string{"$ref"}); ok && kind == "string" {
+		return path.Base(fmt.Sprint(ref))
+	}
 	return fmt.Sprint(kind)
 }
