Experiment: control

Cause: how fast documents come into force, and what they cost, must be counted on real processes. Change: bench-control with its cases; a follower asks every node for its revision; costs from the kernel and the service's own record.

--- /dev/null
+++ b/bench/internal/control/run.go
@@ -0,0 +1,258 @@
+// Package control measures how documents spread, what that costs every node
+// and the key-value service, and what an outage or a restart of all does.
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"comfreyrelay.example/bench/internal/follow"
+	"comfreyrelay.example/bench/internal/house"
+)
+
+const (
+	entryCount = 9
+	// caseLimit bounds one case, its start included.
+	caseLimit = 110 * time.Second
+	// quietTime is measured without changes, costTime with.
+	quietTime = 6 * time.Second
+	costTime  = 12 * time.Second
+	// spreadTime is how long changes are followed to every node, at least
+	// leastChanges of them.
+	spreadTime   = 12 * time.Second
+	leastChanges = 2
+	modelMiB     = 1
+	chunkKiB     = 64
+)
+
+// Options configure a run of cases.
+type Options struct {
+	// Bin is the directory of the built programs.
+	Bin string
+	// ProcessLog receives the processes' logs.
+	ProcessLog io.Writer
+	Log        *slog.Logger
+	Seed       uint64
+}
+
+// run is one case while it runs.
+type run struct {
+	options  Options
+	current  Case
+	house    *house.House
+	version  string
+	revision uint32
+	changes  int
+	follower *follow.Follower
+	accept   *hdrhistogram.Histogram // microseconds
+}
+
+// Run runs one case and returns its line.
+func Run(ctx context.Context, options Options, current Case) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, caseLimit)
+	defer cancel()
+	r := &run{options: options, current: current, accept: follow.NewTimes()}
+	if err := r.start(ctx); err != nil {
+		return Named(current), err
+	}
+	defer r.house.Stop()
+	result := Named(current)
+	err := r.measure(ctx, &result)
+	return result, err
+}
+
+func (r *run) start(ctx context.Context) (err error) {
+	r.house, err = house.Start(ctx, house.Config{
+		Bin:              r.options.Bin,
+		Log:              r.options.ProcessLog,
+		Places:           house.Quetzal(),
+		Entries:          entryCount,
+		Hosts:            r.current.Agents,
+		OneEngineProcess: true,
+	})
+	if err != nil {
+		return err
+	}
+	r.follower = follow.New(r.house.Members())
+	if err := r.house.WaitRoutable(ctx); err != nil {
+		return err
+	}
+	made, err := r.house.Publish(ctx, house.Publication{Model: house.ModelName, Mib: modelMiB, ChunkKib: chunkKiB, Seed: r.options.Seed})
+	if err != nil {
+		return err
+	}
+	r.version = made.Version
+	if err := r.change(ctx); err != nil {
+		return err
+	}
+	return r.house.WaitServing(ctx, r.house.Agents(), made.Version, nil)
+}
+
+// change submits a document that differs in one customer's limit.
+func (r *run) change(ctx context.Context) error {
+	customers := house.Customers(r.current.Customers)
+	customers[r.changes%len(customers)].RequestsPerSecond = float64(1000 + r.changes)
+	doc := r.house.Document(house.Desired{Version: r.version, Objective: house.ObjectiveTime, Customers: customers})
+	entry := r.house.Entries()[r.changes%entryCount]
+	started := time.Now()
+	revision, err := r.house.Submit(ctx, entry, r.revision, doc, "comfreybench control")
+	if err != nil {
+		return fmt.Errorf("submit: %w", err)
+	}
+	follow.Record(r.accept, time.Since(started))
+	r.revision, r.changes = revision, r.changes+1
+	return nil
+}
+
+// every calls do at the case's rate for the time.
+func (r *run) every(ctx context.Context, length time.Duration, do func(context.Context) error) error {
+	interval := time.Duration(float64(time.Second) / r.current.ChangesPerSecond)
+	next, end := time.Now(), time.Now().Add(length)
+	for next.Before(end) {
+		if err := do(ctx); err != nil {
+			return err
+		}
+		next = next.Add(interval)
+		wait := time.Until(next)
+		if next.After(end) {
+			wait = time.Until(end)
+		}
+		if err := pause(ctx, wait); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) measure(ctx context.Context, result *Result) error {
+	quiet, err := r.cost(ctx, func() error { return pause(ctx, quietTime) })
+	if err != nil {
+		return err
+	}
+	result.IdleKVReadsPerSecond, result.IdleKVWritesPerSecond = quiet.reads, quiet.writes
+	result.IdleBytesPerNodePerSecond = quiet.bytes(entryCount, r.current.Agents)
+	busy, err := r.cost(ctx, func() error { return r.every(ctx, costTime, r.change) })
+	if err != nil {
+		return err
+	}
+	result.addCost(busy, r.current.Agents)
+	if err := r.spread(ctx); err != nil {
+		return err
+	}
+	if err := r.trouble(ctx, result); err != nil {
+		return err
+	}
+	return r.finish(ctx, result)
+}
+
+// spread follows changes until each is in force on every node.
+func (r *run) spread(ctx context.Context) error {
+	length := max(spreadTime, time.Duration(leastChanges/r.current.ChangesPerSecond*float64(time.Second)))
+	return r.follower.During(ctx, func() error {
+		err := r.every(ctx, length, func(ctx context.Context) error {
+			if err := r.change(ctx); err != nil {
+				return err
+			}
+			r.follower.Accepted(r.revision, time.Now())
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		return r.follower.Wait(ctx, r.revision)
+	})
+}
+
+// trouble provokes the case's outage or restart.
+func (r *run) trouble(ctx context.Context, result *Result) error {
+	switch {
+	case r.current.Outage > 0:
+		return r.outage(ctx, result)
+	case r.current.RestartAll:
+		return r.restartAll(ctx, result)
+	}
+	return nil
+}
+
+// outage takes the service away: a document is refused clearly, and once the
+// service is back the next one is in force everywhere.
+func (r *run) outage(ctx context.Context, result *Result) error {
+	if err := r.house.SetKVFaults(ctx, house.KVFaults{Down: true}); err != nil {
+		return err
+	}
+	refused := r.change(ctx) != nil
+	result.OutageRefused = &refused
+	err := pause(ctx, r.current.Outage)
+	if err = errors.Join(err, r.house.SetKVFaults(ctx, house.KVFaults{})); err != nil {
+		return err
+	}
+	return r.recover(ctx, result)
+}
+
+// restartAll kills every entry and agent and starts all at once.
+func (r *run) restartAll(ctx context.Context, result *Result) error {
+	for _, m := range r.house.Members() {
+		if err := m.Process().Kill(); err != nil {
+			return err
+		}
+	}
+	if err := r.house.RestartAll(ctx); err != nil {
+		return err
+	}
+	return r.recover(ctx, result)
+}
+
+// recover measures the time until a new document is in force everywhere.
+func (r *run) recover(ctx context.Context, result *Result) error {
+	started := time.Now()
+	err := r.follower.During(ctx, func() error {
+		for r.change(ctx) != nil {
+			if err := pause(ctx, follow.Interval); err != nil {
+				return err
+			}
+		}
+		return r.follower.Wait(ctx, r.revision)
+	})
+	result.RecoverySeconds = time.Since(started).Seconds()
+	return err
+}
+
+func (r *run) finish(ctx context.Context, result *Result) error {
+	ledger, err := r.house.KVLedger(ctx)
+	if err != nil {
+		return err
+	}
+	result.KVPeakReadsPerSecond = ledger.PeakReadsPerSecond
+	result.KVPeakWritesPerSecond = ledger.PeakWritesPerSecond
+	for _, line := range ledger.Lines {
+		result.KVRefused += line.Refused
+	}
+	result.Changes = r.changes
+	result.InForceSecondsP50 = r.follower.Seconds(50)
+	result.InForceSecondsP99 = r.follower.Seconds(99)
+	result.InForceSecondsMax = r.follower.Seconds(100)
+	result.AcceptSecondsP50 = follow.Seconds(r.accept, 50)
+	result.AcceptSecondsMax = follow.Seconds(r.accept, 100)
+	result.Reverts = r.follower.Reverts()
+	if result.Reverts > 0 {
+		return fmt.Errorf("%d nodes went back to an older revision", result.Reverts)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/bench/internal/follow/follower.go
@@ -0,0 +1,170 @@
+// Package follow asks every node of a house which revision it has in force.
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// Interval is how often each node is asked; it bounds the error of a time.
+const Interval = 50 * time.Millisecond
+
+// Follower asks every node which revision it has in force.
+type Follower struct {
+	members []*house.Member
+	client  *http.Client
+
+	mu       sync.Mutex
+	inForce  *hdrhistogram.Histogram // microseconds from the acceptance
+	times    map[uint32]time.Time    // of the acceptance, by revision
+	latest   uint32                  // newest accepted that is measured
+	revision map[string]uint32       // by node: the last one seen
+	back     int                     // times that a node's revision fell
+}
+
+// New returns a Follower of the members that asks nobody yet.
+func New(members []*house.Member) *Follower {
+	return &Follower{
+		members:  members,
+		client:   &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		inForce:  NewTimes(),
+		times:    map[uint32]time.Time{},
+		revision: map[string]uint32{},
+	}
+}
+
+// During asks the nodes while do runs.
+func (f *Follower) During(ctx context.Context, do func() error) error {
+	asking, stop := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	for _, m := range f.members {
+		all.Go(func() { f.ask(asking, m) })
+	}
+	err := do()
+	stop()
+	all.Wait()
+	return err
+}
+
+// Accepted notes that the revision was accepted now. A node that had it before
+// the acceptance came back counts as 0.
+func (f *Follower) Accepted(revision uint32, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.times[revision] = now
+	f.latest = revision
+	for _, seen := range f.revision {
+		if seen >= revision {
+			Record(f.inForce, 0)
+		}
+	}
+}
+
+// Wait waits until every node has the revision.
+func (f *Follower) Wait(ctx context.Context, revision uint32) error {
+	for !f.all(revision) {
+		if err := pause(ctx, Interval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Follower) all(revision uint32) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if f.revision[m.ID()] < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// Reverts counts the times that a node went back to an older revision.
+func (f *Follower) Reverts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.back
+}
+
+func (f *Follower) ask(ctx context.Context, m *house.Member) {
+	for pause(ctx, Interval) == nil {
+		if revision, ok := f.read(ctx, m); ok {
+			f.note(m.ID(), revision, time.Now())
+		}
+	}
+}
+
+// note records the revisions that the node has reached since it was asked
+// before.
+func (f *Follower) note(node string, revision uint32, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := f.revision[node]
+	// A process that was restarted knows nothing at first: that is no revert.
+	if revision < last && revision > 0 {
+		f.back++
+	}
+	if revision > last {
+		f.revision[node] = revision
+	}
+	for reached := last + 1; reached <= min(revision, f.latest); reached++ {
+		if at, measured := f.times[reached]; measured {
+			Record(f.inForce, now.Sub(at))
+		}
+	}
+}
+
+// nodeVars are the parts of /debug/vars that tell the revision in force.
+type nodeVars struct {
+	AgentState struct {
+		Revision uint32 `json:"revision"`
+	} `json:"agentState"`
+	EntryState struct {
+		Revision uint32 `json:"revision"`
+	} `json:"entryState"`
+}
+
+func (f *Follower) read(ctx context.Context, m *house.Member) (uint32, bool) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.OperatorsAddress()+"/debug/vars", nil)
+	if err != nil {
+		return 0, false
+	}
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return 0, false
+	}
+	defer answer.Body.Close()
+	var vars nodeVars
+	if json.NewDecoder(answer.Body).Decode(&vars) != nil {
+		return 0, false
+	}
+	return max(vars.AgentState.Revision, vars.EntryState.Revision), true
+}
+
+// Seconds returns a percentile of the time from an acceptance until a node had
+// the revision in force.
+func (f *Follower) Seconds(percentile float64) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Seconds(f.inForce, percentile)
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/bench/internal/house/house.go
+++ b/bench/internal/house/house.go
@@ -222,6 +222,9 @@
 	return h.startMember(ctx, m)
 }
 
+// RestartAll starts every member again, all at once.
+func (h *House) RestartAll(ctx context.Context) error { return h.startMembers(ctx) }
+
 func (h *House) restartEngine(ctx context.Context, m *Member) error {
 	if m.engine == nil {
 		return h.SetEngineFaults(ctx, m, EngineFaults{})
--- a/bench/internal/process/usage.go
+++ b/bench/internal/process/usage.go
@@ -11,12 +11,17 @@
 // ticksPerSecond is the unit of processor time in /proc on Linux.
 const ticksPerSecond = 100
 
+// kibibyte is the unit of memory in /proc.
+const kibibyte = 1024
+
 // Usage is what a process has used of the machine.
 type Usage struct {
 	// CPU is processor time since the start, user and system.
 	CPU time.Duration
 	// ResidentBytes is its memory now, PeakBytes the most it had.
 	ResidentBytes, PeakBytes uint64
+	// IOBytes is all that it read and wrote so far, files and connections.
+	IOBytes uint64
 }
 
 // Usage reads the process's use from /proc.
@@ -40,10 +45,15 @@
 	if err != nil {
 		return Usage{}, err
 	}
+	transfers, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", id))
+	if err != nil {
+		return Usage{}, err
+	}
 	return Usage{
 		CPU:           cpu,
-		ResidentBytes: parseStatus(status, "VmRSS:"),
-		PeakBytes:     parseStatus(status, "VmHWM:"),
+		ResidentBytes: parseField(status, "VmRSS:") * kibibyte,
+		PeakBytes:     parseField(status, "VmHWM:") * kibibyte,
+		IOBytes:       parseField(transfers, "rchar:") + parseField(transfers, "wchar:"),
 	}, nil
 }
 
@@ -67,10 +77,10 @@
 	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
 }
 
-// parseStatus returns the named value in bytes; 0 where it is absent.
-func parseStatus(status []byte, name string) uint64 {
-	const kibibyte = 1024
-	for line := range bytes.Lines(status) {
+// parseField returns the number behind the name at the start of a line; 0
+// where it is absent.
+func parseField(text []byte, name string) uint64 {
+	for line := range bytes.Lines(text) {
 		rest, found := bytes.CutPrefix(line, []byte(name))
 		if !found {
 			continue
@@ -83,7 +93,7 @@
 		if err != nil {
 			return 0
 		}
-		return n * kibibyte
+		return n
 	}
 	return 0
 }
