agent: weights move end to end over drpc and HTTP

Cause: the skeleton fetched nothing. Change: one transfer a version feeds a burst core; chunks are fetched from peers and the origin, verified, kept; served from the store, verified again; manifests spread between peers; chunks are shared between versions by hash and dropped when no version needs them. A peer that corrupts in a row is banned and no longer counted as a holder; before, a chunk that it alone had drawn was waited for without end.

--- /dev/null
+++ b/agent/internal/weights/fetch.go
@@ -0,0 +1,217 @@
+package weights
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"comfreyrelay.example/agent/internal/link"
+	"comfreyrelay.example/relay/burst"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/manifest"
+	"comfreyrelay.example/relay/wire"
+)
+
+// fetchError says to the core why a fetch failed.
+type fetchError struct {
+	cause      burst.Cause
+	retryAfter time.Duration
+	err        error
+}
+
+func (e *fetchError) Error() string { return e.err.Error() }
+func (e *fetchError) Unwrap() error { return e.err }
+
+func broken(err error) *fetchError { return &fetchError{cause: burst.Broken, err: err} }
+
+// fetch moves one chunk from its source to the host's store and tells the core.
+func (t *transfer) fetch(ctx context.Context, cancel context.CancelFunc, key fetchKey) {
+	defer cancel()
+	err := t.fetchAndKeep(ctx, key)
+	if ctx.Err() != nil {
+		// The core gave it up, or the transfer ends.
+		return
+	}
+	hash := chunkHash(t.man.GetChunkHashes()[key.chunk])
+	t.mu.Lock()
+	delete(t.fetches, key)
+	if err != nil {
+		t.core.Failed(t.now(), key.chunk, key.source, err.cause, err.retryAfter)
+		t.noteProblem(key, err)
+	} else {
+		t.core.Arrived(t.now(), key.chunk, key.source)
+		t.advanced, t.problem = t.now(), ""
+	}
+	t.mu.Unlock()
+	if err == nil {
+		t.mgr.shareHold(hash)
+		t.mgr.noteChange()
+	}
+	signal(t.wake)
+}
+
+// shareHold tells every version that names the chunk.
+func (m *Manager) shareHold(hash chunkHash) {
+	for _, trans := range m.allTransfers() {
+		trans.hold(hash)
+	}
+}
+
+// noteProblem remembers what operators should see; t.mu is held.
+func (t *transfer) noteProblem(key fetchKey, err *fetchError) {
+	from := "host " + key.source
+	if key.source == burst.Origin {
+		from = "the origin"
+	}
+	if err.cause == burst.Busy && key.source != burst.Origin {
+		return
+	}
+	t.problem = "a chunk from " + from + " failed: " + err.Error()
+	t.mgr.cfg.Log.Debug("a chunk failed", "version", t.version, "chunk", key.chunk, "from", from, "error", err)
+}
+
+func (t *transfer) fetchAndKeep(ctx context.Context, key fetchKey) *fetchError {
+	room := int64(t.man.GetChunkBytes())
+	if err := t.mgr.window.Acquire(ctx, room); err != nil {
+		return broken(err)
+	}
+	defer t.mgr.window.Release(room)
+	data, err := t.receive(ctx, key)
+	if err != nil {
+		return err
+	}
+	hash := chunkHash(t.man.GetChunkHashes()[key.chunk])
+	if !manifest.Verify(data, hash[:]) {
+		return &fetchError{cause: burst.Corrupt, err: failure.New(failure.Corrupt,
+			"the bytes do not match the chunk's hash", "it is fetched from another source")}
+	}
+	if err := t.mgr.store.put(ctx, hash, data); err != nil {
+		// Without a pause a store that refuses would make the fleet send the
+		// chunk over and over.
+		_ = t.mgr.sleep(ctx, storeRetry)
+		return &fetchError{cause: burst.Dropped, err: err}
+	}
+	return nil
+}
+
+func (t *transfer) receive(ctx context.Context, key fetchKey) ([]byte, *fetchError) {
+	size := manifest.ChunkSize(t.man, key.chunk)
+	if key.source == burst.Origin {
+		data, err := t.mgr.fromOrigin(ctx, "/chunks/"+hex.EncodeToString(t.man.GetChunkHashes()[key.chunk]), size)
+		t.mgr.originBytes.Add(uint64(len(data)))
+		return data, err
+	}
+	data, err := t.mgr.fromPeer(ctx, key.source, t.version, uint32(key.chunk), size)
+	t.mgr.peerBytes.Add(uint64(len(data)))
+	return data, err
+}
+
+// fromPeer asks a peer for one chunk, or for the manifest.
+func (m *Manager) fromPeer(ctx context.Context, id, version string, index uint32, limit int) ([]byte, *fetchError) {
+	client, err := m.client(ctx, id)
+	if err != nil {
+		return nil, broken(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.Chunk(ctx, &wire.ChunkRequest{From: m.cfg.Self, Version: version, Index: index})
+	if err != nil {
+		return nil, broken(err)
+	}
+	defer func() { _ = stream.Close() }()
+	first, err := stream.Recv()
+	if err != nil {
+		return nil, broken(err)
+	}
+	if wait := first.GetRetryAfterMillis(); wait > 0 {
+		return nil, &fetchError{cause: burst.Busy, retryAfter: time.Duration(wait) * time.Millisecond, err: errors.New("the host is busy")}
+	}
+	size := int(first.GetSize())
+	if size == 0 {
+		return nil, &fetchError{cause: burst.Lacks, err: errors.New("the host lacks the chunk")}
+	}
+	if size > limit {
+		return nil, &fetchError{cause: burst.Corrupt, err: errors.New("the chunk is larger than the manifest says")}
+	}
+	return m.readPieces(ctx, stream, first, size)
+}
+
+// readPieces reads a chunk's bytes at the pace of the downlink.
+func (m *Manager) readPieces(ctx context.Context, stream wire.DRPCHost_ChunkClient, piece *wire.ChunkData, size int) ([]byte, *fetchError) {
+	data := make([]byte, 0, size)
+	for {
+		if len(data)+len(piece.GetData()) > size {
+			return data, &fetchError{cause: burst.Corrupt, err: errors.New("the chunk is larger than announced")}
+		}
+		data = append(data, piece.GetData()...)
+		if err := m.link.Wait(ctx, link.Down, len(piece.GetData())); err != nil {
+			return data, broken(err)
+		}
+		if len(data) == size {
+			return data, nil
+		}
+		next, err := stream.Recv()
+		if err != nil {
+			return data, broken(err)
+		}
+		piece = next
+	}
+}
+
+// fromOrigin reads one object of the origin at the pace of the downlink.
+func (m *Manager) fromOrigin(ctx context.Context, path string, limit int) ([]byte, *fetchError) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, m.cfg.OriginURL+path, nil)
+	if err != nil {
+		return nil, broken(err)
+	}
+	resp, err := m.http.Do(req)
+	if err != nil {
+		return nil, broken(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusedByOrigin(resp)
+	}
+	return m.readBody(ctx, resp.Body, limit)
+}
+
+// maxRetryAfter bounds the pause that the origin can ask for.
+const maxRetryAfter = time.Minute
+
+func refusedByOrigin(resp *http.Response) *fetchError {
+	err := &fetchError{cause: burst.Broken, err: failure.New(failure.Unavailable,
+		"the origin answered "+resp.Status, "check the origin and that it holds the version")}
+	if resp.StatusCode == http.StatusTooManyRequests {
+		err.cause = burst.Busy
+		seconds, parseErr := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if parseErr == nil && seconds > 0 {
+			err.retryAfter = min(time.Duration(seconds*float64(time.Second)), maxRetryAfter)
+		}
+	}
+	return err
+}
+
+func (m *Manager) readBody(ctx context.Context, body io.Reader, limit int) ([]byte, *fetchError) {
+	data := make([]byte, 0, limit)
+	for {
+		room := data[len(data):min(cap(data), len(data)+link.PieceBytes)]
+		if len(room) == 0 {
+			return data, nil
+		}
+		n, err := body.Read(room)
+		data = data[:len(data)+n]
+		if waitErr := m.link.Wait(ctx, link.Down, n); waitErr != nil {
+			return data, broken(waitErr)
+		}
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return data, broken(err)
+		}
+	}
+}
--- a/agent/internal/weights/manager.go
+++ b/agent/internal/weights/manager.go
@@ -1,20 +1,39 @@
 // Package weights brings versions of weights onto the host: it fetches their
 // chunks from peers and the origin, verifies them and passes them to the host's
 // store through a bounded window of memory.
+//
+// One transfer a version: a goroutine that feeds a burst.Core with events and
+// does what it decides. Filters of one chunk: fetch, verify, keep.
 package weights
 
 import (
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/semaphore"
 	"storj.io/drpc"
 
 	"comfreyrelay.example/agent/internal/link"
+	"comfreyrelay.example/relay/manifest"
 	"comfreyrelay.example/relay/wire"
 )
 
+const (
+	// maxWindowBytes bounds the chunks in memory at once.
+	maxWindowBytes = 64 << 20
+	// defaultWindowBytes is the window where the settings name none.
+	defaultWindowBytes = 32 << 20
+	// minWindowBytes lets one chunk come in while another goes out.
+	minWindowBytes = 2 * manifest.MaxChunkBytes
+	// slowInterval is how often the suffering of live requests is looked at.
+	slowInterval = 250 * time.Millisecond
+)
+
 // Config holds what a Manager needs from its process.
 type Config struct {
 	Self  *wire.Node
@@ -29,15 +48,16 @@
 	// HTTP is used for the origin alone; nil means a client of its own.
 	HTTP *http.Client
 	Link *wire.LinkSettings
-	// WindowBytes bounds the chunks in memory; 0 means, and more is cut to,
-	// 64 MiB.
+	// WindowBytes bounds the chunks in memory; 0 means 32 MiB; 4 to 64 MiB
+	// are possible.
 	WindowBytes uint64
 	// Strategy is one of the burst package's strategies; empty means swarm.
 	Strategy string
 
 	// PutChunk keeps verified bytes on the host under their hash.
 	PutChunk func(ctx context.Context, hash, data []byte) error
-	// GetChunk reads kept bytes back.
+	// GetChunk reads kept bytes back; an error of kind failure.NotFound says
+	// that the host no longer has them.
 	GetChunk func(ctx context.Context, hash []byte) ([]byte, error)
 	// DropChunk forgets kept bytes.
 	DropChunk func(ctx context.Context, hash []byte) error
@@ -49,103 +69,146 @@
 	TokensSlow func() float64
 }
 
-// Target is a version that should become whole on this host.
-type Target struct {
-	Version string
-	// Larger is fetched first.
-	Priority int
-}
-
-// Policy is how the document wants versions to be moved.
-type Policy struct {
-	// Objective is "time" or "originBytes".
-	Objective string
-	// OriginCopies bounds the copies that the origin may send with objective
-	// time, 1 to 4.
-	OriginCopies int
-	// Keep lists versions whose chunks stay although they are no targets,
-	// because the engine still uses them.
-	Keep []string
-}
-
-// Phases of a version on one host, as wire.VersionState names them.
-const (
-	Absent   = "absent"
-	Fetching = "fetching"
-	Whole    = "whole"
-	Failed   = "failed"
-)
-
-// State is how far the host is with one version.
-type State struct {
-	phase  string // Absent, Fetching, Whole or Failed
-	have   int    // chunks verified and kept, at most total
-	total  int    // 0 while the manifest is unknown
-	holdUp string // why it stands still; empty otherwise
-}
-
-// Phase returns Absent, Fetching, Whole or Failed. Whole means that the
-// manifest matched the version and every chunk was verified and kept.
-func (s State) Phase() string { return s.phase }
-
-// Have returns the chunks kept.
-func (s State) Have() int { return s.have }
-
-// Total returns the chunks of the version; 0 while its manifest is unknown.
-func (s State) Total() int { return s.total }
-
-// HoldUp returns why the version stands still; empty otherwise.
-func (s State) HoldUp() string { return s.holdUp }
-
 // Manager moves weights for one host. It is safe for concurrent use.
 type Manager struct {
 	cfg     Config
 	link    *link.Link
-	changed chan struct{} // buffered by one: a change not yet seen
+	http    *http.Client
+	store   *store
+	uploads *uploads
+	window  *semaphore.Weighted // bytes of chunks in memory
+	size    int64               // of the window, bytes
+	changed chan struct{}       // buffered by one: a change not yet seen
+	wake    chan struct{}       // buffered by one: targets not yet applied
+
+	mu        sync.RWMutex // guards the fields below
+	targets   []Target
+	policy    Policy
+	transfers map[string]*transfer // by version: targets and kept ones
+	addresses map[string]string    // control address by peer id, of callers not in the list
+
+	originBytes, peerBytes, sentBytes atomic.Uint64
 }
 
 // New returns a Manager; Run makes it work.
 func New(cfg Config) *Manager {
+	window := int64(min(cfg.WindowBytes, maxWindowBytes))
+	if window == 0 {
+		window = defaultWindowBytes
+	}
+	window = max(window, minWindowBytes)
+	client := cfg.HTTP
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}}
+	}
 	return &Manager{
-		cfg:     cfg,
-		link:    link.New(cfg.Link, cfg.Clock),
-		changed: make(chan struct{}, 1),
+		cfg:       cfg,
+		link:      link.New(cfg.Link, cfg.Clock),
+		http:      client,
+		store:     newStore(cfg),
+		uploads:   newUploads(),
+		window:    semaphore.NewWeighted(window),
+		size:      window,
+		changed:   make(chan struct{}, 1),
+		wake:      make(chan struct{}, 1),
+		transfers: map[string]*transfer{},
+		addresses: map[string]string{},
 	}
 }
 
 // Link returns the pacing of the host's link, for the bytes of live requests.
 func (m *Manager) Link() *link.Link { return m.link }
 
-// SetTargets says which versions the host should hold. The newest call wins:
-// chunks in common are kept, the others are dropped unless policy.Keep names
-// their version.
-func (m *Manager) SetTargets(targets []Target, policy Policy) {}
-
 // Run moves weights until ctx is done.
 func (m *Manager) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+	if err := m.loadStore(ctx); err != nil {
+		return err
+	}
+	go m.followTokens(ctx)
+	for {
+		m.apply(ctx)
+		m.dropUnneeded(ctx)
+		select {
+		case <-ctx.Done():
+			m.stopAll()
+			return ctx.Err()
+		case <-m.wake:
+		}
+	}
+}
+
+// loadStore asks the host what it kept, until it answers.
+func (m *Manager) loadStore(ctx context.Context) error {
+	for {
+		err := m.store.load(ctx)
+		if err == nil {
+			return nil
+		}
+		m.cfg.Log.Warn("the host's store does not answer", "error", err)
+		if err := m.sleep(ctx, storeRetry); err != nil {
+			return err
+		}
+	}
+}
+
+// followTokens makes transfers shrink while live requests suffer.
+func (m *Manager) followTokens(ctx context.Context) {
+	if m.cfg.TokensSlow == nil {
+		return
+	}
+	for m.sleep(ctx, slowInterval) == nil {
+		m.link.SetSlow(m.cfg.TokensSlow())
+	}
+}
+
+func (m *Manager) sleep(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-m.cfg.Clock.After(wait):
+		return nil
+	}
 }
 
 // State returns how far the host is with the version.
-func (m *Manager) State(version string) State { return State{phase: Absent} }
+func (m *Manager) State(version string) State {
+	trans := m.transfer(version)
+	if trans == nil {
+		return State{phase: Absent}
+	}
+	return trans.state()
+}
 
 // Manifest returns the verified manifest of a target; nil while unknown.
-func (m *Manager) Manifest(version string) *wire.Manifest { return nil }
+func (m *Manager) Manifest(version string) *wire.Manifest {
+	trans := m.transfer(version)
+	if trans == nil {
+		return nil
+	}
+	return trans.manifest()
+}
+
+func (m *Manager) transfer(version string) *transfer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.transfers[version]
+}
 
 // Changed receives after each change of a State; changes may fall together.
 func (m *Manager) Changed() <-chan struct{} { return m.changed }
 
-// Counters returns the bytes of chunks received from the origin and from
-// peers, and those sent to peers, since the start.
-func (m *Manager) Counters() (originBytes, peerBytes, sentBytes uint64) { return 0, 0, 0 }
+func (m *Manager) noteChange() { signal(m.changed) }
 
-// Chunk sends one chunk to a peer: wire.Host's Chunk.
-func (m *Manager) Chunk(req *wire.ChunkRequest, stream wire.DRPCHost_ChunkStream) error {
-	return stream.Send(&wire.ChunkData{})
+// signal fills a channel that is buffered by one.
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
 }
 
-// Have swaps knowledge of held chunks with a peer: wire.Host's Have.
-func (m *Manager) Have(ctx context.Context, req *wire.HaveRequest) (*wire.HaveReply, error) {
-	return &wire.HaveReply{}, nil
+// Counters returns the bytes of chunks received from the origin and from
+// peers, and those sent to peers, since the start.
+func (m *Manager) Counters() (originBytes, peerBytes, sentBytes uint64) {
+	return m.originBytes.Load(), m.peerBytes.Load(), m.sentBytes.Load()
 }
--- /dev/null
+++ b/agent/internal/weights/manifests.go
@@ -0,0 +1,136 @@
+package weights
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/manifest"
+	"comfreyrelay.example/relay/rendezvous"
+)
+
+const (
+	// manifestIndex in a ChunkRequest asks for the encoded manifest.
+	manifestIndex = math.MaxUint32
+	// maxManifestBytes bounds a manifest: 65,536 chunks and some.
+	maxManifestBytes = 2<<20 + 64<<10
+	// manifestOwners draw the manifest from the origin; the others ask them
+	// and one another, so that the origin does not send one to each host.
+	manifestOwners = 3
+	// manifestPatience is how long the others wait before they ask the origin.
+	manifestPatience = 3 * time.Second
+	manifestTimeout  = 2 * time.Second
+	manifestRetry    = 75 * time.Millisecond
+	// originRetry and maxOriginRetry bound the pause after the origin failed.
+	originRetry    = 500 * time.Millisecond
+	maxOriginRetry = 15 * time.Second
+)
+
+// fetchManifest gets the manifest from a peer or the origin and checks it
+// against the version, until that succeeds or ctx is done.
+func (t *transfer) fetchManifest(ctx context.Context) error {
+	began := t.now()
+	pause := originRetry
+	nextDraw := began
+	for {
+		if t.drawsManifest(began) && !t.now().Before(nextDraw) {
+			if t.manifestFromOrigin(ctx) == nil {
+				return nil
+			}
+			nextDraw = t.now().Add(pause + rand.N(pause))
+			pause = min(2*pause, maxOriginRetry)
+		}
+		if t.manifestFromPeer(ctx) == nil {
+			return nil
+		}
+		if err := t.mgr.sleep(ctx, manifestRetry+rand.N(manifestRetry)); err != nil {
+			return err
+		}
+	}
+}
+
+// manifestRanks returns the ids of the hosts by their right to draw it.
+func (t *transfer) manifestRanks() []string {
+	ids := []string{t.mgr.cfg.Self.GetId()}
+	for _, pee := range t.mgr.peers() {
+		ids = append(ids, pee.ID)
+	}
+	return rendezvous.Top("manifest/"+t.version, ids, len(ids))
+}
+
+// drawsManifest reports whether this host may ask the origin: an owner at once,
+// the others by rank after a while, so that they do not come together.
+func (t *transfer) drawsManifest(began time.Time) bool {
+	rank := slices.Index(t.manifestRanks(), t.mgr.cfg.Self.GetId())
+	if rank < manifestOwners {
+		return true
+	}
+	wait := manifestPatience * time.Duration(rank) / manifestOwners
+	return t.now().Sub(began) >= wait
+}
+
+func (t *transfer) manifestFromOrigin(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	encoded, err := t.mgr.fromOrigin(ctx, "/manifests/"+t.version, maxManifestBytes)
+	if err != nil {
+		t.setProblem("the manifest cannot be drawn from the origin: " + err.Error())
+		return err
+	}
+	t.mgr.originBytes.Add(uint64(len(encoded)))
+	return t.acceptManifest(encoded)
+}
+
+// acceptManifest begins the transfer if the bytes are the version's manifest.
+func (t *transfer) acceptManifest(encoded []byte) error {
+	man, err := manifest.Decode(encoded, t.version)
+	if err == nil {
+		t.begin(man, encoded)
+		t.mgr.noteChange()
+		return nil
+	}
+	t.mgr.cfg.Log.Warn("a manifest was refused", "version", t.version, "error", err)
+	t.mu.Lock()
+	t.failed, t.problem = true, err.Error()
+	t.mu.Unlock()
+	t.mgr.noteChange()
+	return err
+}
+
+// manifestFromPeer asks one peer, an owner or any other in turn.
+func (t *transfer) manifestFromPeer(ctx context.Context) error {
+	ranks := t.manifestRanks()
+	ranks = slices.DeleteFunc(ranks, func(id string) bool { return id == t.mgr.cfg.Self.GetId() })
+	if len(ranks) == 0 {
+		return failure.New(failure.NotFound, "no peer is known", "wait for the list of hosts")
+	}
+	id := ranks[rand.IntN(len(ranks))]
+	if rand.IntN(2) == 0 {
+		id = ranks[rand.IntN(min(manifestOwners, len(ranks)))]
+	}
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	encoded, fetchErr := t.mgr.fromPeer(ctx, id, t.version, manifestIndex, maxManifestBytes)
+	if fetchErr != nil {
+		return fetchErr
+	}
+	man, err := manifest.Decode(encoded, t.version)
+	if err != nil {
+		t.mgr.cfg.Log.Warn("a peer sent a wrong manifest", "version", t.version, "peer", id, "error", err)
+		return err
+	}
+	t.mgr.peerBytes.Add(uint64(len(encoded)))
+	t.begin(man, encoded)
+	t.mgr.noteChange()
+	return nil
+}
+
+// encodedManifest returns the manifest's bytes for a peer; nil while unknown.
+func (t *transfer) encodedManifest() []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.encoded
+}
--- /dev/null
+++ b/agent/internal/weights/serve.go
@@ -0,0 +1,121 @@
+package weights
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcctx"
+
+	"comfreyrelay.example/agent/internal/link"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/wire"
+)
+
+// sendStall is the time without progress after which an upload's connection is
+// closed: a receiver that stalls without closing would hold a slot for ever.
+const sendStall = 10 * time.Second
+
+// Chunk sends one chunk to a peer, paced by the uplink: wire.Host's Chunk.
+func (m *Manager) Chunk(req *wire.ChunkRequest, stream wire.DRPCHost_ChunkStream) error {
+	trans := m.transfer(req.GetVersion())
+	if trans == nil {
+		return stream.Send(&wire.ChunkData{})
+	}
+	if req.GetIndex() == manifestIndex {
+		return m.send(stream, trans.encodedManifest())
+	}
+	hash, ok := trans.heldHash(req.GetIndex())
+	if !ok {
+		return stream.Send(&wire.ChunkData{})
+	}
+	ctx := stream.Context()
+	retryAfter, err := m.uploads.acquire(ctx)
+	if err != nil {
+		return err
+	}
+	if retryAfter > 0 {
+		return stream.Send(&wire.ChunkData{RetryAfterMillis: uint32(max(1, retryAfter.Milliseconds()))})
+	}
+	began := m.cfg.Clock.Now()
+	defer func() { m.uploads.release(m.cfg.Clock.Since(began)) }()
+	return m.sendChunk(ctx, stream, trans, hash)
+}
+
+func (m *Manager) sendChunk(ctx context.Context, stream wire.DRPCHost_ChunkStream, trans *transfer, hash chunkHash) error {
+	room := int64(trans.manifest().GetChunkBytes())
+	if err := m.window.Acquire(ctx, room); err != nil {
+		return err
+	}
+	defer m.window.Release(room)
+	data, err := m.store.get(ctx, hash)
+	if err != nil {
+		if ctx.Err() != nil {
+			return err
+		}
+		m.cfg.Log.Warn("a kept chunk cannot be read", "version", trans.version, "error", err)
+		if kind := failure.KindOf(err); kind == failure.Corrupt || kind == failure.NotFound {
+			m.shareLoss(hash)
+		}
+		return stream.Send(&wire.ChunkData{})
+	}
+	return m.send(stream, data)
+}
+
+// send streams data in small pieces at the pace of the uplink; no data means
+// that this host lacks it.
+func (m *Manager) send(stream wire.DRPCHost_ChunkStream, data []byte) error {
+	piece := &wire.ChunkData{Size: uint32(len(data))}
+	if len(data) == 0 {
+		return stream.Send(piece)
+	}
+	for len(data) > 0 {
+		count := min(len(data), link.PieceBytes)
+		piece.Data = data[:count]
+		if err := m.link.Wait(stream.Context(), link.Up, count); err != nil {
+			return err
+		}
+		if err := m.sendPiece(stream, piece); err != nil {
+			return err
+		}
+		m.sentBytes.Add(uint64(count))
+		data = data[count:]
+		piece = &wire.ChunkData{}
+	}
+	return nil
+}
+
+func (m *Manager) sendPiece(stream wire.DRPCHost_ChunkStream, piece *wire.ChunkData) error {
+	transport, ok := drpcctx.Transport(stream.Context())
+	if conn, isConn := transport.(net.Conn); ok && isConn {
+		watchdog := m.cfg.Clock.AfterFunc(sendStall, func() { _ = conn.Close() })
+		defer watchdog.Stop()
+	}
+	return stream.Send(piece)
+}
+
+// heldHash returns the hash of a chunk that the host holds.
+func (t *transfer) heldHash(index uint32) (chunkHash, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.core == nil || uint64(index) >= uint64(len(t.man.GetChunkHashes())) || !t.core.Holds(int(index)) {
+		return chunkHash{}, false
+	}
+	return chunkHash(t.man.GetChunkHashes()[index]), true
+}
+
+// shareLoss tells every version that the host no longer has the chunk.
+func (m *Manager) shareLoss(hash chunkHash) {
+	for _, trans := range m.allTransfers() {
+		trans.lose(hash)
+	}
+	m.noteChange()
+}
+
+func (t *transfer) lose(hash chunkHash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, chunk := range t.chunks[hash] {
+		t.core.Lose(chunk)
+	}
+}
--- /dev/null
+++ b/agent/internal/weights/transfer.go
@@ -0,0 +1,278 @@
+package weights
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/relay/burst"
+	"comfreyrelay.example/relay/rendezvous"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// tickInterval is the longest time between two decisions while fetching,
+	// wholeTick once whole.
+	tickInterval = 25 * time.Millisecond
+	wholeTick    = 250 * time.Millisecond
+	// peersInterval is how often the list of peers is read.
+	peersInterval = time.Second
+	// standstill is the time without a chunk after which a hold-up shows.
+	standstill = 5 * time.Second
+	// maxFetches bounds the chunks of one version requested at once.
+	maxFetches = 6
+)
+
+// transfer moves one version. Its goroutine alone runs the loop; events come
+// from the goroutines of fetches and from served calls.
+type transfer struct {
+	mgr     *Manager
+	version string
+	wake    chan struct{} // buffered by one: events not yet decided on
+	cancel  context.CancelFunc
+	work    sync.WaitGroup // the loop and its fetches
+
+	mu       sync.Mutex // guards the fields below
+	core     *burst.Core
+	man      *wire.Manifest      // nil until verified against the version
+	encoded  []byte              // the manifest as it was hashed
+	chunks   map[chunkHash][]int // indexes by hash: equal chunks are fetched once
+	priority int
+	passive  bool // keeps and serves, fetches no chunks
+	policy   Policy
+	failed   bool   // the origin's manifest does not match the version
+	problem  string // newest reason for a failed fetch
+	advanced time.Time
+	peersAt  time.Time
+	fetches  map[fetchKey]context.CancelFunc
+}
+
+type fetchKey struct {
+	chunk  int
+	source string // id of a peer, or burst.Origin
+}
+
+func newTransfer(mgr *Manager, version string, policy Policy) *transfer {
+	return &transfer{
+		mgr: mgr, version: version, policy: policy,
+		wake:     make(chan struct{}, 1),
+		fetches:  map[fetchKey]context.CancelFunc{},
+		advanced: mgr.cfg.Clock.Now(),
+	}
+}
+
+func (t *transfer) start(ctx context.Context) {
+	ctx, t.cancel = context.WithCancel(ctx)
+	t.work.Go(func() { t.run(ctx) })
+}
+
+func (t *transfer) stop() {
+	t.cancel()
+	t.work.Wait()
+}
+
+// adapt takes over what the newest targets say of the version.
+func (t *transfer) adapt(priority int, passive bool, policy Policy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.priority, t.passive, t.policy = priority, passive, policy
+	if t.core != nil {
+		t.core.SetPolicy(policy.Objective, policy.OriginCopies)
+	}
+	signal(t.wake)
+}
+
+func (t *transfer) now() time.Time { return t.mgr.cfg.Clock.Now() }
+
+func (t *transfer) run(ctx context.Context) {
+	if err := t.fetchManifest(ctx); err != nil {
+		return
+	}
+	if err := t.recall(ctx); err != nil {
+		return
+	}
+	// What earlier targets left may be dropped now that the chunks are known.
+	signal(t.mgr.wake)
+	for ctx.Err() == nil {
+		t.step(ctx)
+		wait := tickInterval
+		if t.whole() {
+			wait = wholeTick
+		}
+		select {
+		case <-ctx.Done():
+		case <-t.wake:
+		case <-t.mgr.cfg.Clock.After(wait):
+		}
+	}
+}
+
+// begin sets the core up once the manifest is verified.
+func (t *transfer) begin(man *wire.Manifest, encoded []byte) {
+	chunks := map[chunkHash][]int{}
+	for i, hash := range man.GetChunkHashes() {
+		chunks[chunkHash(hash)] = append(chunks[chunkHash(hash)], i)
+	}
+	self := t.mgr.cfg.Self
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	room := t.mgr.size / 2 / int64(max(1, man.GetChunkBytes()))
+	core := burst.New(burst.Config{
+		Self:         peerOf(self),
+		Version:      t.version,
+		Chunks:       len(man.GetChunkHashes()),
+		Strategy:     t.mgr.cfg.Strategy,
+		Objective:    t.policy.Objective,
+		OriginCopies: t.policy.OriginCopies,
+		MaxFetches:   int(max(1, min(room, maxFetches))),
+		Seed:         rendezvous.Seed(self.GetIncarnation()),
+	})
+	t.man, t.encoded, t.core, t.chunks = man, encoded, core, chunks
+	t.failed, t.problem = false, ""
+}
+
+// recall takes over the chunks that the host has already, from another version
+// or from before a restart. Bytes that this process did not keep itself are
+// verified first.
+func (t *transfer) recall(ctx context.Context) error {
+	for hash := range t.chunks {
+		kept, verified := t.mgr.store.lookUp(hash)
+		if !kept {
+			continue
+		}
+		if !verified && t.verifyKept(ctx, hash) != nil {
+			continue
+		}
+		t.hold(hash)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (t *transfer) verifyKept(ctx context.Context, hash chunkHash) error {
+	room := int64(t.man.GetChunkBytes())
+	if err := t.mgr.window.Acquire(ctx, room); err != nil {
+		return err
+	}
+	defer t.mgr.window.Release(room)
+	_, err := t.mgr.store.get(ctx, hash)
+	return err
+}
+
+// hold notes a kept chunk, wherever the version names it.
+func (t *transfer) hold(hash chunkHash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, chunk := range t.chunks[hash] {
+		t.core.Hold(chunk)
+	}
+	if len(t.chunks[hash]) > 0 {
+		signal(t.wake)
+	}
+}
+
+// step lets the core decide and does what it says.
+func (t *transfer) step(ctx context.Context) {
+	outranked := t.mgr.outranked(t.rank())
+	load := t.mgr.uploads.load()
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.peersAt) >= peersInterval {
+		t.peersAt = now
+		t.core.SetPeers(now, t.mgr.peers())
+	}
+	t.core.SetUploads(load)
+	t.core.SetPaused(t.passive || outranked)
+	for _, act := range t.core.Decide(now) {
+		t.perform(ctx, act)
+	}
+}
+
+// perform does one action; t.mu is held.
+func (t *transfer) perform(ctx context.Context, act burst.Action) {
+	key := fetchKey{chunk: act.Chunk, source: act.Source}
+	switch act.Kind {
+	case burst.Fetch:
+		fetchCtx, cancel := context.WithCancel(ctx)
+		t.fetches[key] = cancel
+		t.work.Go(func() { t.fetch(fetchCtx, cancel, key) })
+	case burst.Cancel:
+		if cancel := t.fetches[key]; cancel != nil {
+			cancel()
+			delete(t.fetches, key)
+		}
+	case burst.Exchange:
+		report := t.core.Report()
+		t.work.Go(func() { t.exchange(ctx, act.Source, report) })
+	}
+}
+
+func (t *transfer) rank() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.priority
+}
+
+// advancing returns the priority of a target that gains chunks; -1 for others.
+func (t *transfer) advancing() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.passive || t.failed || t.holdUp() != "" || (t.core != nil && t.core.Whole()) {
+		return -1
+	}
+	return t.priority
+}
+
+func (t *transfer) whole() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core != nil && t.core.Whole()
+}
+
+func (t *transfer) manifest() *wire.Manifest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.man
+}
+
+func (t *transfer) state() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failed {
+		return State{phase: Failed, holdUp: t.problem}
+	}
+	if t.core == nil {
+		return State{phase: Fetching, holdUp: t.holdUp()}
+	}
+	st := State{phase: Fetching, have: t.core.Held(), total: len(t.man.GetChunkHashes())}
+	if t.core.Whole() {
+		st.phase = Whole
+		return st
+	}
+	st.holdUp = t.holdUp()
+	return st
+}
+
+// holdUp returns why nothing came for a while; t.mu is held.
+func (t *transfer) holdUp() string {
+	if t.passive || t.now().Sub(t.advanced) < standstill {
+		return ""
+	}
+	if t.problem == "" {
+		return "no peer offers the missing chunks and their owners have not drawn them yet; check that the origin answers"
+	}
+	return t.problem
+}
+
+func (t *transfer) setProblem(problem string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.problem = problem
+}
+
+func peerOf(node *wire.Node) burst.Peer {
+	return burst.Peer{ID: node.GetId(), Region: node.GetRegion(), FailureDomain: node.GetFailureDomain()}
+}
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -54,6 +54,8 @@
 	askWindow = 4 * drawWindow
 	// maxDuplicates bounds the chunks requested twice at once near the end.
 	maxDuplicates = 2
+	// bannedAfter is the corrupt chunks in a row that ban a peer.
+	bannedAfter = 2
 	// ownerRanks is how many hosts may draw a chunk in turn.
 	ownerRanks = 8
 )
@@ -75,9 +77,10 @@
 	lostInterval  = 250 * time.Millisecond // between looks for chunks whose holders are gone
 	busyWait      = 50 * time.Millisecond  // least pause with a busy peer
 	lacksWait     = 200 * time.Millisecond
-	suspectWait   = 5 * time.Second // pause with an unreachable peer
-	stallPenalty  = 2 * time.Second // pause with a peer that let a fetch time out; doubles
-	corruptBan    = 5 * time.Second // pause with a peer that sent corrupt bytes; doubles
+	suspectWait   = 5 * time.Second        // pause with an unreachable peer
+	stallPenalty  = 2 * time.Second        // pause with a peer that let a fetch time out; doubles
+	corruptPause  = 250 * time.Millisecond // pause after one corrupt chunk
+	corruptBan    = 10 * time.Second       // pause with a peer that sent several in a row; doubles
 	maxPenalty    = time.Minute
 	originBackoff = 500 * time.Millisecond // pause after a failed draw; doubles
 	maxBackoff    = 15 * time.Second
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -24,6 +24,7 @@
 	peers      map[string]*peerState
 	list       []Peer       // newest list of peers
 	listedAt   time.Time    // when the first list came
+	recheck    time.Time    // when the next absent peer may be back; zero: none is absent
 	order      []*peerState // all of peers, by id
 	neighbours []*peerState
 	holders    []uint16 // per chunk: neighbours that hold it
@@ -32,6 +33,7 @@
 	flights   []*flight // requests in progress, oldest first
 	inFlight  []uint8   // per chunk: requests in progress
 	fetchTime time.Duration
+	paused    bool
 	uploads   int // uploads in progress or waiting
 
 	owners     map[int][]*peerState // per chunk: hosts by rank; nil stands for this one
@@ -113,6 +115,15 @@
 // SetUploads tells how many uploads are in progress or wait.
 func (c *Core) SetUploads(uploads int) { c.uploads = uploads }
 
+// SetPaused stops new fetches, or lets them go on; exchanges go on anyway.
+func (c *Core) SetPaused(paused bool) { c.paused = paused }
+
+// SetPolicy changes the objective; see Config.
+func (c *Core) SetPolicy(objective string, originCopies int) {
+	c.cfg.Objective = objective
+	c.cfg.OriginCopies = originCopies
+}
+
 // Report returns what to tell a peer in an exchange.
 func (c *Core) Report() Report {
 	drawing := newChunkSet(c.cfg.Chunks)
@@ -159,14 +170,13 @@
 		c.outside(now, pst)
 		return
 	}
-	if pst.absent(now) {
-		pst.suspect = false
-		pst.penaltyUntil, pst.outsideUntil = now, now
+	if now.Before(pst.suspectUntil) || now.Before(pst.outsideUntil) {
+		pst.suspectUntil, pst.outsideUntil = now, now
 		pst.strikes = 0
 		c.membershipChanged(now)
 	}
 	c.learnHeld(pst, rep.Held)
-	if !pst.neighbour && len(c.neighbours) < maxNeighbours {
+	if !pst.neighbour && !pst.absent(now) && len(c.neighbours) < maxNeighbours {
 		c.setNeighbour(pst, true)
 	}
 	c.noteDrawn(now, rep.Drawn)
@@ -228,8 +238,11 @@
 	}
 	pst.exchanging = false
 	pst.exchanged = now
-	pst.suspect = true
-	pst.penalise(now, suspectWait)
+	c.suspect(now, pst)
+}
+
+func (c *Core) suspect(now time.Time, pst *peerState) {
+	pst.suspectUntil = now.Add(pst.penalty(suspectWait))
 	c.membershipChanged(now)
 }
 
@@ -247,7 +260,7 @@
 		c.wakeNextOwner()
 	} else {
 		flt.source.serve = average(flt.source.serve, took)
-		flt.source.strikes = 0
+		flt.source.strikes, flt.source.corrupts = 0, 0
 		c.fetchTime = average(c.fetchTime, took)
 	}
 	delete(c.dueSince, chunk)
@@ -291,15 +304,12 @@
 		pst.busyUntil = now.Add(lacksWait)
 		c.unlearn(pst, chunk)
 	case Corrupt:
-		pst.strikes = max(pst.strikes, pst.corrupts)
-		pst.corrupts++
-		pst.penalise(now, corruptBan)
+		pst.corrupted(now)
+		c.membershipChanged(now)
 	case TimedOut:
-		pst.penalise(now, stallPenalty)
+		pst.slowUntil = now.Add(pst.penalty(stallPenalty))
 	case Broken:
-		pst.suspect = true
-		pst.penalise(now, suspectWait)
-		c.membershipChanged(now)
+		c.suspect(now, pst)
 	}
 }
 
@@ -349,7 +359,10 @@
 // least every few tens of milliseconds.
 func (c *Core) Decide(now time.Time) []Action {
 	c.expire(now)
-	if !c.Whole() {
+	if !c.recheck.IsZero() && !now.Before(c.recheck) {
+		c.membershipChanged(now)
+	}
+	if !c.Whole() && !c.paused {
 		switch c.cfg.Strategy {
 		case OriginOnly:
 			c.drawAll(now)
--- a/relay/burst/exchange.go
+++ b/relay/burst/exchange.go
@@ -8,7 +8,7 @@
 // size, because the number of neighbours is bounded.
 func (c *Core) exchange(now time.Time) {
 	for _, pst := range c.neighbours {
-		if pst.exchanging || now.Before(pst.penaltyUntil) {
+		if pst.exchanging || pst.absent(now) {
 			continue
 		}
 		if now.Sub(pst.exchanged) >= c.exchangeInterval(pst) {
--- a/relay/burst/peers.go
+++ b/relay/burst/peers.go
@@ -33,28 +33,49 @@
 	serve    time.Duration // moving average of a fetch from it; 0 until measured
 
 	busyUntil    time.Time // asked to come back then
-	penaltyUntil time.Time // stalled, corrupt or unreachable until then
-	suspect      bool      // the penalty is for being unreachable
+	slowUntil    time.Time // let fetches time out: not asked until then
+	suspectUntil time.Time // taken to be unreachable until then
+	bannedUntil  time.Time // sent corrupt bytes repeatedly: ignored until then
 	outsideUntil time.Time // takes no part in the version until then
-	strikes      int       // penalties since it last delivered
-	corrupts     int       // corrupt chunks, ever
+	strikes      int       // stalls and failures since it last delivered
+	corrupts     int       // corrupt chunks since it last delivered
 }
 
 // usable reports whether chunks may be requested from the peer.
 func (p *peerState) usable(now time.Time) bool {
-	return p.held != nil && !now.Before(p.busyUntil) && !now.Before(p.penaltyUntil)
+	return p.held != nil && !now.Before(p.busyUntil) && !now.Before(p.slowUntil) && !p.absent(now)
 }
 
-// absent reports whether the peer is taken to be unreachable or not to take
-// part in the version.
-func (p *peerState) absent(now time.Time) bool {
-	return p.suspect && now.Before(p.penaltyUntil) || now.Before(p.outsideUntil)
+// absent reports whether the peer is to be treated as if it were not there.
+func (p *peerState) absent(now time.Time) bool { return now.Before(p.absentUntil()) }
+
+func (p *peerState) absentUntil() time.Time {
+	until := p.suspectUntil
+	for _, other := range []time.Time{p.bannedUntil, p.outsideUntil} {
+		if other.After(until) {
+			until = other
+		}
+	}
+	return until
 }
 
-// penalise pauses requests to the peer, twice as long at each strike.
-func (p *peerState) penalise(now time.Time, base time.Duration) {
-	p.penaltyUntil = now.Add(min(base<<min(p.strikes, 6), maxPenalty))
+// penalty returns a pause that doubles with each failure since the peer last
+// delivered.
+func (p *peerState) penalty(base time.Duration) time.Duration {
 	p.strikes++
+	return min(base<<min(p.strikes-1, 6), maxPenalty)
+}
+
+// corrupted notes a corrupt chunk. One may be the link's fault; a peer that
+// sends them in a row is banned, or the fleet would ask it for ever and take
+// what it alone holds for available.
+func (p *peerState) corrupted(now time.Time) {
+	p.corrupts++
+	if p.corrupts < bannedAfter {
+		p.slowUntil = now.Add(corruptPause)
+		return
+	}
+	p.bannedUntil = now.Add(min(corruptBan<<min(p.corrupts-bannedAfter, 6), maxPenalty))
 }
 
 func (p *peerState) is(set []uint64, chunk int) bool {
@@ -114,6 +135,12 @@
 // membershipChanged recomputes what depends on who is there.
 func (c *Core) membershipChanged(now time.Time) {
 	clear(c.owners)
+	c.recheck = time.Time{}
+	for _, pst := range c.order {
+		if until := pst.absentUntil(); until.After(now) && (c.recheck.IsZero() || until.Before(c.recheck)) {
+			c.recheck = until
+		}
+	}
 	c.chooseNeighbours(now)
 	c.parent = c.findParent()
 }
