Caller and engine agree in one run; once requests get their own connection

Cause: an entry may close a kept connection just as a request goes out; nobody can then tell whether it ran, which a request that is not repeatable cannot afford. A run cancelled just before an order counted as cut off by chance.

--- a/standin/internal/engine/generate.go
+++ b/standin/internal/engine/generate.go
@@ -256,9 +256,9 @@
 	case <-wake:
 		return nil
 	case <-current.weights.gone:
-		return e.cutReason()
+		return e.cutReason(ctx, current)
 	case <-adapterGone:
-		return e.cutReason()
+		return e.cutReason(ctx, current)
 	case <-current.cancelled:
 		return errCancelled
 	case <-ctx.Done():
@@ -266,8 +266,16 @@
 	}
 }
 
-// cutReason tells a host that died from an order that cut a request.
-func (e *Engine) cutReason() error {
+// cutReason says why a run lost its weights. A run that was cancelled just
+// before is not cut off, nor is one whose host died.
+func (e *Engine) cutReason(ctx context.Context, current *run) error {
+	select {
+	case <-current.cancelled:
+		return errCancelled
+	case <-ctx.Done():
+		return errCancelled
+	default:
+	}
 	if e.Faults().Dead {
 		return errBroken
 	}
--- a/standin/internal/load/caller_test.go
+++ b/standin/internal/load/caller_test.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		t.Fatalf("options: got %v, want none", err)
 	}
-	caller.sender.client.Transport = fake
+	caller.sender.kept.Transport, caller.sender.fresh.Transport = fake, fake
 	planned, _ := newPlan(options).next()
 	planned.arrival = 0
 	var calls sync.WaitGroup
@@ -329,7 +329,7 @@
 		if err != nil {
 			t.Fatalf("options: got %v, want none", err)
 		}
-		caller.sender.client.Transport = fake
+		caller.sender.kept.Transport, caller.sender.fresh.Transport = fake, fake
 		summary, err := caller.Run(t.Context())
 		if err != nil {
 			t.Fatalf("run: got %v, want none", err)
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -38,13 +38,13 @@
 	if err := options.check(); err != nil {
 		return nil, err
 	}
-	client := newClient()
+	kept := newClient(true)
 	intended := newVersions(options.Versions, options.Adapters)
 	made := &Load{
 		options:  options,
 		clock:    clock,
 		log:      log,
-		sender:   &sender{client: client, clock: clock, versions: intended},
+		sender:   &sender{kept: kept, fresh: newClient(false), clock: clock, versions: intended},
 		versions: intended,
 		tally:    newTally(options.Customers, options.Deadline),
 		ledger:   newLedger(record),
@@ -52,7 +52,7 @@
 		started:  clock.Now(),
 	}
 	for _, customer := range options.Customers {
-		made.directories = append(made.directories, newDirectories(options, customer, client, clock))
+		made.directories = append(made.directories, newDirectories(options, customer, kept, clock))
 	}
 	return made, nil
 }
--- a/standin/internal/load/send.go
+++ b/standin/internal/load/send.go
@@ -24,14 +24,19 @@
 
 // sender sends one attempt and judges the reply.
 type sender struct {
-	client   *http.Client
+	// kept uses connections again; directories share it.
+	kept *http.Client
+	// fresh makes a connection for each request that is not repeatable. An
+	// entry may close a kept one just as the request goes out, and then nobody
+	// could tell whether it ran.
+	fresh    *http.Client
 	clock    clockwork.Clock
 	versions *versions
 }
 
 // newClient returns a client that never sends a request twice by itself: it
 // follows no redirect and the requests carry no idempotency header.
-func newClient() *http.Client {
+func newClient(keep bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
@@ -39,6 +44,7 @@
 			MaxIdleConnsPerHost: idlePerEntry,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+			DisableKeepAlives:   !keep,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -121,13 +127,20 @@
 	if sent.asked.stream {
 		post.Header.Set("Accept", "text/event-stream")
 	}
-	response, err := s.client.Do(post)
+	response, err := s.client(sent.asked).Do(post)
 	if err != nil {
 		return nil, verdictOnError(ctx, err)
 	}
 	return response, verdict{}
 }
 
+func (s *sender) client(asked request) *http.Client {
+	if asked.repeatable {
+		return s.kept
+	}
+	return s.fresh
+}
+
 // verdictOnError judges a request that got no response: only where no
 // connection came about it was certainly not run.
 func verdictOnError(ctx context.Context, err error) verdict {
