Soak: random faults against real processes

Cause: the promises must hold whatever happens at once. Change: a seeded plan of faults, leaves, restarts and document changes under load; invariants from the records of callers and back ends. Measured: plans only; not yet run on a house.

--- a/bench/internal/house/counters.go
+++ b/bench/internal/house/counters.go
@@ -15,6 +15,8 @@
 	CrossRegionBytes float64
 	// AllocBytes is all memory ever allocated.
 	AllocBytes float64
+	// InvariantFailures counts what the program itself found broken.
+	InvariantFailures float64
 	// Vars holds every variable.
 	Vars map[string]any
 }
@@ -28,6 +30,7 @@
 	out := Counters{Vars: vars}
 	out.ControlBytes = number(vars, "controlBytes")
 	out.CrossRegionBytes = number(vars, "crossRegionBytes")
+	out.InvariantFailures = total(vars["invariantFailures"])
 	if stats, ok := vars["memstats"].(map[string]any); ok {
 		out.AllocBytes = number(stats, "TotalAlloc")
 	}
@@ -39,3 +42,16 @@
 	value, _ := vars[name].(float64)
 	return value
 }
+
+// total sums a variable that is a number or a map of numbers.
+func total(value any) (sum float64) {
+	switch value := value.(type) {
+	case float64:
+		return value
+	case map[string]any:
+		for _, one := range value {
+			sum += total(one)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/bench/internal/soak/act.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// act carries one event out; it returns when the event is over.
+func (r *run) act(ctx context.Context, event Event) error {
+	switch event.Kind {
+	case killHost:
+		return r.killAndRestart(ctx, r.host(event), event.Length)
+	case killEntry:
+		return r.killAndRestart(ctx, r.entry(event), event.Length)
+	case leaveHost:
+		return r.leaveAndRestart(ctx, r.host(event), event.Length)
+	case leaveEntry:
+		return r.leaveAndRestart(ctx, r.entry(event), event.Length)
+	case pauseHost:
+		return pauseAndResume(ctx, r.host(event), event.Length)
+	case pauseEntry:
+		return pauseAndResume(ctx, r.entry(event), event.Length)
+	case serviceFaults:
+		return r.serviceFaults(ctx, event)
+	case newVersion, formerVersion, newLimits, twoOperators:
+		return r.changeDocument(ctx, event.Kind)
+	}
+	if faults, ok := engineFaults[event.Kind]; ok {
+		set := func(f house.EngineFaults) error { return r.house.SetEngineFaults(ctx, r.host(event), f) }
+		return knobs(ctx, set, faults, event.Length)
+	}
+	if faults, ok := kvFaults[event.Kind]; ok {
+		set := func(f house.KVFaults) error { return r.house.SetKVFaults(ctx, f) }
+		return knobs(ctx, set, faults, event.Length)
+	}
+	if faults, ok := originFaults[event.Kind]; ok {
+		set := func(f house.OriginFaults) error { return r.house.SetOriginFaults(ctx, f) }
+		return knobs(ctx, set, faults, event.Length)
+	}
+	if faults, ok := listFaults[event.Kind]; ok {
+		set := func(f house.HostListFaults) error { return r.house.SetHostListFaults(ctx, f) }
+		return knobs(ctx, set, faults, event.Length)
+	}
+	return fmt.Errorf("no action for %s", event.Kind)
+}
+
+var engineFaults = map[Kind]house.EngineFaults{
+	slowEngine:     {SlowFactor: 10},
+	failFastEngine: {FailFast: true, ReportIdle: true},
+	breakEngine:    {DieAfterTokens: 5},
+	stallEngine:    {Stall: true},
+	refuseLoad:     {RefuseLoad: true},
+	dropLoad:       {DropLoad: true},
+}
+
+var kvFaults = map[Kind]house.KVFaults{
+	kvDown:         {Down: true},
+	kvSlow:         {DelayMillis: 1500},
+	kvLosesReplies: {LoseReplies: 0.3, LoseRequests: 0.2},
+	kvWatchSilent:  {WatchSilent: true},
+	kvCompact:      {Compact: true, DropWatch: true},
+}
+
+var originFaults = map[Kind]house.OriginFaults{
+	originCorrupt: {CorruptFraction: 0.05},
+	originDown:    {Down: true},
+}
+
+var listFaults = map[Kind]house.HostListFaults{
+	listEmpty: {Empty: true},
+	listDown:  {Down: true},
+}
+
+// knobs sets faults, waits, and sets the zero value.
+func knobs[F any](ctx context.Context, set func(F) error, faults F, length time.Duration) error {
+	if err := set(faults); err != nil {
+		return err
+	}
+	wait := pause(ctx, length)
+	var none F
+	return errors.Join(set(none), wait)
+}
+
+func (r *run) host(event Event) *house.Member { return r.house.Agents()[event.Target] }
+
+func (r *run) entry(event Event) *house.Member { return r.house.Entries()[event.Target] }
+
+func (r *run) killAndRestart(ctx context.Context, m *house.Member, length time.Duration) error {
+	if err := r.house.Kill(ctx, m); err != nil {
+		return err
+	}
+	if err := pause(ctx, length); err != nil {
+		return err
+	}
+	return r.house.Restart(ctx, m)
+}
+
+// leaveAndRestart asks the member to leave, which must end cleanly.
+func (r *run) leaveAndRestart(ctx context.Context, m *house.Member, length time.Duration) error {
+	if err := r.house.ListLeaving(ctx, m); err != nil {
+		return err
+	}
+	limited, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	if err := m.Terminate(limited); err != nil {
+		r.violate("leave", fmt.Sprintf("%s did not end cleanly: %v", m.ID(), err))
+		_ = m.Process().Kill()
+	}
+	if err := pause(ctx, length); err != nil {
+		return err
+	}
+	return errors.Join(r.house.List(ctx, m), r.house.Restart(ctx, m))
+}
+
+func pauseAndResume(ctx context.Context, m *house.Member, length time.Duration) error {
+	if err := m.Pause(); err != nil {
+		return err
+	}
+	wait := pause(ctx, length)
+	return errors.Join(m.Resume(), wait)
+}
+
+func (r *run) serviceFaults(ctx context.Context, event Event) error {
+	m := r.house.Services()[event.Target]
+	set := func(f house.ServiceFaults) error { return r.house.SetServiceFaults(ctx, m, f) }
+	return knobs(ctx, set, house.ServiceFaults{LoseReply: 0.2, FailBeforeRun: 0.2, SlowFactor: 2}, event.Length)
+}
+
+// changeDocument submits a change; a refusal is no fault, for the service may
+// be down. The callers hear of a version before it can answer them.
+func (r *run) changeDocument(ctx context.Context, kind Kind) error {
+	r.document.Lock()
+	defer r.document.Unlock()
+	base, _, err := r.inForce(ctx)
+	if err != nil {
+		return nil
+	}
+	next := r.desired
+	switch kind {
+	case newVersion:
+		made, err := r.publish(ctx)
+		if err != nil {
+			return err
+		}
+		if err := r.load.AddVersion(ctx, made); err != nil {
+			return err
+		}
+		next.Version = made
+		r.former = r.desired.Version
+	case formerVersion:
+		if r.former == "" {
+			return nil
+		}
+		next.Version, r.former = r.former, r.desired.Version
+	case newLimits:
+		r.limit++
+		next.Customers = limited(next.Customers, r.limit)
+	case twoOperators:
+		return r.submitTwo(ctx, base)
+	}
+	return r.submit(ctx, base, next)
+}
+
+// submit notes what was accepted. Where the reply is lost, what is in force
+// settles it later: the last accepted document must win.
+func (r *run) submit(ctx context.Context, base uint32, next house.Desired) error {
+	_, err := r.house.Submit(ctx, r.anyEntry(), base, r.house.Document(next), "comfreybench soak")
+	if err == nil {
+		r.desired = next
+		r.accepted++
+	}
+	return nil
+}
+
+// submitTwo submits two documents over one base at the same moment: at most
+// one may be accepted.
+func (r *run) submitTwo(ctx context.Context, base uint32) error {
+	entries := r.house.Entries()
+	var accepted [2]bool
+	var next [2]house.Desired
+	var both sync.WaitGroup
+	for i := range next {
+		r.limit++
+		next[i] = r.desired
+		next[i].Customers = limited(r.desired.Customers, r.limit)
+		both.Go(func() {
+			_, err := r.house.Submit(ctx, entries[i], base, r.house.Document(next[i]), "comfreybench soak")
+			accepted[i] = err == nil
+		})
+	}
+	both.Wait()
+	if accepted[0] && accepted[1] {
+		r.violate("twoAccepted", fmt.Sprintf("two documents over revision %d were accepted", base))
+	}
+	for i := range next {
+		if accepted[i] {
+			r.desired = next[i]
+			r.accepted++
+		}
+	}
+	return nil
+}
+
+// limited returns the customers with another limit of the first one.
+func limited(customers []house.Customer, limit int) []house.Customer {
+	const base = 1000
+	out := append([]house.Customer(nil), customers...)
+	out[0].RequestsPerSecond = float64(base + limit)
+	return out
+}
--- /dev/null
+++ b/bench/internal/soak/document.go
@@ -0,0 +1,30 @@
+package soak
+
+import (
+	"context"
+	"errors"
+
+	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/relay/wire"
+)
+
+// errNoEntry tells that no entry answers operators.
+var errNoEntry = errors.New("no entry answers operators")
+
+// inForce asks every entry that answers and returns the newest document.
+func (r *run) inForce(ctx context.Context) (revision uint32, doc *wire.Document, err error) {
+	err = errNoEntry
+	for _, m := range r.house.Entries() {
+		seen, found, problem := r.house.InForce(ctx, m)
+		if problem == nil && (doc == nil || seen > revision) {
+			revision, doc, err = seen, found, nil
+		}
+	}
+	return revision, doc, err
+}
+
+// anyEntry returns an entry to submit to, another each time.
+func (r *run) anyEntry() *house.Member {
+	entries := r.house.Entries()
+	return entries[int(r.seed)%len(entries)]
+}
--- /dev/null
+++ b/bench/internal/soak/plan_test.go
@@ -0,0 +1,50 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestPlanRepeats(t *testing.T) {
+	sizes := Sizes{Entries: 9, Hosts: 9, Services: 2}
+	one, other := Plan(3, time.Hour, sizes), Plan(3, time.Hour, sizes)
+	if !slices.Equal(one, other) {
+		t.Error("Plan: got two different plans for one seed, want the same")
+	}
+	if slices.Equal(one, Plan(4, time.Hour, sizes)) {
+		t.Error("Plan: got the same plan for two seeds, want different ones")
+	}
+	seen := map[Kind]bool{}
+	for _, event := range one {
+		seen[event.Kind] = true
+	}
+	if got, want := len(seen), len(rules); got != want {
+		t.Errorf("kinds in an hour: got %d, want %d", got, want)
+	}
+}
+
+// Symptom: a run fails because nobody was left to serve. Sequence: faults
+// strike most hosts at once. Cause: faults were drawn without a bound.
+func TestPlanLeavesMostAlone(t *testing.T) {
+	sizes := Sizes{Entries: 9, Hosts: 9, Services: 2}
+	events := Plan(5, time.Hour, sizes)
+	for i, event := range events {
+		if event.Target == noTarget {
+			continue
+		}
+		hosts := map[int]bool{}
+		for _, earlier := range events[:i+1] {
+			if onHost(earlier.Kind) && earlier.At+earlier.Length > event.At {
+				hosts[earlier.Target] = true
+			}
+		}
+		if got, most := len(hosts), (sizes.Hosts-1)/2; got > most {
+			t.Fatalf("hosts struck at %v: got %d, want at most %d", event.At, got, most)
+		}
+	}
+}
+
+func onHost(kind Kind) bool {
+	return slices.ContainsFunc(rules, func(one rule) bool { return one.kind == kind && one.target == aHost })
+}
--- /dev/null
+++ b/bench/internal/soak/run.go
@@ -0,0 +1,341 @@
+// Package soak lets random faults happen to a house under load and checks the
+// invariants from the callers' and the back ends' own records.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/bench/internal/audit"
+	"comfreyrelay.example/bench/internal/follow"
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// The house and its load.
+const (
+	entryCount    = 9
+	hostCount     = 9
+	serviceCount  = 2
+	customerCount = 6
+	modelMiB      = 2
+	chunkKiB      = 64
+	changed       = 0.3 // of the chunks, from one version to the next
+	loadRate      = 60
+	answerTokens  = 24
+	slots         = 8
+	tokenTime     = 10 * time.Millisecond
+	requestTime   = 6 * time.Second
+	nonRepeatable = 0.4
+	doubleSend    = 0.3
+	toServices    = 0.2
+)
+
+// Bounds of the phases around the faults.
+const (
+	startLimit = 40 * time.Second
+	// endLimit bounds the return of all that was struck and the convergence.
+	endLimit = 60 * time.Second
+	// leaveLimit is longer than an agent's drain, its lingering included.
+	leaveLimit = 30 * time.Second
+)
+
+// Options configure a run.
+type Options struct {
+	// Bin is the directory of the built programs.
+	Bin string
+	// ProcessLog receives the processes' logs.
+	ProcessLog io.Writer
+	Log        *slog.Logger
+	Progress   io.Writer
+	Seed       uint64
+	// Length is how long faults happen.
+	Length time.Duration
+}
+
+// Result is the run's JSON line.
+type Result struct {
+	Bench      string  `json:"bench"`
+	Seed       uint64  `json:"seed"`
+	Seconds    float64 `json:"seconds"`
+	Requests   int     `json:"requests"`
+	Answered   int     `json:"answered"`
+	NotRun     int     `json:"notRun"`
+	Unknown    int     `json:"unknown"`
+	Faults     int     `json:"faults"`
+	Documents  int     `json:"documents"`
+	Violations int     `json:"violations"`
+	// First is the first violation with the events before it.
+	First *History `json:"first,omitempty"`
+	// ConvergeSeconds is from the end of the faults until all serve the last
+	// document's version.
+	ConvergeSeconds float64 `json:"convergeSeconds"`
+	// Lost counts back ends whose record could not be read.
+	Lost int `json:"lost"`
+	// Error tells why the run did not come to its end.
+	Error string `json:"error,omitempty"`
+}
+
+// History is one violation and what happened before.
+type History struct {
+	Kind   string   `json:"kind"`
+	Detail string   `json:"detail"`
+	Events []string `json:"events"`
+}
+
+// run is one soak.
+type run struct {
+	options  Options
+	house    *house.House
+	load     *house.Load
+	follower *follow.Follower
+	pending  sync.WaitGroup
+
+	document sync.Mutex // guards the fields of the document, and its changes
+	desired  house.Desired
+	former   string // version before the desired one
+	limit    int
+	accepted int
+	seed     uint64
+
+	mu         sync.Mutex // guards the fields below
+	happened   []string
+	violations int
+	first      *History
+	failed     error // of what the harness itself could not do
+}
+
+// Run runs one soak.
+func Run(ctx context.Context, options Options) (Result, error) {
+	result := Result{Bench: "soak", Seed: options.Seed, Seconds: options.Length.Seconds()}
+	r := &run{options: options, seed: options.Seed}
+	if err := r.start(ctx); err != nil {
+		return result, err
+	}
+	defer r.house.Stop()
+	err := r.follower.During(ctx, func() error { return r.strike(ctx, &result) })
+	if err == nil {
+		err = r.judge(ctx, &result)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	result.Violations, result.First = r.violations, r.first
+	return result, errors.Join(err, r.failed)
+}
+
+func (r *run) start(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	r.house, err = house.Start(ctx, house.Config{
+		Bin:              r.options.Bin,
+		Log:              r.options.ProcessLog,
+		Places:           house.Quetzal(),
+		Entries:          entryCount,
+		Hosts:            hostCount,
+		Services:         serviceCount,
+		OneEngineProcess: true,
+		Mixed:            true,
+		Engine:           house.Engine{Slots: slots, TokenInterval: tokenTime},
+	})
+	if err != nil {
+		return err
+	}
+	r.follower = follow.New(r.house.Members())
+	if err := r.serve(ctx); err != nil {
+		r.house.Stop()
+		return err
+	}
+	return nil
+}
+
+func (r *run) serve(ctx context.Context) error {
+	if err := r.house.WaitRoutable(ctx); err != nil {
+		return err
+	}
+	version, err := r.publish(ctx)
+	if err != nil {
+		return err
+	}
+	r.desired = house.Desired{Version: version, Objective: house.ObjectiveTime, Customers: house.Customers(customerCount)}
+	if _, err := r.house.Submit(ctx, r.house.Entries()[0], 0, r.house.Document(r.desired), "comfreybench soak"); err != nil {
+		return err
+	}
+	if err := r.house.WaitServing(ctx, r.house.Agents(), version, nil); err != nil {
+		return err
+	}
+	return r.house.WaitAnswering(ctx, r.desired.Customers[0])
+}
+
+// publish makes the next version from the one that is desired.
+func (r *run) publish(ctx context.Context) (string, error) {
+	r.seed++
+	pub := house.Publication{Model: house.ModelName, Mib: modelMiB, ChunkKib: chunkKiB, Seed: r.seed}
+	if r.desired.Version != "" {
+		pub.FromVersion, pub.ChangeFraction = r.desired.Version, changed
+	}
+	made, err := r.house.Publish(ctx, pub)
+	return made.Version, err
+}
+
+// strike runs the load and the plan's events to their end.
+func (r *run) strike(ctx context.Context, result *Result) error {
+	var err error
+	r.load, err = r.house.StartLoad(ctx, house.LoadOptions{
+		Customers:     house.EvenShares(r.desired.Customers),
+		Rate:          loadRate,
+		Time:          r.options.Length,
+		Seed:          r.options.Seed,
+		Versions:      []string{r.desired.Version},
+		MaxTokens:     answerTokens,
+		NonRepeatable: nonRepeatable,
+		DoubleSend:    doubleSend,
+		Services:      toServices,
+		Deadline:      requestTime,
+		Log:           r.options.Progress,
+	})
+	if err != nil {
+		return err
+	}
+	events := DefaultPlan(r.options.Seed, r.options.Length)
+	result.Faults = len(events)
+	started := time.Now()
+	for _, event := range events {
+		if err := pause(ctx, event.At-time.Since(started)); err != nil {
+			return err
+		}
+		r.begin(ctx, event)
+	}
+	summary, err := r.load.Wait(ctx)
+	r.pending.Wait()
+	if err != nil {
+		return err
+	}
+	result.addLoad(summary)
+	r.judgeLoad(summary)
+	return r.converge(ctx, result)
+}
+
+// begin starts an event and does not wait for its end.
+func (r *run) begin(ctx context.Context, event Event) {
+	r.options.Log.Info("event", "event", event.String())
+	r.mu.Lock()
+	r.happened = append(r.happened, event.String())
+	r.mu.Unlock()
+	r.pending.Go(func() {
+		if err := r.act(ctx, event); err != nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.failed = errors.Join(r.failed, fmt.Errorf("%s: %w", event, err))
+		}
+	})
+}
+
+// violate counts a broken invariant and keeps the first one's history.
+func (r *run) violate(kind, detail string) {
+	r.options.Log.Error("invariant broke", "kind", kind, "detail", detail)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations++
+	if r.first == nil {
+		r.first = &History{Kind: kind, Detail: detail, Events: append([]string(nil), r.happened...)}
+	}
+}
+
+// converge waits, with all faults gone, until every host serves the last
+// accepted document's version.
+func (r *run) converge(ctx context.Context, result *Result) error {
+	ctx, cancel := context.WithTimeout(ctx, endLimit)
+	defer cancel()
+	started := time.Now()
+	revision, doc, err := r.inForce(ctx)
+	if err != nil {
+		return err
+	}
+	version := doc.GetModels()[0].GetVersion()
+	if err := r.house.WaitServing(ctx, r.house.Agents(), version, nil); err != nil {
+		r.violate("notConverged", err.Error())
+		return nil
+	}
+	if err := r.follower.Wait(ctx, revision); err != nil {
+		r.violate("notConverged", fmt.Sprintf("revision %d is not in force on every node", revision))
+		return nil
+	}
+	result.ConvergeSeconds = time.Since(started).Seconds()
+	return nil
+}
+
+// judge compares the records once all is over.
+func (r *run) judge(ctx context.Context, result *Result) error {
+	ledgers := audit.Collect(ctx, r.house)
+	found, err := audit.CompareFile(r.load.Record(), ledgers.Runs)
+	if err != nil {
+		return err
+	}
+	for _, breach := range found.Examples {
+		r.violate(breach.Kind, breach.RequestID+": "+breach.Detail)
+	}
+	if more := found.Breaches() - len(found.Examples); more > 0 {
+		r.violate("more", fmt.Sprintf("%d further breaches", more))
+	}
+	if found.NeverRan > 0 {
+		r.violate(audit.KindNeverRan, fmt.Sprintf("%d answers to requests that no back end ran", found.NeverRan))
+	}
+	if reverts := r.follower.Reverts(); reverts > 0 {
+		r.violate("reverted", fmt.Sprintf("nodes went back to an older revision %d times", reverts))
+	}
+	result.Lost, result.Documents = ledgers.Lost, r.accepted
+	return r.judgeMembers(ctx)
+}
+
+func (r *run) judgeLoad(summary house.LoadSummary) {
+	wrong := summary.WrongAnswer + summary.WrongVersion + summary.CutOff + summary.Contradicted
+	if wrong == 0 {
+		return
+	}
+	for _, example := range summary.Examples {
+		switch example.Outcome {
+		case "wrongAnswer", "wrongVersion", "cutOff":
+			r.violate(example.Outcome, example.RequestID+": "+example.Detail)
+			wrong--
+		}
+	}
+	if wrong > 0 {
+		r.violate("callers", fmt.Sprintf("%d further answers were wrong, cut off or contradicted", wrong))
+	}
+}
+
+// judgeMembers reads the invariants that the programs assert inside.
+func (r *run) judgeMembers(ctx context.Context) error {
+	for _, m := range r.house.Members() {
+		counters, err := r.house.Counters(ctx, m)
+		if err != nil {
+			return err
+		}
+		if counters.InvariantFailures > 0 {
+			r.violate("inside", fmt.Sprintf("%s counted %v broken invariants", m.ID(), counters.InvariantFailures))
+		}
+	}
+	return nil
+}
+
+func (r *Result) addLoad(summary house.LoadSummary) {
+	r.Requests = summary.Requests
+	r.Answered = summary.Answered
+	r.NotRun = summary.NotRun
+	r.Unknown = summary.Unknown
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
