Documents: bounds on depth, values and listed problems

Cause: a body of 2 MiB made of a million wrong items took seconds and a gigabyte to refuse; deep nesting cost the square of its depth.

Change: texts with more than 100,000 values or 32 levels are refused before the schema sees them; at most 1,000 problems are listed; customers' names are collected once. The fuzz target checks that each problem's path leads into the text.

--- a/relay/document/check.go
+++ b/relay/document/check.go
@@ -24,7 +24,10 @@
 }
 
 func check(doc *wire.Document, known []Problem) []Problem {
-	check := &checking{doc: doc, known: known}
+	check := &checking{doc: doc, known: known, customerNames: map[string]bool{}}
+	for _, customer := range doc.GetCustomers() {
+		check.customerNames[customer.GetName()] = true
+	}
 	check.names()
 	check.keys()
 	check.models()
@@ -41,6 +44,8 @@
 	// Problems that the schema told of; what they touch was taken out of doc.
 	known []Problem
 	found []Problem
+	// Names of the customers in doc.
+	customerNames map[string]bool
 }
 
 func (c *checking) add(message, remedy string, tokens ...string) {
@@ -148,15 +153,11 @@
 // customers checks references; it holds back where a customer's own name is
 // missing, because the reference may mean that one.
 func (c *checking) customers(names []string, list, at string) {
-	known := map[string]bool{}
-	for _, customer := range c.doc.GetCustomers() {
-		known[customer.GetName()] = true
-	}
-	if known[""] || schema.Covers(c.known, "/customers") {
+	if c.customerNames[""] || schema.Covers(c.known, "/customers") {
 		return
 	}
 	for i, name := range names {
-		if name == "" || known[name] {
+		if name == "" || c.customerNames[name] {
 			continue
 		}
 		c.add(fmt.Sprintf("the customer %q is not in the document", name), "add it to /customers or correct the name",
--- a/relay/document/fuzz_test.go
+++ b/relay/document/fuzz_test.go
@@ -1,11 +1,13 @@
 package document_test
 
 import (
+	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
 	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/schema"
 	"comfreyrelay.example/relay/wire"
 )
 
@@ -15,6 +17,10 @@
 	f.Add(document.Format(document.Example()))
 	f.Add([]byte(`{"objective":"cheap","originCopies":9,"models":[{"name":"a"},null,"b"],"operators":[]}`))
 	f.Add([]byte(`{"models":[{"replicas":{"count":-1}}],"customers":"none","deadlines":{"drain":"1e9s"}}`))
+	f.Add([]byte(`{"objective":"time","objective":"time","originCopies":1e999999}`))
+	f.Add([]byte("{\"$schema\":\"\\ud800\xff\",\"operators\":[{\"name\":\"a/~b\",\"keyHashes\":[\"\",\"\"]}]}"))
+	f.Add([]byte(strings.Repeat(`[`, 300)))
+	f.Add([]byte(`{"endpoints":[{"name":"e","kind":"service"}],"services":[{"name":"s","endpoint":"f","customers":["x"]}],"models":[{"name":"m","adapters":[{"baseVersion":"0"}]}]}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		doc, problems := document.Parse(text)
 		if (doc == nil) != (len(problems) > 0) {
@@ -24,6 +30,7 @@
 			if problem.Message() == "" || problem.Remedy() == "" {
 				t.Errorf("got %v, want a message and a remedy", problem)
 			}
+			checkPath(t, text, problem.Path())
 		}
 		if doc != nil {
 			checkRoundTrips(t, doc)
@@ -31,6 +38,20 @@
 	})
 }
 
+// checkPath wants the value that a problem names, or at least what holds it, to
+// be in the text: an operator looks there.
+func checkPath(t *testing.T, text []byte, path string) {
+	t.Helper()
+	if path == "" {
+		return
+	}
+	tree, _ := schema.ParseTree(text)
+	tokens := schema.Tokens(path)
+	if _, ok := schema.At(tree, tokens[:len(tokens)-1]); !ok {
+		t.Errorf("got path %s, want one that leads into the text", path)
+	}
+}
+
 func checkRoundTrips(t *testing.T, doc *wire.Document) {
 	t.Helper()
 	again, problems := document.Parse(document.Format(doc))
--- /dev/null
+++ b/relay/schema/bounds.go
@@ -0,0 +1,85 @@
+package schema
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+const (
+	maxNumberText = 40
+	maxExponent   = 30
+	maxDepth      = 32
+	maxValues     = 100_000
+)
+
+// bounds walks a tree and collects what is too costly to check further.
+type bounds struct {
+	tokens []string // where the walk is; shared, so that depth costs nothing
+	values int
+	found  []Problem
+}
+
+// checkBounds refuses numbers that are costly to compute with, and nesting and
+// counts that no text of ours has. The schema library makes exact fractions of numbers: a
+// text full of 1e999999 would hold a processor for hours, and one would notice
+// a listener that stops answering. It keeps all mistakes in memory besides, so
+// that their count is bounded by that of the values.
+func checkBounds(tree any) []Problem {
+	walk := &bounds{}
+	walk.visit(tree)
+	if walk.values > maxValues {
+		walk.tokens = nil
+		walk.add(fmt.Sprintf("the text holds more than %d values", maxValues), "take out what is not needed")
+	}
+	return Sort(walk.found)
+}
+
+func (b *bounds) visit(tree any) {
+	b.values++
+	if b.values > maxValues {
+		return
+	}
+	if len(b.tokens) > maxDepth {
+		b.add("the value is nested too deep", "take the inner values out")
+		return
+	}
+	switch node := tree.(type) {
+	case json.Number:
+		if isCostly(node.String()) {
+			b.add("the number is out of bounds: "+shorten(node.String()),
+				fmt.Sprintf("write it with at most %d characters and an exponent of at most %d", maxNumberText, maxExponent))
+		}
+	case map[string]any:
+		for key, child := range node {
+			b.enter(key, child)
+		}
+	case []any:
+		for i, child := range node {
+			b.enter(strconv.Itoa(i), child)
+		}
+	}
+}
+
+func (b *bounds) enter(token string, child any) {
+	b.tokens = append(b.tokens, token)
+	b.visit(child)
+	b.tokens = b.tokens[:len(b.tokens)-1]
+}
+
+func (b *bounds) add(message, remedy string) {
+	b.found = append(b.found, NewProblem(Pointer(b.tokens...), message, remedy))
+}
+
+func isCostly(text string) bool {
+	if len(text) > maxNumberText {
+		return true
+	}
+	_, exponent, ok := strings.Cut(strings.ToLower(text), "e")
+	if !ok {
+		return false
+	}
+	value, err := strconv.Atoi(exponent)
+	return err != nil || value < -maxExponent || value > maxExponent
+}
--- a/relay/schema/problem.go
+++ b/relay/schema/problem.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 )
@@ -67,6 +68,19 @@
 	return slices.Compact(problems)
 }
 
+// maxProblems bounds what one text's answer lists.
+const maxProblems = 1000
+
+// limit keeps the first problems of a long list and says how many follow.
+func limit(problems []Problem) []Problem {
+	if len(problems) <= maxProblems {
+		return problems
+	}
+	rest := NewProblem("", fmt.Sprintf("%d more problems are not listed", len(problems)-maxProblems),
+		"correct those listed first")
+	return append(problems[:maxProblems:maxProblems], rest)
+}
+
 // Covers reports whether the path of one of the problems is, or lies above,
 // the given path.
 func Covers(problems []Problem, path string) bool {
--- a/relay/schema/schema.go
+++ b/relay/schema/schema.go
@@ -54,7 +54,7 @@
 func ParseTree(text []byte) (any, []Problem) {
 	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err == nil {
-		return tree, checkNumbers(tree, nil)
+		return tree, limit(checkBounds(tree))
 	}
 	where := ""
 	var syntax *json.SyntaxError
@@ -75,7 +75,7 @@
 	if !errors.As(err, &problem) {
 		return []Problem{NewProblem("", err.Error(), "correct the text")}
 	}
-	return Sort(c.collect(problem, tree, nil))
+	return limit(Sort(c.collect(problem, tree, nil)))
 }
 
 // collect turns the leaves of the tree of causes into problems.
--- a/relay/schema/schema_test.go
+++ b/relay/schema/schema_test.go
@@ -8,16 +8,20 @@
 )
 
 // Symptom: an entry spends seconds of processor time on one small body and
-// answers nobody. Events: a body full of numbers such as 1e999999 is
-// validated. Cause: the schema library computes with exact fractions.
-func TestCostlyNumbersAreRefused(t *testing.T) {
+// answers nobody. Events: a body full of numbers such as 1e999999, or of
+// a million wrong items, is validated. Cause: the schema library computes with
+// exact fractions and keeps every mistake in memory.
+func TestCostlyTextsAreRefused(t *testing.T) {
 	for text, want := range map[string]int{
-		`{"a":[1e999999,{"b":-1E-400}]}`:    2,
-		`[` + strings.Repeat("9", 41) + `]`: 1,
-		`[1e30, -0.25, 12, 1E-30]`:          0,
+		`{"a":[1e999999,{"b":-1E-400}]}`:                    2,
+		`[` + strings.Repeat("9", 41) + `]`:                 1,
+		`[1e30, -0.25, 12, 1E-30]`:                          0,
+		"[" + strings.Repeat("1,", 100_000) + "1]":          1,
+		strings.Repeat("[", 500) + strings.Repeat("]", 500): 1,
+		"[" + strings.Repeat("1e999,", 1500) + "1]":         1001,
 	} {
 		if _, problems := schema.ParseTree([]byte(text)); len(problems) != want {
-			t.Errorf("%s: got problems %v, want %d", text, problems, want)
+			t.Errorf("%.40s: got %d problems, want %d", text, len(problems), want)
 		}
 	}
 }
