Entry: audit record behind the answer, quicker status

Cause: a submission took 1.3 s at the default share of writes, since each wrote the record of the root before it again and waited for its own. Change: the earlier record is looked for with a read; the own is written after the answer and, where that fails, by the next submission or the collector. Conclusion: the swap is the moment of acceptance; the rest is not waited for.

--- a/entry/internal/cmd/process.go
+++ b/entry/internal/cmd/process.go
@@ -68,14 +68,12 @@
 // process is one entry.
 type process struct{ parts }
 
-func newProcess(all parts) *process { return &process{parts: all} }
-
 // Run runs an entry with the given settings. It drains when drain ends and
 // stops at once when kill does. A clean end is no error.
 func Run(drain, kill context.Context, set *wire.EntrySettings, out, errOut io.Writer) error {
 	box := build(set, errOut)
-	return dig.RootCause(box.Invoke(func(entry *process) error {
-		return entry.run(drain, kill, out)
+	return dig.RootCause(box.Invoke(func(all parts) error {
+		return (&process{parts: all}).run(drain, kill, out)
 	}))
 }
 
--- a/entry/internal/cmd/wiring.go
+++ b/entry/internal/cmd/wiring.go
@@ -61,7 +61,7 @@
 		func() *store.Parts { return store.NewParts(partsCacheBytes) },
 		newKeys, peer.NewPool, newListeners, newSelfNode, view.NewHolder, newService, store.New, store.NewCollector,
 		newCallers, control.NewHouse, newSelf, newExchange, newSyncer, newServer, newPublisher, newHostList,
-		newLeases, newWatcher, newPlanner, newOperators, newProcess,
+		newLeases, newWatcher, newPlanner, newOperators,
 	)
 	return box
 }
--- a/entry/internal/control/publisher.go
+++ b/entry/internal/control/publisher.go
@@ -28,8 +28,9 @@
 type Publisher struct {
 	house *House
 	own   func() *wire.EntryReport
-	// beatAt is when the own report was last made.
+	// beatAt is when the own report was last made, told what it said.
 	beatAt time.Time
+	told   uint32 // document revision
 }
 
 // NewPublisher returns a Publisher; own makes a new report on this entry.
@@ -77,8 +78,8 @@
 // Build publishes one view.
 func (p *Publisher) Build() {
 	now := p.house.clock.Now()
-	if now.Sub(p.beatAt) >= heartbeat {
-		p.beatAt = now
+	if revision := p.house.Root().GetRevision(); revision != p.told || now.Sub(p.beatAt) >= heartbeat {
+		p.beatAt, p.told = now, revision
 		p.house.hosts.HearEntry(p.own(), now)
 	}
 	p.house.mu.Lock()
--- a/entry/internal/control/watcher.go
+++ b/entry/internal/control/watcher.go
@@ -194,7 +194,7 @@
 		return now, nil
 	}
 	counters.Add("watchChanges", int64(len(changes)))
-	return now, w.take(ctx, prefix, changes, began, read)
+	return now, w.take(ctx, prefix, changes, read)
 }
 
 // confirmQuiet notes that the root did not change up to the end of a watch.
@@ -205,7 +205,7 @@
 }
 
 // take brings in the last change of a key; drain marks are read as a whole.
-func (w *Watcher) take(ctx context.Context, prefix string, changes []kv.Entry, began time.Time, read func(context.Context) error) error {
+func (w *Watcher) take(ctx context.Context, prefix string, changes []kv.Entry, read func(context.Context) error) error {
 	last := changes[len(changes)-1]
 	if last.Deleted() {
 		return read(ctx)
@@ -216,7 +216,7 @@
 		if err != nil {
 			return err
 		}
-		return w.takeRoot(ctx, root, began)
+		return w.takeRoot(ctx, root, w.house.clock.Now())
 	case PlanKey:
 		return w.takePlan(last.Value())
 	}
--- a/entry/internal/operators/operators.go
+++ b/entry/internal/operators/operators.go
@@ -83,19 +83,21 @@
 func (a *API) Submit(ctx context.Context, sub store.Submission) (uint32, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	began := a.cfg.Clock.Now()
 	root, err := a.cfg.Docs.Submit(ctx, sub)
-	return a.accept(ctx, root, err)
+	return a.accept(ctx, root, began, err)
 }
 
 // Rollback makes the content of an old revision the next one.
 func (a *API) Rollback(ctx context.Context, to uint32, sub store.Submission) (uint32, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	began := a.cfg.Clock.Now()
 	root, err := a.cfg.Docs.Rollback(ctx, to, sub)
-	return a.accept(ctx, root, err)
+	return a.accept(ctx, root, began, err)
 }
 
-func (a *API) accept(ctx context.Context, root *wire.Root, err error) (uint32, error) {
+func (a *API) accept(ctx context.Context, root *wire.Root, began time.Time, err error) (uint32, error) {
 	if err != nil {
 		return 0, err
 	}
@@ -104,6 +106,7 @@
 	if err := a.cfg.House.OfferRoot(ctx, root, "operator", a.cfg.Docs.Fetch); err != nil {
 		a.cfg.Log.Warn("accepted document not yet in force here", "revision", root.GetRevision(), "error", err)
 	}
+	a.cfg.House.Confirm(root.GetRevision(), began)
 	return root.GetRevision(), nil
 }
 
--- a/entry/internal/store/audit.go
+++ b/entry/internal/store/audit.go
@@ -42,9 +42,6 @@
 // record writes the root under its own key of the trail. The root key's next
 // swap would otherwise overwrite the only copy of its audit record.
 func (s *Store) record(ctx context.Context, root *wire.Root) error {
-	if root == nil {
-		return nil
-	}
 	value, err := proto.Marshal(root)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "a root cannot be encoded", "report this")
@@ -59,6 +56,18 @@
 	return err
 }
 
+// ensureRecord writes the root's record where it is missing: reads are cheaper
+// than writes, and its submitter has nearly always written it.
+func (s *Store) ensureRecord(ctx context.Context, root *wire.Root) error {
+	if root == nil {
+		return nil
+	}
+	if _, found, err := s.kv.Get(ctx, auditKey(root.GetRevision())); err != nil || found {
+		return err
+	}
+	return s.record(ctx, root)
+}
+
 // confirmRecord settles a write of the trail whose reply was lost.
 func (s *Store) confirmRecord(ctx context.Context, revision uint32, cause error) error {
 	_, found, err := s.kv.Get(ctx, auditKey(revision))
@@ -76,13 +85,10 @@
 // before it could.
 func (s *Store) Repair(ctx context.Context) error {
 	held, err := s.readRoot(ctx)
-	if err != nil || held.root == nil {
-		return err
-	}
-	if _, found, err := s.kv.Get(ctx, auditKey(held.root.GetRevision())); err != nil || found {
+	if err != nil {
 		return err
 	}
-	return s.record(ctx, held.root)
+	return s.ensureRecord(ctx, held.root)
 }
 
 // bounded keeps the first changes of a long diff; the whole one can be computed
--- a/entry/internal/store/submit.go
+++ b/entry/internal/store/submit.go
@@ -20,6 +20,8 @@
 	maxAttempts = 8
 	// maxSettleLookback bounds the records read in search of a submission id.
 	maxSettleLookback = 64
+	// recordTimeout bounds the write of a record behind the submitter's back.
+	recordTimeout = 10 * time.Second
 	// retryPause lets a service recover that just lost a reply.
 	retryPause = 100 * time.Millisecond
 )
@@ -140,7 +142,7 @@
 	if err := s.writeParts(ctx, try.pieces, held.root); err != nil {
 		return nil, s.unavailable(err)
 	}
-	if err := s.record(ctx, held.root); err != nil {
+	if err := s.ensureRecord(ctx, held.root); err != nil {
 		return nil, s.unavailable(err)
 	}
 	return s.swap(ctx, try, held)
@@ -277,10 +279,19 @@
 			return nil, s.unavailable(err)
 		}
 	}
+	go s.recordLater(root)
+	return root, nil
+}
+
+// recordLater writes the record of the root that was just accepted, while the
+// submitter already has its answer. Where it fails, or the process dies first,
+// the next submission or the collector writes it.
+func (s *Store) recordLater(root *wire.Root) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
 	if err := s.record(ctx, root); err != nil {
 		s.log.Warn("audit record left for the next submission or the collector", "revision", root.GetRevision(), "error", err)
 	}
-	return root, nil
 }
 
 func (s *Store) newRoot(try *attempt, before *wire.Document) *wire.Root {
