Entry: the console on the callers' listener

Cause: the console was written beside the entry and not yet served by it. Change: it is wired to the methods behind the operators' API. Measured: not yet. Conclusion: one listener serves callers, operators and forms.

--- a/entry/internal/cmd/process.go
+++ b/entry/internal/cmd/process.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"comfreyrelay.example/entry/internal/callers"
+	"comfreyrelay.example/entry/internal/console"
 	"comfreyrelay.example/entry/internal/control"
 	"comfreyrelay.example/entry/internal/operators"
 	"comfreyrelay.example/entry/internal/planner"
@@ -53,6 +54,7 @@
 	Listeners *listeners
 	Callers   *callers.Server
 	Operators *operators.API
+	Console   *console.Console
 	House     *control.House
 	Self      *control.Self
 	Server    *control.Server
@@ -135,12 +137,12 @@
 	return ok
 }
 
-// callersRoutes are those of the callers' listener. The console mounts itself
-// at /console/ beside the two APIs.
+// callersRoutes are those of the callers' listener: both APIs and the console.
 func (p *process) callersRoutes() http.Handler {
 	mux := chi.NewRouter()
 	p.Callers.Routes(mux)
 	p.Operators.Routes(mux)
+	p.Console.Routes(mux)
 	return mux
 }
 
--- a/entry/internal/cmd/wiring.go
+++ b/entry/internal/cmd/wiring.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"io"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"comfreyrelay.example/entry/internal/callers"
+	"comfreyrelay.example/entry/internal/console"
 	"comfreyrelay.example/entry/internal/control"
 	"comfreyrelay.example/entry/internal/operators"
 	"comfreyrelay.example/entry/internal/planner"
@@ -61,7 +63,7 @@
 		func() *store.Parts { return store.NewParts(partsCacheBytes) },
 		newKeys, peer.NewPool, newListeners, newSelfNode, view.NewHolder, newService, store.New, store.NewCollector,
 		newCallers, control.NewHouse, newSelf, newExchange, newSyncer, newServer, newPublisher, newHostList,
-		newLeases, newWatcher, newPlanner, newOperators,
+		newLeases, newWatcher, newPlanner, newOperators, newConsole,
 	)
 	return box
 }
@@ -217,6 +219,30 @@
 	})
 }
 
+// newConsole joins the console to the methods behind the operators' API.
+func newConsole(api *operators.API) *console.Console {
+	return console.New(console.Config{
+		Authenticate: api.Authenticate,
+		Current: func() (*wire.Document, uint32) {
+			revision, doc := api.InForce()
+			return doc, revision
+		},
+		Problems: api.Problems,
+		Submit: func(ctx context.Context, sub console.Submission) (uint32, *console.Conflict, error) {
+			revision, err := api.Submit(ctx, store.Submission(sub))
+			return revision, consoleConflict(err), err
+		},
+	})
+}
+
+func consoleConflict(err error) *console.Conflict {
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return nil
+	}
+	return &console.Conflict{Current: conflict.CurrentRevision(), Theirs: conflict.Theirs(), Yours: conflict.Yours()}
+}
+
 func orDefault(value, fallback time.Duration) time.Duration {
 	if value <= 0 {
 		return fallback
--- a/entry/internal/operators/operators.go
+++ b/entry/internal/operators/operators.go
@@ -76,7 +76,12 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
-	return doc, document.CheckAgainstHosts(doc, a.cfg.House.Members().EnginesByDomain())
+	return doc, a.Problems(doc)
+}
+
+// Problems returns what is wrong with a document in view of the hosts known.
+func (a *API) Problems(doc *wire.Document) []document.Problem {
+	return document.CheckAgainstHosts(doc, a.cfg.House.Members().EnginesByDomain())
 }
 
 // Submit makes a document the next revision and brings it into force here.
