Agent: the process is made after the wiring, not by it

Cause: dig takes every type that embeds its parameter object for one itself, so that the agent ended at its start. Change: the wiring's result is handed to newProcess. Measured: the demo's agents start.

--- a/agent/internal/cmd/process.go
+++ b/agent/internal/cmd/process.go
@@ -80,8 +80,8 @@
 // stops at once when kill does. A clean end is no error.
 func Run(drain, kill context.Context, set *wire.AgentSettings, out, errOut io.Writer) error {
 	box := build(set, errOut)
-	return dig.RootCause(box.Invoke(func(agent *process) error {
-		return agent.run(drain, kill, out)
+	return dig.RootCause(box.Invoke(func(all parts) error {
+		return newProcess(all).run(drain, kill, out)
 	}))
 }
 
--- a/agent/internal/cmd/wiring.go
+++ b/agent/internal/cmd/wiring.go
@@ -67,7 +67,7 @@
 		},
 		func() *engine.Client { return engine.New(set.GetEndpointUrl()) },
 		newMetrics, newKeys, peer.NewPool, newListener, newSelf, newInvariants, view.NewHolder,
-		newGate, newWeights, newRunner, newReporter, newControl, newProcess,
+		newGate, newWeights, newRunner, newReporter, newControl,
 	)
 	return box
 }
