burst: fewer uploads at once, the neediest receiver first

Cause: with 3 slots and 5 waiting a tenth of the uplinks stood idle while requests waited elsewhere, and the last host was 18 chunks behind the mean. Change: 2 slots and 3 waiting; queues count in full when a source is chosen; of the waiting requests the receiver with the fewest chunks goes first; the window of draws grows from 4 to 8; exchanges every 150 ms in place of 100.

--- a/agent/internal/weights/serve.go
+++ b/agent/internal/weights/serve.go
@@ -30,7 +30,7 @@
 		return stream.Send(&wire.ChunkData{})
 	}
 	ctx := stream.Context()
-	retryAfter, err := m.uploads.acquire(ctx)
+	retryAfter, err := m.uploads.acquire(ctx, trans.heldBy(req.GetFrom().GetId()))
 	if err != nil {
 		return err
 	}
@@ -104,6 +104,13 @@
 	return chunkHash(t.man.GetChunkHashes()[index]), true
 }
 
+// heldBy returns the chunks that a peer holds, as far as known.
+func (t *transfer) heldBy(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.HeldBy(id)
+}
+
 // shareLoss tells every version that the host no longer has the chunk.
 func (m *Manager) shareLoss(hash chunkHash) {
 	for _, trans := range m.allTransfers() {
--- a/agent/internal/weights/uploads.go
+++ b/agent/internal/weights/uploads.go
@@ -2,24 +2,32 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"comfreyrelay.example/relay/burst"
 )
 
-// uploads lets requests of peers wait for a slot, first come first served.
+// uploads lets requests of peers wait for a slot. The receiver that holds the
+// fewest chunks goes first, for the slowest host decides when all are whole.
 type uploads struct {
 	mu      sync.Mutex
 	state   burst.Uploads
-	waiting []chan struct{} // closed when its request gets a slot
+	waiting []upload // in the order of their arrival
+}
+
+// upload is a request that waits.
+type upload struct {
+	turn chan struct{} // closed when the request gets a slot
+	held int           // chunks that its receiver holds
 }
 
 func newUploads() *uploads { return &uploads{} }
 
-// acquire waits for a slot. While too many wait it returns at once with the
-// time after which to ask again.
-func (u *uploads) acquire(ctx context.Context) (retryAfter time.Duration, err error) {
+// acquire waits for a slot for a receiver that holds so many chunks. While too
+// many wait it returns at once with the time after which to ask again.
+func (u *uploads) acquire(ctx context.Context, held int) (retryAfter time.Duration, err error) {
 	turn := make(chan struct{})
 	u.mu.Lock()
 	ok, retryAfter := u.state.Admit()
@@ -27,7 +35,7 @@
 		u.mu.Unlock()
 		return retryAfter, nil
 	}
-	u.waiting = append(u.waiting, turn)
+	u.waiting = append(u.waiting, upload{turn: turn, held: held})
 	u.startNext()
 	u.mu.Unlock()
 	select {
@@ -44,8 +52,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i, other := range u.waiting {
-		if other == turn {
-			u.waiting = append(u.waiting[:i], u.waiting[i+1:]...)
+		if other.turn == turn {
+			u.waiting = slices.Delete(u.waiting, i, i+1)
 			u.state.Leave()
 			return
 		}
@@ -57,8 +65,14 @@
 // startNext gives free slots to those that wait; u.mu is held.
 func (u *uploads) startNext() {
 	for len(u.waiting) > 0 && u.state.Start() {
-		close(u.waiting[0])
-		u.waiting = u.waiting[1:]
+		next := 0
+		for i, other := range u.waiting {
+			if other.held < u.waiting[next].held {
+				next = i
+			}
+		}
+		close(u.waiting[next].turn)
+		u.waiting = slices.Delete(u.waiting, next, next+1)
 	}
 }
 
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -47,11 +47,13 @@
 	perPeerFetches = 2
 	// originFetches bounds the chunks that one host draws at once.
 	originFetches = 2
-	// drawWindow is the chunks that the fleet draws at once: enough to keep
-	// the origin's link busy, few enough that each comes soon.
-	drawWindow = 6
+	// minDrawWindow and maxDrawWindow bound the chunks that the fleet draws at
+	// once; it grows by one with each drawWindowStep chunks drawn.
+	minDrawWindow  = 4
+	maxDrawWindow  = 8
+	drawWindowStep = 16
 	// askWindow is the chunks whose owners are looked up ahead.
-	askWindow = 4 * drawWindow
+	askWindow = 3 * maxDrawWindow
 	// maxDuplicates bounds the chunks requested twice at once near the end.
 	maxDuplicates = 2
 	// bannedAfter is the corrupt chunks in a row that ban a peer.
@@ -61,7 +63,7 @@
 )
 
 const (
-	newsInterval   = 100 * time.Millisecond // between exchanges with a neighbour while there is news
+	newsInterval   = 150 * time.Millisecond // between exchanges with a neighbour while there is news
 	urgentInterval = 25 * time.Millisecond  // the same while the own uplink is idle
 	idleInterval   = time.Second            // the same without news
 	wholeInterval  = 10 * time.Second       // the same once both sides are whole
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -409,7 +409,7 @@
 func (c *Core) timeout(source *peerState) time.Duration {
 	typical := c.fetchTime
 	if source == nil {
-		typical = max(c.fetchTime, c.drawTime*drawWindow)
+		typical = max(c.fetchTime, c.drawTime*maxDrawWindow)
 	}
 	if typical == 0 {
 		return timeoutFactor * firstFetchTime
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -8,13 +8,13 @@
 )
 
 // draw requests chunks from the origin that are this host's turn. The first
-// drawWindow chunks that nobody is known to have drawn are due; of those a host
+// maxDrawWindow chunks that nobody is known to have drawn are due; of those a host
 // draws the ones it ranks first for. The hosts of lower rank wait a turn for
 // each rank before them and then ask the hosts before them: they draw only when
 // all of those are unreachable or neither hold nor fetch the chunk, or when
 // takeoverTurns went by.
 //
-// So at most drawWindow chunks are requested from the origin at once, each by
+// So at most maxDrawWindow chunks are requested from the origin at once, each by
 // one host at a time among hosts that can reach each other, however many fail.
 func (c *Core) draw(now time.Time) {
 	if now.Before(c.drawScan) || !c.settled(now) {
@@ -25,7 +25,7 @@
 	for chunk, ok := c.drawn.NextClear(0); ok && due < askWindow; chunk, ok = c.drawn.NextClear(chunk + 1) {
 		due++
 		c.askAhead(now, int(chunk))
-		if due <= drawWindow {
+		if due <= c.drawWindow() {
 			c.drawIfOwner(now, int(chunk))
 		}
 	}
@@ -41,6 +41,13 @@
 	c.findLost(now)
 }
 
+// drawWindow returns how many chunks the fleet draws at once: few at first, so
+// that the first ones come soon and spread, more later, when owners have less
+// of their links left and one that stalls should not matter.
+func (c *Core) drawWindow() int {
+	return min(minDrawWindow+int(c.drawn.Count())/drawWindowStep, maxDrawWindow)
+}
+
 // settled reports whether enough is known to draw. A host that just started
 // knows few peers and would take itself for the owner of every chunk, the more
 // the worse: it first hears neighbours, or waits a little where none answers.
@@ -162,7 +169,7 @@
 	if c.drawTime == 0 {
 		return 2 * firstFetchTime
 	}
-	return min(max(4*drawWindow*c.drawTime, minTurn), maxTurn)
+	return min(max(4*maxDrawWindow*c.drawTime, minTurn), maxTurn)
 }
 
 // ownersOf returns the hosts that may draw a chunk, by rank; nil stands for
@@ -209,7 +216,7 @@
 	due := 0
 	for chunk, ok := c.drawn.NextClear(0); ok; chunk, ok = c.drawn.NextClear(chunk + 1) {
 		due++
-		if due < drawWindow {
+		if due < c.drawWindow() {
 			continue
 		}
 		first := c.ownersOf(int(chunk))[0]
--- a/relay/burst/pull.go
+++ b/relay/burst/pull.go
@@ -76,7 +76,7 @@
 
 // cost estimates how long a peer needs for one more chunk, in chunk times.
 func (c *Core) cost(pst *peerState) float64 {
-	cost := 1 + float64(pst.inFlight) + float64(pst.queue)/2
+	cost := 1 + float64(pst.inFlight) + float64(pst.queue)
 	if pst.serve > 0 && c.fetchTime > 0 {
 		cost *= max(0.5, float64(pst.serve)/float64(c.fetchTime))
 	}
--- a/relay/burst/sim_test.go
+++ b/relay/burst/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -31,7 +32,6 @@
 	seed          uint64
 	corrupt       float64 // part of the chunks that arrive corrupt
 	limit         time.Duration
-	verbose       bool
 }
 
 type simEvent struct {
@@ -74,7 +74,9 @@
 	originReqs  int
 	maxDraws    int // most draws in progress at the origin
 	// cut reports whether two hosts cannot reach each other now.
-	cut func(a, b *simHost) bool
+	cut     func(a, b *simHost) bool
+	verbose bool
+	nextLog time.Duration
 	// list returns the hosts that a host is told of.
 	list func(now time.Duration) []*simHost
 }
@@ -350,17 +352,22 @@
 }
 
 func (s *sim) startUploads(peer *simHost) {
-	for len(peer.waiting) > 0 {
-		trans := peer.waiting[0]
-		if trans.dead || trans.to.dead {
-			peer.waiting = peer.waiting[1:]
+	peer.waiting = slices.DeleteFunc(peer.waiting, func(trans *simTransfer) bool {
+		gone := trans.dead || trans.to.dead
+		if gone {
 			peer.uploads.Leave()
-			continue
 		}
-		if !peer.uploads.Start() {
-			break
+		return gone
+	})
+	for len(peer.waiting) > 0 && peer.uploads.Start() {
+		next := 0
+		for i, other := range peer.waiting {
+			if peer.core.HeldBy(other.to.peer.ID) < peer.core.HeldBy(peer.waiting[next].to.peer.ID) {
+				next = i
+			}
 		}
-		peer.waiting = peer.waiting[1:]
+		trans := peer.waiting[next]
+		peer.waiting = slices.Delete(peer.waiting, next, next+1)
 		trans.begun = s.now
 		peer.sender.active = append(peer.sender.active, trans)
 	}
@@ -449,6 +456,10 @@
 	for s.queue.Len() > 0 && s.now < s.cfg.limit {
 		ev := heap.Pop(&s.queue).(simEvent)
 		s.now = ev.at
+		if s.verbose && s.now >= s.nextLog {
+			s.logProgress()
+			s.nextLog += max(50*time.Millisecond, s.now/10)
+		}
 		ev.run()
 		if s.wholeCount() == s.liveCount() && s.seq%16 == 0 && s.quiet() {
 			return
@@ -510,3 +521,23 @@
 	return fmt.Sprintf("seconds=%.2f bound=%.2f ratio=%.3f copies=%.3f whole=%d/%d control=%.0fB/s",
 		r.seconds, r.bound, r.ratio, r.copies, r.whole, r.live, r.controlPerHost)
 }
+
+// logProgress prints how busy the links are and how far the hosts.
+func (s *sim) logProgress() {
+	held, least, flights, idle, queue := 0, s.cfg.chunks, 0, 0, 0
+	var carried time.Duration
+	for _, host := range s.hosts {
+		held += host.core.Held()
+		least = min(least, host.core.Held())
+		flights += len(host.core.flights)
+		queue += host.uploads.Load()
+		if host.uploads.Load() == 0 {
+			idle++
+		}
+		carried += host.sender.link.carried
+	}
+	n := float64(len(s.hosts))
+	fmt.Printf("t=%.2f held=%.1f least=%d drawn=%.1f flights=%.1f queue=%.1f idleUplinks=%.2f used=%.3f\n",
+		s.now.Seconds(), float64(held)/n, least, float64(s.sent)/simPieces, float64(flights)/n, float64(queue)/n,
+		float64(idle)/n, carried.Seconds()/n/max(s.now.Seconds(), 1e-9))
+}
--- a/relay/burst/trial_test.go
+++ b/relay/burst/trial_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -11,10 +13,35 @@
 	if os.Getenv("BURST_TRIAL") == "" {
 		t.Skip("set BURST_TRIAL=1 to print the figures of larger runs")
 	}
-	for _, hosts := range []int{50, 200} {
-		began := time.Now()
-		s := newSim(simConfig{hosts: hosts, chunks: 256, window: 30 * time.Second, seed: 1})
-		s.run()
-		t.Logf("N=%d %v draws=%d reqs=%d took=%v", hosts, s.result(), s.maxDraws, s.originReqs, time.Since(began).Round(time.Millisecond))
+	for _, hosts := range trialSizes() {
+		for _, seed := range []uint64{1, 2, 3}[:trialSeeds()] {
+			began := time.Now()
+			s := newSim(simConfig{
+				hosts: hosts, chunks: 256, window: 30 * time.Second, seed: seed,
+				strategy: os.Getenv("BURST_STRATEGY"), shared: os.Getenv("BURST_SHARED") != "",
+			})
+			s.verbose = os.Getenv("BURST_VERBOSE") != ""
+			s.run()
+			t.Logf("N=%d %v draws=%d reqs=%d took=%v", hosts, s.result(), s.maxDraws, s.originReqs, time.Since(began).Round(time.Millisecond))
+		}
 	}
 }
+
+func trialSizes() []int {
+	var sizes []int
+	for _, field := range strings.Fields(os.Getenv("BURST_SIZES")) {
+		size, _ := strconv.Atoi(field)
+		sizes = append(sizes, size)
+	}
+	if sizes == nil {
+		sizes = []int{50, 200}
+	}
+	return sizes
+}
+
+func trialSeeds() int {
+	if os.Getenv("BURST_SEEDS") == "3" {
+		return 3
+	}
+	return 1
+}
--- a/relay/burst/uploads.go
+++ b/relay/burst/uploads.go
@@ -5,8 +5,8 @@
 // Bounds of the uploads of one host. Few run at once, so that each ends soon
 // and its receiver can pass it on; few wait, so that others go elsewhere.
 const (
-	UploadSlots = 3
-	UploadQueue = 5
+	UploadSlots = 2
+	UploadQueue = 3
 )
 
 // Uploads admits requests for chunks. It is not safe for concurrent use.
@@ -47,3 +47,13 @@
 
 // Load returns the uploads in progress and waiting.
 func (u *Uploads) Load() int { return u.active + u.waiting }
+
+// HeldBy returns the chunks that a peer holds, as far as known. Of the requests
+// that wait, the one whose receiver holds the fewest should go first.
+func (c *Core) HeldBy(id string) int {
+	pst := c.peers[id]
+	if pst == nil {
+		return 0
+	}
+	return pst.heldCount
+}
