comfreyctl: begin with the entry that answered, say things once

Cause: a run against real entries showed a line for each poll where the first entry was gone, messages with two remedies, and no diff before the first document.

--- a/ctl/internal/client/attempts.go
+++ b/ctl/internal/client/attempts.go
@@ -1,6 +1,8 @@
 package client
 
 import (
+	"errors"
+
 	"comfreyrelay.example/relay/failure"
 )
 
@@ -41,15 +43,26 @@
 // why the tries stopped early, nil where all were made.
 func (a *attempts) giveUp(interrupted error) error {
 	if a.ambiguous != nil {
-		return failure.Wrap(a.ambiguous, failure.Ambiguous, "it may have taken effect or not",
+		return failure.New(failure.Ambiguous, "it may have taken effect or not: "+withoutRemedy(a.ambiguous),
 			"look at status and audit before you try again")
 	}
-	cause := a.last
-	if cause == nil {
-		cause = interrupted
+	if a.last == nil {
+		return failure.Wrap(interrupted, failure.Unavailable, "interrupted, and nothing was changed", "run it again")
+	}
+	return failure.New(failure.Unavailable, "no entry could do it, and nothing was changed: "+withoutRemedy(a.last),
+		"name other entries with --entry, or try again later")
+}
+
+// withoutRemedy returns what happened, for an error with a remedy of its own.
+func withoutRemedy(err error) string {
+	var problem *failure.Error
+	if !errors.As(err, &problem) {
+		return err.Error()
+	}
+	if cause := problem.Unwrap(); cause != nil {
+		return problem.Message() + ": " + cause.Error()
 	}
-	return failure.Wrap(cause, failure.Unavailable, "no entry answered, and nothing was changed",
-		"name other entries with --entry and try again")
+	return problem.Message()
 }
 
 // MaybeOwnConflict is a conflict that came after a try whose reply was lost:
--- a/ctl/internal/client/client.go
+++ b/ctl/internal/client/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -42,9 +43,14 @@
 	Notify func(line string)
 }
 
-// Client tries the entries in order until one replies.
+// Client tries the entries in order until one replies, and begins with that one
+// the next time. It is not safe for concurrent use.
 type Client struct {
 	opts Options
+	// first is the index of the entry that replied last.
+	first int
+	// told holds the lines that Notify got: polling repeats them.
+	told map[string]bool
 }
 
 // New checks the options and makes a Client.
@@ -64,7 +70,7 @@
 	if opts.Notify == nil {
 		opts.Notify = func(string) {}
 	}
-	return &Client{opts: opts}, nil
+	return &Client{opts: opts, told: map[string]bool{}}, nil
 }
 
 // newHTTPClient returns a client that never sends a request again by itself:
@@ -103,21 +109,42 @@
 			}
 			pause *= 2
 		}
-		for _, entry := range c.opts.Entries {
-			answer, err := c.once(ctx, entry, method, path, text)
-			if err == nil {
-				err = read(answer, into, method)
-			}
-			if err == nil || attempts.settles(err) {
-				return attempts.settled(err)
-			}
-			attempts.note(err)
-			c.opts.Notify(fmt.Sprintf("entry %s: %v", entry, err))
+		if settled, err := c.round(ctx, attempts, method, path, text, into); settled {
+			return err
 		}
 	}
 	return attempts.giveUp(nil)
 }
 
+// round asks each entry once and reports whether one settled the request.
+func (c *Client) round(ctx context.Context, attempts *attempts, method, path string, text []byte, into any) (bool, error) {
+	count := len(c.opts.Entries)
+	begin := c.first
+	for i := range count {
+		at := (begin + i) % count
+		answer, err := c.once(ctx, c.opts.Entries[at], method, path, text)
+		if err == nil {
+			err = read(answer, into, method)
+		}
+		if err == nil || attempts.settles(err) {
+			c.first = at
+			return true, attempts.settled(err)
+		}
+		attempts.note(err)
+		c.tell(c.opts.Entries[at], err)
+	}
+	return false, nil
+}
+
+func (c *Client) tell(entry string, err error) {
+	line := fmt.Sprintf("entry %s: %v", entry, err)
+	if c.told[line] {
+		return
+	}
+	c.told[line] = true
+	c.opts.Notify(line)
+}
+
 func (c *Client) wait(ctx context.Context, pause time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -155,6 +182,10 @@
 // lost tells apart a request that never left, which had no effect, from one
 // whose reply did not come, which may have had one.
 func lost(err error) error {
+	var address *url.Error
+	if errors.As(err, &address) {
+		err = address.Err // the entry is named elsewhere
+	}
 	var network *net.OpError
 	if errors.As(err, &network) && network.Op == "dial" {
 		return failure.Wrap(err, failure.Unavailable, "the entry cannot be reached", "name another with --entry")
--- a/ctl/internal/cmd/cmd_apply.go
+++ b/ctl/internal/cmd/cmd_apply.go
@@ -84,10 +84,7 @@
 	if given != nil {
 		return *given, nil
 	}
-	found, err := asked.Document(ctx)
-	if failure.KindOf(err) == failure.NotFound && err != nil {
-		return 0, nil // none is in force yet
-	}
+	found, err := documentInForce(ctx, asked)
 	if err != nil {
 		return 0, err
 	}
--- a/ctl/internal/cmd/cmd_diff.go
+++ b/ctl/internal/cmd/cmd_diff.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	found, err := asked.Document(ctx)
+	found, err := documentInForce(ctx, asked)
 	if err != nil {
 		return nil, err
 	}
@@ -87,6 +87,15 @@
 	return client.Changes(document.Diff(before, after)), nil
 }
 
+// documentInForce reads the document; revision 0 where none is in force yet.
+func documentInForce(ctx context.Context, asked *client.Client) (*client.InForce, error) {
+	found, err := asked.Document(ctx)
+	if err != nil && failure.KindOf(err) == failure.NotFound {
+		return &client.InForce{}, nil
+	}
+	return found, err
+}
+
 // parseInForce returns the document that an entry sent; nil where none is in
 // force yet.
 func parseInForce(found *client.InForce) (*wire.Document, error) {
--- a/ctl/internal/cmd/cmd_rollout.go
+++ b/ctl/internal/cmd/cmd_rollout.go
@@ -68,7 +68,16 @@
 	for _, line := range rollout.Models {
 		list.row(line.Model, shortVersion(line.Version), line.FailureDomain, fmt.Sprint(line.Serving), fmt.Sprint(line.Wanted),
 			fmt.Sprint(line.Whole), fmt.Sprint(line.Fetching), fmt.Sprint(line.Failed),
-			fmt.Sprintf("%d/%d", line.ChunksHave, line.ChunksTotal), orDash(strings.Join(line.HoldUps, "; ")))
+			fmt.Sprintf("%d/%d", line.ChunksHave, line.ChunksTotal), holdUps(line.HoldUps))
 	}
 	return list.flush()
 }
+
+// holdUps names the first few reasons; --json gives all.
+func holdUps(reasons []string) string {
+	const shown = 3
+	if len(reasons) <= shown {
+		return orDash(strings.Join(reasons, "; "))
+	}
+	return fmt.Sprintf("%s; and %d more", strings.Join(reasons[:shown], "; "), len(reasons)-shown)
+}
--- a/ctl/internal/cmd/print.go
+++ b/ctl/internal/cmd/print.go
@@ -7,6 +7,7 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 
 	"comfreyrelay.example/ctl/internal/client"
 	"comfreyrelay.example/relay/document"
@@ -15,6 +16,8 @@
 const (
 	tabPadding = 2
 	maxCell    = 72
+	// maxLastCell is larger: no column stands behind it.
+	maxLastCell = 160
 )
 
 // table writes rows in columns.
@@ -29,27 +32,32 @@
 }
 
 func (t *table) row(cells ...string) {
-	for i, cell := range cells {
-		cells[i] = clean(cell)
+	last := len(cells) - 1
+	for i, cell := range cells[:last] {
+		cells[i] = cut(clean(cell), maxCell)
 	}
+	cells[last] = cut(clean(cells[last]), maxLastCell)
 	fmt.Fprintln(t.writer, strings.Join(cells, "\t"))
 }
 
 func (t *table) flush() error { return t.writer.Flush() }
 
-// clean keeps control characters of remote text from the terminal and a long
-// value from tearing the table apart.
-func clean(cell string) string {
-	cell = strings.Map(func(char rune) rune {
-		if char < ' ' || char == 0x7f {
+// clean keeps control characters of remote text from the terminal.
+func clean(text string) string {
+	return strings.Map(func(char rune) rune {
+		if unicode.IsControl(char) {
 			return ' '
 		}
 		return char
-	}, cell)
-	if len(cell) <= maxCell {
+	}, text)
+}
+
+// cut keeps a long value from tearing a table apart.
+func cut(cell string, limit int) string {
+	if len(cell) <= limit {
 		return cell
 	}
-	return strings.ToValidUTF8(cell[:maxCell], "") + "..."
+	return strings.ToValidUTF8(cell[:limit], "") + "..."
 }
 
 func printJSON(out io.Writer, value any) error {
--- a/ctl/internal/cmd/wait.go
+++ b/ctl/internal/cmd/wait.go
@@ -22,7 +22,7 @@
 		}
 		behind := nodesBehind(status, revision)
 		if len(behind) == 0 {
-			fmt.Fprintf(term.errOut, "revision %d is in force on %d nodes\n", revision, len(status.Nodes))
+			fmt.Fprintf(term.errOut, "revision %d is in force on all %d nodes that are not lost\n", revision, heardOf(status))
 			return nil
 		}
 		if term.clock.Since(began) >= limit {
@@ -50,6 +50,16 @@
 	return behind
 }
 
+func heardOf(status *client.Status) int {
+	count := 0
+	for _, node := range status.Nodes {
+		if !node.Lost {
+			count++
+		}
+	}
+	return count
+}
+
 func firstNames(names []string) string {
 	const shown = 5
 	if len(names) <= shown {
