Stand-ins' ledgers name what was asked

Cause: the system runs a once key under a request id of its own, so two runs of one key under two ids could not be told from two requests. Conclusion: an audit joins the records by content.

--- a/standin/internal/answer/answer.go
+++ b/standin/internal/answer/answer.go
@@ -19,6 +19,9 @@
 // numberBase is the base in which a token spells its number.
 const numberBase = 36
 
+// hexBase is the base in which contents are written.
+const hexBase = 16
+
 // Text is the endless text that one version generates for one prompt.
 type Text struct {
 	seed uint64
@@ -68,6 +71,21 @@
 	return []byte(hex.EncodeToString(sum[:]))
 }
 
+// Content names what a request to a model asks, whatever ids it bears: a caller
+// finds by it every run of one request in the ledgers.
+func Content(model, adapter, prompt string) string {
+	return formatHash(xxhash.Sum64String(model + "\x00" + adapter + "\x00" + prompt))
+}
+
+// BodyContent is like Content for the body of a call to a plain service.
+func BodyContent(body []byte) string {
+	return formatHash(xxhash.Sum64(body))
+}
+
+func formatHash(hash uint64) string {
+	return strconv.FormatUint(hash, hexBase)
+}
+
 // mix is the finaliser of splitmix64: neighbours give unrelated numbers.
 func mix(n uint64) uint64 {
 	n += 0x9e3779b97f4a7c15
--- a/standin/internal/engine/generate.go
+++ b/standin/internal/engine/generate.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/standin/internal/answer"
 )
@@ -166,8 +164,8 @@
 	return nil
 }
 
-func contentOf(request Request) uint64 {
-	return xxhash.Sum64String(request.Model + "\x00" + request.Adapter + "\x00" + request.Prompt)
+func contentOf(request Request) string {
+	return answer.Content(request.Model, request.Adapter, request.Prompt)
 }
 
 // checkResumed notices an answer continued from tokens of another version or
--- a/standin/internal/engine/handler_test.go
+++ b/standin/internal/engine/handler_test.go
@@ -208,7 +208,7 @@
 func TestLedgerForgetsTheOldest(t *testing.T) {
 	kept := newLedger()
 	for i := range maxAccounts + 1 {
-		kept.begin(answer.Token("", "", "", i), "v1", 0, false)
+		kept.begin(answer.Token("", "", "", i), "v1", "", false)
 	}
 	got := kept.copy(true)
 	if len(got.RunsByID) != maxAccounts || got.Forgotten != 1 || got.Totals.Begun != maxAccounts+1 {
--- a/standin/internal/engine/ledger.go
+++ b/standin/internal/engine/ledger.go
@@ -28,8 +28,9 @@
 	Cancelled int    `json:"cancelled,omitempty"`
 	Broken    int    `json:"broken,omitempty"`
 	Version   string `json:"version"`
-
-	content uint64 // hash of what was asked: one id may not carry two requests
+	// Content names what was asked, as answer.Content does: one id may not
+	// carry two, and one content may have come under several ids.
+	Content string `json:"content"`
 }
 
 // Totals sums the accounts of one engine, also those forgotten since.
@@ -100,16 +101,16 @@
 }
 
 // begin records that a request began to run.
-func (l *ledger) begin(id, version string, content uint64, hit bool) {
+func (l *ledger) begin(id, version string, content string, hit bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	account := l.accounts[id]
 	if account == nil {
-		account = &Account{content: content}
+		account = &Account{Content: content}
 		l.accounts[id] = account
 		l.remember(id)
 	}
-	if account.content != content {
+	if account.Content != content {
 		l.violate(Violation{Kind: violationTwoRequests, RequestID: id, Detail: "the id came with another prompt, model or adapter before"})
 	}
 	account.Begun++
--- a/standin/internal/load/ledger.go
+++ b/standin/internal/load/ledger.go
@@ -9,9 +9,11 @@
 // Entry is the caller's record of one request, to be matched with the ledgers
 // of the back ends by request id.
 type Entry struct {
-	ID         int    `json:"id"`
-	RequestID  string `json:"requestId"`
-	Key        string `json:"key,omitempty"`
+	ID        int    `json:"id"`
+	RequestID string `json:"requestId"`
+	Key       string `json:"key,omitempty"`
+	// Content names what was asked as the back ends' ledgers do.
+	Content    string `json:"content"`
 	Customer   string `json:"customer"`
 	Service    string `json:"service,omitempty"`
 	Repeatable bool   `json:"repeatable"`
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/standin/internal/answer"
 )
 
 // progressInterval is how often the progress is logged.
@@ -128,15 +129,16 @@
 		// ends them.
 		found := current.run(context.Background())
 		l.tally.add(customer.Name, found, current.arrived)
-		l.ledger.write(entryOf(planned, customer, found))
+		l.ledger.write(entryOf(l.options.Model, planned, customer, found))
 	})
 }
 
-func entryOf(planned request, customer Customer, found result) Entry {
+func entryOf(model string, planned request, customer Customer, found result) Entry {
 	return Entry{
 		ID:         planned.number,
 		RequestID:  found.requestID,
 		Key:        found.key,
+		Content:    contentOf(model, planned),
 		Customer:   customer.Name,
 		Service:    planned.service,
 		Repeatable: planned.repeatable,
@@ -149,6 +151,13 @@
 	}
 }
 
+func contentOf(model string, planned request) string {
+	if planned.service != "" {
+		return answer.BodyContent([]byte(planned.prompt))
+	}
+	return answer.Content(model, planned.adapter.Name, planned.prompt)
+}
+
 // Summary returns the record so far.
 func (l *Load) Summary() Summary {
 	return l.tally.summary(l.clock.Since(l.started).Seconds())
--- a/standin/internal/service/service.go
+++ b/standin/internal/service/service.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -63,6 +64,9 @@
 	// Forgotten counts the ids dropped at the bound.
 	Forgotten int            `json:"forgotten"`
 	RunsByID  map[string]int `json:"runsById,omitempty"`
+	// Contents maps ids to what was asked, as answer.BodyContent names it: one
+	// body may have come under several ids.
+	Contents map[string]string `json:"contents,omitempty"`
 }
 
 // Service is one stand-in; its methods may be called at once.
@@ -90,7 +94,7 @@
 		slots:         make(chan struct{}, options.Slots),
 		random:        rand.New(rand.NewPCG(options.Seed, uint64(options.Slots))),
 		faultsChanged: make(chan struct{}),
-		ledger:        Ledger{RunsByID: map[string]int{}},
+		ledger:        Ledger{RunsByID: map[string]int{}, Contents: map[string]string{}},
 	}
 }
 
@@ -105,7 +109,7 @@
 		return nil, err
 	}
 	defer release()
-	lose := s.begin(id)
+	lose := s.begin(id, answer.BodyContent(body))
 	s.options.Clock.Sleep(s.callTime())
 	if lose {
 		return nil, errReplyLost
@@ -160,13 +164,14 @@
 }
 
 // begin records a run and says whether its reply will be lost.
-func (s *Service) begin(id string) bool {
+func (s *Service) begin(id, content string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, known := s.ledger.RunsByID[id]; !known {
 		s.remember(id)
 	}
 	s.ledger.RunsByID[id]++
+	s.ledger.Contents[id] = content
 	s.ledger.Runs++
 	s.ledger.MaxRuns = max(s.ledger.MaxRuns, s.ledger.RunsByID[id])
 	lose := s.random.Float64() < s.faults.LoseReply
@@ -182,6 +187,7 @@
 		return
 	}
 	delete(s.ledger.RunsByID, s.arrivals[s.oldest])
+	delete(s.ledger.Contents, s.arrivals[s.oldest])
 	s.ledger.Forgotten++
 	s.arrivals[s.oldest] = id
 	s.oldest = (s.oldest + 1) % maxAccounts
@@ -222,11 +228,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := s.ledger
-	out.RunsByID = nil
+	out.RunsByID, out.Contents = nil, nil
 	if !withRuns {
 		return out
 	}
 	out.RunsByID = make(map[string]int, len(s.ledger.RunsByID))
+	out.Contents = maps.Clone(s.ledger.Contents)
 	for id, runs := range s.ledger.RunsByID {
 		out.RunsByID[id] = runs
 	}
