Audit by content; a house to try things on

Cause: one request may run under several ids. Change: the audit joins records by what was asked; loads of one house never ask the same twice; comfreybench house keeps a house up. Conclusion: doubled runs are seen whatever ids the system gives them.

--- a/bench/internal/audit/audit.go
+++ b/bench/internal/audit/audit.go
@@ -29,6 +29,7 @@
 	ID         int    `json:"id"`
 	RequestID  string `json:"requestId"`
 	Key        string `json:"key"`
+	Content    string `json:"content"`
 	Customer   string `json:"customer"`
 	Service    string `json:"service"`
 	Repeatable bool   `json:"repeatable"`
@@ -38,9 +39,11 @@
 	Attempts   int    `json:"attempts"`
 }
 
-// Runs counts how often back ends began each request id.
+// Runs counts how often back ends began each request. Contents, unique to each
+// request of the callers, tell requests apart: the system may run one request
+// under several ids.
 type Runs struct {
-	byID map[string]int
+	byContent map[string]int
 	// forgotten counts ids that a back end no longer remembers: the audit is
 	// incomplete unless it is 0.
 	forgotten int
@@ -48,12 +51,12 @@
 }
 
 // NewRuns returns an empty count.
-func NewRuns() *Runs { return &Runs{byID: map[string]int{}} }
+func NewRuns() *Runs { return &Runs{byContent: map[string]int{}} }
 
 // AddEngine adds one engine's record.
 func (r *Runs) AddEngine(host string, ledger house.EngineLedger) {
-	for id, account := range ledger.RunsByID {
-		r.byID[id] += account.Begun
+	for _, account := range ledger.RunsByID {
+		r.byContent[account.Content] += account.Begun
 	}
 	r.forgotten += ledger.Forgotten
 	for _, seen := range ledger.Violations {
@@ -64,7 +67,7 @@
 // AddService adds one plain service's record.
 func (r *Runs) AddService(ledger house.ServiceLedger) {
 	for id, runs := range ledger.RunsByID {
-		r.byID[id] += runs
+		r.byContent[ledger.Contents[id]] += runs
 	}
 	r.forgotten += ledger.Forgotten
 }
@@ -144,16 +147,17 @@
 	if line.Key != "" {
 		id = line.Key
 	}
-	count := runs.byID[id]
+	count := runs.byContent[line.Content]
 	if !line.Repeatable && count > 1 {
 		f.Doubled++
 		f.add(Breach{Kind: KindDoubled, RequestID: id, Detail: fmt.Sprintf("request %d ran %d times", line.ID, count)})
 	}
-	if line.Outcome == outcomeNotRun && id != "" && count > 0 {
+	if line.Outcome == outcomeNotRun && count > 0 {
 		f.NotRunButRan++
 		f.add(Breach{Kind: KindRanNotRun, RequestID: id, Detail: fmt.Sprintf("request %d: told %q, ran %d times", line.ID, line.Detail, count)})
 	}
 	if line.Outcome == outcomeAnswered && count == 0 {
 		f.NeverRan++
+		f.add(Breach{Kind: KindNeverRan, RequestID: id, Detail: fmt.Sprintf("request %d was answered, no record shows a run", line.ID)})
 	}
 }
--- a/bench/internal/audit/audit_test.go
+++ b/bench/internal/audit/audit_test.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -19,7 +20,7 @@
 			case "engine":
 				runs.AddEngine("host", engineLedger(d.Input))
 			case "service":
-				runs.AddService(house.ServiceLedger{RunsByID: counts(d.Input)})
+				runs.AddService(serviceLedger(d.Input))
 			case "callers":
 				return describe(t, d.Input, runs)
 			default:
@@ -30,7 +31,7 @@
 	})
 }
 
-// engineLedger reads lines "id begun" and "violation kind id".
+// engineLedger reads lines "content |||", one stroke a run, and "violation kind id".
 func engineLedger(input string) house.EngineLedger {
 	ledger := house.EngineLedger{RunsByID: map[string]house.Account{}}
 	for line := range strings.Lines(input) {
@@ -39,19 +40,24 @@
 			ledger.Violations = append(ledger.Violations, house.Violation{Kind: fields[1], RequestID: fields[2], Detail: "seen"})
 			continue
 		}
-		ledger.RunsByID[fields[0]] = house.Account{Begun: len(fields[1])}
+		ledger.RunsByID[fields[0]] = house.Account{Content: fields[0], Begun: len(fields[1])}
 	}
 	return ledger
 }
 
-// counts reads lines "id |||", one stroke a run.
-func counts(input string) map[string]int {
-	out := map[string]int{}
+// serviceLedger reads lines "content |||", one stroke a run; each run has an id
+// of its own.
+func serviceLedger(input string) house.ServiceLedger {
+	ledger := house.ServiceLedger{RunsByID: map[string]int{}, Contents: map[string]string{}}
 	for line := range strings.Lines(input) {
 		fields := strings.Fields(line)
-		out[fields[0]] = len(fields[1])
+		for i := range len(fields[1]) {
+			id := fmt.Sprintf("%s-%d", fields[0], i)
+			ledger.RunsByID[id] = 1
+			ledger.Contents[id] = fields[0]
+		}
 	}
-	return out
+	return ledger
 }
 
 func describe(t *testing.T, input string, runs *Runs) string {
--- /dev/null
+++ b/bench/internal/cmd/cmd_house.go
@@ -0,0 +1,91 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/failure"
+)
+
+type houseOptions struct {
+	common
+	Entries   int     `long:"entries" default:"9" description:"entry hosts"`
+	Hosts     int     `long:"hosts" default:"12" description:"hosts, each an engine with its agent"`
+	Services  int     `long:"services" default:"1" description:"plain services with their agents"`
+	ModelMiB  float64 `long:"model-mib" default:"8" description:"size of the weights"`
+	Customers int     `long:"customers" default:"10" description:"customers in the document"`
+	LogLevel  string  `long:"log-level" default:"info" description:"of the system's processes"`
+}
+
+const houseHelp = `Starts one whole house, rolls a model out, prints one JSON object with addresses
+and keys, and keeps the house until SIGINT or SIGTERM.
+
+Example:
+  comfreybench house --entries 3 --hosts 4`
+
+func houseCommand() *cli.Command {
+	options := &houseOptions{}
+	return &cli.Command{
+		Name:    "house",
+		Short:   "keep one whole house to try things on",
+		Long:    houseHelp,
+		Options: options,
+		Run:     func(ctx context.Context, _ []string) error { return runHouse(ctx, options) },
+	}
+}
+
+func runHouse(ctx context.Context, options *houseOptions) error {
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	log, closeLog, err := options.processLog("house.log")
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	kept, err := house.Start(ctx, house.Config{
+		Bin:      options.Bin,
+		Log:      log,
+		Places:   house.Quetzal(),
+		Entries:  options.Entries,
+		Hosts:    options.Hosts,
+		Services: options.Services,
+		Mixed:    true,
+		LogLevel: options.LogLevel,
+	})
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "the house did not start", "read "+filepath.Join(options.Out, "house.log"))
+	}
+	defer kept.Stop()
+	if err := rollOut(ctx, kept, options); err != nil {
+		return failure.Wrap(err, failure.Internal, "the model was not rolled out", "read "+filepath.Join(options.Out, "house.log"))
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(kept.Describe()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func rollOut(ctx context.Context, kept *house.House, options *houseOptions) error {
+	const chunkKiB = 64
+	made, err := kept.Publish(ctx, house.Publication{Model: house.ModelName, Mib: options.ModelMiB, ChunkKib: chunkKiB, Seed: options.Seed})
+	if err != nil {
+		return err
+	}
+	if err := kept.WaitRoutable(ctx); err != nil {
+		return err
+	}
+	doc := kept.Document(house.Desired{
+		Version:   made.Version,
+		Objective: house.ObjectiveTime,
+		Customers: house.Customers(options.Customers),
+	})
+	if _, err := kept.Submit(ctx, kept.Entries()[0], 0, doc, "comfreybench house"); err != nil {
+		return err
+	}
+	return kept.WaitServing(ctx, kept.Agents(), made.Version, nil)
+}
--- /dev/null
+++ b/bench/internal/house/describe.go
@@ -0,0 +1,46 @@
+package house
+
+// Description tells a person how to reach a house.
+type Description struct {
+	OperatorKey string              `json:"operatorKey"`
+	CustomerKey string              `json:"customerKey"`
+	Dir         string              `json:"dir"`
+	KV          string              `json:"kv"`
+	Hosts       string              `json:"hosts"`
+	Origin      string              `json:"origin"`
+	Entries     []MemberDescription `json:"entries"`
+	Agents      []MemberDescription `json:"agents"`
+}
+
+// MemberDescription is one member's part.
+type MemberDescription struct {
+	ID        string `json:"id"`
+	PID       int    `json:"pid"`
+	Callers   string `json:"callers,omitempty"`
+	Operators string `json:"operators"`
+	Endpoint  string `json:"endpoint,omitempty"`
+}
+
+// Describe returns the addresses and keys of the house; the keys are
+// throw-away ones.
+func (h *House) Describe() Description {
+	out := Description{
+		OperatorKey: OperatorKey,
+		CustomerKey: Customers(1)[0].Key(),
+		Dir:         h.dir,
+		KV:          h.kvURL,
+		Hosts:       h.hostsURL,
+		Origin:      h.originURL,
+	}
+	for _, m := range h.entries {
+		out.Entries = append(out.Entries, m.describe())
+	}
+	for _, m := range h.agents {
+		out.Agents = append(out.Agents, m.describe())
+	}
+	return out
+}
+
+func (m *Member) describe() MemberDescription {
+	return MemberDescription{ID: m.id, PID: m.process.ID(), Callers: m.callers, Operators: m.operators, Endpoint: m.endpointURL}
+}
--- a/bench/internal/house/house.go
+++ b/bench/internal/house/house.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -32,6 +33,7 @@
 	addresses *addresses
 
 	kvURL, hostsURL, originURL string
+	loads                      atomic.Uint64 // started so far
 
 	entries []*Member // in the order of their ids
 	agents  []*Member // engines first, then services
--- a/bench/internal/house/ledger.go
+++ b/bench/internal/house/ledger.go
@@ -14,6 +14,8 @@
 	Cancelled int    `json:"cancelled"`
 	Broken    int    `json:"broken"`
 	Version   string `json:"version"`
+	// Content names what was asked; equal for equal requests.
+	Content string `json:"content"`
 }
 
 // Violation is something that an engine saw and that must never happen.
@@ -57,6 +59,8 @@
 	MaxRuns     int            `json:"maxRuns"`
 	Forgotten   int            `json:"forgotten"`
 	RunsByID    map[string]int `json:"runsById"`
+	// Contents names what was asked under each id.
+	Contents map[string]string `json:"contents"`
 }
 
 // OriginLedger is what the origin sent.
--- a/bench/internal/house/load.go
+++ b/bench/internal/house/load.go
@@ -186,12 +186,19 @@
 	}
 	flag("--rate", decimal(options.Rate))
 	flag("--seconds", decimal(options.Time.Seconds()))
-	flag("--seed", strconv.FormatUint(max(1, options.Seed), 10))
+	flag("--seed", strconv.FormatUint(h.loadSeed(options.Seed), 10))
 	flag("--nonrepeatable", decimal(options.NonRepeatable))
 	flag("--double-send", decimal(options.DoubleSend))
 	return args
 }
 
+// loadSeed differs for each load of one house, for the audit tells requests
+// apart by what they ask.
+func (h *House) loadSeed(seed uint64) uint64 {
+	const perRun = 1000
+	return seed*perRun + h.loads.Add(1)
+}
+
 // AddVersion tells the callers that answers may bear the version from now on.
 func (l *Load) AddVersion(ctx context.Context, version string) error {
 	return callWith(ctx, http.MethodPost, l.control+"/versions", "", map[string][]string{"add": {version}}, nil)
