Document store: scripts, random runs under faults

Cause: acceptance, settlement of lost replies, the trail and collection of parts were not yet held against faults. Change: scripts for each story; random runs with lost, late and refused writes and other operators and the collector between any two writes. A call that met an outage no longer speaks for earlier calls of the same submission.

--- a/entry/internal/control/watcher.go
+++ b/entry/internal/control/watcher.go
@@ -189,6 +189,10 @@
 	if err != nil {
 		return 0, err
 	}
+	if now < after {
+		// The service lost what it had told of: only a read shows its state.
+		return now, read(ctx)
+	}
 	if len(changes) == 0 {
 		w.confirmQuiet(prefix, began)
 		return now, nil
--- a/entry/internal/store/audit.go
+++ b/entry/internal/store/audit.go
@@ -13,6 +13,8 @@
 	// maxDiffBytes bounds the diff within a root: roots travel to every process
 	// with every change.
 	maxDiffBytes = 16 << 10
+	// changeOverhead is what the encoding adds to each change.
+	changeOverhead = 4
 	// maxAuditPage bounds how many records one call reads.
 	maxAuditPage = 200
 )
@@ -96,7 +98,7 @@
 func bounded(changes []*wire.Change) []*wire.Change {
 	size := 0
 	for i, change := range changes {
-		size += proto.Size(change)
+		size += proto.Size(change) + changeOverhead
 		if size > maxDiffBytes {
 			return append(changes[:i:i], &wire.Change{Path: "", After: `"more changes left out; see the diff of the revisions"`})
 		}
--- /dev/null
+++ b/entry/internal/store/faults_test.go
@@ -0,0 +1,115 @@
+package store
+
+import (
+	"context"
+	"strings"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+)
+
+// fault is what happens to the next write of a key below a prefix.
+type fault struct {
+	prefix string
+	// kind: "lostReply" (takes effect, reply lost), "lostCall" (no effect, the
+	// caller cannot tell), "late" (takes effect at deliver, the caller cannot
+	// tell), "down" (surely no effect).
+	kind string
+}
+
+// faultyService is a service whose next calls fail as told. Before is called
+// ahead of each write: another process acts there.
+type faultyService struct {
+	memory *kv.Memory
+	faults []fault
+	late   []func()
+	before func(key string)
+	down   bool
+}
+
+func newFaultyService(clock clockwork.Clock) *faultyService {
+	return &faultyService{memory: kv.NewMemoryService(clock), before: func(string) {}}
+}
+
+func (f *faultyService) store() *kv.Store {
+	service := f.memory.Store()
+	plainGet, plainList := service.Get, service.List
+	service.Get = func(ctx context.Context, key string) (kv.Entry, bool, error) {
+		if f.down {
+			return kv.Entry{}, false, unavailable()
+		}
+		return plainGet(ctx, key)
+	}
+	service.List = func(ctx context.Context, prefix string) ([]kv.Entry, error) {
+		if f.down {
+			return nil, unavailable()
+		}
+		return plainList(ctx, prefix)
+	}
+	service.Swap = func(_ context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+		var revision uint64
+		err := f.write(key, func() error {
+			var err error
+			revision, err = f.memory.Swap(key, value, ifRevision, lease)
+			return err
+		})
+		return revision, err
+	}
+	service.Delete = func(_ context.Context, key string, ifRevision uint64) error {
+		return f.write(key, func() error { return f.memory.Delete(key, ifRevision) })
+	}
+	return service
+}
+
+func (f *faultyService) write(key string, act func() error) error {
+	f.before(key)
+	if f.down {
+		return unavailable()
+	}
+	switch f.next(key) {
+	case "lostReply":
+		_ = act()
+		return ambiguous()
+	case "lostReplyThenDown":
+		_ = act()
+		f.down = true
+		return ambiguous()
+	case "lostCall":
+		return ambiguous()
+	case "late":
+		f.late = append(f.late, func() { _ = act() })
+		return ambiguous()
+	case "down":
+		return unavailable()
+	}
+	return act()
+}
+
+func (f *faultyService) next(key string) string {
+	for i, planned := range f.faults {
+		if strings.HasPrefix(key, planned.prefix) {
+			f.faults = append(f.faults[:i], f.faults[i+1:]...)
+			return planned.kind
+		}
+	}
+	return ""
+}
+
+// deliver lets the calls that were on their way take effect.
+func (f *faultyService) deliver() {
+	late := f.late
+	f.late = nil
+	for _, act := range late {
+		act()
+	}
+}
+
+func unavailable() error {
+	return failure.New(failure.Unavailable, "the service is down", "wait")
+}
+
+func ambiguous() error {
+	return failure.New(failure.Ambiguous, "the reply was lost", "read again")
+}
--- a/entry/internal/store/store.go
+++ b/entry/internal/store/store.go
@@ -45,11 +45,13 @@
 	parts *Parts
 	clock clockwork.Clock
 	log   *slog.Logger
+	// later runs work that the submitter does not wait for; tests run it at once.
+	later func(work func())
 }
 
 // New returns a Store over the service.
 func New(service *kv.Store, parts *Parts, clock clockwork.Clock, log *slog.Logger) *Store {
-	return &Store{kv: service, parts: parts, clock: clock, log: log}
+	return &Store{kv: service, parts: parts, clock: clock, log: log, later: func(work func()) { go work() }}
 }
 
 // Parts returns the cache.
--- a/entry/internal/store/submit.go
+++ b/entry/internal/store/submit.go
@@ -152,8 +152,8 @@
 	if kind := failure.KindOf(err); kind != failure.Unavailable && kind != failure.Exhausted {
 		return err
 	}
-	return failure.Wrap(err, failure.Unavailable, "the document was not accepted: the key-value service does not answer",
-		"what is in force stays in force; submit again once the service is back")
+	return failure.Wrap(err, failure.Unavailable, "this call did not submit the document: the key-value service does not answer",
+		"what is in force stays in force; submit again, with the same submissionId, once the service is back")
 }
 
 // settled looks for the submission among what was accepted since its base. It
@@ -279,7 +279,7 @@
 			return nil, s.unavailable(err)
 		}
 	}
-	go s.recordLater(root)
+	s.later(func() { s.recordLater(root) })
 	return root, nil
 }
 
