callers: a waiting request no longer locks its lane up

Cause: room was given away with the lane locked, asked the waiting request for its versions, and that brought the lane up to date: a deadlock whenever a new view arrived in between. Change: the versions come from the index in force. Measured: the new test hangs without the change.

--- a/entry/internal/callers/requests.go
+++ b/entry/internal/callers/requests.go
@@ -36,7 +36,7 @@
 		Repeatable: body.Repeatable,
 		Deadline:   c.arrived.Add(c.now.house.deadline(body.DeadlineMillis)),
 	}
-	c.req.Versions = func() []string { return c.srv.index().versions[body.Model] }
+	c.req.Versions = func() []string { return c.srv.current.Load().versions[body.Model] }
 	var tokens [8]byte
 	binary.LittleEndian.PutUint64(tokens[:], uint64(body.MaxTokens))
 	sum := contentHash(c.who.name, []byte("model"), []byte(body.Model), []byte(body.Adapter), []byte(body.Prompt), tokens[:])
--- a/entry/internal/callers/requests_test.go
+++ b/entry/internal/callers/requests_test.go
@@ -255,3 +255,38 @@
 	expect(t, <-inside, http.StatusOK, dispatch.Answered)
 	<-drained
 }
+
+// Symptom: an entry hangs. A request waits for room, a new view arrives, and
+// the room that another request leaves is given away while the lane is locked:
+// whatever is asked for then must not bring the lane up to date.
+func TestNewViewWhileRequestsWait(t *testing.T) {
+	house := newTestHouse(t)
+	goOn := make(chan struct{})
+	agent := house.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+		<-goOn
+		return answer("ok")(att, stream)
+	})
+	entry := house.addEntry("e1")
+	house.publish()
+	report := agent.report()
+	report.Slots = 1
+	publishHosts(house, entry, report)
+	const callers = 6
+	replies := make(chan reply, callers)
+	for range callers {
+		go func() { replies <- entry.request(t, nil) }()
+	}
+	for len(agent.seen()) == 0 || entry.srv.InFlight() < callers {
+		time.Sleep(time.Millisecond)
+	}
+	for range callers {
+		report = agent.report()
+		report.Slots, report.Sequence = 1, report.GetSequence()+1
+		publishHosts(house, entry, report)
+		time.Sleep(2 * indexInterval)
+		goOn <- struct{}{}
+	}
+	for range callers {
+		expect(t, <-replies, http.StatusOK, dispatch.Answered)
+	}
+}
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -44,7 +44,8 @@
 	Body       []byte // to a plain service
 	Repeatable bool
 	Deadline   time.Time
-	// Versions returns those that may serve the request now.
+	// Versions returns those that may serve the request now. It is called with
+	// a lane locked and must not call Update.
 	Versions func() []string
 	// Retry takes one retry from the customer's budget; false: none is left.
 	Retry func() bool
