Settings: form and meaning told at once; problems in order of items

Cause: settings with a wrong address and no keys needed two starts to be told both; item 10 of a list came before item 2.

Conclusion: one start tells all.

--- a/relay/schema/problem.go
+++ b/relay/schema/problem.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -60,14 +61,26 @@
 	return nil
 }
 
-// Sort orders problems by path, then message, and drops repeated ones.
+// Sort orders problems by path, then message, and drops repeated ones. Indexes
+// of list items go by their numbers.
 func Sort(problems []Problem) []Problem {
 	slices.SortFunc(problems, func(a, b Problem) int {
-		return cmp.Or(cmp.Compare(a.path, b.path), cmp.Compare(a.message, b.message))
+		return cmp.Or(comparePaths(a.path, b.path), cmp.Compare(a.message, b.message))
 	})
 	return slices.Compact(problems)
 }
 
+func comparePaths(a, b string) int {
+	return slices.CompareFunc(Tokens(a), Tokens(b), func(x, y string) int {
+		i, errX := strconv.Atoi(x)
+		j, errY := strconv.Atoi(y)
+		if errX == nil && errY == nil {
+			return cmp.Or(cmp.Compare(i, j), cmp.Compare(x, y))
+		}
+		return cmp.Compare(x, y)
+	})
+}
+
 // maxProblems bounds what one text's answer lists.
 const maxProblems = 1000
 
--- a/relay/schema/schema_test.go
+++ b/relay/schema/schema_test.go
@@ -35,3 +35,17 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+func TestSortCountsListItems(t *testing.T) {
+	var problems []schema.Problem
+	for _, path := range []string{"/models/10", "/models/2", "", "/customers/0", "/models/2"} {
+		problems = append(problems, schema.NewProblem(path, "wrong", "correct it"))
+	}
+	var paths []string
+	for _, problem := range schema.Sort(problems) {
+		paths = append(paths, problem.Path())
+	}
+	if got, want := strings.Join(paths, " "), " /customers/0 /models/2 /models/10"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/relay/settings/settings.go
+++ b/relay/settings/settings.go
@@ -40,10 +40,8 @@
 // that go before the file.
 func LoadEntryWith(name string, overrides []string) (*wire.EntrySettings, error) {
 	set := &wire.EntrySettings{}
-	if err := load(name, overrides, entryChecker, set); err != nil {
-		return nil, err
-	}
-	if err := report(name, checkEntry(set)); err != nil {
+	check := func() []schema.Problem { return checkEntry(set) }
+	if err := load(name, overrides, entryChecker, set, check); err != nil {
 		return nil, err
 	}
 	return set, nil
@@ -58,10 +56,8 @@
 // that go before the file.
 func LoadAgentWith(name string, overrides []string) (*wire.AgentSettings, error) {
 	set := &wire.AgentSettings{}
-	if err := load(name, overrides, agentChecker, set); err != nil {
-		return nil, err
-	}
-	if err := report(name, checkAgent(set)); err != nil {
+	check := func() []schema.Problem { return checkAgent(set) }
+	if err := load(name, overrides, agentChecker, set, check); err != nil {
 		return nil, err
 	}
 	return set, nil
@@ -78,15 +74,31 @@
 	return agentChecker.Describe(schema.PathTokens(path))
 }
 
-func load(name string, overrides []string, checker *schema.Checker, set proto.Message) error {
+// load reads a file into set; check looks at the meaning of what set holds.
+func load(name string, overrides []string, checker *schema.Checker, set proto.Message, check func() []schema.Problem) error {
 	text, err := read(name)
 	if err != nil {
 		return err
 	}
-	return parse(name, text, overrides, checker, set)
+	tree, problems := schema.ParseTree(text)
+	if len(problems) > 0 {
+		return report(name, problems)
+	}
+	if err := refuseDoubleKeys(name, text, set); err != nil {
+		return err
+	}
+	for _, override := range overrides {
+		if err := apply(tree, override, checker); err != nil {
+			return err
+		}
+	}
+	return report(name, fill(tree, checker, set, check))
 }
 
 func read(name string) ([]byte, error) {
+	if name == "" {
+		return nil, failure.New(failure.Invalid, "no settings file is named", "name one with --settings FILE")
+	}
 	info, err := os.Stat(name)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Invalid, "cannot read the settings", "name an existing file with --settings")
@@ -102,39 +114,39 @@
 	return text, nil
 }
 
-func parse(name string, text []byte, overrides []string, checker *schema.Checker, set proto.Message) error {
-	tree, problems := schema.ParseTree(text)
-	if len(problems) > 0 {
-		return report(name, problems)
-	}
-	if err := refuseDoubleKeys(name, text, set); err != nil {
-		return err
-	}
-	for _, override := range overrides {
-		if err := apply(tree, override, checker); err != nil {
-			return err
-		}
-	}
-	if problems := checker.Check(tree); len(problems) > 0 {
-		return report(name, problems)
-	}
+// fill checks the tree's form, decodes it with the defaults and checks its
+// meaning. What breaks the form is taken out before, so that all mistakes are
+// told at once.
+func fill(tree any, checker *schema.Checker, set proto.Message, check func() []schema.Problem) []schema.Problem {
+	known := checker.Check(tree)
+	checker.Prune(tree, known)
 	checker.FillDefaults(tree)
 	if root, ok := tree.(map[string]any); ok {
 		delete(root, "$schema")
 	}
-	return decode(name, tree, set)
+	if problem := decode(tree, set); problem != nil {
+		if len(known) > 0 {
+			return known
+		}
+		return problem
+	}
+	for _, problem := range check() {
+		if !schema.Covers(known, problem.Path()) {
+			known = append(known, problem)
+		}
+	}
+	return schema.Sort(known)
 }
 
-func decode(name string, tree any, set proto.Message) error {
+func decode(tree any, set proto.Message) []schema.Problem {
 	filled, err := json.Marshal(tree)
-	if err != nil {
-		return failure.Wrap(err, failure.Invalid, name+" cannot be read", "correct the JSON there")
+	if err == nil {
+		err = protojson.Unmarshal(filled, set)
 	}
-	if err := protojson.Unmarshal(filled, set); err != nil {
-		return failure.New(failure.Invalid, name+" cannot be read: "+schema.DecodeMessage(err),
-			"correct the key that the message names")
+	if err == nil {
+		return nil
 	}
-	return nil
+	return []schema.Problem{schema.NewProblem("", "this cannot be read: "+schema.DecodeMessage(err), "correct the key that the message names")}
 }
 
 // refuseDoubleKeys notices a key that stands twice: the tree would silently
--- a/relay/settings/settings_test.go
+++ b/relay/settings/settings_test.go
@@ -115,8 +115,10 @@
 }
 
 func TestNoFile(t *testing.T) {
-	_, err := settings.LoadEntry(filepath.Join(t.TempDir(), "none.json"))
-	if got, want := failure.KindOf(err), failure.Invalid; got != want {
-		t.Errorf("got %v (%v), want %v", got, err, want)
+	for _, name := range []string{"", filepath.Join(t.TempDir(), "none.json")} {
+		_, err := settings.LoadEntry(name)
+		if got, want := failure.KindOf(err), failure.Invalid; got != want {
+			t.Errorf("%q: got %v (%v), want %v", name, got, err, want)
+		}
 	}
 }
