--- a/relay/spread/digest.go
+++ b/relay/spread/digest.go
@@ -31,6 +31,7 @@
 // summary is what of a report is worth telling when it changes.
 type summary struct {
 	incarnation   string
+	home          string // a new home is the one whose word on the host counts
 	leaving, lost bool
 	states        uint64 // hash of the versions' states
 	load          int    // running and queued requests
@@ -47,6 +48,7 @@
 	}
 	return summary{
 		incarnation: report.GetNode().GetIncarnation(),
+		home:        report.GetHome(),
 		leaving:     report.GetLeaving(),
 		lost:        report.GetLost(),
 		states:      digest.Sum64(),
@@ -112,9 +114,10 @@
 		return true
 	}
 	fresh := summarize(report)
-	newer := membership.Newer(report.GetNode().GetIncarnation(), report.GetSequence(),
-		held.summary.incarnation, held.sequence)
-	if !newer && fresh.lost == held.summary.lost {
+	if fresh.incarnation == held.summary.incarnation && report.GetSequence() == held.sequence {
+		return fresh.lost && !held.summary.lost
+	}
+	if !membership.Newer(fresh.incarnation, report.GetSequence(), held.summary.incarnation, held.sequence) {
 		return false
 	}
 	return fresh.differs(held.summary) || now.Sub(held.at) >= d.refresh
