Caller: no warning when its control address closes at the end

Cause: each run ended with a warning though nothing was wrong. Change: a server that was closed is no failure. Conclusion: warnings on stderr mean something again.

--- a/standin/internal/cmd/cmd_load.go
+++ b/standin/internal/cmd/cmd_load.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -93,7 +94,7 @@
 		control := &http.Server{Addr: options.Control, Handler: caller.Control(stop), ReadHeaderTimeout: headerTimeout}
 		defer control.Close()
 		go func() {
-			if err := control.ListenAndServe(); ctx.Err() == nil {
+			if err := control.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 				log.Warn("the control address does not serve", "address", options.Control, "error", err)
 			}
 		}()
