--- a/relay/kv/memory.go
+++ b/relay/kv/memory.go
@@ -93,8 +93,8 @@
 func (m *Memory) lock() {
 	m.mu.Lock()
 	now := m.clock.Now()
-	for name, lease := range m.leases {
-		if !lease.until.After(now) {
+	for _, name := range slices.Sorted(maps.Keys(m.leases)) {
+		if !m.leases[name].until.After(now) {
 			m.end(name)
 		}
 	}
--- /dev/null
+++ b/relay/lease/random_test.go
@@ -0,0 +1,253 @@
+package lease
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+)
+
+const (
+	simTTL    = 10 * time.Second
+	simMargin = time.Second
+	simTime   = 5 * time.Minute
+)
+
+// TestNeverTwoHolders: two processes in charge at one moment would each give
+// orders. Calls are delayed, replies lost, calls fail, processes are paused at
+// any step and clocks run at rates within the margin. The symptom would be two
+// machines that hold by their own clocks at one moment of true time.
+func TestNeverTwoHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), 0.92, 1.08)
+		sim.lost = rapid.Float64Range(0, 0.3).Draw(t, "lost")
+		sim.failed = rapid.Float64Range(0, 0.3).Draw(t, "failed")
+		sim.paused = rapid.Float64Range(0, 0.1).Draw(t, "paused")
+		sim.slowest = time.Duration(rapid.IntRange(1, 15).Draw(t, "slowestSeconds")) * time.Second
+		if problem := sim.run(); problem != "" {
+			t.Fatal(problem)
+		}
+	})
+}
+
+// TestSimulationNotices: the check above must be able to fail. A clock that
+// runs far slower than the margin allows lets a holder believe in its lease
+// after the service ended it.
+func TestSimulationNotices(t *testing.T) {
+	found := 0
+	for seed := range uint64(20) {
+		sim := newSimulation(seed, 0.5, 1)
+		sim.failed = 0.5
+		if sim.run() != "" {
+			found++
+		}
+	}
+	if found == 0 {
+		t.Errorf("got no overlap with clocks outside the margin, want at least one in 20 runs")
+	}
+}
+
+// TestHoldersFollow: without faults somebody is in charge nearly all the time.
+func TestHoldersFollow(t *testing.T) {
+	sim := newSimulation(1, 0.95, 1.05)
+	if problem := sim.run(); problem != "" {
+		t.Fatal(problem)
+	}
+	if got := len(sim.fences); got != 1 {
+		t.Errorf("got %d holders in five quiet minutes, want 1", got)
+	}
+}
+
+// simulation runs several machines against one service, event by event in true
+// time.
+type simulation struct {
+	random  *rand.Rand
+	clock   *clockwork.FakeClock // true time; the service's clock
+	start   time.Time
+	service *kv.Memory
+	members []*member
+	events  eventHeap
+	made    int // events ever made; orders those of the same moment
+
+	lost, failed, paused float64       // fractions of calls
+	slowest              time.Duration // a call's longest way there or back
+	fences               []uint64      // of each holding, in order
+}
+
+// member is one process with its own clock.
+type member struct {
+	name    string
+	machine *machine
+	rate    float64 // of its clock against true time
+	held    bool
+}
+
+func newSimulation(seed uint64, slowest, fastest float64) *simulation {
+	clock := clockwork.NewFakeClock()
+	sim := &simulation{
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		clock:   clock,
+		start:   clock.Now(),
+		service: kv.NewMemoryService(clock),
+		slowest: 100 * time.Millisecond,
+	}
+	for i := range 4 {
+		one := &member{name: fmt.Sprintf("m%d", i), rate: slowest + sim.random.Float64()*(fastest-slowest)}
+		one.machine = newMachine(options{incarnation: one.name, ttl: simTTL, margin: simMargin, jitter: sim.random.Float64})
+		sim.members = append(sim.members, one)
+		sim.after(0, func() { sim.step(one) })
+	}
+	return sim
+}
+
+// local returns the member's reading of its clock.
+func (s *simulation) local(one *member) time.Time {
+	elapsed := s.clock.Now().Sub(s.start)
+	return s.start.Add(time.Duration(float64(elapsed) * one.rate))
+}
+
+func (s *simulation) after(wait time.Duration, run func()) {
+	s.made++
+	heap.Push(&s.events, event{at: s.clock.Now().Add(wait), order: s.made, run: run})
+}
+
+// run returns what went wrong, or nothing.
+func (s *simulation) run() string {
+	for len(s.events) > 0 && s.clock.Since(s.start) < simTime {
+		due := heap.Pop(&s.events).(event)
+		s.clock.Advance(due.at.Sub(s.clock.Now()))
+		due.run()
+		if problem := s.check(); problem != "" {
+			return problem
+		}
+	}
+	return ""
+}
+
+func (s *simulation) check() string {
+	var holder *member
+	for _, one := range s.members {
+		fence, deadline, holding := one.machine.holding()
+		holding = holding && !expired(deadline, s.local(one))
+		if holding && holder != nil {
+			return fmt.Sprintf("got %s and %s in charge at %s, want one", holder.name, one.name, s.clock.Since(s.start))
+		}
+		if holding {
+			holder = one
+		}
+		if holding && !one.held {
+			if n := len(s.fences); n > 0 && fence <= s.fences[n-1] {
+				return fmt.Sprintf("got fence %d after %d, want it to grow", fence, s.fences[n-1])
+			}
+			s.fences = append(s.fences, fence)
+		}
+		one.held = holding
+	}
+	return ""
+}
+
+// step lets the member decide and carries its action out.
+func (s *simulation) step(one *member) {
+	act := one.machine.next(s.local(one))
+	if act.step == stepSleep {
+		wait := float64(act.until.Sub(s.local(one))) / one.rate
+		// A little more than asked: rounding down would ask again at the same moment.
+		s.after(time.Duration(wait)+time.Microsecond+s.pause(), func() { s.finish(one, act, result{}) })
+		return
+	}
+	if act.step == stepWatch {
+		s.after(s.travel(), func() { s.poll(one, act, s.clock.Now().Add(simTTL)) })
+		return
+	}
+	timeout := time.Duration(float64(simTTL) / callPart / one.rate)
+	answered := false
+	answer := func(got result) {
+		if !answered {
+			answered = true
+			s.finish(one, act, got)
+		}
+	}
+	s.after(timeout+s.pause(), func() {
+		answer(result{err: failure.New(failure.Ambiguous, "timeout", "none")})
+	})
+	if s.random.Float64() < s.failed {
+		s.after(s.travel(), func() { answer(result{err: failure.New(failure.Unavailable, "down", "none")}) })
+		return
+	}
+	s.after(s.travel(), func() { // even after the time-out: a call may arrive late
+		got := s.call(one, act)
+		if s.random.Float64() >= s.lost {
+			s.after(s.travel()+s.pause(), func() { answer(got) })
+		}
+	})
+}
+
+func (s *simulation) finish(one *member, act action, got result) {
+	one.machine.done(act, got, s.local(one))
+	s.after(s.pause(), func() { s.step(one) })
+}
+
+// poll stands in for a waiting watch.
+func (s *simulation) poll(one *member, act action, until time.Time) {
+	changes, now, _, err := s.service.Changes(Key("x"), act.after)
+	if err == nil && len(changes) == 0 && s.clock.Now().Before(until) {
+		s.after(100*time.Millisecond, func() { s.poll(one, act, until) })
+		return
+	}
+	s.finish(one, act, result{found: len(changes) > 0, revision: now, err: err})
+}
+
+// call does the service's part.
+func (s *simulation) call(one *member, act action) result {
+	ctx := context.Background()
+	holder := Holder{name: "x", store: s.service.Store(), opts: one.machine.opts}
+	return holder.call(ctx, act)
+}
+
+// travel draws the time of a call's way; most are quick.
+func (s *simulation) travel() time.Duration {
+	if s.random.Float64() < 0.8 {
+		return time.Duration(s.random.Float64() * float64(10*time.Millisecond))
+	}
+	return time.Duration(s.random.Float64() * float64(s.slowest))
+}
+
+// pause draws how long the process stands still before its next instruction.
+func (s *simulation) pause() time.Duration {
+	if s.random.Float64() >= s.paused {
+		return 0
+	}
+	return time.Duration(s.random.Float64() * float64(2*simTTL))
+}
+
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].order < h[j].order
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
