Leases and budget: pauses, an outage of an hour, a fleet's restart

Cause: that a fleet stays within the service's rates, and that the return of the service makes no herd, had not been shown. Change: tests in fake time of nine budgets flooded at once, of a paused holder, of a graceful end and of an outage of an hour with nine processes and four leases. Conclusion: the sums stay under the service's rates with the default shares.

--- /dev/null
+++ b/relay/budget/budget_test.go
@@ -0,0 +1,154 @@
+package budget
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+// The service's rates and the entries of one house.
+const (
+	serviceReads  = 2000
+	serviceWrites = 300
+	entries       = 9
+)
+
+// TestFleetRestartsAtOnce: all entries restart at one moment, each with more to
+// ask than its share. The symptom of a broken budget would be a second in which
+// the service gets more than it takes and refuses keep-alives.
+func TestFleetRestartsAtOnce(t *testing.T) {
+	for _, kind := range []Kind{Get, Swap} {
+		limit := serviceReads
+		if kind.Writes() {
+			limit = serviceWrites
+		}
+		synctest.Test(t, func(t *testing.T) {
+			sent := flood(t, kind)
+			got := busiestSecond(sent)
+			t.Logf("%s: %d in the busiest second, %d in 5 s", kind, got, len(sent))
+			if got > limit {
+				t.Errorf("%s: got %d calls in the busiest second, want at most %d", kind, got, limit)
+			}
+			if least := 3 * limit / 2; len(sent) < least {
+				t.Errorf("%s: got %d calls in 5 s, want at least %d", kind, len(sent), least)
+			}
+		})
+	}
+}
+
+// flood starts a fleet of budgets, lets each ask without end for five seconds
+// and returns when the calls went out.
+func flood(t *testing.T, kind Kind) []time.Time {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var mu sync.Mutex
+	var sent []time.Time
+	var callers sync.WaitGroup
+	for range entries {
+		limit := New(Options{Role: "test", Clock: clockwork.NewRealClock()})
+		for range 100 {
+			callers.Go(func() {
+				for limit.Wait(ctx, Call{Kind: kind, Key: "once/1"}) == nil {
+					mu.Lock()
+					sent = append(sent, time.Now())
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	callers.Wait()
+	return sent
+}
+
+// busiestSecond returns the most events within any second.
+func busiestSecond(sent []time.Time) int {
+	slices.SortFunc(sent, time.Time.Compare)
+	most, first := 0, 0
+	for last := range sent {
+		for sent[last].Sub(sent[first]) >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// TestUrgentGoesFirst: a keep-alive that waits behind a crowd of claims costs
+// the lease.
+func TestUrgentGoesFirst(t *testing.T) {
+	now := time.Now()
+	queue := newQueue(4, now)
+	for ticket := range uint64(3) {
+		add(t, queue, ticket, Call{Kind: Swap, Key: "once/1"})
+	}
+	add(t, queue, 10, Call{Kind: KeepAlive})
+	add(t, queue, 11, Call{Kind: Swap, Key: "document/root"})
+	got, _ := queue.pump(now.Add(time.Hour))
+	if want := []uint64{10}; !slices.Equal(got, want) {
+		t.Errorf("got tickets %v first, want %v", got, want)
+	}
+	got, _ = queue.pump(now.Add(2 * time.Hour))
+	if want := []uint64{11}; !slices.Equal(got, want) {
+		t.Errorf("got tickets %v next, want %v", got, want)
+	}
+}
+
+func add(t *testing.T, queue *queue, ticket uint64, call Call) {
+	t.Helper()
+	if err := queue.add(ticket, call.rank()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestWaitIsBounded: during an outage callers pile up; those beyond the bound
+// are told at once, and those whose context ends leave nothing behind.
+func TestWaitIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := New(Options{Role: "test", WritesPerSecond: 0.001, Clock: clockwork.NewRealClock()})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var callers sync.WaitGroup
+		for range maxWaiting {
+			callers.Go(func() { _ = limit.Wait(ctx, Call{Kind: Swap}) })
+		}
+		synctest.Wait()
+		if got := failure.KindOf(limit.Wait(t.Context(), Call{Kind: Swap})); got != failure.Exhausted {
+			t.Errorf("got kind %s beyond the bound, want %s", got, failure.Exhausted)
+		}
+		callers.Wait()
+		if got := limit.writes.queue.length() + len(limit.writes.ready); got != 0 {
+			t.Errorf("got %d waiting after all gave up, want 0", got)
+		}
+	})
+}
+
+// TestAnySecondWithinShare: whatever the pattern of calls, no second holds more
+// than the share.
+func TestAnySecondWithinShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.IntRange(2, 300).Draw(t, "share")
+		now := time.Now()
+		queue := newQueue(float64(share), now)
+		var sent []time.Time
+		for ticket := range uint64(rapid.IntRange(1, 400).Draw(t, "calls")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "gapMillis")) * time.Millisecond)
+			_ = queue.add(ticket, ordinary) // a full queue is part of the pattern
+			granted, _ := queue.pump(now)
+			for range granted {
+				sent = append(sent, now)
+			}
+		}
+		if got := busiestSecond(sent); got > share {
+			t.Fatalf("got %d calls in a second, want at most %d", got, share)
+		}
+	})
+}
--- /dev/null
+++ b/relay/lease/holder_test.go
@@ -0,0 +1,227 @@
+package lease
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/budget"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+)
+
+func init() { onBroken = func() { panic("invariant broke") } }
+
+const (
+	testTTL    = 10 * time.Second
+	testMargin = time.Second
+)
+
+func start(ctx context.Context, store *kv.Store, incarnation string) *Holder {
+	return Run(ctx, store, clockwork.NewRealClock(), "x", incarnation, testTTL, testMargin, slog.New(slog.DiscardHandler))
+}
+
+// TestPausedHolder: a holder whose calls hang for a minute, as if it were
+// paused, must not be in charge when its successor is, nor when it wakes.
+func TestPausedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := kv.NewMemoryService(clockwork.NewRealClock())
+		var paused atomic.Bool
+		store := service.Store()
+		store.KeepAlive = func(ctx context.Context, lease string) error {
+			if paused.Load() {
+				<-ctx.Done()
+				return failure.New(failure.Ambiguous, "paused", "none")
+			}
+			return service.KeepAlive(lease)
+		}
+		former := start(t.Context(), store, "former")
+		time.Sleep(2 * time.Second)
+		before, ok := former.Holding()
+		if !ok {
+			t.Fatal("got no holder, want the only candidate")
+		}
+		next := start(t.Context(), service.Store(), "next")
+		paused.Store(true)
+		overlaps := 0
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			_, one := former.Holding()
+			_, other := next.Holding()
+			if one && other {
+				overlaps++
+			}
+		}
+		if overlaps > 0 {
+			t.Errorf("got two in charge %d times, want never", overlaps)
+		}
+		paused.Store(false)
+		after, ok := next.Holding()
+		if !ok || after <= before {
+			t.Errorf("got fence %d (in charge: %t) after %d, want a larger one in charge", after, ok, before)
+		}
+		if _, ok := former.Holding(); ok {
+			t.Error("got the former holder in charge, want its successor only")
+		}
+	})
+}
+
+// TestEndGivesBack: a process that ends must not let its successor wait for the
+// whole of the lease's time.
+func TestEndGivesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kv.NewMemory(clockwork.NewRealClock())
+		ctx, cancel := context.WithCancel(t.Context())
+		former := start(ctx, store, "former")
+		time.Sleep(2 * time.Second)
+		next := start(t.Context(), store, "next")
+		time.Sleep(2 * time.Second)
+		cancel()
+		<-former.Done()
+		if _, ok := former.Holding(); ok {
+			t.Error("got the ended process in charge, want it out")
+		}
+		<-next.Changes()
+		if _, ok := next.Holding(); !ok {
+			t.Error("got the successor not in charge after its signal, want it in charge")
+		}
+	})
+}
+
+// TestReturnOfTheService: the service is down for an hour, then comes back to
+// nine processes that all want four leases. The symptom of a herd would be a
+// second with more calls than the service takes; nobody may be in charge
+// meanwhile, and somebody must be soon after.
+func TestReturnOfTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		platform := &flaky{service: kv.NewMemoryService(clock)}
+		var holders []*Holder
+		for i := range 9 {
+			store := platform.store(budget.New(budget.Options{Role: "entry", Clock: clock}))
+			for _, name := range []string{"plan", "watch-a", "watch-b", "watch-c"} {
+				holders = append(holders, Run(t.Context(), store, clock, name, string(rune('a'+i)),
+					testTTL, testMargin, slog.New(slog.DiscardHandler)))
+			}
+		}
+		time.Sleep(10 * time.Second)
+		wantInCharge(t, holders, 4)
+		platform.down.Store(true)
+		time.Sleep(time.Hour)
+		wantInCharge(t, holders, 0)
+		platform.down.Store(false)
+		time.Sleep(testTTL)
+		wantInCharge(t, holders, 4)
+		reads, writes := platform.busiest()
+		t.Logf("busiest second: %d reads, %d writes", reads, writes)
+		if reads > 200 || writes > 100 {
+			t.Errorf("got %d reads and %d writes in the busiest second, want at most 200 and 100", reads, writes)
+		}
+	})
+}
+
+func wantInCharge(t *testing.T, holders []*Holder, want int) {
+	t.Helper()
+	got := 0
+	for _, holder := range holders {
+		if _, ok := holder.Holding(); ok {
+			got++
+		}
+	}
+	if got != want {
+		t.Errorf("got %d in charge, want %d", got, want)
+	}
+}
+
+// flaky is a service with an outage that counts the calls of each second.
+type flaky struct {
+	service *kv.Memory
+	down    atomic.Bool
+
+	mu            sync.Mutex
+	reads, writes map[int64]int
+}
+
+func (f *flaky) call(ctx context.Context, limit *budget.Budget, kind budget.Kind) error {
+	if err := limit.Wait(ctx, budget.Call{Kind: kind, Key: Key("x")}); err != nil {
+		return err
+	}
+	f.count(kind)
+	if f.down.Load() {
+		return failure.New(failure.Unavailable, "down", "none")
+	}
+	return nil
+}
+
+func (f *flaky) count(kind budget.Kind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reads == nil {
+		f.reads, f.writes = map[int64]int{}, map[int64]int{}
+	}
+	if kind.Writes() {
+		f.writes[time.Now().Unix()]++
+		return
+	}
+	f.reads[time.Now().Unix()]++
+}
+
+func (f *flaky) busiest() (reads, writes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.reads {
+		reads = max(reads, n)
+	}
+	for _, n := range f.writes {
+		writes = max(writes, n)
+	}
+	return reads, writes
+}
+
+func (f *flaky) store(limit *budget.Budget) *kv.Store {
+	direct := f.service.Store()
+	return &kv.Store{
+		Get: func(ctx context.Context, key string) (kv.Entry, bool, error) {
+			if err := f.call(ctx, limit, budget.Get); err != nil {
+				return kv.Entry{}, false, err
+			}
+			return direct.Get(ctx, key)
+		},
+		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+			if err := f.call(ctx, limit, budget.Watch); err != nil {
+				return nil, 0, err
+			}
+			return direct.Watch(ctx, prefix, after, wait)
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (string, error) {
+			if err := f.call(ctx, limit, budget.Grant); err != nil {
+				return "", err
+			}
+			return direct.Grant(ctx, ttl)
+		},
+		Swap: func(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+			if err := f.call(ctx, limit, budget.Swap); err != nil {
+				return 0, err
+			}
+			return direct.Swap(ctx, key, value, ifRevision, lease)
+		},
+		KeepAlive: func(ctx context.Context, lease string) error {
+			if err := f.call(ctx, limit, budget.KeepAlive); err != nil {
+				return err
+			}
+			return direct.KeepAlive(ctx, lease)
+		},
+		Revoke: func(ctx context.Context, lease string) error {
+			if err := f.call(ctx, limit, budget.Revoke); err != nil {
+				return err
+			}
+			return direct.Revoke(ctx, lease)
+		},
+	}
+}
