--- a/standin/internal/fault/knobs.go
+++ b/standin/internal/fault/knobs.go
@@ -43,12 +43,23 @@
 	k.values = values
 }
 
+// clone returns a deep copy: decoding into the knobs themselves would change
+// lists that readers still look at.
+func (k *Knobs[T]) clone() T {
+	var values T
+	text, err := json.Marshal(k.values)
+	if err == nil {
+		_ = json.Unmarshal(text, &values) // what was marshalled can be read
+	}
+	return values
+}
+
 // ServeHTTP implements http.Handler.
 func (k *Knobs[T]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if r.Method == http.MethodPost {
-		values := k.values
+		values := k.clone()
 		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&values); err != nil {
--- /dev/null
+++ b/standin/internal/hostlist/hostlist_test.go
@@ -0,0 +1,58 @@
+package hostlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+func call(t *testing.T, handler http.Handler, method, path, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return answer
+}
+
+func wantHosts(t *testing.T, handler http.Handler, want string) {
+	t.Helper()
+	var list List
+	if err := json.Unmarshal(call(t, handler, http.MethodGet, "/hosts", "").Body.Bytes(), &list); err != nil {
+		t.Fatal(err)
+	}
+	var seen []string
+	for _, host := range list.Hosts {
+		seen = append(seen, host.ID+"="+host.State)
+	}
+	if got := strings.Join(seen, " "); got != want {
+		t.Errorf("got hosts %q, want %q", got, want)
+	}
+}
+
+// TestLagAndFaults: changes show late and in order, and wrong answers are
+// wrong only while the knob is set.
+func TestLagAndFaults(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	handler := New(clock, []Host{{ID: "a", State: "live"}, {ID: "b", State: "live"}}, time.Minute).Handler()
+	call(t, handler, http.MethodPut, "/hosts/a", `{"state":"leaving"}`)
+	call(t, handler, http.MethodPost, "/faults", `{"lagMillis":0}`)
+	call(t, handler, http.MethodDelete, "/hosts/a", "")
+	wantHosts(t, handler, "a=live b=live")
+	clock.Advance(time.Minute)
+	wantHosts(t, handler, "b=live")
+	call(t, handler, http.MethodPost, "/faults", `{"wrong":["b"]}`)
+	wantHosts(t, handler, "")
+	call(t, handler, http.MethodPost, "/faults", `{"wrong":[],"empty":true}`)
+	wantHosts(t, handler, "")
+	call(t, handler, http.MethodPost, "/faults", `{"empty":false,"down":true}`)
+	if got := call(t, handler, http.MethodGet, "/hosts", "").Code; got != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, want %d", got, http.StatusServiceUnavailable)
+	}
+	if got := call(t, handler, http.MethodPost, "/faults", `{"nonsense":1}`).Code; got != http.StatusBadRequest {
+		t.Errorf("got status %d of an unknown knob, want %d", got, http.StatusBadRequest)
+	}
+}
