peer: bytes and calls by rpc; keys are judged by each file's stamp

Cause: control bytes of a node could not be told apart from tokens and weights, and keys moved into place with an older time were never read.

Change: each call's messages are counted where they are encoded and decoded (expvar peerCallsMade, peerCallsServed, peerBytesIn, peerBytesOut by call, for example controlSync, hostRun, hostChunk), and all bytes below TLS at the connection (peerConnectionBytesIn, peerConnectionBytesOut). The former miss drpc frames, TLS and TCP; the latter miss TCP and IP headers only. The key files' times and sizes are compared one by one, taken before the files are read.

--- a/relay/peer/keys.go
+++ b/relay/peer/keys.go
@@ -22,11 +22,22 @@
 	files *wire.TlsSettings
 	clock clockwork.Clock
 
-	mu       sync.Mutex
-	pair     tls.Certificate
-	pool     *x509.CertPool
-	modified time.Time // newest modification time among the files in use
-	checked  time.Time
+	mu      sync.Mutex
+	pair    tls.Certificate
+	pool    *x509.CertPool
+	stamps  [keyFiles]stamp // of the files in use, taken before they were read
+	checked time.Time
+}
+
+// keyFiles is the number of files that keys are read from.
+const keyFiles = 3
+
+// stamp tells one content of a file from another. The newest time of all files
+// would not do: a file that is moved into place keeps its own, perhaps older,
+// time.
+type stamp struct {
+	modified time.Time
+	size     int64
 }
 
 // NewKeys reads the key files once; later reads happen on use.
@@ -39,7 +50,10 @@
 	return k, nil
 }
 
+// read takes the stamps first: a file that is replaced while it is read then
+// differs from its stamp and is read again.
 func (k *Keys) read() error {
+	stamps := k.look()
 	pair, err := tls.LoadX509KeyPair(k.files.GetCertificateFile(), k.files.GetKeyFile())
 	if err != nil {
 		return failure.Wrap(err, failure.Invalid, "cannot read the process's certificate and key",
@@ -55,19 +69,18 @@
 		return failure.New(failure.Invalid, "tls.authorityFile holds no PEM certificate",
 			"put the authority's certificate there")
 	}
-	k.pair, k.pool, k.modified = pair, pool, k.newest()
+	k.pair, k.pool, k.stamps = pair, pool, stamps
 	return nil
 }
 
-func (k *Keys) newest() time.Time {
-	var newest time.Time
-	for _, name := range []string{k.files.GetCertificateFile(), k.files.GetKeyFile(), k.files.GetAuthorityFile()} {
-		info, err := os.Stat(name)
-		if err == nil && info.ModTime().After(newest) {
-			newest = info.ModTime()
+func (k *Keys) look() (stamps [keyFiles]stamp) {
+	names := [keyFiles]string{k.files.GetCertificateFile(), k.files.GetKeyFile(), k.files.GetAuthorityFile()}
+	for i, name := range names {
+		if info, err := os.Stat(name); err == nil {
+			stamps[i] = stamp{modified: info.ModTime(), size: info.Size()}
 		}
 	}
-	return newest
+	return stamps
 }
 
 // current returns the keys in use. Files that are half written while being
@@ -79,7 +92,7 @@
 	now := k.clock.Now()
 	if now.Sub(k.checked) >= keyCheckInterval {
 		k.checked = now
-		if !k.newest().Equal(k.modified) {
+		if k.look() != k.stamps {
 			_ = k.read()
 		}
 	}
--- a/relay/peer/pool.go
+++ b/relay/peer/pool.go
@@ -51,7 +51,7 @@
 // Conn returns a connection to the address ("ip:port"). It dials on use and
 // puts the connection back after each call.
 func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
-	return p.pool.Get(ctx, address, p.dial)
+	return meteredConn{p.pool.Get(ctx, address, p.dial)}
 }
 
 // Close closes the idle connections.
@@ -65,6 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
+	raw = meteredTransport{raw}
 	if p.keys == nil {
 		return drpcconn.NewWithOptions(raw, connOptions()), nil
 	}
