Leases hold in a slow service

Cause: where each call takes seconds, a lease of the usual time is spent before its key is written; nobody is in charge although the service works. Conclusion: a slow service no longer stops plans and watches.

--- a/relay/lease/action.go
+++ b/relay/lease/action.go
@@ -22,9 +22,12 @@
 // action is one step with what it needs.
 type action struct {
 	step  step
-	until time.Time // of a sleep
-	lease string    // of swap, keepAlive and revoke
-	after uint64    // of a watch
+	until time.Time     // of a sleep
+	lease string        // of swap, keepAlive and revoke
+	after uint64        // of a watch
+	ttl   time.Duration // of a grant
+	// timeout is when a call, or a watch after its wait, is given up.
+	timeout time.Duration
 }
 
 // String writes the action for scripts and logs.
@@ -32,6 +35,8 @@
 	switch a.step {
 	case stepSwap, stepKeepAlive, stepRevoke:
 		return fmt.Sprintf("%s lease=%s", a.step, a.lease)
+	case stepGrant:
+		return fmt.Sprintf("%s ttl=%s", a.step, a.ttl)
 	case stepWatch:
 		return fmt.Sprintf("%s after=%d", a.step, a.after)
 	default:
--- a/relay/lease/holder.go
+++ b/relay/lease/holder.go
@@ -14,13 +14,8 @@
 	"comfreyrelay.example/relay/kv"
 )
 
-const (
-	// callPart is the fraction of the lease's time after which a call that
-	// hangs is given up, so that one more attempt fits before the deadline.
-	callPart = 4
-	// releaseTimeout bounds giving the lease back at the end of a process.
-	releaseTimeout = 2 * time.Second
-)
+// releaseTimeout bounds giving the lease back at the end of a process.
+const releaseTimeout = 2 * time.Second
 
 // counters tells how often leases of this process were acquired and lapsed:
 // "acquired.planner", "lapsed.planner".
@@ -165,7 +160,7 @@
 		h.sleep(ctx, act.until)
 		return result{}
 	}
-	timeout := h.opts.ttl / callPart
+	timeout := act.timeout
 	if act.step == stepWatch {
 		timeout += h.opts.ttl
 	}
@@ -196,7 +191,7 @@
 		changes, revision, err := h.store.Watch(ctx, key, act.after, h.opts.ttl)
 		return result{found: touches(changes, key), revision: revision, err: err}
 	case stepGrant:
-		lease, err := h.store.Grant(ctx, h.opts.ttl)
+		lease, err := h.store.Grant(ctx, act.ttl)
 		return result{lease: lease, err: err}
 	case stepSwap:
 		value := []byte(holderValue(h.opts.incarnation, act.lease))
--- a/relay/lease/holder_test.go
+++ b/relay/lease/holder_test.go
@@ -126,6 +126,47 @@
 	})
 }
 
+// TestSlowService: every call takes three seconds, more than half of the
+// lease's time. The symptom of leases of a fixed time: nobody is ever in charge,
+// so no plan is made and no watch is kept, although the service works.
+func TestSlowService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		platform := &flaky{service: kv.NewMemoryService(clock)}
+		platform.delay.Store(int64(3 * time.Second))
+		var holders []*Holder
+		for _, incarnation := range []string{"a", "b", "c"} {
+			store := platform.store(budget.New(budget.Options{Role: "entry", Clock: clock}))
+			holders = append(holders, Run(t.Context(), store, clock, "x", incarnation, 5*time.Second, time.Second,
+				slog.New(slog.DiscardHandler)))
+		}
+		time.Sleep(time.Minute)
+		covered := 0
+		for range 600 {
+			time.Sleep(time.Second)
+			for _, holder := range holders {
+				if _, ok := holder.Holding(); ok {
+					covered++
+				}
+			}
+		}
+		t.Logf("somebody in charge in %d of 600 s", covered)
+		if covered < 540 || covered > 600 {
+			t.Errorf("got one in charge in %d of 600 s, want at least 540, and never two", covered)
+		}
+		platform.delay.Store(0)
+		time.Sleep(2 * time.Minute)
+		for _, holder := range holders {
+			holder.mu.Lock()
+			if holder.state == Holding && holder.deadline.Sub(clock.Now()) > 5*time.Second {
+				t.Error("got a long lease in a quick service, want the usual time")
+			}
+			holder.mu.Unlock()
+		}
+		wantInCharge(t, holders, 1)
+	})
+}
+
 func wantInCharge(t *testing.T, holders []*Holder, want int) {
 	t.Helper()
 	got := 0
@@ -143,6 +184,7 @@
 type flaky struct {
 	service *kv.Memory
 	down    atomic.Bool
+	delay   atomic.Int64 // of each call, nanoseconds
 
 	mu            sync.Mutex
 	reads, writes map[int64]int
@@ -153,6 +195,11 @@
 		return err
 	}
 	f.count(kind)
+	select {
+	case <-time.After(time.Duration(f.delay.Load())):
+	case <-ctx.Done():
+		return failure.New(failure.Ambiguous, "timeout", "none")
+	}
 	if f.down.Load() {
 		return failure.New(failure.Unavailable, "down", "none")
 	}
--- a/relay/lease/machine.go
+++ b/relay/lease/machine.go
@@ -30,6 +30,9 @@
 	retryAtMost  = 2  // the longest wait while nothing is held
 	renewRetry   = 10 // the wait after a failed renewal
 	takeoverPart = 10 // over which candidates spread when the key vanishes
+	// callPart is when a call that hangs is given up, so that one more attempt
+	// fits before the deadline.
+	callPart = 4
 )
 
 // Options configure a lease.
@@ -40,6 +43,11 @@
 	jitter      func() float64
 }
 
+// term is the lease's time with the margin that belongs to it.
+type term struct {
+	ttl, margin time.Duration
+}
+
 // machine decides; it holds no clock and makes no calls. The runner asks next
 // what to do, does it, and tells done what came of it.
 type machine struct {
@@ -48,8 +56,10 @@
 	asked    time.Time // when the present action began
 	wakeAt   time.Time // nothing is done before; zero: at once
 	failures int       // in a row, for the wait after the next one
+	pace     pace      // of the service
 
 	lease    string    // empty: none granted
+	term     term      // of the lease granted or asked for last
 	deadline time.Time // while a lease is granted: we stop trusting it then
 	renewAt  time.Time // while holding
 	fence    uint64    // of the present or last holding; grows
@@ -61,7 +71,7 @@
 }
 
 func newMachine(opts options) *machine {
-	return &machine{opts: opts, state: Idle}
+	return &machine{opts: opts, state: Idle, pace: newPace(opts.ttl)}
 }
 
 // expired reports whether the granted lease is not to be trusted any more. The
@@ -85,6 +95,12 @@
 	if now.Before(m.wakeAt) {
 		return action{step: stepSleep, until: m.earliest(m.wakeAt)}
 	}
+	act := m.choose(now)
+	act.timeout = m.opts.ttl * m.pace.stretch / callPart
+	return act
+}
+
+func (m *machine) choose(now time.Time) action {
 	switch m.state {
 	case Asking:
 		return m.nextAsking()
@@ -117,7 +133,8 @@
 
 func (m *machine) nextAsking() action {
 	if m.lease == "" {
-		return action{step: stepGrant}
+		m.term = term{ttl: m.opts.ttl * m.pace.stretch, margin: m.opts.margin * m.pace.stretch}
+		return action{step: stepGrant, ttl: m.term.ttl}
 	}
 	if m.settling {
 		return action{step: stepGet}
@@ -137,6 +154,9 @@
 	if did.step == stepSleep {
 		return
 	}
+	if did.step != stepWatch {
+		m.pace.observe(now.Sub(m.asked))
+	}
 	if (m.state == Asking || m.state == Holding) && m.lease != "" && m.expired(now) {
 		// The answer came after the time was over: whatever it says, somebody
 		// else may be in charge already.
@@ -165,7 +185,7 @@
 		m.watched(got, now)
 	case stepGrant:
 		m.lease = got.lease
-		m.deadline = m.asked.Add(m.opts.ttl - m.opts.margin)
+		m.trust()
 	case stepSwap:
 		m.swapped(got, now)
 	}
@@ -244,20 +264,30 @@
 	m.state = Holding
 	m.settling = false
 	m.fence = revision
-	m.renewAt = m.deadline.Add(m.opts.margin - m.opts.ttl + m.opts.ttl/renewEvery)
+	m.renewAt = m.deadline.Add(m.term.margin - m.term.ttl + m.term.ttl/renewEvery)
+}
+
+// trust moves the deadline after a grant or a renewal that succeeded.
+func (m *machine) trust() {
+	m.deadline = m.asked.Add(m.term.ttl - m.term.margin)
 }
 
 func (m *machine) renewed(got result, now time.Time) {
 	if got.err == nil {
-		m.deadline = m.asked.Add(m.opts.ttl - m.opts.margin)
-		m.renewAt = m.asked.Add(m.opts.ttl / renewEvery)
+		m.trust()
+		m.renewAt = m.asked.Add(m.term.ttl / renewEvery)
+		if m.term.ttl > m.opts.ttl && m.pace.stretch == 1 {
+			// The service is quick again. With the long lease kept, the others
+			// would wait that long if this process died.
+			m.state = Lapsed
+		}
 		return
 	}
 	if failure.KindOf(got.err) == failure.NotFound {
 		m.state = Lapsed
 		return
 	}
-	m.renewAt = now.Add(m.opts.ttl / renewRetry)
+	m.renewAt = now.Add(m.term.ttl / renewRetry)
 }
 
 // givenBack starts over, a random moment later: after an outage all former
--- a/relay/lease/random_test.go
+++ b/relay/lease/random_test.go
@@ -167,7 +167,7 @@
 		s.after(s.travel(), func() { s.poll(one, act, s.clock.Now().Add(simTTL)) })
 		return
 	}
-	timeout := time.Duration(float64(simTTL) / callPart / one.rate)
+	timeout := time.Duration(float64(act.timeout) / one.rate)
 	answered := false
 	answer := func(got result) {
 		if !answered {
