--- a/relay/document/split.go
+++ b/relay/document/split.go
@@ -98,6 +98,9 @@
 	}
 	parts = append(parts, makeShards(sectionModels, splitModels(whole.GetModels()))...)
 	parts = append(parts, makeShards(sectionCustomers, customers)...)
+	// An empty part says nothing, and between processes its content would look
+	// like one that the sender lacks: the document would never be assembled.
+	parts = slices.DeleteFunc(parts, func(p PartBytes) bool { return len(p.bytes) == 0 })
 	slices.SortFunc(parts, func(a, b PartBytes) int { return cmp.Compare(a.part.GetName(), b.part.GetName()) })
 	return parts
 }
--- a/relay/document/split_test.go
+++ b/relay/document/split_test.go
@@ -148,3 +148,19 @@
 		}
 	})
 }
+
+// Symptom: no host of a house without services ever learns of its document.
+// Sequence: the empty section of services becomes a part without bytes; a
+// process asks another for it and gets what also means "I lack it", for ever.
+// Cause: empty parts were stored and listed.
+func TestSplitMakesNoEmptyPart(t *testing.T) {
+	doc := &wire.Document{Objective: "time", Operators: []*wire.Operator{{Name: "console"}}}
+	for i := range 30 {
+		doc.Customers = append(doc.Customers, &wire.Customer{Name: fmt.Sprintf("customer-%d", i)})
+	}
+	for _, part := range document.Split(doc) {
+		if len(part.Bytes()) == 0 {
+			t.Errorf("part %s: got no bytes, want some or no part", part.Part().GetName())
+		}
+	}
+}
