Two sendings of a key are told the same; no attempt that must be late

Change: a key stays held for 500 ms after notRun; the queue takes at most half of a request's time, and what cannot be on time is refused when its turn comes. Estimates expire, or refusals that rest on them would never be corrected.

--- a/entry/internal/callers/call.go
+++ b/entry/internal/callers/call.go
@@ -58,7 +58,7 @@
 		return
 	}
 	if refused = c.admit(open, permit); refused != nil {
-		c.giveBack()
+		c.giveBack(refused)
 		c.refuse(refused)
 		return
 	}
@@ -124,12 +124,14 @@
 	return false
 }
 
-// giveBack frees the key of a request that was refused. It comes before the
-// refusal: the caller may send the key again at once.
-func (c *call) giveBack() {
-	if c.ticket != nil {
-		c.srv.settle(context.WithoutCancel(c.r.Context()), c.ticket, once.RunNotRun, nil)
+// giveBack frees the key of a request that was refused, before the caller
+// hears of it, and asks the caller to wait for the end of the key's hold.
+func (c *call) giveBack(refused *problem) {
+	if c.ticket == nil {
+		return
 	}
+	c.srv.settle(context.WithoutCancel(c.r.Context()), c.ticket, once.RunNotRun, nil)
+	refused.err = refused.err.WithRetryAfter(max(refused.err.RetryAfter(), once.Hold))
 }
 
 // visibleID is what the caller gets to know the request by: the key that the
@@ -211,12 +213,12 @@
 }
 
 func (c *call) fail(result dispatch.Result) {
+	refused := problemOf(result)
 	if result.Outcome == dispatch.NotRun {
-		c.giveBack()
+		c.giveBack(refused)
 	} else {
 		c.settleLater(once.RunUnknown, nil)
 	}
-	refused := problemOf(result)
 	if c.out != nil {
 		c.out.fail(refused)
 		return
--- a/entry/internal/callers/claims.go
+++ b/entry/internal/callers/claims.go
@@ -167,6 +167,9 @@
 	case once.Full:
 		return nil, nil, notRun(http.StatusServiceUnavailable, failure.New(failure.Exhausted, "the entry that the key names can remember no more keys",
 			"ask GET /v1/entries for another and make a new key").WithRetryAfter(fullRetry))
+	case once.Held:
+		return nil, nil, notRun(http.StatusServiceUnavailable, failure.New(failure.Unavailable, "another sending of this key was not run just now",
+			"send the key again").WithRetryAfter(once.Hold))
 	case once.Ahead:
 		return nil, nil, invalid("the once key was made in the future", "set the clock that makes the keys")
 	case once.NotOwner:
--- a/entry/internal/callers/requests_test.go
+++ b/entry/internal/callers/requests_test.go
@@ -118,6 +118,8 @@
 	for _, agent := range house.agents {
 		agent.run = answer("ok")
 	}
+	expect(t, entry.request(t, map[string]any{"repeatable": false, "key": key}), http.StatusServiceUnavailable, dispatch.NotRun)
+	time.Sleep(time.Duration(got.failed.Error.RetryAfterMillis) * time.Millisecond)
 	got = entry.request(t, map[string]any{"repeatable": false, "key": key})
 	expect(t, got, http.StatusOK, dispatch.Answered)
 }
--- a/entry/internal/dispatch/lane.go
+++ b/entry/internal/dispatch/lane.go
@@ -22,9 +22,12 @@
 	maxRetry     = 5 * time.Second
 	// unknownService stands for the time that an answer takes until one did.
 	unknownService = 100 * time.Millisecond
-	// lateFactor makes the estimates a little pessimistic: what is late is
-	// worth nothing, and the room it took is lost.
-	lateFactor = 1.1
+	// lateFactor makes the estimates pessimistic: what is late is worth nothing,
+	// and the room it took is lost.
+	lateFactor = 1.4
+	// queueShare is the part of a request's time that it may spend waiting: a
+	// queue longer than that only makes all answers late.
+	queueShare = 0.5
 )
 
 // Lane is the queue for the hosts of one model or one service, with what this
@@ -42,6 +45,7 @@
 
 // waiter is a request in the queue.
 type waiter struct {
+	req    *Request
 	ask    func() route.Ask // evaluated at each try: versions move meanwhile
 	item   limit.Item
 	placed chan placement // holds one; written once, by whoever takes it out
@@ -96,6 +100,9 @@
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.missed(now, req) {
+		return nil, placement{err: errLate(l.drainTime())}
+	}
 	if l.queue.Len() == 0 {
 		choice, reason := l.table.Pick(now, ask())
 		switch reason {
@@ -110,9 +117,9 @@
 	if wait, late := l.tooLate(now, req); late {
 		return nil, placement{err: errLate(wait)}
 	}
-	waiting := &waiter{ask: ask, placed: make(chan placement, 1)}
+	waiting := &waiter{req: req, ask: ask, placed: make(chan placement, 1)}
 	waiting.item = limit.Item{
-		Customer: req.Customer, Weight: req.Weight, Cost: l.service(req).Seconds(), Deadline: req.Deadline, Value: waiting,
+		Customer: req.Customer, Weight: req.Weight, Cost: l.service(now, req).Seconds(), Deadline: req.Deadline, Value: waiting,
 	}
 	if dropped := l.queue.Push(&waiting.item); dropped != nil {
 		dropped.Value.(*waiter).placed <- placement{err: errFull(l.drainTime())}
@@ -123,24 +130,40 @@
 }
 
 // service estimates the time that the request takes on a host.
-func (l *lane) service(req *Request) time.Duration {
-	if service := l.table.Service(req.MaxTokens); service > 0 {
+func (l *lane) service(now time.Time, req *Request) time.Duration {
+	if service := l.table.Service(now, req.MaxTokens); service > 0 {
 		return service
 	}
 	return unknownService
 }
 
-// tooLate estimates whether the request can be answered by its deadline. By
-// Little's law the work ahead leaves at the rate of the attempts in progress
-// over the time each takes; with none in progress there is no estimate.
+// missed reports whether the request could not be answered by its deadline
+// even if a host took it now. With no attempt in progress there is none that
+// could correct the estimate, and the request is let through.
+func (l *lane) missed(now time.Time, req *Request) bool {
+	if l.inFlight == 0 {
+		return false
+	}
+	service := l.table.Service(now, req.MaxTokens)
+	return service > 0 && now.Add(stretch(service)).After(req.Deadline)
+}
+
+// tooLate estimates whether the request would wait too long. By Little's law
+// the work ahead leaves at the rate of the attempts in progress over the time
+// each takes; with none in progress there is no estimate.
 func (l *lane) tooLate(now time.Time, req *Request) (wait time.Duration, late bool) {
-	if l.inFlight == 0 || l.table.Service(req.MaxTokens) == 0 {
+	if l.inFlight == 0 || l.table.Service(now, req.MaxTokens) == 0 {
 		return 0, false
 	}
 	ahead := l.queue.Ahead(req.Customer, req.Weight)
 	wait = time.Duration(ahead / float64(l.inFlight) * float64(time.Second))
-	needed := time.Duration(lateFactor * float64(wait+l.service(req)))
-	return wait, now.Add(needed).After(req.Deadline)
+	left := req.Deadline.Sub(now)
+	late = wait > time.Duration(queueShare*float64(left)) || stretch(wait+l.service(now, req)) > left
+	return wait, late
+}
+
+func stretch(estimate time.Duration) time.Duration {
+	return time.Duration(lateFactor * float64(estimate))
 }
 
 func (l *lane) drainTime() time.Duration {
@@ -152,6 +175,10 @@
 	for l.queue.Len() > 0 {
 		placed := l.queue.Next(func(item *limit.Item) bool {
 			waiting := item.Value.(*waiter)
+			if l.missed(now, waiting.req) {
+				waiting.placed <- placement{err: errLate(l.drainTime())}
+				return true
+			}
 			choice, reason := l.table.Pick(now, waiting.ask())
 			switch reason {
 			case route.Chosen:
@@ -196,7 +223,7 @@
 // refuseLate answers those at once that can no longer be on time: holding them
 // until their deadline would only delay the caller's next try.
 func (l *lane) refuseLate(now time.Time) {
-	for _, item := range l.queue.Expired(now.Add(l.table.Service(0))) {
+	for _, item := range l.queue.Expired(now.Add(l.table.Service(now, 0))) {
 		item.Value.(*waiter).placed <- placement{err: errLate(l.drainTime())}
 	}
 }
--- a/relay/once/table.go
+++ b/relay/once/table.go
@@ -12,6 +12,10 @@
 	Horizon = time.Hour
 	// MaxAhead is how far a caller's clock may run ahead of the owner's.
 	MaxAhead = 5 * time.Minute
+	// Hold is how long a key stays refused after its run was proved not to have
+	// happened. A caller that sent the key twice at once is told the same twice;
+	// without it the later sending would run after the earlier one's "notRun".
+	Hold = 500 * time.Millisecond
 	// generationSpan is the time whose keys are forgotten together.
 	generationSpan = time.Minute
 )
@@ -28,6 +32,7 @@
 	Mismatch State = "mismatch" // the key named another request before
 	NotOwner State = "notOwner" // this process cannot grant the key
 	Full     State = "full"     // never granted, and there is no room to remember it
+	Held     State = "held"     // never run, and may be claimed again after Hold
 	Ahead    State = "ahead"    // never granted: made in the future by the owner's clock
 	Moved    State = "moved"    // another process took the owner's keys over
 )
@@ -92,6 +97,7 @@
 	generations map[int64]map[uuid.UUID]record
 	keys        int // sum over generations
 	answers     answers
+	held        holds // keys settled as not run just now
 }
 
 // NewTable returns an empty Table.
@@ -100,6 +106,7 @@
 		options:     options,
 		generations: make(map[int64]map[uuid.UUID]record),
 		answers:     newAnswers(options.MaxAnswerBytes),
+		held:        newHolds(),
 	}
 }
 
@@ -120,6 +127,9 @@
 		return Verdict{State: Unknown}
 	}
 	rec, known := t.generations[generationOf(made)][ask.Key.id]
+	if !known && t.held.has(now, ask.Key.id) {
+		return Verdict{State: Held}
+	}
 	if !known {
 		return t.grantNew(now, made, ask)
 	}
@@ -163,8 +173,8 @@
 }
 
 // Settle records how the run of a grant ended and reports whether it counted:
-// only the holder's word counts, and only once. After notRun the key is as if
-// it had never been claimed.
+// only the holder's word counts, and only once. After notRun and the Hold the
+// key is as if it had never been claimed.
 //
 // A claimant that gave up waiting for its claim's reply settles notRun. Where
 // that overtakes the claim, the settled nonce is remembered here, or the late
@@ -189,6 +199,7 @@
 	case RunNotRun:
 		delete(t.generations[generationOf(made)], ask.Key.id)
 		t.keys--
+		t.held.add(now, ask.Key.id)
 		return true
 	case RunAnswered:
 		rec.phase = phaseAnswered
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -181,7 +181,7 @@
 	switch result.End {
 	case EndAnswered:
 		each.limit.Done(now, each.inFlight)
-		t.typical.answered(result.Took, result.TokenGap)
+		t.typical.answered(now, result.Took, result.TokenGap)
 		each.sample(result.TokenGap)
 		if !t.judgeSlow(now, each) {
 			each.answered()
@@ -245,7 +245,9 @@
 
 // Service estimates how long an attempt of so many tokens takes on a typical
 // host; 0 while unknown.
-func (t *Table) Service(tokens int) time.Duration { return t.typical.service(tokens) }
+func (t *Table) Service(now time.Time, tokens int) time.Duration {
+	return t.typical.service(now, tokens)
+}
 
 // FirstToken returns the typical time to the first token; 0 while unknown.
 func (t *Table) FirstToken() time.Duration { return millis(t.typical.missMillis) }
--- a/relay/route/typical.go
+++ b/relay/route/typical.go
@@ -8,6 +8,9 @@
 	defaultMissPenalty = 30.0 // milliseconds, until measured
 	minMissPenalty     = 5.0
 	maxMissPenalty     = 1000.0
+	// typicalAge is how long the time of an answer is believed. Refusals that
+	// rest on an old one would keep any answer from correcting it.
+	typicalAge = 2 * time.Second
 )
 
 // typical holds smoothed figures over all hosts, in milliseconds; 0 while
@@ -17,6 +20,7 @@
 	missMillis float64 // and without
 	gapMillis  float64 // between tokens
 	tookMillis float64 // whole attempt
+	tookAt     time.Time
 }
 
 func newTypical() typical { return typical{} }
@@ -29,8 +33,9 @@
 	smooth(&t.missMillis, took)
 }
 
-func (t *typical) answered(took, gap time.Duration) {
+func (t *typical) answered(now time.Time, took, gap time.Duration) {
 	smooth(&t.tookMillis, took)
+	t.tookAt = now
 	if gap > 0 {
 		smooth(&t.gapMillis, gap)
 	}
@@ -45,8 +50,8 @@
 }
 
 // service assumes that answers use as much of their tokens as they did.
-func (t *typical) service(tokens int) time.Duration {
-	if t.tookMillis == 0 {
+func (t *typical) service(now time.Time, tokens int) time.Duration {
+	if t.tookMillis == 0 || now.Sub(t.tookAt) > typicalAge {
 		return 0
 	}
 	most := t.missMillis + t.gapMillis*float64(tokens)
