--- a/agent/internal/gate/admit.go
+++ b/agent/internal/gate/admit.go
@@ -5,8 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"comfreyrelay.example/relay/attempt"
 	"comfreyrelay.example/relay/wire"
 )
@@ -47,7 +45,7 @@
 	left := rules.deadline(att)
 	out := &run{gate: g, att: att, rules: rules}
 	out.key = runKey{id: attempt.ParseID(att.GetRequestId()), number: att.GetAttempt()}
-	out.ctx, out.stop = clockwork.WithTimeout(ctx, g.cfg.Clock, left)
+	out.ctx, out.stop = withDeadline(ctx, g.cfg.Clock, left)
 	verdict, broken := g.memory.begin(out.key, att.GetRepeatable(), out.stop)
 	g.cfg.Invariants.Check(broken == "", "beginOnce", "request", att.GetRequestId(), "cause", broken)
 	if verdict != attempt.Begin {
--- a/agent/internal/gate/call.go
+++ b/agent/internal/gate/call.go
@@ -50,6 +50,7 @@
 		run.finish(false)
 		return out.refuse(refuse(reasonBusy, busyRetry))
 	}
+	reason := run.why(reasonEndpoint)
 	run.finish(true)
-	return out.broken(run.why(reasonEndpoint))
+	return out.broken(reason)
 }
--- /dev/null
+++ b/agent/internal/gate/deadline.go
@@ -0,0 +1,24 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// withDeadline ends the context after left by the clock given; its cause is
+// then context.DeadlineExceeded.
+func withDeadline(ctx context.Context, clock clockwork.Clock, left time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := clock.AfterFunc(left, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// late reports whether the context ended by its deadline.
+func late(ctx context.Context) bool {
+	return context.Cause(ctx) == context.DeadlineExceeded
+}
--- a/agent/internal/gate/generate.go
+++ b/agent/internal/gate/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"comfreyrelay.example/agent/internal/engine"
@@ -58,7 +57,7 @@
 		if run.finished.Load() {
 			return
 		}
-		if errors.Is(run.ctx.Err(), context.DeadlineExceeded) {
+		if late(run.ctx) {
 			run.overloaded.Store(true)
 		}
 		stream.Close()
@@ -89,9 +88,10 @@
 		run.finish(false)
 		return out.refuse(refuse(reasonBusy, busyRetry))
 	default:
+		reason := run.why(reasonEndpoint)
 		g.stopEngine(run)
 		run.finish(true)
-		return out.broken(run.why(reasonEndpoint))
+		return out.broken(reason)
 	}
 }
 
@@ -100,7 +100,7 @@
 	switch {
 	case r.ctx.Err() == nil:
 		return symptom
-	case errors.Is(r.ctx.Err(), context.DeadlineExceeded):
+	case late(r.ctx):
 		return reasonDeadline
 	}
 	return reasonCancelled
