Cores of the request path under test

Cause: route, limit, admit, retry and directory had no tests of their own. The concurrency limit no longer takes first-token times of engines that tell their slots: a cold prefix looked like overload, and its best time drifted up with a queue of our own making.

--- a/relay/admit/limit.go
+++ b/relay/admit/limit.go
@@ -17,17 +17,18 @@
 	slowFactor   = 2.5             // first token later than this times the best is a sign
 	slowMargin   = 50.0            // and at least this many milliseconds later
 	queuedRatio  = 0.25            // queue per running request that is a sign
-	bestDecay    = 1.01            // the best first token rises by this per sample
 	smoothFactor = 0.2             // weight of a new first-token sample
 )
 
 // Limit adapts a concurrency limit: it grows by one for each round of requests
-// that needed all of it and shrinks by a factor at signs of overload (a
-// refusal, a queue in the engine, first tokens much later than the best). It
-// is not safe for concurrent use.
+// that needed all of it and shrinks by a factor at signs of overload: a
+// refusal, a queue in the engine, or, of an engine that does not say how much
+// it takes at once, first tokens much later than the best. It is not safe for
+// concurrent use.
 type Limit struct {
 	limit       float64   // between minLimit and maxLimit
-	best        float64   // lowest first-token time lately, milliseconds; 0: none yet
+	timed       bool      // first-token times count: the engine tells no slots
+	best        float64   // lowest first-token time, milliseconds; 0: none yet
 	smooth      float64   // smoothed first-token time, milliseconds
 	decreasedAt time.Time // last decrease
 }
@@ -38,7 +39,7 @@
 	if slots > 0 {
 		start = math.Max(minLimit, float64(slots))
 	}
-	return &Limit{limit: start}
+	return &Limit{limit: start, timed: slots <= 0}
 }
 
 // Allows reports whether one more request may start beside inFlight others.
@@ -47,13 +48,16 @@
 // Current returns the limit, in requests.
 func (l *Limit) Current() int { return int(l.limit) }
 
-// FirstToken takes the time from dispatch to the first token.
+// FirstToken takes the time from dispatch to the first token. The best is kept
+// for good: one that rose with what is usual would take a queue of our own
+// making for the host's nature.
 func (l *Limit) FirstToken(now time.Time, took time.Duration) {
+	if !l.timed {
+		return
+	}
 	sample := float64(took) / float64(time.Millisecond)
 	if l.best == 0 || sample < l.best {
 		l.best = sample
-	} else {
-		l.best *= bestDecay
 	}
 	if l.smooth == 0 {
 		l.smooth = sample
--- /dev/null
+++ b/relay/admit/limit_test.go
@@ -0,0 +1,54 @@
+package admit
+
+import (
+	"testing"
+	"time"
+)
+
+// serve simulates a host with slots that runs as much as the limit allows, for
+// some rounds of 100 ms, and returns the limit.
+func serve(limit *Limit, slots, rounds int, queued bool) int {
+	now := time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	for range rounds {
+		now = now.Add(100 * time.Millisecond)
+		running := limit.Current()
+		waiting := max(0, running-slots)
+		if queued {
+			limit.Queue(now, min(running, slots), waiting)
+		} else {
+			limit.FirstToken(now, 20*time.Millisecond+time.Duration(waiting)*50*time.Millisecond)
+		}
+		for i := range running {
+			limit.Done(now, running-1-i)
+		}
+	}
+	return limit.Current()
+}
+
+func TestLimitFindsTheHostsRoom(t *testing.T) {
+	for _, slots := range []int{4, 16, 64} {
+		for _, queued := range []bool{true, false} {
+			got := serve(NewLimit(0), slots, 4000, queued)
+			if got < slots/2 || got > 2*slots+2 {
+				t.Errorf("slots %d, queue reported %t: got limit %d, want near the slots", slots, queued, got)
+			}
+		}
+	}
+}
+
+// Symptom: a host that refuses everything keeps being asked, or is given up
+// for ever.
+func TestRefusalsShrinkTheLimitToOne(t *testing.T) {
+	limit := NewLimit(16)
+	now := time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	for range 100 {
+		now = now.Add(decreaseGap)
+		limit.Refused(now)
+	}
+	if got := limit.Current(); got != minLimit {
+		t.Errorf("got limit %d, want %d", got, minLimit)
+	}
+	if !limit.Allows(0) || limit.Allows(1) {
+		t.Error("got a limit other than one request at a time")
+	}
+}
--- /dev/null
+++ b/relay/retry/retry_test.go
@@ -0,0 +1,34 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// Symptom: a fault of one host doubles the load on the others. Every request
+// fails and is tried again.
+func TestBudgetBoundsTheRetries(t *testing.T) {
+	budget := NewBudget()
+	retries := 0
+	const requests = 10_000
+	for range requests {
+		budget.Deposit(0.2)
+		for budget.Withdraw() {
+			retries++
+		}
+	}
+	if most := 0.2*requests + startSaved; float64(retries) > most {
+		t.Errorf("got %d retries, want at most %.0f", retries, most)
+	}
+}
+
+func TestBackoffGrowsWithinBounds(t *testing.T) {
+	last := time.Duration(0)
+	for attempt := 2; attempt < 12; attempt++ {
+		low, high := Backoff(attempt, 0), Backoff(attempt, 0.999)
+		if low < last || high > maxBackoff || low > high {
+			t.Errorf("attempt %d: got %v to %v, want growing up to %v", attempt, low, high, maxBackoff)
+		}
+		last = low
+	}
+}
--- /dev/null
+++ b/relay/route/route_test.go
@@ -0,0 +1,206 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// capacity of a simulated host, requests a second, with cold prefixes.
+const simCapacity = simSlots * float64(time.Second) / float64(simPrefill+simTokens*simGap)
+
+func TestAffinityAgainstLeastInFlight(t *testing.T) {
+	measure := func(policy Policy) (hits float64, p95 time.Duration) {
+		s := newSim(policy, 14, 9)
+		s.run(0.7*14*simCapacity, 20*time.Second)
+		return s.hitRatio(), s.wait(0.95)
+	}
+	hits, p95 := measure(Affinity)
+	baseHits, baseP95 := measure(LeastInFlight)
+	t.Logf("hits %.3f against %.3f, p95 %v against %v", hits, baseHits, p95, baseP95)
+	if hits < 1.5*baseHits {
+		t.Errorf("got hit ratio %.3f, want at least 1.5 times %.3f", hits, baseHits)
+	}
+	if p95 > baseP95 {
+		t.Errorf("got p95 %v, want at most %v", p95, baseP95)
+	}
+}
+
+// Symptom: all entries send a burst to the host that their report, seconds
+// old, calls idle. All hosts were equally idle; nothing is known of the others'
+// choices.
+func TestNoHerdOnAStaleReport(t *testing.T) {
+	s := newSim(Affinity, 14, 9)
+	most := 0
+	for range 56 { // half of the slots
+		s.request()
+	}
+	for _, host := range s.hosts {
+		most = max(most, host.running)
+	}
+	if most > simSlots+1 {
+		t.Errorf("got %d requests on one host, want at most %d", most, simSlots+1)
+	}
+}
+
+// Symptom: a tenth of the requests are ten times as slow. One host answers at
+// a tenth of the speed and reports itself well.
+func TestSlowHostIsLeftOut(t *testing.T) {
+	s := newSim(Affinity, 14, 9)
+	s.hosts[3].gap = 10 * simGap
+	s.run(0.6*14*simCapacity, 5*time.Second)
+	before := s.hosts[3].picked
+	arrived := s.arrived
+	s.run(0.6*14*simCapacity, 15*time.Second)
+	part := float64(s.hosts[3].picked-before) / float64(s.arrived-arrived)
+	t.Logf("slow host got %.4f of the requests", part)
+	if part > 0.01 {
+		t.Errorf("got %.4f of the requests on the slow host, want at most 0.01", part)
+	}
+}
+
+// Symptom: one broken host fails most requests. It fails at once, has nothing
+// in progress and looks idle.
+func TestHostThatFailsFastIsLeftOut(t *testing.T) {
+	s := newSim(Affinity, 14, 9)
+	s.hosts[3].fails = true
+	s.run(0.6*14*simCapacity, 20*time.Second)
+	part := float64(s.hosts[3].picked) / float64(s.arrived)
+	t.Logf("failing host got %.4f of the requests", part)
+	if part > 0.03 {
+		t.Errorf("got %.4f of the requests on the failing host, want at most 0.03", part)
+	}
+}
+
+// Symptom: a new replica is flooded. It has nothing in progress and everybody
+// finds it cheapest.
+func TestNewReplicaRampsUp(t *testing.T) {
+	s := newSim(Affinity, 13, 9)
+	s.run(0.8*13*simCapacity, 5*time.Second)
+	fresh := &simHost{id: "h99", gap: simGap}
+	s.hosts = append(s.hosts, fresh)
+	s.report()
+	s.run(0.8*13*simCapacity, 2*time.Second)
+	early := fresh.picked
+	s.run(0.8*13*simCapacity, 20*time.Second)
+	if most := 2 * simCapacity; float64(early) > most {
+		t.Errorf("got %d requests on the new replica in its first 2 s, want at most %.0f", early, most)
+	}
+	if late := fresh.picked - early; float64(late) < 0.4*20*simCapacity {
+		t.Errorf("got %d requests on the new replica later, want a fair part", late)
+	}
+}
+
+// Symptom: a pick that nobody gives back. A host restarts while an attempt
+// runs on it; the new process starts from nothing.
+func TestRestartedHostStartsFromNothing(t *testing.T) {
+	table := NewTable(Options{})
+	before := Host{ID: "h", Incarnation: "1", Version: "v", Slots: 1, Sequence: 9}
+	table.Update(simStart, []Host{before}, 1)
+	ask := Ask{Versions: []string{"v"}}
+	old, reason := table.Pick(simStart, ask)
+	if reason != Chosen {
+		t.Fatalf("got reason %d, want a host", reason)
+	}
+	after := before
+	after.Incarnation, after.Sequence = "2", 1
+	table.Update(simStart, []Host{after}, 1)
+	fresh, reason := table.Pick(simStart, ask)
+	if reason != Chosen || fresh.Host.Incarnation != "2" {
+		t.Fatalf("got reason %d incarnation %q, want the new process", reason, fresh.Host.Incarnation)
+	}
+	table.Finish(simStart, old, Result{End: EndFailed})
+	if got := table.InFlight("h"); got != 1 {
+		t.Errorf("got %d in flight, want 1", got)
+	}
+}
+
+func TestWhoMayServe(t *testing.T) {
+	hosts := []Host{
+		{ID: "a", Incarnation: "1", Version: "v1"},
+		{ID: "b", Incarnation: "1", Version: "v2", Adapters: []Adapter{{"customs", "c2"}}},
+	}
+	cases := []struct {
+		name string
+		ask  Ask
+		want string
+	}{
+		{"by version", Ask{Versions: []string{"v1"}}, "a"},
+		{"by adapter", Ask{Versions: []string{"v1", "v2"}, Adapter: "customs"}, "b"},
+		{"by the adapter's version", Ask{Versions: []string{"v2"}, Adapter: "customs", AdapterVersion: "c1"}, ""},
+		{"none of the version", Ask{Versions: []string{"v3"}}, ""},
+		{"not the one that failed", Ask{Versions: []string{"v1", "v2"}, Exclude: []string{"a"}}, "b"},
+		{"the one that failed, for want of another", Ask{Versions: []string{"v1"}, Exclude: []string{"a"}}, "a"},
+	}
+	for _, policy := range []Policy{Affinity, Random, RoundRobin, LeastInFlight} {
+		for _, test := range cases {
+			t.Run(string(policy)+"/"+test.name, func(t *testing.T) {
+				table := NewTable(Options{Policy: policy, Seed: 1})
+				table.Update(simStart, hosts, 1)
+				choice, reason := table.Pick(simStart, test.ask)
+				if got := choice.Host.ID; got != test.want || (reason == Chosen) != (test.want != "") {
+					t.Errorf("got host %q reason %d, want %q", got, reason, test.want)
+				}
+			})
+		}
+	}
+}
+
+func TestShift(t *testing.T) {
+	serving := func(versions ...string) map[string]string {
+		hosts := make(map[string]string)
+		for i, version := range versions {
+			hosts[string(rune('a'+i))] = version
+		}
+		return hosts
+	}
+	cases := []struct {
+		name  string
+		rolls []Roll
+		want  []string // after the last
+	}{
+		{"first version", []Roll{{Target: "v1"}}, []string{"v1"}},
+		{"as hosts turn", []Roll{{Target: "v1", Whole: true}, {Target: "v2", Serving: serving("v1", "v2")}}, []string{"v2", "v1"}},
+		{"whole", []Roll{{Target: "v1", Whole: true}, {Target: "v2", Whole: true}}, []string{"v2"}},
+		{"whole once, one host lost", []Roll{{Target: "v2", Whole: true}, {Target: "v2"}}, []string{"v2"}},
+		{"when whole", []Roll{{Target: "v1", Whole: true}, {Target: "v2", WhenWhole: true, Serving: serving("v1", "v2")}}, []string{"v1"}},
+		{"when whole, none of the old left", []Roll{{Target: "v1", Whole: true}, {Target: "v2", WhenWhole: true, Serving: serving("v2")}}, []string{"v2", "v1"}},
+		{"changed in mid-roll", []Roll{{Target: "v1", Whole: true}, {Target: "v2"}, {Target: "v3"}}, []string{"v3", "v2", "v1"}},
+		{"started in mid-roll", []Roll{{Target: "v2", Serving: serving("v1", "v1", "v0", "v2")}}, []string{"v2", "v1"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			shift := NewShift()
+			var got []string
+			for _, roll := range test.rolls {
+				got = shift.Allowed(roll)
+			}
+			if len(got) != len(test.want) {
+				t.Fatalf("got %q, want %q", got, test.want)
+			}
+			for i := range got {
+				if got[i] != test.want[i] {
+					t.Fatalf("got %q, want %q", got, test.want)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, count := range []int{14, 1000} {
+		b.Run(fmt.Sprintf("hosts=%d", count), func(b *testing.B) {
+			s := newSim(Affinity, count, 1)
+			table := s.entries[0]
+			b.ReportAllocs()
+			prefix := uint64(0)
+			for b.Loop() {
+				prefix++
+				choice, reason := table.Pick(simStart, Ask{Prefix: prefix % 500, Tokens: 16, Versions: []string{"v"}})
+				if reason == Chosen {
+					table.Finish(simStart, choice, Result{End: EndAnswered})
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/relay/route/sim_test.go
@@ -0,0 +1,176 @@
+package route
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// simHost is a host of the simulation: slots, a small prefix cache, and a
+// speed. It says what it holds and runs only in its reports.
+type simHost struct {
+	id      string
+	gap     time.Duration // between tokens
+	fails   bool          // answers at once with an error
+	running int
+	cache   []uint64 // newest last
+	picked  int      // requests that it got
+	reports []Host   // newest last; entries see one that is old
+}
+
+// sim runs entries, each with its own Table, against hosts on a virtual clock.
+type sim struct {
+	now     time.Time
+	random  *rand.Rand
+	hosts   []*simHost
+	entries []*Table
+	events  simEvents
+	arrived int
+	hits    int
+	waits   []time.Duration // to the first token
+	busy    int             // requests that found no room
+}
+
+const (
+	simSlots    = 8
+	simCache    = 24
+	simTokens   = 16
+	simPrefill  = 60 * time.Millisecond
+	simCached   = 10 * time.Millisecond
+	simGap      = 10 * time.Millisecond
+	simLag      = 2 * time.Second
+	simInterval = 500 * time.Millisecond
+	simPrefixes = 160
+)
+
+var simStart = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+func newSim(policy Policy, hosts, entries int) *sim {
+	s := &sim{now: simStart, random: rand.New(rand.NewPCG(1, 2))}
+	for i := range hosts {
+		s.hosts = append(s.hosts, &simHost{id: fmt.Sprintf("h%02d", i), gap: simGap})
+	}
+	for i := range entries {
+		s.entries = append(s.entries, NewTable(Options{Policy: policy, Seed: uint64(i + 1)}))
+	}
+	s.report()
+	return s
+}
+
+type simEvent struct {
+	at time.Time
+	do func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int           { return len(e) }
+func (e simEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e simEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)        { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+func (s *sim) after(wait time.Duration, do func()) {
+	heap.Push(&s.events, simEvent{s.now.Add(wait), do})
+}
+
+// report makes the hosts' reports and shows the entries those of simLag ago.
+func (s *sim) report() {
+	var seen []Host
+	for _, host := range s.hosts {
+		host.reports = append(host.reports, Host{
+			ID: host.id, Incarnation: "1", Version: "v", Slots: simSlots,
+			Running: host.running, Sequence: uint64(len(host.reports) + 1), HeardAt: s.now,
+			Prefixes: slices.Clone(host.cache),
+		})
+		old := max(0, len(host.reports)-1-int(simLag/simInterval))
+		seen = append(seen, host.reports[old])
+	}
+	for _, table := range s.entries {
+		table.Update(s.now, seen, len(s.entries))
+	}
+}
+
+// run lets requests arrive at a rate, in requests a second.
+func (s *sim) run(rate float64, length time.Duration) {
+	end := s.now.Add(length)
+	var arrive, report func()
+	arrive = func() {
+		s.request()
+		s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	report = func() {
+		s.report()
+		s.after(simInterval, report)
+	}
+	s.after(0, arrive)
+	s.after(simInterval, report)
+	for s.events[0].at.Before(end) {
+		next := heap.Pop(&s.events).(simEvent)
+		s.now = next.at
+		next.do()
+	}
+	s.events = nil
+}
+
+// request picks a host for a prompt; some prompts are much more common.
+func (s *sim) request() {
+	s.arrived++
+	prefix := uint64(s.random.IntN(simPrefixes))
+	if s.random.IntN(4) == 0 {
+		prefix %= 8
+	}
+	table := s.entries[s.random.IntN(len(s.entries))]
+	choice, reason := table.Pick(s.now, Ask{Prefix: prefix, Tokens: simTokens, Versions: []string{"v"}})
+	if reason != Chosen {
+		s.busy++
+		return
+	}
+	host := s.hosts[slices.IndexFunc(s.hosts, func(h *simHost) bool { return h.id == choice.Host.ID })]
+	host.picked++
+	if host.fails {
+		s.after(time.Millisecond, func() { table.Finish(s.now, choice, Result{End: EndFailed}) })
+		return
+	}
+	first := s.firstToken(host, prefix)
+	host.running++
+	s.waits = append(s.waits, first)
+	took := first + simTokens*host.gap
+	s.after(took, func() {
+		host.running--
+		table.Load(s.now, host.id, host.running, 0)
+		table.Finish(s.now, choice, Result{End: EndAnswered, FirstToken: first, TokenGap: host.gap, Took: took})
+	})
+}
+
+// firstToken uses the host's cache and its slots: beyond them requests wait.
+func (s *sim) firstToken(host *simHost, prefix uint64) time.Duration {
+	first := simPrefill
+	if at := slices.Index(host.cache, prefix); at >= 0 {
+		first = simCached
+		s.hits++
+		host.cache = slices.Delete(host.cache, at, at+1)
+	}
+	host.cache = append(host.cache, prefix)
+	if len(host.cache) > simCache {
+		host.cache = host.cache[1:]
+	}
+	if over := host.running + 1 - simSlots; over > 0 {
+		first += time.Duration(over) * simTokens * host.gap / simSlots
+	}
+	return first
+}
+
+func (s *sim) hitRatio() float64 { return float64(s.hits) / float64(s.arrived) }
+
+func (s *sim) wait(quantile float64) time.Duration {
+	slices.Sort(s.waits)
+	return s.waits[int(quantile*float64(len(s.waits)-1))]
+}
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -104,10 +104,10 @@
 }
 
 // refresh returns the kept state of a host with its newest report; same is
-// false where it is new or restarted.
+// false where it is new, was restarted or turned to another version.
 func (t *Table) refresh(now time.Time, report Host) (kept *host, same bool) {
 	kept = t.byID[report.ID]
-	if kept == nil || kept.Incarnation != report.Incarnation {
+	if kept == nil || kept.Incarnation != report.Incarnation || kept.Version != report.Version {
 		fresh := &host{Host: report, limit: admit.NewLimit(report.Slots), learned: report.HeardAt}
 		if t.started {
 			fresh.joinedAt = now
@@ -115,12 +115,10 @@
 		t.note(now, report)
 		return fresh, false
 	}
-	if report.Sequence == kept.Sequence && report.Version == kept.Version {
+	if report.Sequence == kept.Sequence {
 		return kept, true
 	}
-	if report.Sequence != kept.Sequence {
-		t.note(now, report)
-	}
+	t.note(now, report)
 	running, queued := kept.Running, kept.Queued
 	kept.Host = report
 	if report.HeardAt.Before(kept.learned) {
