Control: outages, partitions, restarts and lost watches in fake time

Cause: the exchange between processes was not yet held against faults. Change: a fleet of entries and agents in one process in fake time; an hour's outage, a process and all entries started in it, deaf watches, compacted history, a region cut off, a lying agent, ten random runs. A watch from a revision that the service no longer has reads anew.

--- /dev/null
+++ b/entry/internal/control/control_test.go
@@ -0,0 +1,270 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+// inFleet runs a test on a fleet in fake time.
+func inFleet(t *testing.T, seed uint64, entries, agents int, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(t, ctx, seed)
+		f.start(entries, agents)
+		time.Sleep(10 * time.Second)
+		test(f)
+		f.operators.Wait()
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
+// TestInForceEverywhereSoon: a revision accepted by one entry is in force on
+// all 9 entries and 200 agents within 2 s.
+func TestInForceEverywhereSoon(t *testing.T) {
+	inFleet(t, 1, 9, 200, func(f *fleet) {
+		for i := range 30 {
+			if _, err := f.submit(f.any(), i%10); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		f.expect("after 30 changes", 30)
+		all := f.latencies()
+		p99 := all[len(all)*99/100]
+		t.Logf("%d adoptions: p50 %v p99 %v max %v", len(all), all[len(all)/2], p99, all[len(all)-1])
+		if p99 > 2*time.Second {
+			t.Errorf("got p99 %v, want under 2s", p99)
+		}
+	})
+}
+
+// TestOutageOfAnHour: the service is down for an hour. Everybody keeps what is
+// in force, a new document gets a clear error at once, a process that starts
+// meanwhile learns the revision from its peers, and the return brings no herd.
+func TestOutageOfAnHour(t *testing.T) {
+	inFleet(t, 2, 4, 6, func(f *fleet) {
+		if _, err := f.submit(f.any(), 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		f.set(func(f *fleet) { f.down = true })
+		time.Sleep(20 * time.Minute)
+		began := time.Now()
+		if _, err := f.submit(f.any(), 2); failure.KindOf(err) != failure.Unavailable {
+			t.Errorf("got %v for a document in the outage, want kind unavailable", err)
+		}
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("got the error after %v, want it within 5s", took)
+		}
+		f.kill("entry-03")
+		time.Sleep(10 * time.Second)
+		reborn := f.startEntry("entry-03", regionOf(3))
+		time.Sleep(5 * time.Second)
+		if got := reborn.house.Known().GetRevision(); got != 1 {
+			t.Errorf("got revision %d in a process started in the outage, want 1 from its peers", got)
+		}
+		if age, known := reborn.house.Age(); !known || age < 20*time.Minute {
+			t.Errorf("got age %v (known %t) in it, want what its peers know: over 20m", age, known)
+		}
+		time.Sleep(40 * time.Minute)
+		f.expect("after the outage", 1)
+		back := time.Now()
+		f.set(func(f *fleet) { f.down, f.reads, f.writes = false, nil, nil })
+		time.Sleep(time.Minute)
+		reads, writes := f.most(back)
+		t.Logf("return: at most %d reads and %d writes in a second", reads, writes)
+		if reads > 60 || writes > 20 {
+			t.Errorf("got %d reads and %d writes in one second at the return, want at most 60 and 20 from 4 entries", reads, writes)
+		}
+		if _, err := f.submit(f.any(), 3); err != nil {
+			t.Errorf("got %v for a document after the outage, want it accepted", err)
+		}
+		time.Sleep(3 * time.Second)
+		f.expect("after the return", 2)
+		if age, _ := f.any().house.Age(); age > time.Minute {
+			t.Errorf("got age %v after the return, want it confirmed", age)
+		}
+	})
+}
+
+// TestAllEntriesRestartInAnOutage: every entry is replaced while the service is
+// down. Only the agents still know the document; the entries learn it there.
+func TestAllEntriesRestartInAnOutage(t *testing.T) {
+	inFleet(t, 3, 9, 18, func(f *fleet) {
+		for i := range 3 {
+			if _, err := f.submit(f.any(), i); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		f.set(func(f *fleet) { f.down = true })
+		for i := range 9 {
+			f.kill(fmt.Sprintf("entry-%02d", i))
+		}
+		time.Sleep(time.Second)
+		for i := range 9 {
+			f.startEntry(fmt.Sprintf("entry-%02d", i), regionOf(i))
+		}
+		time.Sleep(15 * time.Second)
+		f.expect("after all entries restarted", 3)
+	})
+}
+
+// TestOneAgentIsNotBelieved: an agent offers a root that no other has, to an
+// entry that has a document. It must stay without effect.
+func TestOneAgentIsNotBelieved(t *testing.T) {
+	inFleet(t, 4, 2, 4, func(f *fleet) {
+		if _, err := f.submit(f.any(), 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		liar := f.agents["agent-000"]
+		req := liar.request()
+		root, err := f.any().docs.RootOf(f.ctx, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		root.Revision = 9
+		req.Root, req.Known.Revision = root, 9
+		for _, part := range root.GetParts() {
+			req.Parts = append(req.Parts, liar.parts.Get(part.GetHash()))
+		}
+		if _, err := f.sync(f.ctx, "a", "entry-00", req); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		f.expect("after an agent's lie", 1)
+	})
+}
+
+// TestDeafWatches: every watch goes on without telling of a change, which no
+// error shows. The slow reads of all entries find it.
+func TestDeafWatches(t *testing.T) {
+	inFleet(t, 5, 9, 18, func(f *fleet) {
+		f.set(func(f *fleet) { f.deafWatches = true })
+		time.Sleep(time.Minute)
+		m := f.any()
+		if _, err := m.docs.Root(f.ctx); err != nil {
+			t.Fatal(err)
+		}
+		// The submitter dies before it tells anybody: only the service knows.
+		dead := f.startEntry("entry-09", "a")
+		time.Sleep(5 * time.Second)
+		f.cutOffSubmit(dead)
+		time.Sleep(time.Minute)
+		f.expect("a minute after a change that no watch told", 1)
+	})
+}
+
+// cutOffSubmit has a process submit a document and die at once.
+func (f *fleet) cutOffSubmit(m *member) {
+	docs := m.docs
+	f.kill(m.node.GetId())
+	m.docs = docs
+	if _, err := f.submit(m, 1); err != nil {
+		f.t.Errorf("got %v, want the document accepted", err)
+	}
+}
+
+// TestCompactedHistory: the service forgets the changes that a watch asks for.
+// The watcher must read the keys and not take silence for calm.
+func TestCompactedHistory(t *testing.T) {
+	inFleet(t, 6, 9, 18, func(f *fleet) {
+		for i := range 5 {
+			if _, err := f.submit(f.any(), i); err != nil {
+				t.Fatal(err)
+			}
+			f.service.Compact()
+			time.Sleep(2 * time.Second)
+		}
+		f.expect("with a history compacted after each change", 5)
+	})
+}
+
+// TestPartitionedRegion: one region is cut off from the others and from the
+// service. It keeps what it has, the others go on, and the heal brings it up.
+func TestPartitionedRegion(t *testing.T) {
+	inFleet(t, 7, 9, 18, func(f *fleet) {
+		if _, err := f.submit(f.any(), 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		f.set(func(f *fleet) { f.cutOff["c"] = true })
+		time.Sleep(time.Minute)
+		for i := range 5 {
+			if _, err := f.submit(f.entries["entry-00"], i); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if got := f.entries["entry-02"].house.Known().GetRevision(); got != 1 {
+			t.Errorf("got revision %d in the region cut off, want 1", got)
+		}
+		if age, _ := f.entries["entry-02"].house.Age(); age < time.Minute {
+			t.Errorf("got age %v there, want it to say over 1m", age)
+		}
+		f.set(func(f *fleet) { delete(f.cutOff, "c") })
+		time.Sleep(15 * time.Second)
+		f.expect("after the heal", 6)
+	})
+}
+
+// TestRandomFaults: outages, cut regions, deaf watches, compactions, restarts
+// and operators in any order. No process ever steps back (the fleet panics
+// there), and once the faults end all have the newest revision.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inFleet(t, seed, 9, 18, func(f *fleet) {
+				highest := disturb(f, rand.New(rand.NewPCG(seed, 99)))
+				time.Sleep(2 * time.Minute)
+				f.expect("after the faults", highest())
+			})
+		})
+	}
+}
+
+// disturb lets things happen for some minutes, then ends all faults. It returns
+// a function that reads the newest revision from the service.
+func disturb(f *fleet, dice *rand.Rand) func() uint32 {
+	for range 40 {
+		switch dice.IntN(9) {
+		case 0:
+			f.set(func(f *fleet) { f.down = !f.down })
+		case 1:
+			region := regions[dice.IntN(len(regions))]
+			f.set(func(f *fleet) { f.cutOff[region] = !f.cutOff[region] })
+		case 2:
+			f.set(func(f *fleet) { f.deafWatches = !f.deafWatches })
+		case 3:
+			f.service.Compact()
+		case 4:
+			i := dice.IntN(9)
+			id := fmt.Sprintf("entry-%02d", i)
+			f.kill(id)
+			time.Sleep(time.Duration(dice.IntN(3000)) * time.Millisecond)
+			f.startEntry(id, regionOf(i))
+		default:
+			m, priority := f.any(), dice.IntN(10)
+			f.operators.Go(func() { _, _ = f.submit(m, priority) })
+		}
+		time.Sleep(time.Duration(dice.IntN(8000)) * time.Millisecond)
+	}
+	f.set(func(f *fleet) { f.down, f.deafWatches, f.cutOff = false, false, map[string]bool{} })
+	return func() uint32 {
+		root, err := f.any().docs.Root(f.ctx)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		return root.GetRevision()
+	}
+}
--- /dev/null
+++ b/entry/internal/control/fleet_test.go
@@ -0,0 +1,552 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/entry/internal/store"
+	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/lease"
+	"comfreyrelay.example/relay/membership"
+	"comfreyrelay.example/relay/node"
+	"comfreyrelay.example/relay/revision"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// hop is the one-way time between two processes of the fleet.
+const hop = 2 * time.Millisecond
+
+// fleet is entries and agents in one process, with one service, in fake time.
+type fleet struct {
+	t       *testing.T
+	ctx     context.Context
+	service *kv.Memory
+	random  *rand.Rand
+
+	mu      sync.Mutex
+	entries map[string]*member
+	agents  map[string]*fakeAgent
+	// down: the service answers nobody. cutOff: entries and agents of these
+	// regions reach only each other, and not the service.
+	down   bool
+	cutOff map[string]bool
+	// deafWatches: watches tell of no change.
+	deafWatches bool
+	reads       []time.Time
+	writes      []time.Time
+	accepted    map[uint32]time.Time
+	inForce     map[uint32]map[string]time.Time // by revision, by process
+	operators   sync.WaitGroup
+}
+
+// member is one entry process.
+type member struct {
+	fleet    *fleet
+	node     *wire.Node
+	house    *House
+	server   *Server
+	docs     *store.Store
+	view     *view.Holder
+	watching *Contender
+	stop     context.CancelFunc
+	ended    sync.WaitGroup
+}
+
+func newFleet(t *testing.T, ctx context.Context, seed uint64) *fleet {
+	f := &fleet{
+		t: t, ctx: ctx, service: kv.NewMemoryService(clockwork.NewRealClock()), random: rand.New(rand.NewPCG(seed, 7)),
+		entries: map[string]*member{}, agents: map[string]*fakeAgent{}, cutOff: map[string]bool{},
+		accepted: map[uint32]time.Time{}, inForce: map[uint32]map[string]time.Time{},
+	}
+	onBroken = func(rule string) { panic("invariant broke: " + rule) }
+	return f
+}
+
+var regions = []string{"a", "b", "c"}
+
+func regionOf(i int) string { return regions[i%len(regions)] }
+
+// start runs count entries and agents more.
+func (f *fleet) start(entries, agents int) {
+	for i := range entries {
+		f.startEntry(fmt.Sprintf("entry-%02d", i), regionOf(i))
+	}
+	for i := range agents {
+		f.startAgent(fmt.Sprintf("agent-%03d", i), regionOf(i))
+	}
+}
+
+// startEntry starts an entry process, or starts it again as a new incarnation.
+func (f *fleet) startEntry(id, region string) *member {
+	clock := clockwork.NewRealClock()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	ctx, stop := context.WithCancel(f.ctx)
+	m := &member{fleet: f, stop: stop, view: view.NewHolder()}
+	m.node = node.Describe(&wire.NodeSettings{Id: id, Region: region, FailureDomain: region + "1", ControlAddress: id}, "entry", id)
+	parts := store.NewParts(1 << 20)
+	service := f.gate(region)
+	m.docs = store.New(service, parts, clock, log)
+	m.house = NewHouse(m.node, parts, m.view, clock, log)
+	self := NewSelf(m.node, func() int { return 0 }, func() []*wire.Demand { return nil }, m.house.Known)
+	exchange := NewExchange(m.house, self.Latest)
+	syncer := NewSyncer(exchange, nil, m.docs.Fetch, 2*time.Second)
+	syncer.call = func(ctx context.Context, to *wire.Node, req *wire.SyncRequest) (*wire.SyncReply, error) {
+		return f.sync(ctx, region, to.GetId(), req)
+	}
+	syncer.parts = func(ctx context.Context, to *wire.Node, req *wire.PartsRequest) (*wire.PartsReply, error) {
+		return f.parts(ctx, region, to.GetId(), req)
+	}
+	m.server = NewServer(exchange, Delegate{}, false, syncer.Pull)
+	publisher := NewPublisher(m.house, self.Make)
+	m.watching = NewContender("watch/"+m.node.GetFailureDomain(), m.house,
+		func(other *wire.Node) bool { return other.GetFailureDomain() == m.node.GetFailureDomain() },
+		func(ctx context.Context, name string) *lease.Holder {
+			return lease.Run(ctx, service, clock, name, m.node.GetIncarnation(), 5*time.Second, time.Second, log)
+		})
+	watcher := NewWatcher(m.house, m.docs, service, func() bool { _, ok := m.watching.Holding(); return ok })
+	f.mu.Lock()
+	f.entries[id] = m
+	f.mu.Unlock()
+	f.listHosts()
+	for _, run := range []func(context.Context){publisher.Run, syncer.Run, watcher.Run, m.watching.Run, m.follow} {
+		m.ended.Go(func() { run(ctx) })
+	}
+	return m
+}
+
+// listHosts gives every entry the platform's list.
+func (f *fleet) listHosts() {
+	f.mu.Lock()
+	var list []membership.Listed
+	for _, m := range f.entries {
+		listed := withoutIncarnation(m.node)
+		listed.ControlAddress = m.node.GetControlAddress()
+		list = append(list, membership.Listed{Node: listed, State: membership.StateLive})
+	}
+	members := f.members()
+	f.mu.Unlock()
+	for _, m := range members {
+		m.house.hosts.HearList(list, time.Now())
+	}
+}
+
+// members returns the entries by id; the caller holds the lock.
+func (f *fleet) members() []*member {
+	var members []*member
+	for _, m := range f.entries {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b *member) int {
+		if a.node.GetId() < b.node.GetId() {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
+
+// kill ends a process as a crash does.
+func (f *fleet) kill(id string) {
+	f.mu.Lock()
+	m := f.entries[id]
+	delete(f.entries, id)
+	f.mu.Unlock()
+	m.stop()
+}
+
+// follow notes when each revision came into force and that none ever falls.
+func (m *member) follow(ctx context.Context) {
+	m.fleet.follow(ctx, m.node.GetId()+"/"+m.node.GetIncarnation(), m.view)
+}
+
+func (f *fleet) follow(ctx context.Context, process string, holder *view.Holder) {
+	last := uint32(0)
+	for ctx.Err() == nil {
+		snap, changed := holder.Load()
+		if snap.Revision < last {
+			panic(fmt.Sprintf("%s fell from revision %d to %d", process, last, snap.Revision))
+		}
+		if snap.Revision > last {
+			last = snap.Revision
+			f.note(process, last)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *fleet) note(process string, rev uint32) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.inForce[rev] == nil {
+		f.inForce[rev] = map[string]time.Time{}
+	}
+	f.inForce[rev][process] = time.Now()
+}
+
+// reach returns the entry where a process of the region can call it.
+func (f *fleet) reach(ctx context.Context, region, id string) (*member, error) {
+	time.Sleep(hop)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.entries[id]
+	if m == nil || ctx.Err() != nil {
+		return nil, failure.New(failure.Unavailable, "nobody listens there", "try another")
+	}
+	other := m.node.GetRegion()
+	if other != region && (f.cutOff[region] || f.cutOff[other]) {
+		return nil, failure.New(failure.Unavailable, "the network is cut", "wait")
+	}
+	return m, nil
+}
+
+func (f *fleet) sync(ctx context.Context, region, to string, req *wire.SyncRequest) (*wire.SyncReply, error) {
+	m, err := f.reach(ctx, region, to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := m.server.Sync(ctx, proto.CloneOf(req))
+	if err != nil {
+		return nil, err
+	}
+	if _, err := f.reach(ctx, region, to); err != nil {
+		return nil, err // cut off meanwhile: the reply is lost
+	}
+	return proto.CloneOf(reply), nil
+}
+
+func (f *fleet) parts(ctx context.Context, region, to string, req *wire.PartsRequest) (*wire.PartsReply, error) {
+	m, err := f.reach(ctx, region, to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := m.server.Parts(ctx, req)
+	time.Sleep(hop)
+	return reply, err
+}
+
+// gate is the service as processes of one region reach it.
+func (f *fleet) gate(region string) *kv.Store {
+	plain := f.service.Store()
+	open := func(write bool) error {
+		f.mu.Lock()
+		if write {
+			f.writes = append(f.writes, time.Now())
+		} else {
+			f.reads = append(f.reads, time.Now())
+		}
+		closed := f.down || f.cutOff[region]
+		f.mu.Unlock()
+		if closed {
+			time.Sleep(300 * time.Millisecond)
+			return failure.New(failure.Unavailable, "the service is down", "wait")
+		}
+		time.Sleep(hop)
+		return nil
+	}
+	return &kv.Store{
+		Get: func(ctx context.Context, key string) (kv.Entry, bool, error) {
+			if err := open(false); err != nil {
+				return kv.Entry{}, false, err
+			}
+			return plain.Get(ctx, key)
+		},
+		List: func(ctx context.Context, prefix string) ([]kv.Entry, error) {
+			if err := open(false); err != nil {
+				return nil, err
+			}
+			return plain.List(ctx, prefix)
+		},
+		Swap: func(ctx context.Context, key string, value []byte, at uint64, bound string) (uint64, error) {
+			if err := open(true); err != nil {
+				return 0, err
+			}
+			return plain.Swap(ctx, key, value, at, bound)
+		},
+		Delete: func(ctx context.Context, key string, at uint64) error {
+			if err := open(true); err != nil {
+				return err
+			}
+			return plain.Delete(ctx, key, at)
+		},
+		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+			if err := open(false); err != nil {
+				return nil, 0, err
+			}
+			return f.watch(ctx, plain, region, prefix, after, wait)
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (string, error) {
+			if err := open(true); err != nil {
+				return "", err
+			}
+			return plain.Grant(ctx, ttl)
+		},
+		KeepAlive: func(ctx context.Context, bound string) error {
+			if err := open(true); err != nil {
+				return err
+			}
+			return plain.KeepAlive(ctx, bound)
+		},
+		Revoke: func(ctx context.Context, bound string) error {
+			if err := open(true); err != nil {
+				return err
+			}
+			return plain.Revoke(ctx, bound)
+		},
+	}
+}
+
+func (f *fleet) watch(ctx context.Context, plain *kv.Store, region, prefix string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+	f.mu.Lock()
+	deaf := f.deafWatches
+	f.mu.Unlock()
+	if deaf && after != kv.Latest {
+		sleep(ctx, clockwork.NewRealClock(), wait)
+		return nil, after, nil
+	}
+	changes, now, err := plain.Watch(ctx, prefix, after, wait)
+	f.mu.Lock()
+	closed := f.down || f.cutOff[region]
+	f.mu.Unlock()
+	if closed {
+		return nil, 0, failure.New(failure.Unavailable, "the connection broke", "watch again")
+	}
+	return changes, now, err
+}
+
+// submit has an operator change the document through the entry, and returns
+// the revision; 0 where it was refused.
+func (f *fleet) submit(m *member, priority int) (uint32, error) {
+	doc := document.Example()
+	doc.Customers[0].Priority = uint32(priority)
+	ctx, cancel := context.WithTimeout(f.ctx, 20*time.Second)
+	defer cancel()
+	root, err := m.docs.Submit(ctx, store.Submission{
+		Document: doc, BaseRevision: m.house.Root().GetRevision(),
+		SubmissionID: fmt.Sprintf("%s-%d-%d", m.node.GetId(), priority, time.Now().UnixNano()), Operator: "marta",
+	})
+	if err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	f.accepted[root.GetRevision()] = time.Now()
+	f.mu.Unlock()
+	return root.GetRevision(), m.house.OfferRoot(ctx, root, "operator", m.docs.Fetch)
+}
+
+// any returns one of the entries.
+func (f *fleet) any() *member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := f.members()
+	return members[f.random.IntN(len(members))]
+}
+
+func (f *fleet) set(change func(*fleet)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// revisions returns what is in force in each process.
+func (f *fleet) revisions() map[string]uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found := map[string]uint32{}
+	for id, m := range f.entries {
+		found[id] = m.house.Known().GetRevision()
+	}
+	for id, agent := range f.agents {
+		found[id] = agent.revision()
+	}
+	return found
+}
+
+// expect fails unless the revision is in force everywhere.
+func (f *fleet) expect(when string, want uint32) {
+	f.t.Helper()
+	for id, got := range f.revisions() {
+		if got != want {
+			f.t.Errorf("%s: got revision %d in force on %s, want %d", when, got, id, want)
+		}
+	}
+}
+
+// latencies returns, sorted, how long each process took to each revision that
+// was accepted while it ran.
+func (f *fleet) latencies() []time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []time.Duration
+	for rev, processes := range f.inForce {
+		since, known := f.accepted[rev]
+		if !known {
+			continue
+		}
+		for _, at := range processes {
+			all = append(all, at.Sub(since))
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// most returns the highest numbers of reads and writes in any second from
+// since on.
+func (f *fleet) most(since time.Time) (reads, writes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return most(f.reads, since), most(f.writes, since)
+}
+
+// most returns the highest number of calls in any second from since on.
+func most(calls []time.Time, since time.Time) int {
+	highest, from := 0, 0
+	for i, at := range calls {
+		if at.Before(since) {
+			from = i + 1
+			continue
+		}
+		for from < i && at.Sub(calls[from]) >= time.Second {
+			from++
+		}
+		highest = max(highest, i-from+1)
+	}
+	return highest
+}
+
+// fakeAgent syncs with its home entry as an agent does.
+type fakeAgent struct {
+	fleet *fleet
+	node  *wire.Node
+	view  *view.Holder
+	stop  context.CancelFunc
+
+	mu       sync.Mutex
+	state    revision.State
+	parts    *store.Parts
+	told     uint32 // revision that the home knew in its last reply
+	home     string
+	sequence uint64
+}
+
+func (f *fleet) startAgent(id, region string) {
+	ctx, stop := context.WithCancel(f.ctx)
+	agent := &fakeAgent{fleet: f, stop: stop, view: view.NewHolder(), parts: store.NewParts(1 << 20)}
+	agent.node = node.Describe(&wire.NodeSettings{Id: id, Region: region, FailureDomain: region + "1", ControlAddress: id}, "agent", "")
+	f.mu.Lock()
+	f.agents[id] = agent
+	f.mu.Unlock()
+	go agent.run(ctx)
+	go f.follow(ctx, id, agent.view)
+}
+
+func (a *fakeAgent) revision() uint32 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Root().GetRevision()
+}
+
+func (a *fakeAgent) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		home := a.choose()
+		if home == "" || a.sync(ctx, home) != nil {
+			a.home = ""
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// choose returns an entry of the agent's own region while there is one.
+func (a *fakeAgent) choose() string {
+	if a.home != "" {
+		return a.home
+	}
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	var near, far []string
+	for _, m := range a.fleet.members() {
+		if m.node.GetRegion() == a.node.GetRegion() {
+			near = append(near, m.node.GetId())
+		} else {
+			far = append(far, m.node.GetId())
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) > 0 {
+		a.home = near[a.fleet.random.IntN(len(near))]
+	}
+	return a.home
+}
+
+func (a *fakeAgent) sync(ctx context.Context, home string) error {
+	reply, err := a.fleet.sync(ctx, a.node.GetRegion(), home, a.request())
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	a.told = reply.GetKnown().GetRevision()
+	lacking := document.Missing(reply.GetRoot(), a.parts.Has)
+	a.mu.Unlock()
+	if len(lacking) > 0 {
+		fetched, err := a.fleet.parts(ctx, a.node.GetRegion(), home, &wire.PartsRequest{From: a.node, Hashes: lacking})
+		if err != nil {
+			return err
+		}
+		for i, content := range fetched.GetParts() {
+			a.parts.Add(lacking[i], content)
+		}
+	}
+	return a.adopt(reply)
+}
+
+func (a *fakeAgent) adopt(reply *wire.SyncReply) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if root := reply.GetRoot(); root != nil {
+		if _, err := document.Join(root, a.parts.Get); err != nil {
+			return err
+		}
+		if a.state.AdoptRoot(root) == revision.Contradiction {
+			panic("two contents of one revision")
+		}
+	}
+	a.view.Store(&view.Snapshot{Revision: a.state.Root().GetRevision()})
+	return nil
+}
+
+func (a *fakeAgent) request() *wire.SyncRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sequence++
+	req := &wire.SyncRequest{
+		From: a.node, Known: a.state.Known(time.Now()), WaitMillis: 1000,
+		Hosts: []*wire.HostReport{{Node: a.node, Sequence: a.sequence}},
+	}
+	if root := a.state.Root(); root != nil && a.told < root.GetRevision() {
+		req.Root = root
+		for _, part := range root.GetParts() {
+			req.Parts = append(req.Parts, a.parts.Get(part.GetHash()))
+		}
+	}
+	return req
+}
