--- a/agent/internal/orders/waves.go
+++ b/agent/internal/orders/waves.go
@@ -90,15 +90,15 @@
 
 // goesBefore ranks the hosts of one wave that are still to turn, so that two
 // that decide on reports of different age do not both go: those that are out
-// already, then by id. Hosts that serve nothing of the model are not out by
-// turning.
+// already, whatever their wave, then by id. Hosts that serve nothing of the
+// model are not out by turning.
 func goesBefore(host view.Host, other, self *wire.Assignment) bool {
-	if other.GetWave() != self.GetWave() {
-		return false
-	}
 	if isOut(host, other) {
 		return true
 	}
+	if other.GetWave() != self.GetWave() {
+		return false
+	}
 	return servesModel(host, other.GetModel()) && other.GetHost() < self.GetHost()
 }
 
