--- a/relay/admit/limit.go
+++ b/relay/admit/limit.go
@@ -11,7 +11,7 @@
 const (
 	minLimit     = 1
 	maxLimit     = 1024
-	startLimit   = 8
+	startLimit   = 4
 	decrease     = 0.8             // factor at a sign of overload
 	decreaseGap  = time.Second / 4 // signs within it count once
 	slowFactor   = 2.5             // first token later than this times the best is a sign
