callers: benchmarks of the path, fuzz target of the bodies

Cause: nothing measured what the entry adds, or fed it hostile bodies. Change: benchmarks from caller over entry to a fake agent, a fuzz target with seeds, a test that hashes keep fields apart.

--- /dev/null
+++ b/entry/internal/callers/bench_test.go
@@ -0,0 +1,52 @@
+package callers
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkRequest measures a request through the entry to a fake agent that
+// answers at once, caller and agent included, all over loopback in one
+// process.
+func BenchmarkRequest(b *testing.B) {
+	for _, tokens := range []int{1, 32} {
+		words := make([]string, tokens)
+		for i := range words {
+			words[i] = fmt.Sprintf("word%d", i)
+		}
+		for _, accept := range []string{"application/json", "text/event-stream"} {
+			b.Run(fmt.Sprintf("tokens=%d/%s", tokens, accept), func(b *testing.B) {
+				house := newTestHouse(b)
+				house.addAgent("h1", answer(words...))
+				entry := house.addEntry("e1")
+				house.publish()
+				b.ReportAllocs()
+				for b.Loop() {
+					if got := entry.request(b, nil, "Accept", accept); got.status != 200 {
+						b.Fatal(got.raw)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkOnceRequest is BenchmarkRequest with a once key of this entry and
+// of another.
+func BenchmarkOnceRequest(b *testing.B) {
+	for _, owner := range []int{0, 1} {
+		b.Run(fmt.Sprintf("hops=%d", owner), func(b *testing.B) {
+			house := newTestHouse(b)
+			house.addAgent("h1", answer("word"))
+			entries := []*testEntry{house.addEntry("e1"), house.addEntry("e2")}
+			house.publish()
+			b.ReportAllocs()
+			for b.Loop() {
+				change := map[string]any{"repeatable": false, "key": newOnceKey(entries[owner])}
+				if got := entries[0].request(b, change); got.status != 200 {
+					b.Fatal(got.raw)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/internal/callers/body_test.go
@@ -0,0 +1,45 @@
+package callers
+
+import (
+	"bytes"
+	"testing"
+)
+
+// FuzzBodies checks that no body makes the decoders panic, and that whatever
+// they let through is within the bounds.
+func FuzzBodies(f *testing.F) {
+	for _, seed := range []string{
+		``, `{}`, `null`, `[]`, `{"model":"parcel","maxTokens":1}`, `{"model":"parcel","maxTokens":1}{}`,
+		`{"model":"parcel","maxTokens":1e9}`, `{"model":"parcel","maxTokens":-1}`, `{"body":"aGk=","key":"x"}`,
+		`{"model":"parcel","prompt":"\u0000\ud800","maxTokens":1,"deadlineMillis":-9223372036854775808}`,
+		`{"MODEL":"parcel","maxTokens":2,"maxtokens":3}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		request, refused := decodeRequest(raw)
+		if refused == nil {
+			if request.Model == "" || request.MaxTokens < 1 || request.MaxTokens > maxTokensBound || request.DeadlineMillis < 0 {
+				t.Errorf("got %+v let through, want it refused", request)
+			}
+		}
+		if _, refused = decodeService(raw); refused != nil && refused.err.Remedy() == "" {
+			t.Error("got no remedy, want one")
+		}
+	})
+}
+
+// Symptom: a caller gets the answer to somebody else's request. Two requests
+// whose fields join to the same bytes share a hash, and with it a kept answer.
+func TestContentHashKeepsFieldsApart(t *testing.T) {
+	one := contentHash("quetzal", []byte("ab"), []byte("c"))
+	for _, other := range [][]byte{
+		contentHash("quetzal", []byte("a"), []byte("bc")),
+		contentHash("quetza", []byte("lab"), []byte("c")),
+		contentHash("quetzal", []byte("ab"), []byte("c"), nil),
+	} {
+		if bytes.Equal(one, other) {
+			t.Error("got one hash for two requests, want two")
+		}
+	}
+}
