Home revision: the lowest in force on an entry's hosts

Cause: reports of far hosts come every ten seconds, so that the operators' status showed a revision as missing long after it was in force. Change: an entry reports the lowest revision on the hosts that report to it; the status joins it with the hosts' own reports.

--- a/entry/internal/cmd/wiring.go
+++ b/entry/internal/cmd/wiring.go
@@ -143,7 +143,7 @@
 }
 
 func newSelf(self *wire.Node, requests *callers.Server, house *control.House) *control.Self {
-	return control.NewSelf(self, requests.InFlight, requests.Demand, house.Known)
+	return control.NewSelf(self, requests.InFlight, requests.Demand, house.Known, house.HomeRevision)
 }
 
 func newExchange(house *control.House, self *control.Self) *control.Exchange {
--- a/entry/internal/control/fleet_test.go
+++ b/entry/internal/control/fleet_test.go
@@ -100,7 +100,7 @@
 	service := f.gate(region)
 	m.docs = store.New(service, parts, clock, log)
 	m.house = NewHouse(m.node, parts, m.view, clock, log)
-	self := NewSelf(m.node, func() int { return 0 }, func() []*wire.Demand { return nil }, m.house.Known)
+	self := NewSelf(m.node, func() int { return 0 }, func() []*wire.Demand { return nil }, m.house.Known, m.house.HomeRevision)
 	exchange := NewExchange(m.house, self.Latest)
 	syncer := NewSyncer(exchange, nil, m.docs.Fetch, 2*time.Second)
 	syncer.call = func(ctx context.Context, to *wire.Node, req *wire.SyncRequest) (*wire.SyncReply, error) {
--- a/entry/internal/control/house.go
+++ b/entry/internal/control/house.go
@@ -99,6 +99,23 @@
 	return h.state.Age(h.clock.Now())
 }
 
+// HomeRevision returns the lowest revision in force on the live hosts that
+// report to this entry; 0 where there are none.
+func (h *House) HomeRevision() uint32 {
+	snap, _ := h.view.Load()
+	lowest, found := uint32(0), false
+	for _, host := range snap.Hosts {
+		report := host.Report()
+		if report.GetHome() != h.self.GetId() || host.Lost() {
+			continue
+		}
+		if !found || report.GetRevision() < lowest {
+			lowest, found = report.GetRevision(), true
+		}
+	}
+	return lowest
+}
+
 // touch marks the view as outdated.
 func (h *House) touch() {
 	select {
--- a/entry/internal/control/publisher.go
+++ b/entry/internal/control/publisher.go
@@ -22,15 +22,19 @@
 	pauseLimit = 3 * time.Second
 	// heartbeat is how often this entry's own report is made anew.
 	heartbeat = 2 * time.Second
+	// newsGap is the least time between two own reports that tell of new
+	// revisions.
+	newsGap = 300 * time.Millisecond
 )
 
 // Publisher builds the views that the rest of the entry reads.
 type Publisher struct {
 	house *House
 	own   func() *wire.EntryReport
-	// beatAt is when the own report was last made, told what it said.
+	// beatAt is when the own report was last made, told what it said: the
+	// document revisions here and on the hosts that report here.
 	beatAt time.Time
-	told   uint32 // document revision
+	told   [2]uint32
 }
 
 // NewPublisher returns a Publisher; own makes a new report on this entry.
@@ -75,11 +79,21 @@
 // Wake has a view built soon.
 func (p *Publisher) Wake() { p.house.touch() }
 
+// due reports whether the own report should be made anew, and notes that it is.
+func (p *Publisher) due(now time.Time) bool {
+	revisions := [2]uint32{p.house.Root().GetRevision(), p.house.HomeRevision()}
+	since := now.Sub(p.beatAt)
+	if since < heartbeat && (revisions == p.told || since < newsGap) {
+		return false
+	}
+	p.beatAt, p.told = now, revisions
+	return true
+}
+
 // Build publishes one view.
 func (p *Publisher) Build() {
 	now := p.house.clock.Now()
-	if revision := p.house.Root().GetRevision(); revision != p.told || now.Sub(p.beatAt) >= heartbeat {
-		p.beatAt, p.told = now, revision
+	if p.due(now) {
 		p.house.hosts.HearEntry(p.own(), now)
 	}
 	p.house.mu.Lock()
--- a/entry/internal/control/self.go
+++ b/entry/internal/control/self.go
@@ -14,6 +14,8 @@
 	inFlight func() int
 	demand   func() []*wire.Demand
 	known    func() *wire.Known
+	// home returns the lowest revision on the hosts that report here.
+	home     func() uint32
 	draining atomic.Bool
 
 	mu     sync.Mutex
@@ -21,8 +23,8 @@
 }
 
 // NewSelf returns a Self whose first report is made at once.
-func NewSelf(node *wire.Node, inFlight func() int, demand func() []*wire.Demand, known func() *wire.Known) *Self {
-	self := &Self{node: node, inFlight: inFlight, demand: demand, known: known}
+func NewSelf(node *wire.Node, inFlight func() int, demand func() []*wire.Demand, known func() *wire.Known, home func() uint32) *Self {
+	self := &Self{node: node, inFlight: inFlight, demand: demand, known: known, home: home}
 	self.Make()
 	return self
 }
@@ -34,7 +36,7 @@
 	for _, customer := range demand {
 		rate += customer.GetRequestsPerSecond()
 	}
-	known := s.known()
+	known, home := s.known(), s.home()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.latest = &wire.EntryReport{
@@ -46,6 +48,7 @@
 		Demand:            demand,
 		Revision:          known.GetRevision(),
 		PlanRevision:      known.GetPlanRevision(),
+		HomeRevision:      home,
 	}
 	return s.latest
 }
--- a/entry/internal/operators/status.go
+++ b/entry/internal/operators/status.go
@@ -60,8 +60,12 @@
 		status.AgeMillis = millisOf(age)
 	}
 	now := a.cfg.Clock.Now()
+	homes := map[string]uint32{}
 	for _, entry := range snap.Entries {
 		report := entry.Report()
+		if !entry.Lost() {
+			homes[report.GetNode().GetId()] = report.GetHomeRevision()
+		}
 		node := newNode(report.GetNode(), millisOf(now.Sub(entry.HeardAt())), entry.Leaving(), entry.Lost())
 		node.Revision, node.PlanRevision = report.GetRevision(), report.GetPlanRevision()
 		node.Running = report.GetInFlight()
@@ -70,7 +74,9 @@
 	for _, host := range snap.Hosts {
 		report := host.Report()
 		node := newNode(report.GetNode(), millisOf(now.Sub(host.HeardAt())), host.Leaving(), host.Lost())
-		node.Revision, node.PlanRevision = report.GetRevision(), report.GetPlanRevision()
+		// The report of a far host comes rarely; its home entry's word often.
+		node.Revision = max(report.GetRevision(), homes[report.GetHome()])
+		node.PlanRevision = report.GetPlanRevision()
 		node.Running, node.Queued = report.GetRunning(), report.GetQueued()
 		status.add(node)
 	}
--- a/relay/spread/entries.go
+++ b/relay/spread/entries.go
@@ -106,5 +106,6 @@
 		InFlight: report.GetInFlight(), RequestsPerSecond: report.GetRequestsPerSecond(),
 		AgeMillis: uint32(min(max(0, age.Milliseconds()), int64(^uint32(0)))),
 		Demand:    report.GetDemand(), Revision: report.GetRevision(), PlanRevision: report.GetPlanRevision(),
+		HomeRevision: report.GetHomeRevision(),
 	}
 }
