Budget: a larger part of a share may go out at once

Cause: a submission makes a few writes in a row; with the settings' default share of 5 writes a second the bucket held one, and each further write waited 250 ms.

--- a/relay/budget/budget.go
+++ b/relay/budget/budget.go
@@ -25,8 +25,11 @@
 // spread their first calls.
 const startSpread = 500 * time.Millisecond
 
-// burstFraction is the part of a second's share that may go out at once.
-const burstFraction = 0.25
+// burstFraction is the part of a second's share that may go out at once; the
+// rest is what comes back in a second. A submission of a document makes a few
+// writes in a row, which should not wait even where the share is small; what
+// is sustained is less in exchange.
+const burstFraction = 0.4
 
 // minWait keeps rounding errors from making the timer spin.
 const minWait = time.Millisecond
--- a/relay/lease/holder.go
+++ b/relay/lease/holder.go
@@ -61,6 +61,8 @@
 // Holding returns the fencing number while this process is in charge. It looks
 // at the clock on each call: a process that was paused past its lease and wakes
 // gets false before it knows anything else.
+//
+// It implements the rule OWNCLOCK of the specification.
 func (h *Holder) Holding() (fence uint64, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/relay/lease/machine.go
+++ b/relay/lease/machine.go
@@ -267,7 +267,10 @@
 	m.renewAt = m.deadline.Add(m.term.margin - m.term.ttl + m.term.ttl/renewEvery)
 }
 
-// trust moves the deadline after a grant or a renewal that succeeded.
+// trust moves the deadline after a grant or a renewal that succeeded: it counts
+// from before the service was asked.
+//
+// It implements the rule BEFORE of the specification.
 func (m *machine) trust() {
 	m.deadline = m.asked.Add(m.term.ttl - m.term.margin)
 }
