Known alone on held calls between entries

Cause: each change sent the whole root to an entry from all eight neighbours. Change: held calls between entries answer news with the revisions alone; the caller then asks one neighbour, and another where that takes over 300 ms. Conclusion: fewer bytes for one more round trip.

--- a/entry/internal/control/exchange.go
+++ b/entry/internal/control/exchange.go
@@ -199,6 +199,7 @@
 		From:       x.self,
 		Known:      x.house.Known(),
 		WaitMillis: uint32(wait.Milliseconds()),
+		KnownOnly:  wait > 0,
 		Hosts:      x.hostsForEntry(with, now),
 		Entries:    x.entriesFor(with, now),
 	}
@@ -207,21 +208,17 @@
 // reply composes the answer to a call.
 func (x *Exchange) reply(req *wire.SyncRequest, with *session) *wire.SyncReply {
 	now := x.house.clock.Now()
-	root, plan, drains := x.house.lacking(req.GetKnown())
-	reply := &wire.SyncReply{
-		From:    x.self,
-		Known:   x.house.Known(),
-		Root:    root,
-		Plan:    plan,
-		Drains:  drains,
-		Entries: x.entriesFor(with, now),
+	reply := &wire.SyncReply{From: x.self, Known: x.house.Known(), Entries: x.entriesFor(with, now)}
+	if !req.GetKnownOnly() {
+		reply.Root, reply.Plan, reply.Drains = x.house.lacking(req.GetKnown())
 	}
 	if isAgent(req.GetFrom()) {
-		reply.Plan = planFor(plan, req.GetFrom().GetFailureDomain())
+		reply.Plan = planFor(reply.Plan, req.GetFrom().GetFailureDomain())
 		reply.Hosts = x.hostsForAgent(with, now)
-	} else {
-		reply.Hosts = x.hostsForEntry(with, now)
+		return reply
 	}
+	reply.From = &wire.Node{Id: x.self.GetId()} // the caller knows the rest
+	reply.Hosts = x.hostsForEntry(with, now)
 	return reply
 }
 
--- a/entry/internal/control/publisher.go
+++ b/entry/internal/control/publisher.go
@@ -24,7 +24,7 @@
 	heartbeat = 2 * time.Second
 	// newsGap is the least time between two own reports that tell of new
 	// revisions.
-	newsGap = 300 * time.Millisecond
+	newsGap = time.Second
 )
 
 // Publisher builds the views that the rest of the entry reads.
--- a/entry/internal/control/syncer.go
+++ b/entry/internal/control/syncer.go
@@ -20,6 +20,8 @@
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 200 * time.Millisecond
 	retryMost  = 5 * time.Second
+	// pullPatience is how long one pull may take before another node is asked.
+	pullPatience = 300 * time.Millisecond
 	// partsTimeout bounds one Parts call.
 	partsTimeout = 2 * time.Second
 )
@@ -38,8 +40,11 @@
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc // by neighbour's id
-	pulling map[string]bool               // by id
-	base    context.Context               //nolint:containedctx // of Run, for pulls
+	pulling map[string]bool               // by id of the node asked
+	// pulledAt is when the newest pull began, pulled closes when one ends.
+	pulledAt time.Time
+	pulled   chan struct{}
+	base     context.Context //nolint:containedctx // of Run, for pulls
 }
 
 // NewSyncer returns a Syncer that calls through the pool. wait is how long the
@@ -62,6 +67,7 @@
 		log:      exchange.house.log,
 		running:  map[string]context.CancelFunc{},
 		pulling:  map[string]bool{},
+		pulled:   make(chan struct{}),
 		base:     context.Background(),
 	}
 }
@@ -114,6 +120,7 @@
 			continue
 		}
 		pause = retryLeast
+		s.awaitPull(ctx)
 		// A neighbour that answers at once each time (it drains, or knows less
 		// than it says) must not turn this into a busy loop.
 		if rest := retryLeast/4 - s.house.clock.Since(began); rest > 0 {
@@ -135,9 +142,31 @@
 	}
 	countMessage("bytesIn", reply)
 	s.exchange.takeReply(ctx, with, reply, s.fetchFrom(node))
+	if wait > 0 && s.house.HearKnown(reply.GetKnown()) {
+		s.Pull(node)
+	}
 	return nil
 }
 
+// awaitPull waits while something newer is on its way: a held call that still
+// bears the old revision would end at once.
+func (s *Syncer) awaitPull(ctx context.Context) {
+	s.mu.Lock()
+	done := s.pulled
+	busy := len(s.pulling) > 0
+	s.mu.Unlock()
+	if !busy {
+		return
+	}
+	timer := s.house.clock.NewTimer(pullPatience)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
 // withoutIncarnation names a node whose incarnation the caller may not know.
 func withoutIncarnation(node *wire.Node) *wire.Node {
 	return &wire.Node{Id: node.GetId(), Role: node.GetRole(), FailureDomain: node.GetFailureDomain(), Region: node.GetRegion()}
@@ -208,26 +237,33 @@
 	return indexes
 }
 
-// Pull asks a node that knows something newer, once and at once.
+// Pull asks a node that knows something newer, at once. Several neighbours tell
+// of the same news at the same moment: one of them is asked, and another only
+// where it takes long.
 func (s *Syncer) Pull(node *wire.Node) {
+	now := s.house.clock.Now()
 	s.mu.Lock()
 	ctx := s.base
-	busy := s.pulling[node.GetId()] || node.GetControlAddress() == ""
-	if !busy {
-		s.pulling[node.GetId()] = true
+	busy := len(s.pulling) > 0 && now.Sub(s.pulledAt) < pullPatience
+	if busy || s.pulling[node.GetId()] || node.GetControlAddress() == "" || ctx.Err() != nil {
+		s.mu.Unlock()
+		return
 	}
+	s.pulling[node.GetId()] = true
+	s.pulledAt = now
 	s.mu.Unlock()
-	if busy || ctx.Err() != nil {
-		return
+	go s.pull(ctx, node)
+}
+
+func (s *Syncer) pull(ctx context.Context, node *wire.Node) {
+	if err := s.once(ctx, node, 0); err != nil {
+		s.log.Debug("pull failed", "peer", node.GetId(), "error", err)
 	}
-	go func() {
-		if err := s.once(ctx, node, 0); err != nil {
-			s.log.Debug("pull failed", "peer", node.GetId(), "error", err)
-		}
-		s.mu.Lock()
-		delete(s.pulling, node.GetId())
-		s.mu.Unlock()
-	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pulling, node.GetId())
+	close(s.pulled)
+	s.pulled = make(chan struct{})
 }
 
 // jittered returns a random time between half the pause and all of it.
