--- a/relay/kv/store.go
+++ b/relay/kv/store.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Latest, given to Watch as the revision to start after, answers at once with
+// Latest is a revision to give to Watch, which then answers at once with
 // no changes and the service's present revision. The greatest revision of a
 // List is no substitute: it may lie before the start of a compacted history.
 const Latest = math.MaxUint64
