--- a/GNUmakefile
+++ b/GNUmakefile
@@ -50,7 +50,7 @@
 
 .PHONY: test
 test: build ## run every module's tests with the race detector
-	@failed=0; \
+	@failed=0; export COMFREY_BIN=$(BIN); \
 	for module in $(MODULES); do \
 	  (cd "$$module" && go test -race ./...) || failed=1; \
 	done; \
--- a/bench/internal/burst/result.go
+++ b/bench/internal/burst/result.go
@@ -25,7 +25,9 @@
 	AgentCPUSeconds              float64 `json:"agentCpuSeconds"`
 	ControlBytesPerHostPerSecond float64 `json:"controlBytesPerHostPerSecond"`
 	// LiveHosts served at the end; the rest died or stalled by the fault.
-	LiveHosts     int     `json:"liveHosts"`
+	LiveHosts int `json:"liveHosts"`
+	// AcceptSeconds is the part of Seconds until the document was accepted.
+	AcceptSeconds float64 `json:"acceptSeconds"`
 	WindowSeconds float64 `json:"windowSeconds"`
 	SharedLink    bool    `json:"sharedLink"`
 	// MinServing is the fewest hosts that served during a roll.
@@ -85,6 +87,7 @@
 func (r *run) result(ctx context.Context, took time.Duration, before snapshot) (Result, error) {
 	out := Named(r.options, r.current)
 	out.Seconds = took.Seconds()
+	out.AcceptSeconds = r.accepted.Seconds()
 	out.BoundSeconds = r.bound
 	out.Ratio = out.Seconds / r.bound
 	out.LiveHosts = r.liveCount()
--- a/bench/internal/burst/run.go
+++ b/bench/internal/burst/run.go
@@ -43,7 +43,8 @@
 	links    Links
 	bound    float64 // seconds
 	house    *house.House
-	version  string // intended now
+	version  string        // intended now
+	accepted time.Duration // that the last submission's call took
 	seed     uint64
 	revision uint32
 	pending  sync.WaitGroup
@@ -160,11 +161,12 @@
 		Customers:      house.Customers(customerCount),
 		MaxUnavailable: maxUnavailable(r.current.Hosts),
 	})
+	started := time.Now()
 	revision, err := r.house.Submit(ctx, r.house.Entries()[0], r.revision, doc, "comfreybench burst")
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
-	r.version, r.revision = version, revision
+	r.version, r.revision, r.accepted = version, revision, time.Since(started)
 	return nil
 }
 
--- a/bench/internal/cmd/cmd_house.go
+++ b/bench/internal/cmd/cmd_house.go
@@ -18,6 +18,7 @@
 	Services  int     `long:"services" default:"1" description:"plain services with their agents"`
 	ModelMiB  float64 `long:"model-mib" default:"8" description:"size of the weights"`
 	Customers int     `long:"customers" default:"10" description:"customers in the document"`
+	Info      string  `long:"info" description:"file for the JSON object, in place of standard output"`
 	LogLevel  string  `long:"log-level" default:"info" description:"of the system's processes"`
 }
 
@@ -60,32 +61,56 @@
 		return failure.Wrap(err, failure.Internal, "the house did not start", "read "+filepath.Join(options.Out, "house.log"))
 	}
 	defer kept.Stop()
-	if err := rollOut(ctx, kept, options); err != nil {
+	document, err := rollOut(ctx, kept, options)
+	if err != nil {
 		return failure.Wrap(err, failure.Internal, "the model was not rolled out", "read "+filepath.Join(options.Out, "house.log"))
 	}
-	if err := json.NewEncoder(os.Stdout).Encode(kept.Describe()); err != nil {
+	if err := printInfo(options.Info, kept.Describe(document)); err != nil {
 		return err
 	}
 	<-ctx.Done()
 	return nil
 }
 
-func rollOut(ctx context.Context, kept *house.House, options *houseOptions) error {
+// printInfo writes the whole object at once, so that a reader of the file never
+// sees a part of it.
+func printInfo(name string, info house.Description) error {
+	const mode = 0o600
+	text, err := json.Marshal(info)
+	if err != nil {
+		return err
+	}
+	if name == "" {
+		_, err = os.Stdout.Write(append(text, '\n'))
+		return err
+	}
+	partial := name + ".partial"
+	if err := os.WriteFile(partial, text, mode); err != nil {
+		return failure.Wrap(err, failure.Invalid, "cannot write the house's description", "name a writable file with --info")
+	}
+	return os.Rename(partial, name)
+}
+
+// rollOut brings a model to every host and returns the document's file.
+func rollOut(ctx context.Context, kept *house.House, options *houseOptions) (string, error) {
 	const chunkKiB = 64
 	made, err := kept.Publish(ctx, house.Publication{Model: house.ModelName, Mib: options.ModelMiB, ChunkKib: chunkKiB, Seed: options.Seed})
 	if err != nil {
-		return err
+		return "", err
 	}
 	if err := kept.WaitRoutable(ctx); err != nil {
-		return err
+		return "", err
 	}
-	doc := kept.Document(house.Desired{
-		Version:   made.Version,
-		Objective: house.ObjectiveTime,
-		Customers: house.Customers(options.Customers),
-	})
+	customers := house.Customers(options.Customers)
+	doc := kept.Document(house.Desired{Version: made.Version, Objective: house.ObjectiveTime, Customers: customers})
 	if _, err := kept.Submit(ctx, kept.Entries()[0], 0, doc, "comfreybench house"); err != nil {
-		return err
+		return "", err
+	}
+	if err := kept.WaitServing(ctx, kept.Agents(), made.Version, nil); err != nil {
+		return "", err
+	}
+	if err := kept.WaitAnswering(ctx, customers[0]); err != nil {
+		return "", err
 	}
-	return kept.WaitServing(ctx, kept.Agents(), made.Version, nil)
+	return kept.WriteDocument(doc)
 }
--- a/bench/internal/demo/demo.go
+++ b/bench/internal/demo/demo.go
@@ -144,6 +144,9 @@
 }
 
 func (d *demo) run(ctx context.Context) error {
+	if err := d.house.WaitRoutable(ctx); err != nil {
+		return err
+	}
 	first, err := d.publish(ctx, house.Publication{Seed: d.options.Seed})
 	if err != nil {
 		return err
--- a/bench/internal/house/counters.go
+++ b/bench/internal/house/counters.go
@@ -28,7 +28,7 @@
 		return Counters{}, err
 	}
 	out := Counters{Vars: vars}
-	out.ControlBytes = number(vars, "controlBytes")
+	out.ControlBytes = controlBytes(vars["peerBytesIn"]) + controlBytes(vars["peerBytesOut"])
 	out.CrossRegionBytes = number(vars, "crossRegionBytes")
 	out.InvariantFailures = total(vars["invariantFailures"])
 	if stats, ok := vars["memstats"].(map[string]any); ok {
@@ -43,6 +43,19 @@
 	return value
 }
 
+// controlBytes sums the bytes by call, but for chunks and requests.
+func controlBytes(value any) (sum float64) {
+	byCall, _ := value.(map[string]any)
+	for call := range byCall {
+		switch call {
+		case "hostChunk", "hostRun", "hostCancel", "controlClaim", "controlSettle":
+		default:
+			sum += number(byCall, call)
+		}
+	}
+	return sum
+}
+
 // total sums a variable that is a number or a map of numbers.
 func total(value any) (sum float64) {
 	switch value := value.(type) {
--- a/bench/internal/house/describe.go
+++ b/bench/internal/house/describe.go
@@ -5,6 +5,7 @@
 	OperatorKey string              `json:"operatorKey"`
 	CustomerKey string              `json:"customerKey"`
 	Dir         string              `json:"dir"`
+	Document    string              `json:"document"` // file with the document in force
 	KV          string              `json:"kv"`
 	Hosts       string              `json:"hosts"`
 	Origin      string              `json:"origin"`
@@ -21,13 +22,14 @@
 	Endpoint  string `json:"endpoint,omitempty"`
 }
 
-// Describe returns the addresses and keys of the house; the keys are
-// throw-away ones.
-func (h *House) Describe() Description {
+// Describe returns the addresses and keys of the house, which are throw-away
+// ones, and the file of its document.
+func (h *House) Describe(document string) Description {
 	out := Description{
 		OperatorKey: OperatorKey,
 		CustomerKey: Customers(1)[0].Key(),
 		Dir:         h.dir,
+		Document:    document,
 		KV:          h.kvURL,
 		Hosts:       h.hostsURL,
 		Origin:      h.originURL,
