Roots travel as differences, counters by the other side's kind

Cause: with many customers a root lists dozens of parts and went whole to every process; the audit record went with it. Change: between processes a root bears of its audit record only what tells it apart, and goes to those who ask so as the difference from their revision.

--- a/entry/internal/control/exchange.go
+++ b/entry/internal/control/exchange.go
@@ -200,6 +200,7 @@
 		Known:      x.house.Known(),
 		WaitMillis: uint32(wait.Milliseconds()),
 		KnownOnly:  wait > 0,
+		DeltaRoots: true,
 		Hosts:      x.hostsForEntry(with, now),
 		Entries:    x.entriesFor(with, now),
 	}
@@ -210,7 +211,7 @@
 	now := x.house.clock.Now()
 	reply := &wire.SyncReply{From: x.self, Known: x.house.Known(), Entries: x.entriesFor(with, now)}
 	if !req.GetKnownOnly() {
-		reply.Root, reply.Plan, reply.Drains = x.house.lacking(req.GetKnown())
+		reply.Root, reply.Plan, reply.Drains = x.house.lacking(req.GetKnown(), req.GetDeltaRoots())
 	}
 	if isAgent(req.GetFrom()) {
 		reply.Plan = planFor(reply.Plan, req.GetFrom().GetFailureDomain())
@@ -251,6 +252,14 @@
 
 func isAgent(node *wire.Node) bool { return node.GetRole() == "agent" }
 
+// kindOf names the other side of a call in the counters.
+func kindOf(node *wire.Node) string {
+	if isAgent(node) {
+		return "agent"
+	}
+	return "entry"
+}
+
 func findHost(snap *view.Snapshot, id string) (view.Host, bool) {
 	for _, host := range snap.Hosts {
 		if host.Report().GetNode().GetId() == id {
--- a/entry/internal/control/house.go
+++ b/entry/internal/control/house.go
@@ -33,6 +33,10 @@
 // assembled, so that several peers' offers do not fetch the same parts.
 const assembleWait = 300 * time.Millisecond
 
+// recentRoots is how many revisions behind a process may be and still get the
+// difference in place of the whole root.
+const recentRoots = 32
+
 // Fetch gets parts by hash, in order; nil for those it lacks.
 type Fetch func(ctx context.Context, hashes []string) ([][]byte, error)
 
@@ -50,9 +54,10 @@
 
 	mu      sync.Mutex
 	state   revision.State
-	doc     *wire.Document // of the root in force; nil for revision 0
-	changed chan struct{}  // closed and replaced when a revision moved
-	urgent  chan struct{}  // closed and replaced when a node leaves
+	doc     *wire.Document        // of the root in force; nil for revision 0
+	recent  map[uint32]*wire.Root // at most recentRoots, to send differences from
+	changed chan struct{}         // closed and replaced when a revision moved
+	urgent  chan struct{}         // closed and replaced when a node leaves
 }
 
 // NewHouse returns a House that knows nothing yet.
@@ -66,6 +71,7 @@
 		hosts:      NewMembers(self.GetId()),
 		assembling: make(chan struct{}, 1),
 		dirty:      make(chan struct{}, 1),
+		recent:     map[uint32]*wire.Root{},
 		changed:    make(chan struct{}),
 		urgent:     make(chan struct{}),
 	}
@@ -165,9 +171,11 @@
 // OfferRoot takes a root from anyone: where it is newer, it fetches the parts
 // that lack, assembles the document and brings it into force.
 func (h *House) OfferRoot(ctx context.Context, root *wire.Root, source string, fetch Fetch) error {
+	root = revision.Expand(h.Root(), root)
 	if root == nil || !h.wants(root, source) {
 		return nil
 	}
+	root = revision.Slim(root)
 	release := h.turn(ctx)
 	defer release()
 	if !h.wants(root, source) {
@@ -242,6 +250,7 @@
 	adopted := h.state.AdoptRoot(root) == revision.Newer
 	if adopted {
 		h.doc = doc
+		h.remember(root)
 		h.wakeLocked()
 	}
 	h.mu.Unlock()
@@ -253,6 +262,16 @@
 	h.touch()
 }
 
+// remember keeps the root to send differences from; the caller holds the lock.
+func (h *House) remember(root *wire.Root) {
+	h.recent[root.GetRevision()] = root
+	for old := range h.recent {
+		if old+recentRoots <= root.GetRevision() {
+			delete(h.recent, old)
+		}
+	}
+}
+
 // OfferPlan takes a plan from anyone.
 func (h *House) OfferPlan(plan *wire.Plan, source string) {
 	if plan == nil {
@@ -291,13 +310,17 @@
 	}
 }
 
-// lacking returns what a message's sender lacks, nil where it has it.
-func (h *House) lacking(known *wire.Known) (root *wire.Root, plan *wire.Plan, drains *wire.DrainMarks) {
+// lacking returns what a message's sender lacks, nil where it has it; the root
+// as a difference where the sender takes that.
+func (h *House) lacking(known *wire.Known, deltas bool) (root *wire.Root, plan *wire.Plan, drains *wire.DrainMarks) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	lacksRoot, lacksPlan, lacksDrains := h.state.Lacks(known)
 	if lacksRoot {
 		root = h.state.Root()
+		if base := h.recent[known.GetRevision()]; deltas && base != nil {
+			root = revision.Delta(base, root)
+		}
 	}
 	if lacksPlan {
 		plan = h.state.Plan()
@@ -308,9 +331,20 @@
 	return root, plan, drains
 }
 
-// countMessage adds a control message's bytes to the counter of its direction.
-func countMessage(direction string, msg proto.Message) {
-	counters.Add(direction, int64(proto.Size(msg)))
+// lacks reports whether a message's sender lacks anything.
+func (h *House) lacks(known *wire.Known) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	root, plan, drains := h.state.Lacks(known)
+	return root || plan || drains
+}
+
+// countMessage adds a control message's bytes to the counter of its direction,
+// and to that of its direction and the kind of the other side.
+func countMessage(direction, kind string, msg proto.Message) {
+	size := int64(proto.Size(msg))
+	counters.Add(direction, size)
+	counters.Add(direction+"."+kind, size)
 }
 
 // rootID names a root by its content, to compare offers of several agents.
--- a/entry/internal/control/server.go
+++ b/entry/internal/control/server.go
@@ -85,12 +85,12 @@
 		return nil, failure.New(failure.Invalid, "too many reports in one message", "send fewer")
 	}
 	counters.Add("syncServed", 1)
-	countMessage("bytesIn", req)
+	countMessage("bytesIn", kindOf(req.GetFrom()), req)
 	with := s.exchange.sessions.of(req.GetFrom(), s.house.clock.Now())
 	s.take(ctx, with, req)
 	s.hold(ctx, req)
 	reply := s.exchange.reply(req, with)
-	countMessage("bytesOut", reply)
+	countMessage("bytesOut", kindOf(req.GetFrom()), reply)
 	return reply, nil
 }
 
@@ -147,7 +147,7 @@
 		if agent {
 			urgent = nil
 		}
-		if root, plan, drains := s.house.lacking(req.GetKnown()); root != nil || plan != nil || drains != nil {
+		if s.house.lacks(req.GetKnown()) {
 			return
 		}
 		select {
@@ -170,7 +170,7 @@
 	if len(req.GetHashes()) > maxHashes {
 		return nil, failure.New(failure.Invalid, "too many hashes in one message", "ask for fewer at once")
 	}
-	countMessage("bytesIn", req)
+	countMessage("bytesIn", "parts", req)
 	reply := &wire.PartsReply{Known: s.house.Known(), Parts: make([][]byte, len(req.GetHashes()))}
 	size := 0
 	for i, hash := range req.GetHashes() {
@@ -180,7 +180,7 @@
 		}
 		reply.Parts[i] = content
 	}
-	countMessage("bytesOut", reply)
+	countMessage("bytesOut", "parts", reply)
 	return reply, nil
 }
 
--- a/entry/internal/control/syncer.go
+++ b/entry/internal/control/syncer.go
@@ -135,12 +135,12 @@
 	with := s.exchange.sessions.of(withoutIncarnation(node), s.house.clock.Now())
 	req := s.exchange.request(with, wait)
 	counters.Add("syncCalls", 1)
-	countMessage("bytesOut", req)
+	countMessage("bytesOut", "entry", req)
 	reply, err := s.call(ctx, node, req)
 	if err != nil {
 		return err
 	}
-	countMessage("bytesIn", reply)
+	countMessage("bytesIn", "entry", reply)
 	s.exchange.takeReply(ctx, with, reply, s.fetchFrom(node))
 	if wait > 0 && s.house.HearKnown(reply.GetKnown()) {
 		s.Pull(node)
@@ -211,12 +211,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, partsTimeout)
 	defer cancel()
-	countMessage("bytesOut", req)
+	countMessage("bytesOut", "parts", req)
 	reply, err := s.parts(ctx, node, req)
 	if err != nil {
 		return false
 	}
-	countMessage("bytesIn", reply)
+	countMessage("bytesIn", "parts", reply)
 	progress := false
 	for i, content := range reply.GetParts() {
 		if i < len(req.Hashes) && len(content) > 0 {
