--- a/agent/internal/control/client.go
+++ b/agent/internal/control/client.go
@@ -277,6 +277,7 @@
 		Known:      c.Known(),
 		WaitMillis: uint32(wait.Milliseconds()),
 		Hosts:      []*wire.HostReport{c.cfg.Report()},
+		DeltaRoots: true,
 	}
 	request.Root, request.Parts = c.knowledge.offer(told)
 	return request
--- a/agent/internal/control/knowledge.go
+++ b/agent/internal/control/knowledge.go
@@ -180,6 +180,7 @@
 	fetch func(ctx context.Context, hashes []string) ([][]byte, error)) (revision.Verdict, error) {
 	k.mu.Lock()
 	verdict := k.state.JudgeRoot(root)
+	whole := revision.Expand(k.state.Root(), root)
 	parts := make(map[string][]byte, len(k.parts))
 	for hash, content := range k.parts {
 		parts[hash] = content
@@ -189,9 +190,16 @@
 		return verdict, failure.New(failure.Internal, "an entry sent another content of the revision in force",
 			"compare the audit trail with the entries' revisions")
 	}
-	if verdict != revision.Newer {
+	// A difference from another revision than ours was made before another
+	// call's reply came into force; the next reply fits.
+	if verdict != revision.Newer || whole == nil {
 		return verdict, nil
 	}
+	root = whole
+	if document.ContentHash(root.GetParts()) != root.GetAudit().GetContentHash() {
+		return verdict, failure.New(failure.Corrupt, "an entry sent a root whose parts are not its content",
+			"it is asked for again")
+	}
 	if err := fetchParts(ctx, root, parts, fetch); err != nil {
 		return verdict, err
 	}
--- /dev/null
+++ b/agent/internal/engine/engine_test.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+func FuzzStream(f *testing.F) {
+	f.Add("event: begin\ndata: {\"version\":\"v\"}\n\nevent: token\ndata: {\"i\":0,\"text\":\"a\"}\n\nevent: end\ndata: {\"version\":\"v\",\"count\":1}\n\n")
+	f.Add("event: begin\r\ndata:{}\r\n\r\n")
+	f.Add(": comment\n\nevent: other\ndata: {}\n\n")
+	f.Add("data: {\"i\":-1}\n\n")
+	f.Add(strings.Repeat("x", 70000))
+	f.Fuzz(func(t *testing.T, text string) {
+		stream := NewStream(io.NopCloser(strings.NewReader(text)))
+		for range len(text) + 1 {
+			event, err := stream.Next()
+			if err != nil {
+				if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+					t.Fatal("a stream that was cut ended like a whole one")
+				}
+				return
+			}
+			if event.Kind != EventBegin && event.Kind != EventToken && event.Kind != EventEnd {
+				t.Fatalf("got an event of kind %q", event.Kind)
+			}
+		}
+		t.Fatal("more events than bytes")
+	})
+}
+
+// Symptom: a request that is not repeatable runs twice. Sequence: the engine
+// reads it and closes the connection without an answer. Cause: an HTTP client
+// that sends again by itself.
+func TestNeverSendsTwice(t *testing.T) {
+	var seen atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/status" {
+			_, _ = w.Write([]byte("{}"))
+			return
+		}
+		seen.Add(1)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}))
+	defer server.Close()
+	client := New(server.URL)
+	for _, once := range []bool{true, false} {
+		seen.Store(0)
+		if _, err := client.Status(t.Context()); err != nil { // a kept connection to be reused
+			t.Fatal(err)
+		}
+		_, err := client.Generate(t.Context(), &Generate{RequestID: "r1"}, once)
+		if got, want := failure.KindOf(err), failure.Ambiguous; err == nil || got != want {
+			t.Errorf("once %v: got %v, want kind %s", once, err, want)
+		}
+		if _, err := client.Call(t.Context(), "r2", nil, once); err == nil {
+			t.Errorf("once %v: got an answer of a broken call", once)
+		}
+		if got, want := seen.Load(), int32(2); got != want {
+			t.Errorf("once %v: the endpoint saw %d requests, want %d", once, got, want)
+		}
+	}
+}
+
+// Symptom: the same, by a redirect that repeats the body. Cause: a client that
+// follows 307 and 308.
+func TestFollowsNoRedirect(t *testing.T) {
+	var seen atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		seen.Add(1)
+		w.Header().Set("Location", "/again")
+		w.WriteHeader(http.StatusPermanentRedirect)
+	}))
+	defer server.Close()
+	client := New(server.URL)
+	if _, err := client.Call(t.Context(), "r1", nil, false); err == nil {
+		t.Error("got an answer from a redirect")
+	}
+	if got, want := seen.Load(), int32(1); got != want {
+		t.Errorf("the endpoint saw %d requests, want %d", got, want)
+	}
+}
+
+func TestOrderErrors(t *testing.T) {
+	for _, tc := range []struct {
+		status  int
+		body    string
+		kind    failure.Kind
+		current uint64
+	}{
+		{http.StatusConflict, `{"fence":12}`, failure.Stale, 12},
+		{http.StatusConflict, `nonsense`, failure.Stale, 0},
+		{http.StatusUnprocessableEntity, ``, failure.Invalid, 0},
+		{http.StatusInternalServerError, ``, failure.Ambiguous, 0},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(tc.status)
+			_, _ = w.Write([]byte(tc.body))
+		}))
+		current, err := New(server.URL).Order(t.Context(), &Order{Fence: 7, Order: Load})
+		if got := failure.KindOf(err); err == nil || got != tc.kind || current != tc.current {
+			t.Errorf("status %d: got %v, fence %d, want kind %s, fence %d", tc.status, err, current, tc.kind, tc.current)
+		}
+		server.Close()
+	}
+}
--- /dev/null
+++ b/agent/internal/gate/fuzz_test.go
@@ -0,0 +1,47 @@
+package gate
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/wire"
+)
+
+// FuzzAttempt feeds the gate with any bytes that an entry may send. Whatever
+// comes, exactly one last frame answers it, and nothing stays in use.
+func FuzzAttempt(f *testing.F) {
+	seeds := []*wire.Attempt{
+		attemptOf("r1", nil),
+		attemptOf("r1", func(att *wire.Attempt) { att.Incarnation = "" }),
+		attemptOf("r1", func(att *wire.Attempt) { att.DeadlineMillis = 1<<32 - 1 }),
+		attemptOf("r1", func(att *wire.Attempt) { att.Service = "labels" }),
+		attemptOf("r1", func(att *wire.Attempt) { att.ResumeTokens = []string{"", "\n"} }),
+		{},
+	}
+	for _, seed := range seeds {
+		encoded, err := proto.Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		att := &wire.Attempt{}
+		if proto.Unmarshal(encoded, att) != nil {
+			return
+		}
+		b := newBench(t, nil)
+		out := newCaller(t.Context())
+		if err := b.gate.Run(att, out); err != nil {
+			t.Fatalf("Run failed: %v", err)
+		}
+		for i, frame := range out.frames {
+			last := frame.GetKind() == frameEnd || frame.GetKind() == frameRefused || frame.GetKind() == frameBroken
+			if want := i == len(out.frames)-1; last != want {
+				t.Fatalf("got frame %d of %d of kind %s", i, len(out.frames), frame.GetKind())
+			}
+		}
+		b.settled()
+	})
+}
