--- /dev/null
+++ b/bench/internal/protocols/curl_test.go
@@ -0,0 +1,273 @@
+package protocols
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// shell understands as much of the shell's language as the page uses: words
+// with quotes and variables, comments, "cat >file <<WORD" and "curl" with a
+// here-document.
+type shell struct {
+	vars  func(name string) (string, bool)
+	files map[string]string
+}
+
+// command is one line with its here-document.
+type command struct {
+	words []string
+	input string // expanded here-document; empty for none
+}
+
+var errShell = errors.New("the page's command is not understood")
+
+// commands cuts a script into commands and expands them, with the files as
+// they are by then.
+func (s *shell) commands(script string, run func(command) error) error {
+	for rest := script; strings.TrimSpace(rest) != ""; {
+		words, document, left, err := s.words(rest)
+		if err != nil {
+			return err
+		}
+		rest = left
+		next := command{words: words}
+		if document != "" {
+			text, after, found := strings.Cut("\n"+rest, "\n"+document+"\n")
+			if !found {
+				return fmt.Errorf("%w: no end of the here-document %s", errShell, document)
+			}
+			rest = after
+			if next.input, err = s.expand(strings.TrimPrefix(text, "\n") + "\n"); err != nil {
+				return err
+			}
+		}
+		if len(words) == 0 {
+			continue
+		}
+		if err := run(next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// words reads the words of one command line; document is the word behind "<<".
+func (s *shell) words(text string) (words []string, document, rest string, err error) {
+	var word strings.Builder
+	inWord := false
+	flush := func() {
+		if inWord {
+			words = append(words, word.String())
+		}
+		word.Reset()
+		inWord = false
+	}
+	for i := 0; i < len(text); i++ {
+		switch char := text[i]; char {
+		case '\n':
+			flush()
+			words, document = cutDocument(words)
+			return words, document, text[i+1:], nil
+		case ' ':
+			flush()
+		case '\'', '"':
+			end := strings.IndexByte(text[i+1:], char)
+			if end < 0 {
+				return nil, "", "", fmt.Errorf("%w: a quote without its end", errShell)
+			}
+			inner := text[i+1 : i+1+end]
+			if char == '"' {
+				if inner, err = s.expand(inner); err != nil {
+					return nil, "", "", err
+				}
+			}
+			word.WriteString(inner)
+			inWord = true
+			i += end + 1
+		case '$':
+			name := variable.FindString(text[i:])
+			value, err := s.expand(name)
+			if err != nil {
+				return nil, "", "", err
+			}
+			word.WriteString(value)
+			inWord = true
+			i += max(len(name)-1, 0)
+		case '\\', '|', ';', '`', '&', '(':
+			return nil, "", "", fmt.Errorf("%w: %q", errShell, char)
+		default:
+			word.WriteByte(char)
+			inWord = true
+		}
+	}
+	flush()
+	words, document = cutDocument(words)
+	return words, document, "", nil
+}
+
+func cutDocument(words []string) (rest []string, document string) {
+	if len(words) == 0 {
+		return words, ""
+	}
+	document, found := strings.CutPrefix(words[len(words)-1], "<<")
+	if !found {
+		return words, ""
+	}
+	return words[:len(words)-1], document
+}
+
+var (
+	variable    = regexp.MustCompile(`^\$[A-Z_]+`)
+	replaceable = regexp.MustCompile(`\$\(cat [a-z.]+\)|\$[A-Z_]+`)
+)
+
+// expand replaces variables and $(cat file).
+func (s *shell) expand(text string) (string, error) {
+	var failed error
+	out := replaceable.ReplaceAllStringFunc(text, func(match string) string {
+		if name, isFile := strings.CutPrefix(match, "$(cat "); isFile {
+			content, found := s.files[strings.TrimSuffix(name, ")")]
+			if !found {
+				failed = fmt.Errorf("%w: no file for %s", errShell, match)
+			}
+			return content
+		}
+		value, found := s.vars(match[1:])
+		if !found {
+			failed = fmt.Errorf("%w: no variable %s", errShell, match)
+		}
+		return value
+	})
+	return out, failed
+}
+
+// write carries out "cat >file"; done is false for another command.
+func (s *shell) write(cmd command) (done bool) {
+	if cmd.words[0] != "cat" || len(cmd.words) != 2 || !strings.HasPrefix(cmd.words[1], ">") {
+		return false
+	}
+	s.files[cmd.words[1][1:]] = cmd.input
+	return true
+}
+
+// request turns a curl command into what it would send.
+func (s *shell) request(cmd command) (*http.Request, error) {
+	if cmd.words[0] != "curl" {
+		return nil, fmt.Errorf("%w: %s", errShell, cmd.words[0])
+	}
+	method, address, data, hasData := http.MethodGet, "", "", false
+	header := http.Header{}
+	for i := 1; i < len(cmd.words); i++ {
+		word := cmd.words[i]
+		if !strings.HasPrefix(word, "-") {
+			if address != "" {
+				return nil, fmt.Errorf("%w: two addresses", errShell)
+			}
+			address = word
+			continue
+		}
+		if word == "-s" || word == "-sN" {
+			continue
+		}
+		i++
+		if i == len(cmd.words) {
+			return nil, fmt.Errorf("%w: nothing behind %s", errShell, word)
+		}
+		switch value := cmd.words[i]; word {
+		case "-H":
+			name, text, found := strings.Cut(value, ": ")
+			if !found {
+				return nil, fmt.Errorf("%w: header %q", errShell, value)
+			}
+			header.Add(name, text)
+		case "-X":
+			method = value
+		case "-d":
+			text, err := s.data(cmd, value)
+			if err != nil {
+				return nil, err
+			}
+			data, hasData = text, true
+		default:
+			return nil, fmt.Errorf("%w: option %s", errShell, word)
+		}
+	}
+	if hasData && method == http.MethodGet {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequest(method, address, strings.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.Header = header
+	if hasData {
+		req.Header.Set("Content-Type", "application/x-www-form-urlencoded") // as curl does
+	}
+	return req, nil
+}
+
+// data returns the body that -d names; curl leaves out line breaks of files.
+func (s *shell) data(cmd command, value string) (string, error) {
+	name, isFile := strings.CutPrefix(value, "@")
+	if !isFile {
+		return value, nil
+	}
+	text := cmd.input
+	if name != "-" {
+		content, found := s.files[name]
+		if !found {
+			return "", fmt.Errorf("%w: no file %s", errShell, name)
+		}
+		text = content
+	}
+	return strings.ReplaceAll(text, "\n", ""), nil
+}
+
+func TestShell(t *testing.T) {
+	s := &shell{files: map[string]string{}, vars: func(name string) (string, bool) { return "<" + name + ">", name != "NONE" }}
+	script := "cat >a.json <<END\n{\"v\":\n\"$VERSION\"}\nEND\n" +
+		"curl -s -H \"Authorization: Bearer $KEY\" http://$ENTRY/v1/x -d @- <<BODY\n{\"d\": $(cat a.json)}\nBODY\n" +
+		"curl -sN \"http://$ENTRY/v1/y?from=1&to=2\"\ncurl -X DELETE http://h/ -d '{\n  \"$KEY\": 1}'\n"
+	var got []string
+	err := s.commands(script, func(cmd command) error {
+		if s.write(cmd) {
+			return nil
+		}
+		req, err := s.request(cmd)
+		if err != nil {
+			return err
+		}
+		body := new(strings.Builder)
+		_ = req.Write(body)
+		got = append(got, req.Method+" "+req.URL.String()+" "+req.Header.Get("Authorization")+" "+
+			body.String()[strings.Index(body.String(), "\r\n\r\n")+4:])
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{
+		`POST http://<ENTRY>/v1/x Bearer <KEY> {"d": {"v":"<VERSION>"}}`,
+		`GET http://<ENTRY>/v1/y?from=1&to=2  `,
+		"DELETE http://h/  {\n  \"$KEY\": 1}",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	for _, wrong := range []string{"wget x\n", "curl --proxy x y\n", "curl 'x\n", "curl $NONE\n", "curl x | jq\n", "curl -d @none x\n", "cat >a <<END\n"} {
+		err := s.commands(wrong, func(cmd command) error {
+			if s.write(cmd) {
+				return nil
+			}
+			_, err := s.request(cmd)
+			return err
+		})
+		if !errors.Is(err, errShell) {
+			t.Errorf("got %v for %q, want %v", err, wrong, errShell)
+		}
+	}
+}
--- /dev/null
+++ b/bench/internal/protocols/log_test.go
@@ -0,0 +1,24 @@
+package protocols
+
+import (
+	"strings"
+	"sync"
+)
+
+// lineLog lets the house's processes write side by side.
+type lineLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lineLog) Write(text []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(text)
+}
+
+func (l *lineLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
--- /dev/null
+++ b/bench/internal/protocols/protocols_test.go
@@ -0,0 +1,260 @@
+package protocols
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+const (
+	// binVariable names the directory of the built programs; make sets it.
+	binVariable = "COMFREY_BIN"
+	// startLimit bounds the house's start; the machine may be busy.
+	startLimit = 3 * time.Minute
+	// callLimit bounds one command.
+	callLimit = 60 * time.Second
+	// pause is between two looks while the house starts.
+	pause = 50 * time.Millisecond
+	// maxAnswer bounds what is read of one answer, bytes.
+	maxAnswer = 4 << 20
+	entries   = 3
+)
+
+// customer is the one that the page names.
+var customer = house.Customer{Name: "quetzal", Priority: 5}
+
+// client makes a connection for each command, as curl does.
+var client = &http.Client{
+	Timeout:       callLimit,
+	Transport:     &http.Transport{DisableKeepAlives: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+// Symptom: somebody writes a program by the page and gets other answers than it
+// shows. Cause: the page was written once, and the code went on.
+func TestPage(t *testing.T) {
+	bin := os.Getenv(binVariable)
+	if bin == "" {
+		t.Skip("the programs are not built: run make test")
+	}
+	if _, err := os.Stat(filepath.Join(bin, "comfreyentry")); err != nil {
+		t.Fatalf("programs in %s: got %v, want them built by make build", binVariable, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	log := new(lineLog)
+	started, version := start(ctx, t, bin, log)
+	page := newReader(started.Entries()[0].CallersAddress(), version)
+	for _, shown := range readPage(t) {
+		page.try(t, shown)
+	}
+	if t.Failed() {
+		t.Log("log of the house:\n" + log.String())
+	}
+}
+
+// start starts a house in which revision 1 is in force and every entry knows
+// every host and entry.
+func start(ctx context.Context, t *testing.T, bin string, log io.Writer) (*house.House, string) {
+	t.Helper()
+	started, err := house.Start(ctx, house.Config{
+		Bin: bin, Log: log, Places: house.Quetzal(), Entries: entries, Hosts: 3, Services: 1,
+		Engine: house.Engine{TokenInterval: time.Millisecond, FirstTokenTime: time.Millisecond, LoadTime: time.Millisecond},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(started.Stop)
+	made, err := started.Publish(ctx, house.Publication{Model: house.ModelName, Mib: 1, ChunkKib: 64, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := started.WaitRoutable(ctx); err != nil {
+		t.Fatal(err)
+	}
+	doc := started.Document(house.Desired{
+		Version: made.Version, Objective: house.ObjectiveTime, Customers: []house.Customer{customer}, MaxUnavailable: 1, Shift: "asHostsTurn",
+	})
+	if _, err := started.Submit(ctx, started.Entries()[0], 0, doc, "first"); err != nil {
+		t.Fatal(err)
+	}
+	if err := started.WaitAnswering(ctx, customer); err != nil {
+		t.Fatal(err)
+	}
+	for _, entry := range started.Entries() {
+		if err := waitKnowing(ctx, entry.CallersAddress()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return started, made.Version
+}
+
+// waitKnowing waits until the entry knows the others, that every replica serves,
+// and a host for each service.
+func waitKnowing(ctx context.Context, entry string) error {
+	for {
+		err := knows(ctx, entry)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("entry %s: %w", entry, err)
+		case <-time.After(pause):
+		}
+	}
+}
+
+var errNotYet = errors.New("not yet")
+
+func knows(ctx context.Context, entry string) error {
+	var directory struct {
+		Spares []string `json:"spares"`
+	}
+	var rollout struct {
+		Done bool `json:"done"`
+	}
+	var status struct {
+		Nodes []struct {
+			Role string `json:"role"`
+		} `json:"nodes"`
+	}
+	for path, into := range map[string]any{"/v1/entries": &directory, "/v1/rollout": &rollout, "/v1/status": &status} {
+		key := house.OperatorKey
+		if path == "/v1/entries" {
+			key = customer.Key()
+		}
+		if err := get(ctx, "http://"+entry+path, key, into); err != nil {
+			return err
+		}
+	}
+	const nodes = entries + 4
+	if len(directory.Spares) != entries-1 || !rollout.Done || len(status.Nodes) != nodes {
+		return fmt.Errorf("%w: %d spares, rollout done %t, %d nodes", errNotYet, len(directory.Spares), rollout.Done, len(status.Nodes))
+	}
+	return nil
+}
+
+func get(ctx context.Context, address, key string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	status, text, err := send(req)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("%w: status %d: %s", errNotYet, status, text)
+	}
+	return json.Unmarshal([]byte(text), into)
+}
+
+func send(req *http.Request) (status int, text string, err error) {
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	return res.StatusCode, string(body), err
+}
+
+// reader follows the page as a reader would.
+type reader struct {
+	shell *shell
+	vars  map[string]string
+}
+
+func newReader(entry, version string) *reader {
+	r := &reader{vars: map[string]string{
+		"ENTRY":             entry,
+		"KEY":               customer.Key(),
+		"KEY_HASH":          house.KeyHash(customer.Key()),
+		"OPERATOR_KEY":      house.OperatorKey,
+		"OPERATOR_KEY_HASH": house.KeyHash(house.OperatorKey),
+		"VERSION":           version,
+		"ONCE":              uuid.Must(uuid.NewV7()).String(),
+	}}
+	r.shell = &shell{vars: r.variable, files: map[string]string{}}
+	return r
+}
+
+func (r *reader) variable(name string) (string, bool) {
+	if name == "ID" {
+		return uuid.Must(uuid.NewV7()).String(), true
+	}
+	value, found := r.vars[name]
+	return value, found
+}
+
+// try runs an example and compares its last answer with the one shown.
+func (r *reader) try(t *testing.T, shown example) {
+	t.Helper()
+	where := fmt.Sprintf("line %d (%s)", shown.line, shown.heading)
+	status, text := 0, ""
+	err := r.shell.commands(shown.script, func(cmd command) error {
+		if r.shell.write(cmd) {
+			return nil
+		}
+		req, err := r.shell.request(cmd)
+		if err != nil {
+			return err
+		}
+		status, text, err = send(req)
+		return err
+	})
+	if err != nil {
+		t.Errorf("%s: %v", where, err)
+		return
+	}
+	if status != shown.status {
+		t.Errorf("%s: got status %d, want %d: %s", where, status, shown.status, text)
+		return
+	}
+	answer, err := r.shell.expand(shown.answer)
+	if err != nil {
+		t.Errorf("%s: %v", where, err)
+		return
+	}
+	compare := compareJSON
+	if shown.format == "text" {
+		compare = compareEvents
+	}
+	wrong, err := compare(answer, text)
+	if err != nil {
+		t.Errorf("%s: %v", where, err)
+	}
+	for _, difference := range wrong {
+		t.Errorf("%s: %s", where, difference)
+	}
+	r.learn(shown, text)
+}
+
+// learn takes over what the page says of the first answer: the entry to connect
+// to and the owner of once keys.
+func (r *reader) learn(shown example, text string) {
+	if !strings.Contains(shown.script, "/v1/entries") {
+		return
+	}
+	var directory struct {
+		Use   string `json:"use"`
+		Owner string `json:"owner"`
+	}
+	if json.Unmarshal([]byte(text), &directory) == nil && directory.Use != "" {
+		r.vars["ENTRY"], r.vars["OWNER"] = directory.Use, directory.Owner
+	}
+}
--- /dev/null
+++ b/bench/internal/protocols/shape_test.go
@@ -0,0 +1,161 @@
+package protocols
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// anyText in a shown text lets it stand for any text.
+const anyText = "..."
+
+// compare returns where an answer differs from the one shown: a key that it
+// lacks, another kind of value, another text, true or false.
+func compare(at string, shown, got any) []string {
+	switch shown := shown.(type) {
+	case map[string]any:
+		got, ok := got.(map[string]any)
+		if !ok {
+			return differ(at, "an object", got)
+		}
+		var wrong []string
+		for key, value := range shown {
+			found, ok := got[key]
+			if !ok {
+				wrong = append(wrong, at+"/"+key+": the answer lacks this key")
+				continue
+			}
+			wrong = append(wrong, compare(at+"/"+key, value, found)...)
+		}
+		return wrong
+	case []any:
+		return compareList(at, shown, got)
+	case string:
+		if got, ok := got.(string); !ok || (!strings.Contains(shown, anyText) && got != shown) {
+			return differ(at, shown, got)
+		}
+	case float64:
+		if _, ok := got.(float64); !ok {
+			return differ(at, "a number", got)
+		}
+	default: // true, false, null
+		if got != shown {
+			return differ(at, shown, got)
+		}
+	}
+	return nil
+}
+
+// compareList compares each item with the only one shown. An empty list shown
+// stands for an empty one.
+func compareList(at string, shown []any, got any) []string {
+	items, ok := got.([]any)
+	if !ok {
+		return differ(at, "a list", got)
+	}
+	if (len(shown) == 0) != (len(items) == 0) || len(shown) > 1 {
+		return differ(at, shown, got)
+	}
+	var wrong []string
+	for i, item := range items {
+		wrong = append(wrong, compare(fmt.Sprintf("%s/%d", at, i), shown[0], item)...)
+	}
+	return wrong
+}
+
+func differ(at string, want, got any) []string {
+	return []string{fmt.Sprintf("%s: got %v, want %v", at, got, want)}
+}
+
+// compareJSON compares two JSON texts.
+func compareJSON(shown, got string) ([]string, error) {
+	var shownValue, gotValue any
+	if err := json.Unmarshal([]byte(shown), &shownValue); err != nil {
+		return nil, fmt.Errorf("the page's answer is no JSON: %w", err)
+	}
+	if err := json.Unmarshal([]byte(got), &gotValue); err != nil {
+		return nil, fmt.Errorf("the answer is no JSON: %w: %s", err, got)
+	}
+	return compare("", shownValue, gotValue), nil
+}
+
+// event is one server-sent event.
+type event struct{ name, data string }
+
+// parseEvents reads a stream; repeats of one event count as one.
+func parseEvents(text string) ([]event, error) {
+	var events []event
+	for block := range strings.SplitSeq(strings.TrimSpace(text), "\n\n") {
+		name, data, found := strings.Cut(strings.TrimSpace(block), "\n")
+		if !found || !strings.HasPrefix(name, "event: ") || !strings.HasPrefix(data, "data: ") {
+			return nil, fmt.Errorf("no event: %q", block)
+		}
+		next := event{strings.TrimPrefix(name, "event: "), strings.TrimPrefix(data, "data: ")}
+		if last := len(events) - 1; last >= 0 && events[last].name == next.name {
+			continue
+		}
+		events = append(events, next)
+	}
+	return events, nil
+}
+
+// compareEvents compares two streams event by event.
+func compareEvents(shown, got string) ([]string, error) {
+	shownEvents, err := parseEvents(shown)
+	if err != nil {
+		return nil, err
+	}
+	gotEvents, err := parseEvents(got)
+	if err != nil {
+		return nil, err
+	}
+	if len(shownEvents) != len(gotEvents) {
+		return differ("", shownEvents, gotEvents), nil
+	}
+	var wrong []string
+	for i, want := range shownEvents {
+		if gotEvents[i].name != want.name {
+			wrong = append(wrong, differ(want.name, want.name, gotEvents[i].name)...)
+			continue
+		}
+		more, err := compareJSON(want.data, gotEvents[i].data)
+		if err != nil {
+			return nil, err
+		}
+		wrong = append(wrong, more...)
+	}
+	return wrong, nil
+}
+
+func TestCompare(t *testing.T) {
+	tests := []struct {
+		shown, got string
+		wrong      int
+	}{
+		{`{"a": "...", "n": 1, "b": true}`, `{"a": "x", "n": 9, "b": true, "more": 1}`, 0},
+		{`{"a": "...", "n": 1}`, `{"a": "x"}`, 1},
+		{`{"a": {"b": 1}}`, `{"a": {}}`, 1},
+		{`{"a": [{"b": 1}]}`, `{"a": [{"b": 1}, {"c": 1}]}`, 1},
+		{`{"a": [1]}`, `{"a": []}`, 1},
+		{`{"a": []}`, `{"a": [1]}`, 1},
+		{`{"outcome": "answered"}`, `{"outcome": "unknown"}`, 1},
+		{`{"b": false, "n": 1, "a": "..."}`, `{"b": true, "n": "1", "a": 1}`, 3},
+		{`{"a": [1]}`, `{"a": null}`, 1},
+	}
+	for _, test := range tests {
+		wrong, err := compareJSON(test.shown, test.got)
+		if err != nil || len(wrong) != test.wrong {
+			t.Errorf("got %q, %v for %s against %s, want %d differences", wrong, err, test.got, test.shown, test.wrong)
+		}
+	}
+	shown := "event: begin\ndata: {\"v\": \"...\"}\n\nevent: tokens\ndata: {\"tokens\": [\"...\"]}\n\nevent: end\ndata: {\"count\": 3}\n"
+	got := "event: begin\ndata: {\"v\":\"1\"}\n\nevent: tokens\ndata: {\"tokens\":[\"a\"]}\n\nevent: tokens\ndata: {\"tokens\":[\"b\",\"c\"]}\n\n" +
+		"event: end\ndata: {\"count\":3}\n\n"
+	if wrong, err := compareEvents(shown, got); err != nil || len(wrong) != 0 {
+		t.Errorf("got %q, %v for two like streams, want none", wrong, err)
+	}
+	if wrong, err := compareEvents(shown, got[:strings.Index(got, "event: end")]); err != nil || len(wrong) == 0 {
+		t.Errorf("got %q, %v for a stream without its end, want a difference", wrong, err)
+	}
+}
