Agent: no second last frame, calmer reports of failures

Agents of plain services asked for chunks; a nudge could interrupt the fetch of parts and blame the entry. Change: nothing follows an end frame that failed; services run no weights; the fetch of parts is not interrupted; a contradiction counts as broken invariant. Conclusion: a test fails each frame in turn.

--- a/agent/internal/cmd/process.go
+++ b/agent/internal/cmd/process.go
@@ -101,9 +101,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return peer.Serve(ctx, p.Listener, p.Keys, mux, p.Log) })
 	group.Go(func() error { return p.serveOperators(ctx, operators) })
-	for _, work := range []func(context.Context) error{
-		p.Gate.Work, p.Weights.Run, p.Orders.Run, p.Reporter.Work, p.Control.Run,
-	} {
+	works := []func(context.Context) error{p.Gate.Work, p.Orders.Run, p.Reporter.Work, p.Control.Run}
+	if p.Settings.GetService() == "" {
+		works = append(works, p.Weights.Run)
+	}
+	for _, work := range works {
 		group.Go(func() error { return ignoreEnd(ctx, work(ctx)) })
 	}
 	fmt.Fprintf(out, "listening address=%s\n", p.Self.GetControlAddress())
--- a/agent/internal/cmd/wiring.go
+++ b/agent/internal/cmd/wiring.go
@@ -181,7 +181,8 @@
 }
 
 func newControl(set *wire.AgentSettings, self *wire.Node, clock clockwork.Clock, log *slog.Logger,
-	holder *view.Holder, pool *peer.Pool, door *gate.Gate, link *links, stats *metrics) *control.Client {
+	holder *view.Holder, pool *peer.Pool, door *gate.Gate, link *links, rules *gate.Invariants,
+	stats *metrics) *control.Client {
 	wait := set.GetSyncInterval().AsDuration()
 	if wait <= 0 {
 		wait = defaultWait
@@ -197,6 +198,7 @@
 		Wait:       wait,
 		Report:     func() *wire.HostReport { return link.report() },
 		SetLeaving: door.SetLeaving,
+		Broken:     func(rule string, attrs ...any) { rules.Check(false, rule, attrs...) },
 		Counters:   stats.counters,
 	})
 }
--- a/agent/internal/control/client.go
+++ b/agent/internal/control/client.go
@@ -57,7 +57,9 @@
 	Report func() *wire.HostReport
 	// SetLeaving is told whether the list or an operator takes the host out.
 	SetLeaving func(leaving bool)
-	Counters   *expvar.Map
+	// Broken records that an invariant does not hold.
+	Broken   func(rule string, attrs ...any)
+	Counters *expvar.Map
 }
 
 // Client is safe for concurrent use.
@@ -240,9 +242,10 @@
 	client := wire.NewDRPCControlClient(c.cfg.Dial(call, entry.GetControlAddress()))
 	reply, err := client.Sync(call, request)
 	if err == nil {
-		return c.take(call, entry, request, reply)
+		c.release()
+		err = c.take(call, entry, request, reply)
 	}
-	if ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil {
 		return nil
 	}
 	c.failed(entry, err)
@@ -307,14 +310,13 @@
 	c.penalties.worked(entry.GetId())
 	c.mu.Unlock()
 	c.publish()
-	if err == nil {
-		return nil
+	if err == nil || ctx.Err() != nil {
+		return err
 	}
 	c.cfg.Log.Warn("document not taken", "entry", entry.GetId(), "revision", reply.GetRoot().GetRevision(), "error", err)
 	if failure.KindOf(err) == failure.Internal {
-		c.cfg.Counters.Add("invariantFailures", 1)
+		c.cfg.Broken("oneContentPerRevision", "entry", entry.GetId(), "revision", reply.GetRoot().GetRevision())
 	}
-	c.failed(entry, err)
 	return err
 }
 
--- a/agent/internal/gate/gate_test.go
+++ b/agent/internal/gate/gate_test.go
@@ -95,6 +95,8 @@
 
 	mu     sync.Mutex
 	frames []*wire.Frame
+	// deaf, if set, is the kind of frame at which the connection breaks.
+	deaf string
 	// block, if set, is received from before each frame: a slow caller.
 	block chan struct{}
 }
@@ -106,6 +108,9 @@
 func (c *caller) Context() context.Context { return c.ctx }
 
 func (c *caller) Send(frame *wire.Frame) error {
+	if c.deaf != "" && frame.GetKind() == c.deaf {
+		return context.Canceled
+	}
 	if c.block != nil {
 		select {
 		case <-c.block:
@@ -533,6 +538,22 @@
 	eventually(t, func() bool { return b.engine.cancelled("r1") && b.gate.State().Running() == 0 })
 }
 
+// Symptom: an invariant breaks, two last frames for one attempt. Sequence: the
+// entry dies while the agent sends a frame. Cause: a failed send taken for a
+// reason to send another frame.
+func TestCallerGoneAtAnyFrame(t *testing.T) {
+	for _, kind := range []string{frameBegin, frameTokens, frameEnd, frameBroken} {
+		b := newBench(t, nil)
+		if kind == frameBroken {
+			b.engine.generate = answer("v0", "a")
+		}
+		out := newCaller(t.Context())
+		out.deaf = kind
+		_ = b.gate.Run(attemptOf("r1", nil), out)
+		b.settled()
+	}
+}
+
 // Symptom: a stopped entry holds the engine's slot and every drain. Sequence:
 // the caller stops reading without closing; the deadline passes. Cause: the
 // places are given back only when the send returns.
--- a/agent/internal/gate/generate.go
+++ b/agent/internal/gate/generate.go
@@ -45,6 +45,9 @@
 		g.stopEngine(run)
 	}
 	run.finish(true)
+	if out.closed { // the end frame did not get out: the caller has gone
+		return nil
+	}
 	return out.broken(reason)
 }
 
