--- a/bench/internal/protocols/doc.go
+++ b/bench/internal/protocols/doc.go
@@ -1,3 +1,4 @@
 // Package protocols runs the commands of docs/PROTOCOLS.md against a small
-// house and compares the answers with those shown; it holds tests only.
+// house and compares the answers with those shown, and the operators' scenarios
+// of test/operators; it holds tests only.
 package protocols
--- a/bench/internal/protocols/protocols_test.go
+++ b/bench/internal/protocols/protocols_test.go
@@ -45,13 +45,7 @@
 // Symptom: somebody writes a program by the page and gets other answers than it
 // shows. Cause: the page was written once, and the code went on.
 func TestPage(t *testing.T) {
-	bin := os.Getenv(binVariable)
-	if bin == "" {
-		t.Skip("the programs are not built: run make test")
-	}
-	if _, err := os.Stat(filepath.Join(bin, "comfreyentry")); err != nil {
-		t.Fatalf("programs in %s: got %v, want them built by make build", binVariable, err)
-	}
+	bin := programs(t)
 	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
 	defer cancel()
 	log := new(lineLog)
@@ -65,6 +59,19 @@
 	}
 }
 
+// programs returns the directory of the built programs.
+func programs(t *testing.T) string {
+	t.Helper()
+	bin := os.Getenv(binVariable)
+	if bin == "" {
+		t.Skip("the programs are not built: run make test")
+	}
+	if _, err := os.Stat(filepath.Join(bin, "comfreyentry")); err != nil {
+		t.Fatalf("programs in %s: got %v, want them built by make build", binVariable, err)
+	}
+	return bin
+}
+
 // start starts a house in which revision 1 is in force and every entry knows
 // every host and entry.
 func start(ctx context.Context, t *testing.T, bin string, log io.Writer) (*house.House, string) {
