Requests bench: goodput of the engines alone, while arrivals go on

Cause: answers after the arrivals' end and calls to plain services counted as goodput above 1. Change: counts are read in a window; services have callers of their own; a greedy customer's record is audited too.

--- a/bench/internal/house/load.go
+++ b/bench/internal/house/load.go
@@ -210,6 +210,12 @@
 	return callWith(ctx, http.MethodPost, l.control+"/versions", "", map[string][]string{"remove": {version}}, nil)
 }
 
+// Progress returns the counts so far.
+func (l *Load) Progress(ctx context.Context) (summary LoadSummary, err error) {
+	err = callWith(ctx, http.MethodGet, l.control+"/summary", "", nil, &summary)
+	return summary, err
+}
+
 // StopArrivals ends the arrivals; requests in progress go on.
 func (l *Load) StopArrivals(ctx context.Context) error {
 	return callWith(ctx, http.MethodPost, l.control+"/stop", "", struct{}{}, nil)
--- a/bench/internal/requests/cases.go
+++ b/bench/internal/requests/cases.go
@@ -30,15 +30,6 @@
 	return loadTime
 }
 
-// seconds returns how long requests arrived; where arrivals were stopped, by
-// their number and rate.
-func (c Case) seconds(summary house.LoadSummary) float64 {
-	if !c.Long {
-		return loadTime.Seconds()
-	}
-	return float64(summary.Requests+summary.Overrun) / c.offered()
-}
-
 // Loads of the cases with a fault, and of the callers beside a greedy one.
 const (
 	faultLoad  = 0.6
--- a/bench/internal/requests/result.go
+++ b/bench/internal/requests/result.go
@@ -15,25 +15,28 @@
 	CapacityPerSecond float64 `json:"capacityPerSecond"`
 	OfferedPerSecond  float64 `json:"offeredPerSecond"`
 	AnsweredPerSecond float64 `json:"answeredPerSecond"`
-	// Goodput is the rate of answers in time over the engines' capacity.
-	Goodput                   float64 `json:"goodput"`
-	FirstTokenMsP50           float64 `json:"firstTokenMsP50"`
-	FirstTokenMsP95           float64 `json:"firstTokenMsP95"`
-	FirstTokenMsP99           float64 `json:"firstTokenMsP99"`
-	BetweenTokensMsP95        float64 `json:"betweenTokensMsP95"`
-	AnswerMsP99               float64 `json:"answerMsP99"`
-	CacheHitRatio             float64 `json:"cacheHitRatio"`
-	Requests                  int     `json:"requests"`
-	Answered                  int     `json:"answered"`
-	NotRunThenAnswered        int     `json:"notRunThenAnswered"`
-	NotRun                    int     `json:"notRun"`
-	Unknown                   int     `json:"unknown"`
-	Doubled                   int     `json:"doubled"`
-	WrongAnswer               int     `json:"wrongAnswer"`
-	WrongVersion              int     `json:"wrongVersion"`
-	CutOff                    int     `json:"cutOff"`
-	NotRunButRan              int     `json:"notRunButRan"`
-	OtherBreaches             int     `json:"otherBreaches"`
+	// Goodput is the rate of engines' answers in time over the engines'
+	// capacity, while arrivals went on. Calls to plain services are in the
+	// counts below alone.
+	Goodput            float64 `json:"goodput"`
+	FirstTokenMsP50    float64 `json:"firstTokenMsP50"`
+	FirstTokenMsP95    float64 `json:"firstTokenMsP95"`
+	FirstTokenMsP99    float64 `json:"firstTokenMsP99"`
+	BetweenTokensMsP95 float64 `json:"betweenTokensMsP95"`
+	AnswerMsP99        float64 `json:"answerMsP99"`
+	CacheHitRatio      float64 `json:"cacheHitRatio"`
+	Requests           int     `json:"requests"`
+	Answered           int     `json:"answered"`
+	NotRunThenAnswered int     `json:"notRunThenAnswered"`
+	NotRun             int     `json:"notRun"`
+	Unknown            int     `json:"unknown"`
+	Doubled            int     `json:"doubled"`
+	WrongAnswer        int     `json:"wrongAnswer"`
+	WrongVersion       int     `json:"wrongVersion"`
+	CutOff             int     `json:"cutOff"`
+	NotRunButRan       int     `json:"notRunButRan"`
+	OtherBreaches      int     `json:"otherBreaches"`
+	// Use of the entries; 0 where they restarted.
 	EntryCPUUsPerRequest      float64 `json:"entryCpuUsPerRequest"`
 	EntryAllocBytesPerRequest float64 `json:"entryAllocBytesPerRequest"`
 	AddedMsP50                float64 `json:"addedMsP50"`
@@ -100,24 +103,60 @@
 	return load * capacity()
 }
 
-func (r *Result) addLoad(summary house.LoadSummary, seconds float64) {
-	r.Requests = summary.Requests
-	r.Answered = summary.Answered
-	r.NotRunThenAnswered = summary.NotRunThenAnswered
-	r.NotRun = summary.NotRun
-	r.Unknown = summary.Unknown
-	r.WrongAnswer = summary.WrongAnswer
-	r.WrongVersion = summary.WrongVersion
-	r.CutOff = summary.CutOff
-	r.NotRunButRan = summary.Contradicted
-	r.AnsweredPerSecond = float64(summary.Answered) / seconds
-	r.Goodput = float64(summary.Answered-summary.Late) / seconds / r.CapacityPerSecond
+func (r *Result) addRates(one *sending) {
+	all, inTime := one.rates()
+	r.AnsweredPerSecond += all
+	r.Goodput += inTime / r.CapacityPerSecond
+}
+
+// addUse adds what the entries used for each request of all callers.
+func (r *Result) addUse(before, after use, sendings []*sending) {
+	sent := 0
+	for _, one := range sendings {
+		sent += one.summary.Requests
+	}
+	if sent == 0 || after.cpu < before.cpu {
+		return // entries restarted: their counts began anew
+	}
+	r.EntryCPUUsPerRequest = float64((after.cpu - before.cpu).Microseconds()) / float64(sent)
+	r.EntryAllocBytesPerRequest = (after.allocated - before.allocated) / float64(sent)
+}
+
+// addCalm compares with the same load before the trouble; beside a greedy
+// customer these are the small ones.
+func (r *Result) addCalm(c Case, before, during house.LoadCounts) {
+	if c.Greedy {
+		r.Small = compare(before, during)
+		return
+	}
+	r.Calm = compare(before, during)
+}
+
+// addCounts adds what one run of callers was told.
+func (r *Result) addCounts(summary house.LoadSummary) {
+	r.Requests += summary.Requests
+	r.Answered += summary.Answered
+	r.NotRunThenAnswered += summary.NotRunThenAnswered
+	r.NotRun += summary.NotRun
+	r.Unknown += summary.Unknown
+	r.WrongAnswer += summary.WrongAnswer
+	r.WrongVersion += summary.WrongVersion
+	r.CutOff += summary.CutOff
+	r.NotRunButRan += summary.Contradicted
+	for kind, count := range summary.Failures {
+		if r.Failures == nil {
+			r.Failures = map[string]int{}
+		}
+		r.Failures[kind] += count
+	}
+}
+
+func (r *Result) addTimes(summary house.LoadSummary) {
 	r.FirstTokenMsP50 = summary.FirstTokenMsP50
 	r.FirstTokenMsP95 = summary.FirstTokenMsP95
 	r.FirstTokenMsP99 = summary.FirstTokenMsP99
 	r.BetweenTokensMsP95 = summary.BetweenTokensMsP95
 	r.AnswerMsP99 = summary.AnswerMsP99
-	r.Failures = summary.Failures
 }
 
 func (r *Result) addFindings(found audit.Findings) {
--- a/bench/internal/requests/run.go
+++ b/bench/internal/requests/run.go
@@ -46,6 +46,10 @@
 	compareTime  = 3 * time.Second
 	compareLoad  = 0.2 // of the capacity, straight and through the system
 	troubleAfter = 3 * time.Second
+	// warmTime and endTime are left out of the rates.
+	warmTime      = 4 * time.Second
+	endTime       = time.Second
+	watchInterval = 500 * time.Millisecond
 	// longTime covers a restart of every entry and agent, each with its drain;
 	// arrivals stop once it is over and a little longer.
 	longTime  = 45 * time.Second
@@ -53,7 +57,7 @@
 	deadline  = 5 * time.Second
 )
 
-// Fractions of the requests.
+// Fractions of the requests; those to services come on top.
 const (
 	nonRepeatable = 0.3
 	doubleSend    = 0.1
@@ -103,7 +107,7 @@
 	}
 	var calm house.LoadSummary
 	if current.Calm {
-		if calm, _, err = r.load(ctx, r.plain(current.Load, calmTime), nil); err != nil {
+		if calm, err = r.load(ctx, r.plain(current.Load, calmTime)); err != nil {
 			return result, err
 		}
 	}
@@ -167,7 +171,6 @@
 		PromptGroups:  promptGroups,
 		NonRepeatable: nonRepeatable,
 		DoubleSend:    doubleSend,
-		Services:      toServices,
 		Deadline:      deadline,
 		Log:           r.options.ProcessLog,
 	}
@@ -177,117 +180,126 @@
 // the same light load of prompts that every engine has cached.
 func (r *run) added(ctx context.Context) (float64, error) {
 	options := r.plain(compareLoad, compareTime)
-	options.PromptGroups, options.NonRepeatable, options.Services = 1, 0, 0
+	options.PromptGroups, options.NonRepeatable = 1, 0
 	options.Direct = true
-	straight, _, err := r.load(ctx, options, nil)
+	straight, err := r.load(ctx, options)
 	if err != nil {
 		return 0, err
 	}
 	options.Direct = false
-	through, _, err := r.load(ctx, options, nil)
+	through, err := r.load(ctx, options)
 	return through.FirstTokenMsP50 - straight.FirstTokenMsP50, err
 }
 
-// load runs callers to their end, and the trouble while they send. Callers go
-// on for as long as the trouble lasts.
-func (r *run) load(ctx context.Context, options house.LoadOptions, happens trouble) (house.LoadSummary, *house.Load, error) {
+// load runs callers to their end.
+func (r *run) load(ctx context.Context, options house.LoadOptions) (house.LoadSummary, error) {
 	load, err := r.house.StartLoad(ctx, options)
 	if err != nil {
-		return house.LoadSummary{}, nil, err
+		return house.LoadSummary{}, err
 	}
-	if happens != nil {
-		if err := pause(ctx, troubleAfter); err != nil {
-			return house.LoadSummary{}, nil, err
-		}
-		r.options.Log.Info("trouble", "case", r.current.Name)
-		if err := happens(ctx, r.house); err != nil {
-			return house.LoadSummary{}, nil, fmt.Errorf("trouble: %w", err)
-		}
+	return load.Wait(ctx)
+}
+
+// strike lets the trouble happen; in a long case arrivals end soon after it.
+func (r *run) strike(ctx context.Context, sendings []*sending) error {
+	if r.current.Trouble == nil {
+		return nil
+	}
+	if err := pause(ctx, troubleAfter); err != nil {
+		return err
+	}
+	r.options.Log.Info("trouble", "case", r.current.Name)
+	if err := r.current.Trouble(ctx, r.house); err != nil {
+		return fmt.Errorf("trouble: %w", err)
+	}
+	if !r.current.Long {
+		return nil
 	}
-	if happens != nil && options.Time > loadTime && !load.Ended() {
-		if err := pause(ctx, afterTime); err != nil {
-			return house.LoadSummary{}, nil, err
+	if err := pause(ctx, afterTime); err != nil {
+		return err
+	}
+	for _, one := range sendings {
+		if one.load.Ended() {
+			continue
 		}
-		if err := load.StopArrivals(ctx); err != nil {
-			return house.LoadSummary{}, nil, err
+		if err := one.load.StopArrivals(ctx); err != nil {
+			return err
 		}
 	}
-	summary, err := load.Wait(ctx)
-	return summary, load, err
+	return nil
 }
 
 // measure runs the case's own load and fills the result.
 func (r *run) measure(ctx context.Context, result *Result, calm house.LoadSummary) error {
-	before := r.usage(ctx)
-	hitsBefore := audit.Collect(ctx, r.house)
-	var greedy greedyLoadResult
-	if r.current.Greedy {
-		greedy = r.startGreedy(ctx)
+	usedBefore, ranBefore := r.usage(ctx), audit.Collect(ctx, r.house)
+	sendings, err := r.sendings(ctx)
+	if err != nil {
+		return err
 	}
-	options := r.plain(r.current.Load, r.current.length())
-	if r.current.Greedy {
-		options.Customers = house.EvenShares(r.customers[1:])
+	err = r.strike(ctx, sendings)
+	for _, one := range sendings {
+		err = errors.Join(err, one.wait(ctx))
 	}
-	summary, load, err := r.load(ctx, options, r.current.Trouble)
-	if err = errors.Join(err, greedy.wait(ctx)); err != nil {
+	if err != nil {
 		return err
 	}
-	after := r.usage(ctx)
-	result.addLoad(summary, r.current.seconds(summary))
-	sent := float64(max(1, summary.Requests+greedy.summary.Requests))
-	result.EntryCPUUsPerRequest = float64((after.cpu - before.cpu).Microseconds()) / sent
-	result.EntryAllocBytesPerRequest = (after.allocated - before.allocated) / sent
+	result.addTimes(sendings[0].summary)
+	for _, one := range sendings {
+		result.addCounts(one.summary)
+		if !one.services {
+			result.addRates(one)
+		}
+	}
+	result.addUse(usedBefore, r.usage(ctx), sendings)
 	if r.current.Calm {
-		result.Calm = compare(calm.LoadCounts, summary.LoadCounts)
+		result.addCalm(r.current, calm.LoadCounts, sendings[0].summary.LoadCounts)
 	}
+	return r.audit(ctx, result, ranBefore, sendings)
+}
+
+// sendings starts the callers: those whose times count first, then a greedy
+// customer's, then those of the plain services, which take nothing of the
+// engines' capacity and so must not count as goodput.
+func (r *run) sendings(ctx context.Context) ([]*sending, error) {
+	engines := r.plain(r.current.Load, r.current.length())
+	services := engines
+	services.Services, services.Rate = 1, toServices*engines.Rate
+	all := []house.LoadOptions{engines, services}
 	if r.current.Greedy {
-		result.Small, result.Calm = result.Calm, nil
-		result.AnsweredPerSecond += float64(greedy.summary.Answered) / loadTime.Seconds()
-		result.Goodput += float64(greedy.summary.Answered-greedy.summary.Late) / loadTime.Seconds() / capacity()
+		all[0].Customers = house.EvenShares(r.customers[1:])
+		greedy := r.plain(greedyLoad, loadTime)
+		greedy.Customers = house.EvenShares(r.customers[:1])
+		all = []house.LoadOptions{all[0], greedy, services}
 	}
-	return r.audit(ctx, result, hitsBefore, load)
+	var begun []*sending
+	for _, options := range all {
+		one, err := r.begin(ctx, options)
+		if err != nil {
+			return nil, err
+		}
+		begun = append(begun, one)
+	}
+	return begun, nil
 }
 
-func (r *run) audit(ctx context.Context, result *Result, before audit.Ledgers, load *house.Load) error {
+func (r *run) audit(ctx context.Context, result *Result, before audit.Ledgers, sendings []*sending) error {
 	ledgers := audit.Collect(ctx, r.house)
-	found, err := audit.CompareFile(load.Record(), ledgers.Runs)
-	if err != nil {
-		return err
+	for _, one := range sendings {
+		found, err := audit.CompareFile(one.load.Record(), ledgers.Runs)
+		if err != nil {
+			return err
+		}
+		result.addFindings(found)
 	}
-	result.addFindings(found)
 	hits := ledgers.CacheHits - before.CacheHits
 	misses := ledgers.CacheMisses - before.CacheMisses
 	result.CacheHitRatio = float64(hits) / float64(max(1, hits+misses))
 	if result.Violations() > 0 {
-		return fmt.Errorf("%d invariants broke: %+v", result.Violations(), found.Examples)
+		return fmt.Errorf("%d invariants broke: %+v", result.Violations(), result.Examples)
 	}
 	return nil
 }
 
-// greedyLoadResult is the large customer's own load.
-type greedyLoadResult struct {
-	load    *house.Load
-	summary house.LoadSummary
-	err     error
-}
-
-// startGreedy lets the first customer send twice the capacity alone.
-func (r *run) startGreedy(ctx context.Context) (out greedyLoadResult) {
-	options := r.plain(greedyLoad, loadTime)
-	options.Customers = house.EvenShares(r.customers[:1])
-	options.Seed++
-	out.load, out.err = r.house.StartLoad(ctx, options)
-	return out
-}
-
-func (g *greedyLoadResult) wait(ctx context.Context) error {
-	if g.load == nil {
-		return g.err
-	}
-	g.summary, g.err = g.load.Wait(ctx)
-	return g.err
-}
-
 // use is what the entries have used so far.
 type use struct {
 	cpu       time.Duration
--- /dev/null
+++ b/bench/internal/requests/sending.go
@@ -0,0 +1,74 @@
+package requests
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/bench/internal/house"
+)
+
+// sending is one run of callers whose rates are measured.
+type sending struct {
+	load     *house.Load
+	services bool              // sends to plain services alone
+	summary  house.LoadSummary // set by wait
+	// first and last are the counts after the warm-up and close to the end of
+	// the arrivals: what is answered after them would flatter an overload.
+	first, last house.LoadSummary
+	watched     sync.WaitGroup
+	problem     error // of the watching
+}
+
+// begin starts callers and reads their counts meanwhile.
+func (r *run) begin(ctx context.Context, options house.LoadOptions) (*sending, error) {
+	load, err := r.house.StartLoad(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	s := &sending{load: load, services: options.Services == 1}
+	s.watched.Go(func() { s.problem = s.watch(ctx, options.Time) })
+	return s, nil
+}
+
+func (s *sending) watch(ctx context.Context, length time.Duration) (err error) {
+	if err := pause(ctx, warmTime); err != nil {
+		return err
+	}
+	if s.first, err = s.load.Progress(ctx); err != nil {
+		return err
+	}
+	for end := time.Now().Add(length - warmTime - endTime); time.Now().Before(end); {
+		if err := pause(ctx, watchInterval); err != nil {
+			return err
+		}
+		seen, err := s.load.Progress(ctx)
+		if err != nil && s.load.Ended() {
+			return nil // the arrivals were stopped
+		}
+		if err != nil {
+			return err
+		}
+		s.last = seen
+	}
+	return nil
+}
+
+// wait waits for the last request's outcome.
+func (s *sending) wait(ctx context.Context) (err error) {
+	s.summary, err = s.load.Wait(ctx)
+	s.watched.Wait()
+	return errors.Join(err, s.problem)
+}
+
+// rates returns the answers a second, all and those in time.
+func (s *sending) rates() (all, inTime float64) {
+	seconds := s.last.Seconds - s.first.Seconds
+	if seconds <= 0 {
+		return 0, 0
+	}
+	answers := s.last.Answered - s.first.Answered
+	late := s.last.Late - s.first.Late
+	return float64(answers) / seconds, float64(answers-late) / seconds
+}
