--- /dev/null
+++ b/entry/internal/planner/planner_test.go
@@ -0,0 +1,233 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// desk is one planner with what it sees; two desks may share a service.
+type desk struct {
+	clock   *clockwork.FakeClock
+	service *kv.Store
+	view    *view.Holder
+	planner *Planner
+	fence   uint64 // 0: not in charge
+	offered []*wire.Plan
+}
+
+func newDesk(clock *clockwork.FakeClock, service *kv.Store, fence uint64) *desk {
+	d := &desk{clock: clock, service: service, view: view.NewHolder(), fence: fence}
+	d.planner = New(Config{
+		View:    d.view,
+		Service: service,
+		Holding: func() (uint64, bool) { return d.fence, d.fence != 0 },
+		Offer:   func(plan *wire.Plan) { d.offered = append(d.offered, plan) },
+		Clock:   clock,
+		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	return d
+}
+
+// see shows the planner a document of the revision and the hosts heard.
+func (d *desk) see(revision uint32, hosts ...string) {
+	doc := document.Example()
+	doc.Models = []*wire.Model{{Name: "parcel", Version: "v1", Replicas: []*wire.Replicas{{FailureDomain: "a", Count: 2}}}}
+	snap := &view.Snapshot{Revision: revision, Document: doc}
+	for _, id := range hosts {
+		report := &wire.HostReport{Node: &wire.Node{Id: id, FailureDomain: "a"}, Endpoint: "engine"}
+		snap.Hosts = append(snap.Hosts, view.NewHost(report, d.clock.Now(), false, false))
+	}
+	d.view.Store(snap)
+}
+
+func (d *desk) step(t *testing.T) {
+	t.Helper()
+	if err := d.planner.Step(context.Background()); err != nil {
+		t.Fatalf("got %v, want a step without error", err)
+	}
+}
+
+func storedPlan(t *testing.T, service *kv.Store) *wire.Plan {
+	t.Helper()
+	entry, _, err := service.Get(context.Background(), PlanKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := &wire.Plan{}
+	if err := proto.Unmarshal(entry.Value(), plan); err != nil {
+		t.Fatal(err)
+	}
+	return plan
+}
+
+func hostsOf(plan *wire.Plan) string {
+	out := ""
+	for _, assignment := range plan.GetAssignments() {
+		out += assignment.GetHost() + " "
+	}
+	return out
+}
+
+func TestPlanIsWrittenOnceAndOffered(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDesk(clock, kv.NewMemory(clock), 5)
+	d.see(3, "a1", "a2", "a3")
+	for range 3 {
+		d.step(t)
+	}
+	plan := storedPlan(t, d.service)
+	if plan.GetPlanRevision() != 1 || plan.GetRevision() != 3 || plan.GetFence() != 5 || len(plan.GetAssignments()) != 2 {
+		t.Errorf("got plan %v, want revision 1 of document 3 under fence 5 with 2 hosts", plan)
+	}
+	if got := len(d.offered); got != 1 {
+		t.Errorf("got %d plans offered, want 1", got)
+	}
+}
+
+// TestNotInChargeWritesNothing: a process without the lease must not plan, and
+// one that loses it between computing and writing must not write.
+func TestNotInChargeWritesNothing(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDesk(clock, kv.NewMemory(clock), 0)
+	d.see(1, "a1", "a2")
+	d.step(t)
+	looks := 0
+	d.planner.cfg.Holding = func() (uint64, bool) {
+		looks++
+		return 5, looks == 1
+	}
+	d.step(t)
+	if _, found, _ := d.service.Get(context.Background(), PlanKey); found {
+		t.Errorf("got a plan written by a process that was not in charge, want none")
+	}
+}
+
+// TestPausedHolderDoesNoHarm: a holder is paused past its lease, another plans,
+// the first wakes and still believes. Its swap must fail and it must see the
+// higher fence.
+func TestPausedHolderDoesNoHarm(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	service := kv.NewMemory(clock)
+	first, second := newDesk(clock, service, 5), newDesk(clock, service, 9)
+	first.see(1, "a1", "a2")
+	first.step(t)
+	second.see(2, "a2", "a3", "a4")
+	second.step(t)
+	clock.Advance(time.Minute)
+	second.step(t)
+	written := storedPlan(t, service)
+	first.see(1, "a1", "a3")
+	clock.Advance(time.Minute)
+	_ = first.planner.Step(context.Background())
+	clock.Advance(time.Minute)
+	if err := first.planner.Step(context.Background()); failure.KindOf(err) != failure.Conflict {
+		t.Errorf("got %v, want kind conflict for a swap over a plan it never saw", err)
+	}
+	if got := storedPlan(t, service); !proto.Equal(got, written) {
+		t.Errorf("got plan %v after the paused holder woke, want %v", got, written)
+	}
+	if err := first.planner.Step(context.Background()); failure.KindOf(err) != failure.Stale {
+		t.Errorf("got %v, want kind stale for the smaller fence", err)
+	}
+}
+
+// TestNewHolderKnowsFewHosts: a planner that just started has not heard of the
+// hosts in the stored plan. It must not take them for gone.
+func TestNewHolderKnowsFewHosts(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	service := kv.NewMemory(clock)
+	first, second := newDesk(clock, service, 5), newDesk(clock, service, 9)
+	first.see(1, "a1", "a2")
+	first.step(t)
+	second.see(1, "a7", "a8")
+	second.step(t)
+	clock.Advance(20 * time.Second)
+	second.step(t)
+	if got, want := hostsOf(storedPlan(t, service)), "a1 a2 "; got != want {
+		t.Errorf("got hosts %q after 20 s, want %q", got, want)
+	}
+	clock.Advance(11 * time.Second)
+	second.step(t)
+	if got, want := hostsOf(storedPlan(t, service)), "a7 a8 "; got != want {
+		t.Errorf("got hosts %q after 31 s of silence, want %q", got, want)
+	}
+}
+
+// TestLostReplyOfAPlan: the swap took effect and its reply was lost. The next
+// step reads the stored plan and goes on from it.
+func TestLostReplyOfAPlan(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	service := kv.NewMemory(clock)
+	plain, lose := service.Swap, true
+	service.Swap = func(ctx context.Context, key string, value []byte, at uint64, lease string) (uint64, error) {
+		revision, err := plain(ctx, key, value, at, lease)
+		if lose && err == nil {
+			lose = false
+			return 0, failure.New(failure.Ambiguous, "the reply was lost", "read again")
+		}
+		return revision, err
+	}
+	d := newDesk(clock, service, 5)
+	d.see(1, "a1", "a2")
+	if err := d.planner.Step(context.Background()); failure.KindOf(err) != failure.Ambiguous {
+		t.Fatalf("got %v, want kind ambiguous", err)
+	}
+	d.step(t)
+	if got := storedPlan(t, service).GetPlanRevision(); got != 1 {
+		t.Errorf("got plan revision %d, want the one that was written", got)
+	}
+	d.see(2, "a1", "a2")
+	d.step(t)
+	if got := fmt.Sprint(d.planner.stored.GetPlanRevision()); got != "1" {
+		t.Errorf("got plan revision %s, want 1: nothing changed", got)
+	}
+}
+
+// TestServiceLosesThePlan: the service was restored without the newest plan.
+// The next one must have a higher revision than the one in force, or processes
+// would take it for old.
+func TestServiceLosesThePlan(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDesk(clock, kv.NewMemory(clock), 5)
+	d.see(1, "a1", "a2")
+	before, _ := d.view.Load()
+	next := *before
+	next.PlanRevision, next.Plan = 8, &wire.Plan{PlanRevision: 8, Fence: 4}
+	d.view.Store(&next)
+	d.step(t)
+	if got := storedPlan(t, d.service).GetPlanRevision(); got != 9 {
+		t.Errorf("got plan revision %d, want 9", got)
+	}
+}
+
+func TestServicesHostsAreLeftOut(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDesk(clock, kv.NewMemory(clock), 5)
+	d.see(1, "a1")
+	before, _ := d.view.Load()
+	next := *before
+	for _, report := range []*wire.HostReport{
+		{Node: &wire.Node{Id: "s1", FailureDomain: "a"}, Service: "notices"},
+		{Node: &wire.Node{Id: "s2", FailureDomain: "a"}, Endpoint: "notices"},
+	} {
+		next.Hosts = append(next.Hosts, view.NewHost(report, clock.Now(), false, false))
+	}
+	d.view.Store(&next)
+	d.step(t)
+	if got, want := hostsOf(storedPlan(t, d.service)), "a1 "; got != want {
+		t.Errorf("got hosts %q, want %q", got, want)
+	}
+}
