Audit: only the death of its entry explains an answer without its end

Cause: a soak killed entries and counted the answers that they were sending as cut off; a real cut by a graceful shutdown would have looked the same. Change: the callers' record names the entry and the moment of each outcome; the audit excuses a cut only within a second of that entry's death. Conclusion: a soak fails for cuts that nothing explains.

--- a/bench/internal/audit/audit.go
+++ b/bench/internal/audit/audit.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"time"
 
 	"comfreyrelay.example/bench/internal/house"
 )
@@ -22,6 +23,7 @@
 const (
 	outcomeNotRun   = "notRun"
 	outcomeAnswered = "answered"
+	outcomeCutOff   = "cutOff"
 )
 
 // Line is one request in the caller's record.
@@ -37,6 +39,23 @@
 	Detail     string `json:"detail"`
 	Version    string `json:"version"`
 	Attempts   int    `json:"attempts"`
+	Address    string `json:"address"`
+	EndedAt    int64  `json:"endedAt"` // Unix milliseconds
+}
+
+// Death is an entry that was killed: it cuts the answers that it was sending,
+// and nothing else may.
+type Death struct {
+	Address string // of the entry for callers
+	At      time.Time
+}
+
+// deathSlack is how far apart a death and the cut that it explains may be.
+const deathSlack = time.Second
+
+func (d Death) explains(line Line) bool {
+	apart := time.UnixMilli(line.EndedAt).Sub(d.At).Abs()
+	return line.Address == d.Address && apart <= deathSlack
 }
 
 // Runs counts how often back ends began each request. Contents, unique to each
@@ -78,6 +97,7 @@
 	KindRanNotRun  = "notRunButRan"
 	KindUnverified = "unverified"
 	KindNeverRan   = "answeredButNeverRan"
+	KindCutShort   = "cutShort"
 	kindCutOff     = "cutOff"
 )
 
@@ -96,6 +116,9 @@
 	NotRunButRan int
 	// CutOff counts runs that an order to the engine cut.
 	CutOff int
+	// CutShort counts answers that a caller got without an end though the entry
+	// lived; CutByDeath those whose entry was killed.
+	CutShort, CutByDeath int
 	// Other counts what else engines saw and must never happen.
 	Other int
 	// Unverified counts ids that a back end forgot.
@@ -109,7 +132,7 @@
 
 // Breaches returns the sum of all that must be 0.
 func (f Findings) Breaches() int {
-	return f.Doubled + f.NotRunButRan + f.CutOff + f.Other
+	return f.Doubled + f.NotRunButRan + f.CutOff + f.CutShort + f.Other
 }
 
 func (f *Findings) add(breach Breach) {
@@ -120,7 +143,7 @@
 
 // Compare reads the caller's record, one JSON object a line, and compares it
 // with the runs.
-func Compare(record io.Reader, runs *Runs) (Findings, error) {
+func Compare(record io.Reader, runs *Runs, deaths []Death) (Findings, error) {
 	found := Findings{Unverified: runs.forgotten}
 	for _, breach := range runs.breaches {
 		if breach.Kind == kindCutOff {
@@ -138,6 +161,7 @@
 			return found, fmt.Errorf("the caller's record cannot be read: %w", err)
 		}
 		found.compare(line, runs)
+		found.compareEnd(line, deaths)
 	}
 	return found, lines.Err()
 }
@@ -161,3 +185,17 @@
 		f.add(Breach{Kind: KindNeverRan, RequestID: id, Detail: fmt.Sprintf("request %d was answered, no record shows a run", line.ID)})
 	}
 }
+
+func (f *Findings) compareEnd(line Line, deaths []Death) {
+	if line.Outcome != outcomeCutOff {
+		return
+	}
+	for _, death := range deaths {
+		if death.explains(line) {
+			f.CutByDeath++
+			return
+		}
+	}
+	f.CutShort++
+	f.add(Breach{Kind: KindCutShort, RequestID: line.RequestID, Detail: fmt.Sprintf("request %d at %s: %s", line.ID, line.Address, line.Detail)})
+}
--- a/bench/internal/audit/collect.go
+++ b/bench/internal/audit/collect.go
@@ -54,12 +54,17 @@
 	return out
 }
 
-// CompareFile is Compare on the record in a file.
-func CompareFile(name string, runs *Runs) (Findings, error) {
+// CompareFile is Compare on the record in a file, with the deaths of the
+// house's entries.
+func CompareFile(name string, runs *Runs, h *house.House) (Findings, error) {
 	file, err := os.Open(name)
 	if err != nil {
 		return Findings{}, err
 	}
 	defer file.Close()
-	return Compare(file, runs)
+	var deaths []Death
+	for _, death := range h.Deaths() {
+		deaths = append(deaths, Death{Address: death.Member.CallersAddress(), At: death.At})
+	}
+	return Compare(file, runs, deaths)
 }
--- a/bench/internal/burst/roll.go
+++ b/bench/internal/burst/roll.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	found, err := audit.CompareFile(during.Record(), audit.Collect(ctx, r.house).Runs)
+	found, err := audit.CompareFile(during.Record(), audit.Collect(ctx, r.house).Runs, r.house)
 	if err != nil {
 		return err
 	}
@@ -148,7 +148,7 @@
 		Answered:              busy.Answered,
 		BetweenTokensMsP95:    busy.BetweenTokensMsP95,
 		BetweenTokensMsBefore: quiet.BetweenTokensMsP95,
-		Violations:            found.Breaches() + busy.WrongAnswer + busy.WrongVersion + busy.CutOff + busy.Contradicted,
+		Violations:            found.Breaches() + busy.WrongAnswer + busy.WrongVersion + busy.Contradicted,
 	}
 	if result.Load.Violations > 0 {
 		return fmt.Errorf("%d invariants broke during the roll: %+v", result.Load.Violations, found.Examples)
--- a/bench/internal/house/house.go
+++ b/bench/internal/house/house.go
@@ -44,6 +44,13 @@
 	mu        sync.Mutex
 	processes []*process.Process // all ever started, in the order of start
 	stopped   bool
+	deaths    []Death
+}
+
+// Death is a member that Kill ended.
+type Death struct {
+	Member *Member
+	At     time.Time
 }
 
 // Start starts a house and waits until every process listens. After an error
@@ -203,9 +210,19 @@
 			return err
 		}
 	}
+	h.mu.Lock()
+	h.deaths = append(h.deaths, Death{Member: m, At: time.Now()})
+	h.mu.Unlock()
 	return m.process.Kill()
 }
 
+// Deaths returns the members that Kill ended so far.
+func (h *House) Deaths() []Death {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Death(nil), h.deaths...)
+}
+
 func (h *House) killEngine(ctx context.Context, m *Member) error {
 	if m.engine == nil {
 		return h.SetEngineFaults(ctx, m, EngineFaults{Dead: true})
--- a/bench/internal/soak/run.go
+++ b/bench/internal/soak/run.go
@@ -59,16 +59,17 @@
 
 // Result is the run's JSON line.
 type Result struct {
-	Bench      string  `json:"bench"`
-	Seed       uint64  `json:"seed"`
-	Seconds    float64 `json:"seconds"`
-	Requests   int     `json:"requests"`
-	Answered   int     `json:"answered"`
-	NotRun     int     `json:"notRun"`
-	Unknown    int     `json:"unknown"`
-	Faults     int     `json:"faults"`
-	Documents  int     `json:"documents"`
-	Violations int     `json:"violations"`
+	Bench    string  `json:"bench"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	Requests int     `json:"requests"`
+	Answered int     `json:"answered"`
+	NotRun   int     `json:"notRun"`
+	// Unknown holds answers that the death of their entry cut short.
+	Unknown    int `json:"unknown"`
+	Faults     int `json:"faults"`
+	Documents  int `json:"documents"`
+	Violations int `json:"violations"`
 	// First is the first violation with the events before it.
 	First *History `json:"first,omitempty"`
 	// ConvergeSeconds is from the end of the faults until all serve the last
@@ -271,7 +272,7 @@
 // judge compares the records once all is over.
 func (r *run) judge(ctx context.Context, result *Result) error {
 	ledgers := audit.Collect(ctx, r.house)
-	found, err := audit.CompareFile(r.load.Record(), ledgers.Runs)
+	found, err := audit.CompareFile(r.load.Record(), ledgers.Runs, r.house)
 	if err != nil {
 		return err
 	}
@@ -292,19 +293,19 @@
 }
 
 func (r *run) judgeLoad(summary house.LoadSummary) {
-	wrong := summary.WrongAnswer + summary.WrongVersion + summary.CutOff + summary.Contradicted
+	wrong := summary.WrongAnswer + summary.WrongVersion + summary.Contradicted
 	if wrong == 0 {
 		return
 	}
 	for _, example := range summary.Examples {
 		switch example.Outcome {
-		case "wrongAnswer", "wrongVersion", "cutOff":
+		case "wrongAnswer", "wrongVersion":
 			r.violate(example.Outcome, example.RequestID+": "+example.Detail)
 			wrong--
 		}
 	}
 	if wrong > 0 {
-		r.violate("callers", fmt.Sprintf("%d further answers were wrong, cut off or contradicted", wrong))
+		r.violate("callers", fmt.Sprintf("%d further answers were wrong or contradicted", wrong))
 	}
 }
 
@@ -326,7 +327,7 @@
 	r.Requests = summary.Requests
 	r.Answered = summary.Answered
 	r.NotRun = summary.NotRun
-	r.Unknown = summary.Unknown
+	r.Unknown = summary.Unknown + summary.CutOff
 }
 
 func pause(ctx context.Context, wait time.Duration) error {
--- a/standin/internal/load/caller.go
+++ b/standin/internal/load/caller.go
@@ -166,6 +166,7 @@
 	for _, address := range addresses[skip:min(len(addresses), skip+maxAddresses)] {
 		sent.address = address
 		judged = c.load.sender.send(ctx, sent)
+		judged.address = address
 		if judged.kind != kindUnreachable {
 			break
 		}
--- a/standin/internal/load/ledger.go
+++ b/standin/internal/load/ledger.go
@@ -23,6 +23,11 @@
 	Tokens     int    `json:"tokens"`
 	Attempts   int    `json:"attempts"`
 	Millis     int64  `json:"millis"`
+	// Address is that of the entry which the last attempt went to, EndedAt the
+	// moment of the outcome in Unix milliseconds: an entry that was killed then
+	// explains an answer without an end.
+	Address string `json:"address,omitempty"`
+	EndedAt int64  `json:"endedAt"`
 }
 
 // ledger writes one line a request.
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -129,11 +129,11 @@
 		// ends them.
 		found := current.run(context.Background())
 		l.tally.add(customer.Name, found, current.arrived)
-		l.ledger.write(entryOf(l.options.Model, planned, customer, found))
+		l.ledger.write(entryOf(l.options.Model, planned, customer, found, current.arrived.Add(found.took)))
 	})
 }
 
-func entryOf(model string, planned request, customer Customer, found result) Entry {
+func entryOf(model string, planned request, customer Customer, found result, ended time.Time) Entry {
 	return Entry{
 		ID:         planned.number,
 		RequestID:  found.requestID,
@@ -148,6 +148,8 @@
 		Tokens:     found.tokens,
 		Attempts:   found.attempts,
 		Millis:     found.took.Milliseconds(),
+		Address:    found.address,
+		EndedAt:    ended.UnixMilli(),
 	}
 }
 
--- a/standin/internal/load/reading.go
+++ b/standin/internal/load/reading.go
@@ -39,6 +39,7 @@
 	tokens     int
 	retryAfter time.Duration // 0 if unknown
 	spares     []string      // entries to use instead
+	address    string        // that the attempt was sent to; "" if none
 
 	firstToken time.Time // zero before any
 	gaps       []time.Duration
