Agent: tests that fail without the content hash and the engine's fence

Change: a root is tested as a whole; the restart test waits until the old plan's bytes are there and the report names the refusal. Conclusion: a hold-up by fence is visible to operators too.

--- a/agent/internal/cmd/agent_test.go
+++ b/agent/internal/cmd/agent_test.go
@@ -149,7 +149,11 @@
 	b.start()
 	defer b.stop()
 	b.eventually("v2 is served again", func() bool { return b.entry.serves(second) })
-	time.Sleep(time.Second) // the bytes of v1 arrive meanwhile
+	b.eventually("the bytes of v1 are there and the plan is refused", func() bool {
+		return slices.ContainsFunc(b.entry.last().GetVersions(), func(state *wire.VersionState) bool {
+			return state.GetVersion() == first && state.GetState() == "whole" && strings.Contains(state.GetHoldUp(), "older")
+		})
+	})
 	if got, want := b.engine.obeyed(), []uint64{9}; !slices.Equal(got, want) {
 		t.Errorf("got orders with fences %v, want %v", got, want)
 	}
--- a/agent/internal/control/control_test.go
+++ b/agent/internal/control/control_test.go
@@ -120,6 +120,22 @@
 	}
 }
 
+// Symptom: a document that nobody submitted is in force. Sequence: a root comes
+// with a part too few, each part right by itself; or as a difference from a root
+// with another content. Cause: parts checked one by one only.
+func TestRootIsCheckedAsAWhole(t *testing.T) {
+	now := time.Unix(1000, 0)
+	known := newKnowledge(now)
+	doc := publish(3, 1)
+	doc.root.Parts = doc.root.GetParts()[1:]
+	if _, err := known.adopt(t.Context(), doc.reply(), now, doc.fetch); failure.KindOf(err) != failure.Corrupt {
+		t.Errorf("got %v, want an error of kind %s", err, failure.Corrupt)
+	}
+	if got := known.snapshot(now).Revision; got != 0 {
+		t.Errorf("got revision %d in force, want 0", got)
+	}
+}
+
 // An entry that was started in an outage is offered the document.
 func TestOfferToEntryThatKnowsLess(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/agent/internal/orders/runner.go
+++ b/agent/internal/orders/runner.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// holdUpStale is what a report says where the fence refuses the plan.
+const holdUpStale = "the plan known here is older than one that was obeyed before"
+
 // Config holds what a Runner needs from its process.
 type Config struct {
 	Self  *wire.Node
@@ -313,6 +316,10 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Clock.Now()
 	may, holdUp := r.maySwitch(snap, now)
+	verdict := r.verdict(snap)
+	if verdict == fence.Refuse {
+		holdUp = holdUpStale
+	}
 	r.holdUp = holdUp
 	return Situation{
 		Want:      r.want,
@@ -324,7 +331,7 @@
 		Switching: !r.switching.Empty() && r.switching.Equal(r.want),
 		Unwanted:  !r.synced.IsZero() && !r.unwanted.IsZero() && now.Sub(r.unwanted) >= unwantedAfter,
 		Backoff:   now.Before(r.backoff),
-		Verdict:   r.verdict(snap),
+		Verdict:   verdict,
 		Phase:     state.Phase(),
 		Open:      state.Loaded(),
 	}
