--- a/agent/internal/gate/deadline.go
+++ b/agent/internal/gate/deadline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -20,5 +21,5 @@
 
 // late reports whether the context ended by its deadline.
 func late(ctx context.Context) bool {
-	return context.Cause(ctx) == context.DeadlineExceeded
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
