Control: bounded memory, strangers, hostile messages

Cause: what is remembered of hosts that are gone was never dropped; a root without parts could have come into force as an empty document.

--- a/entry/internal/control/control_test.go
+++ b/entry/internal/control/control_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/wire"
 )
 
 // inFleet runs a test on a fleet in fake time.
@@ -16,7 +17,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := newFleet(t, ctx, seed)
+		f := newFleet(ctx, t, seed)
 		f.start(entries, agents)
 		time.Sleep(10 * time.Second)
 		test(f)
@@ -146,6 +147,69 @@
 	})
 }
 
+// TestAgentSpeaksForItselfOnly: an agent's report on another host must have no
+// effect, or one bad agent could take the whole house out of service.
+func TestAgentSpeaksForItselfOnly(t *testing.T) {
+	inFleet(t, 8, 1, 2, func(f *fleet) {
+		req := f.agents["agent-000"].request()
+		victim := f.agents["agent-001"].node
+		req.Hosts = append(req.Hosts, &wire.HostReport{Node: victim, Sequence: 1 << 40, Leaving: true})
+		if _, err := f.sync(f.ctx, "a", "entry-00", req); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		snap, _ := f.any().view.Load()
+		if host, known := findHost(snap, victim.GetId()); !known || host.Leaving() {
+			t.Errorf("got %s leaving %t (known %t) by another agent's word, want it usable", victim.GetId(), host.Leaving(), known)
+		}
+	})
+}
+
+// TestStrangersAreRefused: a process that runs secure takes no call without a
+// certificate, whatever the message says of its sender.
+func TestStrangersAreRefused(t *testing.T) {
+	inFleet(t, 9, 1, 0, func(f *fleet) {
+		server := f.any().server
+		server.secure = true
+		from := &wire.Node{Id: "entry-00", Incarnation: "i1", Role: "entry"}
+		_, err := server.Sync(f.ctx, &wire.SyncRequest{From: from})
+		if failure.KindOf(err) != failure.Unauthorized {
+			t.Errorf("got %v from Sync, want kind unauthorized", err)
+		}
+		_, err = server.Parts(f.ctx, &wire.PartsRequest{From: from})
+		if failure.KindOf(err) != failure.Unauthorized {
+			t.Errorf("got %v from Parts, want kind unauthorized", err)
+		}
+		_, err = server.Claim(f.ctx, &wire.ClaimRequest{From: from})
+		if failure.KindOf(err) != failure.Unauthorized {
+			t.Errorf("got %v from Claim, want kind unauthorized", err)
+		}
+	})
+}
+
+// TestMemoryIsBounded: hosts that are gone for good leave nothing behind in the
+// table or in what is remembered of each neighbour.
+func TestMemoryIsBounded(t *testing.T) {
+	inFleet(t, 10, 3, 0, func(f *fleet) {
+		for i := range 300 {
+			f.startAgent(fmt.Sprintf("brief-%03d", i), "a")
+		}
+		time.Sleep(30 * time.Second)
+		for _, agent := range f.agents {
+			agent.stop()
+		}
+		time.Sleep(35 * time.Minute)
+		for _, m := range f.entries {
+			if got := m.house.hosts.Len(); got != 3 {
+				t.Errorf("got %d members known to %s, want the 3 entries", got, m.node.GetId())
+			}
+			if got := m.exchange.sessions.remembered(); got != 0 {
+				t.Errorf("got %d hosts remembered for neighbours by %s, want 0", got, m.node.GetId())
+			}
+		}
+	})
+}
+
 // TestDeafWatches: every watch goes on without telling of a change, which no
 // error shows. The slow reads of all entries find it.
 func TestDeafWatches(t *testing.T) {
--- a/entry/internal/control/fleet_test.go
+++ b/entry/internal/control/fleet_test.go
@@ -58,6 +58,7 @@
 	node     *wire.Node
 	house    *House
 	server   *Server
+	exchange *Exchange
 	docs     *store.Store
 	view     *view.Holder
 	watching *Contender
@@ -65,7 +66,7 @@
 	ended    sync.WaitGroup
 }
 
-func newFleet(t *testing.T, ctx context.Context, seed uint64) *fleet {
+func newFleet(ctx context.Context, t *testing.T, seed uint64) *fleet {
 	f := &fleet{
 		t: t, ctx: ctx, service: kv.NewMemoryService(clockwork.NewRealClock()), random: rand.New(rand.NewPCG(seed, 7)),
 		entries: map[string]*member{}, agents: map[string]*fakeAgent{}, cutOff: map[string]bool{},
@@ -102,6 +103,7 @@
 	m.house = NewHouse(m.node, parts, m.view, clock, log)
 	self := NewSelf(m.node, func() int { return 0 }, func() []*wire.Demand { return nil }, m.house.Known, m.house.HomeRevision)
 	exchange := NewExchange(m.house, self.Latest)
+	m.exchange = exchange
 	syncer := NewSyncer(exchange, nil, m.docs.Fetch, 2*time.Second)
 	syncer.call = func(ctx context.Context, to *wire.Node, req *wire.SyncRequest) (*wire.SyncReply, error) {
 		return f.sync(ctx, region, to.GetId(), req)
--- a/entry/internal/control/house.go
+++ b/entry/internal/control/house.go
@@ -221,7 +221,7 @@
 }
 
 func (h *House) assemble(ctx context.Context, root *wire.Root, fetch Fetch) (*wire.Document, error) {
-	if document.ContentHash(root.GetParts()) != root.GetAudit().GetContentHash() {
+	if len(root.GetParts()) == 0 || document.ContentHash(root.GetParts()) != root.GetAudit().GetContentHash() {
 		return nil, failure.New(failure.Corrupt, "a root does not match its content hash", "fetch it from another process")
 	}
 	lacking := document.Missing(root, h.parts.Has)
--- a/entry/internal/control/members.go
+++ b/entry/internal/control/members.go
@@ -91,6 +91,17 @@
 	m.each(func(t *membership.Table) { t.Adjust(jump) })
 }
 
+// Forget drops the members that were silent for long and are not listed.
+func (m *Members) Forget(now time.Time) {
+	m.each(func(t *membership.Table) { t.Forget(now) })
+}
+
+// Knows reports whether the host or entry is known.
+func (m *Members) Knows(id string) (known bool) {
+	m.shard(id).with(func(t *membership.Table) { known = t.Knows(id) })
+	return known
+}
+
 // Len returns the number of members known.
 func (m *Members) Len() int {
 	count := 0
--- a/entry/internal/control/session.go
+++ b/entry/internal/control/session.go
@@ -81,6 +81,36 @@
 	}
 }
 
+// forget drops what is remembered of hosts and entries that are no longer known:
+// without it, memory would grow with every host that ever was.
+func (s *sessions) forget(known func(id string) bool) {
+	s.mu.Lock()
+	held := make([]*session, 0, len(s.byID))
+	for _, visit := range s.byID {
+		held = append(held, visit.session)
+	}
+	s.mu.Unlock()
+	for _, one := range held {
+		one.mu.Lock()
+		one.hosts.Forget(known)
+		one.entries.Forget(known)
+		one.mu.Unlock()
+	}
+}
+
+// remembered returns the number of hosts remembered for all receivers.
+func (s *sessions) remembered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, visit := range s.byID {
+		visit.mu.Lock()
+		count += visit.hosts.Len()
+		visit.mu.Unlock()
+	}
+	return count
+}
+
 // prune ends the sessions of nodes that have not called for a while.
 func (s *sessions) prune(now time.Time) {
 	s.mu.Lock()
--- a/entry/internal/control/syncer.go
+++ b/entry/internal/control/syncer.go
@@ -15,6 +15,8 @@
 const (
 	// chooseInterval is how often the neighbours are chosen anew.
 	chooseInterval = time.Second
+	// forgetInterval is how often what is gone for good is forgotten.
+	forgetInterval = time.Minute
 	// callGrace is what a held call may take beyond its wait.
 	callGrace = 2 * time.Second
 	// retryLeast and retryMost bound the pause after a failed call.
@@ -77,9 +79,16 @@
 	s.mu.Lock()
 	s.base = ctx
 	s.mu.Unlock()
+	forgotAt := s.house.clock.Now()
 	for ctx.Err() == nil {
 		s.choose(ctx)
-		s.exchange.sessions.prune(s.house.clock.Now())
+		now := s.house.clock.Now()
+		s.exchange.sessions.prune(now)
+		if now.Sub(forgotAt) >= forgetInterval {
+			forgotAt = now
+			s.house.hosts.Forget(now)
+			s.exchange.sessions.forget(s.house.hosts.Knows)
+		}
 		sleep(ctx, s.house.clock, chooseInterval)
 	}
 }
--- a/relay/membership/membership.go
+++ b/relay/membership/membership.go
@@ -192,7 +192,7 @@
 			t.at(id).listed = &list[i]
 		}
 	}
-	t.forget(now)
+	t.Forget(now)
 }
 
 // Adjust moves the moments of hearing after this process itself stood still
@@ -206,7 +206,12 @@
 	}
 }
 
-func (t *Table) forget(now time.Time) {
+// Knows reports whether the host or entry is known.
+func (t *Table) Knows(id string) bool { return t.members[id] != nil }
+
+// Forget drops the members that were silent for long and that the newest list
+// lacks; it bounds the table.
+func (t *Table) Forget(now time.Time) {
 	for id, held := range t.members {
 		if held.listed == nil && now.Sub(held.heardAt) > t.limits.ForgetAfter {
 			delete(t.members, id)
