burst: fewer calls, hosts that begin one after the other, silent hosts

Change: an owner hears the next two in rank before it draws while it is young; requests and chunks bear reports, so exchanges come every 500 ms; an idle uplink is offered to one neighbour after the other; 10 chosen neighbours in place of 7; a peer that let a request time out in silence is taken to be unreachable.

--- a/agent/internal/weights/fetch.go
+++ b/agent/internal/weights/fetch.go
@@ -105,20 +105,38 @@
 		t.mgr.originBytes.Add(uint64(len(data)))
 		return data, err
 	}
-	data, err := t.mgr.fromPeer(ctx, key.source, t.version, uint32(key.chunk), size)
+	data, err := t.chunkFromPeer(ctx, key.source, key.chunk, size)
 	t.mgr.peerBytes.Add(uint64(len(data)))
 	return data, err
 }
 
-// fromPeer asks a peer for one chunk, or for the manifest.
-func (m *Manager) fromPeer(ctx context.Context, id, version string, index uint32, limit int) ([]byte, *fetchError) {
+// chunkFromPeer asks a peer for one chunk and takes over what it reports.
+func (t *transfer) chunkFromPeer(ctx context.Context, id string, index, size int) ([]byte, *fetchError) {
+	report := t.report()
+	req := &wire.ChunkRequest{
+		From: t.mgr.cfg.Self, Version: t.version, Index: uint32(index),
+		Chunks: report.Held, Drawn: report.Drawn, UploadQueue: uint32(report.Queue),
+	}
+	return t.mgr.fromPeer(ctx, id, req, size, func(first *wire.ChunkData) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.core.Answered(t.now(), id, burst.Report{
+			Held: first.GetChunks(), Drawn: first.GetDrawn(), Queue: int(first.GetUploadQueue()),
+		})
+	})
+}
+
+// fromPeer asks a peer for one chunk, or for the manifest; answered gets the
+// first message.
+func (m *Manager) fromPeer(ctx context.Context, id string, req *wire.ChunkRequest, limit int,
+	answered func(first *wire.ChunkData)) ([]byte, *fetchError) {
 	client, err := m.client(ctx, id)
 	if err != nil {
 		return nil, broken(err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := client.Chunk(ctx, &wire.ChunkRequest{From: m.cfg.Self, Version: version, Index: index})
+	stream, err := client.Chunk(ctx, req)
 	if err != nil {
 		return nil, broken(err)
 	}
@@ -127,17 +145,24 @@
 	if err != nil {
 		return nil, broken(err)
 	}
-	if wait := first.GetRetryAfterMillis(); wait > 0 {
-		return nil, &fetchError{cause: burst.Busy, retryAfter: time.Duration(wait) * time.Millisecond, err: errors.New("the host is busy")}
-	}
-	size := int(first.GetSize())
-	if size == 0 {
-		return nil, &fetchError{cause: burst.Lacks, err: errors.New("the host lacks the chunk")}
+	answered(first)
+	if refused := refusedByPeer(first, limit); refused != nil {
+		return nil, refused
 	}
-	if size > limit {
-		return nil, &fetchError{cause: burst.Corrupt, err: errors.New("the chunk is larger than the manifest says")}
+	return m.readPieces(ctx, stream, first, int(first.GetSize()))
+}
+
+func refusedByPeer(first *wire.ChunkData, limit int) *fetchError {
+	switch size := int(first.GetSize()); {
+	case first.GetRetryAfterMillis() > 0:
+		wait := time.Duration(first.GetRetryAfterMillis()) * time.Millisecond
+		return &fetchError{cause: burst.Busy, retryAfter: wait, err: errors.New("the host is busy")}
+	case size == 0:
+		return &fetchError{cause: burst.Lacks, err: errors.New("the host lacks the chunk")}
+	case size > limit:
+		return &fetchError{cause: burst.Corrupt, err: errors.New("the chunk is larger than the manifest says")}
 	}
-	return m.readPieces(ctx, stream, first, size)
+	return nil
 }
 
 // readPieces reads a chunk's bytes at the pace of the downlink.
--- a/agent/internal/weights/manifests.go
+++ b/agent/internal/weights/manifests.go
@@ -10,6 +10,7 @@
 	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/relay/manifest"
 	"comfreyrelay.example/relay/rendezvous"
+	"comfreyrelay.example/relay/wire"
 )
 
 const (
@@ -113,7 +114,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
-	encoded, fetchErr := t.mgr.fromPeer(ctx, id, t.version, manifestIndex, maxManifestBytes)
+	req := &wire.ChunkRequest{From: t.mgr.cfg.Self, Version: t.version, Index: manifestIndex}
+	encoded, fetchErr := t.mgr.fromPeer(ctx, id, req, maxManifestBytes, func(*wire.ChunkData) {})
 	if fetchErr != nil {
 		return fetchErr
 	}
--- a/agent/internal/weights/peers.go
+++ b/agent/internal/weights/peers.go
@@ -83,9 +83,8 @@
 // without bitmaps says that this host takes no part in the version.
 func (m *Manager) Have(ctx context.Context, req *wire.HaveRequest) (*wire.HaveReply, error) {
 	from := req.GetFrom()
-	if caller, known := peer.CallerOf(ctx); known && caller.Node() != from.GetId() {
-		return nil, failure.New(failure.Unauthorized, "the caller's certificate names another host",
-			"give the agent the certificate of its own host")
+	if err := checkCaller(ctx, from); err != nil {
+		return nil, err
 	}
 	trans := m.transfer(req.GetVersion())
 	if trans == nil {
@@ -102,6 +101,15 @@
 	}, nil
 }
 
+// checkCaller refuses a caller that names a host other than its certificate's.
+func checkCaller(ctx context.Context, from *wire.Node) error {
+	if caller, known := peer.CallerOf(ctx); known && caller.Node() != from.GetId() {
+		return failure.New(failure.Unauthorized, "the caller's certificate names another host",
+			"give the agent the certificate of its own host")
+	}
+	return nil
+}
+
 // maxAddresses bounds the callers remembered beside the list of peers.
 const maxAddresses = 4096
 
@@ -129,3 +137,12 @@
 	signal(t.wake)
 	return t.core.Report(), true
 }
+
+// report returns what to tell a peer along with a request or an answer.
+func (t *transfer) report() burst.Report {
+	load := t.mgr.uploads.load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.SetUploads(load)
+	return t.core.Report()
+}
--- a/agent/internal/weights/serve.go
+++ b/agent/internal/weights/serve.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc/drpcctx"
 
 	"comfreyrelay.example/agent/internal/link"
+	"comfreyrelay.example/relay/burst"
 	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/relay/wire"
 )
@@ -18,30 +19,57 @@
 
 // Chunk sends one chunk to a peer, paced by the uplink: wire.Host's Chunk.
 func (m *Manager) Chunk(req *wire.ChunkRequest, stream wire.DRPCHost_ChunkStream) error {
+	ctx := stream.Context()
+	if err := checkCaller(ctx, req.GetFrom()); err != nil {
+		return err
+	}
 	trans := m.transfer(req.GetVersion())
 	if trans == nil {
 		return stream.Send(&wire.ChunkData{})
 	}
 	if req.GetIndex() == manifestIndex {
-		return m.send(stream, trans.encodedManifest())
+		return m.send(stream, &wire.ChunkData{}, trans.encodedManifest())
 	}
+	trans.overheard(req)
 	hash, ok := trans.heldHash(req.GetIndex())
 	if !ok {
 		return stream.Send(&wire.ChunkData{})
 	}
-	ctx := stream.Context()
 	retryAfter, err := m.uploads.acquire(ctx, trans.heldBy(req.GetFrom().GetId()))
 	if err != nil {
 		return err
 	}
 	if retryAfter > 0 {
-		return stream.Send(&wire.ChunkData{RetryAfterMillis: uint32(max(1, retryAfter.Milliseconds()))})
+		first := trans.firstPiece()
+		first.RetryAfterMillis = uint32(max(1, retryAfter.Milliseconds()))
+		return stream.Send(first)
 	}
 	began := m.cfg.Clock.Now()
 	defer func() { m.uploads.release(m.cfg.Clock.Since(began)) }()
 	return m.sendChunk(ctx, stream, trans, hash)
 }
 
+// overheard takes over what a request reports of its sender.
+func (t *transfer) overheard(req *wire.ChunkRequest) {
+	if len(req.GetChunks()) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.core == nil {
+		return
+	}
+	t.core.Heard(t.now(), peerOf(req.GetFrom()), burst.Report{
+		Held: req.GetChunks(), Drawn: req.GetDrawn(), Queue: int(req.GetUploadQueue()),
+	})
+}
+
+// firstPiece returns an answer that bears this host's report.
+func (t *transfer) firstPiece() *wire.ChunkData {
+	report := t.report()
+	return &wire.ChunkData{Chunks: report.Held, Drawn: report.Drawn, UploadQueue: uint32(report.Queue)}
+}
+
 func (m *Manager) sendChunk(ctx context.Context, stream wire.DRPCHost_ChunkStream, trans *transfer, hash chunkHash) error {
 	room := int64(trans.manifest().GetChunkBytes())
 	if err := m.window.Acquire(ctx, room); err != nil {
@@ -49,23 +77,23 @@
 	}
 	defer m.window.Release(room)
 	data, err := m.store.get(ctx, hash)
-	if err != nil {
-		if ctx.Err() != nil {
-			return err
-		}
-		m.cfg.Log.Warn("a kept chunk cannot be read", "version", trans.version, "error", err)
-		if kind := failure.KindOf(err); kind == failure.Corrupt || kind == failure.NotFound {
-			m.shareLoss(hash)
-		}
-		return stream.Send(&wire.ChunkData{})
+	if err == nil {
+		return m.send(stream, trans.firstPiece(), data)
+	}
+	if ctx.Err() != nil {
+		return err
+	}
+	m.cfg.Log.Warn("a kept chunk cannot be read", "version", trans.version, "error", err)
+	if kind := failure.KindOf(err); kind == failure.Corrupt || kind == failure.NotFound {
+		m.shareLoss(hash)
 	}
-	return m.send(stream, data)
+	return stream.Send(&wire.ChunkData{})
 }
 
 // send streams data in small pieces at the pace of the uplink; no data means
 // that this host lacks it.
-func (m *Manager) send(stream wire.DRPCHost_ChunkStream, data []byte) error {
-	piece := &wire.ChunkData{Size: uint32(len(data))}
+func (m *Manager) send(stream wire.DRPCHost_ChunkStream, piece *wire.ChunkData, data []byte) error {
+	piece.Size = uint32(len(data))
 	if len(data) == 0 {
 		return stream.Send(piece)
 	}
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -32,19 +32,22 @@
 	cancel  context.CancelFunc
 	work    sync.WaitGroup // the loop and its fetches
 
-	mu       sync.Mutex // guards the fields below
-	core     *burst.Core
-	man      *wire.Manifest      // nil until verified against the version
-	encoded  []byte              // the manifest as it was hashed
-	chunks   map[chunkHash][]int // indexes by hash: equal chunks are fetched once
-	priority int
-	passive  bool // keeps and serves, fetches no chunks
-	policy   Policy
-	failed   bool   // the origin's manifest does not match the version
-	problem  string // newest reason for a failed fetch
-	advanced time.Time
-	peersAt  time.Time
-	fetches  map[fetchKey]context.CancelFunc
+	mu         sync.Mutex // guards the fields below
+	core       *burst.Core
+	man        *wire.Manifest      // nil until verified against the version
+	encoded    []byte              // the manifest as it was hashed
+	chunks     map[chunkHash][]int // indexes by hash: equal chunks are fetched once
+	priority   int
+	passive    bool // keeps and serves, fetches no chunks
+	policy     Policy
+	failed     bool      // the origin's manifest does not match the version
+	problem    string    // newest reason for a failed fetch
+	advanced   time.Time // newest chunk kept, or the start
+	began      time.Time
+	manifestAt time.Time // when the manifest was verified
+	told       bool      // logged as whole
+	peersAt    time.Time
+	fetches    map[fetchKey]context.CancelFunc
 }
 
 type fetchKey struct {
@@ -58,6 +61,7 @@
 		wake:     make(chan struct{}, 1),
 		fetches:  map[fetchKey]context.CancelFunc{},
 		advanced: mgr.cfg.Clock.Now(),
+		began:    mgr.cfg.Clock.Now(),
 	}
 }
 
@@ -129,6 +133,7 @@
 	})
 	t.man, t.encoded, t.core, t.chunks = man, encoded, core, chunks
 	t.failed, t.problem = false, ""
+	t.manifestAt = t.now()
 }
 
 // recall takes over the chunks that the host has already, from another version
@@ -189,6 +194,19 @@
 	for _, act := range t.core.Decide(now) {
 		t.perform(ctx, act)
 	}
+	if t.core.Whole() && !t.told {
+		t.told = true
+		t.logWhole(now)
+	}
+}
+
+// logWhole tells operators how the version came; t.mu is held.
+func (t *transfer) logWhole(now time.Time) {
+	stats := t.core.Stats()
+	t.mgr.cfg.Log.Info("version whole", "version", t.version, "chunks", t.core.Held(),
+		"seconds", now.Sub(t.began).Seconds(), "manifestSeconds", t.manifestAt.Sub(t.began).Seconds(),
+		"draws", stats.Draws, "drawsAgain", stats.DrawsAgain, "pulls", stats.Pulls, "busy", stats.Busy,
+		"timedOut", stats.TimedOut, "corrupt", stats.Corrupt, "broken", stats.Broken, "exchanges", stats.Exchanges)
 }
 
 // perform does one action; t.mu is held.
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -38,9 +38,9 @@
 	// anywhere: the near ones save latency and links between regions, the far
 	// ones keep the whole fleet one connected graph.
 	closeNeighbours = 2
-	farNeighbours   = 5
+	farNeighbours   = 8
 	// maxNeighbours bounds the neighbours chosen and those that chose us.
-	maxNeighbours = 16
+	maxNeighbours = 20
 	// fetchTarget is the chunks requested at once, as memory allows.
 	fetchTarget = 6
 	// perPeerFetches bounds the chunks requested at once from one peer.
@@ -63,10 +63,10 @@
 )
 
 const (
-	newsInterval   = 150 * time.Millisecond // between exchanges with a neighbour while there is news
-	urgentInterval = 25 * time.Millisecond  // the same while the own uplink is idle
-	idleInterval   = time.Second            // the same without news
-	wholeInterval  = 10 * time.Second       // the same once both sides are whole
+	newsInterval  = 500 * time.Millisecond // between exchanges with a neighbour while there is news
+	offerInterval = 15 * time.Millisecond  // between offers of an idle uplink
+	idleInterval  = time.Second            // the same without news
+	wholeInterval = 10 * time.Second       // the same once both sides are whole
 
 	firstFetchTime = time.Second      // assumed time of one fetch before any was measured
 	minTimeout     = time.Second      // least time until a fetch is given up
@@ -77,7 +77,7 @@
 	outsideWait   = 2 * time.Second        // pause with a peer that takes no part
 	scanInterval  = 50 * time.Millisecond  // between looks at what is due, unless something was drawn
 	lostInterval  = 250 * time.Millisecond // between looks for chunks whose holders are gone
-	busyWait      = 50 * time.Millisecond  // least pause with a busy peer
+	busyWait      = 150 * time.Millisecond // least pause with a busy peer
 	lacksWait     = 200 * time.Millisecond
 	suspectWait   = 5 * time.Second        // pause with an unreachable peer
 	stallPenalty  = 2 * time.Second        // pause with a peer that let a fetch time out; doubles
@@ -93,6 +93,15 @@
 	// intendFailures is the draws that may fail in a row before an owner lets
 	// the next in rank try: the fault may be its own.
 	intendFailures = 4
+	// lostTurns is the turns that a drawn chunk has to reach a neighbour.
+	lostTurns = 2
+	// silentTime is the time without a word after which a peer that failed is
+	// taken to be gone.
+	silentTime = 3 * time.Second
+	// overtakers is the hosts of lower rank that an owner hears before it
+	// draws, during its youngTime.
+	overtakers = 2
+	youngTime  = 3 * time.Second
 	// turnGaps is a turn in mean gaps between two draws of the fleet.
 	turnGaps = 2 * maxDrawWindow
 	// firstTurn is a turn before the pace of the draws is known.
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -34,7 +34,8 @@
 	inFlight  []uint8   // per chunk: requests in progress
 	fetchTime time.Duration
 	paused    bool
-	uploads   int // uploads in progress or waiting
+	offered   time.Time // when the idle uplink was last offered
+	uploads   int       // uploads in progress or waiting
 
 	owners     map[int][]*peerState // per chunk: hosts by rank; nil stands for this one
 	dueSince   map[int]time.Time    // per chunk: since when nobody is known to hold it though it should be drawn
@@ -46,6 +47,7 @@
 	intended   *bitset.BitSet // to be drawn here once the origin may be asked again
 	originFail int            // draws failed in a row
 
+	stats   Stats
 	actions []Action
 }
 
@@ -130,6 +132,21 @@
 	c.cfg.OriginCopies = originCopies
 }
 
+// Stats counts what a Core did since its start.
+type Stats struct {
+	Draws      int // requests to the origin
+	DrawsAgain int // of those, of chunks that some host had drawn before
+	Pulls      int // requests to peers
+	Busy       int // refused by a busy peer
+	TimedOut   int
+	Corrupt    int
+	Broken     int
+	Exchanges  int
+}
+
+// Stats returns the counts.
+func (c *Core) Stats() Stats { return c.stats }
+
 // Report returns what to tell a peer in an exchange.
 func (c *Core) Report() Report {
 	drawing := c.intended.Clone()
@@ -168,10 +185,23 @@
 	c.learn(now, pst, rep)
 }
 
+// Answered takes the report that came with a chunk or a refusal. Requests for
+// chunks bear reports both ways, so that neighbours who trade need few exchanges
+// beside them.
+func (c *Core) Answered(now time.Time, id string, rep Report) {
+	pst := c.peers[id]
+	if pst == nil || len(rep.Held) == 0 {
+		return
+	}
+	c.learn(now, pst, rep)
+}
+
 func (c *Core) learn(now time.Time, pst *peerState, rep Report) {
 	pst.heardAt, pst.exchanged = now, now
 	pst.queue = rep.Queue
-	pst.fetching = rep.Fetching
+	if rep.Fetching != nil {
+		pst.fetching = rep.Fetching
+	}
 	if len(rep.Held) == 0 {
 		c.outside(now, pst)
 		return
@@ -290,6 +320,7 @@
 	if flt == nil {
 		return
 	}
+	c.countFailure(cause)
 	if flt.source == nil {
 		c.originFailed(now, cause, retryAfter)
 		return
@@ -305,12 +336,29 @@
 		pst.corrupted(now)
 		c.membershipChanged(now)
 	case TimedOut:
+		if pst.heardAt.Before(flt.started) {
+			c.suspect(now, pst)
+			return
+		}
 		pst.slowUntil = now.Add(pst.penalty(stallPenalty))
 	case Broken:
 		c.suspect(now, pst)
 	}
 }
 
+func (c *Core) countFailure(cause Cause) {
+	switch cause {
+	case Busy:
+		c.stats.Busy++
+	case TimedOut:
+		c.stats.TimedOut++
+	case Corrupt:
+		c.stats.Corrupt++
+	case Broken, Lacks, Dropped:
+		c.stats.Broken++
+	}
+}
+
 // unlearn takes a chunk out of what the peer is believed to hold: a peer that
 // restarted without it.
 func (c *Core) unlearn(pst *peerState, chunk int) {
@@ -429,11 +477,21 @@
 }
 
 func (c *Core) fetch(now time.Time, chunk int, source *peerState) {
+	switch {
+	case source != nil:
+		c.stats.Pulls++
+	case c.drawn.Test(uint(chunk)):
+		c.stats.Draws++
+		c.stats.DrawsAgain++
+	default:
+		c.stats.Draws++
+	}
 	flt := &flight{chunk: chunk, source: source, started: now, deadline: now.Add(c.timeout(source))}
 	c.flights = append(c.flights, flt)
 	c.inFlight[chunk]++
 	if source != nil {
 		source.inFlight++
+		source.told, source.exchanged = c.news, now
 	}
 	c.actions = append(c.actions, Action{Kind: Fetch, Chunk: chunk, Source: flt.sourceID()})
 }
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -128,13 +128,12 @@
 	// A chunk that somebody drew is probably on its way here.
 	lost := c.drawn.Test(uint(chunk))
 	if lost {
-		turn *= 4
-		waited -= turn
+		waited -= lostTurns * turn
 	}
 	before := 0
 	for _, owner := range c.ownersOf(chunk) {
 		if owner == nil {
-			return waited >= 0
+			return waited >= 0 && !c.overtaken(now, chunk)
 		}
 		if owner.absent(now) {
 			continue
@@ -162,9 +161,43 @@
 	return max(1, c.cfg.OriginCopies)
 }
 
+// overtaken reports whether a host of lower rank may be drawing the chunk. While
+// hosts begin one after the other, the next in rank takes over from an owner
+// that does not take part yet; the owner then asks before it draws too.
+func (c *Core) overtaken(now time.Time, chunk int) bool {
+	asked := 0
+	after := false
+	for _, other := range c.ownersOf(chunk) {
+		if other == nil {
+			after = true
+			continue
+		}
+		if !after || other.absent(now) {
+			continue
+		}
+		if other.is(other.fetching, chunk) && now.Sub(other.heardAt) < c.turn() {
+			return true
+		}
+		if asked++; asked > overtakers || now.Sub(c.listedAt) > youngTime {
+			continue
+		}
+		if other.heardAt.IsZero() {
+			if !other.exchanging {
+				c.exchangeWith(other)
+			}
+			return true
+		}
+	}
+	return false
+}
+
 // excluded reports whether a host of higher rank said lately that it neither
 // holds nor fetches the chunk; it asks where that is unknown.
 func (c *Core) excluded(now time.Time, owner *peerState, chunk int, turn time.Duration) bool {
+	if owner.strikes > 0 && now.Sub(owner.heardAt) > silentTime {
+		// It failed and has been silent since; a stalled link answers nothing.
+		return true
+	}
 	if owner.exchanging {
 		return false
 	}
--- a/relay/burst/uploads.go
+++ b/relay/burst/uploads.go
@@ -20,7 +20,7 @@
 // makes sense to ask again.
 func (u *Uploads) Admit() (ok bool, retryAfter time.Duration) {
 	if u.active+u.waiting >= UploadSlots+UploadQueue {
-		return false, max(busyWait, u.took/2)
+		return false, max(busyWait, u.took)
 	}
 	u.waiting++
 	return true, 0
