Fuzz targets: frames and messages between processes, manifests, callers' headers

Cause: what comes over the network was fuzzed for documents, settings, once keys and callers' bodies only.

Change: FuzzListener writes any bytes to the listener between processes while another connection works on; FuzzMessage reads every wire message; FuzzDecode holds manifests to their sizes; FuzzHeaders sends callers' requests with any headers. A test that a message without an end is cut off at its bound.

--- /dev/null
+++ b/relay/manifest/fuzz_test.go
@@ -0,0 +1,103 @@
+package manifest_test
+
+import (
+	"bytes"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/manifest"
+	"comfreyrelay.example/relay/wire"
+)
+
+func encode(t testing.TB, man *wire.Manifest) []byte {
+	t.Helper()
+	encoded, err := manifest.Encode(man)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// FuzzDecode feeds any bytes as a manifest, under their own version: they are
+// refused with a kind, or every chunk has a hash and a size within the bounds and
+// the sizes make up the whole.
+func FuzzDecode(f *testing.F) {
+	hash := make([]byte, manifest.HashBytes)
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0xff})
+	f.Add(encode(f, manifest.Build("parcel", manifest.KindBase, "", 4, []byte("nine bytes"))))
+	f.Add(encode(f, manifest.Build("parcel", manifest.KindAdapter, "base", 64, nil)))
+	f.Add(encode(f, &wire.Manifest{ChunkBytes: 4, TotalBytes: 5, ChunkHashes: [][]byte{hash}}))
+	f.Add(encode(f, &wire.Manifest{ChunkBytes: 4, TotalBytes: 4, ChunkHashes: [][]byte{hash[1:]}}))
+	f.Add(encode(f, &wire.Manifest{ChunkBytes: manifest.MaxChunkBytes + 1, TotalBytes: 1, ChunkHashes: [][]byte{hash}}))
+	f.Add(encode(f, &wire.Manifest{TotalBytes: 1, ChunkHashes: [][]byte{hash}}))
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		man, err := manifest.Decode(encoded, manifest.Version(encoded))
+		if err != nil {
+			if kind := failure.KindOf(err); kind != failure.Corrupt && kind != failure.Invalid {
+				t.Errorf("got kind %v (%v), want corrupt or invalid", kind, err)
+			}
+			return
+		}
+		checkSizes(t, man)
+	})
+}
+
+func checkSizes(t *testing.T, man *wire.Manifest) {
+	t.Helper()
+	total := uint64(0)
+	for i, hash := range man.GetChunkHashes() {
+		size := manifest.ChunkSize(man, i)
+		if size < 1 || size > manifest.MaxChunkBytes || len(hash) != manifest.HashBytes {
+			t.Fatalf("got chunk %d of %d bytes with a hash of %d, want it within the bounds", i, size, len(hash))
+		}
+		total += uint64(size)
+	}
+	if total != man.GetTotalBytes() {
+		t.Errorf("got chunks of %d bytes in all, want %d", total, man.GetTotalBytes())
+	}
+}
+
+// Symptom: a host serves weights that nobody published. Sequence: the origin or a
+// peer sends another manifest than asked for. Cause: it is taken by its own hash.
+func TestManifestOfAnotherVersionIsRefused(t *testing.T) {
+	mine := encode(t, manifest.Build("parcel", manifest.KindBase, "", 4, []byte("mine")))
+	other := encode(t, manifest.Build("parcel", manifest.KindBase, "", 4, []byte("other")))
+	for name, text := range map[string][]byte{
+		"another":   other,
+		"cut off":   mine[:len(mine)-1],
+		"prolonged": append(bytes.Clone(mine), 0x08),
+		"none":      nil,
+	} {
+		_, err := manifest.Decode(text, manifest.Version(mine))
+		if got, want := failure.KindOf(err), failure.Corrupt; got != want {
+			t.Errorf("%s: got kind %v, want %v", name, got, want)
+		}
+	}
+}
+
+func TestBuildAndVerify(t *testing.T) {
+	for _, size := range []int{0, 1, 3, 4, 5, 8, 9} {
+		data := []byte("weights of a model")[:size]
+		man := manifest.Build("parcel", manifest.KindBase, "", 4, data)
+		encoded := encode(t, man)
+		decoded, err := manifest.Decode(encoded, manifest.Version(encoded))
+		if err != nil || !proto.Equal(decoded, man) {
+			t.Fatalf("%d bytes: got %v, %v, want the manifest back", size, decoded, err)
+		}
+		checkSizes(t, decoded)
+		start := 0
+		for i, hash := range man.GetChunkHashes() {
+			chunk := data[start : start+manifest.ChunkSize(man, i)]
+			if !manifest.Verify(chunk, hash) {
+				t.Errorf("%d bytes: got chunk %d refused, want it to match its hash", size, i)
+			}
+			if manifest.Verify(append(bytes.Clone(chunk), 0), hash) {
+				t.Errorf("%d bytes: got a longer chunk %d taken, want it refused", size, i)
+			}
+			start += len(chunk)
+		}
+	}
+}
--- /dev/null
+++ b/relay/wirefuzz/pipe_test.go
@@ -0,0 +1,133 @@
+package wirefuzz
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/wire"
+)
+
+// pipeListener accepts connections within the process, so that a test sees
+// exactly what the server reads.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe", Net: "unix"} }
+
+// dial returns the client's end of a new connection.
+func (l *pipeListener) dial() net.Conn {
+	client, server := net.Pipe()
+	l.conns <- server
+	return client
+}
+
+// hostServer answers the agents' calls with little.
+type hostServer struct {
+	wire.DRPCHostUnimplementedServer
+}
+
+func (*hostServer) Run(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+	if err := stream.Send(&wire.Frame{RequestId: att.GetRequestId(), Kind: "begin"}); err != nil {
+		return err
+	}
+	return stream.Send(&wire.Frame{RequestId: att.GetRequestId(), Sequence: 1, Kind: "end"})
+}
+
+func (*hostServer) Cancel(context.Context, *wire.CancelRequest) (*wire.CancelReply, error) {
+	return nil, errors.New("nothing runs")
+}
+
+func (*hostServer) Chunk(_ *wire.ChunkRequest, stream wire.DRPCHost_ChunkStream) error {
+	return stream.Send(&wire.ChunkData{})
+}
+
+func (*hostServer) Have(_ context.Context, req *wire.HaveRequest) (*wire.HaveReply, error) {
+	return &wire.HaveReply{Chunks: req.GetChunks()}, nil
+}
+
+// controlServer answers the entries' calls with little.
+type controlServer struct {
+	wire.DRPCControlUnimplementedServer
+}
+
+func (*controlServer) Sync(_ context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
+	return &wire.SyncReply{Known: req.GetKnown(), Root: req.GetRoot()}, nil
+}
+
+func (*controlServer) Claim(_ context.Context, req *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	return &wire.ClaimReply{State: "granted", Reason: req.GetKey()}, nil
+}
+
+// served is a listener with the trivial services behind it.
+type served struct {
+	listener *pipeListener
+	// stop ends the server and waits for all that it started.
+	stop func()
+}
+
+func serve(t testing.TB) *served {
+	t.Helper()
+	mux := drpcmux.New()
+	if err := errors.Join(wire.DRPCRegisterHost(mux, &hostServer{}), wire.DRPCRegisterControl(mux, &controlServer{})); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	lis := newPipeListener()
+	var done sync.WaitGroup
+	done.Go(func() { _ = peer.Serve(ctx, lis, nil, mux, slog.New(slog.DiscardHandler)) })
+	return &served{listener: lis, stop: func() {
+		cancel()
+		done.Wait()
+	}}
+}
+
+// neighbour is a process whose calls must not notice the hostile ones.
+type neighbour struct {
+	conn *drpcconn.Conn
+}
+
+func (s *served) neighbour() *neighbour { return &neighbour{conn: drpcconn.New(s.listener.dial())} }
+
+// works makes a call and checks its answer.
+func (n *neighbour) works(t testing.TB) {
+	t.Helper()
+	reply, err := wire.NewDRPCHostClient(n.conn).Have(context.Background(), &wire.HaveRequest{Chunks: []uint64{7}})
+	if err != nil {
+		t.Fatalf("got %v from the other connection, want an answer", err)
+	}
+	if got := reply.GetChunks(); len(got) != 1 || got[0] != 7 {
+		t.Fatalf("got %v on the other connection, want its own answer", got)
+	}
+}
