--- /dev/null
+++ b/agent/internal/report/prefixes_test.go
@@ -0,0 +1,32 @@
+package report
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+
+	"comfreyrelay.example/agent/internal/engine"
+)
+
+// Symptom: a report that grows without bound, or names prefixes long gone.
+// Sequence: events come doubled, late and with gaps. Cause: a list that only
+// appends.
+func TestPrefixes(t *testing.T) {
+	var held prefixes
+	event := func(hash uint64, kind string) engine.CacheEvent {
+		return engine.CacheEvent{Prefix: strconv.FormatUint(hash, 10), Kind: kind}
+	}
+	held.apply([]engine.CacheEvent{
+		event(1, engine.Stored), event(2, engine.Stored), event(1, engine.Stored),
+		event(3, engine.Evicted), event(2, engine.Evicted), {Prefix: "nonsense", Kind: engine.Stored},
+	}, 9)
+	if got, want := held.hashes, []uint64{1}; !slices.Equal(got, want) || held.after != 9 {
+		t.Errorf("got %v after %d, want %v after 9", got, held.after, want)
+	}
+	for i := range uint64(200) {
+		held.apply([]engine.CacheEvent{event(i, engine.Stored)}, i)
+	}
+	if got, want := len(held.hashes), prefixesKept; got != want || held.hashes[0] != 199 {
+		t.Errorf("got %d prefixes, newest %d, want %d, newest 199", got, held.hashes[0], want)
+	}
+}
