Control traffic by what is news, measured by agents

Cause: in a house where all entries call each other every entry still passed on all others' hosts, and unchanged reports were sent again every ten seconds however many there were. Change: where all call all, an entry tells of the hosts that report to it only; the age at which an unchanged report is sent again grows with the hosts, and so does the silence allowed about far ones.

--- a/entry/internal/control/control_test.go
+++ b/entry/internal/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -48,6 +49,42 @@
 	})
 }
 
+// TestControlBytes: what an entry sends and receives in a second with one change
+// a second must not grow with the number of agents beyond those that report to
+// it: a cost that is a product of entries and agents would show here first.
+func TestControlBytes(t *testing.T) {
+	bytes := func() int64 { return counted("bytesIn") + counted("bytesOut") }
+	perEntry := map[int]float64{}
+	for _, agents := range []int{18, 50, 100, 200} {
+		inFleet(t, 11, 9, agents, func(f *fleet) {
+			const seconds = 30
+			before, agentsBefore := bytes(), counted("bytesIn.agent")+counted("bytesOut.agent")
+			for i := range seconds {
+				if _, err := f.submit(f.any(), i%10); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+			}
+			perEntry[agents] = float64(bytes()-before) / seconds / 9
+			share := float64(counted("bytesIn.agent")+counted("bytesOut.agent")-agentsBefore) / seconds / 9
+			t.Logf("%d agents: %.0f B/s an entry, both ways, of which %.0f with its agents", agents, perEntry[agents], share)
+		})
+	}
+	perAgent := (perEntry[200] - perEntry[18]) / ((200 - 18) / 9.0)
+	t.Logf("slope: %.0f B/s for each agent that reports to an entry", perAgent)
+	if perAgent > 3000 {
+		t.Errorf("got %.0f B/s for each agent of an entry, want at most 3000", perAgent)
+	}
+}
+
+// counted returns one of the process's counters.
+func counted(name string) int64 {
+	if counter, ok := counters.Get(name).(*expvar.Int); ok {
+		return counter.Value()
+	}
+	return 0
+}
+
 // TestOutageOfAnHour: the service is down for an hour. Everybody keeps what is
 // in force, a new document gets a clear error at once, a process that starts
 // meanwhile learns the revision from its peers, and the return brings no herd.
--- a/entry/internal/control/exchange.go
+++ b/entry/internal/control/exchange.go
@@ -31,8 +31,9 @@
 
 	mu        sync.Mutex
 	allowance *spread.Allowance
-	basis     *view.Snapshot // that candidates was made from
+	basis     *view.Snapshot // that the candidates were made from
 	hosts     []spread.Candidate
+	atHome    []spread.Candidate // those of hosts that report here
 }
 
 // NewExchange returns an Exchange; own returns this entry's newest report.
@@ -46,20 +47,33 @@
 	}
 }
 
-// candidates returns the reports that could be sent, from the current view.
-func (x *Exchange) candidates() []spread.Candidate {
+// candidates returns the reports that could be sent, from the current view: all
+// of them, and those to pass on to entries.
+func (x *Exchange) candidates() (all, forEntries []spread.Candidate) {
 	snap, _ := x.house.view.Load()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.basis == snap {
-		return x.hosts
+	if x.basis != snap {
+		x.prepare(snap)
 	}
+	if spread.AllCallAll(len(snap.Entries)) {
+		return x.hosts, x.atHome
+	}
+	return x.hosts, x.hosts
+}
+
+// prepare makes the candidates anew; the caller holds the lock.
+func (x *Exchange) prepare(snap *view.Snapshot) {
 	x.basis = snap
 	x.hosts = make([]spread.Candidate, 0, len(snap.Hosts))
+	x.atHome = nil
 	for _, host := range snap.Hosts {
-		x.hosts = append(x.hosts, x.candidate(host))
+		candidate := x.candidate(host)
+		x.hosts = append(x.hosts, candidate)
+		if candidate.Home {
+			x.atHome = append(x.atHome, candidate)
+		}
 	}
-	return x.hosts
 }
 
 func (x *Exchange) candidate(host view.Host) spread.Candidate {
@@ -75,11 +89,12 @@
 
 // hostsForEntry returns the host reports that another entry should hear.
 func (x *Exchange) hostsForEntry(with *session, now time.Time) []*wire.HostReport {
-	candidates := x.candidates()
+	all, candidates := x.candidates()
 	x.mu.Lock()
 	left := x.allowance.Left(now)
 	x.mu.Unlock()
 	with.mu.Lock()
+	with.hosts.SetRefresh(refreshFor(with.node, len(all)))
 	chosen := with.hosts.Select(candidates, now, left)
 	with.mu.Unlock()
 	x.mu.Lock()
@@ -98,7 +113,8 @@
 
 // hostsForAgent returns the host reports that an agent should hear.
 func (x *Exchange) hostsForAgent(with *session, now time.Time) []*wire.HostReport {
-	peers := spread.WeightPeers(with.node, x.candidates())
+	all, _ := x.candidates()
+	peers := spread.WeightPeers(with.node, all)
 	near := make([]spread.Candidate, len(peers))
 	for i, peer := range peers {
 		peer.Home = false
@@ -107,6 +123,7 @@
 	}
 	with.mu.Lock()
 	defer with.mu.Unlock()
+	with.hosts.SetRefresh(refreshFor(with.node, len(near)))
 	chosen := with.hosts.Select(near, now, with.agentCap.Left(now))
 	with.agentCap.Spend(reportSize(chosen))
 	for i := range chosen {
--- a/entry/internal/control/fleet_test.go
+++ b/entry/internal/control/fleet_test.go
@@ -507,6 +507,7 @@
 	}
 	a.mu.Lock()
 	a.told = reply.GetKnown().GetRevision()
+	reply.Root = revision.Expand(a.state.Root(), reply.GetRoot())
 	lacking := document.Missing(reply.GetRoot(), a.parts.Has)
 	a.mu.Unlock()
 	if len(lacking) > 0 {
@@ -541,7 +542,7 @@
 	defer a.mu.Unlock()
 	a.sequence++
 	req := &wire.SyncRequest{
-		From: a.node, Known: a.state.Known(time.Now()), WaitMillis: 1000,
+		From: a.node, Known: a.state.Known(time.Now()), WaitMillis: 1000, DeltaRoots: true,
 		Hosts: []*wire.HostReport{{Node: a.node, Sequence: a.sequence}},
 	}
 	if root := a.state.Root(); root != nil && a.told < root.GetRevision() {
--- a/entry/internal/control/session.go
+++ b/entry/internal/control/session.go
@@ -11,10 +11,14 @@
 const (
 	// sessionTimeout ends the memory of a node that no longer calls.
 	sessionTimeout = 2 * time.Minute
-	// refreshEntry and refreshAgent are the ages at which an unchanged report
-	// is sent again to an entry and to an agent.
-	refreshEntry = 10 * time.Second
-	refreshAgent = 30 * time.Second
+	// refreshEntry and refreshAgent are the least ages at which an unchanged
+	// report is sent again to an entry and to an agent; with many hosts the age
+	// is the time for each host. Two refreshes fit into the silence that
+	// membership allows about a far host.
+	refreshEntry        = 10 * time.Second
+	refreshAgent        = 30 * time.Second
+	refreshEntryPerHost = 100 * time.Millisecond
+	refreshAgentPerHost = 300 * time.Millisecond
 	// relayEntries is the age at which the report of a third entry is passed on
 	// again.
 	relayEntries = 15 * time.Second
@@ -68,14 +72,19 @@
 
 func restarted(held, heard string) bool { return held != "" && heard != "" && held != heard }
 
-func newSession(node *wire.Node, now time.Time) *session {
-	refresh := refreshEntry
-	if node.GetRole() == "agent" {
-		refresh = refreshAgent
+// refreshFor returns the age at which an unchanged report is sent again to the
+// node, in a house of the number of hosts.
+func refreshFor(node *wire.Node, hosts int) time.Duration {
+	if isAgent(node) {
+		return max(refreshAgent, time.Duration(hosts)*refreshAgentPerHost)
 	}
+	return max(refreshEntry, time.Duration(hosts)*refreshEntryPerHost)
+}
+
+func newSession(node *wire.Node, now time.Time) *session {
 	return &session{
 		node:     node,
-		hosts:    spread.NewDigest(refresh),
+		hosts:    spread.NewDigest(refreshFor(node, 0)),
 		entries:  spread.NewEntryDigest(relayEntries),
 		agentCap: spread.NewAllowance(agentBytesPerSecond, agentBurst, now),
 	}
--- a/relay/membership/membership.go
+++ b/relay/membership/membership.go
@@ -45,8 +45,8 @@
 func DefaultLimits() Limits {
 	return Limits{
 		LostAfter:      4 * time.Second,
-		FarLostAfter:   30 * time.Second,
-		FarLostPerHost: 150 * time.Millisecond,
+		FarLostAfter:   60 * time.Second,
+		FarLostPerHost: 300 * time.Millisecond,
 
 		EntryLostAfter:    7 * time.Second,
 		EntryLostPerEntry: 150 * time.Millisecond,
--- a/relay/spread/digest.go
+++ b/relay/spread/digest.go
@@ -90,6 +90,9 @@
 	return &Digest{marks: map[string]mark{}, refresh: refresh}
 }
 
+// SetRefresh changes the age at which an unchanged report is sent again.
+func (d *Digest) SetRefresh(refresh time.Duration) { d.refresh = refresh }
+
 // Heard notes that the receiver itself sent the report.
 func (d *Digest) Heard(report *wire.HostReport, now time.Time) {
 	d.marks[report.GetNode().GetId()] = mark{summary: summarize(report), sequence: report.GetSequence(), at: now}
--- a/relay/spread/neighbours.go
+++ b/relay/spread/neighbours.go
@@ -20,6 +20,12 @@
 	farNeighbours = 3
 )
 
+// AllCallAll reports whether a house of the number of entries, this one
+// included, is so small that each calls all others: what an entry knows first
+// hand it then tells everybody itself, and passing on the rest would multiply
+// the bytes by the number of entries.
+func AllCallAll(entries int) bool { return entries <= smallHouse+1 }
+
 // Neighbours returns the entries that self keeps a call to, of those given. A
 // few are of its own failure domain, a few of others by rendezvous hash, and
 // one is the next by id: along that ring news reaches every entry even where
