--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -11,7 +11,6 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
-	"comfreyrelay.example/relay/document"
 	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/relay/kv"
 	"comfreyrelay.example/relay/placement"
@@ -60,9 +59,8 @@
 	// stored is the plan in the service, as far as known, and its revision there.
 	stored   *wire.Plan
 	storedAt uint64
-	// since is when each host that is leaving, lost or unheard became so, or
-	// when this planner took charge.
-	since map[string]time.Time
+	// observer remembers since when hosts are out of use.
+	observer *placement.Observer
 }
 
 // New returns a Planner.
@@ -70,7 +68,7 @@
 	if cfg.Limits == (placement.Limits{}) {
 		cfg.Limits = placement.DefaultLimits()
 	}
-	return &Planner{cfg: cfg, since: map[string]time.Time{}}
+	return &Planner{cfg: cfg, observer: placement.NewObserver()}
 }
 
 // Run plans until ctx ends.
@@ -123,7 +121,7 @@
 	next := placement.Next(placement.Input{
 		Document: snap.Document,
 		Revision: snap.Revision,
-		Hosts:    p.hosts(snap),
+		Hosts:    p.observer.Hosts(snap, p.stored, p.cfg.Clock.Now()),
 		Previous: p.stored,
 		Fence:    fence,
 		Limits:   p.cfg.Limits,
@@ -159,7 +157,7 @@
 		stored = known
 	}
 	p.fence, p.stored, p.storedAt = fence, stored, entry.Revision()
-	p.since = map[string]time.Time{}
+	p.observer = placement.NewObserver()
 	p.cfg.Log.Info("planner in charge", "fence", fence, "planRevision", stored.GetPlanRevision())
 	return nil
 }
@@ -190,88 +188,3 @@
 	p.cfg.Offer(next)
 	return nil
 }
-
-// hosts returns the engine hosts, with those of the stored plan that nobody
-// has heard of: a planner that just started knows few, and must not take the
-// others for gone.
-func (p *Planner) hosts(snap *view.Snapshot) []placement.Host {
-	now := p.cfg.Clock.Now()
-	hosts := make([]placement.Host, 0, len(snap.Hosts))
-	heard := make(map[string]bool, len(snap.Hosts))
-	for _, host := range snap.Hosts {
-		id := host.Report().GetNode().GetId()
-		heard[id] = true
-		if !isEngine(snap.Document, host.Report()) {
-			continue
-		}
-		hosts = append(hosts, p.host(host, p.away(id, host.Leaving() || host.Lost(), now)))
-	}
-	for _, assignment := range p.stored.GetAssignments() {
-		if id := assignment.GetHost(); !heard[id] {
-			hosts = append(hosts, placement.Host{ID: id, FailureDomain: assignment.GetFailureDomain(), Away: p.away(id, true, now)})
-		}
-	}
-	p.forget(heard)
-	return hosts
-}
-
-// away returns how long the host has been out of use, as this planner saw it;
-// more than 0 from the first moment on.
-func (p *Planner) away(id string, out bool, now time.Time) time.Duration {
-	if !out {
-		delete(p.since, id)
-		return 0
-	}
-	began, known := p.since[id]
-	if !known {
-		p.since[id] = now
-		return 1
-	}
-	return max(1, now.Sub(began))
-}
-
-// forget bounds since to the hosts that exist or are in the plan.
-func (p *Planner) forget(heard map[string]bool) {
-	planned := map[string]bool{}
-	for _, assignment := range p.stored.GetAssignments() {
-		planned[assignment.GetHost()] = true
-	}
-	for id := range p.since {
-		if !heard[id] && !planned[id] {
-			delete(p.since, id)
-		}
-	}
-}
-
-func (p *Planner) host(host view.Host, away time.Duration) placement.Host {
-	report := host.Report()
-	placed := placement.Host{
-		ID:            report.GetNode().GetId(),
-		FailureDomain: report.GetNode().GetFailureDomain(),
-		Leaving:       host.Leaving(),
-		Away:          away,
-	}
-	for _, state := range report.GetVersions() {
-		switch state.GetState() {
-		case "serving":
-			placed.ServingModel, placed.ServingVersion = state.GetModel(), state.GetVersion()
-			placed.Whole = append(placed.Whole, state.GetVersion())
-		case "whole", "loading":
-			placed.Whole = append(placed.Whole, state.GetVersion())
-		}
-	}
-	return placed
-}
-
-// isEngine leaves out the hosts of plain services and bridges.
-func isEngine(doc *wire.Document, report *wire.HostReport) bool {
-	if report.GetService() != "" {
-		return false
-	}
-	for _, class := range doc.GetEndpoints() {
-		if class.GetName() == report.GetEndpoint() {
-			return class.GetKind() == document.KindEngine
-		}
-	}
-	return true
-}
