No plan from agents

Cause: an agent knows its failure domain's part of the plan; an entry started in an outage would have taken it for the whole and told restarted agents that they have no assignment. Conclusion: the plan comes from the service or from entries only.

--- a/entry/internal/control/offer.go
+++ b/entry/internal/control/offer.go
@@ -38,9 +38,7 @@
 	})
 	if err != nil {
 		s.house.log.Warn("document of an agent not assembled", "source", source, "error", err)
-		return
 	}
-	s.house.OfferPlan(req.GetPlan(), source)
 }
 
 // believes reports whether enough agents offered the root, or one did for long.
