Room kept from large customers; answers leave slow hosts

Cause: with a customer sending twice the capacity, a small one's first-token p95 rose from 47 to 757 ms: it came to full hosts. Answers in progress on a host that turned ten times slower missed their deadline (8 of 2127 unknown). Change: a customer that uses more than twice its fair share does not get the last eighth of a host's slots; a repeatable answer moves on, once, from a host that is left out as slow. Tests of dispatch on a fake clock.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -179,7 +179,6 @@
 		Versions: r.req.Versions(),
 		Adapter:  r.req.Adapter,
 		Exclude:  r.exclude,
-		Retry:    r.progress.Number() > 0,
 	}
 	if version, adapter, pinned := r.progress.Pinned(); pinned {
 		ask.Versions = []string{version}
@@ -202,11 +201,11 @@
 	switch {
 	case !r.progress.MayRetry():
 		return errUnproved(end.reason)
-	case end.cancelled || ctx.Err() != nil:
+	case end.cancelled || ended(ctx):
 		return errGivenUp(end.reason)
 	case r.progress.Number() >= retry.MaxAttempts:
 		return errGivenUp(end.reason)
-	case !end.refused && !r.req.Retry():
+	case !end.refused && !end.left && !r.req.Retry():
 		return errBudget(end.reason)
 	}
 	return nil
@@ -216,7 +215,7 @@
 // refusal another host is tried at once, for the first time.
 func (r *run) pause(ctx context.Context, end attemptEnd) bool {
 	next := int(r.progress.Number()) + 1
-	if end.refused && next == 2 {
+	if end.left || end.refused && next == 2 {
 		return true
 	}
 	timer := r.dispatcher.cfg.Clock.NewTimer(retry.Backoff(next, rand.Float64())) //nolint:gosec // jitter, not a secret
--- a/entry/internal/dispatch/lane.go
+++ b/entry/internal/dispatch/lane.go
@@ -40,7 +40,8 @@
 	table    *route.Table
 	queue    *limit.Queue // costs are expected seconds on a host
 	inFlight int          // attempts placed and not finished
-	ticking  bool         // a tick is due
+	standing *limit.Standing
+	ticking  bool // a tick is due
 }
 
 // waiter is a request in the queue.
@@ -58,10 +59,11 @@
 
 func newLane(clock clockwork.Clock, options route.Options, refresh func()) *lane {
 	return &lane{
-		clock:   clock,
-		refresh: refresh,
-		table:   route.NewTable(options),
-		queue:   limit.NewQueue(maxWaiting),
+		clock:    clock,
+		refresh:  refresh,
+		table:    route.NewTable(options),
+		queue:    limit.NewQueue(maxWaiting),
+		standing: limit.NewStanding(),
 	}
 }
 
@@ -100,14 +102,14 @@
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.standing.Seen(now, req.Customer, req.Weight)
 	if l.missed(now, req) {
 		return nil, placement{err: errLate(l.drainTime())}
 	}
 	if l.queue.Len() == 0 {
-		choice, reason := l.table.Pick(now, ask())
+		choice, reason := l.pick(now, req, ask)
 		switch reason {
 		case route.Chosen:
-			l.inFlight++
 			return nil, placement{choice: choice}
 		case route.NoHost:
 			return nil, placement{err: errNoHost()}
@@ -129,6 +131,18 @@
 	return waiting, placement{}
 }
 
+// pick reserves a host with room. The lock is held.
+func (l *lane) pick(now time.Time, req *Request, ask func() route.Ask) (route.Choice, route.Reason) {
+	want := ask()
+	want.Large = l.standing.Large(now, req.Customer)
+	choice, reason := l.table.Pick(now, want)
+	if reason == route.Chosen {
+		l.inFlight++
+		l.standing.Begin(req.Customer)
+	}
+	return choice, reason
+}
+
 // service estimates the time that the request takes on a host.
 func (l *lane) service(now time.Time, req *Request) time.Duration {
 	if service := l.table.Service(now, req.MaxTokens); service > 0 {
@@ -179,10 +193,9 @@
 				waiting.placed <- placement{err: errLate(l.drainTime())}
 				return true
 			}
-			choice, reason := l.table.Pick(now, waiting.ask())
+			choice, reason := l.pick(now, waiting.req, waiting.ask)
 			switch reason {
 			case route.Chosen:
-				l.inFlight++
 				waiting.placed <- placement{choice: choice}
 				return true
 			case route.NoHost:
@@ -229,12 +242,13 @@
 }
 
 // finish gives a choice back and places others on the room.
-func (l *lane) finish(choice route.Choice, result route.Result) {
+func (l *lane) finish(req *Request, choice route.Choice, result route.Result) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table.Finish(now, choice, result)
 	l.inFlight--
+	l.standing.End(req.Customer)
 	l.pump(now)
 }
 
@@ -246,12 +260,14 @@
 	l.table.Load(now, choice.Host.ID, int(running), int(queued))
 }
 
-// speed takes the time between tokens of an answer that is still coming.
-func (l *lane) speed(choice route.Choice, gap time.Duration) {
+// speed takes the time between tokens of an answer that is still coming, and
+// reports whether it should go on elsewhere: its host is slow, and there are
+// others.
+func (l *lane) speed(choice route.Choice, gap time.Duration) (leave bool) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.table.Speed(now, choice, gap)
+	return l.table.Speed(now, choice, gap) && l.table.Hosts() > 1
 }
 
 // patience returns how long a silent host is waited for: before the first
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"comfreyrelay.example/relay/retry"
 	"comfreyrelay.example/relay/route"
 	"comfreyrelay.example/relay/wire"
 )
@@ -24,8 +25,9 @@
 	maxPatience    = 10 * time.Second
 	// impatience for what may not be repeated only costs an unknown outcome.
 	onceFactor = 3
-	// speedEvery is the number of tokens between two looks at a host's speed.
+	// A host's speed is looked at after so many tokens, or so much time.
 	speedEvery = 8
+	speedTime  = 150 * time.Millisecond
 )
 
 // run is one request on its way.
@@ -43,6 +45,7 @@
 	queued     time.Duration
 	firstToken time.Duration
 	gone       bool // the caller is gone; the answer is collected all the same
+	moved      bool // it left a slow host once already
 }
 
 // attemptEnd is how one attempt ended.
@@ -51,6 +54,7 @@
 	refused    bool // proved not run, by the agent
 	cancelled  bool // by the caller or the deadline: not the host's fault
 	reason     string
+	left       bool // by us, for a quicker host; its retry is paid for
 	retryAfter time.Duration
 }
 
@@ -60,7 +64,7 @@
 	adapter := choice.AdapterVersion(r.req.Adapter)
 	resume, ok := r.progress.Start(choice.Host.Version, adapter)
 	if !cfg.Invariants.Check(ok, "attemptAllowed", "request", r.req.ID, "version", choice.Host.Version) {
-		r.lane.finish(choice, route.Result{End: route.EndCancelled})
+		r.lane.finish(r.req, choice, route.Result{End: route.EndCancelled})
 		return attemptEnd{reason: "internal error"}
 	}
 	r.host, r.affinity = choice.Host.ID, choice.Affinity()
@@ -70,7 +74,7 @@
 	if !end.whole && !end.refused {
 		r.settle(ctx, choice)
 	}
-	r.lane.finish(choice, timing.result(end))
+	r.lane.finish(r.req, choice, timing.result(end))
 	cfg.Log.Debug("attempt ended", "request", r.req.ID, "attempt", r.progress.Number(), "host", r.host,
 		"whole", end.whole, "refused", end.refused, "reason", end.reason)
 	return end
@@ -141,7 +145,7 @@
 	if watch.fired.Load() {
 		return attemptEnd{reason: "the host was silent for too long"}
 	}
-	return attemptEnd{reason: reason, cancelled: ctx.Err() != nil}
+	return attemptEnd{reason: reason, cancelled: ended(ctx)}
 }
 
 // note takes the host's word on its load. Frames of tokens carry none.
@@ -181,24 +185,41 @@
 	if r.firstToken == 0 {
 		r.firstToken = r.dispatcher.cfg.Clock.Since(r.started)
 	}
-	if timing.due() {
-		r.lane.speed(choice, timing.gap())
+	if err := r.hand(step.Tokens, watch); err == nil {
+		return r.leaveIfSlow(choice, timing)
 	}
-	if r.sink.Tokens == nil || r.gone || len(step.Tokens) == 0 {
+	r.gone = true
+	if !r.req.Repeatable {
 		return attemptEnd{}, false
 	}
+	return attemptEnd{cancelled: true, reason: "the caller is gone"}, true
+}
+
+// hand passes tokens to the caller that wants them as they come.
+func (r *run) hand(tokens []string, watch *watch) error {
+	if r.sink.Tokens == nil || r.gone || len(tokens) == 0 {
+		return nil
+	}
 	r.progress.Handed()
 	watch.pause()
-	err := r.sink.Tokens(r.progress.Version(), step.Tokens)
-	watch.heard()
-	if err == nil {
+	defer watch.heard()
+	return r.sink.Tokens(r.progress.Version(), tokens)
+}
+
+// leaveIfSlow gives up a host that is left out as slow, once and for what may
+// be resumed: at a tenth of the speed most answers in progress there would miss
+// their deadline. The retry is taken from the budget first; without it the
+// answer stays where it is.
+func (r *run) leaveIfSlow(choice route.Choice, timing *timing) (attemptEnd, bool) {
+	if !timing.due() {
 		return attemptEnd{}, false
 	}
-	r.gone = true
-	if !r.req.Repeatable {
+	slow := r.lane.speed(choice, timing.gap())
+	if !slow || r.moved || !r.req.Repeatable || r.progress.Number() >= retry.MaxAttempts || !r.req.Retry() {
 		return attemptEnd{}, false
 	}
-	return attemptEnd{cancelled: true, reason: "the caller is gone"}, true
+	r.moved = true
+	return attemptEnd{left: true, reason: "the host is slow"}, true
 }
 
 // settle asks the agent what became of an attempt that ended without proof.
@@ -296,8 +317,11 @@
 	t.count += count
 }
 
-// due reports whether enough tokens came since the last look.
-func (t *timing) due() bool { return t.count-t.judged >= speedEvery }
+// due reports whether enough tokens, or enough time, came since the last look.
+func (t *timing) due() bool {
+	tokens := t.count - t.judged
+	return tokens >= speedEvery || tokens > 0 && t.last.Sub(t.since) >= speedTime
+}
 
 // gap returns the mean time between tokens since the last look, and looks.
 func (t *timing) gap() time.Duration {
@@ -325,9 +349,20 @@
 		return route.EndAnswered
 	case end.refused:
 		return route.EndRefused
-	case end.cancelled:
+	case end.cancelled, end.left:
 		return route.EndCancelled
 	default:
 		return route.EndFailed
 	}
 }
+
+// ended reports whether ctx is over. A clockwork context's Err waits for that
+// on a fake clock, so it is not asked.
+func ended(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/entry/internal/dispatch/run_test.go
@@ -0,0 +1,307 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/route"
+	"comfreyrelay.example/relay/wire"
+)
+
+// scripted is what a fake host does with an attempt, frame by frame.
+type scripted struct {
+	wait  time.Duration // on the fake clock, before the frame
+	frame *wire.Frame
+	stall bool // no frame comes, however long the wait
+	err   error
+}
+
+// fakeHosts are hosts on a fake clock that only their answers move.
+type fakeHosts struct {
+	clock *clockwork.FakeClock
+	// script answers an attempt on the host with the address; reachable is
+	// false where the connection is refused.
+	script      func(address string, att *wire.Attempt) (steps []scripted, reachable bool)
+	cancelState string
+
+	mu       sync.Mutex
+	attempts []string // addresses, in order
+	cancels  []string
+}
+
+func (h *fakeHosts) hosts() Hosts {
+	return Hosts{Run: h.run, Cancel: h.cancel}
+}
+
+func (h *fakeHosts) run(ctx context.Context, address string, att *wire.Attempt) (Stream, bool, error) {
+	h.mu.Lock()
+	h.attempts = append(h.attempts, address)
+	h.mu.Unlock()
+	steps, reachable := h.script(address, att)
+	if !reachable {
+		return Stream{}, false, errors.New("connection refused")
+	}
+	sequence := uint32(0)
+	recv := func() (*wire.Frame, error) {
+		if len(steps) == 0 {
+			return nil, io.EOF
+		}
+		step := steps[0]
+		steps = steps[1:]
+		h.clock.Advance(step.wait)
+		if step.stall {
+			<-ctx.Done()
+		}
+		if step.err != nil || ended(ctx) {
+			return nil, errors.Join(step.err, io.ErrUnexpectedEOF)
+		}
+		step.frame.RequestId, step.frame.Attempt, step.frame.Sequence = att.GetRequestId(), att.GetAttempt(), sequence
+		sequence++
+		return step.frame, nil
+	}
+	return Stream{Recv: recv, Close: func() error { return nil }}, true, nil
+}
+
+func (h *fakeHosts) cancel(_ context.Context, address string, _ *wire.CancelRequest) (*wire.CancelReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cancels = append(h.cancels, address)
+	return &wire.CancelReply{State: h.cancelState}, nil
+}
+
+const testWords = 24
+
+func words() []string {
+	list := make([]string, testWords)
+	for i := range list {
+		list[i] = fmt.Sprintf("word%d", i)
+	}
+	return list
+}
+
+// answerAt answers whole, with a time between tokens.
+func answerAt(att *wire.Attempt, gap time.Duration) []scripted {
+	steps := []scripted{{frame: &wire.Frame{Kind: frameBegin, Version: att.GetVersion()}}}
+	for _, word := range words()[len(att.GetResumeTokens()):] {
+		steps = append(steps, scripted{wait: gap, frame: &wire.Frame{Kind: frameTokens, Tokens: []string{word}}})
+	}
+	return append(steps, scripted{frame: &wire.Frame{Kind: frameEnd, Version: att.GetVersion(), Digest: DigestOf(words())}})
+}
+
+func newTestDispatcher(hosts *fakeHosts, count int) *Dispatcher {
+	hosts.clock = clockwork.NewFakeClock()
+	dispatcher := New(Config{
+		Self:       &wire.Node{Id: "e"},
+		Clock:      hosts.clock,
+		Log:        slog.New(slog.DiscardHandler),
+		Hosts:      hosts.hosts(),
+		Known:      func() *wire.Known { return nil },
+		Refresh:    func() {},
+		Invariants: Invariants{Log: slog.New(slog.DiscardHandler), Panic: true},
+	})
+	var list []route.Host
+	for i := range count {
+		name := fmt.Sprintf("h%d", i)
+		list = append(list, route.Host{ID: name, Address: name, Incarnation: "1", Version: "v1", Slots: 4, Sequence: 1, HeardAt: hosts.clock.Now()})
+	}
+	dispatcher.Update("lane", list, 1)
+	return dispatcher
+}
+
+func testRequest(hosts *fakeHosts, number int, repeatable bool) *Request {
+	return &Request{
+		ID: fmt.Sprintf("r%d", number), Customer: "quetzal", Weight: 1, Lane: "lane", Model: "parcel",
+		Prompt: fmt.Sprintf("Envelope %d", number), MaxTokens: testWords, Repeatable: repeatable,
+		Deadline: hosts.clock.Now().Add(30 * time.Second),
+		Versions: func() []string { return []string{"v1"} },
+		Retry:    func() bool { return true },
+	}
+}
+
+// Symptom: answers in progress on a host that turned slow miss their deadline.
+// It sends ten times slower than the others and reports itself well.
+func TestAnswerLeavesASlowHost(t *testing.T) {
+	slow := ""
+	hosts := &fakeHosts{script: func(address string, att *wire.Attempt) ([]scripted, bool) {
+		if address == slow {
+			return answerAt(att, 200*time.Millisecond), true
+		}
+		return answerAt(att, 20*time.Millisecond), true
+	}}
+	dispatcher := newTestDispatcher(hosts, 4)
+	for number := range 40 {
+		dispatcher.Do(context.Background(), testRequest(hosts, number, true), Sink{})
+	}
+	slow = hosts.attempts[0]
+	before := len(hosts.attempts)
+	var tokens []string
+	sink := Sink{Tokens: func(_ string, more []string) error {
+		tokens = append(tokens, more...)
+		return nil
+	}}
+	result := dispatcher.Do(context.Background(), testRequest(hosts, 0, true), sink)
+	if result.Outcome != Answered || !slices.Equal(tokens, words()) {
+		t.Fatalf("got %s %q, want the whole answer", result.Outcome, tokens)
+	}
+	if got := hosts.attempts[before:]; len(got) != 2 || got[0] != slow || got[1] == slow {
+		t.Errorf("got attempts on %q, want one on %s and one elsewhere", got, slow)
+	}
+}
+
+// Symptom: a caller waits for its whole deadline on a host whose network is
+// gone: nothing comes, no connection breaks.
+func TestSilentHostIsGivenUp(t *testing.T) {
+	for _, test := range []struct {
+		repeatable  bool
+		cancelState string
+		want        Outcome
+		attempts    int
+	}{
+		{true, "running", Answered, 2},
+		{false, "neverBegun", Answered, 2},
+		{false, "running", Unknown, 1},
+	} {
+		t.Run(fmt.Sprintf("repeatable=%t/%s", test.repeatable, test.cancelState), func(t *testing.T) {
+			silent := ""
+			hosts := &fakeHosts{cancelState: test.cancelState}
+			hosts.script = func(address string, att *wire.Attempt) ([]scripted, bool) {
+				if silent == "" || address == silent {
+					silent = address
+					return []scripted{{wait: maxPatience, stall: true}}, true
+				}
+				return answerAt(att, 20*time.Millisecond), true
+			}
+			dispatcher := newTestDispatcher(hosts, 3)
+			advanceWhileWaiting(t, hosts.clock)
+			result := dispatcher.Do(context.Background(), testRequest(hosts, 1, test.repeatable), Sink{})
+			if result.Outcome != test.want || result.Attempts != test.attempts {
+				t.Errorf("got %s after %d attempts, want %s after %d", result.Outcome, result.Attempts, test.want, test.attempts)
+			}
+		})
+	}
+}
+
+// advanceWhileWaiting lets the waits between attempts pass.
+func advanceWhileWaiting(t *testing.T, clock *clockwork.FakeClock) {
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+				clock.Advance(5 * time.Millisecond)
+			}
+		}
+	}()
+}
+
+// Symptom: an engine works for a caller who hung up.
+func TestCallerWhoIsGone(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		hosts := &fakeHosts{script: func(_ string, att *wire.Attempt) ([]scripted, bool) {
+			return answerAt(att, 20*time.Millisecond), true
+		}}
+		dispatcher := newTestDispatcher(hosts, 3)
+		sink := Sink{Tokens: func(string, []string) error { return errors.New("gone") }}
+		result := dispatcher.Do(context.Background(), testRequest(hosts, 1, repeatable), sink)
+		want := Unknown
+		if !repeatable {
+			want = Answered // kept for the caller's next sending of the key
+		}
+		if result.Outcome != want || result.Attempts != 1 {
+			t.Errorf("repeatable %t: got %s after %d attempts, want %s after 1", repeatable, result.Outcome, result.Attempts, want)
+		}
+	}
+}
+
+// Symptom: a request that nobody ran is called unknown, or one that may have
+// run is called notRun. The proofs of several attempts add up.
+func TestOutcomeOfSeveralAttempts(t *testing.T) {
+	refused := []scripted{{frame: &wire.Frame{Kind: frameRefused, Reason: "busy"}}}
+	broken := []scripted{{err: io.ErrUnexpectedEOF}}
+	cases := []struct {
+		name        string
+		first       []scripted
+		reachable   bool
+		cancelState string
+		repeatable  bool
+		want        Outcome
+	}{
+		{"refused everywhere", refused, true, "", false, NotRun},
+		{"not reachable", nil, false, "", false, NotRun},
+		{"broken, proved never begun", broken, true, "neverBegun", false, NotRun},
+		{"broken", broken, true, "ended", false, Unknown},
+		{"broken, another incarnation", broken, true, "otherIncarnation", false, Unknown},
+		{"broken, repeatable", broken, true, "ended", true, Unknown},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			hosts := &fakeHosts{cancelState: test.cancelState}
+			hosts.script = func(string, *wire.Attempt) ([]scripted, bool) {
+				return slices.Clone(test.first), test.reachable
+			}
+			dispatcher := newTestDispatcher(hosts, 2)
+			advanceWhileWaiting(t, hosts.clock)
+			result := dispatcher.Do(context.Background(), testRequest(hosts, 1, test.repeatable), Sink{})
+			if result.Outcome != test.want {
+				t.Errorf("got %s, want %s", result.Outcome, test.want)
+			}
+			if result.Err == nil || result.Err.Remedy() == "" {
+				t.Errorf("got error %v, want one with a remedy", result.Err)
+			}
+		})
+	}
+}
+
+// Symptom: a caller is left waiting until its deadline although it is plain
+// that its request cannot be on time.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	release := make(chan struct{})
+	hosts := &fakeHosts{}
+	hosts.script = func(_ string, att *wire.Attempt) ([]scripted, bool) {
+		if att.GetPrompt() == "hold" {
+			<-release
+		}
+		return answerAt(att, 20*time.Millisecond), true
+	}
+	dispatcher := newTestDispatcher(hosts, 1)
+	for number := range 5 {
+		dispatcher.Do(context.Background(), testRequest(hosts, number, true), Sink{})
+	}
+	var holders sync.WaitGroup
+	held := testRequest(hosts, 9, true)
+	held.Prompt = "hold"
+	holders.Go(func() { dispatcher.Do(context.Background(), held, Sink{}) })
+	for dispatcher.lane("lane").busy() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	late := testRequest(hosts, 10, true)
+	late.Deadline = hosts.clock.Now().Add(100 * time.Millisecond)
+	result := dispatcher.Do(context.Background(), late, Sink{})
+	if result.Outcome != NotRun || !errors.Is(result.Err, ErrLate) || result.Attempts != 0 {
+		t.Errorf("got %s after %d attempts: %v, want notRun without any", result.Outcome, result.Attempts, result.Err)
+	}
+	if result.Err.RetryAfter() == 0 {
+		t.Error("got no time to retry after, want one")
+	}
+	close(release)
+	holders.Wait()
+}
+
+// busy returns the attempts in progress.
+func (l *lane) busy() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight
+}
--- a/relay/route/health.go
+++ b/relay/route/health.go
@@ -28,6 +28,7 @@
 	refusals     int       // in a row
 	ejections    int       // in a row, for the backoff
 	ejectedUntil time.Time // no new work before, unless nobody else is there
+	slowUntil    time.Time // ejected as slow until then
 	waitUntil    time.Time // it refused: no new work before
 	probing      bool      // back from ejection and not yet proved well
 	joinedAt     time.Time // when it was first seen serving; zero: at our start
--- a/relay/route/host.go
+++ b/relay/route/host.go
@@ -52,7 +52,9 @@
 	// AdapterVersion is the only one allowed; empty: any that the host lists.
 	AdapterVersion string
 	Exclude        []string // host ids that failed this request already
-	Retry          bool     // not the request's first attempt
+	// Large marks a customer that uses much more than its share: some room on
+	// each host is kept from it for the others.
+	Large bool
 }
 
 // Choice is a host reserved for one attempt; Finish gives it back.
--- a/relay/route/pick.go
+++ b/relay/route/pick.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -75,17 +76,22 @@
 	if !serves(each, ask) || slices.Contains(ask.Exclude, each.ID) || each.ejected(now) {
 		return false
 	}
-	return t.hasRoom(now, each)
+	return t.hasRoom(now, each, ask.Large)
 }
 
 // hasRoom compares the host's load with its slots. The limit that adapts to
 // what the host shows comes first; an entry that has little there gets its
-// share even where the others fill the host, or it would starve.
-func (t *Table) hasRoom(now time.Time, each *host) bool {
+// share even where the others fill the host, or it would starve. A large
+// customer gets neither that share nor the last slots: a small one that came
+// to full hosts would wait for one of them to finish.
+func (t *Table) hasRoom(now time.Time, each *host, large bool) bool {
 	if each.probing {
 		return each.inFlight < probeInFlight
 	}
 	slots := float64(each.slots()) * each.ramp(now)
+	if large && float64(each.load()) >= slots-reserve(slots) {
+		return false
+	}
 	if each.inFlight < max(1, int(slots)/(2*t.entries)) {
 		return true
 	}
@@ -99,6 +105,9 @@
 // travels.
 func headroom(slots float64) float64 { return max(1, slots/8) }
 
+// reserve is the room that is kept from large customers.
+func reserve(slots float64) float64 { return max(1, math.Ceil(slots/8)) }
+
 // best chooses among the prefix's homes, hosts that probably hold it and a few
 // random ones by cost. The random ones are the power of two choices: entries
 // that act on the same stale report do not all meet on the same host.
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -194,10 +194,15 @@
 }
 
 // Speed takes the time between tokens of an answer that is still coming: a
-// slow host is noticed long before its first answer is whole.
-func (t *Table) Speed(now time.Time, choice Choice, gap time.Duration) {
-	choice.kept.sample(gap)
-	t.judgeSlow(now, choice.kept)
+// slow host is noticed long before its first answer is whole. It reports
+// whether the host is left out as slow, so that the answer may go on elsewhere.
+func (t *Table) Speed(now time.Time, choice Choice, gap time.Duration) (slow bool) {
+	each := choice.kept
+	each.sample(gap)
+	if t.judgeSlow(now, each) {
+		return true
+	}
+	return each.slowUntil.After(now) && float64(gap)/float64(time.Millisecond) > slowRatio*t.medianGap()
 }
 
 // judgeSlow ejects a host whose tokens come several times slower than the
@@ -214,6 +219,7 @@
 		return false
 	}
 	each.eject(now, slowEjection)
+	each.slowUntil = each.ejectedUntil
 	return true
 }
 
