--- a/relay/peer/meter_test.go
+++ b/relay/peer/meter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"io"
 	"testing"
@@ -166,7 +167,7 @@
 				for err == nil {
 					_, err = stream.Recv()
 				}
-				if err != io.EOF {
+				if !errors.Is(err, io.EOF) {
 					b.Fatal(err)
 				}
 			}
