peer: quiet connections end; manifest: a chunk count that overflowed

A manifest of 2^64-1 bytes in chunks of 2 passed as whole without one chunk, because rounding up overflowed. Change: connections without a call end after four times the idle time of clients; the count is rounded up without adding first.

--- a/relay/manifest/fuzz_test.go
+++ b/relay/manifest/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -32,6 +33,7 @@
 	f.Add(encode(f, &wire.Manifest{ChunkBytes: 4, TotalBytes: 5, ChunkHashes: [][]byte{hash}}))
 	f.Add(encode(f, &wire.Manifest{ChunkBytes: 4, TotalBytes: 4, ChunkHashes: [][]byte{hash[1:]}}))
 	f.Add(encode(f, &wire.Manifest{ChunkBytes: manifest.MaxChunkBytes + 1, TotalBytes: 1, ChunkHashes: [][]byte{hash}}))
+	f.Add(encode(f, &wire.Manifest{ChunkBytes: 2, TotalBytes: math.MaxUint64}))
 	f.Add(encode(f, &wire.Manifest{TotalBytes: 1, ChunkHashes: [][]byte{hash}}))
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		man, err := manifest.Decode(encoded, manifest.Version(encoded))
--- a/relay/manifest/manifest.go
+++ b/relay/manifest/manifest.go
@@ -58,7 +58,12 @@
 		return failure.New(failure.Invalid, "the manifest's chunk size is out of bounds",
 			"publish it with chunks of 1 byte to 2 MiB")
 	}
-	want := (man.GetTotalBytes() + size - 1) / size
+	// Rounding up by adding first would overflow: a manifest of 2^64-1 bytes
+	// would count as whole without a single chunk.
+	want := man.GetTotalBytes() / size
+	if man.GetTotalBytes()%size > 0 {
+		want++
+	}
 	if uint64(len(man.GetChunkHashes())) != want {
 		return failure.New(failure.Invalid, "the manifest's chunk count does not match its size",
 			"publish it again")
--- a/relay/peer/server.go
+++ b/relay/peer/server.go
@@ -5,20 +5,35 @@
 	"crypto/tls"
 	"log/slog"
 	"net"
+	"time"
 
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
 
+// quietTimeout closes a connection on which no call begins. It is longer than the
+// time that a client keeps an idle connection, so that no call meets the close.
+//
+// Without it a connection whose first frame begins no call, or that never ends
+// its TLS handshake, is never read again: the server would not even notice that
+// the peer is gone, and hold its descriptor and goroutines for ever.
+const quietTimeout = 4 * idleExpiration
+
 // Serve answers drpc calls on the listener until ctx ends. Nil keys mean clear
 // text.
 func Serve(ctx context.Context, lis net.Listener, keys *Keys, mux *drpcmux.Mux, log *slog.Logger) error {
+	return serveWithin(ctx, lis, keys, mux, log, quietTimeout)
+}
+
+func serveWithin(ctx context.Context, lis net.Listener, keys *Keys, mux *drpcmux.Mux, log *slog.Logger, quiet time.Duration) error {
 	lis = meteredListener{lis}
 	if keys != nil {
 		lis = tls.NewListener(lis, keys.ServerConfig())
 	}
+	options := managerOptions()
+	options.InactivityTimeout = quiet
 	srv := drpcserver.NewWithOptions(meteredHandler{mux}, drpcserver.Options{
-		Manager: managerOptions(),
+		Manager: options,
 		Log: func(err error) {
 			log.Debug("peer connection failed", "error", err)
 		},
