burst: lone hosts, hosts that answer and deliver nothing; link under test

Cause: tests of whole managers found a lone host that never drew (an empty list of peers was taken for one already seen) and a fleet that waited without end for a host that answered exchanges and sent no chunk. Change: both mended; a peer whose requests time out in a row is banned for a while, an owner that passes a drawn chunk on to nobody is passed over.

--- a/agent/internal/weights/fleet_test.go
+++ b/agent/internal/weights/fleet_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,10 +162,16 @@
 	store *memoryStore
 	// tamper changes the chunks that the host sends; nil leaves them.
 	tamper func(data *wire.ChunkData)
-	stop   context.CancelFunc
+	// stalled makes the host take requests for chunks and answer none.
+	stalled atomic.Bool
+	stop    context.CancelFunc
 }
 
 func (h *testHost) Chunk(req *wire.ChunkRequest, stream wire.DRPCHost_ChunkStream) error {
+	if h.stalled.Load() {
+		<-stream.Context().Done()
+		return stream.Context().Err()
+	}
 	if h.tamper != nil && req.GetIndex() != manifestIndex {
 		stream = tamperingStream{DRPCHost_ChunkStream: stream, tamper: h.tamper}
 	}
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -58,6 +58,9 @@
 	maxDuplicates = 2
 	// bannedAfter is the corrupt chunks in a row that ban a peer.
 	bannedAfter = 2
+	// stallsToBan is the requests that time out in a row until a peer is
+	// banned: more than are in progress at once.
+	stallsToBan = perPeerFetches + 1
 	// ownerRanks is how many hosts may draw a chunk in turn.
 	ownerRanks = 8
 )
@@ -82,7 +85,7 @@
 	suspectWait   = 5 * time.Second        // pause with an unreachable peer
 	stallPenalty  = 2 * time.Second        // pause with a peer that let a fetch time out; doubles
 	corruptPause  = 250 * time.Millisecond // pause after one corrupt chunk
-	corruptBan    = 10 * time.Second       // pause with a peer that sent several in a row; doubles
+	banTime       = 10 * time.Second       // pause with a peer that talks but does not deliver; doubles
 	maxPenalty    = time.Minute
 	originBackoff = 500 * time.Millisecond // pause after a failed draw; doubles
 	maxBackoff    = 15 * time.Second
@@ -95,6 +98,11 @@
 	intendFailures = 4
 	// lostTurns is the turns that a drawn chunk has to reach a neighbour.
 	lostTurns = 2
+	// undeliveredTurns is the turns after which an owner that holds a chunk and
+	// passes it on to nobody is passed over.
+	undeliveredTurns = 6
+	// fewHolders is the holders up to which each is looked at.
+	fewHolders = 2
 	// silentTime is the time without a word after which a peer that failed is
 	// taken to be gone.
 	silentTime = 3 * time.Second
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -198,6 +198,7 @@
 
 func (c *Core) learn(now time.Time, pst *peerState, rep Report) {
 	pst.heardAt, pst.exchanged = now, now
+	pst.silent = 0
 	pst.queue = rep.Queue
 	if rep.Fetching != nil {
 		pst.fetching = rep.Fetching
@@ -208,7 +209,6 @@
 	}
 	if now.Before(pst.suspectUntil) || now.Before(pst.outsideUntil) {
 		pst.suspectUntil, pst.outsideUntil = now, now
-		pst.strikes = 0
 		c.membershipChanged(now)
 	}
 	c.learnHeld(pst, rep.Held)
@@ -275,7 +275,7 @@
 }
 
 func (c *Core) suspect(now time.Time, pst *peerState) {
-	pst.suspectUntil = now.Add(pst.penalty(suspectWait))
+	pst.unanswered(now)
 	c.membershipChanged(now)
 }
 
@@ -336,11 +336,11 @@
 		pst.corrupted(now)
 		c.membershipChanged(now)
 	case TimedOut:
+		pst.stalled(now)
 		if pst.heardAt.Before(flt.started) {
-			c.suspect(now, pst)
-			return
+			pst.unanswered(now)
 		}
-		pst.slowUntil = now.Add(pst.penalty(stallPenalty))
+		c.membershipChanged(now)
 	case Broken:
 		c.suspect(now, pst)
 	}
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -18,7 +18,8 @@
 // So, among hosts that can reach each other, at most maxDrawWindow chunks are
 // requested from the origin at once, each by at most copiesAllowed hosts, and
 // no chunk is drawn more often than copiesAllowed plus the draws of it that
-// failed, however many hosts fail.
+// failed or whose host passes the chunk on to nobody, and never by more than
+// ownerRanks hosts, however many hosts fail.
 func (c *Core) draw(now time.Time) {
 	if now.Before(c.drawScan) || !c.settled(now) {
 		return
@@ -38,7 +39,7 @@
 	}
 	c.lostScan = now.Add(lostInterval)
 	for chunk := range c.dueSince {
-		if c.drawn.Test(uint(chunk)) && (c.held.Test(uint(chunk)) || c.holders[chunk] > 0) {
+		if c.drawn.Test(uint(chunk)) && (c.held.Test(uint(chunk)) || c.offeredNear(chunk)) {
 			delete(c.dueSince, chunk)
 		}
 	}
@@ -77,12 +78,25 @@
 // findLost looks for chunks that were drawn but whose holders may be gone.
 func (c *Core) findLost(now time.Time) {
 	for chunk, ok := c.held.NextClear(0); ok; chunk, ok = c.held.NextClear(chunk + 1) {
-		if c.drawn.Test(chunk) && c.holders[chunk] == 0 && c.inFlight[chunk] == 0 {
+		if c.drawn.Test(chunk) && c.inFlight[chunk] == 0 && !c.offeredNear(int(chunk)) {
 			c.drawIfOwner(now, int(chunk))
 		}
 	}
 }
 
+// offeredNear reports whether a neighbour that delivers holds the chunk.
+func (c *Core) offeredNear(chunk int) bool {
+	if c.holders[chunk] > fewHolders {
+		return true
+	}
+	for _, pst := range c.neighbours {
+		if pst.strikes == 0 && pst.held != nil && pst.held.Test(uint(chunk)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) drawIfOwner(now time.Time, chunk int) {
 	if c.held.Test(uint(chunk)) || c.inFlight[chunk] > 0 {
 		return
@@ -142,6 +156,10 @@
 		if waited < time.Duration(before)*turn {
 			return false
 		}
+		if lost && waited >= time.Duration(before)*turn*undeliveredTurns {
+			// It holds the chunk and passes it on to nobody.
+			continue
+		}
 		if before < c.copiesAllowed() && !lost && waited >= time.Duration(before)*turn*takeoverTurns {
 			continue
 		}
@@ -194,7 +212,7 @@
 // excluded reports whether a host of higher rank said lately that it neither
 // holds nor fetches the chunk; it asks where that is unknown.
 func (c *Core) excluded(now time.Time, owner *peerState, chunk int, turn time.Duration) bool {
-	if owner.strikes > 0 && now.Sub(owner.heardAt) > silentTime {
+	if owner.silent > 0 && now.Sub(owner.heardAt) > silentTime {
 		// It failed and has been silent since; a stalled link answers nothing.
 		return true
 	}
--- a/relay/burst/faults_test.go
+++ b/relay/burst/faults_test.go
@@ -153,6 +153,8 @@
 		host.slowed = true
 		host.sender.link.piece *= 10
 		host.down.piece *= 10
+	case "mute":
+		host.mute = true
 	case "corruptAll":
 		host.corrupts = true
 	default:
--- a/relay/burst/peers.go
+++ b/relay/burst/peers.go
@@ -37,7 +37,8 @@
 	suspectUntil time.Time // taken to be unreachable until then
 	bannedUntil  time.Time // sent corrupt bytes repeatedly: ignored until then
 	outsideUntil time.Time // takes no part in the version until then
-	strikes      int       // stalls and failures since it last delivered
+	strikes      int       // requests that timed out since it last delivered
+	silent       int       // failures since it was last heard
 	corrupts     int       // corrupt chunks since it last delivered
 }
 
@@ -59,23 +60,40 @@
 	return until
 }
 
-// penalty returns a pause that doubles with each failure since the peer last
-// delivered.
-func (p *peerState) penalty(base time.Duration) time.Duration {
-	p.strikes++
-	return min(base<<min(p.strikes-1, 6), maxPenalty)
+// doubled returns a pause that doubles with each failure before, within bounds.
+func doubled(base time.Duration, before int) time.Duration {
+	return min(base<<min(max(before, 0), 6), maxPenalty)
 }
 
-// corrupted notes a corrupt chunk. One may be the link's fault; a peer that
-// sends them in a row is banned, or the fleet would ask it for ever and take
-// what it alone holds for available.
+// corrupted notes a corrupt chunk. One may be the link's fault.
 func (p *peerState) corrupted(now time.Time) {
 	p.corrupts++
 	if p.corrupts < bannedAfter {
 		p.slowUntil = now.Add(corruptPause)
 		return
 	}
-	p.bannedUntil = now.Add(min(corruptBan<<min(p.corrupts-bannedAfter, 6), maxPenalty))
+	p.ban(now, p.corrupts-bannedAfter)
+}
+
+// stalled notes a request that timed out.
+func (p *peerState) stalled(now time.Time) {
+	p.slowUntil = now.Add(doubled(stallPenalty, p.strikes))
+	p.strikes++
+	if p.strikes >= stallsToBan {
+		p.ban(now, p.strikes-stallsToBan)
+	}
+}
+
+// ban ignores a peer that talks but does not deliver, longer each time: the
+// fleet would ask it for ever and take what it alone holds for available.
+func (p *peerState) ban(now time.Time, before int) {
+	p.bannedUntil = now.Add(doubled(banTime, before))
+}
+
+// unanswered takes the peer to be unreachable for a while.
+func (p *peerState) unanswered(now time.Time) {
+	p.suspectUntil = now.Add(doubled(suspectWait, p.silent))
+	p.silent++
 }
 
 func (p *peerState) is(set []uint64, chunk int) bool {
@@ -86,7 +104,7 @@
 // SetPeers replaces the list of agents known to live; Self is ignored. A
 // neighbour that left the list stays while it answers, because the list lags.
 func (c *Core) SetPeers(now time.Time, list []Peer) {
-	if slices.Equal(list, c.list) {
+	if !c.listedAt.IsZero() && slices.Equal(list, c.list) {
 		return
 	}
 	c.list = slices.Clone(list)
--- a/relay/burst/sim_test.go
+++ b/relay/burst/sim_test.go
@@ -127,6 +127,7 @@
 	incoming map[string]*simTransfer
 	dead     bool
 	stalled  bool // its link carries nothing and does not close
+	mute     bool // it answers exchanges and sends no chunk
 	slowed   bool // its link runs at a tenth
 	corrupts bool // all it sends is corrupt
 	life     int
@@ -388,8 +389,24 @@
 	trans := host.incoming[key]
 	delete(host.incoming, key)
 	if trans != nil {
-		s.after(3*time.Millisecond, func() { trans.dead = true })
+		s.after(3*time.Millisecond, func() {
+			trans.dead = true
+			s.leaveMute(trans)
+		})
+	}
+}
+
+// leaveMute frees the slot of a cancelled upload of a host that sends nothing.
+func (s *sim) leaveMute(trans *simTransfer) {
+	if trans.from == nil || !trans.from.mute {
+		return
+	}
+	at := slices.Index(trans.from.sender.active, trans)
+	if at >= 0 {
+		trans.from.sender.active = slices.Delete(trans.from.sender.active, at, at+1)
+		trans.from.uploads.Done(0)
 	}
+	s.startUploads(trans.from)
 }
 
 func (s *sim) startUploads(peer *simHost) {
@@ -417,7 +434,7 @@
 
 // pump sends the next piece of the next active transfer in turn.
 func (s *sim) pump(sender *simSender, host *simHost) {
-	if sender.busy || (host != nil && (host.stalled || host.dead)) {
+	if sender.busy || (host != nil && (host.stalled || host.mute || host.dead)) {
 		return
 	}
 	for len(sender.active) > 0 {
