--- a/relay/limit/bucket.go
+++ b/relay/limit/bucket.go
@@ -32,7 +32,9 @@
 		b.level -= cost
 		return true, 0
 	}
-	return false, time.Duration(math.Ceil((needed - b.level) / rate * float64(time.Second)))
+	// A nanosecond more: the sums of the filling are rounded, and a bucket that
+	// lacks the last bit would refuse a caller who waited exactly as told.
+	return false, time.Duration(math.Ceil((needed-b.level)/rate*float64(time.Second))) + time.Nanosecond
 }
 
 // Refund gives back units that were taken and not used.
