Control: agents hear what they need of hosts and entries

Cause: an agent got each move of other hosts' load, their counters, the whole reports of nine entries each 15 s and the sender's description with each reply; it routes nothing and uses none of that. A change of an adapter was no news and waited for the refresh. Change: the digest for an agent leaves the load out, entries come as presence each 30 s, a reply names its sender by id; an adapter counts as a state. A test counts bytes by kind of message and field with hosts that report as busy ones.

--- a/entry/internal/control/exchange.go
+++ b/entry/internal/control/exchange.go
@@ -125,10 +125,10 @@
 	defer with.mu.Unlock()
 	with.hosts.SetRefresh(refreshFor(with.node, len(near)))
 	chosen := with.hosts.Select(near, now, with.agentCap.Left(now))
-	with.agentCap.Spend(reportSize(chosen))
 	for i := range chosen {
-		chosen[i].Prefixes = nil // only routers use them
+		chosen[i] = spread.WithoutLoad(chosen[i])
 	}
+	with.agentCap.Spend(reportSize(chosen))
 	return chosen
 }
 
@@ -137,6 +137,9 @@
 	snap, _ := x.house.view.Load()
 	with.mu.Lock()
 	defer with.mu.Unlock()
+	if isAgent(with.node) {
+		return with.entries.SelectRare(x.own(), snap.Entries, with.node.GetId(), now, entryBytes)
+	}
 	return with.entries.Select(x.own(), snap.Entries, with.node.GetId(), now, entryBytes)
 }
 
@@ -226,7 +229,9 @@
 // reply composes the answer to a call.
 func (x *Exchange) reply(req *wire.SyncRequest, with *session) *wire.SyncReply {
 	now := x.house.clock.Now()
-	reply := &wire.SyncReply{From: x.self, Known: x.house.Known(), Entries: x.entriesFor(with, now)}
+	// What else there is to say of the sender stands in its own report.
+	from := &wire.Node{Id: x.self.GetId()}
+	reply := &wire.SyncReply{From: from, Known: x.house.Known(), Entries: x.entriesFor(with, now)}
 	if !req.GetKnownOnly() {
 		reply.Root, reply.Plan, reply.Drains = x.house.lacking(req.GetKnown(), req.GetDeltaRoots())
 	}
@@ -235,7 +240,6 @@
 		reply.Hosts = x.hostsForAgent(with, now)
 		return reply
 	}
-	reply.From = &wire.Node{Id: x.self.GetId()} // the caller knows the rest
 	reply.Hosts = x.hostsForEntry(with, now)
 	return reply
 }
--- a/entry/internal/control/fleet_test.go
+++ b/entry/internal/control/fleet_test.go
@@ -46,11 +46,14 @@
 	// deafWatches: watches tell of no change. slow is how long a call takes.
 	deafWatches bool
 	slow        time.Duration
-	reads       []time.Time
-	writes      []time.Time
-	accepted    map[uint32]time.Time
-	inForce     map[uint32]map[string]time.Time // by revision, by process
-	operators   sync.WaitGroup
+	// working: hosts report as busy ones do. bytes counts messages; nil: none.
+	working   bool
+	bytes     *tally
+	reads     []time.Time
+	writes    []time.Time
+	accepted  map[uint32]time.Time
+	inForce   map[uint32]map[string]time.Time // by revision, by process
+	operators sync.WaitGroup
 }
 
 // member is one entry process.
@@ -223,10 +226,13 @@
 	if err != nil {
 		return nil, err
 	}
+	kind, ends, bytes := f.counting(req.GetFrom())
+	bytes.add(kind+" request", ends, req)
 	reply, err := m.server.Sync(ctx, proto.CloneOf(req))
 	if err != nil {
 		return nil, err
 	}
+	bytes.add(kind+" reply", ends, reply)
 	if _, err := f.reach(ctx, region, to); err != nil {
 		return nil, err // cut off meanwhile: the reply is lost
 	}
@@ -238,11 +244,25 @@
 	if err != nil {
 		return nil, err
 	}
+	kind, ends, bytes := f.counting(req.GetFrom())
+	bytes.add(kind+" parts request", ends, req)
 	reply, err := m.server.Parts(ctx, req)
+	bytes.add(kind+" parts reply", ends, reply)
 	time.Sleep(hop)
 	return reply, err
 }
 
+// counting returns how the messages of a call are counted: the caller's kind
+// and how many of its ends are entries.
+func (f *fleet) counting(from *wire.Node) (kind string, ends int, bytes *tally) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if isAgent(from) {
+		return "agent", 1, f.bytes
+	}
+	return "entry", 2, f.bytes
+}
+
 // gate is the service as processes of one region reach it.
 func (f *fleet) gate(region string) *kv.Store {
 	plain := f.service.Store()
@@ -539,13 +559,24 @@
 	return nil
 }
 
+// report returns what the agent says of its host.
+func (a *fakeAgent) report() *wire.HostReport {
+	a.fleet.mu.Lock()
+	working := a.fleet.working
+	a.fleet.mu.Unlock()
+	if working {
+		return workingReport(a.node, a.sequence)
+	}
+	return &wire.HostReport{Node: a.node, Sequence: a.sequence}
+}
+
 func (a *fakeAgent) request() *wire.SyncRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sequence++
 	req := &wire.SyncRequest{
 		From: a.node, Known: a.state.Known(time.Now()), WaitMillis: 1000, DeltaRoots: true,
-		Hosts: []*wire.HostReport{{Node: a.node, Sequence: a.sequence}},
+		Hosts: []*wire.HostReport{a.report()},
 	}
 	if root := a.state.Root(); root != nil && a.told < root.GetRevision() {
 		req.Root = root
--- a/entry/internal/control/session.go
+++ b/entry/internal/control/session.go
@@ -22,6 +22,10 @@
 	// relayEntries is the age at which the report of a third entry is passed on
 	// again.
 	relayEntries = 15 * time.Second
+	// relayToAgent is the same towards agents, which only need to know which
+	// entries there are; two fit into the time after which an agent forgets an
+	// entry that the list lacks.
+	relayToAgent = 30 * time.Second
 	// agentBytesPerSecond and agentBurst bound the reports sent to one agent.
 	agentBytesPerSecond = 1 << 10
 	agentBurst          = 64 << 10
@@ -82,10 +86,14 @@
 }
 
 func newSession(node *wire.Node, now time.Time) *session {
+	relay := relayEntries
+	if isAgent(node) {
+		relay = relayToAgent
+	}
 	return &session{
 		node:     node,
-		hosts:    spread.NewDigest(refreshFor(node, 0)),
-		entries:  spread.NewEntryDigest(relayEntries),
+		hosts:    spread.NewDigest(refreshFor(node, 0), !isAgent(node)),
+		entries:  spread.NewEntryDigest(relay),
 		agentCap: spread.NewAllowance(agentBytesPerSecond, agentBurst, now),
 	}
 }
--- a/relay/spread/digest.go
+++ b/relay/spread/digest.go
@@ -45,6 +45,9 @@
 			_, _ = digest.WriteString(text)
 			_, _ = digest.Write([]byte{0})
 		}
+		for _, adapter := range state.GetAdapters() {
+			_, _ = digest.WriteString(adapter.GetName() + "\x01" + adapter.GetVersion() + "\x01")
+		}
 	}
 	return summary{
 		incarnation: report.GetNode().GetIncarnation(),
@@ -57,16 +60,17 @@
 	}
 }
 
-// differs reports whether the change is worth bytes: small moves of the load
-// are not, since every router corrects them by what it sent itself.
+// differs reports whether more than the load changed.
 func (s summary) differs(other summary) bool {
-	load, otherLoad := s.load, other.load
 	s.load, other.load = 0, 0
-	if s != other {
-		return true
-	}
+	return s != other
+}
+
+// loadDiffers reports whether the load changed so far that it is worth bytes:
+// small moves are not, since every router corrects them by what it sent itself.
+func (s summary) loadDiffers(other summary) bool {
 	step := max(2, s.slots/4)
-	return load-otherLoad >= step || otherLoad-load >= step
+	return s.load-other.load >= step || other.load-s.load >= step
 }
 
 // mark is what one receiver last heard of one host, from us or told us.
@@ -83,11 +87,14 @@
 	// refresh is the age at which an unchanged report is sent again: a message
 	// may have been lost.
 	refresh time.Duration
+	// routes: the receiver sends requests to hosts, so their load is news.
+	routes bool
 }
 
-// NewDigest returns the memory for one receiver.
-func NewDigest(refresh time.Duration) *Digest {
-	return &Digest{marks: map[string]mark{}, refresh: refresh}
+// NewDigest returns the memory for one receiver; routes tells that it sends
+// requests to hosts.
+func NewDigest(refresh time.Duration, routes bool) *Digest {
+	return &Digest{marks: map[string]mark{}, refresh: refresh, routes: routes}
 }
 
 // SetRefresh changes the age at which an unchanged report is sent again.
@@ -123,7 +130,7 @@
 	if !membership.Newer(fresh.incarnation, report.GetSequence(), held.summary.incarnation, held.sequence) {
 		return false
 	}
-	return fresh.differs(held.summary) || now.Sub(held.at) >= d.refresh
+	return fresh.differs(held.summary) || now.Sub(held.at) >= d.refresh || (d.routes && fresh.loadDiffers(held.summary))
 }
 
 // Select returns the reports for one message, at most the given bytes: first
@@ -185,6 +192,16 @@
 	return dup
 }
 
+// WithoutLoad returns what of a report serves a process that sends no requests
+// to the host: where it is and what it holds.
+func WithoutLoad(report *wire.HostReport) *wire.HostReport {
+	return &wire.HostReport{
+		Node: report.GetNode(), Sequence: report.GetSequence(), Leaving: report.GetLeaving(),
+		Versions: report.GetVersions(), Endpoint: report.GetEndpoint(), Service: report.GetService(),
+		AgeMillis: report.GetAgeMillis(), Home: report.GetHome(), Lost: report.GetLost(),
+	}
+}
+
 // Copy returns a shallow copy: lists and messages inside are shared.
 func Copy(report *wire.HostReport) *wire.HostReport {
 	return &wire.HostReport{
--- a/relay/spread/entries.go
+++ b/relay/spread/entries.go
@@ -68,9 +68,40 @@
 	return d.newer(report) && (changed || now.Sub(held.at) >= d.relay)
 }
 
+// SelectRare is like Select for a receiver that only needs to know which
+// entries there are and which leave: the sender's own report counts as any
+// other, and bears no demand.
+func (d *EntryDigest) SelectRare(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
+	var chosen []*wire.EntryReport
+	if d.news(own, now) {
+		chosen = append(chosen, presence(own))
+		d.Heard(own, now)
+	}
+	for _, report := range d.thirds(own, others, receiver, now, bytes) {
+		chosen = append(chosen, presence(report))
+	}
+	return chosen
+}
+
+func presence(report *wire.EntryReport) *wire.EntryReport {
+	return &wire.EntryReport{
+		Node: report.GetNode(), Sequence: report.GetSequence(), Draining: report.GetDraining(), AgeMillis: report.GetAgeMillis(),
+	}
+}
+
 // Select returns the sender's own report and those of third entries that the
 // receiver should hear, the nearest and newest first, at most the given bytes.
 func (d *EntryDigest) Select(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
+	var chosen []*wire.EntryReport
+	if d.newer(own) {
+		chosen = append(chosen, own)
+		d.Heard(own, now)
+	}
+	return append(chosen, d.thirds(own, others, receiver, now, bytes)...)
+}
+
+// thirds returns the reports of third entries that the receiver should hear.
+func (d *EntryDigest) thirds(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
 	var news []view.Peer
 	for _, other := range others {
 		id := other.Report().GetNode().GetId()
@@ -84,10 +115,6 @@
 			cmp.Compare(a.Report().GetNode().GetId(), b.Report().GetNode().GetId()))
 	})
 	var chosen []*wire.EntryReport
-	if d.newer(own) {
-		chosen = append(chosen, own)
-		d.Heard(own, now)
-	}
 	for _, other := range news {
 		size := proto.Size(other.Report())
 		if size > bytes {
--- a/relay/spread/spread_test.go
+++ b/relay/spread/spread_test.go
@@ -100,7 +100,7 @@
 }
 
 func TestDigestSendsNewsOnce(t *testing.T) {
-	digest := NewDigest(10 * time.Second)
+	digest := NewDigest(10*time.Second, true)
 	send := func(at time.Duration, reports ...*wire.HostReport) string {
 		var candidates []Candidate
 		for _, report := range reports {
@@ -140,7 +140,7 @@
 }
 
 func TestDigestKeepsToItsBytes(t *testing.T) {
-	digest := NewDigest(10 * time.Second)
+	digest := NewDigest(10*time.Second, true)
 	var candidates []Candidate
 	for i := range 50 {
 		candidates = append(candidates, Candidate{
