burst: steadier turns, half the exchanges; addresses looked up once a second

Change: a turn is made of at most twice the best pace seen; exchanges every second, decisions every 50 ms; control addresses are kept between lists.

--- a/agent/internal/weights/manager.go
+++ b/agent/internal/weights/manager.go
@@ -85,7 +85,8 @@
 	targets   []Target
 	policy    Policy
 	transfers map[string]*transfer // by version: targets and kept ones
-	addresses map[string]string    // control address by peer id, of callers not in the list
+	listed    map[string]string    // control address by peer id, as newly listed
+	addresses map[string]string    // the same as callers told, at most maxAddresses
 
 	originBytes, peerBytes, sentBytes atomic.Uint64
 }
--- a/agent/internal/weights/peers.go
+++ b/agent/internal/weights/peers.go
@@ -15,28 +15,32 @@
 // exchangeTimeout bounds one swap of reports; its messages are small.
 const exchangeTimeout = 2 * time.Second
 
-// peers returns the other agents known now, in the order of their ids.
+// peers returns the other agents known now, in the order of their ids, and
+// notes where they listen.
 func (m *Manager) peers() []burst.Peer {
 	var list []burst.Peer
+	addresses := map[string]string{}
 	for _, node := range m.cfg.Peers() {
 		if node.GetId() != m.cfg.Self.GetId() {
 			list = append(list, peerOf(node))
+			addresses[node.GetId()] = node.GetControlAddress()
 		}
 	}
 	slices.SortFunc(list, func(left, right burst.Peer) int { return cmp.Compare(left.ID, right.ID) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = addresses
 	return list
 }
 
 // address returns where a peer listens: the list of peers knows, or else the
 // peer told when it called.
 func (m *Manager) address(id string) string {
-	for _, node := range m.cfg.Peers() {
-		if node.GetId() == id {
-			return node.GetControlAddress()
-		}
-	}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	if address := m.listed[id]; address != "" {
+		return address
+	}
 	return m.addresses[id]
 }
 
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -13,7 +13,7 @@
 const (
 	// tickInterval is the longest time between two decisions while fetching,
 	// wholeTick once whole.
-	tickInterval = 25 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	wholeTick    = 250 * time.Millisecond
 	// peersInterval is how often the list of peers is read.
 	peersInterval = time.Second
@@ -31,6 +31,7 @@
 	wake    chan struct{} // buffered by one: events not yet decided on
 	cancel  context.CancelFunc
 	work    sync.WaitGroup // the loop and its fetches
+	peersAt time.Time      // when the list of peers was read; the loop's own
 
 	mu         sync.Mutex // guards the fields below
 	core       *burst.Core
@@ -46,7 +47,6 @@
 	began      time.Time
 	manifestAt time.Time // when the manifest was verified
 	told       bool      // logged as whole
-	peersAt    time.Time
 	fetches    map[fetchKey]context.CancelFunc
 }
 
@@ -183,11 +183,18 @@
 	outranked := t.mgr.outranked(t.rank())
 	load := t.mgr.uploads.load()
 	now := t.now()
+	// The list is read before t.mu is taken: the Manager takes its own lock
+	// first and t.mu second.
+	refresh := now.Sub(t.peersAt) >= peersInterval
+	var list []burst.Peer
+	if refresh {
+		t.peersAt = now
+		list = t.mgr.peers()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.peersAt) >= peersInterval {
-		t.peersAt = now
-		t.core.SetPeers(now, t.mgr.peers())
+	if refresh {
+		t.core.SetPeers(now, list)
 	}
 	t.core.SetUploads(load)
 	t.core.SetPaused(t.passive || outranked)
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -66,10 +66,10 @@
 )
 
 const (
-	newsInterval  = 500 * time.Millisecond // between exchanges with a neighbour while there is news
-	offerInterval = 15 * time.Millisecond  // between offers of an idle uplink
-	idleInterval  = time.Second            // the same without news
-	wholeInterval = 10 * time.Second       // the same once both sides are whole
+	newsInterval  = time.Second           // between exchanges with a neighbour while there is news
+	offerInterval = 15 * time.Millisecond // between offers of an idle uplink
+	idleInterval  = time.Second           // the same without news
+	wholeInterval = 10 * time.Second      // the same once both sides are whole
 
 	firstFetchTime = time.Second      // assumed time of one fetch before any was measured
 	minTimeout     = time.Second      // least time until a fetch is given up
@@ -112,6 +112,8 @@
 	youngTime  = 3 * time.Second
 	// turnGaps is a turn in mean gaps between two draws of the fleet.
 	turnGaps = 2 * maxDrawWindow
+	// maxGapGrowth bounds the gap that a turn is made of, in the best ones.
+	maxGapGrowth = 2
 	// firstTurn is a turn before the pace of the draws is known.
 	firstTurn = 2 * time.Second
 	// takeoverTurns is the turns after which the next rank draws although the
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -247,7 +247,7 @@
 
 // turn is the time that each rank has, from the measured pace of the draws.
 func (c *Core) turn() time.Duration {
-	gap := c.pace.gap()
+	gap := c.pace.steadyGap()
 	if gap == 0 {
 		return firstTurn
 	}
--- a/relay/burst/pace.go
+++ b/relay/burst/pace.go
@@ -7,7 +7,8 @@
 
 // pace measures how fast the fleet draws chunks from the origin.
 type pace struct {
-	times []time.Time // when the newest draws became known, oldest first
+	times []time.Time   // when the newest draws became known, oldest first
+	best  time.Duration // least gap over paceSamples; 0 until measured
 }
 
 // note takes draws that became known together.
@@ -16,6 +17,18 @@
 		p.times = append(p.times, now)
 	}
 	p.times = p.times[max(0, len(p.times)-paceSamples):]
+	if gap := p.gap(); len(p.times) == paceSamples && (p.best == 0 || gap < p.best) {
+		p.best = gap
+	}
+}
+
+// steadyGap returns the gap without most of what stalled owners add to it.
+func (p *pace) steadyGap() time.Duration {
+	gap := p.gap()
+	if p.best > 0 {
+		gap = min(gap, maxGapGrowth*p.best)
+	}
+	return gap
 }
 
 // gap returns the mean time between two draws; 0 until it was measured. The
--- a/relay/burst/sim_test.go
+++ b/relay/burst/sim_test.go
@@ -15,7 +15,7 @@
 const (
 	simPieces  = 4                    // pieces of a chunk on a link
 	simProcess = 2 * time.Millisecond // reading, verifying and keeping a chunk
-	simTick    = 25 * time.Millisecond
+	simTick    = 50 * time.Millisecond
 	// simStartSpread is the time in which all hosts learn that they take part.
 	simStartSpread = 300 * time.Millisecond
 	// simCallTimeout ends an exchange over a stalled link.
