Fallback: replaced hosts take empty places while nobody can plan

Cause: the plan changes only through the key-value service. While it is down, a host that is replaced under a new id got no model, and replicas dwindled for as long as the outage lasted.

Change: relay/fallback, a decision core that each agent runs for its own host: when the document has gone unconfirmed for 20 s and the agent has seen so for 10 s, and a planned host has been away for placement's own limits, idle hosts that the plan leaves out divide the empty places by rendezvous rank. A planned assignment always goes before; a place is kept until enough others serve. The agent wires it through orders.Config.Placement, which is now asked in each step and gets the host's present state.

--- a/agent/internal/cmd/fakes_test.go
+++ b/agent/internal/cmd/fakes_test.go
@@ -23,6 +23,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/fallback"
 	"comfreyrelay.example/relay/manifest"
 	"comfreyrelay.example/relay/peer"
 	"comfreyrelay.example/relay/wire"
@@ -38,7 +39,9 @@
 	parts   map[string][]byte
 	plan    *wire.Plan
 	reports []*wire.HostReport
-	changed chan struct{} // closed and replaced with each change
+	hosts   []*wire.HostReport // told in each reply
+	age     time.Duration      // since the service confirmed the document
+	changed chan struct{}      // closed and replaced with each change
 }
 
 func newFakeEntry(t *testing.T) *fakeEntry {
@@ -110,8 +113,8 @@
 func (e *fakeEntry) reply() *wire.SyncReply {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return &wire.SyncReply{From: e.node, Root: e.root, Plan: e.plan, Known: &wire.Known{
-		Revision: e.root.GetRevision(), PlanRevision: e.plan.GetPlanRevision(),
+	return &wire.SyncReply{From: e.node, Root: e.root, Plan: e.plan, Hosts: e.hosts, Known: &wire.Known{
+		Revision: e.root.GetRevision(), PlanRevision: e.plan.GetPlanRevision(), AgeMillis: uint64(e.age.Milliseconds()),
 	}}
 }
 
@@ -278,6 +281,7 @@
 	kill    context.CancelFunc
 	done    chan error
 	log     *lockedBuffer
+	limits  fallback.Limits
 }
 
 type lockedBuffer struct {
@@ -299,7 +303,7 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{t: t, entry: newFakeEntry(t), origin: map[string][]byte{}, log: &lockedBuffer{}}
+	b := &bench{t: t, entry: newFakeEntry(t), origin: map[string][]byte{}, log: &lockedBuffer{}, limits: fallback.DefaultLimits()}
 	b.engine = &fakeEngine{chunks: map[string][]byte{}}
 	engine := httptest.NewServer(b.engine)
 	t.Cleanup(engine.Close)
@@ -378,7 +382,7 @@
 	out, in := io.Pipe()
 	set := proto.Clone(b.set).(*wire.AgentSettings)
 	go func() {
-		b.done <- Run(drain, kill, set, in, b.log)
+		b.done <- runWith(drain, kill, set, b.limits, in, b.log)
 		_ = in.Close()
 	}()
 	if _, err := fmt.Fscanf(out, "listening address=%s\n", &b.address); err != nil {
--- /dev/null
+++ b/agent/internal/cmd/places.go
@@ -0,0 +1,49 @@
+package cmd
+
+import (
+	"expvar"
+	"log/slog"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/fallback"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// places gives this host a replica's place in an outage; see package fallback.
+// It is not safe for concurrent use: only the orders' runner calls it.
+type places struct {
+	core     *fallback.Core
+	clock    clockwork.Clock
+	log      *slog.Logger
+	counters *expvar.Map
+}
+
+// place returns what the host should serve although the plan leaves it out.
+func (p *places) place(snap *view.Snapshot, own *wire.HostReport) *wire.Assignment {
+	before := p.core.Held()
+	given := p.core.Decide(fallback.Input{
+		Now:         p.clock.Now(),
+		Document:    snap.Document,
+		Plan:        snap.Plan,
+		ConfirmedAt: snap.ConfirmedAt,
+		Hosts:       snap.Hosts,
+		Own:         own,
+	})
+	if after := p.core.Held(); after != before {
+		p.told(before, after, snap)
+	}
+	return given
+}
+
+func (p *places) told(before, after string, snap *view.Snapshot) {
+	if after == "" {
+		p.counters.Add("placesGivenUp", 1)
+		p.log.Info("gives up the place that it took in the outage", "model", before, "plan", snap.PlanRevision)
+		return
+	}
+	p.counters.Add("placesTaken", 1)
+	p.log.Warn("takes an empty place while nobody can plan", "model", after, "plan", snap.PlanRevision,
+		"confirmedAt", snap.ConfirmedAt)
+}
--- a/agent/internal/cmd/process.go
+++ b/agent/internal/cmd/process.go
@@ -22,6 +22,7 @@
 	"comfreyrelay.example/agent/internal/report"
 	"comfreyrelay.example/agent/internal/weights"
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/fallback"
 	"comfreyrelay.example/relay/node"
 	"comfreyrelay.example/relay/peer"
 	"comfreyrelay.example/relay/view"
@@ -80,7 +81,11 @@
 // Run runs an agent with the given settings. It drains when drain ends and
 // stops at once when kill does. A clean end is no error.
 func Run(drain, kill context.Context, set *wire.AgentSettings, out, errOut io.Writer) error {
-	box := build(set, errOut)
+	return runWith(drain, kill, set, fallback.DefaultLimits(), out, errOut)
+}
+
+func runWith(drain, kill context.Context, set *wire.AgentSettings, limits fallback.Limits, out, errOut io.Writer) error {
+	box := build(set, limits, errOut)
 	return dig.RootCause(box.Invoke(func(all parts) error {
 		return newProcess(all).run(drain, kill, out)
 	}))
--- a/agent/internal/cmd/wiring.go
+++ b/agent/internal/cmd/wiring.go
@@ -20,6 +20,7 @@
 	"comfreyrelay.example/agent/internal/report"
 	"comfreyrelay.example/agent/internal/weights"
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/fallback"
 	"comfreyrelay.example/relay/logging"
 	"comfreyrelay.example/relay/node"
 	"comfreyrelay.example/relay/peer"
@@ -49,7 +50,7 @@
 }
 
 // build registers how each part is made.
-func build(set *wire.AgentSettings, errOut io.Writer) *dig.Container {
+func build(set *wire.AgentSettings, limits fallback.Limits, errOut io.Writer) *dig.Container {
 	box := dig.New()
 	provide := func(makers ...any) {
 		for _, maker := range makers {
@@ -68,6 +69,7 @@
 		func() *engine.Client { return engine.New(set.GetEndpointUrl()) },
 		newMetrics, newKeys, peer.NewPool, newListener, newSelf, newInvariants, view.NewHolder,
 		newGate, newWeights, newRunner, newReporter, newControl,
+		func() *fallback.Core { return fallback.New(limits) },
 	)
 	return box
 }
@@ -148,7 +150,8 @@
 
 func newRunner(set *wire.AgentSettings, self *wire.Node, clock clockwork.Clock, log *slog.Logger,
 	holder *view.Holder, client *engine.Client, door *gate.Gate, chunks *weights.Manager,
-	link *links, rules *gate.Invariants, stats *metrics) *orders.Runner {
+	link *links, rules *gate.Invariants, stats *metrics, core *fallback.Core) *orders.Runner {
+	outage := &places{core: core, clock: clock, log: log, counters: stats.counters}
 	return orders.New(orders.Config{
 		Self:       self,
 		Clock:      clock,
@@ -162,6 +165,7 @@
 		Counters:   stats.counters,
 		Invariants: rules,
 		Changed:    func() { link.nudge() },
+		Placement:  outage.place,
 	})
 }
 
--- a/agent/internal/orders/runner.go
+++ b/agent/internal/orders/runner.go
@@ -108,8 +108,9 @@
 	Invariants *gate.Invariants
 	// Changed is told when States changed; it does not block.
 	Changed func()
-	// Placement, if set, assigns something to a host that the plan leaves out.
-	Placement func(snap *view.Snapshot, self *wire.Node) *wire.Assignment
+	// Placement, if set, is told of each step, and may assign something to a
+	// host that the plan leaves out. Own is the host's present state.
+	Placement func(snap *view.Snapshot, own *wire.HostReport) *wire.Assignment
 }
 
 // Runner is driven by Run; its accessors are safe for concurrent use.
@@ -250,17 +251,24 @@
 	r.fetch(snap)
 }
 
-// assignment returns this host's part of the plan; nil: none.
+// assignment returns this host's part of the plan, else what Placement gives;
+// nil: nothing. Placement is asked in any case, so that it notices the plan
+// taking over.
 func (r *Runner) assignment(snap *view.Snapshot) *wire.Assignment {
+	var placed *wire.Assignment
+	if r.cfg.Placement != nil {
+		placed = r.cfg.Placement(snap, r.own())
+	}
 	for _, assignment := range snap.Plan.GetAssignments() {
 		if assignment.GetHost() == r.cfg.Self.GetId() {
 			return assignment
 		}
 	}
-	if r.cfg.Placement != nil {
-		return r.cfg.Placement(snap, r.cfg.Self)
-	}
-	return nil
+	return placed
+}
+
+func (r *Runner) own() *wire.HostReport {
+	return &wire.HostReport{Node: r.cfg.Self, Leaving: r.cfg.Gate.State().Leaving(), Versions: r.States()}
 }
 
 func loadedOf(assignment *wire.Assignment) gate.Loaded {
--- /dev/null
+++ b/relay/fallback/fallback_test.go
@@ -0,0 +1,171 @@
+package fallback
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// TestScripts replays testdata.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		st := newStage()
+		datadriven.RunTest(t, path, func(t *testing.T, cmd *datadriven.TestData) string { return st.run(t, cmd) })
+	})
+}
+
+// stage is one failure domain "a" whose hosts all see the same.
+type stage struct {
+	now       time.Time
+	confirmed time.Time
+	doc       *wire.Document
+	plan      *wire.Plan
+	hosts     map[string]*seat
+}
+
+// seat is one host and its core.
+type seat struct {
+	report        *wire.HostReport
+	heardAt       time.Time
+	leaving, lost bool
+	core          *Core
+}
+
+func newStage() *stage {
+	return &stage{now: start, confirmed: start, doc: &wire.Document{}, plan: &wire.Plan{PlanRevision: 1}, hosts: map[string]*seat{}}
+}
+
+func (s *stage) run(t *testing.T, cmd *datadriven.TestData) string {
+	switch cmd.Cmd {
+	case "model":
+		s.setModel(t, cmd)
+	case "plan":
+		s.setPlan(t, cmd)
+	case "hosts":
+		s.setHosts(t, cmd)
+	case "forget":
+		for _, arg := range cmd.CmdArgs {
+			delete(s.hosts, arg.Key)
+		}
+	case "confirm":
+		s.confirmed = s.now
+	case "wait":
+		wait, err := time.ParseDuration(cmd.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if cmd.HasArg("asleep") {
+			s.now = s.now.Add(wait)
+			return s.decide()
+		}
+		return s.wait(wait)
+	default:
+		t.Fatalf("unknown command %s", cmd.Cmd)
+	}
+	return ""
+}
+
+// wait decides each second and returns the last decisions.
+func (s *stage) wait(wait time.Duration) string {
+	out := s.decide()
+	for range int(wait / time.Second) {
+		s.now = s.now.Add(time.Second)
+		out = s.decide()
+	}
+	return out
+}
+
+func (s *stage) decide() string {
+	var out strings.Builder
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		held := s.hosts[id]
+		if held.lost {
+			continue
+		}
+		own := held.report
+		own.Leaving = held.leaving
+		got := held.core.Decide(Input{Now: s.now, Document: s.doc, Plan: s.plan, ConfirmedAt: s.confirmed, Hosts: s.seen(), Own: own})
+		if got != nil {
+			fmt.Fprintf(&out, "%s %s/%s adapters %d\n", id, got.GetModel(), got.GetVersion(), len(got.GetAdapters()))
+		}
+	}
+	if out.Len() == 0 {
+		return "nothing\n"
+	}
+	return out.String()
+}
+
+func (s *stage) seen() []view.Host {
+	var hosts []view.Host
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		held := s.hosts[id]
+		heardAt := s.now
+		if held.lost {
+			heardAt = held.heardAt
+		}
+		hosts = append(hosts, view.NewHost(held.report, heardAt, held.leaving, held.lost))
+	}
+	return hosts
+}
+
+// setModel: "model name=m version=v count=2 adapters=1".
+func (s *stage) setModel(t *testing.T, cmd *datadriven.TestData) {
+	name, version, count, adapters := "", "", 0, 0
+	cmd.ScanArgs(t, "name", &name)
+	cmd.ScanArgs(t, "version", &version)
+	cmd.ScanArgs(t, "count", &count)
+	cmd.MaybeScanArgs(t, "adapters", &adapters)
+	model := &wire.Model{Name: name, Version: version, Replicas: []*wire.Replicas{{FailureDomain: "a", Count: uint32(count)}}}
+	for i := range adapters {
+		model.Adapters = append(model.Adapters, &wire.Adapter{Name: fmt.Sprintf("adapter%d", i), Version: "w"})
+	}
+	s.doc.Models = slices.DeleteFunc(s.doc.Models, func(held *wire.Model) bool { return held.GetName() == name })
+	s.doc.Models = append(s.doc.Models, model)
+}
+
+// setPlan: "plan m=(h1,h2)" puts the next plan in force.
+func (s *stage) setPlan(_ *testing.T, cmd *datadriven.TestData) {
+	next := &wire.Plan{PlanRevision: s.plan.GetPlanRevision() + 1}
+	for _, arg := range cmd.CmdArgs {
+		for _, id := range arg.Vals {
+			next.Assignments = append(next.Assignments, &wire.Assignment{Host: id, Model: arg.Key, FailureDomain: "a"})
+		}
+	}
+	s.plan = next
+}
+
+// setHosts: "hosts ids=(h1,h2) model=m state=serving lost leaving domain=b".
+func (s *stage) setHosts(t *testing.T, cmd *datadriven.TestData) {
+	domain, model, state, service := "a", "", "", ""
+	cmd.MaybeScanArgs(t, "domain", &domain)
+	cmd.MaybeScanArgs(t, "model", &model)
+	cmd.MaybeScanArgs(t, "state", &state)
+	cmd.MaybeScanArgs(t, "service", &service)
+	for _, arg := range cmd.CmdArgs {
+		if arg.Key != "ids" {
+			continue
+		}
+		for _, id := range arg.Vals {
+			held := s.hosts[id]
+			if held == nil {
+				held = &seat{core: New(DefaultLimits())}
+				s.hosts[id] = held
+			}
+			held.report = &wire.HostReport{Node: &wire.Node{Id: id, FailureDomain: domain}, Service: service}
+			if model != "" {
+				held.report.Versions = []*wire.VersionState{{Model: model, Version: "v1", State: state}}
+			}
+			held.leaving, held.lost, held.heardAt = cmd.HasArg("leaving"), cmd.HasArg("lost"), s.now
+		}
+	}
+}
--- /dev/null
+++ b/relay/fallback/sim_test.go
@@ -0,0 +1,281 @@
+package fallback
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"comfreyrelay.example/relay/placement"
+	"comfreyrelay.example/relay/rendezvous"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Times of the run, in steps of one second.
+const (
+	fetchSteps    = 20 // a model's bytes and its load
+	unwantedSteps = 30 // agent/internal/orders gives weights up after these
+	lostSteps     = 4  // a home entry's word that a host is silent
+)
+
+// machine is one host: what its agent would do.
+type machine struct {
+	id       string
+	alive    bool
+	diedAt   int
+	servesAt int    // step in which it began to serve
+	want     string // model; empty: nothing
+	has      string // model that the engine serves
+	fetched  int    // steps spent on want
+	unwanted int    // steps since nothing is wanted
+	taken    string // model given by the strategy, not by the plan
+	core     *Core
+	// sees is this host's knowledge of the others.
+	sees map[string]sighting
+}
+
+type sighting struct {
+	report *wire.HostReport
+	at     int
+	lost   bool
+}
+
+// run is one failure domain with its planner and service.
+type run struct {
+	rng      *rand.Rand
+	step     int
+	up       bool // the service
+	upFor    int
+	confirm  int
+	doc      *wire.Document
+	plan     *wire.Plan
+	machines map[string]*machine
+	order    []string       // ids, sorted
+	away     map[string]int // the planner's own record
+	// fresh is the chance in a step that one host's view of another is renewed.
+	fresh float64
+	// strategy fills machine.taken.
+	strategy func(r *run, m *machine)
+	switches int // hosts that left a model that they served for another
+	missing  int // replicas missing, summed over the steps
+	over     int // most replicas beyond the count in a step
+	born     int
+	// replanOff leaves the planner out.
+	replanOff bool
+}
+
+func newRun(seed uint64, hosts int, counts map[string]int, strategy func(r *run, m *machine)) *run {
+	r := &run{
+		rng: rand.New(rand.NewPCG(seed, 1)), up: true, doc: &wire.Document{},
+		machines: map[string]*machine{}, away: map[string]int{}, fresh: 1, strategy: strategy,
+	}
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		r.doc.Models = append(r.doc.Models, &wire.Model{
+			Name: name, Version: "v1", Replicas: []*wire.Replicas{{FailureDomain: "a", Count: uint32(counts[name])}},
+		})
+	}
+	for range hosts {
+		r.add()
+	}
+	for range 60 {
+		r.advance()
+	}
+	r.switches, r.missing, r.over = 0, 0, 0
+	return r
+}
+
+// add starts a host under a new id.
+func (r *run) add() *machine {
+	m := &machine{id: fmt.Sprintf("h%03d", r.born), alive: true, core: New(DefaultLimits()), sees: map[string]sighting{}}
+	r.born++
+	r.machines[m.id] = m
+	r.order = append(r.order, m.id)
+	return m
+}
+
+func (r *run) kill(id string) {
+	m := r.machines[id]
+	m.alive, m.diedAt = false, r.step
+	m.want, m.has, m.taken, m.fetched = "", "", "", 0
+}
+
+// back starts a dead host again under its id, empty.
+func (r *run) back(id string) {
+	m := r.machines[id]
+	m.alive, m.core, m.sees = true, New(DefaultLimits()), map[string]sighting{}
+}
+
+func (r *run) advance() {
+	r.step++
+	r.upFor++
+	if r.up {
+		r.confirm = r.step
+		if !r.replanOff {
+			r.replan()
+		}
+	}
+	r.look()
+	for _, id := range r.order {
+		if m := r.machines[id]; m.alive {
+			m.taken = ""
+			if planned(r.plan, id) {
+				m.core.Decide(r.input(m))
+			} else {
+				r.strategy(r, m)
+			}
+			r.obey(m)
+		}
+	}
+	r.measure()
+}
+
+func (r *run) outage(up bool) { r.up, r.upFor = up, 0 }
+
+func (r *run) now() time.Time { return start.Add(time.Duration(r.step) * time.Second) }
+
+// replan is the planner: it counts absence from when it took charge.
+func (r *run) replan() {
+	if r.upFor <= 1 {
+		clear(r.away)
+	}
+	var hosts []placement.Host
+	for _, id := range r.order {
+		m := r.machines[id]
+		host := placement.Host{ID: id, FailureDomain: "a", ServingModel: m.has}
+		if m.has != "" {
+			host.ServingVersion, host.Whole = "v1", []string{"v1"}
+		}
+		if m.alive {
+			delete(r.away, id)
+		} else if r.step-m.diedAt > lostSteps {
+			r.away[id]++
+			host.Away = time.Duration(r.away[id]) * time.Second
+		}
+		hosts = append(hosts, host)
+	}
+	next := placement.Next(placement.Input{Document: r.doc, Hosts: hosts, Previous: r.plan, Fence: 1, Limits: placement.DefaultLimits()})
+	if next != nil {
+		r.plan = next
+	}
+}
+
+func (r *run) report(m *machine) *wire.HostReport {
+	report := &wire.HostReport{Node: &wire.Node{Id: m.id, FailureDomain: "a"}}
+	if m.has != "" {
+		report.Versions = append(report.Versions, &wire.VersionState{Model: m.has, Version: "v1", State: stateServing})
+	}
+	if m.want != "" && m.want != m.has {
+		report.Versions = append(report.Versions, &wire.VersionState{Model: m.want, Version: "v1", State: "fetching"})
+	}
+	return report
+}
+
+// look renews what each host sees of the others, or not.
+func (r *run) look() {
+	reports := make(map[string]*wire.HostReport, len(r.order))
+	for _, id := range r.order {
+		reports[id] = r.report(r.machines[id])
+	}
+	for _, id := range r.order {
+		m := r.machines[id]
+		for _, other := range r.order {
+			if other == id || r.rng.Float64() >= r.fresh {
+				continue
+			}
+			at := r.machines[other]
+			if at.alive {
+				m.sees[other] = sighting{report: reports[other], at: r.step}
+			} else if seen, known := m.sees[other]; known && r.step-at.diedAt > lostSteps {
+				seen.lost = true
+				m.sees[other] = seen
+			}
+		}
+	}
+}
+
+func (r *run) input(m *machine) Input {
+	in := Input{Now: r.now(), Document: r.doc, Plan: r.plan, ConfirmedAt: start.Add(time.Duration(r.confirm) * time.Second), Own: r.report(m)}
+	for _, id := range r.order {
+		seen, known := m.sees[id]
+		if !known {
+			continue
+		}
+		in.Hosts = append(in.Hosts, view.NewHost(seen.report, start.Add(time.Duration(seen.at)*time.Second), false, seen.lost))
+	}
+	return in
+}
+
+// obey is the agent's runner in short.
+func (r *run) obey(m *machine) {
+	want := m.taken
+	for _, assignment := range r.plan.GetAssignments() {
+		if assignment.GetHost() == m.id {
+			want = assignment.GetModel()
+		}
+	}
+	if want != m.want {
+		m.want, m.fetched, m.unwanted = want, 0, 0
+	}
+	switch {
+	case want == "":
+		if m.unwanted++; m.unwanted >= unwantedSteps {
+			m.has = ""
+		}
+	case want != m.has:
+		if m.fetched++; m.fetched < fetchSteps {
+			return
+		}
+		if m.has != "" {
+			r.switches++
+		}
+		m.has, m.servesAt = want, r.step
+	}
+}
+
+// measure sums what the users notice.
+func (r *run) measure() {
+	for _, model := range r.doc.GetModels() {
+		count := int(model.GetReplicas()[0].GetCount())
+		serving, out := 0, 0
+		for _, m := range r.machines {
+			if m.alive && m.has == model.GetName() {
+				serving++
+			}
+			if m.alive && m.want == model.GetName() {
+				out++
+			}
+		}
+		r.missing += max(0, count-serving)
+		r.over = max(r.over, out-count)
+	}
+}
+
+// none is strategy (a): an unplanned host stays empty.
+func none(*run, *machine) {}
+
+// always is strategy (b): a pure function of the document and the hosts seen,
+// at all times; the plan is not looked at.
+func always(r *run, m *machine) {
+	free := []string{m.id}
+	for id, seen := range m.sees {
+		if !seen.lost {
+			free = append(free, id)
+		}
+	}
+	slices.Sort(free)
+	for _, model := range r.doc.GetModels() {
+		top := rendezvous.Top(model.GetName(), free, int(model.GetReplicas()[0].GetCount()))
+		if slices.Contains(top, m.id) {
+			m.taken = model.GetName()
+			return
+		}
+		free = slices.DeleteFunc(free, func(id string) bool { return slices.Contains(top, id) })
+	}
+}
+
+// inOutage is strategy (c): this package.
+func inOutage(r *run, m *machine) {
+	m.taken = m.core.Decide(r.input(m)).GetModel()
+}
