Capacity: slopes, the table, and what does not fit yet

Cause: what carries the size of two years from now stood nowhere, and nobody had measured what grows with all hosts.

The page lists each line that does not fit and what would carry it.

--- /dev/null
+++ b/bench/internal/capacity/fleet.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// domains and regions of the measured fleets, as at full size.
+	domains = 34
+	regions = 11
+	// reportedPrefixes is what an agent tells of its engine's cache at most.
+	reportedPrefixes = 64
+	measuredVersion  = "9f2c61d20b8f4f1a9f2c61d20b8f4f1a9f2c61d20b8f4f1a9f2c61d20b8f4f1a"
+)
+
+// epoch is the moment of all measurements that need one.
+var epoch = time.Date(2026, 1, 7, 9, 0, 0, 0, time.UTC)
+
+func node(role string, n int) *wire.Node {
+	domain := n % domains
+	made := &wire.Node{
+		Id:             fmt.Sprintf("%s-%05d", role, n),
+		Incarnation:    uuid.NewSHA1(uuid.NameSpaceOID, []byte(fmt.Sprint(role, n))).String(),
+		Role:           role,
+		Region:         fmt.Sprintf("region-%02d", domain%regions),
+		FailureDomain:  fmt.Sprintf("domain-%02d", domain),
+		ControlAddress: fmt.Sprintf("10.%d.%d.%d:7000", domain, n/256%256, n%256),
+	}
+	if role == "entry" {
+		made.CallersAddress = fmt.Sprintf("10.%d.%d.%d:8000", domain, n/256%256, n%256)
+	}
+	return made
+}
+
+func hostReport(n int, sequence uint64, prefixes int) *wire.HostReport {
+	report := &wire.HostReport{
+		Node: node("agent", n), Sequence: sequence, Endpoint: "engine", EngineRole: "both",
+		Versions: []*wire.VersionState{{
+			Model: "parcel", Version: measuredVersion, State: "serving", ChunksHave: assumedChunks, ChunksTotal: assumedChunks,
+		}},
+		Running: uint32(n % 8), Queued: 1, Slots: 8, TokensPerSecond: 3900, TokenGapMillis: 21.5,
+		OriginBytes: 1 << 34, PeerBytes: 1 << 36, SentBytes: 1 << 36, Fence: 4711,
+		Home: fmt.Sprintf("entry-%05d", n%fullEntries), Revision: 66_000, PlanRevision: 3_000,
+	}
+	for i := range prefixes {
+		report.Prefixes = append(report.Prefixes, uint64(n*reportedPrefixes+i)*0x9e3779b97f4a7c15)
+	}
+	return report
+}
+
+// arrived returns the report as it is in memory after it came over the wire:
+// no string of it is shared.
+func arrived(report *wire.HostReport) *wire.HostReport {
+	data, err := proto.Marshal(report)
+	if err != nil {
+		panic(err) // a report made here always encodes
+	}
+	fresh := &wire.HostReport{}
+	if err := proto.Unmarshal(data, fresh); err != nil {
+		panic(err) // encoded just above
+	}
+	return fresh
+}
+
+func entryReport(n int, sequence uint64, customers int) *wire.EntryReport {
+	report := &wire.EntryReport{
+		Node: node("entry", n), Sequence: sequence, InFlight: 120, RequestsPerSecond: 101.2, Revision: 66_000, PlanRevision: 3_000,
+	}
+	for i := range customers {
+		report.Demand = append(report.Demand, &wire.Demand{
+			Customer: fmt.Sprintf("customer-%04d", i), RequestsPerSecond: 10.5, TokensPerSecond: 4_900.25,
+		})
+	}
+	return report
+}
--- /dev/null
+++ b/bench/internal/capacity/slope_documents.go
@@ -0,0 +1,76 @@
+package capacity
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/document"
+	"comfreyrelay.example/relay/revision"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Cases of the document.
+const (
+	caseChangeBytes    = "changeBytes/customers"
+	caseDocumentBytes  = "documentBytes/customers"
+	caseDocumentMillis = "documentJoinMillis/customers"
+)
+
+// measureDocuments prints the bytes that one customer's change moves to each
+// process that has the revision before, the bytes of all parts, and the time to put them together.
+func measureDocuments(lines *printer) error {
+	for _, customers := range []int{10, 100, 1_000, 10_000} {
+		before, after := houseDocument(customers), houseDocument(customers)
+		after.Customers[customers/2].RequestsPerSecond++
+		held := rootOf(66_000, document.Split(before))
+		next := document.Split(after)
+		root := rootOf(66_001, next)
+		delta := revision.Delta(held, root)
+		contents := map[string][]byte{}
+		total := 0
+		for _, part := range next {
+			contents[part.Part().GetHash()] = part.Bytes()
+			total += len(part.Bytes())
+		}
+		moved := proto.Size(delta)
+		for _, part := range delta.GetParts() {
+			moved += len(contents[part.GetHash()])
+		}
+		lines.line(caseChangeBytes, customers, float64(moved), "bytes")
+		lines.line(caseDocumentBytes, customers, float64(total), "bytes")
+		var err error
+		lines.line(caseDocumentMillis, customers, micros(func() {
+			_, err = document.Join(root, func(hash string) []byte { return contents[hash] })
+		})/1_000, "milliseconds")
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rootOf returns the root as it travels between processes.
+func rootOf(number uint32, parts []document.PartBytes) *wire.Root {
+	const identifier = "0192d1f0-0000-7000-8000-000000000000"
+	root := &wire.Root{Revision: number, SubmissionId: identifier, Audit: &wire.Audit{Revision: number}}
+	for _, part := range parts {
+		root.Parts = append(root.Parts, part.Part())
+	}
+	root.Audit.ContentHash = document.ContentHash(root.GetParts())
+	return revision.Slim(root)
+}
+
+func houseDocument(customers int) *wire.Document {
+	doc := document.Example()
+	doc.Customers = nil
+	doc.Models[0].Customers = nil
+	for i := range customers {
+		name := fmt.Sprintf("customer-%04d", i)
+		doc.Customers = append(doc.Customers, &wire.Customer{
+			Name: name, KeyHashes: []string{document.KeyHash(name)}, Weight: 1, RequestsPerSecond: 200, TokensPerSecond: 20_000, Priority: 5,
+		})
+		doc.Models[0].Customers = append(doc.Models[0].Customers, name)
+	}
+	return doc
+}
--- /dev/null
+++ b/bench/internal/capacity/slope_keys.go
@@ -0,0 +1,50 @@
+package capacity
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/google/uuid"
+
+	"comfreyrelay.example/relay/once"
+)
+
+// Cases of the memory of once keys.
+const (
+	caseKeyBytes  = "onceKeyBytes/keys"
+	caseKeyMicros = "onceClaimMicros/keys"
+)
+
+// measureKeys prints the memory of the keys that an owner remembers, and the
+// time of one claim with its settlement.
+func measureKeys(lines *printer) error {
+	const owner = "0192d1f0-0000-7000-8000-000000000000"
+	for _, n := range []int{1_000, 10_000, 100_000, 370_000} {
+		var held *once.Authority
+		grown := heapBytes(func() *once.Authority {
+			held = once.NewAuthority(owner, once.Options{MaxKeys: once.DefaultMaxKeys})
+			for i := range n {
+				runKey(held, owner, i, n)
+			}
+			return held
+		})
+		lines.line(caseKeyBytes, n, grown, "bytes")
+		next := n
+		lines.line(caseKeyMicros, n, micros(func() {
+			runKey(held, owner, next%n, n)
+			next++
+		}), "microseconds")
+	}
+	return nil
+}
+
+// runKey claims and settles the key i of n that are made within the hour.
+func runKey(held *once.Authority, owner string, i, n int) {
+	now := epoch.Add(time.Duration(i) * time.Hour / time.Duration(n))
+	id := uuid.UUID{}
+	binary.BigEndian.PutUint64(id[:8], uint64(now.UnixMilli())<<16|0x7000)
+	binary.BigEndian.PutUint64(id[8:], uint64(i)&(1<<62-1)|1<<63)
+	ask := once.Claim{Key: once.NewKey(owner, id), Nonce: id}
+	held.Claim(now, ask)
+	held.Settle(now, ask, once.RunAnswered, nil)
+}
--- /dev/null
+++ b/bench/internal/capacity/slope_messages.go
@@ -0,0 +1,112 @@
+package capacity
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/spread"
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Cases of one entry's messages.
+const (
+	caseEntrySelect  = "messageToEntryMicros/hosts"
+	caseAgentSelect  = "messageToAgentMicros/hosts"
+	caseEntryGossip  = "entryReportBytesToEntry/entries"
+	caseAgentEntries = "entryReportBytesToAgent/entries"
+	caseEntriesTold  = "entriesToldOf50/customers"
+)
+
+// measureMessages prints the time of choosing the host reports of one message:
+// to an entry, of 10 hosts that are news among n that are not; and to an agent.
+func measureMessages(lines *printer) error {
+	const news, room = 10, 3 << 10
+	for _, n := range hostSizes {
+		known, fresh := candidatesOf(n, 1), candidatesOf(n, 2)
+		for i := range min(news, n) {
+			fresh[i].Report.Leaving = true
+		}
+		told := toldAll(n)
+		lines.line(caseEntrySelect, n, micros(func() {
+			for i := range min(news, n) {
+				told.Heard(known[i].Report, epoch)
+			}
+			told.Select(fresh, epoch.Add(time.Second), room)
+		}), "microseconds")
+		agent := node("agent", 1)
+		lines.line(caseAgentSelect, n, micros(func() { selectForAgent(agent, fresh, told) }), "microseconds")
+	}
+	return nil
+}
+
+// selectForAgent does what an entry does for each call of an agent.
+func selectForAgent(agent *wire.Node, candidates []spread.Candidate, told *spread.Digest) {
+	peers := spread.WeightPeers(agent, candidates)
+	for i := range peers {
+		peers[i].Home = false
+		peers[i].Nearness = spread.Nearness(agent, peers[i].Report.GetNode())
+	}
+	told.Select(peers, epoch.Add(time.Second), 0)
+}
+
+// measureEntryReports prints the bytes a second of entries' reports to one
+// neighbour and to one agent, when each entry reports every 2 s with the demand
+// of 10 customers; and how many of 50 entries the neighbour hears of where they
+// report more customers.
+func measureEntryReports(lines *printer) error {
+	const usualCustomers, usualEntries = 10, 50
+	for _, n := range []int{9, 50, 200, fullEntries} {
+		toEntry := followEntries(n, usualCustomers, node("entry", 0), 2*time.Second)
+		lines.line(caseEntryGossip, n, toEntry.bytesPerSecond, "bytes a second")
+		toAgent := followEntries(n, usualCustomers, node("agent", 0), time.Second)
+		lines.line(caseAgentEntries, n, toAgent.bytesPerSecond, "bytes a second")
+	}
+	for _, customers := range []int{10, 100, 110, 1_000} {
+		told := followEntries(usualEntries, customers, node("entry", 0), 2*time.Second)
+		lines.line(caseEntriesTold, customers, float64(told.entries), "entries")
+	}
+	return nil
+}
+
+// entryNews is what one receiver was told of the entries.
+type entryNews struct {
+	bytesPerSecond float64
+	entries        int // other than the sender
+}
+
+// followEntries lets an entry send two minutes of messages to the receiver and
+// counts those of the second.
+func followEntries(entries, customers int, receiver *wire.Node, interval time.Duration) entryNews {
+	const (
+		toEntries, toAgents = 15 * time.Second, 30 * time.Second // relay ages
+		room                = 4 << 10                            // bytes of a message
+		beat, length        = 2 * time.Second, time.Minute
+	)
+	digest := spread.NewEntryDigest(toEntries)
+	choose := digest.Select
+	if receiver.GetRole() == peer.RoleAgent {
+		digest = spread.NewEntryDigest(toAgents)
+		choose = digest.SelectRare
+	}
+	sent := 0
+	told := map[string]bool{}
+	for at := time.Duration(0); at < 2*length; at += interval {
+		own := entryReport(1, uint64(at/beat), customers)
+		others := make([]view.Peer, 0, entries)
+		for i := range entries {
+			others = append(others, view.NewPeer(entryReport(i, uint64(at/beat), customers), epoch.Add(at.Truncate(beat)), false, false))
+		}
+		for _, report := range choose(own, others, receiver.GetId(), epoch.Add(at), room) {
+			if id := report.GetNode().GetId(); id != own.GetNode().GetId() {
+				told[id] = true
+			}
+			if at >= length {
+				sent += proto.Size(report)
+			}
+		}
+	}
+	return entryNews{bytesPerSecond: float64(sent) / length.Seconds(), entries: len(told)}
+}
--- /dev/null
+++ b/bench/internal/capacity/slope_route.go
@@ -0,0 +1,55 @@
+package capacity
+
+import (
+	"strconv"
+	"time"
+
+	"comfreyrelay.example/relay/route"
+)
+
+// Cases of choosing a host.
+const (
+	caseRouteUpdate = "routeUpdateMicros/hosts"
+	casePickMicros  = "routePickMicros/hosts"
+)
+
+// measureRoute prints the time of taking in one view's hosts with a tenth of
+// them changed, and of one choice.
+func measureRoute(lines *printer) error {
+	for _, n := range hostSizes {
+		table := route.NewTable(route.Options{Region: "region-01", FailureDomain: "domain-01", Seed: 1})
+		hosts := routeHosts(n)
+		table.Update(epoch, hosts, fullEntries)
+		now := epoch
+		lines.line(caseRouteUpdate, n, micros(func() {
+			now = now.Add(time.Second)
+			for i := 0; i < n; i += 10 {
+				hosts[i].Sequence++
+				hosts[i].HeardAt = now
+			}
+			table.Update(now, hosts, fullEntries)
+		}), "microseconds")
+		prompt := uint64(0)
+		lines.line(casePickMicros, n, micros(func() {
+			prompt++
+			ask := route.Ask{Versions: []string{measuredVersion}, Prefix: route.PrefixOf(strconv.FormatUint(prompt, 10))}
+			if choice, reason := table.Pick(now, ask); reason == route.Chosen {
+				table.Finish(now, choice, route.Result{End: route.EndAnswered, Took: time.Second, FirstToken: time.Millisecond})
+			}
+		}), "microseconds")
+	}
+	return nil
+}
+
+func routeHosts(n int) []route.Host {
+	hosts := make([]route.Host, n)
+	for i := range hosts {
+		report := hostReport(i, 1, reportedPrefixes)
+		hosts[i] = route.Host{
+			ID: report.GetNode().GetId(), Incarnation: report.GetNode().GetIncarnation(), Address: report.GetNode().GetControlAddress(),
+			Region: report.GetNode().GetRegion(), FailureDomain: report.GetNode().GetFailureDomain(), Version: measuredVersion,
+			Running: 3, Slots: 8, Sequence: 1, HeardAt: epoch, Prefixes: report.GetPrefixes(),
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/bench/internal/capacity/slope_views.go
@@ -0,0 +1,85 @@
+package capacity
+
+import (
+	"runtime"
+	"time"
+
+	"comfreyrelay.example/relay/membership"
+	"comfreyrelay.example/relay/spread"
+	"comfreyrelay.example/relay/view"
+)
+
+// Cases of an entry's picture of the hosts.
+const (
+	caseViewBuild  = "viewBuildMicros/hosts"
+	caseHostMemory = "knownHostsBytes/hosts"
+	caseMarkMemory = "digestBytes/hosts"
+)
+
+// tableShards is how many tables an entry spreads its members over.
+const tableShards = 16
+
+// knownHosts is an entry's tables with n hosts heard.
+func knownHosts(n int) []*membership.Table {
+	tables := make([]*membership.Table, tableShards)
+	for i := range tables {
+		tables[i] = membership.New(membership.DefaultLimits())
+	}
+	for i := range n {
+		tables[i%tableShards].HearHost(arrived(hostReport(i, 1, reportedPrefixes)), epoch)
+	}
+	return tables
+}
+
+// buildView does what an entry does for each view: it judges every host and
+// sorts them.
+func buildView(tables []*membership.Table, n int) *view.Snapshot {
+	out := membership.Outlook{Self: "entry-00001", HostCount: n}
+	hosts := make([]view.Host, 0, n)
+	for _, table := range tables {
+		hosts = append(hosts, table.Hosts(epoch.Add(time.Second), out)...)
+	}
+	membership.SortHosts(hosts)
+	return &view.Snapshot{Hosts: hosts}
+}
+
+// measureViews prints the time of one view and the memory of an entry's tables,
+// its view, and what it remembers of one neighbour's knowledge.
+func measureViews(lines *printer) error {
+	for _, n := range hostSizes {
+		tables := knownHosts(n)
+		lines.line(caseViewBuild, n, micros(func() { buildView(tables, n) }), "microseconds")
+		held := heapBytes(func() any {
+			tables := knownHosts(n)
+			return []any{tables, buildView(tables, n)}
+		})
+		lines.line(caseHostMemory, n, held, "bytes")
+		runtime.KeepAlive(tables)
+		marks := heapBytes(func() *spread.Digest { return toldAll(n) })
+		lines.line(caseMarkMemory, n, marks, "bytes")
+	}
+	return nil
+}
+
+// candidatesOf returns the reports that an entry could pass on.
+func candidatesOf(n int, sequence uint64) []spread.Candidate {
+	self := node("entry", 1)
+	candidates := make([]spread.Candidate, n)
+	for i := range candidates {
+		report := arrived(hostReport(i, sequence, reportedPrefixes))
+		candidates[i] = spread.Candidate{
+			Report: report, HeardAt: epoch, Home: report.GetHome() == self.GetId(), Nearness: spread.Nearness(self, report.GetNode()),
+		}
+	}
+	return candidates
+}
+
+// toldAll returns the memory of a neighbour that was told all of them. Each
+// mark holds strings of its own, as after a later report.
+func toldAll(n int) *spread.Digest {
+	digest := spread.NewDigest(time.Hour, true)
+	for i := range n {
+		digest.Heard(arrived(hostReport(i, 1, 0)), epoch)
+	}
+	return digest
+}
--- /dev/null
+++ b/bench/internal/capacity/table.go
@@ -0,0 +1,173 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+// Markers of the page around the table.
+const (
+	tableBegin = "<!-- capacity: begin -->\n"
+	tableEnd   = "<!-- capacity: end -->\n"
+)
+
+// row is one line of the table: the sum of terms against a budget.
+type row struct {
+	role, what, unit string
+	terms            []term
+	budget           float64 // 0: none
+	least            float64 // what is needed at least, in place of a budget; 0: none
+	carrier          string  // mechanism that carries it, or what would
+}
+
+// term is a slope at one size, times a factor. Without a series it is the
+// factor itself, a figure that follows from the code.
+type term struct {
+	name   string
+	from   *series
+	size   float64
+	factor float64
+	// rise counts what the size adds only: the intercept stands in another term.
+	rise bool
+}
+
+// judged is a row with its figures.
+type judged struct {
+	row
+	fits        []fit
+	value       float64
+	uncertainty float64
+	missing     bool // a slope has no points
+}
+
+func judge(r row, records []record) judged {
+	out := judged{row: r}
+	variance := 0.0
+	for _, part := range r.terms {
+		if part.from == nil {
+			out.fits = append(out.fits, fit{})
+			out.value += part.factor
+			continue
+		}
+		line := leastSquares(part.from.points(records))
+		out.missing = out.missing || line.points == 0
+		out.fits = append(out.fits, line)
+		value, uncertainty := line.at(part.from.scaled(part.size))
+		if part.rise {
+			value, uncertainty = line.slope*part.from.scaled(part.size), line.slopeError*part.from.scaled(part.size)
+		}
+		out.value += value * part.factor
+		variance += uncertainty * uncertainty * part.factor * part.factor
+	}
+	out.uncertainty = math.Sqrt(variance)
+	return out
+}
+
+func (j judged) verdict() string {
+	switch {
+	case j.missing:
+		return "not measured"
+	case j.budget == 0 && j.least == 0:
+		return ""
+	case j.budget > 0 && j.value <= j.budget, j.least > 0 && j.value >= j.least:
+		return "fits"
+	}
+	return "**does not fit yet**"
+}
+
+func (j judged) figure() string {
+	if j.missing {
+		return ""
+	}
+	return fmt.Sprintf("%s ± %s %s", round(j.value), round(j.uncertainty), j.unit)
+}
+
+func (r row) limit() string {
+	switch {
+	case r.budget > 0:
+		return round(r.budget) + " " + r.unit
+	case r.least > 0:
+		return "at least " + round(r.least) + " " + r.unit
+	}
+	return ""
+}
+
+func (j judged) slopes() string {
+	var parts []string
+	for i, part := range j.terms {
+		parts = append(parts, part.describe(j.fits[i]))
+	}
+	return strings.Join(parts, "; ")
+}
+
+func (t term) describe(line fit) string {
+	if t.from == nil {
+		return t.name + ": " + round(t.factor)
+	}
+	text := fmt.Sprintf("%s: %s (n=%d)", t.name, round(line.intercept), line.points)
+	if line.slope != 0 {
+		text = fmt.Sprintf("%s: %s + %s·%s (± %s, n=%d) at %s", t.name, round(line.intercept), round(line.slope),
+			t.from.axis(), round(line.slopeError), line.points, round(t.from.scaled(t.size)))
+	}
+	if t.rise {
+		text += ", the rise only"
+	}
+	if t.factor != 1 {
+		text += ", times " + round(t.factor)
+	}
+	return text
+}
+
+// Table computes the table from the JSON lines of the benches.
+func Table(measured []byte) ([]byte, error) {
+	records, err := parse(measured)
+	if err != nil {
+		return nil, err
+	}
+	out := &bytes.Buffer{}
+	out.WriteString("| role | line | at full size | budget | | slope (intercept + slope·x, standard error of the slope, points) | carried by |\n")
+	out.WriteString("|---|---|---|---|---|---|---|\n")
+	for _, r := range rows() {
+		line := judge(r, records)
+		fmt.Fprintf(out, "| %s | %s | %s | %s | %s | %s | %s |\n",
+			line.role, line.what, line.figure(), line.limit(), line.verdict(), line.slopes(), line.carrier)
+	}
+	return out.Bytes(), nil
+}
+
+// round prints three significant digits, and thousands with commas.
+func round(value float64) string {
+	if value == 0 {
+		return "0"
+	}
+	digits := max(0, 2-int(math.Floor(math.Log10(math.Abs(value)))))
+	text := strconv.FormatFloat(value, 'f', digits, 64)
+	whole, fraction, _ := strings.Cut(text, ".")
+	if digits == 0 {
+		scale := math.Pow(10, math.Floor(math.Log10(math.Abs(value)))-2)
+		whole = strconv.FormatFloat(math.Round(value/scale)*scale, 'f', 0, 64)
+	}
+	for i := len(whole) - 3; i > 0 && whole[i-1] != '-'; i -= 3 {
+		whole = whole[:i] + "," + whole[i:]
+	}
+	if fraction = strings.TrimRight(fraction, "0"); fraction != "" {
+		return whole + "." + fraction
+	}
+	return whole
+}
+
+// replaceTable puts the table between the page's markers.
+func replaceTable(page, table []byte) ([]byte, error) {
+	before, rest, found := bytes.Cut(page, []byte(tableBegin))
+	_, after, closed := bytes.Cut(rest, []byte(tableEnd))
+	if !found || !closed {
+		return nil, failure.New(failure.Invalid, "the page has no markers for the table",
+			"put the lines "+strings.TrimSpace(tableBegin)+" and "+strings.TrimSpace(tableEnd)+" into it")
+	}
+	return bytes.Join([][]byte{before, []byte(tableBegin), table, []byte(tableEnd), after}, nil), nil
+}
