--- a/bench/internal/audit/collect.go
+++ b/bench/internal/audit/collect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"comfreyrelay.example/bench/internal/house"
 )
@@ -54,17 +55,17 @@
 	return out
 }
 
-// CompareFile is Compare on the record in a file, with the deaths of the
-// house's entries.
-func CompareFile(name string, runs *Runs, h *house.House) (Findings, error) {
-	file, err := os.Open(name)
+// CompareFile is Compare on the record of the house's callers, whose requests
+// had the deadline.
+func CompareFile(load *house.Load, runs *Runs, h *house.House, deadline time.Duration) (Findings, error) {
+	file, err := os.Open(load.Record())
 	if err != nil {
 		return Findings{}, err
 	}
 	defer file.Close()
-	var deaths []Death
+	excuses := Excuses{Deadline: deadline}
 	for _, death := range h.Deaths() {
-		deaths = append(deaths, Death{Address: death.Member.CallersAddress(), At: death.At})
+		excuses.Deaths = append(excuses.Deaths, Death{Address: death.Member.CallersAddress(), At: death.At})
 	}
-	return Compare(file, runs, deaths)
+	return Compare(file, runs, excuses)
 }
--- a/bench/internal/burst/roll.go
+++ b/bench/internal/burst/roll.go
@@ -19,6 +19,7 @@
 	loadRatePerHost = 1
 	// watchInterval is how often the serving hosts are counted.
 	watchInterval = 250 * time.Millisecond
+	requestTime   = 5 * time.Second
 	// loadLimit ends arrivals where the roll does not.
 	loadLimit = 60 * time.Second
 )
@@ -122,6 +123,7 @@
 		Seed:          r.seed,
 		Versions:      versions,
 		NonRepeatable: 0.2,
+		Deadline:      requestTime,
 		Log:           r.options.ProcessLog,
 	})
 }
@@ -139,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	found, err := audit.CompareFile(during.Record(), audit.Collect(ctx, r.house).Runs, r.house)
+	found, err := audit.CompareFile(during, audit.Collect(ctx, r.house).Runs, r.house, requestTime)
 	if err != nil {
 		return err
 	}
--- a/bench/internal/demo/demo.go
+++ b/bench/internal/demo/demo.go
@@ -289,7 +289,7 @@
 		return err
 	}
 	ledgers := audit.Collect(ctx, d.house)
-	found, err := audit.CompareFile(load.Record(), ledgers.Runs, d.house)
+	found, err := audit.CompareFile(load, ledgers.Runs, d.house, requestTime)
 	if err != nil {
 		return err
 	}
--- a/bench/internal/requests/result.go
+++ b/bench/internal/requests/result.go
@@ -36,7 +36,9 @@
 	CutOff             int     `json:"cutOff"`
 	// CutByDeath counts answers cut by the death of the entry that sent them;
 	// their callers know them as unknown, and they are no violation.
-	CutByDeath    int `json:"cutByDeath"`
+	CutByDeath int `json:"cutByDeath"`
+	// CutLate are those whose deadline had passed.
+	CutLate       int `json:"cutLate"`
 	NotRunButRan  int `json:"notRunButRan"`
 	OtherBreaches int `json:"otherBreaches"`
 	// Use of the entries; 0 where they restarted.
@@ -166,6 +168,7 @@
 	r.NotRunButRan += found.NotRunButRan
 	r.CutOff += found.CutOff + found.CutShort
 	r.CutByDeath += found.CutByDeath
+	r.CutLate += found.CutLate
 	r.OtherBreaches += found.Other + found.NeverRan + found.Unverified
 	r.Examples = append(r.Examples, found.Examples...)
 }
--- a/bench/internal/requests/run.go
+++ b/bench/internal/requests/run.go
@@ -285,7 +285,7 @@
 func (r *run) audit(ctx context.Context, result *Result, before audit.Ledgers, sendings []*sending) error {
 	ledgers := audit.Collect(ctx, r.house)
 	for _, one := range sendings {
-		found, err := audit.CompareFile(one.load.Record(), ledgers.Runs, r.house)
+		found, err := audit.CompareFile(one.load, ledgers.Runs, r.house, deadline)
 		if err != nil {
 			return err
 		}
--- a/bench/internal/soak/run.go
+++ b/bench/internal/soak/run.go
@@ -272,7 +272,7 @@
 // judge compares the records once all is over.
 func (r *run) judge(ctx context.Context, result *Result) error {
 	ledgers := audit.Collect(ctx, r.house)
-	found, err := audit.CompareFile(r.load.Record(), ledgers.Runs, r.house)
+	found, err := audit.CompareFile(r.load, ledgers.Runs, r.house, requestTime)
 	if err != nil {
 		return err
 	}
