agent: broken invariants of the burst core are reported

Cause: the core's own checks ran in its tests alone. Change: each broken rule is logged once a version and told through weights.Config.Broken, which panics in tests. Measured: not needed.

--- a/agent/internal/weights/fleet_test.go
+++ b/agent/internal/weights/fleet_test.go
@@ -233,6 +233,7 @@
 		Dial:      func(ctx context.Context, address string) drpc.Conn { return pool.Conn(ctx, address) },
 		OriginURL: f.origin.server.URL, Link: &wire.LinkSettings{Up: 8 << 20, Down: 8 << 20},
 		PutChunk: kept.put, GetChunk: kept.get, DropChunk: kept.drop, HeldChunks: kept.held,
+		Broken: func(rule string) { panic(rule) },
 	})
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterHost(mux, host); err != nil {
--- a/agent/internal/weights/manager.go
+++ b/agent/internal/weights/manager.go
@@ -67,6 +67,9 @@
 	// TokensSlow returns 0 to 1: how much live requests suffer; nil means
 	// that they don't.
 	TokensSlow func() float64
+	// Broken is told of an invariant that does not hold, once a rule and
+	// version; nil logs it.
+	Broken func(rule string)
 }
 
 // Manager moves weights for one host. It is safe for concurrent use.
@@ -117,6 +120,14 @@
 	}
 }
 
+// broken reports an invariant of a version's core that does not hold.
+func (m *Manager) broken(version, rule string) {
+	m.cfg.Log.Error("invariant broke", "rule", rule, "version", version)
+	if m.cfg.Broken != nil {
+		m.cfg.Broken(rule)
+	}
+}
+
 // Link returns the pacing of the host's link, for the bytes of live requests.
 func (m *Manager) Link() *link.Link { return m.link }
 
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -130,12 +130,24 @@
 		OriginCopies: t.policy.OriginCopies,
 		MaxFetches:   int(max(1, min(room, maxFetches))),
 		Seed:         rendezvous.Seed(self.GetIncarnation()),
+		Broken:       t.brokenOnce(),
 	})
 	t.man, t.encoded, t.core, t.chunks = man, encoded, core, chunks
 	t.failed, t.problem = false, ""
 	t.manifestAt = t.now()
 }
 
+// brokenOnce returns a function that reports each broken rule once.
+func (t *transfer) brokenOnce() func(rule string) {
+	told := map[string]bool{}
+	return func(rule string) {
+		if !told[rule] {
+			told[rule] = true
+			t.mgr.broken(t.version, rule)
+		}
+	}
+}
+
 // recall takes over the chunks that the host has already, from another version
 // or from before a restart. Bytes that this process did not keep itself are
 // verified first.
