Orders: a restarted agent is harder to lead back

Cause: engines tell a fence at best, never the revision of the plan they obeyed. An agent that restarted beside an engine that tells none obeyed the highest plan of up to three entries at once; of two plans of one planner it could not tell the older one at all.

Change: a plan is refused that would take the engine from what the document in force names to another version of the same model, and an agent that started beside a loaded engine waits 6 s for a higher plan before its first order. Package fence says what still cannot be excluded.

Conclusion: what is left needs all entries heard to lag with document and plan alike, for longer than 6 s.

--- a/agent/internal/cmd/fakes_test.go
+++ b/agent/internal/cmd/fakes_test.go
@@ -109,11 +109,12 @@
 	return req.GetKnown().GetRevision() < e.root.GetRevision() || req.GetKnown().GetPlanRevision() < e.plan.GetPlanRevision()
 }
 
-// reply tells all it has, newer or not.
+// reply tells all it has, newer or not. It keeps no reports that later ones
+// could amend, and asks for whole ones.
 func (e *fakeEntry) reply() *wire.SyncReply {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return &wire.SyncReply{From: e.node, Root: e.root, Plan: e.plan, Hosts: e.hosts, Known: &wire.Known{
+	return &wire.SyncReply{From: e.node, Root: e.root, Plan: e.plan, Hosts: e.hosts, WholeWanted: []string{"h1"}, Known: &wire.Known{
 		Revision: e.root.GetRevision(), PlanRevision: e.plan.GetPlanRevision(), AgeMillis: uint64(e.age.Milliseconds()),
 	}}
 }
@@ -153,6 +154,7 @@
 	fence   uint64
 	orders  []uint64 // fences of the orders that were obeyed
 	drops   int      // loads still to be answered and not done
+	mute    bool     // the status tells no fence
 	cut     int      // requests that ran while the weights changed
 	running int
 	release chan struct{} // generations wait for it after the first token; nil: they don't
@@ -172,7 +174,11 @@
 	case "/status":
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]any{"model": f.model(), "version": f.version, "fence": f.fence, "role": "both", "slots": 8})
+		fence := f.fence
+		if f.mute {
+			fence = 0
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"model": f.model(), "version": f.version, "fence": fence, "role": "both", "slots": 8})
 	case "/orders":
 		f.order(w, body)
 	case "/generate":
--- a/agent/internal/orders/runner.go
+++ b/agent/internal/orders/runner.go
@@ -41,6 +41,10 @@
 	unwantedAfter = 30 * time.Second
 	// absentAfter is how long other hosts have to be heard of.
 	absentAfter = 10 * time.Second
+	// settleAfter is how long an agent that started beside a loaded engine waits
+	// for a newer plan before it orders anything: an entry hears another's news
+	// within an exchange of 5 seconds.
+	settleAfter = 6 * time.Second
 	// refetchPause is how long nothing is targeted after the engine said that a
 	// chunk is missing or wrong: an engine that restarted has lost the bytes
 	// that the weights manager believes to be there. It drops them meanwhile
@@ -346,15 +350,43 @@
 }
 
 // verdict keeps orders back until the entries were heard: a process that starts
-// with an engine that checks no fencing numbers must not obey the first plan
-// that comes by.
+// must not obey the first plan that comes by. Engines report the fence at best,
+// never the plan's revision, so that of two plans of one planner this process
+// can't tell by the number which the engine obeyed before; see package fence.
 func (r *Runner) verdict(snap *view.Snapshot) fence.Verdict {
 	if r.synced.IsZero() || snap.Plan == nil {
 		return fence.Wait
 	}
+	if r.outdated(snap) {
+		return fence.Refuse
+	}
+	obeyedNone := r.guard.Highest().PlanRevision() == 0
+	if obeyedNone && !r.have.Empty() && r.cfg.Clock.Since(r.synced) < settleAfter {
+		return fence.Wait
+	}
 	return r.guard.Judge(numberOf(snap.Plan))
 }
 
+// outdated reports whether the engine has what the document in force names and
+// the plan something else of the same model. Versions come into a plan from the
+// document alone: the plan is older than the one that was obeyed.
+func (r *Runner) outdated(snap *view.Snapshot) bool {
+	if r.have.Empty() || r.have.Model != r.want.Model || r.have.Equal(r.want) {
+		return false
+	}
+	for _, model := range snap.Document.GetModels() {
+		if model.GetName() == r.have.Model {
+			return r.have.Equal(intended(model))
+		}
+	}
+	return false
+}
+
+// intended is what the document wants of a host that serves the model.
+func intended(model *wire.Model) gate.Loaded {
+	return loadedOf(&wire.Assignment{Model: model.GetName(), Version: model.GetVersion(), Adapters: model.GetAdapters()})
+}
+
 func numberOf(plan *wire.Plan) fence.Number {
 	return fence.NewNumber(plan.GetFence(), plan.GetPlanRevision())
 }
--- a/relay/fence/fence.go
+++ b/relay/fence/fence.go
@@ -10,11 +10,26 @@
 //
 // An agent that restarted knows no number. Its Guard answers Wait until Learn
 // was called with the number that the engine reports, and afterwards obeys
-// nothing lower than that. An engine that ignores numbers reports 0; then the
-// agent first hears as many entries as it can reach (package control) and obeys
-// the highest plan among them. None of this asks the key-value service: while
-// it is down, the plan in force is obeyed from the entries' memory, and with no
-// entry reachable the engine keeps what it has and no order is given.
+// nothing lower than that. None of this asks the key-value service: while it is
+// down, the plan in force is obeyed from the entries' memory, and with no entry
+// reachable the engine keeps what it has and no order is given.
+//
+// What the engine reports is the fence at best. An engine that ignores numbers
+// may report 0, and none keeps the plan's revision, so that two plans of one
+// planner look alike to a restarted agent. The agent therefore
+//
+//   - hears up to three entries and takes the highest plan among them (package
+//     control),
+//   - waits some seconds for a higher one before it orders anything beside an
+//     engine that has weights loaded, and
+//   - refuses a plan that would take the engine from what the document in force
+//     names to another version of the same model: versions come into plans from
+//     the document alone, so that plan is older (package orders).
+//
+// This cannot be excluded: all entries that the restarted agent hears in that
+// time lag with document and plan alike, or the plans differ in the model of
+// the host only. The host then turns to the older plan until it hears of the
+// newer one. Its answers are whole and name their version all the same.
 package fence
 
 import "fmt"
