Large customers by the whole house's demand; room in reports is shared out

Cause: which customer is large was judged by one entry's own requests, and each customer's callers gather on a few entries. Nine entries each took the room that one report showed. A report was corrected by what was in progress when it arrived, not when it was made. Change: demand reports of all entries tell large customers; the room that a report shows them is divided among the entries; a trace of the attempts in progress corrects reports for their age; waits for a slot no longer pass for the cost of a cold prefix. A test that hung when a request ended early fails with that answer instead.

--- a/entry/internal/callers/call.go
+++ b/entry/internal/callers/call.go
@@ -163,6 +163,7 @@
 	weight, priority := c.who.standing()
 	c.req.ID, c.req.Customer, c.req.Weight, c.req.Priority = c.id, c.who.name, weight, priority
 	c.req.Retry = c.who.retry
+	c.req.Large = c.srv.isLarge(c.now, c.who.name)
 	result := c.srv.dispatcher.Do(c.r.Context(), c.req, sink)
 	c.account(result)
 	c.answer(result)
--- a/entry/internal/callers/requests_test.go
+++ b/entry/internal/callers/requests_test.go
@@ -276,9 +276,12 @@
 	const callers = 6
 	replies := make(chan reply, callers)
 	for range callers {
-		go func() { replies <- entry.request(t, nil) }()
+		go func() { replies <- entry.request(t, map[string]any{"deadlineMillis": 10_000}) }()
 	}
 	for len(agent.seen()) == 0 || entry.srv.InFlight() < callers {
+		if len(replies) > 0 {
+			t.Fatalf("got an answer before its time: %s", (<-replies).raw)
+		}
 		time.Sleep(time.Millisecond)
 	}
 	for range callers {
--- a/entry/internal/callers/server.go
+++ b/entry/internal/callers/server.go
@@ -60,6 +60,7 @@
 	keys       *once.Authority
 	door       *door
 	customers  customers
+	standings  standings
 	current    atomic.Pointer[index]
 	rebuild    sync.Mutex              // held while a new index is made
 	shifts     map[string]*route.Shift // by model; guarded by rebuild
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -34,6 +34,7 @@
 	ID         string // new for each arrival at an entry
 	Customer   string
 	Weight     float64 // share under overload; above 0
+	Large      bool    // the customer asks for much more than its share
 	Priority   uint32
 	Lane       string // names the hosts that serve it; see Update
 	Model      string
--- a/entry/internal/dispatch/lane.go
+++ b/entry/internal/dispatch/lane.go
@@ -40,8 +40,7 @@
 	table    *route.Table
 	queue    *limit.Queue // costs are expected seconds on a host
 	inFlight int          // attempts placed and not finished
-	standing *limit.Standing
-	ticking  bool // a tick is due
+	ticking  bool         // a tick is due
 }
 
 // waiter is a request in the queue.
@@ -59,11 +58,10 @@
 
 func newLane(clock clockwork.Clock, options route.Options, refresh func()) *lane {
 	return &lane{
-		clock:    clock,
-		refresh:  refresh,
-		table:    route.NewTable(options),
-		queue:    limit.NewQueue(maxWaiting),
-		standing: limit.NewStanding(),
+		clock:   clock,
+		refresh: refresh,
+		table:   route.NewTable(options),
+		queue:   limit.NewQueue(maxWaiting),
 	}
 }
 
@@ -102,7 +100,6 @@
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.standing.Seen(now, req.Customer, req.Weight)
 	if l.missed(now, req) {
 		return nil, placement{err: errLate(l.drainTime())}
 	}
@@ -134,11 +131,10 @@
 // pick reserves a host with room. The lock is held.
 func (l *lane) pick(now time.Time, req *Request, ask func() route.Ask) (route.Choice, route.Reason) {
 	want := ask()
-	want.Large = l.standing.Large(now, req.Customer)
+	want.Large = req.Large
 	choice, reason := l.table.Pick(now, want)
 	if reason == route.Chosen {
 		l.inFlight++
-		l.standing.Begin(req.Customer)
 	}
 	return choice, reason
 }
@@ -242,13 +238,12 @@
 }
 
 // finish gives a choice back and places others on the room.
-func (l *lane) finish(req *Request, choice route.Choice, result route.Result) {
+func (l *lane) finish(choice route.Choice, result route.Result) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table.Finish(now, choice, result)
 	l.inFlight--
-	l.standing.End(req.Customer)
 	l.pump(now)
 }
 
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -64,7 +64,7 @@
 	adapter := choice.AdapterVersion(r.req.Adapter)
 	resume, ok := r.progress.Start(choice.Host.Version, adapter)
 	if !cfg.Invariants.Check(ok, "attemptAllowed", "request", r.req.ID, "version", choice.Host.Version) {
-		r.lane.finish(r.req, choice, route.Result{End: route.EndCancelled})
+		r.lane.finish(choice, route.Result{End: route.EndCancelled})
 		return attemptEnd{reason: "internal error"}
 	}
 	r.host, r.affinity = choice.Host.ID, choice.Affinity()
@@ -74,7 +74,7 @@
 	if !end.whole && !end.refused {
 		r.settle(ctx, choice)
 	}
-	r.lane.finish(r.req, choice, timing.result(end))
+	r.lane.finish(choice, timing.result(end))
 	cfg.Log.Debug("attempt ended", "request", r.req.ID, "attempt", r.progress.Number(), "host", r.host,
 		"whole", end.whole, "refused", end.refused, "reason", end.reason)
 	return end
--- a/relay/limit/limit_test.go
+++ b/relay/limit/limit_test.go
@@ -155,3 +155,25 @@
 		}
 	})
 }
+
+func TestLargeCustomers(t *testing.T) {
+	cases := []struct {
+		name string
+		uses map[string]Use
+		want string
+	}{
+		{"alone", map[string]Use{"a": {1, 100}, "b": {1, 0}}, ""},
+		{"even", map[string]Use{"a": {1, 10}, "b": {1, 10}, "c": {1, 15}}, ""},
+		{"greedy", map[string]Use{"a": {1, 100}, "b": {1, 10}, "c": {1, 10}}, "a"},
+		{"greedy beside one", map[string]Use{"a": {1, 100}, "b": {1, 10}}, "a"},
+		{"large by right", map[string]Use{"a": {8, 100}, "b": {1, 10}, "c": {1, 10}}, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := Large(test.uses)
+			if got[test.want] != (test.want != "") || len(got) > 1 {
+				t.Errorf("got %v, want %q", got, test.want)
+			}
+		})
+	}
+}
--- a/relay/route/host.go
+++ b/relay/route/host.go
@@ -61,6 +61,8 @@
 type Choice struct {
 	Host     Host
 	kept     *host
+	large    bool // reserved for a large customer
+	calm     bool // the host had a free slot, as far as known
 	affinity bool // the host was expected to hold the prefix
 }
 
--- a/relay/route/pick.go
+++ b/relay/route/pick.go
@@ -30,7 +30,13 @@
 		return Choice{}, t.whyNone(ask)
 	}
 	choice := Choice{Host: chosen.Host, kept: chosen, affinity: t.holds(now, chosen, ask.Prefix)}
+	choice.large = ask.Large
+	choice.calm = chosen.load() < chosen.slots()
 	chosen.inFlight++
+	chosen.trace.add(now, chosen.inFlight)
+	if ask.Large {
+		chosen.allotted--
+	}
 	t.hints.add(ask.Prefix, chosen.ID, now.Add(placedHintAge))
 	return choice, Chosen
 }
@@ -76,21 +82,20 @@
 	if !serves(each, ask) || slices.Contains(ask.Exclude, each.ID) || each.ejected(now) {
 		return false
 	}
-	return t.hasRoom(now, each, ask.Large)
+	return t.hasRoom(now, each, ask)
 }
 
-// hasRoom compares the host's load with its slots. The limit that adapts to
-// what the host shows comes first; an entry that has little there gets its
-// share even where the others fill the host, or it would starve. A large
-// customer gets neither that share nor the last slots: a small one that came
-// to full hosts would wait for one of them to finish.
-func (t *Table) hasRoom(now time.Time, each *host, large bool) bool {
+// hasRoom compares the host's load with its slots. An entry that has little
+// there gets its share even where the others fill the host, or it would starve.
+// A large customer gets neither that share nor the last slots: a small one that
+// came to full hosts would wait for one of them to finish.
+func (t *Table) hasRoom(now time.Time, each *host, ask Ask) bool {
 	if each.probing {
 		return each.inFlight < probeInFlight
 	}
 	slots := float64(each.slots()) * each.ramp(now)
-	if large && float64(each.load()) >= slots-reserve(slots) {
-		return false
+	if ask.Large {
+		return each.spare(slots) > 0 && (each.allotted >= 1 || t.random.Float64() < each.allotted)
 	}
 	if each.inFlight < max(1, int(slots)/(2*t.entries)) {
 		return true
@@ -105,8 +110,11 @@
 // travels.
 func headroom(slots float64) float64 { return max(1, slots/8) }
 
-// reserve is the room that is kept from large customers.
-func reserve(slots float64) float64 { return max(1, math.Ceil(slots/8)) }
+// spare is the room for large customers: some is kept from them.
+func (h *host) spare(slots float64) float64 {
+	reserved := max(1, math.Ceil(slots/8))
+	return slots - reserved - float64(h.load())
+}
 
 // best chooses among the prefix's homes, hosts that probably hold it and a few
 // random ones by cost. The random ones are the power of two choices: entries
--- a/relay/route/route_test.go
+++ b/relay/route/route_test.go
@@ -115,6 +115,52 @@
 	}
 }
 
+// Symptom: hosts are overfilled although every report tells their load. Our
+// own attempts that began after the report was made and before it arrived are
+// neither in it nor added to it.
+func TestAttemptsThatAReportDoesNotShow(t *testing.T) {
+	table := NewTable(Options{})
+	report := Host{ID: "h", Incarnation: "1", Version: "v", Slots: 8, Sequence: 1, HeardAt: simStart}
+	table.Update(simStart, []Host{report}, 1)
+	ask := Ask{Versions: []string{"v"}}
+	for second := 1; second <= 4; second++ {
+		if _, reason := table.Pick(simStart.Add(time.Duration(second)*time.Second), ask); reason != Chosen {
+			t.Fatalf("got reason %d, want a host", reason)
+		}
+	}
+	report.Sequence, report.Running, report.HeardAt = 2, 5, simStart.Add(2*time.Second)
+	table.Update(simStart.Add(5*time.Second), []Host{report}, 1)
+	if got, want := table.hosts[0].load(), 7; got != want {
+		t.Errorf("got load %d, want %d: the 5 reported and the 2 begun since", got, want)
+	}
+}
+
+// Symptom: small customers find every host full. One large customer's requests
+// wait on nine entries, and a report shows some room to all of them.
+func TestLargeCustomerLeavesRoom(t *testing.T) {
+	const entries = 9
+	placed := 0
+	var tables []*Table
+	for i := range entries {
+		table := NewTable(Options{Seed: uint64(i + 1)})
+		table.Update(simStart, []Host{{ID: "h", Incarnation: "1", Version: "v", Slots: 64, Sequence: 1, HeardAt: simStart}}, entries)
+		tables = append(tables, table)
+	}
+	for range 100 {
+		for _, table := range tables {
+			if _, reason := table.Pick(simStart, Ask{Versions: []string{"v"}, Large: true}); reason == Chosen {
+				placed++
+			}
+		}
+	}
+	if placed < 40 || placed > 64 {
+		t.Errorf("got %d requests placed on a report of 64 free slots, want about 56", placed)
+	}
+	if _, reason := tables[0].Pick(simStart, Ask{Versions: []string{"v"}}); reason != Chosen {
+		t.Errorf("got reason %d for a small customer, want room", reason)
+	}
+}
+
 func TestWhoMayServe(t *testing.T) {
 	hosts := []Host{
 		{ID: "a", Incarnation: "1", Version: "v1"},
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -25,6 +25,11 @@
 	// atReport is inFlight when running and queued were learned: our own
 	// attempts since then are not in them.
 	atReport int
+	trace    trace // of inFlight
+	// allotted is this entry's part of the room for large customers, in
+	// requests. All entries see the same report; if each took the room that it
+	// shows, together they would overfill the host many times.
+	allotted float64
 	learned  time.Time // when running and queued were true, by the local clock
 	limit    *admit.Limit
 }
@@ -113,6 +118,7 @@
 			fresh.joinedAt = now
 		}
 		t.note(now, report)
+		t.allot(now, fresh)
 		return fresh, false
 	}
 	if report.Sequence == kept.Sequence {
@@ -126,10 +132,17 @@
 		return kept, true
 	}
 	kept.learned = report.HeardAt
-	kept.atReport = kept.inFlight
+	kept.atReport = kept.trace.at(report.HeardAt)
+	t.allot(now, kept)
 	return kept, true
 }
 
+// allot divides the room that a report shows among the entries.
+func (t *Table) allot(now time.Time, each *host) {
+	slots := float64(each.slots()) * each.ramp(now)
+	each.allotted = max(0, each.spare(slots)) / float64(t.entries)
+}
+
 func (t *Table) note(now time.Time, report Host) {
 	for _, prefix := range report.Prefixes {
 		t.hints.add(prefix, report.ID, now.Add(reportedHintAge))
@@ -172,9 +185,17 @@
 func (t *Table) Finish(now time.Time, choice Choice, result Result) {
 	each := choice.kept
 	each.inFlight--
+	each.trace.add(now, each.inFlight)
+	if choice.large {
+		each.allotted++ // the place that it had is ours to fill again
+	}
 	if result.FirstToken > 0 {
 		each.limit.FirstToken(now, result.FirstToken)
-		t.typical.firstToken(choice.affinity, result.FirstToken)
+		// Where requests waited for a slot, the wait would pass for the cost
+		// of a cold prefix, and affinity would hold on to the fullest hosts.
+		if choice.calm {
+			t.typical.firstToken(choice.affinity, result.FirstToken)
+		}
 	}
 	switch result.End {
 	case EndAnswered:
