Control: reports go whole when they must, else as amendments

Cause: each message bore descriptions, versions and 64 prefixes of hosts that had only worked; the allowance for reports then was so short that the word of a leaving or lost host waited behind the load of others. Change: an amendment bears load, leaving, lost, home and revisions, and names the whole report that it amends; a receiver without that one (a restart, a lost message) asks, and a call that shows it is not held. From and entries' reports name their node by id and the end of its incarnation once the receiver has it. Leaving and lost go first and on credit; calls end early once the view shows the leaving host, not before. Prefixes and counters go each 10 s to the home and each three refreshes further. How far older prefix hints cost cache hits was not measured.

--- a/agent/internal/control/client.go
+++ b/agent/internal/control/client.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,8 @@
 	"storj.io/drpc"
 
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/membership"
+	"comfreyrelay.example/relay/spread"
 	"comfreyrelay.example/relay/view"
 	"comfreyrelay.example/relay/wire"
 )
@@ -77,6 +80,9 @@
 	nudged    bool                   // a nudge came while no call was held
 	hint      *wire.Node             // an entry that knows something newer
 	home      string                 // id of the entry that answered last
+	baseline  spread.Baseline        // what the entry took of this host's reports
+	baseOf    string                 // id of the entry that the baseline is of
+	wanted    []string               // hosts to ask that entry the whole report of
 }
 
 // New returns a Client; Run makes it work.
@@ -272,15 +278,27 @@
 }
 
 func (c *Client) request(entry string, wait time.Duration) *wire.SyncRequest {
+	report := c.cfg.Report()
 	c.mu.Lock()
 	told := c.told[entry]
+	if c.baseOf != entry {
+		c.baseline, c.baseOf, c.wanted = spread.Baseline{}, entry, nil
+	}
+	from := c.cfg.Self
+	if !c.baseline.Whole() {
+		from = membership.NameOnly(from)
+	}
+	report = c.baseline.Next(report, c.cfg.Clock.Now())
+	wanted := c.wanted
+	c.wanted = nil
 	c.mu.Unlock()
 	request := &wire.SyncRequest{
-		From:       c.cfg.Self,
-		Known:      c.Known(),
-		WaitMillis: uint32(wait.Milliseconds()),
-		Hosts:      []*wire.HostReport{c.cfg.Report()},
-		DeltaRoots: true,
+		From:        from,
+		Known:       c.Known(),
+		WaitMillis:  uint32(wait.Milliseconds()),
+		Hosts:       []*wire.HostReport{report},
+		DeltaRoots:  true,
+		WholeWanted: wanted,
 	}
 	request.Root, request.Parts = c.knowledge.offer(told)
 	return request
@@ -298,7 +316,7 @@
 func (c *Client) take(ctx context.Context, entry *wire.Node, request *wire.SyncRequest, reply *wire.SyncReply) error {
 	now := c.cfg.Clock.Now()
 	c.cfg.Counters.Add("syncs", 1)
-	c.acked.Store(max(c.acked.Load(), request.GetHosts()[0].GetSequence()))
+	c.settle(entry.GetId(), request, reply)
 	c.knowledge.hearMembers(reply, now)
 	ignored, err := c.knowledge.adopt(ctx, reply, now, func(ctx context.Context, hashes []string) ([][]byte, error) {
 		return c.parts(ctx, entry, hashes)
@@ -320,9 +338,54 @@
 	return err
 }
 
+// settle notes what the entry took of the report and takes out of the reply what
+// cannot be made whole here.
+func (c *Client) settle(entry string, request *wire.SyncRequest, reply *wire.SyncReply) {
+	sent := request.GetHosts()[0]
+	lacking := c.knowledge.complete(reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.baseOf != entry {
+		return
+	}
+	c.wanted = lacking
+	if slices.Contains(reply.GetWholeWanted(), c.cfg.Self.GetId()) {
+		c.baseline.Drop()
+		return
+	}
+	c.baseline.Took(sent, c.cfg.Clock.Now())
+	c.acked.Store(max(c.acked.Load(), sent.GetSequence()))
+}
+
+// complete makes the reply's reports whole and returns the hosts and entries of
+// those that it takes out: what they amend was lost on the way.
+func (k *knowledge) complete(reply *wire.SyncReply) (lacking []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	whole := make([]*wire.HostReport, 0, len(reply.GetHosts()))
+	for _, report := range reply.GetHosts() {
+		if completed, ok := k.table.Complete(report); ok {
+			whole = append(whole, completed)
+			continue
+		}
+		lacking = append(lacking, report.GetNode().GetId())
+	}
+	reply.Hosts = whole
+	described := make([]*wire.EntryReport, 0, len(reply.GetEntries()))
+	for _, report := range reply.GetEntries() {
+		if completed, ok := k.table.CompleteEntry(report); ok {
+			described = append(described, completed)
+			continue
+		}
+		lacking = append(lacking, report.GetNode().GetId())
+	}
+	reply.Entries = described
+	return lacking
+}
+
 func (c *Client) parts(ctx context.Context, entry *wire.Node, hashes []string) ([][]byte, error) {
 	client := wire.NewDRPCControlClient(c.cfg.Dial(ctx, entry.GetControlAddress()))
-	reply, err := client.Parts(ctx, &wire.PartsRequest{From: c.cfg.Self, Known: c.Known(), Hashes: hashes})
+	reply, err := client.Parts(ctx, &wire.PartsRequest{From: membership.NameOnly(c.cfg.Self), Known: c.Known(), Hashes: hashes})
 	if err != nil {
 		return nil, err
 	}
--- a/entry/internal/control/bytes_test.go
+++ b/entry/internal/control/bytes_test.go
@@ -109,12 +109,12 @@
 // TestWorkingBytes: what an entry sends and receives in a second while all its
 // hosts work. A report that goes whole to everybody each time would show here.
 func TestWorkingBytes(t *testing.T) {
-	const seconds, entries, most = 30, 9, 45000
+	const seconds, entries, most = 60, 9, 25000
 	for _, agents := range []int{18, 200} {
 		for _, changes := range []bool{false, true} {
 			inFleet(t, 11, entries, agents, func(f *fleet) {
 				f.set(func(f *fleet) { f.working = true })
-				time.Sleep(10 * time.Second)
+				time.Sleep(2 * time.Minute) // each has heard of all by then
 				bytes := newTally()
 				f.set(func(f *fleet) { f.bytes = bytes })
 				for i := range seconds {
--- a/entry/internal/control/exchange.go
+++ b/entry/internal/control/exchange.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"comfreyrelay.example/relay/membership"
 	"comfreyrelay.example/relay/spread"
 	"comfreyrelay.example/relay/view"
 	"comfreyrelay.example/relay/wire"
@@ -125,9 +126,6 @@
 	defer with.mu.Unlock()
 	with.hosts.SetRefresh(refreshFor(with.node, len(near)))
 	chosen := with.hosts.Select(near, now, with.agentCap.Left(now))
-	for i := range chosen {
-		chosen[i] = spread.WithoutLoad(chosen[i])
-	}
 	with.agentCap.Spend(reportSize(chosen))
 	return chosen
 }
@@ -148,6 +146,10 @@
 	now := x.house.clock.Now()
 	news, hurry := false, false
 	for _, report := range reports {
+		report, whole := x.completed(with, report)
+		if !whole {
+			continue
+		}
 		with.mu.Lock()
 		with.hosts.Heard(report, now)
 		with.mu.Unlock()
@@ -159,6 +161,17 @@
 	x.stir(news, hurry)
 }
 
+// completed returns a report made whole, or notes that the whole one must be
+// asked for.
+func (x *Exchange) completed(with *session, report *wire.HostReport) (*wire.HostReport, bool) {
+	whole, ok := x.house.hosts.Complete(report)
+	if !ok {
+		counters.Add("wholeWanted", 1)
+		with.want(report.GetNode().GetId())
+	}
+	return whole, ok
+}
+
 // leaves reports whether a report tells of a host that leaves, and the view
 // does not know it yet.
 func (x *Exchange) leaves(report *wire.HostReport) bool {
@@ -175,7 +188,13 @@
 	now := x.house.clock.Now()
 	news, hurry := false, false
 	for _, report := range reports {
-		if report.GetNode().GetId() == x.self.GetId() {
+		id := report.GetNode().GetId()
+		if id == x.self.GetId() {
+			continue
+		}
+		report, whole := x.house.hosts.CompleteEntry(report)
+		if !whole {
+			with.want(id)
 			continue
 		}
 		with.mu.Lock()
@@ -202,27 +221,36 @@
 	return false
 }
 
-// stir has the view built anew and, where a node leaves, passes that on.
+// stir has the view built anew and, where a node leaves, that passed on once the
+// view shows it: messages are made from the view.
 func (x *Exchange) stir(news, hurry bool) {
+	if hurry {
+		x.house.hurry.Store(true)
+	}
 	if news {
 		x.house.touch()
 	}
-	if hurry {
-		x.house.Hurry()
-	}
 }
 
 // request composes a call to another entry.
 func (x *Exchange) request(with *session, wait time.Duration) *wire.SyncRequest {
 	now := x.house.clock.Now()
+	from := x.self
+	with.mu.Lock()
+	if with.knowsUs {
+		from = membership.NameOnly(x.self)
+	}
+	with.mu.Unlock()
 	return &wire.SyncRequest{
-		From:       x.self,
+		From:       from,
 		Known:      x.house.Known(),
 		WaitMillis: uint32(wait.Milliseconds()),
 		KnownOnly:  wait > 0,
 		DeltaRoots: true,
 		Hosts:      x.hostsForEntry(with, now),
 		Entries:    x.entriesFor(with, now),
+
+		WholeWanted: with.takeWanted(),
 	}
 }
 
@@ -231,7 +259,9 @@
 	now := x.house.clock.Now()
 	// What else there is to say of the sender stands in its own report.
 	from := &wire.Node{Id: x.self.GetId()}
-	reply := &wire.SyncReply{From: from, Known: x.house.Known(), Entries: x.entriesFor(with, now)}
+	reply := &wire.SyncReply{
+		From: from, Known: x.house.Known(), Entries: x.entriesFor(with, now), WholeWanted: with.takeWanted(),
+	}
 	if !req.GetKnownOnly() {
 		reply.Root, reply.Plan, reply.Drains = x.house.lacking(req.GetKnown(), req.GetDeltaRoots())
 	}
@@ -261,6 +291,7 @@
 // takeReply brings in what another entry answered.
 func (x *Exchange) takeReply(ctx context.Context, with *session, reply *wire.SyncReply, fetch Fetch) {
 	source := "entry " + reply.GetFrom().GetId()
+	with.hearWanted(reply.GetWholeWanted(), x.self.GetId())
 	x.house.OfferDrains(reply.GetDrains(), source)
 	if err := x.house.OfferRoot(ctx, reply.GetRoot(), source, fetch); err != nil {
 		x.house.log.Warn("document not assembled", "revision", reply.GetRoot().GetRevision(), "source", source, "error", err)
--- a/entry/internal/control/fleet_test.go
+++ b/entry/internal/control/fleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	"comfreyrelay.example/relay/membership"
 	"comfreyrelay.example/relay/node"
 	"comfreyrelay.example/relay/revision"
+	"comfreyrelay.example/relay/spread"
 	"comfreyrelay.example/relay/view"
 	"comfreyrelay.example/relay/wire"
 )
@@ -460,6 +462,8 @@
 	node  *wire.Node
 	view  *view.Holder
 	stop  context.CancelFunc
+	// leaving: its reports say so.
+	leaving atomic.Bool
 
 	mu       sync.Mutex
 	state    revision.State
@@ -467,11 +471,16 @@
 	told     uint32 // revision that the home knew in its last reply
 	home     string
 	sequence uint64
+	baseline spread.Baseline // towards home
+	toldHome string          // that the baseline is of
+	table    *membership.Table
+	wanted   []string
 }
 
 func (f *fleet) startAgent(id, region string) {
 	ctx, stop := context.WithCancel(f.ctx)
 	agent := &fakeAgent{fleet: f, stop: stop, view: view.NewHolder(), parts: store.NewParts(1 << 20)}
+	agent.table = membership.New(membership.DefaultLimits())
 	agent.node = node.Describe(&wire.NodeSettings{Id: id, Region: region, FailureDomain: region + "1", ControlAddress: id}, "agent", "")
 	f.mu.Lock()
 	f.agents[id] = agent
@@ -523,17 +532,23 @@
 }
 
 func (a *fakeAgent) sync(ctx context.Context, home string) error {
-	reply, err := a.fleet.sync(ctx, a.node.GetRegion(), home, a.request())
+	req := a.request()
+	reply, err := a.fleet.sync(ctx, a.node.GetRegion(), home, req)
 	if err != nil {
 		return err
 	}
 	a.mu.Lock()
+	a.baseline.Took(req.GetHosts()[0], time.Now())
+	if slices.Contains(reply.GetWholeWanted(), a.node.GetId()) {
+		a.baseline.Drop()
+	}
+	a.hear(reply)
 	a.told = reply.GetKnown().GetRevision()
 	reply.Root = revision.Expand(a.state.Root(), reply.GetRoot())
 	lacking := document.Missing(reply.GetRoot(), a.parts.Has)
 	a.mu.Unlock()
 	if len(lacking) > 0 {
-		fetched, err := a.fleet.parts(ctx, a.node.GetRegion(), home, &wire.PartsRequest{From: a.node, Hashes: lacking})
+		fetched, err := a.fleet.parts(ctx, a.node.GetRegion(), home, &wire.PartsRequest{From: membership.NameOnly(a.node), Hashes: lacking})
 		if err != nil {
 			return err
 		}
@@ -544,6 +559,19 @@
 	return a.adopt(reply)
 }
 
+// hear takes the reports of other hosts, and asks for what it cannot make whole;
+// the caller holds the lock.
+func (a *fakeAgent) hear(reply *wire.SyncReply) {
+	for _, report := range reply.GetHosts() {
+		whole, ok := a.table.Complete(report)
+		if !ok {
+			a.wanted = append(a.wanted, report.GetNode().GetId())
+			continue
+		}
+		a.table.HearHost(whole, time.Now())
+	}
+}
+
 func (a *fakeAgent) adopt(reply *wire.SyncReply) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -564,19 +592,30 @@
 	a.fleet.mu.Lock()
 	working := a.fleet.working
 	a.fleet.mu.Unlock()
+	report := &wire.HostReport{Node: a.node, Sequence: a.sequence}
 	if working {
-		return workingReport(a.node, a.sequence)
+		report = workingReport(a.node, a.sequence)
 	}
-	return &wire.HostReport{Node: a.node, Sequence: a.sequence}
+	report.Leaving = a.leaving.Load()
+	return report
 }
 
 func (a *fakeAgent) request() *wire.SyncRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sequence++
+	if a.toldHome != a.home {
+		a.baseline, a.toldHome = spread.Baseline{}, a.home
+	}
+	from := a.node
+	if !a.baseline.Whole() {
+		from = membership.NameOnly(a.node)
+	}
+	wanted := a.wanted
+	a.wanted = nil
 	req := &wire.SyncRequest{
-		From: a.node, Known: a.state.Known(time.Now()), WaitMillis: 1000, DeltaRoots: true,
-		Hosts: []*wire.HostReport{a.report()},
+		From: from, WholeWanted: wanted, Known: a.state.Known(time.Now()), WaitMillis: 1000, DeltaRoots: true,
+		Hosts: []*wire.HostReport{a.baseline.Next(a.report(), time.Now())},
 	}
 	if root := a.state.Root(); root != nil && a.told < root.GetRevision() {
 		req.Root = root
--- a/entry/internal/control/house.go
+++ b/entry/internal/control/house.go
@@ -9,6 +9,7 @@
 	"expvar"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -51,6 +52,7 @@
 
 	assembling chan struct{} // one token: who holds it assembles a root
 	dirty      chan struct{} // at most one signal: the view should be built anew
+	hurry      atomic.Bool   // the next view shows a node that leaves
 
 	mu      sync.Mutex
 	state   revision.State
--- a/entry/internal/control/members.go
+++ b/entry/internal/control/members.go
@@ -59,6 +59,31 @@
 	return news
 }
 
+// Complete returns a report made whole from what is held; false where the whole
+// one must be asked for.
+func (m *Members) Complete(report *wire.HostReport) (whole *wire.HostReport, ok bool) {
+	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { whole, ok = t.Complete(report) })
+	return whole, ok
+}
+
+// CompleteEntry returns a report with its entry's description; false where that
+// must be asked for.
+func (m *Members) CompleteEntry(report *wire.EntryReport) (whole *wire.EntryReport, ok bool) {
+	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { whole, ok = t.CompleteEntry(report) })
+	return whole, ok
+}
+
+// Describe returns the whole description of a message's sender; false where it
+// left that out and it is not known.
+func (m *Members) Describe(from *wire.Node) (*wire.Node, bool) {
+	if !membership.IsNameOnly(from) {
+		return from, true
+	}
+	var held *wire.Node
+	m.shard(from.GetId()).with(func(t *membership.Table) { held = t.Node(from.GetId(), from.GetIncarnation()) })
+	return held, held != nil && held.GetRole() == from.GetRole()
+}
+
 // HearEntry takes an entry's report and tells whether it was news.
 func (m *Members) HearEntry(report *wire.EntryReport, now time.Time) (news bool) {
 	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { news = t.HearEntry(report, now) })
--- a/entry/internal/control/publisher.go
+++ b/entry/internal/control/publisher.go
@@ -93,6 +93,7 @@
 // Build publishes one view.
 func (p *Publisher) Build() {
 	now := p.house.clock.Now()
+	hurry := p.house.hurry.Swap(false)
 	if p.due(now) {
 		p.house.hosts.HearEntry(p.own(), now)
 	}
@@ -110,4 +111,7 @@
 		Entries:      entries,
 		ConfirmedAt:  confirmedAt,
 	})
+	if hurry {
+		p.house.Hurry()
+	}
 }
--- a/entry/internal/control/server.go
+++ b/entry/internal/control/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/membership"
 	"comfreyrelay.example/relay/peer"
 	"comfreyrelay.example/relay/wire"
 )
@@ -86,20 +87,37 @@
 	}
 	counters.Add("syncServed", 1)
 	countMessage("bytesIn", kindOf(req.GetFrom()), req)
-	with := s.exchange.sessions.of(req.GetFrom(), s.house.clock.Now())
+	from, known := s.house.hosts.Describe(req.GetFrom())
+	if !known {
+		return s.askWho(req), nil
+	}
+	req.From = from
+	with := s.exchange.sessions.of(from, s.house.clock.Now())
 	s.take(ctx, with, req)
-	s.hold(ctx, req)
+	if !with.wants() {
+		s.hold(ctx, req)
+	}
 	reply := s.exchange.reply(req, with)
 	countMessage("bytesOut", kindOf(req.GetFrom()), reply)
 	return reply, nil
 }
 
+// askWho answers a caller that left its description out to a process that does
+// not know it (any more): without it the caller's share of the plan is unknown.
+func (s *Server) askWho(req *wire.SyncRequest) *wire.SyncReply {
+	counters.Add("describeWanted", 1)
+	return &wire.SyncReply{
+		From: &wire.Node{Id: s.house.ID()}, Known: s.house.Known(), WholeWanted: []string{req.GetFrom().GetId()},
+	}
+}
+
 func (s *Server) take(ctx context.Context, with *session, req *wire.SyncRequest) {
 	behind := s.house.HearKnown(req.GetKnown())
 	if isAgent(req.GetFrom()) {
 		s.takeAgent(ctx, with, req)
 		return
 	}
+	with.loseWanted(req.GetWholeWanted())
 	s.exchange.hearHosts(with, req.GetHosts())
 	s.exchange.hearEntries(with, req.GetEntries())
 	if behind {
@@ -111,10 +129,19 @@
 func (s *Server) takeAgent(ctx context.Context, with *session, req *wire.SyncRequest) {
 	now := s.house.clock.Now()
 	s.house.hosts.Touch(req.GetFrom(), now)
+	with.loseWanted(req.GetWholeWanted())
 	for _, report := range req.GetHosts() {
+		if report.GetNode() == nil { // an amendment of the sender's own
+			report.Node = membership.NameOnly(req.GetFrom())
+			report.Node.Role = ""
+		}
 		if report.GetNode().GetId() != req.GetFrom().GetId() {
 			continue
 		}
+		report, whole := s.exchange.completed(with, report)
+		if !whole {
+			continue
+		}
 		report.Home = s.exchange.self.GetId()
 		report.Lost = false
 		report.Revision = req.GetKnown().GetRevision()
--- a/entry/internal/control/session.go
+++ b/entry/internal/control/session.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,57 @@
 	hosts    *spread.Digest
 	entries  *spread.EntryDigest
 	agentCap *spread.Allowance // agents only; entries share the process's
+	// wanted are the hosts and entries whose whole report is missing here; at most maxWanted.
+	wanted map[string]bool
+	// knowsUs: the node has this process's description.
+	knowsUs bool
+}
+
+// maxWanted bounds the whole reports asked for in one message.
+const maxWanted = 512
+
+// want notes that the node should send the host's whole report.
+func (s *session) want(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.wanted) < maxWanted {
+		s.wanted[id] = true
+	}
+}
+
+// takeWanted returns what to ask for in the next message, and forgets it: where
+// that message is lost the next amendment shows the lack again.
+func (s *session) takeWanted() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := slices.Sorted(maps.Keys(s.wanted))
+	clear(s.wanted)
+	return ids
+}
+
+// wants reports whether there is something to ask for: a call is not held then.
+func (s *session) wants() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.wanted) > 0
+}
+
+// loseWanted takes the hosts that the node asks for.
+func (s *session) loseWanted(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids[:min(len(ids), maxWanted)] {
+		s.hosts.Lose(id)
+		s.entries.Lose(id)
+	}
+}
+
+// hearWanted takes what the node asks for in an answer to this process.
+func (s *session) hearWanted(ids []string, self string) {
+	s.loseWanted(ids)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.knowsUs = !slices.Contains(ids, self)
 }
 
 // visit is a session with what its owner needs to keep or end it.
@@ -95,6 +148,7 @@
 		hosts:    spread.NewDigest(refreshFor(node, 0), !isAgent(node)),
 		entries:  spread.NewEntryDigest(relay),
 		agentCap: spread.NewAllowance(agentBytesPerSecond, agentBurst, now),
+		wanted:   map[string]bool{},
 	}
 }
 
--- a/relay/membership/membership.go
+++ b/relay/membership/membership.go
@@ -115,10 +115,11 @@
 	return sequence > heldSequence
 }
 
-// HearHost takes a host's report and tells whether it was news.
+// HearHost takes a host's whole report and tells whether it was news; see
+// Complete for an amendment.
 func (t *Table) HearHost(report *wire.HostReport, now time.Time) bool {
 	id := report.GetNode().GetId()
-	if id == "" || report.GetNode().GetIncarnation() == "" {
+	if id == "" || report.GetNode().GetIncarnation() == "" || IsAmendment(report) {
 		return false
 	}
 	held := t.at(id)
@@ -149,7 +150,8 @@
 	}
 }
 
-// HearEntry takes an entry's report and tells whether it was news.
+// HearEntry takes an entry's report and tells whether it was news; see
+// CompleteEntry for one without description.
 func (t *Table) HearEntry(report *wire.EntryReport, now time.Time) bool {
 	id := report.GetNode().GetId()
 	if id == "" || report.GetNode().GetIncarnation() == "" {
--- a/relay/spread/allowance.go
+++ b/relay/spread/allowance.go
@@ -25,5 +25,6 @@
 	return max(0, int(a.tokens))
 }
 
-// Spend takes the bytes that went.
-func (a *Allowance) Spend(bytes int) { a.tokens -= float64(bytes) }
+// Spend takes the bytes that went. What must not wait goes on credit, which is
+// bounded: otherwise a region that leaves would silence all else for minutes.
+func (a *Allowance) Spend(bytes int) { a.tokens = max(-a.burst, a.tokens-float64(bytes)) }
--- a/relay/spread/digest.go
+++ b/relay/spread/digest.go
@@ -60,10 +60,14 @@
 	}
 }
 
-// differs reports whether more than the load changed.
+// differs reports whether something changed that only a whole report bears.
 func (s summary) differs(other summary) bool {
-	s.load, other.load = 0, 0
-	return s != other
+	return s.incarnation != other.incarnation || s.states != other.states || s.slots != other.slots
+}
+
+// stops reports whether new work for the host must stop or may begin.
+func (s summary) stops(other summary) bool {
+	return s.leaving != other.leaving || s.lost != other.lost
 }
 
 // loadDiffers reports whether the load changed so far that it is worth bytes:
@@ -78,8 +82,15 @@
 	summary  summary
 	sequence uint64
 	at       time.Time
+	// whole is the sequence of the whole report behind it, told at wholeAt.
+	whole   uint64
+	wholeAt time.Time
 }
 
+// wholeRefreshes is how many refreshes after a whole report it is sent again:
+// the prefixes and counters in it are then older than what they describe.
+const wholeRefreshes = 3
+
 // Digest remembers what one receiver knows, so that a message bears only news.
 // It is not safe for concurrent use.
 type Digest struct {
@@ -100,9 +111,45 @@
 // SetRefresh changes the age at which an unchanged report is sent again.
 func (d *Digest) SetRefresh(refresh time.Duration) { d.refresh = refresh }
 
-// Heard notes that the receiver itself sent the report.
+// Heard notes that the receiver itself sent the report, made whole here.
 func (d *Digest) Heard(report *wire.HostReport, now time.Time) {
-	d.marks[report.GetNode().GetId()] = mark{summary: summarize(report), sequence: report.GetSequence(), at: now}
+	id := report.GetNode().GetId()
+	next := mark{
+		summary: summarize(report), sequence: report.GetSequence(), at: now,
+		whole: membership.WholeSequence(report), wholeAt: now,
+	}
+	if held := d.marks[id]; held.whole >= next.whole && held.summary.incarnation == next.summary.incarnation {
+		next.whole, next.wholeAt = held.whole, held.wholeAt
+	}
+	d.marks[id] = next
+}
+
+// Lose notes that the receiver lacks the whole report.
+func (d *Digest) Lose(id string) { delete(d.marks, id) }
+
+// compose returns the report as it should be sent, and notes that it is.
+func (d *Digest) compose(report *wire.HostReport, now time.Time) *wire.HostReport {
+	id := report.GetNode().GetId()
+	held, told := d.marks[id]
+	next := mark{
+		summary: summarize(report), sequence: report.GetSequence(), at: now,
+		whole: report.GetSequence(), wholeAt: now,
+	}
+	if !told || next.summary.differs(held.summary) || now.Sub(held.wholeAt) >= wholeRefreshes*d.refresh {
+		d.marks[id] = next
+		if !d.routes {
+			return WithoutLoad(report)
+		}
+		return Copy(report)
+	}
+	next.whole, next.wholeAt = held.whole, held.wholeAt
+	d.marks[id] = next
+	amendment := membership.Amend(report, held.whole)
+	if !d.routes {
+		amendment.Running, amendment.Queued, amendment.TokensPerSecond, amendment.TokenGapMillis = 0, 0, 0, 0
+		amendment.Revision, amendment.PlanRevision = 0, 0
+	}
+	return amendment
 }
 
 // Forget drops the marks of hosts that are not in the set, to bound them.
@@ -117,47 +164,95 @@
 // Len returns the number of hosts remembered.
 func (d *Digest) Len() int { return len(d.marks) }
 
-// news reports whether the receiver should hear the report.
-func (d *Digest) news(report *wire.HostReport, now time.Time) bool {
+// urgency orders what a receiver should hear.
+type urgency int
+
+const (
+	// urgent: new work must stop or may begin; it does not wait for bytes.
+	urgent urgency = iota
+	// changed: other states, another home, a host not heard of.
+	changed
+	// routine: another load, or a refresh.
+	routine
+	// known: nothing to tell.
+	known
+)
+
+// news returns how soon the receiver should hear the report.
+func (d *Digest) news(report *wire.HostReport, now time.Time) urgency {
 	held, told := d.marks[report.GetNode().GetId()]
 	if !told {
-		return true
+		return changed
 	}
 	fresh := summarize(report)
 	if fresh.incarnation == held.summary.incarnation && report.GetSequence() == held.sequence {
-		return fresh.lost && !held.summary.lost
+		if fresh.lost && !held.summary.lost {
+			return urgent
+		}
+		return known
 	}
-	if !membership.Newer(fresh.incarnation, report.GetSequence(), held.summary.incarnation, held.sequence) {
-		return false
+	switch {
+	case !membership.Newer(fresh.incarnation, report.GetSequence(), held.summary.incarnation, held.sequence):
+		return known
+	case fresh.stops(held.summary):
+		return urgent
+	case fresh.differs(held.summary) || fresh.home != held.summary.home:
+		return changed
+	case now.Sub(held.at) >= d.refresh || (d.routes && fresh.loadDiffers(held.summary)):
+		return routine
 	}
-	return fresh.differs(held.summary) || now.Sub(held.at) >= d.refresh || (d.routes && fresh.loadDiffers(held.summary))
+	return known
 }
 
-// Select returns the reports for one message, at most the given bytes: first
-// of hosts at home with the sender, then the nearest, then the newest. What
-// does not fit waits for the next message.
+// item is a candidate that the receiver should hear.
+type item struct {
+	Candidate
+
+	urgency urgency
+}
+
+// Select returns the reports for one message, at most the given bytes but for
+// urgent ones: the most urgent first, then those of hosts at home with the
+// sender, then the nearest, then the newest. What does not fit waits for the
+// next message.
 func (d *Digest) Select(candidates []Candidate, now time.Time, bytes int) []*wire.HostReport {
-	var news []Candidate
+	var news []item
 	for _, candidate := range candidates {
-		if d.news(candidate.Report, now) {
-			news = append(news, candidate)
+		if urgency := d.news(candidate.Report, now); urgency != known {
+			news = append(news, item{Candidate: candidate, urgency: urgency})
 		}
 	}
 	slices.SortFunc(news, order)
 	var chosen []*wire.HostReport
 	for _, candidate := range news {
-		size := proto.Size(candidate.Report)
-		if size > bytes {
+		id := candidate.Report.GetNode().GetId()
+		before, told := d.marks[id]
+		report := d.compose(candidate.Report, now)
+		size := proto.Size(report)
+		if size > bytes && candidate.urgency != urgent {
+			d.restore(id, before, told)
 			break
 		}
 		bytes -= size
-		chosen = append(chosen, Aged(candidate.Report, now.Sub(candidate.HeardAt)))
-		d.Heard(candidate.Report, now)
+		report.AgeMillis = millis(now.Sub(candidate.HeardAt))
+		chosen = append(chosen, report)
 	}
 	return chosen
 }
 
-func order(a, b Candidate) int {
+// restore takes back what was noted of a report that did not fit.
+func (d *Digest) restore(id string, before mark, told bool) {
+	if !told {
+		delete(d.marks, id)
+		return
+	}
+	d.marks[id] = before
+}
+
+func order(a, b item) int {
+	if byUrgency := cmp.Compare(a.urgency, b.urgency); byUrgency != 0 {
+		return byUrgency
+	}
 	if a.Home != b.Home {
 		if a.Home {
 			return -1
@@ -184,12 +279,10 @@
 	return Far
 }
 
-// Aged returns a shallow copy of the report that bears its age; the receiver's
-// clock is never compared with the sender's.
-func Aged(report *wire.HostReport, age time.Duration) *wire.HostReport {
-	dup := Copy(report)
-	dup.AgeMillis = uint32(min(max(0, age.Milliseconds()), int64(^uint32(0))))
-	return dup
+// millis returns an age as messages bear it; the receiver's clock is never
+// compared with the sender's.
+func millis(age time.Duration) uint32 {
+	return uint32(min(max(0, age.Milliseconds()), int64(^uint32(0))))
 }
 
 // WithoutLoad returns what of a report serves a process that sends no requests
@@ -202,7 +295,8 @@
 	}
 }
 
-// Copy returns a shallow copy: lists and messages inside are shared.
+// Copy returns a shallow copy as a whole report: lists and messages inside are
+// shared.
 func Copy(report *wire.HostReport) *wire.HostReport {
 	return &wire.HostReport{
 		Node: report.GetNode(), Sequence: report.GetSequence(), Leaving: report.GetLeaving(),
--- a/relay/spread/entries.go
+++ b/relay/spread/entries.go
@@ -18,8 +18,14 @@
 	sequence    uint64
 	draining    bool
 	at          time.Time
+	// describedAt is when the receiver last got or gave the entry's description.
+	describedAt time.Time
 }
 
+// describeAgain is the age at which a description is sent again: a receiver
+// that lacks it asks, but a wrong one would stay.
+const describeAgain = 5 * time.Minute
+
 // EntryDigest remembers what one receiver knows of the entries. It is not safe
 // for concurrent use.
 type EntryDigest struct {
@@ -35,12 +41,38 @@
 
 // Heard notes that the receiver itself sent the report.
 func (d *EntryDigest) Heard(report *wire.EntryReport, now time.Time) {
-	d.marks[report.GetNode().GetId()] = entryMark{
-		incarnation: report.GetNode().GetIncarnation(),
+	id, incarnation := report.GetNode().GetId(), report.GetNode().GetIncarnation()
+	describedAt := now
+	if held, told := d.marks[id]; told && held.incarnation == incarnation {
+		describedAt = held.describedAt
+	}
+	d.marks[id] = entryMark{
+		incarnation: incarnation,
 		sequence:    report.GetSequence(),
 		draining:    report.GetDraining(),
 		at:          now,
+		describedAt: describedAt,
+	}
+}
+
+// Lose notes that the receiver lacks the entry's description.
+func (d *EntryDigest) Lose(id string) { delete(d.marks, id) }
+
+// compose returns the report as it should be sent, and notes that it is.
+func (d *EntryDigest) compose(report *wire.EntryReport, age time.Duration, now time.Time) *wire.EntryReport {
+	id, incarnation := report.GetNode().GetId(), report.GetNode().GetIncarnation()
+	held, told := d.marks[id]
+	known := told && held.incarnation == incarnation && now.Sub(held.describedAt) < describeAgain
+	d.Heard(report, now)
+	sent := agedEntry(report, age)
+	if known {
+		sent.Node = membership.NameOnly(sent.Node)
+		return sent
 	}
+	mark := d.marks[id]
+	mark.describedAt = now
+	d.marks[id] = mark
+	return sent
 }
 
 // Forget drops the marks of entries that are not in the set.
@@ -74,8 +106,7 @@
 func (d *EntryDigest) SelectRare(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
 	var chosen []*wire.EntryReport
 	if d.news(own, now) {
-		chosen = append(chosen, presence(own))
-		d.Heard(own, now)
+		chosen = append(chosen, presence(d.compose(own, 0, now)))
 	}
 	for _, report := range d.thirds(own, others, receiver, now, bytes) {
 		chosen = append(chosen, presence(report))
@@ -94,8 +125,7 @@
 func (d *EntryDigest) Select(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
 	var chosen []*wire.EntryReport
 	if d.newer(own) {
-		chosen = append(chosen, own)
-		d.Heard(own, now)
+		chosen = append(chosen, d.compose(own, 0, now))
 	}
 	return append(chosen, d.thirds(own, others, receiver, now, bytes)...)
 }
@@ -121,8 +151,7 @@
 			break
 		}
 		bytes -= size
-		chosen = append(chosen, agedEntry(other.Report(), now.Sub(other.HeardAt())))
-		d.Heard(other.Report(), now)
+		chosen = append(chosen, d.compose(other.Report(), now.Sub(other.HeardAt()), now))
 	}
 	return chosen
 }
@@ -131,7 +160,7 @@
 	return &wire.EntryReport{
 		Node: report.GetNode(), Sequence: report.GetSequence(), Draining: report.GetDraining(),
 		InFlight: report.GetInFlight(), RequestsPerSecond: report.GetRequestsPerSecond(),
-		AgeMillis: uint32(min(max(0, age.Milliseconds()), int64(^uint32(0)))),
+		AgeMillis: millis(age),
 		Demand:    report.GetDemand(), Revision: report.GetRevision(), PlanRevision: report.GetPlanRevision(),
 		HomeRevision: report.GetHomeRevision(),
 	}
