Specification: each rule names its function and that function the rule

Cause: comments named rules of the specification that it does not have (loadGate, revisionNeverFalls, grantOnce), and the specification named no code.

Comments alone changed in the code.

--- a/agent/internal/control/knowledge.go
+++ b/agent/internal/control/knowledge.go
@@ -148,8 +148,6 @@
 
 // adopt takes what is newer in a reply. Missing parts are fetched with the
 // function given. What is older is ignored: nothing in force ever falls.
-//
-// It implements the rule revisionNeverFalls of the specification.
 func (k *knowledge) adopt(ctx context.Context, reply *wire.SyncReply, now time.Time,
 	fetch func(ctx context.Context, hashes []string) ([][]byte, error)) (ignored int, err error) {
 	if root := reply.GetRoot(); root != nil {
--- a/agent/internal/gate/admit.go
+++ b/agent/internal/gate/admit.go
@@ -32,8 +32,6 @@
 
 // admit judges an attempt. Where it lets it in, the caller ends it with finish.
 // Every refusal that a second delivery could meet differently is remembered.
-//
-// It implements the rules loadGate and atMostOnce of the specification.
 func (g *Gate) admit(ctx context.Context, att *wire.Attempt) (*run, refusal) {
 	if att.GetIncarnation() != g.cfg.Self.GetIncarnation() {
 		return nil, refuse(reasonIncarnation, loadRetry)
@@ -114,6 +112,8 @@
 }
 
 // serves reports whether what is loaded is exactly what the attempt asks for.
+//
+// Rule INTENDED of spec/gate.pml.
 func (g *Gate) serves(loaded Loaded, att *wire.Attempt) bool {
 	if att.GetService() != "" || g.cfg.Service != "" {
 		return att.GetService() == g.cfg.Service
--- a/agent/internal/gate/gate.go
+++ b/agent/internal/gate/gate.go
@@ -166,6 +166,8 @@
 }
 
 // Cancel leaves a tombstone or stops what runs: wire.Host's Cancel.
+//
+// Rule OTHER of spec/once.pml.
 func (g *Gate) Cancel(ctx context.Context, req *wire.CancelRequest) (*wire.CancelReply, error) {
 	if err := g.identify(ctx, req.GetFrom()); err != nil {
 		return nil, err
--- a/agent/internal/orders/decide.go
+++ b/agent/internal/orders/decide.go
@@ -62,8 +62,6 @@
 
 // Decide returns the next action. Weights change only behind a gate that is
 // drained, and the gate opens only for what the engine confirmed.
-//
-// It implements the rule loadGate of the specification.
 func Decide(now Situation) Action {
 	if !now.HaveKnown || now.Pending {
 		return Stay
@@ -119,6 +117,9 @@
 	return Stay
 }
 
+// decideSwitch goes to the wanted version, once all of it is there.
+//
+// Rule WHOLE of spec/gate.pml.
 func decideSwitch(now Situation) Action {
 	if !now.Whole || !now.mayOrder() {
 		return now.keep()
--- a/agent/internal/orders/give.go
+++ b/agent/internal/orders/give.go
@@ -24,6 +24,8 @@
 }
 
 // give orders something in the name of the plan in force.
+//
+// Rule DRAIN of spec/gate.pml.
 func (r *Runner) give(ctx context.Context, snap *view.Snapshot, action Action) {
 	number := numberOf(snap.Plan)
 	r.mu.Lock()
--- a/agent/internal/orders/runner.go
+++ b/agent/internal/orders/runner.go
@@ -438,6 +438,9 @@
 	r.cfg.Counters.Add("action."+action.String(), 1)
 }
 
+// serve opens the gate for what the engine confirmed.
+//
+// Rule CONFIRM of spec/gate.pml.
 func (r *Runner) serve() {
 	r.mu.Lock()
 	have := r.have
--- a/agent/internal/weights/fetch.go
+++ b/agent/internal/weights/fetch.go
@@ -74,6 +74,9 @@
 	t.mgr.cfg.Log.Debug("a chunk failed", "version", t.version, "chunk", key.chunk, "from", from, "error", err)
 }
 
+// fetchAndKeep fetches one chunk and keeps it if it is what its hash names.
+//
+// Rule VERIFY of spec/gate.pml.
 func (t *transfer) fetchAndKeep(ctx context.Context, key fetchKey) *fetchError {
 	room := int64(t.man.GetChunkBytes())
 	if err := t.mgr.window.Acquire(ctx, room); err != nil {
--- a/entry/internal/callers/claims.go
+++ b/entry/internal/callers/claims.go
@@ -51,8 +51,7 @@
 	revision uint64 // of the key there
 }
 
-// Claim answers another entry that asks to run a key owned by this one. It
-// implements the rule grantOnce of the specification.
+// Claim answers another entry that asks to run a key owned by this one.
 func (s *Server) Claim(_ context.Context, ask *wire.ClaimRequest) (*wire.ClaimReply, error) {
 	claim, err := claimOf(ask.GetKey(), ask.GetNonce(), ask.GetBodyHash())
 	if err != nil {
--- a/entry/internal/dispatch/hosts.go
+++ b/entry/internal/dispatch/hosts.go
@@ -26,6 +26,8 @@
 }
 
 // NewHosts returns Hosts that call agents over the pool.
+//
+// Rule BOUND of spec/once.pml.
 func NewHosts(pool *peer.Pool) Hosts {
 	return Hosts{
 		Run: func(ctx context.Context, address string, attempt *wire.Attempt) (Stream, bool, error) {
--- a/entry/internal/dispatch/progress.go
+++ b/entry/internal/dispatch/progress.go
@@ -96,6 +96,8 @@
 // MayRetry reports whether another attempt is allowed: for what is repeatable,
 // unless wrong tokens went out already; else only if nothing so far may have
 // run.
+//
+// Rule PROVED of spec/once.pml.
 func (p *Progress) MayRetry() bool {
 	if p.tainted && p.handed > 0 {
 		return false
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -164,6 +164,8 @@
 
 // write swaps the plan in. A lost reply or a conflict makes the next step read
 // the stored plan again, which settles it.
+//
+// Rule PLANCAS of spec/lease.pml.
 func (p *Planner) write(ctx context.Context, next *wire.Plan) error {
 	value, err := proto.Marshal(next)
 	if err != nil {
--- a/entry/internal/store/submit.go
+++ b/entry/internal/store/submit.go
@@ -158,6 +158,8 @@
 
 // settled looks for the submission among what was accepted since its base. It
 // returns nil and no error where the submission was not accepted.
+//
+// Rule SETTLE of spec/document.pml.
 func (s *Store) settled(ctx context.Context, try *attempt, held heldRoot) (*wire.Root, error) {
 	newest := held.root.GetRevision()
 	if newest <= try.BaseRevision {
@@ -255,6 +257,8 @@
 }
 
 // swap replaces the root: the moment of acceptance.
+//
+// Rule CAS of spec/document.pml.
 func (s *Store) swap(ctx context.Context, try *attempt, held heldRoot) (*wire.Root, error) {
 	before, err := s.Assemble(ctx, held.root)
 	if err != nil {
@@ -294,6 +298,9 @@
 	}
 }
 
+// newRoot returns the next root with its own audit record.
+//
+// Rule EMBED of spec/document.pml.
 func (s *Store) newRoot(try *attempt, before *wire.Document) *wire.Root {
 	parts := document.Parts(try.pieces)
 	revision := try.BaseRevision + 1
--- a/relay/attempt/attempt.go
+++ b/relay/attempt/attempt.go
@@ -2,15 +2,15 @@
 // whether one may begin, so that a late or doubled delivery, or one that was
 // cancelled before it arrived, is not run.
 //
-// Rules, of which each is a rule of the specification too:
+// Rules, of which some are in spec/once.pml too:
 //
-//   - An attempt begins at most once (duplicateRefused).
+//   - An attempt begins at most once (ONCEONLY).
 //   - An attempt that was cancelled before it began never begins
-//     (tombstoneFirst).
+//     (TOMBSTONE).
 //   - Of a request that is not repeatable one attempt begins, and another only
 //     where the endpoint proved that it had not run the first (beginOnce).
 //   - A refusal is remembered like a tombstone: a second delivery of an attempt
-//     that was answered as not run is not run either (refusalStands).
+//     that was answered as not run is not run either (REFUSED).
 //   - Memory is bounded in time and in count. Where the count is reached, new
 //     work is refused; what is remembered is not forgotten early.
 //
@@ -184,6 +184,8 @@
 
 // Begin judges the delivery of an attempt and, with verdict Begin, remembers
 // that it runs. The caller reports the end with End.
+//
+// Rule ONCEONLY of spec/once.pml.
 func (m *Memory) Begin(id ID, number uint32, repeatable bool) Verdict {
 	req := m.requests[id]
 	if req != nil {
@@ -227,6 +229,9 @@
 	return count, once
 }
 
+// known returns the verdict on an attempt that was seen before.
+//
+// Rule REFUSED of spec/once.pml.
 func (r *request) known(number uint32) (Verdict, bool) {
 	for _, rec := range r.attempts {
 		if rec.number != number {
@@ -283,6 +288,8 @@
 // Cancel leaves a tombstone for an attempt that has not begun, and returns what
 // is known of it. stored is false where the memory is full: then nothing may be
 // concluded, because the attempt may still begin.
+//
+// Rule TOMBSTONE of spec/once.pml.
 func (m *Memory) Cancel(id ID, number uint32) (state State, stored bool) {
 	if req, ok := m.requests[id]; ok {
 		for _, rec := range req.attempts {
--- a/relay/fence/fence.go
+++ b/relay/fence/fence.go
@@ -92,6 +92,8 @@
 // Learn takes the number that the engine reports. It is called at the start and
 // after every refusal by the engine; a lower report changes nothing, because
 // reports lag.
+//
+// Rule RESTART of spec/lease.pml.
 func (g *Guard) Learn(engineFence uint64) {
 	g.learned = true
 	if engineFence > g.highest.fence {
@@ -113,7 +115,7 @@
 // Admit judges an order of the given authority and remembers it if it is
 // obeyed. The same Number is obeyed again: a lost load is repeated.
 //
-// It implements the rule fenceMonotonic of the specification.
+// Rule FENCE of spec/lease.pml.
 func (g *Guard) Admit(order Number) Verdict {
 	verdict := g.Judge(order)
 	if verdict == Obey {
--- a/relay/lease/holder.go
+++ b/relay/lease/holder.go
@@ -62,7 +62,7 @@
 // at the clock on each call: a process that was paused past its lease and wakes
 // gets false before it knows anything else.
 //
-// It implements the rule OWNCLOCK of the specification.
+// Rule OWNCLOCK of spec/lease.pml.
 func (h *Holder) Holding() (fence uint64, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/relay/lease/machine.go
+++ b/relay/lease/machine.go
@@ -270,7 +270,7 @@
 // trust moves the deadline after a grant or a renewal that succeeded: it counts
 // from before the service was asked.
 //
-// It implements the rule BEFORE of the specification.
+// Rule BEFORE of spec/lease.pml.
 func (m *machine) trust() {
 	m.deadline = m.asked.Add(m.term.ttl - m.term.margin)
 }
--- a/relay/once/authority.go
+++ b/relay/once/authority.go
@@ -58,6 +58,8 @@
 }
 
 // Claim decides about one claim; see Table.Claim.
+//
+// Rule OWNER of spec/once.pml.
 func (a *Authority) Claim(now time.Time, ask Claim) Verdict {
 	held, to := a.find(ask.Key.owner)
 	if held != nil {
--- a/relay/once/table.go
+++ b/relay/once/table.go
@@ -120,6 +120,8 @@
 //   - the holder's nonce is granted again: its reply may have been lost;
 //   - a nonce that was settled before its claim came is not granted: nobody
 //     would run or settle it.
+//
+// Rule ONEGRANT of spec/once.pml.
 func (t *Table) Claim(now time.Time, ask Claim) Verdict {
 	t.advance(now)
 	made := ask.Key.Made()
--- a/relay/revision/revision.go
+++ b/relay/revision/revision.go
@@ -63,6 +63,8 @@
 
 // AdoptRoot takes the root in force where it is newer; the caller holds all
 // its parts.
+//
+// Rule MONOTONE of spec/document.pml.
 func (s *State) AdoptRoot(root *wire.Root) Verdict {
 	verdict := s.JudgeRoot(root)
 	if verdict == Newer {
--- a/spec/document.pml
+++ b/spec/document.pml
@@ -3,9 +3,13 @@
  *
  * Each rule can be left out with -DNO_<RULE>; the model must then fail.
  *   CAS      a root is written only over the revision it was based on
+ *            (store.Store.swap)
  *   SETTLE   a lost reply is settled by looking for the submission id
+ *            (store.Store.settled)
  *   EMBED    the root carries its own audit record
+ *            (store.Store.newRoot)
  *   MONOTONE a process adopts a revision only if it is higher
+ *            (revision.State.AdoptRoot)
  */
 #define SUBMITTERS 2
 #define REVISIONS 4 /* bound: revisions 1..3 */
--- a/spec/gate.pml
+++ b/spec/gate.pml
@@ -2,10 +2,15 @@
  * changes half-way, an engine that drops a load.
  *
  *   VERIFY   a chunk is kept only if its bytes match its hash
+ *            (weights.transfer.fetchAndKeep)
  *   WHOLE    a load is ordered only when every chunk is kept
+ *            (orders.decideSwitch)
  *   DRAIN    a load is ordered only when nothing runs, and none is let in
+ *            (orders.Runner.give)
  *   CONFIRM  the gate opens only for the version the engine says it has
+ *            (orders.Runner.serve)
  *   INTENDED a request for another version than the open one is refused
+ *            (gate.Gate.serves)
  */
 #define CHUNKS 2
 #define VERSIONS 3 /* version 0 is none */
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -1,10 +1,15 @@
 /* A lease whose holder is paused, and the fencing of what it wrote and ordered.
  *
  *   OWNCLOCK  the holder checks its own clock before it acts
+ *             (lease.Holder.Holding)
  *   BEFORE    the lease counts from before it was asked for
+ *             (lease.machine.trust)
  *   PLANCAS   a plan replaces only the plan it was computed from
+ *             (planner.Planner.write)
  *   FENCE     the agent refuses an order below the highest it obeyed
+ *             (fence.Guard.Admit)
  *   RESTART   an agent that starts takes the engine's number as its own
+ *             (fence.Guard.Learn)
  */
 #define TTL 2
 #define MAXTIME 5
--- a/spec/once.pml
+++ b/spec/once.pml
@@ -3,14 +3,22 @@
  *
  *   OWNER       only the incarnation named in the key grants it; an entry that
  *               restarted grants nothing of its former self
+ *               (once.Authority.Claim)
  *   ONEGRANT    the owner grants a key to one claimant at a time
+ *               (once.Table.Claim)
  *   PROVED      an attempt is retried only when it is proved not to have run
+ *               (dispatch.Progress.MayRetry)
  *   BOUND       an attempt goes out once, on one connection, which ends with the
  *               agent's process: nothing delivers it to a later incarnation
+ *               (dispatch.NewHosts)
  *   TOMBSTONE   a cancelled attempt that comes later is refused
+ *               (attempt.Memory.Cancel)
  *   ONCEONLY    an attempt that comes again is not run again
+ *               (attempt.Memory.Begin)
  *   REFUSED     a refused attempt that comes again is refused again
+ *               (attempt.request.known)
  *   OTHER       a cancel met by another incarnation proves nothing
+ *               (gate.Gate.Cancel)
  *
  * The incarnation in an attempt (the agent refuses one meant for another) makes
  * a refusal and a cancel's answer mean something; with BOUND in force no run is
