--- a/agent/internal/cmd/places.go
+++ b/agent/internal/cmd/places.go
@@ -39,8 +39,8 @@
 
 func (p *places) told(before, after string, snap *view.Snapshot) {
 	if after == "" {
-		p.counters.Add("placesGivenUp", 1)
-		p.log.Info("gives up the place that it took in the outage", "model", before, "plan", snap.PlanRevision)
+		p.counters.Add("placesEnded", 1)
+		p.log.Info("ends the place that it took in the outage", "model", before, "plan", snap.PlanRevision)
 		return
 	}
 	p.counters.Add("placesTaken", 1)
--- a/agent/internal/cmd/places_test.go
+++ b/agent/internal/cmd/places_test.go
@@ -49,7 +49,7 @@
 	b.entry.change(func() { b.entry.age = 0 })
 	b.assign(2, 9, second)
 	b.eventually("the next plan is obeyed", func() bool { return b.entry.serves(second) })
-	if !strings.Contains(b.log.String(), "gives up the place") {
-		t.Errorf("got no log line that the place was given up, want one")
+	if !strings.Contains(b.log.String(), "ends the place") {
+		t.Errorf("got no log line that the place ended, want one")
 	}
 }
