Agent: the host list by entity tag, with the entry's reader

Cause: the list's reader stood twice, and each agent read the whole list. Change: both programs use relay/hostlist; the fuzz target moved with it. Conclusion: one reader, one bound.

--- a/agent/internal/control/client.go
+++ b/agent/internal/control/client.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc"
 
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/hostlist"
 	"comfreyrelay.example/relay/membership"
 	"comfreyrelay.example/relay/spread"
 	"comfreyrelay.example/relay/view"
@@ -427,8 +428,9 @@
 // readList reads the platform's list now and then. Its failures and empty
 // answers change nothing.
 func (c *Client) readList(ctx context.Context) {
+	reader := hostlist.NewReader(c.cfg.HostsURL, c.cfg.HTTP)
 	for ctx.Err() == nil {
-		listed, err := fetchList(ctx, c.cfg.HTTP, c.cfg.HostsURL)
+		listed, err := reader.Read(ctx)
 		if err != nil {
 			c.cfg.Counters.Add("listFailed", 1)
 			c.cfg.Log.Debug("host list not read", "error", err)
--- a/agent/internal/control/control_test.go
+++ b/agent/internal/control/control_test.go
@@ -13,6 +13,7 @@
 
 	"comfreyrelay.example/relay/document"
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/hostlist"
 	"comfreyrelay.example/relay/membership"
 	"comfreyrelay.example/relay/revision"
 	"comfreyrelay.example/relay/wire"
@@ -234,7 +235,7 @@
 	f.Add(`{"hosts":null}`)
 	f.Add(`[`)
 	f.Fuzz(func(_ *testing.T, text string) {
-		listed, err := parseList(strings.NewReader(text))
+		listed, err := hostlist.Parse(strings.NewReader(text))
 		if err != nil {
 			return
 		}
--- a/relay/hostlist/hostlist.go
+++ b/relay/hostlist/hostlist.go
@@ -80,7 +80,7 @@
 	default:
 		return nil, failure.New(failure.Unavailable, "the platform's host list answered "+reply.Status, "try again later")
 	}
-	listed, err := parse(io.LimitReader(reply.Body, maxBytes))
+	listed, err := Parse(io.LimitReader(reply.Body, maxBytes))
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +88,8 @@
 	return listed, nil
 }
 
-func parse(body io.Reader) ([]membership.Listed, error) {
+// Parse reads the body of a list.
+func Parse(body io.Reader) ([]membership.Listed, error) {
 	var list struct {
 		Hosts []line `json:"hosts"`
 	}
