Agent: live requests are charged to the host's link

Cause: transfers of weights did not know of the bytes of requests beside them; the link's Reserve had no caller. Change: each attempt and each frame is charged, without waiting. Measured: the test fails without the charge: a transfer then goes at once. Conclusion: transfers take what requests leave.

--- /dev/null
+++ b/agent/internal/cmd/charge_test.go
@@ -0,0 +1,55 @@
+package cmd
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/agent/internal/link"
+	"comfreyrelay.example/relay/wire"
+)
+
+// sink is a stream that drops its frames.
+type sink struct {
+	wire.DRPCHost_RunStream
+
+	sent int
+}
+
+func (s *sink) Send(*wire.Frame) error {
+	s.sent++
+	return nil
+}
+
+// Symptom: tokens come late while weights move. Sequence: a transfer takes the
+// whole uplink, frames of live requests are sent beside it. Cause: the frames
+// were not charged, so that the transfer left no room for them.
+func TestFramesAreChargedToTheLink(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	const rate = 1000
+	lnk := link.New(&wire.LinkSettings{Up: rate, Down: rate}, clock)
+	frame := &wire.Frame{Kind: "tokens", Tokens: []string{string(make([]byte, 10*rate))}}
+	out := &sink{}
+	if err := (chargedStream{DRPCHost_RunStream: out, link: lnk}).Send(frame); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := out.sent, 1; got != want {
+		t.Fatalf("frames sent without waiting: got %d, want %d", got, want)
+	}
+	done := make(chan error, 1)
+	go func() { done <- lnk.Wait(t.Context(), link.Up, 1) }()
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-done:
+		t.Fatal("a transfer went before the frame's bytes, want it to wait")
+	default:
+	}
+	clock.Advance(time.Duration(proto.Size(frame)/rate+1) * time.Second)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/agent/internal/cmd/host.go
+++ b/agent/internal/cmd/host.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/agent/internal/link"
 	"comfreyrelay.example/relay/peer"
 	"comfreyrelay.example/relay/wire"
 )
@@ -10,9 +13,25 @@
 // host serves wire.Host: requests come from entries, chunks go to agents.
 type host struct{ process *process }
 
-// Run executes one attempt.
+// Run executes one attempt. Its bytes are charged to the host's link, so that
+// transfers of weights take what requests leave.
 func (h *host) Run(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
-	return h.process.Gate.Run(att, stream)
+	lnk := h.process.Weights.Link()
+	lnk.Reserve(link.Down, proto.Size(att))
+	return h.process.Gate.Run(att, chargedStream{DRPCHost_RunStream: stream, link: lnk})
+}
+
+// chargedStream charges the frames that it sends.
+type chargedStream struct {
+	wire.DRPCHost_RunStream
+
+	link *link.Link
+}
+
+// Send sends a frame at once, whatever the transfers wait for.
+func (s chargedStream) Send(frame *wire.Frame) error {
+	s.link.Reserve(link.Up, proto.Size(frame))
+	return s.DRPCHost_RunStream.Send(frame)
 }
 
 // Cancel leaves a tombstone or stops an attempt.
