Fallback: hosts never heard of count as gone later than lost ones

Cause: an agent of a large failure domain gets the reports over some time (64 KiB at once, then 1 KiB a second). One that started in an outage would have taken planned hosts that it had not heard of yet for dead after 30 s.

Change: two minutes for hosts without any report; lost ones, whose reports entries pass on, keep their 30 s.

--- a/relay/fallback/fallback.go
+++ b/relay/fallback/fallback.go
@@ -41,6 +41,11 @@
 	Outage, Settle time.Duration
 	// LeavingAfter and LostAfter are those of placement.Limits.
 	LeavingAfter, LostAfter time.Duration
+	// UnheardAfter is for planned hosts without any report. Entries pass the
+	// reports of lost hosts on too, but in a large failure domain it takes a new
+	// agent a while to get all: without this time it would take the rest for
+	// dead.
+	UnheardAfter time.Duration
 	// Pause is the gap between two decisions that shows that the process stood
 	// still: what it holds is old then, and proves no outage.
 	Pause time.Duration
@@ -54,6 +59,7 @@
 		Settle:       10 * time.Second,
 		LeavingAfter: moves.LeavingAfter,
 		LostAfter:    moves.LostAfter,
+		UnheardAfter: 2 * time.Minute,
 		Pause:        5 * time.Second,
 	}
 }
@@ -167,7 +173,10 @@
 		began = host.HeardAt()
 	}
 	limit := c.limits.LostAfter
-	if heard && host.Leaving() {
+	switch {
+	case !heard:
+		limit = c.limits.UnheardAfter
+	case host.Leaving():
 		limit = c.limits.LeavingAfter
 	}
 	return now.Sub(began) >= limit
