--- a/relay/fallback/domain.go
+++ b/relay/fallback/domain.go
@@ -7,6 +7,7 @@
 
 	"comfreyrelay.example/relay/rendezvous"
 	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/document"
 	"comfreyrelay.example/relay/wire"
 )
 
@@ -60,7 +61,7 @@
 		}
 	}
 	for id, host := range hosts {
-		if !inPlan[id] && isEngine(in.Document, host.Report()) && !c.emptyForLong(id, host, true, in.Now) {
+		if !inPlan[id] && document.IsEngine(in.Document, host.Report()) && !c.emptyForLong(id, host, true, in.Now) {
 			dom.add(id, host, c.heldBy(in, id))
 		}
 	}
--- a/relay/fallback/fallback.go
+++ b/relay/fallback/fallback.go
@@ -27,7 +27,6 @@
 import (
 	"time"
 
-	"comfreyrelay.example/relay/document"
 	"comfreyrelay.example/relay/placement"
 	"comfreyrelay.example/relay/view"
 	"comfreyrelay.example/relay/wire"
@@ -199,16 +198,3 @@
 	}
 	return false
 }
-
-// isEngine leaves out the hosts of plain services and bridges.
-func isEngine(doc *wire.Document, report *wire.HostReport) bool {
-	if report.GetService() != "" {
-		return false
-	}
-	for _, class := range doc.GetEndpoints() {
-		if class.GetName() == report.GetEndpoint() {
-			return class.GetKind() == document.KindEngine
-		}
-	}
-	return true
-}
--- a/relay/placement/observer.go
+++ b/relay/placement/observer.go
@@ -35,7 +35,7 @@
 	for _, host := range snap.Hosts {
 		id := host.Report().GetNode().GetId()
 		heard[id] = true
-		if isEngine(snap.Document, host.Report()) {
+		if document.IsEngine(snap.Document, host.Report()) {
 			hosts = append(hosts, observed(host, o.away(id, host.Leaving() || host.Lost(), now)))
 		}
 	}
@@ -91,16 +91,3 @@
 	}
 	return placed
 }
-
-// isEngine leaves out the hosts of plain services and bridges.
-func isEngine(doc *wire.Document, report *wire.HostReport) bool {
-	if report.GetService() != "" {
-		return false
-	}
-	for _, class := range doc.GetEndpoints() {
-		if class.GetName() == report.GetEndpoint() {
-			return class.GetKind() == document.KindEngine
-		}
-	}
-	return true
-}
--- a/relay/placement/placement_test.go
+++ b/relay/placement/placement_test.go
@@ -265,61 +265,6 @@
 	}
 }
 
-// TestStandInsReplaceLostHosts: in an outage nobody writes a plan. The free hosts
-// of a failure domain must take over from the lost ones by themselves, each
-// lost one by one, and nobody while all are there.
-func TestStandInsReplaceLostHosts(t *testing.T) {
-	st := newStage()
-	model := st.model("parcel")
-	model.Version = "v1"
-	model.Replicas = []*wire.Replicas{{FailureDomain: "a", Count: 3}}
-	for i := range 8 {
-		id := fmt.Sprintf("a%d", i)
-		st.hosts[id] = &Host{ID: id, FailureDomain: "a"}
-	}
-	st.plan = st.next()
-	st.serve()
-	if got := st.standIns(); len(got) != 0 {
-		t.Errorf("got stand-ins %v with all hosts there, want none", got)
-	}
-	for i, assignment := range st.plan.GetAssignments()[:2] {
-		st.hosts[assignment.GetHost()].Away = 31 * time.Second
-		if got, want := len(st.standIns()), i+1; got != want {
-			t.Errorf("got %d stand-ins for %d lost hosts, want %d", got, want, want)
-		}
-	}
-	// They load and serve; the planner's next plan keeps them.
-	chosen := st.standIns()
-	for _, id := range chosen {
-		st.hosts[id].ServingModel, st.hosts[id].ServingVersion = "parcel", "v1"
-	}
-	if got := st.standIns(); !slices.Equal(got, chosen) {
-		t.Errorf("got stand-ins %v after they serve, want still %v", got, chosen)
-	}
-	held := byHost(st.next())
-	for _, id := range chosen {
-		if held[id] == nil {
-			t.Errorf("got %s without an assignment in the plan after the outage, want it kept", id)
-		}
-	}
-}
-
-// standIns returns the hosts that stand in by their own decision.
-func (s *stage) standIns() []string {
-	var ids []string
-	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
-		var hosts []Host
-		for _, other := range slices.Sorted(maps.Keys(s.hosts)) {
-			hosts = append(hosts, *s.hosts[other])
-		}
-		in := Input{Document: s.doc, Revision: 1, Hosts: hosts, Previous: s.plan, Fence: 7, Limits: DefaultLimits()}
-		if s.hosts[id].Away == 0 && StandIn(in, id) != nil {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // TestDisturbance measures what a change costs in moved replicas, against a
 // plan that is a pure function of document and hosts (no memory of the last
 // plan): rendezvous order alone.
