--- a/relay/fallback/domain.go
+++ b/relay/fallback/domain.go
@@ -5,9 +5,9 @@
 	"slices"
 	"strings"
 
+	"comfreyrelay.example/relay/document"
 	"comfreyrelay.example/relay/rendezvous"
 	"comfreyrelay.example/relay/view"
-	"comfreyrelay.example/relay/document"
 	"comfreyrelay.example/relay/wire"
 )
 
