Benches: control bytes by the programs' own meter

Cause: the kernel's count held the agents' questions to their engines; crossRegionCopies showed 0 for what nobody counts. Change: bytes of the connections between processes, the kernel's count apart; crossRegionCopies is null until the agents count it. Conclusion: a figure stands for what its name says.

--- a/bench/internal/burst/result.go
+++ b/bench/internal/burst/result.go
@@ -9,18 +9,19 @@
 
 // Result is the JSON line of one case.
 type Result struct {
-	Bench             string  `json:"bench"`
-	Case              string  `json:"case"`
-	Strategy          string  `json:"strategy"`
-	Objective         string  `json:"objective"`
-	Hosts             int     `json:"hosts"`
-	ModelMib          float64 `json:"modelMib"`
-	Seconds           float64 `json:"seconds"`
-	BoundSeconds      float64 `json:"boundSeconds"`
-	Ratio             float64 `json:"ratio"`
-	OriginCopies      float64 `json:"originCopies"`
-	CrossRegionCopies float64 `json:"crossRegionCopies"`
-	PeakAgentMib      float64 `json:"peakAgentMib"`
+	Bench        string  `json:"bench"`
+	Case         string  `json:"case"`
+	Strategy     string  `json:"strategy"`
+	Objective    string  `json:"objective"`
+	Hosts        int     `json:"hosts"`
+	ModelMib     float64 `json:"modelMib"`
+	Seconds      float64 `json:"seconds"`
+	BoundSeconds float64 `json:"boundSeconds"`
+	Ratio        float64 `json:"ratio"`
+	OriginCopies float64 `json:"originCopies"`
+	// CrossRegionCopies is nil where the agents do not count them.
+	CrossRegionCopies *float64 `json:"crossRegionCopies"`
+	PeakAgentMib      float64  `json:"peakAgentMib"`
 	// AgentCPUSeconds is the mean over the agents, from the submission on.
 	AgentCPUSeconds              float64 `json:"agentCpuSeconds"`
 	ControlBytesPerHostPerSecond float64 `json:"controlBytesPerHostPerSecond"`
@@ -106,6 +107,7 @@
 	const mebibyte = 1 << 20
 	var cpu time.Duration
 	var control, crossRegion float64
+	counted := false
 	agents := 0
 	now := r.usage()
 	for _, m := range r.house.Agents() {
@@ -117,12 +119,18 @@
 		out.PeakAgentMib = max(out.PeakAgentMib, float64(use.PeakBytes)/mebibyte)
 		cpu += use.CPU - before.cpu[m.ID()]
 		control += now.counters[m.ID()].ControlBytes - before.counters[m.ID()].ControlBytes
-		crossRegion += now.counters[m.ID()].CrossRegionBytes - before.counters[m.ID()].CrossRegionBytes
+		if bytes := now.counters[m.ID()].CrossRegionBytes; bytes != nil {
+			counted = true
+			crossRegion += *bytes
+		}
 	}
 	if agents == 0 {
 		return
 	}
 	out.AgentCPUSeconds = cpu.Seconds() / float64(agents)
 	out.ControlBytesPerHostPerSecond = control / float64(agents) / now.at.Sub(before.at).Seconds()
-	out.CrossRegionCopies = crossRegion / (r.options.ModelMiB * mebibyte)
+	if counted {
+		copies := crossRegion / (r.options.ModelMiB * mebibyte)
+		out.CrossRegionCopies = &copies
+	}
 }
--- a/bench/internal/control/cost.go
+++ b/bench/internal/control/cost.go
@@ -11,7 +11,8 @@
 type cost struct {
 	length                     time.Duration
 	reads, writes              float64 // of the key-value service, a second
-	entryBytes, agentBytes     float64 // a second
+	entryBytes, agentBytes     float64 // between processes, a second
+	nodeIO                     float64 // all that the processes read and wrote, a second
 	entryCPU, agentCPU         time.Duration
 	largestEntry, largestAgent float64 // resident bytes of an entry, of an agent
 }
@@ -25,7 +26,8 @@
 type sums struct {
 	at                     time.Time
 	reads, writes          int
-	entryBytes, agentBytes uint64
+	entryBytes, agentBytes float64
+	io                     uint64
 	entryCPU, agentCPU     time.Duration
 	entryMax, agentMax     uint64
 }
@@ -37,26 +39,39 @@
 	}
 	out := sums{at: time.Now(), reads: ledger.Reads, writes: ledger.Writes}
 	for _, m := range r.house.Entries() {
-		if err := addUsage(m, &out.entryBytes, &out.entryCPU, &out.entryMax); err != nil {
+		if err := r.addUsage(ctx, m, usageOf{&out.entryBytes, &out.entryCPU, &out.entryMax, &out.io}); err != nil {
 			return out, err
 		}
 	}
 	for _, m := range r.house.Agents() {
-		if err := addUsage(m, &out.agentBytes, &out.agentCPU, &out.agentMax); err != nil {
+		if err := r.addUsage(ctx, m, usageOf{&out.agentBytes, &out.agentCPU, &out.agentMax, &out.io}); err != nil {
 			return out, err
 		}
 	}
 	return out, nil
 }
 
-func addUsage(m *house.Member, bytes *uint64, cpu *time.Duration, largest *uint64) error {
+// usageOf points to the sums that a member of one role adds to.
+type usageOf struct {
+	bytes   *float64
+	cpu     *time.Duration
+	largest *uint64
+	io      *uint64
+}
+
+func (r *run) addUsage(ctx context.Context, m *house.Member, sum usageOf) error {
 	use, err := m.Process().Usage()
 	if err != nil {
 		return err
 	}
-	*bytes += use.IOBytes
-	*cpu += use.CPU
-	*largest = max(*largest, use.ResidentBytes)
+	counters, err := r.house.Counters(ctx, m)
+	if err != nil {
+		return err
+	}
+	*sum.bytes += counters.ConnectionBytes
+	*sum.cpu += use.CPU
+	*sum.largest = max(*sum.largest, use.ResidentBytes)
+	*sum.io += use.IOBytes
 	return nil
 }
 
@@ -78,8 +93,9 @@
 		length:       length,
 		reads:        float64(after.reads-before.reads) / length.Seconds(),
 		writes:       float64(after.writes-before.writes) / length.Seconds(),
-		entryBytes:   float64(after.entryBytes-before.entryBytes) / length.Seconds(),
-		agentBytes:   float64(after.agentBytes-before.agentBytes) / length.Seconds(),
+		entryBytes:   (after.entryBytes - before.entryBytes) / length.Seconds(),
+		agentBytes:   (after.agentBytes - before.agentBytes) / length.Seconds(),
+		nodeIO:       float64(after.io-before.io) / length.Seconds(),
 		entryCPU:     after.entryCPU - before.entryCPU,
 		agentCPU:     after.agentCPU - before.agentCPU,
 		largestEntry: float64(after.entryMax),
@@ -96,6 +112,7 @@
 	r.ControlBytesPerNodePerSecond = busy.bytes(entryCount, agents)
 	r.ControlBytesPerEntryPerSecond = busy.entryBytes / entryCount
 	r.ControlBytesPerAgentPerSecond = busy.agentBytes / float64(agents)
+	r.IOBytesPerNodePerSecond = busy.nodeIO / float64(entryCount+agents)
 	r.ControlCPUPercentPerNode = percent(busy.entryCPU+busy.agentCPU, entryCount+agents)
 	r.ControlCPUPercentPerEntry = percent(busy.entryCPU, entryCount)
 	r.ControlCPUPercentPerAgent = percent(busy.agentCPU, agents)
--- a/bench/internal/control/result.go
+++ b/bench/internal/control/result.go
@@ -26,12 +26,14 @@
 	KVRefused             int     `json:"kvRefused"`
 	IdleKVReadsPerSecond  float64 `json:"idleKvReadsPerSecond"`
 	IdleKVWritesPerSecond float64 `json:"idleKvWritesPerSecond"`
-	// Control is all that a node's process read and wrote while no request and
-	// no chunk moved, from the kernel: an upper bound, for it holds the agent's
-	// questions to its own engine too.
+	// Control is all that a node's connections to other processes carried while
+	// no request and no chunk moved, in both directions, TLS included. IO is all
+	// that the process read and wrote by the kernel's count: the agent's
+	// questions to its engine and the bench's own are in it too.
 	ControlBytesPerNodePerSecond  float64 `json:"controlBytesPerNodePerSecond"`
 	ControlBytesPerEntryPerSecond float64 `json:"controlBytesPerEntryPerSecond"`
 	ControlBytesPerAgentPerSecond float64 `json:"controlBytesPerAgentPerSecond"`
+	IOBytesPerNodePerSecond       float64 `json:"ioBytesPerNodePerSecond"`
 	IdleBytesPerNodePerSecond     float64 `json:"idleBytesPerNodePerSecond"`
 	// Percent of one core.
 	ControlCPUPercentPerNode  float64 `json:"controlCpuPercentPerNode"`
--- a/bench/internal/house/counters.go
+++ b/bench/internal/house/counters.go
@@ -11,8 +11,12 @@
 	// ControlBytes were sent and received between the system's processes, but
 	// for chunks and answers.
 	ControlBytes float64
-	// CrossRegionBytes of chunks came from another region.
-	CrossRegionBytes float64
+	// ConnectionBytes is all that its connections to other processes of the
+	// system carried, TLS included.
+	ConnectionBytes float64
+	// CrossRegionBytes of chunks came from another region; nil where the
+	// program does not count them.
+	CrossRegionBytes *float64
 	// AllocBytes is all memory ever allocated.
 	AllocBytes float64
 	// InvariantFailures counts what the program itself found broken.
@@ -29,7 +33,11 @@
 	}
 	out := Counters{Vars: vars}
 	out.ControlBytes = controlBytes(vars["peerBytesIn"]) + controlBytes(vars["peerBytesOut"])
-	out.CrossRegionBytes = number(vars, "crossRegionBytes")
+	out.ConnectionBytes = number(vars, "peerConnectionBytesIn") + number(vars, "peerConnectionBytesOut")
+	if _, counted := vars["crossRegionBytes"]; counted {
+		bytes := number(vars, "crossRegionBytes")
+		out.CrossRegionBytes = &bytes
+	}
 	out.InvariantFailures = total(vars["invariantFailures"])
 	if stats, ok := vars["memstats"].(map[string]any); ok {
 		out.AllocBytes = number(stats, "TotalAlloc")
