End-to-end test: a verdict of its own for each build

Cause: go test kept the verdict of the scripts after the programs had changed. Change: the test looks at each program's file. Conclusion: make test tests what make build built.

--- a/bench/internal/e2e/e2e_test.go
+++ b/bench/internal/e2e/e2e_test.go
@@ -22,13 +22,20 @@
 	awaitPause = 50 * time.Millisecond
 )
 
+var programs = []string{"comfreyentry", "comfreyagent", "comfreyctl", "comfreystandin", "comfreybench"}
+
 func TestScripts(t *testing.T) {
 	bin := os.Getenv(binVariable)
 	if bin == "" {
 		t.Skip("the programs are not built: run make test")
 	}
-	if _, err := os.Stat(filepath.Join(bin, "comfreybench")); err != nil {
-		t.Fatalf("programs in %s: got %v, want them built by make build", binVariable, err)
+	// The Go command keeps a test's verdict while the files that it looked at
+	// stay the same: without a look at each program, an old verdict would stand
+	// for new programs.
+	for _, name := range programs {
+		if _, err := os.Stat(filepath.Join(bin, name)); err != nil {
+			t.Fatalf("programs in %s: got %v, want them built by make build", binVariable, err)
+		}
 	}
 	testscript.Run(t, testscript.Params{
 		Dir: scripts,
