--- a/agent/internal/cmd/charge_test.go
+++ b/agent/internal/cmd/charge_test.go
@@ -44,8 +44,8 @@
 		t.Fatal(err)
 	}
 	select {
-	case <-done:
-		t.Fatal("a transfer went before the frame's bytes, want it to wait")
+	case err := <-done:
+		t.Fatalf("a transfer went before the frame's bytes (%v), want it to wait", err)
 	default:
 	}
 	clock.Advance(time.Duration(proto.Size(frame)/rate+1) * time.Second)
--- a/bench/internal/house/settings.go
+++ b/bench/internal/house/settings.go
@@ -18,8 +18,9 @@
 const (
 	// settingsMode: settings name key files, nobody else reads them.
 	settingsMode = 0o600
-	// syncInterval is how often processes tell each other what they know.
-	syncInterval = 500 * time.Millisecond
+	// Sync calls are held for so long, as the settings' defaults have it.
+	entrySyncInterval = 2 * time.Second
+	agentSyncInterval = time.Second
 	// leaseTTL is short, so that a killed lease-holder is replaced within a
 	// run's time.
 	leaseTTL = 3 * time.Second
@@ -77,7 +78,7 @@
 		KvWritesPerSecond:  h.config.KVWritesPerSecond,
 		BootstrapKeyHashes: []string{KeyHash(OperatorKey)},
 		DirectoryTtl:       durationpb.New(ttl),
-		SyncInterval:       durationpb.New(syncInterval),
+		SyncInterval:       durationpb.New(entrySyncInterval),
 		LeaseTtl:           durationpb.New(leaseTTL),
 		DrainTimeout:       durationpb.New(drainTimeout),
 		RoutePolicy:        h.config.RoutePolicy,
@@ -97,7 +98,7 @@
 		EndpointUrl:   m.endpointURL,
 		OriginUrl:     h.originURL,
 		Link:          &wire.LinkSettings{Up: link.Up, Down: link.Down, Shared: link.Shared},
-		SyncInterval:  durationpb.New(syncInterval),
+		SyncInterval:  durationpb.New(agentSyncInterval),
 		DrainTimeout:  durationpb.New(drainTimeout),
 		WindowBytes:   h.config.WindowBytes,
 		BurstStrategy: h.config.BurstStrategy,
