Capacity: slopes with amendments and the list's entity tag

Change: a host's own reports go by spread.Baseline and come in by membership.Table.Complete; reports passed on are those that a Digest composes; entries' reports leave known descriptions out and their relay age grows with the entries; the list is read by relay/hostlist, whole where a host went or came back.

--- a/bench/internal/capacity/fleet.go
+++ b/bench/internal/capacity/fleet.go
@@ -7,6 +7,8 @@
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
+	"comfreyrelay.example/relay/membership"
+	"comfreyrelay.example/relay/spread"
 	"comfreyrelay.example/relay/wire"
 )
 
@@ -68,6 +70,45 @@
 	return fresh
 }
 
+// link is the way of one host's own reports to its home entry, as both ends'
+// internal/control has it.
+type link struct {
+	baseline spread.Baseline
+	home     *membership.Table
+}
+
+func newLink() *link { return &link{home: membership.New(membership.DefaultLimits())} }
+
+// tell passes a report on and returns what went, and the report as the entry
+// holds it.
+func (l *link) tell(report *wire.HostReport, now time.Time) (sent, held *wire.HostReport) {
+	sent = arrived(l.baseline.Next(report, now))
+	received := arrived(sent)
+	if received.GetNode() == nil {
+		received.Node = membership.NameOnly(report.GetNode()) // the message's sender
+		received.Node.Role = ""                               // as an amendment bears it
+	}
+	held, ok := l.home.Complete(received)
+	if !ok {
+		l.baseline.Drop()
+		return sent, nil
+	}
+	l.home.HearHost(held, now)
+	l.baseline.Took(sent, now)
+	return sent, held
+}
+
+// heldReport returns a host's report as an entry holds it after the sequence's
+// first came whole.
+func heldReport(n int, sequence uint64) *wire.HostReport {
+	reports := newLink()
+	var held *wire.HostReport
+	for s := uint64(1); s <= sequence; s++ {
+		_, held = reports.tell(hostReport(n, s, reportedPrefixes), epoch.Add(time.Duration(s)*time.Second))
+	}
+	return held
+}
+
 func entryReport(n int, sequence uint64, customers int) *wire.EntryReport {
 	report := &wire.EntryReport{
 		Node: node("entry", n), Sequence: sequence, InFlight: 120, RequestsPerSecond: 101.2, Revision: 66_000, PlanRevision: 3_000,
--- a/bench/internal/capacity/size.go
+++ b/bench/internal/capacity/size.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "math"
+
 // The size that the users expect within two years, as the developers' page
 // states it.
 const (
@@ -46,6 +48,10 @@
 	keyPollsPerSecond   = 3 / 45. // of one entry: root, plan and drain marks, jittered 60 s
 )
 
+// listWholePerSecond is how often a reading finds the list changed: where a host
+// went or came back since the last.
+var listWholePerSecond = listReadsPerSecond * (1 - math.Exp(-plansPerSecond/listReadsPerSecond))
+
 // Budgets of control, a node.
 const (
 	budgetCPUPercent = 2.9
--- a/bench/internal/capacity/slope_messages.go
+++ b/bench/internal/capacity/slope_messages.go
@@ -82,10 +82,11 @@
 func followEntries(entries, customers int, receiver *wire.Node, interval time.Duration) entryNews {
 	const (
 		toEntries, toAgents = 15 * time.Second, 30 * time.Second // relay ages
+		perEntry            = 75 * time.Millisecond              // relay age for each entry
 		room                = 4 << 10                            // bytes of a message
 		beat, length        = 2 * time.Second, time.Minute
 	)
-	digest := spread.NewEntryDigest(toEntries)
+	digest := spread.NewEntryDigest(max(toEntries, time.Duration(entries)*perEntry))
 	choose := digest.Select
 	if receiver.GetRole() == peer.RoleAgent {
 		digest = spread.NewEntryDigest(toAgents)
--- a/bench/internal/capacity/slope_views.go
+++ b/bench/internal/capacity/slope_views.go
@@ -66,7 +66,7 @@
 	self := node("entry", 1)
 	candidates := make([]spread.Candidate, n)
 	for i := range candidates {
-		report := arrived(hostReport(i, sequence, reportedPrefixes))
+		report := heldReport(i, sequence)
 		candidates[i] = spread.Candidate{
 			Report: report, HeardAt: epoch, Home: report.GetHome() == self.GetId(), Nearness: spread.Nearness(self, report.GetNode()),
 		}
