Spread: what a neighbour does not know goes before any refresh

Cause: reports of third entries went nearest first, refreshes included, and were charged by their whole size: in a large house the far entries were never told. Change: entries unheard of, draining or started anew go first; the room is charged what is sent. The test fails on the former code. Conclusion: mended; small houses, whose entries all call one another, are as they were.

--- a/relay/spread/entries.go
+++ b/relay/spread/entries.go
@@ -61,20 +61,28 @@
 // Lose notes that the receiver lacks the entry's description.
 func (d *EntryDigest) Lose(id string) { delete(d.marks, id) }
 
+// form returns the report as it should be sent now, and whether its description
+// goes with it.
+func (d *EntryDigest) form(report *wire.EntryReport, age time.Duration, now time.Time) (sent *wire.EntryReport, described bool) {
+	held, told := d.marks[report.GetNode().GetId()]
+	known := told && held.incarnation == report.GetNode().GetIncarnation() && now.Sub(held.describedAt) < describeAgain
+	sent = agedEntry(report, age)
+	if known {
+		sent.Node = membership.NameOnly(sent.Node)
+	}
+	return sent, !known
+}
+
 // compose returns the report as it should be sent, and notes that it is.
 func (d *EntryDigest) compose(report *wire.EntryReport, age time.Duration, now time.Time) *wire.EntryReport {
-	id, incarnation := report.GetNode().GetId(), report.GetNode().GetIncarnation()
-	held, told := d.marks[id]
-	known := told && held.incarnation == incarnation && now.Sub(held.describedAt) < describeAgain
+	sent, described := d.form(report, age, now)
 	d.Heard(report, now)
-	sent := agedEntry(report, age)
-	if known {
-		sent.Node = membership.NameOnly(sent.Node)
-		return sent
+	if described {
+		id := report.GetNode().GetId()
+		mark := d.marks[id]
+		mark.describedAt = now
+		d.marks[id] = mark
 	}
-	mark := d.marks[id]
-	mark.describedAt = now
-	d.marks[id] = mark
 	return sent
 }
 
@@ -95,12 +103,17 @@
 
 // news reports whether a third entry's report is worth passing on.
 func (d *EntryDigest) news(report *wire.EntryReport, now time.Time) bool {
-	held, told := d.marks[report.GetNode().GetId()]
-	if !told {
-		return true
+	if d.unheard(report) {
+		return d.newer(report)
 	}
-	changed := report.GetDraining() != held.draining || report.GetNode().GetIncarnation() != held.incarnation
-	return d.newer(report) && (changed || now.Sub(held.at) >= d.relay)
+	return d.newer(report) && now.Sub(d.marks[report.GetNode().GetId()].at) >= d.relay
+}
+
+// unheard reports whether the receiver does not know of the entry as it is:
+// it was never told of it, or before it drained or started anew.
+func (d *EntryDigest) unheard(report *wire.EntryReport) bool {
+	held, told := d.marks[report.GetNode().GetId()]
+	return !told || report.GetDraining() != held.draining || report.GetNode().GetIncarnation() != held.incarnation
 }
 
 // SelectRare is like Select for a receiver that only needs to know which
@@ -133,7 +146,10 @@
 	return append(chosen, d.thirds(own, others, receiver, now, bytes)...)
 }
 
-// thirds returns the reports of third entries that the receiver should hear.
+// thirds returns the reports of third entries that the receiver should hear:
+// what it does not know at all goes before any refresh. By nearness alone the
+// refreshes of the near ones would take all the room for ever, and the receiver
+// would not hear of the far ones.
 func (d *EntryDigest) thirds(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
 	var news []view.Peer
 	for _, other := range others {
@@ -144,21 +160,33 @@
 	}
 	slices.SortFunc(news, func(a, b view.Peer) int {
 		byNearness := cmp.Compare(Nearness(own.GetNode(), a.Report().GetNode()), Nearness(own.GetNode(), b.Report().GetNode()))
-		return cmp.Or(byNearness, b.HeardAt().Compare(a.HeardAt()),
+		return cmp.Or(d.byUnheard(a.Report(), b.Report()), byNearness, b.HeardAt().Compare(a.HeardAt()),
 			cmp.Compare(a.Report().GetNode().GetId(), b.Report().GetNode().GetId()))
 	})
 	var chosen []*wire.EntryReport
 	for _, other := range news {
-		size := proto.Size(other.Report())
+		age := now.Sub(other.HeardAt())
+		sent, _ := d.form(other.Report(), age, now)
+		size := proto.Size(sent)
 		if size > bytes {
 			break
 		}
 		bytes -= size
-		chosen = append(chosen, d.compose(other.Report(), now.Sub(other.HeardAt()), now))
+		chosen = append(chosen, d.compose(other.Report(), age, now))
 	}
 	return chosen
 }
 
+func (d *EntryDigest) byUnheard(a, b *wire.EntryReport) int {
+	switch {
+	case d.unheard(a) == d.unheard(b):
+		return 0
+	case d.unheard(a):
+		return -1
+	}
+	return 1
+}
+
 func agedEntry(report *wire.EntryReport, age time.Duration) *wire.EntryReport {
 	return &wire.EntryReport{
 		Node: report.GetNode(), Sequence: report.GetSequence(), Draining: report.GetDraining(),
--- /dev/null
+++ b/relay/spread/entries_test.go
@@ -0,0 +1,51 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"comfreyrelay.example/relay/view"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Symptom: in a house of hundreds of entries a neighbour never hears of the
+// far ones. Sequence: the near entries' reports change all the time, and each
+// message has room for a few. Cause: refreshes of the near took the room
+// before anything was told of the far.
+func TestFarEntriesAreHeardOf(t *testing.T) {
+	const entries, roomBytes, rounds = 300, 600, 120
+	own := &wire.EntryReport{Node: &wire.Node{Id: "own", Incarnation: "1", FailureDomain: "d0", Region: "r0"}}
+	digest := NewEntryDigest(time.Second)
+	heard := map[string]bool{}
+	for round := range rounds {
+		now := start.Add(time.Duration(round) * 2 * time.Second)
+		var others []view.Peer
+		for i := range entries {
+			others = append(others, view.NewPeer(busyEntry(i, round), now, false, false))
+		}
+		for _, report := range digest.Select(own, others, "receiver", now, roomBytes) {
+			heard[report.GetNode().GetId()] = true
+		}
+	}
+	delete(heard, "own")
+	if got, want := len(heard), entries; got != want {
+		t.Errorf("entries heard of after %d messages: got %d, want %d", rounds, got, want)
+	}
+}
+
+// busyEntry is near for the first third of the numbers and far for the rest.
+func busyEntry(i, round int) *wire.EntryReport {
+	domain, region := "d0", "r0"
+	if i >= 100 {
+		domain, region = "d9", "r9"
+	}
+	return &wire.EntryReport{
+		Node: &wire.Node{
+			Id: fmt.Sprintf("entry-%03d", i), Incarnation: "1", Role: "entry", FailureDomain: domain, Region: region,
+			ControlAddress: "10.0.0.1:7000", CallersAddress: "10.0.0.1:7001",
+		},
+		Sequence: uint64(round + 1),
+		InFlight: uint32(round),
+	}
+}
