Agent: nothing queues at the engine beyond its slots

Cause: the agent let in half as many attempts again as the engine has slots. Entries do not see one another's newest choices, so requests queued on full hosts while others were idle: 26% of a small customer's requests took over 70 ms. Ruled out: the engine's batching, and sharing what entries learn of a slow host. Change: the ceiling is the slots; a refused attempt goes to another host at once.

--- a/agent/internal/gate/capacity.go
+++ b/agent/internal/gate/capacity.go
@@ -13,8 +13,8 @@
 )
 
 // capacity bounds the attempts at the endpoint. It starts from the slots that
-// the engine reports plus a small queue, shrinks when the endpoint refuses or
-// is late, and grows again by one for each full round of good answers.
+// the engine reports, shrinks when the endpoint refuses or is late, and grows
+// again by one for each full round of good answers.
 type capacity struct {
 	mu      sync.Mutex
 	limit   float64 // at least 1, at most ceiling
@@ -26,15 +26,17 @@
 	return &capacity{limit: firstLimit, ceiling: maxLimit}
 }
 
-// setSlots takes the engine's own count; 0 means that it is unknown. The queue
-// keeps the engine's batch full while the next request is on its way.
+// setSlots takes the engine's own count; 0 means that it is unknown. Nothing
+// queues at the engine beyond it: entries do not see one another's newest
+// choices, so a queue here makes a request wait on a full host while another
+// host is idle. A refused one goes there at once.
 func (c *capacity) setSlots(slots int) {
 	if slots <= 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ceiling := float64(min(slots+max(2, slots/2), maxLimit))
+	ceiling := float64(min(slots, maxLimit))
 	if c.ceiling == ceiling {
 		return
 	}
