One command line for both daemons

Cause: comfreyagent and comfreyentry had the same 65 lines but for their names. Conclusion: what they share is written once.

--- /dev/null
+++ b/relay/cli/daemon.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"comfreyrelay.example/relay/node"
+)
+
+// Daemon is a program without subcommands that runs until it is told to stop. T
+// is the type of its settings.
+type Daemon[T any] struct {
+	Name string
+	// About is what --help says of the program.
+	About string
+	// Load reads and checks the settings file with the overrides.
+	Load func(file string, overrides []string) (T, error)
+	// Run works until drain ends, then finishes; it stops at once when kill does.
+	Run func(drain, kill context.Context, set T, out, errOut io.Writer) error
+}
+
+// daemonOptions are the options of every daemon.
+type daemonOptions struct {
+	Settings      string   `long:"settings" value-name:"FILE" description:"JSON file with the settings of this process"`
+	CheckSettings bool     `long:"check-settings" description:"check the settings and exit"`
+	Set           []string `long:"set" value-name:"key.path=value" description:"override one setting; may be given again"`
+	Version       bool     `long:"version" description:"print the version and exit"`
+}
+
+// Main parses the arguments, runs the daemon until it is told to stop, and
+// returns the exit code.
+func (d Daemon[T]) Main(version string, args []string, out, errOut io.Writer) int {
+	opts := &daemonOptions{}
+	parser := flags.NewNamedParser(d.Name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", opts); err != nil {
+		panic(err)
+	}
+	parser.LongDescription = d.About
+	if _, err := parser.ParseArgs(args); err != nil {
+		return d.reportUsage(err, out, errOut)
+	}
+	if opts.Version {
+		fmt.Fprintln(out, d.Name, version)
+		return ExitOK
+	}
+	if err := d.start(opts, out, errOut); err != nil {
+		fmt.Fprintf(errOut, "%s: %v\n", d.Name, err)
+		return ExitCode(err)
+	}
+	return ExitOK
+}
+
+func (d Daemon[T]) reportUsage(err error, out, errOut io.Writer) int {
+	var problem *flags.Error
+	if errors.As(err, &problem) && problem.Type == flags.ErrHelp {
+		fmt.Fprintln(out, problem.Message)
+		return ExitOK
+	}
+	fmt.Fprintf(errOut, "%s: %v; run with --help to see the options\n", d.Name, err)
+	return ExitUsage
+}
+
+func (d Daemon[T]) start(opts *daemonOptions, out, errOut io.Writer) error {
+	set, err := d.Load(opts.Settings, opts.Set)
+	if err != nil {
+		return err
+	}
+	if opts.CheckSettings {
+		fmt.Fprintln(out, "settings are valid")
+		return nil
+	}
+	drain, kill := node.Signals()
+	return d.Run(drain, kill, set, out, errOut)
+}
