Scenarios run anew on every make test

Cause: go test takes a scenario's result from its cache although the programs that it runs were built anew: the cache does not see COMFREY_BIN's content. A broken program would have passed. Change: the module bench is tested with -count=1. Conclusion: a pass is of the programs just built.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -55,7 +55,8 @@
 test: build ## run every module's tests with the race detector
 	@failed=0; export COMFREY_BIN=$(BIN); \
 	for module in $(MODULES); do \
-	  (cd "$$module" && go test -race ./...) || failed=1; \
+	  fresh=; [ "$$module" != bench ] || fresh=-count=1; \
+	  (cd "$$module" && go test -race $$fresh ./...) || failed=1; \
 	done; \
 	exit $$failed
 
