--- a/agent/internal/cmd/cmd.go
+++ b/agent/internal/cmd/cmd.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 
+	"comfreyrelay.example/platform"
 	"comfreyrelay.example/relay/cli"
 	"comfreyrelay.example/relay/settings"
 	"comfreyrelay.example/relay/wire"
@@ -20,6 +21,8 @@
 			"a second SIGTERM stops at once.",
 		Load: settings.LoadAgentWith,
 		Run:  Run,
+		// The platform places the settings itself.
+		DefaultFile: platform.SettingsFile(),
 	}
 	return daemon.Main(version, args, out, errOut)
 }
--- a/agent/internal/cmd/process.go
+++ b/agent/internal/cmd/process.go
@@ -18,6 +18,7 @@
 
 	"comfreyrelay.example/agent/internal/control"
 	"comfreyrelay.example/agent/internal/gate"
+	"comfreyrelay.example/agent/internal/onsite"
 	"comfreyrelay.example/agent/internal/orders"
 	"comfreyrelay.example/agent/internal/report"
 	"comfreyrelay.example/agent/internal/weights"
@@ -81,6 +82,9 @@
 // Run runs an agent with the given settings. It drains when drain ends and
 // stops at once when kill does. A clean end is no error.
 func Run(drain, kill context.Context, set *wire.AgentSettings, out, errOut io.Writer) error {
+	if set.GetSite() != nil {
+		return onsite.Run(drain, kill, set, out)
+	}
 	return runWith(drain, kill, set, fallback.DefaultLimits(), out, errOut)
 }
 
--- /dev/null
+++ b/agent/internal/onsite/guide.go
@@ -0,0 +1,109 @@
+// Package onsite is the agent of an engine on a platform: it streams the engine's
+// state to entries, learns from them which weights are wanted, moves these onto
+// the host and orders the engine to load them.
+package onsite
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/relay/wire"
+)
+
+// wanted is the weights that the engine should use.
+type wanted struct {
+	model   string
+	version uint64
+	fence   uint64
+	since   time.Time // when it was declared, as far as known
+	load    time.Duration
+	chunks  int
+	size    int // of a chunk, bytes
+}
+
+// guide is what the entries told, the newest of each. A guide never goes back to
+// an older version. It is safe for concurrent use.
+type guide struct {
+	mu       sync.Mutex
+	revision uint64 // of the guidance that gave peers and origin
+	wanted   map[string]wanted
+	peers    []*wire.Node
+	origin   string
+	changed  chan struct{} // buffered by one
+	told     bool          // weights are wanted
+	known    chan struct{} // closed then
+}
+
+func newGuide() *guide {
+	return &guide{wanted: map[string]wanted{}, changed: make(chan struct{}, 1), known: make(chan struct{})}
+}
+
+// await returns the weights wanted once some are.
+func (g *guide) await(ctx context.Context) (wanted, error) {
+	select {
+	case <-ctx.Done():
+		return wanted{}, ctx.Err()
+	case <-g.known:
+	}
+	want, _ := g.weights()
+	return want, nil
+}
+
+// hear takes over what is newer than what is known.
+func (g *guide) hear(now time.Time, told *wire.Guidance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if told.GetRevision() >= g.revision {
+		g.revision = told.GetRevision()
+		g.peers = told.GetPeers()
+		if told.GetOriginUrl() != "" {
+			g.origin = told.GetOriginUrl()
+		}
+	}
+	for _, one := range told.GetWanted() {
+		if one.GetVersion() <= g.wanted[one.GetModel()].version {
+			continue
+		}
+		g.wanted[one.GetModel()] = wanted{
+			model: one.GetModel(), version: one.GetVersion(), fence: one.GetFence(),
+			since:  now.Add(-time.Duration(one.GetAgeMillis()) * time.Millisecond),
+			load:   time.Duration(one.GetLoadSeconds() * float64(time.Second)),
+			chunks: int(one.GetChunks()), size: int(one.GetChunkBytes()),
+		}
+	}
+	if len(g.wanted) > 0 && !g.told {
+		g.told = true
+		close(g.known)
+	}
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
+// weights returns the weights wanted; ok is false while none are known. An
+// engine serves one model: of several, the first by name.
+func (g *guide) weights() (want wanted, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, one := range g.wanted {
+		if !ok || one.model < want.model {
+			want, ok = one, true
+		}
+	}
+	return want, ok
+}
+
+func (g *guide) hosts() []*wire.Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.peers)
+}
+
+func (g *guide) originURL() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.origin
+}
--- /dev/null
+++ b/agent/internal/onsite/run.go
@@ -0,0 +1,212 @@
+package onsite
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"comfreyrelay.example/agent/internal/weights"
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/logging"
+	"comfreyrelay.example/relay/manifest"
+	"comfreyrelay.example/relay/node"
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	program = "comfreyagent"
+	// linkPart is the part of the host's link that weights take at most: the
+	// rest is for the engine's answers, which share it.
+	linkPart = 0.9
+	// bitsPerMegabit and bitsPerByte turn a link's rate into bytes.
+	bitsPerMegabit = 1e6
+	bitsPerByte    = 8
+	// memoryPart is the part of the host's memory at which the collector works
+	// hardest.
+	memoryPart = 0.5
+	// manifestDraws is how often a manifest is drawn until two are alike.
+	manifestDraws = 4
+)
+
+// Run runs an agent on a platform until drain or kill ends.
+func Run(drain, kill context.Context, set *wire.AgentSettings, out io.Writer) error {
+	lines := logging.NewBounded(out)
+	defer func() { _ = lines.Close() }()
+	log := logging.New(lines, set.GetNode().GetLogLevel(), program, set.GetNode().GetId())
+	debug.SetMemoryLimit(int64(memoryPart * float64(set.GetSite().GetMemoryMegabytes()) * (1 << 20)))
+	lis, err := net.Listen("tcp", set.GetNode().GetControlAddress())
+	if err != nil {
+		return failure.Wrap(err, failure.Unavailable, "cannot listen at node.controlAddress",
+			"stop the process that has the port, or give another")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer context.AfterFunc(drain, cancel)()
+	defer context.AfterFunc(kill, cancel)()
+	return newAgent(set, log).run(ctx, lis)
+}
+
+// agent holds the parts of a running agent.
+type agent struct {
+	set    *wire.AgentSettings
+	log    *slog.Logger
+	clock  clockwork.Clock
+	guide  *guide
+	watch  *watch
+	stage  *stage
+	mgr    *weights.Manager
+	pool   *peer.Pool
+	remote *http.Client
+
+	mu     sync.Mutex
+	origin *platform.Origin
+	base   string // of origin
+}
+
+func newAgent(set *wire.AgentSettings, log *slog.Logger) *agent {
+	clock := clockwork.NewRealClock()
+	local := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}
+	engine := platform.NewEngine(strings.TrimSuffix(set.GetEndpointUrl(), "/"), local)
+	a := &agent{
+		set: set, log: log, clock: clock, guide: newGuide(), pool: peer.NewPool(nil),
+		remote: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second, DisableCompression: true}},
+	}
+	a.watch = newWatch(engine, clock, log)
+	a.stage = newStage(engine, a.guide)
+	a.stage.man = a.wantedManifest
+	a.mgr = weights.New(weights.Config{
+		Self: a.self(), Clock: clock, Log: log,
+		Peers:       a.guide.hosts,
+		Dial:        func(ctx context.Context, address string) drpc.Conn { return a.pool.Conn(ctx, address) },
+		Source:      weights.Source{Manifest: a.drawManifest, Chunk: a.drawChunk, Decode: manifest.DecodeNamed, Verify: verify},
+		Link:        linkOf(set.GetSite()),
+		WindowBytes: set.GetWindowBytes(),
+		PutChunk:    a.stage.put,
+		GetChunk:    a.stage.get,
+		DropChunk:   a.stage.drop,
+		HeldChunks:  a.stage.held,
+	})
+	return a
+}
+
+// self names this host by its engine's address, as entries name it to others.
+func (a *agent) self() *wire.Node {
+	self := node.Describe(a.set.GetNode(), peer.RoleAgent, "")
+	self.Id = strings.TrimPrefix(a.set.GetEndpointUrl(), "http://")
+	self.ControlAddress = a.set.GetNode().GetControlAddress()
+	return self
+}
+
+func linkOf(set *wire.SiteSettings) *wire.LinkSettings {
+	rate := uint64(linkPart * set.GetLinkMegabits() * bitsPerMegabit / bitsPerByte)
+	return &wire.LinkSettings{Up: rate, Down: rate}
+}
+
+func (a *agent) run(ctx context.Context, lis net.Listener) error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterFeed(mux, &feed{watch: a.watch, guide: a.guide, clock: a.clock}); err != nil {
+		return failure.Wrap(err, failure.Internal, "cannot register the calls of entries", "report it")
+	}
+	if err := wire.DRPCRegisterHost(mux, &chunkServer{mgr: a.mgr}); err != nil {
+		return failure.Wrap(err, failure.Internal, "cannot register the calls of other agents", "report it")
+	}
+	loading := &loader{engine: a.watch.engine, watch: a.watch, guide: a.guide, mgr: a.mgr, clock: a.clock, log: a.log}
+	a.log.Info("started", "endpoint", a.set.GetEndpointUrl(), "controlAddress", lis.Addr().String())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return ended(ctx, peer.Serve(ctx, lis, nil, mux, a.log)) })
+	group.Go(func() error { a.watch.run(ctx); return nil })
+	group.Go(func() error { loading.run(ctx); return nil })
+	group.Go(func() error { return ended(ctx, a.mgr.Run(ctx)) })
+	err := group.Wait()
+	a.log.Info("stopped")
+	return err
+}
+
+// ended drops the error that a part returns because it was told to stop.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (a *agent) wantedManifest() *wire.Manifest {
+	want, ok := a.guide.weights()
+	if !ok {
+		return nil
+	}
+	return a.mgr.Manifest(versionName(want.model, want.version))
+}
+
+func verify(chunk, hash []byte) bool {
+	sum := sha256.Sum256(chunk)
+	return bytes.Equal(sum[:], hash)
+}
+
+func (a *agent) source() (*platform.Origin, error) {
+	base := a.guide.originURL()
+	if base == "" {
+		return nil, failure.New(failure.Unavailable, "no origin is declared", "wait for an entry")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if base != a.base {
+		a.origin, a.base = platform.NewOrigin(base, a.remote), base
+	}
+	return a.origin, nil
+}
+
+// drawManifest draws a manifest until two draws are alike: the origin's answers
+// may be spoilt on the way, and nothing else proves a digest.
+func (a *agent) drawManifest(ctx context.Context, version string) ([]byte, error) {
+	origin, err := a.source()
+	if err != nil {
+		return nil, err
+	}
+	model, number := splitName(version)
+	var seen [][]byte
+	for range manifestDraws {
+		man, err := origin.Manifest(ctx, model, number)
+		if failure.KindOf(err) == failure.Corrupt && err != nil {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		encoded, err := manifest.Encode(manifest.Named(version, man.ChunkBytes, man.Digests))
+		if err != nil {
+			return nil, err
+		}
+		for _, other := range seen {
+			if bytes.Equal(other, encoded) {
+				return encoded, nil
+			}
+		}
+		seen = append(seen, encoded)
+	}
+	return nil, failure.New(failure.Corrupt, "no two draws of the manifest are alike", "it is drawn again")
+}
+
+func (a *agent) drawChunk(ctx context.Context, version string, index, limit int) ([]byte, error) {
+	origin, err := a.source()
+	if err != nil {
+		return nil, err
+	}
+	model, number := splitName(version)
+	return origin.Chunk(ctx, model, number, index, limit)
+}
--- /dev/null
+++ b/agent/internal/onsite/watch.go
@@ -0,0 +1,134 @@
+package onsite
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// pollInterval is how often the engine is asked for its state: a part of a
+	// pass, so that entries see a free slot well before the next pass begins.
+	pollInterval = 30 * time.Millisecond
+	// idlePoll is the same while nothing runs.
+	idlePoll = 80 * time.Millisecond
+	// pollTimeout is how long the engine may take to answer; one on the same
+	// host answers in a millisecond.
+	pollTimeout = 250 * time.Millisecond
+	// deadPolls is the polls in a row that fail until the engine is told dead.
+	deadPolls = 2
+)
+
+// watch asks the engine for its state and keeps the newest.
+type watch struct {
+	engine *platform.Engine
+	clock  clockwork.Clock
+	log    *slog.Logger
+
+	mu       sync.Mutex
+	sequence uint64
+	state    platform.EngineReport
+	alive    bool
+	failures int
+	ordering bool          // an order is about to be given: nothing new should come
+	changed  chan struct{} // closed and replaced at each change
+}
+
+func newWatch(engine *platform.Engine, clock clockwork.Clock, log *slog.Logger) *watch {
+	return &watch{engine: engine, clock: clock, log: log, changed: make(chan struct{})}
+}
+
+func (w *watch) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.poll(ctx)
+		wait := idlePoll
+		if report, alive := w.report(); alive && report.Running > 0 {
+			wait = pollInterval
+		}
+		select {
+		case <-ctx.Done():
+		case <-w.clock.After(wait):
+		}
+	}
+}
+
+func (w *watch) poll(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := w.engine.Report(callCtx)
+	if ctx.Err() != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.failures++
+		if w.failures >= deadPolls && w.alive {
+			w.alive = false
+			w.log.Warn("dependency lost", "dependency", "engine", "error", err)
+			w.change()
+		}
+		return
+	}
+	w.failures = 0
+	if !w.alive {
+		w.log.Info("dependency regained", "dependency", "engine", "loaded", report.Loaded, "orders", report.Orders)
+	}
+	if !w.alive || !sameReport(report, w.state) {
+		w.state, w.alive = report, true
+		w.change()
+	}
+}
+
+func sameReport(left, right platform.EngineReport) bool {
+	return left.Running == right.Running && left.Queued == right.Queued && left.Busy == right.Busy &&
+		left.Orders == right.Orders && left.Pace == right.Pace && maps.Equal(left.Loaded, right.Loaded)
+}
+
+// change tells those who wait; w.mu is held.
+func (w *watch) change() {
+	w.sequence++
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// setOrdering tells entries that the engine is about to get an order.
+func (w *watch) setOrdering(ordering bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ordering != ordering {
+		w.ordering = ordering
+		w.change()
+	}
+}
+
+// report returns the newest state; alive is false where the engine does not
+// answer.
+func (w *watch) report() (report platform.EngineReport, alive bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state, w.alive
+}
+
+// told returns what entries are told, and a channel closed at the next change.
+func (w *watch) told() (*wire.EngineState, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	state := &wire.EngineState{
+		Sequence: w.sequence, Alive: w.alive,
+		Running: uint32(w.state.Running), Queued: uint32(w.state.Queued),
+		KvUsed: w.state.KVUsed, KvTotal: w.state.KVTotal, Pace: w.state.Pace,
+		Busy: w.state.Busy || w.ordering,
+	}
+	for model, version := range w.state.Loaded {
+		state.Loaded = append(state.Loaded, &wire.LoadedWeights{Model: model, Version: version})
+	}
+	return state, w.changed
+}
--- a/agent/internal/weights/fetch.go
+++ b/agent/internal/weights/fetch.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	hash := chunkHash(t.man.GetChunkHashes()[key.chunk])
-	if !manifest.Verify(data, hash[:]) {
+	if !t.mgr.cfg.Source.Verify(data, hash[:]) {
 		return &fetchError{cause: burst.Corrupt, err: failure.New(failure.Corrupt,
 			"the bytes do not match the chunk's hash", "it is fetched from another source")}
 	}
@@ -104,7 +104,7 @@
 func (t *transfer) receive(ctx context.Context, key fetchKey) ([]byte, *fetchError) {
 	size := manifest.ChunkSize(t.man, key.chunk)
 	if key.source == burst.Origin {
-		data, err := t.mgr.fromOrigin(ctx, "/chunks/"+hex.EncodeToString(t.man.GetChunkHashes()[key.chunk]), size)
+		data, err := t.drawChunk(ctx, key.chunk, size)
 		t.mgr.originBytes.Add(uint64(len(data)))
 		return data, err
 	}
@@ -113,6 +113,25 @@
 	return data, err
 }
 
+// drawChunk asks the origin for one chunk.
+func (t *transfer) drawChunk(ctx context.Context, chunk, size int) ([]byte, *fetchError) {
+	draw := t.mgr.cfg.Source.Chunk
+	if draw == nil {
+		return t.mgr.fromOrigin(ctx, "/chunks/"+hex.EncodeToString(t.man.GetChunkHashes()[chunk]), size)
+	}
+	data, err := draw(ctx, t.version, chunk, size)
+	if failure.KindOf(err) == failure.Exhausted && err != nil {
+		return nil, &fetchError{cause: burst.Busy, err: err}
+	}
+	if err != nil {
+		return nil, broken(err)
+	}
+	if err := t.mgr.link.Wait(ctx, link.Down, len(data)); err != nil {
+		return nil, broken(err)
+	}
+	return data, nil
+}
+
 // chunkFromPeer asks a peer for one chunk and takes over what it reports.
 func (t *transfer) chunkFromPeer(ctx context.Context, id string, index, size int) ([]byte, *fetchError) {
 	report := t.report()
--- a/agent/internal/weights/manager.go
+++ b/agent/internal/weights/manager.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc"
 
 	"comfreyrelay.example/agent/internal/link"
+	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/relay/manifest"
 	"comfreyrelay.example/relay/wire"
 )
@@ -45,6 +46,8 @@
 	Dial func(ctx context.Context, address string) drpc.Conn
 	// OriginURL is the base address of the origin of weights.
 	OriginURL string
+	// Source replaces the origin at OriginURL where its fields are set.
+	Source Source
 	// HTTP is used for the origin alone; nil means a client of its own.
 	HTTP *http.Client
 	Link *wire.LinkSettings
@@ -72,6 +75,20 @@
 	Broken func(rule string)
 }
 
+// Source is another origin than the one at Config.OriginURL, and how its
+// versions are named and checked. Either all fields are set or none.
+type Source struct {
+	// Manifest returns a version's encoded manifest, which Decode takes.
+	Manifest func(ctx context.Context, version string) ([]byte, error)
+	// Chunk returns a chunk of at most limit bytes. An error of kind
+	// failure.Exhausted asks to come back later.
+	Chunk func(ctx context.Context, version string, index, limit int) ([]byte, error)
+	// Decode reads an encoded manifest if it is the version's.
+	Decode func(encoded []byte, version string) (*wire.Manifest, error)
+	// Verify reports whether the bytes are the chunk that the hash names.
+	Verify func(chunk, hash []byte) bool
+}
+
 // Manager moves weights for one host. It is safe for concurrent use.
 type Manager struct {
 	cfg     Config
@@ -105,6 +122,9 @@
 	if client == nil {
 		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}}
 	}
+	if cfg.Source.Verify == nil {
+		cfg.Source.Decode, cfg.Source.Verify = manifest.Decode, manifest.Verify
+	}
 	return &Manager{
 		cfg:       cfg,
 		link:      link.New(cfg.Link, cfg.Clock),
@@ -224,3 +244,18 @@
 func (m *Manager) Counters() (originBytes, peerBytes, sentBytes uint64) {
 	return m.originBytes.Load(), m.peerBytes.Load(), m.sentBytes.Load()
 }
+
+// Recheck reads back every kept chunk of a version and returns how many were
+// not what their hash names; those are fetched again.
+func (m *Manager) Recheck(ctx context.Context, version string) (bad int, err error) {
+	for _, hash := range m.Manifest(version).GetChunkHashes() {
+		if _, err := m.store.get(ctx, chunkHash(hash)); err == nil {
+			continue
+		} else if kind := failure.KindOf(err); kind != failure.Corrupt && kind != failure.NotFound {
+			return bad, err
+		}
+		bad++
+		m.shareLoss(chunkHash(hash))
+	}
+	return bad, nil
+}
--- a/agent/internal/weights/manifests.go
+++ b/agent/internal/weights/manifests.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"comfreyrelay.example/relay/failure"
-	"comfreyrelay.example/relay/manifest"
 	"comfreyrelay.example/relay/rendezvous"
 	"comfreyrelay.example/relay/wire"
 )
@@ -76,7 +75,7 @@
 func (t *transfer) manifestFromOrigin(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
-	encoded, err := t.mgr.fromOrigin(ctx, "/manifests/"+t.version, maxManifestBytes)
+	encoded, err := t.drawManifest(ctx)
 	if err != nil {
 		t.setProblem("the manifest cannot be drawn from the origin: " + err.Error())
 		return err
@@ -85,9 +84,20 @@
 	return t.acceptManifest(encoded)
 }
 
+func (t *transfer) drawManifest(ctx context.Context) ([]byte, error) {
+	if draw := t.mgr.cfg.Source.Manifest; draw != nil {
+		return draw(ctx, t.version)
+	}
+	encoded, err := t.mgr.fromOrigin(ctx, "/manifests/"+t.version, maxManifestBytes)
+	if err != nil {
+		return nil, err
+	}
+	return encoded, nil
+}
+
 // acceptManifest begins the transfer if the bytes are the version's manifest.
 func (t *transfer) acceptManifest(encoded []byte) error {
-	man, err := manifest.Decode(encoded, t.version)
+	man, err := t.mgr.cfg.Source.Decode(encoded, t.version)
 	if err == nil {
 		t.begin(man, encoded)
 		t.mgr.noteChange()
@@ -119,7 +129,7 @@
 	if fetchErr != nil {
 		return fetchErr
 	}
-	man, err := manifest.Decode(encoded, t.version)
+	man, err := t.mgr.cfg.Source.Decode(encoded, t.version)
 	if err != nil {
 		t.mgr.cfg.Log.Warn("a peer sent a wrong manifest", "version", t.version, "peer", id, "error", err)
 		return err
--- a/agent/internal/weights/store.go
+++ b/agent/internal/weights/store.go
@@ -13,7 +13,7 @@
 // storeRetry is the pause after the host's store failed.
 const storeRetry = time.Second
 
-// chunkHash is the BLAKE3 of a chunk.
+// chunkHash is the hash of a chunk, BLAKE3 unless Config.Source says otherwise.
 type chunkHash [manifest.HashBytes]byte
 
 // store knows what the host keeps. Its bytes are trusted only once this
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !manifest.Verify(data, hash[:]) {
+	if !s.cfg.Source.Verify(data, hash[:]) {
 		s.drop(ctx, hash)
 		return nil, failure.New(failure.Corrupt, "the host's store returned a corrupt chunk",
 			"it is fetched again; if this repeats, check the host's memory")
--- a/entry/internal/cmd/process.go
+++ b/entry/internal/cmd/process.go
@@ -20,6 +20,7 @@
 	"comfreyrelay.example/entry/internal/callers"
 	"comfreyrelay.example/entry/internal/console"
 	"comfreyrelay.example/entry/internal/control"
+	"comfreyrelay.example/entry/internal/onsite"
 	"comfreyrelay.example/entry/internal/operators"
 	"comfreyrelay.example/entry/internal/planner"
 	"comfreyrelay.example/entry/internal/store"
@@ -73,6 +74,9 @@
 // Run runs an entry with the given settings. It drains when drain ends and
 // stops at once when kill does. A clean end is no error.
 func Run(drain, kill context.Context, set *wire.EntrySettings, out, errOut io.Writer) error {
+	if set.GetSite() != nil {
+		return onsite.Run(drain, kill, set, out)
+	}
 	box := build(set, errOut)
 	return dig.RootCause(box.Invoke(func(all parts) error {
 		return (&process{parts: all}).run(drain, kill, out)
--- /dev/null
+++ b/entry/internal/gateway/admit.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/relay/admission"
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/engine"
+	"comfreyrelay.example/relay/fleet"
+)
+
+// timing sets when the answer is due and whether the request can be in time.
+func (x *exchange) timing() {
+	span := x.route.Timeout
+	if left := x.req.Deadline; left > 0 && (span <= 0 || left < span) {
+		span = left
+	}
+	if span <= 0 {
+		span = time.Minute
+	}
+	x.end = x.arrived.Add(span)
+	x.late = admission.Late(x.req.Deadline, x.route.Timeout)
+}
+
+// line is those who wait for a place at one service: the most urgent first,
+// among equals who came first.
+type line struct {
+	mu      sync.Mutex
+	waiting []*exchange
+}
+
+func (g *Gateway) line(service string) *line {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.lines[service]
+	if l == nil {
+		l = &line{}
+		g.lines[service] = l
+	}
+	return l
+}
+
+func (l *line) enter(x *exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := len(l.waiting)
+	for at > 0 && x.before(l.waiting[at-1]) {
+		at--
+	}
+	l.waiting = slices.Insert(l.waiting, at, x)
+}
+
+// before reports whether x goes first: the late after those who can be in time.
+func (x *exchange) before(other *exchange) bool {
+	if x.late != other.late {
+		return other.late
+	}
+	return x.urgency() < other.urgency()
+}
+
+func (l *line) leave(x *exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at := slices.Index(l.waiting, x); at >= 0 {
+		l.waiting = slices.Delete(l.waiting, at, at+1)
+	}
+}
+
+// first reports whether nobody waits before x.
+func (l *line) first(x *exchange) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) == 0 || l.waiting[0] == x
+}
+
+func (l *line) length() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting)
+}
+
+// need says which endpoint the request needs.
+func (x *exchange) need() fleet.Need {
+	need := fleet.Need{
+		Domain: x.gateway.cfg.Domain, Exclude: x.tries,
+		Extra: x.extra(), Entries: x.gateway.cfg.Entries(),
+	}
+	if svc, ok := x.catalog.Service(x.service); ok && svc.Engine != nil {
+		need.Model, need.Prompt = x.req.Model, x.req.Prompt
+		need.Floor = x.gateway.floor(x.req.Model)
+	}
+	return need
+}
+
+// plainExtra is the requests that a plain endpoint may queue beyond its slots.
+const plainExtra = 6
+
+func (x *exchange) extra() int {
+	if x.engine() == nil {
+		return plainExtra
+	}
+	return admission.Extra(x.late)
+}
+
+// floorMargin is the part of a version's time after which only endpoints that
+// have it are chosen: the rest is for requests on their way and for clocks.
+const floorMargin = 1200 * time.Millisecond
+
+// floor returns the lowest version of a model that may still serve.
+func (g *Gateway) floor(model string) uint64 {
+	want, ok := g.cfg.State.WantedOf(model)
+	if !ok || g.cfg.Clock.Since(want.Since) < g.cfg.Bounds().Version-floorMargin {
+		return 0
+	}
+	return want.Version
+}
+
+func (x *exchange) engine() *catalog.Engine {
+	svc, ok := x.catalog.Service(x.service)
+	if !ok {
+		return nil
+	}
+	return svc.Engine
+}
+
+// place waits for an endpoint with room. Where none comes in time the refusal
+// says when to come back.
+func (x *exchange) place(ctx context.Context) (*fleet.Grant, *refusal) {
+	g := x.gateway
+	group := g.cfg.State.Fleet().Group(x.service)
+	queue := g.line(x.service)
+	until := x.holdUntil()
+	waiting := false
+	defer func() {
+		if waiting {
+			queue.leave(x)
+			x.heldFor = g.cfg.Clock.Since(x.arrived)
+		}
+	}()
+	verdict := fleet.Full
+	for {
+		changed := group.Changed()
+		if queue.first(x) {
+			var grant *fleet.Grant
+			if grant, verdict = group.Pick(x.need()); verdict == fleet.Granted {
+				return grant, nil
+			}
+		}
+		if !waiting {
+			waiting = true
+			queue.enter(x)
+		}
+		left := until.Sub(g.cfg.Clock.Now())
+		if left <= 0 || ctx.Err() != nil || g.draining.Load() {
+			return nil, x.noPlace(ctx, verdict, queue.length())
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-g.cfg.Clock.After(left):
+		}
+	}
+}
+
+// holdUntil returns until when the request may wait for a place.
+func (x *exchange) holdUntil() time.Time {
+	spec := x.engine()
+	var expected time.Duration
+	if spec != nil {
+		expected = engine.FirstEvent(spec, spec.Slots, x.req.Prompt)
+	}
+	hold := x.arrived.Add(admission.Hold(x.route.Target, expected, x.late))
+	if x.sends > 0 {
+		// It was begun somewhere: giving up now wastes what was done.
+		hold = x.gateway.cfg.Clock.Now().Add(x.route.Target)
+	}
+	if hold.After(x.end) {
+		return x.end
+	}
+	return hold
+}
+
+// noPlace says why nobody took the request and when to come back.
+func (x *exchange) noPlace(ctx context.Context, verdict fleet.Verdict, waiting int) *refusal {
+	if ctx.Err() != nil {
+		return x.overdue(ctx)
+	}
+	wait := soonReturn
+	reason := "no endpoint serves this"
+	if verdict == fleet.Full {
+		reason = "all endpoints are full"
+		if spec := x.engine(); spec != nil {
+			wait = admission.Return(waiting*x.gateway.cfg.Entries(), engine.Gap(spec))
+		}
+	}
+	return x.notServed(reason, wait)
+}
--- /dev/null
+++ b/entry/internal/gateway/figures.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"sync/atomic"
+
+	"comfreyrelay.example/relay/fleet"
+)
+
+// figures counts what the gateway did, for metrics.
+type figures struct {
+	served   atomic.Int64
+	refused  atomic.Int64
+	failed   atomic.Int64
+	attempts atomic.Int64
+	resumed  atomic.Int64
+}
+
+// Figures returns the counts by name.
+func (g *Gateway) Figures() map[string]int64 {
+	uses, dials := g.cfg.Pool.Counts()
+	return map[string]int64{
+		"served":          g.figures.served.Load(),
+		"refused":         g.figures.refused.Load(),
+		"failed":          g.figures.failed.Load(),
+		"attempts":        g.figures.attempts.Load(),
+		"resumed":         g.figures.resumed.Load(),
+		"inFlight":        g.inFlight.Load(),
+		"connectionUses":  int64(uses),
+		"connectionDials": int64(dials),
+	}
+}
+
+// Publish shows the counts under /debug/vars. A name that is taken belongs to
+// another gateway of the same test process.
+func (g *Gateway) Publish() {
+	if expvar.Get("gateway") == nil {
+		expvar.Publish("gateway", expvar.Func(func() any { return g.Figures() }))
+	}
+}
+
+// logAttempt writes what became of one sending.
+func (x *exchange) logAttempt(grant *fleet.Grant, outcome fleet.Outcome) {
+	x.gateway.figures.attempts.Add(1)
+	if x.sends > 1 && x.events > 0 {
+		x.gateway.figures.resumed.Add(1)
+	}
+	if outcome == fleet.Served {
+		x.gateway.cfg.Log.Debug("attempt", x.attemptFields(grant, outcome)...)
+		return
+	}
+	x.gateway.cfg.Log.Info("attempt", x.attemptFields(grant, outcome)...)
+}
+
+func (x *exchange) attemptFields(grant *fleet.Grant, outcome fleet.Outcome) []any {
+	return []any{
+		"request", x.req.ID, "send", x.sends, "endpoint", grant.ID(), "address", grant.Address(),
+		"outcome", outcome.String(), "occupied", grant.Occupied(), "stateAgeMillis", grant.StateAge().Milliseconds(),
+		"version", grant.Version(), "events", x.events,
+	}
+}
+
+// logEnd writes the decision that ended a request and its inputs.
+func (x *exchange) logEnd(reason string, status int) {
+	g := x.gateway
+	level := slog.LevelInfo
+	switch {
+	case status < firstClientError:
+		g.figures.served.Add(1)
+	case status == 503:
+		g.figures.refused.Add(1)
+	default:
+		g.figures.failed.Add(1)
+	}
+	fields := []any{
+		"outcome", reason, "status", status, "tookMillis", g.cfg.Clock.Since(x.arrived).Milliseconds(),
+		"heldMillis", x.heldFor.Milliseconds(), "ageMillis", x.age.Milliseconds(),
+	}
+	if x.req != nil {
+		fields = append(fields, "request", x.req.ID, "deadlineMillis", x.req.Deadline.Milliseconds())
+	}
+	if x.route != nil {
+		fields = append(fields, "route", x.route.Name, "service", x.service, "sends", x.sends,
+			"events", x.events, "firstMillis", x.firstEvent.Milliseconds(), "late", x.late)
+	}
+	if x.catalog != nil {
+		fields = append(fields, "catalog", x.catalog.Version())
+	}
+	g.cfg.Log.Log(context.Background(), level, "answered", fields...)
+}
+
+const firstClientError = 400
--- /dev/null
+++ b/entry/internal/gateway/gateway.go
@@ -0,0 +1,248 @@
+// Package gateway answers callers: it routes a request, waits for a place at an
+// endpoint, sends the request there and relays the answer.
+//
+// Filters of one request: read, match, identify, admit, send, relay.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/entry/internal/upstream"
+	"comfreyrelay.example/relay/call"
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/retry"
+	"comfreyrelay.example/relay/site"
+)
+
+const (
+	// soonReturn is what a caller is told where nothing hinders but a moment's
+	// state of this entry.
+	soonReturn = 200 * time.Millisecond
+	// maxBodyBytes bounds a body where operators state none.
+	maxBodyBytes = 4 << 20
+	// maxHeldBodies bounds the bodies of all requests in progress, bytes.
+	maxHeldBodies = 48 << 20
+)
+
+// Bounds are the promises that the gateway keeps.
+type Bounds struct {
+	// Revoke is how old the proof of the newest keys may be.
+	Revoke time.Duration
+	// Apply is how old the proof of the newest routes may be for a refusal
+	// for good.
+	Apply time.Duration
+	// Version is how long after its declaration a version may be passed over.
+	Version time.Duration
+	// Ratio and Slack bound the repeats of all entries together.
+	Ratio, Slack float64
+}
+
+// Config holds what a Gateway needs.
+type Config struct {
+	State  *site.State
+	Pool   *upstream.Pool
+	Wire   call.Wire
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+	Domain string // failure domain of this entry
+	// Bounds returns the bounds in force.
+	Bounds func() Bounds
+	// Entries returns how many entries share the endpoints, at least 1.
+	Entries func() int
+}
+
+// Gateway is the callers' handler. It is safe for concurrent use.
+type Gateway struct {
+	cfg      Config
+	draining atomic.Bool // new requests are told to go elsewhere
+	inFlight atomic.Int64
+	bodies   atomic.Int64 // bytes held
+	figures  figures
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window // by service
+	lines   map[string]*line         // by service
+}
+
+// budgetSpan is the window of the repeats' bound.
+const budgetSpan = 10 * time.Second
+
+// New returns a Gateway.
+func New(cfg Config) *Gateway {
+	return &Gateway{cfg: cfg, budgets: map[string]*retry.Window{}, lines: map[string]*line{}}
+}
+
+// Drain makes the gateway refuse what comes from now on.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// InFlight returns the requests in progress.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+func (g *Gateway) budget(service string) *retry.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	window := g.budgets[service]
+	if window == nil {
+		window = retry.NewWindow(budgetSpan)
+		g.budgets[service] = window
+	}
+	return window
+}
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	x := &exchange{gateway: g, w: w, arrived: g.cfg.Clock.Now()}
+	if refused := g.prepare(x, r); refused != nil {
+		x.refuse(*refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.end)
+	defer cancel()
+	x.run(ctx)
+}
+
+// prepare reads a request and finds its route and customer.
+func (g *Gateway) prepare(x *exchange, r *http.Request) *refusal {
+	req, err := g.cfg.Wire.Read(r)
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: "malformed: " + err.Error()}
+	}
+	x.req = req
+	if g.draining.Load() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "draining", wait: time.Millisecond, hangUp: true}
+	}
+	x.catalog = g.cfg.State.Catalog()
+	if x.catalog == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", wait: soonReturn}
+	}
+	if refused := g.route(x); refused != nil {
+		return refused
+	}
+	return g.readBody(x, r)
+}
+
+// route finds the request's route and customer. What is refused for good must
+// be refused by what is in force now: an entry that is behind says instead that
+// it doesn't know.
+func (g *Gateway) route(x *exchange) *refusal {
+	bounds := g.cfg.Bounds()
+	age, known := g.cfg.State.Fresh().Age()
+	x.age = age
+	behind := !known || age > bounds.Apply
+	route, ok := x.catalog.Match(x.req.Host, x.req.Path)
+	if !ok {
+		if behind {
+			return &refusal{status: http.StatusServiceUnavailable, reason: "no route, knowledge is old", wait: soonReturn}
+		}
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	x.route = route
+	x.service = route.Service(x.req.ID)
+	x.timing()
+	if !x.catalog.Keyed(route) {
+		return nil
+	}
+	if !known || age > bounds.Revoke {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "keys are not proven", wait: soonReturn, hangUp: true}
+	}
+	customer, ok := x.catalog.Customer(x.req.Key)
+	if !ok {
+		if behind {
+			return &refusal{status: http.StatusServiceUnavailable, reason: "unknown key, knowledge is old", wait: soonReturn}
+		}
+		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+	}
+	x.customer = customer
+	return nil
+}
+
+// readBody reads the whole body, so that a slow caller takes no endpoint's
+// place and a request can go to a second one.
+func (g *Gateway) readBody(x *exchange, r *http.Request) *refusal {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	limit := int64(x.catalog.Limits().BodyBytes)
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	if r.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", hangUp: true}
+	}
+	room := r.ContentLength
+	if room < 0 {
+		room = limit
+	}
+	if g.bodies.Add(room) > maxHeldBodies {
+		g.bodies.Add(-room)
+		return &refusal{status: http.StatusServiceUnavailable, reason: "too many bodies in memory", wait: soonReturn, hangUp: true}
+	}
+	x.held = room
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.end.Sub(g.cfg.Clock.Now())))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
+	if err != nil {
+		g.bodies.Add(-room)
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", hangUp: true}
+		}
+		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not come whole", hangUp: true}
+	}
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	x.req.Body = body
+	return nil
+}
+
+// exchange is one request and its answer.
+type exchange struct {
+	gateway  *Gateway
+	w        http.ResponseWriter
+	req      *call.Request
+	catalog  *catalog.Catalog
+	route    *catalog.Route
+	customer *catalog.Customer // nil on public routes
+	service  string
+	arrived  time.Time
+	end      time.Time     // the answer is due by then, whatever it is
+	age      time.Duration // of the knowledge that decided
+	late     bool          // it can't be in time any more
+	held     int64         // bytes of body counted
+
+	tries      []string // endpoints that had the request
+	sends      int      // that reached an endpoint
+	mayRun     bool     // an endpoint may have run it
+	heldFor    time.Duration
+	header     http.Header // of the answer that the caller gets; nil: none was begun
+	events     int
+	firstEvent time.Duration // from the arrival
+	lastID     string        // of the last event that the caller has
+	final      bool          // the answer was begun and can't go on at another endpoint
+	status     int           // of the answer that the caller got whole; 0: none yet
+}
+
+// urgency returns the request's rank: the customer's goes before the route's.
+func (x *exchange) urgency() int {
+	rank := x.route.Priority
+	if x.customer != nil {
+		rank += 10 * x.customer.Priority
+	}
+	return rank
+}
+
+func (x *exchange) customerName() string {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
--- /dev/null
+++ b/entry/internal/gateway/run.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"comfreyrelay.example/entry/internal/upstream"
+	"comfreyrelay.example/relay/call"
+	"comfreyrelay.example/relay/fleet"
+)
+
+// run brings the request to endpoints until one answered it or none may have it
+// any more.
+func (x *exchange) run(ctx context.Context) {
+	g := x.gateway
+	defer g.bodies.Add(-x.held)
+	g.budget(x.service).Request(g.cfg.Clock.Now())
+	for {
+		grant, refused := x.place(ctx)
+		if refused != nil {
+			x.refuse(*refused)
+			return
+		}
+		outcome := x.attempt(ctx, grant)
+		grant.Done(outcome)
+		x.logAttempt(grant, outcome)
+		if x.status != 0 && (outcome == fleet.Served || outcome == fleet.Failed) {
+			x.logEnd(outcome.String(), x.status)
+			return
+		}
+		if refused := x.next(ctx, outcome); refused != nil {
+			x.refuse(*refused)
+			return
+		}
+	}
+}
+
+// next decides whether another endpoint may have the request after one did not
+// serve it; nil lets it.
+func (x *exchange) next(ctx context.Context, outcome fleet.Outcome) *refusal {
+	g := x.gateway
+	if ctx.Err() != nil {
+		return x.overdue(ctx)
+	}
+	switch outcome {
+	case fleet.Unreachable:
+		// Nothing was sent: this is still the same sending.
+		if len(x.tries) >= maxUnreachable {
+			return x.notServed("no endpoint can be reached", soonReturn)
+		}
+		return nil
+	case fleet.Refused, fleet.Moved:
+	default:
+		x.mayRun = true
+	}
+	if x.final || x.mayRun && !x.route.Repeatable() {
+		return x.notServed("an endpoint "+outcome.String(), 0)
+	}
+	if x.sends >= x.route.MaxAttempts {
+		return x.notServed("no attempt is left after one "+outcome.String(), soonReturn)
+	}
+	bounds := g.cfg.Bounds()
+	// Entries that started meanwhile are not known yet: the share is that of
+	// a few more.
+	share := bounds.Slack / float64(g.cfg.Entries()+spareEntries)
+	if !g.budget(x.service).Repeat(g.cfg.Clock.Now(), bounds.Ratio*budgetPart, share*budgetPart) {
+		return x.notServed("the budget for repeats is used up", soonReturn)
+	}
+	return nil
+}
+
+const (
+	// maxUnreachable bounds the endpoints that a request finds dead.
+	maxUnreachable = 4
+	// spareEntries is how many entries may have joined that are not known.
+	spareEntries = 3
+	// budgetPart leaves room for what is counted differently at the endpoints.
+	budgetPart = 0.85
+	// stallPart is how many targets a stream's first event may take before
+	// another endpoint is tried.
+	stallTargets = 3
+	// streamStall is the longest pause of a stream in progress: longer than
+	// any that is in time, shorter than callers bear.
+	streamStall = 1100 * time.Millisecond
+	// repeatTargets is how many targets a request that may be repeated waits
+	// for its answer before another endpoint is tried.
+	repeatTargets = 3
+	// maxStray bounds the answers to earlier requests that are read over.
+	maxStray = 2
+)
+
+// attempt sends the request to one endpoint and relays its answer.
+func (x *exchange) attempt(ctx context.Context, grant *fleet.Grant) fleet.Outcome {
+	g := x.gateway
+	x.tries = append(x.tries, grant.ID())
+	conn, err := g.cfg.Pool.Get(ctx, grant.Address())
+	if err != nil {
+		if ctx.Err() != nil {
+			return fleet.Abandoned
+		}
+		return fleet.Unreachable
+	}
+	release := context.AfterFunc(ctx, conn.Cancel)
+	defer release()
+	x.sends++
+	left := x.end.Sub(g.cfg.Clock.Now())
+	out := g.cfg.Wire.Encode(x.req, call.Sending{
+		Endpoint: grant.ID(), Customer: x.customerName(), Left: left,
+		Version: g.floor(x.req.Model), Urgency: x.sendUrgency(), ResumeAfter: x.lastID,
+	})
+	if err := conn.Send(out, time.Now().Add(left)); err != nil {
+		conn.Close()
+		x.mayRun = true
+		return x.brokenBy(ctx, fleet.Broken)
+	}
+	conn.SetPatience(x.patience(ctx, grant))
+	resp, answer, err := x.receive(conn, out)
+	if err != nil {
+		conn.Close()
+		return x.brokenBy(ctx, silentOr(err, fleet.Broken))
+	}
+	grant.Answered(answer.Load)
+	return x.take(ctx, grant, conn, resp, answer)
+}
+
+// sendUrgency ranks the request among others at the engine.
+func (x *exchange) sendUrgency() int {
+	if x.late {
+		return 8
+	}
+	return min(7, max(1, x.route.Priority+x.customerRank()))
+}
+
+func (x *exchange) customerRank() int {
+	if x.customer == nil {
+		return 0
+	}
+	return x.customer.Priority
+}
+
+// brokenBy returns how an attempt ended that did not come to its end: by the
+// caller or the time where they ended it.
+func (x *exchange) brokenBy(ctx context.Context, outcome fleet.Outcome) fleet.Outcome {
+	if ctx.Err() != nil {
+		return fleet.Abandoned
+	}
+	return outcome
+}
+
+func silentOr(err error, otherwise fleet.Outcome) fleet.Outcome {
+	if upstream.GivenUp(err) {
+		return fleet.Silent
+	}
+	return otherwise
+}
+
+// patience says how long the attempt waits for bytes. What may not be repeated
+// waits to the end.
+func (x *exchange) patience(ctx context.Context, grant *fleet.Grant) func(time.Duration) bool {
+	if !x.route.Repeatable() {
+		return nil
+	}
+	return func(waited time.Duration) bool {
+		if ctx.Err() != nil {
+			return false
+		}
+		if x.sends >= x.route.MaxAttempts {
+			return true
+		}
+		if !grant.Alive() {
+			return false
+		}
+		return waited < x.stall()
+	}
+}
+
+func (x *exchange) stall() time.Duration {
+	switch {
+	case x.events > 0:
+		return max(streamStall, 2*x.route.Gap)
+	case x.engine() != nil:
+		return stallTargets * x.route.Target
+	}
+	return repeatTargets * x.route.Target
+}
+
+// receive reads the head of the answer. Answers that belong to an earlier
+// request on the connection are read over.
+func (x *exchange) receive(conn *upstream.Conn, out *http.Request) (*http.Response, call.Answer, error) {
+	for range maxStray {
+		resp, err := conn.Receive(out)
+		if err != nil {
+			return nil, call.Answer{}, err
+		}
+		answer := x.gateway.cfg.Wire.Decode(resp)
+		if answer.ID == "" || answer.ID == x.req.ID {
+			return resp, answer, nil
+		}
+		x.gateway.cfg.Log.Warn("an answer to another request was dropped", "request", x.req.ID, "of", answer.ID)
+		if err := skip(resp); err != nil {
+			return nil, call.Answer{}, err
+		}
+	}
+	return nil, call.Answer{}, errors.New("the connection brings answers to other requests")
+}
--- /dev/null
+++ b/entry/internal/gateway/stream.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"comfreyrelay.example/entry/internal/upstream"
+	"comfreyrelay.example/relay/call"
+	"comfreyrelay.example/relay/fleet"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 64 << 10
+
+// errTorn says that a stream ended within an event.
+var errTorn = errors.New("the stream ended within an event")
+
+// relayStream passes whole events on as they come. Where the endpoint stops, the
+// stream may go on at another one after the last whole event.
+func (x *exchange) relayStream(ctx context.Context, grant *fleet.Grant, conn *upstream.Conn, resp *http.Response, answer call.Answer) fleet.Outcome {
+	events := &eventReader{reader: bufio.NewReaderSize(resp.Body, readAhead)}
+	for {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			conn.Close()
+			return x.brokenBy(ctx, silentOr(err, fleet.Broken))
+		}
+		if x.events == 0 && x.header == nil {
+			x.writeHead(resp)
+		}
+		if x.events == 0 {
+			x.firstEvent = x.gateway.cfg.Clock.Since(x.arrived)
+		}
+		grant.Began()
+		x.events++
+		if event.id != "" {
+			x.lastID = event.id
+		}
+		if err := x.pass(event.bytes); err != nil {
+			conn.Close()
+			return fleet.Abandoned
+		}
+	}
+	if x.header == nil {
+		x.writeHead(resp)
+	}
+	x.gateway.cfg.Pool.Put(conn, resp, answer.Idle)
+	x.status = resp.StatusCode
+	return fleet.Served
+}
+
+// readAhead holds a usual event.
+const readAhead = 1 << 10
+
+// pass writes an event to the caller at once.
+func (x *exchange) pass(event []byte) error {
+	if _, err := x.w.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(x.w).Flush()
+}
+
+// event is one event of a stream as it came, its closing blank line included.
+type event struct {
+	bytes []byte
+	id    string
+}
+
+// eventReader cuts a stream into events.
+type eventReader struct {
+	reader *bufio.Reader
+	buffer []byte
+}
+
+// next returns the next whole event; its bytes are valid until the next call.
+// io.EOF says that the stream ended between two events.
+func (r *eventReader) next() (event, error) {
+	r.buffer = r.buffer[:0]
+	found := event{}
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		r.buffer = append(r.buffer, line...)
+		if len(r.buffer) > maxEventBytes {
+			return event{}, errors.New("an event is too long")
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(r.buffer) > 0 {
+			return event{}, errTorn
+		}
+		if err != nil {
+			return event{}, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			found.bytes = r.buffer
+			return found, nil
+		}
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			found.id = string(bytes.TrimSpace(id))
+		}
+	}
+}
--- /dev/null
+++ b/entry/internal/onsite/bounds.go
@@ -0,0 +1,61 @@
+package onsite
+
+import (
+	"time"
+
+	"comfreyrelay.example/entry/internal/gateway"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Defaults of bounds that the platform does not state.
+const (
+	defaultRevoke  = 5 * time.Second
+	defaultApply   = 2 * time.Second
+	defaultGrace   = 8 * time.Second
+	defaultVersion = 8 * time.Second
+	defaultRatio   = 0.2
+	defaultSlack   = 20.0
+	defaultTTL     = 5 * time.Second
+	// revokeMargin is the part of the time for revoked keys that is left for
+	// the way of a request to its endpoint.
+	revokeMargin = 400 * time.Millisecond
+	// freshTTL is how long callers should keep an answer at most: an entry that
+	// is gone is named for so long.
+	freshTTL = 2 * time.Second
+)
+
+// bounds are the platform's promises in the process's terms.
+type bounds struct {
+	gateway      gateway.Bounds
+	grace        time.Duration
+	directoryTTL time.Duration
+}
+
+func boundsOf(set *wire.SiteBounds) bounds {
+	ttl := time.Duration(orDefault(set.GetDirectoryTtlSeconds(), defaultTTL.Seconds()) * float64(time.Second))
+	return bounds{
+		gateway: gateway.Bounds{
+			Revoke:  max(revokeMargin, millis(set.GetRevokeMillis(), defaultRevoke)-revokeMargin),
+			Apply:   millis(set.GetApplyMillis(), defaultApply),
+			Version: millis(set.GetVersionMillis(), defaultVersion),
+			Ratio:   orDefault(set.GetRetryRatio(), defaultRatio),
+			Slack:   orDefault(set.GetRetrySlack(), defaultSlack),
+		},
+		grace:        millis(set.GetGraceMillis(), defaultGrace),
+		directoryTTL: min(freshTTL, ttl),
+	}
+}
+
+func millis(count uint32, fallback time.Duration) time.Duration {
+	if count == 0 {
+		return fallback
+	}
+	return time.Duration(count) * time.Millisecond
+}
+
+func orDefault(value, fallback float64) float64 {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/entry/internal/onsite/directory.go
@@ -0,0 +1,49 @@
+package onsite
+
+import (
+	"sort"
+	"time"
+
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/relay/site"
+)
+
+const (
+	// nearEnough is the entries of a caller's own failure domain that are
+	// enough for it: with one alone its loss would hit all of them.
+	nearEnough = 2
+	// maxAddresses bounds an answer.
+	maxAddresses = 64
+)
+
+// directory answers which entries a caller should use.
+type directory struct {
+	state *site.State
+	self  site.Entry
+	id    string
+	// open reports whether this entry itself takes callers.
+	open func() bool
+	keep time.Duration
+}
+
+// choose returns the entries near the caller, or all where too few are near.
+func (d *directory) choose(place platform.Place) ([]string, time.Duration) {
+	entries := d.state.Entries()
+	delete(entries, d.id)
+	if d.open() {
+		entries[d.id] = d.self
+	}
+	var near, all []string
+	for _, entry := range entries {
+		all = append(all, entry.CallersAddress)
+		if entry.FailureDomain == place.FailureDomain {
+			near = append(near, entry.CallersAddress)
+		}
+	}
+	chosen := all
+	if len(near) >= nearEnough {
+		chosen = near
+	}
+	sort.Strings(chosen)
+	return chosen[:min(maxAddresses, len(chosen))], d.keep
+}
--- /dev/null
+++ b/entry/internal/onsite/feeds.go
@@ -0,0 +1,189 @@
+package onsite
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/site"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// feedsInterval is how often new and gone engines are looked for beside
+	// each change of what is known.
+	feedsInterval = 500 * time.Millisecond
+	// feedSilence ends a feed that brings nothing: agents send at least five
+	// times as often, so the connection is dead though nothing says so.
+	feedSilence = time.Second
+	// feedRetry is the mean pause before a feed is begun again.
+	feedRetry = 250 * time.Millisecond
+	// guideInterval is how often an agent is told again what is wanted.
+	guideInterval = 3 * time.Second
+)
+
+// feeds follows the agent of each engine.
+type feeds struct {
+	state *site.State
+	pool  *peer.Pool
+	port  uint32 // at which agents serve
+	clock clockwork.Clock
+	log   *slog.Logger
+}
+
+// run follows the engines that are known until ctx ends.
+func (f *feeds) run(ctx context.Context) {
+	following := map[string]context.CancelFunc{}
+	for ctx.Err() == nil {
+		changed := f.state.Changed()
+		known := map[string]bool{}
+		for _, eng := range f.state.Fleet().Engines() {
+			known[eng.Address] = true
+			if following[eng.Address] == nil {
+				feedCtx, cancel := context.WithCancel(ctx)
+				following[eng.Address] = cancel
+				go f.follow(feedCtx, eng)
+			}
+		}
+		for address, cancel := range following {
+			if !known[address] {
+				cancel()
+				delete(following, address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-f.clock.After(feedsInterval):
+		}
+	}
+	for _, cancel := range following {
+		cancel()
+	}
+}
+
+// follow keeps one feed, begun again whenever it ends.
+func (f *feeds) follow(ctx context.Context, eng fleet.Engine) {
+	address := f.agentAddress(eng.Address)
+	up := false
+	for ctx.Err() == nil {
+		err := f.stream(ctx, eng, address, &up)
+		if up && ctx.Err() == nil {
+			f.log.Warn("dependency lost", "dependency", "agent", "address", address, "error", err)
+			up = false
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.clock.After(feedRetry/2 + rand.N(feedRetry)):
+		}
+	}
+}
+
+func (f *feeds) agentAddress(engine string) string {
+	host, _, err := net.SplitHostPort(engine)
+	if err != nil {
+		return engine
+	}
+	return net.JoinHostPort(host, strconv.FormatUint(uint64(f.port), 10))
+}
+
+func (f *feeds) stream(ctx context.Context, eng fleet.Engine, address string, up *bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := f.clock.AfterFunc(feedSilence, cancel)
+	defer watchdog.Stop()
+	stream, err := wire.NewDRPCFeedClient(f.pool.Conn(ctx, address)).Follow(ctx)
+	if err != nil {
+		return err
+	}
+	go f.guide(ctx, cancel, stream)
+	for {
+		state, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		watchdog.Reset(feedSilence)
+		if !*up {
+			*up = true
+			f.log.Info("dependency regained", "dependency", "agent", "address", address)
+		}
+		f.state.Fleet().Observe(eng.Service, eng.Address, stateOf(state))
+	}
+}
+
+func stateOf(state *wire.EngineState) fleet.EngineState {
+	found := fleet.EngineState{
+		Alive: state.GetAlive(), Running: int(state.GetRunning()), Queued: int(state.GetQueued()),
+		Pace: state.GetPace(), Busy: state.GetBusy(), Loaded: map[string]uint64{},
+	}
+	for _, one := range state.GetLoaded() {
+		found.Loaded[one.GetModel()] = one.GetVersion()
+	}
+	return found
+}
+
+// guide tells the agent what is wanted, at once and after each change.
+func (f *feeds) guide(ctx context.Context, cancel context.CancelFunc, stream wire.DRPCFeed_FollowClient) {
+	defer cancel()
+	for ctx.Err() == nil {
+		changed := f.state.Changed()
+		if stream.Send(f.guidance()) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-f.clock.After(guideInterval):
+		}
+	}
+}
+
+// guidance is what agents are to know now.
+func (f *feeds) guidance() *wire.Guidance {
+	told := &wire.Guidance{Revision: f.state.Revision()}
+	cat := f.state.Catalog()
+	if cat == nil {
+		return told
+	}
+	if origin := cat.Origin(); origin != "" {
+		told.OriginUrl = "http://" + origin
+	}
+	loaded := f.state.Fleet().Models()
+	cat.Services(func(svc *catalog.Service) {
+		if svc.Engine == nil {
+			return
+		}
+		for model, load := range svc.Engine.Loads {
+			told.Wanted = append(told.Wanted, f.wanted(svc.Engine, model, loaded[model], load))
+		}
+	})
+	for _, eng := range f.state.Fleet().Engines() {
+		told.Peers = append(told.Peers, &wire.Node{
+			Id: eng.Address, Role: peer.RoleAgent, Region: eng.FailureDomain, FailureDomain: eng.FailureDomain,
+			ControlAddress: f.agentAddress(eng.Address),
+		})
+	}
+	return told
+}
+
+// wanted is the version declared, or the newest that an engine has where none
+// was declared.
+func (f *feeds) wanted(spec *catalog.Engine, model string, newest uint64, load time.Duration) *wire.WantedWeights {
+	told := &wire.WantedWeights{
+		Model: model, Version: max(1, newest), LoadSeconds: load.Seconds(),
+		Chunks: uint32(spec.Chunks), ChunkBytes: uint32(spec.ChunkBytes),
+	}
+	if want, ok := f.state.WantedOf(model); ok && want.Version >= told.Version {
+		told.Version, told.Fence = want.Version, want.Revision
+		told.AgeMillis = uint32(f.clock.Since(want.Since).Milliseconds())
+	}
+	return told
+}
--- /dev/null
+++ b/entry/internal/onsite/run.go
@@ -0,0 +1,240 @@
+// Package onsite runs an entry on a platform: it follows the platform's store,
+// answers callers and tells them which entries to use.
+package onsite
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyrelay.example/entry/internal/gateway"
+	"comfreyrelay.example/entry/internal/upstream"
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/freshness"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/logging"
+	"comfreyrelay.example/relay/node"
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/site"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	program = "comfreyentry"
+	// headerTime bounds the reading of a request's head; idleTime closes
+	// callers' connections that nobody uses, well after any that operators
+	// declare.
+	headerTime = 10 * time.Second
+	idleTime   = 5 * time.Minute
+	// maxHeader bounds a request's head, bytes.
+	maxHeader = 64 << 10
+	// memoryPart is the part of the host's memory at which the collector works
+	// hardest.
+	memoryPart = 0.5
+	// announceTime is how long a stopping entry goes on taking callers who were
+	// told of it before.
+	announceTime = 2500 * time.Millisecond
+	// refuseTime is how long it refuses afterwards at least: callers that hold
+	// its address get proof that nothing was run.
+	refuseTime = 700 * time.Millisecond
+	// endMargin is left of the time until the platform's kill.
+	endMargin = 900 * time.Millisecond
+	// drainLook is how often a draining entry looks whether it is done.
+	drainLook = 20 * time.Millisecond
+)
+
+// Run runs an entry until drain ends, then lets requests finish; it stops at once
+// when kill ends.
+func Run(drain, kill context.Context, set *wire.EntrySettings, out io.Writer) error {
+	lines := logging.NewBounded(out)
+	defer func() { _ = lines.Close() }()
+	log := logging.New(lines, set.GetNode().GetLogLevel(), program, set.GetNode().GetId())
+	debug.SetMemoryLimit(int64(memoryPart * float64(set.GetSite().GetMemoryMegabytes()) * (1 << 20)))
+	return newEntry(set, log).run(drain, kill)
+}
+
+// entry holds the parts of a running entry.
+type entry struct {
+	set      *wire.EntrySettings
+	log      *slog.Logger
+	clock    clockwork.Clock
+	bounds   bounds
+	state    *site.State
+	store    *kv.Store
+	gateway  *gateway.Gateway
+	self     site.Entry
+	draining atomic.Bool
+}
+
+func newEntry(set *wire.EntrySettings, log *slog.Logger) *entry {
+	clock := clockwork.NewRealClock()
+	self := node.Describe(set.GetNode(), peer.RoleEntry, set.GetCallersAddress())
+	e := &entry{
+		set: set, log: log, clock: clock, bounds: boundsOf(set.GetSite().GetBounds()),
+		state: site.NewState(clock.Now, fleet.New(clock.Now), freshness.NewTracker(freshness.BootClock)),
+		self: site.Entry{
+			CallersAddress: set.GetCallersAddress(), Region: self.GetRegion(),
+			FailureDomain: self.GetFailureDomain(), Incarnation: self.GetIncarnation(),
+		},
+	}
+	e.store = platform.NewStore(set.GetKvUrl(), storeClient())
+	e.gateway = gateway.New(gateway.Config{
+		State: e.state, Pool: upstream.NewPool(clock.Now), Wire: platform.Wire(), Clock: clock, Log: log,
+		Domain:  self.GetFailureDomain(),
+		Bounds:  func() gateway.Bounds { return e.bounds.gateway },
+		Entries: func() int { return max(1, len(e.state.Entries())) },
+	})
+	return e
+}
+
+// storeClient makes connections to the store that end when it goes silent.
+func storeClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         upstream.Dial,
+			MaxIdleConnsPerHost: 3, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func (e *entry) run(drain, kill context.Context) error {
+	listeners, err := e.listen()
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	follower := &site.Follower{Store: e.store, State: e.state, Clock: e.clock, Log: e.log, Decode: platform.DecodeRecord}
+	streams := &feeds{state: e.state, pool: peer.NewPool(nil), port: e.set.GetSite().GetAgentPort(), clock: e.clock, log: e.log}
+	group.Go(func() error { follower.Run(ctx); return nil })
+	group.Go(func() error { streams.run(ctx); return nil })
+	e.register(ctx, drain, group)
+	front := e.serve(ctx, group, listeners.callers, e.gateway)
+	e.serve(ctx, group, listeners.ready, platform.ReadyHandler(e.ready))
+	e.serve(ctx, group, listeners.directory, platform.DirectoryHandler(e.directory().choose))
+	e.log.Info("started", "incarnation", e.self.Incarnation, "callersAddress", e.self.CallersAddress,
+		"revokeMillis", e.bounds.gateway.Revoke.Milliseconds(), "versionMillis", e.bounds.gateway.Version.Milliseconds())
+	group.Go(func() error {
+		defer stop()
+		e.awaitEnd(ctx, drain, kill, front)
+		return nil
+	})
+	err = group.Wait()
+	e.log.Info("stopped")
+	return err
+}
+
+// register keeps the registration until the drain begins.
+func (e *entry) register(ctx, drain context.Context, group *errgroup.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(drain, cancel)
+	reg := &registrar{
+		store: e.store, key: platform.EntryKey(e.set.GetNode().GetId()), value: e.self,
+		ready: e.ready, clock: e.clock, log: e.log,
+	}
+	group.Go(func() error {
+		defer cancel()
+		reg.run(ctx)
+		return nil
+	})
+}
+
+func (e *entry) directory() *directory {
+	return &directory{
+		state: e.state, self: e.self, id: e.set.GetNode().GetId(),
+		open: func() bool { return e.ready() == nil }, keep: e.bounds.directoryTTL,
+	}
+}
+
+// listeners are the addresses that an entry serves.
+type listeners struct{ callers, ready, directory net.Listener }
+
+func (e *entry) listen() (*listeners, error) {
+	all := &listeners{}
+	for _, one := range []struct {
+		into         *net.Listener
+		address, key string
+	}{
+		{&all.callers, e.set.GetCallersAddress(), "callersAddress"},
+		{&all.ready, e.set.GetSite().GetReadyAddress(), "site.readyAddress"},
+		{&all.directory, e.set.GetSite().GetDirectoryAddress(), "site.directoryAddress"},
+	} {
+		lis, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return nil, failure.Wrap(err, failure.Unavailable, "cannot listen at "+one.key,
+				"stop the process that has the port, or give another")
+		}
+		*one.into = lis
+	}
+	return all, nil
+}
+
+func (e *entry) serve(ctx context.Context, group *errgroup.Group, lis net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+	group.Go(func() error {
+		release := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer release()
+		err := server.Serve(lis)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	})
+	return server
+}
+
+// ready reports whether this entry knows what is in force and takes callers.
+func (e *entry) ready() error {
+	if e.draining.Load() {
+		return failure.New(failure.Leaving, "the entry drains", "use another")
+	}
+	if e.state.Catalog() == nil {
+		return failure.New(failure.Unavailable, "no configuration is known yet", "check kvUrl")
+	}
+	if age, known := e.state.Fresh().Age(); !known || age > e.bounds.gateway.Revoke {
+		return failure.New(failure.Unavailable, "what is known is too old", "check that the store can be reached")
+	}
+	return nil
+}
+
+// awaitEnd waits for the signal and drains.
+func (e *entry) awaitEnd(ctx, drain, kill context.Context, front *http.Server) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-drain.Done():
+	}
+	began := e.clock.Now()
+	e.draining.Store(true)
+	front.SetKeepAlivesEnabled(false)
+	e.log.Info("draining", "inFlight", e.gateway.InFlight(), "graceMillis", e.bounds.grace.Milliseconds())
+	e.sleep(kill, announceTime)
+	e.gateway.Drain()
+	e.sleep(kill, refuseTime)
+	for kill.Err() == nil && e.gateway.InFlight() > 0 && e.clock.Since(began) < e.bounds.grace-endMargin {
+		e.sleep(kill, drainLook)
+	}
+	e.log.Info("drained", "inFlight", e.gateway.InFlight(), "tookMillis", e.clock.Since(began).Milliseconds())
+}
+
+func (e *entry) sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-e.clock.After(wait):
+	}
+}
--- /dev/null
+++ b/entry/internal/upstream/conn.go
@@ -0,0 +1,153 @@
+// Package upstream carries requests to endpoints: each request goes out once,
+// on a connection that this package owns.
+//
+// The library's own transport is no use here: it sends some requests again by
+// itself when a kept connection turns out to be closed, and what must run once
+// would run twice.
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// readBuffer holds the head of an answer and a few events.
+	readBuffer = 4 << 10
+	// writeBuffer lets a usual request go out in one packet.
+	writeBuffer = 2 << 10
+	// patienceSlice is how often a read that waits looks whether it should go
+	// on.
+	patienceSlice = 250 * time.Millisecond
+)
+
+// errImpatient says that the reader of an answer gave it up.
+var errImpatient = errors.New("the answer was given up")
+
+// Conn is a connection to one endpoint. One goroutine at a time uses it.
+type Conn struct {
+	raw     net.Conn
+	address string
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	reused  bool
+	idleAt  time.Time     // when it was put back
+	keep    time.Duration // how long the endpoint keeps it while idle
+
+	cancelled atomic.Bool
+	// patient is asked from time to time while a read waits; false ends it.
+	patient func(waited time.Duration) bool
+}
+
+func newConn(raw net.Conn, address string) *Conn {
+	c := &Conn{raw: raw, address: address}
+	c.reader = bufio.NewReaderSize(patientReader{c}, readBuffer)
+	c.writer = bufio.NewWriterSize(raw, writeBuffer)
+	return c
+}
+
+// Reused reports whether the connection carried a request before.
+func (c *Conn) Reused() bool { return c.reused }
+
+// Reader returns what comes from the endpoint.
+func (c *Conn) Reader() *bufio.Reader { return c.reader }
+
+// SetPatience sets what decides whether a read goes on waiting; nil waits for
+// ever.
+func (c *Conn) SetPatience(patient func(waited time.Duration) bool) { c.patient = patient }
+
+// Send writes a request; deadline bounds the write.
+func (c *Conn) Send(req *http.Request, deadline time.Time) error {
+	if err := c.raw.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	if err := req.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// Receive reads the head of an answer to the request.
+func (c *Conn) Receive(req *http.Request) (*http.Response, error) {
+	return http.ReadResponse(c.reader, req)
+}
+
+// Cancel makes reads and writes in progress and later ones fail: the endpoint
+// notices the close that follows. Any goroutine may call it.
+func (c *Conn) Cancel() {
+	c.cancelled.Store(true)
+	_ = c.raw.SetDeadline(time.Unix(1, 0))
+}
+
+// Close ends the connection.
+func (c *Conn) Close() { _ = c.raw.Close() }
+
+// patientReader reads with a deadline that is put off as long as the
+// connection's patience lasts. A reader above it sees no time-out and so does
+// not break off where it could have gone on.
+type patientReader struct{ conn *Conn }
+
+func (r patientReader) Read(into []byte) (int, error) {
+	c := r.conn
+	began := time.Now()
+	for {
+		if c.cancelled.Load() {
+			return 0, errImpatient
+		}
+		if c.patient != nil {
+			_ = c.raw.SetReadDeadline(time.Now().Add(patienceSlice))
+			if c.cancelled.Load() {
+				return 0, errImpatient
+			}
+		}
+		n, err := c.raw.Read(into)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if c.cancelled.Load() || c.patient == nil || !c.patient(time.Since(began)) {
+			return 0, errImpatient
+		}
+	}
+}
+
+// quiet reports whether an idle connection is still open and has brought
+// nothing: bytes that nobody asked for belong to no request, and the next
+// answer could not be told from them.
+func (c *Conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rawConn, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = rawConn.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, err := syscall.Read(int(fd), one[:])
+		open = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
+		return true
+	})
+	return err == nil && open
+}
+
+// drained reports whether an answer was read to its end and nothing follows.
+func drained(body io.Reader, reader *bufio.Reader) bool {
+	var one [1]byte
+	n, err := body.Read(one[:])
+	return n == 0 && errors.Is(err, io.EOF) && reader.Buffered() == 0
+}
+
+// GivenUp reports whether a read ended because its patience did.
+func GivenUp(err error) bool { return errors.Is(err, errImpatient) }
--- /dev/null
+++ b/entry/internal/upstream/pool.go
@@ -0,0 +1,165 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds a new connection: many round trips, and little enough
+	// to try another endpoint in time.
+	dialTimeout = 400 * time.Millisecond
+	// userTimeout ends a connection whose peer acknowledges nothing.
+	userTimeout = 3 * time.Second
+	// defaultKeep is how long an idle connection is used where the endpoint
+	// does not say; keepMargin is what is left of the time that it says.
+	defaultKeep = 4 * time.Second
+	keepMargin  = 700 * time.Millisecond
+	// maxIdle bounds the idle connections kept to one endpoint.
+	maxIdle = 12
+)
+
+// Pool keeps connections to endpoints by address. It is safe for concurrent
+// use.
+type Pool struct {
+	now  func() time.Time
+	dial func(ctx context.Context, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	idle  map[string][]*Conn // newest last
+	swept time.Time
+	dials uint64
+	uses  uint64
+}
+
+// NewPool returns an empty pool.
+func NewPool(now func() time.Time) *Pool {
+	return &Pool{
+		now:  now,
+		dial: func(ctx context.Context, address string) (net.Conn, error) { return Dial(ctx, "tcp", address) },
+		idle: map[string][]*Conn{},
+	}
+}
+
+// Dial opens a connection that ends when its peer goes silent.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: control}
+	return dialer.DialContext(ctx, network, address)
+}
+
+// control makes a connection end whose peer went silent: without it one behind
+// a cut hangs for ever.
+func control(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Get returns an idle connection to the address or a new one. Nothing was sent
+// where it fails.
+func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		conn := p.take(address)
+		if conn == nil {
+			break
+		}
+		if conn.quiet() {
+			conn.reused = true
+			return conn, nil
+		}
+		conn.Close()
+	}
+	p.mu.Lock()
+	p.dials++
+	p.mu.Unlock()
+	raw, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, address), nil
+}
+
+func (p *Pool) take(address string) *Conn {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.uses++
+	p.sweep(now)
+	list := p.idle[address]
+	for len(list) > 0 {
+		conn := list[len(list)-1]
+		list = list[:len(list)-1]
+		if now.Sub(conn.idleAt) < conn.keep {
+			p.idle[address] = list
+			return conn
+		}
+		conn.Close()
+	}
+	delete(p.idle, address)
+	return nil
+}
+
+// sweep closes what has been idle for too long, at most once a second.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.swept) < time.Second {
+		return
+	}
+	p.swept = now
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, conn := range list {
+			if now.Sub(conn.idleAt) < conn.keep {
+				kept = append(kept, conn)
+			} else {
+				conn.Close()
+			}
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// Put takes back a connection whose answer was read; it is kept only if the
+// answer ended cleanly and both sides go on. keep is the time that the endpoint
+// told, 0 where it did not.
+func (p *Pool) Put(conn *Conn, resp *http.Response, keep time.Duration) {
+	conn.SetPatience(nil)
+	if resp.Close || conn.cancelled.Load() || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 ||
+		!drained(resp.Body, conn.reader) {
+		conn.Close()
+		return
+	}
+	conn.keep = defaultKeep
+	if keep > 0 {
+		conn.keep = keep - keepMargin
+	}
+	_ = conn.raw.SetReadDeadline(time.Time{})
+	conn.idleAt = p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn.keep <= 0 || len(p.idle[conn.address]) >= maxIdle {
+		conn.Close()
+		return
+	}
+	p.idle[conn.address] = append(p.idle[conn.address], conn)
+}
+
+// Counts returns how many connections were asked for and how many were new.
+func (p *Pool) Counts() (uses, dials uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.uses, p.dials
+}
--- a/relay/cli/daemon.go
+++ b/relay/cli/daemon.go
@@ -19,6 +19,8 @@
 	About string
 	// Load reads and checks the settings file with the overrides.
 	Load func(file string, overrides []string) (T, error)
+	// DefaultFile is the settings file where none is named; empty: one must be.
+	DefaultFile string
 	// Run works until drain ends, then finishes; it stops at once when kill does.
 	Run func(drain, kill context.Context, set T, out, errOut io.Writer) error
 }
@@ -65,7 +67,11 @@
 }
 
 func (d Daemon[T]) start(opts *daemonOptions, out, errOut io.Writer) error {
-	set, err := d.Load(opts.Settings, opts.Set)
+	file := opts.Settings
+	if file == "" {
+		file = d.DefaultFile
+	}
+	set, err := d.Load(file, opts.Set)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/relay/fleet/endpoint.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"time"
+)
+
+const (
+	// feedStale is the age at which an agent's word is no longer taken: it
+	// sends at least four times as often.
+	feedStale = 900 * time.Millisecond
+	// sampleDelay is how much older a state is than its arrival: the engine's
+	// answer to its agent, the way between failure domains, and the two
+	// processes' turns at their processors.
+	sampleDelay = 6 * time.Millisecond
+	// loadStale is the age at which what an endpoint told with an answer is no
+	// longer taken.
+	loadStale = time.Second
+	// firstEjection is the pause after a first failure to connect or a
+	// silence; it doubles with each in a row up to maxEjection.
+	firstEjection = 250 * time.Millisecond
+	maxEjection   = 4 * time.Second
+	// fullPause is the pause after a refusal.
+	fullPause = 40 * time.Millisecond
+	// movedPause is the pause after another endpoint answered at the address:
+	// the registration ends soon.
+	movedPause = 2 * time.Second
+	// errorWeight is the part of a new outcome in the rate of errors.
+	errorWeight = 0.15
+)
+
+// endpoint is one incarnation of an endpoint; its group's lock guards it.
+type endpoint struct {
+	reg  Registration
+	gone time.Time // chosen no more from then on; zero: registered
+
+	state   EngineState
+	stateAt time.Time // arrival of state; zero: none came
+	// sent and ended are the moments of own requests sent and ended since the
+	// state was sampled, which it does not count yet.
+	sent, ended []time.Time
+
+	running  map[*Grant]time.Time // own requests in progress, by when they were sent
+	reading  int                  // prompt tokens of own requests without a first event
+	load     int                  // running and waiting as last told with an answer
+	loadAt   time.Time
+	failures int       // to connect or to answer, in a row
+	ejected  time.Time // chosen no more until then
+	errors   float64   // smoothed share of answers that were failures
+}
+
+func newEndpoint(reg Registration) *endpoint {
+	return &endpoint{reg: reg, running: map[*Grant]time.Time{}}
+}
+
+// followed reports whether the agent's word is new enough.
+func (e *endpoint) followed(now time.Time) bool {
+	return !e.stateAt.IsZero() && now.Sub(e.stateAt) < feedStale
+}
+
+// version returns the loaded version of a model; 0 where it is not loaded.
+func (e *endpoint) version(now time.Time, model string) uint64 {
+	if e.followed(now) {
+		return e.state.Loaded[model]
+	}
+	return e.reg.Loaded[model]
+}
+
+// open reports whether the endpoint takes new requests, as far as known.
+func (e *endpoint) open(now time.Time) bool {
+	if e.reg.Leaving || now.Before(e.ejected) || !e.gone.IsZero() && !now.Before(e.gone) {
+		return false
+	}
+	return !e.followed(now) || e.state.Alive && !e.state.Busy
+}
+
+// occupancy returns the requests in progress and waiting there. The agent's
+// count is taken where it is new; own requests since then are added.
+func (e *endpoint) occupancy(now time.Time, entries int) int {
+	own := len(e.running)
+	if e.followed(now) {
+		return max(own, e.state.Running+e.state.Queued+len(e.sent)-len(e.ended))
+	}
+	if now.Sub(e.loadAt) < loadStale {
+		return max(own, e.load)
+	}
+	// Nothing is known of the other entries: each does as this one.
+	return own * max(1, entries)
+}
+
+func (e *endpoint) observe(now time.Time, state EngineState) {
+	sampled := now.Add(-sampleDelay)
+	e.sent = dropBefore(e.sent, sampled)
+	e.ended = dropBefore(e.ended, sampled)
+	e.state, e.stateAt = state, now
+}
+
+// dropBefore removes the moments before the limit; times are in order.
+func dropBefore(times []time.Time, limit time.Time) []time.Time {
+	kept := 0
+	for kept < len(times) && times[kept].Before(limit) {
+		kept++
+	}
+	return append(times[:0], times[kept:]...)
+}
+
+// oldest returns how long the longest own request has been in progress.
+func (e *endpoint) oldest(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, began := range e.running {
+		longest = max(longest, now.Sub(began))
+	}
+	return longest
+}
+
+// eject keeps new requests away for a while that doubles with each failure.
+func (e *endpoint) eject(now time.Time) {
+	pause := min(firstEjection<<min(e.failures, 5), maxEjection)
+	e.failures++
+	e.ejected = now.Add(pause)
+}
--- /dev/null
+++ b/relay/fleet/fleet.go
@@ -0,0 +1,166 @@
+// Package fleet keeps what one entry believes of the endpoints and chooses
+// among them.
+//
+// Three sources are joined: registrations say who is there and who leaves,
+// engines' agents stream what their engine does, and the entry's own requests
+// show who answers. Time is passed in by the clock; nothing here does I/O.
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"comfreyrelay.example/relay/catalog"
+)
+
+// Registration is what an endpoint tells of itself through the platform.
+type Registration struct {
+	ID            string // of one incarnation
+	Service       string
+	Address       string // "IP:PORT"
+	FailureDomain string
+	Slots         int
+	Leaving       bool          // gets nothing new
+	Cold          time.Duration // how much longer it is slow after its start
+	Loaded        map[string]uint64
+}
+
+// EngineState is an engine as its agent sees it.
+type EngineState struct {
+	Alive   bool
+	Running int
+	Queued  int
+	Pace    float64 // over 1: slow
+	Busy    bool    // an order is in progress, nothing new is begun
+	Loaded  map[string]uint64
+}
+
+// Fleet holds the endpoints of all services, in a group a service with a lock
+// of its own. It is safe for concurrent use.
+type Fleet struct {
+	clock func() time.Time
+
+	mu     sync.RWMutex
+	groups map[string]*Group // by service
+	owner  map[string]string // service by endpoint id
+}
+
+// New returns an empty Fleet.
+func New(clock func() time.Time) *Fleet {
+	return &Fleet{clock: clock, groups: map[string]*Group{}, owner: map[string]string{}}
+}
+
+// Group returns the endpoints of a service; it is made at its first use.
+func (f *Fleet) Group(service string) *Group {
+	f.mu.RLock()
+	grp := f.groups[service]
+	f.mu.RUnlock()
+	if grp != nil {
+		return grp
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.group(service)
+}
+
+// group is Group with f.mu held for writing.
+func (f *Fleet) group(service string) *Group {
+	grp := f.groups[service]
+	if grp == nil {
+		grp = newGroup(f.clock)
+		f.groups[service] = grp
+	}
+	return grp
+}
+
+// Declare takes over what operators say of the services' engines.
+func (f *Fleet) Declare(cat *catalog.Catalog) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cat.Services(func(svc *catalog.Service) {
+		f.group(svc.Name).declare(svc.Engine)
+	})
+}
+
+// IDs returns the ids of the endpoints known.
+func (f *Fleet) IDs() []string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	ids := make([]string, 0, len(f.owner))
+	for id := range f.owner {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Register takes over a registration, new or changed.
+func (f *Fleet) Register(reg Registration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old, ok := f.owner[reg.ID]; ok && old != reg.Service {
+		f.group(old).remove(reg.ID, f.clock())
+	}
+	f.owner[reg.ID] = reg.Service
+	f.group(reg.Service).register(reg)
+}
+
+// Remove notes that a registration ended. The endpoint is chosen no more from
+// the moment given on: after an outage of the store a registration may come
+// back until then.
+func (f *Fleet) Remove(id string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	service, ok := f.owner[id]
+	if !ok {
+		return
+	}
+	delete(f.owner, id)
+	f.group(service).remove(id, at)
+}
+
+// Observe takes over what the agent at an engine's address saw.
+func (f *Fleet) Observe(service, address string, state EngineState) {
+	f.Group(service).observe(address, state)
+}
+
+// Engine is an engine's host, for those who follow its agent.
+type Engine struct {
+	Service       string
+	Address       string // of the engine, "IP:PORT"
+	FailureDomain string
+}
+
+// Engines returns the addresses of all engines known, one for each address.
+func (f *Fleet) Engines() []Engine {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var list []Engine
+	for service, grp := range f.groups {
+		list = append(list, grp.engines(service)...)
+	}
+	return list
+}
+
+// Newest returns the highest version of a model that some endpoint has loaded;
+// 0 where none has.
+func (f *Fleet) Newest(model string) uint64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	newest := uint64(0)
+	for _, grp := range f.groups {
+		newest = max(newest, grp.newest(model))
+	}
+	return newest
+}
+
+// Models returns the highest version of each model that some endpoint has
+// loaded.
+func (f *Fleet) Models() map[string]uint64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	found := map[string]uint64{}
+	for _, grp := range f.groups {
+		grp.addModels(found)
+	}
+	return found
+}
--- /dev/null
+++ b/relay/fleet/grant.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"time"
+
+	"comfreyrelay.example/relay/call"
+)
+
+// Outcome is how a request ended at an endpoint.
+type Outcome int
+
+// The outcomes.
+const (
+	Served      Outcome = iota // an answer came, whole
+	Failed                     // the endpoint answered that it failed
+	Refused                    // it proved that it did not run the request
+	Moved                      // another endpoint has the address
+	Unreachable                // no connection came about: nothing was sent
+	Broken                     // the connection or the answer broke off
+	Silent                     // no answer came in time
+	Abandoned                  // the caller left or its time was over
+)
+
+// String returns the name for logs.
+func (o Outcome) String() string {
+	return [...]string{"served", "failed", "refused", "moved", "unreachable", "broken", "silent", "abandoned"}[o]
+}
+
+// Grant is one request's place at an endpoint.
+type Grant struct {
+	group    *Group
+	end      *endpoint
+	id       string
+	address  string
+	version  uint64
+	prompt   int
+	occupied int
+	stateAge time.Duration
+	begun    bool // the first event came; guarded by the group's lock
+	done     bool
+}
+
+// ID returns the endpoint's id.
+func (g *Grant) ID() string { return g.id }
+
+// Address returns the endpoint's address, "IP:PORT".
+func (g *Grant) Address() string { return g.address }
+
+// Version returns the version of the model that was loaded at the choice.
+func (g *Grant) Version() uint64 { return g.version }
+
+// Occupied returns the requests that were counted there at the choice.
+func (g *Grant) Occupied() int { return g.occupied }
+
+// StateAge returns the age of the agent's word at the choice.
+func (g *Grant) StateAge() time.Duration { return g.stateAge }
+
+// Alive reports whether the endpoint is not known to be dead: the agent on its
+// host says at once that it does not answer.
+func (g *Grant) Alive() bool {
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	return !g.end.followed(g.group.clock()) || g.end.state.Alive
+}
+
+// Answered takes over what the endpoint told with its answer.
+func (g *Grant) Answered(load *call.Load) {
+	if load == nil {
+		return
+	}
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	g.end.load, g.end.loadAt = load.Running+load.Waiting, g.group.clock()
+}
+
+// Began notes the first event: the prompt is read.
+func (g *Grant) Began() {
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	g.began()
+}
+
+func (g *Grant) began() {
+	if !g.begun {
+		g.begun = true
+		g.end.reading -= g.prompt
+	}
+}
+
+// Done gives the place back and takes the outcome as evidence. Calls after the
+// first do nothing.
+func (g *Grant) Done(outcome Outcome) {
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	if g.done {
+		return
+	}
+	g.done = true
+	g.began()
+	now := g.group.clock()
+	delete(g.end.running, g)
+	if !g.end.stateAt.IsZero() {
+		g.end.ended = append(g.end.ended, now)
+	}
+	g.end.note(now, outcome)
+	g.group.forget()
+	g.group.wake()
+}
+
+// note takes an outcome as evidence of how the endpoint does.
+func (e *endpoint) note(now time.Time, outcome Outcome) {
+	failed := 0.0
+	switch outcome {
+	case Served:
+		e.failures = 0
+	case Failed, Broken:
+		failed = 1
+	case Refused:
+		e.ejected = now.Add(fullPause)
+		return
+	case Moved:
+		e.ejected = now.Add(movedPause)
+		return
+	case Unreachable, Silent:
+		e.eject(now)
+		failed = 1
+	case Abandoned:
+		return
+	}
+	e.errors += errorWeight * (failed - e.errors)
+}
--- /dev/null
+++ b/relay/fleet/group.go
@@ -0,0 +1,253 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/relay/catalog"
+)
+
+const (
+	// farCost is what another failure domain weighs against requests in
+	// progress: bytes between domains are paid for and take longer, but a
+	// place in a batch is worth more.
+	farCost = 0.7
+	// chance spreads entries that see the same state over endpoints that are
+	// as good as equal.
+	chance = 0.6
+	// errorCost is what an endpoint that fails every request weighs.
+	errorCost = 10.0
+	// silenceCost is what an endpoint weighs at which a plain request has been
+	// in progress for many times its usual time.
+	silenceCost = 6.0
+	// silentAfter is that time.
+	silentAfter = 400 * time.Millisecond
+	// readingUnit is the prompt tokens that weigh as much as one request in
+	// progress: they are read in one batch with the next pass.
+	readingUnit = 4000.0
+)
+
+// Verdict says what became of a choice.
+type Verdict int
+
+// The verdicts.
+const (
+	Granted Verdict = iota // the grant is good
+	Full                   // endpoints serve this, all are full
+	Nobody                 // no endpoint serves this now
+)
+
+// Need says which endpoint a request needs.
+type Need struct {
+	Model string // empty: a plain request
+	// Floor is the lowest version of the model that may serve.
+	Floor   uint64
+	Prompt  int // tokens
+	Domain  string
+	Exclude []string // endpoints that had the request already
+	// Extra is the requests an engine may hold beyond its slots; below 0 it
+	// keeps slots free.
+	Extra   int
+	Entries int // entries that share the endpoints
+}
+
+// Group holds the endpoints of one service. It is safe for concurrent use.
+type Group struct {
+	clock func() time.Time
+
+	mu        sync.Mutex
+	engine    *catalog.Engine // nil: a plain service
+	endpoints map[string]*endpoint
+	changed   chan struct{} // closed and replaced when room may have come
+}
+
+func newGroup(clock func() time.Time) *Group {
+	return &Group{clock: clock, endpoints: map[string]*endpoint{}, changed: make(chan struct{})}
+}
+
+func (g *Group) declare(engine *catalog.Engine) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.engine = engine
+}
+
+func (g *Group) register(reg Registration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	end := g.endpoints[reg.ID]
+	if end == nil {
+		end = newEndpoint(reg)
+		g.endpoints[reg.ID] = end
+	}
+	end.reg, end.gone = reg, time.Time{}
+	g.wake()
+}
+
+func (g *Group) remove(id string, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if end := g.endpoints[id]; end != nil {
+		end.gone = at
+	}
+	g.forget()
+}
+
+// forget drops endpoints that are gone and have no request left.
+func (g *Group) forget() {
+	now := g.clock()
+	for id, end := range g.endpoints {
+		if !end.gone.IsZero() && !now.Before(end.gone) && len(end.running) == 0 {
+			delete(g.endpoints, id)
+		}
+	}
+}
+
+func (g *Group) observe(address string, state EngineState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	for _, end := range g.endpoints {
+		if end.reg.Address == address {
+			end.observe(now, state)
+		}
+	}
+	g.wake()
+}
+
+// wake lets those who wait for room look again; g.mu is held.
+func (g *Group) wake() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed when room may have come.
+func (g *Group) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+func (g *Group) engines(service string) []Engine {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.engine == nil {
+		return nil
+	}
+	seen := map[string]bool{}
+	var list []Engine
+	for _, end := range g.endpoints {
+		if !seen[end.reg.Address] {
+			seen[end.reg.Address] = true
+			list = append(list, Engine{Service: service, Address: end.reg.Address, FailureDomain: end.reg.FailureDomain})
+		}
+	}
+	return list
+}
+
+func (g *Group) newest(model string) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	newest := uint64(0)
+	for _, end := range g.endpoints {
+		newest = max(newest, end.version(g.clock(), model))
+	}
+	return newest
+}
+
+func (g *Group) addModels(found map[string]uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, end := range g.endpoints {
+		for model, version := range end.reg.Loaded {
+			found[model] = max(found[model], version)
+		}
+		for model, version := range end.state.Loaded {
+			found[model] = max(found[model], version)
+		}
+	}
+}
+
+// Room returns the free slots of the engines that may serve the need, and all
+// their slots.
+func (g *Group) Room(need Need) (free, slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	for _, end := range g.endpoints {
+		if g.serves(end, need, now) {
+			slots += end.reg.Slots
+			free += max(0, end.reg.Slots-end.occupancy(now, need.Entries))
+		}
+	}
+	return free, slots
+}
+
+// serves reports whether an endpoint may get the request, room aside.
+func (g *Group) serves(end *endpoint, need Need, now time.Time) bool {
+	for _, id := range need.Exclude {
+		if id == end.reg.ID {
+			return false
+		}
+	}
+	if !end.open(now) {
+		return false
+	}
+	return g.engine == nil || need.Model == "" || end.version(now, need.Model) >= max(1, need.Floor)
+}
+
+// Pick chooses an endpoint for a request and counts the request there until
+// the grant is done with.
+func (g *Group) Pick(need Need) (*Grant, Verdict) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	var best *endpoint
+	var least float64
+	verdict := Nobody
+	for _, end := range g.endpoints {
+		if !g.serves(end, need, now) {
+			continue
+		}
+		occupied := end.occupancy(now, need.Entries)
+		if occupied >= end.reg.Slots+need.Extra {
+			verdict = Full
+			continue
+		}
+		if score := g.score(end, need, now, occupied); best == nil || score < least {
+			best, least = end, score
+		}
+	}
+	if best == nil {
+		return nil, verdict
+	}
+	grant := &Grant{
+		group: g, end: best, prompt: need.Prompt,
+		id: best.reg.ID, address: best.reg.Address, version: best.version(now, need.Model),
+		occupied: best.occupancy(now, need.Entries), stateAge: now.Sub(best.stateAt),
+	}
+	best.running[grant] = now
+	if !best.stateAt.IsZero() {
+		best.sent = append(best.sent, now)
+	}
+	best.reading += need.Prompt
+	return grant, Granted
+}
+
+// score orders the endpoints that have room; the least is best.
+func (g *Group) score(end *endpoint, need Need, now time.Time, occupied int) float64 {
+	score := float64(occupied) + chance*rand.Float64() + errorCost*end.errors
+	if end.reg.FailureDomain != need.Domain {
+		score += farCost
+	}
+	if g.engine == nil {
+		if end.oldest(now) > silentAfter {
+			score += silenceCost
+		}
+		return score
+	}
+	if pace := end.state.Pace; pace > 1 && end.followed(now) {
+		score *= pace
+	}
+	return score + float64(end.reading)/readingUnit
+}
--- a/relay/manifest/manifest.go
+++ b/relay/manifest/manifest.go
@@ -105,3 +105,28 @@
 	start := uint64(i) * size
 	return int(min(size, man.GetTotalBytes()-start))
 }
+
+// Named returns the manifest of a version that is named by its publisher and
+// not by its hash, with the hashes of its chunks, all but the last one of the
+// same size.
+func Named(version string, chunkBytes int, hashes [][]byte) *wire.Manifest {
+	return &wire.Manifest{
+		Model: version, Kind: KindBase, ChunkBytes: uint32(chunkBytes),
+		TotalBytes: uint64(chunkBytes) * uint64(len(hashes)), ChunkHashes: hashes,
+	}
+}
+
+// DecodeNamed reads an encoded manifest that Named made for the version.
+func DecodeNamed(encoded []byte, version string) (*wire.Manifest, error) {
+	man := &wire.Manifest{}
+	if err := proto.Unmarshal(encoded, man); err != nil {
+		return nil, failure.Wrap(err, failure.Corrupt, "the manifest cannot be read", "it is drawn again")
+	}
+	if man.GetModel() != version {
+		return nil, failure.New(failure.Corrupt, "the manifest is that of "+man.GetModel(), "it is drawn again")
+	}
+	if err := check(man); err != nil {
+		return nil, err
+	}
+	return man, nil
+}
--- /dev/null
+++ b/relay/site/record.go
@@ -0,0 +1,42 @@
+// Package site keeps what one process knows of its deployment: the catalog in
+// force, the endpoints, the entries and the weights wanted, and how old that
+// knowledge is.
+package site
+
+import (
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/fleet"
+)
+
+// RecordKind says what a key of the store tells.
+type RecordKind int
+
+// The kinds; the zero kind tells nothing of concern.
+const (
+	CatalogRecord RecordKind = iota + 1
+	WeightsRecord
+	EndpointRecord
+	EntryRecord
+)
+
+// Record is one key of the store, decoded.
+type Record struct {
+	Kind RecordKind
+	// ID is the model, the endpoint or the entry.
+	ID   string
+	Gone bool
+	// Exactly the field of the kind is set, where the key is not gone.
+	Catalog  *catalog.Catalog
+	Weights  uint64 // version declared
+	Endpoint fleet.Registration
+	Entry    Entry
+}
+
+// Entry is an entry's registration.
+type Entry struct {
+	CallersAddress string `json:"callersAddress"`
+	Region         string `json:"region"`
+	FailureDomain  string `json:"failureDomain"`
+	Incarnation    string `json:"incarnation"`
+	Lease          string `json:"lease"`
+}
--- /dev/null
+++ b/relay/site/state.go
@@ -0,0 +1,198 @@
+package site
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/freshness"
+)
+
+// Wanted is the version that the hosts of a model should use.
+type Wanted struct {
+	Model    string
+	Version  uint64
+	Revision uint64 // of the store, grows with the version; 0 where not declared
+	Since    time.Time
+}
+
+// State is what a process knows. It is safe for concurrent use.
+type State struct {
+	clock func() time.Time
+	fleet *fleet.Fleet
+	fresh *freshness.Tracker
+
+	catalog atomic.Pointer[catalog.Catalog] // nil: none was read yet
+
+	mu       sync.Mutex
+	revision uint64 // of the store, never falls
+	entries  map[string]Entry
+	missing  map[string]time.Time // entries whose registration ended, by when they are dropped
+	wanted   map[string]Wanted
+	settled  time.Time // registrations that end before it may be back
+	changed  chan struct{}
+}
+
+// settleTime is how long after the store came back a registration may be
+// missing though its owner lives: owners write again within two seconds.
+const settleTime = 2200 * time.Millisecond
+
+// NewState returns a State that knows nothing.
+func NewState(clock func() time.Time, flt *fleet.Fleet, fresh *freshness.Tracker) *State {
+	return &State{
+		clock: clock, fleet: flt, fresh: fresh,
+		entries: map[string]Entry{}, missing: map[string]time.Time{}, wanted: map[string]Wanted{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Catalog returns the newest catalog; nil before the first.
+func (s *State) Catalog() *catalog.Catalog { return s.catalog.Load() }
+
+// Fleet returns the endpoints.
+func (s *State) Fleet() *fleet.Fleet { return s.fleet }
+
+// Fresh returns the age of what is known.
+func (s *State) Fresh() *freshness.Tracker { return s.fresh }
+
+// Revision returns the store's revision that is known.
+func (s *State) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Entries returns the entries known, by id.
+func (s *State) Entries() map[string]Entry {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropMissing(now)
+	return maps.Clone(s.entries)
+}
+
+func (s *State) dropMissing(now time.Time) {
+	for id, at := range s.missing {
+		if !now.Before(at) {
+			delete(s.entries, id)
+			delete(s.missing, id)
+		}
+	}
+}
+
+// Wanted returns the weights wanted, by model.
+func (s *State) Wanted() []Wanted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.wanted))
+}
+
+// WantedOf returns the version wanted of a model; ok is false where none is
+// declared.
+func (s *State) WantedOf(model string) (Wanted, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	want, ok := s.wanted[model]
+	return want, ok
+}
+
+// Lost notes that the store does not answer: registrations that lapse now may
+// be back after it returns.
+func (s *State) Lost() { s.settle() }
+
+// Regained notes that the store answers again.
+func (s *State) Regained() { s.settle() }
+
+func (s *State) settle() {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settled = now.Add(settleTime)
+}
+
+// Reset takes over a whole reading of the store: what it does not hold is gone.
+func (s *State) Reset(records []Record, revision uint64) {
+	seenEntries, seenEndpoints := map[string]bool{}, map[string]bool{}
+	for _, rec := range records {
+		switch rec.Kind {
+		case EntryRecord:
+			seenEntries[rec.ID] = true
+		case EndpointRecord:
+			seenEndpoints[rec.ID] = true
+		case CatalogRecord, WeightsRecord:
+		}
+	}
+	for id := range s.Entries() {
+		if !seenEntries[id] {
+			records = append(records, Record{Kind: EntryRecord, ID: id, Gone: true})
+		}
+	}
+	for _, id := range s.fleet.IDs() {
+		if !seenEndpoints[id] {
+			records = append(records, Record{Kind: EndpointRecord, ID: id, Gone: true})
+		}
+	}
+	s.Apply(records, revision)
+}
+
+// Apply takes over changes of the store up to a revision. What is older than
+// what is known is left out, so that nothing falls back.
+func (s *State) Apply(records []Record, revision uint64) {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = max(s.revision, revision)
+	s.dropMissing(now)
+	for _, rec := range records {
+		s.apply(now, rec, revision)
+	}
+	if len(records) > 0 {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+func (s *State) apply(now time.Time, rec Record, revision uint64) {
+	switch rec.Kind {
+	case CatalogRecord:
+		if old := s.catalog.Load(); old == nil || rec.Catalog.Version() > old.Version() {
+			s.catalog.Store(rec.Catalog)
+			s.fleet.Declare(rec.Catalog)
+		}
+	case WeightsRecord:
+		if rec.Weights > s.wanted[rec.ID].Version {
+			s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: now}
+		}
+	case EndpointRecord:
+		if rec.Gone {
+			s.fleet.Remove(rec.ID, laterOf(now, s.settled))
+			return
+		}
+		s.fleet.Register(rec.Endpoint)
+	case EntryRecord:
+		if rec.Gone {
+			s.missing[rec.ID] = laterOf(now, s.settled)
+			return
+		}
+		delete(s.missing, rec.ID)
+		s.entries[rec.ID] = rec.Entry
+	}
+}
+
+func laterOf(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
