Engines are home to one entry each, and entries share what waits to be read

Cause: nine entries that saw the same state chose the same engine at the same moment, and none knew of the prompts that the others had sent and that were not read yet: a prompt waited for those before it although other engines read nothing.

Change: each engine of a failure domain is home to one entry of it, others weigh it more; entries tell each agent how many prompt tokens they sent that are not read, and agents tell the sum. A choice weighs the wait in milliseconds. Weights cross a region's border once (burst: DearRegions), leave a third of the link to live requests, and are loaded in waves (rollout) by cutover where all streams may go on elsewhere. A refusal that proves 'not run' counts as no attempt.

--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -12,6 +13,9 @@
 const (
 	// sendGap is the least time between two states to one entry.
 	sendGap = 25 * time.Millisecond
+	// farGap is the same to an entry of another region, which seldom sends
+	// here and whose bytes are dear.
+	farGap = 150 * time.Millisecond
 	// sendAnyway is the longest such time: an entry that hears nothing for a
 	// few of these takes the agent's word no longer.
 	sendAnyway = 200 * time.Millisecond
@@ -22,12 +26,17 @@
 	watch *watch
 	guide *guide
 	clock clockwork.Clock
+	// region of this host.
+	region string
 }
 
 // Follow streams the engine's state until the entry goes.
 func (f *feed) Follow(stream wire.DRPCFeed_FollowStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	listener := &follower{feed: f}
+	listener.gap.Store(int64(farGap))
+	defer listener.hearReading(0)
 	go func() {
 		defer cancel()
 		for {
@@ -35,33 +44,58 @@
 			if err != nil {
 				return
 			}
-			f.guide.hear(f.clock.Now(), told)
+			listener.hear(told)
 		}
 	}()
 	for {
 		state, changed := f.watch.told()
+		state.ReadingYours = uint32(listener.reading.Load())
 		if err := stream.Send(state); err != nil {
 			return err
 		}
-		if !f.pause(ctx, changed) {
+		if !f.pause(ctx, changed, time.Duration(listener.gap.Load())) {
 			return nil
 		}
 	}
 }
 
-// pause waits for a change, not shorter than sendGap and not longer than
+// follower is one entry that follows the engine.
+type follower struct {
+	feed    *feed
+	gap     atomic.Int64 // least time between two states, nanoseconds
+	reading atomic.Int64 // prompt tokens of the entry that are not read yet
+}
+
+func (f *follower) hear(told *wire.Guidance) {
+	f.hearReading(int64(told.GetReading()))
+	if told.GetReadingOnly() {
+		return
+	}
+	if told.GetRegion() == f.feed.region {
+		f.gap.Store(int64(sendGap))
+	}
+	f.feed.guide.hear(f.feed.clock.Now(), told)
+}
+
+func (f *follower) hearReading(tokens int64) {
+	if old := f.reading.Swap(tokens); old != tokens {
+		f.feed.watch.addReading(tokens - old)
+	}
+}
+
+// pause waits for a change, not shorter than the gap and not longer than
 // sendAnyway; it returns false once ctx is done.
-func (f *feed) pause(ctx context.Context, changed <-chan struct{}) bool {
+func (f *feed) pause(ctx context.Context, changed <-chan struct{}, gap time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-f.clock.After(sendGap):
+	case <-f.clock.After(gap):
 	}
 	select {
 	case <-ctx.Done():
 		return false
 	case <-changed:
-	case <-f.clock.After(sendAnyway - sendGap):
+	case <-f.clock.After(max(0, sendAnyway-gap)):
 	}
 	return true
 }
--- a/agent/internal/onsite/guide.go
+++ b/agent/internal/onsite/guide.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"comfreyrelay.example/relay/rollout"
 	"comfreyrelay.example/relay/wire"
 )
 
@@ -21,6 +22,9 @@
 	load    time.Duration
 	chunks  int
 	size    int // of a chunk, bytes
+	// cutover: every stream of the engine may go on at another one, so that a
+	// load need not wait for those that run.
+	cutover bool
 }
 
 // guide is what the entries told, the newest of each. A guide never goes back to
@@ -29,6 +33,7 @@
 	mu       sync.Mutex
 	revision uint64 // of the guidance that gave peers and origin
 	wanted   map[string]wanted
+	history  map[string][]rollout.Declared // by model, newest last
 	peers    []*wire.Node
 	origin   string
 	changed  chan struct{} // buffered by one
@@ -37,7 +42,7 @@
 }
 
 func newGuide() *guide {
-	return &guide{wanted: map[string]wanted{}, changed: make(chan struct{}, 1), known: make(chan struct{})}
+	return &guide{wanted: map[string]wanted{}, history: map[string][]rollout.Declared{}, changed: make(chan struct{}, 1), known: make(chan struct{})}
 }
 
 // await returns the weights wanted once some are.
@@ -66,9 +71,11 @@
 		if one.GetVersion() <= g.wanted[one.GetModel()].version {
 			continue
 		}
+		since := now.Add(-time.Duration(one.GetAgeMillis()) * time.Millisecond)
+		g.remember(one.GetModel(), rollout.Declared{Version: one.GetVersion(), At: since})
 		g.wanted[one.GetModel()] = wanted{
 			model: one.GetModel(), version: one.GetVersion(), fence: one.GetFence(),
-			since:  now.Add(-time.Duration(one.GetAgeMillis()) * time.Millisecond),
+			since: since, cutover: one.GetCutover(),
 			load:   time.Duration(one.GetLoadSeconds() * float64(time.Second)),
 			chunks: int(one.GetChunks()), size: int(one.GetChunkBytes()),
 		}
@@ -83,6 +90,22 @@
 	}
 }
 
+// maxHistory bounds the declarations remembered of one model: those still in
+// their time are a few.
+const maxHistory = 16
+
+func (g *guide) remember(model string, decl rollout.Declared) {
+	list := append(g.history[model], decl)
+	g.history[model] = list[max(0, len(list)-maxHistory):]
+}
+
+// declared returns the declarations known of a model, oldest first.
+func (g *guide) declared(model string) []rollout.Declared {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.history[model])
+}
+
 // weights returns the weights wanted; ok is false while none are known. An
 // engine serves one model: of several, the first by name.
 func (g *guide) weights() (want wanted, ok bool) {
--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -13,6 +13,7 @@
 	"comfreyrelay.example/platform"
 	"comfreyrelay.example/relay/burst"
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/rollout"
 )
 
 const (
@@ -22,6 +23,9 @@
 	orderPause = 150 * time.Millisecond
 	// orderTimeout bounds one order.
 	orderTimeout = time.Second
+	// noticeTime is how long entries have to hear of an order before it is given:
+	// one state's way to them and a request's way here.
+	noticeTime = 40 * time.Millisecond
 	// recheckTimeout bounds the reading back of all chunks.
 	recheckTimeout = 5 * time.Second
 )
@@ -47,9 +51,12 @@
 	mgr    *weights.Manager
 	clock  clockwork.Clock
 	log    *slog.Logger
+	self   string        // this host among others
+	bound  time.Duration // for the use of a version after a newer one
 
-	target  string // version that the Manager fetches
-	refused uint64 // fencing number that the engine refused; lower ones are not used again
+	target  string    // version that the Manager fetches
+	ready   time.Time // when it lay ready here; zero: not yet
+	refused uint64    // fencing number that the engine refused; lower ones are not used again
 	notTill time.Time
 }
 
@@ -64,6 +71,13 @@
 	}
 }
 
+func (l *loader) sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-l.clock.After(wait):
+	}
+}
+
 func (l *loader) step(ctx context.Context) {
 	want, ok := l.guide.weights()
 	if !ok {
@@ -71,7 +85,7 @@
 	}
 	name := versionName(want.model, want.version)
 	if name != l.target {
-		l.target = name
+		l.target, l.ready = name, time.Time{}
 		l.log.Info("weights wanted", "version", name, "fence", want.fence, "ageMillis", l.clock.Since(want.since).Milliseconds())
 		l.mgr.SetTargets([]weights.Target{{Version: name}}, weights.Policy{Objective: burst.ObjectiveTime, OriginCopies: 1})
 	}
@@ -83,9 +97,31 @@
 	if l.mgr.State(name).Phase() != weights.Whole || l.clock.Now().Before(l.notTill) || want.fence > 0 && want.fence <= l.refused {
 		return
 	}
+	if l.ready.IsZero() {
+		l.ready = l.clock.Now()
+	}
+	if l.clock.Now().Before(l.start(want, name, report)) {
+		return
+	}
 	l.order(ctx, want, name, report)
 }
 
+// start returns when this host's turn to load comes: at once where it serves
+// nothing.
+func (l *loader) start(want wanted, name string, report platform.EngineReport) time.Time {
+	loaded := report.Loaded[want.model]
+	deadline, ok := rollout.Deadline(l.guide.declared(want.model), loaded, l.bound)
+	if loaded == 0 || !ok {
+		return l.ready
+	}
+	hosts := l.guide.hosts()
+	ids := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		ids = append(ids, host.GetId())
+	}
+	return rollout.Start(l.ready, deadline, want.load, l.self, ids, name)
+}
+
 // order reads the staged chunks back, because they may have turned bad where
 // they lie, and orders the engine to load them at once.
 func (l *loader) order(ctx context.Context, want wanted, name string, report platform.EngineReport) {
@@ -98,10 +134,15 @@
 		return
 	}
 	l.watch.setOrdering(true)
+	// Entries hear that nothing new should come before the engine stops.
+	l.sleep(ctx, noticeTime)
+	if _, alive := l.watch.report(); !alive {
+		return
+	}
 	orderCtx, cancelOrder := context.WithTimeout(ctx, orderTimeout)
 	defer cancelOrder()
 	err = l.engine.Load(orderCtx, platform.Order{
-		Model: want.model, Version: want.version, Orders: report.Orders, Fence: want.fence,
+		Model: want.model, Version: want.version, Orders: report.Orders, Fence: want.fence, Cutover: want.cutover,
 	})
 	l.log.Info("order", "version", name, "fence", want.fence, "orders", report.Orders, "running", report.Running, "error", err)
 	l.watch.poll(ctx)
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -32,13 +32,21 @@
 	program = "comfreyagent"
 	// linkPart is the part of the host's link that weights take at most: the
 	// rest is for the engine's answers, which share it.
-	linkPart = 0.9
+	linkPart = 0.95
 	// bitsPerMegabit and bitsPerByte turn a link's rate into bytes.
 	bitsPerMegabit = 1e6
 	bitsPerByte    = 8
 	// memoryPart is the part of the host's memory at which the collector works
 	// hardest.
 	memoryPart = 0.5
+	// drawWindow is the chunks that the hosts draw from the origin at once.
+	drawWindow = 14
+	// fetches is the chunks that are on their way to a host at once: each is
+	// 27 ms of its link, and a live request behind them waits for all.
+	fetches = 3
+	// livePart is the part of the link that weights leave free while the engine
+	// serves: more than its answers need, so that these find no queue.
+	livePart = 0.32
 	// manifestDraws is how often a manifest is drawn until two are alike.
 	manifestDraws = 4
 )
@@ -96,6 +104,10 @@
 		Source:      weights.Source{Manifest: a.drawManifest, Chunk: a.drawChunk, Decode: manifest.DecodeNamed, Verify: verify},
 		Link:        linkOf(set.GetSite()),
 		WindowBytes: set.GetWindowBytes(),
+		DearRegions: true,
+		DrawWindow:  drawWindow,
+		Fetches:     fetches,
+		TokensSlow:  a.tokensSlow,
 		PutChunk:    a.stage.put,
 		GetChunk:    a.stage.get,
 		DropChunk:   a.stage.drop,
@@ -112,6 +124,17 @@
 	return self
 }
 
+// defaultVersionBound is how long an old version may be used where the platform
+// does not say.
+const defaultVersionBound = 8 * time.Second
+
+func versionBound(set *wire.SiteBounds) time.Duration {
+	if set.GetVersionMillis() == 0 {
+		return defaultVersionBound
+	}
+	return time.Duration(set.GetVersionMillis()) * time.Millisecond
+}
+
 func linkOf(set *wire.SiteSettings) *wire.LinkSettings {
 	rate := uint64(linkPart * set.GetLinkMegabits() * bitsPerMegabit / bitsPerByte)
 	return &wire.LinkSettings{Up: rate, Down: rate}
@@ -119,13 +142,16 @@
 
 func (a *agent) run(ctx context.Context, lis net.Listener) error {
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterFeed(mux, &feed{watch: a.watch, guide: a.guide, clock: a.clock}); err != nil {
+	if err := wire.DRPCRegisterFeed(mux, &feed{watch: a.watch, guide: a.guide, clock: a.clock, region: a.set.GetNode().GetRegion()}); err != nil {
 		return failure.Wrap(err, failure.Internal, "cannot register the calls of entries", "report it")
 	}
 	if err := wire.DRPCRegisterHost(mux, &chunkServer{mgr: a.mgr}); err != nil {
 		return failure.Wrap(err, failure.Internal, "cannot register the calls of other agents", "report it")
 	}
-	loading := &loader{engine: a.watch.engine, watch: a.watch, guide: a.guide, mgr: a.mgr, clock: a.clock, log: a.log}
+	loading := &loader{
+		engine: a.watch.engine, watch: a.watch, guide: a.guide, mgr: a.mgr, clock: a.clock, log: a.log,
+		self: a.self().GetId(), bound: versionBound(a.set.GetSite().GetBounds()),
+	}
 	a.log.Info("started", "endpoint", a.set.GetEndpointUrl(), "controlAddress", lis.Addr().String())
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return ended(ctx, peer.Serve(ctx, lis, nil, mux, a.log)) })
@@ -153,6 +179,14 @@
 	return a.mgr.Manifest(versionName(want.model, want.version))
 }
 
+// tokensSlow tells how much of the link weights leave free.
+func (a *agent) tokensSlow() float64 {
+	if report, alive := a.watch.report(); alive && report.Running > 0 {
+		return livePart
+	}
+	return 0
+}
+
 func verify(chunk, hash []byte) bool {
 	sum := sha256.Sum256(chunk)
 	return bytes.Equal(sum[:], hash)
--- a/agent/internal/onsite/watch.go
+++ b/agent/internal/onsite/watch.go
@@ -37,6 +37,7 @@
 	state    platform.EngineReport
 	alive    bool
 	failures int
+	reading  int64         // prompt tokens that entries sent and that are not read
 	ordering bool          // an order is about to be given: nothing new should come
 	changed  chan struct{} // closed and replaced at each change
 }
@@ -99,6 +100,14 @@
 	w.changed = make(chan struct{})
 }
 
+// addReading counts what an entry told of its prompts.
+func (w *watch) addReading(tokens int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reading += tokens
+	w.change()
+}
+
 // setOrdering tells entries that the engine is about to get an order.
 func (w *watch) setOrdering(ordering bool) {
 	w.mu.Lock()
@@ -125,7 +134,7 @@
 		Sequence: w.sequence, Alive: w.alive,
 		Running: uint32(w.state.Running), Queued: uint32(w.state.Queued),
 		KvUsed: w.state.KVUsed, KvTotal: w.state.KVTotal, Pace: w.state.Pace,
-		Busy: w.state.Busy || w.ordering,
+		Busy: w.state.Busy || w.ordering, Reading: uint32(max(0, w.reading)),
 	}
 	for model, version := range w.state.Loaded {
 		state.Loaded = append(state.Loaded, &wire.LoadedWeights{Model: model, Version: version})
--- a/agent/internal/weights/manager.go
+++ b/agent/internal/weights/manager.go
@@ -54,6 +54,14 @@
 	// WindowBytes bounds the chunks in memory; 0 means 32 MiB; 4 to 64 MiB
 	// are possible.
 	WindowBytes uint64
+	// Fetches bounds the chunks of one version requested at once; 0 stands for
+	// 6. What is on its way waits before this host's link, and so do the bytes
+	// of live requests behind it.
+	Fetches int
+	// DrawWindow is the chunks that the fleet draws at once; 0: as burst does.
+	DrawWindow int
+	// DearRegions keeps bytes between regions few.
+	DearRegions bool
 	// Strategy is one of the burst package's strategies; empty means swarm.
 	Strategy string
 
@@ -122,6 +130,9 @@
 	if client == nil {
 		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}}
 	}
+	if cfg.Fetches <= 0 {
+		cfg.Fetches = maxFetches
+	}
 	if cfg.Source.Verify == nil {
 		cfg.Source.Decode, cfg.Source.Verify = manifest.Decode, manifest.Verify
 	}
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -19,7 +19,8 @@
 	peersInterval = time.Second
 	// standstill is the time without a chunk after which a hold-up shows.
 	standstill = 5 * time.Second
-	// maxFetches bounds the chunks of one version requested at once.
+	// maxFetches is how many chunks of one version are requested at once where
+	// the configuration does not say.
 	maxFetches = 6
 )
 
@@ -126,9 +127,11 @@
 		Version:      t.version,
 		Chunks:       len(man.GetChunkHashes()),
 		Strategy:     t.mgr.cfg.Strategy,
+		DrawWindow:   t.mgr.cfg.DrawWindow,
+		DearRegions:  t.mgr.cfg.DearRegions,
 		Objective:    t.policy.Objective,
 		OriginCopies: t.policy.OriginCopies,
-		MaxFetches:   int(max(1, min(room, maxFetches))),
+		MaxFetches:   int(max(1, min(room, int64(t.mgr.cfg.Fetches)))),
 		Seed:         rendezvous.Seed(self.GetIncarnation()),
 		Broken:       t.brokenOnce(),
 	})
@@ -224,6 +227,7 @@
 	stats := t.core.Stats()
 	t.mgr.cfg.Log.Info("version whole", "version", t.version, "chunks", t.core.Held(),
 		"seconds", now.Sub(t.began).Seconds(), "manifestSeconds", t.manifestAt.Sub(t.began).Seconds(),
+		"firstSeconds", stats.FirstHeld.Sub(t.began).Seconds(), "drawnSeconds", stats.AllDrawn.Sub(t.began).Seconds(),
 		"draws", stats.Draws, "drawsAgain", stats.DrawsAgain, "pulls", stats.Pulls, "busy", stats.Busy,
 		"timedOut", stats.TimedOut, "corrupt", stats.Corrupt, "broken", stats.Broken, "exchanges", stats.Exchanges)
 }
--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -107,7 +107,7 @@
 
 // floorMargin is the part of a version's time after which only endpoints that
 // have it are chosen: the rest is for requests on their way and for clocks.
-const floorMargin = 1200 * time.Millisecond
+const floorMargin = 700 * time.Millisecond
 
 // floor returns the lowest version of a model that may still serve.
 func (g *Gateway) floor(model string) uint64 {
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -221,6 +221,7 @@
 
 	tries      []string // endpoints that had the request
 	sends      int      // that reached an endpoint
+	runs       int      // sends that may have run and did not serve
 	mayRun     bool     // an endpoint may have run it
 	heldFor    time.Duration
 	header     http.Header // of the answer that the caller gets; nil: none was begun
--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -89,7 +89,7 @@
 
 // mayRepeat reports whether another attempt of the request is possible.
 func (x *exchange) mayRepeat() bool {
-	return x.route.Repeatable() && x.sends < x.route.MaxAttempts
+	return x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts
 }
 
 // answer writes a whole answer.
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -54,11 +54,12 @@
 	case fleet.Refused, fleet.Moved:
 	default:
 		x.mayRun = true
+		x.runs++
 	}
 	if x.final || x.mayRun && !x.route.Repeatable() {
 		return x.notServed("an endpoint "+outcome.String(), 0)
 	}
-	if x.sends >= x.route.MaxAttempts {
+	if x.runs >= x.route.MaxAttempts || x.sends >= x.route.MaxAttempts+refusedSends {
 		return x.notServed("no attempt is left after one "+outcome.String(), soonReturn)
 	}
 	bounds := g.cfg.Bounds()
@@ -72,6 +73,10 @@
 }
 
 const (
+	// refusedSends is how many endpoints beyond the route's attempts may refuse
+	// a request: one that proves it did not run it is no attempt, but each send
+	// costs the budget of all.
+	refusedSends = 2
 	// maxUnreachable bounds the endpoints that a request finds dead.
 	maxUnreachable = 4
 	// spareEntries is how many entries may have joined that are not known.
@@ -108,7 +113,7 @@
 	left := x.end.Sub(g.cfg.Clock.Now())
 	out := g.cfg.Wire.Encode(x.req, call.Sending{
 		Endpoint: grant.ID(), Customer: x.customerName(), Left: left,
-		Version: g.floor(x.req.Model), Urgency: x.sendUrgency(), ResumeAfter: x.lastID,
+		Version: x.expected(grant), Urgency: x.sendUrgency(), ResumeAfter: x.lastID,
 	})
 	if err := conn.Send(out, time.Now().Add(left)); err != nil {
 		conn.Close()
@@ -125,6 +130,15 @@
 	return x.take(ctx, grant, conn, resp, answer)
 }
 
+// expected returns the version that the endpoint must have: once only a newer
+// one may serve, an engine that went back would begin on an old one.
+func (x *exchange) expected(grant *fleet.Grant) uint64 {
+	if x.engine() == nil || x.gateway.floor(x.req.Model) == 0 {
+		return 0
+	}
+	return grant.Version()
+}
+
 // sendUrgency ranks the request among others at the engine.
 func (x *exchange) sendUrgency() int {
 	if x.late {
@@ -166,7 +180,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		if x.sends >= x.route.MaxAttempts {
+		if x.runs+1 >= x.route.MaxAttempts {
 			return true
 		}
 		if !grant.Alive() {
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -35,8 +35,13 @@
 	state *site.State
 	pool  *peer.Pool
 	port  uint32 // at which agents serve
-	clock clockwork.Clock
-	log   *slog.Logger
+	// region of this entry; regions are those of the failure domains.
+	self    string // id of this entry
+	domain  string // its failure domain
+	region  string
+	regions map[string]string
+	clock   clockwork.Clock
+	log     *slog.Logger
 }
 
 // run follows the engines that are known until ctx ends.
@@ -44,6 +49,7 @@
 	following := map[string]context.CancelFunc{}
 	for ctx.Err() == nil {
 		changed := f.state.Changed()
+		f.shareEngines()
 		known := map[string]bool{}
 		for _, eng := range f.state.Fleet().Engines() {
 			known[eng.Address] = true
@@ -70,6 +76,17 @@
 	}
 }
 
+// shareEngines tells the fleet which entries stand in this failure domain.
+func (f *feeds) shareEngines() {
+	near := []string{f.self}
+	for id, entry := range f.state.Entries() {
+		if id != f.self && entry.FailureDomain == f.domain {
+			near = append(near, id)
+		}
+	}
+	f.state.Fleet().SetEntries(f.domain, f.self, near)
+}
+
 // follow keeps one feed, begun again whenever it ends.
 func (f *feeds) follow(ctx context.Context, eng fleet.Engine) {
 	address := f.agentAddress(eng.Address)
@@ -104,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	go f.guide(ctx, cancel, stream)
+	go f.guide(ctx, cancel, eng, stream)
 	for {
 		state, err := stream.Recv()
 		if err != nil {
@@ -123,6 +140,7 @@
 	found := fleet.EngineState{
 		Alive: state.GetAlive(), Running: int(state.GetRunning()), Queued: int(state.GetQueued()),
 		Pace: state.GetPace(), Busy: state.GetBusy(), Loaded: map[string]uint64{},
+		Reading: max(0, int(state.GetReading())-int(state.GetReadingYours())),
 	}
 	for _, one := range state.GetLoaded() {
 		found.Loaded[one.GetModel()] = one.GetVersion()
@@ -130,17 +148,42 @@
 	return found
 }
 
-// guide tells the agent what is wanted, at once and after each change.
-func (f *feeds) guide(ctx context.Context, cancel context.CancelFunc, stream wire.DRPCFeed_FollowClient) {
+// guide tells the agent what is wanted, at once and after each change, and how
+// much of what this entry sent there is not read yet.
+func (f *feeds) guide(ctx context.Context, cancel context.CancelFunc, eng fleet.Engine, stream wire.DRPCFeed_FollowClient) {
 	defer cancel()
+	group := f.state.Fleet().Group(eng.Service)
+	var told time.Time
+	reading := -1
+	changed := f.state.Changed()
 	for ctx.Err() == nil {
-		changed := f.state.Changed()
-		if stream.Send(f.guidance()) != nil {
-			return
+		moved := group.Changed()
+		now := f.state.Fleet().Reading(eng.Service, eng.Address)
+		var message *wire.Guidance
+		select {
+		case <-changed:
+			told = time.Time{}
+		default:
+		}
+		switch {
+		case f.clock.Since(told) >= guideInterval:
+			changed = f.state.Changed()
+			message = f.guidance()
+			told = f.clock.Now()
+		case now != reading:
+			message = &wire.Guidance{ReadingOnly: true}
+		}
+		if message != nil {
+			message.Reading = uint32(now)
+			reading = now
+			if stream.Send(message) != nil {
+				return
+			}
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-moved:
 		case <-f.clock.After(guideInterval):
 		}
 	}
@@ -148,7 +191,7 @@
 
 // guidance is what agents are to know now.
 func (f *feeds) guidance() *wire.Guidance {
-	told := &wire.Guidance{Revision: f.state.Revision()}
+	told := &wire.Guidance{Revision: f.state.Revision(), Region: f.region}
 	cat := f.state.Catalog()
 	if cat == nil {
 		return told
@@ -162,24 +205,33 @@
 			return
 		}
 		for model, load := range svc.Engine.Loads {
-			told.Wanted = append(told.Wanted, f.wanted(svc.Engine, model, loaded[model], load))
+			told.Wanted = append(told.Wanted, f.wanted(svc, model, loaded[model], load, cat.Resumable(svc.Name)))
 		}
 	})
 	for _, eng := range f.state.Fleet().Engines() {
 		told.Peers = append(told.Peers, &wire.Node{
-			Id: eng.Address, Role: peer.RoleAgent, Region: eng.FailureDomain, FailureDomain: eng.FailureDomain,
+			Id: eng.Address, Role: peer.RoleAgent, Region: f.regionOf(eng.FailureDomain), FailureDomain: eng.FailureDomain,
 			ControlAddress: f.agentAddress(eng.Address),
 		})
 	}
 	return told
 }
 
+// regionOf returns the region of a failure domain; one that is not declared
+// counts as a region of its own.
+func (f *feeds) regionOf(domain string) string {
+	if region := f.regions[domain]; region != "" {
+		return region
+	}
+	return domain
+}
+
 // wanted is the version declared, or the newest that an engine has where none
 // was declared.
-func (f *feeds) wanted(spec *catalog.Engine, model string, newest uint64, load time.Duration) *wire.WantedWeights {
+func (f *feeds) wanted(svc *catalog.Service, model string, newest uint64, load time.Duration, cutover bool) *wire.WantedWeights {
 	told := &wire.WantedWeights{
 		Model: model, Version: max(1, newest), LoadSeconds: load.Seconds(),
-		Chunks: uint32(spec.Chunks), ChunkBytes: uint32(spec.ChunkBytes),
+		Chunks: uint32(svc.Engine.Chunks), ChunkBytes: uint32(svc.Engine.ChunkBytes), Cutover: cutover,
 	}
 	if want, ok := f.state.WantedOf(model); ok && want.Version >= told.Version {
 		told.Version, told.Fence = want.Version, want.Revision
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -117,7 +117,9 @@
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
 	follower := &site.Follower{Store: e.store, State: e.state, Clock: e.clock, Log: e.log, Decode: platform.DecodeRecord}
-	streams := &feeds{state: e.state, pool: peer.NewPool(nil), port: e.set.GetSite().GetAgentPort(), clock: e.clock, log: e.log}
+	streams := &feeds{state: e.state, pool: peer.NewPool(nil), port: e.set.GetSite().GetAgentPort(),
+		self: e.set.GetNode().GetId(), domain: e.self.FailureDomain,
+		region: e.self.Region, regions: e.set.GetSite().GetRegions(), clock: e.clock, log: e.log}
 	group.Go(func() error { follower.Run(ctx); return nil })
 	group.Go(func() error { streams.run(ctx); return nil })
 	e.register(ctx, drain, group)
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -141,6 +141,13 @@
 	// MaxFetches bounds the chunks requested at once; 0 stands for the
 	// default.
 	MaxFetches int
+	// DrawWindow is the chunks that the fleet draws at once; 0 lets it grow
+	// from a few. A wider one keeps the origin's link busy where chunks are so
+	// small that news of a draw takes longer than the draw.
+	DrawWindow int
+	// DearRegions keeps bytes between regions few: each chunk comes into a
+	// region once, unless that takes long.
+	DearRegions bool
 	// Broken is called with the rule where an invariant of the Core's own
 	// state does not hold; nil ignores it.
 	Broken func(rule string)
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -46,6 +46,7 @@
 	lostScan   time.Time      // no look for lost chunks before
 	intended   *bitset.BitSet // to be drawn here once the origin may be asked again
 	originFail int            // draws failed in a row
+	imports    *imports
 
 	stats   Stats
 	actions []Action
@@ -90,6 +91,7 @@
 		owners:      map[int][]*peerState{},
 		dueSince:    map[int]time.Time{},
 		asked:       map[ownerQuery]time.Time{},
+		imports:     newImports(cfg.Chunks),
 	}
 }
 
@@ -142,6 +144,8 @@
 	Corrupt    int
 	Broken     int
 	Exchanges  int
+	FirstHeld  time.Time // when the first chunk was held
+	AllDrawn   time.Time // when every chunk was known to have left the origin
 }
 
 // Stats returns the counts.
@@ -259,6 +263,12 @@
 		return
 	}
 	c.news++
+	if c.stats.FirstHeld.IsZero() && c.held.Any() {
+		c.stats.FirstHeld = now
+	}
+	if c.stats.AllDrawn.IsZero() && int(c.drawn.Count()) == c.cfg.Chunks {
+		c.stats.AllDrawn = now
+	}
 	c.drawScan = now
 	c.pace.note(now, fresh)
 }
@@ -418,6 +428,7 @@
 			c.pullAtRandom(now)
 		default:
 			c.draw(now)
+			c.scanImports(now)
 			c.pull(now)
 		}
 	}
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -50,6 +50,9 @@
 // that the first ones come soon and spread, more later, when owners have less
 // of their links left and one that stalls should not matter.
 func (c *Core) drawWindow() int {
+	if c.cfg.DrawWindow > 0 {
+		return c.cfg.DrawWindow
+	}
 	return min(minDrawWindow+int(c.drawn.Count())/drawWindowStep, maxDrawWindow)
 }
 
--- a/relay/burst/peers.go
+++ b/relay/burst/peers.go
@@ -153,6 +153,7 @@
 // membershipChanged recomputes what depends on who is there.
 func (c *Core) membershipChanged(now time.Time) {
 	clear(c.owners)
+	c.imports.ranks = nil
 	c.recheck = time.Time{}
 	for _, pst := range c.order {
 		if until := pst.absentUntil(); until.After(now) && (c.recheck.IsZero() || until.Before(c.recheck)) {
@@ -174,6 +175,23 @@
 		}
 	}
 	slices.SortFunc(ranked, byScore)
+	if c.cfg.DearRegions {
+		c.chooseByRegion(ranked)
+	} else {
+		c.chooseAnywhere(ranked)
+	}
+	for _, pst := range c.order {
+		if pst.chosen {
+			c.setNeighbour(pst, true)
+		} else if pst.absent(now) || now.Sub(pst.heardAt) > wholeInterval {
+			c.setNeighbour(pst, false)
+		}
+	}
+}
+
+// chooseAnywhere picks a few neighbours in the own failure domain and most of
+// them anywhere.
+func (c *Core) chooseAnywhere(ranked []scoredPeer) {
 	near, far := closeNeighbours, farNeighbours
 	for _, entry := range ranked {
 		if near > 0 && entry.pst.peer.FailureDomain == c.cfg.Self.FailureDomain {
@@ -184,13 +202,6 @@
 			entry.pst.chosen = true
 		}
 	}
-	for _, pst := range c.order {
-		if pst.chosen {
-			c.setNeighbour(pst, true)
-		} else if pst.absent(now) || now.Sub(pst.heardAt) > wholeInterval {
-			c.setNeighbour(pst, false)
-		}
-	}
 }
 
 // scoredPeer is a candidate of a ranking by rendezvous hash.
--- a/relay/burst/pull.go
+++ b/relay/burst/pull.go
@@ -23,7 +23,12 @@
 func (c *Core) choose(now time.Time) (int, *peerState) {
 	offered := newChunkSet(c.cfg.Chunks)
 	for _, pst := range c.neighbours {
-		if pst.usable(now) && pst.inFlight < perPeerFetches {
+		if !pst.usable(now) || pst.inFlight >= perPeerFetches {
+			continue
+		}
+		if c.far(pst) {
+			offered.InPlaceUnion(pst.held.Intersection(c.imports.allowed))
+		} else {
 			offered.InPlaceUnion(pst.held)
 		}
 	}
@@ -64,7 +69,8 @@
 	var best *peerState
 	var least float64
 	for _, pst := range c.neighbours {
-		if pst == except || !pst.usable(now) || pst.inFlight >= perPeerFetches || !pst.held.Test(uint(chunk)) {
+		if pst == except || !pst.usable(now) || pst.inFlight >= perPeerFetches || !pst.held.Test(uint(chunk)) ||
+			c.far(pst) && !c.mayImport(chunk) {
 			continue
 		}
 		if cost := c.cost(pst); best == nil || cost < least {
--- /dev/null
+++ b/relay/burst/regions.go
@@ -0,0 +1,114 @@
+package burst
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+
+	"comfreyrelay.example/relay/rendezvous"
+)
+
+const (
+	// regionNear and regionFar are the neighbours within the own region and in
+	// others where bytes between regions are dear: most chunks come from near,
+	// and a few neighbours elsewhere are enough to fetch one copy.
+	regionNear = 6
+	regionFar  = 4
+	// importTurn is how long the next host of a region waits until it fetches a
+	// chunk from another region in place of the host before it in rank: a few
+	// times what a chunk takes, so that one slow host does not stop a region.
+	importTurn = 600 * time.Millisecond
+	// importScan is how often the chunks that may come from other regions are
+	// looked at.
+	importScan = 25 * time.Millisecond
+)
+
+// imports knows which chunks this host may fetch from other regions. Each chunk
+// has one host a region that does, by rendezvous hash; the others get it from
+// there. So a region takes in one copy however many hosts it has.
+type imports struct {
+	allowed *bitset.BitSet
+	scan    time.Time // no look before
+	offered []time.Time
+	ranks   []int // of this host for each chunk; nil: to be computed
+}
+
+func newImports(chunks int) *imports {
+	return &imports{allowed: newChunkSet(chunks), offered: make([]time.Time, chunks)}
+}
+
+// far reports whether bytes from the peer are dear.
+func (c *Core) far(pst *peerState) bool {
+	return c.cfg.DearRegions && pst.peer.Region != c.cfg.Self.Region
+}
+
+// mayImport reports whether a chunk may come from another region by now.
+func (c *Core) mayImport(chunk int) bool { return c.imports.allowed.Test(uint(chunk)) }
+
+// scanImports looks which chunks that other regions hold are this host's turn.
+func (c *Core) scanImports(now time.Time) {
+	if !c.cfg.DearRegions || now.Before(c.imports.scan) {
+		return
+	}
+	c.imports.scan = now.Add(importScan)
+	c.imports.allowed.ClearAll()
+	if c.imports.ranks == nil {
+		c.imports.ranks = c.importRanks(now)
+	}
+	for _, pst := range c.neighbours {
+		if pst.held == nil || !c.far(pst) {
+			continue
+		}
+		for i, ok := pst.held.NextSet(0); ok; i, ok = pst.held.NextSet(i + 1) {
+			c.scanImport(now, int(i))
+		}
+	}
+}
+
+func (c *Core) scanImport(now time.Time, chunk int) {
+	if c.held.Test(uint(chunk)) {
+		return
+	}
+	if c.imports.offered[chunk].IsZero() {
+		c.imports.offered[chunk] = now
+	}
+	if now.Sub(c.imports.offered[chunk]) >= time.Duration(c.imports.ranks[chunk])*importTurn {
+		c.imports.allowed.Set(uint(chunk))
+	}
+}
+
+// importRanks returns this host's rank in its region for each chunk.
+func (c *Core) importRanks(now time.Time) []int {
+	var seeds []uint64
+	for _, pst := range c.order {
+		if !pst.absent(now) && pst.peer.Region == c.cfg.Self.Region {
+			seeds = append(seeds, pst.seed)
+		}
+	}
+	ranks := make([]int, c.cfg.Chunks)
+	for chunk := range ranks {
+		key := c.versionSeed ^ rendezvous.Mix(uint64(chunk))
+		own := rendezvous.Score(key, c.selfSeed)
+		for _, seed := range seeds {
+			if rendezvous.Score(key, seed) > own {
+				ranks[chunk]++
+			}
+		}
+	}
+	return ranks
+}
+
+// chooseByRegion picks neighbours in the own region first.
+func (c *Core) chooseByRegion(ranked []scoredPeer) {
+	near, far := regionNear, regionFar
+	for _, entry := range slices.Clone(ranked) {
+		if near > 0 && !c.far(entry.pst) {
+			near--
+			entry.pst.chosen = true
+		} else if far > 0 && c.far(entry.pst) {
+			far--
+			entry.pst.chosen = true
+		}
+	}
+}
--- a/relay/catalog/catalog.go
+++ b/relay/catalog/catalog.go
@@ -133,7 +133,8 @@
 	services  map[string]*Service
 	customers map[string]*Customer // by key
 	limits    Limits
-	keyed     bool // requests need a customer's key
+	keyed     bool            // requests need a customer's key
+	fixed     map[string]bool // services with a stream that can't go on elsewhere
 }
 
 // New indexes a spec; it keeps the spec's slices.
@@ -145,10 +146,14 @@
 		customers: map[string]*Customer{},
 		limits:    spec.Limits,
 		keyed:     len(spec.Customers) > 0,
+		fixed:     map[string]bool{},
 	}
 	for i := range spec.Routes {
 		route := &spec.Routes[i]
 		cat.byHost[route.Host] = append(cat.byHost[route.Host], route)
+		for _, share := range route.Shares {
+			cat.fixed[share.Service] = cat.fixed[share.Service] || !route.Repeatable()
+		}
 	}
 	for _, routes := range cat.byHost {
 		slices.SortStableFunc(routes, func(left, right *Route) int {
@@ -197,6 +202,10 @@
 	return svc, ok
 }
 
+// Resumable reports whether everything that a service runs may go on at another
+// endpoint.
+func (c *Catalog) Resumable(service string) bool { return !c.fixed[service] }
+
 // Services calls visit for each service.
 func (c *Catalog) Services(visit func(*Service)) {
 	for _, svc := range c.services {
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -41,6 +41,7 @@
 
 	running  map[*Grant]time.Time // own requests in progress, by when they were sent
 	reading  int                  // prompt tokens of own requests without a first event
+	home     bool                 // of this entry among those of its failure domain
 	load     int                  // running and waiting as last told with an answer
 	loadAt   time.Time
 	failures int       // to connect or to answer, in a row
@@ -87,6 +88,14 @@
 	return own * max(1, entries)
 }
 
+// unread returns the prompt tokens there that are not read yet, of all entries.
+func (e *endpoint) unread(now time.Time) int {
+	if e.followed(now) {
+		return e.reading + e.state.Reading
+	}
+	return e.reading
+}
+
 func (e *endpoint) observe(now time.Time, state EngineState) {
 	sampled := now.Add(-sampleDelay)
 	e.sent = dropBefore(e.sent, sampled)
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -33,6 +33,9 @@
 	Pace    float64 // over 1: slow
 	Busy    bool    // an order is in progress, nothing new is begun
 	Loaded  map[string]uint64
+	// Reading is the prompt tokens that other entries sent and that are not
+	// read yet.
+	Reading int
 }
 
 // Fleet holds the endpoints of all services, in a group a service with a lock
@@ -123,6 +126,22 @@
 	f.Group(service).observe(address, state)
 }
 
+// SetEntries tells which entries share the endpoints of this entry's failure
+// domain, and which of them this one is. Each engine of the domain is home to
+// one of them: entries that know the same state would otherwise choose the same
+// engine at the same moment.
+func (f *Fleet) SetEntries(domain, self string, entries []string) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, grp := range f.groups {
+		grp.setEntries(domain, self, entries)
+	}
+}
+
+// Reading returns the prompt tokens that this entry sent to the engine at the
+// address and that are not read yet.
+func (f *Fleet) Reading(service, address string) int { return f.Group(service).readingAt(address) }
+
 // Engine is an engine's host, for those who follow its agent.
 type Engine struct {
 	Service       string
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -1,31 +1,38 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"comfreyrelay.example/relay/catalog"
 )
 
+// What choices weigh, in milliseconds of waiting.
 const (
-	// farCost is what another failure domain weighs against requests in
-	// progress: bytes between domains are paid for and take longer, but a
-	// place in a batch is worth more.
-	farCost = 0.7
+	// occupiedCost is what one request in progress weighs: it lengthens a pass
+	// little, but a slot that is left is worth something.
+	occupiedCost = 4.0
+	// awayCost is what an engine weighs that is home to another entry, which
+	// may send there at the same moment.
+	awayCost = 20.0
+	// farCost is what another failure domain weighs: bytes between domains are
+	// paid for and take longer.
+	farCost = 45.0
 	// chance spreads entries that see the same state over endpoints that are
 	// as good as equal.
-	chance = 0.6
+	chance = 6.0
 	// errorCost is what an endpoint that fails every request weighs.
-	errorCost = 10.0
+	errorCost = 100.0
 	// silenceCost is what an endpoint weighs at which a plain request has been
 	// in progress for many times its usual time.
-	silenceCost = 6.0
+	silenceCost = 60.0
 	// silentAfter is that time.
 	silentAfter = 400 * time.Millisecond
-	// readingUnit is the prompt tokens that weigh as much as one request in
-	// progress: they are read in one batch with the next pass.
-	readingUnit = 4000.0
+	// plainCost is what one request in progress at a plain endpoint weighs.
+	plainCost = 10.0
 )
 
 // Verdict says what became of a choice.
@@ -234,9 +241,10 @@
 	return grant, Granted
 }
 
-// score orders the endpoints that have room; the least is best.
+// score orders the endpoints that have room by the wait to be expected there;
+// the least is best.
 func (g *Group) score(end *endpoint, need Need, now time.Time, occupied int) float64 {
-	score := float64(occupied) + chance*rand.Float64() + errorCost*end.errors
+	score := chance*rand.Float64() + errorCost*end.errors
 	if end.reg.FailureDomain != need.Domain {
 		score += farCost
 	}
@@ -244,10 +252,56 @@
 		if end.oldest(now) > silentAfter {
 			score += silenceCost
 		}
-		return score
+		return score + plainCost*float64(occupied)
 	}
-	if pace := end.state.Pace; pace > 1 && end.followed(now) {
-		score *= pace
+	if !end.home {
+		score += awayCost
 	}
-	return score + float64(end.reading)/readingUnit
+	wait := occupiedCost*float64(occupied) + g.readMillis(end.unread(now))
+	if end.followed(now) && end.state.Pace > 1 {
+		wait *= end.state.Pace
+	}
+	return score + wait
+}
+
+// readMillis returns the time to read so many prompt tokens.
+func (g *Group) readMillis(tokens int) float64 {
+	if g.engine.ReadPerSecond <= 0 {
+		return 0
+	}
+	return float64(tokens) / g.engine.ReadPerSecond * 1000
+}
+
+// setEntries deals the engines of a failure domain to its entries in turn.
+func (g *Group) setEntries(domain, self string, entries []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	order := slices.Sorted(slices.Values(entries))
+	place := slices.Index(order, self)
+	var near []*endpoint
+	for _, end := range g.endpoints {
+		end.home = false
+		if end.reg.FailureDomain == domain {
+			near = append(near, end)
+		}
+	}
+	if place < 0 {
+		return
+	}
+	slices.SortFunc(near, func(left, right *endpoint) int { return cmp.Compare(left.reg.Address, right.reg.Address) })
+	for i, end := range near {
+		end.home = i%len(order) == place
+	}
+}
+
+func (g *Group) readingAt(address string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	tokens := 0
+	for _, end := range g.endpoints {
+		if end.reg.Address == address {
+			tokens += end.reading
+		}
+	}
+	return tokens
 }
