Hosts take turns to load a version; who can be in time goes first

Cause: all hosts were ready at the same moment and loaded within 1.5 s, since all fetched alike; streams were cut twice, and what was cut waited up to 0.8 s at an engine behind other prompts. Requests were sent to engines that had older weights within a second of the time at which these may no longer be used, because the newest declaration hid the one before it (VERSION, 59 requests).

Change: rollout deals places; later hosts leave the links to earlier ones, the last quarter loads after the deadline and runs dry. A version that is being fetched is finished where the next would come too late. Engines that have the version wanted go first. Prompts that wait at an engine are bounded by what can still be in time; who is late waits behind who is not.

--- a/agent/internal/link/link.go
+++ b/agent/internal/link/link.go
@@ -85,6 +85,14 @@
 	}
 }
 
+// SetShare tells the part of one direction's rate that transfers may take, 0 to
+// 1; the rest is left free.
+func (l *Link) SetShare(dir Direction, share float64) {
+	if buck := l.buckets[dir]; buck != nil {
+		buck.setShare(max(minShare, share))
+	}
+}
+
 // Wait charges bytes of a transfer and returns when the link has room for
 // them, or with an error once ctx is done.
 func (l *Link) Wait(ctx context.Context, dir Direction, bytes int) error {
--- a/agent/internal/onsite/guide.go
+++ b/agent/internal/onsite/guide.go
@@ -106,6 +106,17 @@
 	return slices.Clone(g.history[model])
 }
 
+// version returns what is known of an earlier declared version, given the newest
+// one: they differ in version, fence and time alone.
+func (g *guide) version(newest wanted, version uint64) wanted {
+	for _, decl := range g.declared(newest.model) {
+		if decl.Version == version && version != newest.version {
+			newest.version, newest.since = decl.Version, decl.At
+		}
+	}
+	return newest
+}
+
 // weights returns the weights wanted; ok is false while none are known. An
 // engine serves one model: of several, the first by name.
 func (g *guide) weights() (want wanted, ok bool) {
--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -54,10 +55,10 @@
 	self   string        // this host among others
 	bound  time.Duration // for the use of a version after a newer one
 
-	target  string    // version that the Manager fetches
-	ready   time.Time // when it lay ready here; zero: not yet
-	refused uint64    // fencing number that the engine refused; lower ones are not used again
-	notTill time.Time
+	linkRate float64       // of the host's link, bytes a second; 0: unlimited
+	current  atomic.Uint64 // version that the Manager fetches
+	refused  uint64        // fencing number that the engine refused; lower ones are not used again
+	notTill  time.Time
 }
 
 func (l *loader) run(ctx context.Context) {
@@ -79,17 +80,13 @@
 }
 
 func (l *loader) step(ctx context.Context) {
-	want, ok := l.guide.weights()
+	newest, ok := l.guide.weights()
 	if !ok {
 		return
 	}
-	name := versionName(want.model, want.version)
-	if name != l.target {
-		l.target, l.ready = name, time.Time{}
-		l.log.Info("weights wanted", "version", name, "fence", want.fence, "ageMillis", l.clock.Since(want.since).Milliseconds())
-		l.mgr.SetTargets([]weights.Target{{Version: name}}, weights.Policy{Objective: burst.ObjectiveTime, OriginCopies: 1})
-	}
 	report, alive := l.watch.report()
+	want := l.choose(newest, report.Loaded[newest.model])
+	name := versionName(want.model, want.version)
 	if !alive || report.Busy || report.Loaded[want.model] >= want.version {
 		l.watch.setOrdering(false)
 		return
@@ -97,29 +94,67 @@
 	if l.mgr.State(name).Phase() != weights.Whole || l.clock.Now().Before(l.notTill) || want.fence > 0 && want.fence <= l.refused {
 		return
 	}
-	if l.ready.IsZero() {
-		l.ready = l.clock.Now()
-	}
-	if l.clock.Now().Before(l.start(want, name, report)) {
+	if l.clock.Now().Before(l.start(want, report)) {
 		return
 	}
 	l.order(ctx, want, name, report)
 }
 
-// start returns when this host's turn to load comes: at once where it serves
-// nothing.
-func (l *loader) start(want wanted, name string, report platform.EngineReport) time.Time {
-	loaded := report.Loaded[want.model]
-	deadline, ok := rollout.Deadline(l.guide.declared(want.model), loaded, l.bound)
-	if loaded == 0 || !ok {
-		return l.ready
+// choose returns the version that the host fetches now and lets the Manager
+// fetch it. A version that the host leaves is still given to others.
+func (l *loader) choose(newest wanted, loaded uint64) wanted {
+	version := rollout.Target(l.guide.declared(newest.model), loaded, l.current.Load(), l.bound, l.fetchTime(newest))
+	want := l.guide.version(newest, version)
+	if want.version == l.current.Load() {
+		return want
 	}
+	name := versionName(want.model, want.version)
+	l.log.Info("weights wanted", "version", name, "before", l.current.Load(), "loaded", loaded, "fence", want.fence,
+		"ageMillis", l.clock.Since(want.since).Milliseconds(), "place", l.place())
+	policy := weights.Policy{Objective: burst.ObjectiveTime, OriginCopies: 1}
+	if before := l.current.Swap(want.version); before > 0 {
+		policy.Keep = []string{versionName(want.model, before)}
+	}
+	target := weights.Target{Version: name}
+	if loaded > 0 {
+		target.PullFrom = l.clock.Now().Add(rollout.PullDelay(l.fetchTime(want), l.place()))
+	}
+	l.mgr.SetTargets([]weights.Target{target}, policy)
+	return want
+}
+
+// fetchTime is what a version's bytes take on the host's link alone.
+func (l *loader) fetchTime(want wanted) time.Duration {
+	if l.linkRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(want.chunks*want.size) / l.linkRate * float64(time.Second))
+}
+
+func (l *loader) currentVersion() uint64 { return l.current.Load() }
+
+// place is this host's among all.
+func (l *loader) place() float64 {
 	hosts := l.guide.hosts()
 	ids := make([]string, 0, len(hosts))
 	for _, host := range hosts {
 		ids = append(ids, host.GetId())
 	}
-	return rollout.Start(l.ready, deadline, want.load, l.self, ids, name)
+	return rollout.Place(l.self, ids)
+}
+
+// start returns when this host's turn to load comes: at once where it serves
+// nothing.
+func (l *loader) start(want wanted, report platform.EngineReport) time.Time {
+	deadline, ok := rollout.Deadline(l.guide.declared(want.model), report.Loaded[want.model], l.bound)
+	if report.Loaded[want.model] == 0 || !ok {
+		return time.Time{}
+	}
+	now := l.clock.Now()
+	if report.Running > 0 && !rollout.MayCut(now, deadline) {
+		return now.Add(loaderTick)
+	}
+	return rollout.Start(want.since, deadline, l.fetchTime(want), want.load, l.place())
 }
 
 // order reads the staged chunks back, because they may have turned bad where
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -32,7 +32,7 @@
 	program = "comfreyagent"
 	// linkPart is the part of the host's link that weights take at most: the
 	// rest is for the engine's answers, which share it.
-	linkPart = 0.95
+	linkPart = 0.97
 	// bitsPerMegabit and bitsPerByte turn a link's rate into bytes.
 	bitsPerMegabit = 1e6
 	bitsPerByte    = 8
@@ -43,10 +43,12 @@
 	drawWindow = 14
 	// fetches is the chunks that are on their way to a host at once: each is
 	// 27 ms of its link, and a live request behind them waits for all.
-	fetches = 3
-	// livePart is the part of the link that weights leave free while the engine
-	// serves: more than its answers need, so that these find no queue.
-	livePart = 0.32
+	fetches = 4
+	// upShare is the part of the uplink that weights take at most while the
+	// engine serves: its answers find no queue then.
+	upShare = 0.82
+	// downShare is the same of the downlink.
+	downShare = 0.85
 	// manifestDraws is how often a manifest is drawn until two are alike.
 	manifestDraws = 4
 )
@@ -78,6 +80,7 @@
 	watch  *watch
 	stage  *stage
 	mgr    *weights.Manager
+	loader *loader
 	pool   *peer.Pool
 	remote *http.Client
 
@@ -107,12 +110,16 @@
 		DearRegions: true,
 		DrawWindow:  drawWindow,
 		Fetches:     fetches,
-		TokensSlow:  a.tokensSlow,
+		LinkShares:  a.linkShares,
 		PutChunk:    a.stage.put,
 		GetChunk:    a.stage.get,
 		DropChunk:   a.stage.drop,
 		HeldChunks:  a.stage.held,
 	})
+	a.loader = &loader{
+		engine: engine, watch: a.watch, guide: a.guide, mgr: a.mgr, clock: clock, log: log,
+		self: a.self().GetId(), linkRate: linkRate(set.GetSite()), bound: versionBound(set.GetSite().GetBounds()),
+	}
 	return a
 }
 
@@ -135,8 +142,13 @@
 	return time.Duration(set.GetVersionMillis()) * time.Millisecond
 }
 
+// linkRate returns the rate of the host's link, bytes a second; 0: unlimited.
+func linkRate(set *wire.SiteSettings) float64 {
+	return set.GetLinkMegabits() * bitsPerMegabit / bitsPerByte
+}
+
 func linkOf(set *wire.SiteSettings) *wire.LinkSettings {
-	rate := uint64(linkPart * set.GetLinkMegabits() * bitsPerMegabit / bitsPerByte)
+	rate := uint64(linkPart * linkRate(set))
 	return &wire.LinkSettings{Up: rate, Down: rate}
 }
 
@@ -148,15 +160,11 @@
 	if err := wire.DRPCRegisterHost(mux, &chunkServer{mgr: a.mgr}); err != nil {
 		return failure.Wrap(err, failure.Internal, "cannot register the calls of other agents", "report it")
 	}
-	loading := &loader{
-		engine: a.watch.engine, watch: a.watch, guide: a.guide, mgr: a.mgr, clock: a.clock, log: a.log,
-		self: a.self().GetId(), bound: versionBound(a.set.GetSite().GetBounds()),
-	}
 	a.log.Info("started", "endpoint", a.set.GetEndpointUrl(), "controlAddress", lis.Addr().String())
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return ended(ctx, peer.Serve(ctx, lis, nil, mux, a.log)) })
 	group.Go(func() error { a.watch.run(ctx); return nil })
-	group.Go(func() error { loading.run(ctx); return nil })
+	group.Go(func() error { a.loader.run(ctx); return nil })
 	group.Go(func() error { return ended(ctx, a.mgr.Run(ctx)) })
 	err := group.Wait()
 	a.log.Info("stopped")
@@ -171,20 +179,21 @@
 	return err
 }
 
+// wantedManifest is that of the version being fetched.
 func (a *agent) wantedManifest() *wire.Manifest {
 	want, ok := a.guide.weights()
 	if !ok {
 		return nil
 	}
-	return a.mgr.Manifest(versionName(want.model, want.version))
+	return a.mgr.Manifest(versionName(want.model, a.loader.currentVersion()))
 }
 
-// tokensSlow tells how much of the link weights leave free.
-func (a *agent) tokensSlow() float64 {
-	if report, alive := a.watch.report(); alive && report.Running > 0 {
-		return livePart
+// linkShares tells the parts of the link, up and down, that weights may take.
+func (a *agent) linkShares() (up, down float64) {
+	if report, alive := a.watch.report(); !alive || report.Running == 0 {
+		return 1, 1
 	}
-	return 0
+	return upShare, downShare
 }
 
 func verify(chunk, hash []byte) bool {
--- a/agent/internal/weights/manager.go
+++ b/agent/internal/weights/manager.go
@@ -78,6 +78,9 @@
 	// TokensSlow returns 0 to 1: how much live requests suffer; nil means
 	// that they don't.
 	TokensSlow func() float64
+	// LinkShares returns the parts of the link, up and down, that transfers may
+	// take; it goes before TokensSlow.
+	LinkShares func() (up, down float64)
 	// Broken is told of an invariant that does not hold, once a rule and
 	// version; nil logs it.
 	Broken func(rule string)
@@ -196,11 +199,17 @@
 
 // followTokens makes transfers shrink while live requests suffer.
 func (m *Manager) followTokens(ctx context.Context) {
-	if m.cfg.TokensSlow == nil {
+	if m.cfg.TokensSlow == nil && m.cfg.LinkShares == nil {
 		return
 	}
 	for m.sleep(ctx, slowInterval) == nil {
-		m.link.SetSlow(m.cfg.TokensSlow())
+		if m.cfg.LinkShares == nil {
+			m.link.SetSlow(m.cfg.TokensSlow())
+			continue
+		}
+		up, down := m.cfg.LinkShares()
+		m.link.SetShare(link.Up, up)
+		m.link.SetShare(link.Down, down)
 	}
 }
 
--- a/agent/internal/weights/targets.go
+++ b/agent/internal/weights/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 )
 
 // Target is a version that should become whole on this host.
@@ -10,6 +11,9 @@
 	Version string
 	// Larger is fetched first.
 	Priority int
+	// PullFrom puts off fetches from peers, so that other hosts are whole
+	// first; the zero time puts off nothing.
+	PullFrom time.Time
 }
 
 // Policy is how the document wants versions to be moved.
@@ -71,6 +75,7 @@
 	trans := m.transfers[target.Version]
 	if trans == nil {
 		trans = newTransfer(m, target.Version, m.policy)
+		trans.pullFrom = target.PullFrom
 		m.transfers[target.Version] = trans
 		trans.start(ctx)
 	}
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -40,7 +40,8 @@
 	encoded    []byte              // the manifest as it was hashed
 	chunks     map[chunkHash][]int // indexes by hash: equal chunks are fetched once
 	priority   int
-	passive    bool // keeps and serves, fetches no chunks
+	pullFrom   time.Time // fetches from peers wait until then
+	passive    bool      // keeps and serves, fetches no chunks
 	policy     Policy
 	failed     bool      // the origin's manifest does not match the version
 	problem    string    // newest reason for a failed fetch
@@ -135,6 +136,7 @@
 		Seed:         rendezvous.Seed(self.GetIncarnation()),
 		Broken:       t.brokenOnce(),
 	})
+	core.SetPullFrom(t.pullFrom)
 	t.man, t.encoded, t.core, t.chunks = man, encoded, core, chunks
 	t.failed, t.problem = false, ""
 	t.manifestAt = t.now()
--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -22,7 +22,11 @@
 		span = time.Minute
 	}
 	x.end = x.arrived.Add(span)
-	x.late = admission.Late(x.req.Deadline, x.route.Timeout)
+	x.returned = admission.Returned(x.req.Deadline, x.route.Timeout)
+	x.span = span
+	if spec := x.engine(); spec != nil {
+		x.inTime = x.arrived.Add(admission.InTime(x.route.Target, engine.FirstEvent(spec, spec.Slots/2, x.req.Prompt)))
+	}
 }
 
 // line is those who wait for a place at one service: the most urgent first,
@@ -55,12 +59,27 @@
 
 // before reports whether x goes first: the late after those who can be in time.
 func (x *exchange) before(other *exchange) bool {
-	if x.late != other.late {
-		return other.late
+	if x.late() != other.late() {
+		return other.late()
 	}
 	return x.urgency() < other.urgency()
 }
 
+// order puts those who became late behind the others.
+func (l *line) order() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.SortStableFunc(l.waiting, func(left, right *exchange) int {
+		switch {
+		case left.before(right):
+			return -1
+		case right.before(left):
+			return 1
+		}
+		return 0
+	})
+}
+
 func (l *line) leave(x *exchange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -86,11 +105,14 @@
 func (x *exchange) need() fleet.Need {
 	need := fleet.Need{
 		Domain: x.gateway.cfg.Domain, Exclude: x.tries,
-		Extra: x.extra(), Entries: x.gateway.cfg.Entries(),
+		Extra: x.extra(), Entries: x.gateway.cfg.Entries(), Again: x.sends > 0,
 	}
 	if svc, ok := x.catalog.Service(x.service); ok && svc.Engine != nil {
 		need.Model, need.Prompt = x.req.Model, x.req.Prompt
 		need.Floor = x.gateway.floor(x.req.Model)
+		want, _ := x.gateway.cfg.State.WantedOf(x.req.Model)
+		need.Wanted = want.Version
+		need.Unread = admission.Unread(svc.Engine, x.left(), x.late())
 	}
 	return need
 }
@@ -102,20 +124,16 @@
 	if x.engine() == nil {
 		return plainExtra
 	}
-	return admission.Extra(x.late)
+	return admission.Extra(x.late())
 }
 
 // floorMargin is the part of a version's time after which only endpoints that
 // have it are chosen: the rest is for requests on their way and for clocks.
-const floorMargin = 700 * time.Millisecond
+const floorMargin = 1000 * time.Millisecond
 
 // floor returns the lowest version of a model that may still serve.
 func (g *Gateway) floor(model string) uint64 {
-	want, ok := g.cfg.State.WantedOf(model)
-	if !ok || g.cfg.Clock.Since(want.Since) < g.cfg.Bounds().Version-floorMargin {
-		return 0
-	}
-	return want.Version
+	return g.cfg.State.Floor(model, g.cfg.Bounds().Version-floorMargin)
 }
 
 func (x *exchange) engine() *catalog.Engine {
@@ -153,6 +171,7 @@
 			waiting = true
 			queue.enter(x)
 		}
+		queue.order()
 		left := until.Sub(g.cfg.Clock.Now())
 		if left <= 0 || ctx.Err() != nil || g.draining.Load() {
 			return nil, x.noPlace(ctx, verdict, queue.length())
@@ -167,15 +186,13 @@
 
 // holdUntil returns until when the request may wait for a place.
 func (x *exchange) holdUntil() time.Time {
-	spec := x.engine()
-	var expected time.Duration
-	if spec != nil {
-		expected = engine.FirstEvent(spec, spec.Slots, x.req.Prompt)
+	if x.engine() == nil {
+		return x.arrived.Add(max(x.route.Target/2, x.span/3))
 	}
-	hold := x.arrived.Add(admission.Hold(x.route.Target, expected, x.late))
+	hold := x.arrived.Add(admission.Hold(x.route.Target, x.span))
 	if x.sends > 0 {
 		// It was begun somewhere: giving up now wastes what was done.
-		hold = x.gateway.cfg.Clock.Now().Add(x.route.Target)
+		hold = x.gateway.cfg.Clock.Now().Add(2 * x.route.Target)
 	}
 	if hold.After(x.end) {
 		return x.end
@@ -183,6 +200,23 @@
 	return hold
 }
 
+// late reports whether the request can't be in time any more. One that was begun
+// goes first however late it is: its caller has part of the answer.
+func (x *exchange) late() bool {
+	if x.returned {
+		return true
+	}
+	return x.events == 0 && x.engine() != nil && !x.gateway.cfg.Clock.Now().Before(x.inTime)
+}
+
+// left returns the time until the first event, or the next one, is late.
+func (x *exchange) left() time.Duration {
+	if x.events > 0 {
+		return x.route.Gap
+	}
+	return x.arrived.Add(x.route.Target).Sub(x.gateway.cfg.Clock.Now())
+}
+
 // noPlace says why nobody took the request and when to come back.
 func (x *exchange) noPlace(ctx context.Context, verdict fleet.Verdict, waiting int) *refusal {
 	if ctx.Err() != nil {
--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -83,7 +83,7 @@
 	}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "service", x.service, "sends", x.sends,
-			"events", x.events, "firstMillis", x.firstEvent.Milliseconds(), "late", x.late)
+			"events", x.events, "firstMillis", x.firstEvent.Milliseconds(), "pauseMillis", x.longest.Milliseconds(), "returned", x.returned)
 	}
 	if x.catalog != nil {
 		fields = append(fields, "catalog", x.catalog.Version())
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -216,7 +216,9 @@
 	arrived  time.Time
 	end      time.Time     // the answer is due by then, whatever it is
 	age      time.Duration // of the knowledge that decided
-	late     bool          // it can't be in time any more
+	returned bool          // its caller came before
+	span     time.Duration // that its caller waits
+	inTime   time.Time     // begun later it is late
 	held     int64         // bytes of body counted
 
 	tries      []string // endpoints that had the request
@@ -227,6 +229,8 @@
 	header     http.Header // of the answer that the caller gets; nil: none was begun
 	events     int
 	firstEvent time.Duration // from the arrival
+	eventAt    time.Time     // of the newest event
+	longest    time.Duration // pause between two events
 	lastID     string        // of the last event that the caller has
 	final      bool          // the answer was begun and can't go on at another endpoint
 	status     int           // of the answer that the caller got whole; 0: none yet
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -141,7 +141,7 @@
 
 // sendUrgency ranks the request among others at the engine.
 func (x *exchange) sendUrgency() int {
-	if x.late {
+	if x.late() {
 		return 8
 	}
 	return min(7, max(1, x.route.Priority+x.customerRank()))
--- a/entry/internal/gateway/stream.go
+++ b/entry/internal/gateway/stream.go
@@ -35,9 +35,7 @@
 		if x.events == 0 && x.header == nil {
 			x.writeHead(resp)
 		}
-		if x.events == 0 {
-			x.firstEvent = x.gateway.cfg.Clock.Since(x.arrived)
-		}
+		x.noteEvent()
 		grant.Began()
 		x.events++
 		if event.id != "" {
@@ -56,6 +54,17 @@
 	return fleet.Served
 }
 
+// noteEvent takes the times that say whether the answer is in time.
+func (x *exchange) noteEvent() {
+	now := x.gateway.cfg.Clock.Now()
+	if x.events == 0 {
+		x.firstEvent = now.Sub(x.arrived)
+	} else {
+		x.longest = max(x.longest, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
+}
+
 // readAhead holds a usual event.
 const readAhead = 1 << 10
 
--- a/relay/admission/admission.go
+++ b/relay/admission/admission.go
@@ -1,46 +1,64 @@
-// Package admission decides how long a request may wait for a place and what
-// one that gets none is told.
+// Package admission decides how long a request may wait for a place, how much
+// work may lie before it at an engine, and what one that gets no place is told.
 //
-// A request that can't be answered in time is worth little to its caller and
-// takes a place from one that can: it is refused at once, with the time at which
-// coming back has a chance.
+// An answer in time is worth several late ones, and a late one more than none:
+// those who can be in time go first, and the others wait for what is left.
 package admission
 
 import (
 	"time"
+
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/engine"
 )
 
 const (
 	// leastHold is the part of a request's target that it may always wait.
 	leastHold = 8
-	// lateHold is the longest wait of a request that is late already.
-	lateHold = 80 * time.Millisecond
+	// lateHold is the longest wait of a request that can't be in time any
+	// more: callers give up a stream that shows nothing for longer.
+	lateHold = 2200 * time.Millisecond
+	// runTime is what is left of a caller's time at least for a request that
+	// is begun late: most answers take less.
+	runTime = 2 * time.Second
 	// returnedPart is the part of the full time that a caller who came back
 	// has left at most.
 	returnedPart = 0.9
 	// lateReserve is the slots of an engine that requests that are late leave
 	// free.
 	lateReserve = 2
+	// lateUnread is the prompt tokens that may wait at an engine where a late
+	// request goes.
+	lateUnread = 1500
+	// leastUnread is the same for one that can be in time, however little of
+	// its time is left.
+	leastUnread = 1500
+	// passesBefore is how many passes go by besides the reading until a first
+	// event comes: half of the one that runs, and the one that writes it.
+	passesBefore = 1.6
 	// minReturn and maxReturn bound the time that a refused caller is told.
 	minReturn = 100 * time.Millisecond
 	maxReturn = 2 * time.Second
 )
 
-// Late reports whether a request can't be in time any more: its caller has
-// less time left than the route gives, so it came before.
-func Late(left, full time.Duration) bool {
+// Returned reports whether a caller came back after a refusal: it has less time
+// left than the route gives.
+func Returned(left, full time.Duration) bool {
 	return left > 0 && full > 0 && float64(left) < returnedPart*float64(full)
 }
 
-// Hold returns how long a request may wait for a place: as long as it may still
-// be in time once it is begun, where beginning takes the time expected.
-func Hold(target, expected time.Duration, late bool) time.Duration {
-	if late {
-		return lateHold
-	}
+// InTime returns until when after its arrival a request can be in time if it is
+// begun then, where beginning takes the time expected.
+func InTime(target, expected time.Duration) time.Duration {
 	return max(target/leastHold, target-expected)
 }
 
+// Hold returns how long after its arrival a request may wait for a place at all,
+// where its caller waits the span given.
+func Hold(target, span time.Duration) time.Duration {
+	return max(target/leastHold, min(lateHold, span-runTime))
+}
+
 // Extra returns the requests that an engine may hold beyond its slots.
 func Extra(late bool) int {
 	if late {
@@ -49,6 +67,17 @@
 	return 0
 }
 
+// Unread returns the prompt tokens that may wait at an engine for a first event
+// within the time left, this request's own included.
+func Unread(spec *catalog.Engine, left time.Duration, late bool) int {
+	if late {
+		return lateUnread
+	}
+	before := time.Duration(passesBefore * float64(engine.Write(spec, spec.Slots, spec.Slots*spec.UsualPrompt)))
+	tokens := int((left - before).Seconds() * spec.ReadPerSecond)
+	return max(leastUnread, tokens)
+}
+
 // Return returns when a refused caller should come back: the time in which
 // those who wait get a place, where a place frees each gap.
 func Return(waiting int, gap time.Duration) time.Duration {
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -47,6 +47,7 @@
 	intended   *bitset.BitSet // to be drawn here once the origin may be asked again
 	originFail int            // draws failed in a row
 	imports    *imports
+	pullFrom   time.Time // no fetch from peers before; zero: at once
 
 	stats   Stats
 	actions []Action
@@ -128,6 +129,11 @@
 // SetPaused stops new fetches, or lets them go on; exchanges go on anyway.
 func (c *Core) SetPaused(paused bool) { c.paused = paused }
 
+// SetPullFrom puts off fetches from peers, so that others get the version first:
+// until the time given this host draws what is its turn and takes in what its
+// region needs, no more.
+func (c *Core) SetPullFrom(from time.Time) { c.pullFrom = from }
+
 // SetPolicy changes the objective; see Config.
 func (c *Core) SetPolicy(objective string, originCopies int) {
 	c.cfg.Objective = objective
@@ -429,7 +435,11 @@
 		default:
 			c.draw(now)
 			c.scanImports(now)
-			c.pull(now)
+			if !now.Before(c.pullFrom) {
+				c.pull(now)
+			} else {
+				c.pullImports(now)
+			}
 		}
 	}
 	if c.cfg.Strategy != OriginOnly {
--- a/relay/burst/exchange.go
+++ b/relay/burst/exchange.go
@@ -33,6 +33,9 @@
 	if pst.told == c.news {
 		return idleInterval
 	}
+	if c.cfg.DearRegions {
+		return regionNews
+	}
 	return newsInterval
 }
 
--- a/relay/burst/regions.go
+++ b/relay/burst/regions.go
@@ -15,6 +15,9 @@
 	// and a few neighbours elsewhere are enough to fetch one copy.
 	regionNear = 6
 	regionFar  = 4
+	// regionNews is the time between exchanges with a neighbour while there is
+	// news: with few neighbours, each is the only way to what it holds.
+	regionNews = 200 * time.Millisecond
 	// importTurn is how long the next host of a region waits until it fetches a
 	// chunk from another region in place of the host before it in rank: a few
 	// times what a chunk takes, so that one slow host does not stop a region.
@@ -78,6 +81,33 @@
 	}
 }
 
+// pullImports requests the chunks that this host takes into its region.
+func (c *Core) pullImports(now time.Time) {
+	if !c.cfg.DearRegions {
+		return
+	}
+	wanted := c.imports.allowed.Difference(c.held)
+	for i, ok := wanted.NextSet(0); ok && len(c.flights) < c.cfg.MaxFetches; i, ok = wanted.NextSet(i + 1) {
+		chunk := int(i)
+		if c.inFlight[chunk] > 0 || c.offeredInRegion(chunk) {
+			continue
+		}
+		if source := c.soonest(now, chunk, nil); source != nil {
+			c.fetch(now, chunk, source)
+		}
+	}
+}
+
+// offeredInRegion reports whether a neighbour of the own region holds the chunk.
+func (c *Core) offeredInRegion(chunk int) bool {
+	for _, pst := range c.neighbours {
+		if !c.far(pst) && pst.held != nil && pst.held.Test(uint(chunk)) {
+			return true
+		}
+	}
+	return false
+}
+
 // importRanks returns this host's rank in its region for each chunk.
 func (c *Core) importRanks(now time.Time) []int {
 	var seeds []uint64
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -18,6 +18,11 @@
 	// awayCost is what an engine weighs that is home to another entry, which
 	// may send there at the same moment.
 	awayCost = 20.0
+	// oldCost is what an engine weighs that still has to load the version
+	// wanted: what it runs then will be cut, and goes on elsewhere. A request
+	// that was cut once should not be again.
+	oldCost      = 30.0
+	oldAgainCost = 90.0
 	// farCost is what another failure domain weighs: bytes between domains are
 	// paid for and take longer.
 	farCost = 45.0
@@ -49,13 +54,20 @@
 type Need struct {
 	Model string // empty: a plain request
 	// Floor is the lowest version of the model that may serve.
-	Floor   uint64
+	Floor uint64
+	// Wanted is the version that every engine should come to; 0 where unknown.
+	Wanted uint64
+	// Again: the request goes on after another endpoint.
+	Again   bool
 	Prompt  int // tokens
 	Domain  string
 	Exclude []string // endpoints that had the request already
 	// Extra is the requests an engine may hold beyond its slots; below 0 it
 	// keeps slots free.
-	Extra   int
+	Extra int
+	// Unread is the prompt tokens that may wait to be read at an engine, this
+	// request\'s own included; 0 bounds nothing.
+	Unread  int
 	Entries int // entries that share the endpoints
 }
 
@@ -217,7 +229,7 @@
 			continue
 		}
 		occupied := end.occupancy(now, need.Entries)
-		if occupied >= end.reg.Slots+need.Extra {
+		if occupied >= end.reg.Slots+need.Extra || !g.readsSoon(end, need, now) {
 			verdict = Full
 			continue
 		}
@@ -241,6 +253,16 @@
 	return grant, Granted
 }
 
+// readsSoon reports whether an engine would read the request's prompt in time.
+// One that reads nothing gets any.
+func (g *Group) readsSoon(end *endpoint, need Need, now time.Time) bool {
+	if g.engine == nil || need.Unread <= 0 {
+		return true
+	}
+	unread := end.unread(now)
+	return unread <= 0 || unread+need.Prompt <= need.Unread
+}
+
 // score orders the endpoints that have room by the wait to be expected there;
 // the least is best.
 func (g *Group) score(end *endpoint, need Need, now time.Time, occupied int) float64 {
@@ -257,6 +279,12 @@
 	if !end.home {
 		score += awayCost
 	}
+	if need.Wanted > end.version(now, need.Model) {
+		score += oldCost
+		if need.Again {
+			score += oldAgainCost - oldCost
+		}
+	}
 	wait := occupiedCost*float64(occupied) + g.readMillis(end.unread(now))
 	if end.followed(now) && end.state.Pace > 1 {
 		wait *= end.state.Pace
--- a/relay/rollout/wave.go
+++ b/relay/rollout/wave.go
@@ -1,6 +1,7 @@
-// Package rollout decides when each host loads a new version of its weights, so
-// that few are out of service at once and none serves an old version too long.
-// It is pure: every host computes its own time from what all hosts know.
+// Package rollout decides when each host fetches and loads a new version of its
+// weights, so that few are out of service at once and none serves an old version
+// too long. It is pure: every host computes its own part from what all hosts
+// know.
 package rollout
 
 import (
@@ -11,13 +12,24 @@
 )
 
 const (
-	// earlySpan is the time in which the first half of the hosts loads: were
-	// the next version declared meanwhile, that half carries the requests while
-	// the other half skips to it.
-	earlySpan = 1500 * time.Millisecond
+	// firstFetch is the time in which the first host has a version, as a
+	// multiple of what its bytes take on the host's link alone.
+	firstFetch = 1.8
+	// pullSpread is how much later the last host begins to fetch from others
+	// than the first, in the same unit. Were all hosts ready at once, all
+	// would load at once.
+	pullSpread = 0.85
+	// usualFetch is the time after which most hosts have a version.
+	usualFetch = 2.1
+	// inTimePart is the part of the hosts that load before the deadline.
+	inTimePart = 0.75
+	// afterSpan is the time after the deadline in which the others begin.
+	afterSpan = 500 * time.Millisecond
+	// dryTime is how long these wait for what runs.
+	dryTime = 1500 * time.Millisecond
 	// margin is left between the last load's end and the time at which an older
 	// version may no longer be used.
-	margin = 250 * time.Millisecond
+	margin = 700 * time.Millisecond
 )
 
 // Declared is one version as its declaration became known.
@@ -26,9 +38,21 @@
 	At      time.Time
 }
 
+// Floor returns the lowest version that may still be used: the newest of those
+// that were declared the bound ago or earlier; 0 where there is none.
+func Floor(history []Declared, now time.Time, bound time.Duration) uint64 {
+	floor := uint64(0)
+	for _, decl := range history {
+		if now.Sub(decl.At) >= bound {
+			floor = max(floor, decl.Version)
+		}
+	}
+	return floor
+}
+
 // Deadline returns when a host that has a version loaded may no longer use it:
-// within the bound after the first newer one was declared. ok is false where no
-// newer one is known.
+// the bound after the first newer one was declared. ok is false where no newer
+// one is known.
 func Deadline(history []Declared, loaded uint64, bound time.Duration) (deadline time.Time, ok bool) {
 	for _, decl := range history {
 		if decl.Version <= loaded {
@@ -41,32 +65,69 @@
 	return deadline, ok
 }
 
-// Start returns when a host should load a version that lies ready since the time
-// given: the first half within a short span, the others spread until the
-// deadline, less the time that a load takes.
-func Start(ready, deadline time.Time, load time.Duration, host string, hosts []string, version string) time.Time {
-	left := deadline.Add(-load - margin).Sub(ready)
-	if left <= 0 {
-		return ready
+// Target returns the version to fetch. A newer one replaces the one that is
+// being fetched, unless it would come too late for a host whose loaded version
+// ends before: that host takes both. fetch is what a version's bytes take on
+// the host's link alone.
+func Target(history []Declared, loaded, current uint64, bound, fetch time.Duration) uint64 {
+	newest, newer := Declared{}, 0
+	for _, decl := range history {
+		if decl.Version > newest.Version {
+			newest = decl
+		}
+		if decl.Version > current {
+			newer++
+		}
 	}
-	part := position(host, hosts, version)
-	early := min(left, earlySpan)
-	if part < 0.5 {
-		return ready.Add(time.Duration(2 * part * float64(early)))
+	deadline, ends := Deadline(history, loaded, bound)
+	switch {
+	case current <= loaded || newer != 1 || !ends || loaded == 0:
+		return newest.Version
+	case !newest.At.Add(scale(fetch, usualFetch)).After(deadline):
+		return newest.Version
 	}
-	if left <= earlySpan {
-		return ready.Add(time.Duration((2*part - 1) * float64(left)))
+	return current
+}
+
+// PullDelay returns how long a host at the place leaves the links to those
+// before it.
+func PullDelay(fetch time.Duration, place float64) time.Duration {
+	return scale(fetch, pullSpread*place)
+}
+
+// Start returns when a host at the place should load a version that lies ready.
+// Most hosts take their turns from the time at which the first has it to the
+// deadline, less the time that a load takes. The last ones come after the
+// deadline: they get nothing new before it, run dry and cut nothing off.
+func Start(declared, deadline time.Time, fetch, load time.Duration, place float64) time.Time {
+	if place >= inTimePart {
+		return deadline.Add(scale(afterSpan, (place-inTimePart)/(1-inTimePart)))
+	}
+	first := declared.Add(scale(fetch, firstFetch))
+	last := deadline.Add(-load - margin)
+	if !last.After(first) {
+		return first
 	}
-	return ready.Add(early + time.Duration((2*part-1)*float64(left-early)))
+	return first.Add(scale(last.Sub(first), place/inTimePart))
+}
+
+// MayCut reports whether a load may cut off what runs: before the deadline, and
+// some time after it where something still runs.
+func MayCut(now, deadline time.Time) bool {
+	return now.Before(deadline) || now.After(deadline.Add(dryTime))
+}
+
+func scale(span time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(span) * factor)
 }
 
-// position returns the host's place among all, 0 to 1, in an order that differs
-// from version to version.
-func position(host string, hosts []string, version string) float64 {
+// Place returns the host's place among all, 0 to 1. It is the same for every
+// version, so that who loads one early fetches the next one early.
+func Place(host string, hosts []string) float64 {
 	all := hosts
 	if !slices.Contains(all, host) {
 		all = append(slices.Clone(all), host)
 	}
-	ranked := rendezvous.Top(version, all, len(all))
+	ranked := rendezvous.Top("rollout", all, len(all))
 	return float64(slices.Index(ranked, host)) / float64(len(ranked))
 }
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -10,6 +10,7 @@
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/freshness"
+	"comfreyrelay.example/relay/rollout"
 )
 
 // Wanted is the version that the hosts of a model should use.
@@ -33,7 +34,8 @@
 	entries  map[string]Entry
 	missing  map[string]time.Time // entries whose registration ended, by when they are dropped
 	wanted   map[string]Wanted
-	settled  time.Time // registrations that end before it may be back
+	history  map[string][]rollout.Declared // by model, newest last
+	settled  time.Time                     // registrations that end before it may be back
 	changed  chan struct{}
 }
 
@@ -46,6 +48,7 @@
 	return &State{
 		clock: clock, fleet: flt, fresh: fresh,
 		entries: map[string]Entry{}, missing: map[string]time.Time{}, wanted: map[string]Wanted{},
+		history: map[string][]rollout.Declared{},
 		changed: make(chan struct{}),
 	}
 }
@@ -107,6 +110,21 @@
 	return want, ok
 }
 
+// Floor returns the lowest version of a model that may be used where a newer one
+// must be in use the bound after its declaration; 0 where any may.
+func (s *State) Floor(model string, bound time.Duration) uint64 {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	floor := rollout.Floor(s.history[model], now, bound)
+	list := s.history[model]
+	for len(list) > 1 && list[1].Version <= floor {
+		list = list[1:]
+	}
+	s.history[model] = list
+	return floor
+}
+
 // Lost notes that the store does not answer: registrations that lapse now may
 // be back after it returns.
 func (s *State) Lost() { s.settle() }
@@ -172,6 +190,7 @@
 		}
 	case WeightsRecord:
 		if rec.Weights > s.wanted[rec.ID].Version {
+			s.history[rec.ID] = append(s.history[rec.ID], rollout.Declared{Version: rec.Weights, At: now})
 			s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: now}
 		}
 	case EndpointRecord:
