Guidance when it changes, watches a quarter of a second apart

Cause: each change of any key made nine entries send a list of all hosts to 24 agents, most of them in other regions, and each change cost each entry a watch; the goroutines that tell agents woke at every state of every engine.

Change: guidance goes out when its content changed; watches are at least 0.25 s apart and wait 1.8 s; agents tell far entries four times a second; who tells an agent wakes when that agent's figure changed.

--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -15,10 +15,10 @@
 	sendGap = 25 * time.Millisecond
 	// farGap is the same to an entry of another region, which seldom sends
 	// here and whose bytes are dear.
-	farGap = 150 * time.Millisecond
+	farGap = 250 * time.Millisecond
 	// sendAnyway is the longest such time: an entry that hears nothing for a
 	// few of these takes the agent's word no longer.
-	sendAnyway = 200 * time.Millisecond
+	sendAnyway = 250 * time.Millisecond
 )
 
 // feed serves entries: wire.Feed.
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -230,7 +230,7 @@
 	t.mgr.cfg.Log.Info("version whole", "version", t.version, "chunks", t.core.Held(),
 		"seconds", now.Sub(t.began).Seconds(), "manifestSeconds", t.manifestAt.Sub(t.began).Seconds(),
 		"firstSeconds", stats.FirstHeld.Sub(t.began).Seconds(), "drawnSeconds", stats.AllDrawn.Sub(t.began).Seconds(),
-		"draws", stats.Draws, "drawsAgain", stats.DrawsAgain, "pulls", stats.Pulls, "busy", stats.Busy,
+		"draws", stats.Draws, "drawsAgain", stats.DrawsAgain, "pulls", stats.Pulls, "farPulls", stats.FarPulls, "busy", stats.Busy,
 		"timedOut", stats.TimedOut, "corrupt", stats.Corrupt, "broken", stats.Broken, "exchanges", stats.Exchanges)
 }
 
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -1,14 +1,19 @@
 package onsite
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
@@ -26,8 +31,8 @@
 	feedSilence = time.Second
 	// feedRetry is the mean pause before a feed is begun again.
 	feedRetry = 250 * time.Millisecond
-	// guideInterval is how often an agent is told again what is wanted.
-	guideInterval = 3 * time.Second
+	// guideInterval is how often an agent is told again what did not change.
+	guideInterval = 10 * time.Second
 )
 
 // feeds follows the agent of each engine.
@@ -152,33 +157,12 @@
 // much of what this entry sent there is not read yet.
 func (f *feeds) guide(ctx context.Context, cancel context.CancelFunc, eng fleet.Engine, stream wire.DRPCFeed_FollowClient) {
 	defer cancel()
-	group := f.state.Fleet().Group(eng.Service)
-	var told time.Time
-	reading := -1
-	changed := f.state.Changed()
+	moved := f.state.Fleet().Group(eng.Service).ReadingChanged(eng.Address)
+	teller := &teller{feeds: f, engine: eng, reading: -1}
 	for ctx.Err() == nil {
-		moved := group.Changed()
-		now := f.state.Fleet().Reading(eng.Service, eng.Address)
-		var message *wire.Guidance
-		select {
-		case <-changed:
-			told = time.Time{}
-		default:
-		}
-		switch {
-		case f.clock.Since(told) >= guideInterval:
-			changed = f.state.Changed()
-			message = f.guidance()
-			told = f.clock.Now()
-		case now != reading:
-			message = &wire.Guidance{ReadingOnly: true}
-		}
-		if message != nil {
-			message.Reading = uint32(now)
-			reading = now
-			if stream.Send(message) != nil {
-				return
-			}
+		changed := f.state.Changed()
+		if message := teller.next(changed); message != nil && stream.Send(message) != nil {
+			return
 		}
 		select {
 		case <-ctx.Done():
@@ -189,6 +173,61 @@
 	}
 }
 
+// teller knows what one agent was told.
+type teller struct {
+	feeds   *feeds
+	engine  fleet.Engine
+	seen    <-chan struct{} // of the knowledge that was looked at last
+	digest  uint64          // of the guidance told
+	toldAt  time.Time
+	reading int
+}
+
+// next returns what the agent does not know yet; nil where it knows all.
+func (t *teller) next(changed <-chan struct{}) *wire.Guidance {
+	reading := t.feeds.state.Fleet().Reading(t.engine.Service, t.engine.Address)
+	message := t.guidance(changed)
+	if message == nil && reading == t.reading {
+		return nil
+	}
+	if message == nil {
+		message = &wire.Guidance{ReadingOnly: true}
+	}
+	t.reading = reading
+	message.Reading = uint32(reading)
+	return message
+}
+
+func (t *teller) guidance(changed <-chan struct{}) *wire.Guidance {
+	old := t.feeds.clock.Since(t.toldAt) >= guideInterval
+	if changed == t.seen && !old {
+		return nil
+	}
+	t.seen = changed
+	message := t.feeds.guidance()
+	digest := guidanceDigest(message)
+	if digest == t.digest && !old {
+		return nil
+	}
+	t.digest, t.toldAt = digest, t.feeds.clock.Now()
+	return message
+}
+
+// guidanceDigest tells guidance that says something new from the same told
+// again: ages and revisions alone are nothing new.
+func guidanceDigest(told *wire.Guidance) uint64 {
+	dup := proto.CloneOf(told)
+	dup.Revision = 0
+	for _, one := range dup.GetWanted() {
+		one.AgeMillis = 0
+	}
+	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(dup)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(text)
+}
+
 // guidance is what agents are to know now.
 func (f *feeds) guidance() *wire.Guidance {
 	told := &wire.Guidance{Revision: f.state.Revision(), Region: f.region}
@@ -204,11 +243,14 @@
 		if svc.Engine == nil {
 			return
 		}
-		for model, load := range svc.Engine.Loads {
+		for _, model := range slices.Sorted(maps.Keys(svc.Engine.Loads)) {
+			load := svc.Engine.Loads[model]
 			told.Wanted = append(told.Wanted, f.wanted(svc, model, loaded[model], load, cat.Resumable(svc.Name)))
 		}
 	})
-	for _, eng := range f.state.Fleet().Engines() {
+	engines := f.state.Fleet().Engines()
+	slices.SortFunc(engines, func(left, right fleet.Engine) int { return cmp.Compare(left.Address, right.Address) })
+	for _, eng := range engines {
 		told.Peers = append(told.Peers, &wire.Node{
 			Id: eng.Address, Role: peer.RoleAgent, Region: f.regionOf(eng.FailureDomain), FailureDomain: eng.FailureDomain,
 			ControlAddress: f.agentAddress(eng.Address),
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -150,6 +150,7 @@
 	Corrupt    int
 	Broken     int
 	Exchanges  int
+	FarPulls   int       // requests to peers in other regions
 	FirstHeld  time.Time // when the first chunk was held
 	AllDrawn   time.Time // when every chunk was known to have left the origin
 }
@@ -501,6 +502,9 @@
 	switch {
 	case source != nil:
 		c.stats.Pulls++
+		if source.peer.Region != c.cfg.Self.Region {
+			c.stats.FarPulls++
+		}
 	case c.drawn.Test(uint(chunk)):
 		c.stats.Draws++
 		c.stats.DrawsAgain++
--- a/relay/burst/regions.go
+++ b/relay/burst/regions.go
@@ -21,7 +21,7 @@
 	// importTurn is how long the next host of a region waits until it fetches a
 	// chunk from another region in place of the host before it in rank: a few
 	// times what a chunk takes, so that one slow host does not stop a region.
-	importTurn = 600 * time.Millisecond
+	importTurn = 900 * time.Millisecond
 	// importScan is how often the chunks that may come from other regions are
 	// looked at.
 	importScan = 25 * time.Millisecond
@@ -70,7 +70,7 @@
 }
 
 func (c *Core) scanImport(now time.Time, chunk int) {
-	if c.held.Test(uint(chunk)) {
+	if c.held.Test(uint(chunk)) || c.offeredInRegion(chunk) {
 		return
 	}
 	if c.imports.offered[chunk].IsZero() {
@@ -89,7 +89,7 @@
 	wanted := c.imports.allowed.Difference(c.held)
 	for i, ok := wanted.NextSet(0); ok && len(c.flights) < c.cfg.MaxFetches; i, ok = wanted.NextSet(i + 1) {
 		chunk := int(i)
-		if c.inFlight[chunk] > 0 || c.offeredInRegion(chunk) {
+		if c.inFlight[chunk] > 0 {
 			continue
 		}
 		if source := c.soonest(now, chunk, nil); source != nil {
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -83,7 +83,7 @@
 func (g *Grant) began() {
 	if !g.begun {
 		g.begun = true
-		g.end.reading -= g.prompt
+		g.group.addReading(g.end, -g.prompt)
 	}
 }
 
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -79,10 +79,34 @@
 	engine    *catalog.Engine // nil: a plain service
 	endpoints map[string]*endpoint
 	changed   chan struct{} // closed and replaced when room may have come
+	// moved gets a value when what this entry has unread at an address changes.
+	moved map[string]chan struct{}
 }
 
 func newGroup(clock func() time.Time) *Group {
-	return &Group{clock: clock, endpoints: map[string]*endpoint{}, changed: make(chan struct{})}
+	return &Group{clock: clock, endpoints: map[string]*endpoint{}, changed: make(chan struct{}), moved: map[string]chan struct{}{}}
+}
+
+// ReadingChanged returns a channel that receives a value after what this entry
+// sent to the engine at the address and is not read yet has changed; several
+// changes may make one. One reader at a time gets them.
+func (g *Group) ReadingChanged(address string) <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.moved[address] == nil {
+		g.moved[address] = make(chan struct{}, 1)
+	}
+	return g.moved[address]
+}
+
+// addReading counts prompt tokens sent, or read where they are negative; g.mu is
+// held.
+func (g *Group) addReading(end *endpoint, tokens int) {
+	end.reading += tokens
+	select {
+	case g.moved[end.reg.Address] <- struct{}{}:
+	default:
+	}
 }
 
 func (g *Group) declare(engine *catalog.Engine) {
@@ -249,7 +273,7 @@
 	if !best.stateAt.IsZero() {
 		best.sent = append(best.sent, now)
 	}
-	best.reading += need.Prompt
+	g.addReading(best, need.Prompt)
 	return grant, Granted
 }
 
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -15,12 +15,12 @@
 const (
 	// watchWait is how long one watch waits: the proof that nothing changed is
 	// as old as that at most, and each watch is a call that is paid for.
-	watchWait = 1200 * time.Millisecond
+	watchWait = 1800 * time.Millisecond
+	// watchGap is the least time between two watches: changes that come close
+	// together then cost one call. It is a part of the bounds for a change.
+	watchGap = 250 * time.Millisecond
 	// retryWait is the mean pause after a failed call.
 	retryWait = 120 * time.Millisecond
-	// emptyPause keeps watches that end at once without news from becoming a
-	// flood of calls.
-	emptyPause = 50 * time.Millisecond
 )
 
 // Follower keeps a State as new as the store.
@@ -62,6 +62,9 @@
 }
 
 func (f *Follower) sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-f.Clock.After(wait):
@@ -121,9 +124,7 @@
 		return nil
 	}
 	f.State.Fresh().Prove(began)
-	if len(changes) == 0 && ended-began < emptyPause {
-		f.sleep(ctx, emptyPause)
-	}
+	f.sleep(ctx, watchGap-(ended-began))
 	return nil
 }
 
