An engine whose version ends shortly gets only what it begins at once

Change: engines below the version that will be the floor within 2.5 s take only what is read within about two passes, and nothing in the last 1.2 s.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -110,6 +110,7 @@
 	if svc, ok := x.catalog.Service(x.service); ok && svc.Engine != nil {
 		need.Model, need.Prompt = x.req.Model, x.req.Prompt
 		need.Floor = x.gateway.floor(x.req.Model)
+		need.SoonFloor = x.gateway.cfg.State.Floor(x.req.Model, x.gateway.cfg.Bounds().Version-soonMargin)
 		want, _ := x.gateway.cfg.State.WantedOf(x.req.Model)
 		need.Wanted = want.Version
 		need.Unread = admission.Unread(svc.Engine, x.left(), x.late())
@@ -129,7 +130,11 @@
 
 // floorMargin is the part of a version's time after which only endpoints that
 // have it are chosen: the rest is for requests on their way and for clocks.
-const floorMargin = 1000 * time.Millisecond
+const floorMargin = 1200 * time.Millisecond
+
+// soonMargin is the part of a version's time after which engines that have an
+// older one get only what they begin at once.
+const soonMargin = 2500 * time.Millisecond
 
 // floor returns the lowest version of a model that may still serve.
 func (g *Gateway) floor(model string) uint64 {
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -36,6 +36,9 @@
 	silenceCost = 60.0
 	// silentAfter is that time.
 	silentAfter = 400 * time.Millisecond
+	// soonUnread is the prompt tokens that may wait at an engine whose version
+	// ends shortly: about two passes.
+	soonUnread = 1500
 	// plainCost is what one request in progress at a plain endpoint weighs.
 	plainCost = 10.0
 )
@@ -55,6 +58,9 @@
 	Model string // empty: a plain request
 	// Floor is the lowest version of the model that may serve.
 	Floor uint64
+	// SoonFloor will be the floor shortly: an engine below it gets only what it
+	// begins at once, since what waits there would begin on an old version.
+	SoonFloor uint64
 	// Wanted is the version that every engine should come to; 0 where unknown.
 	Wanted uint64
 	// Again: the request goes on after another endpoint.
@@ -284,6 +290,9 @@
 		return true
 	}
 	unread := end.unread(now)
+	if end.version(now, need.Model) < need.SoonFloor && unread > 0 {
+		return unread+need.Prompt <= soonUnread && end.state.Queued == 0
+	}
 	return unread <= 0 || unread+need.Prompt <= need.Unread
 }
 
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -43,6 +43,10 @@
 // missing though its owner lives: owners write again within two seconds.
 const settleTime = 2200 * time.Millisecond
 
+// maxHistory bounds the declarations remembered of one model: those still in
+// their time are a few.
+const maxHistory = 16
+
 // NewState returns a State that knows nothing.
 func NewState(clock func() time.Time, flt *fleet.Fleet, fresh *freshness.Tracker) *State {
 	return &State{
@@ -116,13 +120,7 @@
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	floor := rollout.Floor(s.history[model], now, bound)
-	list := s.history[model]
-	for len(list) > 1 && list[1].Version <= floor {
-		list = list[1:]
-	}
-	s.history[model] = list
-	return floor
+	return rollout.Floor(s.history[model], now, bound)
 }
 
 // Lost notes that the store does not answer: registrations that lapse now may
@@ -190,7 +188,8 @@
 		}
 	case WeightsRecord:
 		if rec.Weights > s.wanted[rec.ID].Version {
-			s.history[rec.ID] = append(s.history[rec.ID], rollout.Declared{Version: rec.Weights, At: now})
+			list := append(s.history[rec.ID], rollout.Declared{Version: rec.Weights, At: now})
+			s.history[rec.ID] = list[max(0, len(list)-maxHistory):]
 			s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: now}
 		}
 	case EndpointRecord:
