Up to three hosts may draw a chunk whose first owner is slow

Cause: the uplinks of three hosts became narrow while a version was fetched; the chunks that these had drawn reached nobody else for 9 s, and no other host drew them because one copy was allowed. All engines were out when the old version ended.

Change: the rollout allows three draws of a chunk, each after the time that burst gives the one before.

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -20,6 +20,9 @@
 const (
 	// loaderTick is how often the loader looks at what is wanted and there.
 	loaderTick = 40 * time.Millisecond
+	// originCopies bounds how many hosts may draw one chunk from the origin where
+	// the first takes long: its link may have become narrow.
+	originCopies = 3
 	// orderPause is the pause after an order that was not taken.
 	orderPause = 150 * time.Millisecond
 	// orderTimeout bounds one order.
@@ -111,7 +114,7 @@
 	name := versionName(want.model, want.version)
 	l.log.Info("weights wanted", "version", name, "before", l.current.Load(), "loaded", loaded, "fence", want.fence,
 		"ageMillis", l.clock.Since(want.since).Milliseconds(), "place", l.place())
-	policy := weights.Policy{Objective: burst.ObjectiveTime, OriginCopies: 1}
+	policy := weights.Policy{Objective: burst.ObjectiveTime, OriginCopies: originCopies}
 	if before := l.current.Swap(want.version); before > 0 {
 		policy.Keep = []string{versionName(want.model, before)}
 	}
