The origin is asked again within 0.7 s after it failed

Cause: the origin was down for 6 s while a version was fetched; hosts had doubled their pause to 8 s by its return, so the first engine had the version 13.7 s after its declaration instead of 8, and all engines were out meanwhile.

Change: the pause is bounded by 0.7 s on a platform, and calls of the origin by half a second to connect and 1.5 s to answer. A caller for whom no endpoint serves is told 1.5 s.

--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -41,6 +41,13 @@
 	memoryPart = 0.5
 	// drawWindow is the chunks that the hosts draw from the origin at once.
 	drawWindow = 14
+	// maxBackoff bounds the pause after the origin failed: the time for a new
+	// version is short, and a host in a few asks at once.
+	maxBackoff = 700 * time.Millisecond
+	// originDial and originAnswer bound a connection to the origin and the wait
+	// for its answer: one that is cut off answers nothing.
+	originDial   = 500 * time.Millisecond
+	originAnswer = 1500 * time.Millisecond
 	// fetches is the chunks that are on their way to a host at once: each is
 	// 27 ms of its link, and a live request behind them waits for all.
 	fetches = 4
@@ -95,7 +102,7 @@
 	engine := platform.NewEngine(strings.TrimSuffix(set.GetEndpointUrl(), "/"), local)
 	a := &agent{
 		set: set, log: log, clock: clock, guide: newGuide(), pool: peer.NewPool(nil),
-		remote: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second, DisableCompression: true}},
+		remote: originClient(),
 	}
 	a.watch = newWatch(engine, clock, log)
 	a.stage = newStage(engine, a.guide)
@@ -109,6 +116,7 @@
 		WindowBytes: set.GetWindowBytes(),
 		DearRegions: true,
 		DrawWindow:  drawWindow,
+		MaxBackoff:  maxBackoff,
 		Fetches:     fetches,
 		LinkShares:  a.linkShares,
 		PutChunk:    a.stage.put,
@@ -123,6 +131,14 @@
 	return a
 }
 
+func originClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: originDial}).DialContext,
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+		ResponseHeaderTimeout: originAnswer,
+	}}
+}
+
 // self names this host by its engine's address, as entries name it to others.
 func (a *agent) self() *wire.Node {
 	self := node.Describe(a.set.GetNode(), peer.RoleAgent, "")
--- a/agent/internal/weights/manager.go
+++ b/agent/internal/weights/manager.go
@@ -60,6 +60,8 @@
 	Fetches int
 	// DrawWindow is the chunks that the fleet draws at once; 0: as burst does.
 	DrawWindow int
+	// MaxBackoff bounds the pause after the origin failed; 0 stands for 15 s.
+	MaxBackoff time.Duration
 	// DearRegions keeps bytes between regions few.
 	DearRegions bool
 	// Strategy is one of the burst package's strategies; empty means swarm.
@@ -136,6 +138,9 @@
 	if cfg.Fetches <= 0 {
 		cfg.Fetches = maxFetches
 	}
+	if cfg.MaxBackoff <= 0 {
+		cfg.MaxBackoff = maxOriginRetry
+	}
 	if cfg.Source.Verify == nil {
 		cfg.Source.Decode, cfg.Source.Verify = manifest.Decode, manifest.Verify
 	}
--- a/agent/internal/weights/manifests.go
+++ b/agent/internal/weights/manifests.go
@@ -24,7 +24,8 @@
 	manifestPatience = 3 * time.Second
 	manifestTimeout  = 2 * time.Second
 	manifestRetry    = 75 * time.Millisecond
-	// originRetry and maxOriginRetry bound the pause after the origin failed.
+	// originRetry and maxOriginRetry bound the pause after the origin failed,
+	// the latter where the configuration does not say.
 	originRetry    = 500 * time.Millisecond
 	maxOriginRetry = 15 * time.Second
 )
@@ -41,7 +42,7 @@
 				return nil
 			}
 			nextDraw = t.now().Add(pause + rand.N(pause))
-			pause = min(2*pause, maxOriginRetry)
+			pause = min(2*pause, t.mgr.cfg.MaxBackoff)
 		}
 		if t.manifestFromPeer(ctx) == nil {
 			return nil
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -129,6 +129,7 @@
 		Chunks:       len(man.GetChunkHashes()),
 		Strategy:     t.mgr.cfg.Strategy,
 		DrawWindow:   t.mgr.cfg.DrawWindow,
+		MaxBackoff:   t.mgr.cfg.MaxBackoff,
 		DearRegions:  t.mgr.cfg.DearRegions,
 		Objective:    t.policy.Objective,
 		OriginCopies: t.policy.OriginCopies,
--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -222,12 +222,16 @@
 	return x.arrived.Add(x.route.Target).Sub(x.gateway.cfg.Clock.Now())
 }
 
+// nobodyReturn is what a caller is told where no endpoint serves its request at
+// all: endpoints that load or start again need seconds.
+const nobodyReturn = 1500 * time.Millisecond
+
 // noPlace says why nobody took the request and when to come back.
 func (x *exchange) noPlace(ctx context.Context, verdict fleet.Verdict, waiting int) *refusal {
 	if ctx.Err() != nil {
 		return x.overdue(ctx)
 	}
-	wait := soonReturn
+	wait := nobodyReturn
 	reason := "no endpoint serves this"
 	if verdict == fleet.Full {
 		reason = "all endpoints are full"
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -145,6 +145,9 @@
 	// from a few. A wider one keeps the origin's link busy where chunks are so
 	// small that news of a draw takes longer than the draw.
 	DrawWindow int
+	// MaxBackoff bounds the pause after draws that failed; 0 stands for 15 s. A
+	// short one suits fleets that the origin can bear to be asked by.
+	MaxBackoff time.Duration
 	// DearRegions keeps bytes between regions few: each chunk comes into a
 	// region once, unless that takes long.
 	DearRegions bool
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -78,6 +78,9 @@
 	if cfg.MaxFetches <= 0 {
 		cfg.MaxFetches = fetchTarget
 	}
+	if cfg.MaxBackoff <= 0 {
+		cfg.MaxBackoff = maxBackoff
+	}
 	return &Core{
 		cfg:         cfg,
 		rng:         rand.New(rand.NewPCG(cfg.Seed, rendezvous.Seed(cfg.Self.ID))),
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -324,7 +324,7 @@
 	if cause == Dropped {
 		return
 	}
-	pause := min(originBackoff<<min(c.originFail, 8), maxBackoff)
+	pause := min(originBackoff<<min(c.originFail, 8), c.cfg.MaxBackoff)
 	c.originFail++
 	pause = max(pause, retryAfter)
 	jitter := time.Duration(c.rng.Int64N(int64(pause)/2 + 1))
