--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -48,6 +48,11 @@
 	// for its answer: one that is cut off answers nothing.
 	originDial   = 500 * time.Millisecond
 	originAnswer = 1500 * time.Millisecond
+	// originConns and originIdle bound what one host holds of the connections
+	// that the origin takes from all: one that is kept for the next draw keeps
+	// other hosts out.
+	originConns = 2
+	originIdle  = 100 * time.Millisecond
 	// fetches is the chunks that are on their way to a host at once: each is
 	// 27 ms of its link, and a live request behind them waits for all.
 	fetches = 4
@@ -134,7 +139,7 @@
 func originClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: originDial}).DialContext,
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+		MaxIdleConnsPerHost: 1, MaxConnsPerHost: originConns, IdleConnTimeout: originIdle, DisableCompression: true,
 		ResponseHeaderTimeout: originAnswer,
 	}}
 }
