Settings are read again on SIGHUP and when the file changes

Cause: nobody took SIGHUP, whose default ends a process; a file that changed without a signal was never looked at.

Change: settings.Reloader, in both programs on a platform; the bounds come into force, a file that is wrong changes nothing and is told. The operators' address serves metrics, health and readiness there too.

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -55,8 +55,8 @@
 	mgr    *weights.Manager
 	clock  clockwork.Clock
 	log    *slog.Logger
-	self   string        // this host among others
-	bound  time.Duration // for the use of a version after a newer one
+	self   string       // this host among others
+	bound  atomic.Int64 // for the use of a version after a newer one, nanoseconds
 
 	linkRate float64       // of the host's link, bytes a second; 0: unlimited
 	current  atomic.Uint64 // version that the Manager fetches
@@ -106,7 +106,7 @@
 // choose returns the version that the host fetches now and lets the Manager
 // fetch it. A version that the host leaves is still given to others.
 func (l *loader) choose(newest wanted, loaded uint64) wanted {
-	version := rollout.Target(l.guide.declared(newest.model), loaded, l.current.Load(), l.bound, l.fetchTime(newest))
+	version := rollout.Target(l.guide.declared(newest.model), loaded, l.current.Load(), l.limit(), l.fetchTime(newest))
 	want := l.guide.version(newest, version)
 	if want.version == l.current.Load() {
 		return want
@@ -126,6 +126,9 @@
 	return want
 }
 
+// limit is how long an old version may be used after a newer one's declaration.
+func (l *loader) limit() time.Duration { return time.Duration(l.bound.Load()) }
+
 // fetchTime is what a version's bytes take on the host's link alone.
 func (l *loader) fetchTime(want wanted) time.Duration {
 	if l.linkRate <= 0 {
@@ -149,7 +152,7 @@
 // start returns when this host's turn to load comes: at once where it serves
 // nothing.
 func (l *loader) start(want wanted, report platform.EngineReport) time.Time {
-	deadline, ok := rollout.Deadline(l.guide.declared(want.model), report.Loaded[want.model], l.bound)
+	deadline, ok := rollout.Deadline(l.guide.declared(want.model), report.Loaded[want.model], l.limit())
 	if report.Loaded[want.model] == 0 || !ok {
 		return time.Time{}
 	}
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -25,6 +25,7 @@
 	"comfreyrelay.example/relay/manifest"
 	"comfreyrelay.example/relay/node"
 	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/settings"
 	"comfreyrelay.example/relay/wire"
 )
 
@@ -131,11 +132,17 @@
 	})
 	a.loader = &loader{
 		engine: engine, watch: a.watch, guide: a.guide, mgr: a.mgr, clock: clock, log: log,
-		self: a.self().GetId(), linkRate: linkRate(set.GetSite()), bound: versionBound(set.GetSite().GetBounds()),
+		self: a.self().GetId(), linkRate: linkRate(set.GetSite()),
 	}
+	a.apply(set)
 	return a
 }
 
+// apply takes over settings that may change while the agent runs: the bounds.
+func (a *agent) apply(set *wire.AgentSettings) {
+	a.loader.bound.Store(int64(versionBound(set.GetSite().GetBounds())))
+}
+
 func originClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: originDial}).DialContext,
@@ -185,6 +192,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return ended(ctx, peer.Serve(ctx, lis, nil, mux, a.log)) })
 	group.Go(func() error { a.watch.run(ctx); return nil })
+	reloader := &settings.Reloader[*wire.AgentSettings]{
+		File: platform.SettingsFile(), Load: settings.LoadAgent, Apply: a.apply, Clock: a.clock, Log: a.log,
+	}
+	group.Go(func() error { reloader.Run(ctx); return nil })
 	group.Go(func() error { a.loader.run(ctx); return nil })
 	group.Go(func() error { return ended(ctx, a.mgr.Run(ctx)) })
 	err := group.Wait()
--- a/entry/internal/onsite/directory.go
+++ b/entry/internal/onsite/directory.go
@@ -23,7 +23,8 @@
 	id    string
 	// open reports whether this entry itself takes callers.
 	open func() bool
-	keep time.Duration
+	// keep returns how long callers should keep an answer.
+	keep func() time.Duration
 }
 
 // choose returns the entries near the caller, or all where too few are near.
@@ -45,5 +46,5 @@
 		chosen = near
 	}
 	sort.Strings(chosen)
-	return chosen[:min(maxAddresses, len(chosen))], d.keep
+	return chosen[:min(maxAddresses, len(chosen))], d.keep()
 }
--- a/entry/internal/onsite/onsite_test.go
+++ b/entry/internal/onsite/onsite_test.go
@@ -129,7 +129,7 @@
 	open := true
 	dir := &directory{
 		state: state, id: "self", self: site.Entry{CallersAddress: "4", FailureDomain: "d2"},
-		open: func() bool { return open }, keep: time.Second,
+		open: func() bool { return open }, keep: func() time.Duration { return time.Second },
 	}
 	check := func(domain string, want ...string) {
 		t.Helper()
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -25,6 +25,7 @@
 	"comfreyrelay.example/relay/logging"
 	"comfreyrelay.example/relay/node"
 	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/settings"
 	"comfreyrelay.example/relay/site"
 	"comfreyrelay.example/relay/wire"
 )
@@ -68,7 +69,7 @@
 	set      *wire.EntrySettings
 	log      *slog.Logger
 	clock    clockwork.Clock
-	bounds   bounds
+	bounds   atomic.Pointer[bounds]
 	state    *site.State
 	store    *kv.Store
 	gateway  *gateway.Gateway
@@ -80,23 +81,30 @@
 	clock := clockwork.NewRealClock()
 	self := node.Describe(set.GetNode(), peer.RoleEntry, set.GetCallersAddress())
 	e := &entry{
-		set: set, log: log, clock: clock, bounds: boundsOf(set.GetSite().GetBounds()),
+		set: set, log: log, clock: clock,
 		state: site.NewState(clock.Now, fleet.New(clock.Now), freshness.NewTracker(freshness.BootClock)),
 		self: site.Entry{
 			CallersAddress: set.GetCallersAddress(), Region: self.GetRegion(),
 			FailureDomain: self.GetFailureDomain(), Incarnation: self.GetIncarnation(),
 		},
 	}
+	e.apply(set)
 	e.store = platform.NewStore(set.GetKvUrl(), storeClient())
 	e.gateway = gateway.New(gateway.Config{
 		State: e.state, Pool: upstream.NewPool(clock.Now), Wire: platform.Wire(), Clock: clock, Log: log,
 		Domain:  self.GetFailureDomain(),
-		Bounds:  func() gateway.Bounds { return e.bounds.gateway },
+		Bounds:  func() gateway.Bounds { return e.bounds.Load().gateway },
 		Entries: func() int { return max(1, len(e.state.Entries())) },
 	})
 	return e
 }
 
+// apply takes over settings that may change while the entry runs: the bounds.
+func (e *entry) apply(set *wire.EntrySettings) {
+	found := boundsOf(set.GetSite().GetBounds())
+	e.bounds.Store(&found)
+}
+
 // storeClient makes connections to the store that end when it goes silent.
 func storeClient() *http.Client {
 	return &http.Client{
@@ -122,12 +130,18 @@
 		region: e.self.Region, regions: e.set.GetSite().GetRegions(), clock: e.clock, log: e.log}
 	group.Go(func() error { follower.Run(ctx); return nil })
 	group.Go(func() error { streams.run(ctx); return nil })
+	reloader := &settings.Reloader[*wire.EntrySettings]{
+		File: platform.SettingsFile(), Load: settings.LoadEntry, Apply: e.apply, Clock: e.clock, Log: e.log,
+	}
+	group.Go(func() error { reloader.Run(ctx); return nil })
 	e.register(ctx, drain, group)
 	front := e.serve(ctx, group, listeners.callers, e.gateway)
 	e.serve(ctx, group, listeners.ready, platform.ReadyHandler(e.ready))
 	e.serve(ctx, group, listeners.directory, platform.DirectoryHandler(e.directory().choose))
+	e.serve(ctx, group, listeners.operators, node.OperatorsRouter(node.Health{Ready: e.ready}))
+	e.gateway.Publish()
 	e.log.Info("started", "incarnation", e.self.Incarnation, "callersAddress", e.self.CallersAddress,
-		"revokeMillis", e.bounds.gateway.Revoke.Milliseconds(), "versionMillis", e.bounds.gateway.Version.Milliseconds())
+		"revokeMillis", e.bounds.Load().gateway.Revoke.Milliseconds(), "versionMillis", e.bounds.Load().gateway.Version.Milliseconds())
 	group.Go(func() error {
 		defer stop()
 		e.awaitEnd(ctx, drain, kill, front)
@@ -156,12 +170,12 @@
 func (e *entry) directory() *directory {
 	return &directory{
 		state: e.state, self: e.self, id: e.set.GetNode().GetId(),
-		open: func() bool { return e.ready() == nil }, keep: e.bounds.directoryTTL,
+		open: func() bool { return e.ready() == nil }, keep: func() time.Duration { return e.bounds.Load().directoryTTL },
 	}
 }
 
 // listeners are the addresses that an entry serves.
-type listeners struct{ callers, ready, directory net.Listener }
+type listeners struct{ callers, ready, directory, operators net.Listener }
 
 func (e *entry) listen() (*listeners, error) {
 	all := &listeners{}
@@ -172,6 +186,7 @@
 		{&all.callers, e.set.GetCallersAddress(), "callersAddress"},
 		{&all.ready, e.set.GetSite().GetReadyAddress(), "site.readyAddress"},
 		{&all.directory, e.set.GetSite().GetDirectoryAddress(), "site.directoryAddress"},
+		{&all.operators, e.set.GetNode().GetOperatorsAddress(), "node.operatorsAddress"},
 	} {
 		lis, err := net.Listen("tcp", one.address)
 		if err != nil {
@@ -208,7 +223,7 @@
 	if e.state.Catalog() == nil {
 		return failure.New(failure.Unavailable, "no configuration is known yet", "check kvUrl")
 	}
-	if age, known := e.state.Fresh().Age(); !known || age > e.bounds.gateway.Revoke {
+	if age, known := e.state.Fresh().Age(); !known || age > e.bounds.Load().gateway.Revoke {
 		return failure.New(failure.Unavailable, "what is known is too old", "check that the store can be reached")
 	}
 	return nil
@@ -224,11 +239,11 @@
 	began := e.clock.Now()
 	e.draining.Store(true)
 	front.SetKeepAlivesEnabled(false)
-	e.log.Info("draining", "inFlight", e.gateway.InFlight(), "graceMillis", e.bounds.grace.Milliseconds())
+	e.log.Info("draining", "inFlight", e.gateway.InFlight(), "graceMillis", e.bounds.Load().grace.Milliseconds())
 	e.sleep(kill, announceTime)
 	e.gateway.Drain()
 	e.sleep(kill, refuseTime)
-	for kill.Err() == nil && e.gateway.InFlight() > 0 && e.clock.Since(began) < e.bounds.grace-endMargin {
+	for kill.Err() == nil && e.gateway.InFlight() > 0 && e.clock.Since(began) < e.bounds.Load().grace-endMargin {
 		e.sleep(kill, drainLook)
 	}
 	e.log.Info("drained", "inFlight", e.gateway.InFlight(), "tookMillis", e.clock.Since(began).Milliseconds())
