--- a/ctl/internal/cmd/cmd.go
+++ b/ctl/internal/cmd/cmd.go
@@ -48,6 +48,7 @@
 		auditCommand(term),
 		rollbackCommand(term),
 		explainCommand(term),
+		traceCommand(term),
 		entriesCommand(term),
 		completionCommand(term),
 	}
--- /dev/null
+++ b/ctl/internal/cmd/cmd_trace.go
@@ -0,0 +1,175 @@
+package cmd
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/failure"
+)
+
+// maxLogLine bounds one line of a log, bytes.
+const maxLogLine = 1 << 20
+
+type traceOptions struct {
+	Request string `long:"request" value-name:"ID" description:"only lines that name this request"`
+	Node    string `long:"node" value-name:"ID" description:"only lines of this process"`
+	From    string `long:"from" value-name:"TIME" description:"only lines at this time or later, as in the logs"`
+	To      string `long:"to" value-name:"TIME" description:"only lines before this time"`
+	JSON    bool   `long:"json" description:"print one JSON object a line"`
+}
+
+func traceCommand(term *terminal) *cli.Command {
+	opts := &traceOptions{}
+	return &cli.Command{
+		Name:  "trace",
+		Short: "Print what the processes' logs tell, in order of time",
+		Long: "Reads log files, or standard input where none is named, and prints the lines that match in order of time: " +
+			"the story of one request over several processes, or what one process came to believe. Clocks of different " +
+			"hosts differ: where a line of another process seems to come before its cause, the clocks are why.\n\n" +
+			"Examples:\n  comfreyctl trace --request 9c41d07be2a35f68 entry-1.log agent-3.log\n" +
+			"  comfreyctl trace --node front-1 --from 2026-06-17T15:08:30Z front-1.log",
+		Options: opts,
+		Run: func(_ context.Context, args []string) error {
+			return trace(term, opts, args)
+		},
+	}
+}
+
+// logLine is one line of a log.
+type logLine struct {
+	at     time.Time
+	text   string // as written, from its time on
+	fields map[string]string
+}
+
+func trace(term *terminal, opts *traceOptions, files []string) error {
+	from, err := timeOption("--from", opts.From)
+	if err != nil {
+		return err
+	}
+	to, err := timeOption("--to", opts.To)
+	if err != nil {
+		return err
+	}
+	lines, err := readLogs(term, files)
+	if err != nil {
+		return err
+	}
+	lines = slices.DeleteFunc(lines, func(line logLine) bool {
+		return opts.Request != "" && line.fields["request"] != opts.Request ||
+			opts.Node != "" && line.fields["node"] != opts.Node ||
+			!from.IsZero() && line.at.Before(from) || !to.IsZero() && !line.at.Before(to)
+	})
+	if len(lines) == 0 {
+		return failure.New(failure.NotFound, "no line matches", "check the id, the times and that all processes' logs are named")
+	}
+	slices.SortStableFunc(lines, func(left, right logLine) int { return left.at.Compare(right.at) })
+	return printLogs(term.out, lines, opts.JSON)
+}
+
+func timeOption(name, text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return time.Time{}, failure.Wrap(err, failure.Invalid, name+" is no time", "write it as in the logs: 2026-06-17T15:08:30.123Z")
+	}
+	return at, nil
+}
+
+func readLogs(term *terminal, files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return parseLog(term.in)
+	}
+	var all []logLine
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, failure.Wrap(err, failure.Invalid, "a log cannot be read", "name existing files")
+		}
+		lines, err := parseLog(file)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// parseLog reads the lines that bear a time; whatever stands before it, a prefix
+// of a collector for example, is dropped.
+func parseLog(in io.Reader) ([]logLine, error) {
+	var lines []logLine
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		_, rest, ok := bytes.Cut(scanner.Bytes(), []byte("time="))
+		if !ok {
+			continue
+		}
+		if line, ok := parseLine("time=" + string(rest)); ok {
+			lines = append(lines, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "a log cannot be read", "check that it is text with lines under a megabyte")
+	}
+	return lines, nil
+}
+
+func parseLine(text string) (logLine, bool) {
+	line := logLine{text: text, fields: map[string]string{}}
+	decoder := logfmt.NewDecoder(strings.NewReader(text))
+	if !decoder.ScanRecord() {
+		return logLine{}, false
+	}
+	for decoder.ScanKeyval() {
+		line.fields[string(decoder.Key())] = string(decoder.Value())
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.fields["time"])
+	if err != nil || decoder.Err() != nil {
+		return logLine{}, false
+	}
+	line.at = at
+	return line, true
+}
+
+func printLogs(out io.Writer, lines []logLine, asJSON bool) error {
+	began := lines[0].at
+	encoder := json.NewEncoder(out)
+	for _, line := range lines {
+		if asJSON {
+			if err := encoder.Encode(line.fields); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(out, "%+9.3fs %-24s %s\n", line.at.Sub(began).Seconds(), line.fields["node"], tail(line.text))
+	}
+	return nil
+}
+
+// tail drops what stands in the columns already: time, level, program and node.
+func tail(text string) string {
+	kept := make([]string, 0, 16)
+	for _, field := range strings.Split(text, " ") {
+		name, _, _ := strings.Cut(field, "=")
+		if name != "time" && name != "program" && name != "node" {
+			kept = append(kept, field)
+		}
+	}
+	return strings.Join(kept, " ")
+}
