Three large files split by what they decide

Change: burst's knowledge of peers, its requests in progress and its invariants stand in files of their own; so do the settings and the view of the situation of the orders' runner, and the sync and the host list of the agent's control client. No line of code changed; the packages' tests pass.

--- /dev/null
+++ b/agent/internal/control/refresh.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"context"
+
+	"comfreyrelay.example/relay/hostlist"
+)
+
+func (c *Client) refresh(ctx context.Context) {
+	ticker := c.cfg.Clock.NewTicker(publishInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			c.publish()
+		}
+	}
+}
+
+// readList reads the platform's list now and then. Its failures and empty
+// answers change nothing.
+func (c *Client) readList(ctx context.Context) {
+	reader := hostlist.NewReader(c.cfg.HostsURL, c.cfg.HTTP)
+	for ctx.Err() == nil {
+		listed, err := reader.Read(ctx)
+		if err != nil {
+			c.cfg.Counters.Add("listFailed", 1)
+			c.cfg.Log.Debug("host list not read", "error", err)
+		} else {
+			c.knowledge.hearList(listed, c.cfg.Clock.Now())
+		}
+		wait := listFirst
+		if c.Synced() {
+			wait = listLater
+		}
+		c.sleep(ctx, jitter(wait))
+	}
+}
--- /dev/null
+++ b/agent/internal/control/sync.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/membership"
+	"comfreyrelay.example/relay/spread"
+	"comfreyrelay.example/relay/wire"
+)
+
+// sync does one call and takes its reply. A call that a nudge interrupted is no
+// failure of the entry.
+func (c *Client) sync(ctx context.Context, entry *wire.Node, wait time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait = c.hold(cancel, wait)
+	defer c.release()
+	call, stop := clockwork.WithTimeout(ctx, c.cfg.Clock, wait+syncMargin)
+	defer stop()
+	request := c.request(entry.GetId(), wait)
+	client := wire.NewDRPCControlClient(c.cfg.Dial(call, entry.GetControlAddress()))
+	reply, err := client.Sync(call, request)
+	if err == nil {
+		c.release()
+		err = c.take(call, entry, request, reply)
+	}
+	if err == nil || ctx.Err() != nil {
+		return nil
+	}
+	c.failed(entry, err)
+	return err
+}
+
+// hold lets a nudge end the call; after a nudge that came before, the call is
+// not held at all.
+func (c *Client) hold(cancel context.CancelFunc, wait time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.nudged || wait == 0 {
+		c.nudged = false
+		return 0
+	}
+	c.interrupt = cancel
+	return wait
+}
+
+func (c *Client) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupt = nil
+}
+
+func (c *Client) request(entry string, wait time.Duration) *wire.SyncRequest {
+	report := c.cfg.Report()
+	c.mu.Lock()
+	told := c.told[entry]
+	if c.baseOf != entry {
+		c.baseline, c.baseOf, c.wanted = spread.Baseline{}, entry, nil
+	}
+	from := c.cfg.Self
+	if !c.baseline.Whole() {
+		from = membership.NameOnly(from)
+	}
+	report = c.baseline.Next(report, c.cfg.Clock.Now())
+	wanted := c.wanted
+	c.wanted = nil
+	c.mu.Unlock()
+	request := &wire.SyncRequest{
+		From:        from,
+		Known:       c.Known(),
+		WaitMillis:  uint32(wait.Milliseconds()),
+		Hosts:       []*wire.HostReport{report},
+		DeltaRoots:  true,
+		WholeWanted: wanted,
+	}
+	request.Root, request.Parts = c.knowledge.offer(told)
+	return request
+}
+
+func (c *Client) failed(entry *wire.Node, err error) {
+	c.cfg.Counters.Add("syncsFailed", 1)
+	c.cfg.Log.Debug("entry does not answer", "entry", entry.GetId(), "error", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.penalties.failed(entry.GetId(), c.cfg.Clock.Now())
+}
+
+// take puts a reply in force.
+func (c *Client) take(ctx context.Context, entry *wire.Node, request *wire.SyncRequest, reply *wire.SyncReply) error {
+	now := c.cfg.Clock.Now()
+	c.cfg.Counters.Add("syncs", 1)
+	c.settle(entry.GetId(), request, reply)
+	c.knowledge.hearMembers(reply, now)
+	ignored, err := c.knowledge.adopt(ctx, reply, now, func(ctx context.Context, hashes []string) ([][]byte, error) {
+		return c.parts(ctx, entry, hashes)
+	})
+	c.cfg.Counters.Add("olderIgnored", int64(ignored))
+	c.mu.Lock()
+	c.told[entry.GetId()] = reply.GetKnown()
+	c.home = entry.GetId()
+	c.penalties.worked(entry.GetId())
+	c.mu.Unlock()
+	c.publish()
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	c.cfg.Log.Warn("document not taken", "entry", entry.GetId(), "revision", reply.GetRoot().GetRevision(), "error", err)
+	if failure.KindOf(err) == failure.Internal {
+		c.cfg.Broken("oneContentPerRevision", "entry", entry.GetId(), "revision", reply.GetRoot().GetRevision())
+	}
+	return err
+}
+
+// settle notes what the entry took of the report and takes out of the reply what
+// cannot be made whole here.
+func (c *Client) settle(entry string, request *wire.SyncRequest, reply *wire.SyncReply) {
+	sent := request.GetHosts()[0]
+	lacking := c.knowledge.complete(reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.baseOf != entry {
+		return
+	}
+	c.wanted = lacking
+	if slices.Contains(reply.GetWholeWanted(), c.cfg.Self.GetId()) {
+		c.baseline.Drop()
+		return
+	}
+	c.baseline.Took(sent, c.cfg.Clock.Now())
+	c.acked.Store(max(c.acked.Load(), sent.GetSequence()))
+}
+
+// complete makes the reply's reports whole and returns the hosts and entries of
+// those that it takes out: what they amend was lost on the way.
+func (k *knowledge) complete(reply *wire.SyncReply) (lacking []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	whole := make([]*wire.HostReport, 0, len(reply.GetHosts()))
+	for _, report := range reply.GetHosts() {
+		if completed, ok := k.table.Complete(report); ok {
+			whole = append(whole, completed)
+			continue
+		}
+		lacking = append(lacking, report.GetNode().GetId())
+	}
+	reply.Hosts = whole
+	described := make([]*wire.EntryReport, 0, len(reply.GetEntries()))
+	for _, report := range reply.GetEntries() {
+		if completed, ok := k.table.CompleteEntry(report); ok {
+			described = append(described, completed)
+			continue
+		}
+		lacking = append(lacking, report.GetNode().GetId())
+	}
+	reply.Entries = described
+	return lacking
+}
+
+func (c *Client) parts(ctx context.Context, entry *wire.Node, hashes []string) ([][]byte, error) {
+	client := wire.NewDRPCControlClient(c.cfg.Dial(ctx, entry.GetControlAddress()))
+	reply, err := client.Parts(ctx, &wire.PartsRequest{From: membership.NameOnly(c.cfg.Self), Known: c.Known(), Hashes: hashes})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetParts(), nil
+}
--- a/agent/internal/orders/runner.go
+++ b/agent/internal/orders/runner.go
@@ -5,13 +5,9 @@
 
 import (
 	"context"
-	"expvar"
-	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"comfreyrelay.example/agent/internal/engine"
 	"comfreyrelay.example/agent/internal/gate"
 	"comfreyrelay.example/agent/internal/weights"
@@ -58,65 +54,9 @@
 	differsAfter = 2
 )
 
-// Progress is how far the host is with one version's bytes.
-type Progress struct {
-	// Phase is one of the weights package's phases.
-	Phase string
-	// Have of Total chunks are verified and on the host; Total is 0 while the
-	// manifest is unknown.
-	Have, Total int
-	// HoldUp says why it stands still; empty otherwise.
-	HoldUp string
-}
-
-// Weights is what the runner needs of the weights manager.
-type Weights struct {
-	SetTargets func(targets []weights.Target, policy weights.Policy)
-	State      func(version string) Progress
-	Manifest   func(version string) *wire.Manifest
-	// Changed receives after each change of a State.
-	Changed <-chan struct{}
-}
-
-// FromManager returns the manager's functions.
-func FromManager(manager *weights.Manager) Weights {
-	return Weights{
-		SetTargets: manager.SetTargets,
-		Manifest:   manager.Manifest,
-		Changed:    manager.Changed(),
-		State: func(version string) Progress {
-			state := manager.State(version)
-			return Progress{Phase: state.Phase(), Have: state.Have(), Total: state.Total(), HoldUp: state.HoldUp()}
-		},
-	}
-}
-
 // holdUpStale is what a report says where the fence refuses the plan.
 const holdUpStale = "the plan known here is older than one that was obeyed before"
 
-// Config holds what a Runner needs from its process.
-type Config struct {
-	Self  *wire.Node
-	Clock clockwork.Clock
-	Log   *slog.Logger
-	View  *view.Holder
-	// Synced reports whether the entries have been heard since the start.
-	Synced func() bool
-	// Service is set for plain services, which take no orders.
-	Service  string
-	Engine   *engine.Client
-	Gate     *gate.Gate
-	Weights  Weights
-	Counters *expvar.Map
-	// Invariants records broken rules.
-	Invariants *gate.Invariants
-	// Changed is told when States changed; it does not block.
-	Changed func()
-	// Placement, if set, is told of each step, and may assign something to a
-	// host that the plan leaves out. Own is the host's present state.
-	Placement func(snap *view.Snapshot, own *wire.HostReport) *wire.Assignment
-}
-
 // Runner is driven by Run; its accessors are safe for concurrent use.
 type Runner struct {
 	cfg  Config
@@ -321,104 +261,6 @@
 	return versions
 }
 
-// situation gathers what the decision depends on.
-func (r *Runner) situation(snap *view.Snapshot) Situation {
-	state := r.cfg.Gate.State()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.cfg.Clock.Now()
-	may, holdUp := r.maySwitch(snap, now)
-	verdict := r.verdict(snap)
-	if verdict == fence.Refuse {
-		holdUp = holdUpStale
-	}
-	r.holdUp = holdUp
-	return Situation{
-		Want:      r.want,
-		Have:      r.have,
-		HaveKnown: r.haveKnown,
-		Pending:   r.pending != nil,
-		Whole:     r.whole(r.want),
-		MaySwitch: may,
-		Switching: !r.switching.Empty() && r.switching.Equal(r.want),
-		Unwanted:  !r.synced.IsZero() && !r.unwanted.IsZero() && now.Sub(r.unwanted) >= unwantedAfter,
-		Backoff:   now.Before(r.backoff),
-		Verdict:   verdict,
-		Phase:     state.Phase(),
-		Open:      state.Loaded(),
-	}
-}
-
-// verdict keeps orders back until the entries were heard: a process that starts
-// must not obey the first plan that comes by. Engines report the fence at best,
-// never the plan's revision, so that of two plans of one planner this process
-// can't tell by the number which the engine obeyed before; see package fence.
-func (r *Runner) verdict(snap *view.Snapshot) fence.Verdict {
-	if r.synced.IsZero() || snap.Plan == nil {
-		return fence.Wait
-	}
-	if r.outdated(snap) {
-		return fence.Refuse
-	}
-	obeyedNone := r.guard.Highest().PlanRevision() == 0
-	if obeyedNone && !r.have.Empty() && r.cfg.Clock.Since(r.synced) < settleAfter {
-		return fence.Wait
-	}
-	return r.guard.Judge(numberOf(snap.Plan))
-}
-
-// outdated reports whether the engine has what the document in force names and
-// the plan something else of the same model. Versions come into a plan from the
-// document alone: the plan is older than the one that was obeyed.
-func (r *Runner) outdated(snap *view.Snapshot) bool {
-	if r.have.Empty() || r.have.Model != r.want.Model || r.have.Equal(r.want) {
-		return false
-	}
-	for _, model := range snap.Document.GetModels() {
-		if model.GetName() == r.have.Model {
-			return r.have.Equal(intended(model))
-		}
-	}
-	return false
-}
-
-// intended is what the document wants of a host that serves the model.
-func intended(model *wire.Model) gate.Loaded {
-	return loadedOf(&wire.Assignment{Model: model.GetName(), Version: model.GetVersion(), Adapters: model.GetAdapters()})
-}
-
-func numberOf(plan *wire.Plan) fence.Number {
-	return fence.NewNumber(plan.GetFence(), plan.GetPlanRevision())
-}
-
-func (r *Runner) maySwitch(snap *view.Snapshot, now time.Time) (bool, string) {
-	if r.wantPlan == nil || r.have.Empty() || r.have.Equal(r.want) {
-		return true, ""
-	}
-	in := Waves{
-		Plan:       snap.Plan,
-		Self:       r.wantPlan,
-		Hosts:      snap.Hosts,
-		AbsentLost: !r.synced.IsZero() && now.Sub(r.synced) >= absentAfter,
-	}
-	for _, model := range snap.Document.GetModels() {
-		if model.GetName() == r.want.Model {
-			in.MaxUnavailable = int(model.GetMaxUnavailable())
-			in.WhenWhole = model.GetShift() == "whenWhole"
-		}
-	}
-	return MaySwitch(in)
-}
-
-func (r *Runner) whole(want gate.Loaded) bool {
-	for _, version := range versionsOf(want) {
-		if r.cfg.Weights.State(version).Phase != weights.Whole {
-			return false
-		}
-	}
-	return true
-}
-
 // act carries the decision out.
 func (r *Runner) act(ctx context.Context, snap *view.Snapshot, action Action) {
 	switch action {
