Prompts that wait are bounded by what an engine reads between writing

Cause: between two pieces of prompts an engine writes for those who run, so it reads 13 tokens a millisecond at most, not 19; requests were sent behind 6,100 tokens and half of those in an overload were late by a little, with a place held back for nobody.

Change: the bound counts the writing, takes six tenths of it for prompts of other entries that are not known yet, and a request counts as late from the time at which a full engine could no longer answer it in time. Who is refused is told a second or more.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -25,7 +25,7 @@
 	x.returned = admission.Returned(x.req.Deadline, x.route.Timeout)
 	x.span = span
 	if spec := x.engine(); spec != nil {
-		x.inTime = x.arrived.Add(admission.InTime(x.route.Target, engine.FirstEvent(spec, spec.Slots/2, x.req.Prompt)))
+		x.inTime = x.arrived.Add(admission.InTime(x.route.Target, engine.FirstEvent(spec, spec.Slots, x.req.Prompt)))
 	}
 }
 
--- a/relay/admission/admission.go
+++ b/relay/admission/admission.go
@@ -29,15 +29,18 @@
 	lateReserve = 2
 	// lateUnread is the prompt tokens that may wait at an engine where a late
 	// request goes.
-	lateUnread = 1500
+	lateUnread = 1000
 	// leastUnread is the same for one that can be in time, however little of
 	// its time is left.
-	leastUnread = 1500
+	leastUnread = 1000
 	// passesBefore is how many passes go by besides the reading until a first
 	// event comes: half of the one that runs, and the one that writes it.
 	passesBefore = 1.6
-	// minReturn and maxReturn bound the time that a refused caller is told.
-	minReturn = 100 * time.Millisecond
+	// unreadPart leaves room for prompts of other entries that are not known yet.
+	unreadPart = 0.6
+	// minReturn and maxReturn bound the time that a refused caller is told. Who
+	// is refused has waited for seconds: what filled the engines lasts.
+	minReturn = time.Second
 	maxReturn = 2 * time.Second
 )
 
@@ -68,13 +71,22 @@
 }
 
 // Unread returns the prompt tokens that may wait at an engine for a first event
-// within the time left, this request's own included.
+// within the time left, this request's own included. Between two pieces of
+// prompts the engine writes for those who run, so that reading takes longer than
+// at its rate alone.
 func Unread(spec *catalog.Engine, left time.Duration, late bool) int {
 	if late {
 		return lateUnread
 	}
-	before := time.Duration(passesBefore * float64(engine.Write(spec, spec.Slots, spec.Slots*spec.UsualPrompt)))
-	tokens := int((left - before).Seconds() * spec.ReadPerSecond)
+	if spec.ReadPerSecond <= 0 {
+		return 0
+	}
+	write := engine.Write(spec, spec.Slots, spec.Slots*spec.UsualPrompt).Seconds()
+	perToken := 1 / spec.ReadPerSecond
+	if spec.ChunkTokens > 0 {
+		perToken += write / float64(spec.ChunkTokens)
+	}
+	tokens := int(unreadPart * (left.Seconds() - passesBefore*write) / perToken)
 	return max(leastUnread, tokens)
 }
 
--- a/relay/admission/admission_test.go
+++ b/relay/admission/admission_test.go
@@ -10,7 +10,7 @@
 
 var spec = &catalog.Engine{
 	Slots: 16, Stride: 5, StepMillis: 8.87, PerSeqMillis: 0.0388, ContextMillis: 0.0227,
-	ReadPerSecond: 19100, UsualPrompt: 977, UsualAnswer: 94,
+	ReadPerSecond: 19100, ChunkTokens: 2048, UsualPrompt: 977, UsualAnswer: 94,
 }
 
 const ms = time.Millisecond
@@ -56,7 +56,7 @@
 }
 
 func TestReturnIsBounded(t *testing.T) {
-	if got, want := admission.Return(0, ms), 100*ms; got != want {
+	if got, want := admission.Return(0, ms), time.Second; got != want {
 		t.Errorf("got %v, want %v", got, want)
 	}
 	if got, want := admission.Return(1000, 100*ms), 2*time.Second; got != want {
