Engines that are home to another entry keep a slot and room for it

Cause: an engine's last slot was taken by two entries within one state's age, and the second prompt waited for a place.

Change: away from home an entry leaves one slot free and takes seven tenths of the bound for waiting prompts; what goes on after another endpoint does not.

--- a/relay/fleet/fleet_test.go
+++ b/relay/fleet/fleet_test.go
@@ -33,6 +33,9 @@
 	})
 }
 
+// own makes all engines known now home to this entry.
+func (w *world) own() { w.fleet.SetEntries("d1", "self", []string{"self"}) }
+
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
 
 func (w *world) state(i int, state fleet.EngineState) {
@@ -99,6 +102,7 @@
 func TestPromptsThatCannotBeReadInTimeAreHeld(t *testing.T) {
 	w := newWorld()
 	w.engine(0, 1)
+	w.own()
 	w.state(0, fleet.EngineState{Alive: true, Running: 1, Reading: 3000})
 	tight := need
 	tight.Unread = 3500
@@ -123,6 +127,7 @@
 func TestSlotsCountWhatAgentsSawAndWhatWasSentSince(t *testing.T) {
 	w := newWorld()
 	w.engine(0, 1)
+	w.own()
 	w.state(0, fleet.EngineState{Alive: true, Running: 15})
 	w.now = w.now.Add(50 * time.Millisecond)
 	grant := w.pick(t, need)
@@ -133,6 +138,24 @@
 	w.pick(t, need)
 }
 
+// Symptom: prompts wait for a slot at an engine that was chosen because one was
+// free. Sequence: its own entry and another one send within one state's age.
+// Cause: both count the same free slot.
+func TestEngineOfAnotherEntryKeepsASlotForIt(t *testing.T) {
+	w := newWorld()
+	w.engine(0, 1)
+	w.state(0, fleet.EngineState{Alive: true, Running: 15})
+	if _, verdict := w.fleet.Group("llm").Pick(need); verdict != fleet.Full {
+		t.Errorf("got verdict %v away from home, want full", verdict)
+	}
+	w.own()
+	w.pick(t, need).Done(fleet.Served)
+	w.fleet.SetEntries("d1", "self", []string{"a", "self"})
+	again := need
+	again.Again = true
+	w.pick(t, again) // what was begun elsewhere waits for no slot of others
+}
+
 func TestDeadAndBusyEnginesGetNothing(t *testing.T) {
 	for name, state := range map[string]fleet.EngineState{
 		"dead": {}, "ordered": {Alive: true, Busy: true}, "empty": {Alive: true, Loaded: map[string]uint64{}},
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -23,6 +23,10 @@
 	// that was cut once should not be again.
 	oldCost      = 30.0
 	oldAgainCost = 90.0
+	// awaySlots and awayUnread are the slots that are left free at such an
+	// engine, and the part of the bound for waiting prompts that holds there.
+	awaySlots  = 1
+	awayUnread = 0.7
 	// farCost is what another failure domain weighs: bytes between domains are
 	// paid for and take longer.
 	farCost = 45.0
@@ -259,7 +263,7 @@
 			continue
 		}
 		occupied := end.occupancy(now, need.Entries)
-		if occupied >= end.reg.Slots+need.Extra || !g.readsSoon(end, need, now) {
+		if occupied >= g.room(end, need) || !g.readsSoon(end, need, now) {
 			verdict = Full
 			continue
 		}
@@ -283,6 +287,17 @@
 	return grant, Granted
 }
 
+// room returns the requests that may be in progress at an endpoint before one
+// more is sent there. An engine that is home to another entry keeps a slot for
+// what that one sends at the same moment.
+func (g *Group) room(end *endpoint, need Need) int {
+	room := end.reg.Slots + need.Extra
+	if g.engine != nil && !end.home && !need.Again {
+		room -= awaySlots
+	}
+	return room
+}
+
 // readsSoon reports whether an engine would read the request's prompt in time.
 // One that reads nothing gets any.
 func (g *Group) readsSoon(end *endpoint, need Need, now time.Time) bool {
@@ -290,6 +305,9 @@
 		return true
 	}
 	unread := end.unread(now)
+	if !end.home && !need.Again {
+		need.Unread = int(awayUnread * float64(need.Unread))
+	}
 	if end.version(now, need.Model) < need.SoonFloor && unread > 0 {
 		return unread+need.Prompt <= soonUnread && end.state.Queued == 0
 	}
