A request that was sent may have run until an endpoint proves otherwise

Cause: that a request may have run was noted when its attempt ended by itself.

Change: it is noted before the first byte goes out, and taken back by the proof alone. Two tests; the first failed.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -226,19 +226,20 @@
 	inTime   time.Time     // begun later it is late
 	held     int64         // bytes of body counted
 
-	tries      []string // endpoints that had the request
-	sends      int      // that reached an endpoint
-	runs       int      // sends that may have run and did not serve
-	mayRun     bool     // an endpoint may have run it
-	heldFor    time.Duration
-	header     http.Header // of the answer that the caller gets; nil: none was begun
-	events     int
-	firstEvent time.Duration // from the arrival
-	eventAt    time.Time     // of the newest event
-	longest    time.Duration // pause between two events
-	lastID     string        // of the last event that the caller has
-	final      bool          // the answer was begun and can't go on at another endpoint
-	status     int           // of the answer that the caller got whole; 0: none yet
+	tries        []string // endpoints that had the request
+	sends        int      // that reached an endpoint
+	runs         int      // sends that may have run and did not serve
+	mayRun       bool     // an endpoint may have run it
+	mightHaveRun bool     // the same before the newest attempt
+	heldFor      time.Duration
+	header       http.Header // of the answer that the caller gets; nil: none was begun
+	events       int
+	firstEvent   time.Duration // from the arrival
+	eventAt      time.Time     // of the newest event
+	longest      time.Duration // pause between two events
+	lastID       string        // of the last event that the caller has
+	final        bool          // the answer was begun and can't go on at another endpoint
+	status       int           // of the answer that the caller got whole; 0: none yet
 }
 
 // urgency returns the request's rank: the customer's goes before the route's.
--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -518,3 +518,28 @@
 	_ = conn.Close()
 	<-ended
 }
+
+// Symptom: a caller is told that its request did not run though it did (REFUSED of
+// the platform's rules), and sends it again: two notices go out. Sequence: an
+// endpoint takes a request and never answers; the caller's time is over. Cause:
+// that the request may have run was noted only once an attempt had come to an
+// end of its own.
+func TestRequestWithoutAnAnswerMayHaveRun(t *testing.T) {
+	ended := make(chan struct{})
+	silent := func(string) []byte { <-ended; return nil }
+	h := newHouse(t, newEndpoint(t, "i-1", silent))
+	got := h.send(t, "/once/a", "key-1", "")
+	close(ended)
+	got.check(t, 504, "", true)
+}
+
+// A refusal that proves not run is believed also where the caller's time is over
+// right after it.
+func TestRefusalIsStillProofWhenTheTimeIsOver(t *testing.T) {
+	one := newEndpoint(t, "i-1", notRun)
+	h := newHouse(t, one)
+	h.send(t, "/two/a", "key-1", "").check(t, 503, "", true)
+	if got, want := sum(one), 1; got != want {
+		t.Errorf("got %d sendings, want %d", got, want)
+	}
+}
--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -35,6 +35,7 @@
 // take relays an endpoint's answer or says why it is not relayed.
 func (x *exchange) take(ctx context.Context, grant *fleet.Grant, conn *upstream.Conn, resp *http.Response, answer call.Answer) fleet.Outcome {
 	if answer.NotRun {
+		x.mayRun = x.mightHaveRun
 		outcome := fleet.Refused
 		if answer.Elsewhere {
 			outcome = fleet.Moved
@@ -46,7 +47,6 @@
 		x.gateway.cfg.Pool.Put(conn, resp, answer.Idle)
 		return outcome
 	}
-	x.mayRun = true
 	if resp.StatusCode < http.StatusMultipleChoices && !answer.Signed {
 		conn.Close()
 		return fleet.Broken
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -53,7 +53,6 @@
 		return nil
 	case fleet.Refused, fleet.Moved:
 	default:
-		x.mayRun = true
 		x.runs++
 	}
 	if x.final || x.mayRun && !x.route.Repeatable() {
@@ -110,6 +109,10 @@
 	release := context.AfterFunc(ctx, conn.Cancel)
 	defer release()
 	x.sends++
+	// From here on the endpoint may run the request, unless it proves that it
+	// did not: whatever ends this attempt, nobody is told "not run" without
+	// that proof.
+	x.mayRun, x.mightHaveRun = true, x.mayRun
 	left := x.end.Sub(g.cfg.Clock.Now())
 	out := g.cfg.Wire.Encode(x.req, call.Sending{
 		Endpoint: grant.ID(), Customer: x.customerName(), Left: left,
@@ -117,7 +120,6 @@
 	})
 	if err := conn.Send(out, time.Now().Add(left)); err != nil {
 		conn.Close()
-		x.mayRun = true
 		return x.brokenBy(ctx, fleet.Broken)
 	}
 	conn.SetPatience(x.patience(ctx, grant))
