A stopping entry closes no connection that it did not give notice

Cause: at SIGTERM the server's kept connections were turned off; it then closed each connection after the answer in progress, also where the head of that answer had gone out before and said nothing.

Change: answers that begin after SIGTERM bear the notice; connections without it stay until the process ends. A test that fails with the old call.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 // Gateway is the callers' handler. It is safe for concurrent use.
 type Gateway struct {
 	cfg      Config
+	leaving  atomic.Bool // callers are told to use no connection again
 	draining atomic.Bool // new requests are told to go elsewhere
 	inFlight atomic.Int64
 	bodies   atomic.Int64 // bytes held
@@ -84,6 +85,11 @@
 	return &Gateway{cfg: cfg, budgets: map[string]*retry.Window{}, lines: map[string]*line{}}
 }
 
+// Leave makes callers leave their connections after the next answer that begins.
+// Connections whose answer was begun before stay: the server must not close one
+// without having said so, since the caller's next request may be on its way.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
 // Drain makes the gateway refuse what comes from now on.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -543,3 +543,63 @@
 		t.Errorf("got %d sendings, want %d", got, want)
 	}
 }
+
+// Symptom: a whole request gets neither an answer nor a refusal while an entry
+// stops (LOST of the platform's rules). Sequence: a stream begins, the entry is
+// told to stop, the stream ends, its caller sends the next request on the same
+// connection. Cause: the server closed that connection after the stream though
+// nothing in the stream's head had said so.
+func TestStoppingEntryKeepsConnectionsThatItDidNotGiveNotice(t *testing.T) {
+	left := make(chan struct{})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	go func() {
+		conn, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		text := string(events(1, 2, false)("id-1"))
+		half := strings.Index(text, "id: 2") - len("16\r\n")
+		fmt.Fprint(conn, text[:half])
+		<-left
+		fmt.Fprint(conn, text[half:])
+		if _, err := http.ReadRequest(reader); err == nil {
+			_, _ = conn.Write(whole("ok")("id-2"))
+		}
+	}()
+	h := newHouse(t, &endpoint{id: "i-1", address: lis.Addr().String()})
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	ask := func(path, id string) {
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nAuthorization: Bearer key-1\r\n\r\n", path, id)
+	}
+	ask("/stream/a", "id-1")
+	stream, err := http.ReadResponse(reader, nil)
+	if err != nil || stream.Close {
+		t.Fatalf("got %v, want a stream without notice", err)
+	}
+	h.gateway.Leave()
+	close(left)
+	if text, err := io.ReadAll(stream.Body); err != nil || !strings.Contains(string(text), "token-2") {
+		t.Fatalf("got %q, %v, want the whole stream", text, err)
+	}
+	ask("/safe/a", "id-2")
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("got %v, want an answer on the connection that was not given notice", err)
+	}
+	if resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("got %d, notice %v, want 200 with notice", resp.StatusCode, resp.Close)
+	}
+}
--- a/entry/internal/gateway/refuse.go
+++ b/entry/internal/gateway/refuse.go
@@ -56,7 +56,7 @@
 		x.gateway.abort()
 	}
 	header := x.w.Header()
-	if ref.hangUp {
+	if ref.hangUp || x.gateway.leaving.Load() {
 		header.Set("Connection", "close")
 	}
 	if ref.wait > 0 && ref.promises() {
--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -107,6 +107,9 @@
 	if len(header["Content-Type"]) == 0 {
 		header["Content-Type"] = nil // the library would guess one
 	}
+	if x.gateway.leaving.Load() {
+		header.Set("Connection", "close")
+	}
 	x.header = resp.Header
 	x.w.WriteHeader(resp.StatusCode)
 }
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -135,7 +135,7 @@
 	}
 	group.Go(func() error { reloader.Run(ctx); return nil })
 	e.register(ctx, drain, group)
-	front := e.serve(ctx, group, listeners.callers, e.gateway)
+	e.serve(ctx, group, listeners.callers, e.gateway)
 	e.serve(ctx, group, listeners.ready, platform.ReadyHandler(e.ready))
 	e.serve(ctx, group, listeners.directory, platform.DirectoryHandler(e.directory().choose))
 	e.serve(ctx, group, listeners.operators, node.OperatorsRouter(node.Health{Ready: e.ready}))
@@ -144,7 +144,7 @@
 		"revokeMillis", e.bounds.Load().gateway.Revoke.Milliseconds(), "versionMillis", e.bounds.Load().gateway.Version.Milliseconds())
 	group.Go(func() error {
 		defer stop()
-		e.awaitEnd(ctx, drain, kill, front)
+		e.awaitEnd(ctx, drain, kill)
 		return nil
 	})
 	err = group.Wait()
@@ -198,7 +198,7 @@
 	return all, nil
 }
 
-func (e *entry) serve(ctx context.Context, group *errgroup.Group, lis net.Listener, handler http.Handler) *http.Server {
+func (e *entry) serve(ctx context.Context, group *errgroup.Group, lis net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
@@ -212,7 +212,6 @@
 		}
 		return err
 	})
-	return server
 }
 
 // ready reports whether this entry knows what is in force and takes callers.
@@ -230,7 +229,7 @@
 }
 
 // awaitEnd waits for the signal and drains.
-func (e *entry) awaitEnd(ctx, drain, kill context.Context, front *http.Server) {
+func (e *entry) awaitEnd(ctx, drain, kill context.Context) {
 	select {
 	case <-ctx.Done():
 		return
@@ -238,7 +237,7 @@
 	}
 	began := e.clock.Now()
 	e.draining.Store(true)
-	front.SetKeepAlivesEnabled(false)
+	e.gateway.Leave()
 	e.log.Info("draining", "inFlight", e.gateway.InFlight(), "graceMillis", e.bounds.Load().grace.Milliseconds())
 	e.sleep(kill, announceTime)
 	e.gateway.Drain()
