--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -37,7 +37,6 @@
 	address string
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	reused  bool
 	idleAt  time.Time     // when it was put back
 	keep    time.Duration // how long the endpoint keeps it while idle
 
@@ -53,12 +52,6 @@
 	return c
 }
 
-// Reused reports whether the connection carried a request before.
-func (c *Conn) Reused() bool { return c.reused }
-
-// Reader returns what comes from the endpoint.
-func (c *Conn) Reader() *bufio.Reader { return c.reader }
-
 // SetPatience sets what decides whether a read goes on waiting; nil waits for
 // ever.
 func (c *Conn) SetPatience(patient func(waited time.Duration) bool) { c.patient = patient }
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -75,7 +75,6 @@
 			break
 		}
 		if conn.quiet() {
-			conn.reused = true
 			return conn, nil
 		}
 		conn.Close()
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -160,18 +160,6 @@
 	return list
 }
 
-// Newest returns the highest version of a model that some endpoint has loaded;
-// 0 where none has.
-func (f *Fleet) Newest(model string) uint64 {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	newest := uint64(0)
-	for _, grp := range f.groups {
-		newest = max(newest, grp.newest(model))
-	}
-	return newest
-}
-
 // Models returns the highest version of each model that some endpoint has
 // loaded.
 func (f *Fleet) Models() map[string]uint64 {
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -198,16 +198,6 @@
 	return list
 }
 
-func (g *Group) newest(model string) uint64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	newest := uint64(0)
-	for _, end := range g.endpoints {
-		newest = max(newest, end.version(g.clock(), model))
-	}
-	return newest
-}
-
 func (g *Group) addModels(found map[string]uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -221,21 +211,6 @@
 	}
 }
 
-// Room returns the free slots of the engines that may serve the need, and all
-// their slots.
-func (g *Group) Room(need Need) (free, slots int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.clock()
-	for _, end := range g.endpoints {
-		if g.serves(end, need, now) {
-			slots += end.reg.Slots
-			free += max(0, end.reg.Slots-end.occupancy(now, need.Entries))
-		}
-	}
-	return free, slots
-}
-
 // serves reports whether an endpoint may get the request, room aside.
 func (g *Group) serves(end *endpoint, need Need, now time.Time) bool {
 	for _, id := range need.Exclude {
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,13 +97,6 @@
 	}
 }
 
-// Wanted returns the weights wanted, by model.
-func (s *State) Wanted() []Wanted {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Values(s.wanted))
-}
-
 // WantedOf returns the version wanted of a model; ok is false where none is
 // declared.
 func (s *State) WantedOf(model string) (Wanted, bool) {
