--- /dev/null
+++ b/entry/internal/onsite/whole_test.go
@@ -0,0 +1,201 @@
+package onsite
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/wire"
+)
+
+// lines takes a process's log.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(text []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(text)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	return lis.Addr().String()
+}
+
+// eventually calls check until it returns no error.
+func eventually(t *testing.T, what string, check func() error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for err := check(); err != nil; err = check() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%s: got %v, want it to come about", what, err)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// TestWholePath runs one entry between stand-ins of the platform: it finds the
+// configuration and the endpoints in the store, names itself to callers, serves
+// a request, follows a change, and ends when it is told to.
+func TestWholePath(t *testing.T) {
+	standIn := platformtest.NewStore()
+	store := httptest.NewServer(standIn)
+	defer store.Close()
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Server-Stamp", "stamp")
+		fmt.Fprintf(w, "%s for %s", r.RequestURI, r.Header.Get("X-Tenant"))
+	}))
+	defer worker.Close()
+	config := func(version int, keys ...string) map[string]any {
+		return map[string]any{
+			"version": version,
+			"routes": []map[string]any{{
+				"name": "r-1", "host": "a.example", "path_prefix": "/x/", "kind": "non_idempotent",
+				"timeout_ms": 5000, "target_latency_ms": 500, "service": "app", "max_attempts": 1,
+			}},
+			"services": []map[string]any{{"name": "app"}},
+			"tenants":  []map[string]any{{"name": "house", "api_keys": keys}},
+		}
+	}
+	standIn.Put("op/config", config(1, "key-1"))
+	standIn.Put("servers/i-1", map[string]any{
+		"service": "app", "address": strings.TrimPrefix(worker.URL, "http://"), "zone": "d1", "slots": 4, "state": "ready",
+	})
+	set := &wire.EntrySettings{
+		Node: &wire.NodeSettings{
+			Id: "entry-1", Region: "r", FailureDomain: "d1", ControlAddress: "127.0.0.1:0", OperatorsAddress: "127.0.0.1:0", LogLevel: "info",
+		},
+		CallersAddress: freeAddress(t), KvUrl: store.URL,
+		Site: &wire.SiteSettings{
+			ReadyAddress: freeAddress(t), DirectoryAddress: freeAddress(t), AgentPort: 7700, MemoryMegabytes: 128,
+			Bounds: &wire.SiteBounds{GraceMillis: 8000},
+		},
+	}
+	drain, stop := context.WithCancel(context.Background())
+	kill, end := context.WithCancel(context.Background())
+	defer end()
+	log := &lines{}
+	ended := make(chan error, 1)
+	go func() { ended <- Run(drain, kill, set, log) }()
+
+	eventually(t, "ready", func() error { return status("http://"+set.GetSite().GetReadyAddress()+"/ready", 200) })
+	eventually(t, "registered", func() error {
+		if len(standIn.Keys("comfrey/entries/")) == 1 {
+			return nil
+		}
+		return fmt.Errorf("no registration")
+	})
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	resp, err := http.Get("http://" + set.GetSite().GetDirectoryAddress() + "/resolve?name=a.example&region=r&zone=d1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if len(answer.Addresses) != 1 || answer.Addresses[0] != set.GetCallersAddress() || answer.TTL <= 0 {
+		t.Errorf("got %+v, want this entry for some time", answer)
+	}
+	got, body := call(t, set, "key-1")
+	if got != 200 || body != "/x/y?z=1 for house" {
+		t.Errorf("got %d %q, want the worker's answer", got, body)
+	}
+
+	standIn.Put("op/config", config(2, "key-2"))
+	eventually(t, "the key taken away", func() error {
+		if got, _ := call(t, set, "key-1"); got != 401 {
+			return fmt.Errorf("status %d", got)
+		}
+		return nil
+	})
+	if got, _ := call(t, set, "key-2"); got != 200 {
+		t.Errorf("got %d with the new key, want 200", got)
+	}
+
+	stop()
+	eventually(t, "not ready", func() error { return status("http://"+set.GetSite().GetReadyAddress()+"/ready", 503) })
+	eventually(t, "registration taken back", func() error {
+		if keys := standIn.Keys("comfrey/entries/"); len(keys) > 0 {
+			return fmt.Errorf("got %v", keys)
+		}
+		return nil
+	})
+	if got, _ := call(t, set, "key-2"); got != 200 {
+		t.Errorf("got %d right after the signal, want 200: callers were told of this entry", got)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("got %v, want a clean end", err)
+	}
+	for _, want := range []string{"msg=started", "msg=learned", "msg=registered", "msg=answered", "msg=draining", "msg=drained", "msg=stopped"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("got a log without %q", want)
+		}
+	}
+	if strings.Contains(log.String(), "key-1") {
+		t.Errorf("got a key in the log")
+	}
+}
+
+func status(address string, want int) error {
+	resp, err := http.Get(address)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != want {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func call(t *testing.T, set *wire.EntrySettings, key string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+set.GetCallersAddress()+"/x/y?z=1", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Attempt-Id", "id-1")
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(text)
+}
