--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -68,12 +68,12 @@
 
 func (f *follower) hear(told *wire.Guidance) {
 	f.hearReading(int64(told.GetReading()))
-	if told.GetReadingOnly() {
-		return
-	}
 	if told.GetRegion() == f.feed.region {
 		f.gap.Store(int64(sendGap))
 	}
+	if told.GetReadingOnly() {
+		return
+	}
 	f.feed.guide.hear(f.feed.clock.Now(), told)
 }
 
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -33,6 +33,10 @@
 	feedRetry = 250 * time.Millisecond
 	// guideInterval is how often an agent is told again what did not change.
 	guideInterval = 10 * time.Second
+	// lookInterval is how often an entry looks whether it should tell an agent
+	// beside each change of what is known: registrations that lapsed in an outage
+	// end without one.
+	lookInterval = 5 * time.Second
 )
 
 // feeds follows the agent of each engine.
@@ -153,8 +157,17 @@
 	return found
 }
 
-// guide tells the agent what is wanted, at once and after each change, and how
-// much of what this entry sent there is not read yet.
+// guides reports whether this entry is one of those that tell the engine's host
+// what is wanted.
+func (f *feeds) guides(eng fleet.Engine) bool {
+	entries := f.state.Entries()
+	entries[f.self] = site.Entry{Region: f.region}
+	return slices.Contains(site.Guides(eng.Address, f.regionOf(eng.FailureDomain), entries), f.self)
+}
+
+// guide tells the agent how much of what this entry sent there is not read yet
+// and, if this entry is one of its guides, what is wanted, at once and after each
+// change.
 func (f *feeds) guide(ctx context.Context, cancel context.CancelFunc, eng fleet.Engine, stream wire.DRPCFeed_FollowClient) {
 	defer cancel()
 	moved := f.state.Fleet().Group(eng.Service).ReadingChanged(eng.Address)
@@ -168,7 +181,7 @@
 		case <-ctx.Done():
 		case <-changed:
 		case <-moved:
-		case <-f.clock.After(guideInterval):
+		case <-f.clock.After(lookInterval):
 		}
 	}
 }
@@ -178,7 +191,8 @@
 	feeds   *feeds
 	engine  fleet.Engine
 	seen    <-chan struct{} // of the knowledge that was looked at last
-	digest  uint64          // of the guidance told
+	lookAt  time.Time       // when it should be looked at again
+	digest  uint64          // of the guidance told; 0: none, or others tell it
 	toldAt  time.Time
 	reading int
 }
@@ -193,23 +207,32 @@
 	if message == nil {
 		message = &wire.Guidance{ReadingOnly: true}
 	}
+	if t.reading < 0 {
+		message.Region = t.feeds.region
+	}
 	t.reading = reading
 	message.Reading = uint32(reading)
 	return message
 }
 
+// guidance returns what the agent should be told now; nil where it was told, or
+// where that is for other entries.
 func (t *teller) guidance(changed <-chan struct{}) *wire.Guidance {
-	old := t.feeds.clock.Since(t.toldAt) >= guideInterval
-	if changed == t.seen && !old {
+	now := t.feeds.clock.Now()
+	if changed == t.seen && now.Before(t.lookAt) {
+		return nil
+	}
+	t.seen, t.lookAt = changed, now.Add(lookInterval)
+	if !t.feeds.guides(t.engine) {
+		t.digest = 0
 		return nil
 	}
-	t.seen = changed
 	message := t.feeds.guidance()
 	digest := guidanceDigest(message)
-	if digest == t.digest && !old {
+	if digest == t.digest && now.Sub(t.toldAt) < guideInterval {
 		return nil
 	}
-	t.digest, t.toldAt = digest, t.feeds.clock.Now()
+	t.digest, t.toldAt = digest, now
 	return message
 }
 
--- a/entry/internal/onsite/onsite_test.go
+++ b/entry/internal/onsite/onsite_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -196,6 +197,46 @@
 	}
 }
 
+// Symptom: an engine's host hears of no version after its guides were lost.
+// Sequence: entries that are its guides end; their registrations go.
+// Cause: another entry did not look whether it is its turn now.
+func TestEntryGuidesHostsThatOthersLeft(t *testing.T) {
+	others := map[string]site.Entry{}
+	for i := range 12 {
+		others["other-"+strconv.Itoa(i)] = site.Entry{Region: "north"}
+	}
+	state := newState(others)
+	state.Apply([]site.Record{{Kind: site.CatalogRecord, Catalog: catalog.New(catalog.Spec{Version: 1})}}, 1)
+	clock := clockwork.NewFakeClock()
+	streams := &feeds{state: state, clock: clock, self: "self", region: "north", regions: map[string]string{"d1": "north"}}
+	var tell *teller
+	for i := range 100 {
+		eng := fleet.Engine{Service: "llm", Address: "10.0.0." + strconv.Itoa(i) + ":80", FailureDomain: "d1"}
+		if !streams.guides(eng) {
+			tell = &teller{feeds: streams, engine: eng, reading: -1}
+			break
+		}
+	}
+	if tell == nil {
+		t.Fatal("this entry guides all hosts, want few of them")
+	}
+	if got := tell.next(state.Changed()); got == nil || !got.GetReadingOnly() || got.GetRegion() != "north" {
+		t.Errorf("got %v at first, want the region and what is unread alone", got)
+	}
+	var gone []site.Record
+	for id := range others {
+		gone = append(gone, site.Record{Kind: site.EntryRecord, ID: id, Gone: true})
+	}
+	state.Apply(gone, 2)
+	if got := tell.next(state.Changed()); got == nil || got.GetReadingOnly() {
+		t.Errorf("got %v after the others went, want all", got)
+	}
+	clock.Advance(lookInterval)
+	if got := tell.next(state.Changed()); got != nil {
+		t.Errorf("got %v again without a change, want nothing", got)
+	}
+}
+
 func TestBoundsHaveDefaults(t *testing.T) {
 	got := boundsOf(nil)
 	if got.grace != 8*time.Second || got.gateway.Revoke != 4600*time.Millisecond || got.directoryTTL != 2*time.Second {
