--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -247,36 +248,55 @@
 }
 
 // drawManifest draws a manifest until two draws are alike: the origin's answers
-// may be spoilt on the way, and nothing else proves a digest.
+// may be spoilt on the way, and nothing else proves a digest. The first two are
+// drawn at once, since all hosts wait for them.
 func (a *agent) drawManifest(ctx context.Context, version string) ([]byte, error) {
 	origin, err := a.source()
 	if err != nil {
 		return nil, err
 	}
-	model, number := splitName(version)
+	type draw struct {
+		encoded []byte
+		err     error
+	}
+	draws := make(chan draw, manifestDraws)
+	begin := func() {
+		encoded, err := drawOnce(ctx, origin, version)
+		draws <- draw{encoded, err}
+	}
+	go begin()
+	go begin()
 	var seen [][]byte
-	for range manifestDraws {
-		man, err := origin.Manifest(ctx, model, number)
-		if failure.KindOf(err) == failure.Corrupt && err != nil {
-			continue
+	for begun, ended := 2, 0; ended < begun; {
+		one := <-draws
+		ended++
+		if one.err != nil && failure.KindOf(one.err) != failure.Corrupt {
+			return nil, one.err
 		}
-		if err != nil {
-			return nil, err
+		if one.err == nil && slices.ContainsFunc(seen, func(other []byte) bool { return bytes.Equal(one.encoded, other) }) {
+			return one.encoded, nil
 		}
-		encoded, err := manifest.Encode(manifest.Named(version, man.ChunkBytes, man.Digests))
-		if err != nil {
-			return nil, err
+		if one.err == nil {
+			seen = append(seen, one.encoded)
 		}
-		for _, other := range seen {
-			if bytes.Equal(other, encoded) {
-				return encoded, nil
-			}
+		if ended == begun && begun < manifestDraws {
+			begun++
+			go begin()
 		}
-		seen = append(seen, encoded)
 	}
 	return nil, failure.New(failure.Corrupt, "no two draws of the manifest are alike", "it is drawn again")
 }
 
+// drawOnce draws a manifest and encodes it.
+func drawOnce(ctx context.Context, origin *platform.Origin, version string) ([]byte, error) {
+	model, number := splitName(version)
+	man, err := origin.Manifest(ctx, model, number)
+	if err != nil {
+		return nil, err
+	}
+	return manifest.Encode(manifest.Named(version, man.ChunkBytes, man.Digests))
+}
+
 func (a *agent) drawChunk(ctx context.Context, version string, index, limit int) ([]byte, error) {
 	origin, err := a.source()
 	if err != nil {
--- a/agent/internal/weights/manifests.go
+++ b/agent/internal/weights/manifests.go
@@ -24,6 +24,10 @@
 	manifestPatience = 3 * time.Second
 	manifestTimeout  = 2 * time.Second
 	manifestRetry    = 75 * time.Millisecond
+	// manifestHold is how long a host that fetches the manifest itself lets
+	// another wait for it: longer than a draw from an idle origin, so that the
+	// other has it as soon as this one, and need not ask around.
+	manifestHold = 400 * time.Millisecond
 	// originRetry and maxOriginRetry bound the pause after the origin failed,
 	// the latter where the configuration does not say.
 	originRetry    = 500 * time.Millisecond
@@ -141,6 +145,17 @@
 	return nil
 }
 
+// awaitManifest returns the manifest's bytes for a peer, which may wait a little
+// for them; nil where they did not come.
+func (t *transfer) awaitManifest(ctx context.Context) []byte {
+	select {
+	case <-t.known:
+	case <-ctx.Done():
+	case <-t.mgr.cfg.Clock.After(manifestHold):
+	}
+	return t.encodedManifest()
+}
+
 // encodedManifest returns the manifest's bytes for a peer; nil while unknown.
 func (t *transfer) encodedManifest() []byte {
 	t.mu.Lock()
--- a/agent/internal/weights/serve.go
+++ b/agent/internal/weights/serve.go
@@ -28,7 +28,7 @@
 		return stream.Send(&wire.ChunkData{})
 	}
 	if req.GetIndex() == manifestIndex {
-		return m.send(stream, &wire.ChunkData{}, trans.encodedManifest())
+		return m.send(stream, &wire.ChunkData{}, trans.awaitManifest(ctx))
 	}
 	trans.overheard(req)
 	hash, ok := trans.heldHash(req.GetIndex())
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -33,6 +33,7 @@
 	cancel  context.CancelFunc
 	work    sync.WaitGroup // the loop and its fetches
 	peersAt time.Time      // when the list of peers was read; the loop's own
+	known   chan struct{}  // closed once the manifest is verified
 
 	mu         sync.Mutex // guards the fields below
 	core       *burst.Core
@@ -61,6 +62,7 @@
 	return &transfer{
 		mgr: mgr, version: version, policy: policy,
 		wake:     make(chan struct{}, 1),
+		known:    make(chan struct{}),
 		fetches:  map[fetchKey]context.CancelFunc{},
 		advanced: mgr.cfg.Clock.Now(),
 		began:    mgr.cfg.Clock.Now(),
@@ -81,6 +83,9 @@
 func (t *transfer) adapt(priority int, passive bool, policy Policy) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if passive && !t.passive && t.core != nil {
+		t.core.Abandon()
+	}
 	t.priority, t.passive, t.policy = priority, passive, policy
 	if t.core != nil {
 		t.core.SetPolicy(policy.Objective, policy.OriginCopies)
@@ -141,6 +146,7 @@
 	t.man, t.encoded, t.core, t.chunks = man, encoded, core, chunks
 	t.failed, t.problem = false, ""
 	t.manifestAt = t.now()
+	close(t.known)
 }
 
 // brokenOnce returns a function that reports each broken rule once.
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -124,6 +124,14 @@
 // SetPaused stops new fetches, or lets them go on; exchanges go on anyway.
 func (c *Core) SetPaused(paused bool) { c.paused = paused }
 
+// Abandon gives up all that is on its way, since the version is no longer wanted
+// here: what the origin still sends of it would hold up the next version.
+func (c *Core) Abandon() {
+	for _, flt := range slices.Clone(c.flights) {
+		c.cancel(flt)
+	}
+}
+
 // SetPullFrom puts off fetches from peers, so that others get the version first:
 // until the time given this host draws what is its turn and takes in what its
 // region needs, no more.
--- a/relay/burst/regions_test.go
+++ b/relay/burst/regions_test.go
@@ -81,3 +81,32 @@
 		t.Errorf("got whole after %v and %v in the mean, want the late ones a second later", early, late)
 	}
 }
+
+// Symptom: a version that was named while another was on its way comes a second
+// late. Sequence: hosts draw the older version; the newer one is named; what they
+// asked the origin for goes on coming. Cause: a host that leaves a version kept
+// its requests.
+func TestAbandonedVersionTakesNothingMore(t *testing.T) {
+	s := newSim(simConfig{hosts: 24, chunks: 96, window: 12 * time.Second, seed: 3, dear: true})
+	abandoned := 0
+	s.after(1500*time.Millisecond, func() {
+		for _, host := range s.hosts {
+			abandoned += len(host.core.flights)
+			host.core.Abandon()
+			host.core.SetPaused(true)
+			s.decide(host)
+		}
+	})
+	s.after(1600*time.Millisecond, func() {
+		for _, host := range s.hosts {
+			if got := len(host.core.flights) + len(host.incoming); got != 0 {
+				t.Errorf("%s: got %d requests on their way, want none", host.peer.ID, got)
+			}
+		}
+		s.cfg.limit = s.now
+	})
+	s.run()
+	if abandoned == 0 {
+		t.Error("nothing was on its way: this shows nothing")
+	}
+}
--- a/relay/burst/sim_test.go
+++ b/relay/burst/sim_test.go
@@ -29,14 +29,18 @@
 type simConfig struct {
 	hosts, chunks int
 	window        time.Duration // W
-	strategy      string
-	objective     string
-	copies        int
-	dear          bool // bytes between regions are dear
-	shared        bool // one rate for both directions of a host's link
-	seed          uint64
-	corrupt       float64 // part of the chunks that arrive corrupt
-	limit         time.Duration
+	// originCopy and hostCopy are the time of one copy over the origin's link
+	// and over a host's; 0: as the window says.
+	originCopy, hostCopy time.Duration
+	drawWindow, fetches  int
+	strategy             string
+	objective            string
+	copies               int
+	dear                 bool // bytes between regions are dear
+	shared               bool // one rate for both directions of a host's link
+	seed                 uint64
+	corrupt              float64 // part of the chunks that arrive corrupt
+	limit                time.Duration
 }
 
 type simEvent struct {
@@ -141,10 +145,13 @@
 		cfg.limit = 4 * cfg.window
 	}
 	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1)), byID: map[string]*simHost{}}
-	piece := cfg.window / time.Duration(cfg.chunks*simPieces)
-	s.origin = &simSender{link: &simLink{piece: piece / 4}}
+	if cfg.originCopy == 0 {
+		s.cfg.originCopy, s.cfg.hostCopy = cfg.window/4, cfg.window/2
+	}
+	pieces := time.Duration(cfg.chunks * simPieces)
+	s.origin = &simSender{link: &simLink{piece: s.cfg.originCopy / pieces}}
 	for i := range cfg.hosts {
-		s.addHost(i, piece/2)
+		s.addHost(i, s.cfg.hostCopy/pieces)
 	}
 	s.list = func(time.Duration) []*simHost { return s.hosts }
 	for _, host := range s.hosts {
@@ -184,8 +191,8 @@
 	host.core = New(Config{
 		Self: host.peer, Version: "version", Chunks: s.cfg.chunks, Strategy: s.cfg.strategy,
 		Objective: s.cfg.objective, OriginCopies: s.cfg.copies, Seed: s.cfg.seed + uint64(host.life),
-		DearRegions: s.cfg.dear,
-		Broken:      func(rule string) { panic(host.peer.ID + ": " + rule) },
+		DearRegions: s.cfg.dear, DrawWindow: s.cfg.drawWindow, MaxFetches: s.cfg.fetches,
+		Broken: func(rule string) { panic(host.peer.ID + ": " + rule) },
 	})
 	s.tick(host, host.life, true)
 }
