--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -27,10 +27,10 @@
 	// soonReturn is what a caller is told where nothing hinders but a moment's
 	// state of this entry.
 	soonReturn = 200 * time.Millisecond
-	// behindMargin is what the proof of the newest configuration may be older
-	// than the bound for its coming into force: a watch that waits proves
-	// nothing until it ends, and brings what changes at once.
-	behindMargin = 700 * time.Millisecond
+	// behindMargin is the part of the bound for a change that is left for the way
+	// of a request: knowledge that is older than the rest may lack a change that
+	// must be in force, and then refuses nothing for good.
+	behindMargin = 150 * time.Millisecond
 	// maxBodyBytes bounds a body where operators state none.
 	maxBodyBytes = 4 << 20
 	// maxHeldBodies bounds the bodies of all requests in progress, bytes.
@@ -150,7 +150,7 @@
 	bounds := g.cfg.Bounds()
 	age, known := g.cfg.State.Fresh().Age()
 	x.age = age
-	behind := !known || age > bounds.Apply+behindMargin
+	behind := !known || age > bounds.Apply-behindMargin
 	route, ok := x.catalog.Match(x.req.Host, x.req.Path)
 	if !ok {
 		if behind {
--- /dev/null
+++ b/entry/internal/onsite/news.go
@@ -0,0 +1,176 @@
+package onsite
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/site"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// newsGap is the least time between two replies with changes to one entry:
+	// of a series of configurations only the newest then crosses a source's
+	// link, and a change still comes well within its bound.
+	newsGap = 150 * time.Millisecond
+	// batchBytes bounds the values in one reply, far below a message's bound;
+	// one value may be larger.
+	batchBytes = 256 << 10
+)
+
+// newsServer tells other entries what this one knows: wire.News.
+type newsServer struct {
+	state  *site.State
+	mirror *site.Mirror
+	clock  clockwork.Clock
+}
+
+// Share sends what is known and its age until the caller goes.
+func (s *newsServer) Share(stream wire.DRPCNews_ShareStream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	asked := make(chan struct{}, 1)
+	newest := &atomic.Uint64{}
+	newest.Store(first.GetNumber())
+	go func() {
+		defer cancel()
+		for {
+			request, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			newest.Store(request.GetNumber())
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	sent := first.GetRevision()
+	for {
+		changed, err := s.tell(stream, newest.Load(), &sent)
+		if err != nil {
+			return err
+		}
+		if !s.pause(ctx, changed, asked) {
+			return nil
+		}
+	}
+}
+
+// pause waits for a change or a request; false says that the caller is gone.
+func (s *newsServer) pause(ctx context.Context, changed, asked <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-asked:
+		return true
+	case <-changed:
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.clock.After(newsGap):
+	}
+	return true
+}
+
+// tell sends what changed after the revision sent. The age is taken before the
+// changes, so that these hold all that the proof speaks of.
+func (s *newsServer) tell(stream wire.DRPCNews_ShareStream, answers uint64, sent *uint64) (<-chan struct{}, error) {
+	age, proven := s.state.Fresh().Age()
+	changes, changed := s.mirror.Since(*sent)
+	replies := batches(changes)
+	for i, reply := range replies {
+		if i == len(replies)-1 {
+			reply.Answers, reply.Proven, reply.AgeMicros = answers, proven, uint64(age.Microseconds())+1
+			reply.SettleMillis = uint32(s.state.Settling().Milliseconds())
+		}
+		if err := stream.Send(reply); err != nil {
+			return nil, err
+		}
+	}
+	*sent = changes.Revision
+	return changed, nil
+}
+
+// batches cuts changes into replies; the last alone bears the revision.
+func batches(changes site.Changes) []*wire.NewsReply {
+	reply := &wire.NewsReply{Whole: changes.Whole}
+	replies := []*wire.NewsReply{reply}
+	bytes := 0
+	for _, entry := range changes.Entries {
+		if bytes >= batchBytes {
+			reply, bytes = &wire.NewsReply{Whole: changes.Whole}, 0
+			replies = append(replies, reply)
+		}
+		bytes += len(entry.Key()) + len(entry.Value())
+		reply.Changes = append(reply.Changes, &wire.StoredValue{
+			Key: entry.Key(), Value: entry.Value(), Revision: entry.Revision(), Deleted: entry.Deleted(),
+		})
+	}
+	reply.Revision = changes.Revision
+	return replies
+}
+
+// errGap says that a source left something out.
+var errGap = failure.New(failure.Internal, "a source left changes out", "the stream is begun again")
+
+// newsReader takes over what one other entry tells.
+type newsReader struct {
+	state  *site.State
+	mirror *site.Mirror
+
+	known   uint64 // revision that the changes still to come follow on
+	pending []kv.Entry
+	// asked is when each request was sent, on the clock of the proofs; requests
+	// answered are dropped.
+	asked map[uint64]time.Duration
+}
+
+// hear takes over one reply; false says that something between is missing.
+func (r *newsReader) hear(reply *wire.NewsReply) bool {
+	for _, one := range reply.GetChanges() {
+		r.pending = append(r.pending, kv.NewEntry(one.GetKey(), one.GetValue(), one.GetRevision(), one.GetDeleted()))
+	}
+	if reply.GetRevision() == 0 {
+		return true
+	}
+	changes := r.pending
+	r.pending = nil
+	if settle := reply.GetSettleMillis(); settle > 0 {
+		r.state.SettleFor(time.Duration(settle) * time.Millisecond)
+	}
+	if reply.GetWhole() {
+		r.mirror.Reset(changes, reply.GetRevision())
+	} else if !r.mirror.Apply(r.known, changes, reply.GetRevision(), true) {
+		return false
+	}
+	r.known = reply.GetRevision()
+	r.prove(reply)
+	return true
+}
+
+// prove takes over the age of what the source knows: it made the reply after it
+// had read the request, and so after that was sent.
+func (r *newsReader) prove(reply *wire.NewsReply) {
+	sent, ok := r.asked[reply.GetAnswers()]
+	if !ok || !reply.GetProven() {
+		return
+	}
+	r.state.Fresh().Prove(sent - time.Duration(reply.GetAgeMicros())*time.Microsecond)
+	for number := range r.asked {
+		if number < reply.GetAnswers() {
+			delete(r.asked, number)
+		}
+	}
+}
--- /dev/null
+++ b/entry/internal/onsite/news_test.go
@@ -0,0 +1,180 @@
+package onsite
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"storj.io/drpc/drpcmux"
+
+	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/freshness"
+	"comfreyrelay.example/relay/kv"
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/site"
+	"comfreyrelay.example/relay/wire"
+)
+
+// knower is what one entry knows, with a clock of its own for proofs.
+type knower struct {
+	state  *site.State
+	mirror *site.Mirror
+	now    atomic.Int64 // nanoseconds
+}
+
+func newKnower() *knower {
+	k := &knower{}
+	clock := clockwork.NewFakeClock()
+	fresh := freshness.NewTracker(func() time.Duration { return time.Duration(k.now.Load()) })
+	k.state = site.NewState(clock.Now, fleet.New(clock.Now), fresh)
+	decode := func(entry kv.Entry) (site.Record, error) {
+		return site.Record{Kind: site.EntryRecord, ID: entry.Key(), Gone: entry.Deleted()}, nil
+	}
+	k.mirror = site.NewMirror(k.state, decode, clock, slog.New(slog.DiscardHandler))
+	return k
+}
+
+// serve lets others follow the knower and returns where; stop ends it.
+func (k *knower) serve(t *testing.T) (address string, stop context.CancelFunc) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterNews(mux, &newsServer{state: k.state, mirror: k.mirror, clock: clockwork.NewRealClock()}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = peer.Serve(ctx, lis, nil, mux, slog.New(slog.DiscardHandler))
+	}()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return lis.Addr().String(), stop
+}
+
+// followed returns a reader of a source and its sources, whose stream runs.
+func follow(t *testing.T, address string) (*knower, *sources) {
+	t.Helper()
+	k := newKnower()
+	others := &sources{
+		state: k.state, mirror: k.mirror, pool: peer.NewPool(nil), self: "self", clock: clockwork.NewRealClock(),
+		log: slog.New(slog.DiscardHandler), apply: func() time.Duration { return 3 * time.Second },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		others.follow(ctx, "source", address)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return k, others
+}
+
+// Symptom: each configuration crosses the links between regions once for each
+// entry. Here an entry learns all from another one, with proof, and asks the store
+// itself once that one's proof is old or its stream ends.
+func TestEntryFollowsAnother(t *testing.T) {
+	source := newKnower()
+	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", []byte("v"), 5, false)}, 7)
+	source.state.Fresh().Prove(0)
+	address, stop := source.serve(t)
+	reader, others := follow(t, address)
+	if got := others.led(); got != 0 {
+		t.Errorf("got the store left alone for %v before anything was heard, want 0", got)
+	}
+	eventually(t, "all that there is", func() error {
+		if reader.mirror.Revision() == 7 && len(reader.state.Entries()) == 1 && others.led() > 0 {
+			return nil
+		}
+		return errors.New("not yet")
+	})
+	source.mirror.Apply(7, []kv.Entry{kv.NewEntry("e-1", nil, 9, true), kv.NewEntry("e-2", nil, 8, false)}, 9, true)
+	eventually(t, "a change", func() error {
+		if _, ok := reader.state.Entries()["e-2"]; ok && reader.mirror.Revision() == 9 && len(reader.state.Entries()) == 1 {
+			return nil
+		}
+		return errors.New("not yet")
+	})
+	// The source is cut off from the store; its proof grows old. The reader's
+	// clock goes on alike.
+	source.now.Add(int64(5 * time.Second))
+	reader.now.Add(int64(5 * time.Second))
+	eventually(t, "the store is asked", func() error {
+		if others.led() == 0 {
+			return nil
+		}
+		return errors.New("still led by old knowledge")
+	})
+	source.state.Fresh().Prove(5 * time.Second)
+	eventually(t, "led again", func() error {
+		if others.led() > 0 {
+			return nil
+		}
+		return errors.New("not yet")
+	})
+	stop()
+	eventually(t, "the store is asked after the stream ended", func() error {
+		if others.led() == 0 {
+			return nil
+		}
+		return errors.New("still led by nobody")
+	})
+}
+
+// Symptom: a key that was taken away opens a route for too long. Sequence: a reply
+// of a source stands in a link for seconds; it tells an age of moments. Cause: the
+// age was counted from the reply's arrival instead of from its request.
+func TestProofOfAReplyCountsFromItsRequest(t *testing.T) {
+	k := newKnower()
+	reader := &newsReader{state: k.state, mirror: k.mirror, asked: map[uint64]time.Duration{1: 0, 2: time.Second}}
+	k.now.Store(int64(4 * time.Second))
+	reply := &wire.NewsReply{Answers: 1, Proven: true, AgeMicros: 500_000, Revision: 3, Whole: true}
+	if !reader.hear(reply) {
+		t.Fatal("got a whole reading refused")
+	}
+	if age, known := k.state.Fresh().Age(); !known || age != 4500*time.Millisecond {
+		t.Errorf("got age %v, %v, want 4.5s: half a second before the request at 0", age, known)
+	}
+	reader.hear(&wire.NewsReply{Answers: 2, Proven: true, AgeMicros: 1, Revision: 3})
+	if age, _ := k.state.Fresh().Age(); age < 3*time.Second || age > 3001*time.Millisecond {
+		t.Errorf("got age %v, want that of the request at 1 s", age)
+	}
+	if len(reader.asked) != 1 {
+		t.Errorf("got %d requests remembered, want the newest", len(reader.asked))
+	}
+	if reader.hear(&wire.NewsReply{Answers: 9, Proven: false, Revision: 3}); k.state.Revision() != 3 {
+		t.Errorf("got revision %d, want 3", k.state.Revision())
+	}
+}
+
+func TestLargeReadingsComeInParts(t *testing.T) {
+	var entries []kv.Entry
+	for i := range 5 {
+		entries = append(entries, kv.NewEntry("k"+strings.Repeat("x", i), make([]byte, batchBytes), uint64(i+1), false))
+	}
+	replies := batches(site.Changes{Entries: entries, Revision: 6, Whole: true})
+	if len(replies) != len(entries) {
+		t.Fatalf("got %d replies, want one a value", len(replies))
+	}
+	k := newKnower()
+	reader := &newsReader{state: k.state, mirror: k.mirror, asked: map[uint64]time.Duration{}}
+	for i, reply := range replies {
+		if got := len(k.state.Entries()); got != 0 {
+			t.Errorf("got %d keys before part %d, want none: a part is not the whole", got, i)
+		}
+		reader.hear(reply)
+	}
+	if got := len(k.state.Entries()); got != len(entries) {
+		t.Errorf("got %d keys, want %d", got, len(entries))
+	}
+}
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
 
 	"comfreyrelay.example/entry/internal/gateway"
 	"comfreyrelay.example/entry/internal/upstream"
@@ -71,6 +72,7 @@
 	clock    clockwork.Clock
 	bounds   atomic.Pointer[bounds]
 	state    *site.State
+	mirror   *site.Mirror
 	store    *kv.Store
 	gateway  *gateway.Gateway
 	self     site.Entry
@@ -86,8 +88,10 @@
 		self: site.Entry{
 			CallersAddress: set.GetCallersAddress(), Region: self.GetRegion(),
 			FailureDomain: self.GetFailureDomain(), Incarnation: self.GetIncarnation(),
+			ControlAddress: set.GetNode().GetControlAddress(),
 		},
 	}
+	e.mirror = site.NewMirror(e.state, platform.DecodeRecord, clock, log)
 	e.apply(set)
 	e.store = platform.NewStore(set.GetKvUrl(), storeClient())
 	e.gateway = gateway.New(gateway.Config{
@@ -124,10 +128,29 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
-	follower := &site.Follower{Store: e.store, State: e.state, Clock: e.clock, Log: e.log, Decode: platform.DecodeRecord}
-	streams := &feeds{state: e.state, pool: peer.NewPool(nil), port: e.set.GetSite().GetAgentPort(),
+	pool := peer.NewPool(nil)
+	others := &sources{
+		state: e.state, mirror: e.mirror, pool: pool, self: e.set.GetNode().GetId(), entry: e.self,
+		clock: e.clock, log: e.log, apply: func() time.Duration { return e.bounds.Load().gateway.Apply },
+	}
+	follower := &site.Follower{
+		Store: e.store, State: e.state, Mirror: e.mirror, Clock: e.clock, Log: e.log, Led: others.led, Wait: others.wait,
+	}
+	streams := &feeds{state: e.state, pool: pool, port: e.set.GetSite().GetAgentPort(),
 		self: e.set.GetNode().GetId(), domain: e.self.FailureDomain,
 		region: e.self.Region, regions: e.set.GetSite().GetRegions(), clock: e.clock, log: e.log}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterNews(mux, &newsServer{state: e.state, mirror: e.mirror, clock: e.clock}); err != nil {
+		return failure.Wrap(err, failure.Internal, "cannot register the calls of other entries", "report it")
+	}
+	group.Go(func() error {
+		err := peer.Serve(ctx, listeners.control, nil, mux, e.log)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	})
+	group.Go(func() error { others.run(ctx); return nil })
 	group.Go(func() error { follower.Run(ctx); return nil })
 	group.Go(func() error { streams.run(ctx); return nil })
 	reloader := &settings.Reloader[*wire.EntrySettings]{
@@ -175,7 +198,7 @@
 }
 
 // listeners are the addresses that an entry serves.
-type listeners struct{ callers, ready, directory, operators net.Listener }
+type listeners struct{ callers, ready, directory, operators, control net.Listener }
 
 func (e *entry) listen() (*listeners, error) {
 	all := &listeners{}
@@ -187,6 +210,7 @@
 		{&all.ready, e.set.GetSite().GetReadyAddress(), "site.readyAddress"},
 		{&all.directory, e.set.GetSite().GetDirectoryAddress(), "site.directoryAddress"},
 		{&all.operators, e.set.GetNode().GetOperatorsAddress(), "node.operatorsAddress"},
+		{&all.control, e.set.GetNode().GetControlAddress(), "node.controlAddress"},
 	} {
 		lis, err := net.Listen("tcp", one.address)
 		if err != nil {
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -19,6 +19,9 @@
 	// watchGap is the least time between two watches: changes that come close
 	// together then cost one call. It is a part of the bounds for a change.
 	watchGap = 250 * time.Millisecond
+	// atOnceAfter is the time that a watch waited at least whose changes were made
+	// while it did: those made before it are answered sooner.
+	atOnceAfter = 100 * time.Millisecond
 	// retryWait is the mean pause after a failed call.
 	retryWait = 120 * time.Millisecond
 )
@@ -27,13 +30,17 @@
 type Follower struct {
 	Store *kv.Store
 	State *State
-	Clock clockwork.Clock
-	Log   *slog.Logger
-	// Decode reads a key; the zero Record is of no concern.
-	Decode func(kv.Entry) (Record, error)
+	// Mirror takes what the store tells on its way to State.
+	Mirror *Mirror
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+	// Led returns for how long others' knowledge is still enough, so that the
+	// store need not be watched; nil: never.
+	Led func() time.Duration
+	// Wait returns how long one watch waits; nil stands for watchWait.
+	Wait func() time.Duration
 
-	after uint64 // revision that the State knows
-	down  bool   // the last call failed
+	down bool // the last call failed
 }
 
 // Run follows until ctx ends.
@@ -41,6 +48,10 @@
 	whole := false
 	for ctx.Err() == nil {
 		var err error
+		if led := f.led(); whole && led > 0 {
+			f.sleep(ctx, led)
+			continue
+		}
 		if whole {
 			err = f.watch(ctx)
 		} else {
@@ -52,7 +63,7 @@
 			continue
 		}
 		if failure.KindOf(err) == failure.Stale {
-			f.Log.Info("history is gone, reading the store again", "after", f.after)
+			f.Log.Info("history is gone, reading the store again", "after", f.Mirror.Revision())
 			whole = false
 			continue
 		}
@@ -74,7 +85,7 @@
 func (f *Follower) lost(ctx context.Context, err error) {
 	f.State.Lost()
 	if !f.down && ctx.Err() == nil {
-		f.Log.Warn("dependency lost", "dependency", "store", "revision", f.after, "error", err)
+		f.Log.Warn("dependency lost", "dependency", "store", "revision", f.Mirror.Revision(), "error", err)
 	}
 	f.down = true
 }
@@ -85,7 +96,7 @@
 	}
 	f.down = false
 	f.State.Regained()
-	f.Log.Info("dependency regained", "dependency", "store", "revision", f.after)
+	f.Log.Info("dependency regained", "dependency", "store", "revision", f.Mirror.Revision())
 }
 
 // readAll reads everything at one revision or a newer one; what changed
@@ -101,46 +112,44 @@
 		return err
 	}
 	f.regained()
-	f.State.Reset(f.decode(entries), revision)
-	f.after = revision
+	f.Mirror.Reset(entries, revision)
 	f.State.Fresh().Prove(began)
 	return nil
 }
 
+// led returns for how long the store need not be watched.
+func (f *Follower) led() time.Duration {
+	if f.Led == nil {
+		return 0
+	}
+	return f.Led()
+}
+
+func (f *Follower) wait() time.Duration {
+	if f.Wait == nil {
+		return watchWait
+	}
+	return f.Wait()
+}
+
 func (f *Follower) watch(ctx context.Context) error {
 	began := f.State.Fresh().Now()
-	changes, now, err := f.Store.Watch(ctx, "", f.after, watchWait)
+	wait := f.wait()
+	after := f.Mirror.Revision()
+	changes, now, err := f.Store.Watch(ctx, "", after, wait)
 	if err != nil {
 		return err
 	}
 	f.regained()
-	f.State.Apply(f.decode(changes), now)
-	f.after = now
 	ended := f.State.Fresh().Now()
-	if len(changes) == 0 && ended-began >= watchWait {
+	f.Mirror.Apply(after, changes, now, ended-began > atOnceAfter)
+	if len(changes) == 0 && ended-began >= wait {
 		// The store looked until the wait was over, on its own clock, which
 		// began after ours. One that answered sooner was cut and proves less.
-		f.State.Fresh().Prove(began + watchWait)
+		f.State.Fresh().Prove(began + wait)
 		return nil
 	}
 	f.State.Fresh().Prove(began)
 	f.sleep(ctx, watchGap-(ended-began))
 	return nil
 }
-
-func (f *Follower) decode(entries []kv.Entry) []Record {
-	records := make([]Record, 0, len(entries))
-	for _, entry := range entries {
-		rec, err := f.Decode(entry)
-		if err != nil {
-			f.Log.Error("a value is left out", "key", entry.Key(), "revision", entry.Revision(), "error", err)
-			continue
-		}
-		if rec.Kind == 0 {
-			continue
-		}
-		f.Log.Info("learned", "key", entry.Key(), "revision", entry.Revision(), "gone", entry.Deleted(), "bytes", len(entry.Value()))
-		records = append(records, rec)
-	}
-	return records
-}
--- /dev/null
+++ b/relay/site/mirror.go
@@ -0,0 +1,199 @@
+package site
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/relay/kv"
+)
+
+// maxDeleted bounds the deletions that are remembered for those who ask what
+// changed: an hour of replaced hosts in a large fleet.
+const maxDeleted = 4096
+
+// Mirror holds the store's keys as far as they are known, and is the one way by
+// which they reach a State: from the store itself, and from other entries that
+// follow it. What both tell overlaps and comes in any order; of each key only the
+// newest revision is taken. It is safe for concurrent use.
+type Mirror struct {
+	state  *State
+	decode func(kv.Entry) (Record, error)
+	clock  clockwork.Clock
+	log    *slog.Logger
+
+	mu       sync.Mutex
+	revision uint64 // everything up to it is known; 0: nothing was read yet
+	// keys holds deletions too, of revisions after forgotten.
+	keys      map[string]kv.Entry
+	deleted   int
+	forgotten uint64
+	heard     time.Time     // when the newest knowledge came; zero: none did
+	changed   chan struct{} // closed and replaced when revision grows
+}
+
+// NewMirror returns an empty Mirror. Decode reads a key; the zero Record is of no
+// concern.
+func NewMirror(state *State, decode func(kv.Entry) (Record, error), clock clockwork.Clock, log *slog.Logger) *Mirror {
+	return &Mirror{state: state, decode: decode, clock: clock, log: log, keys: map[string]kv.Entry{}, changed: make(chan struct{})}
+}
+
+// Revision returns the revision up to which everything is known; 0 before the
+// first reading.
+func (m *Mirror) Revision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// Apply takes over all changes after one revision up to another. Changes after a
+// revision that is not known yet leave a gap and are refused. At once says that
+// they came as they were made; else they may be as old as the knowledge before.
+func (m *Mirror) Apply(after uint64, changes []kv.Entry, revision uint64, atOnce bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after > m.revision {
+		return false
+	}
+	m.take(changes, revision, atOnce)
+	return true
+}
+
+// Reset takes over a whole reading of the store at a revision: keys that it lacks
+// are gone.
+func (m *Mirror) Reset(entries []kv.Entry, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision >= m.revision {
+		entries = append(slices.Clone(entries), m.missing(entries, revision)...)
+	}
+	m.take(entries, max(1, revision), false)
+}
+
+// missing returns the deletions of the keys known that a reading lacks.
+func (m *Mirror) missing(entries []kv.Entry, revision uint64) []kv.Entry {
+	seen := map[string]bool{}
+	for _, entry := range entries {
+		seen[entry.Key()] = true
+	}
+	var gone []kv.Entry
+	for key, known := range m.keys {
+		if !seen[key] && !known.Deleted() && known.Revision() <= revision {
+			gone = append(gone, kv.NewEntry(key, nil, revision, true))
+		}
+	}
+	return gone
+}
+
+// take keeps what is newer than what is known; m.mu is held.
+func (m *Mirror) take(entries []kv.Entry, revision uint64, atOnce bool) {
+	late := time.Duration(0)
+	if !atOnce && !m.heard.IsZero() {
+		late = m.clock.Since(m.heard)
+	}
+	m.heard = m.clock.Now()
+	var records []Record
+	for _, entry := range entries {
+		old, known := m.keys[entry.Key()]
+		if known && !newer(entry, old) {
+			continue
+		}
+		m.keep(entry, old)
+		if rec, ok := m.read(entry); ok {
+			rec.Late = late
+			records = append(records, rec)
+		}
+	}
+	m.forgetDeleted()
+	m.state.Apply(records, revision)
+	if revision > m.revision {
+		m.revision = revision
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+}
+
+// newer reports whether an entry goes before what is known of its key. A key that
+// a reading lacks is gone at the revision of the reading, which may be that of its
+// last change.
+func newer(entry, old kv.Entry) bool {
+	if entry.Revision() == old.Revision() {
+		return entry.Deleted() && !old.Deleted()
+	}
+	return entry.Revision() > old.Revision()
+}
+
+func (m *Mirror) keep(entry, old kv.Entry) {
+	if old.Deleted() {
+		m.deleted--
+	}
+	if entry.Deleted() {
+		m.deleted++
+	}
+	m.keys[entry.Key()] = entry
+}
+
+// read decodes a key and logs what was learned.
+func (m *Mirror) read(entry kv.Entry) (Record, bool) {
+	rec, err := m.decode(entry)
+	if err != nil {
+		m.log.Error("a value is left out", "key", entry.Key(), "revision", entry.Revision(), "error", err)
+		return Record{}, false
+	}
+	if rec.Kind == 0 {
+		return Record{}, false
+	}
+	rec.Revision = entry.Revision()
+	m.log.Info("learned", "key", entry.Key(), "revision", entry.Revision(), "gone", entry.Deleted(), "bytes", len(entry.Value()))
+	return rec, true
+}
+
+// forgetDeleted drops the older half of the deletions where there are too many.
+func (m *Mirror) forgetDeleted() {
+	if m.deleted <= maxDeleted {
+		return
+	}
+	var deleted []kv.Entry
+	for _, entry := range m.keys {
+		if entry.Deleted() {
+			deleted = append(deleted, entry)
+		}
+	}
+	slices.SortFunc(deleted, byRevision)
+	for _, entry := range deleted[:len(deleted)/2] {
+		delete(m.keys, entry.Key())
+		m.forgotten = max(m.forgotten, entry.Revision())
+		m.deleted--
+	}
+}
+
+func byRevision(left, right kv.Entry) int { return cmp.Compare(left.Revision(), right.Revision()) }
+
+// Changes are the newest values of the keys that changed after a revision.
+type Changes struct {
+	Entries []kv.Entry
+	// Revision is that up to which everything is known with them.
+	Revision uint64
+	// Whole: keys that are not among the entries do not exist.
+	Whole bool
+}
+
+// Since returns what changed after a revision, in the order of revisions, and a
+// channel that is closed at the next change. Several changes of one key make one:
+// who asks seldom gets little.
+func (m *Mirror) Since(revision uint64) (Changes, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	found := Changes{Revision: m.revision, Whole: revision < m.forgotten || revision == 0}
+	for _, entry := range m.keys {
+		if found.Whole && !entry.Deleted() || !found.Whole && entry.Revision() > revision {
+			found.Entries = append(found.Entries, entry)
+		}
+	}
+	slices.SortFunc(found.Entries, byRevision)
+	return found, m.changed
+}
--- a/relay/site/record.go
+++ b/relay/site/record.go
@@ -4,6 +4,8 @@
 package site
 
 import (
+	"time"
+
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
 )
@@ -25,6 +27,10 @@
 	// ID is the model, the endpoint or the entry.
 	ID   string
 	Gone bool
+	// Revision of the key's last change; 0: that of the whole reading.
+	Revision uint64
+	// Late is how long before it was learned the change may have been made.
+	Late time.Duration
 	// Exactly the field of the kind is set, where the key is not gone.
 	Catalog  *catalog.Catalog
 	Weights  uint64 // version declared
@@ -37,6 +43,9 @@
 	CallersAddress string `json:"callersAddress"`
 	Region         string `json:"region"`
 	FailureDomain  string `json:"failureDomain"`
+	// ControlAddress is where other entries follow this one; empty where it
+	// cannot be followed.
+	ControlAddress string `json:"controlAddress,omitempty"`
 	Incarnation    string `json:"incarnation"`
 	Lease          string `json:"lease"`
 }
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,7 +24,10 @@
 	clock *clockwork.FakeClock
 	begun time.Time
 	state *site.State
-	fresh *freshness.Tracker
+	// mirror reads the key "catalog" as a catalog of the version of its revision,
+	// and others as entries of that name; "bad" can't be read.
+	mirror *site.Mirror
+	fresh  *freshness.Tracker
 }
 
 func newWorld() *world {
@@ -31,9 +35,27 @@
 	w := &world{clock: clock, begun: clock.Now()}
 	w.fresh = freshness.NewTracker(func() time.Duration { return clock.Now().Sub(w.begun) })
 	w.state = site.NewState(clock.Now, fleet.New(clock.Now), w.fresh)
+	w.mirror = site.NewMirror(w.state, decode, clock, slog.New(slog.DiscardHandler))
 	return w
 }
 
+func decode(entry kv.Entry) (site.Record, error) {
+	name, isWeights := strings.CutPrefix(entry.Key(), "weights/")
+	switch {
+	case entry.Key() == "bad":
+		return site.Record{}, errors.New("unreadable")
+	case entry.Key() == "catalog":
+		return catalogOf(entry.Revision()), nil
+	case isWeights:
+		return site.Record{Kind: site.WeightsRecord, ID: name, Weights: uint64(len(entry.Value()))}, nil
+	}
+	return site.Record{Kind: site.EntryRecord, ID: entry.Key(), Gone: entry.Deleted()}, nil
+}
+
+// value is a key of the store at a revision, and gone its deletion.
+func value(key string, revision uint64) kv.Entry { return kv.NewEntry(key, nil, revision, false) }
+func gone(key string, revision uint64) kv.Entry  { return kv.NewEntry(key, nil, revision, true) }
+
 func catalogOf(version uint64) site.Record {
 	return site.Record{Kind: site.CatalogRecord, Catalog: catalog.New(catalog.Spec{Version: version})}
 }
@@ -43,9 +65,9 @@
 // store that lags. Cause: what came last was taken for newest.
 func TestNothingFallsBack(t *testing.T) {
 	w := newWorld()
-	w.state.Apply([]site.Record{catalogOf(7)}, 10)
-	w.state.Apply([]site.Record{catalogOf(5)}, 9)
-	w.state.Reset([]site.Record{catalogOf(6)}, 8)
+	w.mirror.Apply(0, []kv.Entry{value("catalog", 7)}, 10, true)
+	w.mirror.Apply(0, []kv.Entry{value("catalog", 5)}, 9, true)
+	w.mirror.Reset([]kv.Entry{value("catalog", 6)}, 8)
 	if got, want := w.state.Catalog().Version(), uint64(7); got != want {
 		t.Errorf("got version %d, want %d", got, want)
 	}
@@ -90,16 +112,10 @@
 
 func TestResetDropsWhatTheStoreDoesNotHold(t *testing.T) {
 	w := newWorld()
-	w.state.Apply([]site.Record{
-		{Kind: site.EntryRecord, ID: "e-1"},
-		{Kind: site.EndpointRecord, ID: "i-1", Endpoint: fleet.Registration{ID: "i-1", Service: "app", Slots: 1}},
-	}, 1)
-	w.state.Reset([]site.Record{{Kind: site.EntryRecord, ID: "e-2"}}, 5)
-	if _, ok := w.state.Entries()["e-1"]; ok || len(w.state.Entries()) != 1 {
-		t.Errorf("got %v, want e-2 alone", w.state.Entries())
-	}
-	if _, verdict := w.state.Fleet().Group("app").Pick(fleet.Need{}); verdict != fleet.Nobody {
-		t.Errorf("got verdict %v, want nobody", verdict)
+	w.mirror.Reset([]kv.Entry{value("e-1", 1), value("e-3", 2)}, 3)
+	w.mirror.Reset([]kv.Entry{value("e-2", 4), value("e-3", 2)}, 5)
+	if _, ok := w.state.Entries()["e-1"]; ok || len(w.state.Entries()) != 2 {
+		t.Errorf("got %v, want e-2 and e-3 alone", w.state.Entries())
 	}
 }
 
@@ -168,13 +184,7 @@
 		}
 	}()
 	follower := &site.Follower{
-		Store: steps.store(), State: w.state, Clock: w.clock, Log: slog.New(slog.DiscardHandler),
-		Decode: func(entry kv.Entry) (site.Record, error) {
-			if entry.Key() == "bad" {
-				return site.Record{}, errors.New("unreadable")
-			}
-			return catalogOf(entry.Revision()), nil
-		},
+		Store: steps.store(), State: w.state, Mirror: w.mirror, Clock: w.clock, Log: slog.New(slog.DiscardHandler),
 	}
 	follower.Run(ctx)
 	close(done)
--- /dev/null
+++ b/relay/site/sources.go
@@ -0,0 +1,73 @@
+package site
+
+import (
+	"slices"
+	"time"
+
+	"comfreyrelay.example/relay/rendezvous"
+)
+
+const (
+	// fewEntries is the entries of a region up to which each follows the store
+	// itself: with so few, following one another saves next to nothing and what
+	// is known is a little older.
+	fewEntries = 4
+	// sourcesPerRegion is the entries of a larger region that follow the store.
+	// One may be cut off from it or stand still; the others still have one.
+	sourcesPerRegion = 2
+	// trustMargin is the part of the time for a change that is left to those who
+	// find that the others' knowledge is old: a call of the store and its way.
+	trustMargin = 600 * time.Millisecond
+	// leastTrust keeps the least of it.
+	leastTrust = 800 * time.Millisecond
+	// watchMargin is what the age of a source's knowledge is on its way to the
+	// others: a request's time between two, and turns at processors.
+	watchMargin = 500 * time.Millisecond
+	// leastWatch bounds the calls of a source.
+	leastWatch = 300 * time.Millisecond
+)
+
+// Sources returns the entries that the entry follows in place of the store; none
+// where it follows the store itself. With 34 entries each change of a
+// configuration of 53 KB would otherwise cross the links between regions 22 times,
+// and a series of them arrive seconds late.
+func Sources(self, region string, entries map[string]Entry) []string {
+	var near []string
+	for id, entry := range entries {
+		if entry.Region == region && entry.ControlAddress != "" {
+			near = append(near, id)
+		}
+	}
+	if len(near) <= fewEntries {
+		return nil
+	}
+	chosen := rendezvous.Top("store/"+region, near, sourcesPerRegion)
+	if slices.Contains(chosen, self) {
+		return nil
+	}
+	return chosen
+}
+
+// Trust returns the age up to which others' knowledge is enough where a change
+// must be in force within the bound.
+func Trust(apply time.Duration) time.Duration { return max(leastTrust, apply-trustMargin) }
+
+// WatchWait returns how long a watch waits where others may follow this entry.
+func WatchWait(apply time.Duration, followed bool) time.Duration {
+	if !followed {
+		return watchWait
+	}
+	return min(watchWait, max(leastWatch, Trust(apply)-watchMargin))
+}
+
+// Followed reports whether a region is large enough that some entries follow
+// others.
+func Followed(region string, entries map[string]Entry) bool {
+	count := 0
+	for _, entry := range entries {
+		if entry.Region == region && entry.ControlAddress != "" {
+			count++
+		}
+	}
+	return count > fewEntries
+}
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -122,36 +122,23 @@
 // Regained notes that the store answers again.
 func (s *State) Regained() { s.settle() }
 
-func (s *State) settle() {
-	now := s.clock()
+func (s *State) settle() { s.SettleFor(settleTime) }
+
+// SettleFor keeps registrations that end for so long at least: another entry
+// found that the store was away.
+func (s *State) SettleFor(wait time.Duration) {
+	until := s.clock().Add(wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.settled = now.Add(settleTime)
+	s.settled = laterOf(s.settled, until)
 }
 
-// Reset takes over a whole reading of the store: what it does not hold is gone.
-func (s *State) Reset(records []Record, revision uint64) {
-	seenEntries, seenEndpoints := map[string]bool{}, map[string]bool{}
-	for _, rec := range records {
-		switch rec.Kind {
-		case EntryRecord:
-			seenEntries[rec.ID] = true
-		case EndpointRecord:
-			seenEndpoints[rec.ID] = true
-		case CatalogRecord, WeightsRecord:
-		}
-	}
-	for id := range s.Entries() {
-		if !seenEntries[id] {
-			records = append(records, Record{Kind: EntryRecord, ID: id, Gone: true})
-		}
-	}
-	for _, id := range s.fleet.IDs() {
-		if !seenEndpoints[id] {
-			records = append(records, Record{Kind: EndpointRecord, ID: id, Gone: true})
-		}
-	}
-	s.Apply(records, revision)
+// Settling returns for how long registrations that end are still kept.
+func (s *State) Settling() time.Duration {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, s.settled.Sub(now))
 }
 
 // Apply takes over changes of the store up to a revision. What is older than
@@ -180,9 +167,7 @@
 		}
 	case WeightsRecord:
 		if rec.Weights > s.wanted[rec.ID].Version {
-			list := append(s.history[rec.ID], rollout.Declared{Version: rec.Weights, At: now})
-			s.history[rec.ID] = list[max(0, len(list)-maxHistory):]
-			s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: now}
+			s.declare(rec, now.Add(-rec.Late), revision)
 		}
 	case EndpointRecord:
 		if rec.Gone {
@@ -200,6 +185,17 @@
 	}
 }
 
+// declare notes a newer version; s.mu is held. Its fencing number is the revision
+// of the declaration, the same for all who learn of it.
+func (s *State) declare(rec Record, since time.Time, revision uint64) {
+	if rec.Revision > 0 {
+		revision = rec.Revision
+	}
+	list := append(s.history[rec.ID], rollout.Declared{Version: rec.Weights, At: since})
+	s.history[rec.ID] = list[max(0, len(list)-maxHistory):]
+	s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: since}
+}
+
 func laterOf(left, right time.Time) time.Time {
 	if left.After(right) {
 		return left
