--- a/agent/internal/weights/manifests.go
+++ b/agent/internal/weights/manifests.go
@@ -48,7 +48,11 @@
 			nextDraw = t.now().Add(pause + rand.N(pause))
 			pause = min(2*pause, t.mgr.cfg.MaxBackoff)
 		}
-		if t.manifestFromPeer(ctx) == nil {
+		patience := manifestTimeout
+		if t.drawsManifest(began) {
+			patience = min(patience, max(manifestRetry, nextDraw.Sub(t.now())))
+		}
+		if t.manifestFromPeer(ctx, patience) == nil {
 			return nil
 		}
 		if err := t.mgr.sleep(ctx, manifestRetry+rand.N(manifestRetry)); err != nil {
@@ -116,8 +120,10 @@
 	return err
 }
 
-// manifestFromPeer asks one peer, an owner or any other in turn.
-func (t *transfer) manifestFromPeer(ctx context.Context) error {
+// manifestFromPeer asks one peer, an owner or any other in turn. The peer may let
+// it wait: a host that draws the manifest itself has no longer patience than until
+// its next draw.
+func (t *transfer) manifestFromPeer(ctx context.Context, patience time.Duration) error {
 	ranks := t.manifestRanks()
 	ranks = slices.DeleteFunc(ranks, func(id string) bool { return id == t.mgr.cfg.Self.GetId() })
 	if len(ranks) == 0 {
@@ -127,7 +133,7 @@
 	if rand.IntN(2) == 0 {
 		id = ranks[rand.IntN(min(manifestOwners, len(ranks)))]
 	}
-	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	req := &wire.ChunkRequest{From: t.mgr.cfg.Self, Version: t.version, Index: manifestIndex}
 	encoded, fetchErr := t.mgr.fromPeer(ctx, id, req, maxManifestBytes, func(*wire.ChunkData) {})
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -41,6 +41,9 @@
 	Wait func() time.Duration
 
 	down bool // the last call failed
+	// silent: the store was not watched, and those who did fell silent. Changes
+	// that it tells at once may have been made meanwhile.
+	silent bool
 }
 
 // Run follows until ctx ends.
@@ -49,6 +52,7 @@
 	for ctx.Err() == nil {
 		var err error
 		if led := f.led(); whole && led > 0 {
+			f.silent = true
 			f.sleep(ctx, led)
 			continue
 		}
@@ -84,6 +88,7 @@
 
 func (f *Follower) lost(ctx context.Context, err error) {
 	f.State.Lost()
+	f.silent = false
 	if !f.down && ctx.Err() == nil {
 		f.Log.Warn("dependency lost", "dependency", "store", "revision", f.Mirror.Revision(), "error", err)
 	}
@@ -142,7 +147,8 @@
 	}
 	f.regained()
 	ended := f.State.Fresh().Now()
-	f.Mirror.Apply(after, changes, now, ended-began > atOnceAfter)
+	f.Mirror.Apply(after, changes, now, !f.silent || ended-began > atOnceAfter)
+	f.silent = false
 	if len(changes) == 0 && ended-began >= wait {
 		// The store looked until the wait was over, on its own clock, which
 		// began after ours. One that answered sooner was cut and proves less.
--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -71,7 +71,7 @@
 	if revision >= m.revision {
 		entries = append(slices.Clone(entries), m.missing(entries, revision)...)
 	}
-	m.take(entries, max(1, revision), false)
+	m.take(entries, max(1, revision), true)
 }
 
 // missing returns the deletions of the keys known that a reading lacks.
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -201,6 +201,25 @@
 	}
 }
 
+// Symptom: after an outage of the store no engine may serve, although nothing
+// newer is loaded anywhere yet. Sequence: the store is down for 8 s; a version is
+// declared once it is back. Cause: what came after silence was taken to be as old
+// as the silence, and its time was over when it was learned. While the store is
+// down nothing is declared.
+func TestVersionDeclaredAfterAnOutageIsNew(t *testing.T) {
+	w := newWorld()
+	w.follow(t, func() ([]kv.Entry, uint64, error) {
+		w.clock.Advance(8 * time.Second)
+		return nil, 0, failure.New(failure.Unavailable, "the store is down", "wait")
+	}, func() ([]kv.Entry, uint64, error) {
+		return []kv.Entry{kv.NewEntry("weights/m", []byte("22"), 30, false)}, 30, nil
+	})
+	want, ok := w.state.WantedOf("m")
+	if age := w.clock.Since(want.Since); !ok || age > 2*time.Second {
+		t.Errorf("got a version that counts from %v ago, want from when it was learned", age)
+	}
+}
+
 func TestUnreadableValueLeavesTheLastGoodOneInForce(t *testing.T) {
 	w := newWorld()
 	w.follow(t, func() ([]kv.Entry, uint64, error) {
