--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -57,8 +57,16 @@
 	l.waiting = slices.Insert(l.waiting, at, x)
 }
 
-// before reports whether x goes first: the late after those who can be in time.
+// begun reports whether the caller has part of the answer: each moment until it
+// goes on is a pause that the caller sees.
+func (x *exchange) begun() bool { return x.events > 0 }
+
+// before reports whether x goes first: what was begun before all else, and the
+// late after those who can be in time.
 func (x *exchange) before(other *exchange) bool {
+	if x.begun() != other.begun() {
+		return x.begun()
+	}
 	if x.late() != other.late() {
 		return other.late()
 	}
@@ -206,17 +214,17 @@
 }
 
 // late reports whether the request can't be in time any more. One that was begun
-// goes first however late it is: its caller has part of the answer.
+// is never late: its caller has part of the answer.
 func (x *exchange) late() bool {
-	if x.returned {
-		return true
+	if x.begun() {
+		return false
 	}
-	return x.events == 0 && x.engine() != nil && !x.gateway.cfg.Clock.Now().Before(x.inTime)
+	return x.returned || x.engine() != nil && !x.gateway.cfg.Clock.Now().Before(x.inTime)
 }
 
 // left returns the time until the first event, or the next one, is late.
 func (x *exchange) left() time.Duration {
-	if x.events > 0 {
+	if x.begun() {
 		return x.route.Gap
 	}
 	return x.arrived.Add(x.route.Target).Sub(x.gateway.cfg.Clock.Now())
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -91,6 +91,12 @@
 	// repeatTargets is how many targets a request that may be repeated waits
 	// for its answer before another endpoint is tried.
 	repeatTargets = 3
+	// urgencyBegun and urgencyLate are the ranks at an engine, 0 the first, of what
+	// goes on after another engine and of what can't be in time any more. What goes
+	// on is read first: half of the streams that a rollout moved paused for over
+	// 400 ms while they had the rank of new ones.
+	urgencyBegun = 0
+	urgencyLate  = 8
 	// maxStray bounds the answers to earlier requests that are read over.
 	maxStray = 2
 )
@@ -143,10 +149,13 @@
 
 // sendUrgency ranks the request among others at the engine.
 func (x *exchange) sendUrgency() int {
-	if x.late() {
-		return 8
+	switch {
+	case x.begun():
+		return urgencyBegun
+	case x.late():
+		return urgencyLate
 	}
-	return min(7, max(1, x.route.Priority+x.customerRank()))
+	return min(urgencyLate-1, max(urgencyBegun+1, x.route.Priority+x.customerRank()))
 }
 
 func (x *exchange) customerRank() int {
