--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -27,9 +27,12 @@
 	orderPause = 150 * time.Millisecond
 	// orderTimeout bounds one order.
 	orderTimeout = time.Second
-	// noticeTime is how long entries have to hear of an order before it is given:
-	// one state's way to them and a request's way here.
-	noticeTime = 40 * time.Millisecond
+	// noticeTime is how long entries send nothing new before an order is given, and
+	// idleNotice the same where nothing runs: one state's way to them and a request's
+	// way here. What runs ends soon without prompts beside it, and what ended need
+	// not be cut, read again elsewhere and pause there.
+	noticeTime = 300 * time.Millisecond
+	idleNotice = 40 * time.Millisecond
 	// recheckTimeout bounds the reading back of all chunks.
 	recheckTimeout = 5 * time.Second
 )
@@ -169,6 +172,14 @@
 	return rollout.Start(want.since, deadline, l.move(want), l.place())
 }
 
+// notice returns how long before an order nothing new should come.
+func notice(report platform.EngineReport) time.Duration {
+	if report.Running == 0 {
+		return idleNotice
+	}
+	return noticeTime
+}
+
 // order reads the staged chunks back, because they may have turned bad where
 // they lie, and orders the engine to load them at once.
 func (l *loader) order(ctx context.Context, want wanted, name string, report platform.EngineReport) {
@@ -182,7 +193,7 @@
 	}
 	l.watch.setOrdering(true)
 	// Entries hear that nothing new should come before the engine stops.
-	l.sleep(ctx, noticeTime)
+	l.sleep(ctx, notice(report))
 	if _, alive := l.watch.report(); !alive {
 		return
 	}
--- a/agent/internal/onsite/onsite_test.go
+++ b/agent/internal/onsite/onsite_test.go
@@ -15,6 +15,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"comfreyrelay.example/platform"
 	"comfreyrelay.example/platform/platformtest"
 	"comfreyrelay.example/relay/wire"
 )
@@ -250,3 +251,16 @@
 		t.Errorf("got %s and %d, want a@b and 17", model, version)
 	}
 }
+
+// Symptom: streams pause while a version rolls out. Sequence: an engine runs nine
+// requests, gets an order and cuts them; each is read again at another engine. Cause:
+// the order came as soon as entries could have heard of it. A host that serves
+// nothing waits for nobody.
+func TestOrderWaitsWhileWhatRunsEnds(t *testing.T) {
+	if got := notice(platform.EngineReport{Running: 9}); got != noticeTime {
+		t.Errorf("got a notice of %v where nine requests run, want %v", got, noticeTime)
+	}
+	if got := notice(platform.EngineReport{}); got != idleNotice {
+		t.Errorf("got a notice of %v where nothing runs, want %v", got, idleNotice)
+	}
+}
