--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -235,12 +235,21 @@
 func (t *transfer) logWhole(now time.Time) {
 	stats := t.core.Stats()
 	t.mgr.cfg.Log.Info("version whole", "version", t.version, "chunks", t.core.Held(),
-		"seconds", now.Sub(t.began).Seconds(), "manifestSeconds", t.manifestAt.Sub(t.began).Seconds(),
-		"firstSeconds", stats.FirstHeld.Sub(t.began).Seconds(), "drawnSeconds", stats.AllDrawn.Sub(t.began).Seconds(),
+		"seconds", t.sinceBegan(now), "manifestSeconds", t.sinceBegan(t.manifestAt),
+		"firstSeconds", t.sinceBegan(stats.FirstHeld), "drawnSeconds", t.sinceBegan(stats.AllDrawn),
 		"draws", stats.Draws, "drawsAgain", stats.DrawsAgain, "pulls", stats.Pulls, "farPulls", stats.FarPulls, "busy", stats.Busy,
 		"timedOut", stats.TimedOut, "corrupt", stats.Corrupt, "broken", stats.Broken, "exchanges", stats.Exchanges)
 }
 
+// sinceBegan returns the seconds from the transfer's begin to a moment; 0 where it
+// never came.
+func (t *transfer) sinceBegan(at time.Time) float64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.Sub(t.began).Seconds()
+}
+
 // perform does one action; t.mu is held.
 func (t *transfer) perform(ctx context.Context, act burst.Action) {
 	key := fetchKey{chunk: act.Chunk, source: act.Source}
--- a/relay/site/sources.go
+++ b/relay/site/sources.go
@@ -32,22 +32,33 @@
 // configuration of 53 KB would otherwise cross the links between regions 22 times,
 // and a series of them arrive seconds late.
 func Sources(self, region string, entries map[string]Entry) []string {
-	var near []string
-	for id, entry := range entries {
-		if entry.Region == region && entry.ControlAddress != "" {
-			near = append(near, id)
-		}
-	}
-	if len(near) <= fewEntries {
+	if !Followed(region, entries) {
 		return nil
 	}
-	chosen := rendezvous.Top("store/"+region, near, sourcesPerRegion)
+	chosen := rendezvous.Top("store/"+region, reachable(region, entries), sourcesPerRegion)
 	if slices.Contains(chosen, self) {
 		return nil
 	}
 	return chosen
 }
 
+// Followed reports whether a region is large enough that some of its entries
+// follow others.
+func Followed(region string, entries map[string]Entry) bool {
+	return len(reachable(region, entries)) > fewEntries
+}
+
+// reachable returns the ids of a region's entries that can be followed.
+func reachable(region string, entries map[string]Entry) []string {
+	var ids []string
+	for id, entry := range entries {
+		if entry.Region == region && entry.ControlAddress != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Trust returns the age up to which others' knowledge is enough where a change
 // must be in force within the bound.
 func Trust(apply time.Duration) time.Duration { return max(leastTrust, apply-trustMargin) }
@@ -59,15 +70,3 @@
 	}
 	return min(watchWait, max(leastWatch, Trust(apply)-watchMargin))
 }
-
-// Followed reports whether a region is large enough that some entries follow
-// others.
-func Followed(region string, entries map[string]Entry) bool {
-	count := 0
-	for _, entry := range entries {
-		if entry.Region == region && entry.ControlAddress != "" {
-			count++
-		}
-	}
-	return count > fewEntries
-}
