--- a/relay/fleet/fleet_test.go
+++ b/relay/fleet/fleet_test.go
@@ -175,6 +175,7 @@
 func TestEngineWhoseVersionEndsTakesOnlyWhatItBeginsAtOnce(t *testing.T) {
 	w := newWorld()
 	w.engine(0, 1)
+	w.own()
 	ending := need
 	ending.SoonFloor, ending.Unread = 2, 9000
 	w.state(0, fleet.EngineState{Alive: true, Running: 3, Reading: 1200})
@@ -189,6 +190,30 @@
 	}
 }
 
+// Symptom: a request begins on a version 13.4 s after a newer one was acknowledged,
+// where 13.4 s were allowed. Sequence: 88 engines load a new version; a few are left
+// with the old one; 35 entries see the same engine idle, 20 to 250 ms ago, and each
+// sends what it would begin at once; the last of them waits 1.2 s there. Cause: each
+// entry reckoned as if it were the only one.
+func TestEngineWhoseVersionEndsGetsWorkFromOneEntry(t *testing.T) {
+	ending := need
+	ending.SoonFloor, ending.Unread = 2, 9000
+	senders := 0
+	entries := []string{"a", "b", "c", "d"}
+	for _, self := range entries {
+		w := newWorld()
+		w.engine(0, 1)
+		w.state(0, fleet.EngineState{Alive: true})
+		w.fleet.SetEntries("d1", self, entries)
+		if _, verdict := w.fleet.Group("llm").Pick(ending); verdict == fleet.Granted {
+			senders++
+		}
+	}
+	if senders != 1 {
+		t.Errorf("got %d entries that send to an engine whose version ends, want one", senders)
+	}
+}
+
 func TestWhatWasCutGoesToAnEngineThatLoadedAlready(t *testing.T) {
 	w := newWorld()
 	w.engine(0, 1)
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -63,7 +63,8 @@
 	// Floor is the lowest version of the model that may serve.
 	Floor uint64
 	// SoonFloor will be the floor shortly: an engine below it gets only what it
-	// begins at once, since what waits there would begin on an old version.
+	// begins at once, since what waits there would begin on an old version, and
+	// that from the entry that it is home to: others see what it has too late.
 	SoonFloor uint64
 	// Wanted is the version that every engine should come to; 0 where unknown.
 	Wanted uint64
@@ -280,12 +281,12 @@
 		return true
 	}
 	unread := end.unread(now)
+	if end.version(now, need.Model) < need.SoonFloor {
+		return end.home && (unread <= 0 || unread+need.Prompt <= soonUnread && end.state.Queued == 0)
+	}
 	if !end.home && !need.Again {
 		need.Unread = int(awayUnread * float64(need.Unread))
 	}
-	if end.version(now, need.Model) < need.SoonFloor && unread > 0 {
-		return unread+need.Prompt <= soonUnread && end.state.Queued == 0
-	}
 	return unread <= 0 || unread+need.Prompt <= need.Unread
 }
 
