--- a/entry/internal/onsite/news_test.go
+++ b/entry/internal/onsite/news_test.go
@@ -62,7 +62,8 @@
 	return lis.Addr().String(), stop
 }
 
-// followed returns a reader of a source and its sources, whose stream runs.
+// follow returns an entry that follows the one at the address. Before its stream
+// begins the store must not be left alone: nothing was heard.
 func follow(t *testing.T, address string) (*knower, *sources) {
 	t.Helper()
 	k := newKnower()
@@ -70,6 +71,9 @@
 		state: k.state, mirror: k.mirror, pool: peer.NewPool(nil), self: "self", clock: clockwork.NewRealClock(),
 		log: slog.New(slog.DiscardHandler), apply: func() time.Duration { return 3 * time.Second },
 	}
+	if got := others.led(); got != 0 {
+		t.Errorf("got the store left alone for %v before anything was heard, want 0", got)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -89,9 +93,6 @@
 	source.state.Fresh().Prove(0)
 	address, stop := source.serve(t)
 	reader, others := follow(t, address)
-	if got := others.led(); got != 0 {
-		t.Errorf("got the store left alone for %v before anything was heard, want 0", got)
-	}
 	eventually(t, "all that there is", func() error {
 		if reader.mirror.Revision() == 7 && len(reader.state.Entries()) == 1 && others.led() > 0 {
 			return nil
