--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -25,7 +25,8 @@
 	begun time.Time
 	state *site.State
 	// mirror reads the key "catalog" as a catalog of the version of its revision,
-	// and others as entries of that name; "bad" can't be read.
+	// those below "weights/" and "endpoint/" as their names say, and others as
+	// entries of that name; "bad" can't be read.
 	mirror *site.Mirror
 	fresh  *freshness.Tracker
 }
@@ -41,7 +42,11 @@
 
 func decode(entry kv.Entry) (site.Record, error) {
 	name, isWeights := strings.CutPrefix(entry.Key(), "weights/")
+	id, isEndpoint := strings.CutPrefix(entry.Key(), "endpoint/")
 	switch {
+	case isEndpoint:
+		return site.Record{Kind: site.EndpointRecord, ID: id, Gone: entry.Deleted(),
+			Endpoint: fleet.Registration{ID: id, Service: "app", Slots: 1}}, nil
 	case entry.Key() == "bad":
 		return site.Record{}, errors.New("unreadable")
 	case entry.Key() == "catalog":
@@ -112,11 +117,14 @@
 
 func TestResetDropsWhatTheStoreDoesNotHold(t *testing.T) {
 	w := newWorld()
-	w.mirror.Reset([]kv.Entry{value("e-1", 1), value("e-3", 2)}, 3)
+	w.mirror.Reset([]kv.Entry{value("e-1", 1), value("e-3", 2), value("endpoint/i-1", 3)}, 3)
 	w.mirror.Reset([]kv.Entry{value("e-2", 4), value("e-3", 2)}, 5)
 	if _, ok := w.state.Entries()["e-1"]; ok || len(w.state.Entries()) != 2 {
 		t.Errorf("got %v, want e-2 and e-3 alone", w.state.Entries())
 	}
+	if _, verdict := w.state.Fleet().Group("app").Pick(fleet.Need{}); verdict != fleet.Nobody {
+		t.Errorf("got verdict %v, want nobody", verdict)
+	}
 }
 
 func TestFloorFollowsEachDeclaration(t *testing.T) {
