What is known of an endpoint is known of one life of it

Cause: an endpoint may start again under the id it had. Running requests, unread prompts, ejections, loaded versions, kept connections, counts of orders and refused fencing numbers were kept by id or address, so they were taken for the new life's. And a registration that could not be read left in force what stood there before, or was taken with zero values for fields it lacked.

Change: births are read from registrations and reports; fleet.lives decides which life is current (compared for being another, never for being later). A life that ends keeps its requests, which are given up at once; the next one begins empty and may have what the former one lost. Connections are kept by address and birth. The agent forgets refused fencing numbers and gives no order that was prepared for a former life. A registration that names no usable endpoint withdraws it.

Ruled out: believing the later birth (clocks differ and step); leaving a spoilt value out (it names an address that its owner no longer names).

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -65,7 +65,8 @@
 
 	linkRate float64       // of the host's link, bytes a second; 0: unlimited
 	current  atomic.Uint64 // version that the Manager fetches
-	refused  uint64        // fencing number that the engine refused; lower ones are not used again
+	refused  atomic.Uint64 // fencing number that the engine refused in this life; lower ones are not used again
+	born     int64         // life of the engine that refused is of
 	notTill  time.Time
 }
 
@@ -93,13 +94,18 @@
 		return
 	}
 	report, alive := l.watch.report()
+	if report.Born != l.born {
+		// An engine that started again knows no fencing number.
+		l.born = report.Born
+		l.refused.Store(0)
+	}
 	want := l.choose(newest, report.Loaded[newest.model])
 	name := versionName(want.model, want.version)
 	if !alive || report.Busy || report.Loaded[want.model] >= want.version {
 		l.watch.setOrdering(false)
 		return
 	}
-	if l.mgr.State(name).Phase() != weights.Whole || l.clock.Now().Before(l.notTill) || want.fence > 0 && want.fence <= l.refused {
+	if l.mgr.State(name).Phase() != weights.Whole || l.clock.Now().Before(l.notTill) || want.fence > 0 && want.fence <= l.refused.Load() {
 		return
 	}
 	if l.clock.Now().Before(l.start(want, report)) {
@@ -197,7 +203,11 @@
 	l.watch.setOrdering(true)
 	// Entries hear that nothing new should come before the engine stops.
 	l.sleep(ctx, notice(report))
-	if _, alive := l.watch.report(); !alive {
+	if now, alive := l.watch.report(); !alive || now.Born != report.Born {
+		// One that started again meanwhile may have lost what was read back, and
+		// its count of orders begins anew: the condition below would hold.
+		l.log.Info("no order: the engine is another one or gone", "version", name, "born", report.Born, "now", now.Born, "alive", alive)
+		l.watch.setOrdering(false)
 		return
 	}
 	orderCtx, cancelOrder := context.WithTimeout(ctx, orderTimeout)
@@ -211,7 +221,7 @@
 		return
 	}
 	if failure.KindOf(err) == failure.Stale {
-		l.refused = max(l.refused, want.fence)
+		l.refused.Store(max(l.refused.Load(), want.fence))
 	}
 	l.watch.setOrdering(false)
 	l.notTill = l.clock.Now().Add(orderPause)
--- a/agent/internal/onsite/watch.go
+++ b/agent/internal/onsite/watch.go
@@ -79,8 +79,11 @@
 		return
 	}
 	w.failures = 0
+	if w.state.Born != 0 && report.Born != w.state.Born {
+		w.log.Warn("the engine started again", "born", report.Born, "before", w.state.Born, "loaded", report.Loaded)
+	}
 	if !w.alive {
-		w.log.Info("dependency regained", "dependency", "engine", "loaded", report.Loaded, "orders", report.Orders)
+		w.log.Info("dependency regained", "dependency", "engine", "born", report.Born, "loaded", report.Loaded, "orders", report.Orders)
 	}
 	if !w.alive || !sameReport(report, w.state) {
 		w.state, w.alive = report, true
@@ -89,7 +92,7 @@
 }
 
 func sameReport(left, right platform.EngineReport) bool {
-	return left.Running == right.Running && left.Queued == right.Queued && left.Busy == right.Busy &&
+	return left.Born == right.Born && left.Running == right.Running && left.Queued == right.Queued && left.Busy == right.Busy &&
 		left.Orders == right.Orders && left.Pace == right.Pace && maps.Equal(left.Loaded, right.Loaded)
 }
 
@@ -131,7 +134,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	state := &wire.EngineState{
-		Sequence: w.sequence, Alive: w.alive,
+		Sequence: w.sequence, Born: w.state.Born, Alive: w.alive,
 		Running: uint32(w.state.Running), Queued: uint32(w.state.Queued),
 		KvUsed: w.state.KVUsed, KvTotal: w.state.KVTotal, Pace: w.state.Pace,
 		Busy: w.state.Busy || w.ordering, Reading: uint32(max(0, w.reading)),
--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -34,6 +34,8 @@
 	mu      sync.Mutex
 	answers []func(id string) []byte
 	seen    []*http.Request
+	// accepted is called with mu held for each connection; may be nil.
+	accepted func()
 }
 
 func newEndpoint(t *testing.T, id string, answers ...func(id string) []byte) *endpoint {
@@ -58,6 +60,11 @@
 
 func (e *endpoint) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	e.mu.Lock()
+	if e.accepted != nil {
+		e.accepted()
+	}
+	e.mu.Unlock()
 	reader := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(reader)
@@ -83,20 +90,25 @@
 const cutOff = "\x00"
 
 func (e *endpoint) next(req *http.Request) []byte {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.seen = append(e.seen, req)
-	answer := whole("ok")
-	if len(e.answers) > 0 {
-		answer = e.answers[0]
-		e.answers = e.answers[1:]
-	}
+	answer := e.take(req)
 	if answer == nil {
 		return nil
 	}
 	return answer(req.Header.Get("X-Attempt-Id"))
 }
 
+func (e *endpoint) take(req *http.Request) func(id string) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = append(e.seen, req)
+	if len(e.answers) == 0 {
+		return whole("ok")
+	}
+	answer := e.answers[0]
+	e.answers = e.answers[1:]
+	return answer
+}
+
 func (e *endpoint) requests() []*http.Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -376,7 +388,7 @@
 	for _, end := range []*endpoint{one, two} {
 		end.mu.Lock()
 		end.answers = []func(string) []byte{func(id string) []byte {
-			if sum2(one, two) == 1 {
+			if sum(one, two) == 1 {
 				return events(1, 3, true)(id)
 			}
 			return resumed(id)
@@ -396,15 +408,6 @@
 	}
 }
 
-// sum2 counts without the locks of the endpoints, one of which its caller holds.
-func sum2(endpoints ...*endpoint) int {
-	total := 0
-	for _, end := range endpoints {
-		total += len(end.seen)
-	}
-	return total
-}
-
 func TestStreamThatNobodyTakesOverDoesNotLookWhole(t *testing.T) {
 	h := newHouse(t, newEndpoint(t, "i-1", events(1, 3, true)))
 	got := h.send(t, "/stream/a", "key-1", "")
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -104,8 +104,8 @@
 // attempt sends the request to one endpoint and relays its answer.
 func (x *exchange) attempt(ctx context.Context, grant *fleet.Grant) fleet.Outcome {
 	g := x.gateway
-	x.tries = append(x.tries, grant.ID())
-	conn, err := g.cfg.Pool.Get(ctx, grant.Address())
+	x.tries = append(x.tries, grant.Life())
+	conn, err := g.cfg.Pool.Get(ctx, upstream.Target{Address: grant.Address(), Born: grant.Life().Born})
 	if err != nil {
 		if ctx.Err() != nil {
 			return fleet.Abandoned
@@ -182,15 +182,15 @@
 }
 
 // patience says how long the attempt waits for bytes. What may not be repeated
-// waits to the end.
+// waits to the end, or until the endpoint started again: no answer will come.
 func (x *exchange) patience(ctx context.Context, grant *fleet.Grant) func(time.Duration) bool {
-	if !x.route.Repeatable() {
-		return nil
-	}
 	return func(waited time.Duration) bool {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || grant.Over() {
 			return false
 		}
+		if !x.route.Repeatable() {
+			return true
+		}
 		if x.runs+1 >= x.route.MaxAttempts {
 			return true
 		}
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -147,7 +147,7 @@
 
 func stateOf(state *wire.EngineState) fleet.EngineState {
 	found := fleet.EngineState{
-		Alive: state.GetAlive(), Running: int(state.GetRunning()), Queued: int(state.GetQueued()),
+		Born: state.GetBorn(), Alive: state.GetAlive(), Running: int(state.GetRunning()), Queued: int(state.GetQueued()),
 		Pace: state.GetPace(), Busy: state.GetBusy(), Loaded: map[string]uint64{},
 		Reading: max(0, int(state.GetReading())-int(state.GetReadingYours())),
 	}
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -33,20 +33,20 @@
 
 // Conn is a connection to one endpoint. One goroutine at a time uses it.
 type Conn struct {
-	raw     net.Conn
-	address string
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	idleAt  time.Time     // when it was put back
-	keep    time.Duration // how long the endpoint keeps it while idle
+	raw    net.Conn
+	to     Target
+	reader *bufio.Reader
+	writer *bufio.Writer
+	idleAt time.Time     // when it was put back
+	keep   time.Duration // how long the endpoint keeps it while idle
 
 	cancelled atomic.Bool
 	// patient is asked from time to time while a read waits; false ends it.
 	patient func(waited time.Duration) bool
 }
 
-func newConn(raw net.Conn, address string) *Conn {
-	c := &Conn{raw: raw, address: address}
+func newConn(raw net.Conn, to Target) *Conn {
+	c := &Conn{raw: raw, to: to}
 	c.reader = bufio.NewReaderSize(patientReader{c}, readBuffer)
 	c.writer = bufio.NewWriterSize(raw, writeBuffer)
 	return c
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -25,14 +25,20 @@
 	maxIdle = 12
 )
 
-// Pool keeps connections to endpoints by address. It is safe for concurrent
-// use.
+// Target is one life of what listens at an address. A connection to a former life
+// may look open behind a cut, and what is sent on it is lost.
+type Target struct {
+	Address string // "IP:PORT"
+	Born    int64  // of the life; 0: not told
+}
+
+// Pool keeps connections to endpoints by target. It is safe for concurrent use.
 type Pool struct {
 	now  func() time.Time
 	dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
-	idle  map[string][]*Conn // newest last
+	idle  map[Target][]*Conn // newest last
 	swept time.Time
 	dials uint64
 	uses  uint64
@@ -43,7 +49,7 @@
 	return &Pool{
 		now:  now,
 		dial: func(ctx context.Context, address string) (net.Conn, error) { return Dial(ctx, "tcp", address) },
-		idle: map[string][]*Conn{},
+		idle: map[Target][]*Conn{},
 	}
 }
 
@@ -66,11 +72,11 @@
 	return failed
 }
 
-// Get returns an idle connection to the address or a new one. Nothing was sent
+// Get returns an idle connection to the target or a new one. Nothing was sent
 // where it fails.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, to Target) (*Conn, error) {
 	for {
-		conn := p.take(address)
+		conn := p.take(to)
 		if conn == nil {
 			break
 		}
@@ -82,30 +88,30 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	raw, err := p.dial(ctx, address)
+	raw, err := p.dial(ctx, to.Address)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, address), nil
+	return newConn(raw, to), nil
 }
 
-func (p *Pool) take(address string) *Conn {
+func (p *Pool) take(to Target) *Conn {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.uses++
 	p.sweep(now)
-	list := p.idle[address]
+	list := p.idle[to]
 	for len(list) > 0 {
 		conn := list[len(list)-1]
 		list = list[:len(list)-1]
 		if now.Sub(conn.idleAt) < conn.keep {
-			p.idle[address] = list
+			p.idle[to] = list
 			return conn
 		}
 		conn.Close()
 	}
-	delete(p.idle, address)
+	delete(p.idle, to)
 	return nil
 }
 
@@ -115,7 +121,7 @@
 		return
 	}
 	p.swept = now
-	for address, list := range p.idle {
+	for to, list := range p.idle {
 		kept := list[:0]
 		for _, conn := range list {
 			if now.Sub(conn.idleAt) < conn.keep {
@@ -124,9 +130,9 @@
 				conn.Close()
 			}
 		}
-		p.idle[address] = kept
+		p.idle[to] = kept
 		if len(kept) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, to)
 		}
 	}
 }
@@ -149,11 +155,11 @@
 	conn.idleAt = p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn.keep <= 0 || len(p.idle[conn.address]) >= maxIdle {
+	if conn.keep <= 0 || len(p.idle[conn.to]) >= maxIdle {
 		conn.Close()
 		return
 	}
-	p.idle[conn.address] = append(p.idle[conn.address], conn)
+	p.idle[conn.to] = append(p.idle[conn.to], conn)
 }
 
 // Counts returns how many connections were asked for and how many were new.
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -28,11 +28,18 @@
 	errorWeight = 0.15
 )
 
-// endpoint is one incarnation of an endpoint; its group's lock guards it.
+// endpoint is one life of an endpoint; its group's lock guards it. All that it
+// holds is of that life: one that starts again under its id knows nothing of it.
 type endpoint struct {
 	reg  Registration
 	gone time.Time // chosen no more from then on; zero: registered
 
+	lives lives
+	over  bool // another life began: what runs here is lost
+	// otherAt is when the agent last told of a life at this address that is
+	// another endpoint's; zero: it tells of this one.
+	otherAt time.Time
+
 	state   EngineState
 	stateAt time.Time // arrival of state; zero: none came
 	// sent and ended are the moments of own requests sent and ended since the
@@ -49,10 +56,12 @@
 	errors   float64   // smoothed share of answers that were failures
 }
 
-func newEndpoint(reg Registration) *endpoint {
-	return &endpoint{reg: reg, running: map[*Grant]time.Time{}}
+func newEndpoint(reg Registration, born lives) *endpoint {
+	return &endpoint{reg: reg, lives: born, running: map[*Grant]time.Time{}}
 }
 
+func (e *endpoint) life() Life { return Life{ID: e.reg.ID, Born: e.lives.current} }
+
 // followed reports whether the agent's word is new enough.
 func (e *endpoint) followed(now time.Time) bool {
 	return !e.stateAt.IsZero() && now.Sub(e.stateAt) < feedStale
@@ -71,6 +80,9 @@
 	if e.reg.Leaving || now.Before(e.ejected) || !e.gone.IsZero() && !now.Before(e.gone) {
 		return false
 	}
+	if !e.otherAt.IsZero() && now.Sub(e.otherAt) < feedStale {
+		return false
+	}
 	return !e.followed(now) || e.state.Alive && !e.state.Busy
 }
 
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -15,7 +15,11 @@
 
 // Registration is what an endpoint tells of itself through the platform.
 type Registration struct {
-	ID            string // of one incarnation
+	ID string
+	// Born is when this life of the endpoint began, Unix milliseconds by its own
+	// host's clock; 0: not told. Hosts' clocks differ: births are compared for
+	// being another, never for being later.
+	Born          int64
 	Service       string
 	Address       string // "IP:PORT"
 	FailureDomain string
@@ -27,6 +31,7 @@
 
 // EngineState is an engine as its agent sees it.
 type EngineState struct {
+	Born    int64 // of the life that is told of; 0: not told
 	Alive   bool
 	Running int
 	Queued  int
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -30,7 +30,7 @@
 type Grant struct {
 	group    *Group
 	end      *endpoint
-	id       string
+	life     Life
 	address  string
 	version  uint64
 	prompt   int
@@ -41,7 +41,18 @@
 }
 
 // ID returns the endpoint's id.
-func (g *Grant) ID() string { return g.id }
+func (g *Grant) ID() string { return g.life.ID }
+
+// Life returns the life of the endpoint that was chosen.
+func (g *Grant) Life() Life { return g.life }
+
+// Over reports whether the endpoint started again since the choice: it knows
+// nothing of what it was sent before, and no answer will come.
+func (g *Grant) Over() bool {
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	return g.end.over
+}
 
 // Address returns the endpoint's address, "IP:PORT".
 func (g *Grant) Address() string { return g.address }
@@ -56,10 +67,13 @@
 func (g *Grant) StateAge() time.Duration { return g.stateAge }
 
 // Alive reports whether the endpoint is not known to be dead: the agent on its
-// host says at once that it does not answer.
+// host says at once that it does not answer, or that it started again.
 func (g *Grant) Alive() bool {
 	g.group.mu.Lock()
 	defer g.group.mu.Unlock()
+	if g.end.over {
+		return false
+	}
 	return !g.end.followed(g.group.clock()) || g.end.state.Alive
 }
 
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -72,7 +72,7 @@
 	Again   bool
 	Prompt  int // tokens
 	Domain  string
-	Exclude []string // endpoints that had the request already
+	Exclude []Life // endpoints that had the request already
 	// Extra is the requests an engine may hold beyond its slots; below 0 it
 	// keeps slots free.
 	Extra int
@@ -114,8 +114,12 @@
 // held.
 func (g *Group) addReading(end *endpoint, tokens int) {
 	end.reading += tokens
+	g.tellReading(end.reg.Address)
+}
+
+func (g *Group) tellReading(address string) {
 	select {
-	case g.moved[end.reg.Address] <- struct{}{}:
+	case g.moved[address] <- struct{}{}:
 	default:
 	}
 }
@@ -131,13 +135,34 @@
 	defer g.mu.Unlock()
 	end := g.endpoints[reg.ID]
 	if end == nil {
-		end = newEndpoint(reg)
+		end = newEndpoint(reg, lives{})
 		g.endpoints[reg.ID] = end
 	}
+	if end.lives.register(reg.Born) {
+		end = g.begin(end)
+	}
+	if !end.lives.told(reg.Born) {
+		reg.Loaded = nil // of a former life
+	}
 	end.reg, end.gone = reg, time.Time{}
 	g.wake()
 }
 
+// begin replaces an endpoint by its next life, which runs none of what was sent
+// to the former one, has nothing loaded and failed at nothing. Who waits for an
+// answer of the former life keeps that life and learns that it is over. g.mu is
+// held.
+func (g *Group) begin(former *endpoint) *endpoint {
+	reg := former.reg
+	reg.Loaded = nil
+	next := newEndpoint(reg, former.lives)
+	next.gone, next.home = former.gone, former.home
+	former.over = true
+	g.endpoints[reg.ID] = next
+	g.tellReading(reg.Address)
+	return next
+}
+
 func (g *Group) remove(id string, at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -161,14 +186,37 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	for _, end := range g.endpoints {
-		if end.reg.Address == address {
+	at := g.at(address)
+	other := slices.ContainsFunc(at, func(end *endpoint) bool { return state.Born != 0 && end.lives.current == state.Born })
+	for _, end := range at {
+		if other && !end.lives.told(state.Born) {
+			// The address is another endpoint's now, or its agent lags.
+			end.otherAt = now
+			continue
+		}
+		if end.lives.observe(state.Born) {
+			end = g.begin(end)
+		}
+		if end.lives.told(state.Born) {
+			end.otherAt = time.Time{}
 			end.observe(now, state)
 		}
 	}
 	g.wake()
 }
 
+// at returns the endpoints registered at an address: one, and those that had it
+// before until their registrations end.
+func (g *Group) at(address string) []*endpoint {
+	var found []*endpoint
+	for _, end := range g.endpoints {
+		if end.reg.Address == address {
+			found = append(found, end)
+		}
+	}
+	return found
+}
+
 // wake lets those who wait for room look again; g.mu is held.
 func (g *Group) wake() {
 	close(g.changed)
@@ -214,12 +262,7 @@
 
 // serves reports whether an endpoint may get the request, room aside.
 func (g *Group) serves(end *endpoint, need Need, now time.Time) bool {
-	for _, id := range need.Exclude {
-		if id == end.reg.ID {
-			return false
-		}
-	}
-	if !end.open(now) {
+	if slices.ContainsFunc(need.Exclude, end.life().same) || !end.open(now) {
 		return false
 	}
 	return g.engine == nil || need.Model == "" || end.version(now, need.Model) >= max(1, need.Floor)
@@ -252,7 +295,7 @@
 	}
 	grant := &Grant{
 		group: g, end: best, prompt: need.Prompt,
-		id: best.reg.ID, address: best.reg.Address, version: best.version(now, need.Model),
+		life: best.life(), address: best.reg.Address, version: best.version(now, need.Model),
 		occupied: best.occupancy(now, need.Entries), stateAge: now.Sub(best.stateAt),
 	}
 	best.running[grant] = now
--- /dev/null
+++ b/relay/fleet/lives_test.go
@@ -0,0 +1,122 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"comfreyrelay.example/relay/fleet"
+)
+
+// TestLives runs testdata/lives: an engine that starts again under its id.
+//
+// Symptom: requests go to an engine that has nothing loaded, wait for answers
+// that never come, or stay away from one that is well. Sequence: the engine dies
+// and starts again under the id it had; its registration, its agent's word and
+// the answers to what it ran before come in any order. Cause: what was known of
+// the former life was taken for the new one's.
+func TestLives(t *testing.T) {
+	w := newWorld()
+	grants := map[string]*fleet.Grant{}
+	datadriven.RunTest(t, "testdata/lives", func(t *testing.T, td *datadriven.TestData) string {
+		number := func(key string) int {
+			var found int
+			td.ScanArgs(t, key, &found)
+			return found
+		}
+		name := func(key string) string {
+			var found string
+			td.ScanArgs(t, key, &found)
+			return found
+		}
+		switch td.Cmd {
+		case "new":
+			w = newWorld()
+		case "register":
+			w.fleet.Register(fleet.Registration{
+				ID: name("id"), Born: int64(number("born")), Service: "llm", Address: address(1), FailureDomain: "d1",
+				Slots: 16, Loaded: map[string]uint64{"m": uint64(number("version"))},
+			})
+			w.own()
+		case "agent":
+			w.fleet.Observe("llm", address(1), fleet.EngineState{
+				Born: int64(number("born")), Alive: true, Running: number("running"), Loaded: map[string]uint64{"m": uint64(number("version"))},
+			})
+		case "wait":
+			w.now = w.now.Add(time.Duration(number("millis")) * time.Millisecond)
+		case "send":
+			ask := need
+			if td.HasArg("after") {
+				ask.Exclude = []fleet.Life{grants[name("after")].Life()}
+			}
+			grant, verdict := w.fleet.Group("llm").Pick(ask)
+			if verdict != fleet.Granted {
+				return map[fleet.Verdict]string{fleet.Full: "full", fleet.Nobody: "nobody"}[verdict]
+			}
+			grants[name("as")] = grant
+			return fmt.Sprintf("%s born=%d occupied=%d", grant.ID(), grant.Life().Born, grant.Occupied())
+		case "over":
+			return fmt.Sprint(grants[name("of")].Over())
+		case "end":
+			grants[name("of")].Done(map[string]fleet.Outcome{"served": fleet.Served, "silent": fleet.Silent}[name("outcome")])
+		case "unread":
+			return fmt.Sprint(w.fleet.Reading("llm", address(1)))
+		default:
+			t.Fatalf("unknown command %q", td.Cmd)
+		}
+		return "ok"
+	})
+}
+
+// Whatever order the words come in: once both sources told the newest life,
+// nothing of a former one counts, and no request of a former life is counted
+// there.
+func TestNewestLifeIsBelievedInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		births := rapid.SliceOfNDistinct(rapid.Int64Range(1, 1e6), 1, 4, rapid.ID[int64]).Draw(t, "births")
+		registered, observed := 0, -1
+		tell := func() {
+			w.fleet.Register(fleet.Registration{ID: "e-1", Born: births[registered], Service: "llm", Address: address(1),
+				FailureDomain: "d1", Slots: 16, Loaded: map[string]uint64{"m": 1}})
+		}
+		tell()
+		w.own()
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				registered = min(len(births)-1, registered+rapid.IntRange(0, 1).Draw(t, "next"))
+				tell()
+			case 1:
+				observed = min(len(births)-1, max(0, observed)+rapid.IntRange(0, 1).Draw(t, "seen"))
+				w.state(1, fleet.EngineState{Born: births[observed], Alive: true})
+			case 2:
+				if grant, verdict := w.fleet.Group("llm").Pick(need); verdict == fleet.Granted && rapid.Bool().Draw(t, "ends") {
+					grant.Done(fleet.Silent)
+				}
+			case 3:
+				w.now = w.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "millis")) * time.Millisecond)
+			}
+		}
+		newest := len(births) - 1
+		behind := registered < newest
+		registered = newest
+		tell()
+		w.state(1, fleet.EngineState{Born: births[newest], Alive: true})
+		w.now = w.now.Add(5 * time.Second)
+		w.state(1, fleet.EngineState{Born: births[newest], Alive: true})
+		grant, verdict := w.fleet.Group("llm").Pick(fleet.Need{Model: "m", Domain: "d1", Entries: 1, Extra: 100})
+		if verdict != fleet.Granted {
+			t.Fatalf("got verdict %v, want a grant", verdict)
+		}
+		if got, want := grant.Life(), (fleet.Life{ID: "e-1", Born: births[newest]}); got != want {
+			t.Errorf("got life %v, want %v", got, want)
+		}
+		if got, want := w.fleet.Reading("llm", address(1)), 0; behind && observed < newest && got != want {
+			t.Errorf("got %d tokens unread in a life that began now, want %d", got, want)
+		}
+	})
+}
--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -37,7 +37,8 @@
 }
 
 // NewMirror returns an empty Mirror. Decode reads a key; the zero Record is of no
-// concern.
+// concern, and an error leaves the value out unless the Record beside it withdraws
+// what the key named.
 func NewMirror(state *State, decode func(kv.Entry) (Record, error), clock clockwork.Clock, log *slog.Logger) *Mirror {
 	return &Mirror{state: state, decode: decode, clock: clock, log: log, keys: map[string]kv.Entry{}, changed: make(chan struct{})}
 }
@@ -137,12 +138,13 @@
 	m.keys[entry.Key()] = entry
 }
 
-// read decodes a key and logs what was learned.
+// read decodes a key and logs what was learned. A record beside an error withdraws
+// what the key named.
 func (m *Mirror) read(entry kv.Entry) (Record, bool) {
 	rec, err := m.decode(entry)
 	if err != nil {
-		m.log.Error("a value is left out", "key", entry.Key(), "revision", entry.Revision(), "error", err)
-		return Record{}, false
+		m.log.Error("a value is left out", "key", entry.Key(), "revision", entry.Revision(), "withdrawn", rec.Withdrawn, "error", err)
+		return rec, rec.Withdrawn
 	}
 	if rec.Kind == 0 {
 		return Record{}, false
--- a/relay/site/record.go
+++ b/relay/site/record.go
@@ -27,6 +27,9 @@
 	// ID is the model, the endpoint or the entry.
 	ID   string
 	Gone bool
+	// Withdrawn: what stands there now names nothing to use. Unlike one that
+	// lapsed, it was not lost in an outage and is used no more at once.
+	Withdrawn bool
 	// Revision of the key's last change; 0: that of the whole reading.
 	Revision uint64
 	// Late is how long before it was learned the change may have been made.
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -44,6 +44,8 @@
 	name, isWeights := strings.CutPrefix(entry.Key(), "weights/")
 	id, isEndpoint := strings.CutPrefix(entry.Key(), "endpoint/")
 	switch {
+	case isEndpoint && string(entry.Value()) == "spoilt":
+		return site.Record{Kind: site.EndpointRecord, ID: id, Gone: true, Withdrawn: true}, errors.New("unreadable")
 	case isEndpoint:
 		return site.Record{Kind: site.EndpointRecord, ID: id, Gone: entry.Deleted(),
 			Endpoint: fleet.Registration{ID: id, Service: "app", Slots: 1}}, nil
@@ -238,6 +240,40 @@
 	}
 }
 
+// Symptom: requests go to an address that its owner no longer names. Sequence: an
+// endpoint's registration is overwritten by what can't be read, also while the
+// store's return is not settled, when registrations that lapse are kept. Cause:
+// what could not be read was left out, so what was known before held. The others
+// hold, and the endpoint is back once it is written again.
+func TestSpoiltRegistrationNamesNothing(t *testing.T) {
+	w := newWorld()
+	pick := func() fleet.Verdict {
+		grant, verdict := w.state.Fleet().Group("app").Pick(fleet.Need{Entries: 1})
+		if verdict == fleet.Granted {
+			grant.Done(fleet.Served)
+		}
+		return verdict
+	}
+	w.mirror.Apply(0, []kv.Entry{value("endpoint/a", 1)}, 1, true)
+	w.state.Lost()
+	w.state.Regained()
+	for step, one := range []struct {
+		entries []kv.Entry
+		want    fleet.Verdict
+	}{
+		{nil, fleet.Granted},
+		{[]kv.Entry{kv.NewEntry("endpoint/a", []byte("spoilt"), 2, false)}, fleet.Nobody},
+		{[]kv.Entry{value("endpoint/b", 3)}, fleet.Granted},
+		{[]kv.Entry{kv.NewEntry("endpoint/b", []byte("spoilt"), 4, false)}, fleet.Nobody},
+		{[]kv.Entry{value("endpoint/a", 5)}, fleet.Granted},
+	} {
+		w.mirror.Apply(uint64(step), one.entries, uint64(step+1), true)
+		if got := pick(); got != one.want {
+			t.Errorf("step %d: got verdict %v, want %v", step, got, one.want)
+		}
+	}
+}
+
 // Symptom: a key that was taken away opens a route for longer than its bound.
 // Sequence: a watch is cut after a moment and tells no change. Cause: the proof
 // was taken to reach to the end of the time that it should have waited.
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -171,13 +171,13 @@
 		}
 	case EndpointRecord:
 		if rec.Gone {
-			s.fleet.Remove(rec.ID, laterOf(now, s.settled))
+			s.fleet.Remove(rec.ID, s.goneAt(now, rec))
 			return
 		}
 		s.fleet.Register(rec.Endpoint)
 	case EntryRecord:
 		if rec.Gone {
-			s.missing[rec.ID] = laterOf(now, s.settled)
+			s.missing[rec.ID] = s.goneAt(now, rec)
 			return
 		}
 		delete(s.missing, rec.ID)
@@ -185,6 +185,15 @@
 	}
 }
 
+// goneAt returns from when on a registration that ended is not used: one that
+// lapsed may be back until the store's return is settled.
+func (s *State) goneAt(now time.Time, rec Record) time.Time {
+	if rec.Withdrawn {
+		return now
+	}
+	return laterOf(now, s.settled)
+}
+
 // declare notes a newer version; s.mu is held. Its fencing number is the revision
 // of the declaration, the same for all who learn of it.
 func (s *State) declare(rec Record, since time.Time, revision uint64) {
