A version nearly whole is left only for one that is loaded in time

All hosts left version 2 at 21 s, since version 3 would have been whole by 26 s, when version 1 ends, from an origin that answers and without the time to load. From 24 to 31 s nothing was served.

Change: the newer version must be loaded by then, not whole.

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -117,7 +117,12 @@
 // choose returns the version that the host fetches now and lets the Manager
 // fetch it. A version that the host leaves is still given to others.
 func (l *loader) choose(newest wanted, loaded uint64) wanted {
-	version := rollout.Target(l.guide.declared(newest.model), loaded, l.current.Load(), l.limit(), l.move(newest))
+	current := l.current.Load()
+	host := rollout.Fetch{
+		Now: l.clock.Now(), Loaded: loaded, Current: current,
+		Whole: current > 0 && l.mgr.State(versionName(newest.model, current)).Phase() == weights.Whole,
+	}
+	version := rollout.Target(l.guide.declared(newest.model), host, l.limit(), l.move(newest))
 	want := l.guide.version(newest, version)
 	if want.version == l.current.Load() {
 		return want
