comfreyctl report: how requests ended, by time and by reason

Purpose: to see from entries' logs alone where answers in time are lost. Answers log the route's target and allowed pause beside the times.

--- a/ctl/internal/cmd/cmd.go
+++ b/ctl/internal/cmd/cmd.go
@@ -49,6 +49,7 @@
 		rollbackCommand(term),
 		explainCommand(term),
 		traceCommand(term),
+		reportCommand(term),
 		entriesCommand(term),
 		completionCommand(term),
 	}
--- /dev/null
+++ b/ctl/internal/cmd/cmd_report.go
@@ -0,0 +1,212 @@
+package cmd
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/failure"
+)
+
+type reportOptions struct {
+	Every string `long:"every" value-name:"DURATION" default:"2s" description:"length of a row"`
+	From  string `long:"from" value-name:"TIME" description:"only requests answered at this time or later, as in the logs"`
+	To    string `long:"to" value-name:"TIME" description:"only requests answered before this time"`
+	JSON  bool   `long:"json" description:"print one JSON object a row, and one a reason"`
+}
+
+func reportCommand(term *terminal) *cli.Command {
+	opts := &reportOptions{}
+	return &cli.Command{
+		Name:  "report",
+		Short: "Count how requests ended, by time and by reason",
+		Long: "Reads entries' logs, or standard input where none is named, and counts how requests ended: in time, late, refused " +
+			"or failed, a row each few seconds, and why those that were not in time were not. A late answer counts under the " +
+			"first of these that holds: its caller had been refused before (returned), it was sent again (sent again), it " +
+			"waited for a place for half of its target or more (waited), it paused for too long (paused), its endpoint took " +
+			"too long (endpoint).\n\n" +
+			"Examples:\n  comfreyctl report entry-*.log\n" +
+			"  comfreyctl report --every 10s --from 2026-06-17T15:08:30Z --json front-1.log",
+		Options: opts,
+		Run: func(_ context.Context, args []string) error {
+			return report(term, opts, args)
+		},
+	}
+}
+
+// ending is how one request ended.
+type ending struct {
+	class  string // "inTime", "late", "refused" or "failed"
+	reason string // why it was not in time
+}
+
+// row counts the requests that were answered in one span of time.
+type row struct {
+	At       time.Time `json:"at"`
+	Answered int       `json:"answered"`
+	InTime   int       `json:"inTime"`
+	Late     int       `json:"late"`
+	Refused  int       `json:"refused"`
+	Failed   int       `json:"failed"`
+}
+
+// reason counts the requests that were not in time for it.
+type reason struct {
+	Class  string `json:"class"`
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
+}
+
+func report(term *terminal, opts *reportOptions, files []string) error {
+	every, err := time.ParseDuration(opts.Every)
+	if err != nil || every <= 0 {
+		return failure.New(failure.Invalid, "--every is no length of time", "write it like 2s or 1m")
+	}
+	from, err := timeOption("--from", opts.From)
+	if err != nil {
+		return err
+	}
+	to, err := timeOption("--to", opts.To)
+	if err != nil {
+		return err
+	}
+	lines, err := readLogs(term, files)
+	if err != nil {
+		return err
+	}
+	lines = slices.DeleteFunc(lines, func(line logLine) bool {
+		return line.fields["msg"] != "answered" || !from.IsZero() && line.at.Before(from) || !to.IsZero() && !line.at.Before(to)
+	})
+	if len(lines) == 0 {
+		return failure.New(failure.NotFound, "no answered request is in the logs", "name entries' logs, and check the times")
+	}
+	slices.SortStableFunc(lines, func(left, right logLine) int { return left.at.Compare(right.at) })
+	rows, reasons := countEndings(lines, every)
+	if opts.JSON {
+		return encodeReport(term.out, rows, reasons)
+	}
+	return printReport(term.out, rows, reasons)
+}
+
+// countEndings counts lines that are in order of time.
+func countEndings(lines []logLine, every time.Duration) ([]row, []reason) {
+	var rows []row
+	counts := map[ending]int{}
+	for _, line := range lines {
+		at := line.at.Truncate(every)
+		if len(rows) == 0 || !rows[len(rows)-1].At.Equal(at) {
+			rows = append(rows, row{At: at})
+		}
+		end := endingOf(line)
+		rows[len(rows)-1].count(end)
+		if end.reason != "" {
+			counts[end]++
+		}
+	}
+	var reasons []reason
+	for end, count := range counts {
+		reasons = append(reasons, reason{Class: end.class, Reason: end.reason, Count: count})
+	}
+	slices.SortFunc(reasons, func(left, right reason) int {
+		return cmp.Or(cmp.Compare(right.Count, left.Count), cmp.Compare(left.Class, right.Class), cmp.Compare(left.Reason, right.Reason))
+	})
+	return rows, reasons
+}
+
+func (r *row) count(end ending) {
+	r.Answered++
+	switch end.class {
+	case "inTime":
+		r.InTime++
+	case "late":
+		r.Late++
+	case "refused":
+		r.Refused++
+	default:
+		r.Failed++
+	}
+}
+
+const (
+	statusOK      = 200
+	statusRefused = 503
+	statusError   = 400
+)
+
+// endingOf reads an entry's line about an answered request.
+func endingOf(line logLine) ending {
+	status := line.millis("status")
+	switch {
+	case status == statusRefused:
+		return ending{class: "refused", reason: line.fields["outcome"]}
+	case status < statusOK || status >= statusError:
+		return ending{class: "failed", reason: line.fields["outcome"]}
+	}
+	first := line.millis("tookMillis")
+	if line.millis("events") > 0 {
+		first = line.millis("firstMillis")
+	}
+	target, gap := line.millis("targetMillis"), line.millis("gapMillis")
+	paused := gap > 0 && line.millis("pauseMillis") > gap
+	if target <= 0 || first <= target && !paused {
+		return ending{class: "inTime"}
+	}
+	switch {
+	case line.fields["returned"] == "true":
+		return ending{class: "late", reason: "returned"}
+	case line.millis("sends") > 1:
+		return ending{class: "late", reason: "sent again"}
+	case 2*line.millis("heldMillis") >= target:
+		return ending{class: "late", reason: "waited"}
+	case paused:
+		return ending{class: "late", reason: "paused"}
+	}
+	return ending{class: "late", reason: "endpoint"}
+}
+
+// millis returns a whole number of the line; 0 where it has none.
+func (l logLine) millis(name string) int {
+	count, err := strconv.Atoi(l.fields[name])
+	if err != nil {
+		return 0
+	}
+	return count
+}
+
+func encodeReport(out io.Writer, rows []row, reasons []reason) error {
+	encoder := json.NewEncoder(out)
+	for _, one := range rows {
+		if err := encoder.Encode(one); err != nil {
+			return err
+		}
+	}
+	for _, one := range reasons {
+		if err := encoder.Encode(one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printReport(out io.Writer, rows []row, reasons []reason) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "from\tanswered\tin time\tlate\trefused\tfailed\t")
+	for _, one := range rows {
+		fmt.Fprintf(table, "%+.1fs\t%d\t%d\t%d\t%d\t%d\t\n", one.At.Sub(rows[0].At).Seconds(), one.Answered, one.InTime, one.Late, one.Refused, one.Failed)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\n%+.1fs is %s\n", 0.0, rows[0].At.Format(time.RFC3339Nano))
+	for _, one := range reasons {
+		fmt.Fprintf(out, "%6d %-8s %s\n", one.Count, one.Class, one.Reason)
+	}
+	return nil
+}
