The version after the one wanted is fetched into memory

Hosts load the first in turns and began to fetch the second after their turn; hosts whose turn is to draw chunks of it came last, and the engine's stage holds one version. So all had the second at the same moment, a second before the first one ends: 18 of 24 loaded within 0.6 s, and a third of all answers was late for 4 s.

Change: while the version wanted waits, the next one's chunks are fetched at lower priority into the agent's memory (at most 0.15 of the host's) and given to others from there. They are laid beside the engine once that version is wanted, before it is read back and ordered. Pauses before fetching count from the declaration.

Tried and reverted: an agent that announces its host to entries before the registration comes, 1 s after the agent's start. The engine answers nothing before either, so nothing is won.

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -58,6 +58,7 @@
 	watch  *watch
 	guide  *guide
 	mgr    *weights.Manager
+	stage  *stage
 	clock  clockwork.Clock
 	log    *slog.Logger
 	self   string       // this host among others
@@ -65,6 +66,8 @@
 
 	linkRate float64       // of the host's link, bytes a second; 0: unlimited
 	current  atomic.Uint64 // version that the Manager fetches
+	before   uint64        // version that was fetched before it; its chunks stay
+	ahead    uint64        // version that is fetched after it, into memory; 0: none
 	refused  atomic.Uint64 // fencing number that the engine refused in this life; lower ones are not used again
 	born     int64         // life of the engine that refused is of
 	notTill  time.Time
@@ -101,6 +104,12 @@
 	}
 	want := l.choose(newest, report.Loaded[newest.model])
 	name := versionName(want.model, want.version)
+	if alive {
+		if err := l.stage.flush(ctx); err != nil {
+			l.log.Warn("chunks in memory cannot be staged", "version", name, "error", err)
+			return
+		}
+	}
 	if !alive || report.Busy || report.Loaded[want.model] >= want.version {
 		l.watch.setOrdering(false)
 		return
@@ -124,24 +133,47 @@
 	}
 	version := rollout.Target(l.guide.declared(newest.model), host, l.limit(), l.move(newest))
 	want := l.guide.version(newest, version)
-	if want.version == l.current.Load() {
+	ahead := uint64(0)
+	if newest.version > version && l.stage.fits(newest.chunks*newest.size) {
+		ahead = newest.version
+	}
+	if version == current && ahead == l.ahead {
 		return want
 	}
-	name := versionName(want.model, want.version)
-	l.log.Info("weights wanted", "version", name, "before", l.current.Load(), "loaded", loaded, "fence", want.fence,
-		"ageMillis", l.clock.Since(want.since).Milliseconds(), "place", l.place())
+	if version != current {
+		l.before = l.current.Swap(version)
+	}
+	l.ahead = ahead
+	l.log.Info("weights wanted", "version", versionName(want.model, version), "before", l.before, "ahead", ahead, "loaded", loaded,
+		"fence", want.fence, "ageMillis", l.clock.Since(want.since).Milliseconds(), "place", l.place())
 	policy := weights.Policy{Objective: burst.ObjectiveTime, OriginCopies: originCopies}
-	if before := l.current.Swap(want.version); before > 0 {
-		policy.Keep = []string{versionName(want.model, before)}
+	if l.before > 0 {
+		policy.Keep = []string{versionName(want.model, l.before)}
 	}
-	target := weights.Target{Version: name}
-	if loaded > 0 {
-		target.PullFrom = l.clock.Now().Add(rollout.PullDelay(l.move(want), l.place()))
+	targets := []weights.Target{l.target(want, loaded, wantedPriority)}
+	if ahead > 0 {
+		targets = append(targets, l.target(newest, loaded, aheadPriority))
 	}
-	l.mgr.SetTargets([]weights.Target{target}, policy)
+	l.mgr.SetTargets(targets, policy)
 	return want
 }
 
+// The version wanted goes before the one that is fetched ahead.
+const (
+	aheadPriority  = 0
+	wantedPriority = 1
+)
+
+// target is a version to fetch. Hosts that serve leave the links to those before
+// them in the order of turns, from its declaration on.
+func (l *loader) target(want wanted, loaded uint64, priority int) weights.Target {
+	target := weights.Target{Version: versionName(want.model, want.version), Priority: priority}
+	if loaded > 0 {
+		target.PullFrom = want.since.Add(rollout.PullDelay(l.move(want), l.place()))
+	}
+	return target
+}
+
 // limit is how long an old version may be used after a newer one's declaration.
 func (l *loader) limit() time.Duration { return time.Duration(l.bound.Load()) }
 
@@ -199,6 +231,10 @@
 func (l *loader) order(ctx context.Context, want wanted, name string, report platform.EngineReport) {
 	checkCtx, cancel := context.WithTimeout(ctx, recheckTimeout)
 	defer cancel()
+	if err := l.stage.flush(checkCtx); err != nil {
+		l.log.Warn("chunks in memory cannot be staged", "version", name, "error", err)
+		return
+	}
 	bad, err := l.mgr.Recheck(checkCtx, name)
 	if bad > 0 || err != nil {
 		l.log.Warn("staged weights are not whole", "version", name, "bad", bad, "error", err)
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -41,6 +41,9 @@
 	// memoryPart is the part of the host's memory at which the collector works
 	// hardest.
 	memoryPart = 0.5
+	// aheadPart is the part of the host's memory that the chunks of a version
+	// after the one wanted may take.
+	aheadPart = 0.15
 	// drawWindow is the chunks that the hosts draw from the origin at once.
 	drawWindow = 14
 	// maxBackoff bounds the pause after the origin failed: the time for a new
@@ -116,7 +119,7 @@
 		remote: originClient(),
 	}
 	a.watch = newWatch(engine, clock, log)
-	a.stage = newStage(engine, a.guide)
+	a.stage = newStage(engine, a.guide, int(aheadPart*float64(set.GetSite().GetMemoryMegabytes())*(1<<20)))
 	a.stage.man = a.wantedManifest
 	a.mgr = weights.New(weights.Config{
 		Self: a.self(), Clock: clock, Log: log,
@@ -136,7 +139,7 @@
 		HeldChunks:  a.stage.held,
 	})
 	a.loader = &loader{
-		engine: engine, watch: a.watch, guide: a.guide, mgr: a.mgr, clock: clock, log: log,
+		engine: engine, watch: a.watch, guide: a.guide, mgr: a.mgr, stage: a.stage, clock: clock, log: log,
 		self: a.self().GetId(), linkRate: linkRate(set.GetSite()),
 	}
 	a.apply(set)
--- /dev/null
+++ b/agent/internal/onsite/stage_test.go
@@ -0,0 +1,92 @@
+package onsite
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Symptom: an engine loads a mixture of two versions. Sequence: version 3 is fetched
+// while version 2 lies ready beside the engine and waits for its turn to load. Cause
+// guarded against: the engine's stage holds one version, and chunks of the next one
+// lie at the same indexes.
+func TestNextVersionWaitsInMemory(t *testing.T) {
+	engine := platformtest.NewEngine(testModel, 1, nil)
+	host := httptest.NewServer(engine)
+	defer host.Close()
+	chunks := map[uint64][][]byte{2: platformtest.Chunks(2, 3, testSize), 3: platformtest.Chunks(3, 3, testSize)}
+	manifests := map[uint64]*wire.Manifest{2: {}, 3: {}}
+	for version, list := range chunks {
+		for _, chunk := range list {
+			sum := sha256.Sum256(chunk)
+			manifests[version].ChunkHashes = append(manifests[version].ChunkHashes, sum[:])
+		}
+	}
+	told := newGuide()
+	told.hear(time.Now(), &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3}}})
+	kept := newStage(platform.NewEngine(host.URL, host.Client()), told, 2*testSize)
+	wanted := uint64(2)
+	kept.man = func() *wire.Manifest { return manifests[wanted] }
+	put := func(version uint64, i int) error {
+		return kept.put(t.Context(), manifests[version].ChunkHashes[i], chunks[version][i])
+	}
+	for _, one := range []struct {
+		version uint64
+		index   int
+		fits    bool
+	}{{2, 0, true}, {3, 0, true}, {2, 1, true}, {3, 1, true}, {2, 2, true}, {3, 2, false}} {
+		if err := put(one.version, one.index); (err == nil) != one.fits {
+			t.Errorf("version %d, chunk %d: got %v, want it taken: %v", one.version, one.index, err, one.fits)
+		}
+	}
+	if !engine.Lies(chunks[2]) {
+		t.Error("got another thing than version 2 beside the engine")
+	}
+	if data, err := kept.get(t.Context(), manifests[3].ChunkHashes[1]); err != nil || !bytes.Equal(data, chunks[3][1]) {
+		t.Errorf("got %d bytes, %v, want what waits in memory", len(data), err)
+	}
+	wanted = 3
+	if err := kept.flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := put(3, 2); err != nil {
+		t.Fatal(err)
+	}
+	if !engine.Lies(chunks[3]) {
+		t.Error("got another thing than version 3 beside the engine")
+	}
+	if got := kept.aheadBytes + len(kept.ahead); got != 0 {
+		t.Errorf("got %d bytes and chunks left in memory, want none", got)
+	}
+}
+
+// Symptom: all engines load the second of two versions at once, and a third of all
+// answers is late. Sequence: two versions are named in quick succession; hosts load
+// the first one in turns and begin to fetch the second one after their turn; those
+// who should draw chunks of it come last. Cause: one version was fetched at a time.
+func TestSecondVersionIsFetchedWhileTheFirstWaits(t *testing.T) {
+	s := newTestSite(t, 1, 1, 1, 1)
+	for version := uint64(2); version <= 3; version++ {
+		s.origin.Add(version, platformtest.Chunks(version, testChunks, testSize))
+	}
+	s.guide(2, 2)
+	time.Sleep(200 * time.Millisecond)
+	s.guide(3, 3)
+	s.await(t, 3)
+	s.checkLoads(t)
+	both := 0
+	for _, engine := range s.engines {
+		if len(engine.Loads()) > 1 {
+			both++
+		}
+	}
+	if both == 0 {
+		t.Error("got no engine that loaded both versions: this shows nothing")
+	}
+}
