Nothing is sent to an engine that is heard late before its version ends

Change: from 2.5 s before a version's end an engine with it gets requests only while it is heard in time.

Measured: the test fails without the change (granted).

--- a/relay/fleet/fleet_test.go
+++ b/relay/fleet/fleet_test.go
@@ -139,6 +139,32 @@
 	}
 }
 
+// Symptom: a request begins on an old version after its time (VERSION of the
+// platform's rules). Sequence: a host's link is squeezed and its agent's word comes
+// 0.7 s late; 1.6 s before the version ends its home entry sends a request there to
+// see whether it answers; the request stands 1.6 s in the link and begins 72 ms after
+// the end, though the entry gave it up before. Cause: what is sent shortly before an
+// end must begin at once, and nobody knows that of an engine that is heard late.
+func TestEngineThatIsHeardLateGetsNothingBeforeItsVersionEnds(t *testing.T) {
+	for name, one := range map[string]struct {
+		delay time.Duration
+		want  fleet.Verdict
+	}{"in time": {5 * time.Millisecond, fleet.Granted}, "late": {683 * time.Millisecond, fleet.Full}} {
+		w := newWorld()
+		for i := range 3 {
+			w.engine(i, 1)
+			w.state(i, fleet.EngineState{Alive: true, Running: 16})
+		}
+		w.own()
+		w.state(0, fleet.EngineState{Alive: true, Delay: one.delay})
+		ask := need
+		ask.SoonFloor, ask.Unread = 2, 4000
+		if _, got := w.fleet.Group("llm").Pick(ask); got != one.want {
+			t.Errorf("%s: got verdict %v, want %v", name, got, one.want)
+		}
+	}
+}
+
 // An entry that hears hardly any agent is cut off itself, or agents are down: what
 // is registered then serves as before.
 func TestEntryThatHearsNoAgentUsesAllEngines(t *testing.T) {
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -64,7 +64,9 @@
 	Floor uint64
 	// SoonFloor will be the floor shortly: an engine below it gets only what it
 	// begins at once, since what waits there would begin on an old version, and
-	// that from the entry that it is home to: others see what it has too late.
+	// that from the entry that it is home to, and only while that one hears it in
+	// time: others see what it has too late, and what stands in a narrow link
+	// reaches it after the end.
 	SoonFloor uint64
 	// Wanted is the version that every engine should come to; 0 where unknown.
 	Wanted uint64
@@ -359,7 +361,7 @@
 	}
 	unread := end.unread(now)
 	if end.version(now, need.Model) < need.SoonFloor {
-		return end.home && (unread <= 0 || unread+need.Prompt <= soonUnread && end.state.Queued == 0)
+		return end.home && end.heard(now) && (unread <= 0 || unread+need.Prompt <= soonUnread && end.state.Queued == 0)
 	}
 	if !end.home && !need.Again {
 		need.Unread = int(awayUnread * float64(need.Unread))
