Weights leave narrow links to requests, and entries tell one another of delays

The links of 6 hosts are squeezed to an eighth for 7 s; weights went on at the rate that the platform told, four chunks at a time, and stood before the link with requests behind them. Entries that send to a host seldom measured no delay there (2 to 50 ms beside 280 to 860 ms at its home entry).

Change: entries tell the agent the delay they measure; it tells the highest to all. While it is over 150 ms a host that serves asks for one chunk at a time and gives less and less to others. What an agent takes to send a message back is learned, so that a delay shows after 0.05 to 0.1 s in place of 0.25 s.

--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -25,6 +25,7 @@
 type feed struct {
 	watch *watch
 	guide *guide
+	pace  *pace
 	clock clockwork.Clock
 	began time.Time // of the agent
 	// region of this host.
@@ -52,6 +53,7 @@
 		state, changed := f.watch.told()
 		state.ReadingYours = uint32(listener.reading.Load())
 		state.SentMillis, state.AgentBorn = uint64(f.clock.Since(f.began).Milliseconds()), f.began.UnixMilli()
+		state.LagMillis = uint32(f.pace.heard().Milliseconds())
 		listener.echo(state)
 		if err := stream.Send(state); err != nil {
 			return err
@@ -87,6 +89,7 @@
 }
 
 func (f *follower) hear(told *wire.Guidance) {
+	f.feed.pace.hear(time.Duration(told.GetDelayMillis()) * time.Millisecond)
 	f.heard.Store(&hearing{at: f.feed.clock.Now(), sent: told.GetSentMillis()})
 	f.hearReading(int64(told.GetReading()))
 	if told.GetRegion() == f.feed.region {
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -65,6 +65,9 @@
 	// serve, 24 hosts had 2.4 MB 0.27 and 0.46 s sooner than with 4.
 	fetches     = 4
 	idleFetches = 8
+	// crowdedPart is the part of the usual rate under which requests wait behind
+	// weights: one halving and a little.
+	crowdedPart = 0.6
 	// upShare is the part of the uplink that weights take at most while the
 	// engine serves: its answers find no queue then.
 	upShare = 0.82
@@ -99,6 +102,7 @@
 	clock  clockwork.Clock
 	guide  *guide
 	watch  *watch
+	pace   *pace
 	stage  *stage
 	mgr    *weights.Manager
 	loader *loader
@@ -119,6 +123,7 @@
 		remote: originClient(),
 	}
 	a.watch = newWatch(engine, clock, log)
+	a.pace = newPace(clock.Now)
 	a.stage = newStage(engine, a.guide, int(aheadPart*float64(set.GetSite().GetMemoryMegabytes())*(1<<20)))
 	a.stage.man = a.wantedManifest
 	a.mgr = weights.New(weights.Config{
@@ -190,7 +195,7 @@
 
 func (a *agent) run(ctx context.Context, lis net.Listener) error {
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterFeed(mux, &feed{watch: a.watch, guide: a.guide, clock: a.clock, began: a.clock.Now(), region: a.set.GetNode().GetRegion()}); err != nil {
+	if err := wire.DRPCRegisterFeed(mux, &feed{watch: a.watch, guide: a.guide, pace: a.pace, clock: a.clock, began: a.clock.Now(), region: a.set.GetNode().GetRegion()}); err != nil {
 		return failure.Wrap(err, failure.Internal, "cannot register the calls of entries", "report it")
 	}
 	if err := wire.DRPCRegisterHost(mux, &chunkServer{mgr: a.mgr}); err != nil {
@@ -228,17 +233,29 @@
 	return a.mgr.Manifest(versionName(want.model, a.loader.currentVersion()))
 }
 
-// linkShares tells the parts of the link, up and down, that weights may take.
+// linkShares tells the parts of the link, up and down, that weights may take. A
+// host whose link is narrower than told gives others little; what it takes itself is
+// bounded by the chunks on their way instead, so that it goes on drawing what is its
+// turn.
 func (a *agent) linkShares() (up, down float64) {
-	if report, alive := a.watch.report(); !alive || report.Running == 0 {
+	report, alive := a.watch.report()
+	if !alive || report.Running == 0 {
 		return 1, 1
 	}
-	return upShare, downShare
+	return a.pace.share() * upShare, downShare
 }
 
-// fetches returns how many chunks may be on their way at once.
+// fetches returns how many chunks may be on their way at once: one behind which
+// requests wait for long. A host that can't serve yet has none to spare.
 func (a *agent) fetches() int {
-	if report, alive := a.watch.report(); !alive || report.Running == 0 {
+	report, alive := a.watch.report()
+	part := a.pace.share()
+	switch {
+	case !alive || len(report.Loaded) == 0:
+		return idleFetches
+	case part < crowdedPart:
+		return 1
+	case report.Running == 0:
 		return idleFetches
 	}
 	return fetches
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -100,7 +100,7 @@
 // follow keeps one feed, begun again whenever it ends.
 func (f *feeds) follow(ctx context.Context, eng fleet.Engine) {
 	address := f.agentAddress(eng.Address)
-	up, path := false, &way{}
+	up, path := false, newWay()
 	for ctx.Err() == nil {
 		err := f.stream(ctx, eng, address, path, &up)
 		if up && ctx.Err() == nil {
@@ -144,7 +144,8 @@
 			f.log.Info("dependency regained", "dependency", "agent", "address", address)
 		}
 		told := stateOf(state)
-		told.Delay = path.delay(f.clock.Since(f.began), wordOf(state))
+		// An entry that sends there seldom learns from the others.
+		told.Delay = max(path.delay(f.clock.Since(f.began), wordOf(state)), time.Duration(state.GetLagMillis())*time.Millisecond)
 		f.state.Fleet().Observe(eng.Service, eng.Address, told)
 	}
 }
@@ -184,9 +185,15 @@
 	defer cancel()
 	moved := f.state.Fleet().Group(eng.Service).ReadingChanged(eng.Address)
 	teller := &teller{feeds: f, engine: eng, reading: -1}
+	lagged := false
 	for ctx.Err() == nil {
 		changed := f.state.Changed()
-		if message := teller.next(changed); message != nil {
+		message := teller.next(changed)
+		if message == nil && lagged {
+			message = &wire.Guidance{ReadingOnly: true, Reading: uint32(max(0, teller.reading))}
+		}
+		if lagged = false; message != nil {
+			message.DelayMillis = uint32(path.tell().Milliseconds())
 			now := f.clock.Since(f.began)
 			path.ask(now.Truncate(time.Millisecond))
 			message.SentMillis = uint64(now.Milliseconds())
@@ -198,6 +205,8 @@
 		case <-ctx.Done():
 		case <-changed:
 		case <-moved:
+		case <-path.moved:
+			lagged = true
 		case <-f.clock.After(lookInterval):
 		}
 	}
--- a/entry/internal/onsite/way.go
+++ b/entry/internal/onsite/way.go
@@ -9,9 +9,15 @@
 	// clockDrift is how much two steady clocks may run apart, as a part of the
 	// time: a few times what crystals do.
 	clockDrift = 0.0005
-	// echoTime is how long an agent may take to send a message back: the longest
-	// time between two of its states.
-	echoTime = 250 * time.Millisecond
+	// echoTime is how long an agent may take to send a message back where that is
+	// not known yet: the longest time between two of its states. Later it is
+	// twice what it took lately and echoSlack more.
+	echoTime  = 250 * time.Millisecond
+	echoSlack = 30 * time.Millisecond
+	// heldWeight is the part of a new time in what it took lately.
+	heldWeight = 0.25
+	// tellStep is the change of the delay that an agent should hear of at once.
+	tellStep = 80 * time.Millisecond
 )
 
 // way learns how long messages to and from an agent are on their way beyond the
@@ -30,6 +36,23 @@
 	trip  time.Duration // least time there and back; 0: none came back
 	asked time.Duration // when the first message was sent that did not come back; 0: none
 	last  time.Duration // when the newest one was sent
+	// echoed is the message that came back newest, and held the smoothed time for
+	// which the agent keeps one; 0: none came back.
+	echoed, held time.Duration
+
+	newest time.Duration // delay found last
+	told   time.Duration // delay that the agent was told last
+	moved  chan struct{} // buffered by one: the delay changed much since
+}
+
+func newWay() *way { return &way{moved: make(chan struct{}, 1)} }
+
+// tell returns the delay for the agent to hear.
+func (w *way) tell() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.told = w.newest
+	return w.told
 }
 
 // ask notes that a message is sent.
@@ -61,7 +84,14 @@
 func (w *way) delay(now time.Duration, msg word) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return max(w.back(now, msg), w.round(now, msg))
+	w.newest = max(w.back(now, msg), w.round(now, msg))
+	if (w.newest - w.told).Abs() >= tellStep {
+		select {
+		case w.moved <- struct{}{}:
+		default:
+		}
+	}
+	return w.newest
 }
 
 // back returns the delay of the message alone.
@@ -84,6 +114,14 @@
 			w.trip = max(took, time.Nanosecond)
 		}
 		found = took - w.trip
+		if msg.echo != w.echoed {
+			// What comes back again says how long ago it came, not how long it was kept.
+			if w.echoed == 0 {
+				w.held = msg.held
+			}
+			w.echoed = msg.echo
+			w.held += time.Duration(heldWeight * float64(msg.held-w.held))
+		}
 		if msg.echo >= w.last {
 			w.asked = 0
 		} else if msg.echo >= w.asked {
@@ -91,7 +129,15 @@
 		}
 	}
 	if w.asked > 0 {
-		found = max(found, now-w.asked-w.trip-echoTime)
+		found = max(found, now-w.asked-w.trip-w.keeps())
 	}
 	return found
 }
+
+// keeps returns how long the agent may keep a message before it sends it back.
+func (w *way) keeps() time.Duration {
+	if w.echoed == 0 {
+		return echoTime
+	}
+	return min(echoTime, 2*w.held+echoSlack)
+}
--- a/entry/internal/onsite/way_test.go
+++ b/entry/internal/onsite/way_test.go
@@ -12,7 +12,7 @@
 // agent's words breaks and is begun anew. Cause: the first message of a stream was
 // taken to have come in the usual time.
 func TestWayTellsWhatAMessageTookBeyondTheLeast(t *testing.T) {
-	w := &way{}
+	w := newWay()
 	for i, one := range []struct {
 		agent               int64
 		arrived, sent, want time.Duration
@@ -33,7 +33,7 @@
 // the host fill its narrow link in that direction alone. Cause: the delay of the
 // agent's words says nothing of the way there.
 func TestWayThereIsPartOfTheDelay(t *testing.T) {
-	w := &way{}
+	w := newWay()
 	at := func(now, echo, held time.Duration) time.Duration {
 		return w.delay(now*ms, word{agent: 1, sent: (now + 4000) * ms, echo: echo * ms, held: held * ms}).Round(ms)
 	}
@@ -43,12 +43,21 @@
 	}
 	w.ask(200 * ms)
 	w.ask(230 * ms)
-	if got := at(400, 100, 297); got != 0 {
+	if got := at(240, 100, 137); got != 0 {
 		t.Errorf("got %v, want none while an answer may still be held", got)
 	}
-	if got, want := at(700, 100, 597), 247*ms; got != want {
+	// It kept messages for 5 ms lately.
+	if got, want := at(700, 100, 597), 457*ms; got != want {
 		t.Errorf("got %v, want %v of a message that does not come back", got, want)
 	}
+	select {
+	case <-w.moved:
+	default:
+		t.Error("got no sign that the delay grew, want one")
+	}
+	if got, want := w.tell().Round(ms), 457*ms; got != want {
+		t.Errorf("got %v to tell, want %v", got, want)
+	}
 	if got, want := at(900, 200, 97), 600*ms; got != want {
 		t.Errorf("got %v, want %v of one that came back late", got, want)
 	}
@@ -64,7 +73,7 @@
 
 // Clocks run apart: what a message takes by them grows by 8 s in a day.
 func TestDriftIsNoDelay(t *testing.T) {
-	w := &way{}
+	w := newWay()
 	for second := range 86400 {
 		sent := time.Duration(second) * time.Second
 		if got := w.delay(sent+sent/10000, word{agent: 1, sent: sent}); got > ms {
