--- /dev/null
+++ b/relay/fleet/heard_test.go
@@ -0,0 +1,147 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"comfreyrelay.example/relay/fleet"
+)
+
+// Symptom: requests wait 1.2 s at engines that don't answer, then at the next, while
+// sound engines have room. Sequence: the links of eight of a hundred hosts are
+// squeezed for 7 s; their agents' words come late or not at all, and nothing is known
+// to run there. Cause: what is not known was taken for idle.
+func TestEngineThatIsNotHeardIsNotTakenForIdle(t *testing.T) {
+	late := fleet.EngineState{Alive: true, Delay: 600 * time.Millisecond}
+	for name, quiet := range map[string]func(w *world){
+		"silent": func(w *world) { w.now = w.now.Add(2 * time.Second) },
+		"late":   func(w *world) { w.state(0, late) },
+	} {
+		for _, home := range []bool{true, false} {
+			w := newWorld()
+			for i := range 4 {
+				w.engine(i, 1)
+			}
+			w.state(0, fleet.EngineState{Alive: true})
+			quiet(w)
+			for i := 1; i < 4; i++ {
+				w.state(i, fleet.EngineState{Alive: true, Running: 10})
+			}
+			if home {
+				w.own()
+			}
+			sent := 0
+			var probe *fleet.Grant
+			for range 12 {
+				if grant := w.pick(t, fleet.Need{Model: "m", Domain: "d1", Entries: 1}); grant.Address() == address(0) {
+					sent++
+					probe = grant
+				}
+			}
+			want := map[bool]int{true: 1, false: 0}[home]
+			if sent != want {
+				t.Errorf("%s, home %v: got %d of 12 requests sent there, want %d", name, home, sent, want)
+			}
+			if probe == nil {
+				continue
+			}
+			// Where the first is served, two may be there at once.
+			probe.Done(fleet.Served)
+			sent = 0
+			for range 8 {
+				grant, verdict := w.fleet.Group("llm").Pick(fleet.Need{Model: "m", Domain: "d1", Entries: 1})
+				if verdict == fleet.Granted && grant.Address() == address(0) {
+					sent++
+				}
+			}
+			if want := 2; sent != want {
+				t.Errorf("%s: got %d sent there after one was served, want %d", name, sent, want)
+			}
+		}
+	}
+}
+
+// Symptom: a request begins on an old version after its time (VERSION of the
+// platform's rules). Sequence: a host's link is squeezed and its agent's word comes
+// 0.7 s late; 1.6 s before the version ends its home entry sends a request there to
+// see whether it answers; the request stands 1.6 s in the link and begins 72 ms after
+// the end, though the entry gave it up before. Cause: what is sent shortly before an
+// end must begin at once, and nobody knows that of an engine that is heard late.
+func TestEngineThatIsHeardLateGetsNothingBeforeItsVersionEnds(t *testing.T) {
+	for name, one := range map[string]struct {
+		delay time.Duration
+		want  fleet.Verdict
+	}{"in time": {5 * time.Millisecond, fleet.Granted}, "late": {683 * time.Millisecond, fleet.Full}} {
+		w := newWorld()
+		for i := range 3 {
+			w.engine(i, 1)
+			w.state(i, fleet.EngineState{Alive: true, Running: 16})
+		}
+		w.own()
+		w.state(0, fleet.EngineState{Alive: true, Delay: one.delay})
+		ask := need
+		ask.SoonFloor, ask.Unread = 2, 4000
+		if _, got := w.fleet.Group("llm").Pick(ask); got != one.want {
+			t.Errorf("%s: got verdict %v, want %v", name, got, one.want)
+		}
+	}
+}
+
+// An entry that hears hardly any agent is cut off itself, or agents are down: what
+// is registered then serves as before.
+func TestEntryThatHearsNoAgentUsesAllEngines(t *testing.T) {
+	w := newWorld()
+	for i := range 4 {
+		w.engine(i, 1)
+	}
+	used := map[string]bool{}
+	for range 16 {
+		used[w.pick(t, need).ID()] = true
+	}
+	if got, want := len(used), 4; got != want {
+		t.Errorf("got %d engines used, want %d", got, want)
+	}
+}
+
+// Symptom: 34 in 100 of the requests that entries send to engines of other failure
+// domains are late, at 1.2 times what the engines can do; of those sent to engines of
+// their own 4. Sequence: two slots of an engine come free; the entries of the two
+// other domains learn of it at the same moment and each has requests that wait.
+// Cause: each sends there, since all see the same engine as the best. The pattern is
+// that of three domains with three entries each, the one with the fewest engines
+// getting the most requests.
+func TestEntriesOfOtherDomainsDoNotCrowdAnEngine(t *testing.T) {
+	domains := []string{"d1", "d2", "d3"}
+	sent := map[string]int{}
+	for _, domain := range domains[1:] {
+		entries := []string{domain + "-a", domain + "-b", domain + "-c"}
+		for _, self := range entries {
+			w := newWorld()
+			for i := range 12 {
+				w.fleet.Register(fleet.Registration{ID: fmt.Sprintf("e-%d", i), Service: "llm", Address: address(i),
+					FailureDomain: domains[i%3], Slots: 16, Loaded: map[string]uint64{"m": 1}})
+			}
+			w.fleet.SetEntries(domain, self, entries)
+			for i := range 12 {
+				w.state(i, fleet.EngineState{Alive: true, Running: 16})
+			}
+			w.state(0, fleet.EngineState{Alive: true, Running: 14})
+			ask := need
+			ask.Domain = domain
+			if _, verdict := w.fleet.Group("llm").Pick(ask); verdict == fleet.Granted {
+				sent[domain]++
+			}
+			// What goes on after another engine may go anywhere.
+			ask.Again = true
+			if _, verdict := w.fleet.Group("llm").Pick(ask); verdict != fleet.Granted {
+				t.Errorf("%s: got verdict %v for what was begun, want a grant", self, verdict)
+			}
+		}
+	}
+	for _, domain := range domains[1:] {
+		if got, want := sent[domain], 1; got != want {
+			t.Errorf("%s: got %d of 3 entries sending to the engine with room, want %d", domain, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/relay/fleet/pick.go
@@ -0,0 +1,225 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// What choices weigh, in milliseconds of waiting.
+const (
+	// occupiedCost is what one request in progress weighs: it lengthens a pass
+	// little, but a slot that is left is worth something.
+	occupiedCost = 4.0
+	// awayCost is what an engine weighs that is home to another entry, which
+	// may send there at the same moment.
+	awayCost = 20.0
+	// oldCost is what an engine weighs that still has to load the version
+	// wanted: what it runs then will be cut, and goes on elsewhere. A request
+	// that was cut once should not be again.
+	oldCost      = 30.0
+	oldAgainCost = 90.0
+	// awaySlots and awayUnread are the slots that are left free at such an
+	// engine, and the part of the bound for waiting prompts that holds there.
+	awaySlots  = 1
+	awayUnread = 0.7
+	// farCost is what another failure domain weighs: bytes between domains are
+	// paid for and take longer.
+	farCost = 45.0
+	// chance spreads entries that see the same state over endpoints that are
+	// as good as equal.
+	chance = 6.0
+	// errorCost is what an endpoint that fails every request weighs.
+	errorCost = 100.0
+	// silenceCost is what an endpoint weighs at which a plain request has been
+	// in progress for many times its usual time.
+	silenceCost = 60.0
+	// silentAfter is that time.
+	silentAfter = 400 * time.Millisecond
+	// soonUnread is the prompt tokens that may wait at an engine whose version
+	// ends shortly: about two passes.
+	soonUnread = 1500
+	// plainCost is what one request in progress at a plain endpoint weighs.
+	plainCost = 10.0
+)
+
+// Verdict says what became of a choice.
+type Verdict int
+
+// The verdicts.
+const (
+	Granted Verdict = iota // the grant is good
+	Full                   // endpoints serve this, all are full
+	Nobody                 // no endpoint serves this now
+)
+
+// Need says which endpoint a request needs.
+type Need struct {
+	Model string // empty: a plain request
+	// Floor is the lowest version of the model that may serve.
+	Floor uint64
+	// SoonFloor will be the floor shortly: an engine below it gets only what it
+	// begins at once, since what waits there would begin on an old version, and
+	// that from the entry that it is home to, and only while that one hears it in
+	// time: others see what it has too late, and what stands in a narrow link
+	// reaches it after the end.
+	SoonFloor uint64
+	// Wanted is the version that every engine should come to; 0 where unknown.
+	Wanted uint64
+	// Again: the request goes on after another endpoint.
+	Again   bool
+	Prompt  int // tokens
+	Domain  string
+	Exclude []Life // endpoints that had the request already
+	// Extra is the requests an engine may hold beyond its slots; below 0 it
+	// keeps slots free.
+	Extra int
+	// Unread is the prompt tokens that may wait to be read at an engine, this
+	// request's own included; 0 bounds nothing.
+	Unread  int
+	Entries int // entries that share the endpoints
+}
+
+// serves reports whether an endpoint may get the request, room aside.
+func (g *Group) serves(end *endpoint, need Need, now time.Time) bool {
+	if slices.ContainsFunc(need.Exclude, end.life().same) || !end.open(now) {
+		return false
+	}
+	return g.engine == nil || need.Model == "" || end.version(now, need.Model) >= max(1, need.Floor)
+}
+
+// Pick chooses an endpoint for a request and counts the request there until
+// the grant is done with.
+func (g *Group) Pick(need Need) (*Grant, Verdict) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	var best *endpoint
+	var least float64
+	verdict := Nobody
+	hears := g.hears(now)
+	for _, end := range g.endpoints {
+		if !g.serves(end, need, now) {
+			continue
+		}
+		occupied := end.occupancy(now, need.Entries)
+		if g.undealt(end, need) {
+			verdict = Full
+			continue
+		}
+		if hears && !end.heard(now) && len(end.running) >= end.trust() {
+			verdict = Full
+			continue
+		}
+		if occupied >= g.room(end, need) || !g.readsSoon(end, need, now) {
+			verdict = Full
+			continue
+		}
+		if score := g.score(end, need, now, occupied); best == nil || score < least {
+			best, least = end, score
+		}
+	}
+	if best == nil {
+		return nil, verdict
+	}
+	grant := &Grant{
+		group: g, end: best, prompt: need.Prompt,
+		life: best.life(), address: best.reg.Address, version: best.version(now, need.Model),
+		occupied: best.occupancy(now, need.Entries), unread: best.unread(now), home: best.home,
+		stateAge: now.Sub(best.stateAt), delay: best.state.Delay,
+	}
+	best.running[grant] = now
+	if !best.stateAt.IsZero() {
+		best.sent = append(best.sent, now)
+	}
+	g.addReading(best, need.Prompt)
+	return grant, Granted
+}
+
+// undealt reports whether an engine of another failure domain is left to other
+// entries of this one. All entries away from an engine see a slot of it come free
+// at the same moment and would send there at once: at 1.2 times what the engines
+// can do 34 in 100 of such requests were late, and 4 in 100 of those that went to
+// engines of the same domain.
+func (g *Group) undealt(end *endpoint, need Need) bool {
+	return g.engine != nil && end.reg.FailureDomain != need.Domain && !end.dealt && !need.Again
+}
+
+// hears reports whether the agents of half of the engines at least are heard: one
+// that is not is then an exception, and else tells more of this entry's own links.
+func (g *Group) hears(now time.Time) bool {
+	if g.engine == nil {
+		return false
+	}
+	heard := 0
+	for _, end := range g.endpoints {
+		if end.heard(now) {
+			heard++
+		}
+	}
+	return 2*heard >= len(g.endpoints) && heard > 0
+}
+
+// room returns the requests that may be in progress at an endpoint before one
+// more is sent there. An engine that is home to another entry keeps a slot for
+// what that one sends at the same moment.
+func (g *Group) room(end *endpoint, need Need) int {
+	room := end.reg.Slots + need.Extra
+	if g.engine != nil && !end.home && !need.Again {
+		room -= awaySlots
+	}
+	return room
+}
+
+// readsSoon reports whether an engine would read the request's prompt in time.
+// One that reads nothing gets any.
+func (g *Group) readsSoon(end *endpoint, need Need, now time.Time) bool {
+	if g.engine == nil || need.Unread <= 0 {
+		return true
+	}
+	unread := end.unread(now)
+	if end.version(now, need.Model) < need.SoonFloor {
+		return end.home && end.heard(now) && (unread <= 0 || unread+need.Prompt <= soonUnread && end.state.Queued == 0)
+	}
+	if !end.home && !need.Again {
+		need.Unread = int(awayUnread * float64(need.Unread))
+	}
+	return unread <= 0 || unread+need.Prompt <= need.Unread
+}
+
+// score orders the endpoints that have room by the wait to be expected there;
+// the least is best.
+func (g *Group) score(end *endpoint, need Need, now time.Time, occupied int) float64 {
+	score := chance*rand.Float64() + errorCost*end.errors
+	if end.reg.FailureDomain != need.Domain {
+		score += farCost
+	}
+	if g.engine == nil {
+		if end.oldest(now) > silentAfter {
+			score += silenceCost
+		}
+		return score + plainCost*float64(occupied)
+	}
+	if !end.home {
+		score += awayCost
+	}
+	if need.Wanted > end.version(now, need.Model) {
+		score += oldCost
+		if need.Again {
+			score += oldAgainCost - oldCost
+		}
+	}
+	wait := occupiedCost*float64(occupied) + g.readMillis(end.unread(now))
+	if end.followed(now) && end.state.Pace > 1 {
+		wait *= end.state.Pace
+	}
+	return score + wait
+}
+
+// readMillis returns the time to read so many prompt tokens.
+func (g *Group) readMillis(tokens int) float64 {
+	if g.engine.ReadPerSecond <= 0 {
+		return 0
+	}
+	return float64(tokens) / g.engine.ReadPerSecond * 1000
+}
