--- a/entry/internal/gateway/lives_test.go
+++ b/entry/internal/gateway/lives_test.go
@@ -53,7 +53,9 @@
 func TestConnectionsOfAFormerLifeAreNotUsed(t *testing.T) {
 	end := newEndpoint(t, "i-1")
 	conns := 0
+	end.mu.Lock()
 	end.accepted = func() { conns++ }
+	end.mu.Unlock()
 	h := newHouse(t)
 	for life := range 3 {
 		h.born(end, int64(1000*(life+1)), uint64(2+life))
