--- a/agent/internal/onsite/lives_test.go
+++ b/agent/internal/onsite/births_test.go
@@ -9,7 +9,7 @@
 // not there. Sequence: it dies, by a crash or by a loss of power, and starts again
 // under the id it had, its count of orders anew and, after a loss of power, its
 // stage empty. Cause: the orders, the fencing number that was refused and the
-// chunks staged were those of its former life.
+// chunks staged were those of its former incarnation.
 func TestEngineThatStartsAgainLoadsWholeWeights(t *testing.T) {
 	for name, power := range map[string]bool{"crash": false, "power": true} {
 		t.Run(name, func(t *testing.T) {
@@ -27,8 +27,8 @@
 	}
 }
 
-// A fencing number that the former life refused is good in the next one.
-func TestNextLifeKnowsNoFencingNumber(t *testing.T) {
+// A fencing number that the former incarnation refused is good in the next one.
+func TestNextIncarnationKnowsNoFencingNumber(t *testing.T) {
 	s := newTestSite(t, 1, 1, 0)
 	s.engines[2].Restart(1000, false)
 	s.engines[2].RequireFence(9)
--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -68,8 +68,8 @@
 	current  atomic.Uint64 // version that the Manager fetches
 	before   uint64        // version that was fetched before it; its chunks stay
 	ahead    uint64        // version that is fetched after it, into memory; 0: none
-	refused  atomic.Uint64 // fencing number that the engine refused in this life; lower ones are not used again
-	born     int64         // life of the engine that refused is of
+	refused  atomic.Uint64 // fencing number that the engine refused in this incarnation; lower ones are not used again
+	born     int64         // incarnation of the engine that refused is of
 	notTill  time.Time
 }
 
--- a/entry/internal/gateway/lives_test.go
+++ b/entry/internal/gateway/births_test.go
@@ -18,10 +18,10 @@
 	}
 }
 
-// born registers an endpoint again, in the life given.
-func (h *house) born(end *endpoint, life int64, revision uint64) {
+// born registers an endpoint again, in the incarnation given.
+func (h *house) born(end *endpoint, incarnation int64, revision uint64) {
 	h.state.Apply([]site.Record{{Kind: site.EndpointRecord, ID: end.id, Revision: revision, Endpoint: fleet.Registration{
-		ID: end.id, Born: life, Service: "app", Address: end.address, Slots: 4,
+		ID: end.id, Born: incarnation, Service: "app", Address: end.address, Slots: 4,
 	}}}, revision)
 }
 
@@ -29,7 +29,7 @@
 // an endpoint reads a request that may run once, loses power behind a cut, so that
 // its connection stays open here, and starts again under its id. Cause: silence
 // was waited out though the endpoint had told that it started again.
-func TestRequestOfAFormerLifeIsGivenUpAtOnce(t *testing.T) {
+func TestRequestOfAFormerIncarnationIsGivenUpAtOnce(t *testing.T) {
 	arrived := make(chan struct{}, 1)
 	end := newEndpoint(t, "i-1", silent(t, arrived))
 	h := newHouse(t)
@@ -47,18 +47,18 @@
 }
 
 // Symptom: the first request to an endpoint that started again is lost. Sequence:
-// it closes none of the connections kept to its former life, which stands behind a
-// cut. Cause: connections were kept by address. The former life answers here, so
+// it closes none of the connections kept to its former incarnation, which stands behind a
+// cut. Cause: connections were kept by address. The former incarnation answers here, so
 // that what is sent to it is seen.
-func TestConnectionsOfAFormerLifeAreNotUsed(t *testing.T) {
+func TestConnectionsOfAFormerIncarnationAreNotUsed(t *testing.T) {
 	end := newEndpoint(t, "i-1")
 	conns := 0
 	end.mu.Lock()
 	end.accepted = func() { conns++ }
 	end.mu.Unlock()
 	h := newHouse(t)
-	for life := range 3 {
-		h.born(end, int64(1000*(life+1)), uint64(2+life))
+	for incarnation := range 3 {
+		h.born(end, int64(1000*(incarnation+1)), uint64(2+incarnation))
 		for range 2 {
 			h.send(t, "/once/a", "key-1", "").check(t, 200, "ok", true)
 		}
@@ -66,13 +66,13 @@
 	end.mu.Lock()
 	defer end.mu.Unlock()
 	if got, want := conns, 3; got != want {
-		t.Errorf("got %d connections, want %d, one for each life", got, want)
+		t.Errorf("got %d connections, want %d, one for each incarnation", got, want)
 	}
 }
 
-// A request that may be repeated goes to the next life of the endpoint that lost
+// A request that may be repeated goes to the next incarnation of the endpoint that lost
 // it: that one never had it.
-func TestNextLifeMayHaveWhatTheFormerOneLost(t *testing.T) {
+func TestNextIncarnationMayHaveWhatTheFormerOneLost(t *testing.T) {
 	arrived := make(chan struct{}, 1)
 	end := newEndpoint(t, "i-1", silent(t, arrived))
 	h := newHouse(t)
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -235,11 +235,11 @@
 	inTime   time.Time     // begun later it is late
 	held     int64         // bytes of body counted
 
-	tries        []fleet.Life // endpoints that had the request
-	sends        int          // that reached an endpoint
-	runs         int          // sends that may have run and did not serve
-	mayRun       bool         // an endpoint may have run it
-	mightHaveRun bool         // the same before the newest attempt
+	tries        []fleet.Incarnation // endpoints that had the request
+	sends        int                 // that reached an endpoint
+	runs         int                 // sends that may have run and did not serve
+	mayRun       bool                // an endpoint may have run it
+	mightHaveRun bool                // the same before the newest attempt
 	heldFor      time.Duration
 	header       http.Header // of the answer that the caller gets; nil: none was begun
 	events       int
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -104,11 +104,11 @@
 // attempt sends the request to one endpoint and relays its answer.
 func (x *exchange) attempt(ctx context.Context, grant *fleet.Grant) fleet.Outcome {
 	g := x.gateway
-	x.tries = append(x.tries, grant.Life())
+	x.tries = append(x.tries, grant.Incarnation())
 	if ctx.Err() != nil || !g.cfg.Clock.Now().Before(x.end) {
 		return fleet.Abandoned
 	}
-	conn, err := g.cfg.Pool.Get(ctx, upstream.Target{Address: grant.Address(), Born: grant.Life().Born})
+	conn, err := g.cfg.Pool.Get(ctx, upstream.Target{Address: grant.Address(), Born: grant.Incarnation().Born})
 	if err != nil {
 		if ctx.Err() != nil {
 			return fleet.Abandoned
--- a/entry/internal/onsite/way.go
+++ b/entry/internal/onsite/delay_meter.go
@@ -20,12 +20,12 @@
 	tellStep = 80 * time.Millisecond
 )
 
-// way learns how long messages to and from an agent are on their way beyond the
+// delayMeter learns how long messages to and from an agent are on their way beyond the
 // least time seen. It is kept over the streams to the agent: one that is begun
 // behind a squeezed link has no message yet that came in the least time, and would
 // take the link's queue for usual. Times are of steady clocks, which count from a
 // moment of their own each. It is safe for concurrent use.
-type way struct {
+type delayMeter struct {
 	mu sync.Mutex
 
 	agent int64         // when the agent started; another one has another clock
@@ -45,31 +45,31 @@
 	moved  chan struct{} // buffered by one: the delay changed much since
 }
 
-func newWay() *way { return &way{moved: make(chan struct{}, 1)} }
+func newDelayMeter() *delayMeter { return &delayMeter{moved: make(chan struct{}, 1)} }
 
 // tell returns the delay for the agent to hear.
-func (w *way) tell() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.told = w.newest
-	return w.told
+func (m *delayMeter) tell() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.told = m.newest
+	return m.told
 }
 
 // ask notes that a message is sent.
-func (w *way) ask(now time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.asked == 0 {
-		w.asked = now
+func (m *delayMeter) ask(now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.asked == 0 {
+		m.asked = now
 	}
-	w.last = now
+	m.last = now
 }
 
 // restart forgets what was sent: with the stream it is lost.
-func (w *way) restart() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.asked, w.last = 0, 0
+func (m *delayMeter) restart() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked, m.last = 0, 0
 }
 
 // word is the times of one message from an agent.
@@ -81,63 +81,63 @@
 
 // delay takes a message's times and returns what the way there or back takes beyond
 // the least.
-func (w *way) delay(now time.Duration, msg word) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.newest = max(w.back(now, msg), w.round(now, msg))
-	if (w.newest - w.told).Abs() >= tellStep {
+func (m *delayMeter) delay(now time.Duration, msg word) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.newest = max(m.back(now, msg), m.round(now, msg))
+	if (m.newest - m.told).Abs() >= tellStep {
 		select {
-		case w.moved <- struct{}{}:
+		case m.moved <- struct{}{}:
 		default:
 		}
 	}
-	return w.newest
+	return m.newest
 }
 
 // back returns the delay of the message alone.
-func (w *way) back(now time.Duration, msg word) time.Duration {
+func (m *delayMeter) back(now time.Duration, msg word) time.Duration {
 	took := now - msg.sent
-	w.least += time.Duration(clockDrift * float64(now-w.at))
-	if !w.known || msg.agent != w.agent || took < w.least {
-		w.least = took
+	m.least += time.Duration(clockDrift * float64(now-m.at))
+	if !m.known || msg.agent != m.agent || took < m.least {
+		m.least = took
 	}
-	w.agent, w.at, w.known = msg.agent, now, true
-	return took - w.least
+	m.agent, m.at, m.known = msg.agent, now, true
+	return took - m.least
 }
 
 // round returns the delay of what came back or should have.
-func (w *way) round(now time.Duration, msg word) time.Duration {
+func (m *delayMeter) round(now time.Duration, msg word) time.Duration {
 	found := time.Duration(0)
 	if msg.echo > 0 {
 		took := now - msg.echo - msg.held
-		if w.trip == 0 || took < w.trip {
-			w.trip = max(took, time.Nanosecond)
+		if m.trip == 0 || took < m.trip {
+			m.trip = max(took, time.Nanosecond)
 		}
-		found = took - w.trip
-		if msg.echo != w.echoed {
+		found = took - m.trip
+		if msg.echo != m.echoed {
 			// What comes back again says how long ago it came, not how long it was kept.
-			if w.echoed == 0 {
-				w.held = msg.held
+			if m.echoed == 0 {
+				m.held = msg.held
 			}
-			w.echoed = msg.echo
-			w.held += time.Duration(heldWeight * float64(msg.held-w.held))
+			m.echoed = msg.echo
+			m.held += time.Duration(heldWeight * float64(msg.held-m.held))
 		}
-		if msg.echo >= w.last {
-			w.asked = 0
-		} else if msg.echo >= w.asked {
-			w.asked = w.last
+		if msg.echo >= m.last {
+			m.asked = 0
+		} else if msg.echo >= m.asked {
+			m.asked = m.last
 		}
 	}
-	if w.asked > 0 {
-		found = max(found, now-w.asked-w.trip-w.keeps())
+	if m.asked > 0 {
+		found = max(found, now-m.asked-m.trip-m.keeps())
 	}
 	return found
 }
 
 // keeps returns how long the agent may keep a message before it sends it back.
-func (w *way) keeps() time.Duration {
-	if w.echoed == 0 {
+func (m *delayMeter) keeps() time.Duration {
+	if m.echoed == 0 {
 		return echoTime
 	}
-	return min(echoTime, 2*w.held+echoSlack)
+	return min(echoTime, 2*m.held+echoSlack)
 }
--- a/entry/internal/onsite/way_test.go
+++ b/entry/internal/onsite/delay_meter_test.go
@@ -12,7 +12,7 @@
 // agent's words breaks and is begun anew. Cause: the first message of a stream was
 // taken to have come in the usual time.
 func TestWayTellsWhatAMessageTookBeyondTheLeast(t *testing.T) {
-	w := newWay()
+	m := newDelayMeter()
 	for i, one := range []struct {
 		agent               int64
 		arrived, sent, want time.Duration
@@ -22,7 +22,7 @@
 		// from its own start.
 		{1, 2400, 8290, 1009}, {2, 3000, 50, 0}, {2, 3300, 100, 250},
 	} {
-		if got, want := w.delay(one.arrived*ms, word{agent: one.agent, sent: one.sent * ms}).Round(ms), one.want*ms; got != want {
+		if got, want := m.delay(one.arrived*ms, word{agent: one.agent, sent: one.sent * ms}).Round(ms), one.want*ms; got != want {
 			t.Errorf("message %d: got %v, want %v", i, got, want)
 		}
 	}
@@ -33,16 +33,16 @@
 // the host fill its narrow link in that direction alone. Cause: the delay of the
 // agent's words says nothing of the way there.
 func TestWayThereIsPartOfTheDelay(t *testing.T) {
-	w := newWay()
+	m := newDelayMeter()
 	at := func(now, echo, held time.Duration) time.Duration {
-		return w.delay(now*ms, word{agent: 1, sent: (now + 4000) * ms, echo: echo * ms, held: held * ms}).Round(ms)
+		return m.delay(now*ms, word{agent: 1, sent: (now + 4000) * ms, echo: echo * ms, held: held * ms}).Round(ms)
 	}
-	w.ask(100 * ms)
+	m.ask(100 * ms)
 	if got := at(108, 100, 5); got != 0 {
 		t.Errorf("got %v, want no delay of the first that comes back", got)
 	}
-	w.ask(200 * ms)
-	w.ask(230 * ms)
+	m.ask(200 * ms)
+	m.ask(230 * ms)
 	if got := at(240, 100, 137); got != 0 {
 		t.Errorf("got %v, want none while an answer may still be held", got)
 	}
@@ -51,11 +51,11 @@
 		t.Errorf("got %v, want %v of a message that does not come back", got, want)
 	}
 	select {
-	case <-w.moved:
+	case <-m.moved:
 	default:
 		t.Error("got no sign that the delay grew, want one")
 	}
-	if got, want := w.tell().Round(ms), 457*ms; got != want {
+	if got, want := m.tell().Round(ms), 457*ms; got != want {
 		t.Errorf("got %v to tell, want %v", got, want)
 	}
 	if got, want := at(900, 200, 97), 600*ms; got != want {
@@ -64,8 +64,8 @@
 	if got, want := at(1000, 230, 757), 10*ms; got != want {
 		t.Errorf("got %v, want %v once all came back", got, want)
 	}
-	w.ask(1100 * ms)
-	w.restart()
+	m.ask(1100 * ms)
+	m.restart()
 	if got := at(3000, 0, 0); got != 0 {
 		t.Errorf("got %v, want nothing awaited from another stream", got)
 	}
@@ -73,10 +73,10 @@
 
 // Clocks run apart: what a message takes by them grows by 8 s in a day.
 func TestDriftIsNoDelay(t *testing.T) {
-	w := newWay()
+	m := newDelayMeter()
 	for second := range 86400 {
 		sent := time.Duration(second) * time.Second
-		if got := w.delay(sent+sent/10000, word{agent: 1, sent: sent}); got > ms {
+		if got := m.delay(sent+sent/10000, word{agent: 1, sent: sent}); got > ms {
 			t.Fatalf("after %v: got %v, want none", sent, got)
 		}
 	}
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -100,7 +100,7 @@
 // follow keeps one feed, begun again whenever it ends.
 func (f *feeds) follow(ctx context.Context, eng fleet.Engine) {
 	address := f.agentAddress(eng.Address)
-	up, path := false, newWay()
+	up, path := false, newDelayMeter()
 	for ctx.Err() == nil {
 		err := f.stream(ctx, eng, address, path, &up)
 		if up && ctx.Err() == nil {
@@ -122,7 +122,7 @@
 	return net.JoinHostPort(host, strconv.FormatUint(uint64(f.port), 10))
 }
 
-func (f *feeds) stream(ctx context.Context, eng fleet.Engine, address string, path *way, up *bool) error {
+func (f *feeds) stream(ctx context.Context, eng fleet.Engine, address string, path *delayMeter, up *bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := f.clock.AfterFunc(feedSilence, cancel)
@@ -181,7 +181,7 @@
 // guide tells the agent how much of what this entry sent there is not read yet
 // and, if this entry is one of its guides, what is wanted, at once and after each
 // change.
-func (f *feeds) guide(ctx context.Context, cancel context.CancelFunc, eng fleet.Engine, path *way, stream wire.DRPCFeed_FollowClient) {
+func (f *feeds) guide(ctx context.Context, cancel context.CancelFunc, eng fleet.Engine, path *delayMeter, stream wire.DRPCFeed_FollowClient) {
 	defer cancel()
 	moved := f.state.Fleet().Group(eng.Service).ReadingChanged(eng.Address)
 	teller := &teller{feeds: f, engine: eng, reading: -1}
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -25,11 +25,11 @@
 	maxIdle = 12
 )
 
-// Target is one life of what listens at an address. A connection to a former life
+// Target is one incarnation of what listens at an address. A connection to a former incarnation
 // may look open behind a cut, and what is sent on it is lost.
 type Target struct {
 	Address string // "IP:PORT"
-	Born    int64  // of the life; 0: not told
+	Born    int64  // of the incarnation; 0: not told
 }
 
 // Pool keeps connections to endpoints by target. It is safe for concurrent use.
--- /dev/null
+++ b/relay/fleet/births.go
@@ -0,0 +1,60 @@
+package fleet
+
+import "slices"
+
+// Incarnation names one incarnation of an endpoint: an endpoint that starts again under its id
+// holds and knows nothing of what it was sent before.
+type Incarnation struct {
+	ID   string
+	Born int64 // 0: not told
+}
+
+// same reports whether two names may be of one incarnation: a birth that was not told
+// may be any.
+func (l Incarnation) same(other Incarnation) bool {
+	return l.ID == other.ID && (l.Born == other.Born || l.Born == 0 || other.Born == 0)
+}
+
+// maxFormer bounds the births remembered of births that are over: words that come
+// late are of the last few.
+const maxFormer = 4
+
+// births is what the two sources told of an endpoint's births, the registration
+// and the agent on its host. Either may lag behind the other, and an old word may
+// come late. Hosts' clocks differ, so a birth says only that it is another:
+// births that both sources tell are believed; else the one that changed its word
+// last, unless that is of an incarnation that was over before.
+type births struct {
+	current    int64 // 0: none was told
+	registered int64
+	observed   int64
+	former     []int64 // births that are over, newest last
+}
+
+// register takes a registration's word and reports whether another incarnation began.
+func (l *births) register(born int64) bool { return l.hear(&l.registered, born) }
+
+// observe takes the agent's word and reports whether another incarnation began.
+func (l *births) observe(born int64) bool { return l.hear(&l.observed, born) }
+
+func (l *births) hear(source *int64, born int64) bool {
+	if born == 0 || born == *source {
+		return false
+	}
+	*source = born
+	if born == l.current || l.registered != l.observed && slices.Contains(l.former, born) {
+		return false
+	}
+	before := l.current
+	l.current = born
+	if before == 0 {
+		return false
+	}
+	l.former = append(l.former, before)
+	l.former = slices.Clone(l.former[max(0, len(l.former)-maxFormer):])
+	return true
+}
+
+// told reports whether a word about the incarnation is of the current one. A source that
+// tells no births is believed.
+func (l *births) told(born int64) bool { return born == 0 || l.current == 0 || born == l.current }
--- a/relay/fleet/lives_test.go
+++ b/relay/fleet/births_test.go
@@ -11,17 +11,17 @@
 	"comfreyrelay.example/relay/fleet"
 )
 
-// TestLives runs testdata/lives: an engine that starts again under its id.
+// TestBirths runs testdata/births: an engine that starts again under its id.
 //
 // Symptom: requests go to an engine that has nothing loaded, wait for answers
 // that never come, or stay away from one that is well. Sequence: the engine dies
 // and starts again under the id it had; its registration, its agent's word and
 // the answers to what it ran before come in any order. Cause: what was known of
-// the former life was taken for the new one's.
-func TestLives(t *testing.T) {
+// the former incarnation was taken for the new one's.
+func TestBirths(t *testing.T) {
 	w := newWorld()
 	grants := map[string]*fleet.Grant{}
-	datadriven.RunTest(t, "testdata/lives", func(t *testing.T, td *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/births", func(t *testing.T, td *datadriven.TestData) string {
 		number := func(key string) int {
 			var found int
 			td.ScanArgs(t, key, &found)
@@ -50,14 +50,14 @@
 		case "send":
 			ask := need
 			if td.HasArg("after") {
-				ask.Exclude = []fleet.Life{grants[name("after")].Life()}
+				ask.Exclude = []fleet.Incarnation{grants[name("after")].Incarnation()}
 			}
 			grant, verdict := w.fleet.Group("llm").Pick(ask)
 			if verdict != fleet.Granted {
 				return map[fleet.Verdict]string{fleet.Full: "full", fleet.Nobody: "nobody"}[verdict]
 			}
 			grants[name("as")] = grant
-			return fmt.Sprintf("%s born=%d occupied=%d", grant.ID(), grant.Life().Born, grant.Occupied())
+			return fmt.Sprintf("%s born=%d occupied=%d", grant.ID(), grant.Incarnation().Born, grant.Occupied())
 		case "over":
 			return fmt.Sprint(grants[name("of")].Over())
 		case "end":
@@ -71,10 +71,10 @@
 	})
 }
 
-// Whatever order the words come in: once both sources told the newest life,
-// nothing of a former one counts, and no request of a former life is counted
+// Whatever order the words come in: once both sources told the newest incarnation,
+// nothing of a former one counts, and no request of a former incarnation is counted
 // there.
-func TestNewestLifeIsBelievedInTheEnd(t *testing.T) {
+func TestNewestIncarnationIsBelievedInTheEnd(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
 		births := rapid.SliceOfNDistinct(rapid.Int64Range(1, 1e6), 1, 4, rapid.ID[int64]).Draw(t, "births")
@@ -112,11 +112,11 @@
 		if verdict != fleet.Granted {
 			t.Fatalf("got verdict %v, want a grant", verdict)
 		}
-		if got, want := grant.Life(), (fleet.Life{ID: "e-1", Born: births[newest]}); got != want {
-			t.Errorf("got life %v, want %v", got, want)
+		if got, want := grant.Incarnation(), (fleet.Incarnation{ID: "e-1", Born: births[newest]}); got != want {
+			t.Errorf("got incarnation %v, want %v", got, want)
 		}
 		if got, want := w.fleet.Reading("llm", address(1)), 0; behind && observed < newest && got != want {
-			t.Errorf("got %d tokens unread in a life that began now, want %d", got, want)
+			t.Errorf("got %d tokens unread in an incarnation that began now, want %d", got, want)
 		}
 	})
 }
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -32,15 +32,15 @@
 	errorWeight = 0.15
 )
 
-// endpoint is one life of an endpoint; its group's lock guards it. All that it
-// holds is of that life: one that starts again under its id knows nothing of it.
+// endpoint is one incarnation of an endpoint; its group's lock guards it. All that it
+// holds is of that incarnation: one that starts again under its id knows nothing of it.
 type endpoint struct {
 	reg  Registration
 	gone time.Time // chosen no more from then on; zero: registered
 
-	lives lives
-	over  bool // another life began: what runs here is lost
-	// otherAt is when the agent last told of a life at this address that is
+	births births
+	over   bool // another incarnation began: what runs here is lost
+	// otherAt is when the agent last told of an incarnation at this address that is
 	// another endpoint's; zero: it tells of this one.
 	otherAt time.Time
 
@@ -62,11 +62,13 @@
 	errors   float64   // smoothed share of answers that were failures
 }
 
-func newEndpoint(reg Registration, born lives) *endpoint {
-	return &endpoint{reg: reg, lives: born, running: map[*Grant]time.Time{}}
+func newEndpoint(reg Registration, born births) *endpoint {
+	return &endpoint{reg: reg, births: born, running: map[*Grant]time.Time{}}
 }
 
-func (e *endpoint) life() Life { return Life{ID: e.reg.ID, Born: e.lives.current} }
+func (e *endpoint) incarnation() Incarnation {
+	return Incarnation{ID: e.reg.ID, Born: e.births.current}
+}
 
 // followed reports whether the agent's word is new enough.
 func (e *endpoint) followed(now time.Time) bool {
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -16,7 +16,7 @@
 // Registration is what an endpoint tells of itself through the platform.
 type Registration struct {
 	ID string
-	// Born is when this life of the endpoint began, Unix milliseconds by its own
+	// Born is when this incarnation of the endpoint began, Unix milliseconds by its own
 	// host's clock; 0: not told. Hosts' clocks differ: births are compared for
 	// being another, never for being later.
 	Born          int64
@@ -31,7 +31,7 @@
 
 // EngineState is an engine as its agent sees it.
 type EngineState struct {
-	Born    int64 // of the life that is told of; 0: not told
+	Born    int64 // of the incarnation that is told of; 0: not told
 	Alive   bool
 	Running int
 	Queued  int
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -28,26 +28,26 @@
 
 // Grant is one request's place at an endpoint.
 type Grant struct {
-	group    *Group
-	end      *endpoint
-	life     Life
-	address  string
-	version  uint64
-	prompt   int
-	occupied int
-	unread   int  // prompt tokens before this request's, as known at the choice
-	home     bool // the engine was home to this entry
-	stateAge time.Duration
-	delay    time.Duration // of the agent's word on its way
-	begun    bool          // the first event came; guarded by the group's lock
-	done     bool
+	group       *Group
+	end         *endpoint
+	incarnation Incarnation
+	address     string
+	version     uint64
+	prompt      int
+	occupied    int
+	unread      int  // prompt tokens before this request's, as known at the choice
+	home        bool // the engine was home to this entry
+	stateAge    time.Duration
+	delay       time.Duration // of the agent's word on its way
+	begun       bool          // the first event came; guarded by the group's lock
+	done        bool
 }
 
 // ID returns the endpoint's id.
-func (g *Grant) ID() string { return g.life.ID }
+func (g *Grant) ID() string { return g.incarnation.ID }
 
-// Life returns the life of the endpoint that was chosen.
-func (g *Grant) Life() Life { return g.life }
+// Incarnation returns the incarnation of the endpoint that was chosen.
+func (g *Grant) Incarnation() Incarnation { return g.incarnation }
 
 // Over reports whether the endpoint started again since the choice: it knows
 // nothing of what it was sent before, and no answer will come.
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -62,27 +62,27 @@
 	defer g.mu.Unlock()
 	end := g.endpoints[reg.ID]
 	if end == nil {
-		end = newEndpoint(reg, lives{})
+		end = newEndpoint(reg, births{})
 		g.endpoints[reg.ID] = end
 	}
-	if end.lives.register(reg.Born) {
+	if end.births.register(reg.Born) {
 		end = g.begin(end)
 	}
-	if !end.lives.told(reg.Born) {
-		reg.Loaded = nil // of a former life
+	if !end.births.told(reg.Born) {
+		reg.Loaded = nil // of a former incarnation
 	}
 	end.reg, end.gone = reg, time.Time{}
 	g.wake()
 }
 
-// begin replaces an endpoint by its next life, which runs none of what was sent
+// begin replaces an endpoint by its next incarnation, which runs none of what was sent
 // to the former one, has nothing loaded and failed at nothing. Who waits for an
-// answer of the former life keeps that life and learns that it is over. g.mu is
+// answer of the former incarnation keeps that incarnation and learns that it is over. g.mu is
 // held.
 func (g *Group) begin(former *endpoint) *endpoint {
 	reg := former.reg
 	reg.Loaded = nil
-	next := newEndpoint(reg, former.lives)
+	next := newEndpoint(reg, former.births)
 	next.gone, next.home, next.dealt = former.gone, former.home, former.dealt
 	former.over = true
 	g.endpoints[reg.ID] = next
@@ -114,17 +114,17 @@
 	defer g.mu.Unlock()
 	now := g.clock()
 	at := g.at(address)
-	other := slices.ContainsFunc(at, func(end *endpoint) bool { return state.Born != 0 && end.lives.current == state.Born })
+	other := slices.ContainsFunc(at, func(end *endpoint) bool { return state.Born != 0 && end.births.current == state.Born })
 	for _, end := range at {
-		if other && !end.lives.told(state.Born) {
+		if other && !end.births.told(state.Born) {
 			// The address is another endpoint's now, or its agent lags.
 			end.otherAt = now
 			continue
 		}
-		if end.lives.observe(state.Born) {
+		if end.births.observe(state.Born) {
 			end = g.begin(end)
 		}
-		if end.lives.told(state.Born) {
+		if end.births.told(state.Born) {
 			end.otherAt = time.Time{}
 			end.observe(now, state)
 		}
--- a/relay/fleet/pick.go
+++ b/relay/fleet/pick.go
@@ -70,7 +70,7 @@
 	Again   bool
 	Prompt  int // tokens
 	Domain  string
-	Exclude []Life // endpoints that had the request already
+	Exclude []Incarnation // endpoints that had the request already
 	// Extra is the requests an engine may hold beyond its slots; below 0 it
 	// keeps slots free.
 	Extra int
@@ -82,7 +82,7 @@
 
 // serves reports whether an endpoint may get the request, room aside.
 func (g *Group) serves(end *endpoint, need Need, now time.Time) bool {
-	if slices.ContainsFunc(need.Exclude, end.life().same) || !end.open(now) {
+	if slices.ContainsFunc(need.Exclude, end.incarnation().same) || !end.open(now) {
 		return false
 	}
 	return g.engine == nil || need.Model == "" || end.version(now, need.Model) >= max(1, need.Floor)
@@ -124,7 +124,7 @@
 	}
 	grant := &Grant{
 		group: g, end: best, prompt: need.Prompt,
-		life: best.life(), address: best.reg.Address, version: best.version(now, need.Model),
+		incarnation: best.incarnation(), address: best.reg.Address, version: best.version(now, need.Model),
 		occupied: best.occupancy(now, need.Entries), unread: best.unread(now), home: best.home,
 		stateAge: now.Sub(best.stateAt), delay: best.state.Delay,
 	}
