--- a/agent/internal/onsite/pace.go
+++ b/agent/internal/onsite/pace.go
@@ -8,8 +8,8 @@
 const (
 	// lagHigh is the delay on the way between entries and this host beyond which
 	// weights leave it more of the link: a request that stands behind them for so
-	// long is late, and may reach the engine after its caller left. On a calm day
-	// weights at their usual part of the link cost requests up to 110 ms.
+	// long is late, and may reach the engine after its caller left. Four chunks on
+	// their way take 110 ms of a link that is as wide as told, which is no sign.
 	lagHigh = 150 * time.Millisecond
 	// lagLow is the delay below which they take more again.
 	lagLow = 80 * time.Millisecond
--- a/ctl/internal/cmd/cmd_report.go
+++ b/ctl/internal/cmd/cmd_report.go
@@ -69,25 +69,14 @@
 	if err != nil || every <= 0 {
 		return failure.New(failure.Invalid, "--every is no length of time", "write it like 2s or 1m")
 	}
-	from, err := timeOption("--from", opts.From)
+	lines, err := readBetween(term, files, opts.From, opts.To)
 	if err != nil {
 		return err
 	}
-	to, err := timeOption("--to", opts.To)
-	if err != nil {
-		return err
-	}
-	lines, err := readLogs(term, files)
-	if err != nil {
-		return err
-	}
-	lines = slices.DeleteFunc(lines, func(line logLine) bool {
-		return line.fields["msg"] != "answered" || !from.IsZero() && line.at.Before(from) || !to.IsZero() && !line.at.Before(to)
-	})
+	lines = slices.DeleteFunc(lines, func(line logLine) bool { return line.fields["msg"] != "answered" })
 	if len(lines) == 0 {
 		return failure.New(failure.NotFound, "no answered request is in the logs", "name entries' logs, and check the times")
 	}
-	slices.SortStableFunc(lines, func(left, right logLine) int { return left.at.Compare(right.at) })
 	rows, reasons := countEndings(lines, every)
 	if opts.JSON {
 		return encodeReport(term.out, rows, reasons)
--- a/ctl/internal/cmd/cmd_trace.go
+++ b/ctl/internal/cmd/cmd_trace.go
@@ -54,28 +54,40 @@
 }
 
 func trace(term *terminal, opts *traceOptions, files []string) error {
-	from, err := timeOption("--from", opts.From)
+	lines, err := readBetween(term, files, opts.From, opts.To)
 	if err != nil {
 		return err
 	}
-	to, err := timeOption("--to", opts.To)
+	lines = slices.DeleteFunc(lines, func(line logLine) bool {
+		return opts.Request != "" && line.fields["request"] != opts.Request ||
+			opts.Node != "" && line.fields["node"] != opts.Node
+	})
+	if len(lines) == 0 {
+		return failure.New(failure.NotFound, "no line matches", "check the id, the times and that all processes' logs are named")
+	}
+	return printLogs(term.out, lines, opts.JSON)
+}
+
+// readBetween reads the lines from the time of the option --from on and before that
+// of --to, in order of time; an empty option bounds nothing.
+func readBetween(term *terminal, files []string, fromText, toText string) ([]logLine, error) {
+	from, err := timeOption("--from", fromText)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	to, err := timeOption("--to", toText)
+	if err != nil {
+		return nil, err
 	}
 	lines, err := readLogs(term, files)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	lines = slices.DeleteFunc(lines, func(line logLine) bool {
-		return opts.Request != "" && line.fields["request"] != opts.Request ||
-			opts.Node != "" && line.fields["node"] != opts.Node ||
-			!from.IsZero() && line.at.Before(from) || !to.IsZero() && !line.at.Before(to)
+		return !from.IsZero() && line.at.Before(from) || !to.IsZero() && !line.at.Before(to)
 	})
-	if len(lines) == 0 {
-		return failure.New(failure.NotFound, "no line matches", "check the id, the times and that all processes' logs are named")
-	}
 	slices.SortStableFunc(lines, func(left, right logLine) int { return left.at.Compare(right.at) })
-	return printLogs(term.out, lines, opts.JSON)
+	return lines, nil
 }
 
 func timeOption(name, text string) (time.Time, error) {
--- a/relay/rollout/wave.go
+++ b/relay/rollout/wave.go
@@ -94,7 +94,7 @@
 
 // Target returns the version to fetch. A newer one replaces the one that is
 // being fetched, unless it would be loaded too late by a host whose loaded version
-// ends before: that host takes both. To have it whole by then is not enough: 20
+// ends before: that host takes both. To have it whole by then is not enough: 19
 // hosts that left a version nearly whole for one named 3 s later, whose origin went
 // away, served nothing for 5 s. Once the loaded version has ended, the one being
 // fetched is taken only if it lies ready and stays usable for a while.
