An entry follows only the engines that it has a part in

Cause: each entry kept a feed of every engine's agent, 13,524 streams at 98 entries and 138 engines, and for each change of what is known it computed for each of them whether it guides its host. An engine is sent to by its home, its domain's entries and one entry of each other domain. Each registration made five entries send the whole list of hosts (75 bytes each) to each host.

Change: relay/deal shares engines out (home, near, far, guide) and takes the place of site.Guides and of fleet's dealing by turns; one plan a change serves all feeds; an entry says how often it wants to hear; lists of hosts take 7 bytes a host and are told at most each 0.4 s. Left-out engines don't count among those that should be heard.

--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// sendGap is the least time between two states to one entry.
-	sendGap = 25 * time.Millisecond
-	// farGap is the same to an entry of another region, which seldom sends
-	// here and whose bytes are dear.
-	farGap = 250 * time.Millisecond
-	// sendAnyway is the longest such time: an entry that hears nothing for a
-	// few of these takes the agent's word no longer.
+	// leastGap bounds how often an entry may ask for states; usualGap holds until it
+	// says how often it wants them.
+	leastGap = 25 * time.Millisecond
+	usualGap = 250 * time.Millisecond
+	// sendAnyway is the longest time between two states where the entry wants them
+	// more often: one that hears nothing for a few of these takes the agent's word no
+	// longer.
 	sendAnyway = 250 * time.Millisecond
 )
 
@@ -28,8 +28,6 @@
 	pace  *pace
 	clock clockwork.Clock
 	began time.Time // of the agent
-	// region of this host.
-	region string
 }
 
 // Follow streams the engine's state until the entry goes.
@@ -37,7 +35,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	listener := &follower{feed: f}
-	listener.gap.Store(int64(farGap))
+	listener.gap.Store(int64(usualGap))
 	defer listener.hearReading(0)
 	go func() {
 		defer cancel()
@@ -92,8 +90,8 @@
 	f.feed.pace.hear(time.Duration(told.GetDelayMillis()) * time.Millisecond)
 	f.heard.Store(&hearing{at: f.feed.clock.Now(), sent: told.GetSentMillis()})
 	f.hearReading(int64(told.GetReading()))
-	if told.GetRegion() == f.feed.region {
-		f.gap.Store(int64(sendGap))
+	if gap := told.GetGapMillis(); gap > 0 {
+		f.gap.Store(int64(max(leastGap, time.Duration(gap)*time.Millisecond)))
 	}
 	if told.GetReadingOnly() {
 		return
--- a/agent/internal/onsite/guide.go
+++ b/agent/internal/onsite/guide.go
@@ -63,7 +63,7 @@
 	defer g.mu.Unlock()
 	if told.GetRevision() >= g.revision {
 		g.revision = told.GetRevision()
-		g.peers = told.GetPeers()
+		g.peers = peersOf(told.GetHosts())
 		if told.GetOriginUrl() != "" {
 			g.origin, g.rate = told.GetOriginUrl(), told.GetOriginRate()
 		}
--- a/agent/internal/onsite/onsite_test.go
+++ b/agent/internal/onsite/onsite_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -72,11 +74,25 @@
 	return s
 }
 
+// hosts lists the hosts as entries tell them, each with its own agent's port.
+func (s *testSite) hosts() []*wire.HostGroup {
+	var groups []*wire.HostGroup
+	for _, node := range s.nodes {
+		engine, agent := netip.MustParseAddrPort(node.GetId()), netip.MustParseAddrPort(node.GetControlAddress())
+		ip := engine.Addr().As4()
+		groups = append(groups, &wire.HostGroup{
+			Region: node.GetRegion(), FailureDomain: node.GetFailureDomain(), AgentPort: uint32(agent.Port()),
+			Ip: []uint32{binary.BigEndian.Uint32(ip[:])}, Port: []uint32{uint32(engine.Port())},
+		})
+	}
+	return groups
+}
+
 // guide tells all agents what is wanted, as entries do.
 func (s *testSite) guide(version uint64, revision uint64) {
 	for _, one := range s.agents {
 		one.guide.hear(time.Now(), &wire.Guidance{
-			Revision: revision, Peers: s.nodes, OriginUrl: s.originURL,
+			Revision: revision, Hosts: s.hosts(), OriginUrl: s.originURL,
 			Wanted: []*wire.WantedWeights{{
 				Model: testModel, Version: version, Chunks: testChunks, ChunkBytes: testSize, Cutover: true, Fence: revision,
 			}},
@@ -227,7 +243,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := stream.Send(&wire.Guidance{Region: "r", Reading: reading}); err != nil {
+		if err := stream.Send(&wire.Guidance{GapMillis: 25, Reading: reading}); err != nil {
 			t.Fatal(err)
 		}
 		return stream
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -195,7 +195,7 @@
 
 func (a *agent) run(ctx context.Context, lis net.Listener) error {
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterFeed(mux, &feed{watch: a.watch, guide: a.guide, pace: a.pace, clock: a.clock, began: a.clock.Now(), region: a.set.GetNode().GetRegion()}); err != nil {
+	if err := wire.DRPCRegisterFeed(mux, &feed{watch: a.watch, guide: a.guide, pace: a.pace, clock: a.clock, began: a.clock.Now()}); err != nil {
 		return failure.Wrap(err, failure.Internal, "cannot register the calls of entries", "report it")
 	}
 	if err := wire.DRPCRegisterHost(mux, &chunkServer{mgr: a.mgr}); err != nil {
--- /dev/null
+++ b/entry/internal/onsite/brief.go
@@ -0,0 +1,144 @@
+package onsite
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// guideInterval is how often an agent is told again what did not change.
+	guideInterval = 10 * time.Second
+	// hostsGap is the least time between two lists of hosts to one agent, where
+	// nothing else is new: while hosts come by tens, one list tells of all of them.
+	hostsGap = 400 * time.Millisecond
+)
+
+// brief is what hosts are to know, as one plan found it.
+type brief struct {
+	told *wire.Guidance // without ages; never changed
+	// wanted sums up what must be told at once, digest all of it: ages and revisions
+	// alone are nothing new.
+	wanted, digest uint64
+}
+
+func (b *brief) sum() uint64 {
+	if b == nil {
+		return 0
+	}
+	return b.digest
+}
+
+// stays returns for how long a host that was told this brief so long ago need not be
+// told a newer one.
+func (b *brief) stays(newest *brief, toldFor time.Duration) time.Duration {
+	switch {
+	case b == nil || b.wanted != newest.wanted:
+		return 0
+	case b.digest != newest.digest:
+		return hostsGap - toldFor
+	}
+	return guideInterval - toldFor
+}
+
+// message returns the brief with the ages of this moment.
+func (b *brief) message(f *feeds) *wire.Guidance {
+	told := proto.CloneOf(b.told)
+	for _, one := range told.GetWanted() {
+		if want, ok := f.state.WantedOf(one.GetModel()); ok && want.Version == one.GetVersion() {
+			one.AgeMillis = uint32(f.clock.Since(want.Since).Milliseconds())
+		}
+	}
+	return told
+}
+
+// brief puts together what hosts are to know now.
+func (f *feeds) brief(engines []fleet.Engine) *brief {
+	told := &wire.Guidance{Revision: f.state.Revision()}
+	if cat := f.state.Catalog(); cat != nil {
+		f.addWeights(told, cat)
+	}
+	found := &brief{told: told}
+	found.wanted = digestOf(told)
+	told.Hosts = f.hosts(engines)
+	found.digest = digestOf(told)
+	return found
+}
+
+func (f *feeds) addWeights(told *wire.Guidance, cat *catalog.Catalog) {
+	if origin, rate := cat.Origin(); origin != "" {
+		told.OriginUrl, told.OriginRate = "http://"+origin, rate
+	}
+	loaded := f.state.Fleet().Models()
+	cat.Services(func(svc *catalog.Service) {
+		if svc.Engine == nil {
+			return
+		}
+		for _, model := range slices.Sorted(maps.Keys(svc.Engine.Loads)) {
+			load := svc.Engine.Loads[model]
+			told.Wanted = append(told.Wanted, f.wanted(svc, model, loaded[model], load, cat.Resumable(svc.Name)))
+		}
+	})
+}
+
+// wanted is the version declared, or the newest that an engine has where none
+// was declared.
+func (f *feeds) wanted(svc *catalog.Service, model string, newest uint64, load time.Duration, cutover bool) *wire.WantedWeights {
+	told := &wire.WantedWeights{
+		Model: model, Version: max(1, newest), LoadSeconds: load.Seconds(),
+		Chunks: uint32(svc.Engine.Chunks), ChunkBytes: uint32(svc.Engine.ChunkBytes), Cutover: cutover,
+	}
+	if want, ok := f.state.WantedOf(model); ok && want.Version >= told.Version {
+		told.Version, told.Fence = want.Version, want.Revision
+	}
+	return told
+}
+
+// hosts lists the hosts by failure domain. One whose address is no IPv4 address is
+// left out: platforms give no others.
+func (f *feeds) hosts(engines []fleet.Engine) []*wire.HostGroup {
+	groups := map[string]*wire.HostGroup{}
+	sorted := slices.SortedFunc(slices.Values(engines), func(left, right fleet.Engine) int { return cmp.Compare(left.Address, right.Address) })
+	for _, eng := range sorted {
+		address, err := netip.ParseAddrPort(eng.Address)
+		if err != nil || !address.Addr().Is4() {
+			f.log.Warn("an engine's address can't be told to other hosts", "address", eng.Address, "error", err)
+			continue
+		}
+		group := groups[eng.FailureDomain]
+		if group == nil {
+			group = &wire.HostGroup{Region: f.regionOf(eng.FailureDomain), FailureDomain: eng.FailureDomain, AgentPort: f.port}
+			groups[eng.FailureDomain] = group
+		}
+		ip := address.Addr().As4()
+		group.Ip = append(group.Ip, binary.BigEndian.Uint32(ip[:]))
+		group.Port = append(group.Port, uint32(address.Port()))
+	}
+	var list []*wire.HostGroup
+	for _, domain := range slices.Sorted(maps.Keys(groups)) {
+		list = append(list, groups[domain])
+	}
+	return list
+}
+
+// digestOf sums up guidance but for its revision.
+func digestOf(told *wire.Guidance) uint64 {
+	dup := &wire.Guidance{
+		Wanted: told.GetWanted(), Hosts: told.GetHosts(), OriginUrl: told.GetOriginUrl(), OriginRate: told.GetOriginRate(),
+	}
+	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(dup)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(text)
+}
--- a/entry/internal/onsite/onsite_test.go
+++ b/entry/internal/onsite/onsite_test.go
@@ -13,10 +13,12 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"comfreyrelay.example/platform"
 	"comfreyrelay.example/platform/platformtest"
 	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/deal"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/freshness"
 	"comfreyrelay.example/relay/site"
@@ -146,6 +148,11 @@
 	check("d2", "1", "2", "3")
 }
 
+// tells returns what the brief of now says.
+func (f *feeds) tells() *wire.Guidance {
+	return f.brief(f.state.Fleet().Engines()).message(f)
+}
+
 func TestGuidanceTellsDeclaredWeightsAndHosts(t *testing.T) {
 	state := newState(nil)
 	state.Apply([]site.Record{
@@ -158,81 +165,154 @@
 		}},
 	}, 5)
 	streams := &feeds{state: state, port: 7700, clock: clockwork.NewFakeClock(), regions: map[string]string{"d1": "north"}}
-	told := streams.guidance()
+	told := streams.tells()
 	if len(told.GetWanted()) != 1 || told.GetWanted()[0].GetVersion() != 3 || told.GetWanted()[0].GetFence() != 0 {
 		t.Errorf("got %v, want version 3, which is loaded, and no fence", told.GetWanted())
 	}
 	if got, want := told.GetOriginUrl(), "http://10.0.0.9:70"; got != want {
 		t.Errorf("got origin %q, want %q", got, want)
 	}
-	if len(told.GetPeers()) != 1 || told.GetPeers()[0].GetControlAddress() != "10.0.0.1:7700" || told.GetPeers()[0].GetRegion() != "north" {
-		t.Errorf("got %v, want the agent beside the engine", told.GetPeers())
+	want := &wire.HostGroup{Region: "north", FailureDomain: "d1", Ip: []uint32{10<<24 + 1}, Port: []uint32{80}, AgentPort: 7700}
+	if len(told.GetHosts()) != 1 || !proto.Equal(told.GetHosts()[0], want) {
+		t.Errorf("got %v, want the host with the engine", told.GetHosts())
 	}
 	state.Apply([]site.Record{{Kind: site.WeightsRecord, ID: "m", Weights: 4}}, 9)
-	told = streams.guidance()
+	told = streams.tells()
 	if told.GetWanted()[0].GetVersion() != 4 || told.GetWanted()[0].GetFence() != 9 {
 		t.Errorf("got %v, want version 4 with fence 9", told.GetWanted())
 	}
 }
 
+// guided is an entry's feed of one engine as the entry's plans set it.
+type guided struct {
+	feeds  *feeds
+	clock  *clockwork.FakeClock
+	feed   *feed
+	teller *teller
+}
+
+func newGuided(state *site.State, engine string) *guided {
+	clock := clockwork.NewFakeClock()
+	streams := &feeds{
+		state: state, clock: clock, log: slog.New(slog.DiscardHandler), self: "self", domain: "d1", region: "north",
+		regions: map[string]string{"d1": "north"},
+	}
+	one := &feed{feeds: streams, engine: fleet.Engine{Service: "llm", Address: engine}, path: newDelayMeter(), moved: make(chan struct{}, 1)}
+	return &guided{feeds: streams, clock: clock, feed: one, teller: &teller{feed: one, reading: -1}}
+}
+
+// next makes a plan and returns what the agent is told then.
+func (g *guided) next() *wire.Guidance {
+	found := g.feeds.plan()
+	g.feed.heed(found.parts[g.feed.engine.Address], found.brief)
+	told, _ := g.teller.next(g.clock.Now())
+	return told
+}
+
+func engineRecord(number int) site.Record {
+	id := "i-" + strconv.Itoa(number)
+	return site.Record{Kind: site.EndpointRecord, ID: id, Endpoint: fleet.Registration{
+		ID: id, Service: "llm", Address: "10.0.0." + strconv.Itoa(number) + ":80", FailureDomain: "d1", Slots: 4,
+	}}
+}
+
+func engineCatalog(version uint64, origin string) site.Record {
+	services := []catalog.Service{{Name: "llm", Engine: &catalog.Engine{Chunks: 4, ChunkBytes: 10}}}
+	if origin != "" {
+		services = append(services, catalog.Service{Name: "b", Origin: origin})
+	}
+	return site.Record{Kind: site.CatalogRecord, Catalog: catalog.New(catalog.Spec{Version: version, Services: services})}
+}
+
 // Symptom: bytes between regions are several times those of the requests.
 // Sequence: any key of the store changes. Cause: every entry tells every agent
 // again of all hosts.
 func TestGuidanceIsToldWhenItChanges(t *testing.T) {
 	state := newState(nil)
-	state.Apply([]site.Record{{Kind: site.CatalogRecord, Catalog: catalog.New(catalog.Spec{Version: 1})}}, 1)
-	streams := &feeds{state: state, clock: clockwork.NewFakeClock()}
-	tell := &teller{feeds: streams, engine: fleet.Engine{Service: "llm", Address: "10.0.0.1:80"}, reading: -1}
-	if got := tell.next(state.Changed()); got == nil || got.GetReadingOnly() {
+	state.Apply([]site.Record{engineCatalog(1, ""), engineRecord(1)}, 1)
+	tell := newGuided(state, "10.0.0.1:80")
+	if got := tell.next(); got == nil || got.GetReadingOnly() {
 		t.Fatalf("got %v at first, want all", got)
 	}
 	state.Apply([]site.Record{{Kind: site.EntryRecord, ID: "other"}}, 2)
-	if got := tell.next(state.Changed()); got != nil {
+	if got := tell.next(); got != nil {
 		t.Errorf("got %v after a change that agents need not know, want nothing", got)
 	}
-	state.Apply([]site.Record{{Kind: site.CatalogRecord, Catalog: catalog.New(catalog.Spec{Version: 2,
-		Services: []catalog.Service{{Name: "b", Origin: "10.0.0.9:70"}}})}}, 3)
-	if got := tell.next(state.Changed()); got == nil || got.GetOriginUrl() == "" {
+	state.Apply([]site.Record{engineCatalog(2, "10.0.0.9:70")}, 3)
+	if got := tell.next(); got == nil || got.GetOriginUrl() == "" {
 		t.Errorf("got %v after a change of the origin, want it told", got)
 	}
 }
 
+// Symptom: hosts that were added get their weights seconds late. Sequence: a hundred
+// are added in five seconds; each that registers has five entries send the whole list
+// to each host, of whose link that takes most. Cause: each change was told by itself.
+func TestHostsThatComeByTensAreToldTogether(t *testing.T) {
+	state := newState(nil)
+	state.Apply([]site.Record{engineCatalog(1, ""), engineRecord(1)}, 1)
+	tell := newGuided(state, "10.0.0.1:80")
+	tell.next()
+	lists, hosts := 0, 0
+	for i := range 100 {
+		state.Apply([]site.Record{engineRecord(2 + i)}, uint64(2+i))
+		tell.clock.Advance(planGap)
+		if told := tell.next(); told != nil {
+			lists++
+			hosts = len(told.GetHosts()[0].GetIp())
+		}
+	}
+	if most := int(100*planGap/hostsGap) + 1; lists > most {
+		t.Errorf("got %d lists of hosts in %v, want at most %d", lists, 100*planGap, most)
+	}
+	tell.clock.Advance(hostsGap)
+	if told := tell.next(); told != nil {
+		hosts = len(told.GetHosts()[0].GetIp())
+	}
+	if got, want := hosts, 101; got != want {
+		t.Errorf("got %d hosts told in the end, want %d", got, want)
+	}
+	// A version does not wait for that.
+	state.Apply([]site.Record{engineCatalog(2, "10.0.0.9:70"), engineRecord(200)}, 300)
+	if got := tell.next(); got == nil || got.GetOriginUrl() == "" {
+		t.Errorf("got %v right after a list, want what is wanted told at once", got)
+	}
+}
+
 // Symptom: an engine's host hears of no version after its guides were lost.
 // Sequence: entries that are its guides end; their registrations go.
 // Cause: another entry did not look whether it is its turn now.
 func TestEntryGuidesHostsThatOthersLeft(t *testing.T) {
 	others := map[string]site.Entry{}
 	for i := range 12 {
-		others["other-"+strconv.Itoa(i)] = site.Entry{Region: "north"}
+		others["other-"+strconv.Itoa(i)] = site.Entry{Region: "north", FailureDomain: "d1"}
 	}
 	state := newState(others)
-	state.Apply([]site.Record{{Kind: site.CatalogRecord, Catalog: catalog.New(catalog.Spec{Version: 1})}}, 1)
-	clock := clockwork.NewFakeClock()
-	streams := &feeds{state: state, clock: clock, self: "self", region: "north", regions: map[string]string{"d1": "north"}}
-	var tell *teller
-	for i := range 100 {
-		eng := fleet.Engine{Service: "llm", Address: "10.0.0." + strconv.Itoa(i) + ":80", FailureDomain: "d1"}
-		if !streams.guides(eng) {
-			tell = &teller{feeds: streams, engine: eng, reading: -1}
-			break
-		}
+	state.Apply([]site.Record{engineCatalog(1, "")}, 1)
+	var engines []site.Record
+	for i := range 20 {
+		engines = append(engines, engineRecord(i))
 	}
-	if tell == nil {
-		t.Fatal("this entry guides all hosts, want few of them")
+	state.Apply(engines, 2)
+	var tell *guided
+	for i := 0; tell == nil; i++ {
+		one := newGuided(state, "10.0.0."+strconv.Itoa(i)+":80")
+		if one.feeds.plan().parts[one.feed.engine.Address] == (deal.Part{Reach: deal.Near}) {
+			tell = one
+		}
 	}
-	if got := tell.next(state.Changed()); got == nil || !got.GetReadingOnly() || got.GetRegion() != "north" {
-		t.Errorf("got %v at first, want the region and what is unread alone", got)
+	if got := tell.next(); got == nil || !got.GetReadingOnly() || got.GetGapMillis() != uint32(nearGap.Milliseconds()) {
+		t.Errorf("got %v at first, want the gap and what is unread alone", got)
 	}
 	var gone []site.Record
 	for id := range others {
 		gone = append(gone, site.Record{Kind: site.EntryRecord, ID: id, Gone: true})
 	}
-	state.Apply(gone, 2)
-	if got := tell.next(state.Changed()); got == nil || got.GetReadingOnly() {
+	state.Apply(gone, 3)
+	if got := tell.next(); got == nil || got.GetReadingOnly() {
 		t.Errorf("got %v after the others went, want all", got)
 	}
-	clock.Advance(lookInterval)
-	if got := tell.next(state.Changed()); got != nil {
+	tell.clock.Advance(hostsGap)
+	if got := tell.next(); got != nil {
 		t.Errorf("got %v again without a change, want nothing", got)
 	}
 }
--- /dev/null
+++ b/relay/deal/deal.go
@@ -0,0 +1,250 @@
+// Package deal shares the engines of a fleet out among its entries: which entry
+// sends to which engine, and which of them tell an engine's host what is wanted.
+//
+// Each entry computes its own part from who is registered; nobody leads. Entries that
+// know the same agree, and one that comes or goes moves few engines. What an entry
+// follows grows with the engines for each entry, not with the fleet: with 98 entries
+// and 138 engines 13,524 streams of states were more work than all requests.
+package deal
+
+import (
+	"cmp"
+	"slices"
+
+	"comfreyrelay.example/relay/rendezvous"
+)
+
+const (
+	// nearEngines is the engines of its failure domain that an entry sends to where
+	// there are many: enough that one of them has room while the domain has.
+	nearEngines = 10
+	// leastSenders is the entries that send to an engine where there are many: the
+	// loss of some leaves others at once, before anybody learns of it.
+	leastSenders = 3
+	// farEngines bounds the engines of other failure domains that an entry sends to.
+	farEngines = 8
+	// nearGuides is the entries of its own failure domain that tell a host what is
+	// wanted. One that was cut off from the store goes on telling old things until
+	// its registration lapses; with three, some other knows.
+	nearGuides = 3
+	// farGuides is the entries of other failure domains that do so too: all entries
+	// of one region may be cut off together.
+	farGuides = 2
+)
+
+// Reach says how an entry stands to an engine.
+type Reach int
+
+// The reaches, the closest last.
+const (
+	Outside Reach = iota // left to other entries
+	Far                  // of another failure domain, dealt to this entry of its own
+	Near                 // of this entry's failure domain, home to another entry
+	Home                 // home to this entry
+)
+
+// String returns the name for logs.
+func (r Reach) String() string { return [...]string{"outside", "far", "near", "home"}[r] }
+
+// Place is where an entry or an engine stands.
+type Place struct {
+	ID            string // of an entry, or the address of an engine
+	Region        string
+	FailureDomain string
+}
+
+// Part is what an entry has to do with an engine.
+type Part struct {
+	Reach Reach
+	// Guide: the entry tells the engine's host what is wanted.
+	Guide bool
+}
+
+// Deal holds the entries that share the engines, as one of them knows them.
+type Deal struct {
+	self    Place
+	near    []entry // of self's failure domain, self among them, by id
+	domains []domain
+	counts  map[string]int // entries by failure domain
+}
+
+type entry struct {
+	id   string
+	seed uint64
+}
+
+type domain struct {
+	name, region string
+	seed         uint64
+}
+
+// New returns the deal of an entry among others; it may be one of them.
+func New(self Place, others []Place) *Deal {
+	d := &Deal{self: self, counts: map[string]int{}}
+	known := append([]Place{self}, slices.DeleteFunc(slices.Clone(others), func(place Place) bool { return place.ID == self.ID })...)
+	for _, place := range known {
+		if d.counts[place.FailureDomain]++; d.counts[place.FailureDomain] == 1 {
+			d.domains = append(d.domains, domain{place.FailureDomain, place.Region, rendezvous.Seed(place.FailureDomain)})
+		}
+		if place.FailureDomain == self.FailureDomain {
+			d.near = append(d.near, entry{place.ID, rendezvous.Seed(place.ID)})
+		}
+	}
+	slices.SortFunc(d.near, func(left, right entry) int { return cmp.Compare(left.id, right.id) })
+	return d
+}
+
+// Parts returns the entry's part in each engine, by address. Engines in which it has
+// none are left out.
+func (d *Deal) Parts(engines []Place) map[string]Part {
+	parts := map[string]Part{}
+	var own, far []Place
+	for _, eng := range engines {
+		if eng.FailureDomain == d.self.FailureDomain {
+			own = append(own, eng)
+		} else {
+			far = append(far, eng)
+		}
+	}
+	d.shareOwn(own, parts)
+	d.shareFar(far, parts)
+	return parts
+}
+
+// shareOwn deals the engines of the entry's failure domain. Homes are dealt evenly: an
+// engine whose best entry has its share goes to the next one.
+func (d *Deal) shareOwn(engines []Place, parts map[string]Part) {
+	byAddress(engines)
+	senders := d.senders(len(engines))
+	most := (len(engines) + len(d.near) - 1) / len(d.near)
+	homes := make([]int, len(d.near))
+	for _, eng := range engines {
+		order := d.rank(eng)
+		home := slices.IndexFunc(order, func(at int) bool { return homes[at] < most })
+		homes[order[home]]++
+		rank := slices.IndexFunc(order, func(at int) bool { return d.near[at].id == d.self.ID })
+		part := Part{Guide: rank < nearGuides}
+		switch {
+		case rank == home:
+			part.Reach = Home
+		case rank < senders:
+			part.Reach = Near
+		}
+		if part != (Part{}) {
+			parts[eng.ID] = part
+		}
+	}
+}
+
+// senders returns how many entries of the failure domain send to each of its engines.
+func (d *Deal) senders(engines int) int {
+	if engines == 0 {
+		return 0
+	}
+	wanted := (nearEngines*len(d.near) + engines - 1) / engines
+	return min(len(d.near), max(leastSenders, wanted))
+}
+
+// rank returns the entries of the failure domain, the best for the engine first, by
+// their places in near.
+func (d *Deal) rank(eng Place) []int {
+	seed := rendezvous.Seed(eng.ID)
+	order := make([]int, len(d.near))
+	scores := make([]uint64, len(d.near))
+	for at, one := range d.near {
+		order[at], scores[at] = at, rendezvous.Score(seed, one.seed)
+	}
+	slices.SortFunc(order, func(left, right int) int {
+		if scores[left] != scores[right] {
+			return cmp.Compare(scores[right], scores[left])
+		}
+		return cmp.Compare(left, right)
+	})
+	return order
+}
+
+// shareFar deals engines of other failure domains evenly, each to one entry of this
+// domain, those of its region first. Where there are more than its entries can follow,
+// a hash of the domain says which are left to others.
+func (d *Deal) shareFar(engines []Place, parts map[string]Part) {
+	for _, eng := range engines {
+		if d.rankOfSelf(eng) < d.farShare(eng) {
+			parts[eng.ID] = Part{Guide: true}
+		}
+	}
+	d.orderFar(engines)
+	most := min(farEngines, (len(engines)+len(d.near)-1)/len(d.near))
+	dealt := make([]int, len(d.near))
+	left := most * len(d.near)
+	for _, eng := range engines[:min(left, len(engines))] {
+		order := d.rank(eng)
+		taker := order[slices.IndexFunc(order, func(at int) bool { return dealt[at] < most })]
+		dealt[taker]++
+		if d.near[taker].id == d.self.ID {
+			parts[eng.ID] = Part{Reach: Far, Guide: parts[eng.ID].Guide}
+		}
+	}
+}
+
+// orderFar puts engines into the order in which this failure domain deals them.
+func (d *Deal) orderFar(engines []Place) {
+	seed := rendezvous.Seed(d.self.FailureDomain)
+	score := func(eng Place) uint64 { return rendezvous.Score(seed, rendezvous.Seed(eng.ID)) }
+	slices.SortFunc(engines, func(left, right Place) int {
+		if near := left.Region == d.self.Region; near != (right.Region == d.self.Region) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(score(right), score(left)), cmp.Compare(left.ID, right.ID))
+	})
+}
+
+// rankOfSelf returns how many entries of the failure domain go before this one for
+// the engine.
+func (d *Deal) rankOfSelf(eng Place) int {
+	seed := rendezvous.Seed(eng.ID)
+	own := rendezvous.Score(seed, rendezvous.Seed(d.self.ID))
+	rank := 0
+	for _, other := range d.near {
+		if rendezvous.Score(seed, other.seed) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// farShare returns how many entries of this failure domain guide the host of an engine
+// in another one: those domains that rank first for it give one each, those of other
+// regions first, and in turn where there are few.
+func (d *Deal) farShare(eng Place) int {
+	wanted := nearGuides + farGuides - min(nearGuides, d.counts[eng.FailureDomain])
+	seed := rendezvous.Seed(eng.ID)
+	before, others := 0, 0
+	own := rendezvous.Score(seed, rendezvous.Seed(d.self.FailureDomain))
+	for _, dom := range d.domains {
+		if dom.name == eng.FailureDomain {
+			continue
+		}
+		others++
+		if dom.name == d.self.FailureDomain {
+			continue
+		}
+		elsewhere, selfElsewhere := dom.region != eng.Region, d.self.Region != eng.Region
+		if elsewhere != selfElsewhere {
+			if elsewhere {
+				before++
+			}
+			continue
+		}
+		if rendezvous.Score(seed, dom.seed) > own {
+			before++
+		}
+	}
+	return max(0, wanted-before+others-1) / others
+}
+
+func byAddress(engines []Place) {
+	slices.SortFunc(engines, func(left, right Place) int { return cmp.Compare(left.ID, right.ID) })
+}
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"comfreyrelay.example/relay/deal"
 )
 
 const (
@@ -52,8 +54,7 @@
 
 	running  map[*Grant]time.Time // own requests in progress, by when they were sent
 	reading  int                  // prompt tokens of own requests without a first event
-	home     bool                 // of this entry among those of its failure domain
-	dealt    bool                 // dealt to this entry among those of its failure domain, wherever it stands
+	reach    deal.Reach           // of this entry, once the engines were dealt
 	load     int                  // running and waiting as last told with an answer
 	loadAt   time.Time
 	proven   int       // own requests served in a row while the agent was not heard
@@ -86,7 +87,7 @@
 // nothing running and nothing to read, and is chosen before all others: in 7 s
 // eight such of a hundred took 700 requests that others then had to serve.
 func (e *endpoint) trust() int {
-	if !e.home {
+	if e.reach != deal.Home {
 		return 0
 	}
 	return 1 + e.proven
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/deal"
 )
 
 // Registration is what an endpoint tells of itself through the platform.
@@ -133,15 +134,14 @@
 	f.Group(service).observe(address, state)
 }
 
-// SetEntries tells which entries share the endpoints of this entry's failure
-// domain, and which of them this one is. Each engine of the domain is home to
-// one of them: entries that know the same state would otherwise choose the same
-// engine at the same moment.
-func (f *Fleet) SetEntries(domain, self string, entries []string) {
+// SetParts tells the entry's part in each engine, by address; it has none in those
+// left out. Entries that know the same state would otherwise choose the same engine at
+// the same moment.
+func (f *Fleet) SetParts(parts map[string]deal.Part) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	for _, grp := range f.groups {
-		grp.setEntries(domain, self, entries)
+		grp.setParts(parts)
 	}
 }
 
--- a/relay/fleet/fleet_test.go
+++ b/relay/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"comfreyrelay.example/relay/call"
 	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/deal"
 	"comfreyrelay.example/relay/fleet"
 )
 
@@ -34,7 +35,20 @@
 }
 
 // own makes all engines known now home to this entry.
-func (w *world) own() { w.fleet.SetEntries("d1", "self", []string{"self"}) }
+func (w *world) own() { w.deal("d1", "self", "self") }
+
+// deal shares the engines known now out among entries of a failure domain.
+func (w *world) deal(domain, self string, entries ...string) {
+	place := func(id string) deal.Place { return deal.Place{ID: id, Region: domain, FailureDomain: domain} }
+	var others, engines []deal.Place
+	for _, id := range entries {
+		others = append(others, place(id))
+	}
+	for _, eng := range w.fleet.Engines() {
+		engines = append(engines, deal.Place{ID: eng.Address, Region: eng.FailureDomain, FailureDomain: eng.FailureDomain})
+	}
+	w.fleet.SetParts(deal.New(place(self), others).Parts(engines))
+}
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
 
@@ -68,7 +82,7 @@
 		for i := range 6 {
 			w.engine(i, 1)
 		}
-		w.fleet.SetEntries("d1", self, entries)
+		w.deal("d1", self, entries...)
 		for i := range 6 {
 			w.state(i, fleet.EngineState{Alive: true, Running: 4})
 		}
@@ -150,7 +164,7 @@
 	}
 	w.own()
 	w.pick(t, need).Done(fleet.Served)
-	w.fleet.SetEntries("d1", "self", []string{"a", "self"})
+	w.deal("d1", "self", "a", "self")
 	again := need
 	again.Again = true
 	w.pick(t, again) // what was begun elsewhere waits for no slot of others
@@ -204,7 +218,7 @@
 		w := newWorld()
 		w.engine(0, 1)
 		w.state(0, fleet.EngineState{Alive: true})
-		w.fleet.SetEntries("d1", self, entries)
+		w.deal("d1", self, entries...)
 		if _, verdict := w.fleet.Group("llm").Pick(ending); verdict == fleet.Granted {
 			senders++
 		}
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -1,12 +1,12 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
 
 	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/deal"
 )
 
 // Group holds the endpoints of one service. It is safe for concurrent use.
@@ -16,6 +16,7 @@
 	mu        sync.Mutex
 	engine    *catalog.Engine // nil: a plain service
 	endpoints map[string]*endpoint
+	dealt     bool          // the engines were shared out among the entries
 	changed   chan struct{} // closed and replaced when room may have come
 	// moved gets a value when what this entry has unread at an address changes.
 	moved map[string]chan struct{}
@@ -83,7 +84,7 @@
 	reg := former.reg
 	reg.Loaded = nil
 	next := newEndpoint(reg, former.births)
-	next.gone, next.home, next.dealt = former.gone, former.home, former.dealt
+	next.gone, next.reach = former.gone, former.reach
 	former.over = true
 	g.endpoints[reg.ID] = next
 	g.tellReading(reg.Address)
@@ -187,28 +188,13 @@
 	}
 }
 
-// setEntries deals the engines of each failure domain to the entries of this one
-// in turn. Those of the entries' own domain are home to the entry that they are
-// dealt to.
-func (g *Group) setEntries(domain, self string, entries []string) {
+// setParts takes over this entry's part in the engines, by address.
+func (g *Group) setParts(parts map[string]deal.Part) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	order := slices.Sorted(slices.Values(entries))
-	place := slices.Index(order, self)
-	byDomain := map[string][]*endpoint{}
+	g.dealt = true
 	for _, end := range g.endpoints {
-		end.home, end.dealt = false, false
-		byDomain[end.reg.FailureDomain] = append(byDomain[end.reg.FailureDomain], end)
-	}
-	if place < 0 {
-		return
-	}
-	for where, engines := range byDomain {
-		slices.SortFunc(engines, func(left, right *endpoint) int { return cmp.Compare(left.reg.Address, right.reg.Address) })
-		for i, end := range engines {
-			end.dealt = i%len(order) == place
-			end.home = end.dealt && where == domain
-		}
+		end.reach = parts[end.reg.Address].Reach
 	}
 }
 
--- a/relay/fleet/heard_test.go
+++ b/relay/fleet/heard_test.go
@@ -122,7 +122,7 @@
 				w.fleet.Register(fleet.Registration{ID: fmt.Sprintf("e-%d", i), Service: "llm", Address: address(i),
 					FailureDomain: domains[i%3], Slots: 16, Loaded: map[string]uint64{"m": 1}})
 			}
-			w.fleet.SetEntries(domain, self, entries)
+			w.deal(domain, self, entries...)
 			for i := range 12 {
 				w.state(i, fleet.EngineState{Alive: true, Running: 16})
 			}
--- a/relay/fleet/pick.go
+++ b/relay/fleet/pick.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"comfreyrelay.example/relay/deal"
 )
 
 // What choices weigh, in milliseconds of waiting.
@@ -125,7 +127,7 @@
 	grant := &Grant{
 		group: g, end: best, prompt: need.Prompt,
 		incarnation: best.incarnation(), address: best.reg.Address, version: best.version(now, need.Model),
-		occupied: best.occupancy(now, need.Entries), unread: best.unread(now), home: best.home,
+		occupied: best.occupancy(now, need.Entries), unread: best.unread(now), home: best.reach == deal.Home,
 		stateAge: now.Sub(best.stateAt), delay: best.state.Delay,
 	}
 	best.running[grant] = now
@@ -136,28 +138,40 @@
 	return grant, Granted
 }
 
-// undealt reports whether an engine of another failure domain is left to other
-// entries of this one. All entries away from an engine see a slot of it come free
-// at the same moment and would send there at once: at 1.2 times what the engines
-// can do 34 in 100 of such requests were late, and 4 in 100 of those that went to
-// engines of the same domain.
+// undealt reports whether an engine is left to other entries. All entries away from an
+// engine see a slot of it come free at the same moment and would send there at once: at
+// 1.2 times what the engines can do 34 in 100 of such requests were late, and 4 in 100
+// of those that went to engines of the same domain. What goes on after another engine
+// may go to any whose agent is heard. Until the engines are dealt those of the entry's
+// own domain are its.
 func (g *Group) undealt(end *endpoint, need Need) bool {
-	return g.engine != nil && end.reg.FailureDomain != need.Domain && !end.dealt && !need.Again
+	if g.engine == nil || need.Again {
+		return false
+	}
+	if !g.dealt {
+		return end.reg.FailureDomain != need.Domain
+	}
+	return end.reach == deal.Outside
 }
 
-// hears reports whether the agents of half of the engines at least are heard: one
-// that is not is then an exception, and else tells more of this entry's own links.
+// hears reports whether the agents of half of the engines that the entry sends to are
+// heard: one that is not is then an exception, and else tells more of this entry's own
+// links.
 func (g *Group) hears(now time.Time) bool {
 	if g.engine == nil {
 		return false
 	}
-	heard := 0
+	heard, followed := 0, 0
 	for _, end := range g.endpoints {
+		if g.dealt && end.reach == deal.Outside {
+			continue
+		}
+		followed++
 		if end.heard(now) {
 			heard++
 		}
 	}
-	return 2*heard >= len(g.endpoints) && heard > 0
+	return 2*heard >= followed && heard > 0
 }
 
 // room returns the requests that may be in progress at an endpoint before one
@@ -165,7 +179,7 @@
 // what that one sends at the same moment.
 func (g *Group) room(end *endpoint, need Need) int {
 	room := end.reg.Slots + need.Extra
-	if g.engine != nil && !end.home && !need.Again {
+	if g.engine != nil && end.reach != deal.Home && !need.Again {
 		room -= awaySlots
 	}
 	return room
@@ -179,9 +193,9 @@
 	}
 	unread := end.unread(now)
 	if end.version(now, need.Model) < need.SoonFloor {
-		return end.home && end.heard(now) && (unread <= 0 || unread+need.Prompt <= soonUnread && end.state.Queued == 0)
+		return end.reach == deal.Home && end.heard(now) && (unread <= 0 || unread+need.Prompt <= soonUnread && end.state.Queued == 0)
 	}
-	if !end.home && !need.Again {
+	if end.reach != deal.Home && !need.Again {
 		need.Unread = int(awayUnread * float64(need.Unread))
 	}
 	return unread <= 0 || unread+need.Prompt <= need.Unread
@@ -200,7 +214,7 @@
 		}
 		return score + plainCost*float64(occupied)
 	}
-	if !end.home {
+	if end.reach != deal.Home {
 		score += awayCost
 	}
 	if need.Wanted > end.version(now, need.Model) {
