comfreybench policy: the product's decisions in virtual time

Change: engine.Batch, a discrete model of the published engine's passes; bench/internal/policy plays fleet, admission and deal over described arrivals, links and engines (JSON, checked by a schema that names line, field and remedy); one JSON line a play, mechanisms left out by a flag, a plot by gonum/plot.

--- /dev/null
+++ b/bench/internal/cmd/cmd_policy.go
@@ -0,0 +1,186 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"comfreyrelay.example/bench/internal/policy"
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/deal"
+	"comfreyrelay.example/relay/failure"
+)
+
+type policyOptions struct {
+	Load    string        `long:"load" value-name:"FILE" description:"the load, as JSON; empty plays the one that is built in"`
+	Entries int           `long:"entries" description:"entries; 0 takes the load's"`
+	Engines int           `long:"engines" description:"engines; 0 takes the load's. What is asked grows with them"`
+	Regions int           `long:"regions" description:"regions; 0 takes the load's"`
+	Rates   []float64     `long:"rate" default:"1" description:"multiplies what is asked; may be given again"`
+	Seeds   string        `long:"seeds" default:"1" value-name:"A..B" description:"a seed, or the first and the last of several"`
+	Without []string      `long:"without" value-name:"MECHANISM" description:"leaves a mechanism out; may be given again"`
+	Near    int           `long:"near" description:"engines of its failure domain that an entry sends to where there are many; 0: the usual"`
+	Senders int           `long:"senders" description:"entries of its failure domain at least that send to an engine; 0: the usual"`
+	Far     int           `long:"far" description:"engines of other failure domains at most that an entry sends to; 0: the usual, below 0: none"`
+	HomeGap time.Duration `long:"home-gap" description:"least time between two states of an engine to the entry it is home to; 0: the usual"`
+	NearGap time.Duration `long:"near-gap" description:"the same to others of its failure domain"`
+	FarGap  time.Duration `long:"far-gap" description:"the same to entries of other failure domains"`
+	Jobs    int           `long:"jobs" default:"4" description:"plays at once"`
+	Plot    string        `long:"plot" value-name:"FILE.svg" description:"draws answers in aim against offered load"`
+}
+
+const policyHelp = `Plays the decisions of entries in virtual time: the product's own cores over
+described arrivals, links and engines. One JSON line a play: how what was asked
+ended, the worst parts, and what entries and agents told one another.
+
+A figure is worth as much as the model: docs/design/scale.md has its error against
+played days.
+
+Examples:
+  comfreybench policy --rate 0.8 --rate 1 --rate 1.2 --seeds 1..3 --plot curve.svg
+  comfreybench policy --entries 98 --engines 138 --regions 5 --near 28
+  comfreybench policy --without homes --seeds 1..5`
+
+func policyCommand() *cli.Command {
+	options := &policyOptions{}
+	return &cli.Command{
+		Name:    "policy",
+		Short:   "play decisions in virtual time",
+		Long:    policyHelp + "\n\nMechanisms:" + mechanisms(),
+		Options: options,
+		Run:     func(ctx context.Context, _ []string) error { return runPolicy(ctx, options) },
+	}
+}
+
+func mechanisms() string {
+	var lines strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(policy.Mechanisms)) {
+		fmt.Fprintf(&lines, "\n  %-8s without it %s", name, policy.Mechanisms[name])
+	}
+	return lines.String()
+}
+
+func runPolicy(ctx context.Context, options *policyOptions) error {
+	load, err := options.load()
+	if err != nil {
+		return err
+	}
+	plays, err := options.plays()
+	if err != nil {
+		return err
+	}
+	results := make([]policy.Result, len(plays))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(1, options.Jobs))
+	for i, play := range plays {
+		group.Go(func() error {
+			if ctx.Err() == nil {
+				results[i] = policy.Play(load, play)
+			}
+			return ctx.Err()
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	out := json.NewEncoder(os.Stdout)
+	for _, result := range results {
+		if err := out.Encode(result); err != nil {
+			return err
+		}
+	}
+	if options.Plot == "" {
+		return nil
+	}
+	return policy.Plot(results, options.Plot)
+}
+
+// load returns the load at the size asked for.
+func (o *policyOptions) load() (*policy.Load, error) {
+	load, err := policy.Usual(), error(nil)
+	if o.Load != "" {
+		load, err = policy.Read(o.Load)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return load.Sized(o.Entries, o.Engines, o.Regions)
+}
+
+// plays returns one play for each rate and seed.
+func (o *policyOptions) plays() ([]policy.Options, error) {
+	first, last, err := seedRange(o.Seeds)
+	if err != nil {
+		return nil, err
+	}
+	without := map[string]bool{}
+	for _, name := range o.Without {
+		if policy.Mechanisms[name] == "" {
+			return nil, failure.New(failure.Invalid, "there is no mechanism "+strconv.Quote(name), "give one of: "+
+				strings.Join(slices.Sorted(maps.Keys(policy.Mechanisms)), ", "))
+		}
+		without[name] = true
+	}
+	var plays []policy.Options
+	for _, rate := range o.Rates {
+		if rate <= 0 || rate > maxRate {
+			return nil, failure.New(failure.Invalid, fmt.Sprintf("--rate %v is out of range", rate), fmt.Sprintf("give a number over 0, at most %v", maxRate))
+		}
+		for seed := first; seed <= last; seed++ {
+			plays = append(plays, policy.Options{Seed: seed, Rate: rate, Shares: o.shares(), Gaps: o.gaps(), Without: without})
+		}
+	}
+	return plays, nil
+}
+
+const (
+	// maxRate bounds what is asked: far beyond what any engine serves.
+	maxRate = 20.0
+	// maxSeeds bounds the plays of one rate.
+	maxSeeds = 1000
+)
+
+func (o *policyOptions) shares() deal.Shares {
+	shares := deal.Usual
+	shares.Near = orUsual(o.Near, shares.Near)
+	shares.Senders = orUsual(o.Senders, shares.Senders)
+	shares.Far = max(0, orUsual(o.Far, shares.Far))
+	return shares
+}
+
+func (o *policyOptions) gaps() policy.Gaps {
+	return policy.Gaps{
+		Home: orUsual(o.HomeGap, policy.UsualGaps.Home),
+		Near: orUsual(o.NearGap, policy.UsualGaps.Near),
+		Far:  orUsual(o.FarGap, policy.UsualGaps.Far),
+	}
+}
+
+func orUsual[T int | time.Duration](value, usual T) T {
+	if value == 0 {
+		return usual
+	}
+	return value
+}
+
+// seedRange reads "A" or "A..B".
+func seedRange(text string) (first, last uint64, err error) {
+	low, high, several := strings.Cut(text, "..")
+	if !several {
+		high = low
+	}
+	first, errFirst := strconv.ParseUint(low, 10, 64)
+	last, errLast := strconv.ParseUint(high, 10, 64)
+	if errFirst != nil || errLast != nil || last < first || last-first >= maxSeeds {
+		return 0, 0, failure.New(failure.Invalid, "--seeds "+strconv.Quote(text)+" is no range", fmt.Sprintf("give a number, or two as 1..5, at most %d of them", maxSeeds))
+	}
+	return first, last, nil
+}
--- /dev/null
+++ b/bench/internal/policy/entry.go
@@ -0,0 +1,329 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"comfreyrelay.example/relay/admission"
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/deal"
+	"comfreyrelay.example/relay/engine"
+	"comfreyrelay.example/relay/fleet"
+)
+
+const (
+	// mostSends is the endpoints beside the first that may have a request which proved not
+	// to have run it, as in a gateway.
+	mostSends = 4
+	// stallTargets is how many targets a first event may take until another engine is
+	// tried.
+	stallTargets = 3
+)
+
+// entry is one entry with the product's own cores.
+type entry struct {
+	sim     *sim
+	id      string
+	region  int
+	fleet   *fleet.Fleet
+	group   *fleet.Group
+	line    admission.Line
+	callers admission.Callers
+	waiting map[*admission.Request]*exchange
+	parts   map[string]deal.Part
+	told    map[string]int // unread prompt tokens as told, by address
+}
+
+// exchange is one try of a request at one entry.
+type exchange struct {
+	entry    *entry
+	ask      *ask
+	adm      admission.Request
+	sends    int
+	tries    []fleet.Incarnation
+	grant    *fleet.Grant
+	host     *host
+	work     *engine.Work
+	given    int // tokens that the caller has
+	over     bool
+	waitings int // how often it began to wait; timers of earlier ones are void
+}
+
+func (s *sim) addEntry(number int) {
+	ent := &entry{
+		sim: s, id: fmt.Sprintf("entry-%04d", number), region: number % s.load.Regions,
+		fleet: fleet.New(s.clock), waiting: map[*admission.Request]*exchange{}, told: map[string]int{},
+	}
+	ent.fleet.SetRandom(s.rng.Float64)
+	ent.fleet.Declare(catalog.New(catalog.Spec{Version: 1, Services: []catalog.Service{{Name: service, Engine: s.spec}}}))
+	ent.group = ent.fleet.Group(service)
+	s.entries = append(s.entries, ent)
+	s.byID[ent.id] = ent
+	for _, one := range s.order {
+		ent.register(one)
+	}
+}
+
+func (e *entry) register(one *host) {
+	reg := fleet.Registration{
+		ID: one.id, Service: service, Address: one.address, FailureDomain: domain(one.region), Slots: e.sim.spec.Slots,
+	}
+	if one.loaded > 0 {
+		reg.Loaded = map[string]uint64{model: one.loaded}
+	}
+	e.fleet.Register(reg)
+}
+
+// deal shares the engines out anew, as each entry does when engines come or go.
+func (s *sim) deal() {
+	var entries, engines []deal.Place
+	for _, ent := range s.entries {
+		entries = append(entries, deal.Place{ID: ent.id, Region: domain(ent.region), FailureDomain: domain(ent.region)})
+	}
+	for _, one := range s.order {
+		engines = append(engines, deal.Place{ID: one.address, Region: domain(one.region), FailureDomain: domain(one.region)})
+	}
+	for i, ent := range s.entries {
+		ent.parts = deal.NewWith(s.opts.Shares, entries[i], entries).Parts(engines)
+		if s.without("dealing") {
+			ent.dealAll(engines)
+		}
+		if s.without("homes") {
+			ent.dealHomes()
+		}
+		ent.fleet.SetParts(ent.parts)
+		ent.followAll()
+	}
+}
+
+// dealAll gives the entry a part in every engine.
+func (e *entry) dealAll(engines []deal.Place) {
+	for _, eng := range engines {
+		if e.parts[eng.ID].Reach != deal.Outside {
+			continue
+		}
+		reach := deal.Far
+		if eng.FailureDomain == domain(e.region) {
+			reach = deal.Near
+		}
+		e.parts[eng.ID] = deal.Part{Reach: reach}
+	}
+}
+
+// dealHomes makes each engine of the domain home to the entry.
+func (e *entry) dealHomes() {
+	for address, part := range e.parts {
+		if part.Reach == deal.Near {
+			e.parts[address] = deal.Part{Reach: deal.Home, Guide: part.Guide}
+		}
+	}
+}
+
+// receive takes a request.
+func (e *entry) receive(a *ask) {
+	if a.over {
+		return
+	}
+	s := e.sim
+	left := a.deadline - s.now
+	x := &exchange{entry: e, ask: a}
+	x.adm = admission.Request{
+		Engine: s.spec, Target: millis(a.class.TargetMillis), Gap: millis(a.class.GapMillis), Prompt: a.size,
+		Priority: a.class.Priority, Returned: e.callers.Returned(a.class.Name, left), Arrived: s.clock(),
+	}
+	x.adm.SetSpan(0, left)
+	s.after(left, func() { x.abandon() })
+	x.place()
+}
+
+// place looks for an engine and waits where there is none.
+func (x *exchange) place() {
+	e, s := x.entry, x.entry.sim
+	now := s.clock()
+	if head := e.line.Head(now); head == nil {
+		if x.pick() {
+			return
+		}
+	}
+	if s.without("late") && x.adm.Late(now) {
+		x.refuse(fleet.Full)
+		return
+	}
+	e.line.Enter(now, &x.adm)
+	e.waiting[&x.adm] = x
+	x.waitings++
+	waiting := x.waitings
+	s.after(x.adm.HoldUntil(now).Sub(now), func() {
+		if x.waits() && x.waitings == waiting {
+			x.refuse(fleet.Full)
+		}
+	})
+	if s.without("late") {
+		s.after(time.Duration(1), func() { e.refuseLate() })
+	}
+	e.lookAtChange()
+}
+
+func (x *exchange) waits() bool { return x.entry.waiting[&x.adm] == x }
+
+// lookAtChange looks again when the head of the line becomes late.
+func (e *entry) lookAtChange() {
+	if at := e.line.ChangesAt(); !at.IsZero() {
+		e.sim.after(at.Sub(e.sim.clock()), func() { e.refuseLate(); e.look() })
+	}
+}
+
+// refuseLate refuses who became late where the late are not served.
+func (e *entry) refuseLate() {
+	if !e.sim.without("late") {
+		return
+	}
+	var tooLate []*exchange
+	for req, x := range e.waiting {
+		if req.Late(e.sim.clock()) {
+			tooLate = append(tooLate, x)
+		}
+	}
+	slices.SortFunc(tooLate, func(left, right *exchange) int { return left.adm.Arrived.Compare(right.adm.Arrived) })
+	for _, x := range tooLate {
+		x.refuse(fleet.Full)
+	}
+}
+
+// look lets those who wait take what room there is, in their order.
+func (e *entry) look() {
+	for head := e.line.Head(e.sim.clock()); head != nil; head = e.line.Head(e.sim.clock()) {
+		if !e.waiting[head].pick() {
+			return
+		}
+	}
+}
+
+// pick takes an engine's place and sends the request there.
+func (x *exchange) pick() bool {
+	e, s := x.entry, x.entry.sim
+	need := x.adm.Need(s.clock(), model, domain(e.region), len(s.entries))
+	need.Exclude = x.tries
+	if s.without("unread") {
+		need.Unread = 0
+	}
+	s.out.picks++
+	grant, verdict := e.group.Pick(need)
+	if verdict != fleet.Granted {
+		return false
+	}
+	x.leaveLine()
+	x.grant, x.host = grant, s.engines[grant.Address()]
+	x.tries = append(x.tries, grant.Incarnation())
+	x.sends++
+	x.adm.Sent = true
+	e.tellReading(x.host)
+	x.work = &engine.Work{Prompt: x.ask.size + x.given, Answer: max(1, x.ask.answer-x.given), Rank: x.adm.Rank(s.clock())}
+	work, to := x.work, x.host
+	s.after(s.delay(e.region, to.region), func() { to.arrive(x, work) })
+	if !x.adm.Begun {
+		s.after(stallTargets*x.adm.Target, func() {
+			if x.work == work && !x.over && x.ask.first == 0 && to.dark {
+				x.ended(fleet.Silent)
+			}
+		})
+	}
+	return true
+}
+
+func (x *exchange) leaveLine() {
+	if x.waits() {
+		x.entry.line.Leave(&x.adm)
+		delete(x.entry.waiting, &x.adm)
+	}
+}
+
+// refuse ends the request at this entry with the time to return.
+func (x *exchange) refuse(verdict fleet.Verdict) {
+	if x.over {
+		return
+	}
+	x.leaveLine()
+	x.over = true
+	e, s := x.entry, x.entry.sim
+	if x.adm.Begun {
+		s.after(s.callerDelay(), func() { s.finish(x.ask, failed) })
+		return
+	}
+	wait := x.adm.ReturnAfter(verdict, e.line.Len(), len(s.entries))
+	s.out.refusals++
+	s.after(s.callerDelay(), func() { s.refused(x.ask, wait) })
+}
+
+// event takes an event from an engine.
+func (x *exchange) event(work *engine.Work, tokens int) {
+	if x.over || x.work != work {
+		return
+	}
+	s := x.entry.sim
+	x.adm.Begun = true
+	x.grant.Began()
+	x.entry.tellReading(x.host)
+	x.given += tokens
+	s.after(s.callerDelay(), func() { s.event(x.ask) })
+}
+
+// served ends the request well.
+func (x *exchange) served(work *engine.Work) {
+	if x.over || x.work != work {
+		return
+	}
+	x.over = true
+	x.release(fleet.Served)
+	s := x.entry.sim
+	s.after(s.callerDelay(), func() { s.finish(x.ask, inAim) })
+}
+
+// release gives the place back.
+func (x *exchange) release(outcome fleet.Outcome) {
+	x.grant.Done(outcome)
+	x.entry.tellReading(x.host)
+	x.entry.look()
+}
+
+// ended goes on after an engine that did not serve the request.
+func (x *exchange) ended(outcome fleet.Outcome) {
+	if x.over {
+		return
+	}
+	x.work = nil
+	x.release(outcome)
+	if x.sends >= mostSends {
+		x.refuse(fleet.Full)
+		return
+	}
+	x.place()
+}
+
+// abandon ends the request when its caller's time is over.
+func (x *exchange) abandon() {
+	if x.over {
+		return
+	}
+	x.leaveLine()
+	x.over = true
+	if x.work == nil {
+		return
+	}
+	work, to, s := x.work, x.host, x.entry.sim
+	s.after(s.delay(x.entry.region, to.region), func() { to.drop(work) })
+	x.release(fleet.Abandoned)
+}
+
+// tellReading tells an agent of the entry's prompts that are not read yet.
+func (e *entry) tellReading(to *host) {
+	s := e.sim
+	tokens := e.fleet.Reading(service, to.address)
+	if s.without("reading") || s.without("states") || tokens == e.told[to.address] {
+		return
+	}
+	e.told[to.address] = tokens
+	s.out.message(e.region, to.region, readingBytes)
+	s.after(s.delay(e.region, to.region), func() { to.hearReading(e, tokens) })
+}
--- /dev/null
+++ b/bench/internal/policy/helpers_test.go
@@ -0,0 +1,15 @@
+package policy
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+func jsonOf(t *testing.T, value any) string {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
--- /dev/null
+++ b/bench/internal/policy/host.go
@@ -0,0 +1,254 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+
+	"comfreyrelay.example/relay/deal"
+	"comfreyrelay.example/relay/engine"
+	"comfreyrelay.example/relay/fleet"
+)
+
+const (
+	// looks and idleLooks are how often an agent looks at its engine while something
+	// runs and while nothing does, as agents do.
+	looks     = 30 * time.Millisecond
+	idleLooks = 80 * time.Millisecond
+	// sendAnyway is the longest time between two states.
+	sendAnyway = 250 * time.Millisecond
+	// noticeTime is how long entries send nothing new before a load.
+	noticeTime = 600 * time.Millisecond
+	// stateBytes and readingBytes are what such messages take on a link, headers
+	// included.
+	stateBytes   = 150
+	readingBytes = 110
+)
+
+// host is one engine with its agent.
+type host struct {
+	sim       *sim
+	id        string
+	address   string
+	region    int
+	loaded    uint64
+	batch     *engine.Batch
+	works     map[*engine.Work]*exchange
+	slow      float64 // passes take so many times as long
+	dark      bool
+	ordering  bool // a load is about to begin or in progress
+	epochs    int  // of passes: those begun before a crash or load are void
+	served    int  // events
+	seen      fleet.EngineState
+	reading   map[*entry]int
+	followers map[*entry]*follower
+}
+
+// follower is one entry that follows a host.
+type follower struct {
+	host    *host
+	entry   *entry
+	gap     time.Duration
+	last    time.Duration // when a state was sent
+	planned bool          // the next one is
+	sent    int
+}
+
+func (s *sim) addHost(region int, loaded bool) *host {
+	number := len(s.order)
+	one := &host{
+		sim: s, id: fmt.Sprintf("engine-%05d", number), region: region, slow: 1,
+		address: fmt.Sprintf("10.%d.%d.%d:80", region, number>>8, number&255),
+		batch:   engine.NewBatch(s.spec, s.load.Engine.Queue, s.load.Engine.MemoryTokens),
+		works:   map[*engine.Work]*exchange{}, reading: map[*entry]int{}, followers: map[*entry]*follower{},
+	}
+	if loaded {
+		one.loaded = 1
+	}
+	s.order = append(s.order, one)
+	s.engines[one.address] = one
+	s.after(time.Duration(s.rng.Int64N(int64(looks))), one.look)
+	return one
+}
+
+// followAll begins and ends feeds as the entry's parts say.
+func (e *entry) followAll() {
+	for _, one := range e.sim.order {
+		reach := e.parts[one.address].Reach
+		if reach == deal.Outside || e.sim.without("states") {
+			delete(one.followers, e)
+			delete(one.reading, e)
+			continue
+		}
+		gap := e.sim.opts.Gaps.Near
+		switch reach {
+		case deal.Home:
+			gap = e.sim.opts.Gaps.Home
+		case deal.Far:
+			gap = e.sim.opts.Gaps.Far
+		}
+		if one.followers[e] == nil {
+			one.followers[e] = &follower{host: one, entry: e, gap: gap}
+			one.followers[e].poke()
+		}
+		one.followers[e].gap = gap
+	}
+}
+
+// look lets the agent look at its engine.
+func (h *host) look() {
+	wait := idleLooks
+	if h.batch.Running() > 0 {
+		wait = looks
+	}
+	h.sim.after(wait, h.look)
+	if h.dark {
+		return
+	}
+	seen := fleet.EngineState{Alive: true, Running: h.batch.Running(), Queued: h.batch.Waiting(), Pace: h.slow, Busy: h.ordering}
+	if seen.Running != h.seen.Running || seen.Queued != h.seen.Queued || seen.Pace != h.seen.Pace || seen.Busy != h.seen.Busy || !h.seen.Alive {
+		h.seen = seen
+		h.changed()
+	}
+}
+
+func (h *host) changed() {
+	for _, ent := range h.sim.entries {
+		if to := h.followers[ent]; to != nil {
+			to.poke()
+		}
+	}
+}
+
+// poke sends a state, not sooner than the gap after the one before.
+func (f *follower) poke() {
+	if f.planned || f.host.followers[f.entry] != f {
+		return
+	}
+	f.planned = true
+	s := f.host.sim
+	s.after(f.last+f.gap-s.now, f.send)
+}
+
+func (f *follower) send() {
+	h, s := f.host, f.host.sim
+	f.planned = false
+	if h.dark || h.followers[f.entry] != f {
+		return
+	}
+	f.last = s.now
+	f.sent++
+	state := h.seen
+	state.Loaded = map[string]uint64{}
+	if h.loaded > 0 {
+		state.Loaded[model] = h.loaded
+	}
+	for ent, tokens := range h.reading {
+		if ent != f.entry {
+			state.Reading += tokens
+		}
+	}
+	s.out.states++
+	s.out.message(h.region, f.entry.region, stateBytes)
+	ent := f.entry
+	s.after(s.delay(h.region, ent.region), func() {
+		ent.fleet.Observe(service, h.address, state)
+		ent.look()
+	})
+	number := f.sent
+	s.after(max(f.gap, sendAnyway), func() {
+		if f.sent == number {
+			f.poke()
+		}
+	})
+}
+
+func (h *host) hearReading(from *entry, tokens int) {
+	if h.followers[from] == nil {
+		return
+	}
+	h.reading[from] = tokens
+	h.changed()
+}
+
+// arrive takes a request, or proves that it did not run.
+func (h *host) arrive(x *exchange, work *engine.Work) {
+	s := h.sim
+	if h.dark {
+		return
+	}
+	back := s.delay(h.region, x.entry.region)
+	if h.loaded == 0 || h.ordering && len(h.works) == 0 || x.ask.over || !h.batch.Add(work) {
+		s.after(back, func() {
+			if x.work == work {
+				x.ended(fleet.Refused)
+			}
+		})
+		return
+	}
+	h.works[work] = x
+	h.pass()
+}
+
+// drop takes a request out whose caller left.
+func (h *host) drop(work *engine.Work) {
+	h.batch.Remove(work)
+	delete(h.works, work)
+}
+
+// pass begins the next pass if there is anything to do.
+func (h *host) pass() {
+	took, ok := h.batch.Begin()
+	if !ok {
+		return
+	}
+	number := h.epochs
+	h.sim.after(time.Duration(float64(took)*h.slow), func() {
+		if number == h.epochs && !h.dark {
+			h.endPass()
+		}
+	})
+}
+
+func (h *host) endPass() {
+	s := h.sim
+	wrote, done := h.batch.End()
+	for _, work := range wrote {
+		x := h.works[work]
+		if x == nil {
+			continue
+		}
+		h.served++
+		s.out.events++
+		tokens := work.Newest()
+		way := s.delay(h.region, x.entry.region)
+		if work.Written() == tokens {
+			way += millis(s.load.Engine.FirstMillis)
+		}
+		s.after(way, func() { x.event(work, tokens) })
+	}
+	for _, work := range done {
+		x := h.works[work]
+		delete(h.works, work)
+		if x != nil {
+			s.after(s.delay(h.region, x.entry.region)+millis(s.load.Engine.FirstMillis), func() { x.served(work) })
+		}
+	}
+	h.pass()
+}
+
+// cut drops all that runs: the entries see broken answers.
+func (h *host) cut() {
+	h.epochs++
+	for _, work := range h.batch.Clear() {
+		x := h.works[work]
+		if x == nil {
+			continue
+		}
+		h.sim.after(h.sim.delay(h.region, x.entry.region), func() {
+			if x.work == work {
+				x.ended(fleet.Broken)
+			}
+		})
+	}
+	clear(h.works)
+}
--- /dev/null
+++ b/bench/internal/policy/policy_test.go
@@ -0,0 +1,133 @@
+package policy
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"comfreyrelay.example/relay/deal"
+	"comfreyrelay.example/relay/failure"
+)
+
+// small is the built-in load on few machines, played shortly.
+func small(t *testing.T, entries, engines int) *Load {
+	t.Helper()
+	load, err := Usual().Sized(entries, engines, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	load.Seconds, load.WarmSeconds = 14, 2
+	return load
+}
+
+func options(rate float64, without ...string) Options {
+	opts := Options{Seed: 1, Rate: rate, Shares: deal.Usual, Gaps: UsualGaps, Without: map[string]bool{}}
+	for _, name := range without {
+		opts.Without[name] = true
+	}
+	return opts
+}
+
+func TestPlaysOfOneSeedAreEqual(t *testing.T) {
+	for _, without := range [][]string{nil, {"late"}, {"states", "dealing"}, {"homes", "unread", "reading"}} {
+		first, second := Play(small(t, 9, 24), options(0.8, without...)), Play(small(t, 9, 24), options(0.8, without...))
+		first.WallSeconds, second.WallSeconds = 0, 0
+		if got, want := jsonOf(t, first), jsonOf(t, second); got != want {
+			t.Errorf("without %v: got %s and %s, want equal results", without, got, want)
+		}
+	}
+}
+
+// Each request ends once; the shares of how it did make one.
+func TestEveryRequestEnds(t *testing.T) {
+	load := small(t, 9, 24)
+	load.Events = []Event{
+		{Kind: "dark", AtSeconds: 3, ForSeconds: 2, Share: 0.2}, {Kind: "slow", AtSeconds: 3, ForSeconds: 4, Share: 0.2, Factor: 4},
+		{Kind: "load", AtSeconds: 4, ForSeconds: 3}, {Kind: "add", AtSeconds: 2, ForSeconds: 2, Share: 0.5},
+		{Kind: "gone", AtSeconds: 5, Share: 0.1}, {Kind: "burst", AtSeconds: 6, ForSeconds: 1, Factor: 1.5},
+	}
+	s := newSim(load, options(1))
+	s.run()
+	asked := 0
+	for _, part := range s.out.byClass {
+		asked += part.asked()
+	}
+	if got := s.out.all.asked(); got == 0 || got != asked {
+		t.Errorf("got %d requests ended and %d by class, want the same", got, asked)
+	}
+	if owed := 0.0; s.out.owed <= owed || s.out.worth > s.out.owed {
+		t.Errorf("got worth %v of %v owed, want a part of it", s.out.worth, s.out.owed)
+	}
+	found := s.out.result()
+	if sum := found.InAim + found.Late + found.Refused + found.Failed; sum < 0.999 || sum > 1.001 {
+		t.Errorf("got shares that make %v, want 1", sum)
+	}
+}
+
+// Symptom: an entry's engines are full at three quarters of what they can do. Sequence:
+// twenty entries of a failure domain see the same free slot, 20 to 50 ms ago, and each
+// sends its next request there; the prompts wait for one another. Cause: all entries of
+// a domain sent to all its engines. The load is that of 60 entries and 141 engines in
+// three domains at what the engines can just serve, prompts of 600 to 1,300
+// tokens, targets of 500 to 800 ms.
+func TestFewSendersAnEngineAreBetterThanAll(t *testing.T) {
+	load := small(t, 60, 141)
+	few, all := options(0.68), options(0.68)
+	all.Shares = deal.Shares{Near: 1000, Senders: 1000, Far: deal.Usual.Far}
+	got, against := Play(load, few), Play(load, all)
+	if got.InAim < against.InAim+0.02 {
+		t.Errorf("got %.3f in aim with few senders and %.3f with all, want more by 0.02", got.InAim, against.InAim)
+	}
+	if got.StatesPerS > against.StatesPerS/2 {
+		t.Errorf("got %.0f and %.0f states an entry and second, want less than half", got.StatesPerS, against.StatesPerS)
+	}
+}
+
+// What an entry hears is flat in the size of the fleet.
+func TestMessagesOfAnEntryDoNotGrowWithTheFleet(t *testing.T) {
+	base := Play(small(t, 18, 42), options(0.5))
+	grown := Play(small(t, 72, 168), options(0.5))
+	if got, bound := grown.MessagesPerS, 1.25*base.MessagesPerS; got > bound {
+		t.Errorf("got %.0f messages an entry and second at four times the size, want at most %.0f", got, bound)
+	}
+	if grown.InAim < base.InAim-0.01 {
+		t.Errorf("got %.3f in aim at four times the size, %.3f before, want no less", grown.InAim, base.InAim)
+	}
+}
+
+func TestWrongLoadsNameLineFieldAndRemedy(t *testing.T) {
+	good, err := os.ReadFile("usual.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, one := range []struct{ old, with, want string }{
+		{`"regions": 5`, `"regions": 0`, "line 3: /regions: "},
+		{`"chunkTokens"`, `"chunkTokenz"`, `"chunkTokenz" is not known`},
+		{`"seconds": 30,`, `"seconds": 30`, "line 4"},
+		{`"callers":`, `"events": [{"kind": "fire", "atSeconds": 1}], "callers":`, "give add, gone, dark, slow, load or burst"},
+	} {
+		text := strings.Replace(string(good), one.old, one.with, 1)
+		_, err := Parse([]byte(text))
+		if err == nil || failure.KindOf(err) != failure.Invalid || !strings.Contains(err.Error(), one.want) {
+			t.Errorf("%s: got %v, want an error of kind invalid with %q", one.with, err, one.want)
+		}
+	}
+	if _, err := Read(filepath.Join(t.TempDir(), "none")); failure.KindOf(err) != failure.Invalid {
+		t.Errorf("got %v for a file that is not there, want kind invalid", err)
+	}
+}
+
+func TestPlotIsDrawn(t *testing.T) {
+	results := []Result{{Rate: 1, AskedPerS: 10, InAim: 0.9, FluidPerS: 12}, {Rate: 2, AskedPerS: 20, InAim: 0.5, FluidPerS: 12}}
+	file := filepath.Join(t.TempDir(), "curve.svg")
+	if err := Plot(results, file); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := os.ReadFile(file); err != nil || !strings.Contains(string(text), "<svg") {
+		t.Errorf("got no picture: %v", err)
+	}
+	if err := Plot(results, filepath.Join(t.TempDir(), "none", "curve.svg")); failure.KindOf(err) != failure.Invalid {
+		t.Errorf("got %v for a folder that is not there, want kind invalid", err)
+	}
+}
--- /dev/null
+++ b/relay/engine/batch_test.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"comfreyrelay.example/relay/catalog"
+)
+
+// quick is an engine whose times are easy to add up: a step takes 10 ms, a token 0.1 ms
+// to read.
+var quick = &catalog.Engine{Slots: 2, Stride: 5, StepMillis: 10, ReadPerSecond: 10000, ChunkTokens: 200}
+
+// play runs passes until the engine is idle and returns when each request's events came.
+func play(b *Batch) map[*Work][]time.Duration {
+	events := map[*Work][]time.Duration{}
+	now := time.Duration(0)
+	for {
+		took, ok := b.Begin()
+		if !ok {
+			return events
+		}
+		now += took
+		wrote, _ := b.End()
+		for _, work := range wrote {
+			events[work] = append(events[work], now)
+		}
+	}
+}
+
+// The times are those that an idle engine of the platform was seen to take for prompts
+// of 106 to 3,920 tokens: reading, one step for each piece of the prompt, and from then
+// on a pass for each event.
+func TestFirstEventOfAnIdleEngineTakesReadingAndAStepAPiece(t *testing.T) {
+	for _, one := range []struct {
+		prompt int
+		want   time.Duration
+	}{{100, 20 * time.Millisecond}, {200, 30 * time.Millisecond}, {300, 50 * time.Millisecond}} {
+		b := NewBatch(quick, 0, 0)
+		work := &Work{Prompt: one.prompt, Answer: 15}
+		b.Add(work)
+		events := play(b)[work]
+		if len(events) != 3 || events[0] != one.want {
+			t.Errorf("prompt of %d: got events at %v, want three, the first at %v", one.prompt, events, one.want)
+			continue
+		}
+		if got, want := events[2]-events[1], 50*time.Millisecond; got != want {
+			t.Errorf("prompt of %d: got %v between events, want %v, a pass", one.prompt, got, want)
+		}
+	}
+}
+
+func TestWhatComesDuringAPassWaitsForTheNext(t *testing.T) {
+	b := NewBatch(quick, 0, 0)
+	first, second := &Work{Prompt: 100, Answer: 20}, &Work{Prompt: 100, Answer: 5}
+	b.Add(first)
+	if _, ok := b.Begin(); !ok {
+		t.Fatal("got no pass, want one")
+	}
+	if !b.Add(second) {
+		t.Fatal("got the second refused, want a free slot")
+	}
+	if _, ok := b.Begin(); ok {
+		t.Error("got a second pass during the first")
+	}
+	if wrote, _ := b.End(); len(wrote) != 1 || wrote[0] != first {
+		t.Errorf("got %d that wrote, want the first alone", len(wrote))
+	}
+	// The next pass reads the second prompt between the first one's steps.
+	if took, _ := b.Begin(); took != 60*time.Millisecond {
+		t.Errorf("got a pass of %v, want 60ms: five steps and 100 tokens", took)
+	}
+	wrote, done := b.End()
+	if len(wrote) != 2 || len(done) != 1 || done[0] != second {
+		t.Errorf("got %d that wrote and %d done, want both and the second", len(wrote), len(done))
+	}
+}
+
+func TestSlotsQueueAndRanksHold(t *testing.T) {
+	b := NewBatch(quick, 2, 0)
+	var works []*Work
+	for i := range 5 {
+		work := &Work{Prompt: 10, Answer: 5, Rank: 5 - i}
+		if got, want := b.Add(work), i < 4; got != want {
+			t.Errorf("request %d: got taken %v, want %v", i, got, want)
+		}
+		works = append(works, work)
+	}
+	b.Begin()
+	if b.Running() != 2 || b.Waiting() != 2 {
+		t.Errorf("got %d running and %d waiting, want two of each", b.Running(), b.Waiting())
+	}
+	_, done := b.End()
+	if len(done) != 2 || done[0] != works[3] || done[1] != works[2] {
+		t.Errorf("got others done first than the most urgent of those taken")
+	}
+	b.Remove(works[0])
+	if b.Waiting() != 1 {
+		t.Errorf("got %d waiting after one left, want one", b.Waiting())
+	}
+	if left := b.Clear(); len(left) != 1 || left[0] != works[1] {
+		t.Errorf("got %d dropped, want the one that is left", len(left))
+	}
+}
+
+// Where memory runs out the newest is put back and read again, also what it wrote.
+func TestNewestYieldsItsMemory(t *testing.T) {
+	b := NewBatch(quick, 0, 230)
+	older, newer := &Work{Prompt: 100, Answer: 40}, &Work{Prompt: 100, Answer: 40}
+	b.Add(older)
+	b.Add(newer)
+	events := play(b)
+	if got := len(events[older]); got != 8 {
+		t.Errorf("got %d events of the older one, want 8", got)
+	}
+	if got := len(events[newer]); got != 8 {
+		t.Errorf("got %d events of the newer one, want 8", got)
+	}
+	last := func(list []time.Duration) time.Duration { return list[len(list)-1] }
+	if last(events[newer]) <= last(events[older]) {
+		t.Errorf("got the newer one done at %v, the older at %v, want it to have waited", last(events[newer]), last(events[older]))
+	}
+}
--- a/relay/engine/engine.go
+++ b/relay/engine/engine.go
@@ -28,8 +28,12 @@
 // Write returns the time of the token steps of one pass with so many writers
 // and so much context in all, tokens.
 func Write(spec *catalog.Engine, writers, context int) time.Duration {
-	step := spec.StepMillis + spec.PerSeqMillis*float64(writers) + spec.ContextMillis*float64(context)/tokensPerThousand
-	return inMillis(step * float64(max(1, spec.Stride)))
+	return time.Duration(max(1, spec.Stride)) * step(spec, writers, context)
+}
+
+// step returns the time of one token step.
+func step(spec *catalog.Engine, writers, context int) time.Duration {
+	return inMillis(spec.StepMillis + spec.PerSeqMillis*float64(writers) + spec.ContextMillis*float64(context)/tokensPerThousand)
 }
 
 // UsualPass returns the time of a pass in the long run with so many requests in
--- /dev/null
+++ b/relay/schema/lines_test.go
@@ -0,0 +1,26 @@
+package schema
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestProblemsNameTheirLine(t *testing.T) {
+	text := []byte("{\n  \"a\": [1,\n    2],\n  \"b~/c\": {\n    \"d\": true}\n}\n")
+	for _, one := range []struct {
+		path string
+		want string
+	}{
+		{"", "line 1: "}, {"/a", "line 2: "}, {"/a/1", "line 3: "}, {"/b~0~1c/d", "line 5: "},
+		{"/b~0~1c/missing", "line 4: "}, {"/missing", "line 1: "},
+	} {
+		got := Lines(text, []Problem{NewProblem(one.path, "it is wrong", "correct it")})
+		if !strings.HasPrefix(got, one.want) {
+			t.Errorf("%q: got %q, want it to begin with %q", one.path, got, one.want)
+		}
+	}
+	// A text that can't be read to its end names what was read.
+	if got := Lines([]byte("{\n\"a\": 1,\n"), []Problem{NewProblem("/a", "x", "y")}); !strings.HasPrefix(got, "line 2: ") {
+		t.Errorf("got %q, want line 2", got)
+	}
+}
