The version that serves soonest, by what is drawn of each

Nothing served for 5.5 s. After the origin's return hosts waited for their own pauses, up to 1 s, and the origin stood idle while the last chunks of a version spread. Each chunk that others asked for was read back from the engine (a tenth of what a version costs a host), and a staged chunk that turned bad was drawn from others.

Who hears that others' draws succeed ends its pause; manifests are asked for twice as often; a version fetched ahead is drawn as soon as the one before it is. Chunks stay in memory up to the bound that the next version has there, serve others from there and mend what turned bad; a chunk that is laid over and nowhere else is told lost. Ranks are counted in place of sorted; 300 ms in place of 200 between exchanges.

In the harness 428 exchanges a host for 585, last host after 5.85 s for 5.78.

Ruled out: fewer and larger reads of chunks (a pause of 20 ms between reads): more processor time, not less.

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// loaderTick is how often the loader looks at what is wanted and there.
-	loaderTick = 40 * time.Millisecond
+	// loaderTick is how often the loader looks at what is wanted and there, and
+	// settledTick the same while the engine has what is wanted.
+	loaderTick  = 40 * time.Millisecond
+	settledTick = 250 * time.Millisecond
 	// originCopies bounds how many hosts may draw one chunk from the origin where
 	// the first takes long: its link may have become narrow.
 	originCopies = 3
@@ -76,14 +78,25 @@
 func (l *loader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.step(ctx)
+		wait := loaderTick
+		if l.settled() {
+			wait = settledTick
+		}
 		select {
 		case <-ctx.Done():
 		case <-l.guide.changed:
-		case <-l.clock.After(loaderTick):
+		case <-l.clock.After(wait):
 		}
 	}
 }
 
+// settled reports whether the engine has the newest version.
+func (l *loader) settled() bool {
+	newest, ok := l.guide.weights()
+	report, alive := l.watch.report()
+	return ok && alive && report.Loaded[newest.model] >= newest.version
+}
+
 func (l *loader) sleep(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -127,11 +140,13 @@
 // fetch it. A version that the host leaves is still given to others.
 func (l *loader) choose(newest wanted, loaded uint64) wanted {
 	current := l.current.Load()
+	declared := l.guide.declared(newest.model)
 	host := rollout.Fetch{
 		Now: l.clock.Now(), Loaded: loaded, Current: current,
-		Whole: current > 0 && l.mgr.State(versionName(newest.model, current)).Phase() == weights.Whole,
+		Whole:    current > 0 && l.mgr.State(versionName(newest.model, current)).Phase() == weights.Whole,
+		Progress: l.progress(newest.model, declared),
 	}
-	version := rollout.Target(l.guide.declared(newest.model), host, l.limit(), l.move(newest))
+	version := rollout.Target(declared, host, l.limit(), l.move(newest))
 	want := l.guide.version(newest, version)
 	ahead := uint64(0)
 	if newest.version > version && l.stage.fits(newest.chunks*newest.size) {
@@ -158,6 +173,20 @@
 	return want
 }
 
+// progress returns how far the versions are whose manifest is known.
+func (l *loader) progress(model string, declared []rollout.Declared) []rollout.Progress {
+	var found []rollout.Progress
+	for _, decl := range declared {
+		state := l.mgr.State(versionName(model, decl.Version))
+		if total := float64(state.Total()); total > 0 {
+			found = append(found, rollout.Progress{
+				Version: decl.Version, Drawn: float64(state.Drawn()) / total, Held: float64(state.Have()) / total,
+			})
+		}
+	}
+	return found
+}
+
 // The version wanted goes before the one that is fetched ahead.
 const (
 	aheadPriority  = 0
@@ -243,6 +272,7 @@
 	}
 	l.watch.setOrdering(true)
 	// Entries hear that nothing new should come before the engine stops.
+	l.watch.beat()
 	l.sleep(ctx, notice(report))
 	if now, alive := l.watch.report(); !alive || now.Born != report.Born {
 		// One that started again meanwhile may have lost what was read back, and
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -140,9 +140,11 @@
 		LinkShares:  a.linkShares,
 		PutChunk:    a.stage.put,
 		GetChunk:    a.stage.get,
+		ReadBack:    a.stage.readBack,
 		DropChunk:   a.stage.drop,
 		HeldChunks:  a.stage.held,
 	})
+	a.stage.lost = a.mgr.Lost
 	a.loader = &loader{
 		engine: engine, watch: a.watch, guide: a.guide, mgr: a.mgr, stage: a.stage, clock: clock, log: log,
 		self: a.self().GetId(), linkRate: linkRate(set.GetSite()),
@@ -195,7 +197,7 @@
 
 func (a *agent) run(ctx context.Context, lis net.Listener) error {
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterFeed(mux, &feed{watch: a.watch, guide: a.guide, pace: a.pace, clock: a.clock, began: a.clock.Now()}); err != nil {
+	if err := wire.DRPCRegisterFeed(mux, newFeed(a.watch, a.guide, a.pace, a.clock)); err != nil {
 		return failure.Wrap(err, failure.Internal, "cannot register the calls of entries", "report it")
 	}
 	if err := wire.DRPCRegisterHost(mux, &chunkServer{mgr: a.mgr}); err != nil {
--- a/agent/internal/onsite/stage.go
+++ b/agent/internal/onsite/stage.go
@@ -23,25 +23,24 @@
 type stage struct {
 	engine *platform.Engine
 	guide  *guide
+	memory *memory
 	// man returns the manifest of the version wanted; nil while unknown.
 	man func() *wire.Manifest
-	// room bounds the bytes in memory.
-	room int
+	// lost is told the hash of a chunk that is nowhere any more, since another one was
+	// laid over it; nil: nobody is.
+	lost func(hash []byte)
 
 	mu    sync.Mutex
 	index map[digest][]int // where a chunk lies, as far as known
 	at    map[int]digest   // the same by index
-	ahead map[digest][]byte
-	// aheadBytes is the size of ahead, at most room.
-	aheadBytes int
 }
 
 func newStage(engine *platform.Engine, told *guide, room int) *stage {
-	return &stage{engine: engine, guide: told, room: room, index: map[digest][]int{}, at: map[int]digest{}, ahead: map[digest][]byte{}}
+	return &stage{engine: engine, guide: told, memory: newMemory(room), index: map[digest][]int{}, at: map[int]digest{}}
 }
 
 // fits reports whether a version may wait in memory.
-func (s *stage) fits(bytes int) bool { return bytes <= s.room }
+func (s *stage) fits(bytes int) bool { return s.memory.fits(bytes) }
 
 // put lays a chunk at its indexes in the version wanted, or keeps it in memory
 // where that version has none.
@@ -55,96 +54,149 @@
 		if !slices.Equal(other, hash) {
 			continue
 		}
-		if err := s.engine.Stage(ctx, want.model, i, data); err != nil {
+		if err := s.lay(ctx, want.model, i, digest(hash), data); err != nil {
 			return err
 		}
-		s.note(i, digest(hash))
 		staged = true
 	}
 	if staged {
 		return nil
 	}
-	return s.remember(digest(hash), data)
+	return s.memory.wait(digest(hash), data)
 }
 
-func (s *stage) remember(sum digest, data []byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.ahead[sum]; ok {
-		return nil
+// lay stages a chunk at an index.
+func (s *stage) lay(ctx context.Context, model string, index int, sum digest, data []byte) error {
+	if err := s.engine.Stage(ctx, model, index, data); err != nil {
+		return err
 	}
-	if s.aheadBytes+len(data) > s.room {
-		return failure.New(failure.Exhausted, "no room for a version that is not wanted yet", "it is fetched once it is")
-	}
-	s.ahead[sum] = slices.Clone(data)
-	s.aheadBytes += len(data)
+	s.memory.staged(sum, data)
+	s.note(index, sum)
 	return nil
 }
 
-// forget drops a chunk from memory; s.mu is held.
-func (s *stage) forget(sum digest) {
-	s.aheadBytes -= len(s.ahead[sum])
-	delete(s.ahead, sum)
-}
-
-// flush lays what waits in memory of the version wanted beside the engine. What is
-// read back afterwards is what lies there.
+// flush lays what is in memory of the version wanted, and not there yet, beside the
+// engine. What is read back afterwards is what lies there.
 func (s *stage) flush(ctx context.Context) error {
-	for _, hash := range s.man().GetChunkHashes() {
-		s.mu.Lock()
-		data, ok := s.ahead[digest(hash)]
-		s.mu.Unlock()
+	want, ok := s.guide.weights()
+	if !ok {
+		return nil
+	}
+	for i, hash := range s.man().GetChunkHashes() {
+		if s.liesAt(i, digest(hash)) {
+			continue
+		}
+		data, ok := s.memory.get(digest(hash))
 		if !ok {
 			continue
 		}
-		if err := s.put(ctx, hash, data); err != nil {
+		if err := s.lay(ctx, want.model, i, digest(hash), data); err != nil {
 			return err
 		}
-		s.mu.Lock()
-		s.forget(digest(hash))
-		s.mu.Unlock()
 	}
 	return nil
 }
 
-func (s *stage) note(index int, sum digest) {
+func (s *stage) liesAt(index int, sum digest) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, ok := s.at[index]; ok {
+	at, ok := s.at[index]
+	return ok && at == sum
+}
+
+// note remembers what lies at an index, and tells of the chunk that lay there if it is
+// nowhere else: who goes back to a version must know what is left of it.
+func (s *stage) note(index int, sum digest) {
+	s.mu.Lock()
+	old, ok := s.at[index]
+	gone := false
+	if ok && old != sum {
 		s.index[old] = slices.DeleteFunc(s.index[old], func(i int) bool { return i == index })
-		if len(s.index[old]) == 0 {
+		if gone = len(s.index[old]) == 0; gone {
 			delete(s.index, old)
 		}
 	}
-	s.at[index] = sum
-	s.index[sum] = append(s.index[sum], index)
+	if !ok || old != sum {
+		s.at[index] = sum
+		s.index[sum] = append(s.index[sum], index)
+	}
+	s.mu.Unlock()
+	if !gone || s.lost == nil {
+		return
+	}
+	if _, kept := s.memory.get(old); !kept {
+		s.lost(old[:])
+	}
 }
 
-// get reads a chunk back as it lies there now.
-func (s *stage) get(ctx context.Context, hash []byte) ([]byte, error) {
+// places returns the indexes at which a chunk lies.
+func (s *stage) places(sum digest) []int {
 	s.mu.Lock()
-	places := slices.Clone(s.index[digest(hash)])
-	data, waits := s.ahead[digest(hash)]
-	s.mu.Unlock()
-	if waits {
+	defer s.mu.Unlock()
+	return slices.Clone(s.index[sum])
+}
+
+// errNotStaged says that a chunk does not lie beside the engine.
+var errNotStaged = failure.New(failure.NotFound, "the chunk is not staged", "it is fetched again")
+
+// get returns a chunk for others: from memory, or as it lies beside the engine now.
+func (s *stage) get(ctx context.Context, hash []byte) ([]byte, error) {
+	if data, ok := s.memory.get(digest(hash)); ok {
 		return data, nil
 	}
+	return s.readBack(ctx, hash)
+}
+
+// readBack returns a chunk as it lies beside the engine now, which is what the engine
+// loads. Where it turned bad it is laid anew, if it is in memory.
+func (s *stage) readBack(ctx context.Context, hash []byte) ([]byte, error) {
 	want, ok := s.guide.weights()
+	places := s.places(digest(hash))
 	if !ok || len(places) == 0 {
-		return nil, failure.New(failure.NotFound, "the chunk is not staged", "it is fetched again")
+		return nil, errNotStaged
+	}
+	var data []byte
+	for _, index := range places {
+		lies, err := s.readMended(ctx, want.model, index, digest(hash))
+		if err != nil {
+			return nil, err
+		}
+		if data == nil || sha256.Sum256(lies) != digest(hash) {
+			data = lies
+		}
 	}
-	return s.engine.Unstage(ctx, want.model, places[0], manifest.MaxChunkBytes)
+	return data, nil
+}
+
+// readMended reads what lies at an index where the chunk should lie, after it was laid
+// anew if need be.
+func (s *stage) readMended(ctx context.Context, model string, index int, sum digest) ([]byte, error) {
+	lies, err := s.engine.Unstage(ctx, model, index, manifest.MaxChunkBytes)
+	if err != nil && failure.KindOf(err) != failure.NotFound {
+		return nil, err
+	}
+	if err == nil && sha256.Sum256(lies) == sum {
+		return lies, nil
+	}
+	copied, ok := s.memory.get(sum)
+	if !ok {
+		return lies, err
+	}
+	if err := s.engine.Stage(ctx, model, index, copied); err != nil {
+		return nil, err
+	}
+	return s.engine.Unstage(ctx, model, index, manifest.MaxChunkBytes)
 }
 
 // drop forgets a chunk; its bytes stay until others overwrite them.
 func (s *stage) drop(_ context.Context, hash []byte) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, index := range s.index[digest(hash)] {
 		delete(s.at, index)
 	}
 	delete(s.index, digest(hash))
-	s.forget(digest(hash))
+	s.mu.Unlock()
+	s.memory.drop(digest(hash))
 	return nil
 }
 
@@ -164,7 +216,8 @@
 		if err != nil {
 			continue
 		}
-		sum := sha256.Sum256(data)
+		sum := digest(sha256.Sum256(data))
+		s.memory.staged(sum, data)
 		s.note(i, sum)
 		found = append(found, sum[:])
 	}
--- a/agent/internal/onsite/stage_test.go
+++ b/agent/internal/onsite/stage_test.go
@@ -61,8 +61,11 @@
 	if !engine.Lies(chunks[3]) {
 		t.Error("got another thing than version 3 beside the engine")
 	}
-	if got := kept.aheadBytes + len(kept.ahead); got != 0 {
-		t.Errorf("got %d bytes and chunks left in memory, want none", got)
+	if got := len(kept.memory.waiting); got != 0 {
+		t.Errorf("got %d chunks that wait in memory, want none", got)
+	}
+	if got := kept.memory.held(); got > 2*testSize || got != kept.memory.bytes {
+		t.Errorf("got %d bytes in memory, %d counted, want no more than there is room for, as counted", got, kept.memory.bytes)
 	}
 }
 
@@ -90,3 +93,44 @@
 		t.Error("got no engine that loaded both versions: this shows nothing")
 	}
 }
+
+// Symptom: a host that goes back to the version before the newest tells others of chunks
+// that it no longer has, and takes itself for nearly whole. Sequence: chunks of version 3
+// are laid over those of version 2; version 3 can't be had and version 2 is wanted again.
+// Cause: nobody was told what a chunk was laid over.
+func TestChunkThatIsLaidOverIsLost(t *testing.T) {
+	engine := platformtest.NewEngine(testModel, 1, nil)
+	host := httptest.NewServer(engine)
+	defer host.Close()
+	chunks := map[uint64][][]byte{2: platformtest.Chunks(2, 3, testSize), 3: platformtest.Chunks(3, 3, testSize)}
+	manifests := map[uint64]*wire.Manifest{2: {}, 3: {}}
+	for version, list := range chunks {
+		for _, chunk := range list {
+			sum := sha256.Sum256(chunk)
+			manifests[version].ChunkHashes = append(manifests[version].ChunkHashes, sum[:])
+		}
+	}
+	told := newGuide()
+	told.hear(time.Now(), &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3}}})
+	kept := newStage(platform.NewEngine(host.URL, host.Client()), told, 0)
+	wanted := uint64(2)
+	kept.man = func() *wire.Manifest { return manifests[wanted] }
+	var lost [][]byte
+	kept.lost = func(hash []byte) { lost = append(lost, hash) }
+	put := func(version uint64, i int) {
+		wanted = version
+		if err := kept.put(t.Context(), manifests[version].ChunkHashes[i], chunks[version][i]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(2, 0)
+	put(2, 1)
+	put(2, 1)
+	if len(lost) != 0 {
+		t.Errorf("got %d chunks lost while one version was staged, want none", len(lost))
+	}
+	put(3, 1)
+	if len(lost) != 1 || !bytes.Equal(lost[0], manifests[2].ChunkHashes[1]) {
+		t.Errorf("got %x lost, want the chunk that was laid over alone", lost)
+	}
+}
--- a/agent/internal/weights/manager.go
+++ b/agent/internal/weights/manager.go
@@ -72,6 +72,9 @@
 	// GetChunk reads kept bytes back; an error of kind failure.NotFound says
 	// that the host no longer has them.
 	GetChunk func(ctx context.Context, hash []byte) ([]byte, error)
+	// ReadBack is GetChunk as the host would use the bytes now, where GetChunk may
+	// answer from elsewhere; nil stands for GetChunk.
+	ReadBack func(ctx context.Context, hash []byte) ([]byte, error)
 	// DropChunk forgets kept bytes.
 	DropChunk func(ctx context.Context, hash []byte) error
 	// HeldChunks lists the hashes kept; their bytes are verified again before
@@ -141,6 +144,9 @@
 	if cfg.MaxBackoff <= 0 {
 		cfg.MaxBackoff = maxOriginRetry
 	}
+	if cfg.ReadBack == nil {
+		cfg.ReadBack = cfg.GetChunk
+	}
 	if cfg.Source.Verify == nil {
 		cfg.Source.Decode, cfg.Source.Verify = manifest.Decode, manifest.Verify
 	}
@@ -274,7 +280,7 @@
 // not what their hash names; those are fetched again.
 func (m *Manager) Recheck(ctx context.Context, version string) (bad int, err error) {
 	for _, hash := range m.Manifest(version).GetChunkHashes() {
-		if _, err := m.store.get(ctx, chunkHash(hash)); err == nil {
+		if _, err := m.store.readBack(ctx, chunkHash(hash)); err == nil {
 			continue
 		} else if kind := failure.KindOf(err); kind != failure.Corrupt && kind != failure.NotFound {
 			return bad, err
--- a/agent/internal/weights/manifests.go
+++ b/agent/internal/weights/manifests.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"comfreyrelay.example/relay/failure"
@@ -38,7 +37,7 @@
 // against the version, until that succeeds or ctx is done.
 func (t *transfer) fetchManifest(ctx context.Context) error {
 	began := t.now()
-	pause := originRetry
+	pause := min(originRetry, t.mgr.cfg.MaxBackoff/2)
 	nextDraw := began
 	for {
 		if t.drawsManifest(began) && !t.now().Before(nextDraw) {
@@ -46,7 +45,9 @@
 				return nil
 			}
 			nextDraw = t.now().Add(pause + rand.N(pause))
-			pause = min(2*pause, t.mgr.cfg.MaxBackoff)
+			// All hosts wait for a manifest, and few draw it: they ask more often than
+			// those who draw chunks.
+			pause = min(2*pause, t.mgr.cfg.MaxBackoff/2)
 		}
 		patience := manifestTimeout
 		if t.drawsManifest(began) {
@@ -61,19 +62,23 @@
 	}
 }
 
-// manifestRanks returns the ids of the hosts by their right to draw it.
-func (t *transfer) manifestRanks() []string {
-	ids := []string{t.mgr.cfg.Self.GetId()}
-	for _, pee := range t.mgr.peers() {
+// manifestKey is what hosts are ranked for by their right to draw the manifest.
+func (t *transfer) manifestKey() string { return "manifest/" + t.version }
+
+// peerIDs returns the ids of the other hosts.
+func (t *transfer) peerIDs() []string {
+	peers := t.mgr.peers()
+	ids := make([]string, 0, len(peers))
+	for _, pee := range peers {
 		ids = append(ids, pee.ID)
 	}
-	return rendezvous.Top("manifest/"+t.version, ids, len(ids))
+	return ids
 }
 
 // drawsManifest reports whether this host may ask the origin: an owner at once,
 // the others by rank after a while, so that they do not come together.
 func (t *transfer) drawsManifest(began time.Time) bool {
-	rank := slices.Index(t.manifestRanks(), t.mgr.cfg.Self.GetId())
+	rank := rendezvous.Rank(t.manifestKey(), t.mgr.cfg.Self.GetId(), t.peerIDs())
 	if rank < manifestOwners {
 		return true
 	}
@@ -124,14 +129,14 @@
 // it wait: a host that draws the manifest itself has no longer patience than until
 // its next draw.
 func (t *transfer) manifestFromPeer(ctx context.Context, patience time.Duration) error {
-	ranks := t.manifestRanks()
-	ranks = slices.DeleteFunc(ranks, func(id string) bool { return id == t.mgr.cfg.Self.GetId() })
-	if len(ranks) == 0 {
+	peers := t.peerIDs()
+	if len(peers) == 0 {
 		return failure.New(failure.NotFound, "no peer is known", "wait for the list of hosts")
 	}
-	id := ranks[rand.IntN(len(ranks))]
+	id := peers[rand.IntN(len(peers))]
 	if rand.IntN(2) == 0 {
-		id = ranks[rand.IntN(min(manifestOwners, len(ranks)))]
+		owners := rendezvous.Top(t.manifestKey(), peers, manifestOwners)
+		id = owners[rand.IntN(len(owners))]
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
--- a/agent/internal/weights/serve.go
+++ b/agent/internal/weights/serve.go
@@ -139,6 +139,12 @@
 	return t.core.HeldBy(id)
 }
 
+// Lost notes that the host no longer has a chunk: its store laid another one over it.
+func (m *Manager) Lost(hash []byte) {
+	m.store.forget(chunkHash(hash))
+	m.shareLoss(chunkHash(hash))
+}
+
 // shareLoss tells every version that the host no longer has the chunk.
 func (m *Manager) shareLoss(hash chunkHash) {
 	for _, trans := range m.allTransfers() {
--- a/agent/internal/weights/state.go
+++ b/agent/internal/weights/state.go
@@ -13,6 +13,7 @@
 	phase  string // Absent, Fetching, Whole or Failed
 	have   int    // chunks verified and kept, at most total
 	total  int    // 0 while the manifest is unknown
+	drawn  int    // chunks that left the origin, as far as known
 	holdUp string // why it stands still; empty otherwise
 }
 
@@ -26,5 +27,8 @@
 // Total returns the chunks of the version; 0 while its manifest is unknown.
 func (s State) Total() int { return s.total }
 
+// Drawn returns the chunks that left the origin, as far as this host knows.
+func (s State) Drawn() int { return s.drawn }
+
 // HoldUp returns why the version stands still; empty otherwise.
 func (s State) HoldUp() string { return s.holdUp }
--- a/agent/internal/weights/store.go
+++ b/agent/internal/weights/store.go
@@ -82,7 +82,16 @@
 // not this process's: a corrupt chunk would spread to every peer that asks. One
 // that fails is dropped, so that it is fetched anew.
 func (s *store) get(ctx context.Context, hash chunkHash) ([]byte, error) {
-	data, err := s.cfg.GetChunk(ctx, hash[:])
+	return s.read(ctx, hash, s.cfg.GetChunk)
+}
+
+// readBack is get for bytes as the host would use them now.
+func (s *store) readBack(ctx context.Context, hash chunkHash) ([]byte, error) {
+	return s.read(ctx, hash, s.cfg.ReadBack)
+}
+
+func (s *store) read(ctx context.Context, hash chunkHash, from func(context.Context, []byte) ([]byte, error)) ([]byte, error) {
+	data, err := from(ctx, hash[:])
 	if err != nil {
 		return nil, err
 	}
@@ -97,6 +106,13 @@
 	return data, nil
 }
 
+// forget notes that a chunk is not kept any more.
+func (s *store) forget(hash chunkHash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.verified, hash)
+}
+
 func (s *store) drop(ctx context.Context, hash chunkHash) {
 	if err := s.cfg.DropChunk(ctx, hash[:]); err != nil {
 		s.log.Debug("a chunk could not be dropped", "error", err)
--- a/agent/internal/weights/targets.go
+++ b/agent/internal/weights/targets.go
@@ -122,12 +122,14 @@
 	}
 }
 
-// outranked reports whether a target of higher priority still makes progress.
-func (m *Manager) outranked(priority int) bool {
+// outranked reports whether a target of higher priority still makes progress, and
+// whether the origin sends it yet. Once it does not, the origin is free for the next one:
+// it stood idle for the second in which the last chunks of a version spread.
+func (m *Manager) outranked(priority int) (outranked, draws bool) {
 	for _, trans := range m.allTransfers() {
-		if trans.advancing() > priority {
-			return true
+		if rank, drawing := trans.advancing(); rank > priority {
+			outranked, draws = true, draws || drawing
 		}
 	}
-	return false
+	return outranked, draws
 }
--- a/agent/internal/weights/transfer.go
+++ b/agent/internal/weights/transfer.go
@@ -209,7 +209,7 @@
 
 // step lets the core decide and does what it says.
 func (t *transfer) step(ctx context.Context) {
-	outranked := t.mgr.outranked(t.rank())
+	outranked, draws := t.mgr.outranked(t.rank())
 	load := t.mgr.uploads.load()
 	now := t.now()
 	// The list is read before t.mu is taken: the Manager takes its own lock
@@ -226,7 +226,12 @@
 		t.core.SetPeers(now, list)
 	}
 	t.core.SetUploads(load)
-	t.core.SetPaused(t.passive || outranked)
+	t.core.SetPaused(t.passive || outranked && draws)
+	t.core.SetPullFrom(t.pullFrom)
+	if outranked {
+		// The links between hosts are for the other version.
+		t.core.SetPullFrom(later(t.pullFrom, now.Add(tickInterval)))
+	}
 	t.core.SetMaxFetches(t.maxFetches(t.man))
 	for _, act := range t.core.Decide(now) {
 		t.perform(ctx, act)
@@ -281,14 +286,22 @@
 	return t.priority
 }
 
-// advancing returns the priority of a target that gains chunks; -1 for others.
-func (t *transfer) advancing() int {
+// advancing returns the priority of a target that gains chunks, -1 for others, and
+// whether some of its chunks have not left the origin yet.
+func (t *transfer) advancing() (priority int, draws bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.passive || t.failed || t.holdUp() != "" || (t.core != nil && t.core.Whole()) {
-		return -1
+		return -1, false
 	}
-	return t.priority
+	return t.priority, t.core == nil || t.core.Drawn() < len(t.man.GetChunkHashes())
+}
+
+func later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
 }
 
 func (t *transfer) whole() bool {
@@ -312,7 +325,7 @@
 	if t.core == nil {
 		return State{phase: Fetching, holdUp: t.holdUp()}
 	}
-	st := State{phase: Fetching, have: t.core.Held(), total: len(t.man.GetChunkHashes())}
+	st := State{phase: Fetching, have: t.core.Held(), total: len(t.man.GetChunkHashes()), drawn: t.core.Drawn()}
 	if t.core.Whole() {
 		st.phase = Whole
 		return st
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -89,6 +89,14 @@
 	maxPenalty    = time.Minute
 	originBackoff = 500 * time.Millisecond // pause after a failed draw; doubles
 	maxBackoff    = 15 * time.Second
+	// oldNews is how long after a draw failed the news of chunks drawn may be older.
+	oldNews = 300 * time.Millisecond
+	// shortBackoff is the Config.MaxBackoff up to which an origin can bear to be asked by
+	// all whose pause ends at once.
+	shortBackoff = time.Second
+	// rejoinSpread is the time in which those come back who hear that the origin
+	// answers again.
+	rejoinSpread = 100 * time.Millisecond
 	// minTurn is the least time that an owner has before the next in rank asks
 	// after it; maxTurn the greatest.
 	minTurn = 500 * time.Millisecond
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -47,6 +47,7 @@
 	lostScan   time.Time      // no look for lost chunks before
 	intended   *bitset.BitSet // to be drawn here once the origin may be asked again
 	originFail int            // draws failed in a row
+	originAt   time.Time      // when the last of them did
 	imports    *imports
 	pullFrom   time.Time // no fetch from peers before; zero: at once
 
@@ -98,6 +99,9 @@
 // Held returns the number of chunks held.
 func (c *Core) Held() int { return int(c.held.Count()) }
 
+// Drawn returns the number of chunks that some host drew, as far as known.
+func (c *Core) Drawn() int { return int(c.drawn.Count()) }
+
 // Holds reports whether the chunk is held.
 func (c *Core) Holds(chunk int) bool { return c.held.Test(uint(chunk)) }
 
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -271,15 +271,23 @@
 		return owners
 	}
 	key := rendezvous.Mix(c.versionSeed + uint64(chunk))
-	ranked := []scoredPeer{{score: rendezvous.Score(key, c.selfSeed)}}
+	best := make([]scoredPeer, 0, ownerRanks+1)
+	insert := func(one scoredPeer) {
+		if len(best) == ownerRanks && one.score <= best[ownerRanks-1].score {
+			return
+		}
+		at, _ := slices.BinarySearchFunc(best, one, byScore)
+		best = slices.Insert(best, at, one)
+		best = best[:min(ownerRanks, len(best))]
+	}
+	insert(scoredPeer{score: rendezvous.Score(key, c.selfSeed)})
 	for _, pst := range c.order {
 		if pst.listed {
-			ranked = append(ranked, scoredPeer{score: rendezvous.Score(key, pst.seed), pst: pst})
+			insert(scoredPeer{score: rendezvous.Score(key, pst.seed), pst: pst})
 		}
 	}
-	slices.SortFunc(ranked, byScore)
-	owners := make([]*peerState, 0, ownerRanks)
-	for _, entry := range ranked[:min(ownerRanks, len(ranked))] {
+	owners := make([]*peerState, 0, len(best))
+	for _, entry := range best {
 		owners = append(owners, entry.pst)
 	}
 	c.owners[chunk] = owners
@@ -329,6 +337,7 @@
 	}
 	pause := min(originBackoff<<min(c.originFail, 8), c.cfg.MaxBackoff)
 	c.originFail++
+	c.originAt = now
 	pause = max(pause, retryAfter)
 	jitter := time.Duration(c.rng.Int64N(int64(pause)/2 + 1))
 	c.originWait = now.Add(pause + jitter)
--- a/relay/burst/learn.go
+++ b/relay/burst/learn.go
@@ -124,9 +124,23 @@
 		c.stats.AllDrawn = now
 	}
 	c.drawScan = now
+	c.originAnswers(now)
 	c.pace.note(now, fresh)
 }
 
+// originAnswers ends the pause of a host whose draws failed, once it hears that others'
+// draw succeeds: hosts that each waited for their own pause to end left an origin that
+// was back idle for half a second. What left the origin before it failed is still told
+// for a while. Where pauses are long, others have taken over by then and each chunk would
+// be drawn twice.
+func (c *Core) originAnswers(now time.Time) {
+	if c.originFail == 0 || now.Sub(c.originAt) < oldNews || c.cfg.MaxBackoff > shortBackoff {
+		return
+	}
+	c.originFail = 0
+	c.originWait = now.Add(time.Duration(c.rng.Int64N(int64(rejoinSpread))))
+}
+
 // Unreachable notes that an exchange with the peer failed.
 func (c *Core) Unreachable(now time.Time, id string) {
 	pst := c.peers[id]
--- a/relay/burst/regions.go
+++ b/relay/burst/regions.go
@@ -16,8 +16,10 @@
 	regionNear = 6
 	regionFar  = 4
 	// regionNews is the time between exchanges with a neighbour while there is
-	// news: with few neighbours, each is the only way to what it holds.
-	regionNews = 200 * time.Millisecond
+	// news: with few neighbours, each is the only way to what it holds. Of 235 hosts the
+	// last is whole after 5.78, 5.85 and 6.14 s with 200, 300 and 400 ms, at 585, 428 and
+	// 362 exchanges a host.
+	regionNews = 300 * time.Millisecond
 	// importTurn is how long the next host of a region waits at least until it
 	// fetches a chunk from another region in place of the host before it in
 	// rank, and importFetches the same in measured fetch times: one slow host
--- a/relay/rendezvous/rendezvous.go
+++ b/relay/rendezvous/rendezvous.go
@@ -28,14 +28,36 @@
 
 // Top returns the n best nodes for the key, best first.
 func Top(key string, nodes []string, n int) []string {
+	type scored struct {
+		score uint64
+		node  string
+	}
 	seed := Seed(key)
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(left, right string) int {
-		order := cmp.Compare(Score(seed, Seed(right)), Score(seed, Seed(left)))
-		if order != 0 {
-			return order
-		}
-		return cmp.Compare(left, right)
+	ranked := make([]scored, 0, len(nodes))
+	for _, node := range nodes {
+		ranked = append(ranked, scored{Score(seed, Seed(node)), node})
+	}
+	slices.SortFunc(ranked, func(left, right scored) int {
+		return cmp.Or(cmp.Compare(right.score, left.score), cmp.Compare(left.node, right.node))
 	})
-	return ranked[:min(n, len(ranked))]
+	best := make([]string, 0, min(n, len(ranked)))
+	for _, one := range ranked[:min(n, len(ranked))] {
+		best = append(best, one.node)
+	}
+	return best
+}
+
+// Rank returns how many nodes go before the given one for the key; it need not be among
+// them.
+func Rank(key, node string, nodes []string) int {
+	seed := Seed(key)
+	own := Score(seed, Seed(node))
+	rank := 0
+	for _, other := range nodes {
+		score := Score(seed, Seed(other))
+		if score > own || score == own && other < node {
+			rank++
+		}
+	}
+	return rank
 }
--- a/relay/rendezvous/rendezvous_test.go
+++ b/relay/rendezvous/rendezvous_test.go
@@ -41,3 +41,12 @@
 		}
 	}
 }
+
+func TestRankIsThePlaceInTop(t *testing.T) {
+	all := nodes(30)
+	for place, node := range Top("key", all, len(all)) {
+		if got := Rank("key", node, all); got != place {
+			t.Errorf("%s: got rank %d, want %d", node, got, place)
+		}
+	}
+}
--- a/relay/rollout/wave.go
+++ b/relay/rollout/wave.go
@@ -80,51 +80,6 @@
 	return deadline, ok
 }
 
-// Fetch is how far a host is with its versions.
-type Fetch struct {
-	Now     time.Time
-	Loaded  uint64 // 0: none
-	Current uint64 // being fetched
-	Whole   bool   // the current one lies ready to be loaded
-}
-
-// leastUse is the time for which a version should be usable once it is loaded: a
-// load takes a host half a second or more, and the next one waits for it.
-const leastUse = time.Second
-
-// Target returns the version to fetch. A newer one replaces the one that is
-// being fetched, unless it would be loaded too late by a host whose loaded version
-// ends before: that host takes both. To have it whole by then is not enough: 19
-// hosts that left a version nearly whole for one named 3 s later, whose origin went
-// away, served nothing for 5 s. Once the loaded version has ended, the one being
-// fetched is taken only if it lies ready and stays usable for a while.
-func Target(history []Declared, host Fetch, bound time.Duration, move Move) uint64 {
-	newest, newer := Declared{}, 0
-	for _, decl := range history {
-		if decl.Version > newest.Version {
-			newest = decl
-		}
-		if decl.Version > host.Current {
-			newer++
-		}
-	}
-	deadline, ends := Deadline(history, host.Loaded, bound)
-	if host.Current <= host.Loaded || newer != 1 || !ends || host.Loaded == 0 {
-		return newest.Version
-	}
-	if !newest.At.Add(move.whole(usualSpread) + move.Load + margin).After(deadline) {
-		return newest.Version
-	}
-	currentEnds, _ := Deadline(history, host.Current, bound)
-	if host.Now.Add(move.Load + leastUse).After(currentEnds) {
-		return newest.Version
-	}
-	if !host.Whole && host.Now.After(deadline) {
-		return newest.Version
-	}
-	return host.Current
-}
-
 // PullDelay returns how long a host at the place leaves the links to those
 // before it.
 func PullDelay(move Move, place float64) time.Duration {
@@ -160,10 +115,9 @@
 // Place returns the host's place among all, 0 to 1. It is the same for every
 // version, so that who loads one early fetches the next one early.
 func Place(host string, hosts []string) float64 {
-	all := hosts
-	if !slices.Contains(all, host) {
-		all = append(slices.Clone(all), host)
+	count := len(hosts)
+	if !slices.Contains(hosts, host) {
+		count++
 	}
-	ranked := rendezvous.Top("rollout", all, len(all))
-	return float64(slices.Index(ranked, host)) / float64(len(ranked))
+	return float64(rendezvous.Rank("rollout", host, hosts)) / float64(count)
 }
--- a/relay/rollout/wave_test.go
+++ b/relay/rollout/wave_test.go
@@ -56,6 +56,7 @@
 			if td.HasArg("now") {
 				host.Now = at(arg("now"))
 			}
+			host.Progress = progressOf(t, td)
 			return fmt.Sprint(rollout.Target(history, host, bound, move))
 		case "start":
 			deadline, ok := rollout.Deadline(history, uint64(arg("loaded")), bound)
@@ -70,6 +71,24 @@
 	})
 }
 
+// progressOf reads "progress=(VERSION:DRAWN:HELD, ...)".
+func progressOf(t *testing.T, td *datadriven.TestData) []rollout.Progress {
+	var found []rollout.Progress
+	for _, arg := range td.CmdArgs {
+		if arg.Key != "progress" {
+			continue
+		}
+		for _, text := range arg.Vals {
+			var one rollout.Progress
+			if _, err := fmt.Sscanf(text, "%d:%f:%f", &one.Version, &one.Drawn, &one.Held); err != nil {
+				t.Fatalf("%s: %v", text, err)
+			}
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
 // TestTurnsAreSpreadAndKeepTheDeadline: three hosts of four begin in time for the
 // deadline, and no two neighbours in the order begin together.
 func TestTurnsAreSpreadAndKeepTheDeadline(t *testing.T) {
