Before a version's end all who send to an engine may, while there is time

Cause: from 2.5 to 1.2 s before a version's end an engine that has it got requests from the one entry that it is home to. With one or two homes an entry, half of what was asked in these seconds was refused beside free slots.

Change: the other senders, three at most, go on while three times the expected time of a first event and half a second are left. The home as before.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -107,6 +107,7 @@
 	if x.adm.Engine != nil {
 		need.Floor = g.floor(x.req.Model)
 		need.SoonFloor = g.cfg.State.Floor(x.req.Model, g.cfg.Bounds().Version-soonMargin)
+		need.Ends = g.cfg.State.Ends(x.req.Model, need.SoonFloor, g.cfg.Bounds().Version)
 		want, _ := g.cfg.State.WantedOf(x.req.Model)
 		need.Wanted = want.Version
 	}
--- a/relay/fleet/heard_test.go
+++ b/relay/fleet/heard_test.go
@@ -145,3 +145,46 @@
 		}
 	}
 }
+
+// Symptom: for a second and a half before a version ends half of what is asked is refused,
+// beside engines with free slots. Sequence: all engines have the version that ends; each
+// entry is home to one or two of them, and only a home sends there. Cause: others were
+// kept away for as long as for the last moments, though three of them at most send to an
+// engine and what they send begins within half a second.
+func TestOthersSendToAnEngineWhoseVersionEndsWhileThereIsTime(t *testing.T) {
+	for _, one := range []struct {
+		name   string
+		ends   time.Duration
+		unread int
+		delay  time.Duration
+		want   fleet.Verdict
+	}{
+		{"two seconds", 2 * time.Second, 400, 0, fleet.Granted},
+		{"nearly over", 600 * time.Millisecond, 400, 0, fleet.Full},
+		{"behind others", 2 * time.Second, 1200, 0, fleet.Full},
+		{"heard late", 2 * time.Second, 400, 683 * time.Millisecond, fleet.Full},
+	} {
+		w := newWorld()
+		for i := range 3 {
+			w.engine(i, 1)
+			w.state(i, fleet.EngineState{Alive: true, Running: 16})
+		}
+		w.deal("d1", "self", "self", "a", "b")
+		// One of the three is home to this entry: it is full.
+		for i := range 3 {
+			ask := need
+			ask.SoonFloor, ask.Unread, ask.Ends = 2, 4000, one.ends
+			w.state(i, fleet.EngineState{Alive: true, Running: 3, Reading: one.unread, Delay: one.delay})
+			grant, got := w.fleet.Group("llm").Pick(ask)
+			if grant != nil && grant.Home() {
+				grant.Done(fleet.Served)
+				w.state(i, fleet.EngineState{Alive: true, Running: 16})
+				continue
+			}
+			if got != one.want {
+				t.Errorf("%s: got verdict %v, want %v", one.name, got, one.want)
+			}
+			w.state(i, fleet.EngineState{Alive: true, Running: 16})
+		}
+	}
+}
--- a/relay/fleet/pick.go
+++ b/relay/fleet/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyrelay.example/relay/deal"
+	"comfreyrelay.example/relay/engine"
 )
 
 // What choices weigh, in milliseconds of waiting.
@@ -40,6 +41,12 @@
 	// soonUnread is the prompt tokens that may wait at an engine whose version
 	// ends shortly: about two passes.
 	soonUnread = 1500
+	// endReserve is left until a version's end beside the time in which its engines
+	// begin what is sent there: for links, processors and clocks.
+	endReserve = 500 * time.Millisecond
+	// sendersAtOnce is the entries that may send to an engine before each hears of
+	// the others' requests.
+	sendersAtOnce = 3
 	// plainCost is what one request in progress at a plain endpoint weighs.
 	plainCost = 10.0
 )
@@ -61,10 +68,11 @@
 	Floor uint64
 	// SoonFloor will be the floor shortly: an engine below it gets only what it
 	// begins at once, since what waits there would begin on an old version, and
-	// that from the entry that it is home to, and only while that one hears it in
-	// time: others see what it has too late, and what stands in a narrow link
-	// reaches it after the end.
+	// only from entries that hear it in time: what stands in a narrow link reaches
+	// it after the end. Near the end that is the entry that it is home to alone.
 	SoonFloor uint64
+	// Ends is the time until engines below SoonFloor may begin nothing any more.
+	Ends time.Duration
 	// Wanted is the version that every engine should come to; 0 where unknown.
 	Wanted uint64
 	// Again: the request goes on after another endpoint.
@@ -190,7 +198,7 @@
 	}
 	unread := end.unread(now)
 	if end.version(now, need.Model) < need.SoonFloor {
-		return end.reach == deal.Home && end.heard(now) && (unread <= 0 || unread+need.Prompt <= soonUnread && end.state.Queued == 0)
+		return g.beginsSoon(end, need, now, unread)
 	}
 	if end.reach != deal.Home && !need.Again {
 		need.Unread = int(awayUnread * float64(need.Unread))
@@ -198,6 +206,28 @@
 	return unread <= 0 || unread+need.Prompt <= need.Unread
 }
 
+// beginsSoon reports whether an engine whose version ends shortly would begin the
+// request before. Up to three entries send to an engine; one that is not its home
+// leaves time for what all of them send at the same moment. While its home alone sent
+// there, half of what was asked in the second and a half before an end was refused
+// beside engines with free slots.
+func (g *Group) beginsSoon(end *endpoint, need Need, now time.Time, unread int) bool {
+	if !end.heard(now) || unread > 0 && (unread+need.Prompt > soonUnread || end.state.Queued > 0) {
+		return false
+	}
+	switch end.reach {
+	case deal.Home:
+		return true
+	case deal.Near:
+		begins := engine.FirstEvent(g.engine, end.state.Running+1, unread+need.Prompt)
+		if end.state.Pace > 1 {
+			begins = time.Duration(end.state.Pace * float64(begins))
+		}
+		return need.Ends > sendersAtOnce*begins+endReserve
+	}
+	return false
+}
+
 // score orders the endpoints that have room by the wait to be expected there;
 // the least is best.
 func (g *Group) score(end *endpoint, need Need, now time.Time, occupied int) float64 {
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -115,6 +115,21 @@
 	return rollout.Floor(s.history[model], now, bound)
 }
 
+// Ends returns the time until versions of a model before the one given may not be used
+// any more, where a newer one must be in use the bound after its declaration; 0 where
+// that is over or unknown.
+func (s *State) Ends(model string, version uint64, bound time.Duration) time.Duration {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, decl := range s.history[model] {
+		if decl.Version == version {
+			return max(0, decl.At.Add(bound).Sub(now))
+		}
+	}
+	return 0
+}
+
 // Lost notes that the store does not answer: registrations that lapse now may
 // be back after it returns.
 func (s *State) Lost() { s.settle() }
