Sight: the log shows that a request came again and which endpoints ended

Change: attempts and answers bear the fingerprint of what was asked (customer, method, host, path with query, body). After a break the entry looks at the endpoint, by a connection that it kept or a new one, which the next request uses, and writes one line: ended or not, and who was in progress there.

--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -59,7 +59,7 @@
 		"request", x.req.ID, "send", x.sends, "endpoint", grant.ID(), "address", grant.Address(),
 		"outcome", outcome.String(), "occupied", grant.Occupied(), "unread", grant.Unread(), "home", grant.Home(),
 		"stateAgeMillis", grant.StateAge().Milliseconds(), "delayMillis", grant.Delay().Milliseconds(),
-		"version", grant.Version(), "events", x.events,
+		"version", grant.Version(), "events", x.events, "print", x.print,
 	}
 }
 
@@ -85,7 +85,7 @@
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "service", x.service, "sends", x.sends,
 			"events", x.events, "firstMillis", x.firstEvent.Milliseconds(), "pauseMillis", x.longest.Milliseconds(), "returned", x.adm.Returned,
-			"targetMillis", x.route.Target.Milliseconds(), "gapMillis", x.route.Gap.Milliseconds())
+			"targetMillis", x.route.Target.Milliseconds(), "gapMillis", x.route.Gap.Milliseconds(), "print", x.print)
 	}
 	if x.catalog != nil {
 		fields = append(fields, "catalog", x.catalog.Version())
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"comfreyrelay.example/relay/call"
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/quarantine"
 	"comfreyrelay.example/relay/retry"
 	"comfreyrelay.example/relay/site"
 )
@@ -78,14 +79,18 @@
 	figures  figures
 	callers  admission.Callers
 
-	mu      sync.Mutex
-	budgets map[string]*retry.Window // by service
-	lines   map[string]*line         // by service
+	mu       sync.Mutex
+	budgets  map[string]*retry.Window // by service
+	lines    map[string]*line         // by service
+	inquests inquests
 }
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, budgets: map[string]*retry.Window{}, lines: map[string]*line{}}
+	return &Gateway{
+		cfg: cfg, budgets: map[string]*retry.Window{}, lines: map[string]*line{},
+		inquests: inquests{pool: cfg.Pool, clock: cfg.Clock, log: cfg.Log, open: map[fleet.Incarnation]*inquest{}},
+	}
 }
 
 // Leave makes callers leave their connections after the next answer that begins.
@@ -143,7 +148,11 @@
 	if refused := g.route(x); refused != nil {
 		return refused
 	}
-	return g.readBody(x, r)
+	if refused := g.readBody(x, r); refused != nil {
+		return refused
+	}
+	x.print = quarantine.Of(x.customerName(), req.Method, req.Host, req.Target, req.Body)
+	return nil
 }
 
 // route finds the request's route and customer. What is refused for good must
@@ -232,9 +241,11 @@
 	adm      admission.Request // what decides when and where it goes
 	age      time.Duration     // of the knowledge that decided
 	held     int64             // bytes of body counted
+	print    quarantine.Fingerprint
 
 	tries        []fleet.Incarnation // endpoints that had the request
 	sends        int                 // that reached an endpoint
+	sentAt       time.Time           // when the newest one went out
 	runs         int                 // sends that may have run and did not serve
 	mayRun       bool                // an endpoint may have run it
 	mightHaveRun bool                // the same before the newest attempt
--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -31,9 +31,11 @@
 type endpoint struct {
 	id      string
 	address string
-	mu      sync.Mutex
-	answers []func(id string) []byte
-	seen    []*http.Request
+	// listener is closed where the endpoint ends.
+	listener net.Listener
+	mu       sync.Mutex
+	answers  []func(id string) []byte
+	seen     []*http.Request
 	// accepted is called with mu held for each connection; may be nil.
 	accepted func()
 }
@@ -45,7 +47,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = lis.Close() })
-	end := &endpoint{id: id, address: lis.Addr().String(), answers: answers}
+	end := &endpoint{id: id, address: lis.Addr().String(), answers: answers, listener: lis}
 	go func() {
 		for {
 			conn, err := lis.Accept()
@@ -161,6 +163,7 @@
 	now     time.Duration // of the freshness clock
 	state   *site.State
 	gateway *gateway.Gateway
+	log     *output
 	server  *httptest.Server
 	ids     int
 }
@@ -175,7 +178,7 @@
 
 func newHouse(t *testing.T, endpoints ...*endpoint) *house {
 	t.Helper()
-	h := &house{clock: clockwork.NewFakeClock()}
+	h := &house{clock: clockwork.NewFakeClock(), log: &output{}}
 	fresh := freshness.NewTracker(func() time.Duration { return h.now })
 	h.state = site.NewState(h.clock.Now, fleet.New(h.clock.Now), fresh)
 	spec := catalog.Spec{Version: 1, Services: []catalog.Service{{Name: "app"}}, Limits: catalog.Limits{BodyBytes: 100},
@@ -195,7 +198,7 @@
 	fresh.Prove(0)
 	h.gateway = gateway.New(gateway.Config{
 		State: h.state, Pool: upstream.NewPool(time.Now), Wire: platform.Wire(), Clock: h.clock,
-		Log: slog.New(slog.DiscardHandler),
+		Log: slog.New(slog.NewTextHandler(h.log, nil)),
 		Bounds: func() gateway.Bounds {
 			return gateway.Bounds{Revoke: 4 * time.Second, Apply: 2 * time.Second, Version: 8 * time.Second, Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
 		},
--- /dev/null
+++ b/entry/internal/gateway/inquest.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/entry/internal/upstream"
+	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/quarantine"
+)
+
+const (
+	// inquestWait is how long requests that broke at one endpoint are collected before it
+	// is looked at: those that an end cuts off break within a few milliseconds.
+	inquestWait = 30 * time.Millisecond
+	// lookTimeout bounds the look at an endpoint beside the time of a connection.
+	lookTimeout = time.Second
+	// maxInquests bounds the endpoints that are looked at at once. Where all hosts of a
+	// domain lose power an entry loses those it sends to, a few tens.
+	maxInquests = 256
+	// maxSuspects bounds the requests that are remembered of one end, above the slots and
+	// the queue of an endpoint.
+	maxSuspects = 64
+)
+
+// suspect is a request in progress at an endpoint when its connection broke.
+type suspect struct {
+	print  quarantine.Fingerprint
+	id     string
+	ran    time.Duration // since it was sent there
+	events int
+}
+
+func (x *exchange) suspect() suspect {
+	return suspect{print: x.print, id: x.req.ID, ran: x.gateway.cfg.Clock.Since(x.sentAt), events: x.events}
+}
+
+// inquests find out whether endpoints ended under the requests that broke there: a broken
+// connection alone is the network's as often as the endpoint's. They are safe for
+// concurrent use.
+type inquests struct {
+	pool  *upstream.Pool
+	clock clockwork.Clock
+	log   *slog.Logger
+
+	mu   sync.Mutex
+	open map[fleet.Incarnation]*inquest
+}
+
+// inquest is on one endpoint; its inquests' lock guards it.
+type inquest struct {
+	grant    *fleet.Grant // of the first that broke
+	suspects []suspect
+	left     int // suspects beyond the bound
+}
+
+// add takes in a request that broke at an endpoint.
+func (q *inquests) add(grant *fleet.Grant, one suspect) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	found := q.open[grant.Incarnation()]
+	if found == nil {
+		if len(q.open) >= maxInquests {
+			q.log.Warn("an endpoint is not looked at, too many broke", "endpoint", grant.ID(), "request", one.id)
+			return
+		}
+		found = &inquest{grant: grant}
+		q.open[grant.Incarnation()] = found
+		go q.hold(found)
+	}
+	if len(found.suspects) >= maxSuspects {
+		found.left++
+		return
+	}
+	found.suspects = append(found.suspects, one)
+}
+
+// hold looks at the endpoint once those that broke with it are collected.
+func (q *inquests) hold(one *inquest) {
+	<-q.clock.After(inquestWait)
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	listens, err := q.pool.Listens(ctx, upstream.Target{Address: one.grant.Address(), Born: one.grant.Incarnation().Born})
+	// The port of one that fell silent refuses nobody; its host's agent knows.
+	ended := err == nil && !listens || one.grant.Over() || err != nil && !one.grant.Alive()
+	q.mu.Lock()
+	delete(q.open, one.grant.Incarnation())
+	q.mu.Unlock()
+	q.log.Info("endpoint looked at", one.fields(ended, err)...)
+}
+
+func (i *inquest) fields(ended bool, err error) []any {
+	ids, prints := make([]string, 0, len(i.suspects)), make([]string, 0, len(i.suspects))
+	ran, events := make([]int64, 0, len(i.suspects)), make([]int, 0, len(i.suspects))
+	for _, one := range i.suspects {
+		ids, prints = append(ids, one.id), append(prints, one.print.String())
+		ran, events = append(ran, one.ran.Milliseconds()), append(events, one.events)
+	}
+	return []any{
+		"endpoint", i.grant.ID(), "born", i.grant.Incarnation().Born, "address", i.grant.Address(), "ended", ended, "error", err,
+		"requests", ids, "prints", prints, "ranMillis", ran, "events", events, "leftOut", i.left,
+	}
+}
--- /dev/null
+++ b/entry/internal/gateway/inquest_test.go
@@ -0,0 +1,84 @@
+package gateway_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// output takes the gateway's log.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(text []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(text)
+}
+
+// line waits for a line that has all words and returns it.
+func (o *output) line(t *testing.T, words ...string) string {
+	t.Helper()
+	for range 2000 {
+		o.mu.Lock()
+		text := o.text.String()
+		o.mu.Unlock()
+		for _, line := range strings.Split(text, "\n") {
+			if hasAll(line, words) {
+				return line
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("got no line with %q", words)
+	return ""
+}
+
+func hasAll(line string, words []string) bool {
+	for _, word := range words {
+		if !strings.Contains(line, word) {
+			return false
+		}
+	}
+	return true
+}
+
+// A connection that breaks does not say whether the endpoint ended; whether it still listens
+// does, and the log tells both cases apart.
+func TestLogTellsAnEndFromABrokenConnection(t *testing.T) {
+	ended, lives := newEndpoint(t, "i-ended", nil), newEndpoint(t, "i-lives", nil)
+	ended.mu.Lock()
+	ended.accepted = func() { _ = ended.listener.Close() }
+	ended.mu.Unlock()
+	for _, one := range []struct {
+		end  *endpoint
+		want string
+	}{{ended, "ended=true"}, {lives, "ended=false"}} {
+		h := newHouse(t, one.end)
+		h.send(t, "/once/a", "key-1", "body").check(t, 502, "", true)
+		h.log.line(t, `msg="endpoint looked at"`, "endpoint="+one.end.id, one.want, "requests=[id-1]", "events=[0]")
+	}
+}
+
+// Two tries of one request have ids of their own; the log shows that they are the same.
+func TestLogShowsThatARequestCameAgain(t *testing.T) {
+	end := newEndpoint(t, "i-1")
+	h := newHouse(t, end)
+	h.send(t, "/safe/a", "key-1", "body")
+	h.send(t, "/safe/a", "key-1", "body")
+	h.send(t, "/safe/a", "key-1", "other")
+	h.send(t, "/safe/a?n=1", "key-1", "body")
+	prints := map[string]int{}
+	for _, id := range []string{"id-1", "id-2", "id-3", "id-4"} {
+		line := h.log.line(t, "msg=answered", "request="+id+" ")
+		_, after, _ := strings.Cut(line, "print=")
+		prints[after]++
+	}
+	if len(prints) != 3 {
+		t.Errorf("got fingerprints %v, want one for the first two and two others", prints)
+	}
+}
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -26,6 +26,9 @@
 		outcome := x.attempt(ctx, grant)
 		grant.Done(outcome)
 		x.logAttempt(grant, outcome)
+		if outcome == fleet.Broken || outcome == fleet.Silent {
+			g.inquests.add(grant, x.suspect())
+		}
 		if x.status != 0 && (outcome == fleet.Served || outcome == fleet.Failed) {
 			x.logEnd(outcome.String(), x.status)
 			return
@@ -117,6 +120,7 @@
 	release := context.AfterFunc(ctx, conn.Cancel)
 	defer release()
 	x.sends++
+	x.sentAt = g.cfg.Clock.Now()
 	x.adm.Sent = true
 	// From here on the endpoint may run the request, unless it proves that it
 	// did not: whatever ends this attempt, nobody is told "not run" without
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -147,12 +148,17 @@
 		conn.Close()
 		return
 	}
-	conn.keep = defaultKeep
 	if keep > 0 {
-		conn.keep = keep - keepMargin
+		p.keepIdle(conn, keep-keepMargin)
+	} else {
+		p.keepIdle(conn, defaultKeep)
 	}
+}
+
+// keepIdle keeps a connection on which nothing is in progress for so long.
+func (p *Pool) keepIdle(conn *Conn, keep time.Duration) {
 	_ = conn.raw.SetReadDeadline(time.Time{})
-	conn.idleAt = p.now()
+	conn.keep, conn.idleAt = keep, p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if conn.keep <= 0 || len(p.idle[conn.to]) >= maxIdle {
@@ -162,6 +168,21 @@
 	p.idle[conn.to] = append(p.idle[conn.to], conn)
 }
 
+// Listens reports whether anything listens at the target. A connection that was kept and
+// is still open, or a new one, shows it and is kept for the next request; a port that
+// refuses shows that nothing does. Any other end tells neither: err is not nil then.
+func (p *Pool) Listens(ctx context.Context, to Target) (bool, error) {
+	conn, err := p.Get(ctx, to)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	p.keepIdle(conn, defaultKeep)
+	return true, nil
+}
+
 // Counts returns how many connections were asked for and how many were new.
 func (p *Pool) Counts() (uses, dials uint64) {
 	p.mu.Lock()
