A request under which three endpoints ended is sent to none

What callers saw: engines ended one after another, 54 in 17 s, with all that was in progress there; a third of what was asked was late or lost. The request that did it got 502 after two ends, and again at its next try.

Cause: an entry forgot a request with its answer, and no entry heard of what others saw; a try has an id of its own, so nobody knew that it had ended an engine before. A class of its own: a bound for all (how many ends one request may cost) that nobody counted.

Change: requests have a fingerprint. Where a connection breaks the entry finds out whether the endpoint ended, and tells all through the store who was in progress there. Each entry counts ends by fingerprint; three hold a request, at arrival, before each send and while it waits. A good answer acquits; what was answered in part weighs half; what only ran beside another that more weighs on is not held.

Why it holds: what is counted is a set of pairs that only grows, so reports may be lost with their writer, late, doubled or in any order; an entry that starts reads it whole; entries that are cut off are bound again within the time in which they learn a configuration.

--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -16,17 +16,22 @@
 	failed   atomic.Int64
 	attempts atomic.Int64
 	resumed  atomic.Int64
+	held     atomic.Int64 // refused since endpoints ended under them
 }
 
 // Figures returns the counts by name.
 func (g *Gateway) Figures() map[string]int64 {
 	uses, dials := g.cfg.Pool.Counts()
+	suspects, ends := g.cfg.State.Ledger().Size()
 	return map[string]int64{
 		"served":          g.figures.served.Load(),
 		"refused":         g.figures.refused.Load(),
 		"failed":          g.figures.failed.Load(),
 		"attempts":        g.figures.attempts.Load(),
 		"resumed":         g.figures.resumed.Load(),
+		"held":            g.figures.held.Load(),
+		"suspects":        int64(suspects),
+		"ends":            int64(ends),
 		"inFlight":        g.inFlight.Load(),
 		"connectionUses":  int64(uses),
 		"connectionDials": int64(dials),
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -65,6 +65,8 @@
 	Domain string // failure domain of this entry
 	// Bounds returns the bounds in force.
 	Bounds func() Bounds
+	// Tell tells the other entries what this one saw; nil: nobody.
+	Tell func(quarantine.Report)
 	// Entries returns how many entries share the endpoints, at least 1.
 	Entries func() int
 }
@@ -87,9 +89,15 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
+	if cfg.Tell == nil {
+		cfg.Tell = func(quarantine.Report) {}
+	}
 	return &Gateway{
 		cfg: cfg, budgets: map[string]*retry.Window{}, lines: map[string]*line{},
-		inquests: inquests{pool: cfg.Pool, clock: cfg.Clock, log: cfg.Log, open: map[fleet.Incarnation]*inquest{}},
+		inquests: inquests{
+			pool: cfg.Pool, clock: cfg.Clock, log: cfg.Log, ends: cfg.State.Ledger(), tell: cfg.Tell,
+			open: map[fleet.Incarnation]*inquest{},
+		},
 	}
 }
 
@@ -152,7 +160,7 @@
 		return refused
 	}
 	x.print = quarantine.Of(x.customerName(), req.Method, req.Host, req.Target, req.Body)
-	return nil
+	return x.held()
 }
 
 // route finds the request's route and customer. What is refused for good must
@@ -212,7 +220,7 @@
 		g.bodies.Add(-room)
 		return &refusal{status: http.StatusServiceUnavailable, reason: "too many bodies in memory", wait: soonReturn, hangUp: true}
 	}
-	x.held = room
+	x.bytes = room
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.adm.End.Sub(g.cfg.Clock.Now())))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
 	if err != nil {
@@ -240,7 +248,7 @@
 	arrived  time.Time
 	adm      admission.Request // what decides when and where it goes
 	age      time.Duration     // of the knowledge that decided
-	held     int64             // bytes of body counted
+	bytes    int64             // of body counted
 	print    quarantine.Fingerprint
 
 	tries        []fleet.Incarnation // endpoints that had the request
--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/freshness"
+	"comfreyrelay.example/relay/quarantine"
 	"comfreyrelay.example/relay/site"
 )
 
@@ -166,6 +167,9 @@
 	log     *output
 	server  *httptest.Server
 	ids     int
+	// freeze stops the clock: it moves on no more while requests wait for it.
+	freeze context.CancelFunc
+	told   chan quarantine.Report // what other entries are told
 }
 
 var testRoutes = []catalog.Route{
@@ -178,7 +182,7 @@
 
 func newHouse(t *testing.T, endpoints ...*endpoint) *house {
 	t.Helper()
-	h := &house{clock: clockwork.NewFakeClock(), log: &output{}}
+	h := &house{clock: clockwork.NewFakeClock(), log: &output{}, told: make(chan quarantine.Report, 16)}
 	fresh := freshness.NewTracker(func() time.Duration { return h.now })
 	h.state = site.NewState(h.clock.Now, fleet.New(h.clock.Now), fresh)
 	spec := catalog.Spec{Version: 1, Services: []catalog.Service{{Name: "app"}}, Limits: catalog.Limits{BodyBytes: 100},
@@ -203,10 +207,13 @@
 			return gateway.Bounds{Revoke: 4 * time.Second, Apply: 2 * time.Second, Version: 8 * time.Second, Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
 		},
 		Entries: func() int { return 1 },
+		Tell:    func(report quarantine.Report) { h.told <- report },
 	})
 	h.server = httptest.NewServer(h.gateway)
 	t.Cleanup(h.server.Close)
-	go h.tick(t.Context())
+	ctx, freeze := context.WithCancel(t.Context())
+	h.freeze = freeze
+	go h.tick(ctx)
 	return h
 }
 
--- /dev/null
+++ b/entry/internal/gateway/held_test.go
@@ -0,0 +1,121 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"comfreyrelay.example/relay/quarantine"
+)
+
+// printOf is the fingerprint of what house.send sends.
+func printOf(path, body string) quarantine.Fingerprint {
+	return quarantine.Of("mine", http.MethodPost, "h", path, []byte(body))
+}
+
+// ended lets an entry learn that so many endpoints ended under a request.
+func (h *house) ended(print quarantine.Fingerprint, count int) {
+	for i := range count {
+		h.state.Ledger().Hear(quarantine.Report{
+			End: quarantine.End{Endpoint: fmt.Sprintf("gone-%d", i)}, Suspects: []quarantine.Fingerprint{print},
+		})
+	}
+}
+
+func TestHeldRequestIsRefusedAtOnce(t *testing.T) {
+	end := newEndpoint(t, "i-1")
+	h := newHouse(t, end)
+	h.ended(printOf("/safe/a", "deadly"), 3)
+	got := h.send(t, "/safe/a", "key-1", "deadly")
+	got.check(t, http.StatusServiceUnavailable, "endpoints ended under this request", true)
+	wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if least, most := (quarantine.HoldTime - time.Minute).Seconds(), quarantine.HoldTime.Seconds(); err != nil || wait < least || wait > most {
+		t.Errorf("got Retry-After %q, want the time until it is sent again, at most %v s", got.header.Get("Retry-After"), most)
+	}
+	if got := sum(end); got != 0 {
+		t.Errorf("got %d sends of a held request, want none", got)
+	}
+	for _, other := range []struct{ path, body string }{{"/safe/a", "other"}, {"/safe/b", "deadly"}, {"/safe/a?n=1", "deadly"}} {
+		h.send(t, other.path, "key-1", other.body).check(t, http.StatusOK, "ok", true)
+	}
+}
+
+// Symptom: a request goes to one endpoint more though all know by then what it does. Sequence:
+// it waits for a place while the third end is learned. Cause: only its arrival was checked. It
+// is answered as soon as that is learned: the clock stands still here.
+func TestHeldRequestThatWaitsIsAnsweredAtOnce(t *testing.T) {
+	h := newHouse(t)
+	h.freeze()
+	answered := make(chan answer)
+	go func() { answered <- h.send(t, "/safe/a", "key-1", "deadly") }()
+	// The deadline and the wait for a place.
+	if err := h.clock.BlockUntilContext(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	h.ended(printOf("/safe/a", "deadly"), 3)
+	got := <-answered
+	got.check(t, http.StatusServiceUnavailable, "endpoints ended under this request", true)
+}
+
+// Where two ends are known the third is the last: the request waits until it is found out
+// whether the endpoint ended, and then goes to no other.
+func TestThirdEndIsTheLast(t *testing.T) {
+	one, two := newEndpoint(t, "i-1", nil), newEndpoint(t, "i-2", nil)
+	for _, end := range []*endpoint{one, two} {
+		end.mu.Lock()
+		end.accepted = func() { _ = end.listener.Close() }
+		end.mu.Unlock()
+	}
+	h := newHouse(t, one, two)
+	h.ended(printOf("/safe/a", "deadly"), 2)
+	h.send(t, "/safe/a", "key-1", "deadly").check(t, http.StatusBadGateway, "endpoints ended under this request", true)
+	if got, want := sum(one, two), 1; got != want {
+		t.Errorf("got %d sends, want %d", got, want)
+	}
+}
+
+func TestEndIsToldToOtherEntries(t *testing.T) {
+	end := newEndpoint(t, "i-1", nil)
+	end.mu.Lock()
+	end.accepted = func() { _ = end.listener.Close() }
+	end.mu.Unlock()
+	h := newHouse(t, end)
+	h.send(t, "/once/a", "key-1", "deadly").check(t, http.StatusBadGateway, "", true)
+	got := <-h.told
+	if got.End.Endpoint != "i-1" || len(got.Suspects) != 1 || got.Suspects[0] != printOf("/once/a", "deadly") || len(got.Running) != 0 {
+		t.Errorf("got %+v, want the end of i-1 under this request", got)
+	}
+}
+
+// An endpoint that ended by itself blames those that were answered in part less: what ends an
+// endpoint that begins to run it does so before.
+func TestWhatWasAnsweredInPartIsBlamedLess(t *testing.T) {
+	end := newEndpoint(t, "i-1", events(1, 5, true))
+	end.mu.Lock()
+	end.accepted = func() { _ = end.listener.Close() }
+	end.mu.Unlock()
+	h := newHouse(t, end)
+	h.send(t, "/stream/a", "key-1", "long")
+	got := <-h.told
+	if len(got.Suspects) != 0 || len(got.Running) != 1 || got.Running[0] != printOf("/stream/a", "long") {
+		t.Errorf("got %+v, want the request among those that were running", got)
+	}
+}
+
+// Symptom: a request that only ran beside a deadly one, or where endpoints ended otherwise, is
+// refused later. Sequence: two ends, then it is served; then one more end. Cause: ends were
+// added up though a good answer shows that it ends nothing.
+func TestServedRequestIsAcquitted(t *testing.T) {
+	h := newHouse(t, newEndpoint(t, "i-1"))
+	print := printOf("/safe/a", "beside")
+	h.ended(print, 2)
+	h.send(t, "/safe/a", "key-1", "beside").check(t, http.StatusOK, "ok", true)
+	got := <-h.told
+	if len(got.Served) != 1 || got.Served[0] != print {
+		t.Errorf("got %+v told, want that it was served", got)
+	}
+	h.ended(print, 1)
+	h.send(t, "/safe/a", "key-1", "beside").check(t, http.StatusOK, "ok", true)
+}
--- a/entry/internal/gateway/inquest.go
+++ b/entry/internal/gateway/inquest.go
@@ -22,6 +22,9 @@
 	// maxInquests bounds the endpoints that are looked at at once. Where all hosts of a
 	// domain lose power an entry loses those it sends to, a few tens.
 	maxInquests = 256
+	// runningEvents is the events after which a request was run for some passes of its engine,
+	// which went on: what ends an engine that begins to run it does so in the first ones.
+	runningEvents = 3
 	// maxSuspects bounds the requests that are remembered of one end, above the slots and
 	// the queue of an endpoint.
 	maxSuspects = 64
@@ -35,8 +38,21 @@
 	events int
 }
 
-func (x *exchange) suspect() suspect {
-	return suspect{print: x.print, id: x.req.ID, ran: x.gateway.cfg.Clock.Since(x.sentAt), events: x.events}
+// inquire lets it be found out whether the endpoint ended under the request. One that more
+// ends would hold waits for that, some 30 ms, rather than end another endpoint meanwhile.
+func (x *exchange) inquire(ctx context.Context, grant *fleet.Grant, outcome fleet.Outcome) {
+	if outcome != fleet.Broken && outcome != fleet.Silent {
+		return
+	}
+	g := x.gateway
+	found := g.inquests.add(grant, suspect{print: x.print, id: x.req.ID, ran: g.cfg.Clock.Since(x.sentAt), events: x.events})
+	if found == nil || !g.cfg.State.Ledger().Suspected(x.print) {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-found:
+	}
 }
 
 // inquests find out whether endpoints ended under the requests that broke there: a broken
@@ -46,6 +62,8 @@
 	pool  *upstream.Pool
 	clock clockwork.Clock
 	log   *slog.Logger
+	ends  *quarantine.Ledger
+	tell  func(quarantine.Report)
 
 	mu   sync.Mutex
 	open map[fleet.Incarnation]*inquest
@@ -56,31 +74,35 @@
 	grant    *fleet.Grant // of the first that broke
 	suspects []suspect
 	left     int // suspects beyond the bound
+	done     chan struct{}
 }
 
-// add takes in a request that broke at an endpoint.
-func (q *inquests) add(grant *fleet.Grant, one suspect) {
+// add takes in a request that broke at an endpoint and returns a channel that is closed once
+// it is known whether that ended; nil: nobody looks.
+func (q *inquests) add(grant *fleet.Grant, one suspect) <-chan struct{} {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	found := q.open[grant.Incarnation()]
 	if found == nil {
 		if len(q.open) >= maxInquests {
 			q.log.Warn("an endpoint is not looked at, too many broke", "endpoint", grant.ID(), "request", one.id)
-			return
+			return nil
 		}
-		found = &inquest{grant: grant}
+		found = &inquest{grant: grant, done: make(chan struct{})}
 		q.open[grant.Incarnation()] = found
 		go q.hold(found)
 	}
 	if len(found.suspects) >= maxSuspects {
 		found.left++
-		return
+	} else {
+		found.suspects = append(found.suspects, one)
 	}
-	found.suspects = append(found.suspects, one)
+	return found.done
 }
 
 // hold looks at the endpoint once those that broke with it are collected.
 func (q *inquests) hold(one *inquest) {
+	defer close(one.done)
 	<-q.clock.After(inquestWait)
 	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
 	defer cancel()
@@ -91,6 +113,26 @@
 	delete(q.open, one.grant.Incarnation())
 	q.mu.Unlock()
 	q.log.Info("endpoint looked at", one.fields(ended, err)...)
+	if !ended {
+		return
+	}
+	report := one.report()
+	q.ends.Hear(report)
+	q.tell(report)
+}
+
+// report is what the other entries are told of an endpoint that ended.
+func (i *inquest) report() quarantine.Report {
+	in := i.grant.Incarnation()
+	found := quarantine.Report{End: quarantine.End{Endpoint: in.ID, Born: in.Born}}
+	for _, one := range i.suspects {
+		if one.events >= runningEvents {
+			found.Running = append(found.Running, one.print)
+		} else {
+			found.Suspects = append(found.Suspects, one.print)
+		}
+	}
+	return found
 }
 
 func (i *inquest) fields(ended bool, err error) []any {
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -15,7 +15,7 @@
 // any more.
 func (x *exchange) run(ctx context.Context) {
 	g := x.gateway
-	defer g.bodies.Add(-x.held)
+	defer g.bodies.Add(-x.bytes)
 	g.budget(x.service).Request(g.cfg.Clock.Now())
 	for {
 		grant, refused := x.place(ctx)
@@ -23,14 +23,20 @@
 			x.refuse(*refused)
 			return
 		}
+		if refused := x.held(); refused != nil {
+			grant.Done(fleet.Abandoned)
+			x.refuse(*refused)
+			return
+		}
 		outcome := x.attempt(ctx, grant)
 		grant.Done(outcome)
 		x.logAttempt(grant, outcome)
-		if outcome == fleet.Broken || outcome == fleet.Silent {
-			g.inquests.add(grant, x.suspect())
-		}
+		x.inquire(ctx, grant, outcome)
 		if x.status != 0 && (outcome == fleet.Served || outcome == fleet.Failed) {
 			x.logEnd(outcome.String(), x.status)
+			if outcome == fleet.Served {
+				x.acquit()
+			}
 			return
 		}
 		if refused := x.next(ctx, outcome); refused != nil {
@@ -47,6 +53,9 @@
 	if ctx.Err() != nil {
 		return x.overdue(ctx)
 	}
+	if refused := x.held(); refused != nil {
+		return refused
+	}
 	switch outcome {
 	case fleet.Unreachable:
 		// Nothing was sent: this is still the same sending.
--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -37,7 +37,7 @@
 	done chan struct{}
 }
 
-func newFleetOfEntries(t *testing.T, entries, workers int) *fleetOfEntries {
+func newFleetOfEntries(t *testing.T, entries, workers int, hold func(body []byte)) *fleetOfEntries {
 	t.Helper()
 	f := &fleetOfEntries{t: t, store: platformtest.NewStore()}
 	server := httptest.NewServer(f.store)
@@ -54,7 +54,9 @@
 	})
 	for i := range workers {
 		id := fmt.Sprintf("i-%d", i)
-		one, err := platformtest.NewWorker(id, func(body []byte) bool { return string(body) == deadly })
+		one, err := platformtest.NewWorker(id, platformtest.Behaviour{
+			Crashes: func(body []byte) bool { return string(body) == deadly }, Hold: hold,
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -134,13 +136,19 @@
 }
 
 // Symptom: engines end one after another under one customer's request, 54 in half a minute; a
-// third of what others ask meanwhile is late or lost. Each try of the request ends two.
+// third of what others ask meanwhile is late or lost. Sequence: it comes to an entry, which
+// sends it to two engines; both end as they begin to run it, and the caller gets 502. It comes
+// again under a new id, at any entry, and ends two more. Cause: an entry forgot a request with
+// its answer and heard nothing of what others saw, so nobody knew that it had ended an engine.
+// Proof: with a stand-in that ends under one body, the tries at nine entries bear one
+// fingerprint and each ended two endpoints; with the ends counted by fingerprint and told
+// through the store, none is sent after the third.
 //
 // Here it comes to each of nine entries in turn. After three ends a moment is left in which
 // the entries may learn of them; then at most three sends more may happen, also at an entry
 // that is new, and though the entry that saw the first ends is gone.
 func TestRequestThatEndsEndpointsIsStopped(t *testing.T) {
-	f := newFleetOfEntries(t, 9, 40)
+	f := newFleetOfEntries(t, 9, 40, nil)
 	first, second := f.entries[0], f.entries[1]
 	for _, to := range []*runningEntry{first, second} {
 		if got := f.send(to, deadly); got == http.StatusOK {
@@ -169,6 +177,62 @@
 	}
 }
 
+// Symptom: what ran beside a request that ends endpoints is lost with it, or refused as if it
+// were to blame. Here requests are in progress at all endpoints when two of these end; each of
+// them is served, by another endpoint where its own ended.
+func TestWhatRanBesideIsServed(t *testing.T) {
+	const beside = 12
+	release := make(chan struct{})
+	f := newFleetOfEntries(t, 1, 6, func(body []byte) {
+		if strings.HasPrefix(string(body), "beside") {
+			<-release
+		}
+	})
+	var callers sync.WaitGroup
+	for i := range beside {
+		body := fmt.Sprintf("beside-%d", i)
+		callers.Go(func() {
+			if got := f.send(f.entries[0], body); got != http.StatusOK {
+				t.Errorf("got %d for %s, which ran beside what ends endpoints, want 200", got, body)
+			}
+		})
+	}
+	inProgress := func() int {
+		count := 0
+		for i := range beside {
+			count += f.seen(fmt.Sprintf("beside-%d", i))
+		}
+		return count
+	}
+	eventually(t, "all in progress", func() error {
+		if inProgress() < beside {
+			return errors.New("not yet")
+		}
+		return nil
+	})
+	f.send(f.entries[0], deadly)
+	broken := 0
+	for _, one := range f.workers {
+		if one.Ends() == 0 {
+			continue
+		}
+		for i := range beside {
+			broken += one.Seen(fmt.Sprintf("beside-%d", i))
+		}
+	}
+	if broken == 0 {
+		t.Fatalf("got nothing in progress where endpoints ended, want some")
+	}
+	eventually(t, "sent elsewhere", func() error {
+		if got, want := inProgress(), beside+broken; got < want {
+			return fmt.Errorf("%d of %d", got, want)
+		}
+		return nil
+	})
+	close(release)
+	callers.Wait()
+}
+
 // spread waits until what entries tell one another through the store has come to all: a mark
 // that was written after it is in force at each.
 func (f *fleetOfEntries) spread() {
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -75,6 +75,7 @@
 	mirror   *site.Mirror
 	store    *kv.Store
 	gateway  *gateway.Gateway
+	reporter *reporter
 	self     site.Entry
 	draining atomic.Bool
 }
@@ -94,9 +95,11 @@
 	e.mirror = site.NewMirror(e.state, platform.DecodeRecord, clock, log)
 	e.apply(set)
 	e.store = platform.NewStore(set.GetKvUrl(), storeClient())
+	e.reporter = newReporter(e.store, platform.ReportPrefix(set.GetNode().GetId(), e.self.Incarnation), clock, log)
 	e.gateway = gateway.New(gateway.Config{
 		State: e.state, Pool: upstream.NewPool(clock.Now), Wire: platform.Wire(), Clock: clock, Log: log,
 		Domain:  self.GetFailureDomain(),
+		Tell:    e.reporter.tell,
 		Bounds:  func() gateway.Bounds { return e.bounds.Load().gateway },
 		Entries: func() int { return max(1, len(e.state.Entries())) },
 	})
@@ -153,6 +156,7 @@
 	group.Go(func() error { others.run(ctx); return nil })
 	group.Go(func() error { follower.Run(ctx); return nil })
 	group.Go(func() error { streams.run(ctx); return nil })
+	group.Go(func() error { e.reporter.run(ctx); return nil })
 	reloader := &settings.Reloader[*wire.EntrySettings]{
 		File: platform.SettingsFile(), Load: settings.LoadEntry, Apply: e.apply, Clock: e.clock, Log: e.log,
 	}
--- /dev/null
+++ b/relay/quarantine/ledger.go
@@ -0,0 +1,237 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+const (
+	// endsAllowed is the ends of endpoints after which a request is held that was begun
+	// shortly before each. After one end any of those in progress there may have caused it,
+	// and after two some still have run beside the cause twice: those that broke with it are
+	// sent elsewhere at the same moment. Each more costs callers an endpoint for seconds.
+	endsAllowed = 3
+	// suspectWeight and runningWeight are what an end weighs under a request that was begun
+	// shortly before, and under one that had been answered in part; one is held from
+	// heldWeight on. In 20 simulated minutes of nine entries, with some 30 ends each, 36 of 96,000
+	// other requests were held with both alike and 8 so.
+	suspectWeight = 2
+	runningWeight = 1
+	heldWeight    = endsAllowed * suspectWeight
+	// HoldTime is how long an end is remembered, and so for how long a request is held after
+	// the last one that is known: long against the seconds in which callers come again, and
+	// the longest time for which the platform's store keeps a key for an entry that is gone.
+	HoldTime = 10 * time.Minute
+	// maxPairs bounds what is remembered, in requests at ends: a region of 900 engines with a
+	// dozen requests each that ends at once, twice. A pair takes about 150 bytes.
+	maxPairs = 1 << 15
+)
+
+var errLength = failure.New(failure.Invalid, "the fingerprint has the wrong length", "write 32 hexadecimal digits")
+
+// Ledger knows under which requests endpoints ended, by what this entry saw and others told.
+// It counts distinct ends, so that what is told twice, late or in any order counts once, and
+// nobody has to agree with anybody. It is safe for concurrent use.
+type Ledger struct {
+	clock func() time.Time
+
+	mu    sync.RWMutex
+	ends  map[Fingerprint][]pair
+	at    map[End][]Fingerprint // the requests of ends by the end
+	order []told                // pairs, those told longest ago first; renewed ones stand twice
+	pairs int
+	// changed is closed and replaced when one more request has as many ends as are allowed.
+	changed chan struct{}
+}
+
+// pair is one end under one request.
+type pair struct {
+	end    End
+	weight int
+	told   time.Time // when it was learned, or told again
+}
+
+func weightOf(known []pair) int {
+	sum := 0
+	for _, one := range known {
+		sum += one.weight
+	}
+	return sum
+}
+
+// told is a pair in the order of its telling.
+type told struct {
+	print Fingerprint
+	end   End
+	at    time.Time
+}
+
+// NewLedger returns a Ledger that knows of no end.
+func NewLedger(clock func() time.Time) *Ledger {
+	return &Ledger{clock: clock, ends: map[Fingerprint][]pair{}, at: map[End][]Fingerprint{}, changed: make(chan struct{})}
+}
+
+// Hear takes over what this entry saw or another one told.
+func (l *Ledger) Hear(report Report) {
+	now := l.clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, print := range report.Served {
+		l.clear(print)
+	}
+	held := false
+	for _, print := range report.Suspects {
+		held = l.blame(now, print, report.End, suspectWeight) || held
+	}
+	for _, print := range report.Running {
+		held = l.blame(now, print, report.End, runningWeight) || held
+	}
+	l.forget(now)
+	if held {
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+}
+
+// blame notes that an endpoint ended under a request and reports whether it may be held now;
+// l.mu is held.
+func (l *Ledger) blame(now time.Time, print Fingerprint, end End, weight int) bool {
+	known := l.ends[print]
+	if i := slices.IndexFunc(known, func(one pair) bool { return one.end == end }); i >= 0 {
+		known[i].told, known[i].weight = now, max(known[i].weight, weight)
+	} else {
+		known = append(known, pair{end, weight, now})
+		l.ends[print] = known
+		l.at[end] = append(l.at[end], print)
+		l.pairs++
+	}
+	l.order = append(l.order, told{print, end, now})
+	return weightOf(known) >= heldWeight
+}
+
+// clear forgets the ends under a request; l.mu is held.
+func (l *Ledger) clear(print Fingerprint) {
+	for _, one := range slices.Clone(l.ends[print]) {
+		l.drop(print, one.end)
+	}
+}
+
+// drop forgets one pair; l.mu is held.
+func (l *Ledger) drop(print Fingerprint, end End) {
+	l.ends[print] = slices.DeleteFunc(l.ends[print], func(one pair) bool { return one.end == end })
+	if len(l.ends[print]) == 0 {
+		delete(l.ends, print)
+	}
+	l.at[end] = slices.DeleteFunc(l.at[end], func(one Fingerprint) bool { return one == print })
+	if len(l.at[end]) == 0 {
+		delete(l.at, end)
+	}
+	l.pairs--
+}
+
+// forget drops what was told too long ago and what is beyond the bound, oldest first; l.mu is
+// held.
+func (l *Ledger) forget(now time.Time) {
+	gone := 0
+	for _, oldest := range l.order {
+		if now.Sub(oldest.at) < HoldTime && l.pairs <= maxPairs && len(l.order)-gone <= 2*maxPairs {
+			break
+		}
+		gone++
+		// One that was told again since, or cleared, is not dropped for its old telling.
+		if slices.ContainsFunc(l.ends[oldest.print], func(one pair) bool { return one.end == oldest.end && one.told.Equal(oldest.at) }) {
+			l.drop(oldest.print, oldest.end)
+		}
+	}
+	l.order = l.order[gone:]
+}
+
+// Held reports whether a request is sent to no endpoint, and until when if it does not come
+// again before.
+func (l *Ledger) Held(print Fingerprint) (until time.Time, held bool) {
+	now := l.clock()
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	known := l.current(now, print)
+	if weightOf(known) < heldWeight || l.explained(known) {
+		return time.Time{}, false
+	}
+	for _, one := range known {
+		until = laterOf(until, one.told.Add(HoldTime))
+	}
+	return until, true
+}
+
+// current returns the ends under a request that are not too old; l.mu is held for reading.
+func (l *Ledger) current(now time.Time, print Fingerprint) []pair {
+	known := l.ends[print]
+	if !slices.ContainsFunc(known, func(one pair) bool { return now.Sub(one.told) >= HoldTime }) {
+		return known
+	}
+	return slices.DeleteFunc(slices.Clone(known), func(one pair) bool { return now.Sub(one.told) >= HoldTime })
+}
+
+// explained reports whether each of the ends happened under another request too, on which
+// more weighs: the request then only ran beside it. One that is to blame is explained by no
+// other for long, since it comes alone sooner or later. l.mu is held for reading.
+func (l *Ledger) explained(known []pair) bool {
+	weight := weightOf(known)
+	for _, one := range known {
+		if !slices.ContainsFunc(l.at[one.end], func(other Fingerprint) bool { return weightOf(l.ends[other]) > weight }) {
+			return false
+		}
+	}
+	return true
+}
+
+// Renew returns what is to be told again so that a held request that still comes stays held,
+// also at entries that start later; nothing while the last telling is new enough.
+func (l *Ledger) Renew(print Fingerprint) []Report {
+	now := l.clock()
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var reports []Report
+	for _, one := range l.ends[print] {
+		if now.Sub(one.told) < HoldTime/2 {
+			return nil
+		}
+		report := Report{End: one.end, Suspects: []Fingerprint{print}}
+		if one.weight == runningWeight {
+			report.Suspects, report.Running = nil, report.Suspects
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+// Suspected reports whether so much weighs on a request that one more end holds it: if it is
+// served, others have to hear.
+func (l *Ledger) Suspected(print Fingerprint) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return weightOf(l.ends[print]) >= heldWeight-suspectWeight
+}
+
+// Changed returns a channel that is closed when another request may be held.
+func (l *Ledger) Changed() <-chan struct{} {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.changed
+}
+
+// Size returns the requests and the ends that are remembered.
+func (l *Ledger) Size() (requests, ends int) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return len(l.ends), len(l.at)
+}
+
+func laterOf(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
--- /dev/null
+++ b/relay/quarantine/ledger_test.go
@@ -0,0 +1,166 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+// printsOf makes fingerprints of names.
+func printsOf(names []string) []Fingerprint {
+	var prints []Fingerprint
+	for _, name := range names {
+		prints = append(prints, Of("customer", "POST", "host", "/"+name, nil))
+	}
+	return prints
+}
+
+// TestLedger runs testdata/ledger.
+func TestLedger(t *testing.T) {
+	now := time.Unix(1000, 0)
+	led := NewLedger(func() time.Time { return now })
+	datadriven.RunTest(t, "testdata/ledger", func(t *testing.T, td *datadriven.TestData) string {
+		names := func(key string) []string {
+			if !td.HasArg(key) {
+				return nil
+			}
+			var text string
+			td.ScanArgs(t, key, &text)
+			return strings.Split(text, "+")
+		}
+		switch td.Cmd {
+		case "new":
+			led = NewLedger(func() time.Time { return now })
+		case "end":
+			var id string
+			td.ScanArgs(t, "of", &id)
+			changed := led.Changed()
+			led.Hear(Report{End: End{Endpoint: id}, Suspects: printsOf(names("suspects")), Running: printsOf(names("running"))})
+			select {
+			case <-changed:
+				return "changed"
+			default:
+			}
+		case "served":
+			led.Hear(Report{Served: printsOf(names("what"))})
+		case "wait":
+			var seconds int
+			td.ScanArgs(t, "seconds", &seconds)
+			now = now.Add(time.Duration(seconds) * time.Second)
+		case "renew":
+			reports := led.Renew(printsOf(names("what"))[0])
+			for _, report := range reports {
+				led.Hear(report)
+			}
+			return fmt.Sprintf("%d reports", len(reports))
+		case "held":
+			var held []string
+			for _, name := range names("of") {
+				if until, ok := led.Held(printsOf([]string{name})[0]); ok {
+					held = append(held, fmt.Sprintf("%s for %v", name, until.Sub(now)))
+				}
+			}
+			if len(held) == 0 {
+				return "none"
+			}
+			return strings.Join(held, "\n")
+		}
+		return ""
+	})
+}
+
+// What is told in any order, twice, or late comes to the same.
+func TestOrderOfReportsChangesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d"}
+		var reports []Report
+		for i := range rapid.IntRange(1, 8).Draw(t, "ends") {
+			report := Report{End: End{Endpoint: fmt.Sprintf("i-%d", i)}}
+			for _, print := range printsOf(names) {
+				switch rapid.IntRange(0, 2).Draw(t, "part") {
+				case 1:
+					report.Suspects = append(report.Suspects, print)
+				case 2:
+					report.Running = append(report.Running, print)
+				}
+			}
+			reports = append(reports, report)
+		}
+		held := func(reports []Report) string {
+			led := NewLedger(func() time.Time { return time.Unix(1, 0) })
+			for _, report := range reports {
+				led.Hear(report)
+			}
+			var found []bool
+			for _, print := range printsOf(names) {
+				_, ok := led.Held(print)
+				found = append(found, ok)
+			}
+			return fmt.Sprint(found)
+		}
+		want := held(reports)
+		again := rapid.Permutation(slices.Concat(reports, reports)).Draw(t, "order")
+		if got := held(again); got != want {
+			t.Fatalf("got %s in another order, want %s", got, want)
+		}
+	})
+}
+
+// Whoever ends endpoints under requests that differ each time fills no memory.
+func TestLedgerIsBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	led := NewLedger(func() time.Time { return now })
+	for i := range 3 * maxPairs {
+		led.Hear(Report{End: End{Endpoint: fmt.Sprintf("i-%d", i/12)}, Suspects: printsOf([]string{fmt.Sprint(i)})})
+	}
+	if requests, ends := led.Size(); requests > maxPairs || ends > maxPairs || len(led.order) > 2*maxPairs {
+		t.Errorf("got %d requests, %d ends and %d in order, want %d at most", requests, ends, len(led.order), maxPairs)
+	}
+	now = now.Add(HoldTime)
+	led.Hear(Report{End: End{Endpoint: "last"}, Suspects: printsOf([]string{"last"})})
+	if requests, ends := led.Size(); requests != 1 || ends != 1 || led.pairs != 1 {
+		t.Errorf("got %d requests, %d ends and %d pairs, want the last alone", requests, ends, led.pairs)
+	}
+}
+
+func TestReportIsReadAsItWasWritten(t *testing.T) {
+	prints := printsOf([]string{"a", "b", "c"})
+	want := []Report{{End: End{Endpoint: "i-1", Born: 7}, Suspects: prints[:1], Running: prints[1:]}, {Served: prints}}
+	text, err := json.Marshal(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []Report
+	if err := json.Unmarshal(text, &got); err != nil {
+		t.Fatal(err)
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	for _, bad := range []string{`[{"suspects":["12"]}]`, `[{"suspects":["zz00112233445566778899aabbccddee"]}]`, `[{"end":7}]`, `{}`} {
+		if err := json.Unmarshal([]byte(bad), &got); err == nil {
+			t.Errorf("got no error for %s, want one", bad)
+		}
+	}
+}
+
+// Parts that are told apart by their lengths make no request look like another.
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	seen := map[Fingerprint]string{}
+	for _, one := range [][5]string{
+		{"c", "POST", "h", "/a", "b"}, {"cP", "OST", "h", "/a", "b"}, {"c", "POST", "h/", "a", "b"}, {"c", "POST", "h", "/ab", ""},
+		{"c", "POST", "h", "/a?b", ""}, {"", "POST", "h", "/a", "b"}, {"c", "GET", "h", "/a", "b"},
+	} {
+		print := Of(one[0], one[1], one[2], one[3], []byte(one[4]))
+		if other, ok := seen[print]; ok {
+			t.Errorf("got one fingerprint for %v and %s", one, other)
+		}
+		seen[print] = fmt.Sprint(one)
+	}
+}
--- a/relay/site/record.go
+++ b/relay/site/record.go
@@ -8,6 +8,7 @@
 
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/quarantine"
 )
 
 // RecordKind says what a key of the store tells.
@@ -19,6 +20,7 @@
 	WeightsRecord
 	EndpointRecord
 	EntryRecord
+	ReportRecord
 )
 
 // Record is one key of the store, decoded.
@@ -39,6 +41,7 @@
 	Weights  uint64 // version declared
 	Endpoint fleet.Registration
 	Entry    Entry
+	Reports  []quarantine.Report
 }
 
 // Entry is an entry's registration.
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -9,6 +9,7 @@
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/freshness"
+	"comfreyrelay.example/relay/quarantine"
 	"comfreyrelay.example/relay/rollout"
 )
 
@@ -22,9 +23,10 @@
 
 // State is what a process knows. It is safe for concurrent use.
 type State struct {
-	clock func() time.Time
-	fleet *fleet.Fleet
-	fresh *freshness.Tracker
+	clock  func() time.Time
+	fleet  *fleet.Fleet
+	fresh  *freshness.Tracker
+	ledger *quarantine.Ledger
 
 	catalog atomic.Pointer[catalog.Catalog] // nil: none was read yet
 
@@ -49,7 +51,7 @@
 // NewState returns a State that knows nothing.
 func NewState(clock func() time.Time, flt *fleet.Fleet, fresh *freshness.Tracker) *State {
 	return &State{
-		clock: clock, fleet: flt, fresh: fresh,
+		clock: clock, fleet: flt, fresh: fresh, ledger: quarantine.NewLedger(clock),
 		entries: map[string]Entry{}, missing: map[string]time.Time{}, wanted: map[string]Wanted{},
 		history: map[string][]rollout.Declared{},
 		changed: make(chan struct{}),
@@ -65,6 +67,9 @@
 // Fresh returns the age of what is known.
 func (s *State) Fresh() *freshness.Tracker { return s.fresh }
 
+// Ledger returns under which requests endpoints ended.
+func (s *State) Ledger() *quarantine.Ledger { return s.ledger }
+
 // Revision returns the store's revision that is known.
 func (s *State) Revision() uint64 {
 	s.mu.Lock()
@@ -197,6 +202,11 @@
 		}
 		delete(s.missing, rec.ID)
 		s.entries[rec.ID] = rec.Entry
+	case ReportRecord:
+		// A report that lapses is forgotten by its age.
+		for _, report := range rec.Reports {
+			s.ledger.Hear(report)
+		}
 	}
 }
 
