A request that is held is given up where it stands

Cause: one that waited for a place was woken by a channel of its own, and one that stood in an endpoint's queue when the third end was learned ended that endpoint too.

Change: the ledger notifies the gateway, which gives up the requests in progress that are held and not answered yet, by the context that ends them for any other reason. The checks in the line and before each send go; one at the begin and one before a further send stay.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -151,7 +151,7 @@
 	}()
 	verdict := fleet.Full
 	for {
-		changed, suspected := group.Changed(), g.cfg.State.Ledger().Changed()
+		changed := group.Changed()
 		if queue.first(&x.adm) {
 			var grant *fleet.Grant
 			if grant, verdict = group.Pick(x.need()); verdict == fleet.Granted {
@@ -162,19 +162,16 @@
 			waiting = true
 			queue.enter(&x.adm)
 		}
-		if refused := x.held(); refused != nil {
-			return nil, refused
-		}
 		if !g.cfg.Clock.Now().Before(until) || ctx.Err() != nil || g.draining.Load() {
 			return nil, x.noPlace(ctx, verdict, queue.length())
 		}
-		x.wait(ctx, queue, changed, suspected, until)
+		x.wait(ctx, queue, changed, until)
 	}
 }
 
 // wait waits until the request should look for a place again: for its turn, and once it
-// is first for room; at once where another request may be held.
-func (x *exchange) wait(ctx context.Context, queue *line, changed, suspected <-chan struct{}, until time.Time) {
+// is first for room.
+func (x *exchange) wait(ctx context.Context, queue *line, changed <-chan struct{}, until time.Time) {
 	clock := x.gateway.cfg.Clock
 	turn, first, changesAt := queue.turn(&x.adm)
 	if !first {
@@ -188,7 +185,6 @@
 	case <-ctx.Done():
 	case <-turn:
 	case <-changed:
-	case <-suspected:
 	case <-timer.Chan():
 	}
 }
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -85,6 +85,8 @@
 	budgets  map[string]*retry.Window // by service
 	lines    map[string]*line         // by service
 	inquests inquests
+	// inProgress is the requests from their routing to their end; each may be given up.
+	inProgress map[*exchange]context.CancelCauseFunc
 }
 
 // New returns a Gateway.
@@ -92,13 +94,16 @@
 	if cfg.Tell == nil {
 		cfg.Tell = func(quarantine.Report) {}
 	}
-	return &Gateway{
-		cfg: cfg, budgets: map[string]*retry.Window{}, lines: map[string]*line{},
+	g := &Gateway{
+		inProgress: map[*exchange]context.CancelCauseFunc{},
+		cfg:        cfg, budgets: map[string]*retry.Window{}, lines: map[string]*line{},
 		inquests: inquests{
 			pool: cfg.Pool, clock: cfg.Clock, log: cfg.Log, ends: cfg.State.Ledger(), tell: cfg.Tell,
 			open: map[fleet.Incarnation]*inquest{},
 		},
 	}
+	cfg.State.Ledger().Notify(g.giveUpHeld)
+	return g
 }
 
 // Leave makes callers leave their connections after the next answer that begins.
@@ -136,6 +141,8 @@
 	defer cancel(nil)
 	overdue := g.cfg.Clock.AfterFunc(x.adm.End.Sub(g.cfg.Clock.Now()), func() { cancel(context.DeadlineExceeded) })
 	defer overdue.Stop()
+	g.begin(x, cancel)
+	defer g.end(x)
 	x.run(ctx)
 }
 
@@ -260,6 +267,7 @@
 	heldFor      time.Duration
 	header       http.Header // of the answer that the caller gets; nil: none was begun
 	events       int
+	answering    atomic.Bool   // the first event came
 	firstEvent   time.Duration // from the arrival
 	eventAt      time.Time     // of the newest event
 	longest      time.Duration // pause between two events
--- a/entry/internal/gateway/held.go
+++ b/entry/internal/gateway/held.go
@@ -1,12 +1,46 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+
 	"comfreyrelay.example/relay/quarantine"
 )
 
+// errHeld ends a request in progress that is held from now on.
+var errHeld = errors.New("the request is held")
+
+// begin notes a request in progress, which cancel gives up.
+func (g *Gateway) begin(x *exchange, cancel context.CancelCauseFunc) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inProgress[x] = cancel
+}
+
+func (g *Gateway) end(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.inProgress, x)
+}
+
+// giveUpHeld gives up the requests in progress that are held now: one that waits for a place
+// or stands in an endpoint's queue would end that too, with all that others have there. One
+// that is being answered is left: it is more likely not to blame.
+func (g *Gateway) giveUpHeld() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for x, cancel := range g.inProgress {
+		if x.answering.Load() {
+			continue
+		}
+		if _, held := g.cfg.State.Ledger().Held(x.print); held {
+			cancel(errHeld)
+		}
+	}
+}
+
 // held refuses a request under which endpoints ended again and again, wherever it came before:
-// each further one that runs it ends too, with all that others have in progress there. It is
-// asked before each send and while the request waits, since others may learn it meanwhile.
+// each further one that runs it ends too.
 func (x *exchange) held() *refusal {
 	g := x.gateway
 	ends := g.cfg.State.Ledger()
--- a/entry/internal/gateway/held_test.go
+++ b/entry/internal/gateway/held_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,6 +62,60 @@
 	got.check(t, http.StatusServiceUnavailable, "endpoints ended under this request", true)
 }
 
+// One that stands in an endpoint's queue when the third end is learned is given up, before it
+// ends that endpoint too; one that is being answered goes on.
+func TestHeldRequestInProgressIsGivenUp(t *testing.T) {
+	reached, release := make(chan struct{}), make(chan struct{})
+	h := newHouse(t, newEndpoint(t, "i-1", func(id string) []byte {
+		close(reached)
+		<-release
+		return whole("late")(id)
+	}))
+	answered := make(chan answer)
+	go func() { answered <- h.send(t, "/safe/a", "key-1", "deadly") }()
+	<-reached
+	h.ended(printOf("/safe/a", "deadly"), 3)
+	got := <-answered
+	close(release)
+	got.check(t, http.StatusBadGateway, "endpoints ended under this request", true)
+}
+
+func TestHeldStreamThatIsAnsweredGoesOn(t *testing.T) {
+	rest := make(chan struct{})
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Server-Stamp", "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: one\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-rest
+		_, _ = io.WriteString(w, "id: 2\ndata: two\n\n")
+	}))
+	t.Cleanup(engine.Close)
+	h := newHouse(t, &endpoint{id: "i-1", address: engine.Listener.Addr().String()})
+	req, err := http.NewRequest(http.MethodPost, h.server.URL+"/stream/a", strings.NewReader("long"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("X-Attempt-Id", "id-1")
+	req.Header.Set("Authorization", "Bearer key-1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	first := make([]byte, len("id: 1\ndata: one\n\n"))
+	if _, err := io.ReadFull(resp.Body, first); err != nil {
+		t.Fatal(err)
+	}
+	h.ended(printOf("/stream/a", "long"), 3)
+	close(rest)
+	text, err := io.ReadAll(resp.Body)
+	if got, want := string(text), "id: 2\ndata: two\n\n"; got != want || err != nil {
+		t.Errorf("got %q, %v after the first event, want %q", got, err, want)
+	}
+}
+
 // Where two ends are known the third is the last: the request waits until it is found out
 // whether the endpoint ended, and then goes to no other.
 func TestThirdEndIsTheLast(t *testing.T) {
--- a/entry/internal/gateway/refuse.go
+++ b/entry/internal/gateway/refuse.go
@@ -35,6 +35,11 @@
 
 // overdue ends a request whose time is over or whose caller left.
 func (x *exchange) overdue(ctx context.Context) *refusal {
+	if errors.Is(context.Cause(ctx), errHeld) {
+		if refused := x.held(); refused != nil {
+			return refused
+		}
+	}
 	reason := "the time is over"
 	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		reason = "the caller left"
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -27,11 +27,6 @@
 			x.refuse(*refused)
 			return
 		}
-		if refused := x.held(); refused != nil {
-			grant.Done(fleet.Abandoned)
-			x.refuse(*refused)
-			return
-		}
 		outcome := x.attempt(ctx, grant)
 		grant.Done(outcome)
 		x.logAttempt(grant, outcome)
--- a/entry/internal/gateway/stream.go
+++ b/entry/internal/gateway/stream.go
@@ -60,6 +60,7 @@
 func (x *exchange) noteEvent() {
 	now := x.gateway.cfg.Clock.Now()
 	if x.events == 0 {
+		x.answering.Store(true)
 		x.firstEvent = now.Sub(x.arrived)
 	} else {
 		x.longest = max(x.longest, now.Sub(x.eventAt))
--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -43,8 +43,8 @@
 	at    map[End][]Fingerprint // the requests of ends by the end
 	order []told                // pairs, those told longest ago first; renewed ones stand twice
 	pairs int
-	// changed is closed and replaced when one more request has as many ends as are allowed.
-	changed chan struct{}
+	// maybeHeld is called after a report by which one more request may be held.
+	maybeHeld func()
 }
 
 // pair is one end under one request.
@@ -71,11 +71,18 @@
 
 // NewLedger returns a Ledger that knows of no end.
 func NewLedger(clock func() time.Time) *Ledger {
-	return &Ledger{clock: clock, ends: map[Fingerprint][]pair{}, at: map[End][]Fingerprint{}, changed: make(chan struct{})}
+	return &Ledger{clock: clock, ends: map[Fingerprint][]pair{}, at: map[End][]Fingerprint{}, maybeHeld: func() {}}
 }
 
 // Hear takes over what this entry saw or another one told.
 func (l *Ledger) Hear(report Report) {
+	if l.take(report) {
+		l.maybeHeld()
+	}
+}
+
+// take is Hear, and reports whether another request may be held now.
+func (l *Ledger) take(report Report) bool {
 	now := l.clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -90,10 +97,7 @@
 		held = l.blame(now, print, report.End, runningWeight) || held
 	}
 	l.forget(now)
-	if held {
-		close(l.changed)
-		l.changed = make(chan struct{})
-	}
+	return held
 }
 
 // blame notes that an endpoint ended under a request and reports whether it may be held now;
@@ -230,12 +234,9 @@
 	return tell
 }
 
-// Changed returns a channel that is closed when another request may be held.
-func (l *Ledger) Changed() <-chan struct{} {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	return l.changed
-}
+// Notify lets the function be called whenever another request may be held, without a lock. It
+// is called before anything is heard.
+func (l *Ledger) Notify(maybeHeld func()) { l.maybeHeld = maybeHeld }
 
 // Size returns the requests and the ends that are remembered.
 func (l *Ledger) Size() (requests, ends int) {
--- a/relay/quarantine/ledger_test.go
+++ b/relay/quarantine/ledger_test.go
@@ -40,12 +40,11 @@
 		case "end":
 			var id string
 			td.ScanArgs(t, "of", &id)
-			changed := led.Changed()
+			notified := false
+			led.Notify(func() { notified = true })
 			led.Hear(Report{End: End{Endpoint: id}, Suspects: printsOf(names("suspects")), Running: printsOf(names("running"))})
-			select {
-			case <-changed:
-				return "changed"
-			default:
+			if notified {
+				return "notified"
 			}
 		case "served":
 			led.Hear(Report{Served: printsOf(names("what"))})
