comfreyctl ends: under which requests endpoints ended

Cause: after an incident the question is which request to blame, and its tries bear a new id each; reading it from the lines of nine entries took joining them by hand.

--- a/ctl/internal/cmd/cmd.go
+++ b/ctl/internal/cmd/cmd.go
@@ -50,6 +50,7 @@
 		explainCommand(term),
 		traceCommand(term),
 		reportCommand(term),
+		endsCommand(term),
 		entriesCommand(term),
 		completionCommand(term),
 	}
--- /dev/null
+++ b/ctl/internal/cmd/cmd_ends.go
@@ -0,0 +1,158 @@
+package cmd
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/failure"
+)
+
+type endsOptions struct {
+	Least int    `long:"least" value-name:"N" default:"2" description:"only requests under which so many endpoints ended"`
+	From  string `long:"from" value-name:"TIME" description:"only lines at this time or later, as in the logs"`
+	To    string `long:"to" value-name:"TIME" description:"only lines before this time"`
+	JSON  bool   `long:"json" description:"print one JSON object a request"`
+}
+
+func endsCommand(term *terminal) *cli.Command {
+	opts := &endsOptions{}
+	return &cli.Command{
+		Name:  "ends",
+		Short: "Tell under which requests endpoints ended",
+		Long: "Reads entries' logs, or standard input where none is named, and counts by request under how many endpoints' ends " +
+			"it was in progress: one that ends what runs it stands first, those that ran beside it have few. A request that " +
+			"comes again is one request, whichever entry it came to.\n\n" +
+			"Examples:\n  comfreyctl ends entry-*.log\n" +
+			"  comfreyctl ends --least 3 --json entry-*.log",
+		Options: opts,
+		Run: func(_ context.Context, args []string) error {
+			return ends(term, opts, args)
+		},
+	}
+}
+
+// suspect is one request under which endpoints ended.
+type suspect struct {
+	Print string    `json:"print"`
+	Ends  int       `json:"ends"` // distinct endpoints
+	Tries int       `json:"tries"`
+	Held  int       `json:"held"`   // tries that were refused for it
+	Good  int       `json:"served"` // tries that were served
+	First time.Time `json:"first"`  // end
+	Last  time.Time `json:"last"`
+	// Requests are the callers' ids of the tries in progress at ends.
+	Requests []string `json:"requests"`
+}
+
+// heldReason is the outcome of a request that is held.
+const heldReason = "endpoints ended under this request"
+
+func ends(term *terminal, opts *endsOptions, files []string) error {
+	if opts.Least < 1 {
+		return failure.New(failure.Invalid, "--least is no number from 1 on", "leave it out for 2")
+	}
+	lines, err := readBetween(term, files, opts.From, opts.To)
+	if err != nil {
+		return err
+	}
+	ended, found := countEnds(lines)
+	if ended == 0 {
+		return failure.New(failure.NotFound, "no endpoint's end is in the logs", "name entries' logs, and check the times")
+	}
+	found = slices.DeleteFunc(found, func(one suspect) bool { return one.Ends < opts.Least })
+	if opts.JSON {
+		return encodeEnds(term.out, found)
+	}
+	return printEnds(term.out, ended, found)
+}
+
+// countEnds returns how many endpoints ended and the requests in progress there, most ends
+// first.
+func countEnds(lines []logLine) (ended int, found []suspect) {
+	byPrint := map[string]*suspect{}
+	at := map[string]map[string]bool{} // endpoints by fingerprint
+	all := map[string]bool{}
+	for _, line := range lines {
+		if line.fields["msg"] != "endpoint looked at" || line.fields["ended"] != "true" {
+			continue
+		}
+		end := line.fields["endpoint"] + " " + line.fields["born"]
+		all[end] = true
+		ids := listOf(line.fields["requests"])
+		for i, print := range listOf(line.fields["prints"]) {
+			one := byPrint[print]
+			if one == nil {
+				one = &suspect{Print: print, First: line.at}
+				byPrint[print], at[print] = one, map[string]bool{}
+			}
+			at[print][end] = true
+			one.Ends, one.Last = len(at[print]), line.at
+			if i < len(ids) && !slices.Contains(one.Requests, ids[i]) {
+				one.Requests = append(one.Requests, ids[i])
+			}
+		}
+	}
+	countTries(lines, byPrint)
+	for _, one := range byPrint {
+		found = append(found, *one)
+	}
+	slices.SortFunc(found, func(left, right suspect) int {
+		return cmp.Or(cmp.Compare(right.Ends, left.Ends), left.First.Compare(right.First), cmp.Compare(left.Print, right.Print))
+	})
+	return len(all), found
+}
+
+// countTries counts how the tries of the requests were answered.
+func countTries(lines []logLine, byPrint map[string]*suspect) {
+	for _, line := range lines {
+		one := byPrint[line.fields["print"]]
+		if one == nil || line.fields["msg"] != "answered" {
+			continue
+		}
+		one.Tries++
+		switch line.fields["outcome"] {
+		case heldReason:
+			one.Held++
+		case "served":
+			one.Good++
+		}
+	}
+}
+
+// listOf reads a list as it is logged: "[a b]".
+func listOf(text string) []string {
+	return strings.Fields(strings.TrimSuffix(strings.TrimPrefix(text, "["), "]"))
+}
+
+func encodeEnds(out io.Writer, found []suspect) error {
+	encoder := json.NewEncoder(out)
+	for _, one := range found {
+		if err := encoder.Encode(one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printEnds(out io.Writer, ended int, found []suspect) error {
+	fmt.Fprintf(out, "%d endpoints ended\n", ended)
+	if len(found) == 0 {
+		_, err := fmt.Fprintln(out, "no request was in progress at as many ends as asked for: the endpoints' own logs tell more")
+		return err
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "print\tends\ttries\tserved\theld\tfirst\tlast")
+	for _, one := range found {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%s\t%+.1fs\n", one.Print, one.Ends, one.Tries, one.Good, one.Held,
+			one.First.Format(time.RFC3339Nano), one.Last.Sub(one.First).Seconds())
+	}
+	return table.Flush()
+}
--- a/ctl/internal/cmd/cmd_report_test.go
+++ b/ctl/internal/cmd/cmd_report_test.go
@@ -12,9 +12,13 @@
 
 // TestReport runs testdata/report: each command's input is a log, its arguments
 // those of the command line.
-func TestReport(t *testing.T) {
-	datadriven.RunTest(t, "testdata/report", func(t *testing.T, td *datadriven.TestData) string {
-		args := []string{"report"}
+func TestReport(t *testing.T) { runLogScript(t, "report", "testdata/report") }
+
+// runLogScript runs a subcommand that reads logs, as a file tells.
+func runLogScript(t *testing.T, command, file string) {
+	t.Helper()
+	datadriven.RunTest(t, file, func(t *testing.T, td *datadriven.TestData) string {
+		args := []string{command}
 		for _, arg := range td.CmdArgs {
 			option := "--" + arg.Key
 			if len(arg.Vals) > 0 {
--- a/ctl/internal/cmd/cmd_trace.go
+++ b/ctl/internal/cmd/cmd_trace.go
@@ -23,6 +23,7 @@
 
 type traceOptions struct {
 	Request string `long:"request" value-name:"ID" description:"only lines that name this request"`
+	Print   string `long:"print" value-name:"PRINT" description:"only lines that name this fingerprint: all tries of one request"`
 	Node    string `long:"node" value-name:"ID" description:"only lines of this process"`
 	From    string `long:"from" value-name:"TIME" description:"only lines at this time or later, as in the logs"`
 	To      string `long:"to" value-name:"TIME" description:"only lines before this time"`
@@ -59,7 +60,8 @@
 		return err
 	}
 	lines = slices.DeleteFunc(lines, func(line logLine) bool {
-		return opts.Request != "" && line.fields["request"] != opts.Request ||
+		return opts.Request != "" && !line.names("request", opts.Request) ||
+			opts.Print != "" && !line.names("print", opts.Print) ||
 			opts.Node != "" && line.fields["node"] != opts.Node
 	})
 	if len(lines) == 0 {
@@ -68,6 +70,12 @@
 	return printLogs(term.out, lines, opts.JSON)
 }
 
+// names reports whether the line is of the request, by its id or fingerprint, or names it in a
+// list of several.
+func (l logLine) names(field, value string) bool {
+	return l.fields[field] == value || slices.Contains(listOf(l.fields[field+"s"]), value)
+}
+
 // readBetween reads the lines from the time of the option --from on and before that
 // of --to, in order of time; an empty option bounds nothing.
 func readBetween(term *terminal, files []string, fromText, toText string) ([]logLine, error) {
