--- /dev/null
+++ b/entry/internal/gateway/house_test.go
@@ -0,0 +1,275 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyrelay.example/entry/internal/gateway"
+	"comfreyrelay.example/entry/internal/upstream"
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/freshness"
+	"comfreyrelay.example/relay/quarantine"
+	"comfreyrelay.example/relay/site"
+)
+
+// endpoint answers each request that it reads with the next of its answers, byte
+// for byte; a nil answer closes the connection. Further requests get a whole 200.
+type endpoint struct {
+	id      string
+	address string
+	// listener is closed where the endpoint ends.
+	listener net.Listener
+	mu       sync.Mutex
+	answers  []func(id string) []byte
+	seen     []*http.Request
+	// accepted is called with mu held for each connection; may be nil.
+	accepted func()
+}
+
+func newEndpoint(t *testing.T, id string, answers ...func(id string) []byte) *endpoint {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	end := &endpoint{id: id, address: lis.Addr().String(), answers: answers, listener: lis}
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go end.serve(conn)
+		}
+	}()
+	return end
+}
+
+func (e *endpoint) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	e.mu.Lock()
+	if e.accepted != nil {
+		e.accepted()
+	}
+	e.mu.Unlock()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		answer := e.next(req)
+		if answer == nil {
+			return
+		}
+		if _, err := conn.Write(answer); err != nil || bytes.HasSuffix(answer, []byte(cutOff)) {
+			return
+		}
+	}
+}
+
+// cutOff ends an answer after which the connection closes.
+const cutOff = "\x00"
+
+func (e *endpoint) next(req *http.Request) []byte {
+	answer := e.take(req)
+	if answer == nil {
+		return nil
+	}
+	return answer(req.Header.Get("X-Attempt-Id"))
+}
+
+func (e *endpoint) take(req *http.Request) func(id string) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = append(e.seen, req)
+	if len(e.answers) == 0 {
+		return whole("ok")
+	}
+	answer := e.answers[0]
+	e.answers = e.answers[1:]
+	return answer
+}
+
+func (e *endpoint) requests() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*http.Request(nil), e.seen...)
+}
+
+func head(status int, id string, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n%s", status, id, more)
+}
+
+func whole(body string) func(id string) []byte {
+	return func(id string) []byte {
+		return []byte(head(200, id, fmt.Sprintf("X-Server-Stamp: s-%s\r\nContent-Length: %d\r\n\r\n%s", body, len(body), body)))
+	}
+}
+
+func failing(status int) func(id string) []byte {
+	return func(id string) []byte {
+		return []byte(head(status, id, "X-Server-Stamp: f\r\nContent-Length: 4\r\n\r\nfail"))
+	}
+}
+
+func notRun(id string) []byte {
+	return []byte(head(503, id, "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
+}
+
+// events streams events first to last; torn leaves the last one's end away and
+// breaks off.
+func events(first, last int, torn bool) func(id string) []byte {
+	return func(id string) []byte {
+		var out strings.Builder
+		out.WriteString(head(200, id, "X-Server-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		for i := first; i <= last; i++ {
+			event := fmt.Sprintf("id: %d\ndata: token-%d\n\n", i, i)
+			if torn && i == last {
+				event = event[:len(event)-4]
+			}
+			fmt.Fprintf(&out, "%x\r\n%s\r\n", len(event), event)
+		}
+		if torn {
+			return []byte(out.String() + cutOff)
+		}
+		return []byte(out.String() + "0\r\n\r\n")
+	}
+}
+
+// house is a gateway before endpoints.
+type house struct {
+	clock   *clockwork.FakeClock
+	now     time.Duration // of the freshness clock
+	state   *site.State
+	gateway *gateway.Gateway
+	log     *output
+	server  *httptest.Server
+	ids     int
+	// freeze stops the clock: it moves on no more while requests wait for it.
+	freeze context.CancelFunc
+	told   chan quarantine.Report // what other entries are told
+}
+
+var testRoutes = []catalog.Route{
+	{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.Once, MaxAttempts: 1},
+	{Name: "once-two", Host: "h", Prefix: "/two/", Kind: catalog.Once, MaxAttempts: 2},
+	{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.Idempotent, MaxAttempts: 2},
+	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true, MaxAttempts: 2},
+	{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, MaxAttempts: 1, Public: true},
+}
+
+func newHouse(t *testing.T, endpoints ...*endpoint) *house {
+	t.Helper()
+	h := &house{clock: clockwork.NewFakeClock(), log: &output{}, told: make(chan quarantine.Report, 16)}
+	fresh := freshness.NewTracker(func() time.Duration { return h.now })
+	h.state = site.NewState(h.clock.Now, fleet.New(h.clock.Now), fresh)
+	spec := catalog.Spec{Version: 1, Services: []catalog.Service{{Name: "app"}}, Limits: catalog.Limits{BodyBytes: 100},
+		Customers: []catalog.Customer{{Name: "mine", Keys: []string{"key-1"}}}}
+	for _, route := range testRoutes {
+		route.Timeout, route.Target, route.Gap = 5*time.Second, 500*time.Millisecond, 500*time.Millisecond
+		route.Shares = []catalog.Share{{Service: "app", Weight: 1}}
+		spec.Routes = append(spec.Routes, route)
+	}
+	records := []site.Record{{Kind: site.CatalogRecord, Catalog: catalog.New(spec)}}
+	for _, end := range endpoints {
+		records = append(records, site.Record{Kind: site.EndpointRecord, ID: end.id, Endpoint: fleet.Registration{
+			ID: end.id, Service: "app", Address: end.address, Slots: 4,
+		}})
+	}
+	h.state.Apply(records, 1)
+	fresh.Prove(0)
+	h.gateway = gateway.New(gateway.Config{
+		State: h.state, Pool: upstream.NewPool(time.Now), Wire: platform.Wire(), Clock: h.clock,
+		Log: slog.New(slog.NewTextHandler(h.log, nil)),
+		Bounds: func() gateway.Bounds {
+			return gateway.Bounds{Revoke: 4 * time.Second, Apply: 2 * time.Second, Version: 8 * time.Second, Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+		},
+		Entries: func() int { return 1 },
+		Tell:    func(report quarantine.Report) { h.told <- report },
+	})
+	h.server = httptest.NewServer(h.gateway)
+	t.Cleanup(h.server.Close)
+	ctx, freeze := context.WithCancel(t.Context())
+	h.freeze = freeze
+	go h.tick(ctx)
+	return h
+}
+
+// tick moves the clock on while a request waits for it, five times as fast as the
+// clock on the wall: nothing is decided by how long the network takes.
+func (h *house) tick(ctx context.Context) {
+	for h.clock.BlockUntilContext(ctx, 1) == nil {
+		h.clock.Advance(5 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	whole  bool // the answer came to its end
+	close  bool // the connection is not to be used again
+}
+
+func (h *house) send(t *testing.T, path, key, body string) answer {
+	t.Helper()
+	h.ids++
+	req, err := http.NewRequest(http.MethodPost, h.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("X-Attempt-Id", fmt.Sprint("id-", h.ids))
+	req.Header.Set("X-Deadline-Ms", "5000")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(text), header: resp.Header, whole: err == nil, close: resp.Close}
+}
+
+func (a answer) check(t *testing.T, status int, body string, isWhole bool) {
+	t.Helper()
+	if a.status != status || !strings.HasPrefix(a.body, body) || a.whole != isWhole {
+		t.Errorf("got %d %q whole %v, want %d %q whole %v", a.status, a.body, a.whole, status, body, isWhole)
+	}
+}
+
+func sum(endpoints ...*endpoint) int {
+	total := 0
+	for _, end := range endpoints {
+		total += len(end.requests())
+	}
+	return total
+}
