Reports of ends wake no plan, and the age of a word that never came is told

State.Changed wakes what shares out engines and follows others; reports of ends change neither, and each end brings several. Where no agent told of an endpoint attempts logged stateAgeMillis=; it is -1 now.

--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -93,6 +93,17 @@
 	return 1 + e.proven
 }
 
+// neverHeard stands for the age of an agent's word where none came.
+const neverHeard = -time.Millisecond
+
+// stateAge returns the age of the agent's word.
+func (e *endpoint) stateAge(now time.Time) time.Duration {
+	if e.stateAt.IsZero() {
+		return neverHeard
+	}
+	return now.Sub(e.stateAt)
+}
+
 // version returns the loaded version of a model; 0 where it is not loaded.
 func (e *endpoint) version(now time.Time, model string) uint64 {
 	if e.followed(now) {
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -75,7 +75,7 @@
 // Delay returns how much longer than usual the agent's word was on its way.
 func (g *Grant) Delay() time.Duration { return g.delay }
 
-// StateAge returns the age of the agent's word at the choice.
+// StateAge returns the age of the agent's word at the choice, -1 ms where none came.
 func (g *Grant) StateAge() time.Duration { return g.stateAge }
 
 // Alive reports whether the endpoint is not known to be dead: the agent on its
--- a/relay/fleet/pick.go
+++ b/relay/fleet/pick.go
@@ -135,7 +135,7 @@
 		group: g, end: best, prompt: need.Prompt,
 		incarnation: best.incarnation(), address: best.reg.Address, version: best.version(now, need.Model),
 		occupied: best.occupancy(now, need.Entries), unread: best.unread(now), home: best.reach == deal.Home,
-		stateAge: now.Sub(best.stateAt), delay: best.state.Delay,
+		stateAge: best.stateAge(now), delay: best.state.Delay,
 	}
 	best.running[grant] = now
 	if !best.stateAt.IsZero() {
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -77,7 +77,7 @@
 	return s.revision
 }
 
-// Changed returns a channel that is closed at the next change.
+// Changed returns a channel that is closed at the next change, reports of ends aside.
 func (s *State) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,10 +169,12 @@
 	defer s.mu.Unlock()
 	s.revision = max(s.revision, revision)
 	s.dropMissing(now)
+	planned := false // something that others plan by changed
 	for _, rec := range records {
 		s.apply(now, rec, revision)
+		planned = planned || rec.Kind != ReportRecord
 	}
-	if len(records) > 0 {
+	if planned {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
