--- a/ctl/internal/cmd/cmd_report.go
+++ b/ctl/internal/cmd/cmd_report.go
@@ -20,6 +20,7 @@
 	From  string `long:"from" value-name:"TIME" description:"only requests answered at this time or later, as in the logs"`
 	To    string `long:"to" value-name:"TIME" description:"only requests answered before this time"`
 	JSON  bool   `long:"json" description:"print one JSON object a row, and one a reason"`
+	HTML  string `long:"html" value-name:"FILE" description:"write a page with plots too; it needs no other file"`
 }
 
 func reportCommand(term *terminal) *cli.Command {
@@ -33,6 +34,7 @@
 			"waited for a place for half of its target or more (waited), it paused for too long (paused), its endpoint took " +
 			"too long (endpoint).\n\n" +
 			"Examples:\n  comfreyctl report entry-*.log\n" +
+			"  comfreyctl report --html day.html entry-*.log agent-*.log\n" +
 			"  comfreyctl report --every 10s --from 2026-06-17T15:08:30Z --json front-1.log",
 		Options: opts,
 		Run: func(_ context.Context, args []string) error {
@@ -73,11 +75,15 @@
 	if err != nil {
 		return err
 	}
-	lines = slices.DeleteFunc(lines, func(line logLine) bool { return line.fields["msg"] != "answered" })
-	if len(lines) == 0 {
+	rows, reasons := countEndings(lines, every)
+	if len(rows) == 0 {
 		return failure.New(failure.NotFound, "no answered request is in the logs", "name entries' logs, and check the times")
 	}
-	rows, reasons := countEndings(lines, every)
+	if opts.HTML != "" {
+		if err := writePage(opts.HTML, lines, rows, reasons); err != nil {
+			return err
+		}
+	}
 	if opts.JSON {
 		return encodeReport(term.out, rows, reasons)
 	}
@@ -89,6 +95,9 @@
 	var rows []row
 	counts := map[ending]int{}
 	for _, line := range lines {
+		if !answered(line) {
+			continue
+		}
 		at := line.at.Truncate(every)
 		if len(rows) == 0 || !rows[len(rows)-1].At.Equal(at) {
 			rows = append(rows, row{At: at})
--- /dev/null
+++ b/ctl/internal/cmd/report_page.go
@@ -0,0 +1,204 @@
+package cmd
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"comfreyrelay.example/relay/failure"
+)
+
+// page is what the HTML report shows.
+type page struct {
+	Began    time.Time
+	Rows     []row
+	Reasons  []reason
+	Pictures []picture
+}
+
+// picture is a plot with what it shows.
+type picture struct {
+	Title string
+	SVG   template.HTML // made by the plot library from figures alone
+}
+
+// curve is a line of a plot.
+type curve struct {
+	name   string
+	points plotter.XYs
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>How requests ended</title>
+<style>body{font-family:sans-serif;max-width:60em;margin:1em auto}td,th{padding:.1em .8em;text-align:right}td.text{text-align:left}svg{width:100%;height:auto}</style>
+<h1>How requests ended</h1>
+<p>Seconds since {{.Began.Format "2006-01-02T15:04:05.999Z07:00"}}.</p>
+{{range .Pictures}}<h2>{{.Title}}</h2>
+{{.SVG}}
+{{end}}<h2>Why not in time</h2>
+<table><tr><th>count<th>class<th>reason
+{{range .Reasons}}<tr><td>{{.Count}}<td class="text">{{.Class}}<td class="text">{{.Reason}}
+{{end}}</table>
+<h2>By time</h2>
+<table><tr><th>at<th>answered<th>in time<th>late<th>refused<th>failed
+{{range .Rows}}<tr><td>{{.At.Format "15:04:05"}}<td>{{.Answered}}<td>{{.InTime}}<td>{{.Late}}<td>{{.Refused}}<td>{{.Failed}}
+{{end}}</table>
+</html>
+`))
+
+// writePage writes the report of all lines as one page that needs nothing else.
+func writePage(file string, lines []logLine, rows []row, reasons []reason) error {
+	made := page{Began: rows[0].At, Rows: rows, Reasons: reasons}
+	for _, one := range plotsOf(lines, rows) {
+		svg, err := draw(one)
+		if err != nil {
+			return err
+		}
+		made.Pictures = append(made.Pictures, picture{Title: one.title, SVG: svg})
+	}
+	var out bytes.Buffer
+	if err := pageTemplate.Execute(&out, made); err != nil {
+		return failure.Wrap(err, failure.Internal, "the page cannot be made", "report it")
+	}
+	if err := os.WriteFile(file, out.Bytes(), 0o644); err != nil {
+		return failure.Wrap(err, failure.Invalid, "the page cannot be written", "name a file in a folder that exists")
+	}
+	return nil
+}
+
+// chart is one plot before it is drawn.
+type chart struct {
+	title, unit string
+	curves      []curve
+}
+
+// plotsOf returns the plots of a day, those without a point left out.
+func plotsOf(lines []logLine, rows []row) []chart {
+	began := rows[0].At
+	every := rowLength(rows)
+	charts := []chart{
+		{title: "Requests answered, by how they ended", unit: "requests a row", curves: []curve{
+			countCurve("in time", rows, began, func(r row) int { return r.InTime }),
+			countCurve("late", rows, began, func(r row) int { return r.Late }),
+			countCurve("refused", rows, began, func(r row) int { return r.Refused }),
+			countCurve("failed", rows, began, func(r row) int { return r.Failed }),
+		}},
+		{title: "First event of streams", unit: "ms", curves: partCurves(lines, began, every, "firstMillis", func(l logLine) bool { return l.millis("events") > 0 })},
+		{title: "Waiting for a place", unit: "ms", curves: partCurves(lines, began, every, "heldMillis", answered)},
+		{title: "Age of what entries knew", unit: "ms", curves: partCurves(lines, began, every, "ageMillis", answered)},
+		{title: "What processes learned of endpoints and weights", unit: "lines so far", curves: []curve{
+			eventCurve("endpoints ended", lines, began, func(l logLine) bool { return l.fields["msg"] == "endpoint looked at" && l.fields["ended"] == "true" }),
+			eventCurve("versions whole on a host", lines, began, func(l logLine) bool { return l.fields["msg"] == "version whole" }),
+			eventCurve("loads ordered", lines, began, func(l logLine) bool { return l.fields["msg"] == "order" }),
+			eventCurve("dependencies lost", lines, began, func(l logLine) bool { return l.fields["msg"] == "dependency lost" }),
+		}},
+	}
+	for i := range charts {
+		charts[i].curves = slices.DeleteFunc(charts[i].curves, func(one curve) bool { return len(one.points) == 0 })
+	}
+	return slices.DeleteFunc(charts, func(one chart) bool { return len(one.curves) == 0 })
+}
+
+func answered(line logLine) bool { return line.fields["msg"] == "answered" }
+
+// rowLength is the least time between two rows; a second where there is one row alone.
+func rowLength(rows []row) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for i := range rows[1:] {
+		least = min(least, rows[i+1].At.Sub(rows[i].At))
+	}
+	if len(rows) < 2 {
+		return time.Second
+	}
+	return least
+}
+
+func countCurve(name string, rows []row, began time.Time, count func(row) int) curve {
+	found := curve{name: name}
+	for _, one := range rows {
+		found.points = append(found.points, plotter.XY{X: one.At.Sub(began).Seconds(), Y: float64(count(one))})
+	}
+	return found
+}
+
+// partCurves returns the median and what one in ten and one in a hundred exceed, by row.
+func partCurves(lines []logLine, began time.Time, every time.Duration, field string, of func(logLine) bool) []curve {
+	curves := []curve{{name: "p50"}, {name: "p90"}, {name: "p99"}}
+	byRow := map[int64][]int{}
+	for _, line := range lines {
+		if of(line) && answered(line) {
+			at := int64(line.at.Sub(began) / every)
+			byRow[at] = append(byRow[at], line.millis(field))
+		}
+	}
+	var order []int64
+	for at := range byRow {
+		order = append(order, at)
+	}
+	slices.Sort(order)
+	for _, at := range order {
+		slices.Sort(byRow[at])
+		for i, part := range []float64{0.5, 0.9, 0.99} {
+			value := byRow[at][int(part*float64(len(byRow[at])-1))]
+			curves[i].points = append(curves[i].points, plotter.XY{X: float64(at) * every.Seconds(), Y: float64(value)})
+		}
+	}
+	return curves
+}
+
+// eventCurve counts lines up.
+func eventCurve(name string, lines []logLine, began time.Time, of func(logLine) bool) curve {
+	found := curve{name: name}
+	for _, line := range lines {
+		if of(line) {
+			found.points = append(found.points, plotter.XY{X: line.at.Sub(began).Seconds(), Y: float64(len(found.points) + 1)})
+		}
+	}
+	return found
+}
+
+// Size of a plot on the page.
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 2.6 * vg.Inch
+	// legendRoom stretches a plot so that its legend stands above the curves.
+	legendRoom = 1.4
+)
+
+func draw(one chart) (template.HTML, error) {
+	drawn := plot.New()
+	drawn.X.Label.Text = "s"
+	drawn.Y.Label.Text = one.unit
+	drawn.Y.Min = 0
+	drawn.Legend.Top, drawn.Legend.Left = true, true
+	var args []any
+	for _, line := range one.curves {
+		args = append(args, line.name, line.points)
+	}
+	err := plotutil.AddLines(drawn, args...)
+	drawn.Y.Max *= legendRoom
+	var svg io.WriterTo
+	if err == nil {
+		svg, err = drawn.WriterTo(plotWidth, plotHeight, "svg")
+	}
+	var out bytes.Buffer
+	if err == nil {
+		_, err = svg.WriteTo(&out)
+	}
+	if err != nil {
+		return "", failure.Wrap(err, failure.Internal, fmt.Sprintf("the plot %q can't be drawn", one.title), "report it")
+	}
+	// What stands before the element is for files of their own.
+	text := out.Bytes()
+	return template.HTML(text[max(0, bytes.Index(text, []byte("<svg"))):]), nil
+}
