A harmless request that comes often is neither held nor hides the one to blame

Found in virtual time, before any caller met it: one request that comes twenty times a second is in progress at most ends.

Cause: a good answer took away the ends known at the entry that saw it, and was told only where that entry itself was one end short of holding the request.

Change: a good answer has a time; ends learned before it or in the ten seconds after do not count. It is told where, by what all were told, one more end would hold the request, at most once in ten seconds; entries that start read it.

--- a/relay/quarantine/fleet_test.go
+++ b/relay/quarantine/fleet_test.go
@@ -333,6 +333,11 @@
 		f.innocents++
 		f.ask(Of("c", "POST", "h", fmt.Sprintf("/%d", f.innocents), nil), 1)
 	})
+	// One request comes again and again and is in progress at most ends.
+	f.every(50*time.Millisecond, func() {
+		f.innocents++
+		f.ask(Of("c", "GET", "h", "/status", nil), 1)
+	})
 	f.every(2*time.Second, func() { f.end(f.endpoints[f.random.IntN(len(f.endpoints))], false) })
 	f.every(2*time.Second, func() {
 		one := f.anyEntry()
--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -21,6 +21,13 @@
 	suspectWeight = 2
 	runningWeight = 1
 	heldWeight    = endsAllowed * suspectWeight
+	// suspectedWeight is what is one end short of that.
+	suspectedWeight = heldWeight - suspectWeight
+	// goodTime is for how long after a good answer ends do not count against a request: one
+	// that comes often is in progress wherever anything ends, and is served in between at
+	// each entry. It is many times what reports of earlier ends take, and what it costs one
+	// that was good and then ends what runs it is that time.
+	goodTime = 10 * time.Second
 	// HoldTime is how long an end is remembered, and so for how long a request is held after
 	// the last one that is known: long against the seconds in which callers come again, and
 	// the longest time for which the platform's store keeps a key for an entry that is gone.
@@ -39,7 +46,7 @@
 	clock func() time.Time
 
 	mu    sync.RWMutex
-	ends  map[Fingerprint][]pair
+	known map[Fingerprint]*record
 	at    map[End][]Fingerprint // the requests of ends by the end
 	order []told                // pairs, those told longest ago first; renewed ones stand twice
 	pairs int
@@ -47,21 +54,42 @@
 	maybeHeld func()
 }
 
+// record is what is known of one request under which an endpoint ended.
+type record struct {
+	ends []pair
+	good time.Time // when a good answer was last heard of; zero: none was
+	// told is when one was last told of to all, which entries that start later read too.
+	told time.Time
+}
+
 // pair is one end under one request.
 type pair struct {
-	end    End
-	weight int
-	told   time.Time // when it was learned, or told again
+	end     End
+	weight  int
+	learned time.Time
+	told    time.Time // when it was learned, or told again
 }
 
-func weightOf(known []pair) int {
+// weight is what weighs on the request.
+func (r *record) weight() int { return r.weightSince(r.good) }
+
+// weightSince is what weighs on the request if it was last served at a time; ends that were
+// learned before, or shortly after it, do not.
+func (r *record) weightSince(good time.Time) int {
 	sum := 0
-	for _, one := range known {
-		sum += one.weight
+	for _, one := range r.ends {
+		sum += one.weightSince(good)
 	}
 	return sum
 }
 
+func (p pair) weightSince(good time.Time) int {
+	if !good.IsZero() && p.learned.Before(good.Add(goodTime)) {
+		return 0
+	}
+	return p.weight
+}
+
 // told is a pair in the order of its telling.
 type told struct {
 	print Fingerprint
@@ -71,7 +99,7 @@
 
 // NewLedger returns a Ledger that knows of no end.
 func NewLedger(clock func() time.Time) *Ledger {
-	return &Ledger{clock: clock, ends: map[Fingerprint][]pair{}, at: map[End][]Fingerprint{}, maybeHeld: func() {}}
+	return &Ledger{clock: clock, known: map[Fingerprint]*record{}, at: map[End][]Fingerprint{}, maybeHeld: func() {}}
 }
 
 // Hear takes over what this entry saw or another one told.
@@ -87,47 +115,46 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, print := range report.Served {
-		l.clear(print)
+		if rec := l.known[print]; rec != nil {
+			rec.good, rec.told = now, now
+		}
 	}
 	held := false
 	for _, print := range report.Suspects {
-		held = l.blame(now, print, report.End, suspectWeight) || held
+		held = l.note(now, print, report.End, suspectWeight) || held
 	}
 	for _, print := range report.Running {
-		held = l.blame(now, print, report.End, runningWeight) || held
+		held = l.note(now, print, report.End, runningWeight) || held
 	}
 	l.forget(now)
 	return held
 }
 
-// blame notes that an endpoint ended under a request and reports whether it may be held now;
-// l.mu is held.
-func (l *Ledger) blame(now time.Time, print Fingerprint, end End, weight int) bool {
-	known := l.ends[print]
-	if i := slices.IndexFunc(known, func(one pair) bool { return one.end == end }); i >= 0 {
-		known[i].told, known[i].weight = now, max(known[i].weight, weight)
+// note takes in what an end weighs on a request, and reports whether it may be held now; l.mu
+// is held.
+func (l *Ledger) note(now time.Time, print Fingerprint, end End, weight int) bool {
+	rec := l.known[print]
+	if rec == nil {
+		rec = &record{}
+		l.known[print] = rec
+	}
+	if i := slices.IndexFunc(rec.ends, func(one pair) bool { return one.end == end }); i >= 0 {
+		rec.ends[i].told, rec.ends[i].weight = now, max(rec.ends[i].weight, weight)
 	} else {
-		known = append(known, pair{end, weight, now})
-		l.ends[print] = known
+		rec.ends = append(rec.ends, pair{end: end, weight: weight, learned: now, told: now})
 		l.at[end] = append(l.at[end], print)
 		l.pairs++
 	}
 	l.order = append(l.order, told{print, end, now})
-	return weightOf(known) >= heldWeight
-}
-
-// clear forgets the ends under a request; l.mu is held.
-func (l *Ledger) clear(print Fingerprint) {
-	for _, one := range slices.Clone(l.ends[print]) {
-		l.drop(print, one.end)
-	}
+	return rec.weight() >= heldWeight
 }
 
 // drop forgets one pair; l.mu is held.
 func (l *Ledger) drop(print Fingerprint, end End) {
-	l.ends[print] = slices.DeleteFunc(l.ends[print], func(one pair) bool { return one.end == end })
-	if len(l.ends[print]) == 0 {
-		delete(l.ends, print)
+	rec := l.known[print]
+	rec.ends = slices.DeleteFunc(rec.ends, func(one pair) bool { return one.end == end })
+	if len(rec.ends) == 0 {
+		delete(l.known, print)
 	}
 	l.at[end] = slices.DeleteFunc(l.at[end], func(one Fingerprint) bool { return one == print })
 	if len(l.at[end]) == 0 {
@@ -145,8 +172,9 @@
 			break
 		}
 		gone++
-		// One that was told again since, or cleared, is not dropped for its old telling.
-		if slices.ContainsFunc(l.ends[oldest.print], func(one pair) bool { return one.end == oldest.end && one.told.Equal(oldest.at) }) {
+		// One that was told again since is not dropped for its old telling.
+		rec := l.known[oldest.print]
+		if rec != nil && slices.ContainsFunc(rec.ends, func(one pair) bool { return one.end == oldest.end && one.told.Equal(oldest.at) }) {
 			l.drop(oldest.print, oldest.end)
 		}
 	}
@@ -159,34 +187,36 @@
 	now := l.clock()
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	known := l.current(now, print)
-	if weightOf(known) < heldWeight || l.unexplained(known) < heldWeight {
+	rec := l.current(now, print)
+	if rec == nil || rec.weight() < heldWeight || l.unexplained(rec) < heldWeight {
 		return time.Time{}, false
 	}
-	for _, one := range known {
+	for _, one := range rec.ends {
 		until = laterOf(until, one.told.Add(HoldTime))
 	}
 	return until, true
 }
 
-// current returns the ends under a request that are not too old; l.mu is held for reading.
-func (l *Ledger) current(now time.Time, print Fingerprint) []pair {
-	known := l.ends[print]
-	if !slices.ContainsFunc(known, func(one pair) bool { return now.Sub(one.told) >= HoldTime }) {
-		return known
+// current returns what is known of a request without ends that are too old, nil where that is
+// nothing; l.mu is held for reading.
+func (l *Ledger) current(now time.Time, print Fingerprint) *record {
+	rec := l.known[print]
+	old := func(one pair) bool { return now.Sub(one.told) >= HoldTime }
+	if rec == nil || !slices.ContainsFunc(rec.ends, old) {
+		return rec
 	}
-	return slices.DeleteFunc(slices.Clone(known), func(one pair) bool { return now.Sub(one.told) >= HoldTime })
+	return &record{ends: slices.DeleteFunc(slices.Clone(rec.ends), old), good: rec.good}
 }
 
 // unexplained returns what weighs on a request of its ends that did not also happen under
 // another one on which more weighs: where they did it only ran beside that one. One that is to
 // blame is explained by no other for long, since it comes alone sooner or later. l.mu is held
 // for reading.
-func (l *Ledger) unexplained(known []pair) int {
-	whole, left := weightOf(known), 0
-	for _, one := range known {
-		if !slices.ContainsFunc(l.at[one.end], func(other Fingerprint) bool { return weightOf(l.ends[other]) > whole }) {
-			left += one.weight
+func (l *Ledger) unexplained(rec *record) int {
+	whole, left := rec.weight(), 0
+	for _, one := range rec.ends {
+		if !slices.ContainsFunc(l.at[one.end], func(other Fingerprint) bool { return l.known[other].weight() > whole }) {
+			left += one.weightSince(rec.good)
 		}
 	}
 	return left
@@ -198,8 +228,12 @@
 	now := l.clock()
 	l.mu.RLock()
 	defer l.mu.RUnlock()
+	rec := l.known[print]
+	if rec == nil {
+		return nil
+	}
 	var reports []Report
-	for _, one := range l.ends[print] {
+	for _, one := range rec.ends {
 		if now.Sub(one.told) < HoldTime/2 {
 			return nil
 		}
@@ -216,23 +250,33 @@
 func (l *Ledger) Suspected(print Fingerprint) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return l.suspected(print)
-}
-
-func (l *Ledger) suspected(print Fingerprint) bool {
-	return weightOf(l.ends[print]) >= heldWeight-suspectWeight
+	rec := l.known[print]
+	return rec != nil && rec.weight() >= suspectedWeight
 }
 
 // Served notes that an endpoint ran a request to a good end, and reports whether the other
-// entries have to hear of it: one more end would have held it.
-func (l *Ledger) Served(print Fingerprint) bool {
+// entries have to hear of it: one further end would hold the request at an entry that knows
+// only what all were told.
+func (l *Ledger) Served(print Fingerprint) (tell bool) {
 	l.mu.RLock()
-	known, tell := len(l.ends[print]) > 0, l.suspected(print)
+	known := l.known[print] != nil
 	l.mu.RUnlock()
-	if known {
-		l.Hear(Report{Served: []Fingerprint{print}})
+	if !known {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rec := l.known[print]
+	if rec == nil {
+		return false
+	}
+	now := l.clock()
+	rec.good = now
+	if rec.weightSince(rec.told) < suspectedWeight {
+		return false
 	}
-	return tell
+	rec.told = now
+	return true
 }
 
 // Notify lets the function be called whenever another request may be held, without a lock. It
@@ -243,7 +287,7 @@
 func (l *Ledger) Size() (requests, ends int) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return len(l.ends), len(l.at)
+	return len(l.known), len(l.at)
 }
 
 func laterOf(left, right time.Time) time.Time {
--- a/relay/quarantine/report.go
+++ b/relay/quarantine/report.go
@@ -9,7 +9,7 @@
 }
 
 // Report is what one entry saw and tells the others: requests in progress at an endpoint when
-// it ended, or requests that were served whole after they had been in progress at such ends.
+// it ended, or requests that were served after such ends.
 type Report struct {
 	End End `json:"end,omitzero"`
 	// Suspects were in progress there, begun shortly before or perhaps not yet.
@@ -17,7 +17,7 @@
 	// Running were in progress too and had been answered in part: the endpoint ran them and
 	// went on, so that they are to blame less likely.
 	Running []Fingerprint `json:"running,omitempty"`
-	// Served is requests that an endpoint ran to a good end: they end none.
+	// Served is requests that an endpoint ran to a good end after such ends.
 	Served []Fingerprint `json:"served,omitempty"`
 }
 
