Only a good answer acquits: a refusal by an endpoint shows nothing

Cause: any whole answer counted, so that an endpoint that rejects a request before it read it would have acquitted one that ends what runs it.

Change: status under 300 alone. Test failed before.

--- a/entry/internal/gateway/held.go
+++ b/entry/internal/gateway/held.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
+	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/quarantine"
 )
 
@@ -57,10 +59,12 @@
 }
 
 // acquit notes that a request was run to a good end: it ends no endpoint by itself, and was
-// only in progress where some did. Others hear of it where one more end would have held it.
-func (x *exchange) acquit() {
+// only in progress where some did. Others hear of it where one more end would have held it. An
+// answer that refuses or fails shows nothing: the request may not have been run.
+func (x *exchange) acquit(outcome fleet.Outcome) {
 	g := x.gateway
-	if !g.cfg.State.Ledger().Served(x.print) {
+	good := outcome == fleet.Served && x.status < http.StatusMultipleChoices
+	if !good || !g.cfg.State.Ledger().Served(x.print) {
 		return
 	}
 	g.cfg.Tell(quarantine.Report{Served: []quarantine.Fingerprint{x.print}})
--- a/entry/internal/gateway/held_test.go
+++ b/entry/internal/gateway/held_test.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// An answer that refuses acquits nobody: an endpoint that reads no request to its end answers
+// the deadly one too.
+func TestRefusalByAnEndpointAcquitsNobody(t *testing.T) {
+	h := newHouse(t, newEndpoint(t, "i-1", failing(http.StatusBadRequest)))
+	print := printOf("/safe/a", "deadly")
+	h.ended(print, 2)
+	h.send(t, "/safe/a", "key-1", "deadly").check(t, http.StatusBadRequest, "fail", true)
+	h.ended(print, 3)
+	h.send(t, "/safe/a", "key-1", "deadly").check(t, http.StatusServiceUnavailable, "endpoints ended under this request", true)
+}
+
 // Symptom: a request that only ran beside a deadly one, or where endpoints ended otherwise, is
 // refused later. Sequence: two ends, then it is served; then one more end. Cause: ends were
 // added up though a good answer shows that it ends nothing.
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -33,9 +33,7 @@
 		x.inquire(ctx, grant, outcome)
 		if x.status != 0 && (outcome == fleet.Served || outcome == fleet.Failed) {
 			x.logEnd(outcome.String(), x.status)
-			if outcome == fleet.Served {
-				x.acquit()
-			}
+			x.acquit(outcome)
 			return
 		}
 		if refused := x.next(ctx, outcome); refused != nil {
