Who follows sources that lost the store asks it sooner

Cause: the store turned both sources of a region away. The others went on until their knowledge was 2.4 s old, as old as a long watch makes it, then all asked for 70 KB over one link between regions and had it 0.7 s later. That a source had lost the store was not told.

They look each 0.4 s whether they are still led.

Test fails before ("still led by one that lost the store").

--- a/entry/internal/onsite/news.go
+++ b/entry/internal/onsite/news.go
@@ -101,6 +101,7 @@
 		if i == len(replies)-1 {
 			reply.Answers, reply.Proven, reply.AgeMicros = answers, proven, uint64(age.Microseconds())+1
 			reply.SettleMillis = uint32(s.state.Settling().Milliseconds())
+			reply.StoreLost = s.state.StoreLost()
 		}
 		if err := stream.Send(reply); err != nil {
 			return nil, err
--- a/entry/internal/onsite/news_test.go
+++ b/entry/internal/onsite/news_test.go
@@ -209,3 +209,45 @@
 		t.Errorf("got %d keys, want %d", got, len(entries))
 	}
 }
+
+// Symptom: requests reach an engine 3.0 to 3.2 s after it told the store that it leaves, where 3
+// are allowed (DRAIN of the platform's rules), from entries that are well. Sequence: the store
+// turns both sources of a region away; the others go on until what they know is 2.4 s old, then
+// all ask the store at once for what changed, 70 KB over a link between regions, and have it
+// 0.7 s later. Cause: that a source lost the store was not told, only the age of what it knows,
+// which is no older than a long watch makes it. Proof: the entries' logs of that day, twice.
+func TestFollowersOfSourcesThatLostTheStoreAskItSooner(t *testing.T) {
+	source := newKnower()
+	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", []byte("v"), 5, false)}, 7)
+	source.state.Fresh().Prove(0)
+	address, _ := source.serve(t)
+	reader, others := follow(t, address)
+	eventually(t, "led", func() error {
+		if reader.mirror.Revision() == 7 && others.led() > 0 {
+			return nil
+		}
+		return errors.New("not yet")
+	})
+	// A long watch makes knowledge so old that is still good.
+	const age = 1500 * time.Millisecond
+	source.now.Add(int64(age))
+	reader.now.Add(int64(age))
+	if others.led() == 0 {
+		t.Errorf("got the store asked %v after the last proof of a source that follows it, want it left alone", age)
+	}
+	source.state.Lost()
+	eventually(t, "the store is asked", func() error {
+		if others.led() == 0 {
+			return nil
+		}
+		return errors.New("still led by one that lost the store")
+	})
+	source.state.Regained()
+	source.state.Fresh().Prove(age)
+	eventually(t, "led again", func() error {
+		if others.led() > 0 {
+			return nil
+		}
+		return errors.New("not yet")
+	})
+}
--- a/entry/internal/onsite/sources.go
+++ b/entry/internal/onsite/sources.go
@@ -41,6 +41,7 @@
 	apply func() time.Duration
 
 	live     atomic.Int64 // streams that bring something
+	sound    atomic.Int64 // those of them whose source has the store
 	followed atomic.Bool  // the region is large enough that some follow others
 }
 
@@ -51,7 +52,11 @@
 	if s.live.Load() == 0 || !known {
 		return 0
 	}
-	return max(0, site.Trust(s.apply())-age)
+	trust := site.Trust(s.apply())
+	if s.sound.Load() == 0 {
+		trust = site.TrustOfLost(s.apply())
+	}
+	return max(0, trust-age)
 }
 
 // wait returns how long this entry's own watches wait.
@@ -134,11 +139,12 @@
 		defer cancel()
 		asker.run(ctx, s.clock)
 	}()
-	up := false
+	up, sound := false, false
 	defer func() {
 		if up {
 			s.live.Add(-1)
 		}
+		s.count(&sound, false)
 	}()
 	for {
 		reply, err := stream.Recv()
@@ -149,6 +155,7 @@
 		if !asker.hear(reply) {
 			return errGap
 		}
+		s.count(&sound, !reply.GetStoreLost())
 		if !up {
 			up = true
 			s.live.Add(1)
@@ -157,6 +164,19 @@
 	}
 }
 
+// count counts a stream among those whose source has the store, or no longer.
+func (s *sources) count(counted *bool, sound bool) {
+	if *counted == sound {
+		return
+	}
+	*counted = sound
+	if sound {
+		s.sound.Add(1)
+	} else {
+		s.sound.Add(-1)
+	}
+}
+
 // newsAsker sends the requests of one stream and lets its reader hear the replies.
 type newsAsker struct {
 	stream wire.DRPCNews_ShareClient
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -22,6 +22,9 @@
 	// atOnceAfter is the time that a watch waited at least whose changes were made
 	// while it did: those made before it are answered sooner.
 	atOnceAfter = 100 * time.Millisecond
+	// ledLook is how often one that others lead looks whether they still do: they may lose
+	// the store meanwhile.
+	ledLook = 400 * time.Millisecond
 	// retryWait is the mean pause after a failed call.
 	retryWait = 120 * time.Millisecond
 )
@@ -53,7 +56,7 @@
 		var err error
 		if led := f.led(); whole && led > 0 {
 			f.silent = true
-			f.sleep(ctx, led)
+			f.sleep(ctx, min(led, ledLook))
 			continue
 		}
 		if whole {
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -28,7 +28,8 @@
 	fresh  *freshness.Tracker
 	ledger *quarantine.Ledger
 
-	catalog atomic.Pointer[catalog.Catalog] // nil: none was read yet
+	catalog   atomic.Pointer[catalog.Catalog] // nil: none was read yet
+	storeLost atomic.Bool
 
 	mu       sync.Mutex
 	revision uint64 // of the store, never falls
@@ -137,10 +138,19 @@
 
 // Lost notes that the store does not answer: registrations that lapse now may
 // be back after it returns.
-func (s *State) Lost() { s.settle() }
+func (s *State) Lost() {
+	s.storeLost.Store(true)
+	s.settle()
+}
 
 // Regained notes that the store answers again.
-func (s *State) Regained() { s.settle() }
+func (s *State) Regained() {
+	s.storeLost.Store(false)
+	s.settle()
+}
+
+// StoreLost reports whether the store does not answer this process.
+func (s *State) StoreLost() bool { return s.storeLost.Load() }
 
 func (s *State) settle() { s.SettleFor(settleTime) }
 
