--- a/entry/internal/gateway/inquest.go
+++ b/entry/internal/gateway/inquest.go
@@ -90,7 +90,7 @@
 		}
 		found = &inquest{grant: grant, done: make(chan struct{})}
 		q.open[grant.Incarnation()] = found
-		go q.hold(found)
+		go q.look(found)
 	}
 	if len(found.suspects) >= maxSuspects {
 		found.left++
@@ -100,8 +100,8 @@
 	return found.done
 }
 
-// hold looks at the endpoint once those that broke with it are collected.
-func (q *inquests) hold(one *inquest) {
+// look looks at the endpoint once those that broke with it are collected.
+func (q *inquests) look(one *inquest) {
 	defer close(one.done)
 	<-q.clock.After(inquestWait)
 	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
