The cost of asking after a request does not grow with its ends

Callers saw (in a test of the ledger alone, virtual time): an entry that answers nobody while many endpoints end. Sequence: a request that comes often is in progress wherever an endpoint ends; 5,000 ends stand under it; it comes on. Cause: each arrival and each send summed the weight of each request at each of its ends anew, its own 5,000 ends included, and kept the lock.

Change: a request's weight is kept as its ends come, are acquitted and are forgotten; pairs are found from both sides; the newest twelve ends decide whether it is held; what is too old is dropped when somebody asks.

--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -32,6 +32,9 @@
 	// the last one that is known: long against the seconds in which callers come again, and
 	// the longest time for which the platform's store keeps a key for an entry that is gone.
 	HoldTime = 10 * time.Minute
+	// lookedEnds is how many ends of a request, the newest ones, decide whether it is held: one
+	// that is in progress wherever anything ends has thousands, and each arrival asks.
+	lookedEnds = 4 * endsAllowed
 	// maxPairs bounds what is remembered, in requests at ends: a region of 900 engines with a
 	// dozen requests each that ends at once, twice. A pair takes 312 bytes, all 10.2 MB.
 	maxPairs = 1 << 15
@@ -47,59 +50,54 @@
 
 	mu    sync.RWMutex
 	known map[Fingerprint]*record
-	at    map[End][]Fingerprint // the requests of ends by the end
-	order []told                // pairs, those told longest ago first; renewed ones stand twice
-	pairs int
+	ended map[End]*ending
+	// tellings is in the order of telling; a pair that was told again stands several times.
+	tellings []telling
+	pairs    int
 	// maybeHeld is called after a report by which one more request may be held.
 	maybeHeld func()
 }
 
 // record is what is known of one request under which an endpoint ended.
 type record struct {
-	ends []pair
-	good time.Time // when a good answer was last heard of; zero: none was
+	print Fingerprint
+	pairs []*pair // in the order in which they were learned; those that count are the last ones
+	// weight is that of the pairs that count, kept as they change: requests are asked for far
+	// more often than endpoints end.
+	weight int
+	good   time.Time // when a good answer was last heard of; zero: none was
 	// told is when one was last told of to all, which entries that start later read too.
 	told time.Time
+	// newest is when any pair was last told.
+	newest time.Time
+}
+
+// ending is what is known of one end of an endpoint: the requests under it, a few dozen at most,
+// since an endpoint has no more in progress.
+type ending struct {
+	end   End
+	pairs []*pair
 }
 
 // pair is one end under one request.
 type pair struct {
-	end     End
+	rec     *record
+	ending  *ending
 	weight  int
+	counts  bool // it was not learned before the last good answer, nor shortly after it
 	learned time.Time
 	told    time.Time // when it was learned, or told again
 }
 
-// weight is what weighs on the request.
-func (r *record) weight() int { return r.weightSince(r.good) }
-
-// weightSince is what weighs on the request if it was last served at a time; ends that were
-// learned before, or shortly after it, do not.
-func (r *record) weightSince(good time.Time) int {
-	sum := 0
-	for _, one := range r.ends {
-		sum += one.weightSince(good)
-	}
-	return sum
-}
-
-func (p pair) weightSince(good time.Time) int {
-	if !good.IsZero() && p.learned.Before(good.Add(goodTime)) {
-		return 0
-	}
-	return p.weight
-}
-
-// told is a pair in the order of its telling.
-type told struct {
-	print Fingerprint
-	end   End
-	at    time.Time
+// telling is a pair in the order of telling.
+type telling struct {
+	pair *pair
+	at   time.Time
 }
 
 // NewLedger returns a Ledger that knows of no end.
 func NewLedger(clock func() time.Time) *Ledger {
-	return &Ledger{clock: clock, known: map[Fingerprint]*record{}, at: map[End][]Fingerprint{}, maybeHeld: func() {}}
+	return &Ledger{clock: clock, known: map[Fingerprint]*record{}, ended: map[End]*ending{}, maybeHeld: func() {}}
 }
 
 // Hear takes over what this entry saw or another one told.
@@ -116,7 +114,8 @@
 	defer l.mu.Unlock()
 	for _, print := range report.Served {
 		if rec := l.known[print]; rec != nil {
-			rec.good, rec.told = now, now
+			rec.acquit(now)
+			rec.told = now
 		}
 	}
 	held := false
@@ -126,100 +125,166 @@
 	for _, print := range report.Running {
 		held = l.note(now, print, report.End, runningWeight) || held
 	}
-	l.forget(now)
+	l.forgetOld(now)
+	l.makeRoom()
 	return held
 }
 
+// acquit notes a good answer: no end that is known counts any more.
+func (r *record) acquit(now time.Time) {
+	r.good, r.weight = now, 0
+	for _, one := range slices.Backward(r.pairs) {
+		if !one.counts {
+			return
+		}
+		one.counts = false
+	}
+}
+
 // note takes in what an end weighs on a request, and reports whether it may be held now; l.mu
 // is held.
 func (l *Ledger) note(now time.Time, print Fingerprint, end End, weight int) bool {
 	rec := l.known[print]
 	if rec == nil {
-		rec = &record{}
+		rec = &record{print: print}
 		l.known[print] = rec
 	}
-	if i := slices.IndexFunc(rec.ends, func(one pair) bool { return one.end == end }); i >= 0 {
-		rec.ends[i].told, rec.ends[i].weight = now, max(rec.ends[i].weight, weight)
-	} else {
-		rec.ends = append(rec.ends, pair{end: end, weight: weight, learned: now, told: now})
-		l.at[end] = append(l.at[end], print)
+	at := l.ended[end]
+	if at == nil {
+		at = &ending{end: end}
+		l.ended[end] = at
+	}
+	one := at.of(rec)
+	if one == nil {
+		one = &pair{rec: rec, ending: at, learned: now, counts: rec.good.IsZero() || !now.Before(rec.good.Add(goodTime))}
+		rec.pairs = append(rec.pairs, one)
+		at.pairs = append(at.pairs, one)
 		l.pairs++
 	}
-	l.order = append(l.order, told{print, end, now})
-	return rec.weight() >= heldWeight
+	if weight > one.weight {
+		if one.counts {
+			rec.weight += weight - one.weight
+		}
+		one.weight = weight
+	}
+	one.told, rec.newest = now, now
+	l.tellings = append(l.tellings, telling{one, now})
+	return rec.weight >= heldWeight
+}
+
+// of returns the pair of a request at this end; nil: it was not in progress there.
+func (e *ending) of(rec *record) *pair {
+	for _, one := range e.pairs {
+		if one.rec == rec {
+			return one
+		}
+	}
+	return nil
 }
 
 // drop forgets one pair; l.mu is held.
-func (l *Ledger) drop(print Fingerprint, end End) {
-	rec := l.known[print]
-	rec.ends = slices.DeleteFunc(rec.ends, func(one pair) bool { return one.end == end })
-	if len(rec.ends) == 0 {
-		delete(l.known, print)
+func (l *Ledger) drop(one *pair) {
+	rec, at := one.rec, one.ending
+	if rec.pairs[0] == one {
+		// Ends are mostly forgotten in the order in which they were learned.
+		rec.pairs[0] = nil
+		rec.pairs = rec.pairs[1:]
+	} else {
+		rec.pairs = without(rec.pairs, one)
 	}
-	l.at[end] = slices.DeleteFunc(l.at[end], func(one Fingerprint) bool { return one == print })
-	if len(l.at[end]) == 0 {
-		delete(l.at, end)
+	if one.counts {
+		rec.weight -= one.weight
 	}
+	if len(rec.pairs) == 0 {
+		delete(l.known, rec.print)
+	}
+	at.pairs = without(at.pairs, one)
+	if len(at.pairs) == 0 {
+		delete(l.ended, at.end)
+	}
+	one.rec = nil
 	l.pairs--
 }
 
-// forget drops what was told too long ago and what is beyond the bound, oldest first; l.mu is
-// held.
-func (l *Ledger) forget(now time.Time) {
-	gone := 0
-	for _, oldest := range l.order {
-		if now.Sub(oldest.at) < HoldTime && l.pairs <= maxPairs && len(l.order)-gone <= 2*maxPairs {
-			break
-		}
-		gone++
+func without(pairs []*pair, one *pair) []*pair {
+	return slices.DeleteFunc(pairs, func(other *pair) bool { return other == one })
+}
+
+// forgetOld drops what was told too long ago; l.mu is held.
+func (l *Ledger) forgetOld(now time.Time) {
+	l.forgetWhile(func(oldest telling) bool { return now.Sub(oldest.at) >= HoldTime })
+}
+
+// makeRoom drops what is beyond the bound, oldest first; l.mu is held.
+func (l *Ledger) makeRoom() {
+	l.forgetWhile(func(telling) bool { return l.pairs > maxPairs || len(l.tellings) > 2*maxPairs })
+}
+
+// forgetWhile drops the pair told longest ago as long as the function says so; l.mu is held.
+func (l *Ledger) forgetWhile(beyond func(oldest telling) bool) {
+	for len(l.tellings) > 0 && beyond(l.tellings[0]) {
+		oldest := l.tellings[0]
+		l.tellings = l.tellings[1:]
 		// One that was told again since is not dropped for its old telling.
-		rec := l.known[oldest.print]
-		if rec != nil && slices.ContainsFunc(rec.ends, func(one pair) bool { return one.end == oldest.end && one.told.Equal(oldest.at) }) {
-			l.drop(oldest.print, oldest.end)
+		if oldest.pair.rec != nil && oldest.pair.told.Equal(oldest.at) {
+			l.drop(oldest.pair)
 		}
 	}
-	l.order = l.order[gone:]
 }
 
 // Held reports whether a request is sent to no endpoint, and until when if it does not come
 // again before.
 func (l *Ledger) Held(print Fingerprint) (until time.Time, held bool) {
-	now := l.clock()
+	l.expire(l.clock())
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	rec := l.current(now, print)
-	if rec == nil || rec.weight() < heldWeight || l.unexplained(rec) < heldWeight {
+	rec := l.known[print]
+	if rec == nil || !l.holds(rec) {
 		return time.Time{}, false
 	}
-	for _, one := range rec.ends {
-		until = laterOf(until, one.told.Add(HoldTime))
+	return rec.newest.Add(HoldTime), true
+}
+
+// expire drops what was told too long ago, so that who asks meets nothing of it.
+func (l *Ledger) expire(now time.Time) {
+	l.mu.RLock()
+	expired := len(l.tellings) > 0 && now.Sub(l.tellings[0].at) >= HoldTime
+	l.mu.RUnlock()
+	if !expired {
+		return
 	}
-	return until, true
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgetOld(now)
 }
 
-// current returns what is known of a request without ends that are too old, nil where that is
-// nothing; l.mu is held for reading.
-func (l *Ledger) current(now time.Time, print Fingerprint) *record {
-	rec := l.known[print]
-	old := func(one pair) bool { return now.Sub(one.told) >= HoldTime }
-	if rec == nil || !slices.ContainsFunc(rec.ends, old) {
-		return rec
+// holds reports whether a request is held; l.mu is held for reading.
+func (l *Ledger) holds(rec *record) bool {
+	if rec.weight < heldWeight {
+		return false
 	}
-	return &record{ends: slices.DeleteFunc(slices.Clone(rec.ends), old), good: rec.good}
+	left, _ := l.unexplained(rec)
+	return left >= heldWeight
 }
 
-// unexplained returns what weighs on a request of its ends that did not also happen under
+// unexplained returns what weighs on a request of its newest ends that did not also happen under
 // another one on which more weighs: where they did it only ran beside that one. One that is to
-// blame is explained by no other for long, since it comes alone sooner or later. l.mu is held
-// for reading.
-func (l *Ledger) unexplained(rec *record) int {
-	whole, left := rec.weight(), 0
-	for _, one := range rec.ends {
-		if !slices.ContainsFunc(l.at[one.end], func(other Fingerprint) bool { return l.known[other].weight() > whole }) {
-			left += one.weightSince(rec.good)
+// blame is explained by no other for long, since it comes alone sooner or later. It looks no
+// further than is needed to hold the request, and tells at how many requests it looked. l.mu is
+// held for reading.
+func (l *Ledger) unexplained(rec *record) (left, looked int) {
+	ends := 0
+	for _, one := range slices.Backward(rec.pairs) {
+		if !one.counts || ends == lookedEnds || left >= heldWeight {
+			break
+		}
+		ends++
+		looked += len(one.ending.pairs)
+		if !slices.ContainsFunc(one.ending.pairs, func(other *pair) bool { return other.rec.weight > rec.weight }) {
+			left += one.weight
 		}
 	}
-	return left
+	return left, looked
 }
 
 // Renew returns what is to be told again so that a held request that still comes stays held,
@@ -229,15 +294,12 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	rec := l.known[print]
-	if rec == nil {
+	if rec == nil || now.Sub(rec.newest) < HoldTime/2 {
 		return nil
 	}
 	var reports []Report
-	for _, one := range rec.ends {
-		if now.Sub(one.told) < HoldTime/2 {
-			return nil
-		}
-		report := Report{End: one.end, Suspects: []Fingerprint{print}}
+	for _, one := range rec.pairs[max(0, len(rec.pairs)-lookedEnds):] {
+		report := Report{End: one.ending.end, Suspects: []Fingerprint{print}}
 		if one.weight == runningWeight {
 			report.Suspects, report.Running = nil, report.Suspects
 		}
@@ -251,7 +313,7 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	rec := l.known[print]
-	return rec != nil && rec.weight() >= suspectedWeight
+	return rec != nil && rec.weight >= suspectedWeight
 }
 
 // Served notes that an endpoint ran a request to a good end, and reports whether the other
@@ -271,14 +333,29 @@
 		return false
 	}
 	now := l.clock()
-	rec.good = now
-	if rec.weightSince(rec.told) < suspectedWeight {
+	rec.acquit(now)
+	if !rec.suspectedSince(rec.told) {
 		return false
 	}
 	rec.told = now
 	return true
 }
 
+// suspectedSince reports whether one further end would hold the request if it was last served at
+// a time.
+func (r *record) suspectedSince(good time.Time) bool {
+	sum := 0
+	for _, one := range slices.Backward(r.pairs) {
+		if !good.IsZero() && one.learned.Before(good.Add(goodTime)) {
+			return false
+		}
+		if sum += one.weight; sum >= suspectedWeight {
+			return true
+		}
+	}
+	return false
+}
+
 // Notify lets the function be called whenever another request may be held, without a lock. It
 // is called before anything is heard.
 func (l *Ledger) Notify(maybeHeld func()) { l.maybeHeld = maybeHeld }
@@ -287,12 +364,5 @@
 func (l *Ledger) Size() (requests, ends int) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return len(l.known), len(l.at)
-}
-
-func laterOf(left, right time.Time) time.Time {
-	if left.After(right) {
-		return left
-	}
-	return right
+	return len(l.known), len(l.ended)
 }
--- a/relay/quarantine/ledger_test.go
+++ b/relay/quarantine/ledger_test.go
@@ -118,8 +118,8 @@
 	for i := range 3 * maxPairs {
 		led.Hear(Report{End: End{Endpoint: fmt.Sprintf("i-%d", i/12)}, Suspects: printsOf([]string{fmt.Sprint(i)})})
 	}
-	if requests, ends := led.Size(); requests > maxPairs || ends > maxPairs || len(led.order) > 2*maxPairs {
-		t.Errorf("got %d requests, %d ends and %d in order, want %d at most", requests, ends, len(led.order), maxPairs)
+	if requests, ends := led.Size(); requests > maxPairs || ends > maxPairs || len(led.tellings) > 2*maxPairs {
+		t.Errorf("got %d requests, %d ends and %d in order, want %d at most", requests, ends, len(led.tellings), maxPairs)
 	}
 	now = now.Add(HoldTime)
 	led.Hear(Report{End: End{Endpoint: "last"}, Suspects: printsOf([]string{"last"})})
