What is held is forgotten last where endpoints end in masses

Callers saw (in a test of the ledger alone): a request that had ended three engines was sent again and ended more. Sequence: 10,000 different requests end three engines each, eleven others are in progress at each end. Cause: at the bound of 32,768 pairs what was told longest ago was forgotten, a held request like one that broke once: 910 of the 10,000 were held at the end, and nearly all that was remembered was harmless.

Change: requests stand in ranks by what weighs on them. Forgotten first are those served since and ends beyond what one request needs, then single ends, and so on; a held one goes last, with a log line and a count (heldForgotten on the metrics address).

After: all 10,000 held; of 12,000 the newest 10,240, 1,760 told as forgotten. Times are kept as 8 bytes: 9.5 MB when full (10.2 before), 15.5 MB after 360,000 pairs have come and gone.

Why it holds: the ranks change with each weight, and no report can displace a held request while anything else is left; TestRoomIsLeftForAFirstEnd has the other side.

--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -22,7 +22,8 @@
 // Figures returns the counts by name.
 func (g *Gateway) Figures() map[string]int64 {
 	uses, dials := g.cfg.Pool.Counts()
-	suspects, ends := g.cfg.State.Ledger().Size()
+	ledger := g.cfg.State.Ledger()
+	suspects, ends := ledger.Size()
 	return map[string]int64{
 		"served":          g.figures.served.Load(),
 		"refused":         g.figures.refused.Load(),
@@ -32,6 +33,7 @@
 		"held":            g.figures.held.Load(),
 		"suspects":        int64(suspects),
 		"ends":            int64(ends),
+		"heldForgotten":   int64(ledger.Forgotten()),
 		"inFlight":        g.inFlight.Load(),
 		"bodyBytes":       g.bodies.Load(),
 		"connectionUses":  int64(uses),
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -103,6 +103,9 @@
 		},
 	}
 	cfg.State.Ledger().Notify(g.giveUpHeld)
+	cfg.State.Ledger().NotifyForgotten(func(print quarantine.Fingerprint) {
+		cfg.Log.Warn("a held request is forgotten, too many endpoints ended under others", "print", print)
+	})
 	return g
 }
 
--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"container/list"
 	"slices"
 	"sync"
 	"time"
@@ -16,8 +17,7 @@
 	endsAllowed = 3
 	// suspectWeight and runningWeight are what an end weighs under a request that was begun
 	// shortly before, and under one that had been answered in part; one is held from
-	// heldWeight on. In 20 simulated minutes of nine entries, with some 30 ends each, 36 of 96,000
-	// other requests were held with both alike and 8 so.
+	// heldWeight on.
 	suspectWeight = 2
 	runningWeight = 1
 	heldWeight    = endsAllowed * suspectWeight
@@ -35,9 +35,6 @@
 	// lookedEnds is how many ends of a request, the newest ones, decide whether it is held: one
 	// that is in progress wherever anything ends has thousands, and each arrival asks.
 	lookedEnds = 4 * endsAllowed
-	// maxPairs bounds what is remembered, in requests at ends: a region of 900 engines with a
-	// dozen requests each that ends at once, twice. A pair takes 312 bytes, all 10.2 MB.
-	maxPairs = 1 << 15
 )
 
 var errLength = failure.New(failure.Invalid, "the fingerprint has the wrong length", "write 32 hexadecimal digits")
@@ -47,6 +44,7 @@
 // nobody has to agree with anybody. It is safe for concurrent use.
 type Ledger struct {
 	clock func() time.Time
+	start time.Time // a little before the first moment
 
 	mu    sync.RWMutex
 	known map[Fingerprint]*record
@@ -54,71 +52,54 @@
 	// tellings is in the order of telling; a pair that was told again stands several times.
 	tellings []telling
 	pairs    int
-	// maybeHeld is called after a report by which one more request may be held.
-	maybeHeld func()
-}
-
-// record is what is known of one request under which an endpoint ended.
-type record struct {
-	print Fingerprint
-	pairs []*pair // in the order in which they were learned; those that count are the last ones
-	// weight is that of the pairs that count, kept as they change: requests are asked for far
-	// more often than endpoints end.
-	weight int
-	good   time.Time // when a good answer was last heard of; zero: none was
-	// told is when one was last told of to all, which entries that start later read too.
-	told time.Time
-	// newest is when any pair was last told.
-	newest time.Time
-}
-
-// ending is what is known of one end of an endpoint: the requests under it, a few dozen at most,
-// since an endpoint has no more in progress.
-type ending struct {
-	end   End
-	pairs []*pair
-}
-
-// pair is one end under one request.
-type pair struct {
-	rec     *record
-	ending  *ending
-	weight  int
-	counts  bool // it was not learned before the last good answer, nor shortly after it
-	learned time.Time
-	told    time.Time // when it was learned, or told again
-}
-
-// telling is a pair in the order of telling.
-type telling struct {
-	pair *pair
-	at   time.Time
+	// ranks has the requests by what is forgotten first where there is no room: by what weighs
+	// on them, so that one end is forgotten before two, and those that are held last. Each list
+	// is in the order of telling.
+	ranks [heldRank + 1]list.List
+	// pairsOf is the pairs of the requests of each rank.
+	pairsOf   [heldRank + 1]int
+	forgotten int // held ones that were forgotten for want of room
+	// maybeHeld is called after a report by which one more request may be held, tellForgotten
+	// with each held one that is forgotten for want of room.
+	maybeHeld     func()
+	tellForgotten func(Fingerprint)
 }
 
 // NewLedger returns a Ledger that knows of no end.
 func NewLedger(clock func() time.Time) *Ledger {
-	return &Ledger{clock: clock, known: map[Fingerprint]*record{}, ended: map[End]*ending{}, maybeHeld: func() {}}
+	return &Ledger{
+		clock: clock, start: clock().Add(-1), known: map[Fingerprint]*record{}, ended: map[End]*ending{},
+		maybeHeld: func() {}, tellForgotten: func(Fingerprint) {},
+	}
 }
 
+// now returns the present moment.
+func (l *Ledger) now() moment { return moment(l.clock().Sub(l.start)) }
+
 // Hear takes over what this entry saw or another one told.
 func (l *Ledger) Hear(report Report) {
-	if l.take(report) {
+	maybeHeld, forgotten := l.take(report)
+	for _, print := range forgotten {
+		l.tellForgotten(print)
+	}
+	if maybeHeld {
 		l.maybeHeld()
 	}
 }
 
-// take is Hear, and reports whether another request may be held now.
-func (l *Ledger) take(report Report) bool {
-	now := l.clock()
+// take is Hear, and returns whether another request may be held now, and the held ones for which
+// there was no room.
+func (l *Ledger) take(report Report) (held bool, forgotten []Fingerprint) {
+	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, print := range report.Served {
 		if rec := l.known[print]; rec != nil {
 			rec.acquit(now)
 			rec.told = now
+			l.sort(rec)
 		}
 	}
-	held := false
 	for _, print := range report.Suspects {
 		held = l.note(now, print, report.End, suspectWeight) || held
 	}
@@ -126,27 +107,16 @@
 		held = l.note(now, print, report.End, runningWeight) || held
 	}
 	l.forgetOld(now)
-	l.makeRoom()
-	return held
-}
-
-// acquit notes a good answer: no end that is known counts any more.
-func (r *record) acquit(now time.Time) {
-	r.good, r.weight = now, 0
-	for _, one := range slices.Backward(r.pairs) {
-		if !one.counts {
-			return
-		}
-		one.counts = false
-	}
+	return held, l.makeRoom()
 }
 
 // note takes in what an end weighs on a request, and reports whether it may be held now; l.mu
 // is held.
-func (l *Ledger) note(now time.Time, print Fingerprint, end End, weight int) bool {
+func (l *Ledger) note(now moment, print Fingerprint, end End, weight int8) bool {
 	rec := l.known[print]
 	if rec == nil {
 		rec = &record{print: print}
+		rec.place = l.ranks[0].PushBack(rec)
 		l.known[print] = rec
 	}
 	at := l.ended[end]
@@ -156,99 +126,42 @@
 	}
 	one := at.of(rec)
 	if one == nil {
-		one = &pair{rec: rec, ending: at, learned: now, counts: rec.good.IsZero() || !now.Before(rec.good.Add(goodTime))}
+		one = &pair{rec: rec, ending: at, learned: now, counts: !rec.good.servedBefore(now)}
 		rec.pairs = append(rec.pairs, one)
 		at.pairs = append(at.pairs, one)
 		l.pairs++
+		l.pairsOf[rec.rank]++
 	}
 	if weight > one.weight {
 		if one.counts {
-			rec.weight += weight - one.weight
+			rec.weight += int(weight - one.weight)
 		}
 		one.weight = weight
 	}
 	one.told, rec.newest = now, now
 	l.tellings = append(l.tellings, telling{one, now})
+	l.sort(rec)
+	l.ranks[rec.rank].MoveToBack(rec.place)
 	return rec.weight >= heldWeight
 }
 
-// of returns the pair of a request at this end; nil: it was not in progress there.
-func (e *ending) of(rec *record) *pair {
-	for _, one := range e.pairs {
-		if one.rec == rec {
-			return one
-		}
-	}
-	return nil
-}
-
-// drop forgets one pair; l.mu is held.
-func (l *Ledger) drop(one *pair) {
-	rec, at := one.rec, one.ending
-	if rec.pairs[0] == one {
-		// Ends are mostly forgotten in the order in which they were learned.
-		rec.pairs[0] = nil
-		rec.pairs = rec.pairs[1:]
-	} else {
-		rec.pairs = without(rec.pairs, one)
-	}
-	if one.counts {
-		rec.weight -= one.weight
-	}
-	if len(rec.pairs) == 0 {
-		delete(l.known, rec.print)
-	}
-	at.pairs = without(at.pairs, one)
-	if len(at.pairs) == 0 {
-		delete(l.ended, at.end)
-	}
-	one.rec = nil
-	l.pairs--
-}
-
-func without(pairs []*pair, one *pair) []*pair {
-	return slices.DeleteFunc(pairs, func(other *pair) bool { return other == one })
-}
-
-// forgetOld drops what was told too long ago; l.mu is held.
-func (l *Ledger) forgetOld(now time.Time) {
-	l.forgetWhile(func(oldest telling) bool { return now.Sub(oldest.at) >= HoldTime })
-}
-
-// makeRoom drops what is beyond the bound, oldest first; l.mu is held.
-func (l *Ledger) makeRoom() {
-	l.forgetWhile(func(telling) bool { return l.pairs > maxPairs || len(l.tellings) > 2*maxPairs })
-}
-
-// forgetWhile drops the pair told longest ago as long as the function says so; l.mu is held.
-func (l *Ledger) forgetWhile(beyond func(oldest telling) bool) {
-	for len(l.tellings) > 0 && beyond(l.tellings[0]) {
-		oldest := l.tellings[0]
-		l.tellings = l.tellings[1:]
-		// One that was told again since is not dropped for its old telling.
-		if oldest.pair.rec != nil && oldest.pair.told.Equal(oldest.at) {
-			l.drop(oldest.pair)
-		}
-	}
-}
-
 // Held reports whether a request is sent to no endpoint, and until when if it does not come
 // again before.
 func (l *Ledger) Held(print Fingerprint) (until time.Time, held bool) {
-	l.expire(l.clock())
+	l.expire(l.now())
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	rec := l.known[print]
 	if rec == nil || !l.holds(rec) {
 		return time.Time{}, false
 	}
-	return rec.newest.Add(HoldTime), true
+	return l.start.Add(time.Duration(rec.newest)).Add(HoldTime), true
 }
 
 // expire drops what was told too long ago, so that who asks meets nothing of it.
-func (l *Ledger) expire(now time.Time) {
+func (l *Ledger) expire(now moment) {
 	l.mu.RLock()
-	expired := len(l.tellings) > 0 && now.Sub(l.tellings[0].at) >= HoldTime
+	expired := len(l.tellings) > 0 && !l.tellings[0].at.before(now, HoldTime)
 	l.mu.RUnlock()
 	if !expired {
 		return
@@ -281,7 +194,7 @@
 		ends++
 		looked += len(one.ending.pairs)
 		if !slices.ContainsFunc(one.ending.pairs, func(other *pair) bool { return other.rec.weight > rec.weight }) {
-			left += one.weight
+			left += int(one.weight)
 		}
 	}
 	return left, looked
@@ -290,11 +203,11 @@
 // Renew returns what is to be told again so that a held request that still comes stays held,
 // also at entries that start later; nothing while the last telling is new enough.
 func (l *Ledger) Renew(print Fingerprint) []Report {
-	now := l.clock()
+	now := l.now()
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	rec := l.known[print]
-	if rec == nil || now.Sub(rec.newest) < HoldTime/2 {
+	if rec == nil || rec.newest.before(now, HoldTime/2) {
 		return nil
 	}
 	var reports []Report
@@ -332,8 +245,9 @@
 	if rec == nil {
 		return false
 	}
-	now := l.clock()
+	now := l.now()
 	rec.acquit(now)
+	l.sort(rec)
 	if !rec.suspectedSince(rec.told) {
 		return false
 	}
@@ -341,25 +255,21 @@
 	return true
 }
 
-// suspectedSince reports whether one further end would hold the request if it was last served at
-// a time.
-func (r *record) suspectedSince(good time.Time) bool {
-	sum := 0
-	for _, one := range slices.Backward(r.pairs) {
-		if !good.IsZero() && one.learned.Before(good.Add(goodTime)) {
-			return false
-		}
-		if sum += one.weight; sum >= suspectedWeight {
-			return true
-		}
-	}
-	return false
-}
-
 // Notify lets the function be called whenever another request may be held, without a lock. It
 // is called before anything is heard.
 func (l *Ledger) Notify(maybeHeld func()) { l.maybeHeld = maybeHeld }
 
+// NotifyForgotten lets the function be called with each held request that is forgotten because
+// there is no room, without a lock. It is called before anything is heard.
+func (l *Ledger) NotifyForgotten(tell func(Fingerprint)) { l.tellForgotten = tell }
+
+// Forgotten returns how many held requests were forgotten because there was no room.
+func (l *Ledger) Forgotten() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.forgotten
+}
+
 // Size returns the requests and the ends that are remembered.
 func (l *Ledger) Size() (requests, ends int) {
 	l.mu.RLock()
--- a/relay/quarantine/ledger_test.go
+++ b/relay/quarantine/ledger_test.go
@@ -118,7 +118,7 @@
 	for i := range 3 * maxPairs {
 		led.Hear(Report{End: End{Endpoint: fmt.Sprintf("i-%d", i/12)}, Suspects: printsOf([]string{fmt.Sprint(i)})})
 	}
-	if requests, ends := led.Size(); requests > maxPairs || ends > maxPairs || len(led.tellings) > 2*maxPairs {
+	if requests, ends := led.Size(); requests > maxPairs || ends > maxPairs || len(led.tellings) > maxTellings {
 		t.Errorf("got %d requests, %d ends and %d in order, want %d at most", requests, ends, len(led.tellings), maxPairs)
 	}
 	now = now.Add(HoldTime)
