Weights leave a host's link to requests only for what most near entries see

One entry in each domain, busy with configurations that came each 0.08 s, and the entries of other domains, behind links between regions that carried the same, saw their messages 0.15 to 0.9 s late; a host counted the highest word. In each second of 15 to 35, 19 to 64 hosts had a late word from afar, 0 or 1 from three near entries: the hosts' own links were free. Told on to all entries, the same word made near ones distrust engines.

Change: each entry's word is kept apart; what more than half of the near entries see is the host's link; others count where no near one tells. Entries say whether they are near.

TestHighestDelayCounts asked for the highest word, for links have two ends; but a host can mend its own alone. TestDelayElsewhereSlowsNoWeights takes its place: the host's link is still left as soon, wherever most near entries see it.

--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -93,6 +93,7 @@
 	f.mu.Lock()
 	delete(f.followers, one)
 	f.mu.Unlock()
+	f.pace.leave(one)
 	one.hearReading(0)
 }
 
@@ -150,7 +151,9 @@
 
 func (f *follower) hear(told *wire.Guidance) {
 	now := f.feed.clock.Now()
-	f.feed.pace.hear(time.Duration(told.GetDelayMillis()) * time.Millisecond)
+	if told.GetSentMillis() > 0 {
+		f.feed.pace.hear(f, told.GetNear(), time.Duration(told.GetDelayMillis())*time.Millisecond)
+	}
 	f.note(now, told)
 	f.hearReading(int64(told.GetReading()))
 	if !told.GetReadingOnly() {
--- a/agent/internal/onsite/pace.go
+++ b/agent/internal/onsite/pace.go
@@ -1,6 +1,7 @@
 package onsite
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -30,39 +31,82 @@
 // 100 whose links were squeezed to an eighth were sent weights at the full rate,
 // which stood before the link and requests behind them, for 1 to 2 s. Entries
 // measure that delay and tell it; the part is halved while it is high and grows
-// slowly while it is low. It is safe for concurrent use.
+// slowly while it is low.
+//
+// A way has two ends, and links between failure domains besides. What most entries of
+// the host's own domain see is the host's link; what one of them sees may be its own,
+// and what those of other domains see may be the link between, neither of which gets
+// better if this host takes less. It is safe for concurrent use.
 type pace struct {
 	now func() time.Time
 
 	mu      sync.Mutex
-	lag     time.Duration
-	lagAt   time.Time
+	words   map[*follower]delayWord
 	part    float64
 	stepped time.Time
 }
 
-func newPace(now func() time.Time) *pace { return &pace{now: now, part: 1} }
+// delayWord is what one entry told of the delay on its way to this host.
+type delayWord struct {
+	lag  time.Duration
+	near bool // the entry is of the host's failure domain
+	at   time.Time
+}
+
+func newPace(now func() time.Time) *pace {
+	return &pace{now: now, part: 1, words: map[*follower]delayWord{}}
+}
 
-// hear takes an entry's word of the delay. Of several entries the one with the
-// highest counts, since each link has two ends.
-func (p *pace) hear(lag time.Duration) {
+// hear takes an entry's word of the delay.
+func (p *pace) hear(from *follower, near bool, lag time.Duration) {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if lag >= p.lag || now.Sub(p.lagAt) > lagStale/2 {
-		p.lag, p.lagAt = lag, now
-	}
+	p.words[from] = delayWord{lag: lag, near: near, at: now}
+}
+
+// leave forgets the word of an entry that follows no more.
+func (p *pace) leave(from *follower) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.words, from)
 }
 
-// heard returns the delay that entries told lately; 0: none.
+// heard returns the delay of the host's link that entries told lately; 0: none.
 func (p *pace) heard() time.Duration {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.lagAt) > lagStale {
+	return p.lag(now)
+}
+
+// lag returns the delay that most of the near entries see, of the others where no near
+// one told of any; p.mu is held.
+func (p *pace) lag(now time.Time) time.Duration {
+	var near, far []time.Duration
+	for _, word := range p.words {
+		switch {
+		case now.Sub(word.at) > lagStale:
+		case word.near:
+			near = append(near, word.lag)
+		default:
+			far = append(far, word.lag)
+		}
+	}
+	if len(near) == 0 {
+		return ofMost(far)
+	}
+	return ofMost(near)
+}
+
+// ofMost returns the greatest delay that more than half of the entries see at least;
+// where there are two, both.
+func ofMost(lags []time.Duration) time.Duration {
+	if len(lags) == 0 {
 		return 0
 	}
-	return p.lag
+	slices.Sort(lags)
+	return lags[(len(lags)-1)/2]
 }
 
 // share returns the part of the usual share that may be taken now.
@@ -74,11 +118,7 @@
 		return p.part
 	}
 	p.stepped = now
-	lag := p.lag
-	if now.Sub(p.lagAt) > lagStale {
-		lag = 0
-	}
-	switch {
+	switch lag := p.lag(now); {
 	case lag > lagHigh:
 		p.part = max(leastPart, p.part/2)
 	case lag < lagLow:
--- a/entry/internal/onsite/feed.go
+++ b/entry/internal/onsite/feed.go
@@ -175,10 +175,12 @@
 
 // stamp lets the agent's next states tell how long the message was on its way.
 func (d *feed) stamp(message *wire.Guidance) {
-	if !d.sends() {
+	part, _ := d.orders()
+	if part.Reach == deal.Outside {
 		return
 	}
 	now := d.feeds.clock.Since(d.feeds.began)
+	message.Near = part.Reach >= deal.Near
 	message.DelayMillis = uint32(d.path.tell().Milliseconds())
 	d.path.ask(now.Truncate(time.Millisecond))
 	message.SentMillis = uint64(now.Milliseconds())
