A part of the store's history proves nothing

Callers saw: a request on a route that had been added is refused with 404 3.15 s after the configuration was acknowledged (bound 3 s), and one goes where only an older configuration sends it. Trace (front-xela-sala-1): cut off from the store from 0.6 to 16.4 s, during which 40 configurations of 54 to 57 KB came. Its first watch after revision 92 told revisions 93 to 194; the store was at 212. At 16.47 s it refused with 404, by a catalog acknowledged 3 s before and more, with an age of 2,125 ms told, that of the watch's beginning. 195 to 212 came with the next watch at 17.30 s. Cause: an answer to a watch is cut at a size, as lists are; its revision is that of its last change, and it was taken for all there was when the watch began. The same would have let a key through that was taken away.

Change: an answer of 125 changes or 256 KB, a quarter of what the store gives at once, proves nothing, and the next part is asked for without a pause. What is silent stays so until the last part, so that a version in a later part is not taken for new.

Why it holds: nothing else proves by a watch; readings of everything take their age from before the first page. The test failed before (knowledge 0.3 s old after a part).

--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -25,10 +25,26 @@
 	// ledLook is how often one that others lead looks whether they still do: they may lose
 	// the store meanwhile.
 	ledLook = 400 * time.Millisecond
+	// answerChanges and answerBytes are what an answer to a watch holds at least that may
+	// lack what came after: a quarter of what the store gives in one answer.
+	answerChanges = 125
+	answerBytes   = 256 << 10
 	// retryWait is the mean pause after a failed call.
 	retryWait = 120 * time.Millisecond
 )
 
+// mayGoOn reports whether an answer to a watch is so large that the store may have left out
+// what came after it. Its revision is then that of its last change, and nothing is proven by
+// it: an entry that was cut off while many configurations were written would take the last
+// one in the first answer for the one in force.
+func mayGoOn(changes []kv.Entry) bool {
+	bytes := 0
+	for _, one := range changes {
+		bytes += len(one.Key()) + len(one.Value())
+	}
+	return len(changes) >= answerChanges || bytes >= answerBytes
+}
+
 // Follower keeps a State as new as the store.
 type Follower struct {
 	Store *kv.Store
@@ -151,6 +167,10 @@
 	f.regained()
 	ended := f.State.Fresh().Now()
 	f.Mirror.Apply(after, changes, now, !f.silent || ended-began > atOnceAfter)
+	if mayGoOn(changes) {
+		f.Log.Info("a part of the history is read", "after", after, "revision", now, "changes", len(changes))
+		return nil
+	}
 	f.silent = false
 	if len(changes) == 0 && ended-began >= wait {
 		// The store looked until the wait was over, on its own clock, which
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
@@ -290,3 +291,40 @@
 		t.Errorf("got a proof of %v, want %v", got, began)
 	}
 }
+
+// Symptom: a route that was added 5 s before is refused with 404, and a request goes where only
+// an older configuration sends it. Sequence: an entry is cut off from the store for 15 s while
+// 40 configurations of 54 KB are written; its first watch answers with the first twenty of them
+// and their revision; it serves by the twentieth. Cause: the answer was taken for all there was,
+// so what the entry knew counted as new as the watch's beginning.
+func TestPartOfTheHistoryProvesNothing(t *testing.T) {
+	down := func(w *world) func() ([]kv.Entry, uint64, error) {
+		return func() ([]kv.Entry, uint64, error) {
+			w.clock.Advance(15 * time.Second)
+			return nil, 0, failure.New(failure.Unavailable, "the store is down", "wait")
+		}
+	}
+	answer := func(changes []kv.Entry) func() ([]kv.Entry, uint64, error) {
+		return func() ([]kv.Entry, uint64, error) { return changes, changes[len(changes)-1].Revision(), nil }
+	}
+	var configs, registrations []kv.Entry
+	for revision := uint64(21); revision < 41; revision++ {
+		configs = append(configs, kv.NewEntry("config", make([]byte, 54<<10), revision, false))
+	}
+	for revision := uint64(21); revision < 421; revision++ {
+		registrations = append(registrations, value(fmt.Sprint("endpoint/i-", revision), revision))
+	}
+	for name, part := range map[string][]kv.Entry{"large": configs, "many": registrations} {
+		w := newWorld()
+		w.follow(t, down(w), answer(part))
+		if age, _ := w.fresh.Age(); age < 15*time.Second {
+			t.Errorf("%s: got knowledge %v old after a part of the history, want as old as before", name, age)
+		}
+		// The part that ends the history proves its beginning.
+		w = newWorld()
+		w.follow(t, down(w), answer(part), answer([]kv.Entry{value("e-1", 999)}))
+		if age, known := w.fresh.Age(); !known || age > time.Second {
+			t.Errorf("%s: got knowledge %v old after the end of the history, want new one", name, age)
+		}
+	}
+}
