A request is judged by a configuration no older than the age that is told

Callers could see: a key that was taken away opens a route, at an entry that was cut off and learns again at that moment. Cause: the configuration was looked up and the age of what is known after it. Where both were learned anew between, the old configuration counted as proven just now. Change: the age first. What is learned between then only makes the age too high. The test makes the entry learn between the two and failed before: 200 with a key that was taken away.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -159,6 +159,10 @@
 	if g.draining.Load() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "draining", wait: time.Millisecond, hangUp: true}
 	}
+	// The age is taken before the configuration: a newer one that is learned between would
+	// make the older one, by which this request is judged, count as new.
+	age, known := g.cfg.State.Fresh().Age()
+	x.age, x.proven = age, known
 	x.catalog = g.cfg.State.Catalog()
 	if x.catalog == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", wait: soonReturn}
@@ -178,8 +182,7 @@
 // it doesn't know.
 func (g *Gateway) route(x *exchange) *refusal {
 	bounds := g.cfg.Bounds()
-	age, known := g.cfg.State.Fresh().Age()
-	x.age = age
+	age, known := x.age, x.proven
 	behind := !known || age > bounds.Apply-behindMargin
 	route, ok := x.catalog.Match(x.req.Host, x.req.Path)
 	if !ok {
@@ -258,6 +261,7 @@
 	arrived  time.Time
 	adm      admission.Request // what decides when and where it goes
 	age      time.Duration     // of the knowledge that decided
+	proven   bool              // there was a proof of it
 	bytes    int64             // of body counted
 	print    quarantine.Fingerprint
 
--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"comfreyrelay.example/entry/internal/gateway"
 	"comfreyrelay.example/entry/internal/upstream"
 	"comfreyrelay.example/platform"
+	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/freshness"
 	"comfreyrelay.example/relay/site"
@@ -198,6 +199,31 @@
 	h.send(t, "/open/a", "", "").check(t, 200, "ok", true)
 }
 
+// Symptom: a request with a key that was taken away runs, or a new route is refused with 404, by
+// an entry that was cut off. Sequence: the request comes; the entry learns what came meanwhile,
+// and proves it; the request is judged. Cause: the configuration was looked up before and its
+// age after, so an old one counted as proven just now.
+func TestConfigurationIsNoNewerThanItsAge(t *testing.T) {
+	end := newEndpoint(t, "i-1")
+	h := newHouse(t, end)
+	newer := catalog.Spec{Version: 2, Services: []catalog.Service{{Name: "app"}}, Limits: catalog.Limits{BodyBytes: 100},
+		Customers: []catalog.Customer{{Name: "mine", Keys: []string{"key-2"}}}}
+	for _, route := range testRoutes {
+		route.Shares = []catalog.Share{{Service: "app", Weight: 1}}
+		newer.Routes = append(newer.Routes, route)
+	}
+	h.now = time.Minute
+	h.asked = func() {
+		h.asked = nil
+		h.state.Apply([]site.Record{{Kind: site.CatalogRecord, Catalog: catalog.New(newer)}}, 2)
+		h.state.Fresh().Prove(h.now)
+	}
+	h.send(t, "/once/a", "key-1", "").check(t, 401, "", true)
+	if got, want := sum(end), 0; got != want {
+		t.Errorf("got %d requests run with a key that was taken away, want %d", got, want)
+	}
+}
+
 func TestBadInputReachesNoEndpoint(t *testing.T) {
 	end := newEndpoint(t, "i-1")
 	h := newHouse(t, end)
--- a/entry/internal/gateway/house_test.go
+++ b/entry/internal/gateway/house_test.go
@@ -160,8 +160,11 @@
 
 // house is a gateway before endpoints.
 type house struct {
-	clock   *clockwork.FakeClock
-	now     time.Duration // of the freshness clock
+	clock *clockwork.FakeClock
+	now   time.Duration // of the freshness clock
+	// asked is called when somebody asks for the age of what is known, before it is told;
+	// may be nil.
+	asked   func()
 	state   *site.State
 	gateway *gateway.Gateway
 	log     *output
@@ -183,7 +186,12 @@
 func newHouse(t *testing.T, endpoints ...*endpoint) *house {
 	t.Helper()
 	h := &house{clock: clockwork.NewFakeClock(), log: &output{}, told: make(chan quarantine.Report, 16)}
-	fresh := freshness.NewTracker(func() time.Duration { return h.now })
+	fresh := freshness.NewTracker(func() time.Duration {
+		if h.asked != nil {
+			h.asked()
+		}
+		return h.now
+	})
 	h.state = site.NewState(h.clock.Now, fleet.New(h.clock.Now), fresh)
 	spec := catalog.Spec{Version: 1, Services: []catalog.Service{{Name: "app"}}, Limits: catalog.Limits{BodyBytes: 100},
 		Customers: []catalog.Customer{{Name: "mine", Keys: []string{"key-1"}}}}
