An outage of the origin is no fault of the hosts that own its chunks

Trace: 42 of 64 chunks had left the origin and all hosts held them; at its return 42 draws were made for the 22 that were missing, some four times, and the last left at 29.4, where 22 take 1 s. Cause: the time of the outage counted as time for which owners had kept others waiting: all ranks' turns had come, and after four failures owners claimed nothing any more.

Change: while the origin answers neither this host nor any other that is known, one part in four of the time counts; once a chunk leaves it again turns begin anew at all hosts; owners go on claiming a chunk as long as nobody draws.

--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -101,9 +101,12 @@
 	// after it; maxTurn the greatest.
 	minTurn = 500 * time.Millisecond
 	maxTurn = 30 * time.Second
-	// intendFailures is the draws that may fail in a row before an owner lets
-	// the next in rank try: the fault may be its own.
+	// intendFailures is the draws that may fail in a row, while others draw, before an
+	// owner lets the next in rank try: the fault may be its own.
 	intendFailures = 4
+	// stallParts: one part in so many of the time in which the origin answers nobody counts
+	// against the owners of chunks.
+	stallParts = 4
 	// lostTurns is the turns that a drawn chunk has to reach a neighbour.
 	lostTurns = 2
 	// undeliveredTurns is the turns after which an owner that holds a chunk and
--- a/relay/burst/core.go
+++ b/relay/burst/core.go
@@ -48,6 +48,8 @@
 	intended   *bitset.BitSet // to be drawn here once the origin may be asked again
 	originFail int            // draws failed in a row
 	originAt   time.Time      // when the last of them did
+	failing    time.Time      // when the first of them did
+	progress   time.Time      // when a chunk was last learned to have left the origin; zero: none was
 	imports    *imports
 	pullFrom   time.Time // no fetch from peers before; zero: at once
 
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -109,16 +109,47 @@
 		since = now
 		c.dueSince[chunk] = now
 	}
-	if c.myTurn(now, chunk, now.Sub(since)) {
+	if c.myTurn(now, chunk, c.waited(now, since)) {
 		c.drawNow(now, chunk)
 	}
 }
 
+// waited returns for how long the owners of a chunk that is due since a time have kept others
+// waiting. While the origin answers neither this host nor, as far as known, any other, that is
+// no fault of theirs: were it counted, all ranks would draw together once the origin is back. A
+// part counts all the same, since both failures here and silence elsewhere may have other causes.
+func (c *Core) waited(now, since time.Time) time.Duration {
+	waited := now.Sub(since)
+	if stall := c.stall(now, since); stall > 0 && c.originFail > 0 {
+		waited -= stall * (stallParts - 1) / stallParts
+	}
+	return waited
+}
+
+// stall returns for how much longer than a turn no chunk is known to have left the origin.
+func (c *Core) stall(now, since time.Time) time.Duration {
+	if c.progress.After(since) {
+		since = c.progress
+	}
+	return now.Sub(since) - c.turn()
+}
+
+// forgiveStall lets owners begin their turns anew where the first chunk in a while leaves the
+// origin. Hosts that drew nothing meanwhile do not know that it was away.
+func (c *Core) forgiveStall(now time.Time) {
+	for chunk, since := range c.dueSince {
+		if stall := c.stall(now, since); stall > 0 {
+			c.dueSince[chunk] = since.Add(stall)
+		}
+	}
+}
+
 func (c *Core) drawNow(now time.Time, chunk int) {
 	if now.Before(c.originWait) {
 		// While the origin fails, an owner that kept silent would be taken over
-		// by all ranks, and they would draw together once it answers.
-		if c.originFail <= intendFailures {
+		// by all ranks, and they would draw together once it answers. Where others draw
+		// meanwhile the fault may be its own.
+		if c.originFail <= intendFailures || c.progress.Before(c.failing) {
 			c.intended.Set(uint(chunk))
 		}
 		return
@@ -336,6 +367,9 @@
 		return
 	}
 	pause := min(originBackoff<<min(c.originFail, 8), c.cfg.MaxBackoff)
+	if c.originFail == 0 {
+		c.failing = now
+	}
 	c.originFail++
 	c.originAt = now
 	pause = max(pause, retryAfter)
--- a/relay/burst/learn.go
+++ b/relay/burst/learn.go
@@ -124,6 +124,8 @@
 		c.stats.AllDrawn = now
 	}
 	c.drawScan = now
+	c.forgiveStall(now)
+	c.progress = now
 	c.originAnswers(now)
 	c.pace.note(now, fresh)
 }
