A large answer of the store is followed by the question for its revision, not by a reading

Change: after a large answer the store's revision is asked, some hundred bytes. Where it is the one known, that moment is proven; else the next watch begins at once.

Left: where knowledge is late over a slow link, all entries of a region ask the store and make the link slower; and each of two sources sends each of its followers all of a configuration.

--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -38,6 +38,23 @@
 	retryWait = 120 * time.Millisecond
 )
 
+// confirm asks whether what is known is all there is, which costs next to nothing beside what
+// was told. Where it is not, the next watch is begun at once.
+func (f *Follower) confirm(ctx context.Context) error {
+	asked := f.State.Fresh().Now()
+	_, revision, err := f.Store.Watch(ctx, "", kv.Latest, 0)
+	if err != nil {
+		return err
+	}
+	known := f.Mirror.Revision()
+	if revision == known {
+		f.silent = false
+		f.State.Fresh().Prove(asked)
+	}
+	f.Log.Info("a large part of the history was read", "revision", known, "newest", revision)
+	return nil
+}
+
 // mayGoOn reports whether an answer to a watch is so large that the store may have left out
 // what came after it. Its revision is then that of its last change, and nothing is proven by
 // it: an entry that was cut off while many configurations were written would take the last
@@ -85,7 +102,7 @@
 			whole = false
 		}
 		if whole {
-			whole, err = f.watch(ctx)
+			err = f.watch(ctx)
 		} else {
 			err = f.readAll(ctx)
 			whole = err == nil
@@ -173,30 +190,29 @@
 	return f.Wait()
 }
 
-// watch waits for changes once; whole is false where there is more than it was told.
-func (f *Follower) watch(ctx context.Context) (whole bool, err error) {
+// watch waits for changes once.
+func (f *Follower) watch(ctx context.Context) error {
 	began := f.State.Fresh().Now()
 	wait := f.wait()
 	after := f.Mirror.Revision()
 	changes, now, err := f.Store.Watch(ctx, "", after, wait)
 	if err != nil {
-		return true, err
+		return err
 	}
 	f.regained()
 	ended := f.State.Fresh().Now()
 	f.Mirror.Apply(after, changes, now, !f.silent || ended-began > atOnceAfter)
 	if mayGoOn(changes) {
-		f.Log.Info("the history is long, reading the store again", "after", after, "revision", now, "changes", len(changes))
-		return false, nil
+		return f.confirm(ctx)
 	}
 	f.silent = false
 	if len(changes) == 0 && ended-began >= wait {
 		// The store looked until the wait was over, on its own clock, which
 		// began after ours. One that answered sooner was cut and proves less.
 		f.State.Fresh().Prove(began + wait)
-		return true, nil
+		return nil
 	}
 	f.State.Fresh().Prove(began)
 	f.sleep(ctx, watchGap-(ended-began))
-	return true, nil
+	return nil
 }
