Three peers are asked for a manifest at once, and wait where it will come

Cause: each host asked one other, waited there for 0.4 s in vain and asked the next; the manifest came by the third or fourth.

Change: three asks at once, one of them with a preference for owners, each as long as the asker's patience; who has no manifest asks others in turn, so that it passes over all who wait at once.

Ways: (1) one ask (before); (2) this; (3) in the store under the version, told by entries: not built.

--- a/agent/internal/weights/manifests.go
+++ b/agent/internal/weights/manifests.go
@@ -4,9 +4,9 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"time"
 
-	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/relay/rendezvous"
 	"comfreyrelay.example/relay/wire"
 )
@@ -24,9 +24,14 @@
 	manifestTimeout  = 2 * time.Second
 	manifestRetry    = 75 * time.Millisecond
 	// manifestHold is how long a host that fetches the manifest itself lets
-	// another wait for it: longer than a draw from an idle origin, so that the
-	// other has it as soon as this one, and need not ask around.
-	manifestHold = 400 * time.Millisecond
+	// another wait for it: as long as that one waits, so that the other has it as
+	// soon as this one.
+	manifestHold = manifestTimeout
+	// manifestAsks is how many peers a host asks at once. Those that have no manifest
+	// ask others in turn, so that it comes from whoever has it over all who wait, at
+	// once; with one each, few chains of hosts that wait lead there, and one host
+	// that answers nothing ends a chain.
+	manifestAsks = 3
 	// originRetry and maxOriginRetry bound the pause after the origin failed,
 	// the latter where the configuration does not say.
 	originRetry    = 500 * time.Millisecond
@@ -53,7 +58,7 @@
 		if t.drawsManifest(began) {
 			patience = min(patience, max(manifestRetry, nextDraw.Sub(t.now())))
 		}
-		if t.manifestFromPeer(ctx, patience) == nil {
+		if t.manifestFromPeers(ctx, patience) == nil {
 			return nil
 		}
 		if err := t.mgr.sleep(ctx, manifestRetry+rand.N(manifestRetry)); err != nil {
@@ -125,35 +130,81 @@
 	return err
 }
 
-// manifestFromPeer asks one peer, an owner or any other in turn. The peer may let
-// it wait: a host that draws the manifest itself has no longer patience than until
-// its next draw.
-func (t *transfer) manifestFromPeer(ctx context.Context, patience time.Duration) error {
+// manifestFromPeers asks a few peers at once, others as these fail, until one sends the
+// manifest or patience ends. A peer may let this host wait: one that draws the manifest itself
+// has no longer patience than until its next draw.
+func (t *transfer) manifestFromPeers(ctx context.Context, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	var asks sync.WaitGroup
+	defer asks.Wait()
+	defer cancel()
+	found := make(chan *manifestFound, manifestAsks)
+	for i := range manifestAsks {
+		asks.Go(func() {
+			if one := t.seekManifest(ctx, i == 0); one != nil {
+				found <- one
+			}
+		})
+	}
+	select {
+	case one := <-found:
+		t.mgr.peerBytes.Add(uint64(len(one.encoded)))
+		t.begin(one.man, one.encoded)
+		t.mgr.noteChange()
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// manifestFound is a manifest that is the version's.
+type manifestFound struct {
+	man     *wire.Manifest
+	encoded []byte
+}
+
+// seekManifest asks one peer after the other until ctx is done, every second time an owner if
+// it is to; nil: none sent the manifest.
+func (t *transfer) seekManifest(ctx context.Context, owners bool) *manifestFound {
+	for {
+		if id := t.manifestPeer(owners && rand.IntN(2) == 0); id != "" {
+			if found := t.askManifest(ctx, id); found != nil {
+				return found
+			}
+		}
+		if t.mgr.sleep(ctx, manifestRetry+rand.N(manifestRetry)) != nil {
+			return nil
+		}
+	}
+}
+
+// manifestPeer returns a peer to ask, an owner if one is wanted; none where no peer is known.
+func (t *transfer) manifestPeer(owner bool) string {
 	peers := t.peerIDs()
-	if len(peers) == 0 {
-		return failure.New(failure.NotFound, "no peer is known", "wait for the list of hosts")
+	if owner {
+		peers = rendezvous.Top(t.manifestKey(), peers, manifestOwners)
 	}
-	id := peers[rand.IntN(len(peers))]
-	if rand.IntN(2) == 0 {
-		owners := rendezvous.Top(t.manifestKey(), peers, manifestOwners)
-		id = owners[rand.IntN(len(owners))]
+	if len(peers) == 0 {
+		return ""
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
+	return peers[rand.IntN(len(peers))]
+}
+
+// askManifest asks one peer; nil: it sent none that is the version's.
+func (t *transfer) askManifest(ctx context.Context, id string) *manifestFound {
 	req := &wire.ChunkRequest{From: t.mgr.cfg.Self, Version: t.version, Index: manifestIndex}
 	encoded, fetchErr := t.mgr.fromPeer(ctx, id, req, maxManifestBytes, func(*wire.ChunkData) {})
 	if fetchErr != nil {
-		return fetchErr
+		t.mgr.cfg.Log.Debug("a peer sent no manifest", "version", t.version, "peer", id, "error", fetchErr)
+		return nil
 	}
 	man, err := t.mgr.cfg.Source.Decode(encoded, t.version)
 	if err != nil {
 		t.mgr.cfg.Log.Warn("a peer sent a wrong manifest", "version", t.version, "peer", id, "error", err)
-		return err
+		return nil
 	}
-	t.mgr.peerBytes.Add(uint64(len(encoded)))
-	t.begin(man, encoded)
-	t.mgr.noteChange()
-	return nil
+	return &manifestFound{man: man, encoded: encoded}
 }
 
 // awaitManifest returns the manifest's bytes for a peer, which may wait a little
--- a/agent/internal/weights/manifests_test.go
+++ b/agent/internal/weights/manifests_test.go
@@ -2,10 +2,20 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"storj.io/drpc/drpcmux"
+
+	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/rendezvous"
+	"comfreyrelay.example/relay/wire"
 )
 
 // Symptom: hosts begin to fetch a version a second after it was named. Sequence:
@@ -47,3 +57,71 @@
 		t.Error("still waits after manifestHold")
 	}
 }
+
+// slowHost counts those who ask it for a manifest and answers once it is released.
+type slowHost struct {
+	wire.DRPCHostUnimplementedServer
+	active  atomic.Int32
+	asked   chan int // how many were waiting then
+	release chan struct{}
+	encoded []byte
+}
+
+func (h *slowHost) Chunk(_ *wire.ChunkRequest, stream wire.DRPCHost_ChunkStream) error {
+	defer h.active.Add(-1)
+	h.asked <- int(h.active.Add(1))
+	select {
+	case <-h.release:
+	case <-stream.Context().Done():
+		return stream.Context().Err()
+	}
+	return stream.Send(&wire.ChunkData{Size: uint32(len(h.encoded)), Data: h.encoded})
+}
+
+// Symptom: after all hosts lost power, engines get weights that lie beside them 1.5 to 3.4 s
+// after the first few did. Sequence: 88 hosts start together; three draw the manifest; each of
+// the others asks one host, waits there in vain, and asks the next. Cause: one ask at a time
+// ends at a host that has the manifest only by the third or fourth.
+func TestSeveralPeersAreAskedForAManifestAtOnce(t *testing.T) {
+	flt := newFleet(t, 0)
+	version := flt.origin.publish(t, randomData(1, 4))
+	slow := &slowHost{asked: make(chan int, 64), release: make(chan struct{}), encoded: flt.origin.objects["/manifests/"+version]}
+	// Only the manifest's owners draw it, and the origin serves nobody.
+	flt.origin.setFault(func(_ string, writer http.ResponseWriter) bool {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterHost(mux, slow); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 * manifestOwners {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = peer.Serve(t.Context(), lis, nil, mux, slog.New(slog.DiscardHandler)) }()
+		flt.nodes = append(flt.nodes, &wire.Node{
+			Id: fmt.Sprint("slow-", i), Role: peer.RoleAgent, Region: "zona-uno", ControlAddress: lis.Addr().String(),
+		})
+	}
+	var ids []string
+	for _, node := range flt.nodes {
+		ids = append(ids, node.GetId())
+	}
+	id := "host"
+	for rendezvous.Rank("manifest/"+version, id, ids) < manifestOwners {
+		id += "x"
+	}
+	host := flt.add(id, &memoryStore{chunks: map[string][]byte{}}, nil)
+	host.setTargets(version)
+	most := 0
+	for range manifestAsks {
+		most = max(most, <-slow.asked)
+	}
+	close(slow.release)
+	if got, want := most, manifestAsks; got != want {
+		t.Errorf("got %d peers asked at once, want %d", got, want)
+	}
+	await(t, "the manifest is known", func() bool { return host.mgr.Manifest(version) != nil })
+}
