--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -32,9 +32,7 @@
 	// noticeTime is how long entries send nothing new before an order is given, and
 	// idleNotice the same where nothing runs: one state's way to them and a request's
 	// way here. What runs ends soon without prompts beside it, and what ended need
-	// not be cut, read again elsewhere and pause there: on a calm day of 88 engines
-	// 45 streams were cut in the answer with 40 ms, 10 with this; with 0.9 s engines
-	// stand idle.
+	// not be cut, read again elsewhere and pause there; longer, engines stand idle.
 	noticeTime = 600 * time.Millisecond
 	idleNotice = 40 * time.Millisecond
 	// recheckTimeout bounds the reading back of all chunks.
--- a/agent/internal/onsite/pace.go
+++ b/agent/internal/onsite/pace.go
@@ -27,9 +27,8 @@
 )
 
 // pace decides which part of its usual share of the link the transfer of weights
-// takes. The platform's word of the link's rate may be wrong for a while: 8 hosts of
-// 100 whose links were squeezed to an eighth were sent weights at the full rate,
-// which stood before the link and requests behind them, for 1 to 2 s. Entries
+// takes. The platform's word of the link's rate may be wrong for a while: weights sent at
+// the full rate then stand before a narrow link, and requests behind them. Entries
 // measure that delay and tell it; the part is halved while it is high and grows
 // slowly while it is low.
 //
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -61,8 +61,7 @@
 	// fetches is the chunks that are on their way to a host at once while its
 	// engine serves: each is 27 ms of its link, and a live request behind them
 	// waits for all. idleFetches is the same while nothing runs, when the link
-	// should never wait: after an outage of the origin at whose end no engine may
-	// serve, 24 hosts had 2.4 MB 0.26 and 0.46 s sooner than with 4.
+	// should never wait.
 	fetches     = 4
 	idleFetches = 8
 	// crowdedPart is the part of the usual rate under which requests wait behind
--- a/entry/internal/onsite/feed.go
+++ b/entry/internal/onsite/feed.go
@@ -16,8 +16,7 @@
 	feedRetry = 250 * time.Millisecond
 	// homeGap, nearGap and farGap are the least times between two states of an engine
 	// that is home to this entry, of another one of its failure domain, and of one of
-	// another domain, to which little is sent and whose bytes are dear. With 25 ms in
-	// place of 60 for near ones as many are in aim, and an entry hears a fifth more.
+	// another domain, to which little is sent and whose bytes are dear.
 	homeGap = 25 * time.Millisecond
 	nearGap = 60 * time.Millisecond
 	farGap  = 250 * time.Millisecond
--- a/relay/admission/admission.go
+++ b/relay/admission/admission.go
@@ -23,11 +23,8 @@
 	// is begun late: most answers take less.
 	runTime = 2 * time.Second
 	// slowFirst is how many times the expected time a first event may take and be
-	// in time: three in four took less (3,600 requests at 1.2 times what the engines
-	// can do, before engines of other domains were dealt). Who waits until the expected time alone is left is late in three
-	// cases of ten and took the place of one who was not. On three fleets of 14 and
-	// 15 engines at that rate 0.86, 0.88 and 0.84 of all were in time, with twice
-	// the expected time 0.84, 0.87 and 0.84.
+	// in time. Who waits until the expected time alone is left is often late, and took
+	// the place of one who was not.
 	slowFirst = 1.5
 	// lateUnread is the prompt tokens that may wait at an engine where a late
 	// request goes.
--- a/relay/admission/callers.go
+++ b/relay/admission/callers.go
@@ -22,9 +22,8 @@
 	// who waits for an hour does not move it.
 	usualPart = 0.75
 	// returnedPart is the part of the usual time under which a caller came back.
-	// Callers give 0.85 to 1 of the longest time, evenly spread (19,800 requests of
-	// one day), so that the usual is 0.96 of it; who comes back was told to wait
-	// minReturn at least, a sixth of the usual 6 s.
+	// Callers give 0.85 to 1 of the longest time, evenly spread, so that the usual is
+	// 0.96 of it; who comes back was told to wait minReturn at least.
 	returnedPart = 0.87
 )
 
--- a/relay/burst/regions.go
+++ b/relay/burst/regions.go
@@ -16,9 +16,7 @@
 	regionNear = 6
 	regionFar  = 4
 	// regionNews is the time between exchanges with a neighbour while there is
-	// news: with few neighbours, each is the only way to what it holds. Of 235 hosts the
-	// last is whole after 5.78, 5.85 and 6.14 s with 200, 300 and 400 ms, at 585, 428 and
-	// 362 exchanges a host.
+	// news: with few neighbours, each is the only way to what it holds.
 	regionNews = 300 * time.Millisecond
 	// importTurn is how long the next host of a region waits at least until it
 	// fetches a chunk from another region in place of the host before it in
@@ -118,8 +116,7 @@
 }
 
 // importRanks returns this host's rank in its region for each chunk, among those that
-// the list of peers names: while 11 of 69 hosts left, and still called others, the last
-// of the other 58 was whole 1.4 s later.
+// the list of peers names: hosts that leave go on calling others and take in nothing.
 func (c *Core) importRanks(now time.Time) []int {
 	var seeds []uint64
 	for _, pst := range c.order {
--- a/relay/deal/deal.go
+++ b/relay/deal/deal.go
@@ -27,11 +27,9 @@
 
 // Usual is the shares in use. Entries that see the same free slot crowd it, the more the
 // worse, and one that sends to five engines finds room nearly as often as one that sends
-// to all: at 1.15 times the full rate of 68 engines 0.94 of all were in aim with three
-// senders an engine, 0.93 with six, 0.82 with all thirteen of its domain; of 235 engines
-// 0.93, 0.93 and 0.80 (virtual time, three seeds). With three, the loss of one or two
-// leaves others at once, before anybody learns of it. None of other domains leaves a
-// domain that is asked more than others alone: 0.91 in place of 0.93.
+// to all. With three senders, the loss of one or two leaves others at once, before anybody
+// learns of it. None of other domains would leave a domain alone that is asked more than
+// others.
 var Usual = Shares{Near: 5, Senders: 3, Far: 8}
 
 const (
--- a/relay/rollout/target.go
+++ b/relay/rollout/target.go
@@ -8,8 +8,7 @@
 	leastUse = time.Second
 	// leastGain is by how much sooner a host must serve with the version before the
 	// newest to go back to it, and leastLate by how much the newest must be too late:
-	// estimates are no better, and each change of mind costs. 235 hosts that went back as
-	// soon as the newest seemed 0.1 s late, and then forth again, had it 2 to 3 s later.
+	// estimates are no better, and who goes back and then forth again has it last.
 	leastGain = time.Second
 	leastLate = 1500 * time.Millisecond
 )
@@ -43,11 +42,9 @@
 
 // Target returns the version to fetch: the newest, unless a host whose loaded version
 // ends before that one can be loaded has the one before it sooner. Such a host takes
-// both. To have the newest whole by then is not enough: 19 hosts that left a version
-// nearly whole for one named 3 s later, whose origin went away, served nothing for 5 s.
-// And what was in time when it was named may be so no more: 55 hosts that left a version
-// of which five sixths were drawn, half a second after its origin went away, waited for
-// the newest, of which nothing was, and served nothing for 5 s.
+// both. To have the newest whole by then is not enough, it has to be loaded too. And what
+// was in time when it was named may be so no more, since its origin may go away: hosts
+// that leave a version nearly whole for one that can't come serve nothing meanwhile.
 //
 // Only the newest two can still be drawn.
 func Target(history []Declared, host Fetch, bound time.Duration, move Move) uint64 {
--- a/relay/rollout/wave.go
+++ b/relay/rollout/wave.go
@@ -13,8 +13,7 @@
 
 const (
 	// firstSpread is the time from the origin's last chunk until the first host
-	// has them all, as a multiple of what the version takes on a host's link: 1.7
-	// s were measured with 2.6 s in a fleet of 88 hosts.
+	// has them all, as a multiple of what the version takes on a host's link.
 	firstSpread = 0.65
 	// usualSpread is the same until most hosts have them, with room for narrow
 	// links.
