gateway: log the rate limits that endpoints name, and who served a request

Callers saw nothing; an engine in need received more than it allowed. The logs could not tell whether an entry knew of the limit, counted it alone, or sent before it knew: no line showed a limit, and the line of a served request did not name its endpoint.

Change: platform/ decodes the header into call.Answer, the fleet keeps it for each incarnation of an endpoint, and the gateway logs each change. The line 'answered' names the endpoint tried last; the metrics count limitedEndpoints. Nothing is decided by it yet. An answer without the header lifts a limit only if its request was sent after the limit was named, since answers overtake each other.

--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -25,19 +25,20 @@
 	ledger := g.cfg.State.Ledger()
 	suspects, ends := ledger.Size()
 	return map[string]int64{
-		"served":          g.figures.served.Load(),
-		"refused":         g.figures.refused.Load(),
-		"failed":          g.figures.failed.Load(),
-		"attempts":        g.figures.attempts.Load(),
-		"resumed":         g.figures.resumed.Load(),
-		"held":            g.figures.held.Load(),
-		"suspects":        int64(suspects),
-		"ends":            int64(ends),
-		"heldForgotten":   int64(ledger.Forgotten()),
-		"inFlight":        g.inFlight.Load(),
-		"bodyBytes":       g.bodies.Load(),
-		"connectionUses":  int64(uses),
-		"connectionDials": int64(dials),
+		"served":           g.figures.served.Load(),
+		"refused":          g.figures.refused.Load(),
+		"failed":           g.figures.failed.Load(),
+		"attempts":         g.figures.attempts.Load(),
+		"resumed":          g.figures.resumed.Load(),
+		"held":             g.figures.held.Load(),
+		"suspects":         int64(suspects),
+		"ends":             int64(ends),
+		"heldForgotten":    int64(ledger.Forgotten()),
+		"inFlight":         g.inFlight.Load(),
+		"bodyBytes":        g.bodies.Load(),
+		"limitedEndpoints": int64(g.cfg.State.Fleet().LimitedEndpoints()),
+		"connectionUses":   int64(uses),
+		"connectionDials":  int64(dials),
 	}
 }
 
@@ -93,7 +94,7 @@
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "service", x.service, "sends", x.sends,
 			"events", x.events, "firstMillis", x.firstEvent.Milliseconds(), "pauseMillis", x.longest.Milliseconds(), "returned", x.adm.Returned,
-			"targetMillis", x.route.Target.Milliseconds(), "gapMillis", x.route.Gap.Milliseconds(), "print", x.print)
+			"endpoint", x.lastEndpoint(), "targetMillis", x.route.Target.Milliseconds(), "gapMillis", x.route.Gap.Milliseconds(), "print", x.print)
 	}
 	if x.catalog != nil {
 		fields = append(fields, "catalog", x.catalog.Version())
@@ -101,4 +102,12 @@
 	g.cfg.Log.Log(context.Background(), level, "answered", fields...)
 }
 
+// lastEndpoint returns the id of the endpoint that was tried last; empty where none was.
+func (x *exchange) lastEndpoint() string {
+	if len(x.tries) == 0 {
+		return ""
+	}
+	return x.tries[len(x.tries)-1].ID
+}
+
 const firstClientError = 400
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -148,9 +148,20 @@
 		return x.brokenBy(ctx, silentOr(err, fleet.Broken))
 	}
 	grant.Answered(answer.Load)
+	x.applyLimit(grant, answer)
 	return x.take(ctx, grant, conn, resp, answer)
 }
 
+// applyLimit takes over the rate limit that the answer names. One from another endpoint at
+// the address says nothing about the endpoint that was meant.
+func (x *exchange) applyLimit(grant *fleet.Grant, answer call.Answer) {
+	if answer.Elsewhere || !grant.Limited(answer.Limit, answer.Limited) {
+		return
+	}
+	x.gateway.cfg.Log.Info("endpoint rate limit", "request", x.req.ID, "endpoint", grant.ID(), "address", grant.Address(),
+		"service", x.service, "limited", answer.Limited, "perSecond", answer.Limit)
+}
+
 // expected returns the version that the endpoint must have: once only a newer
 // one may serve, an engine that went back would begin on an old one.
 func (x *exchange) expected(grant *fleet.Grant) uint64 {
--- a/relay/call/call.go
+++ b/relay/call/call.go
@@ -59,6 +59,10 @@
 	Elsewhere bool
 	Signed    bool  // bears the endpoint's signature
 	Load      *Load // nil where not said
+	// Limit is the requests a second that the endpoint accepts from all entries
+	// together; valid where Limited.
+	Limit   float64
+	Limited bool
 	// Idle is how long the endpoint keeps an idle connection; 0 where not
 	// said.
 	Idle time.Duration
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -61,6 +61,7 @@
 	failures int       // to connect or to answer, in a row
 	ejected  time.Time // chosen no more until then
 	errors   float64   // smoothed share of answers that were failures
+	limit    rateLimit
 }
 
 func newEndpoint(reg Registration, born births) *endpoint {
