test: a rate limit that an endpoint names holds for all entries (fails)

Callers at an endpoint in need: it received more requests than it named. The test runs nine entries against three stand-in endpoints, of which one names a limit of one request a second, and counts the arrivals there in any 4 s, 3 s after it first named the limit.

--- /dev/null
+++ b/entry/internal/onsite/limit_test.go
@@ -0,0 +1,61 @@
+package onsite
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The platform's bound on requests to an endpoint that named a limit.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// limitNotice is how long after a limit was first named the bound holds.
+	limitNotice = 3 * time.Second
+)
+
+// mostWithin returns the most moments within a window, of those after the time given.
+func mostWithin(times []time.Time, after time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for last, at := range times {
+		for times[first].Before(after) && first < last || at.Sub(times[first]) > window {
+			first++
+		}
+		if !at.Before(after) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
+// Guards against entries that send an endpoint more requests than the rate limit it names for
+// all of them together.
+func TestRateLimitOfAnEndpointHoldsForAllEntries(t *testing.T) {
+	const perSecond = 1
+	f := newFleetOfEntries(t, 9, 3, nil)
+	limited := f.workers[0]
+	limited.Limit("1")
+	began := time.Now()
+	var callers sync.WaitGroup
+	for _, to := range f.entries {
+		callers.Go(func() {
+			for time.Since(began) < limitNotice+limitWindow+time.Second {
+				if got := f.send(to, "body"); got != http.StatusOK {
+					t.Errorf("got %d while two endpoints have no limit, want 200", got)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	arrivals := limited.Arrivals()
+	allowed := int(limitFactor*perSecond*limitWindow.Seconds()) + limitSlack
+	if got := mostWithin(arrivals, began.Add(limitNotice), limitWindow); got > allowed {
+		t.Errorf("got %d requests in %v at an endpoint that accepts %d a second, want %d at most", got, limitWindow, perSecond, allowed)
+	}
+	if last := arrivals[len(arrivals)-1]; last.Before(began.Add(limitNotice)) {
+		t.Errorf("got no request after %v at an endpoint that accepts some, want what it accepts", last.Sub(began))
+	}
+}
