fleet: share the rate limit that an endpoint names among the entries

Cause: an entry relayed the limit to its caller and chose endpoints as before. No entry applied it, and no number of entries that each apply it alone would keep it: it is a bound for all of them together.

Change: the limit is kept for the incarnation that named it. Entries that know the same compute their parts without a message: of a dealt engine the entry that it is home to has all, of other endpoints the first entries by rendezvous hash, as many as can have one request a second each. A part is a credit that refills with time and holds a second's worth at most; one that newly gets a part begins with none. The others send one request now and then, spread by chance, a quarter of the limit together, to learn whether it stands. A limit under 0.2 a second counts as that, since only an answer shows its end. Whoever is first in line waits for the next credit.

Why it works: the parts add up to the limit L, so in 4 s the entries send at most 4L + L, and some L more to ask, where 6L + 5 are allowed; the rest is for entries that briefly disagree on who there is.

A run of the entry's test failed once in 30 s: 'entry-2 is ready: connection refused'.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -174,10 +174,10 @@
 func (x *exchange) wait(ctx context.Context, queue *line, changed <-chan struct{}, until time.Time) {
 	clock := x.gateway.cfg.Clock
 	turn, first, changesAt := queue.turn(&x.adm)
-	if !first {
+	if first {
+		until = earliest(until, changesAt, x.gateway.cfg.State.Fleet().Group(x.service).AdmitsAt())
+	} else {
 		changed = nil
-	} else if !changesAt.IsZero() && changesAt.Before(until) {
-		until = changesAt
 	}
 	timer := clock.NewTimer(until.Sub(clock.Now()))
 	defer timer.Stop()
@@ -189,6 +189,16 @@
 	}
 }
 
+// earliest returns the earliest of some times, of which zero ones don't count.
+func earliest(first time.Time, others ...time.Time) time.Time {
+	for _, other := range others {
+		if !other.IsZero() && other.Before(first) {
+			first = other
+		}
+	}
+	return first
+}
+
 // noPlace says why nobody took the request and when to come back.
 func (x *exchange) noPlace(ctx context.Context, verdict fleet.Verdict, waiting int) *refusal {
 	if ctx.Err() != nil {
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -43,6 +43,7 @@
 
 // plan is what follows from the knowledge of one moment.
 type plan struct {
+	others  []string             // ids of the other entries
 	parts   map[string]deal.Part // by engine's address
 	engines []fleet.Engine       // those with a part
 	brief   *brief
@@ -54,6 +55,7 @@
 	for ctx.Err() == nil {
 		changed := f.state.Changed()
 		next := f.plan()
+		f.state.Fleet().SetEntries(f.self, next.others)
 		f.state.Fleet().SetParts(next.parts)
 		for _, eng := range next.engines {
 			if following[eng.Address] == nil {
@@ -92,11 +94,15 @@
 		places = append(places, deal.Place{ID: eng.Address, Region: f.regionOf(eng.FailureDomain), FailureDomain: eng.FailureDomain})
 	}
 	var others []deal.Place
+	var ids []string
 	for id, entry := range f.state.Entries() {
+		if id != f.self {
+			ids = append(ids, id)
+		}
 		others = append(others, deal.Place{ID: id, Region: entry.Region, FailureDomain: entry.FailureDomain})
 	}
 	self := deal.Place{ID: f.self, Region: f.region, FailureDomain: f.domain}
-	found := plan{parts: deal.New(self, others).Parts(places), brief: f.brief(engines)}
+	found := plan{others: ids, parts: deal.New(self, others).Parts(places), brief: f.brief(engines)}
 	for _, eng := range engines {
 		if _, ok := found.parts[eng.Address]; ok {
 			found.engines = append(found.engines, eng)
--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -88,7 +88,9 @@
 	one := &runningEntry{set: set, kill: kill, done: make(chan struct{})}
 	go func() {
 		defer close(one.done)
-		_ = Run(ctx, ctx, set, &lines{})
+		if err := Run(ctx, ctx, set, &lines{}); err != nil {
+			f.t.Errorf("%s ended: %v", id, err)
+		}
 	}()
 	f.t.Cleanup(func() { one.end() })
 	f.entries = append(f.entries, one)
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -56,6 +56,8 @@
 	mu     sync.RWMutex
 	groups map[string]*Group // by service
 	owner  map[string]string // service by endpoint id
+	self   string            // id of this entry
+	others []string          // ids of the other entries
 }
 
 // New returns an empty Fleet.
@@ -85,6 +87,7 @@
 	grp := f.groups[service]
 	if grp == nil {
 		grp = newGroup(f.clock, f.random)
+		grp.self, grp.others = f.self, f.others
 		f.groups[service] = grp
 	}
 	return grp
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -26,6 +26,8 @@
 	// until their registrations end.
 	byAddress map[string][]*endpoint
 	dealt     bool          // the engines were shared out among the entries
+	self      string        // id of this entry
+	others    []string      // ids of the other entries
 	changed   chan struct{} // closed and replaced when room may have come
 	// moved gets a value when what this entry has unread at an address changes.
 	moved map[string]chan struct{}
@@ -219,6 +221,7 @@
 		end.reach = parts[end.reg.Address].Reach
 	}
 	g.sort()
+	g.shareLimits()
 	g.wake()
 }
 
--- a/relay/fleet/limit.go
+++ b/relay/fleet/limit.go
@@ -1,21 +1,100 @@
 package fleet
 
-import "time"
+import (
+	"time"
 
-// rateLimit is the limit that an endpoint named for all entries together.
+	"comfreyrelay.example/relay/deal"
+	"comfreyrelay.example/relay/rendezvous"
+)
+
+const (
+	// leastRate is the requests a second that are sent at least to an endpoint that names a
+	// lower limit, none included: only an answer shows that the limit was lifted.
+	leastRate = 0.2
+	// senderRate is the least part of a limit for one entry, requests a second. A limit is
+	// shared by as many entries as can have so much.
+	senderRate = 1.0
+	// maxCredit bounds what an entry may send at once after a pause, in seconds of its part.
+	maxCredit = time.Second
+	// askTime is how long an entry without a part of the limit waits for each entry of the
+	// deployment, and for one request a second of the limit, before it sends one request to
+	// learn whether the limit still stands: all such requests are a quarter of the limit.
+	askTime = 4 * time.Second
+)
+
+// rateLimit is the limit that an endpoint named for all entries together, and this entry's
+// part of it.
 type rateLimit struct {
 	perSecond float64
 	namedAt   time.Time // arrival of the newest answer that named it; zero: no limit
+	share     float64   // of this entry, requests a second; 0: others send
+	// credit is the requests that this entry may send, as of countedAt.
+	credit    float64
+	countedAt time.Time
+	askAt     time.Time // of the next request where share is 0
 }
 
 func (l *rateLimit) active() bool { return !l.namedAt.IsZero() }
 
+// admitsAt returns the earliest time at which one more request may be sent.
+func (l *rateLimit) admitsAt(now time.Time) time.Time {
+	if !l.active() {
+		return now
+	}
+	if l.share == 0 {
+		return l.askAt
+	}
+	l.refill(now)
+	missing := 1 - l.credit
+	if missing <= 0 {
+		return now
+	}
+	// Rounded up, so that the credit is there at that time.
+	return now.Add(time.Duration(missing/l.share*float64(time.Second)) + 1)
+}
+
+func (l *rateLimit) refill(now time.Time) {
+	most := max(1, l.share*maxCredit.Seconds())
+	l.credit = min(most, l.credit+l.share*now.Sub(l.countedAt).Seconds())
+	l.countedAt = now
+}
+
+// take counts a request that is sent now.
+func (l *rateLimit) take(now time.Time, interval time.Duration) {
+	switch {
+	case !l.active():
+	case l.share == 0:
+		l.askAt = now.Add(interval)
+	default:
+		l.refill(now)
+		l.credit--
+	}
+}
+
+// setShare changes this entry's part. One that had none begins without credit: the entry that
+// had it before may have used its own.
+func (l *rateLimit) setShare(now time.Time, share float64, interval time.Duration) {
+	if l.share == share {
+		return
+	}
+	if l.share > 0 {
+		l.refill(now)
+	} else {
+		l.credit, l.countedAt = 0, now
+	}
+	if share == 0 {
+		l.askAt = now.Add(interval)
+	}
+	l.share = share
+}
+
 // Limited applies what the endpoint's answer said of its rate limit: it names one, or ok is
 // false. It returns whether that changes the limit.
 func (g *Grant) Limited(perSecond float64, ok bool) bool {
 	g.group.mu.Lock()
 	defer g.group.mu.Unlock()
 	limit := &g.end.limit
+	now := g.group.clock()
 	if !ok {
 		// Answers overtake each other: one to a request that was sent before the limit was
 		// named doesn't lift it.
@@ -23,13 +102,92 @@
 			return false
 		}
 		*limit = rateLimit{}
+		g.group.wake()
 		return true
 	}
 	changed := !limit.active() || limit.perSecond != perSecond
-	limit.perSecond, limit.namedAt = perSecond, g.group.clock()
+	first := !limit.active()
+	limit.perSecond, limit.namedAt = perSecond, now
+	if first {
+		limit.countedAt, limit.askAt = now, now.Add(g.group.askInterval(perSecond))
+	}
+	if changed {
+		g.group.shareLimit(g.end)
+	}
 	return changed
 }
 
+// SetEntries takes over the ids of the entries that share the limits of endpoints: this one
+// and the others.
+func (f *Fleet) SetEntries(self string, others []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.self, f.others = self, others
+	for _, grp := range f.groups {
+		grp.setEntries(self, others)
+	}
+}
+
+func (g *Group) setEntries(self string, others []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.self, g.others = self, others
+	g.shareLimits()
+}
+
+// shareLimits computes this entry's part of each limit again; g.mu is held.
+func (g *Group) shareLimits() {
+	for _, end := range g.order {
+		if end.limit.active() {
+			g.shareLimit(end)
+		}
+	}
+}
+
+// shareLimit computes this entry's part of a limit; g.mu is held. Entries that know the same
+// agree without a message, and the parts add up to the limit.
+func (g *Group) shareLimit(end *endpoint) {
+	rate := max(leastRate, end.limit.perSecond)
+	share := 0.0
+	if g.dealt && g.engine != nil {
+		if end.reach == deal.Home {
+			share = rate
+		}
+	} else {
+		senders := min(1+len(g.others), max(1, int(rate/senderRate)))
+		if rendezvous.Rank(end.reg.ID, g.self, g.others) < senders {
+			share = rate / float64(senders)
+		}
+	}
+	end.limit.setShare(g.clock(), share, g.askInterval(end.limit.perSecond))
+}
+
+// askInterval returns how long an entry without a part of a limit waits before it sends a
+// request: spread by chance, so that entries which learned of the limit together ask one
+// after the other.
+func (g *Group) askInterval(perSecond float64) time.Duration {
+	spread := 0.5 + g.random()
+	return time.Duration(spread * float64(1+len(g.others)) * float64(askTime) / max(leastRate, perSecond))
+}
+
+// AdmitsAt returns when a limited endpoint admits the next request of this entry; zero where
+// no limit is in force. Nothing else announces that time.
+func (g *Group) AdmitsAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	var next time.Time
+	for _, end := range g.order {
+		if !end.limit.active() {
+			continue
+		}
+		if at := end.limit.admitsAt(now); at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
+
 // LimitedEndpoints returns how many endpoints have a rate limit in force.
 func (f *Fleet) LimitedEndpoints() int {
 	f.mu.RLock()
--- a/relay/fleet/pick.go
+++ b/relay/fleet/pick.go
@@ -112,6 +112,10 @@
 			continue
 		}
 		occupied := end.occupancy(now, need.Entries)
+		if end.limit.admitsAt(now).After(now) {
+			verdict = Full
+			continue
+		}
 		if g.left(end, need) {
 			verdict = Full
 			continue
@@ -138,6 +142,7 @@
 		stateAge: best.stateAge(now), delay: best.state.Delay,
 	}
 	best.running[grant] = now
+	best.limit.take(now, g.askInterval(best.limit.perSecond))
 	if !best.stateAt.IsZero() {
 		best.sent = append(best.sent, now)
 	}
