onsite: tests take ports that the kernel gives to no connection

A test of nine entries failed now and then after 30 s: 'entry-2 is ready: connection refused'.

Cause: freeAddress listened at port 0, closed, and handed the port out. It lies in the range from which the kernel takes ports for connections, so that one of the entries' own calls could take it before the entry listened. Evidence: with the entry's error reported, one of 25 runs failed with 'cannot listen at site.directoryAddress: ... address already in use'.

--- a/entry/internal/onsite/whole_test.go
+++ b/entry/internal/onsite/whole_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,14 +38,29 @@
 	return l.text.String()
 }
 
+// nextPort is the next port that freeAddress tries, different for each test process.
+var nextPort atomic.Uint32
+
+// The ports that freeAddress hands out are below those that the kernel gives to connections,
+// which would otherwise take a port between its choice and its use.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (nextPort.Add(1)+uint32(os.Getpid())*101)%portCount
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = lis.Close()
+		return lis.Addr().String()
 	}
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // eventually calls check until it returns no error.
