fleet: entries learn through the store that a rate limit was lifted

Callers saw: nothing yet; where an endpoint alone serves something, most entries would have gone on refusing for up to a minute after it lifted its limit.

Cause: an entry without a part of the limit sends nothing there, so that only its own rare request shows the end: with nine entries and a limit of one a second each 18 to 54 s, more with more entries.

Change: an entry whose answer shows the end writes a report, as it does for endpoints that ended, and the others drop the limit as they learn it. One write for an entry with a part, none where nothing is lifted. The rare request stays, for when the store is away.

Evidence: the test of nine entries asks all of them after the end.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -66,7 +66,7 @@
 	// Bounds returns the bounds in force.
 	Bounds func() Bounds
 	// Tell tells the other entries what this one saw; nil: nobody.
-	Tell func(quarantine.Report)
+	Tell func(site.Report)
 	// Entries returns how many entries share the endpoints, at least 1.
 	Entries func() int
 }
@@ -92,7 +92,7 @@
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
 	if cfg.Tell == nil {
-		cfg.Tell = func(quarantine.Report) {}
+		cfg.Tell = func(site.Report) {}
 	}
 	g := &Gateway{
 		inProgress: map[*exchange]context.CancelCauseFunc{},
--- a/entry/internal/gateway/house_test.go
+++ b/entry/internal/gateway/house_test.go
@@ -23,7 +23,6 @@
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/freshness"
-	"comfreyrelay.example/relay/quarantine"
 	"comfreyrelay.example/relay/site"
 )
 
@@ -172,7 +171,7 @@
 	ids     int
 	// freeze stops the clock: it moves on no more while requests wait for it.
 	freeze context.CancelFunc
-	told   chan quarantine.Report // what other entries are told
+	told   chan site.Report // what other entries are told
 }
 
 var testRoutes = []catalog.Route{
@@ -185,7 +184,7 @@
 
 func newHouse(t *testing.T, endpoints ...*endpoint) *house {
 	t.Helper()
-	h := &house{clock: clockwork.NewFakeClock(), log: &output{}, told: make(chan quarantine.Report, 16)}
+	h := &house{clock: clockwork.NewFakeClock(), log: &output{}, told: make(chan site.Report, 16)}
 	fresh := freshness.NewTracker(func() time.Duration {
 		if h.asked != nil {
 			h.asked()
@@ -215,7 +214,7 @@
 			return gateway.Bounds{Revoke: 4 * time.Second, Apply: 2 * time.Second, Version: 8 * time.Second, Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
 		},
 		Entries: func() int { return 1 },
-		Tell:    func(report quarantine.Report) { h.told <- report },
+		Tell:    func(report site.Report) { h.told <- report },
 	})
 	h.server = httptest.NewServer(h.gateway)
 	t.Cleanup(h.server.Close)
--- a/entry/internal/gateway/inquest.go
+++ b/entry/internal/gateway/inquest.go
@@ -11,6 +11,7 @@
 	"comfreyrelay.example/entry/internal/upstream"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/quarantine"
+	"comfreyrelay.example/relay/site"
 )
 
 const (
@@ -63,7 +64,7 @@
 	clock clockwork.Clock
 	log   *slog.Logger
 	ends  *quarantine.Ledger
-	tell  func(quarantine.Report)
+	tell  func(site.Report)
 
 	mu   sync.Mutex
 	open map[fleet.Incarnation]*inquest
@@ -119,7 +120,7 @@
 	}
 	report := one.report()
 	q.ends.Hear(report)
-	q.tell(report)
+	q.tell(site.Report{Report: report})
 }
 
 // report is what the other entries are told of an endpoint that ended.
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -9,6 +9,7 @@
 	"comfreyrelay.example/entry/internal/upstream"
 	"comfreyrelay.example/relay/call"
 	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/site"
 )
 
 // run brings the request to endpoints until one answered it or none may have it
@@ -155,9 +156,16 @@
 // applyLimit takes over the rate limit that the answer names. One from another endpoint at
 // the address says nothing about the endpoint that was meant.
 func (x *exchange) applyLimit(grant *fleet.Grant, answer call.Answer) {
-	if answer.Elsewhere || !grant.Limited(answer.Limit, answer.Limited) {
+	if answer.Elsewhere {
 		return
 	}
+	change := grant.Limited(answer.Limit, answer.Limited)
+	if change == fleet.LimitKept {
+		return
+	}
+	if change == fleet.LimitLifted {
+		x.gateway.cfg.Tell(site.Report{Lifted: grant.Incarnation()})
+	}
 	x.gateway.cfg.Log.Info("endpoint rate limit", "request", x.req.ID, "endpoint", grant.ID(), "address", grant.Address(),
 		"service", x.service, "limited", answer.Limited, "perSecond", answer.Limit)
 }
--- a/entry/internal/onsite/limit_test.go
+++ b/entry/internal/onsite/limit_test.go
@@ -1,10 +1,13 @@
 package onsite
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
+
+	"comfreyrelay.example/platform/platformtest"
 )
 
 // The platform's bound on requests to an endpoint that named a limit.
@@ -30,8 +33,27 @@
 	return most
 }
 
+// used waits until an endpoint receives requests from each entry, while callers ask all of them.
+func (f *fleetOfEntries) used(t *testing.T, end *platformtest.Worker) {
+	t.Helper()
+	eventually(t, "each entry uses the endpoint", func() error {
+		var idle []string
+		for _, to := range f.entries {
+			body := "from " + to.set.GetNode().GetId()
+			f.send(to, body)
+			if end.Seen(body) == 0 {
+				idle = append(idle, body)
+			}
+		}
+		if len(idle) > 0 {
+			return fmt.Errorf("none %v", idle)
+		}
+		return nil
+	})
+}
+
 // Guards against entries that send an endpoint more requests than the rate limit it names for
-// all of them together.
+// all of them together, and against entries that keep away from it once it lifted the limit.
 func TestRateLimitOfAnEndpointHoldsForAllEntries(t *testing.T) {
 	const perSecond = 1
 	f := newFleetOfEntries(t, 9, 3, nil)
@@ -55,6 +77,8 @@
 	if got := mostWithin(arrivals, began.Add(limitNotice), limitWindow); got > allowed {
 		t.Errorf("got %d requests in %v at an endpoint that accepts %d a second, want %d at most", got, limitWindow, perSecond, allowed)
 	}
+	limited.Limit("")
+	f.used(t, limited)
 	if last := arrivals[len(arrivals)-1]; last.Before(began.Add(limitNotice)) {
 		t.Errorf("got no request after %v at an endpoint that accepts some, want what it accepts", last.Sub(began))
 	}
--- a/entry/internal/onsite/reporter.go
+++ b/entry/internal/onsite/reporter.go
@@ -13,6 +13,7 @@
 	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/relay/kv"
 	"comfreyrelay.example/relay/quarantine"
+	"comfreyrelay.example/relay/site"
 )
 
 const (
@@ -41,7 +42,7 @@
 	woken  chan struct{} // buffered by one
 
 	mu      sync.Mutex
-	waiting []quarantine.Report
+	waiting []site.Report
 
 	lease   string // empty: none
 	leased  time.Time
@@ -53,7 +54,7 @@
 }
 
 // tell takes in a report; it never waits.
-func (r *reporter) tell(report quarantine.Report) {
+func (r *reporter) tell(report site.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.waiting) == maxUntold {
@@ -81,7 +82,7 @@
 	}
 }
 
-func (r *reporter) next() []quarantine.Report {
+func (r *reporter) next() []site.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	count := min(maxBatch, len(r.waiting))
@@ -91,7 +92,7 @@
 }
 
 // bring writes one batch, again until the store has it.
-func (r *reporter) bring(ctx context.Context, batch []quarantine.Report) {
+func (r *reporter) bring(ctx context.Context, batch []site.Report) {
 	began := r.clock.Now()
 	value, err := json.Marshal(batch)
 	if err != nil {
--- a/entry/internal/onsite/reporter_test.go
+++ b/entry/internal/onsite/reporter_test.go
@@ -57,8 +57,10 @@
 	return nil
 }
 
-func endReport(number int) quarantine.Report {
-	return quarantine.Report{End: quarantine.End{Endpoint: fmt.Sprintf("i-%d", number)}, Suspects: []quarantine.Fingerprint{deadlyPrint}}
+func endReport(number int) site.Report {
+	return site.Report{Report: quarantine.Report{
+		End: quarantine.End{Endpoint: fmt.Sprintf("i-%d", number)}, Suspects: []quarantine.Fingerprint{deadlyPrint},
+	}}
 }
 
 // An entry that starts later learns what others saw, whatever became of single calls: answers
@@ -99,7 +101,7 @@
 
 func TestReportsAreWrittenAfterALeaseEnded(t *testing.T) {
 	rep, standIn := newTestReporter(t)
-	rep.tell(quarantine.Report{End: quarantine.End{Endpoint: "i-9"}})
+	rep.tell(site.Report{Report: quarantine.Report{End: quarantine.End{Endpoint: "i-9"}}})
 	eventually(t, "the first report", func() error {
 		if len(standIn.Keys("comfrey/ends/")) == 0 {
 			return fmt.Errorf("no key")
--- a/relay/fleet/births.go
+++ b/relay/fleet/births.go
@@ -5,8 +5,8 @@
 // Incarnation names one incarnation of an endpoint: an endpoint that starts again under its id
 // holds and knows nothing of what it was sent before.
 type Incarnation struct {
-	ID   string
-	Born int64 // 0: not told
+	ID   string `json:"endpoint"`
+	Born int64  `json:"born,omitempty"` // 0: not told
 }
 
 // same reports whether two names may be of one incarnation: a birth that was not told
--- a/relay/fleet/limit.go
+++ b/relay/fleet/limit.go
@@ -88,9 +88,19 @@
 	l.share = share
 }
 
+// LimitChange is what an answer changed about an endpoint's rate limit.
+type LimitChange int
+
+// The changes.
+const (
+	LimitKept   LimitChange = iota
+	LimitNamed              // a limit is in force, or another one than before
+	LimitLifted             // there is none any more
+)
+
 // Limited applies what the endpoint's answer said of its rate limit: it names one, or ok is
-// false. It returns whether that changes the limit.
-func (g *Grant) Limited(perSecond float64, ok bool) bool {
+// false.
+func (g *Grant) Limited(perSecond float64, ok bool) LimitChange {
 	g.group.mu.Lock()
 	defer g.group.mu.Unlock()
 	limit := &g.end.limit
@@ -99,11 +109,10 @@
 		// Answers overtake each other: one to a request that was sent before the limit was
 		// named doesn't lift it.
 		if !limit.active() || !g.end.running[g].After(limit.namedAt) {
-			return false
+			return LimitKept
 		}
-		*limit = rateLimit{}
-		g.group.wake()
-		return true
+		g.group.lift(g.end)
+		return LimitLifted
 	}
 	changed := !limit.active() || limit.perSecond != perSecond
 	first := !limit.active()
@@ -111,10 +120,35 @@
 	if first {
 		limit.countedAt, limit.askAt = now, now.Add(g.group.askInterval(perSecond))
 	}
-	if changed {
-		g.group.shareLimit(g.end)
+	if !changed {
+		return LimitKept
+	}
+	g.group.shareLimit(g.end)
+	return LimitNamed
+}
+
+// LiftLimit notes that another entry saw that an endpoint has no limit any more. An entry that
+// does not send there would learn of it late.
+func (f *Fleet) LiftLimit(name Incarnation) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if service, ok := f.owner[name.ID]; ok {
+		f.groups[service].liftLimit(name)
+	}
+}
+
+func (g *Group) liftLimit(name Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if end := g.endpoints[name.ID]; end != nil && end.incarnation().same(name) {
+		g.lift(end)
 	}
-	return changed
+}
+
+// lift ends a limit; g.mu is held.
+func (g *Group) lift(end *endpoint) {
+	end.limit = rateLimit{}
+	g.wake()
 }
 
 // SetEntries takes over the ids of the entries that share the limits of endpoints: this one
--- a/relay/site/record.go
+++ b/relay/site/record.go
@@ -8,7 +8,6 @@
 
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
-	"comfreyrelay.example/relay/quarantine"
 )
 
 // RecordKind says what a key of the store tells.
@@ -41,7 +40,7 @@
 	Weights  uint64 // version declared
 	Endpoint fleet.Registration
 	Entry    Entry
-	Reports  []quarantine.Report
+	Reports  []Report
 }
 
 // Entry is an entry's registration.
