gateway: refuse at once what the endpoints' rate limits won't admit in time

Callers saw nothing yet; with a limit in force at the only endpoint of a service a request would have waited up to a third of its time and then been refused, with a time to return that had nothing to do with the limit.

Change: where each endpoint that serves a request has a limit, the entry computes from its part, its credit and the requests ahead when the request is admitted, and refuses at once what that is too late for, with that time as Retry-After. An entry without a part closes the connection with its answer, so that the caller tries another entry.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -93,6 +93,13 @@
 	return l.turns[req], head == req, l.line.ChangesAt()
 }
 
+// ahead returns how many wait before the request.
+func (l *line) ahead(req *admission.Request) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.line.Ahead(l.clock(), req)
+}
+
 func (l *line) length() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -162,6 +169,9 @@
 			waiting = true
 			queue.enter(&x.adm)
 		}
+		if refused := x.beyondLimits(group, queue, until); refused != nil {
+			return nil, refused
+		}
 		if !g.cfg.Clock.Now().Before(until) || ctx.Err() != nil || g.draining.Load() {
 			return nil, x.noPlace(ctx, verdict, queue.length())
 		}
@@ -169,6 +179,18 @@
 	}
 }
 
+// beyondLimits refuses a request that the rate limits of its endpoints won't admit in time;
+// nil: they may.
+func (x *exchange) beyondLimits(group *fleet.Group, queue *line, until time.Time) *refusal {
+	backlog, limited := group.LimitedWait(x.need(), queue.ahead(&x.adm))
+	if !limited || !backlog.Elsewhere && !x.gateway.cfg.Clock.Now().Add(backlog.Wait).After(until) {
+		return nil
+	}
+	refused := x.notServed("endpoints limit their requests", backlog.Wait)
+	refused.hangUp = backlog.Elsewhere
+	return refused
+}
+
 // wait waits until the request should look for a place again: for its turn, and once it
 // is first for room.
 func (x *exchange) wait(ctx context.Context, queue *line, changed <-chan struct{}, until time.Time) {
--- /dev/null
+++ b/entry/internal/gateway/limit_test.go
@@ -0,0 +1,86 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// limiting answers with the rate limit given.
+func limiting(perSecond string) func(id string) []byte {
+	return func(id string) []byte {
+		return []byte(head(200, id, "X-Server-Stamp: s\r\nServer-Limit: "+perSecond+"\r\nContent-Length: 2\r\n\r\nok"))
+	}
+}
+
+// Guards against requests that wait in vain for an endpoint whose rate limit can't admit them
+// in time, and against a time to return that is too early.
+func TestRequestBeyondRateLimitIsRefusedAtOnce(t *testing.T) {
+	h := newHouse(t, newEndpoint(t, "i-1", limiting("0.25")))
+	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	h.freeze()
+	got := h.send(t, "/safe/a", "key-1", "")
+	got.check(t, http.StatusServiceUnavailable, "endpoints limit their requests", true)
+	wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if err != nil || wait < 3.9 || wait > 4 {
+		t.Errorf("got Retry-After %q, want the 4 s until the next request", got.header.Get("Retry-After"))
+	}
+}
+
+// Guards against a request that waits longer than the rate limit of its endpoint demands:
+// nothing but time brings the next credit.
+func TestRequestWaitsForCreditOfRateLimit(t *testing.T) {
+	end := newEndpoint(t, "i-1", limiting("2"), limiting("2"))
+	h := newHouse(t, end)
+	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	h.freeze()
+	answered := make(chan answer)
+	go func() { answered <- h.send(t, "/safe/a", "key-1", "") }()
+	// The deadline and the wait for credit.
+	if err := h.clock.BlockUntilContext(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	h.clock.Advance(500*time.Millisecond + time.Microsecond)
+	got := <-answered
+	got.check(t, http.StatusOK, "ok", true)
+}
+
+// Guards against an entry without a part of a rate limit that keeps its callers.
+func TestEntryWithoutPartOfRateLimitSendsCallersElsewhere(t *testing.T) {
+	h := newHouse(t, newEndpoint(t, "i-1", limiting("1")))
+	var others []string
+	for i := range 98 {
+		others = append(others, fmt.Sprint("other-", i))
+	}
+	h.state.Fleet().SetEntries("self", others)
+	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	h.freeze()
+	got := h.send(t, "/safe/a", "key-1", "")
+	got.check(t, http.StatusServiceUnavailable, "endpoints limit their requests", true)
+	if !got.close || got.header.Get("Retry-After") != "1.000" {
+		t.Errorf("got close %v, Retry-After %q, want the connection closed and 1 s", got.close, got.header.Get("Retry-After"))
+	}
+}
+
+// Guards against a limit that is lifted by an answer to a request which was sent before the
+// limit was named.
+func TestOldAnswerDoesNotLiftRateLimit(t *testing.T) {
+	release := make(chan struct{})
+	reached := make(chan struct{})
+	end := newEndpoint(t, "i-1", func(id string) []byte {
+		close(reached)
+		<-release
+		return whole("old")(id)
+	}, limiting("0.25"))
+	h := newHouse(t, end)
+	old := make(chan answer)
+	go func() { old <- h.send(t, "/safe/old", "key-1", "") }()
+	<-reached
+	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	close(release)
+	(<-old).check(t, http.StatusOK, "old", true)
+	h.freeze()
+	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusServiceUnavailable, "endpoints limit their requests", true)
+}
--- a/relay/admission/line.go
+++ b/relay/admission/line.go
@@ -42,6 +42,15 @@
 	return l.waiting[0]
 }
 
+// Ahead returns how many go before the request; one that does not wait goes behind all.
+func (l *Line) Ahead(now time.Time, req *Request) int {
+	l.order(now)
+	if at := slices.Index(l.waiting, req); at >= 0 {
+		return at
+	}
+	return len(l.waiting)
+}
+
 // Len returns how many wait.
 func (l *Line) Len() int { return len(l.waiting) }
 
--- a/relay/fleet/limit.go
+++ b/relay/fleet/limit.go
@@ -50,7 +50,7 @@
 		return now
 	}
 	// Rounded up, so that the credit is there at that time.
-	return now.Add(time.Duration(missing/l.share*float64(time.Second)) + 1)
+	return now.Add(seconds(missing/l.share) + 1)
 }
 
 func (l *rateLimit) refill(now time.Time) {
@@ -222,6 +222,55 @@
 	return next
 }
 
+// Backlog is when endpoints that all have a rate limit admit a request.
+type Backlog struct {
+	Wait time.Duration // until this entry may send it
+	// Elsewhere: this entry has no part of the limits, others have. Wait is then the time
+	// between two requests that the endpoints accept.
+	Elsewhere bool
+}
+
+// LimitedWait returns when a request that so many others go before is admitted. ok is false
+// where no endpoint serves it, or one that has no limit.
+func (g *Group) LimitedWait(need Need, ahead int) (found Backlog, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	share, credit, limit := 0.0, 0.0, 0.0
+	var askAt time.Time
+	for _, end := range g.candidates(need) {
+		if !g.serves(end, need, now) {
+			continue
+		}
+		if !end.limit.active() {
+			return Backlog{}, false
+		}
+		ok = true
+		limit += max(leastRate, end.limit.perSecond)
+		if end.limit.share == 0 {
+			if at := end.limit.askAt; askAt.IsZero() || at.Before(askAt) {
+				askAt = at
+			}
+			continue
+		}
+		end.limit.refill(now)
+		share += end.limit.share
+		credit += end.limit.credit
+	}
+	if !ok {
+		return Backlog{}, false
+	}
+	if share == 0 {
+		if ahead == 0 && !askAt.After(now) {
+			return Backlog{}, true
+		}
+		return Backlog{Wait: seconds(1 / limit), Elsewhere: true}, true
+	}
+	return Backlog{Wait: max(0, seconds((float64(1+ahead)-credit)/share))}, true
+}
+
+func seconds(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
+
 // LimitedEndpoints returns how many endpoints have a rate limit in force.
 func (f *Fleet) LimitedEndpoints() int {
 	f.mu.RLock()
