fleet: rate limits use the token bucket that customers' limits use

The credit of an endpoint's rate limit was a second token bucket beside relay/limit. limit.Bucket gains Wait and Level, which withdraw nothing, and Drained, an empty one; the fleet's copy is gone.

--- a/relay/fleet/limit.go
+++ b/relay/fleet/limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"comfreyrelay.example/relay/deal"
+	"comfreyrelay.example/relay/limit"
 	"comfreyrelay.example/relay/rendezvous"
 )
 
@@ -14,8 +15,6 @@
 	// senderRate is the least part of a limit for one entry, requests a second. A limit is
 	// shared by as many entries as can have so much.
 	senderRate = 1.0
-	// maxCredit bounds what an entry may send at once after a pause, in seconds of its part.
-	maxCredit = time.Second
 	// askTime is how long an entry without a part of the limit waits for each entry of the
 	// deployment, and for one request a second of the limit, before it sends one request to
 	// learn whether the limit still stands: all such requests are a quarter of the limit.
@@ -28,9 +27,7 @@
 	perSecond float64
 	namedAt   time.Time // arrival of the newest answer that named it; zero: no limit
 	share     float64   // of this entry, requests a second; 0: others send
-	// credit is the requests that this entry may send, as of countedAt.
-	credit    float64
-	countedAt time.Time
+	credit    limit.Bucket
 	askAt     time.Time // of the next request where share is 0
 }
 
@@ -44,19 +41,7 @@
 	if l.share == 0 {
 		return l.askAt
 	}
-	l.refill(now)
-	missing := 1 - l.credit
-	if missing <= 0 {
-		return now
-	}
-	// Rounded up, so that the credit is there at that time.
-	return now.Add(seconds(missing/l.share) + 1)
-}
-
-func (l *rateLimit) refill(now time.Time) {
-	most := max(1, l.share*maxCredit.Seconds())
-	l.credit = min(most, l.credit+l.share*now.Sub(l.countedAt).Seconds())
-	l.countedAt = now
+	return now.Add(l.credit.Wait(now, l.share, 1))
 }
 
 // take counts a request that is sent now.
@@ -66,8 +51,7 @@
 	case l.share == 0:
 		l.askAt = now.Add(interval)
 	default:
-		l.refill(now)
-		l.credit--
+		l.credit.Take(now, l.share, 1)
 	}
 }
 
@@ -77,10 +61,8 @@
 	if l.share == share {
 		return
 	}
-	if l.share > 0 {
-		l.refill(now)
-	} else {
-		l.credit, l.countedAt = 0, now
+	if l.share == 0 {
+		l.credit = limit.Drained(now)
 	}
 	if share == 0 {
 		l.askAt = now.Add(interval)
@@ -103,22 +85,22 @@
 func (g *Grant) Limited(perSecond float64, ok bool) LimitChange {
 	g.group.mu.Lock()
 	defer g.group.mu.Unlock()
-	limit := &g.end.limit
+	named := &g.end.limit
 	now := g.group.clock()
 	if !ok {
 		// Answers overtake each other: one to a request that was sent before the limit was
 		// named doesn't lift it.
-		if !limit.active() || !g.end.running[g].After(limit.namedAt) {
+		if !named.active() || !g.end.running[g].After(named.namedAt) {
 			return LimitKept
 		}
 		g.group.lift(g.end)
 		return LimitLifted
 	}
-	changed := !limit.active() || limit.perSecond != perSecond
-	first := !limit.active()
-	limit.perSecond, limit.namedAt = perSecond, now
+	first := !named.active()
+	changed := first || named.perSecond != perSecond
+	named.perSecond, named.namedAt = perSecond, now
 	if first {
-		limit.countedAt, limit.askAt = now, now.Add(g.group.askInterval(perSecond))
+		named.askAt = now.Add(g.group.askInterval(perSecond))
 	}
 	if !changed {
 		return LimitKept
@@ -236,7 +218,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	share, credit, limit := 0.0, 0.0, 0.0
+	share, credit, accepted := 0.0, 0.0, 0.0
 	var askAt time.Time
 	for _, end := range g.candidates(need) {
 		if !g.serves(end, need, now) {
@@ -246,16 +228,15 @@
 			return Backlog{}, false
 		}
 		ok = true
-		limit += max(leastRate, end.limit.perSecond)
+		accepted += max(leastRate, end.limit.perSecond)
 		if end.limit.share == 0 {
 			if at := end.limit.askAt; askAt.IsZero() || at.Before(askAt) {
 				askAt = at
 			}
 			continue
 		}
-		end.limit.refill(now)
 		share += end.limit.share
-		credit += end.limit.credit
+		credit += end.limit.credit.Level(now, end.limit.share)
 	}
 	if !ok {
 		return Backlog{}, false
@@ -264,7 +245,7 @@
 		if ahead == 0 && !askAt.After(now) {
 			return Backlog{}, true
 		}
-		return Backlog{Wait: seconds(1 / limit), Elsewhere: true}, true
+		return Backlog{Wait: seconds(1 / accepted), Elsewhere: true}, true
 	}
 	return Backlog{Wait: max(0, seconds((float64(1+ahead)-credit)/share))}, true
 }
--- a/relay/limit/bucket.go
+++ b/relay/limit/bucket.go
@@ -18,6 +18,9 @@
 	at    time.Time // when level was computed; zero before the first use
 }
 
+// Drained returns a bucket that is empty at the time given.
+func Drained(now time.Time) Bucket { return Bucket{at: now} }
+
 // Take withdraws cost units if the bucket, filled at rate units a second, holds
 // them. A cost larger than the burst needs a full bucket and leaves it in debt,
 // so that it is possible at all and paid for afterwards. Otherwise wait tells
@@ -26,15 +29,33 @@
 	if rate <= 0 {
 		return true, 0
 	}
+	if wait := b.Wait(now, rate, cost); wait > 0 {
+		return false, wait
+	}
+	b.level -= cost
+	return true, 0
+}
+
+// Wait returns how long until Take would succeed; 0: at once. A cost larger than the burst
+// needs no more than the burst.
+func (b *Bucket) Wait(now time.Time, rate, cost float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
 	burst := b.fill(now, rate)
 	needed := math.Min(cost, burst)
 	if b.level >= needed {
-		b.level -= cost
-		return true, 0
+		return 0
 	}
 	// A nanosecond more: the sums of the filling are rounded, and a bucket that
 	// lacks the last bit would refuse a caller who waited exactly as told.
-	return false, time.Duration(math.Ceil((needed-b.level)/rate*float64(time.Second))) + time.Nanosecond
+	return time.Duration(math.Ceil((needed-b.level)/rate*float64(time.Second))) + time.Nanosecond
+}
+
+// Level returns the units that the bucket holds.
+func (b *Bucket) Level(now time.Time, rate float64) float64 {
+	b.fill(now, rate)
+	return b.level
 }
 
 // Refund gives back units that were taken and not used.
