onsite: bound the reports of ended endpoints in the store and their writes

Callers saw nothing yet. With endpoints that end by tens a second each entry wrote one key after the other as fast as the store answered, and every key stayed for ten minutes: an entry that starts reads all of them over the link that everything else uses.

Cause: what waits in memory was bounded (256), what lies in the store and how fast it is written was not. Test failed before: 4,002 reports in 1,334 keys of one of 98 entries, where 182 are allowed.

Change: an entry writes ten keys a second at most, ten at once after a pause, and what comes meanwhile goes into one key. It removes its oldest keys beyond its part of 3,072 reports, 32 at least, none younger than 5 s, so that entries which follow others receive them; what can't be removed ends with its lease.

--- a/entry/internal/onsite/reporter_test.go
+++ b/entry/internal/onsite/reporter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -24,12 +25,14 @@
 // deadlyPrint is the fingerprint of a request under which endpoints ended.
 var deadlyPrint = quarantine.Of("customer", "POST", "host", "/deadly", nil)
 
+func oneEntry() int { return 1 }
+
 func newTestReporter(t *testing.T) (*reporter, *platformtest.Store) {
 	t.Helper()
 	standIn := platformtest.NewStore()
 	server := httptest.NewServer(standIn)
 	t.Cleanup(server.Close)
-	rep := newReporter(platform.NewStore(server.URL, storeClient()), platform.ReportPrefix("entry-1", "one"),
+	rep := newReporter(platform.NewStore(server.URL, storeClient()), platform.ReportPrefix("entry-1", "one"), oneEntry,
 		clockwork.NewRealClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -118,7 +121,7 @@
 // Symptom: an entry that the store can't be reached by grows. Cause: what it has to tell waits
 // without a bound.
 func TestReportsThatWaitAreBounded(t *testing.T) {
-	rep := newReporter(nil, "p/", clockwork.NewFakeClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	rep := newReporter(nil, "p/", oneEntry, clockwork.NewFakeClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	for i := range 3 * maxUntold {
 		rep.tell(endReport(i))
 	}
@@ -136,3 +139,71 @@
 		t.Errorf("got %d reports in batches, want %d", written, maxUntold)
 	}
 }
+
+// Guards against reports that fill the store in a flood of ends: an entry that starts reads all
+// of them over the link that everything else uses.
+func TestReportsInTheStoreAreBounded(t *testing.T) {
+	const entries, flood = 98, 4000
+	standIn := platformtest.NewStore()
+	server := httptest.NewServer(standIn)
+	t.Cleanup(server.Close)
+	clock := clockwork.NewFakeClock()
+	rep := newReporter(platform.NewStore(server.URL, storeClient()), platform.ReportPrefix("entry-1", "one"),
+		func() int { return entries }, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for told := 0; told < flood; {
+		for range 3 {
+			rep.tell(endReport(told))
+			told++
+		}
+		rep.bring(t.Context(), rep.next())
+		rep.prune(t.Context())
+		clock.Advance(time.Second / writeRate)
+	}
+	// What is young stays, for entries that follow others.
+	most := max(maxBatch, maxKept/entries) + 3*writeRate*int(keepLeast/time.Second)
+	kept := 0
+	for _, one := range rep.kept {
+		kept += one.reports
+	}
+	if got := len(standIn.Keys("comfrey/ends/")); kept > most || got != len(rep.kept) {
+		t.Errorf("got %d reports in %d keys, want %d at most in %d keys", kept, got, most, len(rep.kept))
+	}
+	clock.Advance(keepLeast)
+	rep.prune(t.Context())
+	if got, want := len(standIn.Keys("comfrey/ends/")), maxBatch; got > want {
+		t.Errorf("got %d keys after the flood, want %d at most", got, want)
+	}
+	if err := learned(rep.store); err != nil {
+		t.Errorf("got %v at an entry that starts, want the newest reports", err)
+	}
+}
+
+// BenchmarkStartWithReports measures an entry that starts while 98 entries keep all the reports
+// that they may, of twelve requests each.
+func BenchmarkStartWithReports(b *testing.B) {
+	const entries, requests = 98, 12
+	var stored []kv.Entry
+	size := 0
+	for entry := range entries {
+		var batch []site.Report
+		for i := range maxBatch {
+			one := site.Report{Report: quarantine.Report{End: quarantine.End{Endpoint: fmt.Sprintf("i-%d", i), Born: 1796287200000}}}
+			for j := range requests {
+				one.Suspects = append(one.Suspects, quarantine.Of("customer", "POST", "host", fmt.Sprint(entry, i, j), nil))
+			}
+			batch = append(batch, one)
+		}
+		value, err := json.Marshal(batch)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size += len(value)
+		stored = append(stored, kv.NewEntry(platform.ReportPrefix(fmt.Sprint("entry-", entry), "one")+"1", value, uint64(entry+1), false))
+	}
+	for b.Loop() {
+		state := site.NewState(time.Now, fleet.New(time.Now), freshness.NewTracker(func() time.Duration { return 0 }))
+		mirror := site.NewMirror(state, platform.DecodeRecord, clockwork.NewRealClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		mirror.Reset(stored, entries)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -95,13 +95,14 @@
 	e.mirror = site.NewMirror(e.state, platform.DecodeRecord, clock, log)
 	e.apply(set)
 	e.store = platform.NewStore(set.GetKvUrl(), storeClient())
-	e.reporter = newReporter(e.store, platform.ReportPrefix(set.GetNode().GetId(), e.self.Incarnation), clock, log)
+	entries := func() int { return max(1, len(e.state.Entries())) }
+	e.reporter = newReporter(e.store, platform.ReportPrefix(set.GetNode().GetId(), e.self.Incarnation), entries, clock, log)
 	e.gateway = gateway.New(gateway.Config{
 		State: e.state, Pool: upstream.NewPool(clock.Now), Wire: platform.Wire(), Clock: clock, Log: log,
 		Domain:  self.GetFailureDomain(),
 		Tell:    e.reporter.tell,
 		Bounds:  func() gateway.Bounds { return e.bounds.Load().gateway },
-		Entries: func() int { return max(1, len(e.state.Entries())) },
+		Entries: entries,
 	})
 	return e
 }
