entry: tell callers without a configuration to use another entry; log repeated losses of the store

Callers saw: an entry that had no configuration refused with 200 ms to return, and the caller's kept connection brought it back there.

Cause: the refusal did not ask for another entry. The logs could not say why an entry stayed without one: only the first failed call was logged, and an age of 5,001,056 ms stood for 'never'.

Change: that refusal closes the connection.

--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -86,7 +86,7 @@
 	}
 	fields := []any{
 		"outcome", reason, "status", status, "tookMillis", g.cfg.Clock.Since(x.arrived).Milliseconds(),
-		"heldMillis", x.heldFor.Milliseconds(), "ageMillis", x.age.Milliseconds(),
+		"heldMillis", x.heldFor.Milliseconds(), "ageMillis", x.ageMillis(),
 	}
 	if x.req != nil {
 		fields = append(fields, "request", x.req.ID, "deadlineMillis", x.req.Deadline.Milliseconds())
@@ -102,6 +102,14 @@
 	g.cfg.Log.Log(context.Background(), level, "answered", fields...)
 }
 
+// ageMillis returns the age of the knowledge that decided; -1 where nothing was known.
+func (x *exchange) ageMillis() int64 {
+	if !x.proven {
+		return -1
+	}
+	return x.age.Milliseconds()
+}
+
 // lastEndpoint returns the id of the endpoint that was tried last; empty where none was.
 func (x *exchange) lastEndpoint() string {
 	if len(x.tries) == 0 {
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -165,7 +165,7 @@
 	x.age, x.proven = age, known
 	x.catalog = g.cfg.State.Catalog()
 	if x.catalog == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", wait: soonReturn}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", wait: soonReturn, hangUp: true}
 	}
 	if refused := g.route(x); refused != nil {
 		return refused
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -34,6 +34,8 @@
 	// been written a dozen times a second, and where a region's entries all come back
 	// the history of each crosses the same link between regions.
 	historyTime = 2500 * time.Millisecond
+	// lostInterval is the least time between two log lines of calls that fail in a row.
+	lostInterval = time.Second
 	// retryWait is the mean pause after a failed call.
 	retryWait = 120 * time.Millisecond
 )
@@ -81,8 +83,11 @@
 	// Wait returns how long one watch waits; nil stands for watchWait.
 	Wait func() time.Duration
 
-	down  bool      // the last call failed
-	heard time.Time // when the last one that did not ended
+	down bool // the last call failed
+	// failed counts the calls that failed in a row; loggedAt is when one was last logged.
+	failed   int
+	loggedAt time.Time
+	heard    time.Time // when the last one that did not ended
 	// silent: the store was not watched, and those who did fell silent. Changes
 	// that it tells at once may have been made meanwhile.
 	silent bool
@@ -135,8 +140,14 @@
 func (f *Follower) lost(ctx context.Context, err error) {
 	f.State.Lost()
 	f.silent = false
-	if !f.down && ctx.Err() == nil {
-		f.Log.Warn("dependency lost", "dependency", "store", "revision", f.Mirror.Revision(), "error", err)
+	f.failed++
+	message := "dependency lost"
+	if f.down {
+		message = "dependency still lost"
+	}
+	if ctx.Err() == nil && (!f.down || f.Clock.Since(f.loggedAt) >= lostInterval) {
+		f.Log.Warn(message, "dependency", "store", "revision", f.Mirror.Revision(), "failed", f.failed, "error", err)
+		f.loggedAt = f.Clock.Now()
 	}
 	f.down = true
 }
@@ -145,9 +156,9 @@
 	if !f.down {
 		return
 	}
-	f.down = false
+	f.Log.Info("dependency regained", "dependency", "store", "revision", f.Mirror.Revision(), "failed", f.failed)
+	f.down, f.failed = false, 0
 	f.State.Regained()
-	f.Log.Info("dependency regained", "dependency", "store", "revision", f.Mirror.Revision())
 }
 
 // readAll reads everything at one revision or a newer one, unless nothing changed since what is
