--- a/entry/internal/gateway/held.go
+++ b/entry/internal/gateway/held.go
@@ -53,7 +53,7 @@
 	}
 	g.figures.held.Add(1)
 	for _, report := range ends.Renew(x.print) {
-		ends.Hear(report)
+		ends.Observe(report)
 		g.cfg.Tell(site.Report{Report: report})
 	}
 	return x.notServed("endpoints ended under this request", until.Sub(g.cfg.Clock.Now()))
--- a/entry/internal/gateway/held_test.go
+++ b/entry/internal/gateway/held_test.go
@@ -21,7 +21,7 @@
 // ended lets an entry learn that so many endpoints ended under a request.
 func (h *house) ended(print quarantine.Fingerprint, count int) {
 	for i := range count {
-		h.state.Ledger().Hear(quarantine.Report{
+		h.state.Ledger().Observe(quarantine.Report{
 			End: quarantine.End{Endpoint: fmt.Sprintf("gone-%d", i)}, Suspects: []quarantine.Fingerprint{print},
 		})
 	}
--- a/entry/internal/gateway/inquest.go
+++ b/entry/internal/gateway/inquest.go
@@ -119,7 +119,7 @@
 		return
 	}
 	report := one.report()
-	q.ends.Hear(report)
+	q.ends.Observe(report)
 	q.tell(site.Report{Report: report})
 }
 
--- a/relay/quarantine/fleet_test.go
+++ b/relay/quarantine/fleet_test.go
@@ -112,7 +112,7 @@
 	one := &simEntry{touched: f.now}
 	one.ledger = NewLedger(func() time.Time { return time.Unix(1, 0).Add(f.now) })
 	for _, report := range f.store {
-		one.ledger.Hear(report)
+		one.ledger.Observe(report)
 	}
 	f.entries = append(f.entries, one)
 	return one
@@ -245,7 +245,7 @@
 		report := *reports[entry]
 		f.after(stored/2, func() {
 			if !entry.dead {
-				entry.ledger.Hear(report)
+				entry.ledger.Observe(report)
 				f.tell(entry, report)
 			}
 		})
@@ -285,7 +285,7 @@
 			f.learn(one, report)
 			return
 		}
-		one.ledger.Hear(report)
+		one.ledger.Observe(report)
 	})
 }
 
--- a/relay/quarantine/flood_test.go
+++ b/relay/quarantine/flood_test.go
@@ -16,7 +16,7 @@
 			for other := range beside {
 				names = append(names, fmt.Sprintf("other-%d-%d-%d", i, end, other))
 			}
-			led.Hear(Report{End: End{Endpoint: fmt.Sprintf("i-%d-%d", i, end)}, Suspects: printsOf(names)})
+			led.Observe(Report{End: End{Endpoint: fmt.Sprintf("i-%d-%d", i, end)}, Suspects: printsOf(names)})
 		}
 	}
 }
@@ -77,7 +77,7 @@
 	for i := range maxPairs {
 		print := printsOf([]string{fmt.Sprintf("twice-%d", i)})
 		for end := range 2 {
-			led.Hear(Report{End: End{Endpoint: fmt.Sprintf("i-%d-%d", i, end)}, Suspects: print})
+			led.Observe(Report{End: End{Endpoint: fmt.Sprintf("i-%d-%d", i, end)}, Suspects: print})
 		}
 	}
 	deadlyAndOthers(led, 1)
@@ -100,7 +100,7 @@
 		for other := range 4 {
 			report.Running = append(report.Running, printsOf([]string{fmt.Sprintf("other-%d-%d", i, other)})...)
 		}
-		led.Hear(report)
+		led.Observe(report)
 	}
 	return led, often
 }
@@ -135,7 +135,7 @@
 	}
 }
 
-func BenchmarkHear(b *testing.B) {
+func BenchmarkObserve(b *testing.B) {
 	led, often := floodedLedger(maxPairs/6, false)
 	ends := 0
 	for b.Loop() {
@@ -144,6 +144,6 @@
 		for other := range 11 {
 			report.Suspects = append(report.Suspects, Fingerprint{1, byte(other), byte(ends), byte(ends >> 8), byte(ends >> 16)})
 		}
-		led.Hear(report)
+		led.Observe(report)
 	}
 }
--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -76,8 +76,8 @@
 // now returns the present moment.
 func (l *Ledger) now() moment { return moment(l.clock().Sub(l.start)) }
 
-// Hear takes over what this entry saw or another one told.
-func (l *Ledger) Hear(report Report) {
+// Observe takes over a report of this entry or of another one.
+func (l *Ledger) Observe(report Report) {
 	maybeHeld, forgotten := l.take(report)
 	for _, print := range forgotten {
 		l.tellForgotten(print)
@@ -87,7 +87,7 @@
 	}
 }
 
-// take is Hear, and returns whether another request may be held now, and the held ones for which
+// take does what Observe does, and returns whether another request may be held now, and the held ones for which
 // there was no room.
 func (l *Ledger) take(report Report) (held bool, forgotten []Fingerprint) {
 	now := l.now()
--- a/relay/quarantine/ledger_test.go
+++ b/relay/quarantine/ledger_test.go
@@ -42,7 +42,7 @@
 			td.ScanArgs(t, "of", &id)
 			notified := false
 			led.Notify(func() { notified = true })
-			led.Hear(Report{End: End{Endpoint: id}, Suspects: printsOf(names("suspects")), Running: printsOf(names("running"))})
+			led.Observe(Report{End: End{Endpoint: id}, Suspects: printsOf(names("suspects")), Running: printsOf(names("running"))})
 			if notified {
 				return "notified"
 			}
@@ -55,7 +55,7 @@
 		case "renew":
 			reports := led.Renew(printsOf(names("what"))[0])
 			for _, report := range reports {
-				led.Hear(report)
+				led.Observe(report)
 			}
 			return fmt.Sprintf("%d reports", len(reports))
 		case "held":
@@ -94,7 +94,7 @@
 		held := func(reports []Report) string {
 			led := NewLedger(func() time.Time { return time.Unix(1, 0) })
 			for _, report := range reports {
-				led.Hear(report)
+				led.Observe(report)
 			}
 			var found []bool
 			for _, print := range printsOf(names) {
@@ -116,13 +116,13 @@
 	now := time.Unix(1000, 0)
 	led := NewLedger(func() time.Time { return now })
 	for i := range 3 * maxPairs {
-		led.Hear(Report{End: End{Endpoint: fmt.Sprintf("i-%d", i/12)}, Suspects: printsOf([]string{fmt.Sprint(i)})})
+		led.Observe(Report{End: End{Endpoint: fmt.Sprintf("i-%d", i/12)}, Suspects: printsOf([]string{fmt.Sprint(i)})})
 	}
 	if requests, ends := led.Size(); requests > maxPairs || ends > maxPairs || len(led.tellings) > maxTellings {
 		t.Errorf("got %d requests, %d ends and %d in order, want %d at most", requests, ends, len(led.tellings), maxPairs)
 	}
 	now = now.Add(HoldTime)
-	led.Hear(Report{End: End{Endpoint: "last"}, Suspects: printsOf([]string{"last"})})
+	led.Observe(Report{End: End{Endpoint: "last"}, Suspects: printsOf([]string{"last"})})
 	if requests, ends := led.Size(); requests != 1 || ends != 1 || led.pairs != 1 {
 		t.Errorf("got %d requests, %d ends and %d pairs, want the last alone", requests, ends, led.pairs)
 	}
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -217,7 +217,7 @@
 	case ReportRecord:
 		// A report that lapses is forgotten by its age.
 		for _, report := range rec.Reports {
-			s.ledger.Hear(report.Report)
+			s.ledger.Observe(report.Report)
 			s.fleet.LiftLimit(report.Lifted)
 		}
 	}
