--- a/relay/fleet/births.go
+++ b/relay/fleet/births.go
@@ -32,12 +32,12 @@
 }
 
 // register takes a registration's word and reports whether another incarnation began.
-func (l *births) register(born int64) bool { return l.hear(&l.registered, born) }
+func (l *births) register(born int64) bool { return l.learn(&l.registered, born) }
 
 // observe takes the agent's word and reports whether another incarnation began.
-func (l *births) observe(born int64) bool { return l.hear(&l.observed, born) }
+func (l *births) observe(born int64) bool { return l.learn(&l.observed, born) }
 
-func (l *births) hear(source *int64, born int64) bool {
+func (l *births) learn(source *int64, born int64) bool {
 	if born == 0 || born == *source {
 		return false
 	}
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -14,10 +14,10 @@
 	// answer to its agent, the way between failure domains, and the two
 	// processes' turns at their processors.
 	sampleDelay = 6 * time.Millisecond
-	// heardLate is the delay on the way beyond which an agent's word is that of a
+	// lateReport is the delay on the way beyond which an agent's word is that of a
 	// host behind a link that is squeezed: answers take the same way, and targets
 	// of 300 to 500 ms leave less beside a pass and a half of the engine.
-	heardLate = 200 * time.Millisecond
+	lateReport = 200 * time.Millisecond
 	// loadStale is the age at which what an endpoint told with an answer is no
 	// longer taken.
 	loadStale = time.Second
@@ -57,7 +57,7 @@
 	reach    deal.Reach           // of this entry, once the engines were dealt
 	load     int                  // running and waiting as last told with an answer
 	loadAt   time.Time
-	proven   int       // own requests served in a row while the agent was not heard
+	proven   int       // own requests served in a row without a timely report of the agent
 	failures int       // to connect or to answer, in a row
 	ejected  time.Time // chosen no more until then
 	errors   float64   // smoothed share of answers that were failures
@@ -77,13 +77,13 @@
 	return !e.stateAt.IsZero() && now.Sub(e.stateAt) < feedStale
 }
 
-// heard reports whether the agent's word is new enough and came in time.
-func (e *endpoint) heard(now time.Time) bool {
-	return e.followed(now) && e.state.Delay < heardLate
+// timely reports whether the agent's newest report is recent and came in time.
+func (e *endpoint) timely(now time.Time) bool {
+	return e.followed(now) && e.state.Delay < lateReport
 }
 
 // trust returns the own requests that may be in progress at an engine whose agent
-// is not heard: one from the entry that it is home to, and one more for each that
+// sends no timely report: one from the entry that it is home to, and one more for each that
 // it served. An engine behind a cut or a squeezed link otherwise looks idle, with
 // nothing running and nothing to read, and is chosen before all others: in 7 s
 // eight such of a hundred took 700 requests that others then had to serve.
@@ -94,13 +94,13 @@
 	return 1 + e.proven
 }
 
-// neverHeard stands for the age of an agent's word where none came.
-const neverHeard = -time.Millisecond
+// noReport stands for the age of an agent's word where none came.
+const noReport = -time.Millisecond
 
 // stateAge returns the age of the agent's word.
 func (e *endpoint) stateAge(now time.Time) time.Duration {
 	if e.stateAt.IsZero() {
-		return neverHeard
+		return noReport
 	}
 	return now.Sub(e.stateAt)
 }
@@ -151,7 +151,7 @@
 	e.sent = dropBefore(e.sent, sampled)
 	e.ended = dropBefore(e.ended, sampled)
 	e.state, e.stateAt = state, now
-	if e.heard(now) {
+	if e.timely(now) {
 		e.proven = 0
 	}
 }
--- a/relay/fleet/pick.go
+++ b/relay/fleet/pick.go
@@ -44,7 +44,7 @@
 	// endReserve is left until a version's end beside the time in which its engines
 	// begin what is sent there: for links, processors and clocks.
 	endReserve = 500 * time.Millisecond
-	// sendersAtOnce is the entries that may send to an engine before each hears of
+	// sendersAtOnce is the entries that may send to an engine before each learns of
 	// the others' requests.
 	sendersAtOnce = 3
 	// plainCost is what one request in progress at a plain endpoint weighs.
@@ -68,7 +68,7 @@
 	Floor uint64
 	// SoonFloor will be the floor shortly: an engine below it gets only what it
 	// begins at once, since what waits there would begin on an old version, and
-	// only from entries that hear it in time: what stands in a narrow link reaches
+	// only from entries that its reports reach in time: what stands in a narrow link reaches
 	// it after the end. Near the end that is the entry that it is home to alone.
 	SoonFloor uint64
 	// Ends is the time until engines below SoonFloor may begin nothing any more.
@@ -106,7 +106,7 @@
 	var best *endpoint
 	var least float64
 	verdict := Nobody
-	hears := g.hears(now)
+	agents := g.agentsTimely(now)
 	for _, end := range g.candidates(need) {
 		if !g.serves(end, need, now) {
 			continue
@@ -120,7 +120,7 @@
 			verdict = Full
 			continue
 		}
-		if hears && !end.heard(now) && len(end.running) >= end.trust() {
+		if agents && !end.timely(now) && len(end.running) >= end.trust() {
 			verdict = Full
 			continue
 		}
@@ -168,20 +168,20 @@
 	return g.reached
 }
 
-// hears reports whether the agents of half of the engines that the entry sends to are
-// heard: one that is not is then an exception, and else tells more of this entry's own
-// links.
-func (g *Group) hears(now time.Time) bool {
+// agentsTimely reports whether the agents of half of the engines that the entry sends to
+// report in time: one that does not is then an exception; otherwise the entry's own links
+// are the likely cause.
+func (g *Group) agentsTimely(now time.Time) bool {
 	if g.engine == nil {
 		return false
 	}
-	heard := 0
+	timely := 0
 	for _, end := range g.reached {
-		if end.heard(now) {
-			heard++
+		if end.timely(now) {
+			timely++
 		}
 	}
-	return 2*heard >= len(g.reached) && heard > 0
+	return 2*timely >= len(g.reached) && timely > 0
 }
 
 // room returns the requests that may be in progress at an endpoint before one
@@ -217,7 +217,7 @@
 // there, half of what was asked in the second and a half before an end was refused
 // beside engines with free slots.
 func (g *Group) beginsSoon(end *endpoint, need Need, now time.Time, unread int) bool {
-	if !end.heard(now) || unread > 0 && (unread+need.Prompt > soonUnread || end.state.Queued > 0) {
+	if !end.timely(now) || unread > 0 && (unread+need.Prompt > soonUnread || end.state.Queued > 0) {
 		return false
 	}
 	switch end.reach {
--- a/relay/fleet/heard_test.go
+++ b/relay/fleet/timely_test.go
@@ -12,7 +12,7 @@
 // sound engines have room. Sequence: the links of eight of a hundred hosts are
 // squeezed for 7 s; their agents' words come late or not at all, and nothing is known
 // to run there. Cause: what is not known was taken for idle.
-func TestEngineThatIsNotHeardIsNotTakenForIdle(t *testing.T) {
+func TestEngineWithoutTimelyReportsIsNotTakenForIdle(t *testing.T) {
 	late := fleet.EngineState{Alive: true, Delay: 600 * time.Millisecond}
 	for name, quiet := range map[string]func(w *world){
 		"silent": func(w *world) { w.now = w.now.Add(2 * time.Second) },
@@ -67,7 +67,7 @@
 // 0.7 s late; 1.6 s before the version ends its home entry sends a request there to
 // see whether it answers; the request stands 1.6 s in the link and begins 72 ms after
 // the end, though the entry gave it up before. Cause: what is sent shortly before an
-// end must begin at once, and nobody knows that of an engine that is heard late.
+// end must begin at once, and nobody knows that of an engine whose reports come late.
 func TestEngineThatIsHeardLateGetsNothingBeforeItsVersionEnds(t *testing.T) {
 	for name, one := range map[string]struct {
 		delay time.Duration
@@ -88,7 +88,7 @@
 	}
 }
 
-// An entry that hears hardly any agent is cut off itself, or agents are down: what
+// An entry that hardly any agent reports to is cut off itself, or agents are down: what
 // is registered then serves as before.
 func TestEntryThatHearsNoAgentUsesAllEngines(t *testing.T) {
 	w := newWorld()
@@ -162,7 +162,7 @@
 		{"two seconds", 2 * time.Second, 400, 0, fleet.Granted},
 		{"nearly over", 600 * time.Millisecond, 400, 0, fleet.Full},
 		{"behind others", 2 * time.Second, 1200, 0, fleet.Full},
-		{"heard late", 2 * time.Second, 400, 683 * time.Millisecond, fleet.Full},
+		{"late reports", 2 * time.Second, 400, 683 * time.Millisecond, fleet.Full},
 	} {
 		w := newWorld()
 		for i := range 3 {
