site: entries that start wait for what their region's readers bring

Callers saw: after power returned, entries of the regions away from the store refused for want of a configuration until each had read it over the link that all share, 3 s after their start.

Cause: an entry follows others of its region only once it has read the store, since the registrations that name them lie there. Entries that start together each read everything.

Change: an entry that starts reads the entries' registrations first. One that follows others waits 1 to 2 s, by chance, for what they bring, and reads the store itself if nothing comes. Keys introduced so are dropped by the first whole reading that lacks them, and are not passed on before one.

Evidence: TestEntryThatStartsIsBroughtWhatOthersKnow failed before (one reading of everything by each entry that starts, now none); TestEntryThatIsBroughtNothingReadsTheStore keeps the way out.

--- /dev/null
+++ b/entry/internal/onsite/join_test.go
@@ -0,0 +1,79 @@
+package onsite
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/site"
+)
+
+// wholeReadings counts the readings of everything from now on.
+func wholeReadings(store *platformtest.Store) *atomic.Int64 {
+	count := &atomic.Int64{}
+	store.SetFault(func(r *http.Request) platformtest.Fault {
+		query := r.URL.Query()
+		if r.URL.Path == "/kv-range" && query.Get("path_prefix") == "" && query.Get("after") == "" {
+			count.Add(1)
+		}
+		return platformtest.None
+	})
+	return count
+}
+
+// Guards against entries of a region that each read a large configuration over the same link
+// when they start.
+func TestEntryThatStartsIsBroughtWhatOthersKnow(t *testing.T) {
+	const running, newcomers = 6, 3
+	f := newFleetOfEntries(t, running, 1, nil)
+	entries := map[string]site.Entry{}
+	for i := range running {
+		entries[fmt.Sprint("entry-", i)] = site.Entry{Region: "r", ControlAddress: "127.0.0.1:1"}
+	}
+	following := 0
+	for i := range newcomers {
+		id := fmt.Sprint("entry-", running+i)
+		eventually(t, "all are registered", func() error {
+			if got := len(f.store.Keys(platform.EntryPrefix)); got < running+i {
+				return fmt.Errorf("%d of %d", got, running+i)
+			}
+			return nil
+		})
+		entries[id] = site.Entry{Region: "r", ControlAddress: "127.0.0.1:1"}
+		readings := wholeReadings(f.store)
+		f.start()
+		if len(site.Sources(id, "r", entries)) == 0 {
+			continue
+		}
+		following++
+		if got := readings.Load(); got > 0 {
+			t.Errorf("got %d readings of everything as %s starts, want none", got, id)
+		}
+	}
+	if following == 0 {
+		t.Fatalf("got no entry that follows others among %d", newcomers)
+	}
+}
+
+// Guards against an entry that waits for others which are gone.
+func TestEntryThatIsBroughtNothingReadsTheStore(t *testing.T) {
+	f := newFleetOfEntries(t, 0, 1, nil)
+	entries := map[string]site.Entry{"entry-0": {Region: "r", ControlAddress: "127.0.0.1:1"}}
+	for i := range 12 {
+		entries[fmt.Sprint("former-", i)] = entries["entry-0"]
+		f.store.Put(platform.EntryKey(fmt.Sprint("former-", i)), site.Entry{
+			CallersAddress: "127.0.0.1:1", Region: "r", FailureDomain: "d1", ControlAddress: "127.0.0.1:1",
+		})
+	}
+	if len(site.Sources("entry-0", "r", entries)) == 0 {
+		t.Fatalf("got an entry that follows nobody, want another id")
+	}
+	readings := wholeReadings(f.store)
+	f.start()
+	if got := readings.Load(); got == 0 {
+		t.Errorf("got a ready entry without a reading of the store")
+	}
+}
--- a/entry/internal/onsite/sources.go
+++ b/entry/internal/onsite/sources.go
@@ -59,6 +59,9 @@
 	return max(0, trust-age)
 }
 
+// follows reports whether this entry follows others of those known.
+func (s *sources) follows() bool { return len(s.wanted()) > 0 }
+
 // wait returns how long this entry's own watches wait.
 func (s *sources) wait() time.Duration { return site.WatchWait(s.apply(), s.followed.Load()) }
 
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -36,6 +36,9 @@
 	historyTime = 2500 * time.Millisecond
 	// lostInterval is the least time between two log lines of calls that fail in a row.
 	lostInterval = time.Second
+	// joinWait is the least time for which an entry that starts waits for what others bring; it
+	// waits up to twice as long, so that entries which waited in vain don't read at once.
+	joinWait = time.Second
 	// retryWait is the mean pause after a failed call.
 	retryWait = 120 * time.Millisecond
 )
@@ -83,6 +86,12 @@
 	// Wait returns how long one watch waits; nil stands for watchWait.
 	Wait func() time.Duration
 
+	// EntriesPrefix is that of the entries' registrations; empty: one that starts reads
+	// everything by itself.
+	EntriesPrefix string
+	// Follows reports whether other entries that are known bring what the store holds; nil: no.
+	Follows func() bool
+
 	down bool // the last call failed
 	// failed counts the calls that failed in a row; loggedAt is when one was last logged.
 	failed   int
@@ -95,9 +104,17 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	whole := false
+	whole, joined := false, false
 	for ctx.Err() == nil {
 		var err error
+		if !joined {
+			if err = f.join(ctx); err != nil {
+				f.lost(ctx, err)
+				f.sleep(ctx, retryWait/2+rand.N(retryWait))
+				continue
+			}
+			joined, whole = true, f.Mirror.Revision() > 0
+		}
 		if led := f.led(); whole && led > 0 {
 			f.silent = true
 			f.sleep(ctx, min(led, ledLook))
@@ -127,6 +144,40 @@
 	}
 }
 
+// join learns which entries there are and, where this one follows others, waits for what they
+// bring: entries of a region that start together would each read everything over the same link.
+func (f *Follower) join(ctx context.Context) error {
+	if f.EntriesPrefix == "" || f.Follows == nil {
+		return nil
+	}
+	entries, err := f.Store.List(ctx, f.EntriesPrefix)
+	if err != nil {
+		return err
+	}
+	f.regained()
+	f.Mirror.Introduce(entries)
+	if !f.Follows() {
+		return nil
+	}
+	began := f.Clock.Now()
+	patience := f.Clock.After(joinWait + rand.N(joinWait))
+	for {
+		changed := f.State.Changed()
+		if revision := f.Mirror.Revision(); revision > 0 {
+			f.Log.Info("brought by other entries", "revision", revision, "tookMillis", f.Clock.Since(began).Milliseconds())
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-patience:
+			f.Log.Info("other entries brought nothing, reading the store", "waitedMillis", f.Clock.Since(began).Milliseconds())
+			return nil
+		case <-changed:
+		}
+	}
+}
+
 func (f *Follower) sleep(ctx context.Context, wait time.Duration) {
 	if wait <= 0 {
 		return
--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -64,6 +64,16 @@
 	return true
 }
 
+// Introduce takes over some keys of the store before the first whole reading, which drops those
+// that it lacks.
+func (m *Mirror) Introduce(entries []kv.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.revision == 0 {
+		m.take(entries, 0, true)
+	}
+}
+
 // Reset takes over a whole reading of the store at a revision: keys that it lacks
 // are gone.
 func (m *Mirror) Reset(entries []kv.Entry, revision uint64) {
@@ -190,6 +200,9 @@
 func (m *Mirror) Since(revision uint64) (Changes, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.revision == 0 {
+		return Changes{}, m.changed // what was introduced is no reading
+	}
 	found := Changes{Revision: m.revision, Whole: revision < m.forgotten || revision == 0}
 	for _, entry := range m.keys {
 		if found.Whole && !entry.Deleted() || !found.Whole && entry.Revision() > revision {
