onsite: a test of two versions waits for the first load instead of 200 ms

Cause: the test names the second version 200 ms after the first; where no engine has begun to load the first by then, all skip it, which is right. Change: the second version is named once one engine was ordered to load the first.

--- a/agent/internal/onsite/onsite_test.go
+++ b/agent/internal/onsite/onsite_test.go
@@ -116,6 +116,25 @@
 	}
 }
 
+// awaitFirstLoad waits until one engine was ordered to load.
+func (s *testSite) awaitFirstLoad(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for {
+		for _, engine := range s.engines {
+			if len(engine.Loads()) > 0 {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			t.Fatal("got no load, want one")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
 func digestOf(chunks [][]byte) string {
 	sum := sha256.New()
 	for _, chunk := range chunks {
--- a/agent/internal/onsite/stage_test.go
+++ b/agent/internal/onsite/stage_test.go
@@ -79,7 +79,7 @@
 		s.origin.Add(version, platformtest.Chunks(version, testChunks, testSize))
 	}
 	s.guide(2, 2)
-	time.Sleep(200 * time.Millisecond)
+	s.awaitFirstLoad(t)
 	s.guide(3, 3)
 	s.await(t, 3)
 	s.checkLoads(t)
