--- a/GNUmakefile
+++ b/GNUmakefile
@@ -12,6 +12,9 @@
 SECONDS ?= 60
 CASE ?=
 
+# Simulations of large fleets take minutes of a core with the race detector.
+TEST_TIMEOUT := 30m
+
 # Random tests draw the same numbers on every run; RAPID_SEED=0 draws others.
 export RAPID_SEED ?= 1
 
@@ -56,7 +59,7 @@
 	@failed=0; export COMFREY_BIN=$(BIN); \
 	for module in $(MODULES); do \
 	  fresh=; [ "$$module" != bench ] || fresh=-count=1; \
-	  (cd "$$module" && go test -race $$fresh ./...) || failed=1; \
+	  (cd "$$module" && go test -race -timeout $(TEST_TIMEOUT) $$fresh ./...) || failed=1; \
 	done; \
 	exit $$failed
 
