gateway: log why an attempt was given up and that an answer was broken off

Cause: the hypotheses of the incident of broken-off answers can't be told apart: no line says whether the agent's report, a pause or another incarnation ended an attempt, nor whether the entry itself stood still, nor that a caller's connection was closed with its answer begun. Panics of handlers were written at a level that is not shown. Change: gaveUp, silentMillis and oversleptMillis on lines of attempts, brokenOff on lines of answers and as a metric, the library's log as warnings. What is decided is the same.

--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -17,6 +17,8 @@
 	attempts atomic.Int64
 	resumed  atomic.Int64
 	held     atomic.Int64 // refused since endpoints ended under them
+	broken   atomic.Int64 // answers that were broken off
+	events   atomic.Int64 // of streams, sent to callers
 }
 
 // Figures returns the counts by name.
@@ -31,6 +33,8 @@
 		"attempts":         g.figures.attempts.Load(),
 		"resumed":          g.figures.resumed.Load(),
 		"held":             g.figures.held.Load(),
+		"brokenOff":        g.figures.broken.Load(),
+		"events":           g.figures.events.Load(),
 		"suspects":         int64(suspects),
 		"ends":             int64(ends),
 		"heldForgotten":    int64(ledger.Forgotten()),
@@ -69,6 +73,7 @@
 		"outcome", outcome.String(), "occupied", grant.Occupied(), "unread", grant.Unread(), "home", grant.Home(),
 		"stateAgeMillis", grant.StateAge().Milliseconds(), "delayMillis", grant.Delay().Milliseconds(),
 		"version", grant.Version(), "events", x.events, "print", x.print,
+		"gaveUp", x.silence.reason, "silentMillis", x.silence.waited.Milliseconds(), "oversleptMillis", x.silence.overslept.Milliseconds(),
 	}
 }
 
@@ -84,6 +89,10 @@
 	default:
 		g.figures.failed.Add(1)
 	}
+	brokenOff := x.header != nil && x.status == 0
+	if brokenOff {
+		g.figures.broken.Add(1)
+	}
 	fields := []any{
 		"outcome", reason, "status", status, "tookMillis", g.cfg.Clock.Since(x.arrived).Milliseconds(),
 		"heldMillis", x.heldFor.Milliseconds(), "ageMillis", x.ageMillis(),
@@ -94,7 +103,7 @@
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "service", x.service, "sends", x.sends,
 			"events", x.events, "firstMillis", x.firstEvent.Milliseconds(), "pauseMillis", x.longest.Milliseconds(), "returned", x.adm.Returned,
-			"endpoint", x.lastEndpoint(), "targetMillis", x.route.Target.Milliseconds(), "gapMillis", x.route.Gap.Milliseconds(), "print", x.print)
+			"brokenOff", brokenOff, "endpoint", x.lastEndpoint(), "targetMillis", x.route.Target.Milliseconds(), "gapMillis", x.route.Gap.Milliseconds(), "print", x.print)
 	}
 	if x.catalog != nil {
 		fields = append(fields, "catalog", x.catalog.Version())
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -281,6 +281,7 @@
 	lastID       string        // of the last event that the caller has
 	final        bool          // the answer was begun and can't go on at another endpoint
 	status       int           // of the answer that the caller got whole; 0: none yet
+	silence      silence       // of the newest attempt
 }
 
 func (x *exchange) customerName() string {
--- a/entry/internal/gateway/house_test.go
+++ b/entry/internal/gateway/house_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -38,6 +39,7 @@
 	seen     []*http.Request
 	// accepted is called with mu held for each connection; may be nil.
 	accepted func()
+	resume   chan struct{} // closed where a paused answer goes on
 }
 
 func newEndpoint(t *testing.T, id string, answers ...func(id string) []byte) *endpoint {
@@ -47,7 +49,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = lis.Close() })
-	end := &endpoint{id: id, address: lis.Addr().String(), answers: answers, listener: lis}
+	end := &endpoint{id: id, address: lis.Addr().String(), answers: answers, listener: lis, resume: make(chan struct{})}
 	go func() {
 		for {
 			conn, err := lis.Accept()
@@ -82,14 +84,26 @@
 		if answer == nil {
 			return
 		}
-		if _, err := conn.Write(answer); err != nil || bytes.HasSuffix(answer, []byte(cutOff)) {
+		now, later, paused := bytes.Cut(answer, []byte(pause))
+		if _, err := conn.Write(now); err != nil || bytes.HasSuffix(now, []byte(cutOff)) {
+			return
+		}
+		if !paused {
+			continue
+		}
+		<-e.resume
+		if _, err := conn.Write(later); err != nil {
 			return
 		}
 	}
 }
 
-// cutOff ends an answer after which the connection closes.
-const cutOff = "\x00"
+const (
+	// cutOff ends an answer after which the connection closes.
+	cutOff = "\x00"
+	// pause stands in an answer where the endpoint waits for resume to be closed.
+	pause = "\x01"
+)
 
 func (e *endpoint) next(req *http.Request) []byte {
 	answer := e.take(req)
@@ -157,6 +171,16 @@
 	}
 }
 
+// pausing streams events first to last and pauses after one of them.
+func pausing(first, last, after int) func(id string) []byte {
+	return func(id string) []byte {
+		next := []byte(fmt.Sprintf("id: %d\n", after+1))
+		whole := events(first, last, false)(id)
+		at := bytes.LastIndexByte(whole[:bytes.Index(whole, next)-2], '\n') + 1
+		return slices.Concat(whole[:at], []byte(pause), whole[at:])
+	}
+}
+
 // house is a gateway before endpoints.
 type house struct {
 	clock *clockwork.FakeClock
@@ -266,6 +290,18 @@
 	return answer{status: resp.StatusCode, body: string(text), header: resp.Header, whole: err == nil, close: resp.Close}
 }
 
+// begun waits until a caller was sent so many events of an answer.
+func (h *house) begun(t *testing.T, events int) {
+	t.Helper()
+	for range 2000 {
+		if h.gateway.Figures()["events"] >= int64(events) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("got %d events, want %d", h.gateway.Figures()["events"], events)
+}
+
 func (a answer) check(t *testing.T, status int, body string, isWhole bool) {
 	t.Helper()
 	if a.status != status || !strings.HasPrefix(a.body, body) || a.whole != isWhole {
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -108,7 +108,7 @@
 // attempt sends the request to one endpoint and relays its answer.
 func (x *exchange) attempt(ctx context.Context, grant *fleet.Grant) fleet.Outcome {
 	g := x.gateway
-	x.tries = append(x.tries, grant.Incarnation())
+	x.tries, x.silence = append(x.tries, grant.Incarnation()), silence{}
 	if ctx.Err() != nil || !g.cfg.Clock.Now().Before(x.adm.End) {
 		return fleet.Abandoned
 	}
@@ -143,6 +143,7 @@
 		return x.brokenBy(ctx, fleet.Broken)
 	}
 	conn.SetPatience(x.patience(ctx, grant))
+	defer func() { x.silence.overslept = conn.Late() }()
 	resp, answer, err := x.receive(conn, out)
 	if err != nil {
 		giveUp(conn, err)
@@ -208,20 +209,34 @@
 // waits to the end, or until the endpoint started again: no answer will come.
 func (x *exchange) patience(ctx context.Context, grant *fleet.Grant) func(time.Duration) bool {
 	return func(waited time.Duration) bool {
-		if ctx.Err() != nil || grant.Over() {
-			return false
-		}
-		if !x.route.Repeatable() {
-			return true
-		}
-		if x.runs+1 >= x.route.MaxAttempts {
-			return true
-		}
-		if !grant.Alive() {
-			return false
-		}
-		return waited < x.stall()
+		reason := x.impatience(ctx, grant, waited)
+		x.silence = silence{reason: reason, waited: waited}
+		return reason == ""
+	}
+}
+
+// impatience returns why the attempt waits no longer for bytes; empty: it does.
+func (x *exchange) impatience(ctx context.Context, grant *fleet.Grant, waited time.Duration) string {
+	switch {
+	case ctx.Err() != nil:
+		return "caller"
+	case grant.Over():
+		return "endpoint started again"
+	case !x.route.Repeatable(), x.runs+1 >= x.route.MaxAttempts:
+		return ""
+	case !grant.Alive():
+		return "endpoint reported dead"
+	case waited >= x.stall():
+		return "no bytes"
 	}
+	return ""
+}
+
+// silence is how an attempt waited for bytes.
+type silence struct {
+	reason    string        // why it waited no longer; empty: it did
+	waited    time.Duration // since the last bytes
+	overslept time.Duration // by which this process itself was late
 }
 
 func (x *exchange) stall() time.Duration {
--- a/entry/internal/gateway/stream.go
+++ b/entry/internal/gateway/stream.go
@@ -47,6 +47,7 @@
 			conn.Close()
 			return fleet.Abandoned
 		}
+		x.gateway.figures.events.Add(1)
 	}
 	if x.header == nil {
 		x.writeHead(resp)
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -231,7 +231,7 @@
 func (e *entry) serve(ctx context.Context, group *errgroup.Group, lis net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
-		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
 	group.Go(func() error {
 		release := context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -43,6 +43,7 @@
 	cancelled atomic.Bool
 	// patient is asked from time to time while a read waits; false ends it.
 	patient func(waited time.Duration) bool
+	late    time.Duration // by which the latest of these times was missed
 }
 
 func newConn(raw net.Conn, to Target) *Conn {
@@ -54,7 +55,7 @@
 
 // SetPatience sets what decides whether a read goes on waiting; nil waits for
 // ever.
-func (c *Conn) SetPatience(patient func(waited time.Duration) bool) { c.patient = patient }
+func (c *Conn) SetPatience(patient func(waited time.Duration) bool) { c.patient, c.late = patient, 0 }
 
 // Send writes a request; deadline bounds the write.
 func (c *Conn) Send(req *http.Request, deadline time.Time) error {
@@ -84,6 +85,10 @@
 	_ = c.raw.SetDeadline(time.Unix(1, 0))
 }
 
+// Late returns by how much a read that waited was woken too late at most: this process
+// itself stood still for so long.
+func (c *Conn) Late() time.Duration { return c.late }
+
 // Close ends the connection.
 func (c *Conn) Close() { _ = c.raw.Close() }
 
@@ -99,8 +104,9 @@
 		if c.cancelled.Load() {
 			return 0, errImpatient
 		}
+		look := time.Now().Add(patienceSlice)
 		if c.patient != nil {
-			_ = c.raw.SetReadDeadline(time.Now().Add(patienceSlice))
+			_ = c.raw.SetReadDeadline(look)
 			if c.cancelled.Load() {
 				return 0, errImpatient
 			}
@@ -109,6 +115,7 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		c.late = max(c.late, time.Since(look))
 		if c.cancelled.Load() || c.patient == nil || !c.patient(time.Since(began)) {
 			return 0, errImpatient
 		}
