--- a/GNUmakefile
+++ b/GNUmakefile
@@ -86,6 +86,10 @@
 soak: build ## random faults under load: SEED=n SECONDS=n
 	@$(BIN)/comfreybench soak --bin $(BIN) --seed $(SEED) --seconds $(SECONDS)
 
+.PHONY: soak-platform
+soak-platform: build ## the same behind a platform: SEED=n SECONDS=n
+	@$(BIN)/comfreybench soak-platform --bin $(BIN) --seed $(SEED) --seconds $(SECONDS)
+
 .PHONY: model
 model: ## check the specification with Spin
 	@if [ -d spec ]; then script/model; else echo "make model: there is no spec/ yet, nothing is checked" >&2; fi
--- a/agent/internal/onsite/onsite_test.go
+++ b/agent/internal/onsite/onsite_test.go
@@ -159,7 +159,7 @@
 	s := newTestSite(t, 1, 1, 0, 0)
 	// On a machine that is slow enough a new host draws before it has heard of
 	// the others: here it has no choice.
-	s.origin.RefuseChunks()
+	s.origin.RefuseChunks(true)
 	s.guide(1, 1)
 	for _, i := range []int{2, 3} {
 		for len(s.engines[i].Loads()) == 0 {
--- /dev/null
+++ b/bench/internal/cmd/cmd_soak_platform.go
@@ -0,0 +1,70 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"comfreyrelay.example/bench/internal/sitesoak"
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/relay/failure"
+)
+
+type soakPlatformOptions struct {
+	common
+	Seconds float64 `long:"seconds" default:"60" description:"how long planned work and faults happen"`
+	Entries int     `long:"entries" default:"9" description:"entries"`
+	Engines int     `long:"engines" default:"14" description:"engines, each with its agent"`
+	Load    float64 `long:"load" default:"0.8" description:"requests as a part of what the engines serve"`
+	Gap     float64 `long:"gap" default:"0.8" description:"mean seconds between two events"`
+	Events  string  `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" description:"what happens: all, nothing, planned work, or that and hiccups"`
+}
+
+const soakPlatformHelp = `Lets planned work, hiccups and faults happen to a deployment behind a platform: plain
+processes on loopback, with stand-ins of the platform. Checks the platform's rules from
+the records of callers and endpoints. Prints one JSON line; the exit code is 1 where a
+rule broke. The same seed gives the same events.
+
+Examples:
+  comfreybench soak-platform --seed 7 --seconds 60
+  comfreybench soak-platform --seed 7 --events planned --load 1.1`
+
+func soakPlatformCommand() *cli.Command {
+	options := &soakPlatformOptions{}
+	return &cli.Command{
+		Name:    "soak-platform",
+		Short:   "random faults under load, behind a platform",
+		Long:    soakPlatformHelp,
+		Options: options,
+		Run:     func(ctx context.Context, _ []string) error { return runSoakPlatform(ctx, options) },
+	}
+}
+
+func runSoakPlatform(ctx context.Context, options *soakPlatformOptions) error {
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	log, closeLog, err := options.processLog("soak-platform.log")
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	result, err := sitesoak.Run(ctx, sitesoak.Options{
+		Bin: options.Bin, Log: log, Progress: logger(), Seed: options.Seed,
+		Length: time.Duration(options.Seconds * float64(time.Second)), Gap: time.Duration(options.Gap * float64(time.Second)),
+		Entries: options.Entries, Engines: options.Engines, Load: options.Load,
+		Planned: options.Events != "none", Hiccups: options.Events == "all" || options.Events == "hiccups", Faults: options.Events == "all",
+	})
+	if err != nil {
+		result.Error = err.Error()
+	}
+	if problem := json.NewEncoder(os.Stdout).Encode(result); problem != nil {
+		return problem
+	}
+	if err != nil || len(result.Broken) > 0 {
+		return failure.New(failure.Internal, "the run broke a rule or did not come to its end",
+			"read the JSON line and "+filepath.Join(options.Out, "soak-platform.log"))
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/internal/site/site.go
@@ -0,0 +1,418 @@
+// Package site starts a whole deployment behind a platform as plain processes on
+// loopback: entries, agents, and stand-ins of the platform's store, endpoints and origin.
+package site
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyrelay.example/bench/internal/process"
+	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/catalog"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Kinds of member.
+const (
+	Entry  = "entry"
+	Agent  = "agent"
+	Engine = "engine"
+	App    = "app"
+	Store  = "store"
+	Origin = "origin"
+)
+
+// Names of what is declared.
+const (
+	EngineService = "llm"
+	AppService    = "app"
+	OriginService = "weights"
+	Model         = "m0"
+)
+
+// Ports of each host, the same on all of them.
+const (
+	controlPort   = 7700
+	operatorsPort = 7701
+	readyPort     = 8002
+	callersPort   = 8005
+	directoryPort = 8009
+	partPort      = 8203
+	knobsPort     = 8204
+)
+
+const (
+	// startTimeout bounds the start of a process until it listens.
+	startTimeout = 20 * time.Second
+	// callTimeout bounds one call to a stand-in's control address.
+	callTimeout = 10 * time.Second
+	fileMode    = 0o600
+	// maxRecord bounds the record of one stand-in, bytes.
+	maxRecord = 256 << 20
+	// heartbeat of endpoints' registrations.
+	heartbeat = 1200 * time.Millisecond
+)
+
+// Config says what to start.
+type Config struct {
+	Bin     string // directory of the built programs
+	Dir     string // where settings are written
+	Log     io.Writer
+	Domains []string // failure domains, a region each
+	Entries int
+	Engines int // each with its agent
+	Apps    int
+	Spec    catalog.Engine
+	Bounds  Bounds
+}
+
+// Bounds are the promises that the platform holds the system to.
+type Bounds struct {
+	Revoke, Apply, Version, Drain, Grace time.Duration
+	// Contact is how long a disruption goes on to excuse what comes after its end.
+	Contact      time.Duration
+	Ratio, Slack float64 // of repeats
+	Window       time.Duration
+}
+
+// Member is one process.
+type Member struct {
+	Name    string
+	Kind    string
+	Domain  string
+	IP      string
+	ID      string   // of an endpoint, in its registration
+	former  []string // ids before it was replaced
+	empty   bool     // an engine that starts with no weights
+	program string
+	args    []string
+	process *process.Process
+}
+
+// Callers returns the address that an entry serves callers at.
+func (m *Member) Callers() string { return m.at(callersPort) }
+
+// Directory returns the address at which an entry tells which entries to use.
+func (m *Member) Directory() string { return m.at(directoryPort) }
+
+func (m *Member) at(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
+
+// Was reports whether the member has the id, or had it before it was replaced.
+func (m *Member) Was(id string) bool { return m.ID == id || slices.Contains(m.former, id) }
+
+// Process returns the process that runs now, or ran last.
+func (m *Member) Process() *process.Process { return m.process }
+
+// Site is a deployment that runs.
+type Site struct {
+	config  Config
+	net     int // second byte of all addresses
+	members []*Member
+	store   *Member
+
+	mu       sync.Mutex
+	replaced int // endpoints that were replaced
+}
+
+// Start starts all processes. The caller stops them.
+func Start(ctx context.Context, config Config) (*Site, error) {
+	s := &Site{config: config, net: freeNet()}
+	s.store = s.add(Store, 0, 0)
+	s.add(Origin, 0, 1)
+	for i := range config.Engines {
+		s.add(Engine, 2, i)
+	}
+	for i := range config.Apps {
+		s.add(App, 3, i)
+	}
+	for i := range config.Engines {
+		s.add(Agent, 2, i)
+	}
+	for i := range config.Entries {
+		s.add(Entry, 1, i)
+	}
+	for _, m := range s.members {
+		if err := s.write(m); err != nil {
+			return s, err
+		}
+	}
+	for _, m := range s.members {
+		if err := s.Begin(ctx, m); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+// freeNet returns a part of loopback that no other run uses.
+func freeNet() int {
+	const first, count = 64, 128
+	for i := range count {
+		found := first + (os.Getpid()+i)%count
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", found, partPort))
+		if err == nil {
+			_ = lis.Close()
+			return found
+		}
+	}
+	return first
+}
+
+func (s *Site) add(kind string, third, index int) *Member {
+	m := &Member{
+		Kind: kind, Name: fmt.Sprintf("%s-%d", kind, index), ID: fmt.Sprintf("i-%s-%d", kind, index),
+		Domain: s.config.Domains[index%len(s.config.Domains)], IP: fmt.Sprintf("127.%d.%d.%d", s.net, third, index+1),
+	}
+	s.members = append(s.members, m)
+	return m
+}
+
+// Members returns the members of a kind.
+func (s *Site) Members(kind string) []*Member {
+	var found []*Member
+	for _, m := range s.members {
+		if m.Kind == kind {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// Origin returns the address of the origin.
+func (s *Site) Origin() string { return s.Members(Origin)[0].at(partPort) }
+
+// Begin starts a member's process, the first time or again after its end.
+func (s *Site) Begin(ctx context.Context, m *Member) error {
+	spec := process.Spec{Name: m.Name, Program: filepath.Join(s.config.Bin, m.program), Args: m.args, Log: s.config.Log, Stdout: s.config.Log, Timeout: startTimeout}
+	if m.program == "comfreystandin" {
+		spec.Listening = 1
+	}
+	p, err := process.Start(ctx, spec)
+	if err != nil {
+		return err
+	}
+	m.process = p
+	return nil
+}
+
+// Stop ends all processes.
+func (s *Site) Stop() {
+	for _, m := range s.members {
+		if m.process != nil && !m.process.Ended() {
+			_ = m.process.Resume()
+			_ = m.process.Kill()
+		}
+	}
+}
+
+// write writes a member's settings.
+func (s *Site) write(m *Member) error {
+	file := filepath.Join(s.config.Dir, m.Name+".json")
+	var text []byte
+	var err error
+	switch m.Kind {
+	case Entry:
+		m.program, m.args = "comfreyentry", []string{"--settings", file}
+		text, err = protoText(s.entrySettings(m))
+	case Agent:
+		m.program, m.args = "comfreyagent", []string{"--settings", file}
+		text, err = protoText(s.agentSettings(m))
+	default:
+		m.program, m.args = "comfreystandin", []string{"site", "--file", file}
+		text, err = json.Marshal(s.partOptions(m))
+	}
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, text, fileMode)
+}
+
+func protoText(set proto.Message) ([]byte, error) {
+	return protojson.MarshalOptions{Multiline: true}.Marshal(set)
+}
+
+func (s *Site) nodeSettings(m *Member) *wire.NodeSettings {
+	return &wire.NodeSettings{
+		Id: m.Name, Region: "region-" + m.Domain, FailureDomain: m.Domain, Insecure: true, LogLevel: "info",
+		ControlAddress: m.at(controlPort), OperatorsAddress: m.at(operatorsPort), HostsUrl: "http://" + s.store.at(partPort),
+	}
+}
+
+func (s *Site) siteSettings() *wire.SiteSettings {
+	const memory, link = 284, 7.3
+	regions := map[string]string{}
+	for _, domain := range s.config.Domains {
+		regions[domain] = "region-" + domain
+	}
+	bounds := s.config.Bounds
+	return &wire.SiteSettings{
+		AgentPort: controlPort, MemoryMegabytes: memory, LinkMegabits: link, Regions: regions,
+		Bounds: &wire.SiteBounds{
+			RevokeMillis: millis(bounds.Revoke), ApplyMillis: millis(bounds.Apply), VersionMillis: millis(bounds.Version),
+			GraceMillis: millis(bounds.Grace), RetryRatio: bounds.Ratio, RetrySlack: bounds.Slack, RetryWindowSeconds: bounds.Window.Seconds(),
+		},
+	}
+}
+
+func millis(span time.Duration) uint32 { return uint32(span.Milliseconds()) }
+
+func (s *Site) entrySettings(m *Member) *wire.EntrySettings {
+	set := &wire.EntrySettings{Node: s.nodeSettings(m), CallersAddress: m.Callers(), KvUrl: "http://" + s.store.at(partPort), Site: s.siteSettings()}
+	set.Site.ReadyAddress, set.Site.DirectoryAddress = m.at(readyPort), m.Directory()
+	return set
+}
+
+func (s *Site) agentSettings(m *Member) *wire.AgentSettings {
+	return &wire.AgentSettings{
+		Node: s.nodeSettings(m), Endpoint: "engine", Service: EngineService,
+		EndpointUrl: "http://" + m.at(partPort), Site: s.siteSettings(),
+	}
+}
+
+const (
+	plainSlots, plainQueue = 6, 24
+	engineQueue            = 32
+	eventTokens            = 5
+	originVersions         = 200
+	warm                   = 300 * time.Millisecond
+	appWork                = 15 * time.Millisecond
+	appErrors              = 0.05
+)
+
+func (s *Site) partOptions(m *Member) platformtest.PartOptions {
+	options := platformtest.PartOptions{
+		Role: m.Kind, Address: m.at(partPort), Control: m.at(knobsPort), StoreControl: s.store.at(knobsPort),
+		HeartbeatMillis: int(heartbeat.Milliseconds()), LeaveMillis: int(s.config.Bounds.Drain.Milliseconds()),
+		WarmMillis: int(warm.Milliseconds()), Model: Model, Chunks: s.config.Spec.Chunks, ChunkBytes: s.config.Spec.ChunkBytes, Versions: originVersions,
+	}
+	switch m.Kind {
+	case Engine:
+		options.Role = platformtest.RoleEndpoint
+		options.Endpoint = platformtest.EndpointOptions{
+			ID: m.ID, Service: EngineService, Domain: m.Domain, Slots: s.config.Spec.Slots, Queue: engineQueue,
+			Engine: &s.config.Spec, EventTokens: eventTokens, Model: Model, Version: 1,
+		}
+		if m.empty {
+			options.Endpoint.Version = 0
+		}
+	case App:
+		options.Role = platformtest.RoleEndpoint
+		options.Endpoint = platformtest.EndpointOptions{
+			ID: m.ID, Service: AppService, Domain: m.Domain, Slots: plainSlots, Queue: plainQueue, WorkTime: appWork, ErrorShare: appErrors,
+		}
+	}
+	return options
+}
+
+// SetFaults sets the fault knobs of a stand-in.
+func (s *Site) SetFaults(ctx context.Context, m *Member, faults platformtest.PartFaults) error {
+	_, err := control(ctx, http.MethodPost, m, "/faults", faults)
+	return err
+}
+
+// Leave makes an endpoint drain.
+func (s *Site) Leave(ctx context.Context, m *Member) error {
+	_, err := control(ctx, http.MethodPost, m, "/leave", nil)
+	return err
+}
+
+// Put writes a key of the store as an operator does and returns when it was acknowledged.
+func (s *Site) Put(ctx context.Context, key string, value any) (time.Time, error) {
+	text, err := control(ctx, http.MethodPut, s.store, "/key?"+url.Values{"key": {key}}.Encode(), value)
+	if err != nil {
+		return time.Time{}, err
+	}
+	var at int64
+	if err := json.Unmarshal(text, &at); err != nil {
+		return time.Time{}, err
+	}
+	return time.Unix(0, at), nil
+}
+
+// Record returns what an endpoint saw.
+func (s *Site) Record(ctx context.Context, m *Member) (platformtest.Record, error) {
+	var record platformtest.Record
+	text, err := control(ctx, http.MethodGet, m, "/record", nil)
+	if err != nil {
+		return record, err
+	}
+	return record, json.Unmarshal(text, &record)
+}
+
+// WaitReady waits until every entry takes callers.
+func (s *Site) WaitReady(ctx context.Context) error {
+	for _, m := range s.Members(Entry) {
+		for !isReady(ctx, m) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%s does not take callers; its log tells why: %w", m.Name, ctx.Err())
+			case <-m.process.Done():
+				return fmt.Errorf("%s ended; its log tells why: %w", m.Name, errors.Join(m.process.Err()))
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, m *Member) bool {
+	text, err := send(ctx, http.MethodGet, "http://"+m.at(readyPort)+"/ready", nil)
+	return err == nil && text != nil
+}
+
+func control(ctx context.Context, method string, m *Member, path string, body any) ([]byte, error) {
+	return send(ctx, method, "http://"+m.at(knobsPort)+path, body)
+}
+
+// send makes one call with a JSON body and returns the answer's.
+func send(ctx context.Context, method, address string, body any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err = io.ReadAll(io.LimitReader(resp.Body, maxRecord))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s %s: status %d", method, address, resp.StatusCode)
+	}
+	return text, err
+}
+
+// Replace starts another endpoint in the place of one that ended, under an id of its own.
+func (s *Site) Replace(ctx context.Context, m *Member) error {
+	s.mu.Lock()
+	s.replaced++
+	m.former = append(m.former, m.ID)
+	m.ID, m.empty = fmt.Sprintf("i-%s-r%d", m.Name, s.replaced), true
+	s.mu.Unlock()
+	if err := s.write(m); err != nil {
+		return err
+	}
+	return s.Begin(ctx, m)
+}
--- /dev/null
+++ b/bench/internal/sitesoak/caller.go
@@ -0,0 +1,392 @@
+package sitesoak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/platform/platformtest"
+)
+
+// Try is one request as its caller saw it.
+type Try struct {
+	ID     string `json:"id"`
+	Route  string `json:"route"`
+	Entry  string `json:"entry"` // address
+	Key    string `json:"key"`
+	Kept   bool   `json:"kept"` // on a connection that had served others
+	After  int    `json:"after,omitempty"`
+	Status int    `json:"status"` // 0: no answer began
+	Whole  bool   `json:"whole"`  // the answer came to its end
+	Left   bool   `json:"left"`   // the caller closed the connection first
+	Events int    `json:"events,omitempty"`
+	// Sent and Ended are Unix nanoseconds; Deadline is what the caller gave.
+	Sent     int64         `json:"sent"`
+	Ended    int64         `json:"ended"`
+	Deadline time.Duration `json:"deadline"`
+	// Wrong tells what of the answer is not the endpoint's; empty: nothing.
+	Wrong string `json:"wrong,omitempty"`
+	// Broken tells how the connection ended; empty: it did not.
+	Broken string `json:"broken,omitempty"`
+
+	returnAfter time.Duration
+	request     *request
+}
+
+// request is what a caller wants.
+type request struct {
+	route  *route
+	work   platformtest.Work
+	key    string
+	tokens int
+	domain string
+}
+
+// callers send requests and keep the record of their tries. They are the callers of one
+// failure domain each.
+type callers struct {
+	directories []string // of entries, nearest first
+	domain      string
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	named    []string // entries to use
+	namedTil time.Time
+	idle     map[string][]*connection
+	tries    []*Try
+	ids      int
+}
+
+// connection is one to an entry.
+type connection struct {
+	raw     net.Conn
+	address string
+	reader  *bufio.Reader
+	since   time.Time // idle
+	used    bool
+}
+
+const (
+	connectTime = time.Second
+	askTime     = time.Second
+	// idlePart is the part of the declared idle time that callers keep a connection.
+	idlePart = 0.8
+	// retries is how often a caller comes back.
+	retries = 1
+)
+
+func newCallers(domain string, directories []string, seed uint64) *callers {
+	return &callers{domain: domain, directories: directories, random: rand.New(rand.NewPCG(seed, 11)), idle: map[string][]*connection{}}
+}
+
+// serve sends a request until it is served or the caller gives up.
+func (c *callers) serve(ctx context.Context, wanted *request) {
+	end := time.Now().Add(wanted.route.deadline)
+	after := 0
+	for try := 0; try <= retries; try++ {
+		left := time.Until(end)
+		if left <= 0 || ctx.Err() != nil {
+			return
+		}
+		done := c.send(ctx, wanted, left, after)
+		if done == nil || done.Whole && done.Status < http.StatusBadRequest || !mayReturn(done) {
+			return
+		}
+		after = max(after, done.After+done.Events)
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(done.returnAfter, time.Until(end)/3)):
+		}
+	}
+}
+
+// mayReturn reports whether a caller sends its request again after the try.
+func mayReturn(done *Try) bool {
+	switch done.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestEntityTooLarge:
+		return false
+	}
+	return done.request.route.repeatable() && !done.Left
+}
+
+// send sends a request once; nil: no connection came about.
+func (c *callers) send(ctx context.Context, wanted *request, left time.Duration, after int) *Try {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return nil
+	}
+	one := c.note(wanted, conn, left, after)
+	end := time.Now().Add(left)
+	_ = conn.raw.SetDeadline(end)
+	if err := wanted.write(conn.raw, one, left, after); err != nil {
+		c.broke(one, conn, err)
+		return one
+	}
+	resp, err := http.ReadResponse(conn.reader, nil)
+	if err != nil {
+		c.broke(one, conn, err)
+		return one
+	}
+	one.Status = resp.StatusCode
+	if err := one.read(resp, conn, end); err != nil {
+		c.broke(one, conn, err)
+		return one
+	}
+	one.Whole, one.Ended = true, time.Now().UnixNano()
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		one.returnAfter = time.Duration(seconds * float64(time.Second))
+	}
+	if resp.Close {
+		_ = conn.raw.Close()
+	} else {
+		c.keep(conn)
+	}
+	return one
+}
+
+func (c *callers) note(wanted *request, conn *connection, left time.Duration, after int) *Try {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ids++
+	one := &Try{
+		ID: fmt.Sprintf("%s-%d", c.domain, c.ids), Route: wanted.route.name, Entry: conn.address, Key: wanted.key, Kept: conn.used,
+		After: after, Sent: time.Now().UnixNano(), Deadline: left, request: wanted,
+	}
+	c.tries = append(c.tries, one)
+	return one
+}
+
+// broke notes that a try did not come to its end and closes the connection.
+func (c *callers) broke(one *Try, conn *connection, err error) {
+	one.Ended = time.Now().UnixNano()
+	_ = conn.raw.Close()
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		one.Left = true
+		return
+	}
+	one.Broken = err.Error()
+}
+
+// write writes the request.
+func (w *request) write(to io.Writer, one *Try, left time.Duration, after int) error {
+	var body []byte
+	if w.route.method == http.MethodPost {
+		body, _ = json.Marshal(w.work) // plain values
+	}
+	req, err := http.NewRequest(w.route.method, "http://"+w.route.host+w.route.path+w.work.Subject, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("X-Attempt-Id", one.ID)
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	req.Header.Set("Authorization", "Bearer "+w.key)
+	if w.route.stream {
+		req.Header.Set("X-Model", w.route.model)
+		req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,%d", w.tokens, w.work.Events*eventTokens))
+		if after > 0 {
+			req.Header.Set("Last-Event-Id", strconv.Itoa(after))
+		}
+	}
+	var text bytes.Buffer
+	if err := req.Write(&text); err != nil {
+		return err
+	}
+	_, err = to.Write(text.Bytes())
+	return err
+}
+
+// read reads an answer to its end and compares it with the endpoint's.
+func (t *Try) read(resp *http.Response, conn *connection, end time.Time) error {
+	good := resp.StatusCode < http.StatusMultipleChoices
+	if id := resp.Header.Get("X-Attempt-Id"); good && id != t.ID {
+		t.Wrong = "it belongs to " + id
+	}
+	if good && !strings.HasPrefix(resp.Header.Get("X-Server-Stamp"), "stamp.") {
+		t.Wrong = "it has no signature"
+	}
+	if good && t.request.route.stream {
+		return t.readStream(resp, conn, end)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if want := t.request.text(); err == nil && good && string(body) != want {
+		t.Wrong = fmt.Sprintf("the body is %q, not %q", body, want)
+	}
+	return err
+}
+
+// text is the whole answer of a plain endpoint.
+func (w *request) text() string {
+	work := w.work
+	if w.route.method == http.MethodGet {
+		work.Subject = w.route.path + work.Subject
+	}
+	return work.Text(0)
+}
+
+// readStream reads events; a pause that is too long ends it as the caller's doing.
+func (t *Try) readStream(resp *http.Response, conn *connection, end time.Time) error {
+	lines := bufio.NewReader(resp.Body)
+	for {
+		pause := time.Now().Add(t.request.route.patience())
+		if pause.After(end) {
+			pause = end
+		}
+		_ = conn.raw.SetDeadline(pause)
+		event, err := readEvent(lines)
+		if errors.Is(err, io.EOF) && event == "" {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		number := t.After + t.Events + 1
+		if want := fmt.Sprintf("id: %d\ndata: %s\n", number, t.request.work.Text(number)); event != want {
+			t.Wrong = fmt.Sprintf("event %d is %q", number, event)
+		}
+		t.Events++
+	}
+	if got := t.After + t.Events; got != t.request.work.Events {
+		t.Wrong = fmt.Sprintf("it ended after %d of %d events", got, t.request.work.Events)
+	}
+	return nil
+}
+
+// readEvent reads up to a blank line. io.EOF with no text says that the stream ended.
+func readEvent(lines *bufio.Reader) (string, error) {
+	event := ""
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return event + line, err
+		}
+		if line == "\n" {
+			return event, nil
+		}
+		event += line
+	}
+}
+
+// connect returns a kept connection to one of the entries named, or a new one.
+func (c *callers) connect(ctx context.Context) (*connection, error) {
+	named, err := c.entries(ctx)
+	if err != nil {
+		return nil, err
+	}
+	failed := map[string]bool{}
+	for range named {
+		address := c.choose(named, failed)
+		if conn := c.take(address); conn != nil {
+			return conn, nil
+		}
+		raw, err := (&net.Dialer{Timeout: connectTime}).DialContext(ctx, "tcp", address)
+		if err == nil {
+			return &connection{raw: raw, address: address, reader: bufio.NewReader(raw)}, nil
+		}
+		failed[address] = true
+	}
+	return nil, errors.New("no entry takes a connection")
+}
+
+func (c *callers) choose(named []string, failed map[string]bool) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		if address := named[c.random.IntN(len(named))]; !failed[address] {
+			return address
+		}
+	}
+}
+
+func (c *callers) take(address string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	for len(list) > 0 {
+		conn := list[len(list)-1]
+		list = list[:len(list)-1]
+		if time.Since(conn.since) < time.Duration(idlePart*float64(idleTime)) {
+			c.idle[address] = list
+			return conn
+		}
+		_ = conn.raw.Close()
+	}
+	c.idle[address] = list
+	return nil
+}
+
+func (c *callers) keep(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.since, conn.used = time.Now(), true
+	c.idle[conn.address] = append(c.idle[conn.address], conn)
+}
+
+// entries returns the entries that the directory names, asked anew once its time is over.
+func (c *callers) entries(ctx context.Context) ([]string, error) {
+	c.mu.Lock()
+	named, til := c.named, c.namedTil
+	c.mu.Unlock()
+	if time.Now().Before(til) {
+		return named, nil
+	}
+	for _, address := range c.directories {
+		found, keep, err := c.ask(ctx, address)
+		if err != nil {
+			continue
+		}
+		c.mu.Lock()
+		c.named, c.namedTil = found, time.Now().Add(keep)
+		c.mu.Unlock()
+		return found, nil
+	}
+	if len(named) > 0 {
+		return named, nil
+	}
+	return nil, errors.New("no directory answers")
+}
+
+func (c *callers) ask(ctx context.Context, address string) ([]string, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	query := url.Values{"name": {"a.example"}, "region": {"region-" + c.domain}, "zone": {c.domain}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/resolve?"+query.Encode(), nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var body struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || len(body.Addresses) == 0 {
+		return nil, 0, errors.Join(errors.New("the answer names no entry"), err)
+	}
+	return body.Addresses, time.Duration(body.TTL * float64(time.Second)), nil
+}
+
+// record returns all tries.
+func (c *callers) record() []*Try {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Try(nil), c.tries...)
+}
--- /dev/null
+++ b/bench/internal/sitesoak/judge.go
@@ -0,0 +1,300 @@
+package sitesoak
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"comfreyrelay.example/bench/internal/site"
+	"comfreyrelay.example/platform/platformtest"
+)
+
+const (
+	// lossSlack is how long after a request was sent its connection may close, where
+	// nothing was passed on.
+	lossSlack = 200 * time.Millisecond
+	// goneSlack is how long after its caller left a request may still reach an endpoint.
+	goneSlack = 500 * time.Millisecond
+	// goneFew is how many may do so later.
+	goneFew = 3
+	// timeSlack is left of a request's time where its end is taken for that of the time.
+	timeSlack = 150 * time.Millisecond
+	// servedPart is the part of the requests that is served at least once all faults are over.
+	servedPart = 0.25
+)
+
+// judge checks the rules.
+func (r *run) judge(result *Result) {
+	byID := map[string][]platformtest.Run{}
+	for _, one := range r.runs {
+		byID[one.ID] = append(byID[one.ID], one)
+	}
+	tries := map[string]*Try{}
+	entries := map[string]*site.Member{}
+	for _, m := range r.site.Members(site.Entry) {
+		entries[m.Callers()] = m
+	}
+	gone := 0
+	for _, group := range r.callers {
+		for _, one := range group.record() {
+			tries[one.ID] = one
+			runs := byID[one.ID]
+			slices.SortFunc(runs, func(left, right platformtest.Run) int { return int(left.Arrived - right.Arrived) })
+			result.count(one, runs)
+			r.judgeTry(one, runs)
+			r.judgeLoss(one, runs, entries[one.Entry])
+			gone += r.late(one, runs, entries[one.Entry])
+		}
+	}
+	if gone > goneFew {
+		r.violate("GONE", fmt.Sprintf("%d requests reached endpoints over %v after their callers had left", gone, goneSlack))
+	}
+	for _, one := range r.runs {
+		if tries[one.ID] == nil {
+			r.violate("UNASKED", fmt.Sprintf("%s ran %s, which nobody sent", one.Endpoint, one.ID))
+		}
+	}
+	r.judgeRepeats(byID, tries)
+	r.judgeLoads()
+	r.judgeVersions()
+	r.judgeEnd()
+	result.Broken, result.Examples, result.Missing = r.broken, r.examples, r.missing
+}
+
+func (res *Result) count(one *Try, runs []platformtest.Run) {
+	res.Requests++
+	res.Resumed += max(0, began(runs)-1)
+	switch {
+	case one.Whole && one.Status < http.StatusMultipleChoices:
+		res.Served++
+	case one.Whole && one.Status == http.StatusServiceUnavailable:
+		res.Refused++
+	default:
+		res.Failed++
+	}
+	if one.Broken != "" && len(runs) > 0 && brokeOff(runs[len(runs)-1]) {
+		res.CutOff++
+	}
+}
+
+// began returns how many of the runs an endpoint began.
+func began(runs []platformtest.Run) int {
+	count := 0
+	for _, one := range runs {
+		if one.Began > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func brokeOff(last platformtest.Run) bool { return last.End == platformtest.Cut }
+
+// judgeTry checks what a single request promises.
+func (r *run) judgeTry(one *Try, runs []platformtest.Run) {
+	if one.Wrong != "" {
+		r.violate("MIXED", one.ID+": "+one.Wrong)
+	}
+	ran := began(runs)
+	if ran > 1 && !one.request.route.repeatable() {
+		r.violate("TWICE", fmt.Sprintf("%s ran %d times", one.ID, ran))
+	}
+	if ran > one.request.route.attempts {
+		r.violate("ATTEMPTS", fmt.Sprintf("%s ran at %d endpoints of %d", one.ID, ran, one.request.route.attempts))
+	}
+	promised := one.Status == http.StatusServiceUnavailable || one.Status == http.StatusTooManyRequests || one.Status == http.StatusRequestTimeout
+	if promised && ran > 0 && !one.request.route.repeatable() {
+		r.violate("REFUSED", fmt.Sprintf("%s was told %d and ran", one.ID, one.Status))
+	}
+	r.operator.mu.Lock()
+	revoked, gone := r.operator.revoked[one.Key]
+	r.operator.mu.Unlock()
+	sent := time.Unix(0, one.Sent)
+	if gone && ran > 0 && sent.After(revoked.Add(bounds.Revoke)) {
+		r.violate("REVOKED", fmt.Sprintf("%s ran with a key that was taken away %v before", one.ID, sent.Sub(revoked)))
+	}
+	denied := one.Status == http.StatusUnauthorized || one.Status == http.StatusNotFound || one.Status == http.StatusForbidden
+	if denied && !gone {
+		r.violate("DENIED", fmt.Sprintf("%s was told %d", one.ID, one.Status))
+	}
+}
+
+// judgeLoss checks that a request which its entry read was answered whole, where neither
+// the endpoint broke off nor a fault struck the entry or the endpoint.
+func (r *run) judgeLoss(one *Try, runs []platformtest.Run, entry *site.Member) {
+	if one.Broken == "" {
+		return
+	}
+	sent, ended := time.Unix(0, one.Sent), time.Unix(0, one.Ended)
+	span := min(one.Deadline, one.request.route.timeout)
+	if ended.Sub(sent) >= span-timeSlack {
+		return
+	}
+	if len(runs) == 0 && ended.Sub(sent) < lossSlack {
+		return
+	}
+	if len(runs) > 0 {
+		last := runs[len(runs)-1]
+		if brokeOff(last) || r.disturbed(last.Endpoint, sent, ended) {
+			return
+		}
+	}
+	if r.disturbed(entry.ID, sent, ended) || r.stopped(entry, sent, ended) {
+		return
+	}
+	r.violate("LOST", fmt.Sprintf("%s at %s %s after %v and %d events, status %d: %s; runs %s",
+		one.ID, entry.Name, sent.Format("15:04:05.000"), ended.Sub(sent).Round(time.Millisecond), one.Events, one.Status, one.Broken, describe(runs)))
+}
+
+func describe(runs []platformtest.Run) string {
+	text := ""
+	for _, one := range runs {
+		text += fmt.Sprintf("[%s %s..%s %d events %s]", one.Endpoint,
+			time.Unix(0, one.Arrived).Format("05.000"), time.Unix(0, one.Ended).Format("05.000"), one.Events, one.End)
+	}
+	return text
+}
+
+// disturbed reports whether a fault struck a member, by its id, so shortly before or
+// within the span that it excuses what happened.
+func (r *run) disturbed(id string, from, to time.Time) bool {
+	for _, one := range r.strikes {
+		if one.member.Was(id) && one.from.Before(to) && (one.to.IsZero() || one.to.Add(bounds.Contact).After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+// stopped reports whether the entry was asked to end so long before that a request may not
+// have ended in time.
+func (r *run) stopped(entry *site.Member, sent, ended time.Time) bool {
+	for _, one := range r.stops {
+		late := one.from.Add(bounds.Grace - bounds.Grace/6)
+		if one.member == entry && ended.After(late) && ended.Before(one.to) && sent.Before(one.to) {
+			return true
+		}
+	}
+	return false
+}
+
+// late returns how many of the runs reached an endpoint after the caller had left.
+func (r *run) late(one *Try, runs []platformtest.Run, entry *site.Member) int {
+	if !one.Left {
+		return 0
+	}
+	count, left := 0, time.Unix(0, one.Ended)
+	for _, found := range runs {
+		at := time.Unix(0, found.Arrived)
+		if at.After(left.Add(goneSlack)) && !r.disturbed(entry.ID, left, at) && !r.disturbed(found.Endpoint, left, at) {
+			count++
+		}
+	}
+	return count
+}
+
+// judgeRepeats checks the budget that all entries share.
+func (r *run) judgeRepeats(byID map[string][]platformtest.Run, tries map[string]*Try) {
+	requests, repeats := map[string][]int64{}, map[string][]int64{}
+	for id, one := range tries {
+		service := one.request.route.service
+		requests[service] = append(requests[service], one.Sent)
+		for i, found := range byID[id] {
+			if i > 0 {
+				repeats[service] = append(repeats[service], found.Arrived)
+			}
+		}
+	}
+	for service, list := range repeats {
+		slices.Sort(list)
+		slices.Sort(requests[service])
+		for i, at := range list {
+			from := at - bounds.Window.Nanoseconds()
+			first, _ := slices.BinarySearch(list, from)
+			most := 0
+			for _, back := range []time.Duration{0, bounds.Window / 2, bounds.Window} {
+				most = max(most, between(requests[service], from-back.Nanoseconds(), at-back.Nanoseconds()))
+			}
+			if allowed := bounds.Ratio*float64(most) + bounds.Slack; float64(i-first+1) > allowed {
+				r.violate("BUDGET", fmt.Sprintf("%s: %d repeats within %v, %.0f allowed", service, i-first+1, bounds.Window, allowed))
+				break
+			}
+		}
+	}
+}
+
+// between returns how many of the sorted moments lie within the span.
+func between(sorted []int64, from, to int64) int {
+	first, _ := slices.BinarySearch(sorted, from)
+	last, _ := slices.BinarySearch(sorted, to)
+	return last - first
+}
+
+// judgeLoads checks that engines loaded whole versions.
+func (r *run) judgeLoads() {
+	for _, one := range r.loads {
+		sum := sha256.New()
+		for _, chunk := range platformtest.Chunks(one.Version, spec.Chunks, spec.ChunkBytes) {
+			sum.Write(chunk)
+		}
+		if want := hex.EncodeToString(sum.Sum(nil)); one.Digest != want {
+			r.violate("WHOLE", fmt.Sprintf("version %d was loaded from chunks that are not its own", one.Version))
+		}
+	}
+}
+
+// judgeVersions checks that no request begins on weights that ended long ago, while
+// no fault struck the store or the endpoint.
+func (r *run) judgeVersions() {
+	for _, one := range r.runs {
+		if one.Version == 0 || one.Began == 0 {
+			continue
+		}
+		for _, newer := range r.operator.named {
+			if newer.version <= one.Version || time.Unix(0, one.Began).Before(newer.at.Add(bounds.Version)) {
+				continue
+			}
+			if !r.anyStrike(newer.at, time.Unix(0, one.Began)) {
+				r.violate("VERSION", fmt.Sprintf("%s arrived at %s %v and began on version %d %v after version %d",
+					one.ID, one.Endpoint, time.Unix(0, one.Arrived).Sub(newer.at), one.Version, time.Unix(0, one.Began).Sub(newer.at), newer.version))
+			}
+			break
+		}
+	}
+}
+
+// anyStrike reports whether any fault struck within the span or shortly before.
+func (r *run) anyStrike(from, to time.Time) bool {
+	return slices.ContainsFunc(r.strikes, func(one *strike) bool {
+		return one.from.Before(to) && (one.to.IsZero() || one.to.Add(bounds.Contact).After(from))
+	})
+}
+
+// judgeEnd checks that the deployment serves once all faults are over.
+func (r *run) judgeEnd() {
+	total, served := 0, 0
+	var last int64
+	for _, group := range r.callers {
+		for _, one := range group.record() {
+			last = max(last, one.Sent)
+		}
+	}
+	from := last - (endTime / 4).Nanoseconds()
+	for _, group := range r.callers {
+		for _, one := range group.record() {
+			if one.Sent < from {
+				continue
+			}
+			total++
+			if one.Whole && one.Status < http.StatusMultipleChoices {
+				served++
+			}
+		}
+	}
+	if float64(served) < servedPart*float64(total) {
+		r.violate("RECOVER", fmt.Sprintf("%d of the last %d requests were served", served, total))
+	}
+}
--- /dev/null
+++ b/bench/internal/sitesoak/operator.go
@@ -0,0 +1,241 @@
+package sitesoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/bench/internal/site"
+	"comfreyrelay.example/relay/catalog"
+)
+
+// spec is the engines' declaration.
+var spec = catalog.Engine{
+	Slots: 16, Stride: 5, StepMillis: 8.87, PerSeqMillis: 0.0388, ContextMillis: 0.0227, ReadPerSecond: 19100, PairMillis: 1.47,
+	ChunkTokens: 2048, UsualPrompt: 977, UsualAnswer: 94, Chunks: 96, ChunkBytes: 24576,
+}
+
+const (
+	eventTokens = 5
+	idleTime    = 8 * time.Second
+	customers   = 6
+	// maxEvents bounds a stream's answer.
+	maxEvents = 52
+)
+
+// route is one route that callers use.
+type route struct {
+	name, host, path string
+	method           string
+	kind             string
+	service          string
+	model            string
+	stream           bool
+	share            float64 // of the requests
+	prompt, events   float64 // mean tokens and events of a stream
+	attempts         int
+	target, gap      time.Duration
+	timeout          time.Duration
+	deadline         time.Duration
+}
+
+func (r *route) repeatable() bool { return r.kind != kindOnce }
+
+// patience is the pause after which the callers of a stream give it up.
+func (r *route) patience() time.Duration {
+	if !r.stream {
+		return r.deadline
+	}
+	return max(2*time.Second, 4*r.target, 8*r.gap)
+}
+
+// Kinds of route, as the platform names them.
+const (
+	kindStream = "streaming"
+	kindOnce   = "non_idempotent"
+	kindSafe   = "idempotent"
+)
+
+func routes() []*route {
+	stream := func(name, path string, share, prompt, events float64, target time.Duration) *route {
+		return &route{
+			name: name, host: "a.example", path: path, method: http.MethodPost, kind: kindStream, service: site.EngineService, model: site.Model,
+			stream: true, share: share, prompt: prompt, events: events, attempts: 2,
+			target: target, gap: 400 * time.Millisecond, timeout: 6 * time.Second, deadline: 6 * time.Second,
+		}
+	}
+	plain := func(name, path, method, kind string, share float64, attempts int) *route {
+		return &route{
+			name: name, host: "b.example", path: path, method: method, kind: kind, service: site.AppService, share: share, attempts: attempts,
+			target: 100 * time.Millisecond, timeout: time.Second, deadline: time.Second,
+		}
+	}
+	return []*route{
+		stream("trace", "/trace/", 0.36, 1290, 21, 500*time.Millisecond),
+		stream("summary", "/summary/", 0.27, 787, 21, 400*time.Millisecond),
+		stream("note", "/note/", 0.26, 607, 14, 400*time.Millisecond),
+		plain("lookup", "/lookup/", http.MethodPost, kindOnce, 0.08, 1),
+		plain("check", "/check/", http.MethodGet, kindSafe, 0.03, 2),
+	}
+}
+
+// operator writes the configuration and names versions. It is safe for concurrent use.
+type operator struct {
+	site   *site.Site
+	routes []*route
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	version int
+	weights uint64
+	keys    [][]string // by customer
+	issued  int
+	// issuedAt is when keys came after the first configuration.
+	issuedAt map[string]time.Time
+	extra    int // routes that nobody uses
+	slow     bool
+	revoked  map[string]time.Time // by key, when that was acknowledged
+	named    []declared
+	changes  []declared // of the configuration
+}
+
+// declared is a version and when it was acknowledged.
+type declared struct {
+	version  uint64
+	from, at time.Time
+}
+
+func newOperator(s *site.Site, seed uint64) *operator {
+	o := &operator{site: s, routes: routes(), random: rand.New(rand.NewPCG(seed, 5)), weights: 1, revoked: map[string]time.Time{}, issuedAt: map[string]time.Time{}}
+	for range customers {
+		o.keys = append(o.keys, []string{o.issue(), o.issue()})
+	}
+	return o
+}
+
+func (o *operator) issue() string {
+	o.issued++
+	key := fmt.Sprintf("key-%d", o.issued)
+	if o.version > 0 {
+		o.issuedAt[key] = time.Now()
+	}
+	return key
+}
+
+// key returns a customer's key that is in force; most requests are a few customers'.
+func (o *operator) key(random *rand.Rand) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	keys := slices.DeleteFunc(slices.Clone(o.keys[min(random.IntN(customers), random.IntN(customers))]), func(key string) bool {
+		return time.Since(o.issuedAt[key]) < bounds.Apply
+	})
+	return keys[random.IntN(len(keys))]
+}
+
+// change writes the configuration with one thing changed.
+func (o *operator) change(ctx context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch o.random.IntN(3) {
+	case 0:
+		o.extra = (o.extra + 1) % 40
+	case 1:
+		o.slow = !o.slow
+	default:
+		customer := o.random.IntN(customers)
+		o.keys[customer] = append(o.keys[customer], o.issue())
+	}
+	return o.write(ctx)
+}
+
+// revoke takes a customer's oldest key away.
+func (o *operator) revoke(ctx context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	customer := o.random.IntN(customers)
+	if len(o.keys[customer]) < 3 {
+		// Its requests need another one that is in force everywhere.
+		o.keys[customer] = append(o.keys[customer], o.issue())
+		return o.write(ctx)
+	}
+	gone := o.keys[customer][0]
+	o.keys[customer] = append(o.keys[customer][1:len(o.keys[customer]):len(o.keys[customer])], o.issue())
+	if err := o.write(ctx); err != nil {
+		return err
+	}
+	o.revoked[gone] = o.changes[len(o.changes)-1].at
+	return nil
+}
+
+// write writes the configuration; o.mu is held.
+func (o *operator) write(ctx context.Context) error {
+	o.version += 1 + o.random.IntN(3)
+	from := time.Now()
+	at, err := o.site.Put(ctx, "op/config", o.config())
+	if err == nil {
+		o.changes = append(o.changes, declared{version: uint64(o.version), from: from, at: at})
+	}
+	return err
+}
+
+// declare names new weights.
+func (o *operator) declare(ctx context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.weights++
+	from := time.Now()
+	at, err := o.site.Put(ctx, "op/version/"+site.Model, map[string]any{"model": site.Model, "version": o.weights})
+	if err == nil {
+		o.named = append(o.named, declared{version: o.weights, from: from, at: at})
+	}
+	return err
+}
+
+type object = map[string]any
+
+func (o *operator) config() object {
+	list := []object{}
+	for _, r := range o.routes {
+		timeout := r.timeout
+		if o.slow {
+			timeout += time.Second
+		}
+		one := object{
+			"name": r.name, "host": r.host, "path_prefix": r.path, "kind": r.kind, "timeout_ms": timeout.Milliseconds(),
+			"target_latency_ms": r.target.Milliseconds(), "priority": 1, "service": r.service, "max_attempts": r.attempts,
+		}
+		if r.stream {
+			one["resumable"], one["gap_aim_ms"] = true, r.gap.Milliseconds()
+		}
+		list = append(list, one)
+	}
+	for i := range o.extra {
+		list = append(list, object{"name": fmt.Sprint("extra-", i), "host": "c.example", "path_prefix": fmt.Sprintf("/x%d/", i), "kind": kindSafe, "timeout_ms": 1000, "service": site.AppService, "max_attempts": 1})
+	}
+	tenants := []object{}
+	for i, keys := range o.keys {
+		tenants = append(tenants, object{"name": customerName(i), "api_keys": keys, "priority": i % 2})
+	}
+	return object{
+		"version": o.version, "routes": list, "tenants": tenants, "services": o.services(),
+		"limits": object{"max_header_bytes": 8192, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": idleTime.Milliseconds()},
+	}
+}
+
+func (o *operator) services() []object {
+	return []object{
+		{"name": site.EngineService, "health_path": "/health", "max_conns": 274, "engine": object{
+			"slots": spec.Slots, "stride": spec.Stride, "step_ms": spec.StepMillis, "per_seq_ms": spec.PerSeqMillis, "context_per_k": spec.ContextMillis,
+			"read_per_s": spec.ReadPerSecond, "pairs_per_m": spec.PairMillis, "chunk": spec.ChunkTokens, "chunks": spec.Chunks, "chunk_bytes": spec.ChunkBytes,
+			"models": []object{{"name": site.Model, "warm_s": 0.3}}, "usual": object{"prompt": spec.UsualPrompt, "answer": spec.UsualAnswer},
+		}},
+		{"name": site.AppService, "health_path": "/health", "max_conns": 110},
+		{"name": site.OriginService, "origin": o.site.Origin(), "link_mbps": 7.3, "max_conns": 48},
+	}
+}
+
+func customerName(i int) string { return fmt.Sprint("customer-", i) }
--- /dev/null
+++ b/bench/internal/sitesoak/plan.go
@@ -0,0 +1,185 @@
+package sitesoak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"comfreyrelay.example/bench/internal/site"
+)
+
+// kind names what happens to a deployment.
+type kind string
+
+// What operators and platforms plan; it excuses nothing.
+const (
+	changeConfig kind = "changeConfig"
+	revokeKey    kind = "revokeKey"
+	newWeights   kind = "newWeights"
+	hangUp       kind = "hangUp"     // SIGHUP to an entry
+	stopEntry    kind = "stopEntry"  // SIGTERM, and started again
+	stopAgent    kind = "stopAgent"  // the same
+	replaceApp   kind = "replaceApp" // a plain endpoint drains, another one takes its place
+)
+
+// Hiccups: a process stands still for less than a second, as on a busy machine. They
+// excuse nothing either.
+const (
+	hiccupEntry  kind = "hiccupEntry"
+	hiccupAgent  kind = "hiccupAgent"
+	hiccupEngine kind = "hiccupEngine"
+	// All of a kind at once, as where a machine that carries them is busy.
+	hiccupEntries kind = "hiccupEntries"
+	hiccupAgents  kind = "hiccupAgents"
+	hiccupEngines kind = "hiccupEngines"
+)
+
+// Faults.
+const (
+	killEntry    kind = "killEntry"
+	killAgent    kind = "killAgent"
+	killEngine   kind = "killEngine"
+	pauseEntry   kind = "pauseEntry"
+	pauseAgent   kind = "pauseAgent"
+	pauseEngine  kind = "pauseEngine"
+	slowEngine   kind = "slowEngine"
+	breakStreams kind = "breakStreams"
+	spoilChunk   kind = "spoilChunk"
+	linkSilent   kind = "linkSilent"
+	linkOneWay   kind = "linkOneWay"
+	linkSlow     kind = "linkSlow"
+	linkNarrow   kind = "linkNarrow"
+	linkReset    kind = "linkReset"
+	storeBusy    kind = "storeBusy"
+	storeSilent  kind = "storeSilent"
+	storeSlow    kind = "storeSlow"
+	storeLost    kind = "storeLost"
+	storeLate    kind = "storeLate"
+	storeForgets kind = "storeForgets"
+	storeLapses  kind = "storeLapses"
+	originDown   kind = "originDown"
+	originSpoilt kind = "originSpoilt"
+)
+
+// rule is how one kind of event is drawn.
+type rule struct {
+	kind              kind
+	target            string // kind of member; empty: none
+	weight            int
+	shortest, longest time.Duration
+}
+
+// planned, hiccups and faults are the kinds of event that a run may draw from.
+var (
+	planned = []rule{
+		{changeConfig, "", 10, 0, 0},
+		{revokeKey, "", 3, 0, 0},
+		{newWeights, "", 3, 0, 0},
+		{hangUp, site.Entry, 2, 0, 0},
+		{stopEntry, site.Entry, 2, bounds.Grace, bounds.Grace},
+		{stopAgent, site.Agent, 1, time.Second, time.Second},
+		{replaceApp, site.App, 1, replaceTime, replaceTime},
+	}
+	hiccups = []rule{
+		{hiccupEntry, site.Entry, 3, 300 * time.Millisecond, 950 * time.Millisecond},
+		{hiccupAgent, site.Agent, 3, 300 * time.Millisecond, 950 * time.Millisecond},
+		{hiccupEngine, site.Engine, 5, 300 * time.Millisecond, 950 * time.Millisecond},
+		{hiccupEntries, "", 1, 300 * time.Millisecond, 950 * time.Millisecond},
+		{hiccupAgents, "", 1, 300 * time.Millisecond, 950 * time.Millisecond},
+		{hiccupEngines, "", 1, 300 * time.Millisecond, 950 * time.Millisecond},
+	}
+	faults = []rule{
+		{killEntry, site.Entry, 2, time.Second, 4 * time.Second},
+		{killAgent, site.Agent, 2, 200 * time.Millisecond, 3 * time.Second},
+		{killEngine, site.Engine, 2, time.Second, 4 * time.Second},
+		{pauseEntry, site.Entry, 2, time.Second, 6 * time.Second},
+		{pauseAgent, site.Agent, 2, time.Second, 6 * time.Second},
+		{pauseEngine, site.Engine, 2, time.Second, 6 * time.Second},
+		{slowEngine, site.Engine, 2, 2 * time.Second, 6 * time.Second},
+		{breakStreams, site.Engine, 2, 2 * time.Second, 6 * time.Second},
+		{spoilChunk, site.Engine, 2, 0, 0},
+		{linkSilent, site.Engine, 2, time.Second, 5 * time.Second},
+		{linkOneWay, site.Engine, 1, time.Second, 5 * time.Second},
+		{linkSlow, site.Engine, 1, time.Second, 5 * time.Second},
+		{linkNarrow, site.Engine, 1, time.Second, 5 * time.Second},
+		{linkReset, site.Engine, 2, 0, 0},
+		{storeBusy, site.Store, 2, time.Second, 5 * time.Second},
+		{storeSilent, site.Store, 2, time.Second, 5 * time.Second},
+		{storeSlow, site.Store, 1, time.Second, 5 * time.Second},
+		{storeLost, site.Store, 2, time.Second, 5 * time.Second},
+		{storeLate, site.Store, 2, time.Second, 5 * time.Second},
+		{storeForgets, site.Store, 2, 0, 0},
+		{storeLapses, site.Store, 1, 0, 0},
+		{originDown, site.Origin, 2, time.Second, 4 * time.Second},
+		{originSpoilt, site.Origin, 1, 0, 0},
+	}
+)
+
+// event is one thing that happens.
+type event struct {
+	at     time.Duration // since the start of the load
+	kind   kind
+	of     string // kind of member that it strikes; empty: none
+	target int
+	length time.Duration
+}
+
+func (e event) String() string {
+	return fmt.Sprintf("%.2fs %s %s %d for %.2fs", e.at.Seconds(), e.kind, e.of, e.target, e.length.Seconds())
+}
+
+// busyPart of the members of a kind may be struck at once; recovery is what each gets to
+// come back before it is struck again.
+const (
+	busyPart = 0.3
+	recovery = 2 * time.Second
+)
+
+// draw returns the events of a run: the same for the same arguments.
+func draw(seed uint64, length time.Duration, gap time.Duration, from []rule, counts map[string]int) []event {
+	random := rand.New(rand.NewPCG(seed, 7))
+	busy := map[string]time.Duration{}
+	next := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(gap)) }
+	var events []event
+	for at := next(); at < length; at += next() {
+		one := pick(random, from)
+		found := event{at: at, kind: one.kind, of: one.target, length: one.shortest}
+		if one.longest > one.shortest {
+			found.length += time.Duration(random.Int64N(int64(one.longest - one.shortest)))
+		}
+		if one.target != "" {
+			found.target = random.IntN(counts[one.target])
+		}
+		name := fmt.Sprint(one.target, found.target)
+		if one.target != "" && (busy[name] > at || struck(busy, one.target, counts[one.target], at) > busyPart*float64(counts[one.target])) {
+			continue
+		}
+		busy[name] = at + found.length + recovery
+		events = append(events, found)
+	}
+	return events
+}
+
+func pick(random *rand.Rand, from []rule) rule {
+	sum := 0
+	for _, one := range from {
+		sum += one.weight
+	}
+	at := random.IntN(sum)
+	for _, one := range from {
+		if at -= one.weight; at < 0 {
+			return one
+		}
+	}
+	return from[len(from)-1]
+}
+
+func struck(busy map[string]time.Duration, of string, count int, at time.Duration) float64 {
+	found := 0.0
+	for i := range count {
+		if busy[fmt.Sprint(of, i)] > at {
+			found++
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/bench/internal/sitesoak/run.go
@@ -0,0 +1,262 @@
+// Package sitesoak lets planned work, hiccups and faults happen to a deployment behind a
+// platform, all of it plain processes, and checks the platform's rules from what callers
+// and endpoints saw.
+package sitesoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/bench/internal/site"
+	"comfreyrelay.example/platform/platformtest"
+)
+
+// bounds are those of the platform's smallest deployments.
+var bounds = site.Bounds{
+	Revoke: 5 * time.Second, Apply: 2 * time.Second, Version: 8 * time.Second, Drain: 2 * time.Second, Grace: 8 * time.Second,
+	Contact: 3 * time.Second, Ratio: 0.2, Slack: 106, Window: 10 * time.Second,
+}
+
+const (
+	startTimeout = 40 * time.Second
+	// warmTime is how long a run's load lasts before anything happens.
+	warmTime = 2 * time.Second
+	// endTime is what the last requests get to end.
+	endTime = 8 * time.Second
+	apps    = 3
+)
+
+// Options configure a run.
+type Options struct {
+	Bin    string // directory of the built programs
+	Log    io.Writer
+	Seed   uint64
+	Length time.Duration
+	// Entries and Engines are how many of them run.
+	Entries, Engines int
+	// Load is the requests a second as a part of what the engines can serve.
+	Load float64
+	// Gap is the mean time between two events.
+	Gap time.Duration
+	// Planned, Hiccups and Faults say what may happen.
+	Planned, Hiccups, Faults bool
+	Progress                 *slog.Logger
+}
+
+// Result is a run's JSON line.
+type Result struct {
+	Bench    string  `json:"bench"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	Events   int     `json:"events"`
+	Requests int     `json:"requests"`
+	Served   int     `json:"served"`
+	Refused  int     `json:"refused"`
+	Failed   int     `json:"failed"`
+	// CutOff counts answers that broke off after their endpoint did.
+	CutOff int `json:"cutOff"`
+	// Resumed counts runs that went on after another one.
+	Resumed int `json:"resumed"`
+	Missing int `json:"missing"` // records of endpoints that could not be read
+	// Broken counts broken rules by name; Examples are the first of each.
+	Broken   map[string]int `json:"broken"`
+	Examples []string       `json:"examples,omitempty"`
+	Error    string         `json:"error,omitempty"`
+}
+
+// run is one soak.
+type run struct {
+	options  Options
+	site     *site.Site
+	operator *operator
+	callers  []*callers
+	pending  sync.WaitGroup
+
+	mu       sync.Mutex
+	strikes  []*strike // faults
+	stops    []strike  // planned ends of entries and agents
+	runs     []platformtest.Run
+	loads    []platformtest.Load
+	missing  int
+	broken   map[string]int
+	examples []string
+	failed   error // of what the harness itself could not do
+}
+
+// Run runs one soak.
+func Run(ctx context.Context, options Options) (Result, error) {
+	r := &run{options: options, broken: map[string]int{}}
+	result := Result{Bench: "soak-platform", Seed: options.Seed, Seconds: options.Length.Seconds()}
+	dir, err := os.MkdirTemp("", "comfrey-soak-")
+	if err != nil {
+		return result, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if err := r.start(ctx, dir); err != nil {
+		if r.site != nil {
+			r.site.Stop()
+		}
+		return result, err
+	}
+	defer r.site.Stop()
+	events := r.plan()
+	result.Events = len(events)
+	if err := r.play(ctx, events); err != nil {
+		return result, err
+	}
+	for _, kind := range []string{site.Engine, site.App} {
+		for _, m := range r.site.Members(kind) {
+			r.collect(ctx, m)
+		}
+	}
+	r.judge(&result)
+	return result, r.failed
+}
+
+var domains = []string{"d1", "d2", "d3"}
+
+func (r *run) start(ctx context.Context, dir string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	var err error
+	r.site, err = site.Start(ctx, site.Config{
+		Bin: r.options.Bin, Dir: dir, Log: r.options.Log, Domains: domains,
+		Entries: r.options.Entries, Engines: r.options.Engines, Apps: apps, Spec: spec, Bounds: bounds,
+	})
+	if err != nil {
+		return err
+	}
+	r.operator = newOperator(r.site, r.options.Seed)
+	r.operator.mu.Lock()
+	err = r.operator.write(ctx)
+	r.operator.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	for i, domain := range domains {
+		r.callers = append(r.callers, newCallers(domain, r.directories(i), r.options.Seed*uint64(len(domains))+uint64(i)))
+	}
+	return r.site.WaitReady(ctx)
+}
+
+// directories returns three entries that callers of a domain ask, nearest first.
+func (r *run) directories(domain int) []string {
+	entries := r.site.Members(site.Entry)
+	var found []string
+	for i := range min(len(domains), len(entries)) {
+		found = append(found, entries[(domain+i)%len(entries)].Directory())
+	}
+	return found
+}
+
+func (r *run) plan() []event {
+	var from []rule
+	for _, one := range []struct {
+		on    bool
+		rules []rule
+	}{{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}} {
+		if one.on {
+			from = append(from, one.rules...)
+		}
+	}
+	if len(from) == 0 {
+		return nil
+	}
+	counts := map[string]int{}
+	for _, kind := range []string{site.Entry, site.Agent, site.Engine, site.App, site.Store, site.Origin} {
+		counts[kind] = len(r.site.Members(kind))
+	}
+	return draw(r.options.Seed, r.options.Length, r.options.Gap, from, counts)
+}
+
+// play runs the load and the events to their end.
+func (r *run) play(ctx context.Context, events []event) error {
+	loadCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	requests := &sync.WaitGroup{}
+	var load sync.WaitGroup
+	for i := range r.callers {
+		load.Go(func() { r.call(loadCtx, i, requests) })
+	}
+	began := time.Now()
+	for _, one := range events {
+		if err := sleep(ctx, warmTime+one.at-time.Since(began)); err != nil {
+			return err
+		}
+		r.options.Progress.Info("event", "event", one.String())
+		r.pending.Go(func() {
+			if err := r.act(ctx, one); err != nil {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.failed = errors.Join(r.failed, fmt.Errorf("%s: %w", one, err))
+			}
+		})
+	}
+	if err := sleep(ctx, warmTime+r.options.Length-time.Since(began)); err != nil {
+		return err
+	}
+	r.pending.Wait()
+	if err := sleep(ctx, endTime/2); err != nil {
+		return err
+	}
+	cancel()
+	load.Wait()
+	requests.Wait()
+	return nil
+}
+
+// perEngine is the streams a second that one engine serves without a queue.
+const perEngine = 12.0
+
+// call sends the requests of one failure domain, evenly spread at random, until ctx ends.
+func (r *run) call(ctx context.Context, domain int, requests *sync.WaitGroup) {
+	random := rand.New(rand.NewPCG(r.options.Seed, uint64(100+domain)))
+	rate := r.options.Load * perEngine * float64(r.options.Engines) / float64(len(r.callers))
+	number := 0
+	for next := time.Now(); ctx.Err() == nil; next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second))) {
+		if sleep(ctx, time.Until(next)) != nil {
+			return
+		}
+		number++
+		wanted := r.request(random, domain, number)
+		requests.Go(func() { r.callers[domain].serve(context.WithoutCancel(ctx), wanted) })
+	}
+}
+
+// request draws a request.
+func (r *run) request(random *rand.Rand, domain, number int) *request {
+	at := random.Float64()
+	chosen := r.operator.routes[0]
+	for _, one := range r.operator.routes {
+		chosen = one
+		if at -= one.share; at < 0 {
+			break
+		}
+	}
+	wanted := &request{route: chosen, key: r.operator.key(random), domain: domains[domain]}
+	wanted.work.Subject = domains[domain] + "-" + strconv.Itoa(number)
+	if chosen.stream {
+		wanted.tokens = int(min(3*chosen.prompt, 1+chosen.prompt*random.ExpFloat64()))
+		wanted.work.Events = int(min(maxEvents, 1+chosen.events*random.ExpFloat64()))
+	}
+	return wanted
+}
+
+// violate counts a broken rule and keeps the first few examples.
+func (r *run) violate(rule, detail string) {
+	const kept = 3
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken[rule]++
+	if r.broken[rule] <= kept {
+		r.examples = append(r.examples, rule+": "+detail)
+	}
+}
--- a/standin/internal/cmd/cmd.go
+++ b/standin/internal/cmd/cmd.go
@@ -22,5 +22,5 @@
 
 // platformCommands are the stand-ins of what the platform gives.
 func platformCommands() []*cli.Command {
-	return []*cli.Command{kvCommand(), hostsCommand(), originCommand(), publishCommand()}
+	return []*cli.Command{kvCommand(), hostsCommand(), originCommand(), publishCommand(), siteCommand()}
 }
--- /dev/null
+++ b/standin/internal/cmd/cmd_site.go
@@ -0,0 +1,31 @@
+package cmd
+
+import (
+	"context"
+
+	"comfreyrelay.example/relay/cli"
+	"comfreyrelay.example/standin/internal/site"
+)
+
+type siteOptions struct {
+	File string `long:"file" required:"true" description:"JSON file with the part's options"`
+}
+
+const siteHelp = `Stands in for one part of a platform: its metadata store, an endpoint or the origin
+of weights, as the "role" in the file says. The file's "address" serves the part, its
+"control" takes POST /faults and GET /record, of a store also PUT and DELETE /key, of an
+endpoint also POST /leave.
+
+Example:
+  comfreystandin site --file endpoint-1.json`
+
+func siteCommand() *cli.Command {
+	options := &siteOptions{}
+	return &cli.Command{
+		Name:    "site",
+		Short:   "stand in for a part of a platform",
+		Long:    siteHelp,
+		Options: options,
+		Run:     func(ctx context.Context, _ []string) error { return site.Run(ctx, options.File) },
+	}
+}
--- /dev/null
+++ b/standin/internal/link/link.go
@@ -0,0 +1,132 @@
+// Package link puts a link whose faults are set from outside between a stand-in and
+// those who call it.
+package link
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"comfreyrelay.example/platform/platformtest"
+)
+
+// Listener is a listener behind the link.
+type Listener struct {
+	net.Listener
+
+	mu      sync.Mutex
+	faults  platformtest.LinkFaults
+	changed chan struct{} // closed and replaced with the faults
+	open    map[*conn]bool
+	sentTil time.Time // when what was sent has passed the narrow link
+}
+
+// New puts a link before a listener.
+func New(lis net.Listener) *Listener {
+	return &Listener{Listener: lis, changed: make(chan struct{}), open: map[*conn]bool{}}
+}
+
+// Set replaces the faults and returns them without what happens once.
+func (l *Listener) Set(faults platformtest.LinkFaults) platformtest.LinkFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if faults.Reset {
+		for one := range l.open {
+			if tcp, ok := one.Conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = one.Conn.Close()
+		}
+		faults.Reset = false
+	}
+	l.faults = faults
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return faults
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	one := &conn{Conn: raw, link: l, closed: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[one] = true
+	return one, nil
+}
+
+// conn is a connection over the link.
+type conn struct {
+	net.Conn
+	link *Listener
+
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	c.link.mu.Lock()
+	delete(c.link.open, c)
+	c.link.mu.Unlock()
+	return c.Conn.Close()
+}
+
+var errClosed = errors.New("the connection is closed")
+
+// pass waits while the link holds bytes up, and returns the faults then.
+func (c *conn) pass(held func(platformtest.LinkFaults) bool) (platformtest.LinkFaults, error) {
+	for {
+		c.link.mu.Lock()
+		faults, changed := c.link.faults, c.link.changed
+		c.link.mu.Unlock()
+		if !held(faults) {
+			return faults, nil
+		}
+		select {
+		case <-changed:
+		case <-c.closed:
+			return faults, errClosed
+		}
+	}
+}
+
+func (c *conn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if n == 0 {
+		return n, err
+	}
+	faults, problem := c.pass(func(f platformtest.LinkFaults) bool { return f.Silent })
+	if problem != nil {
+		return 0, problem
+	}
+	time.Sleep(time.Duration(faults.DelayMillis) * time.Millisecond)
+	return n, err
+}
+
+func (c *conn) Write(text []byte) (int, error) {
+	faults, err := c.pass(func(f platformtest.LinkFaults) bool { return f.Silent || f.OneWay })
+	if err != nil {
+		return 0, err
+	}
+	if faults.BytesPerSecond > 0 {
+		time.Sleep(c.link.take(len(text), faults.BytesPerSecond))
+	}
+	return c.Conn.Write(text)
+}
+
+// take returns how long so many bytes wait for their turn on the narrow link.
+func (l *Listener) take(bytes, perSecond int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.sentTil.Before(now) {
+		l.sentTil = now
+	}
+	l.sentTil = l.sentTil.Add(time.Duration(float64(bytes) / float64(perSecond) * float64(time.Second)))
+	return l.sentTil.Sub(now)
+}
--- /dev/null
+++ b/standin/internal/site/endpoint.go
@@ -0,0 +1,104 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"comfreyrelay.example/platform/platformtest"
+)
+
+// lifetimes is how many heartbeats a registration outlives its endpoint.
+const lifetimes = 3
+
+// endpoint is a worker that registers itself.
+func (p *part) endpoint(ctx context.Context) {
+	options := p.options.Endpoint
+	if options.Engine != nil && options.Version > 0 {
+		options.Chunks = platformtest.Chunks(options.Version, p.options.Chunks, p.options.ChunkBytes)
+	}
+	worker := platformtest.NewEndpoint(options, ctx.Done())
+	worker.SetWarm(time.Duration(p.options.WarmMillis) * time.Millisecond)
+	p.handler = worker
+	p.faults = func(f platformtest.PartFaults) {
+		worker.SetFaults(f.Broken, f.Slow)
+		if f.Spoil {
+			worker.Spoil()
+		}
+	}
+	p.control.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, platformtest.Record{Runs: worker.Runs(), Loads: worker.Loads()})
+	})
+	leaving := &atomic.Bool{}
+	p.control.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { leaving.Store(true) })
+	p.run = func(ctx context.Context) error {
+		p.register(ctx, worker, leaving)
+		return nil
+	}
+}
+
+// register keeps the endpoint's registration; one that leaves takes it back once it has
+// served for the time that it has left.
+func (p *part) register(ctx context.Context, worker *platformtest.Endpoint, leaving *atomic.Bool) {
+	beat := time.Duration(p.options.HeartbeatMillis) * time.Millisecond
+	var since time.Time
+	for ctx.Err() == nil {
+		draining := leaving.Load()
+		if draining && since.IsZero() {
+			since = time.Now()
+		}
+		gone := draining && time.Since(since) > time.Duration(p.options.LeaveMillis)*time.Millisecond
+		p.tell(ctx, worker.Registration(p.options.Address, draining), beat, gone)
+		wait := time.NewTimer(min(beat, registerLook))
+		select {
+		case <-ctx.Done():
+		case <-wait.C:
+		}
+	}
+}
+
+// registerLook is how often a changed registration is looked for: an engine's weights.
+const registerLook = 300 * time.Millisecond
+
+func (p *part) tell(ctx context.Context, said map[string]any, beat time.Duration, gone bool) {
+	key := "servers/" + p.options.Endpoint.ID
+	method, query := http.MethodPut, url.Values{"key": {key}, "ttl": {(lifetimes * beat).String()}}
+	if gone {
+		method = http.MethodDelete
+	}
+	body, err := json.Marshal(said)
+	if err != nil {
+		panic(err) // what it says is made of plain values
+	}
+	callCtx, cancel := context.WithTimeout(ctx, beat)
+	defer cancel()
+	req, err := http.NewRequestWithContext(callCtx, method, fmt.Sprintf("http://%s/key?%s", p.options.StoreControl, query.Encode()), bytes.NewReader(body))
+	if err != nil {
+		panic(err) // the address is checked when the store begins
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// origin sends the weights.
+func (p *part) origin() {
+	origin := platformtest.NewOrigin(p.options.Model)
+	for version := range p.options.Versions {
+		number := uint64(version + 1)
+		origin.Add(number, platformtest.Chunks(number, p.options.Chunks, p.options.ChunkBytes))
+	}
+	p.handler = origin
+	p.faults = func(f platformtest.PartFaults) {
+		origin.SpoilManifests(f.Manifests)
+		origin.RefuseChunks(f.Refuse)
+	}
+	p.control.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, map[string]int{"sent": origin.Sent()})
+	})
+}
