gateway: keep a silent endpoint's answer until another endpoint has room

What callers saw: connections of streams in progress closed without a whole answer (LOST), beside configurations or not, though their engines were sound. Cause: an entry closed its connection to an engine as soon as the host's agent reported it dead, two polls of 250 ms without an answer, or after 1.1 s without bytes, and only then looked for another one. Where a machine stands still for half a second many engines are reported dead at once: no other has room within two targets, or the budget for repeats is used up, and the answer is broken off. The pause of the entry itself counted as the engine's. Class: what is given up before its replacement is assured. Change: an attempt at a silent endpoint ends once a place at another one and a part of the budget are taken for the next attempt; until then it goes on, and bytes that come are relayed. Waiting is counted in whole looks, so that a process that stood still reads what came meanwhile. One log line says that a silent endpoint is kept. Why it works: no decision of the entry's own ends an answer that another endpoint doesn't go on with; what remains are connections that break, the caller and the time.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -282,6 +282,7 @@
 	final        bool          // the answer was begun and can't go on at another endpoint
 	status       int           // of the answer that the caller got whole; 0: none yet
 	silence      silence       // of the newest attempt
+	reserved     *fleet.Grant  // place of the next attempt; nil: none yet
 }
 
 func (x *exchange) customerName() string {
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -17,6 +17,7 @@
 func (x *exchange) run(ctx context.Context) {
 	g := x.gateway
 	defer g.bodies.Add(-x.bytes)
+	defer x.release()
 	g.budget(x.service).Request(g.cfg.Clock.Now())
 	if refused := x.held(); refused != nil {
 		x.refuse(*refused)
@@ -47,7 +48,6 @@
 // next decides whether another endpoint may have the request after one did not
 // serve it; nil lets it.
 func (x *exchange) next(ctx context.Context, outcome fleet.Outcome) *refusal {
-	g := x.gateway
 	if ctx.Err() != nil {
 		return x.overdue(ctx)
 	}
@@ -68,17 +68,31 @@
 	if x.final || x.mayRun && !x.route.Repeatable() {
 		return x.notServed("an endpoint "+outcome.String(), 0)
 	}
-	if x.runs >= x.route.MaxAttempts || x.sends >= x.route.MaxAttempts+refusedSends {
+	if x.reserved != nil {
+		return nil
+	}
+	if !x.attemptsLeft(x.runs) {
 		return x.notServed("no attempt is left after one "+outcome.String(), soonReturn)
 	}
+	if !x.repeat() {
+		return x.notServed("the budget for repeats is used up", soonReturn)
+	}
+	return nil
+}
+
+// attemptsLeft reports whether another endpoint may have the request after so many runs.
+func (x *exchange) attemptsLeft(runs int) bool {
+	return runs < x.route.MaxAttempts && x.sends < x.route.MaxAttempts+refusedSends
+}
+
+// repeat takes one send from the budget for repeats and reports whether there was one.
+func (x *exchange) repeat() bool {
+	g := x.gateway
 	bounds := g.cfg.Bounds()
 	// Entries that started meanwhile are not known yet: the share is that of
 	// a few more.
 	share := bounds.Slack / float64(g.cfg.Entries()+spareEntries)
-	if !g.budget(x.service).Repeat(g.cfg.Clock.Now(), bounds.Ratio*budgetPart, share*budgetPart) {
-		return x.notServed("the budget for repeats is used up", soonReturn)
-	}
-	return nil
+	return g.budget(x.service).Repeat(g.cfg.Clock.Now(), bounds.Ratio*budgetPart, share*budgetPart)
 }
 
 const (
@@ -92,15 +106,6 @@
 	spareEntries = 3
 	// budgetPart leaves room for what is counted differently at the endpoints.
 	budgetPart = 0.85
-	// stallPart is how many targets a stream's first event may take before
-	// another endpoint is tried.
-	stallTargets = 3
-	// streamStall is the longest pause of a stream in progress: longer than
-	// any that is in time, shorter than callers bear.
-	streamStall = 1100 * time.Millisecond
-	// repeatTargets is how many targets a request that may be repeated waits
-	// for its answer before another endpoint is tried.
-	repeatTargets = 3
 	// maxStray bounds the answers to earlier requests that are read over.
 	maxStray = 2
 )
@@ -205,50 +210,6 @@
 	return otherwise
 }
 
-// patience says how long the attempt waits for bytes. What may not be repeated
-// waits to the end, or until the endpoint started again: no answer will come.
-func (x *exchange) patience(ctx context.Context, grant *fleet.Grant) func(time.Duration) bool {
-	return func(waited time.Duration) bool {
-		reason := x.impatience(ctx, grant, waited)
-		x.silence = silence{reason: reason, waited: waited}
-		return reason == ""
-	}
-}
-
-// impatience returns why the attempt waits no longer for bytes; empty: it does.
-func (x *exchange) impatience(ctx context.Context, grant *fleet.Grant, waited time.Duration) string {
-	switch {
-	case ctx.Err() != nil:
-		return "caller"
-	case grant.Over():
-		return "endpoint started again"
-	case !x.route.Repeatable(), x.runs+1 >= x.route.MaxAttempts:
-		return ""
-	case !grant.Alive():
-		return "endpoint reported dead"
-	case waited >= x.stall():
-		return "no bytes"
-	}
-	return ""
-}
-
-// silence is how an attempt waited for bytes.
-type silence struct {
-	reason    string        // why it waited no longer; empty: it did
-	waited    time.Duration // since the last bytes
-	overslept time.Duration // by which this process itself was late
-}
-
-func (x *exchange) stall() time.Duration {
-	switch {
-	case x.events > 0:
-		return max(streamStall, 2*x.route.Gap)
-	case x.engine() != nil:
-		return stallTargets * x.route.Target
-	}
-	return repeatTargets * x.route.Target
-}
-
 // receive reads the head of the answer. Answers that belong to an earlier
 // request on the connection are read over.
 func (x *exchange) receive(conn *upstream.Conn, out *http.Request) (*http.Response, call.Answer, error) {
--- a/entry/internal/gateway/silence_test.go
+++ b/entry/internal/gateway/silence_test.go
@@ -25,6 +25,46 @@
 	}
 }
 
+// Guards against a stream that stays at a silent endpoint though another one has room, and
+// against a log that doesn't tell why it moved.
+func TestStreamOfASilentEndpointMovesOnceAnotherHasRoom(t *testing.T) {
+	dead, alive := newEndpoint(t, "i-dead", pausing(1, 5, 2)), newEndpoint(t, "i-alive", events(3, 5, false))
+	h := newHouse(t, dead)
+	h.freeze()
+	answered := make(chan answer)
+	go func() { answered <- h.send(t, "/stream/a", "key-1", "") }()
+	h.begun(t, 2)
+	h.state.Fleet().Observe("app", dead.address, fleet.EngineState{})
+	h.log.line(t, `msg="silent endpoint kept"`, "endpoint=i-dead")
+	h.born(alive, 0, 2)
+	got := <-answered
+	got.check(t, 200, "id: 1\n", true)
+	h.log.line(t, "msg=attempt", "endpoint=i-dead", "outcome=silent", `gaveUp="endpoint reported dead"`)
+	if requests := alive.requests(); len(requests) != 1 || requests[0].Header.Get("Last-Event-Id") != "2" {
+		t.Errorf("got %v, want the stream resumed after its second event", requests)
+	}
+}
+
+// Guards against a silent endpoint that is given up where repeats are used up: its answer may
+// still come, and nobody else may give one.
+func TestStreamOfASilentEndpointIsNotBrokenOffWhereRepeatsAreUsedUp(t *testing.T) {
+	silent, other := newEndpoint(t, "i-1", pausing(1, 5, 2)), newEndpoint(t, "i-2")
+	h := newHouse(t, silent)
+	h.slack = 0
+	h.freeze()
+	answered := make(chan answer)
+	go func() { answered <- h.send(t, "/stream/a", "key-1", "") }()
+	h.begun(t, 2)
+	h.born(other, 0, 2)
+	h.state.Fleet().Observe("app", silent.address, fleet.EngineState{})
+	h.log.line(t, `msg="silent endpoint kept"`, "endpoint=i-1")
+	close(silent.resume)
+	h.pass(answered, 2*time.Second).check(t, 200, "id: 1\n", true)
+	if got := sum(other); got != 0 {
+		t.Errorf("got %d sends elsewhere, want none", got)
+	}
+}
+
 // pass lets the time of a frozen clock go by in steps until a request is answered.
 func (h *house) pass(answered <-chan answer, span time.Duration) answer {
 	const step = 100 * time.Millisecond
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -99,7 +99,9 @@
 
 func (r patientReader) Read(into []byte) (int, error) {
 	c := r.conn
-	began := time.Now()
+	// Whole looks are counted: a process that stood still itself sees at the next look what
+	// came meanwhile.
+	waited := time.Duration(0)
 	for {
 		if c.cancelled.Load() {
 			return 0, errImpatient
@@ -116,7 +118,8 @@
 			return n, err
 		}
 		c.late = max(c.late, time.Since(look))
-		if c.cancelled.Load() || c.patient == nil || !c.patient(time.Since(began)) {
+		waited += patienceSlice
+		if c.cancelled.Load() || c.patient == nil || !c.patient(waited) {
 			return 0, errImpatient
 		}
 	}
