site: learn from hosts how long ago versions were declared

What callers saw: requests begin on weights that ended up to 0.5 s before, at entries that run undisturbed (VERSION). Cause: an entry that starts between a version's declaration and its bound counts the version's time from its own start, since the store tells no age; hosts that such an entry tells first count with it. Class: a bound that begins before the process that keeps it. Change: an agent's first state of a stream tells the ages of the declarations that it knows; entries, and agents in what entries tell them, take the earliest. Tests: TestVersionIsAsOldAsHostsTell, TestHostTellsHowLongAgoVersionsWereDeclared. Why it works: agents outlive entries' restarts and stand in touch with each entry within 0.2 s of its start; where all started again nobody knows, and the time counts from the first reading as before.

--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -70,13 +70,16 @@
 			listener.hear(told)
 		}
 	}()
+	declared := f.guide.ages(f.clock.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-listener.due:
 		}
-		if err := stream.Send(listener.state()); err != nil {
+		state := listener.state()
+		state.Declared, declared = declared, nil
+		if err := stream.Send(state); err != nil {
 			return err
 		}
 	}
--- a/agent/internal/onsite/guide.go
+++ b/agent/internal/onsite/guide.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -69,10 +70,11 @@
 		}
 	}
 	for _, one := range told.GetWanted() {
+		since := now.Add(-time.Duration(one.GetAgeMillis()) * time.Millisecond)
 		if one.GetVersion() <= g.wanted[one.GetModel()].version {
+			g.older(one.GetModel(), one.GetVersion(), since)
 			continue
 		}
-		since := now.Add(-time.Duration(one.GetAgeMillis()) * time.Millisecond)
 		g.remember(one.GetModel(), rollout.Declared{Version: one.GetVersion(), At: since})
 		g.wanted[one.GetModel()] = wanted{
 			model: one.GetModel(), version: one.GetVersion(), fence: one.GetFence(),
@@ -100,6 +102,37 @@
 	g.history[model] = list[max(0, len(list)-maxHistory):]
 }
 
+// older takes over that a version was declared earlier than is known: who told of it first may
+// have started after its declaration.
+func (g *guide) older(model string, version uint64, since time.Time) {
+	for i, known := range g.history[model] {
+		if known.Version == version && since.Before(known.At) {
+			g.history[model][i].At = since
+		}
+	}
+	if want := g.wanted[model]; want.version == version && since.Before(want.since) {
+		want.since = since
+		g.wanted[model] = want
+	}
+}
+
+// ages returns the versions whose declaration is known, with its age.
+func (g *guide) ages(now time.Time) []*wire.DeclaredWeights {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var found []*wire.DeclaredWeights
+	for _, model := range slices.Sorted(maps.Keys(g.history)) {
+		for _, known := range g.history[model] {
+			age := min(now.Sub(known.At), maxAge)
+			found = append(found, &wire.DeclaredWeights{Model: model, Version: known.Version, AgeMillis: uint32(age.Milliseconds())})
+		}
+	}
+	return found
+}
+
+// maxAge bounds the ages of declarations that are told.
+const maxAge = time.Hour
+
 // declared returns the declarations known of a model, oldest first.
 func (g *guide) declared(model string) []rollout.Declared {
 	g.mu.Lock()
--- a/agent/internal/onsite/onsite_test.go
+++ b/agent/internal/onsite/onsite_test.go
@@ -248,6 +248,22 @@
 	}
 }
 
+// Guards against a host that takes a version for newer than it is, because the entry that told
+// of it first had started after its declaration, and against one that doesn't pass on what it knows.
+func TestHostTellsHowLongAgoVersionsWereDeclared(t *testing.T) {
+	told, now := newGuide(), time.Now()
+	for _, age := range []uint32{0, 5000, 200} {
+		told.hear(now, &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3, AgeMillis: age}}})
+	}
+	if want, _ := told.weights(); now.Sub(want.since) != 5*time.Second {
+		t.Errorf("got the version declared %v ago, want 5s", now.Sub(want.since))
+	}
+	got := told.ages(now.Add(time.Second))
+	if len(got) != 1 || got[0].GetModel() != testModel || got[0].GetVersion() != 3 || got[0].GetAgeMillis() != 6000 {
+		t.Errorf("got %v, want version 3 for 6000 ms", got)
+	}
+}
+
 func TestEntryHearsTheEngineAndWhatOthersSent(t *testing.T) {
 	s := newTestSite(t, 1)
 	s.engines[0].SetRunning(5)
--- a/entry/internal/onsite/feed.go
+++ b/entry/internal/onsite/feed.go
@@ -126,6 +126,9 @@
 			*up = true
 			f.log.Info("dependency regained", "dependency", "agent", "address", address)
 		}
+		for _, one := range state.GetDeclared() {
+			f.state.DeclaredFor(one.GetModel(), one.GetVersion(), time.Duration(one.GetAgeMillis())*time.Millisecond)
+		}
 		if d.sends() {
 			d.take(state)
 		}
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -146,6 +146,33 @@
 	}
 }
 
+// Guards against old weights that are used for too long by an entry that started after newer ones
+// were declared and counts their time from its own start.
+func TestVersionIsAsOldAsHostsTell(t *testing.T) {
+	for name, hostFirst := range map[string]bool{"host first": true, "store first": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			learn := func() { w.state.Apply([]site.Record{{Kind: site.WeightsRecord, ID: "m", Weights: 2}}, 1) }
+			if !hostFirst {
+				learn()
+			}
+			w.state.DeclaredFor("m", 2, 5*time.Second)
+			w.state.DeclaredFor("m", 2, time.Second)
+			w.state.DeclaredFor("other", 2, time.Hour)
+			if hostFirst {
+				learn()
+			}
+			if want, _ := w.state.WantedOf("m"); w.clock.Since(want.Since) != 5*time.Second {
+				t.Errorf("got the version declared %v ago, want 5s", w.clock.Since(want.Since))
+			}
+			w.clock.Advance(3 * time.Second)
+			if got, want := w.state.Floor("m", 8*time.Second), uint64(2); got != want {
+				t.Errorf("got floor %d, want %d: the time of the version before is over", got, want)
+			}
+		})
+	}
+}
+
 // script answers the calls of a follower one after the other; the last answer
 // ends the run.
 type script struct {
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -37,8 +37,10 @@
 	missing  map[string]time.Time // entries whose registration ended, by when they are dropped
 	wanted   map[string]Wanted
 	history  map[string][]rollout.Declared // by model, newest last
-	settled  time.Time                     // registrations that end before it may be back
-	changed  chan struct{}
+	// early is what hosts told of versions whose declaration is not known yet.
+	early   map[string][]rollout.Declared
+	settled time.Time // registrations that end before it may be back
+	changed chan struct{}
 }
 
 // settleTime is how long after the store came back a registration may be
@@ -54,7 +56,7 @@
 	return &State{
 		clock: clock, fleet: flt, fresh: fresh, ledger: quarantine.NewLedger(clock),
 		entries: map[string]Entry{}, missing: map[string]time.Time{}, wanted: map[string]Wanted{},
-		history: map[string][]rollout.Declared{},
+		history: map[string][]rollout.Declared{}, early: map[string][]rollout.Declared{},
 		changed: make(chan struct{}),
 	}
 }
@@ -238,11 +240,44 @@
 	if rec.Revision > 0 {
 		revision = rec.Revision
 	}
+	for _, told := range s.early[rec.ID] {
+		if told.Version == rec.Weights && told.At.Before(since) {
+			since = told.At
+		}
+	}
+	delete(s.early, rec.ID)
 	list := append(s.history[rec.ID], rollout.Declared{Version: rec.Weights, At: since})
 	s.history[rec.ID] = list[max(0, len(list)-maxHistory):]
 	s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: since}
 }
 
+// DeclaredFor takes over for how long a host has known that a version was declared: an entry
+// that started since then would count its time from the start on.
+func (s *State) DeclaredFor(model string, version uint64, age time.Duration) {
+	at := s.clock().Add(-age)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, known := range s.history[model] {
+		if known.Version != version {
+			continue
+		}
+		if !at.Before(known.At) {
+			return
+		}
+		s.history[model][i].At = at
+		if want := s.wanted[model]; want.Version == version {
+			want.Since = at
+			s.wanted[model] = want
+		}
+		close(s.changed)
+		s.changed = make(chan struct{})
+		return
+	}
+	if version > s.wanted[model].Version && len(s.early[model]) < maxHistory {
+		s.early[model] = append(s.early[model], rollout.Declared{Version: version, At: at})
+	}
+}
+
 func laterOf(left, right time.Time) time.Time {
 	if left.After(right) {
 		return left
