site: count the time of versions that the store names no more

Cause: the store holds the newest declaration alone, and the time of an old version ends by the first newer one, of which such an entry knows nothing. Change: what hosts tell of declarations before the newest is taken into the history too. Test: TestVersionsThatTheStoreNamesNoMoreCount. Left: an agent that starts is told the newest declaration alone; its host may load later than its turn, and entries leave it out meanwhile.

--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -173,6 +173,36 @@
 	}
 }
 
+// Guards against weights that are used for too long by an entry that started after two newer ones
+// were declared: the store names the newest alone, and the time of old ones ends by the first.
+func TestVersionsThatTheStoreNamesNoMoreCount(t *testing.T) {
+	for name, hostFirst := range map[string]bool{"host first": true, "store first": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			learn := func() { w.state.Apply([]site.Record{{Kind: site.WeightsRecord, ID: "m", Weights: 4}}, 1) }
+			if !hostFirst {
+				learn()
+			}
+			for version, age := range map[uint64]time.Duration{2: 9 * time.Second, 3: 7 * time.Second, 4: time.Second} {
+				w.state.DeclaredFor("m", version, age)
+			}
+			if hostFirst {
+				learn()
+			}
+			if got, want := w.state.Floor("m", 8*time.Second), uint64(2); got != want {
+				t.Errorf("got floor %d, want %d", got, want)
+			}
+			w.clock.Advance(2 * time.Second)
+			if got, want := w.state.Floor("m", 8*time.Second), uint64(3); got != want {
+				t.Errorf("got floor %d two seconds later, want %d", got, want)
+			}
+			if want, _ := w.state.WantedOf("m"); want.Version != 4 {
+				t.Errorf("got version %d wanted, want 4", want.Version)
+			}
+		})
+	}
+}
+
 // script answers the calls of a follower one after the other; the last answer
 // ends the run.
 type script struct {
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -240,13 +241,17 @@
 	if rec.Revision > 0 {
 		revision = rec.Revision
 	}
+	list := s.history[rec.ID]
 	for _, told := range s.early[rec.ID] {
-		if told.Version == rec.Weights && told.At.Before(since) {
+		switch {
+		case told.Version < rec.Weights:
+			list = append(list, told)
+		case told.Version == rec.Weights && told.At.Before(since):
 			since = told.At
 		}
 	}
-	delete(s.early, rec.ID)
-	list := append(s.history[rec.ID], rollout.Declared{Version: rec.Weights, At: since})
+	s.early[rec.ID] = slices.DeleteFunc(s.early[rec.ID], func(told rollout.Declared) bool { return told.Version <= rec.Weights })
+	list = append(list, rollout.Declared{Version: rec.Weights, At: since})
 	s.history[rec.ID] = list[max(0, len(list)-maxHistory):]
 	s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: since}
 }
@@ -273,8 +278,16 @@
 		s.changed = make(chan struct{})
 		return
 	}
-	if version > s.wanted[model].Version && len(s.early[model]) < maxHistory {
-		s.early[model] = append(s.early[model], rollout.Declared{Version: version, At: at})
+	told := rollout.Declared{Version: version, At: at}
+	switch want, known := s.wanted[model]; {
+	case known && version < want.Version:
+		// The store holds the newest declaration alone, and the time of the versions before
+		// this one ends sooner than by that.
+		if len(s.history[model]) < maxHistory {
+			s.history[model] = slices.Insert(s.history[model], 0, told)
+		}
+	case len(s.early[model]) < maxHistory:
+		s.early[model] = append(s.early[model], told)
 	}
 }
 
