logging: drop lines that are written after the end

Its log: 'panic: send on closed channel' under a request in progress that logged its end after the entry's log was closed. Cause: Close closed the channel that writers send to. An entry ends with requests in progress where these outlast its grace time. Class: an end that doesn't wait for all who use what it ends. Change: Close tells the reader alone; what is written later stays in the channel and is dropped.

--- a/relay/logging/bounded.go
+++ b/relay/logging/bounded.go
@@ -14,14 +14,15 @@
 // that stalls must not stall requests. Lines that find no room are counted and
 // the count is written once there is room.
 type Bounded struct {
-	lines chan []byte
-	lost  atomic.Int64
-	done  chan struct{}
+	lines   chan []byte
+	lost    atomic.Int64
+	closing chan struct{} // closed by Close
+	done    chan struct{} // closed once all that waited is written
 }
 
 // NewBounded returns a Bounded before w; Close writes what waits.
 func NewBounded(w io.Writer) *Bounded {
-	b := &Bounded{lines: make(chan []byte, boundedLines), done: make(chan struct{})}
+	b := &Bounded{lines: make(chan []byte, boundedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go b.run(w)
 	return b
 }
@@ -29,19 +30,31 @@
 func (b *Bounded) run(w io.Writer) {
 	defer close(b.done)
 	var batch bytes.Buffer
-	for line := range b.lines {
+	for {
 		batch.Reset()
-		batch.Write(line)
-		for more := len(b.lines); more > 0; more-- {
-			batch.Write(<-b.lines)
-		}
-		if lost := b.lost.Swap(0); lost > 0 {
-			fmt.Fprintf(&batch, "level=WARN msg=\"log lines left out\" lines=%d\n", lost)
+		select {
+		case line := <-b.lines:
+			batch.Write(line)
+		case <-b.closing:
+			b.collect(&batch)
+			_, _ = w.Write(batch.Bytes())
+			return
 		}
+		b.collect(&batch)
 		_, _ = w.Write(batch.Bytes())
 	}
 }
 
+// collect takes what waits and the count of the lines that found no room.
+func (b *Bounded) collect(batch *bytes.Buffer) {
+	for more := len(b.lines); more > 0; more-- {
+		batch.Write(<-b.lines)
+	}
+	if lost := b.lost.Swap(0); lost > 0 {
+		fmt.Fprintf(batch, "level=WARN msg=\"log lines left out\" lines=%d\n", lost)
+	}
+}
+
 // Write takes one line; it never fails.
 func (b *Bounded) Write(line []byte) (int, error) {
 	select {
@@ -52,9 +65,10 @@
 	return len(line), nil
 }
 
-// Close writes what waits. Nothing may be written afterwards.
+// Close writes what waits. Requests in progress may still log: what they write afterwards is
+// dropped.
 func (b *Bounded) Close() error {
-	close(b.lines)
+	close(b.closing)
 	<-b.done
 	return nil
 }
