rollout: a load waits for requests that can't go on elsewhere

What callers saw: streams are broken off by rollouts that the system carries out itself: cut at one engine, they go on at another one whose turn to load comes next, are cut again, and their routes allow two engines. Change: entries tell a host's agent how many of their requests at its engine no other one may go on with; the host lets its turn pass for them, 1.2 s and the last load in time at most. What goes on after a cut prefers hosts whose turn comes late or that wait for what runs.

--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -97,7 +97,7 @@
 	delete(f.followers, one)
 	f.mu.Unlock()
 	f.pace.leave(one)
-	one.hearReading(0)
+	one.hearReading(0, 0)
 }
 
 // follower is one entry that follows the engine.
@@ -110,6 +110,7 @@
 	last    time.Time     // when the last one was to be sent
 	told    uint64        // version of what it told
 	reading int64         // prompt tokens of the entry that are not read yet
+	final   int           // requests of the entry that can't go on elsewhere
 	heard   hearing
 }
 
@@ -158,7 +159,7 @@
 		f.feed.pace.hear(f, told.GetNear(), time.Duration(told.GetDelayMillis())*time.Millisecond)
 	}
 	f.note(now, told)
-	f.hearReading(int64(told.GetReading()))
+	f.hearReading(int64(told.GetReading()), int(told.GetLast()))
 	if !told.GetReadingOnly() {
 		f.feed.guide.hear(now, told)
 	}
@@ -174,12 +175,15 @@
 	}
 }
 
-func (f *follower) hearReading(tokens int64) {
+func (f *follower) hearReading(tokens int64, final int) {
 	f.mu.Lock()
-	old := f.reading
-	f.reading = tokens
+	oldTokens, oldFinal := f.reading, f.final
+	f.reading, f.final = tokens, final
 	f.mu.Unlock()
-	if old != tokens {
-		f.feed.watch.addReading(tokens - old)
+	if oldTokens != tokens {
+		f.feed.watch.addReading(tokens - oldTokens)
+	}
+	if oldFinal != final {
+		f.feed.watch.addFinal(final - oldFinal)
 	}
 }
--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -242,7 +242,11 @@
 	if report.Running > 0 && !rollout.MayCut(now, deadline) {
 		return now.Add(loaderTick)
 	}
-	return rollout.Start(want.since, deadline, l.move(want), l.place())
+	start := rollout.Start(want.since, deadline, l.move(want), l.place())
+	if l.watch.finals() > 0 && rollout.LetsPass(now, start, deadline, l.move(want)) {
+		return now.Add(loaderTick)
+	}
+	return start
 }
 
 // notice returns how long before an order nothing new should come.
--- a/agent/internal/onsite/onsite_test.go
+++ b/agent/internal/onsite/onsite_test.go
@@ -17,6 +17,8 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"github.com/jonboulle/clockwork"
+
 	"comfreyrelay.example/platform"
 	"comfreyrelay.example/platform/platformtest"
 	"comfreyrelay.example/relay/wire"
@@ -264,6 +266,28 @@
 	}
 }
 
+func TestHostCountsWhatCannotGoOnElsewhere(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	looks := newWatch(nil, clock, slog.New(slog.DiscardHandler))
+	served := newFeed(looks, newGuide(), newPace(clock.Now), clock)
+	one, two := &follower{feed: served}, &follower{feed: served}
+	for _, step := range []struct {
+		do   func()
+		want int
+	}{
+		{func() { one.hear(&wire.Guidance{ReadingOnly: true, Last: 2}) }, 2},
+		{func() { two.hear(&wire.Guidance{ReadingOnly: true, Last: 1}) }, 3},
+		{func() { one.hear(&wire.Guidance{ReadingOnly: true, Last: 1}) }, 2},
+		{func() { served.remove(one) }, 1},
+		{func() { two.hear(&wire.Guidance{ReadingOnly: true}) }, 0},
+	} {
+		step.do()
+		if got := looks.finals(); got != step.want {
+			t.Errorf("got %d, want %d", got, step.want)
+		}
+	}
+}
+
 func TestEntryHearsTheEngineAndWhatOthersSent(t *testing.T) {
 	s := newTestSite(t, 1)
 	s.engines[0].SetRunning(5)
--- a/agent/internal/onsite/watch.go
+++ b/agent/internal/onsite/watch.go
@@ -41,6 +41,7 @@
 	alive    bool
 	failures int
 	reading  int64 // prompt tokens that entries sent and that are not read
+	final    int   // requests of entries that can't go on at another engine
 	ordering bool  // an order is about to be given: nothing new should come
 }
 
@@ -107,6 +108,20 @@
 	w.sequence++
 }
 
+// addFinal counts what an entry told of its requests that can't go on elsewhere.
+func (w *watch) addFinal(count int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.final += count
+}
+
+// finals returns how many requests are in progress that can't go on elsewhere.
+func (w *watch) finals() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.final
+}
+
 // setOrdering tells entries that the engine is about to get an order.
 func (w *watch) setOrdering(ordering bool) {
 	w.mu.Lock()
--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -112,6 +112,7 @@
 	need := x.adm.Need(g.cfg.Clock.Now(), x.req.Model, g.cfg.Domain, g.cfg.Entries())
 	need.Exclude = x.tries
 	if x.adm.Engine != nil {
+		need.Last = !x.route.Repeatable() || !x.attemptsLeft(x.runs+1)
 		need.Floor = g.floor(x.req.Model)
 		need.SoonFloor = g.cfg.State.Floor(x.req.Model, g.cfg.Bounds().Version-soonMargin)
 		need.Ends = g.cfg.State.Ends(x.req.Model, need.SoonFloor, g.cfg.Bounds().Version)
--- a/entry/internal/onsite/feed.go
+++ b/entry/internal/onsite/feed.go
@@ -208,6 +208,7 @@
 	toldAt  time.Time
 	gap     time.Duration
 	reading int
+	last    int // requests in progress that can't go on elsewhere
 }
 
 // next returns what the agent does not know yet, nil where it knows all, and how
@@ -215,16 +216,18 @@
 func (t *teller) next(now time.Time) (*wire.Guidance, time.Duration) {
 	part, newest := t.feed.orders()
 	message, wait := t.guidance(now, part, newest)
-	reading := t.feed.feeds.state.Fleet().Reading(t.feed.engine.Service, t.feed.engine.Address)
+	known := t.feed.feeds.state.Fleet()
+	reading := known.Reading(t.feed.engine.Service, t.feed.engine.Address)
+	last := known.Last(t.feed.engine.Service, t.feed.engine.Address)
 	gap := gapOf(part)
-	if message == nil && reading == t.reading && gap == t.gap {
+	if message == nil && reading == t.reading && last == t.last && gap == t.gap {
 		return nil, wait
 	}
-	t.reading = reading
+	t.reading, t.last = reading, last
 	if message == nil {
 		message = t.readingOnly()
 	}
-	message.Reading = uint32(reading)
+	message.Reading, message.Last = uint32(reading), uint32(last)
 	if gap != t.gap {
 		t.gap, message.GapMillis = gap, uint32(gap.Milliseconds())
 	}
@@ -232,7 +235,7 @@
 }
 
 func (t *teller) readingOnly() *wire.Guidance {
-	return &wire.Guidance{ReadingOnly: true, Reading: uint32(max(0, t.reading))}
+	return &wire.Guidance{ReadingOnly: true, Reading: uint32(max(0, t.reading)), Last: uint32(t.last)}
 }
 
 // guidance returns what the host should be told now; nil where it was told, or where
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -12,6 +12,7 @@
 	"comfreyrelay.example/relay/deal"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/peer"
+	"comfreyrelay.example/relay/rollout"
 	"comfreyrelay.example/relay/site"
 	"comfreyrelay.example/relay/wire"
 )
@@ -47,6 +48,7 @@
 	parts   map[string]deal.Part // by engine's address
 	engines []fleet.Engine       // those with a part
 	brief   *brief
+	turns   map[string]float64 // hosts' places in a rollout, by engine's address
 }
 
 // run follows the engines that are known until ctx ends.
@@ -57,6 +59,7 @@
 		next := f.plan()
 		f.state.Fleet().SetEntries(f.self, next.others)
 		f.state.Fleet().SetParts(next.parts)
+		f.state.Fleet().SetTurns(next.turns)
 		for _, eng := range next.engines {
 			if following[eng.Address] == nil {
 				following[eng.Address] = f.begin(ctx, eng)
@@ -103,6 +106,7 @@
 	}
 	self := deal.Place{ID: f.self, Region: f.region, FailureDomain: f.domain}
 	found := plan{others: ids, parts: deal.New(self, others).Parts(places), brief: f.brief(engines)}
+	found.turns = rollout.Places(staying(engines))
 	for _, eng := range engines {
 		if _, ok := found.parts[eng.Address]; ok {
 			found.engines = append(found.engines, eng)
@@ -111,6 +115,17 @@
 	return found
 }
 
+// staying returns the addresses of the engines whose hosts are to hold weights.
+func staying(engines []fleet.Engine) []string {
+	var found []string
+	for _, eng := range engines {
+		if !eng.Leaving {
+			found = append(found, eng.Address)
+		}
+	}
+	return found
+}
+
 func (f *feeds) agentAddress(engine string) string {
 	host, _, err := net.SplitHostPort(engine)
 	if err != nil {
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -54,7 +54,9 @@
 
 	running  map[*Grant]time.Time // own requests in progress, by when they were sent
 	reading  int                  // prompt tokens of own requests without a first event
+	last     int                  // own requests that no other endpoint may go on with
 	reach    deal.Reach           // of this entry, once the engines were dealt
+	turn     float64              // its host's place in a rollout, from 0 to 1
 	load     int                  // running and waiting as last told with an answer
 	loadAt   time.Time
 	proven   int       // own requests served in a row without a timely report of the agent
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -154,10 +154,24 @@
 	}
 }
 
+// SetTurns tells the hosts' places in a rollout, 0 to 1, by their engines' addresses: what goes
+// on after another engine goes where a load comes late.
+func (f *Fleet) SetTurns(turns map[string]float64) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, grp := range f.groups {
+		grp.setTurns(turns)
+	}
+}
+
 // Reading returns the prompt tokens that this entry sent to the engine at the
 // address and that are not read yet.
 func (f *Fleet) Reading(service, address string) int { return f.Group(service).readingAt(address) }
 
+// Last returns the requests of this entry in progress at the engine at the address that no
+// other engine may go on with.
+func (f *Fleet) Last(service, address string) int { return f.Group(service).lastAt(address) }
+
 // Engine is an engine's host, for those who follow its agent.
 type Engine struct {
 	Service       string
--- a/relay/fleet/fleet_test.go
+++ b/relay/fleet/fleet_test.go
@@ -241,6 +241,45 @@
 	}
 }
 
+// Guards against a stream that is cut off again, for good, because it went on at the engine whose turn
+// to load came next.
+func TestWhatWasCutGoesToAnEngineThatLoadsLate(t *testing.T) {
+	for name, turns := range map[string][]float64{"next and later": {0.1, 0.6}, "later and waiting for what runs": {0.6, 0.8}} {
+		w := newWorld()
+		places := map[string]float64{}
+		for i, turn := range turns {
+			w.engine(i, 1)
+			places[address(i)] = turn
+		}
+		w.state(0, fleet.EngineState{Alive: true, Running: 2})
+		w.state(1, fleet.EngineState{Alive: true, Running: 14})
+		w.fleet.SetTurns(places)
+		again := need
+		again.Wanted, again.Again = 2, true
+		if got, want := w.pick(t, again).ID(), "e-1"; got != want {
+			t.Errorf("%s: got %s, want %s", name, got, want)
+		}
+	}
+}
+
+func TestWhatCannotGoOnElsewhereIsCounted(t *testing.T) {
+	w := newWorld()
+	w.engine(0, 1)
+	final := need
+	final.Last = true
+	one, two, other := w.pick(t, final), w.pick(t, final), w.pick(t, need)
+	if got, want := w.fleet.Last("llm", address(0)), 2; got != want {
+		t.Errorf("got %d, want %d", got, want)
+	}
+	for i, grant := range []*fleet.Grant{one, other, two} {
+		grant.Done(fleet.Served)
+		grant.Done(fleet.Served)
+		if got, want := w.fleet.Last("llm", address(0)), []int{1, 1, 0}[i]; got != want {
+			t.Errorf("got %d after %d ended, want %d", got, i+1, want)
+		}
+	}
+}
+
 // Symptom: all endpoints are gone for two seconds after an outage. Sequence: the
 // store is down, registrations lapse, it comes back, owners write again. Cause:
 // what is missing was taken for gone at once.
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -34,6 +34,7 @@
 	address     string
 	version     uint64
 	prompt      int
+	last        bool // no other endpoint may go on with the request
 	occupied    int
 	unread      int  // prompt tokens before this request's, as known at the choice
 	home        bool // the engine was home to this entry
@@ -125,6 +126,10 @@
 	g.began()
 	now := g.group.clock()
 	delete(g.end.running, g)
+	if g.last {
+		g.end.last--
+		g.group.tellReading(g.end.reg.Address)
+	}
 	if !g.end.stateAt.IsZero() {
 		g.end.ended = append(g.end.ended, now)
 	}
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -38,8 +38,8 @@
 }
 
 // ReadingChanged returns a channel that receives a value after what this entry
-// sent to the engine at the address and is not read yet has changed; several
-// changes may make one. One reader at a time gets them.
+// sent to the engine at the address and is not read yet has changed, or how much of it
+// can't go on elsewhere; several changes may make one. One reader at a time gets them.
 func (g *Group) ReadingChanged(address string) <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -101,7 +101,7 @@
 	reg := former.reg
 	reg.Loaded = nil
 	next := newEndpoint(reg, former.births)
-	next.gone, next.reach = former.gone, former.reach
+	next.gone, next.reach, next.turn = former.gone, former.reach, former.turn
 	former.over = true
 	g.endpoints[reg.ID] = next
 	g.sort()
@@ -225,6 +225,26 @@
 	g.wake()
 }
 
+// setTurns takes over the hosts' places in a rollout, by address.
+func (g *Group) setTurns(turns map[string]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, end := range g.endpoints {
+		end.turn = turns[end.reg.Address]
+	}
+}
+
+// lastAt returns the own requests at an address that no other endpoint may go on with.
+func (g *Group) lastAt(address string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	for _, end := range g.byAddress[address] {
+		count += end.last
+	}
+	return count
+}
+
 func (g *Group) readingAt(address string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/relay/fleet/pick.go
+++ b/relay/fleet/pick.go
@@ -6,6 +6,7 @@
 
 	"comfreyrelay.example/relay/deal"
 	"comfreyrelay.example/relay/engine"
+	"comfreyrelay.example/relay/rollout"
 )
 
 // What choices weigh, in milliseconds of waiting.
@@ -21,6 +22,9 @@
 	// that was cut once should not be again.
 	oldCost      = 30.0
 	oldAgainCost = 90.0
+	// soonAgainCost is what such an engine weighs more for what goes on, the sooner its turn to
+	// load comes; one that waits for what runs cuts nothing off.
+	soonAgainCost = 500.0
 	// awaySlots and awayUnread are the slots that are left free at such an
 	// engine, and the part of the bound for waiting prompts that holds there.
 	awaySlots  = 1
@@ -76,7 +80,9 @@
 	// Wanted is the version that every engine should come to; 0 where unknown.
 	Wanted uint64
 	// Again: the request goes on after another endpoint.
-	Again   bool
+	Again bool
+	// Last: no other endpoint may go on with it.
+	Last    bool
 	Prompt  int // tokens
 	Domain  string
 	Exclude []Incarnation // endpoints that had the request already
@@ -136,7 +142,7 @@
 		return nil, verdict
 	}
 	grant := &Grant{
-		group: g, end: best, prompt: need.Prompt,
+		group: g, end: best, prompt: need.Prompt, last: need.Last,
 		incarnation: best.incarnation(), address: best.reg.Address, version: best.version(now, need.Model),
 		occupied: best.occupancy(now, need.Entries), unread: best.unread(now), home: best.reach == deal.Home,
 		stateAge: best.stateAge(now), delay: best.state.Delay,
@@ -146,6 +152,9 @@
 	if !best.stateAt.IsZero() {
 		best.sent = append(best.sent, now)
 	}
+	if need.Last {
+		best.last++
+	}
 	g.addReading(best, need.Prompt)
 	return grant, Granted
 }
@@ -252,7 +261,7 @@
 	if need.Wanted > end.version(now, need.Model) {
 		score += oldCost
 		if need.Again {
-			score += oldAgainCost - oldCost
+			score += againCost(end.turn) - oldCost
 		}
 	}
 	wait := occupiedCost*float64(occupied) + g.readMillis(end.unread(now))
@@ -262,6 +271,14 @@
 	return score + wait
 }
 
+// againCost returns what an engine that has to load weighs for what goes on after another one.
+func againCost(turn float64) float64 {
+	if rollout.RunsDry(turn) {
+		return oldAgainCost
+	}
+	return oldAgainCost + soonAgainCost*(1-turn)
+}
+
 // readMillis returns the time to read so many prompt tokens.
 func (g *Group) readMillis(tokens int) float64 {
 	if g.engine.ReadPerSecond <= 0 {
--- a/relay/rollout/wave.go
+++ b/relay/rollout/wave.go
@@ -28,6 +28,9 @@
 	afterSpan = 500 * time.Millisecond
 	// dryTime is how long these wait for what runs.
 	dryTime = 1500 * time.Millisecond
+	// finalWait is how long a host lets its turn pass at most: the turns of many would come
+	// together otherwise.
+	finalWait = 1200 * time.Millisecond
 	// margin is left between the last load's end and the time at which an older
 	// version may no longer be used.
 	margin = 700 * time.Millisecond
@@ -90,17 +93,29 @@
 // deadline, less the time that a load takes. The last ones come after the
 // deadline: they get nothing new before it, run dry and cut nothing off.
 func Start(declared, deadline time.Time, move Move, place float64) time.Time {
-	if place >= inTimePart {
+	if RunsDry(place) {
 		return deadline.Add(scale(afterSpan, (place-inTimePart)/(1-inTimePart)))
 	}
 	first := declared.Add(move.whole(firstSpread))
-	last := deadline.Add(-move.Load - margin)
+	last := latest(deadline, move)
 	if !last.After(first) {
 		return first
 	}
 	return first.Add(scale(last.Sub(first), place/inTimePart))
 }
 
+// LetsPass reports whether a host lets its turn pass for requests in progress that a load would
+// end for good.
+func LetsPass(now, start, deadline time.Time, move Move) bool {
+	return now.Before(start.Add(finalWait)) && now.Before(latest(deadline, move))
+}
+
+// latest returns when a load begins at the latest that ends before the deadline.
+func latest(deadline time.Time, move Move) time.Time { return deadline.Add(-move.Load - margin) }
+
+// RunsDry reports whether a host at the place waits for what runs before it loads.
+func RunsDry(place float64) bool { return place >= inTimePart }
+
 // MayCut reports whether a load may cut off what runs: before the deadline, and
 // some time after it where something still runs.
 func MayCut(now, deadline time.Time) bool {
@@ -118,5 +133,17 @@
 	if !slices.Contains(hosts, host) {
 		count++
 	}
-	return float64(rendezvous.Rank("rollout", host, hosts)) / float64(count)
+	return float64(rendezvous.Rank(orderKey, host, hosts)) / float64(count)
+}
+
+// orderKey is the key of the order in which hosts take their turns.
+const orderKey = "rollout"
+
+// Places returns the places of all hosts.
+func Places(hosts []string) map[string]float64 {
+	places := make(map[string]float64, len(hosts))
+	for rank, host := range rendezvous.Top(orderKey, hosts, len(hosts)) {
+		places[host] = float64(rank) / float64(len(hosts))
+	}
+	return places
 }
--- a/relay/rollout/wave_test.go
+++ b/relay/rollout/wave_test.go
@@ -127,3 +127,33 @@
 		t.Errorf("got place %v for a host that the list lacks, want %v", got, want)
 	}
 }
+
+func TestPlacesAreThoseOfEachHost(t *testing.T) {
+	hosts := []string{"a", "b", "c", "d", "e"}
+	places := rollout.Places(hosts)
+	for _, host := range hosts {
+		if got, want := places[host], rollout.Place(host, hosts); got != want {
+			t.Errorf("got place %v for %s, want %v", got, host, want)
+		}
+	}
+}
+
+// Guards against answers that two loads in a row break off for good, and against hosts that let
+// their turns pass until all load at once or too late.
+func TestTurnPassesForWhatALoadWouldEndForGood(t *testing.T) {
+	move := rollout.Move{Load: time.Second}
+	for _, one := range []struct {
+		name            string
+		turn, now, ends float64
+		want            bool
+	}{
+		{"its turn", 2, 2, 8, true},
+		{"some time later", 2, 3.1, 8, true},
+		{"its turn is long over", 2, 3.3, 8, false},
+		{"a load must begin", 6, 6.4, 8, false},
+	} {
+		if got := rollout.LetsPass(at(one.now), at(one.turn), at(one.ends), move); got != one.want {
+			t.Errorf("%s: got %v, want %v", one.name, got, one.want)
+		}
+	}
+}
