--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -84,7 +84,7 @@
 	strikes  []*strike // faults
 	stops    []strike  // planned ends of entries and agents
 	runs     []platformtest.Run
-	loads    []platformtest.Load
+	loads    []load
 	missing  int
 	broken   map[string]int
 	examples []string
