--- a/bench/internal/sitesoak/caller.go
+++ b/bench/internal/sitesoak/caller.go
@@ -52,6 +52,7 @@
 	key    string
 	tokens int
 	domain string
+	leaves bool // its caller leaves early
 }
 
 // callers send requests and keep the record of their tries. They are the callers of one
@@ -131,6 +132,9 @@
 	}
 	one := c.note(wanted, conn, left, after)
 	end := time.Now().Add(left)
+	if wanted.leaves {
+		end = time.Now().Add(wanted.route.target / 2)
+	}
 	_ = conn.raw.SetDeadline(end)
 	if err := wanted.write(conn.raw, one, left, after); err != nil {
 		c.broke(one, conn, err)
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"comfreyrelay.example/bench/internal/site"
@@ -20,6 +21,9 @@
 	stopEntry    kind = "stopEntry"  // SIGTERM, and started again
 	stopAgent    kind = "stopAgent"  // the same
 	replaceApp   kind = "replaceApp" // a plain endpoint drains, another one takes its place
+	addHost      kind = "addHost"    // an engine without weights, and its agent
+	burst        kind = "burst"      // callers send twice as much
+	impatience   kind = "impatience" // callers leave early
 )
 
 // Hiccups: a process stands still for less than a second, as on a busy machine. They
@@ -59,8 +63,28 @@
 	storeLapses  kind = "storeLapses"
 	originDown   kind = "originDown"
 	originSpoilt kind = "originSpoilt"
+	doorSilent   kind = "doorSilent" // one entry's way to the store
+	doorOneWay   kind = "doorOneWay"
+	doorReset    kind = "doorReset"
+	doorBusy     kind = "doorBusy"
+	doorLimit    kind = "doorLimit"
+	waySilent    kind = "waySilent" // the way to one agent
+	wayOneWay    kind = "wayOneWay"
+	wayReset     kind = "wayReset"
+	waySlow      kind = "waySlow"
+	wayNarrow    kind = "wayNarrow"
+	killEntries  kind = "killEntries"
+	killAll      kind = "killAll" // entries, agents and engines
 )
 
+// excuses are the faults at an entry or an endpoint, or between them, by which a request may
+// be lost. A store that is away, an agent that is gone and processes that stand still for a
+// moment excuse nothing.
+var excuses = map[kind]bool{
+	killEntry: true, killEngine: true, pauseEntry: true, pauseEngine: true, linkSilent: true, linkOneWay: true,
+	linkNarrow: true, linkReset: true, killEntries: true, killAll: true,
+}
+
 // rule is how one kind of event is drawn.
 type rule struct {
 	kind              kind
@@ -79,6 +103,9 @@
 		{stopEntry, site.Entry, 2, bounds.Grace, bounds.Grace},
 		{stopAgent, site.Agent, 1, time.Second, time.Second},
 		{replaceApp, site.App, 1, replaceTime, replaceTime},
+		{addHost, "", 1, 0, 0},
+		{burst, "", 1, 2 * time.Second, 5 * time.Second},
+		{impatience, "", 1, 2 * time.Second, 5 * time.Second},
 	}
 	hiccups = []rule{
 		{hiccupEntry, site.Entry, 3, 300 * time.Millisecond, 950 * time.Millisecond},
@@ -112,9 +139,25 @@
 		{storeLapses, site.Store, 1, 0, 0},
 		{originDown, site.Origin, 2, time.Second, 4 * time.Second},
 		{originSpoilt, site.Origin, 1, 0, 0},
+		{doorSilent, site.Entry, 2, time.Second, 6 * time.Second},
+		{doorOneWay, site.Entry, 1, time.Second, 6 * time.Second},
+		{doorReset, site.Entry, 1, 0, 0},
+		{doorBusy, site.Entry, 1, time.Second, 6 * time.Second},
+		{doorLimit, site.Entry, 1, time.Second, 6 * time.Second},
+		{waySilent, site.Agent, 2, time.Second, 6 * time.Second},
+		{wayOneWay, site.Agent, 1, time.Second, 6 * time.Second},
+		{wayReset, site.Agent, 1, 0, 0},
+		{waySlow, site.Agent, 1, time.Second, 6 * time.Second},
+		{wayNarrow, site.Agent, 1, time.Second, 6 * time.Second},
+		{killEntries, "", 1, time.Second, time.Second},
+		{killAll, "", 1, 2 * time.Second, 2 * time.Second},
 	}
 )
 
+func isPlanned(what kind) bool {
+	return slices.ContainsFunc(planned, func(one rule) bool { return one.kind == what })
+}
+
 // event is one thing that happens.
 type event struct {
 	at     time.Duration // since the start of the load
--- /dev/null
+++ b/standin/internal/site/store.go
@@ -0,0 +1,121 @@
+package site
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/standin/internal/link"
+)
+
+var callFaults = map[string]platformtest.Fault{
+	"busy": platformtest.Busy, "limit": platformtest.Limit, "lost": platformtest.Lost,
+	"silent": platformtest.Silent, "slow": platformtest.Slow, "late": platformtest.Late,
+}
+
+// store is the metadata store. Its control address writes keys as operators and
+// endpoints do; a key with a time to live ends unless it is written again.
+func (p *part) store() error {
+	store := platformtest.NewStore()
+	store.Run()
+	p.handler = store
+	doors := map[string]*door{}
+	for _, address := range p.options.Doors {
+		lis, err := listen(address)
+		if err != nil {
+			return err
+		}
+		doors[address] = &door{lis: lis, store: store}
+		p.beside = append(p.beside, served{lis: lis, handler: doors[address]})
+	}
+	kept := &keeper{store: store, values: map[string]string{}, timers: map[string]*time.Timer{}}
+	p.control.HandleFunc("PUT /key", func(w http.ResponseWriter, r *http.Request) {
+		var value json.RawMessage
+		if err := json.NewDecoder(r.Body).Decode(&value); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ttl, _ := time.ParseDuration(r.URL.Query().Get("ttl"))
+		answer(w, kept.put(r.URL.Query().Get("key"), value, ttl))
+	})
+	p.control.HandleFunc("DELETE /key", func(_ http.ResponseWriter, r *http.Request) {
+		kept.end(r.URL.Query().Get("key"))
+	})
+	p.faults = func(f platformtest.PartFaults) {
+		if f.Compact {
+			store.Compact()
+		}
+		if f.Lapse {
+			store.EndLeases()
+		}
+		for address, one := range doors {
+			one.set(f.Doors[address])
+		}
+		kind, share := callFaults[f.Calls], f.Share
+		store.SetFault(func(*http.Request) platformtest.Fault {
+			if f.Calls == "" || rand.Float64() >= share {
+				return platformtest.None
+			}
+			return kind
+		})
+	}
+	return nil
+}
+
+// door is the store as one process reaches it.
+type door struct {
+	lis    *link.Listener
+	store  *platformtest.Store
+	status atomic.Int64
+}
+
+func (d *door) set(faults platformtest.DoorFaults) {
+	d.lis.Set(faults.Link)
+	d.status.Store(int64(faults.Status))
+}
+
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if status := d.status.Load(); status != 0 {
+		w.WriteHeader(int(status))
+		return
+	}
+	d.store.ServeHTTP(w, r)
+}
+
+// keeper keeps keys that end by themselves.
+type keeper struct {
+	store *platformtest.Store
+
+	mu     sync.Mutex
+	values map[string]string
+	timers map[string]*time.Timer
+}
+
+// put writes a key where it changed and puts its end off. It returns the time at which
+// the store acknowledged it, Unix nanoseconds.
+func (k *keeper) put(key string, value json.RawMessage, ttl time.Duration) int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if timer := k.timers[key]; timer != nil {
+		timer.Stop()
+	}
+	if k.values[key] != string(value) {
+		k.store.Put(key, value)
+	}
+	k.values[key] = string(value)
+	if ttl > 0 {
+		k.timers[key] = time.AfterFunc(ttl, func() { k.end(key) })
+	}
+	return time.Now().UnixNano()
+}
+
+func (k *keeper) end(key string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.values, key)
+	k.store.Remove(key)
+}
