onsite: send large values between entries in parts

What was seen: an entry that follows others takes a source for silent after 0.9 s without a reply, and a reply held a whole value: one that takes longer over the source's link comes never, since each new stream begins with it again (open row of docs/design/common-start.md). Cause: silence was measured in whole values. Class: a time for the whole of what may be large, as for the store's answers before. Change: a value above 32 KB goes in parts, a reply each, to those that say that they put parts together. Evidence: TestLargeValueComesOverANarrowLink, 1 MB over 500 KB/s: nothing after 30 s before, passes now; TestValuesInPartsArePutTogether for sizes around the bound, compressed values and deletions.

--- a/entry/internal/onsite/news.go
+++ b/entry/internal/onsite/news.go
@@ -5,12 +5,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/relay/kv"
 	"comfreyrelay.example/relay/site"
 	"comfreyrelay.example/relay/wire"
+	"github.com/jonboulle/clockwork"
 )
 
 const (
@@ -21,6 +20,9 @@
 	// batchBytes bounds the values in one reply, far below a message's bound;
 	// one value may be larger.
 	batchBytes = 256 << 10
+	// partBytes is what a reply holds of a value that comes in parts: a link that many share
+	// carries it well before the follower takes the source for silent.
+	partBytes = 32 << 10
 )
 
 // newsServer tells other entries what this one knows: wire.News.
@@ -56,11 +58,11 @@
 			}
 		}
 	}()
-	sent := first.GetRevision()
+	sent, parts := first.GetRevision(), first.GetParts()
 	toldAt := time.Time{} // when changes were last told
 	for {
 		before := sent
-		changed, err := s.tell(stream, newest.Load(), &sent)
+		changed, err := s.tell(stream, newest.Load(), &sent, parts)
 		if err != nil {
 			return err
 		}
@@ -94,10 +96,13 @@
 
 // tell sends what changed after the revision sent. The age is taken before the
 // changes, so that these hold all that the proof speaks of.
-func (s *newsServer) tell(stream wire.DRPCNews_ShareStream, answers uint64, sent *uint64) (<-chan struct{}, error) {
+func (s *newsServer) tell(stream wire.DRPCNews_ShareStream, answers uint64, sent *uint64, parts bool) (<-chan struct{}, error) {
 	age, proven := s.state.Fresh().Age()
 	changes, changed := s.mirror.Since(*sent)
 	replies := s.batches(changes)
+	if parts {
+		replies = inParts(replies)
+	}
 	for i, reply := range replies {
 		if i == len(replies)-1 {
 			reply.Answers, reply.Proven, reply.AgeMicros = answers, proven, uint64(age.Microseconds())+1
@@ -133,6 +138,33 @@
 	return replies
 }
 
+// inParts cuts large values, each part into a reply of its own.
+func inParts(replies []*wire.NewsReply) []*wire.NewsReply {
+	var cut []*wire.NewsReply
+	for _, reply := range replies {
+		var whole []*wire.StoredValue
+		for _, one := range reply.GetChanges() {
+			for len(one.GetValue())+len(one.GetPacked()) > partBytes {
+				part := &wire.StoredValue{Key: one.GetKey(), Revision: one.GetRevision(), Continues: true}
+				part.Value, one.Value = cutAt(one.GetValue())
+				part.Packed, one.Packed = cutAt(one.GetPacked())
+				cut = append(cut, &wire.NewsReply{Whole: reply.GetWhole(), Changes: append(whole, part)})
+				whole = nil
+			}
+			whole = append(whole, one)
+		}
+		reply.Changes = whole
+		cut = append(cut, reply)
+	}
+	return cut
+}
+
+// cutAt returns the first part of some bytes and the rest.
+func cutAt(all []byte) (part, rest []byte) {
+	at := min(partBytes, len(all))
+	return all[:at], all[at:]
+}
+
 // errGap says that a source left something out.
 var errGap = failure.New(failure.Internal, "a source left changes out or sent what cannot be read", "the stream is begun again")
 
@@ -143,6 +175,7 @@
 
 	known   uint64 // revision that the changes still to come follow on
 	pending []kv.Entry
+	part    []byte // what came of a value that goes on
 	// asked is when each request was sent, on the clock of the proofs; requests
 	// answered are dropped.
 	asked map[uint64]time.Duration
@@ -151,13 +184,24 @@
 // hear takes over one reply; false says that something between is missing.
 func (r *newsReader) hear(reply *wire.NewsReply) bool {
 	for _, one := range reply.GetChanges() {
+		if one.GetContinues() {
+			r.part = append(append(r.part, one.GetValue()...), one.GetPacked()...)
+			if len(r.part) > maxUnpacked {
+				return false
+			}
+			continue
+		}
 		value := one.GetValue()
+		if len(r.part) > 0 {
+			value = append(r.part, value...)
+		}
 		if len(one.GetPacked()) > 0 {
 			var err error
-			if value, err = unpack(one.GetPacked()); err != nil {
+			if value, err = unpack(append(r.part, one.GetPacked()...)); err != nil {
 				return false
 			}
 		}
+		r.part = nil
 		r.pending = append(r.pending, kv.NewEntry(one.GetKey(), value, one.GetRevision(), one.GetDeleted()))
 	}
 	if reply.GetRevision() == 0 {
--- a/entry/internal/onsite/news_test.go
+++ b/entry/internal/onsite/news_test.go
@@ -1,8 +1,10 @@
 package onsite
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -14,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"storj.io/drpc/drpcmux"
 
+	"comfreyrelay.example/platform/platformtest"
 	"comfreyrelay.example/relay/fleet"
 	"comfreyrelay.example/relay/freshness"
 	"comfreyrelay.example/relay/kv"
@@ -48,6 +51,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return k.serveAt(t, lis)
+}
+
+func (k *knower) serveAt(t *testing.T, lis net.Listener) (address string, stop context.CancelFunc) {
+	t.Helper()
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterNews(mux, &newsServer{state: k.state, mirror: k.mirror, clock: clockwork.NewRealClock()}); err != nil {
 		t.Fatal(err)
@@ -217,6 +225,74 @@
 	}
 }
 
+// Guards against an entry that gets a large value never, since it takes longer on its way than a
+// source may be silent, and each new stream begins with it again.
+func TestLargeValueComesOverANarrowLink(t *testing.T) {
+	value := make([]byte, 1<<20)
+	if _, err := rand.NewChaCha8([32]byte{1}).Read(value); err != nil {
+		t.Fatal(err)
+	}
+	source := newKnower()
+	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", value, 5, false), kv.NewEntry("e-2", []byte("v"), 6, false)}, 7)
+	source.state.Fresh().Prove(0)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, _ := source.serveAt(t, platformtest.NewNarrowLink(lis, 500<<10))
+	reader, _ := follow(t, address)
+	eventually(t, "the value comes", func() error {
+		if reader.mirror.Revision() != 7 {
+			return errors.New("not yet")
+		}
+		return nil
+	})
+	found, _ := reader.mirror.Since(0)
+	if len(found.Entries) != 2 || !bytes.Equal(found.Entries[0].Value(), value) {
+		t.Errorf("got %d values, want both as they were", len(found.Entries))
+	}
+}
+
+func TestValuesInPartsArePutTogether(t *testing.T) {
+	text := []byte(strings.Repeat("a configuration repeats itself, with numbers: ", 1))
+	var entries []kv.Entry
+	random := rand.NewChaCha8([32]byte{2})
+	for i, size := range []int{0, 1, partBytes - 1, partBytes, partBytes + 1, 3*partBytes + 7} {
+		value := make([]byte, size)
+		if _, err := random.Read(value); err != nil {
+			t.Fatal(err)
+		}
+		entries = append(entries, kv.NewEntry(fmt.Sprint("k", i), value, uint64(i+1), false))
+	}
+	packs := bytes.Repeat(append(text, entries[5].Value()...), 3)
+	entries = append(entries, kv.NewEntry("k6", packs, 7, false), kv.NewEntry("k7", nil, 8, true))
+	replies := inParts((&newsServer{}).batches(site.Changes{Entries: entries, Revision: 9, Whole: false}))
+	k := newKnower()
+	k.mirror.Reset(nil, 1)
+	reader := &newsReader{state: k.state, mirror: k.mirror, known: 1, asked: map[uint64]time.Duration{}}
+	for i, reply := range replies {
+		size := 0
+		for _, one := range reply.GetChanges() {
+			size = max(size, len(one.GetValue())+len(one.GetPacked()))
+		}
+		if size > partBytes {
+			t.Errorf("reply %d: got a value of %d bytes, want %d at most", i, size, partBytes)
+		}
+		if !reader.hear(reply) {
+			t.Fatalf("reply %d: got it refused", i)
+		}
+	}
+	found, _ := k.mirror.Since(1)
+	for i, entry := range found.Entries {
+		if want := entries[i+1]; entry.Key() != want.Key() || !bytes.Equal(entry.Value(), want.Value()) || entry.Deleted() != want.Deleted() {
+			t.Errorf("got %s with %d bytes, want %s with %d", entry.Key(), len(entry.Value()), want.Key(), len(want.Value()))
+		}
+	}
+	if got, want := len(found.Entries), len(entries)-1; got != want {
+		t.Errorf("got %d values, want %d", got, want)
+	}
+}
+
 // Symptom: requests reach an engine 3.0 to 3.2 s after it told the store that it leaves, where 3
 // are allowed (DRAIN of the platform's rules), from entries that are well. Sequence: the store
 // turns both sources of a region away; the others go on until what they know is 2.4 s old, then
--- a/entry/internal/onsite/sources.go
+++ b/entry/internal/onsite/sources.go
@@ -195,7 +195,7 @@
 	a.number++
 	request := &wire.NewsRequest{Number: a.number}
 	if a.number == 1 {
-		request.Revision = a.reader.known
+		request.Revision, request.Parts = a.reader.known, true
 	}
 	a.reader.asked[a.number] = a.reader.state.Fresh().Now()
 	a.mu.Unlock()
