site: go on with a reading that broke off, and wait for entries that are at it

What was seen: (1) a list of several pages drops those that came where one fails (open row of docs/design/common-start.md); (2) twelve entries that start together with a configuration of 980 KB, on a machine too busy to serve them within 1 to 2 s, gave up waiting for those that read for them and read 9.9 to 10.9 MB in place of 2.5 over the region's link. Cause: progress was thrown away, or not looked at. Change: the store's client gives pages; a reading that broke off goes on after its last page for 4 s. An entry that starts waits on, 8 s at most, while an entry that it follows answers and has the store. Evidence: TestReadingGoesOnAfterAPageThatFailed; TestEntriesThatStartTogether...: 12 x 396 KB, 33 x 396 KB, 12 x 980 KB, a source that ends, a store that goes away, a configuration that changes meanwhile, over 26 Mbit/s. The tests bound the bytes, not the time: a third of the entries may read.

--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -175,9 +176,11 @@
 // weights. One that has ended meanwhile is left to whoever ended it.
 func (r *run) kill(ctx context.Context, length time.Duration, members ...*site.Member) error {
 	var killed []*site.Member
+	var records sync.WaitGroup
 	for _, m := range members {
-		r.collect(ctx, m)
+		records.Go(func() { r.collect(ctx, m) })
 	}
+	records.Wait()
 	for _, m := range members {
 		err := m.Process().Kill()
 		if err == nil {
@@ -237,11 +240,16 @@
 	return r.site.Replace(ctx, m)
 }
 
+// collectTime bounds the reading of one record: a process that stands still has none to give.
+const collectTime = time.Second
+
 // collect keeps what a stand-in saw before its process ends.
 func (r *run) collect(ctx context.Context, m *site.Member) {
 	if m.Kind != site.Engine && m.Kind != site.App {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, collectTime)
+	defer cancel()
 	record, err := r.site.Record(ctx, m)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/bench/internal/sitesoak/judge.go
+++ b/bench/internal/sitesoak/judge.go
@@ -34,6 +34,7 @@
 // judge checks the rules.
 func (r *run) judge(result *Result) {
 	byID := map[string][]platformtest.Run{}
+	r.runs = once(r.runs)
 	for _, one := range r.runs {
 		byID[one.ID] = append(byID[one.ID], one)
 	}
@@ -69,6 +70,26 @@
 	result.Broken, result.Examples, result.Missing, result.Stalls = r.broken, r.examples, r.missing, r.stalls.count()
 }
 
+// once drops runs that were read twice, before two ends of an endpoint that overlap; the later
+// reading says how they ended.
+func once(runs []platformtest.Run) []platformtest.Run {
+	type name struct {
+		id, endpoint string
+		arrived      int64
+	}
+	last := map[name]int{}
+	for i, one := range runs {
+		last[name{one.ID, one.Endpoint, one.Arrived}] = i
+	}
+	var kept []platformtest.Run
+	for i, one := range runs {
+		if last[name{one.ID, one.Endpoint, one.Arrived}] == i {
+			kept = append(kept, one)
+		}
+	}
+	return kept
+}
+
 func (res *Result) count(one *Try, runs []platformtest.Run) {
 	res.Requests++
 	res.Resumed += max(0, began(runs)-1)
--- /dev/null
+++ b/entry/internal/onsite/common_start_test.go
@@ -0,0 +1,143 @@
+package onsite
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/site"
+	"comfreyrelay.example/relay/wire"
+)
+
+const (
+	// linkMegabits is the link between the store and the region that all entries share.
+	linkMegabits = 26
+	// encoded is by how much the store's encoding makes a value longer.
+	encoded = 4.0 / 3
+	// readerPart of the entries may read a configuration over the link: two do, and a few more on
+	// a machine that is slow enough that they take their sources for silent.
+	readerPart = 1.0 / 3
+	// registrationBytes is what one entry reads of another one's registration, more than once.
+	registrationBytes = 1 << 10
+)
+
+// region is entries that start together, as after a loss of power: their registrations are
+// still in the store, which stands behind a narrow link.
+type region struct {
+	fleet   *fleetOfEntries
+	link    *platformtest.NarrowLink
+	config  map[string]any
+	sources []*runningEntry
+}
+
+func newRegion(t *testing.T, entries, valueBytes int) *region {
+	t.Helper()
+	store := platformtest.NewStore()
+	store.Run()
+	server := httptest.NewUnstartedServer(store)
+	r := &region{link: platformtest.NewNarrowLink(server.Listener, linkMegabits*1e6/8), config: configOf(valueBytes)}
+	server.Listener = r.link
+	server.Start()
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	r.fleet = &fleetOfEntries{t: t, store: store, url: server.URL}
+	r.put(1)
+	known := map[string]site.Entry{}
+	var sets []*wire.EntrySettings
+	for i := range entries {
+		set := r.fleet.settings(i)
+		id := set.GetNode().GetId()
+		known[id] = site.Entry{CallersAddress: set.GetCallersAddress(), Region: "r", FailureDomain: "d1", ControlAddress: set.GetNode().GetControlAddress()}
+		store.Put(platform.EntryKey(id), known[id])
+		sets = append(sets, set)
+	}
+	for _, set := range sets {
+		one := r.fleet.begin(set)
+		if len(site.Sources(set.GetNode().GetId(), "r", known)) == 0 {
+			r.sources = append(r.sources, one)
+		}
+	}
+	return r
+}
+
+// configOf returns a configuration of about so many bytes that can't be compressed well.
+func configOf(valueBytes int) map[string]any {
+	random := rand.New(rand.NewPCG(1, 2))
+	var routes []map[string]any
+	for size := 0; size < valueBytes; size += 180 {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%x", random.Uint64()), "host": fmt.Sprintf("h%x.example", random.Uint64()), "path_prefix": fmt.Sprintf("/%x/", random.Uint64()),
+			"kind": "idempotent", "timeout_ms": 5000, "service": "app", "max_attempts": 2,
+		})
+	}
+	return map[string]any{"routes": routes, "services": []map[string]any{{"name": "app"}}}
+}
+
+func (r *region) put(version int) {
+	r.config["version"] = version
+	r.fleet.store.Put(platform.ConfigKey, r.config)
+}
+
+// check waits until all entries serve and compares what crossed the link with what a part of them
+// reads of so many configurations.
+func (r *region) check(t *testing.T, valueBytes, configurations int) {
+	t.Helper()
+	began := time.Now()
+	entries := len(r.fleet.entries)
+	for _, one := range r.fleet.entries {
+		select {
+		case <-one.done:
+		default:
+			r.fleet.await(one)
+		}
+	}
+	copies := readerPart * float64(entries*configurations)
+	got, want := r.link.Sent(), int64(copies*encoded*float64(valueBytes))+int64(entries*entries*registrationBytes)
+	t.Logf("%d entries, %d KB: all ready after %v, %d KB over the link", entries, valueBytes>>10, time.Since(began).Round(time.Millisecond), got>>10)
+	if got > want {
+		t.Errorf("got %d KB over the link, want %d KB at most", got>>10, want>>10)
+	}
+}
+
+// Guards against entries that start together and each read a large configuration over the link
+// that they share, so that none has it for seconds.
+func TestEntriesThatStartTogetherReadALargeConfigurationFewTimes(t *testing.T) {
+	for _, one := range []struct{ entries, kilobytes int }{{12, 396}, {33, 396}, {12, 980}} {
+		t.Run(fmt.Sprintf("%d entries, %d KB", one.entries, one.kilobytes), func(t *testing.T) {
+			r := newRegion(t, one.entries, one.kilobytes<<10)
+			r.check(t, one.kilobytes<<10, 1)
+		})
+	}
+}
+
+// Guards against entries that all read the store because one of the two that read it for them
+// ended in the middle.
+func TestEntriesThatStartTogetherBearTheEndOfASource(t *testing.T) {
+	r := newRegion(t, 12, 396<<10)
+	r.sources[0].end()
+	r.check(t, 396<<10, 1)
+}
+
+// Guards against readings that begin anew, all at once, as the store comes back or the
+// configuration changes meanwhile.
+func TestEntriesThatStartTogetherWhileTheStoreGoesAway(t *testing.T) {
+	r := newRegion(t, 12, 396<<10)
+	r.fleet.store.SetFault(func(*http.Request) platformtest.Fault { return platformtest.Busy })
+	time.Sleep(300 * time.Millisecond)
+	r.fleet.store.SetFault(nil)
+	r.check(t, 396<<10, 2)
+}
+
+func TestEntriesThatStartTogetherWhileTheConfigurationChanges(t *testing.T) {
+	r := newRegion(t, 12, 396<<10)
+	const changes = 2
+	for version := range changes {
+		time.Sleep(300 * time.Millisecond)
+		r.put(2 + version)
+	}
+	r.check(t, 396<<10, 2*(1+changes))
+}
--- a/entry/internal/onsite/news.go
+++ b/entry/internal/onsite/news.go
@@ -5,11 +5,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"comfreyrelay.example/relay/failure"
 	"comfreyrelay.example/relay/kv"
 	"comfreyrelay.example/relay/site"
 	"comfreyrelay.example/relay/wire"
-	"github.com/jonboulle/clockwork"
 )
 
 const (
--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -73,8 +73,15 @@
 // start adds an entry and waits until it is ready.
 func (f *fleetOfEntries) start() *runningEntry {
 	f.t.Helper()
-	id := fmt.Sprintf("entry-%d", len(f.entries))
-	set := &wire.EntrySettings{
+	one := f.begin(f.settings(len(f.entries)))
+	f.await(one)
+	return one
+}
+
+// settings returns those of an entry, which listens at addresses of its own.
+func (f *fleetOfEntries) settings(number int) *wire.EntrySettings {
+	id := fmt.Sprintf("entry-%d", number)
+	return &wire.EntrySettings{
 		Node: &wire.NodeSettings{
 			Id: id, Region: "r", FailureDomain: "d1", ControlAddress: freeAddress(f.t), OperatorsAddress: "127.0.0.1:0", LogLevel: "error",
 		},
@@ -84,20 +91,31 @@
 			Bounds: &wire.SiteBounds{GraceMillis: 8000},
 		},
 	}
+}
+
+// begin starts an entry.
+func (f *fleetOfEntries) begin(set *wire.EntrySettings) *runningEntry {
 	ctx, kill := context.WithCancel(context.Background())
 	one := &runningEntry{set: set, kill: kill, done: make(chan struct{})}
 	go func() {
 		defer close(one.done)
 		if err := Run(ctx, ctx, set, &lines{}); err != nil {
-			f.t.Errorf("%s ended: %v", id, err)
+			f.t.Errorf("%s ended: %v", set.GetNode().GetId(), err)
 		}
 	}()
 	f.t.Cleanup(func() { one.end() })
 	f.entries = append(f.entries, one)
-	eventually(f.t, id+" is ready", func() error { return status("http://"+set.GetSite().GetReadyAddress()+"/ready", 200) })
 	return one
 }
 
+// await waits until an entry is ready.
+func (f *fleetOfEntries) await(one *runningEntry) {
+	f.t.Helper()
+	eventually(f.t, one.set.GetNode().GetId()+" is ready", func() error {
+		return status("http://"+one.set.GetSite().GetReadyAddress()+"/ready", 200)
+	})
+}
+
 // end stops the entry and waits until it is gone.
 func (e *runningEntry) end() {
 	e.kill()
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -139,7 +139,7 @@
 	}
 	follower := &site.Follower{
 		Store: e.store, State: e.state, Mirror: e.mirror, Clock: e.clock, Log: e.log, Led: others.led, Wait: others.wait,
-		EntriesPrefix: platform.EntryPrefix, Follows: others.follows,
+		EntriesPrefix: platform.EntryPrefix, Follows: others.follows, Brings: others.brings,
 	}
 	streams := &feeds{state: e.state, pool: pool, port: e.set.GetSite().GetAgentPort(),
 		self: e.set.GetNode().GetId(), domain: e.self.FailureDomain,
--- a/entry/internal/onsite/sources.go
+++ b/entry/internal/onsite/sources.go
@@ -43,6 +43,7 @@
 	live     atomic.Int64 // streams that bring something
 	sound    atomic.Int64 // those of them whose source has the store
 	followed atomic.Bool  // the region is large enough that some follow others
+	heard    atomic.Int64 // when one that has the store answered last, Unix nanoseconds
 }
 
 // led returns for how long the store need not be asked: others tell what it holds,
@@ -62,6 +63,9 @@
 // follows reports whether this entry follows others of those known.
 func (s *sources) follows() bool { return len(s.wanted()) > 0 }
 
+// brings reports whether an entry that this one follows answers and has the store.
+func (s *sources) brings() bool { return s.clock.Now().UnixNano()-s.heard.Load() < int64(newsSilence) }
+
 // wait returns how long this entry's own watches wait.
 func (s *sources) wait() time.Duration { return site.WatchWait(s.apply(), s.followed.Load()) }
 
@@ -159,6 +163,9 @@
 			return errGap
 		}
 		s.count(&sound, !reply.GetStoreLost())
+		if sound {
+			s.heard.Store(s.clock.Now().UnixNano())
+		}
 		if !up {
 			up = true
 			s.live.Add(1)
--- a/relay/kv/store.go
+++ b/relay/kv/store.go
@@ -47,6 +47,9 @@
 	Get func(ctx context.Context, key string) (entry Entry, found bool, err error)
 	// List returns the entries below the prefix, by key.
 	List func(ctx context.Context, prefix string) ([]Entry, error)
+	// Page returns entries below the prefix whose keys come after one, as many as an answer
+	// holds, and whether others follow. nil where the service answers whole lists alone.
+	Page func(ctx context.Context, prefix, after string) (entries []Entry, more bool, err error)
 	// Swap writes the value if the key's revision is still ifRevision (0: it
 	// does not exist) and returns the new one. A lease id that is not empty
 	// binds the key to the lease.
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -34,11 +34,16 @@
 	// been written a dozen times a second, and where a region's entries all come back
 	// the history of each crosses the same link between regions.
 	historyTime = 2500 * time.Millisecond
+	// readingTime is how long a reading may go on that was broken off: its proof is as old as its
+	// begin.
+	readingTime = 4 * time.Second
 	// lostInterval is the least time between two log lines of calls that fail in a row.
 	lostInterval = time.Second
 	// joinWait is the least time for which an entry that starts waits for what others bring; it
 	// waits up to twice as long, so that entries which waited in vain don't read at once.
 	joinWait = time.Second
+	// longestJoin bounds that wait where they go on answering.
+	longestJoin = 8 * time.Second
 	// retryWait is the mean pause after a failed call.
 	retryWait = 120 * time.Millisecond
 )
@@ -91,6 +96,10 @@
 	EntriesPrefix string
 	// Follows reports whether other entries that are known bring what the store holds; nil: no.
 	Follows func() bool
+	// Brings reports whether one of them is at it: it answers and has the store; nil: no.
+	Brings func() bool
+
+	reading *reading // that was broken off; nil: none
 
 	down bool // the last call failed
 	// failed counts the calls that failed in a row; loggedAt is when one was last logged.
@@ -161,6 +170,7 @@
 	}
 	began := f.Clock.Now()
 	patience := f.Clock.After(joinWait + rand.N(joinWait))
+	brings := func() bool { return f.Brings != nil && f.Brings() && f.Clock.Since(began) < longestJoin }
 	for {
 		changed := f.State.Changed()
 		if revision := f.Mirror.Revision(); revision > 0 {
@@ -171,6 +181,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-patience:
+			if brings() {
+				patience = f.Clock.After(joinWait/2 + rand.N(joinWait))
+				continue
+			}
 			f.Log.Info("other entries brought nothing, reading the store", "waitedMillis", f.Clock.Since(began).Milliseconds())
 			return nil
 		case <-changed:
@@ -212,31 +226,61 @@
 	f.State.Regained()
 }
 
+// reading is a reading of everything that may have been broken off.
+type reading struct {
+	began    time.Duration // on the clock of the proofs
+	revision uint64        // of the store at its begin
+	entries  []kv.Entry
+}
+
 // readAll reads everything at one revision or a newer one, unless nothing changed since what is
-// known; what changed meanwhile comes again with the first watch.
+// known; what changed meanwhile comes again with the first watch. A reading that was broken off
+// goes on after the last page that came: entries that start together would otherwise throw away
+// what crossed the link that they share.
 func (f *Follower) readAll(ctx context.Context) error {
-	asked := f.State.Fresh().Now()
-	_, revision, err := f.Store.Watch(ctx, "", kv.Latest, 0)
-	if err != nil {
-		return err
-	}
-	if known := f.Mirror.Revision(); known > 0 && revision == known {
-		f.regained()
-		f.State.Fresh().Prove(asked)
-		return nil
+	now := f.State.Fresh().Now()
+	if f.reading == nil || now-f.reading.began > readingTime {
+		_, revision, err := f.Store.Watch(ctx, "", kv.Latest, 0)
+		if err != nil {
+			return err
+		}
+		if known := f.Mirror.Revision(); known > 0 && revision == known {
+			f.regained()
+			f.State.Fresh().Prove(now)
+			return nil
+		}
+		f.reading = &reading{began: f.State.Fresh().Now(), revision: revision}
 	}
-	began := f.State.Fresh().Now()
-	entries, err := f.Store.List(ctx, "")
-	if err != nil {
-		return err
+	whole := f.reading
+	for more := true; more; {
+		found, follows, err := f.page(ctx, whole.entries)
+		if err != nil {
+			return err
+		}
+		whole.entries = append(whole.entries, found...)
+		more = follows
 	}
+	f.reading = nil
 	f.regained()
 	f.silent = false
-	f.Mirror.Reset(entries, revision)
-	f.State.Fresh().Prove(began)
+	f.Mirror.Reset(whole.entries, whole.revision)
+	f.State.Fresh().Prove(whole.began)
 	return nil
 }
 
+// page returns the entries after those that were read, and whether others follow.
+func (f *Follower) page(ctx context.Context, read []kv.Entry) (entries []kv.Entry, more bool, err error) {
+	if f.Store.Page == nil {
+		entries, err = f.Store.List(ctx, "")
+		return entries, false, err
+	}
+	after := ""
+	if len(read) > 0 {
+		after = read[len(read)-1].Key()
+	}
+	return f.Store.Page(ctx, "", after)
+}
+
 // led returns for how long the store need not be watched.
 func (f *Follower) led() time.Duration {
 	if f.Led == nil {
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -263,6 +264,40 @@
 	return steps
 }
 
+// Guards against entries that read a large store over a narrow link again and again from its first
+// key, since each page that fails drops those before.
+func TestReadingGoesOnAfterAPageThatFailed(t *testing.T) {
+	w := newWorld()
+	pages := []string{"a", "b", "c"}
+	var asked []string
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := &kv.Store{
+		Page: func(_ context.Context, _, after string) ([]kv.Entry, bool, error) {
+			asked = append(asked, after)
+			if len(asked) == 3 {
+				return nil, false, failure.New(failure.Unavailable, "no answer", "wait")
+			}
+			at := slices.Index(pages, after) + 1
+			return []kv.Entry{value(pages[at], uint64(at+1))}, at+1 < len(pages), nil
+		},
+		Watch: func(_ context.Context, _ string, after uint64, _ time.Duration) ([]kv.Entry, uint64, error) {
+			if after != kv.Latest {
+				cancel()
+			}
+			return nil, 9, nil
+		},
+	}
+	follower := &site.Follower{Store: store, State: w.state, Mirror: w.mirror, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler)}
+	follower.Run(ctx)
+	if want := []string{"", "a", "b", "b"}; !slices.Equal(asked, want) {
+		t.Errorf("got pages asked for after %q, want %q", asked, want)
+	}
+	if got := len(w.state.Entries()); got != len(pages) {
+		t.Errorf("got %d entries, want %d", got, len(pages))
+	}
+}
+
 func TestLostHistoryIsReadAgain(t *testing.T) {
 	w := newWorld()
 	steps := w.follow(t, func() ([]kv.Entry, uint64, error) {
