fleet: tell the other entries that an endpoint changed its rate limit

Cause: the end of a limit went through the store, a change did not. Class: a bound for all that each keeps by what it saw itself. Change: an entry that sees a changed limit reports it; one that knows the limit takes the report over, a higher one only where its own last answer is a second old. Questions of entries without a part are one a second at most together. place() builds what a request needs once a turn.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -164,9 +164,10 @@
 	verdict := fleet.Full
 	for {
 		changed := group.Changed()
+		need := x.need()
 		if queue.first(&x.adm) {
 			var grant *fleet.Grant
-			if grant, verdict = group.Pick(x.need()); verdict == fleet.Granted {
+			if grant, verdict = group.Pick(need); verdict == fleet.Granted {
 				return grant, nil
 			}
 		}
@@ -174,7 +175,7 @@
 			waiting = true
 			queue.enter(&x.adm)
 		}
-		if refused := x.beyondLimits(group, queue, until); refused != nil {
+		if refused := x.beyondLimits(group, need, queue, until); refused != nil {
 			return nil, refused
 		}
 		draining := g.draining.Load() && !x.adm.Sent
@@ -187,8 +188,8 @@
 
 // beyondLimits refuses a request that the rate limits of its endpoints won't admit in time;
 // nil: they may.
-func (x *exchange) beyondLimits(group *fleet.Group, queue *line, until time.Time) *refusal {
-	backlog, limited := group.LimitedWait(x.need(), queue.ahead(&x.adm))
+func (x *exchange) beyondLimits(group *fleet.Group, need fleet.Need, queue *line, until time.Time) *refusal {
+	backlog, limited := group.LimitedWait(need, queue.ahead(&x.adm))
 	if !limited || !backlog.Elsewhere && !x.gateway.cfg.Clock.Now().Add(backlog.Wait).After(until) {
 		return nil
 	}
--- a/entry/internal/gateway/limit_test.go
+++ b/entry/internal/gateway/limit_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"comfreyrelay.example/relay/fleet"
 )
 
 // limiting answers with the rate limit given.
@@ -84,3 +86,19 @@
 	h.freeze()
 	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusServiceUnavailable, "endpoints limit their requests", true)
 }
+
+// Guards against entries that go by a rate limit which the endpoint has changed: only who sends
+// there sees that.
+func TestChangedRateLimitIsToldToOtherEntries(t *testing.T) {
+	h := newHouse(t, newEndpoint(t, "i-1", limiting("100"), limiting("100"), limiting("50"), limiting("50")))
+	for range 4 {
+		h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	}
+	want := fleet.LimitReport{Incarnation: fleet.Incarnation{ID: "i-1"}, PerSecond: 50}
+	if got := (<-h.told).Limited; got != want {
+		t.Errorf("got %+v told, want %+v", got, want)
+	}
+	if got := len(h.told); got != 0 {
+		t.Errorf("got %d reports more, want none: the limit changed once", got)
+	}
+}
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -190,10 +190,13 @@
 		return
 	}
 	change := grant.Limited(answer.Limit, answer.Limited)
-	if change == fleet.LimitKept {
+	switch change {
+	case fleet.LimitKept:
 		return
-	}
-	if change == fleet.LimitLifted {
+	case fleet.LimitNamed:
+	case fleet.LimitChanged:
+		x.gateway.cfg.Tell(site.Report{Limited: fleet.LimitReport{Incarnation: grant.Incarnation(), PerSecond: answer.Limit}})
+	case fleet.LimitLifted:
 		x.gateway.cfg.Tell(site.Report{Lifted: grant.Incarnation()})
 	}
 	x.gateway.cfg.Log.Info("endpoint rate limit", "request", x.req.ID, "endpoint", grant.ID(), "address", grant.Address(),
--- a/relay/fleet/limit.go
+++ b/relay/fleet/limit.go
@@ -17,8 +17,15 @@
 	senderRate = 1.0
 	// askTime is how long an entry without a part of the limit waits for each entry of the
 	// deployment, and for one request a second of the limit, before it sends one request to
-	// learn whether the limit still stands: all such requests are a quarter of the limit.
-	askTime = 4 * time.Second
+	// learn whether the limit still stands: all such requests are a quarter of the limit, and
+	// of mostAsked where that is less, since the limit may have become lower.
+	askTime   = 4 * time.Second
+	mostAsked = 4.0
+	// ownWord is how long an answer to this entry goes before what another one tells of a
+	// higher limit: that may be older.
+	ownWord = time.Second
+	// tellGap is the least time between two changes of one limit that an entry tells.
+	tellGap = time.Second
 )
 
 // rateLimit is the limit that an endpoint named for all entries together, and this entry's
@@ -29,6 +36,10 @@
 	share     float64   // of this entry, requests a second; 0: others send
 	credit    limit.Bucket
 	askAt     time.Time // of the next request where share is 0
+	// reported is the limit that the entries told one another last, and toldAt when this one
+	// did.
+	reported float64
+	toldAt   time.Time
 }
 
 func (l *rateLimit) active() bool { return !l.namedAt.IsZero() }
@@ -75,9 +86,10 @@
 
 // The changes.
 const (
-	LimitKept   LimitChange = iota
-	LimitNamed              // a limit is in force, or another one than before
-	LimitLifted             // there is none any more
+	LimitKept    LimitChange = iota
+	LimitNamed               // a limit is in force
+	LimitChanged             // another one is, which the other entries should learn
+	LimitLifted              // there is none any more
 )
 
 // Limited applies what the endpoint's answer said of its rate limit: it names one, or ok is
@@ -100,13 +112,56 @@
 	changed := first || named.perSecond != perSecond
 	named.perSecond, named.namedAt = perSecond, now
 	if first {
+		named.reported = perSecond
 		named.askAt = now.Add(g.group.askInterval(perSecond))
 	}
-	if !changed {
-		return LimitKept
+	if changed {
+		g.group.shareLimit(g.end)
 	}
-	g.group.shareLimit(g.end)
-	return LimitNamed
+	switch {
+	case first:
+		return LimitNamed
+	case named.reported != perSecond && now.Sub(named.toldAt) >= tellGap:
+		named.reported, named.toldAt = perSecond, now
+		return LimitChanged
+	}
+	return LimitKept
+}
+
+// LimitReport is a limit that an endpoint changed, as an entry tells others.
+type LimitReport struct {
+	Incarnation
+	PerSecond float64 `json:"perSecond"`
+}
+
+// ObserveLimit takes over a limit that another entry was named. An entry that was named none
+// isn't bound by it.
+func (f *Fleet) ObserveLimit(report LimitReport) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if service, ok := f.owner[report.ID]; ok {
+		f.groups[service].observeLimit(report)
+	}
+}
+
+func (g *Group) observeLimit(report LimitReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	end := g.endpoints[report.ID]
+	if end == nil || !end.incarnation().same(report.Incarnation) || !end.limit.active() {
+		return
+	}
+	now, named := g.clock(), &end.limit
+	named.reported = report.PerSecond
+	if named.perSecond == report.PerSecond || report.PerSecond > named.perSecond && now.Sub(named.namedAt) < ownWord {
+		return
+	}
+	named.perSecond = report.PerSecond
+	if named.share == 0 {
+		named.askAt = now.Add(g.askInterval(report.PerSecond))
+	}
+	g.shareLimit(end)
+	g.wake()
 }
 
 // LiftLimit notes that another entry saw that an endpoint has no limit any more. An entry that
@@ -183,7 +238,7 @@
 // after the other.
 func (g *Group) askInterval(perSecond float64) time.Duration {
 	spread := 0.5 + g.random()
-	return time.Duration(spread * float64(1+len(g.others)) * float64(askTime) / max(leastRate, perSecond))
+	return time.Duration(spread * float64(1+len(g.others)) * float64(askTime) / min(mostAsked, max(leastRate, perSecond)))
 }
 
 // AdmitsAt returns when a limited endpoint admits the next request of this entry; zero where
--- a/relay/fleet/limit_test.go
+++ b/relay/fleet/limit_test.go
@@ -38,6 +38,8 @@
 	sent    []time.Duration // to the limited endpoint, by entries that knew of its limit
 	served  int             // there, in all
 	refused int
+	told    int  // changes of the limit that entries told one another
+	away    bool // the store, through which they do
 }
 
 type limitedEntry struct {
@@ -134,7 +136,9 @@
 			return
 		}
 		if limited {
-			grant.Limited(f.limit, f.named)
+			if grant.Limited(f.limit, f.named) == fleet.LimitChanged {
+				f.tell(fleet.LimitReport{Incarnation: grant.Incarnation(), PerSecond: f.limit})
+			}
 			if f.named && e.toldAt.IsZero() {
 				e.toldAt = f.now
 			}
@@ -143,6 +147,17 @@
 	})
 }
 
+// tell lets every entry learn of a changed limit.
+func (f *limitedFleet) tell(report fleet.LimitReport) {
+	f.told++
+	if f.away {
+		return
+	}
+	for _, e := range f.entries {
+		f.after(time.Duration(f.random.Int64N(int64(learnMost))), func() { e.fleet.ObserveLimit(report) })
+	}
+}
+
 // run plays the time with so many requests a second and calls each, if not nil, at each tick.
 func (f *limitedFleet) run(length time.Duration, rate float64, each func(at time.Duration)) {
 	for at := time.Duration(0); at < length; at += tick {
@@ -217,3 +232,51 @@
 		}
 	}
 }
+
+// Guards against entries that go by a limit which the endpoint has changed, because only its own
+// answers tell of that and entries without a part of the limit ask seldom.
+func TestChangedLimitOfAnEndpointIsSharedByAllEntries(t *testing.T) {
+	const changedAt, window = 30 * time.Second, 30 * time.Second
+	for _, one := range []struct {
+		entries, endpoints int
+		rate               float64
+		before, after      float64
+		churn, away        bool
+	}{
+		{98, 3, 900, 20, 1, true, false},
+		{98, 3, 900, 20, 1, false, true},
+		{9, 3, 400, 1, 37.5, false, false},
+		{9, 3, 400, 37.5, 1, false, false},
+		{34, 3, 600, 0.5, 20, true, false},
+		{34, 3, 600, 20, 0, true, false},
+	} {
+		for seed := range uint64(5) {
+			f := newLimitedFleet("app", one.entries, one.endpoints, seed)
+			f.away = one.away
+			churn := func(at time.Duration) {
+				if one.churn && at%(4*time.Second) == 0 {
+					f.replace(f.random.IntN(len(f.entries)), one.endpoints)
+				}
+			}
+			f.run(limitFrom, one.rate, nil)
+			f.limit, f.named = one.before, true
+			f.run(changedAt-limitFrom, one.rate, churn)
+			f.limit = one.after
+			f.run(limitNotice+time.Second, one.rate, churn)
+			before := f.served
+			f.run(window, one.rate, churn)
+			allowed := int(1.5*one.after*limitWindow.Seconds()) + 5
+			if got := f.most(changedAt + limitNotice + time.Second + limitWindow); got > allowed {
+				t.Errorf("%+v seed %d: got %d requests in %v, want %d at most", one, seed, got, limitWindow, allowed)
+			}
+			got, want := float64(f.served-before)/window.Seconds(), 0.8*one.after
+			if got < want && !one.away {
+				t.Errorf("%+v seed %d: got %.1f requests a second there, want %.1f", one, seed, got, want)
+			}
+			if most := 2 * one.entries; f.told > most {
+				t.Errorf("%+v seed %d: got the change told %d times, want %d at most", one, seed, f.told, most)
+			}
+			t.Logf("%+v seed %d: most %d of %d, there %.1f a second, told %d", one, seed, f.most(changedAt+limitNotice+time.Second+limitWindow), allowed, got, f.told)
+		}
+	}
+}
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -222,6 +222,7 @@
 		for _, report := range rec.Reports {
 			s.ledger.Observe(report.Report)
 			s.fleet.LiftLimit(report.Lifted)
+			s.fleet.ObserveLimit(report.Limited)
 		}
 	}
 }
