fleet: share the connections that a plain endpoint takes among the entries

Cause: a bound for all that nobody counts. Change: an entry has in use and idle together 0.8 of max_conns divided by the entries and three that are not known; one at least. Engines, which are dealt and have slots, bound idle ones so.

--- a/bench/internal/site/site.go
+++ b/bench/internal/site/site.go
@@ -87,6 +87,8 @@
 	Apps    int
 	Spec    catalog.Engine
 	Bounds  Bounds
+	// MaxConns is how many connections each endpoint, and the origin, takes, by kind.
+	MaxConns map[string]int
 }
 
 // Bounds are the promises that the platform holds the system to.
@@ -363,6 +365,7 @@
 		HeartbeatMillis: int(heartbeat.Milliseconds()), LeaveMillis: int(s.config.Bounds.Drain.Milliseconds()),
 		WarmMillis: int(warm.Milliseconds()), Model: Model, Chunks: s.config.Spec.Chunks, ChunkBytes: s.config.Spec.ChunkBytes, Versions: originVersions,
 	}
+	options.MaxConns = s.config.MaxConns[m.Kind]
 	switch m.Kind {
 	case Network:
 		options.Ways = map[string]string{}
--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -245,7 +245,7 @@
 
 // collect keeps what a stand-in saw before its process ends.
 func (r *run) collect(ctx context.Context, m *site.Member) {
-	if m.Kind != site.Engine && m.Kind != site.App {
+	if m.Kind != site.Engine && m.Kind != site.App && m.Kind != site.Origin {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, collectTime)
@@ -258,6 +258,8 @@
 		return
 	}
 	r.runs = append(r.runs, record.Runs...)
+	r.peaks[m.Kind] = max(r.peaks[m.Kind], record.Connections)
+	r.reset += record.Refused
 	for _, one := range record.Loads {
 		r.loads = append(r.loads, load{Load: one, member: m})
 	}
--- a/bench/internal/sitesoak/judge.go
+++ b/bench/internal/sitesoak/judge.go
@@ -67,6 +67,10 @@
 	r.judgeLoads()
 	r.judgeVersions(tries, entries)
 	r.judgeEnd()
+	result.Connections, result.Reset = map[string]float64{}, r.reset
+	for kind, most := range r.peaks {
+		result.Connections[kind] = float64(most) / float64(r.operator.maxConns[kind])
+	}
 	result.Broken, result.Examples, result.Missing, result.Stalls = r.broken, r.examples, r.missing, r.stalls.count()
 }
 
--- a/bench/internal/sitesoak/operator.go
+++ b/bench/internal/sitesoak/operator.go
@@ -85,8 +85,9 @@
 
 // operator writes the configuration and names versions. It is safe for concurrent use.
 type operator struct {
-	site   *site.Site
-	routes []*route
+	site     *site.Site
+	routes   []*route
+	maxConns map[string]int // by kind of endpoint
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -103,14 +104,21 @@
 	changes  []declared // of the configuration
 }
 
+// maxConns returns how many connections each endpoint takes from all callers: as many for each
+// entry as the platform's deployments have.
+func maxConns(entries int) map[string]int {
+	const engineConns, appConns, originConns = 16, 12, 48
+	return map[string]int{site.Engine: engineConns * entries, site.App: appConns * entries, site.Origin: originConns}
+}
+
 // declared is a version and when it was acknowledged.
 type declared struct {
 	version  uint64
 	from, at time.Time
 }
 
-func newOperator(s *site.Site, seed uint64) *operator {
-	o := &operator{site: s, routes: routes(), random: rand.New(rand.NewPCG(seed, 5)), weights: 1, revoked: map[string]time.Time{}, issuedAt: map[string]time.Time{}}
+func newOperator(s *site.Site, maxConns map[string]int, seed uint64) *operator {
+	o := &operator{site: s, routes: routes(), maxConns: maxConns, random: rand.New(rand.NewPCG(seed, 5)), weights: 1, revoked: map[string]time.Time{}, issuedAt: map[string]time.Time{}}
 	for range customers {
 		o.keys = append(o.keys, []string{o.issue(), o.issue()})
 	}
@@ -228,13 +236,13 @@
 
 func (o *operator) services() []object {
 	return []object{
-		{"name": site.EngineService, "health_path": "/health", "max_conns": 274, "engine": object{
+		{"name": site.EngineService, "health_path": "/health", "max_conns": o.maxConns[site.Engine], "engine": object{
 			"slots": spec.Slots, "stride": spec.Stride, "step_ms": spec.StepMillis, "per_seq_ms": spec.PerSeqMillis, "context_per_k": spec.ContextMillis,
 			"read_per_s": spec.ReadPerSecond, "pairs_per_m": spec.PairMillis, "chunk": spec.ChunkTokens, "chunks": spec.Chunks, "chunk_bytes": spec.ChunkBytes,
 			"models": []object{{"name": site.Model, "warm_s": 0.3}}, "usual": object{"prompt": spec.UsualPrompt, "answer": spec.UsualAnswer},
 		}},
-		{"name": site.AppService, "health_path": "/health", "max_conns": 110},
-		{"name": site.OriginService, "origin": o.site.Origin(), "link_mbps": 7.3, "max_conns": 48},
+		{"name": site.AppService, "health_path": "/health", "max_conns": o.maxConns[site.App]},
+		{"name": site.OriginService, "origin": o.site.Origin(), "link_mbps": 7.3, "max_conns": o.maxConns[site.Origin]},
 	}
 }
 
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -70,6 +70,10 @@
 	Resumed int `json:"resumed"`
 	Missing int `json:"missing"` // records of endpoints that could not be read
 	Stalls  int `json:"stalls"`  // times at which this machine stood still
+	// Connections is the most that one endpoint had open at once, as a part of what it takes, by
+	// kind; Reset counts those beyond, which were reset.
+	Connections map[string]float64 `json:"connections"`
+	Reset       int                `json:"reset"`
 	// Broken counts broken rules by name; Examples are the first of each.
 	Broken   map[string]int `json:"broken"`
 	Examples []string       `json:"examples,omitempty"`
@@ -92,6 +96,8 @@
 	strikes  []*strike // faults
 	runs     []platformtest.Run
 	loads    []load
+	peaks    map[string]int // connections of one endpoint, the most, by kind
+	reset    int
 	missing  int
 	broken   map[string]int
 	examples []string
@@ -100,7 +106,7 @@
 
 // Run runs one soak.
 func Run(ctx context.Context, options Options) (Result, error) {
-	r := &run{options: options, broken: map[string]int{}}
+	r := &run{options: options, broken: map[string]int{}, peaks: map[string]int{}}
 	r.rate.Store(1)
 	result := Result{Bench: "soak-platform", Seed: options.Seed, Seconds: options.Length.Seconds(), Failures: map[string]int{}}
 	dir, err := os.MkdirTemp("", "comfrey-soak-")
@@ -120,7 +126,7 @@
 	if err := r.play(ctx, events); err != nil {
 		return result, err
 	}
-	for _, kind := range []string{site.Engine, site.App} {
+	for _, kind := range []string{site.Engine, site.App, site.Origin} {
 		for _, m := range r.site.Members(kind) {
 			r.collect(ctx, m)
 		}
@@ -134,15 +140,16 @@
 func (r *run) start(ctx context.Context, dir string) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
+	limits := maxConns(r.options.Entries)
 	var err error
 	r.site, err = site.Start(ctx, site.Config{
 		Bin: r.options.Bin, Dir: dir, Log: r.options.Log, Domains: domains,
-		Entries: r.options.Entries, Engines: r.options.Engines, Apps: apps, Spec: spec, Bounds: bounds,
+		Entries: r.options.Entries, Engines: r.options.Engines, Apps: apps, Spec: spec, Bounds: bounds, MaxConns: limits,
 	})
 	if err != nil {
 		return err
 	}
-	r.operator = newOperator(r.site, r.options.Seed)
+	r.operator = newOperator(r.site, limits, r.options.Seed)
 	r.operator.mu.Lock()
 	err = r.operator.write(ctx)
 	r.operator.mu.Unlock()
--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -44,7 +44,7 @@
 			conn.Close()
 			return outcome
 		}
-		x.gateway.cfg.Pool.Put(conn, resp, answer.Idle)
+		x.gateway.cfg.Pool.Put(conn, resp, answer.Idle, grant.IdleRoom())
 		return outcome
 	}
 	if resp.StatusCode < http.StatusMultipleChoices && !answer.Signed {
@@ -54,12 +54,12 @@
 	if resp.StatusCode == http.StatusOK && x.route.Kind == catalog.Stream {
 		return x.relayStream(ctx, grant, conn, resp, answer)
 	}
-	return x.relayWhole(ctx, conn, resp, answer)
+	return x.relayWhole(ctx, grant, conn, resp, answer)
 }
 
 // relayWhole reads the answer to its end and gives it to the caller: one that
 // breaks off never looks complete, and may be asked for again.
-func (x *exchange) relayWhole(ctx context.Context, conn *upstream.Conn, resp *http.Response, answer call.Answer) fleet.Outcome {
+func (x *exchange) relayWhole(ctx context.Context, grant *fleet.Grant, conn *upstream.Conn, resp *http.Response, answer call.Answer) fleet.Outcome {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole))
 	if err != nil {
 		giveUp(conn, err)
@@ -67,7 +67,7 @@
 	}
 	failed := resp.StatusCode >= firstServerError
 	if failed && x.mayRepeat() {
-		x.gateway.cfg.Pool.Put(conn, resp, answer.Idle)
+		x.gateway.cfg.Pool.Put(conn, resp, answer.Idle, grant.IdleRoom())
 		return fleet.Failed
 	}
 	if x.header != nil {
@@ -78,7 +78,7 @@
 	if len(body) == maxWhole {
 		return x.relayRest(ctx, conn, resp, body)
 	}
-	x.gateway.cfg.Pool.Put(conn, resp, answer.Idle)
+	x.gateway.cfg.Pool.Put(conn, resp, answer.Idle, grant.IdleRoom())
 	x.answer(resp, body)
 	x.status = resp.StatusCode
 	if failed {
--- a/entry/internal/gateway/stream.go
+++ b/entry/internal/gateway/stream.go
@@ -52,7 +52,7 @@
 	if x.header == nil {
 		x.writeHead(resp)
 	}
-	x.gateway.cfg.Pool.Put(conn, resp, answer.Idle)
+	x.gateway.cfg.Pool.Put(conn, resp, answer.Idle, grant.IdleRoom())
 	x.status = resp.StatusCode
 	return fleet.Served
 }
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -139,9 +139,9 @@
 }
 
 // Put takes back a connection whose answer was read; it is kept only if the
-// answer ended cleanly and both sides go on. keep is the time that the endpoint
-// told, 0 where it did not.
-func (p *Pool) Put(conn *Conn, resp *http.Response, keep time.Duration) {
+// answer ended cleanly, both sides go on and there is room for so many idle ones. keep is
+// the time that the endpoint told, 0 where it did not.
+func (p *Pool) Put(conn *Conn, resp *http.Response, keep time.Duration, room int) {
 	conn.SetPatience(nil)
 	if resp.Close || conn.cancelled.Load() || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 ||
 		!drained(resp.Body, conn.reader) {
@@ -149,19 +149,19 @@
 		return
 	}
 	if keep > 0 {
-		p.keepIdle(conn, keep-keepMargin)
+		p.keepIdle(conn, keep-keepMargin, room)
 	} else {
-		p.keepIdle(conn, defaultKeep)
+		p.keepIdle(conn, defaultKeep, room)
 	}
 }
 
 // keepIdle keeps a connection on which nothing is in progress for so long.
-func (p *Pool) keepIdle(conn *Conn, keep time.Duration) {
+func (p *Pool) keepIdle(conn *Conn, keep time.Duration, room int) {
 	_ = conn.raw.SetReadDeadline(time.Time{})
 	conn.keep, conn.idleAt = keep, p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn.keep <= 0 || len(p.idle[conn.to]) >= maxIdle {
+	if conn.keep <= 0 || len(p.idle[conn.to]) >= min(maxIdle, room) {
 		conn.Close()
 		return
 	}
@@ -179,7 +179,7 @@
 	if err != nil {
 		return false, err
 	}
-	p.keepIdle(conn, defaultKeep)
+	p.keepIdle(conn, defaultKeep, maxIdle)
 	return true, nil
 }
 
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -98,7 +98,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cat.Services(func(svc *catalog.Service) {
-		f.group(svc.Name).declare(svc.Engine)
+		f.group(svc.Name).declare(svc.Engine, svc.MaxConns)
 	})
 }
 
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -18,6 +18,7 @@
 
 	mu        sync.Mutex
 	engine    *catalog.Engine // nil: a plain service
+	maxConns  int             // that each endpoint takes of all entries together; 0: unknown
 	endpoints map[string]*endpoint
 	// order is all of endpoints by id, and reached those that requests are sent to
 	// first: of a large fleet an entry looks at few for each request.
@@ -63,10 +64,10 @@
 	}
 }
 
-func (g *Group) declare(engine *catalog.Engine) {
+func (g *Group) declare(engine *catalog.Engine, maxConns int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.engine = engine
+	g.engine, g.maxConns = engine, maxConns
 	g.sort()
 }
 
--- a/relay/fleet/pick.go
+++ b/relay/fleet/pick.go
@@ -130,7 +130,7 @@
 			verdict = Full
 			continue
 		}
-		if occupied >= g.room(end, need) || !g.readsSoon(end, need, now) {
+		if occupied >= g.room(end, need) || g.connsFull(end) || !g.readsSoon(end, need, now) {
 			verdict = Full
 			continue
 		}
--- a/standin/internal/link/link.go
+++ b/standin/internal/link/link.go
@@ -19,6 +19,9 @@
 	faults  platformtest.LinkFaults
 	changed chan struct{} // closed and replaced with the faults
 	open    map[*conn]bool
+	limit   int // connections that are taken; 0: any number
+	peak    int // the most that were open at once
+	refused int
 	sentTil time.Time // when what was sent has passed the narrow link
 }
 
@@ -33,10 +36,7 @@
 	defer l.mu.Unlock()
 	if faults.Reset {
 		for one := range l.open {
-			if tcp, ok := one.Conn.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = one.Conn.Close()
+			reset(one.Conn)
 		}
 		faults.Reset = false
 	}
@@ -46,17 +46,54 @@
 	return faults
 }
 
+// Limit bounds the connections that are open at once; those beyond are reset.
+func (l *Listener) Limit(connections int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = connections
+}
+
+// Counts returns the most connections that were open at once and how many were reset since
+// there were too many.
+func (l *Listener) Counts() (peak, refused int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peak, l.refused
+}
+
 // Accept waits for the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if one := l.take(raw); one != nil {
+			return one, nil
+		}
+		reset(raw)
 	}
+}
+
+// take takes a connection; nil where there are too many.
+func (l *Listener) take(raw net.Conn) *conn {
 	one := &conn{Conn: raw, link: l, closed: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.limit > 0 && len(l.open) >= l.limit {
+		l.refused++
+		return nil
+	}
 	l.open[one] = true
-	return one, nil
+	l.peak = max(l.peak, len(l.open))
+	return one
+}
+
+func reset(raw net.Conn) {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = raw.Close()
 }
 
 // conn is a connection over the link.
@@ -114,13 +151,13 @@
 		return 0, err
 	}
 	if faults.BytesPerSecond > 0 {
-		time.Sleep(c.link.take(len(text), faults.BytesPerSecond))
+		time.Sleep(c.link.wait(len(text), faults.BytesPerSecond))
 	}
 	return c.Conn.Write(text)
 }
 
-// take returns how long so many bytes wait for their turn on the narrow link.
-func (l *Listener) take(bytes, perSecond int) time.Duration {
+// wait returns how long so many bytes wait for their turn on the narrow link.
+func (l *Listener) wait(bytes, perSecond int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
--- a/standin/internal/site/endpoint.go
+++ b/standin/internal/site/endpoint.go
@@ -32,7 +32,8 @@
 		}
 	}
 	p.control.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
-		answer(w, platformtest.Record{Runs: worker.Runs(), Loads: worker.Loads()})
+		connections, refused := p.lis.Counts()
+		answer(w, platformtest.Record{Runs: worker.Runs(), Loads: worker.Loads(), Connections: connections, Refused: refused})
 	})
 	leaving := &atomic.Bool{}
 	p.control.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { leaving.Store(true) })
@@ -99,6 +100,7 @@
 		origin.RefuseChunks(f.Refuse)
 	}
 	p.control.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
-		answer(w, map[string]int{"sent": origin.Sent()})
+		connections, refused := p.lis.Counts()
+		answer(w, platformtest.Record{Connections: connections, Refused: refused, Sent: origin.Sent()})
 	})
 }
--- a/standin/internal/site/site.go
+++ b/standin/internal/site/site.go
@@ -56,6 +56,7 @@
 		return err
 	}
 	one := &part{options: options, lis: lis, control: http.NewServeMux(), faults: func(platformtest.PartFaults) {}}
+	lis.Limit(options.MaxConns)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	switch options.Role {
