--- a/agent/internal/cmd/agent_test.go
+++ b/agent/internal/cmd/agent_test.go
@@ -132,7 +132,7 @@
 }
 
 // Symptom: a host goes back to an older version. Sequence: the agent obeyed
-// fence 9; it restarts and first hears of a plan of fence 7, from an entry that
+// fence 9; it restarts and first learns of a plan of fence 7, from an entry that
 // lags. The engine checks no fences. Cause: an agent that starts without asking
 // the engine.
 func TestRestartedAgentRefusesOldFence(t *testing.T) {
--- a/agent/internal/cmd/process.go
+++ b/agent/internal/cmd/process.go
@@ -36,7 +36,7 @@
 	// defaultDrain is the drain's limit where the settings do not say.
 	defaultDrain = 30 * time.Second
 	// lingerFor is how long the agent goes on refusing after a drain: entries
-	// that have not heard of it yet get proof that nothing was run instead of
+	// that do not know of it yet get proof that nothing was run instead of
 	// a connection that breaks with their attempt on it.
 	lingerFor = 3 * time.Second
 	// stopGrace lets the last frames out after a second signal.
@@ -71,7 +71,7 @@
 
 func newProcess(all parts) *process {
 	all.Links.suspect = all.Orders.Suspect
-	all.Links.heard = all.Control.Heard
+	all.Links.observe = all.Control.Observe
 	all.Links.nudge = all.Control.Nudge
 	all.Links.report = all.Reporter.Build
 	all.Links.agents = all.Control.Agents
--- a/agent/internal/cmd/wiring.go
+++ b/agent/internal/cmd/wiring.go
@@ -36,7 +36,7 @@
 // anything runs.
 type links struct {
 	suspect func()
-	heard   func(from *wire.Node, known *wire.Known)
+	observe func(from *wire.Node, known *wire.Known)
 	nudge   func()
 	report  func() *wire.HostReport
 	agents  func() []*wire.Node
@@ -118,7 +118,7 @@
 		Engine:     client,
 		View:       holder,
 		Suspect:    func() { link.suspect() },
-		Heard:      func(from *wire.Node, known *wire.Known) { link.heard(from, known) },
+		Observe:    func(from *wire.Node, known *wire.Known) { link.observe(from, known) },
 		Invariants: rules,
 		Counters:   stats.counters,
 	})
--- a/agent/internal/control/client.go
+++ b/agent/internal/control/client.go
@@ -28,9 +28,9 @@
 	// retryBase and retryMost bound the wait after every entry failed.
 	retryBase = 100 * time.Millisecond
 	retryMost = 5 * time.Second
-	// firstHeard is how many entries are asked at the start, so that the agent
+	// firstReplies is how many entries are asked at the start, so that the agent
 	// obeys the highest plan that they know rather than the first it meets.
-	firstHeard = 3
+	firstReplies = 3
 	// publishInterval refreshes what only time changes: who is lost.
 	publishInterval = time.Second
 	// listFirst and listLater are the intervals of reading the list before and
@@ -92,7 +92,7 @@
 	}
 }
 
-// Synced reports whether the entries were heard since the start.
+// Synced reports whether the entries answered since the start.
 func (c *Client) Synced() bool { return c.synced.Load() }
 
 // Acked returns the highest sequence number of a report that an entry took.
@@ -127,9 +127,9 @@
 	}
 }
 
-// Heard takes the revisions that a caller knows. Where the caller knows more,
+// Observe takes the revisions that a caller knows. Where the caller knows more,
 // the home entry is behind too, and the caller is asked itself.
-func (c *Client) Heard(from *wire.Node, known *wire.Known) {
+func (c *Client) Observe(from *wire.Node, known *wire.Known) {
 	if known == nil || from.GetControlAddress() == "" || !c.knowledge.lacks(known) {
 		return
 	}
@@ -173,26 +173,26 @@
 }
 
 // first asks several entries, so that an entry that was started in an outage
-// and knows nothing is not the only one heard.
+// and knows nothing is not the only one that answered.
 func (c *Client) first(ctx context.Context) {
-	heard := 0
-	for retries := 0; ctx.Err() == nil && heard == 0; retries++ {
+	replied := 0
+	for retries := 0; ctx.Err() == nil && replied == 0; retries++ {
 		for _, entry := range c.candidates() {
 			if c.sync(ctx, entry, 0) == nil {
-				heard++
+				replied++
 			}
-			if heard >= firstHeard || ctx.Err() != nil {
+			if replied >= firstReplies || ctx.Err() != nil {
 				break
 			}
 		}
-		if heard == 0 {
+		if replied == 0 {
 			c.sleep(ctx, jitter(min(retryBase<<min(retries, 8), listFirst)))
 		}
 	}
-	if heard > 0 {
+	if replied > 0 {
 		c.synced.Store(true)
 		c.publish()
-		c.cfg.Log.Info("synced", "entries", heard, "revision", c.Known().GetRevision(), "plan", c.Known().GetPlanRevision())
+		c.cfg.Log.Info("synced", "entries", replied, "revision", c.Known().GetRevision(), "plan", c.Known().GetPlanRevision())
 	}
 }
 
--- a/agent/internal/control/control_test.go
+++ b/agent/internal/control/control_test.go
@@ -203,7 +203,7 @@
 	}{
 		{listed("live"), false}, {listed("leaving"), true}, {nil, true}, {listed("live"), false}, {nil, false},
 	} {
-		known.hearList(tc.list, now)
+		known.observeList(tc.list, now)
 		if got := known.leaving("h1"); got != tc.want {
 			t.Errorf("list %v: got leaving %v, want %v", tc.list, got, tc.want)
 		}
@@ -240,7 +240,7 @@
 			return
 		}
 		known := newKnowledge(time.Unix(0, 0))
-		known.hearList(listed, time.Unix(0, 0))
+		known.observeList(listed, time.Unix(0, 0))
 		known.leaving("h1")
 		known.agents("h1", time.Unix(0, 0))
 		nodes, _ := known.entries(time.Unix(0, 0))
--- a/agent/internal/control/knowledge.go
+++ b/agent/internal/control/knowledge.go
@@ -63,24 +63,24 @@
 }
 
 // hearMembers takes what a reply says of hosts and entries.
-func (k *knowledge) hearMembers(reply *wire.SyncReply, now time.Time) {
+func (k *knowledge) observeMembers(reply *wire.SyncReply, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, report := range reply.GetHosts() {
-		k.table.HearHost(report, now)
+		k.table.ObserveHost(report, now)
 	}
 	for _, report := range reply.GetEntries() {
-		k.table.HearEntry(report, now)
+		k.table.ObserveEntry(report, now)
 	}
 	if reply.GetFrom().GetId() != "" {
-		k.table.HearEntry(&wire.EntryReport{Node: reply.GetFrom()}, now)
+		k.table.ObserveEntry(&wire.EntryReport{Node: reply.GetFrom()}, now)
 	}
 }
 
-func (k *knowledge) hearList(listed []membership.Listed, now time.Time) {
+func (k *knowledge) observeList(listed []membership.Listed, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.table.HearList(listed, len(listed), now)
+	k.table.ObserveList(listed, len(listed), now)
 	if len(listed) > 0 {
 		k.listed = listed
 	}
@@ -120,7 +120,7 @@
 	return nodes
 }
 
-// hosts returns the hosts heard of, by id. The home entries' word counts for
+// hosts returns the hosts known, by id. The home entries' word counts for
 // whether they are lost.
 func (k *knowledge) hosts(now time.Time) []view.Host {
 	drained := map[string]bool{}
@@ -132,7 +132,7 @@
 	return hosts
 }
 
-// peers returns the entries heard of, by id.
+// peers returns the entries known, by id.
 func (k *knowledge) peers(now time.Time) []view.Peer {
 	peers := k.table.Entries(now, k.table.Len())
 	membership.SortEntries(peers)
@@ -163,7 +163,7 @@
 	if drains := reply.GetDrains(); drains != nil {
 		ignored += countIgnored(k.state.AdoptDrains(drains))
 	}
-	k.state.HearKnown(reply.GetKnown(), now)
+	k.state.ObserveKnown(reply.GetKnown(), now)
 	return ignored, err
 }
 
--- a/agent/internal/control/refresh.go
+++ b/agent/internal/control/refresh.go
@@ -29,7 +29,7 @@
 			c.cfg.Counters.Add("listFailed", 1)
 			c.cfg.Log.Debug("host list not read", "error", err)
 		} else {
-			c.knowledge.hearList(listed, c.cfg.Clock.Now())
+			c.knowledge.observeList(listed, c.cfg.Clock.Now())
 		}
 		wait := listFirst
 		if c.Synced() {
--- a/agent/internal/control/sync.go
+++ b/agent/internal/control/sync.go
@@ -95,7 +95,7 @@
 	now := c.cfg.Clock.Now()
 	c.cfg.Counters.Add("syncs", 1)
 	c.settle(entry.GetId(), request, reply)
-	c.knowledge.hearMembers(reply, now)
+	c.knowledge.observeMembers(reply, now)
 	ignored, err := c.knowledge.adopt(ctx, reply, now, func(ctx context.Context, hashes []string) ([][]byte, error) {
 		return c.parts(ctx, entry, hashes)
 	})
--- a/agent/internal/gate/gate.go
+++ b/agent/internal/gate/gate.go
@@ -39,8 +39,8 @@
 	// Suspect is told when the endpoint contradicts what it was confirmed to
 	// have loaded; it does not block.
 	Suspect func()
-	// Heard is told the revisions that a caller knows; it does not block.
-	Heard      func(from *wire.Node, known *wire.Known)
+	// Observe is told the revisions that a caller knows; it does not block.
+	Observe    func(from *wire.Node, known *wire.Known)
 	Invariants *Invariants
 	Counters   *expvar.Map
 }
@@ -137,7 +137,7 @@
 	if err := g.identify(stream.Context(), att.GetFrom()); err != nil {
 		return err
 	}
-	g.cfg.Heard(att.GetFrom(), att.GetKnown())
+	g.cfg.Observe(att.GetFrom(), att.GetKnown())
 	reply := &reply{gate: g, att: att, send: stream.Send}
 	run, refusal := g.admit(stream.Context(), att)
 	if !refusal.none() {
--- a/agent/internal/gate/gate_test.go
+++ b/agent/internal/gate/gate_test.go
@@ -176,7 +176,7 @@
 		Engine:     engine.New(server.URL),
 		View:       holder,
 		Suspect:    func() { out.suspect++ },
-		Heard:      func(*wire.Node, *wire.Known) {},
+		Observe:    func(*wire.Node, *wire.Known) {},
 		Invariants: &Invariants{Log: slog.Default(), Failures: out.failed, Panic: true},
 		Counters:   new(expvar.Map).Init(),
 	}
--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -16,7 +16,7 @@
 	leastGap = 25 * time.Millisecond
 	usualGap = 250 * time.Millisecond
 	// sendAnyway is the longest time between two states where the entry wants them
-	// more often: one that hears nothing for a few of these takes the agent's word no
+	// more often: one that receives nothing for a few of these takes the agent's word no
 	// longer.
 	sendAnyway = 250 * time.Millisecond
 )
@@ -67,7 +67,7 @@
 			if err != nil {
 				return
 			}
-			listener.hear(told)
+			listener.receive(told)
 		}
 	}()
 	declared := f.guide.ages(f.clock.Now())
@@ -97,7 +97,7 @@
 	delete(f.followers, one)
 	f.mu.Unlock()
 	f.pace.leave(one)
-	one.hearReading(0, 0)
+	one.observeReading(0, 0)
 }
 
 // follower is one entry that follows the engine.
@@ -105,17 +105,17 @@
 	feed *feed
 	due  chan struct{} // buffered by one: a state is to be sent
 
-	mu      sync.Mutex
-	gap     time.Duration // least time between two states
-	last    time.Time     // when the last one was to be sent
-	told    uint64        // version of what it told
-	reading int64         // prompt tokens of the entry that are not read yet
-	final   int           // requests of the entry that can't go on elsewhere
-	heard   hearing
+	mu       sync.Mutex
+	gap      time.Duration // least time between two states
+	last     time.Time     // when the last one was to be sent
+	told     uint64        // version of what it told
+	reading  int64         // prompt tokens of the entry that are not read yet
+	final    int           // requests of the entry that can't go on elsewhere
+	received receipt
 }
 
-// hearing is when the entry's newest message came; zero: none did.
-type hearing struct {
+// receipt is when the entry's newest message came; zero: none did.
+type receipt struct {
 	at   time.Time
 	sent uint64 // when it was sent, as the entry told
 }
@@ -144,24 +144,24 @@
 	defer f.mu.Unlock()
 	state.ReadingYours = uint32(f.reading)
 	state.SentMillis, state.AgentBorn = uint64(now.Sub(f.feed.began).Milliseconds()), f.feed.began.UnixMilli()
-	state.LagMillis = uint32(f.feed.pace.heard().Milliseconds())
-	if !f.heard.at.IsZero() {
+	state.LagMillis = uint32(f.feed.pace.delay().Milliseconds())
+	if !f.received.at.IsZero() {
 		// The entry sees how long its message and this state were on their way.
-		state.EchoMillis = f.heard.sent
-		state.EchoHeldMillis = uint64(now.Sub(f.heard.at).Milliseconds())
+		state.EchoMillis = f.received.sent
+		state.EchoHeldMillis = uint64(now.Sub(f.received.at).Milliseconds())
 	}
 	return state
 }
 
-func (f *follower) hear(told *wire.Guidance) {
+func (f *follower) receive(told *wire.Guidance) {
 	now := f.feed.clock.Now()
 	if told.GetSentMillis() > 0 {
-		f.feed.pace.hear(f, told.GetNear(), time.Duration(told.GetDelayMillis())*time.Millisecond)
+		f.feed.pace.observe(f, told.GetNear(), time.Duration(told.GetDelayMillis())*time.Millisecond)
 	}
 	f.note(now, told)
-	f.hearReading(int64(told.GetReading()), int(told.GetLast()))
+	f.observeReading(int64(told.GetReading()), int(told.GetLast()))
 	if !told.GetReadingOnly() {
-		f.feed.guide.hear(now, told)
+		f.feed.guide.receive(now, told)
 	}
 }
 
@@ -169,13 +169,13 @@
 func (f *follower) note(now time.Time, told *wire.Guidance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard = hearing{at: now, sent: told.GetSentMillis()}
+	f.received = receipt{at: now, sent: told.GetSentMillis()}
 	if gap := told.GetGapMillis(); gap > 0 {
 		f.gap = max(leastGap, time.Duration(gap)*time.Millisecond)
 	}
 }
 
-func (f *follower) hearReading(tokens int64, final int) {
+func (f *follower) observeReading(tokens int64, final int) {
 	f.mu.Lock()
 	oldTokens, oldFinal := f.reading, f.final
 	f.reading, f.final = tokens, final
--- a/agent/internal/onsite/guide.go
+++ b/agent/internal/onsite/guide.go
@@ -58,8 +58,8 @@
 	return want, nil
 }
 
-// hear takes over what is newer than what is known.
-func (g *guide) hear(now time.Time, told *wire.Guidance) {
+// receive takes over what is newer than what is known.
+func (g *guide) receive(now time.Time, told *wire.Guidance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if told.GetRevision() >= g.revision {
--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -273,7 +273,7 @@
 		return
 	}
 	l.watch.setOrdering(true)
-	// Entries hear that nothing new should come before the engine stops.
+	// Entries learn that nothing new should come before the engine stops.
 	l.watch.beat()
 	l.sleep(ctx, notice(report))
 	if now, alive := l.watch.report(); !alive || now.Born != report.Born {
--- a/agent/internal/onsite/memory_test.go
+++ b/agent/internal/onsite/memory_test.go
@@ -74,7 +74,7 @@
 		man.ChunkHashes = append(man.ChunkHashes, sum[:])
 	}
 	told := newGuide()
-	told.hear(time.Now(), &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 2}}})
+	told.receive(time.Now(), &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 2}}})
 	for _, room := range []int{0, 3 * testSize} {
 		kept := newStage(platform.NewEngine(host.URL, host.Client()), told, room)
 		kept.man = func() *wire.Manifest { return man }
--- a/agent/internal/onsite/onsite_test.go
+++ b/agent/internal/onsite/onsite_test.go
@@ -93,7 +93,7 @@
 // guide tells all agents what is wanted, as entries do.
 func (s *testSite) guide(version uint64, revision uint64) {
 	for _, one := range s.agents {
-		one.guide.hear(time.Now(), &wire.Guidance{
+		one.guide.receive(time.Now(), &wire.Guidance{
 			Revision: revision, Hosts: s.hosts(), OriginUrl: s.originURL,
 			Wanted: []*wire.WantedWeights{{
 				Model: testModel, Version: version, Chunks: testChunks, ChunkBytes: testSize, Cutover: true, Fence: revision,
@@ -159,7 +159,7 @@
 
 func TestNewHostsGetTheWeightsFromTheOthers(t *testing.T) {
 	s := newTestSite(t, 1, 1, 0, 0)
-	// On a machine that is slow enough a new host draws before it has heard of
+	// On a machine that is slow enough a new host draws before it has learned of
 	// the others: here it has no choice.
 	s.origin.RefuseChunks(true)
 	s.guide(1, 1)
@@ -224,15 +224,15 @@
 func TestOlderGuidanceChangesNothing(t *testing.T) {
 	told := newGuide()
 	now := time.Now()
-	hear := func(version, revision uint64) {
-		told.hear(now, &wire.Guidance{Revision: revision, OriginUrl: fmt.Sprint(revision),
+	receive := func(version, revision uint64) {
+		told.receive(now, &wire.Guidance{Revision: revision, OriginUrl: fmt.Sprint(revision),
 			Wanted: []*wire.WantedWeights{{Model: testModel, Version: version, AgeMillis: 1000}}})
 	}
 	if _, ok := told.weights(); ok {
 		t.Errorf("got weights before any guidance")
 	}
-	hear(3, 7)
-	hear(2, 6)
+	receive(3, 7)
+	receive(2, 6)
 	want, ok := told.weights()
 	if !ok || want.version != 3 || told.originURL() != "7" {
 		t.Errorf("got version %d and origin %s, want 3 and 7", want.version, told.originURL())
@@ -240,7 +240,7 @@
 	if got, want := want.since, now.Add(-time.Second); !got.Equal(want) {
 		t.Errorf("got declared at %v, want %v", got, want)
 	}
-	hear(4, 8)
+	receive(4, 8)
 	if got, want := len(told.declared(testModel)), 2; got != want {
 		t.Errorf("got %d declarations remembered, want %d", got, want)
 	}
@@ -255,7 +255,7 @@
 func TestHostTellsHowLongAgoVersionsWereDeclared(t *testing.T) {
 	told, now := newGuide(), time.Now()
 	for _, age := range []uint32{0, 5000, 200} {
-		told.hear(now, &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3, AgeMillis: age}}})
+		told.receive(now, &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3, AgeMillis: age}}})
 	}
 	if want, _ := told.weights(); now.Sub(want.since) != 5*time.Second {
 		t.Errorf("got the version declared %v ago, want 5s", now.Sub(want.since))
@@ -275,11 +275,11 @@
 		do   func()
 		want int
 	}{
-		{func() { one.hear(&wire.Guidance{ReadingOnly: true, Last: 2}) }, 2},
-		{func() { two.hear(&wire.Guidance{ReadingOnly: true, Last: 1}) }, 3},
-		{func() { one.hear(&wire.Guidance{ReadingOnly: true, Last: 1}) }, 2},
+		{func() { one.receive(&wire.Guidance{ReadingOnly: true, Last: 2}) }, 2},
+		{func() { two.receive(&wire.Guidance{ReadingOnly: true, Last: 1}) }, 3},
+		{func() { one.receive(&wire.Guidance{ReadingOnly: true, Last: 1}) }, 2},
 		{func() { served.remove(one) }, 1},
-		{func() { two.hear(&wire.Guidance{ReadingOnly: true}) }, 0},
+		{func() { two.receive(&wire.Guidance{ReadingOnly: true}) }, 0},
 	} {
 		step.do()
 		if got := looks.finals(); got != step.want {
@@ -329,7 +329,7 @@
 
 // Symptom: streams pause while a version rolls out. Sequence: an engine runs nine
 // requests, gets an order and cuts them; each is read again at another engine. Cause:
-// the order came as soon as entries could have heard of it. A host that serves
+// the order came as soon as entries could have learned of it. A host that serves
 // nothing waits for nobody.
 func TestOrderWaitsWhileWhatRunsEnds(t *testing.T) {
 	if got := notice(platform.EngineReport{Running: 9}); got != noticeTime {
--- a/agent/internal/onsite/pace.go
+++ b/agent/internal/onsite/pace.go
@@ -56,8 +56,8 @@
 	return &pace{now: now, part: 1, words: map[*follower]delayWord{}}
 }
 
-// hear takes an entry's word of the delay.
-func (p *pace) hear(from *follower, near bool, lag time.Duration) {
+// observe takes over the delay that an entry reports.
+func (p *pace) observe(from *follower, near bool, lag time.Duration) {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -71,8 +71,8 @@
 	delete(p.words, from)
 }
 
-// heard returns the delay of the host's link that entries told lately; 0: none.
-func (p *pace) heard() time.Duration {
+// delay returns the delay of the host's link that entries told lately; 0: none.
+func (p *pace) delay() time.Duration {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/agent/internal/onsite/pace_test.go
+++ b/agent/internal/onsite/pace_test.go
@@ -20,7 +20,7 @@
 		for range count {
 			clock.Advance(paceStep)
 			if lag >= 0 {
-				paced.hear(entries[0], true, lag)
+				paced.observe(entries[0], true, lag)
 			}
 			part = paced.share()
 		}
@@ -37,7 +37,7 @@
 		t.Errorf("got a part of %v, want never less than %v", got, want)
 	}
 	// Entries that send nothing more tell nothing: the word is stale.
-	if got := step(40, -1); got < 0.9 || paced.heard() != 0 {
+	if got := step(40, -1); got < 0.9 || paced.delay() != 0 {
 		t.Errorf("got a part of %v 4 s after the last word, want most of it", got)
 	}
 }
@@ -75,15 +75,15 @@
 				if word == 'N' || word == 'F' {
 					lag = 500 * time.Millisecond
 				}
-				paced.hear(followers[i], word == 'N' || word == 'n', lag)
+				paced.observe(followers[i], word == 'N' || word == 'n', lag)
 			}
 			paced.share()
 		}
 		if got := paced.share() < 0.1; got != one.want {
 			t.Errorf("%s: got a part of %v of the usual rate, want little: %v", one.name, paced.share(), one.want)
 		}
-		if got := paced.heard() == 500*time.Millisecond; got != one.want {
-			t.Errorf("%s: got a delay of %v to tell entries, want the long one: %v", one.name, paced.heard(), one.want)
+		if got := paced.delay() == 500*time.Millisecond; got != one.want {
+			t.Errorf("%s: got a delay of %v to tell entries, want the long one: %v", one.name, paced.delay(), one.want)
 		}
 	}
 }
@@ -93,10 +93,10 @@
 	clock := clockwork.NewFakeClock()
 	paced := newPace(clock.Now)
 	left, stays := &follower{}, &follower{}
-	paced.hear(left, true, 500*time.Millisecond)
+	paced.observe(left, true, 500*time.Millisecond)
 	paced.leave(left)
-	paced.hear(stays, false, 3*time.Millisecond)
-	if got, want := paced.heard(), 3*time.Millisecond; got != want {
+	paced.observe(stays, false, 3*time.Millisecond)
+	if got, want := paced.delay(), 3*time.Millisecond; got != want {
 		t.Errorf("got a delay of %v, want %v of the one that stays", got, want)
 	}
 }
--- a/agent/internal/onsite/stage_test.go
+++ b/agent/internal/onsite/stage_test.go
@@ -29,7 +29,7 @@
 		}
 	}
 	told := newGuide()
-	told.hear(time.Now(), &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3}}})
+	told.receive(time.Now(), &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3}}})
 	kept := newStage(platform.NewEngine(host.URL, host.Client()), told, 2*testSize)
 	wanted := uint64(2)
 	kept.man = func() *wire.Manifest { return manifests[wanted] }
@@ -111,7 +111,7 @@
 		}
 	}
 	told := newGuide()
-	told.hear(time.Now(), &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3}}})
+	told.receive(time.Now(), &wire.Guidance{Wanted: []*wire.WantedWeights{{Model: testModel, Version: 3}}})
 	kept := newStage(platform.NewEngine(host.URL, host.Client()), told, 0)
 	wanted := uint64(2)
 	kept.man = func() *wire.Manifest { return manifests[wanted] }
--- a/agent/internal/orders/config.go
+++ b/agent/internal/orders/config.go
@@ -52,7 +52,7 @@
 	Clock clockwork.Clock
 	Log   *slog.Logger
 	View  *view.Holder
-	// Synced reports whether the entries have been heard since the start.
+	// Synced reports whether the entries have answered since the start.
 	Synced func() bool
 	// Service is set for plain services, which take no orders.
 	Service  string
--- a/agent/internal/orders/runner.go
+++ b/agent/internal/orders/runner.go
@@ -35,10 +35,10 @@
 	// gives up its weights: a planner that missed one report must not cost a
 	// whole model's bytes.
 	unwantedAfter = 30 * time.Second
-	// absentAfter is how long other hosts have to be heard of.
+	// absentAfter is how long other hosts have to report.
 	absentAfter = 10 * time.Second
 	// settleAfter is how long an agent that started beside a loaded engine waits
-	// for a newer plan before it orders anything: an entry hears another's news
+	// for a newer plan before it orders anything: an entry receives another one's news
 	// within an exchange of 5 seconds.
 	settleAfter = 6 * time.Second
 	// refetchPause is how long nothing is targeted after the engine said that a
--- a/agent/internal/orders/situation.go
+++ b/agent/internal/orders/situation.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// verdict keeps orders back until the entries were heard: a process that starts
+// verdict keeps orders back until the entries answered: a process that starts
 // must not obey the first plan that comes by. Engines report the fence at best,
 // never the plan's revision, so that of two plans of one planner this process
 // can't tell by the number which the engine obeyed before; see package fence.
--- a/agent/internal/orders/verdict_test.go
+++ b/agent/internal/orders/verdict_test.go
@@ -12,7 +12,7 @@
 	"comfreyrelay.example/relay/wire"
 )
 
-// started returns a runner whose agent started and heard the entries just now,
+// started returns a runner whose agent started and was answered by the entries just now,
 // beside an engine that tells no fencing number.
 func started(clock clockwork.Clock, have, want gate.Loaded) *Runner {
 	r := New(Config{Clock: clock, Self: &wire.Node{Id: "h1"}})
@@ -55,7 +55,7 @@
 }
 
 // Symptom: a host goes back to an older version. Sequence: the plan that an
-// agent hears is older than the one that its engine obeyed; the document is
+// agent receives is older than the one that its engine obeyed; the document is
 // not. Cause: plans compared by their numbers alone.
 func TestPlanOlderThanDocumentIsRefused(t *testing.T) {
 	for _, tc := range []struct {
--- a/agent/internal/orders/waves.go
+++ b/agent/internal/orders/waves.go
@@ -43,8 +43,8 @@
 		if !sameRoll(in.Self, other) || other.GetHost() == in.Self.GetHost() {
 			continue
 		}
-		host, heard := find(in.Hosts, other.GetHost())
-		if gone(host, heard, in.AbsentLost) || serving(host, other) {
+		host, known := find(in.Hosts, other.GetHost())
+		if gone(host, known, in.AbsentLost) || serving(host, other) {
 			continue
 		}
 		if other.GetWave() < in.Self.GetWave() {
@@ -81,8 +81,8 @@
 	return hosts[at], true
 }
 
-func gone(host view.Host, heard, absentLost bool) bool {
-	if !heard {
+func gone(host view.Host, known, absentLost bool) bool {
+	if !known {
 		return absentLost
 	}
 	return host.Lost() || host.Leaving()
--- a/agent/internal/weights/peers.go
+++ b/agent/internal/weights/peers.go
@@ -95,7 +95,7 @@
 		return &wire.HaveReply{}, nil
 	}
 	m.noteAddress(from)
-	report, ok := trans.heard(from, req)
+	report, ok := trans.observe(from, req)
 	if !ok {
 		return &wire.HaveReply{}, nil
 	}
@@ -126,7 +126,7 @@
 	m.addresses[from.GetId()] = from.GetControlAddress()
 }
 
-func (t *transfer) heard(from *wire.Node, req *wire.HaveRequest) (burst.Report, bool) {
+func (t *transfer) observe(from *wire.Node, req *wire.HaveRequest) (burst.Report, bool) {
 	load := t.mgr.uploads.load()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -134,7 +134,7 @@
 		return burst.Report{}, false
 	}
 	t.core.SetUploads(load)
-	t.core.Heard(t.now(), peerOf(from), burst.Report{
+	t.core.Observe(t.now(), peerOf(from), burst.Report{
 		Held: req.GetChunks(), Fetching: req.GetFetching(),
 		Drawn: req.GetDrawn(), Queue: int(req.GetUploadQueue()),
 	})
--- a/agent/internal/weights/serve.go
+++ b/agent/internal/weights/serve.go
@@ -30,7 +30,7 @@
 	if req.GetIndex() == manifestIndex {
 		return m.send(stream, &wire.ChunkData{}, trans.awaitManifest(ctx))
 	}
-	trans.overheard(req)
+	trans.observeRequest(req)
 	hash, ok := trans.heldHash(req.GetIndex())
 	if !ok {
 		return stream.Send(&wire.ChunkData{})
@@ -49,8 +49,8 @@
 	return m.sendChunk(ctx, stream, trans, hash)
 }
 
-// overheard takes over what a request reports of its sender.
-func (t *transfer) overheard(req *wire.ChunkRequest) {
+// observeRequest takes over what a request reports of its sender.
+func (t *transfer) observeRequest(req *wire.ChunkRequest) {
 	if len(req.GetChunks()) == 0 {
 		return
 	}
@@ -59,7 +59,7 @@
 	if t.core == nil {
 		return
 	}
-	t.core.Heard(t.now(), peerOf(req.GetFrom()), burst.Report{
+	t.core.Observe(t.now(), peerOf(req.GetFrom()), burst.Report{
 		Held: req.GetChunks(), Drawn: req.GetDrawn(), Queue: int(req.GetUploadQueue()),
 	})
 }
--- a/bench/internal/capacity/fleet.go
+++ b/bench/internal/capacity/fleet.go
@@ -93,7 +93,7 @@
 		l.baseline.Drop()
 		return sent, nil
 	}
-	l.home.HearHost(held, now)
+	l.home.ObserveHost(held, now)
 	l.baseline.Took(sent, now)
 	return sent, held
 }
--- a/bench/internal/capacity/rows.go
+++ b/bench/internal/capacity/rows.go
@@ -40,11 +40,11 @@
 
 // Sizes that the rows look at.
 const (
-	// heardByAgent is the number of hosts that an agent of a large fleet hears
+	// reportedToAgent is the number of hosts that an agent of a large fleet learns
 	// of: its failure domain and 64 others; spread.WeightPeers.
-	heardByAgent  = hostsPerDomain + 64
-	tokensPerCall = fullTokensPerSecond / fullRequestsPerSecond
-	callsPerEntry = fullRequestsPerSecond / fullEntries
+	reportedToAgent = hostsPerDomain + 64
+	tokensPerCall   = fullTokensPerSecond / fullRequestsPerSecond
+	callsPerEntry   = fullRequestsPerSecond / fullEntries
 	// agentsOfNine gives 9 entries as many agents each as at full size.
 	agentsOfNine = agentsPerEntry * benchEntries
 	keysPerEntry = callsPerEntry * onceHorizonSeconds * assumedOnceShare
@@ -146,7 +146,7 @@
 				{name: "small house's process", from: control("residentMib", true), size: agentsOfNine, factor: 1},
 				{name: "hosts", from: slope(caseHostMemory), size: fullHosts, factor: heapFactor / mebibyte},
 				{name: "neighbours' digests", from: slope(caseMarkMemory), size: fullHosts, factor: neighbours * heapFactor / mebibyte},
-				{name: "agents' digests", from: slope(caseMarkMemory), size: heardByAgent, factor: agentsPerEntry * heapFactor / mebibyte},
+				{name: "agents' digests", from: slope(caseMarkMemory), size: reportedToAgent, factor: agentsPerEntry * heapFactor / mebibyte},
 				{name: "once keys", from: slope(caseKeyBytes), size: keysPerEntry, factor: heapFactor / mebibyte},
 				{name: "plan", from: slope(casePlanBytes), size: fullHosts, factor: 3 * heapFactor / mebibyte},
 				{name: "document", from: slope(caseDocumentBytes), size: assumedCustomers, factor: 5 * heapFactor / mebibyte},
@@ -205,7 +205,7 @@
 	return []row{
 		{
 			role: "agent", what: "control bytes in and out, measured with 9 entries", unit: "B/s", budget: budgetBytes,
-			terms:   []term{{name: "measured", from: control("controlBytesPerAgentPerSecond", false), size: heardByAgent, factor: 1}},
+			terms:   []term{{name: "measured", from: control("controlBytesPerAgentPerSecond", false), size: reportedToAgent, factor: 1}},
 			carrier: "reports of the own failure domain and 64 others only; its questions to its own engine are in the figure, and the bench's interval is half the default",
 		},
 		{
@@ -233,7 +233,7 @@
 		{
 			role: "agent", what: "control's processor time, measured with 9 entries, and the list", unit: "% of a core", budget: budgetCPUPercent,
 			terms: []term{
-				{name: "measured", from: control("controlCpuPercentPerAgent", false), size: heardByAgent, factor: 1},
+				{name: "measured", from: control("controlCpuPercentPerAgent", false), size: reportedToAgent, factor: 1},
 				{name: "list ms", from: slope(caseListMillis), size: nodes, factor: listWholePerSecond * percentOfMillis},
 			},
 			carrier: "held calls",
@@ -241,7 +241,7 @@
 		{
 			role: "agent", what: "memory, without chunks", unit: "MiB", budget: budgetMiB,
 			terms: []term{
-				{name: "measured", from: control("residentMibAgent", false), size: heardByAgent, factor: 1},
+				{name: "measured", from: control("residentMibAgent", false), size: reportedToAgent, factor: 1},
 				{name: "list", from: slope(caseListBytes), size: nodes, factor: heapFactor / mebibyte},
 				{name: "burst core", from: slope(caseCoreBytes), size: nodes, factor: heapFactor / mebibyte},
 			},
--- a/bench/internal/capacity/slope_messages.go
+++ b/bench/internal/capacity/slope_messages.go
@@ -32,7 +32,7 @@
 		told := toldAll(n)
 		lines.line(caseEntrySelect, n, micros(func() {
 			for i := range min(news, n) {
-				told.Heard(known[i].Report, epoch)
+				told.Received(known[i].Report, epoch)
 			}
 			told.Select(fresh, epoch.Add(time.Second), room)
 		}), "microseconds")
@@ -54,7 +54,7 @@
 
 // measureEntryReports prints the bytes a second of entries' reports to one
 // neighbour and to one agent, when each entry reports every 2 s with the demand
-// of 10 customers; and how many of 50 entries the neighbour hears of where they
+// of 10 customers; and how many of 50 entries the neighbour learns of where they
 // report more customers.
 func measureEntryReports(lines *printer) error {
 	const usualCustomers, usualEntries = 10, 50
--- a/bench/internal/capacity/slope_reports.go
+++ b/bench/internal/capacity/slope_reports.go
@@ -52,7 +52,7 @@
 	sum := 0
 	for r := range refreshes {
 		now := epoch.Add(time.Duration(r) * refreshLeast)
-		candidate := spread.Candidate{Report: hostReport(1, uint64(r+1), prefixes), HeardAt: now, Nearness: spread.Far}
+		candidate := spread.Candidate{Report: hostReport(1, uint64(r+1), prefixes), SeenAt: now, Nearness: spread.Far}
 		for _, report := range digest.Select([]spread.Candidate{candidate}, now, room) {
 			sum += proto.Size(report)
 		}
--- a/bench/internal/capacity/slope_route.go
+++ b/bench/internal/capacity/slope_route.go
@@ -25,7 +25,7 @@
 			now = now.Add(time.Second)
 			for i := 0; i < n; i += 10 {
 				hosts[i].Sequence++
-				hosts[i].HeardAt = now
+				hosts[i].SeenAt = now
 			}
 			table.Update(now, hosts, fullEntries)
 		}), "microseconds")
@@ -48,7 +48,7 @@
 		hosts[i] = route.Host{
 			ID: report.GetNode().GetId(), Incarnation: report.GetNode().GetIncarnation(), Address: report.GetNode().GetControlAddress(),
 			Region: report.GetNode().GetRegion(), FailureDomain: report.GetNode().GetFailureDomain(), Version: measuredVersion,
-			Running: 3, Slots: 8, Sequence: 1, HeardAt: epoch, Prefixes: report.GetPrefixes(),
+			Running: 3, Slots: 8, Sequence: 1, SeenAt: epoch, Prefixes: report.GetPrefixes(),
 		}
 	}
 	return hosts
--- a/bench/internal/capacity/slope_spread.go
+++ b/bench/internal/capacity/slope_spread.go
@@ -43,18 +43,18 @@
 	for i := range sessions {
 		sessions[i] = spread.NewDigest(refresh, true)
 		for h, candidate := range candidates {
-			sessions[i].Heard(candidate.Report, epoch.Add(-refresh*time.Duration(h)/time.Duration(n)))
+			sessions[i].Received(candidate.Report, epoch.Add(-refresh*time.Duration(h)/time.Duration(n)))
 		}
 	}
 	allowance := spread.NewAllowance(hostReportRate, reportBurst, epoch)
 	leaver := farthest(candidates)
-	heard := 0 // neighbours, of the leaving
-	turn := 0  // who is told first: calls come in no order
+	reported := 0 // neighbours, of the leaving
+	turn := 0     // who is told first: calls come in no order
 	for at := time.Duration(0); at < 2*spreadHalf; at += spreadStep {
 		now := epoch.Add(at)
 		for i := range candidates {
 			candidates[i].Report.Sequence++
-			candidates[i].HeardAt = now
+			candidates[i].SeenAt = now
 		}
 		candidates[leaver].Report.Leaving = at >= spreadHalf
 		for i := range sessions {
@@ -62,12 +62,12 @@
 			for _, report := range session.Select(candidates, now, allowance.Left(now)) {
 				allowance.Spend(proto.Size(report))
 				if report.GetLeaving() {
-					heard++
+					reported++
 				}
 			}
 		}
 		turn++
-		if heard >= len(sessions)/2 {
+		if reported >= len(sessions)/2 {
 			return at - spreadHalf
 		}
 	}
--- a/bench/internal/capacity/slope_views.go
+++ b/bench/internal/capacity/slope_views.go
@@ -19,14 +19,14 @@
 // tableShards is how many tables an entry spreads its members over.
 const tableShards = 16
 
-// knownHosts is an entry's tables with n hosts heard.
+// knownHosts is an entry's tables with n hosts known.
 func knownHosts(n int) []*membership.Table {
 	tables := make([]*membership.Table, tableShards)
 	for i := range tables {
 		tables[i] = membership.New(membership.DefaultLimits())
 	}
 	for i := range n {
-		tables[i%tableShards].HearHost(arrived(hostReport(i, 1, reportedPrefixes)), epoch)
+		tables[i%tableShards].ObserveHost(arrived(hostReport(i, 1, reportedPrefixes)), epoch)
 	}
 	return tables
 }
@@ -68,7 +68,7 @@
 	for i := range candidates {
 		report := heldReport(i, sequence)
 		candidates[i] = spread.Candidate{
-			Report: report, HeardAt: epoch, Home: report.GetHome() == self.GetId(), Nearness: spread.Nearness(self, report.GetNode()),
+			Report: report, SeenAt: epoch, Home: report.GetHome() == self.GetId(), Nearness: spread.Nearness(self, report.GetNode()),
 		}
 	}
 	return candidates
@@ -79,7 +79,7 @@
 func toldAll(n int) *spread.Digest {
 	digest := spread.NewDigest(time.Hour, true)
 	for i := range n {
-		digest.Heard(arrived(hostReport(i, 1, 0)), epoch)
+		digest.Received(arrived(hostReport(i, 1, 0)), epoch)
 	}
 	return digest
 }
--- a/bench/internal/policy/entry.go
+++ b/bench/internal/policy/entry.go
@@ -325,5 +325,5 @@
 	}
 	e.told[to.address] = tokens
 	s.out.message(e.region, to.region, readingBytes)
-	s.after(s.delay(e.region, to.region), func() { to.hearReading(e, tokens) })
+	s.after(s.delay(e.region, to.region), func() { to.observeReading(e, tokens) })
 }
--- a/bench/internal/policy/host.go
+++ b/bench/internal/policy/host.go
@@ -170,7 +170,7 @@
 	})
 }
 
-func (h *host) hearReading(from *entry, tokens int) {
+func (h *host) observeReading(from *entry, tokens int) {
 	if h.followers[from] == nil {
 		return
 	}
--- a/bench/internal/policy/policy_test.go
+++ b/bench/internal/policy/policy_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// What an entry hears is flat in the size of the fleet.
+// What an entry receives is flat in the size of the fleet.
 func TestMessagesOfAnEntryDoNotGrowWithTheFleet(t *testing.T) {
 	base := Play(small(t, 18, 42), options(0.5))
 	grown := Play(small(t, 72, 168), options(0.5))
--- a/bench/internal/policy/sim.go
+++ b/bench/internal/policy/sim.go
@@ -23,7 +23,7 @@
 	// Rate multiplies what is asked.
 	Rate   float64
 	Shares deal.Shares
-	// Gaps are how often an entry hears of an engine by its reach.
+	// Gaps are how often an entry learns of an engine by its reach.
 	Gaps Gaps
 	// Looks is how often an agent looks at its engine while something runs; 0: as
 	// usual.
@@ -32,7 +32,7 @@
 	Without map[string]bool
 }
 
-// Gaps are the least times between two states of an engine that an entry hears.
+// Gaps are the least times between two states of an engine that an entry receives.
 type Gaps struct{ Home, Near, Far time.Duration }
 
 // UsualGaps are those in use.
--- a/bench/internal/soak/act.go
+++ b/bench/internal/soak/act.go
@@ -132,7 +132,7 @@
 }
 
 // changeDocument submits a change; a refusal is no fault, for the service may
-// be down. The callers hear of a version before it can answer them.
+// be down. The callers learn of a version before it can answer them.
 func (r *run) changeDocument(ctx context.Context, kind Kind) error {
 	r.document.Lock()
 	defer r.document.Unlock()
--- a/ctl/internal/cmd/wait.go
+++ b/ctl/internal/cmd/wait.go
@@ -22,7 +22,7 @@
 		}
 		behind := nodesBehind(status, revision)
 		if len(behind) == 0 {
-			fmt.Fprintf(term.errOut, "revision %d is in force on all %d nodes that are not lost\n", revision, heardOf(status))
+			fmt.Fprintf(term.errOut, "revision %d is in force on all %d nodes that are not lost\n", revision, reporting(status))
 			return nil
 		}
 		if term.clock.Since(began) >= limit {
@@ -50,7 +50,7 @@
 	return behind
 }
 
-func heardOf(status *client.Status) int {
+func reporting(status *client.Status) int {
 	count := 0
 	for _, node := range status.Nodes {
 		if !node.Lost {
--- a/entry/internal/callers/call.go
+++ b/entry/internal/callers/call.go
@@ -125,7 +125,7 @@
 }
 
 // giveBack frees the key of a request that was refused, before the caller
-// hears of it, and asks the caller to wait for the end of the key's hold.
+// learns of it, and asks the caller to wait for the end of the key's hold.
 func (c *call) giveBack(refused *problem) {
 	if c.ticket == nil {
 		return
@@ -191,7 +191,7 @@
 const writeGrace = time.Second
 
 // answer tells the caller and whoever granted the key how it ended. A key that
-// did not run is given back before the caller hears of it; one that ran is
+// did not run is given back before the caller learns of it; one that ran is
 // settled afterwards, to save the caller the wait.
 func (c *call) answer(result dispatch.Result) {
 	defer func() { _ = http.NewResponseController(c.w).SetWriteDeadline(time.Time{}) }()
--- a/entry/internal/callers/claims_test.go
+++ b/entry/internal/callers/claims_test.go
@@ -171,7 +171,7 @@
 
 // Symptom: after a rolling restart every key of the last hour is unknown. The
 // entry that owns a key shuts down; the key is sent again, and a new key that
-// names it comes from a caller who has not heard of the shutdown.
+// names it comes from a caller who has not learned of the shutdown.
 func TestKeysOutliveAGracefulShutdown(t *testing.T) {
 	house := newTestHouse(t)
 	agent := house.addAgent("h1", answer("ok"))
--- a/entry/internal/callers/index.go
+++ b/entry/internal/callers/index.go
@@ -262,7 +262,7 @@
 		Queued:        int(report.GetQueued()),
 		Slots:         int(report.GetSlots()),
 		Sequence:      report.GetSequence(),
-		HeardAt:       host.HeardAt(),
+		SeenAt:        host.SeenAt(),
 		TokenGap:      time.Duration(report.GetTokenGapMillis() * float64(time.Millisecond)),
 		Prefixes:      report.GetPrefixes(),
 	}
--- a/entry/internal/cmd/process.go
+++ b/entry/internal/cmd/process.go
@@ -213,7 +213,7 @@
 // elsewhere.
 func (p *process) announceDrain() {
 	p.Self.Drain()
-	p.House.Members().HearEntry(p.Self.Latest(), p.Clock.Now())
+	p.House.Members().ObserveEntry(p.Self.Latest(), p.Clock.Now())
 	p.Publisher.Wake()
 	p.House.Hurry()
 }
--- a/entry/internal/control/bytes_test.go
+++ b/entry/internal/control/bytes_test.go
@@ -114,7 +114,7 @@
 		for _, changes := range []bool{false, true} {
 			inFleet(t, 11, entries, agents, func(f *fleet) {
 				f.set(func(f *fleet) { f.working = true })
-				time.Sleep(2 * time.Minute) // each has heard of all by then
+				time.Sleep(2 * time.Minute) // each has learned of all by then
 				bytes := newTally()
 				f.set(func(f *fleet) { f.bytes = bytes })
 				for i := range seconds {
--- a/entry/internal/control/exchange.go
+++ b/entry/internal/control/exchange.go
@@ -85,10 +85,10 @@
 		report = spread.Copy(report)
 		report.Lost = true
 	}
-	return spread.Candidate{Report: report, HeardAt: host.HeardAt(), Home: home, Nearness: spread.Nearness(x.self, report.GetNode())}
+	return spread.Candidate{Report: report, SeenAt: host.SeenAt(), Home: home, Nearness: spread.Nearness(x.self, report.GetNode())}
 }
 
-// hostsForEntry returns the host reports that another entry should hear.
+// hostsForEntry returns the host reports that another entry should receive.
 func (x *Exchange) hostsForEntry(with *session, now time.Time) []*wire.HostReport {
 	all, candidates := x.candidates()
 	x.mu.Lock()
@@ -112,7 +112,7 @@
 	return size
 }
 
-// hostsForAgent returns the host reports that an agent should hear.
+// hostsForAgent returns the host reports that an agent should receive.
 func (x *Exchange) hostsForAgent(with *session, now time.Time) []*wire.HostReport {
 	all, _ := x.candidates()
 	peers := spread.WeightPeers(with.node, all)
@@ -130,7 +130,7 @@
 	return chosen
 }
 
-// entriesFor returns the entry reports that a node should hear.
+// entriesFor returns the entry reports that a node should receive.
 func (x *Exchange) entriesFor(with *session, now time.Time) []*wire.EntryReport {
 	snap, _ := x.house.view.Load()
 	with.mu.Lock()
@@ -143,7 +143,7 @@
 }
 
 // hearHosts takes in reports that another entry passed on.
-func (x *Exchange) hearHosts(with *session, reports []*wire.HostReport) {
+func (x *Exchange) observeHosts(with *session, reports []*wire.HostReport) {
 	now := x.house.clock.Now()
 	news, hurry := false, false
 	for _, report := range reports {
@@ -152,9 +152,9 @@
 			continue
 		}
 		with.mu.Lock()
-		with.hosts.Heard(report, now)
+		with.hosts.Received(report, now)
 		with.mu.Unlock()
-		if x.house.hosts.HearHost(report, now) {
+		if x.house.hosts.ObserveHost(report, now) {
 			news = true
 			hurry = hurry || x.leaves(report)
 		}
@@ -185,7 +185,7 @@
 }
 
 // hearEntries takes in reports of entries.
-func (x *Exchange) hearEntries(with *session, reports []*wire.EntryReport) {
+func (x *Exchange) observeEntries(with *session, reports []*wire.EntryReport) {
 	now := x.house.clock.Now()
 	news, hurry := false, false
 	for _, report := range reports {
@@ -199,9 +199,9 @@
 			continue
 		}
 		with.mu.Lock()
-		with.entries.Heard(report, now)
+		with.entries.Received(report, now)
 		with.mu.Unlock()
-		if x.house.hosts.HearEntry(report, now) {
+		if x.house.hosts.ObserveEntry(report, now) {
 			news = true
 			hurry = hurry || x.drains(report)
 		}
@@ -292,15 +292,15 @@
 // takeReply brings in what another entry answered.
 func (x *Exchange) takeReply(ctx context.Context, with *session, reply *wire.SyncReply, fetch Fetch) {
 	source := "entry " + reply.GetFrom().GetId()
-	with.hearWanted(reply.GetWholeWanted(), x.self.GetId())
+	with.observeWanted(reply.GetWholeWanted(), x.self.GetId())
 	x.house.OfferDrains(reply.GetDrains(), source)
 	if err := x.house.OfferRoot(ctx, reply.GetRoot(), source, fetch); err != nil {
 		x.house.log.Warn("document not assembled", "revision", reply.GetRoot().GetRevision(), "source", source, "error", err)
 	}
 	x.house.OfferPlan(reply.GetPlan(), source)
-	x.house.HearKnown(reply.GetKnown())
-	x.hearHosts(with, reply.GetHosts())
-	x.hearEntries(with, reply.GetEntries())
+	x.house.ObserveKnown(reply.GetKnown())
+	x.observeHosts(with, reply.GetHosts())
+	x.observeEntries(with, reply.GetEntries())
 }
 
 func isAgent(node *wire.Node) bool { return node.GetRole() == "agent" }
--- a/entry/internal/control/fleet_test.go
+++ b/entry/internal/control/fleet_test.go
@@ -153,7 +153,7 @@
 	members := f.members()
 	f.mu.Unlock()
 	for _, m := range members {
-		m.house.hosts.HearList(list, time.Now())
+		m.house.hosts.ObserveList(list, time.Now())
 	}
 }
 
@@ -565,7 +565,7 @@
 	return a.adopt(reply)
 }
 
-// hear takes the reports of other hosts, and asks for what it cannot make whole;
+// receive takes the reports of other hosts, and asks for what it cannot make whole;
 // the caller holds the lock.
 func (a *fakeAgent) hear(reply *wire.SyncReply) {
 	for _, report := range reply.GetHosts() {
@@ -574,7 +574,7 @@
 			a.wanted = append(a.wanted, report.GetNode().GetId())
 			continue
 		}
-		a.table.HearHost(whole, time.Now())
+		a.table.ObserveHost(whole, time.Now())
 	}
 }
 
--- a/entry/internal/control/hostlist.go
+++ b/entry/internal/control/hostlist.go
@@ -32,7 +32,7 @@
 			sleep(ctx, l.house.clock, jittered(listInterval/2))
 			continue
 		}
-		l.house.hosts.HearList(listed, l.house.clock.Now())
+		l.house.hosts.ObserveList(listed, l.house.clock.Now())
 		l.house.touch()
 		sleep(ctx, l.house.clock, jittered(2*listInterval))
 	}
--- a/entry/internal/control/house.go
+++ b/entry/internal/control/house.go
@@ -146,7 +146,7 @@
 	h.changed = make(chan struct{})
 }
 
-// Hurry ends the calls that entries hold, so that they hear at once of a node
+// Hurry ends the calls that entries hold, so that they learn at once of a node
 // that leaves. Agents' calls stay: with many agents that would be a storm.
 func (h *House) Hurry() {
 	h.mu.Lock()
@@ -162,12 +162,12 @@
 	return h.changed, h.urgent
 }
 
-// HearKnown takes over the confirmation that a message bears and reports
+// ObserveKnown takes over the confirmation that a message bears and reports
 // whether its sender knows something newer.
-func (h *House) HearKnown(known *wire.Known) bool {
+func (h *House) ObserveKnown(known *wire.Known) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.state.HearKnown(known, h.clock.Now())
+	h.state.ObserveKnown(known, h.clock.Now())
 	return h.state.Offers(known)
 }
 
--- a/entry/internal/control/members.go
+++ b/entry/internal/control/members.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// HearHost takes a host's report and tells whether it was news.
-func (m *Members) HearHost(report *wire.HostReport, now time.Time) (news bool) {
-	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { news = t.HearHost(report, now) })
+// ObserveHost takes a host's report and tells whether it was news.
+func (m *Members) ObserveHost(report *wire.HostReport, now time.Time) (news bool) {
+	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { news = t.ObserveHost(report, now) })
 	return news
 }
 
@@ -84,19 +84,19 @@
 	return held, held != nil && held.GetRole() == from.GetRole()
 }
 
-// HearEntry takes an entry's report and tells whether it was news.
-func (m *Members) HearEntry(report *wire.EntryReport, now time.Time) (news bool) {
-	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { news = t.HearEntry(report, now) })
+// ObserveEntry takes an entry's report and tells whether it was news.
+func (m *Members) ObserveEntry(report *wire.EntryReport, now time.Time) (news bool) {
+	m.shard(report.GetNode().GetId()).with(func(t *membership.Table) { news = t.ObserveEntry(report, now) })
 	return news
 }
 
-// Touch notes that a process was heard without a report.
+// Touch notes a call of a process without a report.
 func (m *Members) Touch(node *wire.Node, now time.Time) {
 	m.shard(node.GetId()).with(func(t *membership.Table) { t.Touch(node.GetId(), node.GetIncarnation(), now) })
 }
 
-// HearList takes the platform's list.
-func (m *Members) HearList(list []membership.Listed, now time.Time) {
+// ObserveList takes the platform's list.
+func (m *Members) ObserveList(list []membership.Listed, now time.Time) {
 	if len(list) == 0 {
 		return
 	}
@@ -107,11 +107,11 @@
 	}
 	for i := range m.shards {
 		shard := &m.shards[i]
-		shard.with(func(t *membership.Table) { t.HearList(byShard[shard], len(list), now) })
+		shard.with(func(t *membership.Table) { t.ObserveList(byShard[shard], len(list), now) })
 	}
 }
 
-// Adjust moves the moments of hearing after this process stood still.
+// Adjust moves the times last seen after this process stood still.
 func (m *Members) Adjust(jump time.Duration) {
 	m.each(func(t *membership.Table) { t.Adjust(jump) })
 }
@@ -134,7 +134,7 @@
 	return count
 }
 
-// Entries returns the entries heard, by id.
+// Entries returns the entries known, by id.
 func (m *Members) Entries(now time.Time) []view.Peer {
 	count := 0
 	m.each(func(t *membership.Table) { count += t.EntryCount() })
@@ -144,7 +144,7 @@
 	return entries
 }
 
-// Hosts returns the hosts heard, by id. entries are those of the same moment.
+// Hosts returns the hosts known, by id. entries are those of the same moment.
 func (m *Members) Hosts(now time.Time, drains *wire.DrainMarks, entries []view.Peer) []view.Host {
 	out := membership.Outlook{Self: m.self, HostCount: m.Len(), Drained: map[string]bool{}, LostEntries: map[string]bool{}}
 	for _, id := range drains.GetHosts() {
--- a/entry/internal/control/publisher.go
+++ b/entry/internal/control/publisher.go
@@ -95,7 +95,7 @@
 	now := p.house.clock.Now()
 	hurry := p.house.hurry.Swap(false)
 	if p.due(now) {
-		p.house.hosts.HearEntry(p.own(), now)
+		p.house.hosts.ObserveEntry(p.own(), now)
 	}
 	p.house.mu.Lock()
 	root, plan, drains := p.house.state.Root(), p.house.state.Plan(), p.house.state.Drains()
--- a/entry/internal/control/server.go
+++ b/entry/internal/control/server.go
@@ -112,14 +112,14 @@
 }
 
 func (s *Server) take(ctx context.Context, with *session, req *wire.SyncRequest) {
-	behind := s.house.HearKnown(req.GetKnown())
+	behind := s.house.ObserveKnown(req.GetKnown())
 	if isAgent(req.GetFrom()) {
 		s.takeAgent(ctx, with, req)
 		return
 	}
 	with.loseWanted(req.GetWholeWanted())
-	s.exchange.hearHosts(with, req.GetHosts())
-	s.exchange.hearEntries(with, req.GetEntries())
+	s.exchange.observeHosts(with, req.GetHosts())
+	s.exchange.observeEntries(with, req.GetEntries())
 	if behind {
 		s.pull(req.GetFrom())
 	}
@@ -147,9 +147,9 @@
 		report.Revision = req.GetKnown().GetRevision()
 		report.PlanRevision = req.GetKnown().GetPlanRevision()
 		hurry := s.exchange.leaves(report)
-		s.exchange.stir(s.house.hosts.HearHost(report, now), hurry)
+		s.exchange.stir(s.house.hosts.ObserveHost(report, now), hurry)
 		with.mu.Lock()
-		with.hosts.Heard(report, now)
+		with.hosts.Received(report, now)
 		with.mu.Unlock()
 	}
 	s.takeOffer(ctx, req)
--- a/entry/internal/control/session.go
+++ b/entry/internal/control/session.go
@@ -89,7 +89,7 @@
 }
 
 // hearWanted takes what the node asks for in an answer to this process.
-func (s *session) hearWanted(ids []string, self string) {
+func (s *session) observeWanted(ids []string, self string) {
 	s.loseWanted(ids)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,7 +100,7 @@
 type visit struct {
 	*session
 
-	incarnation string // empty while only called, never heard
+	incarnation string // empty while only called, never seen
 	seen        time.Time
 }
 
@@ -129,7 +129,7 @@
 	return found.session
 }
 
-func restarted(held, heard string) bool { return held != "" && heard != "" && held != heard }
+func restarted(held, seen string) bool { return held != "" && seen != "" && held != seen }
 
 // refreshFor returns the age at which an unchanged report is sent again to the
 // node, in a house of the number of hosts.
--- a/entry/internal/control/syncer.go
+++ b/entry/internal/control/syncer.go
@@ -151,7 +151,7 @@
 	}
 	countMessage("bytesIn", "entry", reply)
 	s.exchange.takeReply(ctx, with, reply, s.fetchFrom(node))
-	if wait > 0 && s.house.HearKnown(reply.GetKnown()) {
+	if wait > 0 && s.house.ObserveKnown(reply.GetKnown()) {
 		s.Pull(node)
 	}
 	return nil
--- a/entry/internal/control/watcher.go
+++ b/entry/internal/control/watcher.go
@@ -97,7 +97,7 @@
 func (w *Watcher) takeRoot(ctx context.Context, root *wire.Root, confirmedAt time.Time) error {
 	if root.GetRevision() < w.house.Root().GetRevision() {
 		// The service lost writes or was restored from an old backup. What is in
-		// force stays; operators must hear of it.
+		// force stays; operators must learn of it.
 		counters.Add("serviceBehind", 1)
 		w.house.log.Error("the service is behind", "serviceRevision", root.GetRevision(),
 			"revision", w.house.Root().GetRevision(), "remedy", "restore document/ in the key-value service")
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -137,7 +137,7 @@
 }
 
 // cutoff is when attempts are given up: a little before the deadline, so that
-// a cancel can still prove what happened and the caller hears of it in time.
+// a cancel can still prove what happened and the caller learns of it in time.
 func (r *run) cutoff() time.Time {
 	left := r.req.Deadline.Sub(r.started)
 	return r.req.Deadline.Add(-min(cancelTimeout, left/cutoffShare))
--- a/entry/internal/dispatch/lane.go
+++ b/entry/internal/dispatch/lane.go
@@ -247,8 +247,8 @@
 	l.pump(now)
 }
 
-// heard takes the load that came with a frame.
-func (l *lane) heard(choice route.Choice, running, queued uint32) {
+// observeLoad takes the load that came with a frame.
+func (l *lane) observeLoad(choice route.Choice, running, queued uint32) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -125,7 +125,7 @@
 		if err != nil {
 			return r.failed(ctx, watch, streamReason(err))
 		}
-		watch.heard()
+		watch.restart()
 		step := r.progress.Take(frame)
 		r.note(choice, frame, step)
 		if end, over := r.follow(choice, frame, step, timing, watch); over {
@@ -152,7 +152,7 @@
 func (r *run) note(choice route.Choice, frame *wire.Frame, step Step) {
 	switch step.Kind {
 	case StepBegin, StepWhole:
-		r.lane.heard(choice, frame.GetRunning(), frame.GetQueued())
+		r.lane.observeLoad(choice, frame.GetRunning(), frame.GetQueued())
 	case StepDrop, StepRelay, StepRefused, StepBroken:
 	}
 }
@@ -202,7 +202,7 @@
 	}
 	r.progress.Handed()
 	watch.pause()
-	defer watch.heard()
+	defer watch.restart()
 	return r.sink.Tokens(r.progress.Version(), tokens)
 }
 
@@ -290,9 +290,9 @@
 	return min(maxPatience, max(minPatience, patience))
 }
 
-func (w *watch) heard() { w.timer.Reset(w.limit) }
-func (w *watch) pause() { w.timer.Stop() }
-func (w *watch) stop()  { w.timer.Stop() }
+func (w *watch) restart() { w.timer.Reset(w.limit) }
+func (w *watch) pause()   { w.timer.Stop() }
+func (w *watch) stop()    { w.timer.Stop() }
 
 // timing measures one attempt.
 type timing struct {
--- a/entry/internal/dispatch/run_test.go
+++ b/entry/internal/dispatch/run_test.go
@@ -111,7 +111,7 @@
 	var list []route.Host
 	for i := range count {
 		name := fmt.Sprintf("h%d", i)
-		list = append(list, route.Host{ID: name, Address: name, Incarnation: "1", Version: "v1", Slots: 4, Sequence: 1, HeardAt: hosts.clock.Now()})
+		list = append(list, route.Host{ID: name, Address: name, Incarnation: "1", Version: "v1", Slots: 4, Sequence: 1, SeenAt: hosts.clock.Now()})
 	}
 	dispatcher.Update("lane", list, 1)
 	return dispatcher
--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -19,7 +19,7 @@
 	x.adm.SetSpan(x.route.Timeout, x.req.Deadline)
 }
 
-// line is those who wait for a place at one service. The head alone hears of room:
+// line is those who wait for a place at one service. The head alone is notified of room:
 // were it all who wait, each state of an engine would wake each of them.
 type line struct {
 	clock func() time.Time
--- a/entry/internal/gateway/held.go
+++ b/entry/internal/gateway/held.go
@@ -60,7 +60,7 @@
 }
 
 // acquit notes that a request was run to a good end: it ends no endpoint by itself, and was
-// only in progress where some did. Others hear of it where one more end would have held it. An
+// only in progress where some did. Others learn of it where one more end would have held it. An
 // answer that refuses or fails shows nothing: the request may not have been run.
 func (x *exchange) acquit(outcome fleet.Outcome) {
 	g := x.gateway
--- a/entry/internal/onsite/delay_meter.go
+++ b/entry/internal/onsite/delay_meter.go
@@ -16,7 +16,7 @@
 	echoSlack = 30 * time.Millisecond
 	// heldWeight is the part of a new time in what it took lately.
 	heldWeight = 0.25
-	// tellStep is the change of the delay that an agent should hear of at once.
+	// tellStep is the change of the delay that an agent should learn of at once.
 	tellStep = 80 * time.Millisecond
 )
 
@@ -47,7 +47,7 @@
 
 func newDelayMeter() *delayMeter { return &delayMeter{moved: make(chan struct{}, 1)} }
 
-// tell returns the delay for the agent to hear.
+// tell returns the delay that the agent should receive.
 func (m *delayMeter) tell() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/internal/onsite/feed.go
+++ b/entry/internal/onsite/feed.go
@@ -21,7 +21,7 @@
 	nearGap = 60 * time.Millisecond
 	farGap  = 250 * time.Millisecond
 	// guideGap is the same of an engine to which this entry sends nothing: it says
-	// that the host still hears.
+	// that the host is still connected.
 	guideGap = time.Second
 	// feedSilence ends a feed that brings nothing: agents send at least four times as
 	// often, so the connection is dead though nothing says so. guideSilence is the same
@@ -145,7 +145,7 @@
 }
 
 // tell tells the agent how much of what this entry sent there is not read yet, how
-// often it wants to hear and, if it is one of the host's guides, what is wanted, at
+// often it wants states and, if it is one of the host's guides, what is wanted, at
 // once and after each change.
 func (d *feed) tell(ctx context.Context, cancel context.CancelFunc, stream wire.DRPCFeed_FollowClient) {
 	defer cancel()
--- a/entry/internal/onsite/news.go
+++ b/entry/internal/onsite/news.go
@@ -182,8 +182,8 @@
 	asked map[uint64]time.Duration
 }
 
-// hear takes over one reply; false says that something between is missing.
-func (r *newsReader) hear(reply *wire.NewsReply) bool {
+// receive takes over one reply; false says that something between is missing.
+func (r *newsReader) receive(reply *wire.NewsReply) bool {
 	for _, one := range reply.GetChanges() {
 		if one.GetContinues() {
 			r.part = append(append(r.part, one.GetValue()...), one.GetPacked()...)
--- a/entry/internal/onsite/news_test.go
+++ b/entry/internal/onsite/news_test.go
@@ -72,7 +72,7 @@
 }
 
 // follow returns an entry that follows the one at the address. Before its stream
-// begins the store must not be left alone: nothing was heard.
+// begins the store must not be left alone: nothing was received.
 func follow(t *testing.T, address string) (*knower, *sources) {
 	t.Helper()
 	k := newKnower()
@@ -149,20 +149,20 @@
 	reader := &newsReader{state: k.state, mirror: k.mirror, asked: map[uint64]time.Duration{1: 0, 2: time.Second}}
 	k.now.Store(int64(4 * time.Second))
 	reply := &wire.NewsReply{Answers: 1, Proven: true, AgeMicros: 500_000, Revision: 3, Whole: true}
-	if !reader.hear(reply) {
+	if !reader.receive(reply) {
 		t.Fatal("got a whole reading refused")
 	}
 	if age, known := k.state.Fresh().Age(); !known || age != 4500*time.Millisecond {
 		t.Errorf("got age %v, %v, want 4.5s: half a second before the request at 0", age, known)
 	}
-	reader.hear(&wire.NewsReply{Answers: 2, Proven: true, AgeMicros: 1, Revision: 3})
+	reader.receive(&wire.NewsReply{Answers: 2, Proven: true, AgeMicros: 1, Revision: 3})
 	if age, _ := k.state.Fresh().Age(); age < 3*time.Second || age > 3001*time.Millisecond {
 		t.Errorf("got age %v, want that of the request at 1 s", age)
 	}
 	if len(reader.asked) != 1 {
 		t.Errorf("got %d requests remembered, want the newest", len(reader.asked))
 	}
-	if reader.hear(&wire.NewsReply{Answers: 9, Proven: false, Revision: 3}); k.state.Revision() != 3 {
+	if reader.receive(&wire.NewsReply{Answers: 9, Proven: false, Revision: 3}); k.state.Revision() != 3 {
 		t.Errorf("got revision %d, want 3", k.state.Revision())
 	}
 }
@@ -218,7 +218,7 @@
 		if got := len(k.state.Entries()); got != 0 {
 			t.Errorf("got %d keys before part %d, want none: a part is not the whole", got, i)
 		}
-		reader.hear(reply)
+		reader.receive(reply)
 	}
 	if got := len(k.state.Entries()); got != len(entries) {
 		t.Errorf("got %d keys, want %d", got, len(entries))
@@ -278,7 +278,7 @@
 		if size > partBytes {
 			t.Errorf("reply %d: got a value of %d bytes, want %d at most", i, size, partBytes)
 		}
-		if !reader.hear(reply) {
+		if !reader.receive(reply) {
 			t.Fatalf("reply %d: got it refused", i)
 		}
 	}
--- a/entry/internal/onsite/onsite_test.go
+++ b/entry/internal/onsite/onsite_test.go
@@ -284,7 +284,7 @@
 	}
 }
 
-// Symptom: an engine's host hears of no version after its guides were lost.
+// Symptom: an engine's host learns of no version after its guides were lost.
 // Sequence: entries that are its guides end; their registrations go.
 // Cause: another entry did not look whether it is its turn now.
 func TestEntryGuidesHostsThatOthersLeft(t *testing.T) {
--- a/entry/internal/onsite/pack_test.go
+++ b/entry/internal/onsite/pack_test.go
@@ -22,7 +22,7 @@
 // Symptom: entries of a region handle requests by a configuration 3 to 5 s old, and keys that were
 // taken away open routes for as long. Sequence: configurations of 346 KB come each 1.5 s; two
 // entries of the region read each from the store and send it to nine others, 3 MB over a link
-// of 40 Mbit/s; who hears late asks the store too, over the link between regions. Cause: a
+// of 40 Mbit/s; an entry that gets it late asks the store too, over the link between regions. Cause: a
 // configuration went to each follower as it is, though it repeats itself nearly everywhere.
 func TestFollowersGetConfigurationsCompressed(t *testing.T) {
 	value := configuration(3000)
@@ -38,7 +38,7 @@
 			sent += len(one.GetValue()) + len(one.GetPacked())
 			plain += len(one.GetValue())
 		}
-		if !reader.hear(reply) {
+		if !reader.receive(reply) {
 			t.Fatal("got a reply refused, want it taken over")
 		}
 	}
@@ -82,7 +82,7 @@
 		k := newKnower()
 		reader := &newsReader{state: k.state, mirror: k.mirror}
 		reply := &wire.NewsReply{Revision: 1, Changes: []*wire.StoredValue{{Key: "config", Packed: packed, Revision: 1}}}
-		if reader.hear(reply) || k.mirror.Revision() != 0 {
+		if reader.receive(reply) || k.mirror.Revision() != 0 {
 			t.Errorf("%s: got it taken over, want it refused", name)
 		}
 	}
--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -159,7 +159,7 @@
 // third of what others ask meanwhile is late or lost. Sequence: it comes to an entry, which
 // sends it to two engines; both end as they begin to run it, and the caller gets 502. It comes
 // again under a new id, at any entry, and ends two more. Cause: an entry forgot a request with
-// its answer and heard nothing of what others saw, so nobody knew that it had ended an engine.
+// its answer and received nothing of what others saw, so nobody knew that it had ended an engine.
 // Proof: with a stand-in that ends under one body, the tries at nine entries bear one
 // fingerprint and each ended two endpoints; with the ends counted by fingerprint and told
 // through the store, none is sent after the third.
--- a/entry/internal/onsite/sources.go
+++ b/entry/internal/onsite/sources.go
@@ -43,7 +43,7 @@
 	live     atomic.Int64 // streams that bring something
 	sound    atomic.Int64 // those of them whose source has the store
 	followed atomic.Bool  // the region is large enough that some follow others
-	heard    atomic.Int64 // when one that has the store answered last, Unix nanoseconds
+	soundAt  atomic.Int64 // when one that has the store answered last, Unix nanoseconds
 }
 
 // led returns for how long the store need not be asked: others tell what it holds,
@@ -64,7 +64,9 @@
 func (s *sources) follows() bool { return len(s.wanted()) > 0 }
 
 // brings reports whether an entry that this one follows answers and has the store.
-func (s *sources) brings() bool { return s.clock.Now().UnixNano()-s.heard.Load() < int64(newsSilence) }
+func (s *sources) brings() bool {
+	return s.clock.Now().UnixNano()-s.soundAt.Load() < int64(newsSilence)
+}
 
 // wait returns how long this entry's own watches wait.
 func (s *sources) wait() time.Duration { return site.WatchWait(s.apply(), s.followed.Load()) }
@@ -159,12 +161,12 @@
 			return err
 		}
 		watchdog.Reset(newsSilence)
-		if !asker.hear(reply) {
+		if !asker.receive(reply) {
 			return errGap
 		}
 		s.count(&sound, !reply.GetStoreLost())
 		if sound {
-			s.heard.Store(s.clock.Now().UnixNano())
+			s.soundAt.Store(s.clock.Now().UnixNano())
 		}
 		if !up {
 			up = true
@@ -187,7 +189,7 @@
 	}
 }
 
-// newsAsker sends the requests of one stream and lets its reader hear the replies.
+// newsAsker sends the requests of one stream and passes the replies to its reader.
 type newsAsker struct {
 	stream wire.DRPCNews_ShareClient
 
@@ -222,8 +224,8 @@
 	}
 }
 
-func (a *newsAsker) hear(reply *wire.NewsReply) bool {
+func (a *newsAsker) receive(reply *wire.NewsReply) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.reader.hear(reply)
+	return a.reader.receive(reply)
 }
--- a/entry/internal/operators/operators_test.go
+++ b/entry/internal/operators/operators_test.go
@@ -205,7 +205,7 @@
 	o := newOffice(t)
 	o.want(http.StatusOK, "POST", "/v1/document", bootKey, submissionOf(0, 1, "one"))
 	o.want(http.StatusNotFound, "POST", "/v1/hosts/nobody/drain", martaKey, map[string]any{"drain": true})
-	o.house.Members().HearHost(&wire.HostReport{
+	o.house.Members().ObserveHost(&wire.HostReport{
 		Node: &wire.Node{Id: "agent-0", Incarnation: "i1", Role: "agent"}, Sequence: 1, Home: "entry-0",
 	}, time.Now())
 	o.publisher.Build()
@@ -233,7 +233,7 @@
 	model := document.Example().GetModels()[0]
 	domain := model.GetReplicas()[0].GetFailureDomain()
 	for i, state := range []string{"serving", "fetching"} {
-		o.house.Members().HearHost(&wire.HostReport{
+		o.house.Members().ObserveHost(&wire.HostReport{
 			Node:     &wire.Node{Id: "agent-" + state, Incarnation: "i1", Role: "agent", FailureDomain: domain},
 			Sequence: 1, Home: "entry-0",
 			Versions: []*wire.VersionState{{
--- a/entry/internal/operators/status.go
+++ b/entry/internal/operators/status.go
@@ -66,14 +66,14 @@
 		if !entry.Lost() {
 			homes[report.GetNode().GetId()] = report.GetHomeRevision()
 		}
-		node := newNode(report.GetNode(), millisOf(now.Sub(entry.HeardAt())), entry.Leaving(), entry.Lost())
+		node := newNode(report.GetNode(), millisOf(now.Sub(entry.SeenAt())), entry.Leaving(), entry.Lost())
 		node.Revision, node.PlanRevision = report.GetRevision(), report.GetPlanRevision()
 		node.Running = report.GetInFlight()
 		status.add(node)
 	}
 	for _, host := range snap.Hosts {
 		report := host.Report()
-		node := newNode(report.GetNode(), millisOf(now.Sub(host.HeardAt())), host.Leaving(), host.Lost())
+		node := newNode(report.GetNode(), millisOf(now.Sub(host.SeenAt())), host.Leaving(), host.Lost())
 		// The report of a far host comes rarely; its home entry's word often.
 		node.Revision = max(report.GetRevision(), homes[report.GetHome()])
 		node.PlanRevision = report.GetPlanRevision()
--- a/entry/internal/planner/planner_test.go
+++ b/entry/internal/planner/planner_test.go
@@ -41,7 +41,7 @@
 	return d
 }
 
-// see shows the planner a document of the revision and the hosts heard.
+// see shows the planner a document of the revision and the hosts known.
 func (d *desk) see(revision uint32, hosts ...string) {
 	doc := document.Example()
 	doc.Models = []*wire.Model{{Name: "parcel", Version: "v1", Replicas: []*wire.Replicas{{FailureDomain: "a", Count: 2}}}}
@@ -144,7 +144,7 @@
 	}
 }
 
-// TestNewHolderKnowsFewHosts: a planner that just started has not heard of the
+// TestNewHolderKnowsFewHosts: a planner that just started has not learned of the
 // hosts in the stored plan. It must not take them for gone.
 func TestNewHolderKnowsFewHosts(t *testing.T) {
 	clock := clockwork.NewFakeClock()
--- a/relay/admission/admission_test.go
+++ b/relay/admission/admission_test.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// Symptom: callers hear of a refusal after two seconds and have no time left to
+// Symptom: callers learn of a refusal after two seconds and have no time left to
 // come back. Sequence: all engines are full. Cause: the wait had no bound that
 // leaves time to run.
 func TestHoldLeavesTimeToRun(t *testing.T) {
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -94,7 +94,7 @@
 	// shortBackoff is the Config.MaxBackoff up to which an origin can bear to be asked by
 	// all whose pause ends at once.
 	shortBackoff = time.Second
-	// rejoinSpread is the time in which those come back who hear that the origin
+	// rejoinSpread is the time in which those come back who learn that the origin
 	// answers again.
 	rejoinSpread = 100 * time.Millisecond
 	// minTurn is the least time that an owner has before the next in rank asks
@@ -117,7 +117,7 @@
 	// silentTime is the time without a word after which a peer that failed is
 	// taken to be gone.
 	silentTime = 3 * time.Second
-	// overtakers is the hosts of lower rank that an owner hears before it
+	// overtakers is the hosts of lower rank that an owner asks before it
 	// draws, during its youngTime.
 	overtakers = 2
 	youngTime  = 3 * time.Second
--- a/relay/burst/draw.go
+++ b/relay/burst/draw.go
@@ -58,21 +58,21 @@
 
 // settled reports whether enough is known to draw. A host that just started
 // knows few peers and would take itself for the owner of every chunk, the more
-// the worse: it first hears neighbours, or waits a little where none answers.
+// the worse: it first asks neighbours, or waits a little where none answers.
 func (c *Core) settled(now time.Time) bool {
 	if c.listedAt.IsZero() {
 		return false
 	}
-	heard, chosen := 0, 0
+	answered, chosen := 0, 0
 	for _, pst := range c.neighbours {
 		if pst.chosen {
 			chosen++
 		}
 		if pst.chosen && pst.held != nil {
-			heard++
+			answered++
 		}
 	}
-	if chosen > 0 && 2*heard >= chosen {
+	if chosen > 0 && 2*answered >= chosen {
 		return true
 	}
 	return now.Sub(c.listedAt) >= settleTime
@@ -227,13 +227,13 @@
 		if !after || other.absent(now) {
 			continue
 		}
-		if other.is(other.fetching, chunk) && now.Sub(other.heardAt) < c.turn() {
+		if other.is(other.fetching, chunk) && now.Sub(other.seenAt) < c.turn() {
 			return true
 		}
 		if asked++; asked > overtakers || now.Sub(c.listedAt) > youngTime {
 			continue
 		}
-		if other.heardAt.IsZero() {
+		if other.seenAt.IsZero() {
 			if !other.exchanging {
 				c.exchangeWith(other)
 			}
@@ -246,7 +246,7 @@
 // excluded reports whether a host of higher rank said lately that it neither
 // holds nor fetches the chunk; it asks where that is unknown.
 func (c *Core) excluded(now time.Time, owner *peerState, chunk int, turn time.Duration) bool {
-	if owner.silent > 0 && now.Sub(owner.heardAt) > silentTime {
+	if owner.silent > 0 && now.Sub(owner.seenAt) > silentTime {
 		// It failed and has been silent since; a stalled link answers nothing.
 		return true
 	}
@@ -260,7 +260,7 @@
 		c.exchangeWith(owner)
 		return false
 	}
-	if owner.heardAt.Before(asked) {
+	if owner.seenAt.Before(asked) {
 		return false
 	}
 	if owner.held != nil && owner.held.Test(uint(chunk)) {
@@ -336,7 +336,7 @@
 		if owner.absent(now) {
 			continue
 		}
-		if owner.heardAt.IsZero() && !owner.exchanging {
+		if owner.seenAt.IsZero() && !owner.exchanging {
 			c.exchangeWith(owner)
 		}
 		return
--- a/relay/burst/flights.go
+++ b/relay/burst/flights.go
@@ -72,7 +72,7 @@
 		c.membershipChanged(now)
 	case TimedOut:
 		pst.stalled(now)
-		if pst.heardAt.Before(flt.started) {
+		if pst.seenAt.Before(flt.started) {
 			pst.unanswered(now)
 		}
 		c.membershipChanged(now)
--- a/relay/burst/learn.go
+++ b/relay/burst/learn.go
@@ -21,9 +21,9 @@
 	}
 }
 
-// Heard takes the report of a peer that called; the reply to it must bear the
+// Observe takes the report of a peer that called; the reply to it must bear the
 // Report of the same moment.
-func (c *Core) Heard(now time.Time, from Peer, rep Report) {
+func (c *Core) Observe(now time.Time, from Peer, rep Report) {
 	if from.ID == c.cfg.Self.ID {
 		return
 	}
@@ -55,7 +55,7 @@
 }
 
 func (c *Core) learn(now time.Time, pst *peerState, rep Report) {
-	pst.heardAt, pst.exchanged = now, now
+	pst.seenAt, pst.exchanged = now, now
 	pst.silent = 0
 	pst.queue = rep.Queue
 	if rep.Fetching != nil {
@@ -130,7 +130,7 @@
 	c.pace.note(now, fresh)
 }
 
-// originAnswers ends the pause of a host whose draws failed, once it hears that others'
+// originAnswers ends the pause of a host whose draws failed, once it learns that others'
 // draw succeeds: hosts that each waited for their own pause to end left an origin that
 // was back idle for half a second. What left the origin before it failed is still told
 // for a while. Where pauses are long, others have taken over by then and each chunk would
--- a/relay/burst/peers.go
+++ b/relay/burst/peers.go
@@ -19,16 +19,16 @@
 	chosen    bool // neighbour by our own choice
 	heldCount int  // bits of held
 
-	held     *bitset.BitSet // nil until it was heard; only grows
+	held     *bitset.BitSet // nil until it was seen; only grows
 	fetching []uint64
-	heardAt  time.Time
+	seenAt   time.Time
 
 	exchanging bool
 	exchanged  time.Time // when the last exchange ended, either side's
 	told       int       // c.news when it was last told; -1 before
 	telling    int       // c.news when the exchange in progress began
 
-	queue    int // requests waiting at its uplink when last heard
+	queue    int // requests waiting at its uplink when last seen
 	inFlight int
 	serve    time.Duration // moving average of a fetch from it; 0 until measured
 
@@ -38,7 +38,7 @@
 	bannedUntil  time.Time // sent corrupt bytes repeatedly: ignored until then
 	outsideUntil time.Time // takes no part in the version until then
 	strikes      int       // requests that timed out since it last delivered
-	silent       int       // failures since it was last heard
+	silent       int       // failures since it was last seen
 	corrupts     int       // corrupt chunks since it last delivered
 }
 
@@ -123,7 +123,7 @@
 		pst.peer = peer
 	}
 	c.order = slices.DeleteFunc(c.order, func(pst *peerState) bool {
-		gone := !pst.listed && now.Sub(pst.heardAt) > wholeInterval
+		gone := !pst.listed && now.Sub(pst.seenAt) > wholeInterval
 		if gone {
 			c.forget(pst)
 		}
@@ -183,7 +183,7 @@
 	for _, pst := range c.order {
 		if pst.chosen {
 			c.setNeighbour(pst, true)
-		} else if pst.absent(now) || now.Sub(pst.heardAt) > wholeInterval {
+		} else if pst.absent(now) || now.Sub(pst.seenAt) > wholeInterval {
 			c.setNeighbour(pst, false)
 		}
 	}
--- a/relay/burst/regions.go
+++ b/relay/burst/regions.go
@@ -138,7 +138,7 @@
 }
 
 // tellImporters tells the hosts that take a chunk into the other regions that this host,
-// which drew it, holds it now. They are neighbours of it by chance alone, and would hear of the
+// which drew it, holds it now. They are neighbours of it by chance alone, and would learn of the
 // chunk over others, each after the time between two exchanges, which is long against the
 // chunk's way.
 func (c *Core) tellImporters(now time.Time, chunk int) {
--- a/relay/burst/regions_test.go
+++ b/relay/burst/regions_test.go
@@ -39,13 +39,13 @@
 }
 
 // Symptom: a chunk is in the other regions half a second after its draw, ten times as long as it
-// is on its way. Sequence: the host that takes it into its region hears of it over several
+// is on its way. Sequence: the host that takes it into its region learns of it over several
 // neighbours, asks, is told to come back and comes back late. Cause: whoever holds few chunks
 // went first, and as many waited as came.
 func TestImporterGoesFirst(t *testing.T) {
 	core := New(Config{Self: Peer{ID: "self", Region: "here"}, Version: "v", Chunks: 64, DearRegions: true})
-	core.Heard(simStart, Peer{ID: "near", Region: "here"}, Report{Held: []uint64{0}})
-	core.Heard(simStart, Peer{ID: "far", Region: "there"}, Report{Held: []uint64{1<<20 - 1}})
+	core.Observe(simStart, Peer{ID: "near", Region: "here"}, Report{Held: []uint64{0}})
+	core.Observe(simStart, Peer{ID: "far", Region: "there"}, Report{Held: []uint64{1<<20 - 1}})
 	if near, far := core.Turn("near"), core.Turn("far"); far >= near {
 		t.Errorf("got turn %d of the importer and %d of a neighbour that holds nothing, want the importer first", far, near)
 	}
--- a/relay/burst/sim_test.go
+++ b/relay/burst/sim_test.go
@@ -290,7 +290,7 @@
 	}
 	s.on(peer, lat, func() {
 		peer.core.SetUploads(peer.uploads.Load())
-		peer.core.Heard(s.time(), host.peer, rep)
+		peer.core.Observe(s.time(), host.peer, rep)
 		reply := peer.core.Report()
 		s.decide(peer)
 		s.on(host, lat, func() {
@@ -327,7 +327,7 @@
 		if host.stalled || peer.stalled {
 			return
 		}
-		peer.core.Heard(s.time(), host.peer, rep)
+		peer.core.Observe(s.time(), host.peer, rep)
 		if !peer.core.Holds(act.Chunk) {
 			s.failLater(trans, lat, Lacks, 0)
 			return
--- a/relay/deal/deal_test.go
+++ b/relay/deal/deal_test.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// Symptom: hosts of a region never hear of a version.
+// Symptom: hosts of a region never learn of a version.
 // Sequence: all entries of the region are lost; those of other regions think it
 // is not their turn.
 // Cause: a host whose region has too few entries needs others in their place.
--- a/relay/fallback/domain.go
+++ b/relay/fallback/domain.go
@@ -55,8 +55,8 @@
 	for _, assignment := range in.Plan.GetAssignments() {
 		id := assignment.GetHost()
 		present[id], inPlan[id] = true, true
-		host, heard := hosts[id]
-		if assignment.GetFailureDomain() == name && !c.emptyForLong(id, host, heard, in.Now) {
+		host, known := hosts[id]
+		if assignment.GetFailureDomain() == name && !c.emptyForLong(id, host, known, in.Now) {
 			dom.plan(assignment.GetModel(), host)
 		}
 	}
--- a/relay/fallback/fallback.go
+++ b/relay/fallback/fallback.go
@@ -40,11 +40,11 @@
 	Outage, Settle time.Duration
 	// LeavingAfter and LostAfter are those of placement.Limits.
 	LeavingAfter, LostAfter time.Duration
-	// UnheardAfter is for planned hosts without any report. Entries pass the
+	// UnreportedAfter is for planned hosts without any report. Entries pass the
 	// reports of lost hosts on too, but in a large failure domain it takes a new
 	// agent a while to get all: without this time it would take the rest for
 	// dead.
-	UnheardAfter time.Duration
+	UnreportedAfter time.Duration
 	// Pause is the gap between two decisions that shows that the process stood
 	// still: what it holds is old then, and proves no outage.
 	Pause time.Duration
@@ -54,12 +54,12 @@
 func DefaultLimits() Limits {
 	moves := placement.DefaultLimits()
 	return Limits{
-		Outage:       20 * time.Second,
-		Settle:       10 * time.Second,
-		LeavingAfter: moves.LeavingAfter,
-		LostAfter:    moves.LostAfter,
-		UnheardAfter: 2 * time.Minute,
-		Pause:        5 * time.Second,
+		Outage:          20 * time.Second,
+		Settle:          10 * time.Second,
+		LeavingAfter:    moves.LeavingAfter,
+		LostAfter:       moves.LostAfter,
+		UnreportedAfter: 2 * time.Minute,
+		Pause:           5 * time.Second,
 	}
 }
 
@@ -158,8 +158,8 @@
 
 // emptyForLong reports whether the host's place counts as empty: most hosts
 // that fall silent are back soon, and a move costs a whole model's bytes.
-func (c *Core) emptyForLong(id string, host view.Host, heard bool, now time.Time) bool {
-	if heard && !host.Lost() && !host.Leaving() {
+func (c *Core) emptyForLong(id string, host view.Host, reported bool, now time.Time) bool {
+	if reported && !host.Lost() && !host.Leaving() {
 		delete(c.since, id)
 		return false
 	}
@@ -168,20 +168,20 @@
 		began = now
 		c.since[id] = now
 	}
-	if heard && host.Lost() && host.HeardAt().Before(began) {
-		began = host.HeardAt()
+	if reported && host.Lost() && host.SeenAt().Before(began) {
+		began = host.SeenAt()
 	}
 	limit := c.limits.LostAfter
 	switch {
-	case !heard:
-		limit = c.limits.UnheardAfter
+	case !reported:
+		limit = c.limits.UnreportedAfter
 	case host.Leaving():
 		limit = c.limits.LeavingAfter
 	}
 	return now.Sub(began) >= limit
 }
 
-// forget bounds since to the hosts that were heard or are planned.
+// forget bounds since to the hosts that reported or are planned.
 func (c *Core) forget(present map[string]bool) {
 	for id := range c.since {
 		if !present[id] {
--- a/relay/fallback/fallback_test.go
+++ b/relay/fallback/fallback_test.go
@@ -36,7 +36,7 @@
 // seat is one host and its core.
 type seat struct {
 	report        *wire.HostReport
-	heardAt       time.Time
+	seenAt        time.Time
 	leaving, lost bool
 	core          *Core
 }
@@ -109,11 +109,11 @@
 	var hosts []view.Host
 	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
 		held := s.hosts[id]
-		heardAt := s.now
+		seenAt := s.now
 		if held.lost {
-			heardAt = held.heardAt
+			seenAt = held.seenAt
 		}
-		hosts = append(hosts, view.NewHost(held.report, heardAt, held.leaving, held.lost))
+		hosts = append(hosts, view.NewHost(held.report, seenAt, held.leaving, held.lost))
 	}
 	return hosts
 }
@@ -165,7 +165,7 @@
 			if model != "" {
 				held.report.Versions = []*wire.VersionState{{Model: model, Version: "v1", State: state}}
 			}
-			held.leaving, held.lost, held.heardAt = cmd.HasArg("leaving"), cmd.HasArg("lost"), s.now
+			held.leaving, held.lost, held.seenAt = cmd.HasArg("leaving"), cmd.HasArg("lost"), s.now
 		}
 	}
 }
--- a/relay/fence/fence.go
+++ b/relay/fence/fence.go
@@ -18,7 +18,7 @@
 // may report 0, and none keeps the plan's revision, so that two plans of one
 // planner look alike to a restarted agent. The agent therefore
 //
-//   - hears up to three entries and takes the highest plan among them (package
+//   - asks up to three entries and takes the highest plan among them (package
 //     control),
 //   - waits some seconds for a higher one before it orders anything beside an
 //     engine that has weights loaded, and
@@ -26,9 +26,9 @@
 //     names to another version of the same model: versions come into plans from
 //     the document alone, so that plan is older (package orders).
 //
-// This cannot be excluded: all entries that the restarted agent hears in that
+// This cannot be excluded: all entries that the restarted agent asks in that
 // time lag with document and plan alike, or the plans differ in the model of
-// the host only. The host then turns to the older plan until it hears of the
+// the host only. The host then turns to the older plan until it learns of the
 // newer one. Its answers are whole and name their version all the same.
 package fence
 
--- a/relay/membership/amend.go
+++ b/relay/membership/amend.go
@@ -103,7 +103,7 @@
 	}, true
 }
 
-// Node returns the description of the process that was heard under the id and
+// Node returns the description of the process that was seen under the id and
 // incarnation, or nil: a message need not repeat it.
 func (t *Table) Node(id, incarnation string) *wire.Node {
 	held := t.members[id]
--- a/relay/membership/amend_test.go
+++ b/relay/membership/amend_test.go
@@ -61,7 +61,7 @@
 				}
 				continue
 			}
-			table.HearHost(whole, now)
+			table.ObserveHost(whole, now)
 			got := table.members["h"].report
 			want := states[got.GetNode().GetIncarnation()][got.GetSequence()]
 			if len(got.GetVersions()) != want {
@@ -77,7 +77,7 @@
 // An amendment that nobody made whole must not replace what is held.
 func TestAmendmentAloneIsNoReport(t *testing.T) {
 	table := New(DefaultLimits())
-	if table.HearHost(Amend(wholeReport("i-1", 5, 1), 4), time.Unix(1000, 0)) {
+	if table.ObserveHost(Amend(wholeReport("i-1", 5, 1), 4), time.Unix(1000, 0)) {
 		t.Error("got an amendment taken as a report, want it ignored")
 	}
 	if _, ok := table.Complete(Amend(wholeReport("i-1", 5, 1), 4)); ok {
--- a/relay/membership/membership.go
+++ b/relay/membership/membership.go
@@ -34,7 +34,7 @@
 	// more so the more hosts there are.
 	FarLostAfter, FarLostPerHost time.Duration
 	// EntryLostAfter and EntryLostPerEntry bound the silence about an entry;
-	// many entries hear of each other through others, and less often.
+	// many entries learn of each other through others, and less often.
 	EntryLostAfter, EntryLostPerEntry time.Duration
 	// ForgetAfter is the silence after which a host that the platform's list
 	// lacks is forgotten; it bounds the table.
@@ -64,10 +64,10 @@
 
 // member is what is known of one host or entry.
 type member struct {
-	report  *wire.HostReport  // nil for entries and for hosts never heard
-	entry   *wire.EntryReport // nil for hosts and for entries never heard
-	heardAt time.Time         // zero: never heard
-	listed  *Listed           // nil: the newest list lacks it
+	report *wire.HostReport  // nil for entries and for hosts never seen
+	entry  *wire.EntryReport // nil for hosts and for entries never seen
+	seenAt time.Time         // zero: never seen
+	listed *Listed           // nil: the newest list lacks it
 }
 
 // Table holds the members. It is not safe for concurrent use: programs keep
@@ -85,7 +85,7 @@
 // Len returns how many members are known.
 func (t *Table) Len() int { return len(t.members) }
 
-// EntryCount returns how many entries were heard.
+// EntryCount returns how many entries are known.
 func (t *Table) EntryCount() int {
 	count := 0
 	for _, held := range t.members {
@@ -115,9 +115,9 @@
 	return sequence > heldSequence
 }
 
-// HearHost takes a host's whole report and tells whether it was news; see
+// ObserveHost takes a host's whole report and tells whether it was news; see
 // Complete for an amendment.
-func (t *Table) HearHost(report *wire.HostReport, now time.Time) bool {
+func (t *Table) ObserveHost(report *wire.HostReport, now time.Time) bool {
 	id := report.GetNode().GetId()
 	if id == "" || report.GetNode().GetIncarnation() == "" || IsAmendment(report) {
 		return false
@@ -127,7 +127,7 @@
 		return false
 	}
 	held.report = report
-	held.heardAt = later(held.heardAt, madeAt(report.GetAgeMillis(), now))
+	held.seenAt = later(held.seenAt, madeAt(report.GetAgeMillis(), now))
 	return true
 }
 
@@ -141,18 +141,18 @@
 	return Newer(incarnation, report.GetSequence(), heldIncarnation, held.GetSequence())
 }
 
-// Touch notes that the host's process was heard, without a report: a call of
+// Touch notes that the host's process was seen, without a report: a call of
 // it ended here.
 func (t *Table) Touch(id, incarnation string, now time.Time) {
 	held := t.members[id]
 	if held != nil && held.report != nil && held.report.GetNode().GetIncarnation() == incarnation {
-		held.heardAt = later(held.heardAt, now)
+		held.seenAt = later(held.seenAt, now)
 	}
 }
 
-// HearEntry takes an entry's report and tells whether it was news; see
+// ObserveEntry takes an entry's report and tells whether it was news; see
 // CompleteEntry for one without description.
-func (t *Table) HearEntry(report *wire.EntryReport, now time.Time) bool {
+func (t *Table) ObserveEntry(report *wire.EntryReport, now time.Time) bool {
 	id := report.GetNode().GetId()
 	if id == "" || report.GetNode().GetIncarnation() == "" {
 		return false
@@ -163,26 +163,26 @@
 		return false
 	}
 	held.entry = report
-	held.heardAt = later(held.heardAt, madeAt(report.GetAgeMillis(), now))
+	held.seenAt = later(held.seenAt, madeAt(report.GetAgeMillis(), now))
 	return true
 }
 
 // later keeps a clock that jumped back from making a member look silent.
-func later(held, heard time.Time) time.Time {
-	if heard.Before(held) {
+func later(held, seen time.Time) time.Time {
+	if seen.Before(held) {
 		return held
 	}
-	return heard
+	return seen
 }
 
 func madeAt(ageMillis uint32, now time.Time) time.Time {
 	return now.Add(-time.Duration(ageMillis) * time.Millisecond)
 }
 
-// HearList takes the platform's list, or the table's share of it; absence alone
+// ObserveList takes the platform's list, or the table's share of it; absence alone
 // changes no host's use. total is the length of the whole list: an empty one is
 // an outage of the list, not of the house, and changes nothing.
-func (t *Table) HearList(list []Listed, total int, now time.Time) {
+func (t *Table) ObserveList(list []Listed, total int, now time.Time) {
 	if total == 0 {
 		return
 	}
@@ -197,13 +197,13 @@
 	t.Forget(now)
 }
 
-// Adjust moves the moments of hearing after this process itself stood still
+// Adjust moves the times last seen after this process itself stood still
 // (paused, or its clock jumped): otherwise it would wake, find the whole house
 // silent and route to nobody until every host has reported again.
 func (t *Table) Adjust(jump time.Duration) {
 	for _, held := range t.members {
-		if !held.heardAt.IsZero() {
-			held.heardAt = held.heardAt.Add(jump)
+		if !held.seenAt.IsZero() {
+			held.seenAt = held.seenAt.Add(jump)
 		}
 	}
 }
@@ -215,7 +215,7 @@
 // lacks; it bounds the table.
 func (t *Table) Forget(now time.Time) {
 	for id, held := range t.members {
-		if held.listed == nil && now.Sub(held.heardAt) > t.limits.ForgetAfter {
+		if held.listed == nil && now.Sub(held.seenAt) > t.limits.ForgetAfter {
 			delete(t.members, id)
 		}
 	}
@@ -236,7 +236,7 @@
 // lostHost trusts the home entry of a far host: its word or its own loss counts
 // for more than silence about the host, which is the rule there.
 func (t *Table) lostHost(held *member, now time.Time, out Outlook) bool {
-	silence := now.Sub(held.heardAt)
+	silence := now.Sub(held.seenAt)
 	home := held.report.GetHome()
 	switch {
 	case held.report.GetLost():
@@ -248,10 +248,10 @@
 }
 
 func (t *Table) lostEntry(held *member, now time.Time, entryCount int) bool {
-	if held.heardAt.IsZero() {
+	if held.seenAt.IsZero() {
 		return true
 	}
-	return now.Sub(held.heardAt) > t.limits.EntryLostAfter+time.Duration(entryCount)*t.limits.EntryLostPerEntry
+	return now.Sub(held.seenAt) > t.limits.EntryLostAfter+time.Duration(entryCount)*t.limits.EntryLostPerEntry
 }
 
 // leaving joins the three sources: any one of them stops new work. A host's
@@ -269,7 +269,7 @@
 			continue
 		}
 		away := leaving(held, held.report.GetLeaving(), out.Drained[id])
-		hosts = append(hosts, view.NewHost(held.report, held.heardAt, away, t.lostHost(held, now, out)))
+		hosts = append(hosts, view.NewHost(held.report, held.seenAt, away, t.lostHost(held, now, out)))
 	}
 	return hosts
 }
@@ -283,7 +283,7 @@
 			continue
 		}
 		away := leaving(held, held.entry.GetDraining(), false)
-		entries = append(entries, view.NewPeer(held.entry, held.heardAt, away, t.lostEntry(held, now, entryCount)))
+		entries = append(entries, view.NewPeer(held.entry, held.seenAt, away, t.lostEntry(held, now, entryCount)))
 	}
 	return entries
 }
@@ -302,7 +302,7 @@
 	})
 }
 
-// Reachable returns the entries worth calling, heard or only listed, in no
+// Reachable returns the entries worth calling, seen or only listed, in no
 // order: an entry starts with the platform's list and learns the rest from the
 // first that answers.
 func (t *Table) Reachable(now time.Time) []*wire.Node {
@@ -327,7 +327,7 @@
 
 // gone leaves out an entry that fell silent long ago and is not listed.
 func (t *Table) gone(held *member, now time.Time) bool {
-	return held.entry != nil && held.listed == nil && now.Sub(held.heardAt) > t.limits.FarLostAfter
+	return held.entry != nil && held.listed == nil && now.Sub(held.seenAt) > t.limits.FarLostAfter
 }
 
 // ListedEngines counts, by failure domain, the engine hosts that the platform
--- a/relay/membership/membership_test.go
+++ b/relay/membership/membership_test.go
@@ -50,14 +50,14 @@
 	node := &wire.Node{Id: text("id", ""), Incarnation: text("incarnation", "i1"), Role: text("role", "agent")}
 	switch cmd.Cmd {
 	case "host":
-		news := s.table.HearHost(&wire.HostReport{
+		news := s.table.ObserveHost(&wire.HostReport{
 			Node: node, Sequence: uint64(number("sequence")), Leaving: cmd.HasArg("leaving"), Lost: cmd.HasArg("lost"),
 			Home: text("home", "self"), AgeMillis: uint32(number("ageMillis")),
 		}, s.now)
 		return fmt.Sprintf("news: %t\n", news)
 	case "entry":
 		node.Role = "entry"
-		news := s.table.HearEntry(&wire.EntryReport{Node: node, Sequence: uint64(number("sequence")), Draining: cmd.HasArg("draining")}, s.now)
+		news := s.table.ObserveEntry(&wire.EntryReport{Node: node, Sequence: uint64(number("sequence")), Draining: cmd.HasArg("draining")}, s.now)
 		return fmt.Sprintf("news: %t\n", news)
 	case "list":
 		s.list(cmd)
@@ -85,7 +85,7 @@
 			listed = append(listed, Listed{Node: &wire.Node{Id: id, Role: "agent"}, State: arg.Key})
 		}
 	}
-	s.table.HearList(listed, len(listed), s.now)
+	s.table.ObserveList(listed, len(listed), s.now)
 }
 
 func (s *scene) show() string {
@@ -133,7 +133,7 @@
 				best.GetNode().GetIncarnation(), best.GetSequence()) {
 				best = report
 			}
-			sc.table.HearHost(report, sc.now)
+			sc.table.ObserveHost(report, sc.now)
 		}
 		held := sc.table.Hosts(sc.now, Outlook{})[0].Report()
 		if held.GetNode().GetIncarnation() != best.GetNode().GetIncarnation() || held.GetSequence() != best.GetSequence() {
--- a/relay/placement/observer.go
+++ b/relay/placement/observer.go
@@ -27,24 +27,24 @@
 func NewObserver() *Observer { return &Observer{since: map[string]time.Time{}} }
 
 // Hosts returns the engine hosts of the view, with those of the plan that
-// nobody has heard of: a process that just started knows few, and must not take
+// nobody has learned of: a process that just started knows few, and must not take
 // the others for gone.
 func (o *Observer) Hosts(snap *view.Snapshot, plan *wire.Plan, now time.Time) []Host {
 	hosts := make([]Host, 0, len(snap.Hosts))
-	heard := make(map[string]bool, len(snap.Hosts))
+	known := make(map[string]bool, len(snap.Hosts))
 	for _, host := range snap.Hosts {
 		id := host.Report().GetNode().GetId()
-		heard[id] = true
+		known[id] = true
 		if document.IsEngine(snap.Document, host.Report()) {
 			hosts = append(hosts, observed(host, o.away(id, host.Leaving() || host.Lost(), now)))
 		}
 	}
 	for _, assignment := range plan.GetAssignments() {
-		if id := assignment.GetHost(); !heard[id] {
+		if id := assignment.GetHost(); !known[id] {
 			hosts = append(hosts, Host{ID: id, FailureDomain: assignment.GetFailureDomain(), Away: o.away(id, true, now)})
 		}
 	}
-	o.forget(plan, heard)
+	o.forget(plan, known)
 	return hosts
 }
 
@@ -63,10 +63,10 @@
 	return max(1, now.Sub(began))
 }
 
-func (o *Observer) forget(plan *wire.Plan, heard map[string]bool) {
+func (o *Observer) forget(plan *wire.Plan, known map[string]bool) {
 	planned := byHost(plan)
 	for id := range o.since {
-		if !heard[id] && planned[id] == nil {
+		if !known[id] && planned[id] == nil {
 			delete(o.since, id)
 		}
 	}
--- a/relay/placement/placement.go
+++ b/relay/placement/placement.go
@@ -109,7 +109,7 @@
 }
 
 // score orders the hosts for one model: the rendezvous hash makes every
-// planner choose the same hosts, whatever order it heard of them in.
+// planner choose the same hosts, whatever order it learned of them in.
 func score(model, host string) uint64 {
 	return rendezvous.Score(rendezvous.Seed(model), rendezvous.Seed(host))
 }
--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -230,7 +230,7 @@
 }
 
 // Served notes that an endpoint ran a request to a good end, and reports whether the other
-// entries have to hear of it: one further end would hold the request at an entry that knows
+// entries have to learn of it: one further end would hold the request at an entry that knows
 // only what all were told.
 func (l *Ledger) Served(print Fingerprint) (tell bool) {
 	l.mu.RLock()
@@ -256,11 +256,11 @@
 }
 
 // Notify lets the function be called whenever another request may be held, without a lock. It
-// is called before anything is heard.
+// is called before anything is observed.
 func (l *Ledger) Notify(maybeHeld func()) { l.maybeHeld = maybeHeld }
 
 // NotifyForgotten lets the function be called with each held request that is forgotten because
-// there is no room, without a lock. It is called before anything is heard.
+// there is no room, without a lock. It is called before anything is observed.
 func (l *Ledger) NotifyForgotten(tell func(Fingerprint)) { l.tellForgotten = tell }
 
 // Forgotten returns how many held requests were forgotten because there was no room.
--- a/relay/quarantine/record.go
+++ b/relay/quarantine/record.go
@@ -13,7 +13,7 @@
 	// weight is that of the pairs that count, kept as they change: requests are asked for far
 	// more often than endpoints end.
 	weight int
-	good   moment // when a good answer was last heard of; 0: none was
+	good   moment // when a good answer was last reported; 0: none was
 	// told is when one was last told of to all, which entries that start later read too.
 	told moment
 	// newest is when any pair was last told.
--- a/relay/revision/revision.go
+++ b/relay/revision/revision.go
@@ -143,8 +143,8 @@
 	}
 }
 
-// HearKnown takes over a confirmation that came with a message.
-func (s *State) HearKnown(known *wire.Known, now time.Time) {
+// ObserveKnown takes over a confirmation that came with a message.
+func (s *State) ObserveKnown(known *wire.Known, now time.Time) {
 	if known == nil || known.GetAgeMillis() == UnknownAge {
 		return
 	}
--- a/relay/revision/revision_test.go
+++ b/relay/revision/revision_test.go
@@ -55,7 +55,7 @@
 		if cmd.HasArg("unknown") {
 			known.AgeMillis = UnknownAge
 		}
-		state.HearKnown(known, *now)
+		state.ObserveKnown(known, *now)
 		return fmt.Sprintf("offers news: %t\n%s", state.Offers(known), show(state, *now))
 	default:
 		t.Fatalf("unknown command %s", cmd.Cmd)
@@ -89,7 +89,7 @@
 			case 2:
 				state.AdoptDrains(&wire.DrainMarks{Revision: uint64(offer)})
 			case 3:
-				state.HearKnown(&wire.Known{Revision: offer, AgeMillis: rapid.Uint64().Draw(t, "age")}, now)
+				state.ObserveKnown(&wire.Known{Revision: offer, AgeMillis: rapid.Uint64().Draw(t, "age")}, now)
 			default:
 				now = now.Add(time.Duration(rapid.IntRange(-5, 5).Draw(t, "jump")) * time.Second)
 			}
--- a/relay/route/host.go
+++ b/relay/route/host.go
@@ -32,7 +32,7 @@
 	Queued        int
 	Slots         int           // requests that it runs at once; 0 while unknown
 	Sequence      uint64        // of the report
-	HeardAt       time.Time     // when the report was made, by the local clock
+	SeenAt        time.Time     // when the report was made, by the local clock
 	TokenGap      time.Duration // median between tokens; 0 while unknown
 	Prefixes      []uint64      // prefixes in its cache, as far as it says
 }
--- a/relay/route/route_test.go
+++ b/relay/route/route_test.go
@@ -120,7 +120,7 @@
 // neither in it nor added to it.
 func TestAttemptsThatAReportDoesNotShow(t *testing.T) {
 	table := NewTable(Options{})
-	report := Host{ID: "h", Incarnation: "1", Version: "v", Slots: 8, Sequence: 1, HeardAt: simStart}
+	report := Host{ID: "h", Incarnation: "1", Version: "v", Slots: 8, Sequence: 1, SeenAt: simStart}
 	table.Update(simStart, []Host{report}, 1)
 	ask := Ask{Versions: []string{"v"}}
 	for second := 1; second <= 4; second++ {
@@ -128,7 +128,7 @@
 			t.Fatalf("got reason %d, want a host", reason)
 		}
 	}
-	report.Sequence, report.Running, report.HeardAt = 2, 5, simStart.Add(2*time.Second)
+	report.Sequence, report.Running, report.SeenAt = 2, 5, simStart.Add(2*time.Second)
 	table.Update(simStart.Add(5*time.Second), []Host{report}, 1)
 	if got, want := table.hosts[0].load(), 7; got != want {
 		t.Errorf("got load %d, want %d: the 5 reported and the 2 begun since", got, want)
@@ -143,7 +143,7 @@
 	var tables []*Table
 	for i := range entries {
 		table := NewTable(Options{Seed: uint64(i + 1)})
-		table.Update(simStart, []Host{{ID: "h", Incarnation: "1", Version: "v", Slots: 64, Sequence: 1, HeardAt: simStart}}, entries)
+		table.Update(simStart, []Host{{ID: "h", Incarnation: "1", Version: "v", Slots: 64, Sequence: 1, SeenAt: simStart}}, entries)
 		tables = append(tables, table)
 	}
 	for range 100 {
--- a/relay/route/sim_test.go
+++ b/relay/route/sim_test.go
@@ -87,7 +87,7 @@
 	for _, host := range s.hosts {
 		host.reports = append(host.reports, Host{
 			ID: host.id, Incarnation: "1", Version: "v", Slots: simSlots,
-			Running: host.running, Sequence: uint64(len(host.reports) + 1), HeardAt: s.now,
+			Running: host.running, Sequence: uint64(len(host.reports) + 1), SeenAt: s.now,
 			Prefixes: slices.Clone(host.cache),
 		})
 		old := max(0, len(host.reports)-1-int(simLag/simInterval))
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -113,7 +113,7 @@
 func (t *Table) refresh(now time.Time, report Host) (kept *host, same bool) {
 	kept = t.byID[report.ID]
 	if kept == nil || kept.Incarnation != report.Incarnation || kept.Version != report.Version {
-		fresh := &host{Host: report, limit: admit.NewLimit(report.Slots), learned: report.HeardAt}
+		fresh := &host{Host: report, limit: admit.NewLimit(report.Slots), learned: report.SeenAt}
 		if t.started {
 			fresh.joinedAt = now
 		}
@@ -127,12 +127,12 @@
 	t.note(now, report)
 	running, queued := kept.Running, kept.Queued
 	kept.Host = report
-	if report.HeardAt.Before(kept.learned) {
+	if report.SeenAt.Before(kept.learned) {
 		kept.Running, kept.Queued = running, queued // a frame told us later news
 		return kept, true
 	}
-	kept.learned = report.HeardAt
-	kept.atReport = kept.trace.at(report.HeardAt)
+	kept.learned = report.SeenAt
+	kept.atReport = kept.trace.at(report.SeenAt)
 	t.allot(now, kept)
 	return kept, true
 }
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -103,9 +103,9 @@
 
 	down bool // the last call failed
 	// failed counts the calls that failed in a row; loggedAt is when one was last logged.
-	failed   int
-	loggedAt time.Time
-	heard    time.Time // when the last one that did not ended
+	failed     int
+	loggedAt   time.Time
+	answeredAt time.Time // when the last call that succeeded ended
 	// silent: the store was not watched, and those who did fell silent. Changes
 	// that it tells at once may have been made meanwhile.
 	silent bool
@@ -129,7 +129,7 @@
 			f.sleep(ctx, min(led, ledLook))
 			continue
 		}
-		if f.down && f.Clock.Since(f.heard) > historyTime {
+		if f.down && f.Clock.Since(f.answeredAt) > historyTime {
 			whole = false
 		}
 		if whole {
@@ -139,7 +139,7 @@
 			whole = err == nil
 		}
 		if err == nil {
-			f.heard = f.Clock.Now()
+			f.answeredAt = f.Clock.Now()
 			f.regained()
 			continue
 		}
--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -32,7 +32,7 @@
 	keys      map[string]kv.Entry
 	deleted   int
 	forgotten uint64
-	heard     time.Time     // when the newest knowledge came; zero: none did
+	updatedAt time.Time     // when the newest knowledge came; zero: none did
 	changed   chan struct{} // closed and replaced when revision grows
 }
 
@@ -103,10 +103,10 @@
 // take keeps what is newer than what is known; m.mu is held.
 func (m *Mirror) take(entries []kv.Entry, revision uint64, atOnce bool) {
 	late := time.Duration(0)
-	if !atOnce && !m.heard.IsZero() {
-		late = m.clock.Since(m.heard)
+	if !atOnce && !m.updatedAt.IsZero() {
+		late = m.clock.Since(m.updatedAt)
 	}
-	m.heard = m.clock.Now()
+	m.updatedAt = m.clock.Now()
 	var records []Record
 	for _, entry := range entries {
 		old, known := m.keys[entry.Key()]
--- a/relay/site/mirror_test.go
+++ b/relay/site/mirror_test.go
@@ -44,7 +44,7 @@
 }
 
 // Symptom: requests begin on an old version after its time. Sequence: an entry
-// hears of nothing for 2 s; a version is named meanwhile; the entry counts its
+// learns of nothing for 2 s; a version is named meanwhile; the entry counts its
 // time from when it learned of it. Cause: what was learned late was taken for new.
 func TestVersionLearnedLateCountsFromWhenItMayHaveBeenNamed(t *testing.T) {
 	w := newWorld()
@@ -63,7 +63,7 @@
 	}
 }
 
-// TestMirrorsThatFollowEachOtherAgree: whatever an entry hears from the store and
+// TestMirrorsThatFollowEachOtherAgree: whatever an entry receives from the store and
 // from others, in which order and how often, it knows in the end what the store
 // holds, and on the way never an older value after a newer one.
 func TestMirrorsThatFollowEachOtherAgree(t *testing.T) {
--- a/relay/spread/digest.go
+++ b/relay/spread/digest.go
@@ -21,8 +21,8 @@
 
 // Candidate is a report that could go into a message.
 type Candidate struct {
-	Report  *wire.HostReport
-	HeardAt time.Time
+	Report *wire.HostReport
+	SeenAt time.Time
 	// Home: the sender is the entry that the host reports to.
 	Home     bool
 	Nearness int
@@ -77,7 +77,7 @@
 	return s.load-other.load >= step || other.load-s.load >= step
 }
 
-// mark is what one receiver last heard of one host, from us or told us.
+// mark is what one receiver last knew of one host, from us or in its own reports.
 type mark struct {
 	summary  summary
 	sequence uint64
@@ -111,8 +111,8 @@
 // SetRefresh changes the age at which an unchanged report is sent again.
 func (d *Digest) SetRefresh(refresh time.Duration) { d.refresh = refresh }
 
-// Heard notes that the receiver itself sent the report, made whole here.
-func (d *Digest) Heard(report *wire.HostReport, now time.Time) {
+// Received notes that the receiver itself sent the report, made whole here.
+func (d *Digest) Received(report *wire.HostReport, now time.Time) {
 	id := report.GetNode().GetId()
 	next := mark{
 		summary: summarize(report), sequence: report.GetSequence(), at: now,
@@ -148,7 +148,7 @@
 	if !d.routes {
 		amendment.Running, amendment.Queued, amendment.TokensPerSecond, amendment.TokenGapMillis = 0, 0, 0, 0
 		amendment.Revision, amendment.PlanRevision = 0, 0
-		amendment.Home = "" // it hears of a host from one entry only
+		amendment.Home = "" // one entry alone reports a host to it
 	}
 	return amendment
 }
@@ -165,13 +165,13 @@
 // Len returns the number of hosts remembered.
 func (d *Digest) Len() int { return len(d.marks) }
 
-// urgency orders what a receiver should hear.
+// urgency orders what a receiver should get.
 type urgency int
 
 const (
 	// urgent: new work must stop or may begin; it does not wait for bytes.
 	urgent urgency = iota
-	// changed: other states, another home, a host not heard of.
+	// changed: other states, another home, a host unknown to it.
 	changed
 	// routine: another load, or a refresh.
 	routine
@@ -179,7 +179,7 @@
 	known
 )
 
-// news returns how soon the receiver should hear the report.
+// news returns how soon the receiver should get the report.
 func (d *Digest) news(report *wire.HostReport, now time.Time) urgency {
 	held, told := d.marks[report.GetNode().GetId()]
 	if !told {
@@ -205,7 +205,7 @@
 	return known
 }
 
-// item is a candidate that the receiver should hear.
+// item is a candidate that the receiver should get.
 type item struct {
 	Candidate
 
@@ -235,7 +235,7 @@
 			break
 		}
 		bytes -= size
-		report.AgeMillis = millis(now.Sub(candidate.HeardAt))
+		report.AgeMillis = millis(now.Sub(candidate.SeenAt))
 		chosen = append(chosen, report)
 	}
 	return chosen
@@ -263,7 +263,7 @@
 	if byNearness := cmp.Compare(a.Nearness, b.Nearness); byNearness != 0 {
 		return byNearness
 	}
-	if byAge := b.HeardAt.Compare(a.HeardAt); byAge != 0 {
+	if byAge := b.SeenAt.Compare(a.SeenAt); byAge != 0 {
 		return byAge
 	}
 	return cmp.Compare(a.Report.GetNode().GetId(), b.Report.GetNode().GetId())
--- a/relay/spread/entries.go
+++ b/relay/spread/entries.go
@@ -12,7 +12,7 @@
 	"comfreyrelay.example/relay/wire"
 )
 
-// entryMark is what one receiver last heard of one entry.
+// entryMark is what one receiver last knew of one entry.
 type entryMark struct {
 	incarnation string
 	sequence    uint64
@@ -42,8 +42,8 @@
 // SetRelay changes the age at which the report of a third entry is sent again.
 func (d *EntryDigest) SetRelay(relay time.Duration) { d.relay = relay }
 
-// Heard notes that the receiver itself sent the report.
-func (d *EntryDigest) Heard(report *wire.EntryReport, now time.Time) {
+// Received notes that the receiver itself sent the report.
+func (d *EntryDigest) Received(report *wire.EntryReport, now time.Time) {
 	id, incarnation := report.GetNode().GetId(), report.GetNode().GetIncarnation()
 	describedAt := now
 	if held, told := d.marks[id]; told && held.incarnation == incarnation {
@@ -76,7 +76,7 @@
 // compose returns the report as it should be sent, and notes that it is.
 func (d *EntryDigest) compose(report *wire.EntryReport, age time.Duration, now time.Time) *wire.EntryReport {
 	sent, described := d.form(report, age, now)
-	d.Heard(report, now)
+	d.Received(report, now)
 	if described {
 		id := report.GetNode().GetId()
 		mark := d.marks[id]
@@ -95,7 +95,7 @@
 	}
 }
 
-// newer reports whether the receiver did not hear this report yet.
+// newer reports whether the receiver lacks this report.
 func (d *EntryDigest) newer(report *wire.EntryReport) bool {
 	held, told := d.marks[report.GetNode().GetId()]
 	return !told || membership.Newer(report.GetNode().GetIncarnation(), report.GetSequence(), held.incarnation, held.sequence)
@@ -103,15 +103,15 @@
 
 // news reports whether a third entry's report is worth passing on.
 func (d *EntryDigest) news(report *wire.EntryReport, now time.Time) bool {
-	if d.unheard(report) {
+	if d.unreported(report) {
 		return d.newer(report)
 	}
 	return d.newer(report) && now.Sub(d.marks[report.GetNode().GetId()].at) >= d.relay
 }
 
-// unheard reports whether the receiver does not know of the entry as it is:
+// unreported reports whether the receiver does not know of the entry as it is:
 // it was never told of it, or before it drained or started anew.
-func (d *EntryDigest) unheard(report *wire.EntryReport) bool {
+func (d *EntryDigest) unreported(report *wire.EntryReport) bool {
 	held, told := d.marks[report.GetNode().GetId()]
 	return !told || report.GetDraining() != held.draining || report.GetNode().GetIncarnation() != held.incarnation
 }
@@ -137,7 +137,7 @@
 }
 
 // Select returns the sender's own report and those of third entries that the
-// receiver should hear, the nearest and newest first, at most the given bytes.
+// receiver should get, the nearest and newest first, at most the given bytes.
 func (d *EntryDigest) Select(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
 	var chosen []*wire.EntryReport
 	if d.newer(own) {
@@ -146,10 +146,10 @@
 	return append(chosen, d.thirds(own, others, receiver, now, bytes)...)
 }
 
-// thirds returns the reports of third entries that the receiver should hear:
+// thirds returns the reports of third entries that the receiver should get:
 // what it does not know at all goes before any refresh. By nearness alone the
 // refreshes of the near ones would take all the room for ever, and the receiver
-// would not hear of the far ones.
+// would not learn of the far ones.
 func (d *EntryDigest) thirds(own *wire.EntryReport, others []view.Peer, receiver string, now time.Time, bytes int) []*wire.EntryReport {
 	var news []view.Peer
 	for _, other := range others {
@@ -160,12 +160,12 @@
 	}
 	slices.SortFunc(news, func(a, b view.Peer) int {
 		byNearness := cmp.Compare(Nearness(own.GetNode(), a.Report().GetNode()), Nearness(own.GetNode(), b.Report().GetNode()))
-		return cmp.Or(d.byUnheard(a.Report(), b.Report()), byNearness, b.HeardAt().Compare(a.HeardAt()),
+		return cmp.Or(d.byUnreported(a.Report(), b.Report()), byNearness, b.SeenAt().Compare(a.SeenAt()),
 			cmp.Compare(a.Report().GetNode().GetId(), b.Report().GetNode().GetId()))
 	})
 	var chosen []*wire.EntryReport
 	for _, other := range news {
-		age := now.Sub(other.HeardAt())
+		age := now.Sub(other.SeenAt())
 		sent, _ := d.form(other.Report(), age, now)
 		size := proto.Size(sent)
 		if size > bytes {
@@ -177,11 +177,11 @@
 	return chosen
 }
 
-func (d *EntryDigest) byUnheard(a, b *wire.EntryReport) int {
+func (d *EntryDigest) byUnreported(a, b *wire.EntryReport) int {
 	switch {
-	case d.unheard(a) == d.unheard(b):
+	case d.unreported(a) == d.unreported(b):
 		return 0
-	case d.unheard(a):
+	case d.unreported(a):
 		return -1
 	}
 	return 1
--- a/relay/spread/entries_test.go
+++ b/relay/spread/entries_test.go
@@ -9,7 +9,7 @@
 	"comfreyrelay.example/relay/wire"
 )
 
-// Symptom: in a house of hundreds of entries a neighbour never hears of the
+// Symptom: in a deployment of hundreds of entries a neighbour never learns of the
 // far ones. Sequence: the near entries' reports change all the time, and each
 // message has room for a few. Cause: refreshes of the near took the room
 // before anything was told of the far.
--- a/relay/spread/neighbours.go
+++ b/relay/spread/neighbours.go
@@ -1,5 +1,5 @@
 // Package spread decides who tells whom what: which entries an entry keeps
-// calls to, which reports go into one message, and which hosts an agent hears
+// calls to, which reports go into one message, and which hosts an agent learns
 // of.
 package spread
 
--- a/relay/spread/sample.go
+++ b/relay/spread/sample.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// smallFleet is the number of hosts up to which each agent hears of all.
+	// smallFleet is the number of hosts up to which each agent learns of all.
 	smallFleet = 300
-	// sampleSize bounds the far hosts that an agent of a large fleet hears of.
+	// sampleSize bounds the far hosts that an agent of a large fleet learns of.
 	sampleSize = 64
 )
 
-// WeightPeers returns the hosts that an agent hears of: all of a small fleet;
+// WeightPeers returns the hosts that an agent learns of: all of a small fleet;
 // of a large one those of its failure domain and a sample by rendezvous hash,
 // so that chunks find a way into every failure domain at a bounded cost.
 func WeightPeers(agent *wire.Node, hosts []Candidate) []Candidate {
--- a/relay/spread/spread_test.go
+++ b/relay/spread/spread_test.go
@@ -24,7 +24,7 @@
 	return nodes
 }
 
-// TestNewsReachesEveryEntry: an entry hears news from the neighbours it calls.
+// TestNewsReachesEveryEntry: an entry receives news from the neighbours it calls.
 // Were the graph of calls in two parts, a revision would stop at the border
 // until the safety net's slow read.
 func TestNewsReachesEveryEntry(t *testing.T) {
@@ -41,7 +41,7 @@
 	}
 }
 
-// flood counts the rounds until all have heard of the first node's news; -1
+// flood counts the rounds until all have learned of the first node's news; -1
 // where some never do.
 func flood(nodes []*wire.Node) (rounds, mostCalls int) {
 	neighbours := map[string][]string{}
@@ -104,7 +104,7 @@
 	send := func(at time.Duration, reports ...*wire.HostReport) string {
 		var candidates []Candidate
 		for _, report := range reports {
-			candidates = append(candidates, Candidate{Report: report, HeardAt: start, Home: true})
+			candidates = append(candidates, Candidate{Report: report, SeenAt: start, Home: true})
 		}
 		return ids(digest.Select(candidates, start.Add(at), 1<<20))
 	}
@@ -144,12 +144,12 @@
 	var candidates []Candidate
 	for i := range 50 {
 		candidates = append(candidates, Candidate{
-			Report: report(fmt.Sprintf("far-%02d", i), 1), HeardAt: start.Add(time.Duration(i) * time.Second), Nearness: Far,
+			Report: report(fmt.Sprintf("far-%02d", i), 1), SeenAt: start.Add(time.Duration(i) * time.Second), Nearness: Far,
 		})
 	}
 	candidates = append(candidates,
-		Candidate{Report: report("near", 1), HeardAt: start, Nearness: SameDomain},
-		Candidate{Report: report("home", 1), HeardAt: start, Nearness: Far, Home: true})
+		Candidate{Report: report("near", 1), SeenAt: start, Nearness: SameDomain},
+		Candidate{Report: report("home", 1), SeenAt: start, Nearness: Far, Home: true})
 	size := proto.Size(report("far-00", 1))
 	first := digest.Select(candidates, start.Add(time.Minute), 4*size)
 	if got, want := ids(first), "home near far-49 far-48 "; got != want {
--- a/relay/view/view.go
+++ b/relay/view/view.go
@@ -12,21 +12,21 @@
 // Host is the latest report of one host and when it arrived here.
 type Host struct {
 	report  *wire.HostReport
-	heardAt time.Time // by the local clock, less the age the report came with
+	seenAt  time.Time // by the local clock, less the age the report came with
 	leaving bool      // from the report, the platform's list or an operator
 	lost    bool      // silent for longer than the membership's limit
 }
 
 // NewHost makes a Host.
-func NewHost(report *wire.HostReport, heardAt time.Time, leaving, lost bool) Host {
-	return Host{report: report, heardAt: heardAt, leaving: leaving, lost: lost}
+func NewHost(report *wire.HostReport, seenAt time.Time, leaving, lost bool) Host {
+	return Host{report: report, seenAt: seenAt, leaving: leaving, lost: lost}
 }
 
 // Report returns the host's own words; the caller does not change them.
 func (h Host) Report() *wire.HostReport { return h.report }
 
-// HeardAt returns when the report was made, by the local clock.
-func (h Host) HeardAt() time.Time { return h.heardAt }
+// SeenAt returns when the report was made, by the local clock.
+func (h Host) SeenAt() time.Time { return h.seenAt }
 
 // Leaving reports whether the host may get no new work.
 func (h Host) Leaving() bool { return h.leaving }
@@ -37,21 +37,21 @@
 // Peer is one entry as others know it.
 type Peer struct {
 	report  *wire.EntryReport
-	heardAt time.Time
+	seenAt  time.Time
 	leaving bool
 	lost    bool
 }
 
 // NewPeer makes a Peer.
-func NewPeer(report *wire.EntryReport, heardAt time.Time, leaving, lost bool) Peer {
-	return Peer{report: report, heardAt: heardAt, leaving: leaving, lost: lost}
+func NewPeer(report *wire.EntryReport, seenAt time.Time, leaving, lost bool) Peer {
+	return Peer{report: report, seenAt: seenAt, leaving: leaving, lost: lost}
 }
 
 // Report returns the entry's own words.
 func (p Peer) Report() *wire.EntryReport { return p.report }
 
-// HeardAt returns when the report was made, by the local clock.
-func (p Peer) HeardAt() time.Time { return p.heardAt }
+// SeenAt returns when the report was made, by the local clock.
+func (p Peer) SeenAt() time.Time { return p.seenAt }
 
 // Leaving reports whether callers should no longer be sent to the entry.
 func (p Peer) Leaving() bool { return p.leaving }
--- a/standin/internal/load/caller.go
+++ b/standin/internal/load/caller.go
@@ -31,7 +31,7 @@
 	key     string
 	// contradicted: one of two sendings was answered, and the other, which was
 	// told of later than the answered one was sent, called not run. A sending
-	// that begins after the caller heard "not run" is a new wish of the caller's:
+	// that begins after the caller received "not run" is a new wish of the caller's:
 	// the word was true when it was given.
 	contradicted bool
 	sentAt       time.Time // of the last attempt
