--- a/GNUmakefile
+++ b/GNUmakefile
@@ -51,7 +51,7 @@
 	done
 
 .PHONY: demo
-demo: build ## run one whole house: HOSTS=12 OBJECTIVE=time MODEL_MIB=8
+demo: build ## run one whole deployment: HOSTS=12 OBJECTIVE=time MODEL_MIB=8
 	@$(BIN)/comfreybench demo --bin $(BIN) --hosts $(HOSTS) --objective $(OBJECTIVE) --model-mib $(MODEL_MIB)
 
 .PHONY: test
--- a/agent/internal/cmd/keys_test.go
+++ b/agent/internal/cmd/keys_test.go
@@ -123,13 +123,13 @@
 
 // Symptom: a process makes an agent run, cancel or hand out what it has no
 // right to. Sequence: calls of each kind with the keys of each role, with those
-// of another node, of another house, and with none. Cause: a call that does not
+// of another node, of another deployment, and with none. Cause: a call that does not
 // look at the certificate, or believes the message's word on who sent it.
 func TestCallersAreKnownByTheirKeys(t *testing.T) {
 	t.Parallel()
-	house, stranger := newAuthority(t), newAuthority(t)
+	deployment, stranger := newAuthority(t), newAuthority(t)
 	b := newBench(t)
-	b.set.Node.Insecure, b.set.Node.Tls = false, house.issue("h1", peer.RoleAgent)
+	b.set.Node.Insecure, b.set.Node.Tls = false, deployment.issue("h1", peer.RoleAgent)
 	b.start()
 	defer b.stop()
 	for _, tc := range []struct {
@@ -139,14 +139,14 @@
 		requests bool // Run and Cancel
 		weights  bool // Chunk and Have
 	}{
-		{"an entry", house.issue("e1", peer.RoleEntry), "e1", true, false},
-		{"an entry in another's name", house.issue("e2", peer.RoleEntry), "e1", false, false},
-		{"an entry without a name", house.issue("e3", peer.RoleEntry), "", false, false},
-		{"an agent", house.issue("h2", peer.RoleAgent), "h2", false, true},
-		{"an agent in an entry's name", house.issue("h3", peer.RoleAgent), "e1", false, false},
-		{"an agent in another agent's name", house.issue("h4", peer.RoleAgent), "h2", false, false},
-		{"another role", house.issue("o1", "operator"), "o1", false, false},
-		{"another house's entry", stranger.issue("e1", peer.RoleEntry), "e1", false, false},
+		{"an entry", deployment.issue("e1", peer.RoleEntry), "e1", true, false},
+		{"an entry in another's name", deployment.issue("e2", peer.RoleEntry), "e1", false, false},
+		{"an entry without a name", deployment.issue("e3", peer.RoleEntry), "", false, false},
+		{"an agent", deployment.issue("h2", peer.RoleAgent), "h2", false, true},
+		{"an agent in an entry's name", deployment.issue("h3", peer.RoleAgent), "e1", false, false},
+		{"an agent in another agent's name", deployment.issue("h4", peer.RoleAgent), "h2", false, false},
+		{"another role", deployment.issue("o1", "operator"), "o1", false, false},
+		{"another deployment's entry", stranger.issue("e1", peer.RoleEntry), "e1", false, false},
 		{"clear text", nil, "e1", false, false},
 	} {
 		got := accepts(t.Context(), b.client(tc.keys), tc.from)
--- a/bench/internal/audit/audit.go
+++ b/bench/internal/audit/audit.go
@@ -9,7 +9,7 @@
 	"io"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 const (
@@ -86,7 +86,7 @@
 func NewRuns() *Runs { return &Runs{byContent: map[string]int{}} }
 
 // AddEngine adds one engine's record.
-func (r *Runs) AddEngine(host string, ledger house.EngineLedger) {
+func (r *Runs) AddEngine(host string, ledger deployment.EngineLedger) {
 	for _, account := range ledger.RunsByID {
 		r.byContent[account.Content] += account.Begun
 	}
@@ -97,7 +97,7 @@
 }
 
 // AddService adds one plain service's record.
-func (r *Runs) AddService(ledger house.ServiceLedger) {
+func (r *Runs) AddService(ledger deployment.ServiceLedger) {
 	for id, runs := range ledger.RunsByID {
 		r.byContent[ledger.Contents[id]] += runs
 	}
--- a/bench/internal/audit/audit_test.go
+++ b/bench/internal/audit/audit_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // TestCompare replays records of callers and back ends: an audit that cannot
@@ -40,23 +40,23 @@
 }
 
 // engineLedger reads lines "content |||", one stroke a run, and "violation kind id".
-func engineLedger(input string) house.EngineLedger {
-	ledger := house.EngineLedger{RunsByID: map[string]house.Account{}}
+func engineLedger(input string) deployment.EngineLedger {
+	ledger := deployment.EngineLedger{RunsByID: map[string]deployment.Account{}}
 	for line := range strings.Lines(input) {
 		fields := strings.Fields(line)
 		if fields[0] == "violation" {
-			ledger.Violations = append(ledger.Violations, house.Violation{Kind: fields[1], RequestID: fields[2], Detail: "seen"})
+			ledger.Violations = append(ledger.Violations, deployment.Violation{Kind: fields[1], RequestID: fields[2], Detail: "seen"})
 			continue
 		}
-		ledger.RunsByID[fields[0]] = house.Account{Content: fields[0], Begun: len(fields[1])}
+		ledger.RunsByID[fields[0]] = deployment.Account{Content: fields[0], Begun: len(fields[1])}
 	}
 	return ledger
 }
 
 // serviceLedger reads lines "content |||", one stroke a run; each run has an id
 // of its own.
-func serviceLedger(input string) house.ServiceLedger {
-	ledger := house.ServiceLedger{RunsByID: map[string]int{}, Contents: map[string]string{}}
+func serviceLedger(input string) deployment.ServiceLedger {
+	ledger := deployment.ServiceLedger{RunsByID: map[string]int{}, Contents: map[string]string{}}
 	for line := range strings.Lines(input) {
 		fields := strings.Fields(line)
 		for i := range len(fields[1]) {
--- a/bench/internal/audit/collect.go
+++ b/bench/internal/audit/collect.go
@@ -5,10 +5,10 @@
 	"os"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
-// Ledgers are the back ends' records of one house.
+// Ledgers are the back ends' records of one deployment.
 type Ledgers struct {
 	Runs *Runs
 	// CacheHits and CacheMisses sum over all engines, as do Loads, OldObeyed
@@ -28,8 +28,8 @@
 	return float64(l.CacheHits) / float64(l.CacheHits+l.CacheMisses)
 }
 
-// Collect reads the records of every engine and plain service of the house.
-func Collect(ctx context.Context, h *house.House) Ledgers {
+// Collect reads the records of every engine and plain service of the deployment.
+func Collect(ctx context.Context, h *deployment.Deployment) Ledgers {
 	out := Ledgers{Runs: NewRuns()}
 	for _, m := range h.Agents() {
 		ledger, err := h.EngineLedger(ctx, m)
@@ -55,9 +55,9 @@
 	return out
 }
 
-// CompareFile is Compare on the record of the house's callers, whose requests
+// CompareFile is Compare on the record of the deployment's callers, whose requests
 // had the deadline.
-func CompareFile(load *house.Load, runs *Runs, h *house.House, deadline time.Duration) (Findings, error) {
+func CompareFile(load *deployment.Load, runs *Runs, h *deployment.Deployment, deadline time.Duration) (Findings, error) {
 	file, err := os.Open(load.Record())
 	if err != nil {
 		return Findings{}, err
--- a/bench/internal/burst/cases.go
+++ b/bench/internal/burst/cases.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // Case is one experiment.
@@ -45,38 +45,38 @@
 func Cases() []Case {
 	var cases []Case
 	for _, n := range []int{18, 50, 100, 200} {
-		for _, objective := range []string{house.ObjectiveTime, house.ObjectiveOriginBytes} {
+		for _, objective := range []string{deployment.ObjectiveTime, deployment.ObjectiveOriginBytes} {
 			cases = append(cases, Case{Name: plainName(n, objective), Hosts: n, Objective: objective, Window: window})
 		}
 	}
-	cases = append(cases, Case{Name: "n100-shared-link", Hosts: faultHosts, Objective: house.ObjectiveTime, Window: faultWindow, Shared: true})
+	cases = append(cases, Case{Name: "n100-shared-link", Hosts: faultHosts, Objective: deployment.ObjectiveTime, Window: faultWindow, Shared: true})
 	cases = append(cases, baselines()...)
 	cases = append(cases, faultCases()...)
 	return append(cases,
-		Case{Name: "roll", Hosts: faultHosts, Objective: house.ObjectiveTime, Window: faultWindow, Roll: true},
-		Case{Name: "roll-live-load", Hosts: faultHosts, Objective: house.ObjectiveTime, Window: faultWindow, Roll: true, Load: true},
+		Case{Name: "roll", Hosts: faultHosts, Objective: deployment.ObjectiveTime, Window: faultWindow, Roll: true},
+		Case{Name: "roll-live-load", Hosts: faultHosts, Objective: deployment.ObjectiveTime, Window: faultWindow, Roll: true, Load: true},
 	)
 }
 
 func plainName(n int, objective string) string {
-	names := map[string]string{house.ObjectiveTime: "time", house.ObjectiveOriginBytes: "origin-bytes"}
+	names := map[string]string{deployment.ObjectiveTime: "time", deployment.ObjectiveOriginBytes: "origin-bytes"}
 	return "n" + itoa(n) + "-" + names[objective]
 }
 
 func baselines() []Case {
 	return []Case{
-		{Name: "baseline-own-n18", Hosts: smallHosts, Objective: house.ObjectiveTime, Window: slowBaselineWindow},
-		{Name: "baseline-origin-only-n18", Hosts: smallHosts, Objective: house.ObjectiveTime,
-			Strategy: house.StrategyOriginOnly, Window: slowBaselineWindow},
-		{Name: "baseline-tree-n100", Hosts: faultHosts, Objective: house.ObjectiveTime, Strategy: house.StrategyTree, Window: faultWindow},
-		{Name: "baseline-random-n100", Hosts: faultHosts, Objective: house.ObjectiveTime, Strategy: house.StrategyRandom, Window: faultWindow},
+		{Name: "baseline-own-n18", Hosts: smallHosts, Objective: deployment.ObjectiveTime, Window: slowBaselineWindow},
+		{Name: "baseline-origin-only-n18", Hosts: smallHosts, Objective: deployment.ObjectiveTime,
+			Strategy: deployment.StrategyOriginOnly, Window: slowBaselineWindow},
+		{Name: "baseline-tree-n100", Hosts: faultHosts, Objective: deployment.ObjectiveTime, Strategy: deployment.StrategyTree, Window: faultWindow},
+		{Name: "baseline-random-n100", Hosts: faultHosts, Objective: deployment.ObjectiveTime, Strategy: deployment.StrategyRandom, Window: faultWindow},
 	}
 }
 
 func faultCases() []Case {
 	var cases []Case
 	for _, fault := range faults() {
-		c := Case{Name: fault.Name, Hosts: faultHosts, Objective: house.ObjectiveTime, Window: faultWindow, Fault: fault}
+		c := Case{Name: fault.Name, Hosts: faultHosts, Objective: deployment.ObjectiveTime, Window: faultWindow, Fault: fault}
 		if fault.LaggingList {
 			c.HostListLag = listLag
 		}
@@ -85,6 +85,6 @@
 	// The users' question to a failing fleet, for the other objective too.
 	index := slices.IndexFunc(cases, func(c Case) bool { return c.Name == tenthDiesCorrupt })
 	again := cases[index]
-	again.Name, again.Objective = tenthDiesCorrupt+"-origin-bytes", house.ObjectiveOriginBytes
+	again.Name, again.Objective = tenthDiesCorrupt+"-origin-bytes", deployment.ObjectiveOriginBytes
 	return append(cases, again)
 }
--- a/bench/internal/burst/faults.go
+++ b/bench/internal/burst/faults.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // Fault is one kind of trouble in the middle of a burst.
@@ -50,7 +50,7 @@
 // killTenth lets every tenth host die.
 func killTenth(ctx context.Context, r *run) error {
 	var err error
-	for i, m := range r.house.Agents() {
+	for i, m := range r.deployment.Agents() {
 		if i%tenth == 0 {
 			err = errors.Join(err, r.kill(ctx, m))
 		}
@@ -60,8 +60,8 @@
 
 func killDomain(ctx context.Context, r *run) error {
 	var err error
-	domain := house.Quetzal()[0].FailureDomain
-	for _, m := range r.house.Agents() {
+	domain := deployment.Quetzal()[0].FailureDomain
+	for _, m := range r.deployment.Agents() {
 		if m.Place().FailureDomain == domain {
 			err = errors.Join(err, r.kill(ctx, m))
 		}
@@ -70,35 +70,35 @@
 }
 
 func corruptChunks(ctx context.Context, r *run) error {
-	return r.house.SetOriginFaults(ctx, house.OriginFaults{CorruptFraction: corruptFraction})
+	return r.deployment.SetOriginFaults(ctx, deployment.OriginFaults{CorruptFraction: corruptFraction})
 }
 
 // corruptManifest gives a manifest that does not match its hash for a part of
 // the bound.
 func corruptManifest(ctx context.Context, r *run) error {
-	return r.originTrouble(ctx, house.OriginFaults{CorruptManifest: true})
+	return r.originTrouble(ctx, deployment.OriginFaults{CorruptManifest: true})
 }
 
 func originDown(ctx context.Context, r *run) error {
-	return r.originTrouble(ctx, house.OriginFaults{Down: true})
+	return r.originTrouble(ctx, deployment.OriginFaults{Down: true})
 }
 
 func originRefuses(ctx context.Context, r *run) error {
-	return r.originTrouble(ctx, house.OriginFaults{Refuse: true})
+	return r.originTrouble(ctx, deployment.OriginFaults{Refuse: true})
 }
 
 // originTrouble lasts a quarter of the bound.
-func (r *run) originTrouble(ctx context.Context, faults house.OriginFaults) error {
-	if err := r.house.SetOriginFaults(ctx, faults); err != nil {
+func (r *run) originTrouble(ctx context.Context, faults deployment.OriginFaults) error {
+	if err := r.deployment.SetOriginFaults(ctx, faults); err != nil {
 		return err
 	}
-	r.later(r.quarter(), func() error { return r.house.SetOriginFaults(ctx, house.OriginFaults{}) })
+	r.later(r.quarter(), func() error { return r.deployment.SetOriginFaults(ctx, deployment.OriginFaults{}) })
 	return nil
 }
 
 // stallHost stops one agent without closing its connections, for good.
 func stallHost(_ context.Context, r *run) error {
-	m := r.house.Agents()[1]
+	m := r.deployment.Agents()[1]
 	r.lose(m)
 	return m.Pause()
 }
@@ -106,9 +106,9 @@
 // restartTenth lets every tenth host die and come back with nothing.
 func restartTenth(ctx context.Context, r *run) error {
 	var err error
-	for i, m := range r.house.Agents() {
+	for i, m := range r.deployment.Agents() {
 		if i%tenth == 0 {
-			err = errors.Join(err, r.house.Kill(ctx, m), r.house.Restart(ctx, m))
+			err = errors.Join(err, r.deployment.Kill(ctx, m), r.deployment.Restart(ctx, m))
 		}
 	}
 	return err
@@ -117,7 +117,7 @@
 // changeVersion submits a second version that shares half of its chunks.
 func changeVersion(ctx context.Context, r *run) error {
 	const changed = 0.5
-	made, err := r.house.Publish(ctx, r.publication(changed))
+	made, err := r.deployment.Publish(ctx, r.publication(changed))
 	if err != nil {
 		return err
 	}
@@ -139,9 +139,9 @@
 // when it is cut off.
 func pauseRegion(_ context.Context, r *run) error {
 	var err error
-	var paused []*house.Member
-	region := house.Quetzal()[1].Region
-	for _, m := range r.house.Members() {
+	var paused []*deployment.Member
+	region := deployment.Quetzal()[1].Region
+	for _, m := range r.deployment.Members() {
 		if m.Place().Region == region {
 			err = errors.Join(err, m.Pause())
 			paused = append(paused, m)
@@ -160,15 +160,15 @@
 // refuseLoad makes every tenth engine refuse to load until the bound has
 // passed.
 func refuseLoad(ctx context.Context, r *run) error {
-	set := func(faults house.EngineFaults) error {
+	set := func(faults deployment.EngineFaults) error {
 		var err error
-		for i, m := range r.house.Agents() {
+		for i, m := range r.deployment.Agents() {
 			if i%tenth == 0 {
-				err = errors.Join(err, r.house.SetEngineFaults(ctx, m, faults))
+				err = errors.Join(err, r.deployment.SetEngineFaults(ctx, m, faults))
 			}
 		}
 		return err
 	}
-	r.later(time.Duration(r.bound*float64(time.Second)), func() error { return set(house.EngineFaults{}) })
-	return set(house.EngineFaults{RefuseLoad: true})
+	r.later(time.Duration(r.bound*float64(time.Second)), func() error { return set(deployment.EngineFaults{}) })
+	return set(deployment.EngineFaults{RefuseLoad: true})
 }
--- a/bench/internal/burst/result.go
+++ b/bench/internal/burst/result.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // Result is the JSON line of one case.
@@ -69,16 +69,16 @@
 type snapshot struct {
 	at       time.Time
 	cpu      map[string]time.Duration // by node
-	counters map[string]house.Counters
+	counters map[string]deployment.Counters
 }
 
 func (r *run) usage() snapshot {
-	out := snapshot{at: time.Now(), cpu: map[string]time.Duration{}, counters: map[string]house.Counters{}}
-	for _, m := range r.house.Agents() {
+	out := snapshot{at: time.Now(), cpu: map[string]time.Duration{}, counters: map[string]deployment.Counters{}}
+	for _, m := range r.deployment.Agents() {
 		if use, err := m.Process().Usage(); err == nil {
 			out.cpu[m.ID()] = use.CPU
 		}
-		if counters, err := r.house.Counters(context.Background(), m); err == nil {
+		if counters, err := r.deployment.Counters(context.Background(), m); err == nil {
 			out.counters[m.ID()] = counters
 		}
 	}
@@ -92,7 +92,7 @@
 	out.BoundSeconds = r.bound
 	out.Ratio = out.Seconds / r.bound
 	out.LiveHosts = r.liveCount()
-	ledger, err := r.house.OriginLedger(ctx)
+	ledger, err := r.deployment.OriginLedger(ctx)
 	if err != nil {
 		return out, err
 	}
@@ -110,7 +110,7 @@
 	counted := false
 	agents := 0
 	now := r.usage()
-	for _, m := range r.house.Agents() {
+	for _, m := range r.deployment.Agents() {
 		use, err := m.Process().Usage()
 		if err != nil || !r.alive(m) {
 			continue
--- a/bench/internal/burst/roll.go
+++ b/bench/internal/burst/roll.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"comfreyrelay.example/bench/internal/audit"
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // roll measures the step from a version that serves everywhere to the next.
 func (r *run) roll(ctx context.Context) (Result, error) {
-	first, err := r.house.Publish(ctx, r.publication(0))
+	first, err := r.deployment.Publish(ctx, r.publication(0))
 	if err != nil {
 		return Result{}, err
 	}
@@ -36,11 +36,11 @@
 	if err := r.waitServing(ctx); err != nil {
 		return Result{}, err
 	}
-	second, err := r.house.Publish(ctx, r.publication(rollChange))
+	second, err := r.deployment.Publish(ctx, r.publication(rollChange))
 	if err != nil {
 		return Result{}, err
 	}
-	var calm, during *house.Load
+	var calm, during *deployment.Load
 	if r.current.Load {
 		if calm, err = r.calm(ctx); err != nil {
 			return Result{}, err
@@ -86,8 +86,8 @@
 	r.minimum = r.current.Hosts
 	for pause(ctx, watchInterval) == nil {
 		serving := 0
-		for _, m := range r.house.Agents() {
-			status, err := r.house.EngineStatus(ctx, m)
+		for _, m := range r.deployment.Agents() {
+			status, err := r.deployment.EngineStatus(ctx, m)
 			if err == nil && status.Version != "" {
 				serving++
 			}
@@ -99,8 +99,8 @@
 }
 
 // calm runs callers before the roll, for the comparison.
-func (r *run) calm(ctx context.Context) (*house.Load, error) {
-	if err := r.house.WaitAnswering(ctx, house.Customers(1)[0]); err != nil {
+func (r *run) calm(ctx context.Context) (*deployment.Load, error) {
+	if err := r.deployment.WaitAnswering(ctx, deployment.Customers(1)[0]); err != nil {
 		return nil, err
 	}
 	load, err := r.startLoad(ctx, calmTime, "")
@@ -111,13 +111,13 @@
 	return load, err
 }
 
-func (r *run) startLoad(ctx context.Context, time time.Duration, next string) (*house.Load, error) {
+func (r *run) startLoad(ctx context.Context, time time.Duration, next string) (*deployment.Load, error) {
 	versions := []string{r.version}
 	if next != "" {
 		versions = append(versions, next)
 	}
-	return r.house.StartLoad(ctx, house.LoadOptions{
-		Customers:     house.EvenShares(house.Customers(customerCount)),
+	return r.deployment.StartLoad(ctx, deployment.LoadOptions{
+		Customers:     deployment.EvenShares(deployment.Customers(customerCount)),
 		Rate:          float64(loadRatePerHost * r.current.Hosts),
 		Time:          time,
 		Seed:          r.seed,
@@ -129,7 +129,7 @@
 }
 
 // judgeLoad ends the callers and compares the time between tokens.
-func (r *run) judgeLoad(ctx context.Context, result *Result, calm, during *house.Load) error {
+func (r *run) judgeLoad(ctx context.Context, result *Result, calm, during *deployment.Load) error {
 	if err := during.StopArrivals(ctx); err != nil {
 		return err
 	}
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	found, err := audit.CompareFile(during, audit.Collect(ctx, r.house).Runs, r.house, requestTime)
+	found, err := audit.CompareFile(during, audit.Collect(ctx, r.deployment).Runs, r.deployment, requestTime)
 	if err != nil {
 		return err
 	}
--- a/bench/internal/burst/run.go
+++ b/bench/internal/burst/run.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // Sizes of one case.
@@ -38,21 +38,21 @@
 
 // run is one case while it runs.
 type run struct {
-	options  Options
-	current  Case
-	links    Links
-	bound    float64 // seconds
-	house    *house.House
-	version  string        // intended now
-	accepted time.Duration // that the last submission's call took
-	seed     uint64
-	revision uint32
-	pending  sync.WaitGroup
+	options    Options
+	current    Case
+	links      Links
+	bound      float64 // seconds
+	deployment *deployment.Deployment
+	version    string        // intended now
+	accepted   time.Duration // that the last submission's call took
+	seed       uint64
+	revision   uint32
+	pending    sync.WaitGroup
 
 	mu      sync.Mutex
-	lost    map[*house.Member]bool // not waited for
-	late    error                  // of what later did
-	minimum int                    // fewest hosts that served during a roll
+	lost    map[*deployment.Member]bool // not waited for
+	late    error                       // of what later did
+	minimum int                         // fewest hosts that served during a roll
 }
 
 // Run runs one case and returns its line.
@@ -60,14 +60,14 @@
 	ctx, cancel := context.WithTimeout(ctx, caseLimit)
 	defer cancel()
 	bytes := options.ModelMiB * (1 << 20)
-	r := &run{options: options, current: current, lost: map[*house.Member]bool{}, seed: options.Seed}
+	r := &run{options: options, current: current, lost: map[*deployment.Member]bool{}, seed: options.Seed}
 	r.links = LinksFor(bytes, current.Window, current.Shared)
 	r.bound = FluidBound(bytes, current.Hosts, r.links)
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
 	}
-	defer r.house.Stop()
-	// A fault that is still to be mended would meet a house that is gone.
+	defer r.deployment.Stop()
+	// A fault that is still to be mended would meet a deployment that is gone.
 	defer r.pending.Wait()
 	if current.Roll {
 		return r.roll(ctx)
@@ -76,10 +76,10 @@
 }
 
 func (r *run) start(ctx context.Context) (err error) {
-	config := house.Config{
+	config := deployment.Config{
 		Bin:                  r.options.Bin,
 		Log:                  r.options.ProcessLog,
-		Places:               house.Quetzal(),
+		Places:               deployment.Quetzal(),
 		Entries:              entryCount,
 		Hosts:                r.current.Hosts,
 		BurstStrategy:        r.current.Strategy,
@@ -92,16 +92,16 @@
 	} else {
 		config.Link.Up, config.Link.Down = uint64(r.links.Host), uint64(r.links.Host)
 	}
-	r.house, err = house.Start(ctx, config)
+	r.deployment, err = deployment.Start(ctx, config)
 	if err != nil {
 		return err
 	}
-	return r.house.WaitRoutable(ctx)
+	return r.deployment.WaitRoutable(ctx)
 }
 
 // burst measures the first version's way to every host.
 func (r *run) burst(ctx context.Context) (Result, error) {
-	made, err := r.house.Publish(ctx, r.publication(0))
+	made, err := r.deployment.Publish(ctx, r.publication(0))
 	if err != nil {
 		return Result{}, err
 	}
@@ -139,15 +139,15 @@
 }
 
 func (r *run) waitServing(ctx context.Context) error {
-	err := r.house.WaitServing(ctx, r.house.Agents(), r.version, r.alive)
+	err := r.deployment.WaitServing(ctx, r.deployment.Agents(), r.version, r.alive)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return errors.Join(err, r.late)
 }
 
-func (r *run) publication(changed float64) house.Publication {
+func (r *run) publication(changed float64) deployment.Publication {
 	r.seed++
-	pub := house.Publication{Model: house.ModelName, Mib: r.options.ModelMiB, ChunkKib: chunkKiB, Seed: r.seed}
+	pub := deployment.Publication{Model: deployment.ModelName, Mib: r.options.ModelMiB, ChunkKib: chunkKiB, Seed: r.seed}
 	if changed > 0 {
 		pub.FromVersion, pub.ChangeFraction = r.version, changed
 	}
@@ -155,14 +155,14 @@
 }
 
 func (r *run) submit(ctx context.Context, version string) error {
-	doc := r.house.Document(house.Desired{
+	doc := r.deployment.Document(deployment.Desired{
 		Version:        version,
 		Objective:      r.current.Objective,
-		Customers:      house.Customers(customerCount),
+		Customers:      deployment.Customers(customerCount),
 		MaxUnavailable: maxUnavailable(r.current.Hosts),
 	})
 	started := time.Now()
-	revision, err := r.house.Submit(ctx, r.house.Entries()[0], r.revision, doc, "comfreybench burst")
+	revision, err := r.deployment.Submit(ctx, r.deployment.Entries()[0], r.revision, doc, "comfreybench burst")
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
@@ -173,23 +173,23 @@
 // maxUnavailable lets a fifth of each failure domain's hosts turn at once.
 func maxUnavailable(hosts int) uint32 {
 	const waves = 5
-	perDomain := hosts / len(house.Quetzal())
+	perDomain := hosts / len(deployment.Quetzal())
 	return uint32(max(1, perDomain/waves))
 }
 
 // kill lets a host die; the platform's list drops it, as late as it is.
-func (r *run) kill(ctx context.Context, m *house.Member) error {
+func (r *run) kill(ctx context.Context, m *deployment.Member) error {
 	r.lose(m)
-	return errors.Join(r.house.Kill(ctx, m), r.house.Unlist(ctx, m))
+	return errors.Join(r.deployment.Kill(ctx, m), r.deployment.Unlist(ctx, m))
 }
 
-func (r *run) lose(m *house.Member) {
+func (r *run) lose(m *deployment.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lost[m] = true
 }
 
-func (r *run) alive(m *house.Member) bool {
+func (r *run) alive(m *deployment.Member) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.lost[m]
--- a/bench/internal/capacity/capacity.go
+++ b/bench/internal/capacity/capacity.go
@@ -1,6 +1,6 @@
 // Package capacity computes what each role would spend at the size that the
 // users expect, from slopes that the benches measured, and measures those
-// slopes that need no whole house.
+// slopes that need no whole deployment.
 package capacity
 
 import (
--- a/bench/internal/capacity/points.go
+++ b/bench/internal/capacity/points.go
@@ -59,7 +59,7 @@
 	// cases that count; all where empty.
 	cases []string
 	x, y  string
-	// over divides x, so that a house is compared by agents an entry.
+	// over divides x, so that a deployment is compared by agents an entry.
 	over float64
 	// least leaves out points with a smaller x: below it another rule holds.
 	least float64
--- a/bench/internal/capacity/rows.go
+++ b/bench/internal/capacity/rows.go
@@ -1,13 +1,13 @@
 package capacity
 
-// Series of the house's benches.
+// Series of the deployment's benches.
 var (
 	byAgents  = []string{"agents-18", "agents-50", "agents-100", "agents-200"}
 	byChanges = []string{"changes-0.1", "changes-0.5", "agents-50", "changes-5"}
 	bySize    = []string{"n18-time", "n50-time", "n100-time", "n200-time"}
 )
 
-// The house of bench-control.
+// The deployment of bench-control.
 const (
 	benchEntries   = 9.0
 	measuredLeases = 4.0 // three watches and the planner's
@@ -77,7 +77,7 @@
 func entryRows() []row {
 	return []row{
 		{
-			role: "entry", what: "control bytes in and out, 12 agents each, a house of 9 entries", unit: "B/s", budget: budgetBytes,
+			role: "entry", what: "control bytes in and out, 12 agents each, a deployment of 9 entries", unit: "B/s", budget: budgetBytes,
 			terms:   []term{{name: "measured", from: control("controlBytesPerEntryPerSecond", true), size: agentsOfNine, factor: 1}},
 			carrier: "held calls, amendments; the bench's interval is 0.5 s, the default 1 s and 2 s",
 		},
@@ -143,7 +143,7 @@
 		{
 			role: "entry", what: "memory", unit: "MiB", budget: budgetMiB,
 			terms: []term{
-				{name: "small house's process", from: control("residentMib", true), size: agentsOfNine, factor: 1},
+				{name: "small deployment's process", from: control("residentMib", true), size: agentsOfNine, factor: 1},
 				{name: "hosts", from: slope(caseHostMemory), size: fullHosts, factor: heapFactor / mebibyte},
 				{name: "neighbours' digests", from: slope(caseMarkMemory), size: fullHosts, factor: neighbours * heapFactor / mebibyte},
 				{name: "agents' digests", from: slope(caseMarkMemory), size: reportedToAgent, factor: agentsPerEntry * heapFactor / mebibyte},
@@ -275,7 +275,7 @@
 		{
 			role: "planner", what: "the plan's value in the service", unit: "B", budget: budgetValue,
 			terms:   []term{{name: "plan", from: slope(casePlanBytes), size: fullHosts, factor: 1}},
-			carrier: "one value for the house; would need parts by failure domain below one root, as the document has",
+			carrier: "one value for the deployment; would need parts by failure domain below one root, as the document has",
 		},
 		{
 			role: "watchers", what: "document in force on all, of 12 agents an entry", unit: "s", budget: budgetInForce,
@@ -319,7 +319,7 @@
 }
 
 const (
-	// meanAgents is the middle of the measured houses: calls at rest do not grow
+	// meanAgents is the middle of the measured deployments: calls at rest do not grow
 	// with the agents.
 	meanAgents = 92.0
 	// swapsPerSecond is what a host asks of its 7 neighbours while there is news
--- a/bench/internal/capacity/slope_documents.go
+++ b/bench/internal/capacity/slope_documents.go
@@ -21,7 +21,7 @@
 // process that has the revision before, the bytes of all parts, and the time to put them together.
 func measureDocuments(lines *printer) error {
 	for _, customers := range []int{10, 100, 1_000, 10_000} {
-		before, after := houseDocument(customers), houseDocument(customers)
+		before, after := deploymentDocument(customers), deploymentDocument(customers)
 		after.Customers[customers/2].RequestsPerSecond++
 		held := rootOf(66_000, document.Split(before))
 		next := document.Split(after)
@@ -61,7 +61,7 @@
 	return revision.Slim(root)
 }
 
-func houseDocument(customers int) *wire.Document {
+func deploymentDocument(customers int) *wire.Document {
 	doc := document.Example()
 	doc.Customers = nil
 	doc.Models[0].Customers = nil
--- a/bench/internal/capacity/slope_spread.go
+++ b/bench/internal/capacity/slope_spread.go
@@ -25,7 +25,7 @@
 )
 
 // measureSpread prints how long the news that a host of another region leaves
-// takes from one entry of a large house, which is not the host's home, to half
+// takes from one entry of a large deployment, which is not the host's home, to half
 // of its neighbours. It is followed for spreadHalf at most.
 func measureSpread(lines *printer) error {
 	for _, n := range hostSizes {
--- a/bench/internal/capacity/slopes.go
+++ b/bench/internal/capacity/slopes.go
@@ -21,7 +21,7 @@
 	Unit  string  `json:"unit"`
 }
 
-// hostSizes are the fleets measured: today's house, the largest one that the
+// hostSizes are the fleets measured: today's deployment, the largest one that the
 // benches start, and the way to the full size.
 var hostSizes = []int{18, 200, 1_000, 10_000}
 
--- a/bench/internal/cmd/cmd.go
+++ b/bench/internal/cmd/cmd.go
@@ -17,5 +17,5 @@
 }
 
 func commands() []*cli.Command {
-	return []*cli.Command{demoCommand(), burstCommand(), requestsCommand(), controlCommand(), capacityCommand(), soakCommand(), soakPlatformCommand(), policyCommand(), houseCommand()}
+	return []*cli.Command{demoCommand(), burstCommand(), requestsCommand(), controlCommand(), capacityCommand(), soakCommand(), soakPlatformCommand(), policyCommand(), deploymentCommand()}
 }
--- a/bench/internal/cmd/cmd_capacity.go
+++ b/bench/internal/cmd/cmd_capacity.go
@@ -18,7 +18,7 @@
 
 const capacityHelp = `Computes what each role would spend at the size that the users expect: slopes by
 least squares through what the benches measured, against the budgets. With
---measure it measures what needs no whole house, within a minute.
+--measure it measures what needs no whole deployment, within a minute.
 
 Examples:
   comfreybench capacity --measure > docs/measurements/slopes.jsonl
--- a/bench/internal/cmd/cmd_demo.go
+++ b/bench/internal/cmd/cmd_demo.go
@@ -22,7 +22,7 @@
 	ModelMiB  float64 `long:"model-mib" default:"8" description:"size of the weights"`
 }
 
-const demoHelp = `Starts one whole house over loopback, rolls a model out, sends requests, rolls to
+const demoHelp = `Starts one whole deployment over loopback, rolls a model out, sends requests, rolls to
 a second version while they run, lets one entry and one host leave, and ends
 all that it started. Progress goes to standard error; the last line on standard
 output is one JSON object. The exit code is 1 where an invariant broke.
@@ -34,7 +34,7 @@
 	options := &demoOptions{}
 	return &cli.Command{
 		Name:    "demo",
-		Short:   "run one whole house and check it",
+		Short:   "run one whole deployment and check it",
 		Long:    demoHelp,
 		Options: options,
 		Run:     func(ctx context.Context, _ []string) error { return runDemo(ctx, options) },
--- a/bench/internal/cmd/cmd_house.go
+++ b/bench/internal/cmd/cmd_deployment.go
@@ -6,12 +6,12 @@
 	"os"
 	"path/filepath"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 	"comfreyrelay.example/relay/cli"
 	"comfreyrelay.example/relay/failure"
 )
 
-type houseOptions struct {
+type deploymentOptions struct {
 	common
 	Entries   int     `long:"entries" default:"9" description:"entry hosts"`
 	Hosts     int     `long:"hosts" default:"12" description:"hosts, each an engine with its agent"`
@@ -22,35 +22,35 @@
 	LogLevel  string  `long:"log-level" default:"info" description:"of the system's processes"`
 }
 
-const houseHelp = `Starts one whole house, rolls a model out, prints one JSON object with addresses
-and keys, and keeps the house until SIGINT or SIGTERM.
+const deploymentHelp = `Starts one whole deployment, rolls a model out, prints one JSON object with addresses
+and keys, and keeps the deployment until SIGINT or SIGTERM.
 
 Example:
-  comfreybench house --entries 3 --hosts 4`
+  comfreybench deployment --entries 3 --hosts 4`
 
-func houseCommand() *cli.Command {
-	options := &houseOptions{}
+func deploymentCommand() *cli.Command {
+	options := &deploymentOptions{}
 	return &cli.Command{
-		Name:    "house",
-		Short:   "keep one whole house to try things on",
-		Long:    houseHelp,
+		Name:    "deployment",
+		Short:   "keep one whole deployment to try things on",
+		Long:    deploymentHelp,
 		Options: options,
-		Run:     func(ctx context.Context, _ []string) error { return runHouse(ctx, options) },
+		Run:     func(ctx context.Context, _ []string) error { return runDeployment(ctx, options) },
 	}
 }
 
-func runHouse(ctx context.Context, options *houseOptions) error {
+func runDeployment(ctx context.Context, options *deploymentOptions) error {
 	ctx, stop := untilSignal(ctx)
 	defer stop()
-	log, closeLog, err := options.processLog("house.log")
+	log, closeLog, err := options.processLog("deployment.log")
 	if err != nil {
 		return err
 	}
 	defer closeLog()
-	kept, err := house.Start(ctx, house.Config{
+	kept, err := deployment.Start(ctx, deployment.Config{
 		Bin:      options.Bin,
 		Log:      log,
-		Places:   house.Quetzal(),
+		Places:   deployment.Quetzal(),
 		Entries:  options.Entries,
 		Hosts:    options.Hosts,
 		Services: options.Services,
@@ -58,12 +58,12 @@
 		LogLevel: options.LogLevel,
 	})
 	if err != nil {
-		return failure.Wrap(err, failure.Internal, "the house did not start", "read "+filepath.Join(options.Out, "house.log"))
+		return failure.Wrap(err, failure.Internal, "the deployment did not start", "read "+filepath.Join(options.Out, "deployment.log"))
 	}
 	defer kept.Stop()
 	document, err := rollOut(ctx, kept, options)
 	if err != nil {
-		return failure.Wrap(err, failure.Internal, "the model was not rolled out", "read "+filepath.Join(options.Out, "house.log"))
+		return failure.Wrap(err, failure.Internal, "the model was not rolled out", "read "+filepath.Join(options.Out, "deployment.log"))
 	}
 	if err := printInfo(options.Info, kept.Describe(document)); err != nil {
 		return err
@@ -74,7 +74,7 @@
 
 // printInfo writes the whole object at once, so that a reader of the file never
 // sees a part of it.
-func printInfo(name string, info house.Description) error {
+func printInfo(name string, info deployment.Description) error {
 	const mode = 0o600
 	text, err := json.Marshal(info)
 	if err != nil {
@@ -86,24 +86,24 @@
 	}
 	partial := name + ".partial"
 	if err := os.WriteFile(partial, text, mode); err != nil {
-		return failure.Wrap(err, failure.Invalid, "cannot write the house's description", "name a writable file with --info")
+		return failure.Wrap(err, failure.Invalid, "cannot write the deployment's description", "name a writable file with --info")
 	}
 	return os.Rename(partial, name)
 }
 
 // rollOut brings a model to every host and returns the document's file.
-func rollOut(ctx context.Context, kept *house.House, options *houseOptions) (string, error) {
+func rollOut(ctx context.Context, kept *deployment.Deployment, options *deploymentOptions) (string, error) {
 	const chunkKiB = 64
-	made, err := kept.Publish(ctx, house.Publication{Model: house.ModelName, Mib: options.ModelMiB, ChunkKib: chunkKiB, Seed: options.Seed})
+	made, err := kept.Publish(ctx, deployment.Publication{Model: deployment.ModelName, Mib: options.ModelMiB, ChunkKib: chunkKiB, Seed: options.Seed})
 	if err != nil {
 		return "", err
 	}
 	if err := kept.WaitRoutable(ctx); err != nil {
 		return "", err
 	}
-	customers := house.Customers(options.Customers)
-	doc := kept.Document(house.Desired{Version: made.Version, Objective: house.ObjectiveTime, Customers: customers})
-	if _, err := kept.Submit(ctx, kept.Entries()[0], 0, doc, "comfreybench house"); err != nil {
+	customers := deployment.Customers(options.Customers)
+	doc := kept.Document(deployment.Desired{Version: made.Version, Objective: deployment.ObjectiveTime, Customers: customers})
+	if _, err := kept.Submit(ctx, kept.Entries()[0], 0, doc, "comfreybench deployment"); err != nil {
 		return "", err
 	}
 	if err := kept.WaitServing(ctx, kept.Agents(), made.Version, nil); err != nil {
--- a/bench/internal/cmd/cmd_soak.go
+++ b/bench/internal/cmd/cmd_soak.go
@@ -18,7 +18,7 @@
 	Plan    bool    `long:"plan" description:"print the seed's events and run none"`
 }
 
-const soakHelp = `Lets random faults happen to a house under load: hosts, entries, engines, links,
+const soakHelp = `Lets random faults happen to a deployment under load: hosts, entries, engines, links,
 the platform and the document. The invariants are checked from the records of
 the callers and the back ends. Prints one JSON line; the exit code is 1 where an
 invariant broke. The same seed gives the same events.
--- a/bench/internal/control/cases.go
+++ b/bench/internal/control/cases.go
@@ -20,7 +20,7 @@
 const (
 	usualCustomers = 10
 	usualAgents    = 50
-	// outageTime is longer than every lease and watch of the house; the hour
+	// outageTime is longer than every lease and watch of the deployment; the hour
 	// of an outage runs under a fake clock in the cores' tests.
 	outageTime = 12 * time.Second
 )
--- a/bench/internal/control/cost.go
+++ b/bench/internal/control/cost.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // cost is what a stretch of time cost, in sums over the nodes of a role.
@@ -33,17 +33,17 @@
 }
 
 func (r *run) sums(ctx context.Context) (sums, error) {
-	ledger, err := r.house.KVLedger(ctx)
+	ledger, err := r.deployment.KVLedger(ctx)
 	if err != nil {
 		return sums{}, err
 	}
 	out := sums{at: time.Now(), reads: ledger.Reads, writes: ledger.Writes}
-	for _, m := range r.house.Entries() {
+	for _, m := range r.deployment.Entries() {
 		if err := r.addUsage(ctx, m, usageOf{&out.entryBytes, &out.entryCPU, &out.entryMax, &out.io}); err != nil {
 			return out, err
 		}
 	}
-	for _, m := range r.house.Agents() {
+	for _, m := range r.deployment.Agents() {
 		if err := r.addUsage(ctx, m, usageOf{&out.agentBytes, &out.agentCPU, &out.agentMax, &out.io}); err != nil {
 			return out, err
 		}
@@ -59,12 +59,12 @@
 	io      *uint64
 }
 
-func (r *run) addUsage(ctx context.Context, m *house.Member, sum usageOf) error {
+func (r *run) addUsage(ctx context.Context, m *deployment.Member, sum usageOf) error {
 	use, err := m.Process().Usage()
 	if err != nil {
 		return err
 	}
-	counters, err := r.house.Counters(ctx, m)
+	counters, err := r.deployment.Counters(ctx, m)
 	if err != nil {
 		return err
 	}
--- a/bench/internal/control/run.go
+++ b/bench/internal/control/run.go
@@ -12,8 +12,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"comfreyrelay.example/bench/internal/deployment"
 	"comfreyrelay.example/bench/internal/follow"
-	"comfreyrelay.example/bench/internal/house"
 )
 
 const (
@@ -43,14 +43,14 @@
 
 // run is one case while it runs.
 type run struct {
-	options  Options
-	current  Case
-	house    *house.House
-	version  string
-	revision uint32
-	changes  int
-	follower *follow.Follower
-	accept   *hdrhistogram.Histogram // microseconds
+	options    Options
+	current    Case
+	deployment *deployment.Deployment
+	version    string
+	revision   uint32
+	changes    int
+	follower   *follow.Follower
+	accept     *hdrhistogram.Histogram // microseconds
 }
 
 // Run runs one case and returns its line.
@@ -61,17 +61,17 @@
 	if err := r.start(ctx); err != nil {
 		return Named(current), err
 	}
-	defer r.house.Stop()
+	defer r.deployment.Stop()
 	result := Named(current)
 	err := r.measure(ctx, &result)
 	return result, err
 }
 
 func (r *run) start(ctx context.Context) (err error) {
-	r.house, err = house.Start(ctx, house.Config{
+	r.deployment, err = deployment.Start(ctx, deployment.Config{
 		Bin:              r.options.Bin,
 		Log:              r.options.ProcessLog,
-		Places:           house.Quetzal(),
+		Places:           deployment.Quetzal(),
 		Entries:          entryCount,
 		Hosts:            r.current.Agents,
 		OneEngineProcess: true,
@@ -79,11 +79,11 @@
 	if err != nil {
 		return err
 	}
-	r.follower = follow.New(r.house.Members())
-	if err := r.house.WaitRoutable(ctx); err != nil {
+	r.follower = follow.New(r.deployment.Members())
+	if err := r.deployment.WaitRoutable(ctx); err != nil {
 		return err
 	}
-	made, err := r.house.Publish(ctx, house.Publication{Model: house.ModelName, Mib: modelMiB, ChunkKib: chunkKiB, Seed: r.options.Seed})
+	made, err := r.deployment.Publish(ctx, deployment.Publication{Model: deployment.ModelName, Mib: modelMiB, ChunkKib: chunkKiB, Seed: r.options.Seed})
 	if err != nil {
 		return err
 	}
@@ -91,17 +91,17 @@
 	if err := r.change(ctx); err != nil {
 		return err
 	}
-	return r.house.WaitServing(ctx, r.house.Agents(), made.Version, nil)
+	return r.deployment.WaitServing(ctx, r.deployment.Agents(), made.Version, nil)
 }
 
 // change submits a document that differs in one customer's limit.
 func (r *run) change(ctx context.Context) error {
-	customers := house.Customers(r.current.Customers)
+	customers := deployment.Customers(r.current.Customers)
 	customers[r.changes%len(customers)].RequestsPerSecond = float64(1000 + r.changes)
-	doc := r.house.Document(house.Desired{Version: r.version, Objective: house.ObjectiveTime, Customers: customers})
-	entry := r.house.Entries()[r.changes%entryCount]
+	doc := r.deployment.Document(deployment.Desired{Version: r.version, Objective: deployment.ObjectiveTime, Customers: customers})
+	entry := r.deployment.Entries()[r.changes%entryCount]
 	started := time.Now()
-	revision, err := r.house.Submit(ctx, entry, r.revision, doc, "comfreybench control")
+	revision, err := r.deployment.Submit(ctx, entry, r.revision, doc, "comfreybench control")
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
@@ -183,13 +183,13 @@
 // outage takes the service away: a document is refused clearly, and once the
 // service is back the next one is in force everywhere.
 func (r *run) outage(ctx context.Context, result *Result) error {
-	if err := r.house.SetKVFaults(ctx, house.KVFaults{Down: true}); err != nil {
+	if err := r.deployment.SetKVFaults(ctx, deployment.KVFaults{Down: true}); err != nil {
 		return err
 	}
 	refused := r.change(ctx) != nil
 	result.OutageRefused = &refused
 	err := pause(ctx, r.current.Outage)
-	if err = errors.Join(err, r.house.SetKVFaults(ctx, house.KVFaults{})); err != nil {
+	if err = errors.Join(err, r.deployment.SetKVFaults(ctx, deployment.KVFaults{})); err != nil {
 		return err
 	}
 	return r.recover(ctx, result)
@@ -197,12 +197,12 @@
 
 // restartAll kills every entry and agent and starts all at once.
 func (r *run) restartAll(ctx context.Context, result *Result) error {
-	for _, m := range r.house.Members() {
+	for _, m := range r.deployment.Members() {
 		if err := m.Process().Kill(); err != nil {
 			return err
 		}
 	}
-	if err := r.house.RestartAll(ctx); err != nil {
+	if err := r.deployment.RestartAll(ctx); err != nil {
 		return err
 	}
 	return r.recover(ctx, result)
@@ -224,7 +224,7 @@
 }
 
 func (r *run) finish(ctx context.Context, result *Result) error {
-	ledger, err := r.house.KVLedger(ctx)
+	ledger, err := r.deployment.KVLedger(ctx)
 	if err != nil {
 		return err
 	}
--- a/bench/internal/demo/demo.go
+++ b/bench/internal/demo/demo.go
@@ -1,4 +1,4 @@
-// Package demo runs one whole house through a working day in under a minute:
+// Package demo runs one whole deployment through a working day in under a minute:
 // a model is rolled out, requests are served, a second version follows while
 // they run, and one entry and one host leave.
 package demo
@@ -15,11 +15,11 @@
 	"time"
 
 	"comfreyrelay.example/bench/internal/audit"
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 	"comfreyrelay.example/relay/wire"
 )
 
-// Options say what house to show.
+// Options say what deployment to show.
 type Options struct {
 	// Bin is the directory of the built programs.
 	Bin string
@@ -98,11 +98,11 @@
 
 // demo is one run.
 type demo struct {
-	options Options
-	house   *house.House
-	log     *slog.Logger
-	result  Result
-	leaving struct{ entry, host *house.Member }
+	options    Options
+	deployment *deployment.Deployment
+	log        *slog.Logger
+	result     Result
+	leaving    struct{ entry, host *deployment.Member }
 }
 
 // Run runs the demo and ends all that it started.
@@ -115,7 +115,7 @@
 	if err := d.start(ctx); err != nil {
 		return d.result, err
 	}
-	defer d.house.Stop()
+	defer d.deployment.Stop()
 	if err := d.run(ctx); err != nil {
 		return d.result, err
 	}
@@ -125,17 +125,17 @@
 }
 
 func (d *demo) start(ctx context.Context) (err error) {
-	d.log.Info("starting the house", "entries", entryCount, "hosts", d.options.Hosts, "services", serviceCount)
+	d.log.Info("starting the deployment", "entries", entryCount, "hosts", d.options.Hosts, "services", serviceCount)
 	bytes := d.options.ModelMiB * (1 << 20)
 	link := uint64(linkFactor * bytes / window.Seconds())
-	d.house, err = house.Start(ctx, house.Config{
+	d.deployment, err = deployment.Start(ctx, deployment.Config{
 		Bin:                  d.options.Bin,
 		Log:                  d.options.ProcessLog,
-		Places:               house.Quetzal(),
+		Places:               deployment.Quetzal(),
 		Entries:              entryCount,
 		Hosts:                d.options.Hosts,
 		Services:             serviceCount,
-		Link:                 house.Link{Up: link, Down: link},
+		Link:                 deployment.Link{Up: link, Down: link},
 		OriginBytesPerSecond: uint64(originFactor * bytes / window.Seconds()),
 		Mixed:                true,
 		LogLevel:             "info",
@@ -144,24 +144,24 @@
 }
 
 func (d *demo) run(ctx context.Context) error {
-	if err := d.house.WaitRoutable(ctx); err != nil {
+	if err := d.deployment.WaitRoutable(ctx); err != nil {
 		return err
 	}
-	first, err := d.publish(ctx, house.Publication{Seed: d.options.Seed})
+	first, err := d.publish(ctx, deployment.Publication{Seed: d.options.Seed})
 	if err != nil {
 		return err
 	}
-	customers := house.Customers(customerCount)
-	want := house.Desired{Version: first, Objective: d.options.Objective, Customers: customers}
-	if d.result.ServingSeconds, err = d.rollOut(ctx, want, d.house.Agents()); err != nil {
+	customers := deployment.Customers(customerCount)
+	want := deployment.Desired{Version: first, Objective: d.options.Objective, Customers: customers}
+	if d.result.ServingSeconds, err = d.rollOut(ctx, want, d.deployment.Agents()); err != nil {
 		return err
 	}
-	if err := d.house.WaitAnswering(ctx, customers[0]); err != nil {
+	if err := d.deployment.WaitAnswering(ctx, customers[0]); err != nil {
 		return err
 	}
 	d.log.Info("callers start", "requestsPerSecond", loadRate, "seconds", loadTime.Seconds())
-	load, err := d.house.StartLoad(ctx, house.LoadOptions{
-		Customers:     house.EvenShares(customers),
+	load, err := d.deployment.StartLoad(ctx, deployment.LoadOptions{
+		Customers:     deployment.EvenShares(customers),
 		Rate:          loadRate,
 		Time:          loadTime,
 		Seed:          d.options.Seed,
@@ -186,9 +186,9 @@
 	return d.count(ctx, load, summary, first)
 }
 
-func (d *demo) publish(ctx context.Context, pub house.Publication) (string, error) {
-	pub.Model, pub.Mib, pub.ChunkKib = house.ModelName, d.options.ModelMiB, chunkKiB
-	made, err := d.house.Publish(ctx, pub)
+func (d *demo) publish(ctx context.Context, pub deployment.Publication) (string, error) {
+	pub.Model, pub.Mib, pub.ChunkKib = deployment.ModelName, d.options.ModelMiB, chunkKiB
+	made, err := d.deployment.Publish(ctx, pub)
 	if err != nil {
 		return "", fmt.Errorf("publish: %w", err)
 	}
@@ -198,13 +198,13 @@
 
 // rollOut applies the document with comfreyctl, as an operator would, and
 // returns the seconds until each of the hosts serves the version.
-func (d *demo) rollOut(ctx context.Context, want house.Desired, hosts []*house.Member) (float64, error) {
+func (d *demo) rollOut(ctx context.Context, want deployment.Desired, hosts []*deployment.Member) (float64, error) {
 	started := time.Now()
-	if err := d.apply(ctx, d.house.Document(want)); err != nil {
+	if err := d.apply(ctx, d.deployment.Document(want)); err != nil {
 		return 0, err
 	}
 	d.log.Info("document applied", "version", want.Version)
-	if err := d.house.WaitServing(ctx, hosts, want.Version, d.staying); err != nil {
+	if err := d.deployment.WaitServing(ctx, hosts, want.Version, d.staying); err != nil {
 		return 0, err
 	}
 	took := time.Since(started).Seconds()
@@ -213,16 +213,16 @@
 }
 
 // staying leaves out the host that is asked to leave: it need not turn.
-func (d *demo) staying(m *house.Member) bool { return m != d.leaving.host }
+func (d *demo) staying(m *deployment.Member) bool { return m != d.leaving.host }
 
 func (d *demo) apply(ctx context.Context, doc *wire.Document) error {
-	name, err := d.house.WriteDocument(doc)
+	name, err := d.deployment.WriteDocument(doc)
 	if err != nil {
 		return err
 	}
 	command := exec.CommandContext(ctx, filepath.Join(d.options.Bin, "comfreyctl"), "apply",
-		"--entry", d.house.Entries()[0].CallersAddress(), "--reason", "comfreybench demo", name)
-	command.Env = append(os.Environ(), "COMFREY_KEY="+house.OperatorKey)
+		"--entry", d.deployment.Entries()[0].CallersAddress(), "--reason", "comfreybench demo", name)
+	command.Env = append(os.Environ(), "COMFREY_KEY="+deployment.OperatorKey)
 	out, err := command.CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("comfreyctl apply: %w: %s", err, out)
@@ -232,12 +232,12 @@
 
 // changeUnderLoad rolls to a second version while the callers go on, and lets
 // one entry and one host leave meanwhile.
-func (d *demo) changeUnderLoad(ctx context.Context, load *house.Load, want house.Desired) error {
+func (d *demo) changeUnderLoad(ctx context.Context, load *deployment.Load, want deployment.Desired) error {
 	if err := pause(ctx, rollAfter); err != nil {
 		return err
 	}
 	first := want.Version
-	second, err := d.publish(ctx, house.Publication{Seed: d.options.Seed + 1, FromVersion: first, ChangeFraction: changeFraction})
+	second, err := d.publish(ctx, deployment.Publication{Seed: d.options.Seed + 1, FromVersion: first, ChangeFraction: changeFraction})
 	if err != nil {
 		return err
 	}
@@ -246,7 +246,7 @@
 	}
 	want.Version = second
 	// The last ones are taken, so that comfreyctl's entry stays.
-	entries, hosts := d.house.Entries(), d.house.Agents()
+	entries, hosts := d.deployment.Entries(), d.deployment.Agents()
 	d.leaving.entry, d.leaving.host = entries[len(entries)-1], hosts[len(hosts)-1]
 	left := make(chan error, 1)
 	go func() { left <- d.leave(ctx) }()
@@ -263,9 +263,9 @@
 	if err := pause(ctx, leaveAfter); err != nil {
 		return err
 	}
-	for _, m := range []*house.Member{d.leaving.entry, d.leaving.host} {
+	for _, m := range []*deployment.Member{d.leaving.entry, d.leaving.host} {
 		d.log.Info("asking to leave", "node", m.ID())
-		if err := d.house.ListLeaving(ctx, m); err != nil {
+		if err := d.deployment.ListLeaving(ctx, m); err != nil {
 			return err
 		}
 		if err := m.Terminate(ctx); err != nil {
@@ -279,17 +279,17 @@
 }
 
 func (d *demo) copies(ctx context.Context, version string) (float64, error) {
-	ledger, err := d.house.OriginLedger(ctx)
+	ledger, err := d.deployment.OriginLedger(ctx)
 	return ledger.Copies(version), err
 }
 
 // count fills the result from the callers' and the back ends' records.
-func (d *demo) count(ctx context.Context, load *house.Load, summary house.LoadSummary, first string) (err error) {
+func (d *demo) count(ctx context.Context, load *deployment.Load, summary deployment.LoadSummary, first string) (err error) {
 	if d.result.OriginCopies, err = d.copies(ctx, first); err != nil {
 		return err
 	}
-	ledgers := audit.Collect(ctx, d.house)
-	found, err := audit.CompareFile(load, ledgers.Runs, d.house, requestTime)
+	ledgers := audit.Collect(ctx, d.deployment)
+	found, err := audit.CompareFile(load, ledgers.Runs, d.deployment, requestTime)
 	if err != nil {
 		return err
 	}
--- a/bench/internal/house/addresses.go
+++ b/bench/internal/deployment/addresses.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"errors"
@@ -18,8 +18,8 @@
 // errNoPort tells that a loopback address has no free port left.
 var errNoPort = errors.New("no free port on the loopback network; end other runs")
 
-// addresses hands out free addresses of one loopback IP number that the house
-// has for itself, so that houses side by side do not meet.
+// addresses hands out free addresses of one loopback IP number that the deployment
+// has for itself, so that deployments side by side do not meet.
 type addresses struct {
 	ip   string
 	next int
--- a/bench/internal/house/answering.go
+++ b/bench/internal/deployment/answering.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 
 // WaitAnswering waits until every running entry answers a request of the
 // customer's: entries learn of serving hosts a little after the hosts serve.
-func (h *House) WaitAnswering(ctx context.Context, customer Customer) error {
+func (h *Deployment) WaitAnswering(ctx context.Context, customer Customer) error {
 	for _, m := range h.entries {
 		if err := h.waitAnswer(ctx, m, customer); err != nil {
 			return err
@@ -26,7 +26,7 @@
 	return nil
 }
 
-func (h *House) waitAnswer(ctx context.Context, m *Member, customer Customer) error {
+func (h *Deployment) waitAnswer(ctx context.Context, m *Member, customer Customer) error {
 	const deadlineMillis = 2000
 	body := probe{Model: ModelName, Prompt: "probe", MaxTokens: 1, Repeatable: true, DeadlineMillis: deadlineMillis}
 	for !m.process.Ended() {
--- a/bench/internal/house/config.go
+++ b/bench/internal/deployment/config.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"io"
@@ -16,7 +16,7 @@
 	StrategyRandom      = "random"
 )
 
-// Config says what kind of house to start.
+// Config says what kind of deployment to start.
 type Config struct {
 	// Bin is the directory of the built programs.
 	Bin string
--- a/bench/internal/house/counters.go
+++ b/bench/internal/deployment/counters.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 }
 
 // Counters reads the member's /debug/vars.
-func (h *House) Counters(ctx context.Context, m *Member) (Counters, error) {
+func (h *Deployment) Counters(ctx context.Context, m *Member) (Counters, error) {
 	vars := map[string]any{}
 	if err := h.call(ctx, http.MethodGet, "http://"+m.operators+"/debug/vars", nil, &vars); err != nil {
 		return Counters{}, err
--- a/bench/internal/house/house.go
+++ b/bench/internal/deployment/deployment.go
@@ -1,6 +1,6 @@
-// Package house starts a whole house of real processes over loopback: the
+// Package deployment starts a whole deployment of real processes over loopback: the
 // platform's stand-ins, entries, engines and services with their agents.
-package house
+package deployment
 
 import (
 	"context"
@@ -25,8 +25,8 @@
 	startsAtOnce = 12
 )
 
-// House is one running house.
-type House struct {
+// Deployment is one running deployment.
+type Deployment struct {
 	config    Config
 	dir       string // settings, keys and documents; removed by Stop
 	authority *keys.Authority
@@ -53,14 +53,14 @@
 	At     time.Time
 }
 
-// Start starts a house and waits until every process listens. After an error
+// Start starts a deployment and waits until every process listens. After an error
 // nothing is left running.
-func Start(ctx context.Context, config Config) (*House, error) {
+func Start(ctx context.Context, config Config) (*Deployment, error) {
 	dir, err := os.MkdirTemp("", "comfreybench-")
 	if err != nil {
 		return nil, err
 	}
-	h := &House{config: config, dir: dir, addresses: newAddresses(), platform: map[string]*process.Process{}}
+	h := &Deployment{config: config, dir: dir, addresses: newAddresses(), platform: map[string]*process.Process{}}
 	if err := h.start(ctx); err != nil {
 		h.Stop()
 		return nil, err
@@ -68,7 +68,7 @@
 	return h, nil
 }
 
-func (h *House) start(ctx context.Context) error {
+func (h *Deployment) start(ctx context.Context) error {
 	authority, err := keys.NewAuthority(h.dir)
 	if err != nil {
 		return err
@@ -90,7 +90,7 @@
 }
 
 // planMembers chooses ids, places and addresses.
-func (h *House) planMembers() error {
+func (h *Deployment) planMembers() error {
 	for i := range h.config.Entries {
 		m := &Member{id: fmt.Sprintf("entry-%02d", i), kind: kindEntry, place: h.place(i)}
 		if err := h.takeAddresses(m); err != nil {
@@ -118,9 +118,9 @@
 	return nil
 }
 
-func (h *House) place(i int) Place { return h.config.Places[i%len(h.config.Places)] }
+func (h *Deployment) place(i int) Place { return h.config.Places[i%len(h.config.Places)] }
 
-func (h *House) takeAddresses(m *Member) (err error) {
+func (h *Deployment) takeAddresses(m *Member) (err error) {
 	if m.control, err = h.addresses.take(); err != nil {
 		return err
 	}
@@ -133,7 +133,7 @@
 	return err
 }
 
-func (h *House) startMembers(ctx context.Context) error {
+func (h *Deployment) startMembers(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(startsAtOnce)
 	for _, m := range h.Members() {
@@ -143,7 +143,7 @@
 }
 
 // startMember writes the member's settings and starts its process.
-func (h *House) startMember(ctx context.Context, m *Member) error {
+func (h *Deployment) startMember(ctx context.Context, m *Member) error {
 	program, write := "comfreyentry", h.writeEntrySettings
 	if m.kind == kindAgent {
 		program, write = "comfreyagent", h.writeAgentSettings
@@ -162,7 +162,7 @@
 }
 
 // run starts a process that Stop will end.
-func (h *House) run(ctx context.Context, spec process.Spec) (*process.Process, error) {
+func (h *Deployment) run(ctx context.Context, spec process.Spec) (*process.Process, error) {
 	if spec.Log == nil {
 		spec.Log = h.config.Log
 	}
@@ -177,34 +177,34 @@
 	defer h.mu.Unlock()
 	if h.stopped {
 		_ = proc.Stop(0)
-		return nil, errors.New("the house was stopped meanwhile")
+		return nil, errors.New("the deployment was stopped meanwhile")
 	}
 	h.processes = append(h.processes, proc)
 	return proc, nil
 }
 
-func (h *House) program(name string) string { return filepath.Join(h.config.Bin, name) }
+func (h *Deployment) program(name string) string { return filepath.Join(h.config.Bin, name) }
 
 // Entries returns the entries.
-func (h *House) Entries() []*Member { return h.entries }
+func (h *Deployment) Entries() []*Member { return h.entries }
 
 // Agents returns the agents of the engines.
-func (h *House) Agents() []*Member { return h.agents[:h.config.Hosts] }
+func (h *Deployment) Agents() []*Member { return h.agents[:h.config.Hosts] }
 
 // Services returns the agents of the plain services.
-func (h *House) Services() []*Member { return h.agents[h.config.Hosts:] }
+func (h *Deployment) Services() []*Member { return h.agents[h.config.Hosts:] }
 
 // Members returns all entries and agents.
-func (h *House) Members() []*Member {
+func (h *Deployment) Members() []*Member {
 	return append(append([]*Member(nil), h.entries...), h.agents...)
 }
 
-// Dir returns a directory that lasts as long as the house.
-func (h *House) Dir() string { return h.dir }
+// Dir returns a directory that lasts as long as the deployment.
+func (h *Deployment) Dir() string { return h.dir }
 
 // Kill ends the member at once, as when its host dies: an engine goes with its
 // agent and loses its weights.
-func (h *House) Kill(ctx context.Context, m *Member) error {
+func (h *Deployment) Kill(ctx context.Context, m *Member) error {
 	if m.kind == kindAgent && m.service == "" {
 		if err := h.killEngine(ctx, m); err != nil {
 			return err
@@ -217,13 +217,13 @@
 }
 
 // Deaths returns the members that Kill ended so far.
-func (h *House) Deaths() []Death {
+func (h *Deployment) Deaths() []Death {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return append([]Death(nil), h.deaths...)
 }
 
-func (h *House) killEngine(ctx context.Context, m *Member) error {
+func (h *Deployment) killEngine(ctx context.Context, m *Member) error {
 	if m.engine == nil {
 		return h.SetEngineFaults(ctx, m, EngineFaults{Dead: true})
 	}
@@ -232,7 +232,7 @@
 
 // Restart starts the member's program again: the same node with a new
 // incarnation. An engine that was killed comes back empty.
-func (h *House) Restart(ctx context.Context, m *Member) error {
+func (h *Deployment) Restart(ctx context.Context, m *Member) error {
 	if m.kind == kindAgent && m.service == "" {
 		if err := h.restartEngine(ctx, m); err != nil {
 			return err
@@ -242,9 +242,9 @@
 }
 
 // RestartAll starts every member again, all at once.
-func (h *House) RestartAll(ctx context.Context) error { return h.startMembers(ctx) }
+func (h *Deployment) RestartAll(ctx context.Context) error { return h.startMembers(ctx) }
 
-func (h *House) restartEngine(ctx context.Context, m *Member) error {
+func (h *Deployment) restartEngine(ctx context.Context, m *Member) error {
 	if m.engine == nil {
 		return h.SetEngineFaults(ctx, m, EngineFaults{})
 	}
@@ -256,11 +256,11 @@
 
 // Platform returns the process of a platform stand-in: "kv", "hosts" or
 // "origin".
-func (h *House) Platform(name string) *process.Process { return h.platform[name] }
+func (h *Deployment) Platform(name string) *process.Process { return h.platform[name] }
 
-// Stop ends every process that the house started and removes its files. It may
+// Stop ends every process that the deployment started and removes its files. It may
 // be called more than once.
-func (h *House) Stop() {
+func (h *Deployment) Stop() {
 	h.mu.Lock()
 	h.stopped = true
 	processes := h.processes
--- a/bench/internal/house/describe.go
+++ b/bench/internal/deployment/describe.go
@@ -1,6 +1,6 @@
-package house
+package deployment
 
-// Description tells a person how to reach a house.
+// Description tells a person how to reach a deployment.
 type Description struct {
 	OperatorKey string              `json:"operatorKey"`
 	CustomerKey string              `json:"customerKey"`
@@ -22,9 +22,9 @@
 	Endpoint  string `json:"endpoint,omitempty"`
 }
 
-// Describe returns the addresses and keys of the house, which are throw-away
+// Describe returns the addresses and keys of the deployment, which are throw-away
 // ones, and the file of its document.
-func (h *House) Describe(document string) Description {
+func (h *Deployment) Describe(document string) Description {
 	out := Description{
 		OperatorKey: OperatorKey,
 		CustomerKey: Customers(1)[0].Key(),
--- a/bench/internal/house/document.go
+++ b/bench/internal/deployment/document.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"comfreyrelay.example/relay/wire"
 )
 
-// Names that the house's document uses.
+// Names that the deployment's document uses.
 const (
 	ModelName   = "parcel"
 	ServiceName = "notices"
@@ -22,8 +22,8 @@
 	OperatorName = "console"
 )
 
-// OperatorKey is the bearer key of the house's operator.
-const OperatorKey = "operator-key-of-a-throw-away-house"
+// OperatorKey is the bearer key of the deployment's operator.
+const OperatorKey = "operator-key-of-a-throw-away-deployment"
 
 // Bounds on the time that a request may take.
 const (
@@ -32,7 +32,7 @@
 	drainTime          = 15 * time.Second
 )
 
-// Customer is one customer of a house's document.
+// Customer is one customer of a deployment's document.
 type Customer struct {
 	// Name is the customer's name in the document.
 	Name string
@@ -74,8 +74,8 @@
 	Adapters       []*wire.Adapter
 }
 
-// Document builds the document for this house: every host serves the model.
-func (h *House) Document(want Desired) *wire.Document {
+// Document builds the document for this deployment: every host serves the model.
+func (h *Deployment) Document(want Desired) *wire.Document {
 	names := make([]string, 0, len(want.Customers))
 	doc := &wire.Document{
 		Objective:    want.Objective,
@@ -140,7 +140,7 @@
 }
 
 // replicas counts the engine hosts of each failure domain.
-func (h *House) replicas() []*wire.Replicas {
+func (h *Deployment) replicas() []*wire.Replicas {
 	counts := map[string]uint32{}
 	for _, host := range h.agents {
 		if host.service == "" {
--- a/bench/internal/house/faults.go
+++ b/bench/internal/deployment/faults.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"context"
@@ -59,26 +59,26 @@
 }
 
 // SetEngineFaults turns the knobs of the member's engine.
-func (h *House) SetEngineFaults(ctx context.Context, m *Member, faults EngineFaults) error {
+func (h *Deployment) SetEngineFaults(ctx context.Context, m *Member, faults EngineFaults) error {
 	return h.call(ctx, http.MethodPost, m.endpointURL+"/faults", faults, nil)
 }
 
 // SetServiceFaults turns the knobs of the member's plain service.
-func (h *House) SetServiceFaults(ctx context.Context, m *Member, faults ServiceFaults) error {
+func (h *Deployment) SetServiceFaults(ctx context.Context, m *Member, faults ServiceFaults) error {
 	return h.call(ctx, http.MethodPost, m.endpointURL+"/faults", faults, nil)
 }
 
 // SetKVFaults turns the knobs of the key-value service.
-func (h *House) SetKVFaults(ctx context.Context, faults KVFaults) error {
+func (h *Deployment) SetKVFaults(ctx context.Context, faults KVFaults) error {
 	return h.call(ctx, http.MethodPost, h.kvURL+"/faults", faults, nil)
 }
 
 // SetOriginFaults turns the knobs of the origin.
-func (h *House) SetOriginFaults(ctx context.Context, faults OriginFaults) error {
+func (h *Deployment) SetOriginFaults(ctx context.Context, faults OriginFaults) error {
 	return h.call(ctx, http.MethodPost, h.originURL+"/faults", faults, nil)
 }
 
 // SetHostListFaults turns the knobs of the host list.
-func (h *House) SetHostListFaults(ctx context.Context, faults HostListFaults) error {
+func (h *Deployment) SetHostListFaults(ctx context.Context, faults HostListFaults) error {
 	return h.call(ctx, http.MethodPost, h.hostsURL+"/faults", faults, nil)
 }
--- a/bench/internal/house/hostlist.go
+++ b/bench/internal/deployment/hostlist.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"context"
@@ -43,20 +43,20 @@
 }
 
 // List puts the member into the platform's list as live.
-func (h *House) List(ctx context.Context, m *Member) error {
+func (h *Deployment) List(ctx context.Context, m *Member) error {
 	return h.putHost(ctx, m, stateLive)
 }
 
 // ListLeaving marks the member as leaving in the platform's list.
-func (h *House) ListLeaving(ctx context.Context, m *Member) error {
+func (h *Deployment) ListLeaving(ctx context.Context, m *Member) error {
 	return h.putHost(ctx, m, stateLeaving)
 }
 
 // Unlist takes the member out of the platform's list.
-func (h *House) Unlist(ctx context.Context, m *Member) error {
+func (h *Deployment) Unlist(ctx context.Context, m *Member) error {
 	return h.call(ctx, http.MethodDelete, h.hostsURL+"/hosts/"+m.id, nil, nil)
 }
 
-func (h *House) putHost(ctx context.Context, m *Member, state string) error {
+func (h *Deployment) putHost(ctx context.Context, m *Member, state string) error {
 	return h.call(ctx, http.MethodPut, h.hostsURL+"/hosts/"+m.id, m.line(state), nil)
 }
--- a/bench/internal/house/http.go
+++ b/bench/internal/deployment/http.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"bytes"
@@ -27,7 +27,7 @@
 
 // call sends a JSON body where one is given and reads a JSON answer where one
 // is wanted.
-func (h *House) call(ctx context.Context, method, url string, body, into any) error {
+func (h *Deployment) call(ctx context.Context, method, url string, body, into any) error {
 	return callWith(ctx, method, url, "", body, into)
 }
 
--- a/bench/internal/house/load.go
+++ b/bench/internal/deployment/load.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"bytes"
@@ -126,8 +126,8 @@
 	return bytes.Clone(o.text.Bytes())
 }
 
-// StartLoad starts callers against the house.
-func (h *House) StartLoad(ctx context.Context, options LoadOptions) (*Load, error) {
+// StartLoad starts callers against the deployment.
+func (h *Deployment) StartLoad(ctx context.Context, options LoadOptions) (*Load, error) {
 	control, err := h.addresses.take()
 	if err != nil {
 		return nil, err
@@ -148,7 +148,7 @@
 	return load, err
 }
 
-func (h *House) loadArgs(options LoadOptions) []string {
+func (h *Deployment) loadArgs(options LoadOptions) []string {
 	args := []string{"load", "--model", ModelName}
 	flag := func(name, value string) { args = append(args, name, value) }
 	if options.Direct {
@@ -192,9 +192,9 @@
 	return args
 }
 
-// loadSeed differs for each load of one house, for the audit tells requests
+// loadSeed differs for each load of one deployment, for the audit tells requests
 // apart by what they ask.
-func (h *House) loadSeed(seed uint64) uint64 {
+func (h *Deployment) loadSeed(seed uint64) uint64 {
 	const perRun = 1000
 	return seed*perRun + h.loads.Add(1)
 }
--- a/bench/internal/house/member.go
+++ b/bench/internal/deployment/member.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"context"
@@ -13,11 +13,11 @@
 	kindAgent = "agent"
 )
 
-// stopGrace is how long a process may take to end by itself when the house is
+// stopGrace is how long a process may take to end by itself when the deployment is
 // taken down.
 const stopGrace = 3 * time.Second
 
-// Member is one process of the system in the house: an entry or an agent.
+// Member is one process of the system in the deployment: an entry or an agent.
 type Member struct {
 	id, kind                    string
 	place                       Place
--- a/bench/internal/house/operate.go
+++ b/bench/internal/deployment/operate.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"context"
@@ -39,7 +39,7 @@
 }
 
 // Publish lets the origin make a version.
-func (h *House) Publish(ctx context.Context, pub Publication) (made Published, err error) {
+func (h *Deployment) Publish(ctx context.Context, pub Publication) (made Published, err error) {
 	if pub.Kind == "" {
 		pub.Kind = "base"
 	}
@@ -49,7 +49,7 @@
 
 // WriteDocument writes the document to a file for comfreyctl and returns its
 // name.
-func (h *House) WriteDocument(doc *wire.Document) (string, error) {
+func (h *Deployment) WriteDocument(doc *wire.Document) (string, error) {
 	text, err := documentText(doc)
 	if err != nil {
 		return "", err
@@ -67,7 +67,7 @@
 }
 
 // Submit submits the document to the entry and returns the new revision.
-func (h *House) Submit(ctx context.Context, entry *Member, base uint32, doc *wire.Document, reason string) (uint32, error) {
+func (h *Deployment) Submit(ctx context.Context, entry *Member, base uint32, doc *wire.Document, reason string) (uint32, error) {
 	text, err := documentText(doc)
 	if err != nil {
 		return 0, err
@@ -81,7 +81,7 @@
 }
 
 // InForce reads the document in force at the entry.
-func (h *House) InForce(ctx context.Context, entry *Member) (uint32, *wire.Document, error) {
+func (h *Deployment) InForce(ctx context.Context, entry *Member) (uint32, *wire.Document, error) {
 	var reply struct {
 		Revision uint32          `json:"revision"`
 		Document json.RawMessage `json:"document"`
@@ -112,7 +112,7 @@
 }
 
 // EngineStatus asks the member's engine itself, past the system.
-func (h *House) EngineStatus(ctx context.Context, m *Member) (status EngineStatus, err error) {
+func (h *Deployment) EngineStatus(ctx context.Context, m *Member) (status EngineStatus, err error) {
 	err = h.call(ctx, http.MethodGet, m.endpointURL+"/status", nil, &status)
 	return status, err
 }
@@ -123,7 +123,7 @@
 // WaitServing waits until each of the hosts has the version loaded, by the
 // engines' own word, and returns the time of the last one's. Hosts that alive
 // reports as dead are not waited for.
-func (h *House) WaitServing(ctx context.Context, hosts []*Member, version string, alive func(*Member) bool) error {
+func (h *Deployment) WaitServing(ctx context.Context, hosts []*Member, version string, alive func(*Member) bool) error {
 	waiting := append([]*Member(nil), hosts...)
 	for {
 		var rest []*Member
@@ -147,7 +147,7 @@
 }
 
 // WaitRoutable waits until every running entry answers callers.
-func (h *House) WaitRoutable(ctx context.Context) error {
+func (h *Deployment) WaitRoutable(ctx context.Context) error {
 	for _, m := range h.entries {
 		for !m.process.Ended() {
 			err := h.call(ctx, http.MethodGet, "http://"+m.operators+"/readyz", nil, nil)
--- a/bench/internal/house/place.go
+++ b/bench/internal/deployment/place.go
@@ -1,11 +1,11 @@
-package house
+package deployment
 
 // Place is one failure domain and the region that it lies in.
 type Place struct {
 	Region, FailureDomain string
 }
 
-// Quetzal returns the three places of the first house.
+// Quetzal returns the three places of the first deployment.
 func Quetzal() []Place {
 	return []Place{
 		{Region: "guatemala", FailureDomain: "zona-uno"},
--- a/bench/internal/house/platform.go
+++ b/bench/internal/deployment/platform.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 
 // startStores starts what needs to know of no member: key-value service and
 // origin.
-func (h *House) startStores(ctx context.Context) error {
+func (h *Deployment) startStores(ctx context.Context) error {
 	kv := []string{"kv", "--listen", h.anyPort()}
 	if h.config.ServiceReads > 0 {
 		kv = append(kv, "--reads", decimal(h.config.ServiceReads))
@@ -42,7 +42,7 @@
 }
 
 // startHosts starts the host list, which names every member.
-func (h *House) startHosts(ctx context.Context) error {
+func (h *Deployment) startHosts(ctx context.Context) error {
 	list := hostList{Hosts: []HostLine{}}
 	for _, m := range h.Members() {
 		list.Hosts = append(list.Hosts, m.line(stateLive))
@@ -61,7 +61,7 @@
 }
 
 // startEndpoints starts the engines and the plain services.
-func (h *House) startEndpoints(ctx context.Context) error {
+func (h *Deployment) startEndpoints(ctx context.Context) error {
 	for _, m := range h.Services() {
 		if err := h.startService(ctx, m); err != nil {
 			return err
@@ -79,7 +79,7 @@
 }
 
 // startSharedEngines starts one process for each class of engines.
-func (h *House) startSharedEngines(ctx context.Context) error {
+func (h *Deployment) startSharedEngines(ctx context.Context) error {
 	for _, class := range []string{EngineClass, LooseEngineClass} {
 		var group []*Member
 		for _, m := range h.Agents() {
@@ -105,7 +105,7 @@
 
 // startEngine starts one member's engine, at its former address after a
 // restart: the agent's settings name it.
-func (h *House) startEngine(ctx context.Context, m *Member) error {
+func (h *Deployment) startEngine(ctx context.Context, m *Member) error {
 	if m.endpointAddress == "" {
 		address, err := h.addresses.take()
 		if err != nil {
@@ -127,7 +127,7 @@
 	return nil
 }
 
-func (h *House) engineArgs(class, listen string) []string {
+func (h *Deployment) engineArgs(class, listen string) []string {
 	engine := h.config.Engine
 	args := []string{"engine", "--listen", listen, "--store-mib", strconv.Itoa(storeMiB)}
 	if class == EngineClass {
@@ -154,7 +154,7 @@
 	return args
 }
 
-func (h *House) startService(ctx context.Context, m *Member) error {
+func (h *Deployment) startService(ctx context.Context, m *Member) error {
 	proc, err := h.run(ctx, process.Spec{
 		Name:      "endpoint-of-" + m.id,
 		Program:   h.program(standin),
@@ -169,7 +169,7 @@
 	return nil
 }
 
-func (h *House) startStandin(ctx context.Context, name string, args []string) (string, error) {
+func (h *Deployment) startStandin(ctx context.Context, name string, args []string) (string, error) {
 	proc, err := h.run(ctx, process.Spec{Name: name, Program: h.program(standin), Args: args, Listening: 1})
 	if err != nil {
 		return "", err
@@ -178,9 +178,9 @@
 	return "http://" + proc.Addresses()[0], nil
 }
 
-// anyPort is an address on the house's own IP number with a port of the
+// anyPort is an address on the deployment's own IP number with a port of the
 // system's choice.
-func (h *House) anyPort() string { return fmt.Sprintf("%s:0", h.addresses.ip) }
+func (h *Deployment) anyPort() string { return fmt.Sprintf("%s:0", h.addresses.ip) }
 
 func decimal(value float64) string { return strconv.FormatFloat(value, 'f', -1, 64) }
 
--- a/bench/internal/house/settings.go
+++ b/bench/internal/deployment/settings.go
@@ -1,4 +1,4 @@
-package house
+package deployment
 
 import (
 	"crypto/sha256"
@@ -37,7 +37,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func (h *House) nodeSettings(m *Member, role string) (*wire.NodeSettings, error) {
+func (h *Deployment) nodeSettings(m *Member, role string) (*wire.NodeSettings, error) {
 	files, err := h.authority.Issue(m.id, role)
 	if err != nil {
 		return nil, err
@@ -54,14 +54,14 @@
 	}, nil
 }
 
-func (h *House) logLevel() string {
+func (h *Deployment) logLevel() string {
 	if h.config.LogLevel == "" {
 		return "warn"
 	}
 	return h.config.LogLevel
 }
 
-func (h *House) writeEntrySettings(m *Member) error {
+func (h *Deployment) writeEntrySettings(m *Member) error {
 	node, err := h.nodeSettings(m, peer.RoleEntry)
 	if err != nil {
 		return err
@@ -85,7 +85,7 @@
 	})
 }
 
-func (h *House) writeAgentSettings(m *Member) error {
+func (h *Deployment) writeAgentSettings(m *Member) error {
 	node, err := h.nodeSettings(m, peer.RoleAgent)
 	if err != nil {
 		return err
@@ -105,7 +105,7 @@
 	})
 }
 
-func (h *House) writeSettings(m *Member, set proto.Message) error {
+func (h *Deployment) writeSettings(m *Member, set proto.Message) error {
 	text, err := protojson.MarshalOptions{Multiline: true}.Marshal(set)
 	if err != nil {
 		return err
--- a/bench/internal/follow/follower.go
+++ b/bench/internal/follow/follower.go
@@ -1,4 +1,4 @@
-// Package follow asks every node of a house which revision it has in force.
+// Package follow asks every node of a deployment which revision it has in force.
 package follow
 
 import (
@@ -10,7 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // Interval is how often each node is asked; it bounds the error of a time.
@@ -18,7 +18,7 @@
 
 // Follower asks every node which revision it has in force.
 type Follower struct {
-	members []*house.Member
+	members []*deployment.Member
 	client  *http.Client
 
 	mu       sync.Mutex
@@ -30,7 +30,7 @@
 }
 
 // New returns a Follower of the members that asks nobody yet.
-func New(members []*house.Member) *Follower {
+func New(members []*deployment.Member) *Follower {
 	return &Follower{
 		members:  members,
 		client:   &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
@@ -95,7 +95,7 @@
 	return f.back
 }
 
-func (f *Follower) ask(ctx context.Context, m *house.Member) {
+func (f *Follower) ask(ctx context.Context, m *deployment.Member) {
 	for pause(ctx, Interval) == nil {
 		if revision, ok := f.read(ctx, m); ok {
 			f.note(m.ID(), revision, time.Now())
@@ -133,7 +133,7 @@
 	} `json:"entryState"`
 }
 
-func (f *Follower) read(ctx context.Context, m *house.Member) (uint32, bool) {
+func (f *Follower) read(ctx context.Context, m *deployment.Member) (uint32, bool) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.OperatorsAddress()+"/debug/vars", nil)
 	if err != nil {
 		return 0, false
--- a/bench/internal/keys/keys.go
+++ b/bench/internal/keys/keys.go
@@ -1,4 +1,4 @@
-// Package keys makes the throw-away certificates of one house.
+// Package keys makes the throw-away certificates of one deployment.
 package keys
 
 import (
@@ -23,7 +23,7 @@
 	keyMode = 0o600
 )
 
-// Authority signs the certificates of one house.
+// Authority signs the certificates of one deployment.
 type Authority struct {
 	dir  string
 	cert *x509.Certificate
--- a/bench/internal/policy/load.go
+++ b/bench/internal/policy/load.go
@@ -167,7 +167,7 @@
 //go:embed usual.json
 var usualLoad []byte
 
-// Usual returns the load that is built in: a house of five regions at its full rate.
+// Usual returns the load that is built in: a deployment of five regions at its full rate.
 func Usual() *Load {
 	load, err := Parse(usualLoad)
 	if err != nil {
--- a/bench/internal/process/process.go
+++ b/bench/internal/process/process.go
@@ -1,4 +1,4 @@
-// Package process starts the programs of a house and ends them again, each by
+// Package process starts the programs of a deployment and ends them again, each by
 // its own id.
 package process
 
@@ -27,7 +27,7 @@
 
 // Spec says what to start.
 type Spec struct {
-	// Name is the process's name in messages; unique within a house.
+	// Name is the process's name in messages; unique within a deployment.
 	Name string
 	// Program is the path of the binary.
 	Program string
--- a/bench/internal/process/process_test.go
+++ b/bench/internal/process/process_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// Symptom: a house hangs at its start. Sequence: a program refuses its
+// Symptom: a deployment hangs at its start. Sequence: a program refuses its
 // settings and ends without listening. Cause: the launcher waited for an
 // address only, not for the end of the process.
 func TestStartFailsWhenProgramEnds(t *testing.T) {
--- a/bench/internal/protocols/doc.go
+++ b/bench/internal/protocols/doc.go
@@ -1,4 +1,4 @@
 // Package protocols runs the commands of docs/PROTOCOLS.md against a small
-// house and compares the answers with those shown, and the operators' scenarios
+// deployment and compares the answers with those shown, and the operators' scenarios
 // of test/operators; it holds tests only.
 package protocols
--- a/bench/internal/protocols/log_test.go
+++ b/bench/internal/protocols/log_test.go
@@ -5,7 +5,7 @@
 	"sync"
 )
 
-// lineLog lets the house's processes write side by side.
+// lineLog lets the deployment's processes write side by side.
 type lineLog struct {
 	mu   sync.Mutex
 	text strings.Builder
--- a/bench/internal/protocols/protocols_test.go
+++ b/bench/internal/protocols/protocols_test.go
@@ -15,17 +15,17 @@
 
 	"github.com/google/uuid"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 const (
 	// binVariable names the directory of the built programs; make sets it.
 	binVariable = "COMFREY_BIN"
-	// startLimit bounds the house's start; the machine may be busy.
+	// startLimit bounds the deployment's start; the machine may be busy.
 	startLimit = 3 * time.Minute
 	// callLimit bounds one command.
 	callLimit = 60 * time.Second
-	// pause is between two looks while the house starts.
+	// pause is between two looks while the deployment starts.
 	pause = 50 * time.Millisecond
 	// maxAnswer bounds what is read of one answer, bytes.
 	maxAnswer = 4 << 20
@@ -33,7 +33,7 @@
 )
 
 // customer is the one that the page names.
-var customer = house.Customer{Name: "quetzal", Priority: 5}
+var customer = deployment.Customer{Name: "quetzal", Priority: 5}
 
 // client makes a connection for each command, as curl does.
 var client = &http.Client{
@@ -55,7 +55,7 @@
 		page.try(t, shown)
 	}
 	if t.Failed() {
-		t.Log("log of the house:\n" + log.String())
+		t.Log("log of the deployment:\n" + log.String())
 	}
 }
 
@@ -72,27 +72,27 @@
 	return bin
 }
 
-// start starts a house in which revision 1 is in force and every entry knows
+// start starts a deployment in which revision 1 is in force and every entry knows
 // every host and entry.
-func start(ctx context.Context, t *testing.T, bin string, log io.Writer) (*house.House, string) {
+func start(ctx context.Context, t *testing.T, bin string, log io.Writer) (*deployment.Deployment, string) {
 	t.Helper()
-	started, err := house.Start(ctx, house.Config{
-		Bin: bin, Log: log, Places: house.Quetzal(), Entries: entries, Hosts: 3, Services: 1,
-		Engine: house.Engine{TokenInterval: time.Millisecond, FirstTokenTime: time.Millisecond, LoadTime: time.Millisecond},
+	started, err := deployment.Start(ctx, deployment.Config{
+		Bin: bin, Log: log, Places: deployment.Quetzal(), Entries: entries, Hosts: 3, Services: 1,
+		Engine: deployment.Engine{TokenInterval: time.Millisecond, FirstTokenTime: time.Millisecond, LoadTime: time.Millisecond},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(started.Stop)
-	made, err := started.Publish(ctx, house.Publication{Model: house.ModelName, Mib: 1, ChunkKib: 64, Seed: 1})
+	made, err := started.Publish(ctx, deployment.Publication{Model: deployment.ModelName, Mib: 1, ChunkKib: 64, Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := started.WaitRoutable(ctx); err != nil {
 		t.Fatal(err)
 	}
-	doc := started.Document(house.Desired{
-		Version: made.Version, Objective: house.ObjectiveTime, Customers: []house.Customer{customer}, MaxUnavailable: 1, Shift: "asHostsTurn",
+	doc := started.Document(deployment.Desired{
+		Version: made.Version, Objective: deployment.ObjectiveTime, Customers: []deployment.Customer{customer}, MaxUnavailable: 1, Shift: "asHostsTurn",
 	})
 	if _, err := started.Submit(ctx, started.Entries()[0], 0, doc, "first"); err != nil {
 		t.Fatal(err)
@@ -139,7 +139,7 @@
 		} `json:"nodes"`
 	}
 	for path, into := range map[string]any{"/v1/entries": &directory, "/v1/rollout": &rollout, "/v1/status": &status} {
-		key := house.OperatorKey
+		key := deployment.OperatorKey
 		if path == "/v1/entries" {
 			key = customer.Key()
 		}
@@ -190,9 +190,9 @@
 	r := &reader{vars: map[string]string{
 		"ENTRY":             entry,
 		"KEY":               customer.Key(),
-		"KEY_HASH":          house.KeyHash(customer.Key()),
-		"OPERATOR_KEY":      house.OperatorKey,
-		"OPERATOR_KEY_HASH": house.KeyHash(house.OperatorKey),
+		"KEY_HASH":          deployment.KeyHash(customer.Key()),
+		"OPERATOR_KEY":      deployment.OperatorKey,
+		"OPERATOR_KEY_HASH": deployment.KeyHash(deployment.OperatorKey),
 		"VERSION":           version,
 		"ONCE":              uuid.Must(uuid.NewV7()).String(),
 	}}
--- a/bench/internal/protocols/scenarios_test.go
+++ b/bench/internal/protocols/scenarios_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // scenarios are an operator's days; those in the directory above run elsewhere.
@@ -23,10 +23,10 @@
 // awaitLimit bounds a wait for an output; the machine may be busy.
 const awaitLimit = 90 * time.Second
 
-// wanted are the house and the weights that a scenario works on.
+// wanted are the deployment and the weights that a scenario works on.
 type wanted struct {
-	house   *house.House
-	version string
+	deployment *deployment.Deployment
+	version    string
 }
 
 func TestScenarios(t *testing.T) {
@@ -39,12 +39,12 @@
 		Dir: scenarios,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", bin+string(os.PathListSeparator)+env.Getenv("PATH"))
-			env.Setenv("ENTRY", on.house.Entries()[0].CallersAddress())
-			env.Setenv("OTHER", on.house.Entries()[1].CallersAddress())
-			env.Setenv("OPERATOR_KEY", house.OperatorKey)
+			env.Setenv("ENTRY", on.deployment.Entries()[0].CallersAddress())
+			env.Setenv("OTHER", on.deployment.Entries()[1].CallersAddress())
+			env.Setenv("OPERATOR_KEY", deployment.OperatorKey)
 			env.Setenv("VERSION", on.version)
 			const mode = 0o600
-			return os.WriteFile(filepath.Join(env.WorkDir, "operator.key"), []byte(house.OperatorKey+"\n"), mode)
+			return os.WriteFile(filepath.Join(env.WorkDir, "operator.key"), []byte(deployment.OperatorKey+"\n"), mode)
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"awaits": awaits,
@@ -54,25 +54,25 @@
 	})
 }
 
-// start starts a house in which no document is in force.
+// start starts a deployment in which no document is in force.
 func (w *wanted) start(ctx context.Context, t *testing.T, bin string) {
 	t.Helper()
-	started, err := house.Start(ctx, house.Config{
-		Bin: bin, Log: new(lineLog), Places: house.Quetzal(), Entries: entries, Hosts: 3,
-		Engine: house.Engine{LoadTime: time.Millisecond},
+	started, err := deployment.Start(ctx, deployment.Config{
+		Bin: bin, Log: new(lineLog), Places: deployment.Quetzal(), Entries: entries, Hosts: 3,
+		Engine: deployment.Engine{LoadTime: time.Millisecond},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(started.Stop)
-	made, err := started.Publish(ctx, house.Publication{Model: house.ModelName, Mib: 1, ChunkKib: 64, Seed: 1})
+	made, err := started.Publish(ctx, deployment.Publication{Model: deployment.ModelName, Mib: 1, ChunkKib: 64, Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := started.WaitRoutable(ctx); err != nil {
 		t.Fatal(err)
 	}
-	w.house, w.version = started, made.Version
+	w.deployment, w.version = started, made.Version
 }
 
 // exits runs a program that has to end with the exit code given: exits code
@@ -120,5 +120,5 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	ts.Check(w.house.SetKVFaults(ctx, house.KVFaults{Down: args[0] == "down"}))
+	ts.Check(w.deployment.SetKVFaults(ctx, deployment.KVFaults{Down: args[0] == "down"}))
 }
--- a/bench/internal/requests/cases.go
+++ b/bench/internal/requests/cases.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // Case is one experiment.
@@ -45,7 +45,7 @@
 		{Name: "load-1.2", Load: 1.2},
 		{Name: "load-2", Load: 2},
 	}
-	for _, policy := range []string{house.PolicyRandom, house.PolicyRoundRobin, house.PolicyLeastInFlight} {
+	for _, policy := range []string{deployment.PolicyRandom, deployment.PolicyRoundRobin, deployment.PolicyLeastInFlight} {
 		cases = append(cases, Case{Name: "baseline-" + policy, Policy: policy, Load: 0.9})
 	}
 	cases = append(cases,
--- a/bench/internal/requests/result.go
+++ b/bench/internal/requests/result.go
@@ -2,7 +2,7 @@
 
 import (
 	"comfreyrelay.example/bench/internal/audit"
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // Result is the JSON line of one case.
@@ -66,7 +66,7 @@
 	AnswerMsP99           float64 `json:"answerMsP99"`
 }
 
-func compare(before, during house.LoadCounts) *Compared {
+func compare(before, during deployment.LoadCounts) *Compared {
 	return &Compared{
 		FirstTokenMsP95Before: before.FirstTokenMsP95,
 		FirstTokenMsP95:       during.FirstTokenMsP95,
@@ -129,7 +129,7 @@
 
 // addCalm compares with the same load before the trouble; beside a greedy
 // customer these are the small ones.
-func (r *Result) addCalm(c Case, before, during house.LoadCounts) {
+func (r *Result) addCalm(c Case, before, during deployment.LoadCounts) {
 	if c.Greedy {
 		r.Small = compare(before, during)
 		return
@@ -138,7 +138,7 @@
 }
 
 // addCounts adds what one run of callers was told.
-func (r *Result) addCounts(summary house.LoadSummary) {
+func (r *Result) addCounts(summary deployment.LoadSummary) {
 	r.Requests += summary.Requests
 	r.Answered += summary.Answered
 	r.NotRunThenAnswered += summary.NotRunThenAnswered
@@ -155,7 +155,7 @@
 	}
 }
 
-func (r *Result) addTimes(summary house.LoadSummary) {
+func (r *Result) addTimes(summary deployment.LoadSummary) {
 	r.FirstTokenMsP50 = summary.FirstTokenMsP50
 	r.FirstTokenMsP95 = summary.FirstTokenMsP95
 	r.FirstTokenMsP99 = summary.FirstTokenMsP99
--- a/bench/internal/requests/run.go
+++ b/bench/internal/requests/run.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"comfreyrelay.example/bench/internal/audit"
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
-// The house of the experiments: one of the users' houses.
+// The deployment of the experiments: one of the users' deployments.
 const (
 	entryCount    = 9
 	hostCount     = 14
@@ -84,28 +84,28 @@
 
 // run is one case while it runs.
 type run struct {
-	options   Options
-	current   Case
-	house     *house.House
-	version   string
-	customers []house.Customer
+	options    Options
+	current    Case
+	deployment *deployment.Deployment
+	version    string
+	customers  []deployment.Customer
 }
 
 // Run runs one case and returns its line.
 func Run(ctx context.Context, options Options, current Case) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, caseLimit)
 	defer cancel()
-	r := &run{options: options, current: current, customers: house.Customers(customerCount)}
+	r := &run{options: options, current: current, customers: deployment.Customers(customerCount)}
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
 	}
-	defer r.house.Stop()
+	defer r.deployment.Stop()
 	result := Named(current)
 	var err error
 	if result.AddedMsP50, err = r.added(ctx); err != nil {
 		return result, err
 	}
-	var calm house.LoadSummary
+	var calm deployment.LoadSummary
 	if current.Calm {
 		if calm, err = r.load(ctx, r.plain(current.Load, calmTime)); err != nil {
 			return result, err
@@ -115,16 +115,16 @@
 }
 
 func (r *run) start(ctx context.Context) (err error) {
-	r.house, err = house.Start(ctx, house.Config{
+	r.deployment, err = deployment.Start(ctx, deployment.Config{
 		Bin:              r.options.Bin,
 		Log:              r.options.ProcessLog,
-		Places:           house.Quetzal(),
+		Places:           deployment.Quetzal(),
 		Entries:          entryCount,
 		Hosts:            hostCount,
 		Services:         serviceCount,
 		RoutePolicy:      r.current.Policy,
 		OneEngineProcess: true,
-		Engine: house.Engine{
+		Engine: deployment.Engine{
 			Slots:          slots,
 			Queue:          queue,
 			TokenInterval:  tokenTime,
@@ -140,28 +140,28 @@
 
 // serve brings the model to every host.
 func (r *run) serve(ctx context.Context) error {
-	if err := r.house.WaitRoutable(ctx); err != nil {
+	if err := r.deployment.WaitRoutable(ctx); err != nil {
 		return err
 	}
-	made, err := r.house.Publish(ctx, house.Publication{Model: house.ModelName, Mib: modelMiB, ChunkKib: chunkKiB, Seed: r.options.Seed})
+	made, err := r.deployment.Publish(ctx, deployment.Publication{Model: deployment.ModelName, Mib: modelMiB, ChunkKib: chunkKiB, Seed: r.options.Seed})
 	if err != nil {
 		return err
 	}
 	r.version = made.Version
-	doc := r.house.Document(house.Desired{Version: made.Version, Objective: house.ObjectiveTime, Customers: r.customers})
-	if _, err := r.house.Submit(ctx, r.house.Entries()[0], 0, doc, "comfreybench requests"); err != nil {
+	doc := r.deployment.Document(deployment.Desired{Version: made.Version, Objective: deployment.ObjectiveTime, Customers: r.customers})
+	if _, err := r.deployment.Submit(ctx, r.deployment.Entries()[0], 0, doc, "comfreybench requests"); err != nil {
 		return err
 	}
-	if err := r.house.WaitServing(ctx, r.house.Agents(), made.Version, nil); err != nil {
+	if err := r.deployment.WaitServing(ctx, r.deployment.Agents(), made.Version, nil); err != nil {
 		return err
 	}
-	return r.house.WaitAnswering(ctx, r.customers[0])
+	return r.deployment.WaitAnswering(ctx, r.customers[0])
 }
 
 // plain is the load of all customers alike.
-func (r *run) plain(load float64, length time.Duration) house.LoadOptions {
-	return house.LoadOptions{
-		Customers:     house.EvenShares(r.customers),
+func (r *run) plain(load float64, length time.Duration) deployment.LoadOptions {
+	return deployment.LoadOptions{
+		Customers:     deployment.EvenShares(r.customers),
 		Rate:          load * capacity(),
 		Time:          length,
 		Seed:          r.options.Seed,
@@ -192,10 +192,10 @@
 }
 
 // load runs callers to their end.
-func (r *run) load(ctx context.Context, options house.LoadOptions) (house.LoadSummary, error) {
-	load, err := r.house.StartLoad(ctx, options)
+func (r *run) load(ctx context.Context, options deployment.LoadOptions) (deployment.LoadSummary, error) {
+	load, err := r.deployment.StartLoad(ctx, options)
 	if err != nil {
-		return house.LoadSummary{}, err
+		return deployment.LoadSummary{}, err
 	}
 	return load.Wait(ctx)
 }
@@ -209,7 +209,7 @@
 		return err
 	}
 	r.options.Log.Info("trouble", "case", r.current.Name)
-	if err := r.current.Trouble(ctx, r.house); err != nil {
+	if err := r.current.Trouble(ctx, r.deployment); err != nil {
 		return fmt.Errorf("trouble: %w", err)
 	}
 	if !r.current.Long {
@@ -230,8 +230,8 @@
 }
 
 // measure runs the case's own load and fills the result.
-func (r *run) measure(ctx context.Context, result *Result, calm house.LoadSummary) error {
-	usedBefore, ranBefore := r.usage(ctx), audit.Collect(ctx, r.house)
+func (r *run) measure(ctx context.Context, result *Result, calm deployment.LoadSummary) error {
+	usedBefore, ranBefore := r.usage(ctx), audit.Collect(ctx, r.deployment)
 	sendings, err := r.sendings(ctx)
 	if err != nil {
 		return err
@@ -264,12 +264,12 @@
 	engines := r.plain(r.current.Load, r.current.length())
 	services := engines
 	services.Services, services.Rate = 1, toServices*engines.Rate
-	all := []house.LoadOptions{engines, services}
+	all := []deployment.LoadOptions{engines, services}
 	if r.current.Greedy {
-		all[0].Customers = house.EvenShares(r.customers[1:])
+		all[0].Customers = deployment.EvenShares(r.customers[1:])
 		greedy := r.plain(greedyLoad, loadTime)
-		greedy.Customers = house.EvenShares(r.customers[:1])
-		all = []house.LoadOptions{all[0], greedy, services}
+		greedy.Customers = deployment.EvenShares(r.customers[:1])
+		all = []deployment.LoadOptions{all[0], greedy, services}
 	}
 	var begun []*sending
 	for _, options := range all {
@@ -283,9 +283,9 @@
 }
 
 func (r *run) audit(ctx context.Context, result *Result, before audit.Ledgers, sendings []*sending) error {
-	ledgers := audit.Collect(ctx, r.house)
+	ledgers := audit.Collect(ctx, r.deployment)
 	for _, one := range sendings {
-		found, err := audit.CompareFile(one.load, ledgers.Runs, r.house, deadline)
+		found, err := audit.CompareFile(one.load, ledgers.Runs, r.deployment, deadline)
 		if err != nil {
 			return err
 		}
@@ -309,11 +309,11 @@
 // usage sums over the entries that run; one that was restarted counts from its
 // new start.
 func (r *run) usage(ctx context.Context) (sum use) {
-	for _, m := range r.house.Entries() {
+	for _, m := range r.deployment.Entries() {
 		if used, err := m.Process().Usage(); err == nil {
 			sum.cpu += used.CPU
 		}
-		if counters, err := r.house.Counters(ctx, m); err == nil {
+		if counters, err := r.deployment.Counters(ctx, m); err == nil {
 			sum.allocated += counters.AllocBytes
 		}
 	}
--- a/bench/internal/requests/sending.go
+++ b/bench/internal/requests/sending.go
@@ -6,24 +6,24 @@
 	"sync"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // sending is one run of callers whose rates are measured.
 type sending struct {
-	load     *house.Load
-	services bool              // sends to plain services alone
-	summary  house.LoadSummary // set by wait
+	load     *deployment.Load
+	services bool                   // sends to plain services alone
+	summary  deployment.LoadSummary // set by wait
 	// first and last are the counts after the warm-up and close to the end of
 	// the arrivals: what is answered after them would flatter an overload.
-	first, last house.LoadSummary
+	first, last deployment.LoadSummary
 	watched     sync.WaitGroup
 	problem     error // of the watching
 }
 
 // begin starts callers and reads their counts meanwhile.
-func (r *run) begin(ctx context.Context, options house.LoadOptions) (*sending, error) {
-	load, err := r.house.StartLoad(ctx, options)
+func (r *run) begin(ctx context.Context, options deployment.LoadOptions) (*sending, error) {
+	load, err := r.deployment.StartLoad(ctx, options)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/internal/requests/trouble.go
+++ b/bench/internal/requests/trouble.go
@@ -9,12 +9,12 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
-// trouble happens to the house while callers send; it returns once it is over
+// trouble happens to the deployment while callers send; it returns once it is over
 // or set for good.
-type trouble func(ctx context.Context, h *house.House) error
+type trouble func(ctx context.Context, h *deployment.Deployment) error
 
 // Times within a case.
 const (
@@ -23,40 +23,40 @@
 )
 
 // victim is the engine host that troubles strike.
-func victim(h *house.House) *house.Member { return h.Agents()[2] }
+func victim(h *deployment.Deployment) *deployment.Member { return h.Agents()[2] }
 
 // slowReplica makes one engine a tenth as fast; it goes on reporting as usual.
-func slowReplica(ctx context.Context, h *house.House) error {
-	return h.SetEngineFaults(ctx, victim(h), house.EngineFaults{SlowFactor: 10})
+func slowReplica(ctx context.Context, h *deployment.Deployment) error {
+	return h.SetEngineFaults(ctx, victim(h), deployment.EngineFaults{SlowFactor: 10})
 }
 
 // failsFast makes one engine refuse all at once and so look idle.
-func failsFast(ctx context.Context, h *house.House) error {
-	return h.SetEngineFaults(ctx, victim(h), house.EngineFaults{FailFast: true, ReportIdle: true})
+func failsFast(ctx context.Context, h *deployment.Deployment) error {
+	return h.SetEngineFaults(ctx, victim(h), deployment.EngineFaults{FailFast: true, ReportIdle: true})
 }
 
-func engineStalls(ctx context.Context, h *house.House) error {
-	return forAWhile(ctx, h, house.EngineFaults{Stall: true})
+func engineStalls(ctx context.Context, h *deployment.Deployment) error {
+	return forAWhile(ctx, h, deployment.EngineFaults{Stall: true})
 }
 
-func breaksAfterTokens(ctx context.Context, h *house.House) error {
-	return forAWhile(ctx, h, house.EngineFaults{DieAfterTokens: 5})
+func breaksAfterTokens(ctx context.Context, h *deployment.Deployment) error {
+	return forAWhile(ctx, h, deployment.EngineFaults{DieAfterTokens: 5})
 }
 
-func forAWhile(ctx context.Context, h *house.House, faults house.EngineFaults) error {
+func forAWhile(ctx context.Context, h *deployment.Deployment, faults deployment.EngineFaults) error {
 	if err := h.SetEngineFaults(ctx, victim(h), faults); err != nil {
 		return err
 	}
 	err := pause(ctx, troubleTime)
-	return errors.Join(err, h.SetEngineFaults(ctx, victim(h), house.EngineFaults{}))
+	return errors.Join(err, h.SetEngineFaults(ctx, victim(h), deployment.EngineFaults{}))
 }
 
-func hostDies(ctx context.Context, h *house.House) error {
+func hostDies(ctx context.Context, h *deployment.Deployment) error {
 	return h.Kill(ctx, victim(h))
 }
 
 // coldReplica lets a host die and come back with nothing.
-func coldReplica(ctx context.Context, h *house.House) error {
+func coldReplica(ctx context.Context, h *deployment.Deployment) error {
 	if err := h.Kill(ctx, victim(h)); err != nil {
 		return err
 	}
@@ -68,7 +68,7 @@
 
 // agentPauses stops an agent past every deadline of its requests' first
 // attempts and lets it wake with what it held.
-func agentPauses(ctx context.Context, h *house.House) error {
+func agentPauses(ctx context.Context, h *deployment.Deployment) error {
 	if err := victim(h).Pause(); err != nil {
 		return err
 	}
@@ -76,30 +76,30 @@
 	return errors.Join(err, victim(h).Resume())
 }
 
-func entryDies(ctx context.Context, h *house.House) error {
+func entryDies(ctx context.Context, h *deployment.Deployment) error {
 	return h.Kill(ctx, h.Entries()[1])
 }
 
-func entryLeaves(ctx context.Context, h *house.House) error {
+func entryLeaves(ctx context.Context, h *deployment.Deployment) error {
 	return h.Entries()[1].Terminate(ctx)
 }
 
-func hostLeaves(ctx context.Context, h *house.House) error {
+func hostLeaves(ctx context.Context, h *deployment.Deployment) error {
 	return victim(h).Terminate(ctx)
 }
 
 // restartAll restarts every entry and every agent gracefully: entries one by
 // one, and beside them as many agents at once as there are places.
-func restartAll(ctx context.Context, h *house.House) error {
-	agents := append(append([]*house.Member(nil), h.Agents()...), h.Services()...)
+func restartAll(ctx context.Context, h *deployment.Deployment) error {
+	agents := append(append([]*deployment.Member(nil), h.Agents()...), h.Services()...)
 	var both errgroup.Group
 	both.Go(func() error { return restartInTurn(ctx, h, h.Entries(), 1) })
-	both.Go(func() error { return restartInTurn(ctx, h, agents, len(house.Quetzal())) })
+	both.Go(func() error { return restartInTurn(ctx, h, agents, len(deployment.Quetzal())) })
 	return both.Wait()
 }
 
 // restartInTurn restarts so many members at once.
-func restartInTurn(ctx context.Context, h *house.House, members []*house.Member, at int) error {
+func restartInTurn(ctx context.Context, h *deployment.Deployment, members []*deployment.Member, at int) error {
 	for group := range slices.Chunk(members, at) {
 		var together errgroup.Group
 		for _, m := range group {
@@ -121,25 +121,25 @@
 }
 
 // serviceLosesReplies lets calls run whose replies are lost, and refuses some.
-func serviceLosesReplies(ctx context.Context, h *house.House) error {
+func serviceLosesReplies(ctx context.Context, h *deployment.Deployment) error {
 	var err error
 	for _, m := range h.Services() {
-		err = errors.Join(err, h.SetServiceFaults(ctx, m, house.ServiceFaults{LoseReply: 0.2, FailBeforeRun: 0.2}))
+		err = errors.Join(err, h.SetServiceFaults(ctx, m, deployment.ServiceFaults{LoseReply: 0.2, FailBeforeRun: 0.2}))
 	}
 	return err
 }
 
 // kvDown takes the key-value service away for longer than a lease.
-func kvDown(ctx context.Context, h *house.House) error {
-	if err := h.SetKVFaults(ctx, house.KVFaults{Down: true}); err != nil {
+func kvDown(ctx context.Context, h *deployment.Deployment) error {
+	if err := h.SetKVFaults(ctx, deployment.KVFaults{Down: true}); err != nil {
 		return err
 	}
 	err := pause(ctx, 2*troubleTime)
-	return errors.Join(err, h.SetKVFaults(ctx, house.KVFaults{}))
+	return errors.Join(err, h.SetKVFaults(ctx, deployment.KVFaults{}))
 }
 
-func listEmpty(ctx context.Context, h *house.House) error {
-	return h.SetHostListFaults(ctx, house.HostListFaults{Empty: true})
+func listEmpty(ctx context.Context, h *deployment.Deployment) error {
+	return h.SetHostListFaults(ctx, deployment.HostListFaults{Empty: true})
 }
 
 func pause(ctx context.Context, wait time.Duration) error {
--- a/bench/internal/soak/act.go
+++ b/bench/internal/soak/act.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 )
 
 // act carries one event out; it returns when the event is over.
@@ -31,25 +31,25 @@
 		return r.changeDocument(ctx, event.Kind)
 	}
 	if faults, ok := engineFaults[event.Kind]; ok {
-		set := func(f house.EngineFaults) error { return r.house.SetEngineFaults(ctx, r.host(event), f) }
+		set := func(f deployment.EngineFaults) error { return r.deployment.SetEngineFaults(ctx, r.host(event), f) }
 		return knobs(ctx, set, faults, event.Length)
 	}
 	if faults, ok := kvFaults[event.Kind]; ok {
-		set := func(f house.KVFaults) error { return r.house.SetKVFaults(ctx, f) }
+		set := func(f deployment.KVFaults) error { return r.deployment.SetKVFaults(ctx, f) }
 		return knobs(ctx, set, faults, event.Length)
 	}
 	if faults, ok := originFaults[event.Kind]; ok {
-		set := func(f house.OriginFaults) error { return r.house.SetOriginFaults(ctx, f) }
+		set := func(f deployment.OriginFaults) error { return r.deployment.SetOriginFaults(ctx, f) }
 		return knobs(ctx, set, faults, event.Length)
 	}
 	if faults, ok := listFaults[event.Kind]; ok {
-		set := func(f house.HostListFaults) error { return r.house.SetHostListFaults(ctx, f) }
+		set := func(f deployment.HostListFaults) error { return r.deployment.SetHostListFaults(ctx, f) }
 		return knobs(ctx, set, faults, event.Length)
 	}
 	return fmt.Errorf("no action for %s", event.Kind)
 }
 
-var engineFaults = map[Kind]house.EngineFaults{
+var engineFaults = map[Kind]deployment.EngineFaults{
 	slowEngine:     {SlowFactor: 10},
 	failFastEngine: {FailFast: true, ReportIdle: true},
 	breakEngine:    {DieAfterTokens: 5},
@@ -58,7 +58,7 @@
 	dropLoad:       {DropLoad: true},
 }
 
-var kvFaults = map[Kind]house.KVFaults{
+var kvFaults = map[Kind]deployment.KVFaults{
 	kvDown:         {Down: true},
 	kvSlow:         {DelayMillis: 1500},
 	kvLosesReplies: {LoseReplies: 0.3, LoseRequests: 0.2},
@@ -66,12 +66,12 @@
 	kvCompact:      {Compact: true, DropWatch: true},
 }
 
-var originFaults = map[Kind]house.OriginFaults{
+var originFaults = map[Kind]deployment.OriginFaults{
 	originCorrupt: {CorruptFraction: 0.05},
 	originDown:    {Down: true},
 }
 
-var listFaults = map[Kind]house.HostListFaults{
+var listFaults = map[Kind]deployment.HostListFaults{
 	listEmpty: {Empty: true},
 	listDown:  {Down: true},
 }
@@ -86,23 +86,23 @@
 	return errors.Join(set(none), wait)
 }
 
-func (r *run) host(event Event) *house.Member { return r.house.Agents()[event.Target] }
+func (r *run) host(event Event) *deployment.Member { return r.deployment.Agents()[event.Target] }
 
-func (r *run) entry(event Event) *house.Member { return r.house.Entries()[event.Target] }
+func (r *run) entry(event Event) *deployment.Member { return r.deployment.Entries()[event.Target] }
 
-func (r *run) killAndRestart(ctx context.Context, m *house.Member, length time.Duration) error {
-	if err := r.house.Kill(ctx, m); err != nil {
+func (r *run) killAndRestart(ctx context.Context, m *deployment.Member, length time.Duration) error {
+	if err := r.deployment.Kill(ctx, m); err != nil {
 		return err
 	}
 	if err := pause(ctx, length); err != nil {
 		return err
 	}
-	return r.house.Restart(ctx, m)
+	return r.deployment.Restart(ctx, m)
 }
 
 // leaveAndRestart asks the member to leave, which must end cleanly.
-func (r *run) leaveAndRestart(ctx context.Context, m *house.Member, length time.Duration) error {
-	if err := r.house.ListLeaving(ctx, m); err != nil {
+func (r *run) leaveAndRestart(ctx context.Context, m *deployment.Member, length time.Duration) error {
+	if err := r.deployment.ListLeaving(ctx, m); err != nil {
 		return err
 	}
 	limited, cancel := context.WithTimeout(ctx, leaveLimit)
@@ -114,10 +114,10 @@
 	if err := pause(ctx, length); err != nil {
 		return err
 	}
-	return errors.Join(r.house.List(ctx, m), r.house.Restart(ctx, m))
+	return errors.Join(r.deployment.List(ctx, m), r.deployment.Restart(ctx, m))
 }
 
-func pauseAndResume(ctx context.Context, m *house.Member, length time.Duration) error {
+func pauseAndResume(ctx context.Context, m *deployment.Member, length time.Duration) error {
 	if err := m.Pause(); err != nil {
 		return err
 	}
@@ -126,9 +126,9 @@
 }
 
 func (r *run) serviceFaults(ctx context.Context, event Event) error {
-	m := r.house.Services()[event.Target]
-	set := func(f house.ServiceFaults) error { return r.house.SetServiceFaults(ctx, m, f) }
-	return knobs(ctx, set, house.ServiceFaults{LoseReply: 0.2, FailBeforeRun: 0.2, SlowFactor: 2}, event.Length)
+	m := r.deployment.Services()[event.Target]
+	set := func(f deployment.ServiceFaults) error { return r.deployment.SetServiceFaults(ctx, m, f) }
+	return knobs(ctx, set, deployment.ServiceFaults{LoseReply: 0.2, FailBeforeRun: 0.2, SlowFactor: 2}, event.Length)
 }
 
 // changeDocument submits a change; a refusal is no fault, for the service may
@@ -168,8 +168,8 @@
 
 // submit notes what was accepted. Where the reply is lost, what is in force
 // settles it later: the last accepted document must win.
-func (r *run) submit(ctx context.Context, base uint32, next house.Desired) error {
-	_, err := r.house.Submit(ctx, r.anyEntry(), base, r.house.Document(next), "comfreybench soak")
+func (r *run) submit(ctx context.Context, base uint32, next deployment.Desired) error {
+	_, err := r.deployment.Submit(ctx, r.anyEntry(), base, r.deployment.Document(next), "comfreybench soak")
 	if err == nil {
 		r.desired = next
 		r.accepted++
@@ -180,16 +180,16 @@
 // submitTwo submits two documents over one base at the same moment: at most
 // one may be accepted.
 func (r *run) submitTwo(ctx context.Context, base uint32) error {
-	entries := r.house.Entries()
+	entries := r.deployment.Entries()
 	var accepted [2]bool
-	var next [2]house.Desired
+	var next [2]deployment.Desired
 	var both sync.WaitGroup
 	for i := range next {
 		r.limit++
 		next[i] = r.desired
 		next[i].Customers = limited(r.desired.Customers, r.limit)
 		both.Go(func() {
-			_, err := r.house.Submit(ctx, entries[i], base, r.house.Document(next[i]), "comfreybench soak")
+			_, err := r.deployment.Submit(ctx, entries[i], base, r.deployment.Document(next[i]), "comfreybench soak")
 			accepted[i] = err == nil
 		})
 	}
@@ -207,9 +207,9 @@
 }
 
 // limited returns the customers with another limit of the first one.
-func limited(customers []house.Customer, limit int) []house.Customer {
+func limited(customers []deployment.Customer, limit int) []deployment.Customer {
 	const base = 1000
-	out := append([]house.Customer(nil), customers...)
+	out := append([]deployment.Customer(nil), customers...)
 	out[0].RequestsPerSecond = float64(base + limit)
 	return out
 }
--- a/bench/internal/soak/document.go
+++ b/bench/internal/soak/document.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"comfreyrelay.example/bench/internal/house"
+	"comfreyrelay.example/bench/internal/deployment"
 	"comfreyrelay.example/relay/wire"
 )
 
@@ -14,8 +14,8 @@
 // inForce asks every entry that answers and returns the newest document.
 func (r *run) inForce(ctx context.Context) (revision uint32, doc *wire.Document, err error) {
 	err = errNoEntry
-	for _, m := range r.house.Entries() {
-		seen, found, problem := r.house.InForce(ctx, m)
+	for _, m := range r.deployment.Entries() {
+		seen, found, problem := r.deployment.InForce(ctx, m)
 		if problem == nil && (doc == nil || seen > revision) {
 			revision, doc, err = seen, found, nil
 		}
@@ -24,7 +24,7 @@
 }
 
 // anyEntry returns an entry to submit to, another each time.
-func (r *run) anyEntry() *house.Member {
-	entries := r.house.Entries()
+func (r *run) anyEntry() *deployment.Member {
+	entries := r.deployment.Entries()
 	return entries[int(r.seed)%len(entries)]
 }
--- a/bench/internal/soak/plan.go
+++ b/bench/internal/soak/plan.go
@@ -45,7 +45,7 @@
 type target int
 
 const (
-	theHouse target = iota // the platform or the document
+	theDeployment target = iota // the platform or the document
 	anEntry
 	aHost
 	aService
@@ -79,26 +79,26 @@
 	{refuseLoad, aHost, 1, 2 * time.Second, 6 * time.Second, ""},
 	{dropLoad, aHost, 1, 2 * time.Second, 6 * time.Second, ""},
 	{serviceFaults, aService, 3, 2 * time.Second, 8 * time.Second, ""},
-	{kvDown, theHouse, 3, time.Second, 8 * time.Second, "kv"},
-	{kvSlow, theHouse, 2, 2 * time.Second, 6 * time.Second, "kv"},
-	{kvLosesReplies, theHouse, 3, 2 * time.Second, 8 * time.Second, "kv"},
-	{kvWatchSilent, theHouse, 2, 2 * time.Second, 8 * time.Second, "kv"},
-	{kvCompact, theHouse, 1, time.Second, time.Second, "kv"},
-	{originCorrupt, theHouse, 2, 2 * time.Second, 8 * time.Second, "origin"},
-	{originDown, theHouse, 2, time.Second, 5 * time.Second, "origin"},
-	{listEmpty, theHouse, 1, 2 * time.Second, 8 * time.Second, "list"},
-	{listDown, theHouse, 1, 2 * time.Second, 8 * time.Second, "list"},
-	{newVersion, theHouse, 8, time.Second, time.Second, "document"},
-	{formerVersion, theHouse, 2, time.Second, time.Second, "document"},
-	{newLimits, theHouse, 6, time.Second, time.Second, "document"},
-	{twoOperators, theHouse, 4, time.Second, time.Second, "document"},
+	{kvDown, theDeployment, 3, time.Second, 8 * time.Second, "kv"},
+	{kvSlow, theDeployment, 2, 2 * time.Second, 6 * time.Second, "kv"},
+	{kvLosesReplies, theDeployment, 3, 2 * time.Second, 8 * time.Second, "kv"},
+	{kvWatchSilent, theDeployment, 2, 2 * time.Second, 8 * time.Second, "kv"},
+	{kvCompact, theDeployment, 1, time.Second, time.Second, "kv"},
+	{originCorrupt, theDeployment, 2, 2 * time.Second, 8 * time.Second, "origin"},
+	{originDown, theDeployment, 2, time.Second, 5 * time.Second, "origin"},
+	{listEmpty, theDeployment, 1, 2 * time.Second, 8 * time.Second, "list"},
+	{listDown, theDeployment, 1, 2 * time.Second, 8 * time.Second, "list"},
+	{newVersion, theDeployment, 8, time.Second, time.Second, "document"},
+	{formerVersion, theDeployment, 2, time.Second, time.Second, "document"},
+	{newLimits, theDeployment, 6, time.Second, time.Second, "document"},
+	{twoOperators, theDeployment, 4, time.Second, time.Second, "document"},
 }
 
-// Event is one thing that happens to the house.
+// Event is one thing that happens to the deployment.
 type Event struct {
 	At     time.Duration // since the start
 	Kind   Kind
-	Target int // index among entries, hosts or services; noTarget for the house
+	Target int // index among entries, hosts or services; noTarget for the deployment
 	Length time.Duration
 }
 
@@ -115,7 +115,7 @@
 	Entries, Hosts, Services int
 }
 
-// Bounds of what is struck at a time: the house must be able to serve.
+// Bounds of what is struck at a time: the deployment must be able to serve.
 const (
 	meanGap = 900 * time.Millisecond
 	// recovery is what a target gets to come back before it is struck again.
@@ -152,7 +152,7 @@
 	length := drawn.shortest + time.Duration(p.random.Int64N(int64(drawn.longest-drawn.shortest)+1))
 	event := Event{At: at, Kind: drawn.kind, Target: noTarget, Length: length}
 	name := string(drawn.knob)
-	if drawn.target != theHouse {
+	if drawn.target != theDeployment {
 		event.Target = p.random.IntN(p.count(drawn.target))
 		name = fmt.Sprintf("%d-%d", drawn.target, event.Target)
 	}
@@ -185,14 +185,14 @@
 		return p.sizes.Hosts
 	case aService:
 		return p.sizes.Services
-	case theHouse:
+	case theDeployment:
 	}
 	return 1
 }
 
 // most is how many targets of a kind may be struck at once: under half.
 func (p *planner) most(of target) int {
-	if of == theHouse {
+	if of == theDeployment {
 		return len(rules)
 	}
 	return max(1, (p.count(of)-1)/2)
--- a/bench/internal/soak/run.go
+++ b/bench/internal/soak/run.go
@@ -1,4 +1,4 @@
-// Package soak lets random faults happen to a house under load and checks the
+// Package soak lets random faults happen to a deployment under load and checks the
 // invariants from the callers' and the back ends' own records.
 package soak
 
@@ -12,11 +12,11 @@
 	"time"
 
 	"comfreyrelay.example/bench/internal/audit"
+	"comfreyrelay.example/bench/internal/deployment"
 	"comfreyrelay.example/bench/internal/follow"
-	"comfreyrelay.example/bench/internal/house"
 )
 
-// The house and its load.
+// The deployment and its load.
 const (
 	entryCount    = 9
 	hostCount     = 9
@@ -90,14 +90,14 @@
 
 // run is one soak.
 type run struct {
-	options  Options
-	house    *house.House
-	load     *house.Load
-	follower *follow.Follower
-	pending  sync.WaitGroup
+	options    Options
+	deployment *deployment.Deployment
+	load       *deployment.Load
+	follower   *follow.Follower
+	pending    sync.WaitGroup
 
 	document sync.Mutex // guards the fields of the document, and its changes
-	desired  house.Desired
+	desired  deployment.Desired
 	former   string // version before the desired one
 	limit    int
 	accepted int
@@ -117,7 +117,7 @@
 	if err := r.start(ctx); err != nil {
 		return result, err
 	}
-	defer r.house.Stop()
+	defer r.deployment.Stop()
 	err := r.follower.During(ctx, func() error { return r.strike(ctx, &result) })
 	if err == nil {
 		err = r.judge(ctx, &result)
@@ -131,62 +131,62 @@
 func (r *run) start(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	r.house, err = house.Start(ctx, house.Config{
+	r.deployment, err = deployment.Start(ctx, deployment.Config{
 		Bin:              r.options.Bin,
 		Log:              r.options.ProcessLog,
-		Places:           house.Quetzal(),
+		Places:           deployment.Quetzal(),
 		Entries:          entryCount,
 		Hosts:            hostCount,
 		Services:         serviceCount,
 		OneEngineProcess: true,
 		Mixed:            true,
-		Engine:           house.Engine{Slots: slots, TokenInterval: tokenTime},
+		Engine:           deployment.Engine{Slots: slots, TokenInterval: tokenTime},
 	})
 	if err != nil {
 		return err
 	}
-	r.follower = follow.New(r.house.Members())
+	r.follower = follow.New(r.deployment.Members())
 	if err := r.serve(ctx); err != nil {
-		r.house.Stop()
+		r.deployment.Stop()
 		return err
 	}
 	return nil
 }
 
 func (r *run) serve(ctx context.Context) error {
-	if err := r.house.WaitRoutable(ctx); err != nil {
+	if err := r.deployment.WaitRoutable(ctx); err != nil {
 		return err
 	}
 	version, err := r.publish(ctx)
 	if err != nil {
 		return err
 	}
-	r.desired = house.Desired{Version: version, Objective: house.ObjectiveTime, Customers: house.Customers(customerCount)}
-	if _, err := r.house.Submit(ctx, r.house.Entries()[0], 0, r.house.Document(r.desired), "comfreybench soak"); err != nil {
+	r.desired = deployment.Desired{Version: version, Objective: deployment.ObjectiveTime, Customers: deployment.Customers(customerCount)}
+	if _, err := r.deployment.Submit(ctx, r.deployment.Entries()[0], 0, r.deployment.Document(r.desired), "comfreybench soak"); err != nil {
 		return err
 	}
-	if err := r.house.WaitServing(ctx, r.house.Agents(), version, nil); err != nil {
+	if err := r.deployment.WaitServing(ctx, r.deployment.Agents(), version, nil); err != nil {
 		return err
 	}
-	return r.house.WaitAnswering(ctx, r.desired.Customers[0])
+	return r.deployment.WaitAnswering(ctx, r.desired.Customers[0])
 }
 
 // publish makes the next version from the one that is desired.
 func (r *run) publish(ctx context.Context) (string, error) {
 	r.seed++
-	pub := house.Publication{Model: house.ModelName, Mib: modelMiB, ChunkKib: chunkKiB, Seed: r.seed}
+	pub := deployment.Publication{Model: deployment.ModelName, Mib: modelMiB, ChunkKib: chunkKiB, Seed: r.seed}
 	if r.desired.Version != "" {
 		pub.FromVersion, pub.ChangeFraction = r.desired.Version, changed
 	}
-	made, err := r.house.Publish(ctx, pub)
+	made, err := r.deployment.Publish(ctx, pub)
 	return made.Version, err
 }
 
 // strike runs the load and the plan's events to their end.
 func (r *run) strike(ctx context.Context, result *Result) error {
 	var err error
-	r.load, err = r.house.StartLoad(ctx, house.LoadOptions{
-		Customers:     house.EvenShares(r.desired.Customers),
+	r.load, err = r.deployment.StartLoad(ctx, deployment.LoadOptions{
+		Customers:     deployment.EvenShares(r.desired.Customers),
 		Rate:          loadRate,
 		Time:          r.options.Length,
 		Seed:          r.options.Seed,
@@ -257,7 +257,7 @@
 		return err
 	}
 	version := doc.GetModels()[0].GetVersion()
-	if err := r.house.WaitServing(ctx, r.house.Agents(), version, nil); err != nil {
+	if err := r.deployment.WaitServing(ctx, r.deployment.Agents(), version, nil); err != nil {
 		r.violate("notConverged", err.Error())
 		return nil
 	}
@@ -271,8 +271,8 @@
 
 // judge compares the records once all is over.
 func (r *run) judge(ctx context.Context, result *Result) error {
-	ledgers := audit.Collect(ctx, r.house)
-	found, err := audit.CompareFile(r.load, ledgers.Runs, r.house, requestTime)
+	ledgers := audit.Collect(ctx, r.deployment)
+	found, err := audit.CompareFile(r.load, ledgers.Runs, r.deployment, requestTime)
 	if err != nil {
 		return err
 	}
@@ -292,7 +292,7 @@
 	return r.judgeMembers(ctx)
 }
 
-func (r *run) judgeLoad(summary house.LoadSummary) {
+func (r *run) judgeLoad(summary deployment.LoadSummary) {
 	wrong := summary.WrongAnswer + summary.WrongVersion + summary.Contradicted
 	if wrong == 0 {
 		return
@@ -311,8 +311,8 @@
 
 // judgeMembers reads the invariants that the programs assert inside.
 func (r *run) judgeMembers(ctx context.Context) error {
-	for _, m := range r.house.Members() {
-		counters, err := r.house.Counters(ctx, m)
+	for _, m := range r.deployment.Members() {
+		counters, err := r.deployment.Counters(ctx, m)
 		if err != nil {
 			return err
 		}
@@ -323,7 +323,7 @@
 	return nil
 }
 
-func (r *Result) addLoad(summary house.LoadSummary) {
+func (r *Result) addLoad(summary deployment.LoadSummary) {
 	r.Requests = summary.Requests
 	r.Answered = summary.Answered
 	r.NotRun = summary.NotRun
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,4 @@
-// Command comfreybench starts whole houses of real processes over loopback and
+// Command comfreybench starts whole deployments of real processes over loopback and
 // measures them: the demo, the experiments and the soak. It is a test tool;
 // the product starts no processes.
 package main
--- a/ctl/internal/client/house.go
+++ b/ctl/internal/client/deployment.go
@@ -62,7 +62,7 @@
 	Nodes          []Node `json:"nodes"`
 }
 
-// Status returns what one entry knows of the house.
+// Status returns what one entry knows of the deployment.
 func (c *Client) Status(ctx context.Context) (*Status, error) {
 	found := &Status{}
 	return found, c.get(ctx, "/v1/status", found)
--- a/ctl/internal/client/document.go
+++ b/ctl/internal/client/document.go
@@ -46,7 +46,7 @@
 	Problems []document.Problem `json:"errors"`
 }
 
-// Validate has an entry check a document against what it knows of the house.
+// Validate has an entry check a document against what it knows of the deployment.
 func (c *Client) Validate(ctx context.Context, doc json.RawMessage) (*Validation, error) {
 	found := &Validation{}
 	err := c.call(ctx, http.MethodPost, "/v1/document/validate", doc, found)
--- a/ctl/internal/cmd/cmd_apply.go
+++ b/ctl/internal/cmd/cmd_apply.go
@@ -38,7 +38,7 @@
 		Short: "Submit a document as the next revision",
 		Long: "Checks the document and submits it. Two operators at once: one is accepted, the other gets a conflict with both diffs (exit 3). " +
 			"A lost reply is settled by sending the same submission again; where that fails too, the outcome is unknown (exit 5).\n\n" +
-			"Example: comfreyctl apply house.json --reason \"parcel v2\" --wait",
+			"Example: comfreyctl apply document.json --reason \"parcel v2\" --wait",
 		Options: opts,
 		Run: func(ctx context.Context, args []string) error {
 			name, err := oneArgument(args, "the document's file")
--- a/ctl/internal/cmd/cmd_diff.go
+++ b/ctl/internal/cmd/cmd_diff.go
@@ -23,7 +23,7 @@
 		Name:  "diff",
 		Short: "Show what a document would change, or what changed between revisions",
 		Long: "With one file: from the document in force to the file. With two files: from the first to the second, without an entry. " +
-			"With --from and --to: between two revisions.\n\nExamples:\n  comfreyctl diff house.json\n  comfreyctl diff old.json new.json\n  comfreyctl diff --from 7 --to 8",
+			"With --from and --to: between two revisions.\n\nExamples:\n  comfreyctl diff document.json\n  comfreyctl diff old.json new.json\n  comfreyctl diff --from 7 --to 8",
 		Options: opts,
 		Run: func(ctx context.Context, args []string) error {
 			changes, err := diff(ctx, term, opts, args)
--- a/ctl/internal/cmd/cmd_init.go
+++ b/ctl/internal/cmd/cmd_init.go
@@ -38,7 +38,7 @@
 		Name:  "init",
 		Short: "Write an example document to start from",
 		Long: "Writes an example document and, beside it, its schema, from which editors show what each field means. " +
-			"Makes new keys and prints them once; the document holds only their hashes.\n\nExample: comfreyctl init house.json",
+			"Makes new keys and prints them once; the document holds only their hashes.\n\nExample: comfreyctl init document.json",
 		Options: opts,
 		Run: func(_ context.Context, args []string) error {
 			name, err := oneArgument(args, "the file to write")
--- a/ctl/internal/cmd/cmd_init_test.go
+++ b/ctl/internal/cmd/cmd_init_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestInitWritesAValidDocumentOnce(t *testing.T) {
-	name := filepath.Join(t.TempDir(), "house.json")
+	name := filepath.Join(t.TempDir(), "document.json")
 	var out, errOut bytes.Buffer
 	term := &terminal{out: &out, errOut: &errOut, clock: clockwork.NewRealClock()}
 	if got, want := run(t.Context(), "test", []string{"init", name, "--json"}, term), cli.ExitOK; got != want {
--- a/ctl/internal/cmd/cmd_validate.go
+++ b/ctl/internal/cmd/cmd_validate.go
@@ -24,7 +24,7 @@
 		Name:  "validate",
 		Short: "Check a document and list every mistake",
 		Long: "Checks a document's form and meaning without an entry; with --entry also against the hosts that the entry knows. " +
-			"Exits with 2 where there are mistakes.\n\nExample: comfreyctl validate house.json",
+			"Exits with 2 where there are mistakes.\n\nExample: comfreyctl validate document.json",
 		Options: opts,
 		Run: func(ctx context.Context, args []string) error {
 			name, err := oneArgument(args, "the document's file")
--- a/entry/internal/callers/bench_test.go
+++ b/entry/internal/callers/bench_test.go
@@ -16,10 +16,10 @@
 		}
 		for _, accept := range []string{"application/json", "text/event-stream"} {
 			b.Run(fmt.Sprintf("tokens=%d/%s", tokens, accept), func(b *testing.B) {
-				house := newTestHouse(b)
-				house.addAgent("h1", answer(words...))
-				entry := house.addEntry("e1")
-				house.publish()
+				deployment := newTestDeployment(b)
+				deployment.addAgent("h1", answer(words...))
+				entry := deployment.addEntry("e1")
+				deployment.publish()
 				b.ReportAllocs()
 				for b.Loop() {
 					if got := entry.request(b, nil, "Accept", accept); got.status != 200 {
@@ -36,10 +36,10 @@
 func BenchmarkOnceRequest(b *testing.B) {
 	for _, owner := range []int{0, 1} {
 		b.Run(fmt.Sprintf("hops=%d", owner), func(b *testing.B) {
-			house := newTestHouse(b)
-			house.addAgent("h1", answer("word"))
-			entries := []*testEntry{house.addEntry("e1"), house.addEntry("e2")}
-			house.publish()
+			deployment := newTestDeployment(b)
+			deployment.addAgent("h1", answer("word"))
+			entries := []*testEntry{deployment.addEntry("e1"), deployment.addEntry("e2")}
+			deployment.publish()
 			b.ReportAllocs()
 			for b.Loop() {
 				change := map[string]any{"repeatable": false, "key": newOnceKey(entries[owner])}
--- a/entry/internal/callers/call.go
+++ b/entry/internal/callers/call.go
@@ -66,7 +66,7 @@
 }
 
 func (c *call) identify() *problem {
-	if c.now.house.document == nil {
+	if c.now.deployment.document == nil {
 		return notRun(http.StatusServiceUnavailable, failure.New(failure.Unavailable, "no configuration is in force here yet",
 			"try again in a moment").WithRetryAfter(noDocumentRetry))
 	}
--- a/entry/internal/callers/claims_test.go
+++ b/entry/internal/callers/claims_test.go
@@ -16,13 +16,13 @@
 )
 
 // publishHosts shows only these hosts to the entry.
-func publishHosts(house *testHouse, entry *testEntry, reports ...*wire.HostReport) {
+func publishHosts(deployment *testDeployment, entry *testEntry, reports ...*wire.HostReport) {
 	snapshot, _ := entry.view.Load()
 	next := *snapshot
-	next.Document = house.document()
+	next.Document = deployment.document()
 	next.Hosts = nil
 	for _, report := range reports {
-		next.Hosts = append(next.Hosts, view.NewHost(report, house.clock.Now(), false, false))
+		next.Hosts = append(next.Hosts, view.NewHost(report, deployment.clock.Now(), false, false))
 	}
 	entry.view.Store(&next)
 }
@@ -30,10 +30,10 @@
 // Symptom: two prices on one lamp. The caller's library sends the same key
 // through two entries at once, over and over.
 func TestOneKeyThroughTwoEntriesAtOnce(t *testing.T) {
-	house := newTestHouse(t)
-	agent := house.addAgent("h1", answer("ok"))
-	entries := []*testEntry{house.addEntry("e1"), house.addEntry("e2")}
-	house.publish()
+	deployment := newTestDeployment(t)
+	agent := deployment.addAgent("h1", answer("ok"))
+	entries := []*testEntry{deployment.addEntry("e1"), deployment.addEntry("e2")}
+	deployment.publish()
 	for round := range 20 {
 		key := newOnceKey(entries[round%2])
 		if round%3 == 0 {
@@ -57,10 +57,10 @@
 }
 
 func TestResentKeyGetsTheKeptAnswer(t *testing.T) {
-	house := newTestHouse(t)
-	agent := house.addAgent("h1", answer("a", "notice"))
-	first, second := house.addEntry("e1"), house.addEntry("e2")
-	house.publish()
+	deployment := newTestDeployment(t)
+	agent := deployment.addAgent("h1", answer("a", "notice"))
+	first, second := deployment.addEntry("e1"), deployment.addEntry("e2")
+	deployment.publish()
 	change := map[string]any{"repeatable": false, "key": newOnceKey(first)}
 	sent := second.request(t, change)
 	expect(t, sent, http.StatusOK, dispatch.Answered)
@@ -82,10 +82,10 @@
 // Symptom: "notRun" for a request that ran. The owner of its key restarted and
 // remembers nothing; the caller sends the key again.
 func TestKeyOfAnOwnerThatIsGone(t *testing.T) {
-	house := newTestHouse(t)
-	agent := house.addAgent("h1", answer("ok"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	agent := deployment.addAgent("h1", answer("ok"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	gone := uuid.Must(uuid.NewV7()).String() + "." + uuid.Must(uuid.NewV7()).String()
 	got := entry.request(t, map[string]any{"repeatable": false, "key": gone})
 	expect(t, got, http.StatusBadGateway, dispatch.Unknown)
@@ -97,10 +97,10 @@
 // Symptom: the same notice runs again an hour later. The owner forgot the key
 // to stay within its memory; its age tells that it may have run.
 func TestKeyOfAnHourAgo(t *testing.T) {
-	house := newTestHouse(t)
-	house.addAgent("h1", answer("ok"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	deployment.addAgent("h1", answer("ok"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	old := uuid.Must(uuid.NewV7())
 	millis := time.Now().Add(-61 * time.Minute).UnixMilli()
 	for i := range 6 {
@@ -115,19 +115,19 @@
 // Symptom: "notRun" for a request that ran. Its key has no owner, the
 // platform's service is down, and nobody can tell whether it ran before.
 func TestKeyWithoutOwnerWhileTheServiceIsDown(t *testing.T) {
-	house := newTestHouse(t)
-	agent := house.addAgent("h1", answer("ok"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	agent := deployment.addAgent("h1", answer("ok"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	change := map[string]any{"repeatable": false, "key": uuid.Must(uuid.NewV7()).String()}
 	expect(t, entry.request(t, change), http.StatusOK, dispatch.Answered)
-	swap := house.store.Swap
-	house.store.Swap = func(context.Context, string, []byte, uint64, string) (uint64, error) {
+	swap := deployment.store.Swap
+	deployment.store.Swap = func(context.Context, string, []byte, uint64, string) (uint64, error) {
 		return 0, failure.New(failure.Unavailable, "the service is down", "wait")
 	}
 	got := entry.request(t, change)
 	expect(t, got, http.StatusServiceUnavailable, dispatch.Unknown)
-	house.store.Swap = swap
+	deployment.store.Swap = swap
 	expect(t, entry.request(t, change), http.StatusBadGateway, dispatch.Unknown)
 	if got := len(agent.seen()); got != 1 {
 		t.Errorf("got %d runs, want 1", got)
@@ -137,13 +137,13 @@
 // Symptom: a request that nobody ran is answered unknown. The swap that claims
 // its key takes effect, but the reply is lost.
 func TestSwapWhoseReplyIsLost(t *testing.T) {
-	house := newTestHouse(t)
-	house.addAgent("h1", answer("ok"))
-	entry := house.addEntry("e1")
-	house.publish()
-	swap := house.store.Swap
+	deployment := newTestDeployment(t)
+	deployment.addAgent("h1", answer("ok"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
+	swap := deployment.store.Swap
 	lost := false
-	house.store.Swap = func(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+	deployment.store.Swap = func(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
 		revision, err := swap(ctx, key, value, ifRevision, lease)
 		if !lost {
 			lost = true
@@ -158,11 +158,11 @@
 // Symptom: "notRun" for a request that ran, because a refusal came before the
 // look at its key: the customer is over its limit when the key is sent again.
 func TestKeyThatRanIsNotRefusedAsNotRun(t *testing.T) {
-	house := newTestHouse(t)
-	house.limits = func(spec *wire.Customer) { spec.RequestsPerSecond = 1 }
-	house.addAgent("h1", answer("ok"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	deployment.limits = func(spec *wire.Customer) { spec.RequestsPerSecond = 1 }
+	deployment.addAgent("h1", answer("ok"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	change := map[string]any{"repeatable": false, "key": newOnceKey(entry)}
 	expect(t, entry.request(t, change), http.StatusOK, dispatch.Answered)
 	expect(t, entry.request(t, nil), http.StatusTooManyRequests, dispatch.NotRun)
@@ -173,10 +173,10 @@
 // entry that owns a key shuts down; the key is sent again, and a new key that
 // names it comes from a caller who has not learned of the shutdown.
 func TestKeysOutliveAGracefulShutdown(t *testing.T) {
-	house := newTestHouse(t)
-	agent := house.addAgent("h1", answer("ok"))
-	entries := []*testEntry{house.addEntry("e1"), house.addEntry("e2"), house.addEntry("e3")}
-	house.publish()
+	deployment := newTestDeployment(t)
+	agent := deployment.addAgent("h1", answer("ok"))
+	entries := []*testEntry{deployment.addEntry("e1"), deployment.addEntry("e2"), deployment.addEntry("e3")}
+	deployment.publish()
 	owner := entries[0]
 	ran := map[string]any{"repeatable": false, "key": newOnceKey(owner)}
 	expect(t, entries[1].request(t, ran), http.StatusOK, dispatch.Answered)
--- a/entry/internal/callers/customer.go
+++ b/entry/internal/callers/customer.go
@@ -25,7 +25,7 @@
 	offered       limit.Rate // requests, refused ones included
 	offeredTokens limit.Rate
 	budget        *retry.Budget
-	requestShare  float64 // of the whole house's limit
+	requestShare  float64 // of the whole deployment's limit
 	tokenShare    float64
 	sharedAt      time.Time // when the shares were computed
 }
--- a/entry/internal/callers/house.go
+++ b/entry/internal/callers/deployment.go
@@ -12,8 +12,8 @@
 // keyHash is the SHA-256 of a bearer key.
 type keyHash [sha256.Size]byte
 
-// house is what the request path needs of one document.
-type house struct {
+// deployment is what the request path needs of one document.
+type deployment struct {
 	document  *wire.Document // nil while none is in force
 	customers map[keyHash]*customer
 	models    map[string]*wire.Model
@@ -21,8 +21,8 @@
 	classes   map[string]*wire.EndpointClass
 }
 
-func newHouse(document *wire.Document, known *customers) *house {
-	built := &house{
+func newDeployment(document *wire.Document, known *customers) *deployment {
+	built := &deployment{
 		document:  document,
 		customers: make(map[keyHash]*customer),
 		models:    make(map[string]*wire.Model),
@@ -44,7 +44,7 @@
 	return built
 }
 
-func (h *house) addCustomer(state *customer, spec *wire.Customer) {
+func (h *deployment) addCustomer(state *customer, spec *wire.Customer) {
 	for _, text := range spec.GetKeyHashes() {
 		raw, err := hex.DecodeString(text)
 		if err != nil || len(raw) != sha256.Size {
@@ -55,7 +55,7 @@
 }
 
 // deadline returns the time that a request gets.
-func (h *house) deadline(askedMillis int64) time.Duration {
+func (h *deployment) deadline(askedMillis int64) time.Duration {
 	limits := h.document.GetDeadlines()
 	longest := min(maxDeadline, orElse(limits.GetMaxRequest().AsDuration(), maxDeadline))
 	asked := time.Duration(askedMillis) * time.Millisecond
--- a/entry/internal/callers/entries_test.go
+++ b/entry/internal/callers/entries_test.go
@@ -8,9 +8,9 @@
 )
 
 func TestWhichEntryDoIUse(t *testing.T) {
-	house := newTestHouse(t)
-	first, second := house.addEntry("e1"), house.addEntry("e2")
-	house.publish()
+	deployment := newTestDeployment(t)
+	first, second := deployment.addEntry("e1"), deployment.addEntry("e2")
+	deployment.publish()
 	first.srv.door.close()
 	ask, err := http.NewRequest(http.MethodGet, first.http.URL+"/v1/entries", nil)
 	if err != nil {
--- a/entry/internal/callers/harness_test.go
+++ b/entry/internal/callers/harness_test.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// testHouse is a house of fake agents and real Servers, on loopback.
-type testHouse struct {
+// testDeployment is a deployment of fake agents and real Servers, on loopback.
+type testDeployment struct {
 	t       testing.TB
 	agents  []*fakeAgent
 	entries []*testEntry
@@ -142,15 +142,15 @@
 	view *view.Holder
 }
 
-func newTestHouse(t testing.TB) *testHouse {
+func newTestDeployment(t testing.TB) *testDeployment {
 	clock := clockwork.NewRealClock()
-	return &testHouse{
+	return &testDeployment{
 		t: t, clock: clock, store: kv.NewMemory(clock),
 		model: &wire.Model{Name: "parcel", Version: testVersion, Customers: []string{testCustomer}},
 	}
 }
 
-func (h *testHouse) addAgent(id string, run func(*wire.Attempt, wire.DRPCHost_RunStream) error) *fakeAgent {
+func (h *testDeployment) addAgent(id string, run func(*wire.Attempt, wire.DRPCHost_RunStream) error) *fakeAgent {
 	agent := &fakeAgent{run: run, cancelState: "neverBegun"}
 	address := h.serve(func(mux *drpcmux.Mux) error { return wire.DRPCRegisterHost(mux, agent) })
 	agent.node = &wire.Node{
@@ -161,7 +161,7 @@
 	return agent
 }
 
-func (h *testHouse) serve(register func(*drpcmux.Mux) error) string {
+func (h *testDeployment) serve(register func(*drpcmux.Mux) error) string {
 	h.t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -195,7 +195,7 @@
 	return c.srv.Settle(ctx, ask)
 }
 
-func (h *testHouse) addEntry(id string) *testEntry {
+func (h *testDeployment) addEntry(id string) *testEntry {
 	entry := &testEntry{view: view.NewHolder()}
 	router := chi.NewRouter()
 	entry.http = httptest.NewServer(router)
@@ -219,7 +219,7 @@
 	return entry
 }
 
-func (h *testHouse) document() *wire.Document {
+func (h *testDeployment) document() *wire.Document {
 	sum := func(key string) string {
 		hash := sha256.Sum256([]byte(key))
 		return hex.EncodeToString(hash[:])
@@ -237,8 +237,8 @@
 	}
 }
 
-// publish shows the house to every entry.
-func (h *testHouse) publish() {
+// publish shows the deployment to every entry.
+func (h *testDeployment) publish() {
 	document := h.document()
 	var hosts []view.Host
 	for _, agent := range h.agents {
--- a/entry/internal/callers/headers_test.go
+++ b/entry/internal/callers/headers_test.go
@@ -36,10 +36,10 @@
 	} {
 		f.Add(seed.header, []byte(seed.body))
 	}
-	house := newTestHouse(f)
-	house.addAgent("host-1", answer("two", "words"))
-	entry := house.addEntry("entry-1")
-	house.publish()
+	deployment := newTestDeployment(f)
+	deployment.addAgent("host-1", answer("two", "words"))
+	entry := deployment.addEntry("entry-1")
+	deployment.publish()
 	handler := entry.http.Config.Handler
 	f.Fuzz(func(t *testing.T, header string, body []byte) {
 		for _, path := range []string{"/v1/requests", "/v1/services/ledger", "/v1/entries"} {
--- a/entry/internal/callers/identify.go
+++ b/entry/internal/callers/identify.go
@@ -18,7 +18,7 @@
 	if !found || key == "" {
 		return nil, unauthorized()
 	}
-	who := x.house.customers[sha256.Sum256([]byte(key))]
+	who := x.deployment.customers[sha256.Sum256([]byte(key))]
 	if who == nil {
 		return nil, unauthorized()
 	}
@@ -27,10 +27,10 @@
 
 func unauthorized() *problem {
 	return notRun(http.StatusUnauthorized, failure.New(failure.Unauthorized, "the key is missing or unknown",
-		"send Authorization: Bearer <key> with a key of your house, and the same once key"))
+		"send Authorization: Bearer <key> with a key of your organisation, and the same once key"))
 }
 
 func forbidden(what string) *problem {
-	return notRun(http.StatusForbidden, failure.New(failure.Unauthorized, "your house may not use this "+what,
+	return notRun(http.StatusForbidden, failure.New(failure.Unauthorized, "your organisation may not use this "+what,
 		"ask an operator to add the customer to it"))
 }
--- a/entry/internal/callers/index.go
+++ b/entry/internal/callers/index.go
@@ -24,14 +24,14 @@
 // index is one snapshot of the view, arranged for the request path. It is
 // immutable.
 type index struct {
-	snapshot *view.Snapshot
-	house    *house
-	builtAt  time.Time
-	versions map[string][]string   // that may serve, by model
-	live     []*wire.Node          // entries that are not lost, draining ones included
-	owners   map[string]*wire.Node // all entries by incarnation
-	entries  []directory.Entry     // that callers may be sent to
-	reports  []*wire.EntryReport   // of the entries that are not lost
+	snapshot   *view.Snapshot
+	deployment *deployment
+	builtAt    time.Time
+	versions   map[string][]string   // that may serve, by model
+	live       []*wire.Node          // entries that are not lost, draining ones included
+	owners     map[string]*wire.Node // all entries by incarnation
+	entries    []directory.Entry     // that callers may be sent to
+	reports    []*wire.EntryReport   // of the entries that are not lost
 }
 
 // index returns the arranged view, and brings it and the lanes up to date.
@@ -73,12 +73,12 @@
 		owners:   make(map[string]*wire.Node),
 	}
 	if previous != nil && previous.snapshot.Document == snapshot.Document {
-		next.house = previous.house
+		next.deployment = previous.deployment
 	} else {
-		next.house = newHouse(snapshot.Document, &s.customers)
+		next.deployment = newDeployment(snapshot.Document, &s.customers)
 	}
 	next.addEntries(snapshot.Entries)
-	for name, model := range next.house.models {
+	for name, model := range next.deployment.models {
 		next.versions[name] = s.allowed(model, snapshot)
 	}
 	return next
@@ -167,11 +167,11 @@
 func (s *Server) updateLanes(next *index) {
 	lanes := make(map[string]bool)
 	entries := len(next.entries)
-	for name, model := range next.house.models {
+	for name, model := range next.deployment.models {
 		lanes[modelLane+name] = true
 		s.dispatcher.Update(modelLane+name, modelHosts(next.snapshot, model), entries)
 	}
-	for name := range next.house.services {
+	for name := range next.deployment.services {
 		lanes[serviceLane+name] = true
 		s.dispatcher.Update(serviceLane+name, serviceHosts(next.snapshot, name), entries)
 	}
--- a/entry/internal/callers/requests.go
+++ b/entry/internal/callers/requests.go
@@ -34,7 +34,7 @@
 		Prompt:     body.Prompt,
 		MaxTokens:  body.MaxTokens,
 		Repeatable: body.Repeatable,
-		Deadline:   c.arrived.Add(c.now.house.deadline(body.DeadlineMillis)),
+		Deadline:   c.arrived.Add(c.now.deployment.deadline(body.DeadlineMillis)),
 	}
 	c.req.Versions = func() []string { return c.srv.current.Load().versions[body.Model] }
 	var tokens [8]byte
@@ -58,8 +58,8 @@
 		Lane:       serviceLane + name,
 		Service:    name,
 		Body:       body.Body,
-		Repeatable: body.Repeatable && c.now.house.callsRepeatable(name),
-		Deadline:   c.arrived.Add(c.now.house.deadline(body.DeadlineMillis)),
+		Repeatable: body.Repeatable && c.now.deployment.callsRepeatable(name),
+		Deadline:   c.arrived.Add(c.now.deployment.deadline(body.DeadlineMillis)),
 	}
 	c.req.Versions = func() []string { return []string{""} }
 	copy(c.hash[:], contentHash(c.who.name, []byte("service"), []byte(name), body.Body))
@@ -68,7 +68,7 @@
 
 // callsRepeatable reports whether the service's endpoint may be called again:
 // the caller's word alone is not enough.
-func (h *house) callsRepeatable(service string) bool {
+func (h *deployment) callsRepeatable(service string) bool {
 	return h.classes[h.services[service].GetEndpoint()].GetCallsRepeatable()
 }
 
@@ -82,7 +82,7 @@
 }
 
 func permitModel(c *call) *problem {
-	model := c.now.house.models[c.req.Model]
+	model := c.now.deployment.models[c.req.Model]
 	switch {
 	case model == nil:
 		return unknownName("model " + c.req.Model)
@@ -100,7 +100,7 @@
 }
 
 func permitService(c *call) *problem {
-	service := c.now.house.services[c.req.Service]
+	service := c.now.deployment.services[c.req.Service]
 	switch {
 	case service == nil:
 		return unknownName("service " + c.req.Service)
--- a/entry/internal/callers/requests_test.go
+++ b/entry/internal/callers/requests_test.go
@@ -16,10 +16,10 @@
 )
 
 func TestAnswerInOnePiece(t *testing.T) {
-	house := newTestHouse(t)
-	house.addAgent("h1", answer("a", "torn", "letter"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	deployment.addAgent("h1", answer("a", "torn", "letter"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	got := entry.request(t, nil)
 	expect(t, got, http.StatusOK, dispatch.Answered)
 	if want := []string{"a", "torn", "letter"}; !slices.Equal(got.answer.Tokens, want) {
@@ -31,10 +31,10 @@
 }
 
 func TestAnswerAsStream(t *testing.T) {
-	house := newTestHouse(t)
-	house.addAgent("h1", answer("a", "torn", "letter"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	deployment.addAgent("h1", answer("a", "torn", "letter"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	got := entry.request(t, nil, "Accept", "text/event-stream")
 	var events []string
 	for _, line := range strings.Split(got.raw, "\n") {
@@ -50,7 +50,7 @@
 // Symptom: a caller sees an answer that stops in the middle. The host dies
 // after two tokens of a stream; another host of the same version goes on.
 func TestStreamResumesOnAnotherHost(t *testing.T) {
-	house := newTestHouse(t)
+	deployment := newTestDeployment(t)
 	words := []string{"a", "torn", "letter", "from", "Xela"}
 	first := true
 	run := func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
@@ -60,10 +60,10 @@
 		}
 		return answer(words...)(att, stream)
 	}
-	house.addAgent("h1", run)
-	house.addAgent("h2", run)
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment.addAgent("h1", run)
+	deployment.addAgent("h2", run)
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	got := entry.request(t, nil, "Accept", "text/event-stream")
 	var tokens []string
 	for _, line := range strings.Split(got.raw, "\n") {
@@ -78,7 +78,7 @@
 	if got := strings.Count(got.raw, "event: end"); got != 1 {
 		t.Errorf("got %d end events, want 1", got)
 	}
-	seen := append(house.agents[0].seen(), house.agents[1].seen()...)
+	seen := append(deployment.agents[0].seen(), deployment.agents[1].seen()...)
 	if got := len(seen); got != 2 {
 		t.Fatalf("got %d attempts, want 2", got)
 	}
@@ -87,15 +87,15 @@
 // Symptom: a family gets two notices. The host takes a request that may not be
 // repeated and breaks off; the entry tries it again elsewhere.
 func TestBrokenRunIsNotRepeated(t *testing.T) {
-	house := newTestHouse(t)
+	deployment := newTestDeployment(t)
 	for _, id := range []string{"h1", "h2"} {
-		house.addAgent(id, cut("a")).cancelState = "ended"
+		deployment.addAgent(id, cut("a")).cancelState = "ended"
 	}
-	entry := house.addEntry("e1")
-	house.publish()
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	got := entry.request(t, map[string]any{"repeatable": false})
 	expect(t, got, http.StatusBadGateway, dispatch.Unknown)
-	if got := len(house.agents[0].seen()) + len(house.agents[1].seen()); got != 1 {
+	if got := len(deployment.agents[0].seen()) + len(deployment.agents[1].seen()); got != 1 {
 		t.Errorf("got %d attempts, want 1", got)
 	}
 	if got.failed.Error.Remedy == "" {
@@ -104,18 +104,18 @@
 }
 
 func TestRefusedIsTriedElsewhereAndNotRun(t *testing.T) {
-	house := newTestHouse(t)
-	house.addAgent("h1", refuse("busy"))
-	house.addAgent("h2", refuse("busy"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	deployment.addAgent("h1", refuse("busy"))
+	deployment.addAgent("h2", refuse("busy"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	key := newOnceKey(entry)
 	got := entry.request(t, map[string]any{"repeatable": false, "key": key, "deadlineMillis": 1000})
 	expect(t, got, got.status, dispatch.NotRun)
 	if got.failed.Error.RetryAfterMillis == 0 {
 		t.Error("got no retryAfterMillis, want one")
 	}
-	for _, agent := range house.agents {
+	for _, agent := range deployment.agents {
 		agent.run = answer("ok")
 	}
 	expect(t, entry.request(t, map[string]any{"repeatable": false, "key": key}), http.StatusServiceUnavailable, dispatch.NotRun)
@@ -125,10 +125,10 @@
 }
 
 func TestHostThatCannotBeReachedIsProvedNotRun(t *testing.T) {
-	house := newTestHouse(t)
-	house.addAgent("h1", answer("ok")).node.ControlAddress = "127.0.0.1:1"
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	deployment.addAgent("h1", answer("ok")).node.ControlAddress = "127.0.0.1:1"
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	got := entry.request(t, map[string]any{"repeatable": false, "deadlineMillis": 1000})
 	expect(t, got, got.status, dispatch.NotRun)
 }
@@ -136,8 +136,8 @@
 // Symptom: a stray frame of another request reaches a caller. A host sends
 // late frames of an earlier attempt between those of the current one.
 func TestFramesOfOtherAttemptsAreDropped(t *testing.T) {
-	house := newTestHouse(t)
-	house.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+	deployment := newTestDeployment(t)
+	deployment.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
 		out := &frames{att: att, stream: stream}
 		_ = out.send(&wire.Frame{Kind: "begin", Version: att.GetVersion()})
 		_ = stream.Send(&wire.Frame{RequestId: att.GetRequestId(), Attempt: att.GetAttempt() + 1, Sequence: 1, Kind: "tokens", Tokens: []string{"late"}})
@@ -146,8 +146,8 @@
 		_ = stream.Send(&wire.Frame{RequestId: att.GetRequestId(), Attempt: att.GetAttempt(), Sequence: 1, Kind: "tokens", Tokens: []string{"doubled"}})
 		return out.send(&wire.Frame{Kind: "end", Version: att.GetVersion(), Digest: dispatch.DigestOf([]string{"own"})})
 	})
-	entry := house.addEntry("e1")
-	house.publish()
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	got := entry.request(t, nil)
 	expect(t, got, http.StatusOK, dispatch.Answered)
 	if want := []string{"own"}; !slices.Equal(got.answer.Tokens, want) {
@@ -156,10 +156,10 @@
 }
 
 func TestWhoMayNot(t *testing.T) {
-	house := newTestHouse(t)
-	house.addAgent("h1", answer("ok"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	deployment.addAgent("h1", answer("ok"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	cases := []struct {
 		name   string
 		change map[string]any
@@ -182,14 +182,14 @@
 			expect(t, got, test.status, dispatch.NotRun)
 		})
 	}
-	if got := len(house.agents[0].seen()); got != 0 {
+	if got := len(deployment.agents[0].seen()); got != 0 {
 		t.Errorf("got %d attempts, want 0", got)
 	}
 }
 
 func TestServiceCall(t *testing.T) {
-	house := newTestHouse(t)
-	agent := house.addAgent("s1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+	deployment := newTestDeployment(t)
+	agent := deployment.addAgent("s1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
 		out := &frames{att: att, stream: stream}
 		if att.GetRepeatable() {
 			t.Error("got a repeatable call, want the bridge's word to win over the caller's")
@@ -198,11 +198,11 @@
 		_ = out.send(&wire.Frame{Kind: "body", Body: []byte("paid")})
 		return out.send(&wire.Frame{Kind: "end", Digest: dispatch.DigestOf([]string{"paid"})})
 	})
-	entry := house.addEntry("e1")
-	house.publish()
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	report := agent.report()
 	report.Service, report.Versions = "ledger", nil
-	publishHosts(house, entry, report)
+	publishHosts(deployment, entry, report)
 	got := entry.post(t, "/v1/services/ledger", map[string]any{"body": []byte("pay"), "repeatable": true})
 	expect(t, got, http.StatusOK, dispatch.Answered)
 	if got := string(got.answer.Body); got != "paid" {
@@ -211,11 +211,11 @@
 }
 
 func TestLimitOfACustomer(t *testing.T) {
-	house := newTestHouse(t)
-	house.limits = func(spec *wire.Customer) { spec.RequestsPerSecond = 1 }
-	house.addAgent("h1", answer("ok"))
-	entry := house.addEntry("e1")
-	house.publish()
+	deployment := newTestDeployment(t)
+	deployment.limits = func(spec *wire.Customer) { spec.RequestsPerSecond = 1 }
+	deployment.addAgent("h1", answer("ok"))
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	expect(t, entry.request(t, nil), http.StatusOK, dispatch.Answered)
 	got := entry.request(t, nil)
 	expect(t, got, http.StatusTooManyRequests, dispatch.NotRun)
@@ -227,16 +227,16 @@
 // Symptom: a shutdown loses a request. One is in progress when the drain
 // begins, another arrives after.
 func TestDrainFinishesWhatRuns(t *testing.T) {
-	house := newTestHouse(t)
+	deployment := newTestDeployment(t)
 	begun, goOn := make(chan struct{}), make(chan struct{})
-	house.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+	deployment.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
 		close(begun)
 		<-goOn
 		return answer("ok")(att, stream)
 	})
-	entry := house.addEntry("e1")
-	spare := house.addEntry("e2")
-	house.publish()
+	entry := deployment.addEntry("e1")
+	spare := deployment.addEntry("e2")
+	deployment.publish()
 	inside := make(chan reply)
 	go func() { inside <- entry.request(t, nil) }()
 	<-begun
@@ -262,17 +262,17 @@
 // the room that another request leaves is given away while the lane is locked:
 // whatever is asked for then must not bring the lane up to date.
 func TestNewViewWhileRequestsWait(t *testing.T) {
-	house := newTestHouse(t)
+	deployment := newTestDeployment(t)
 	goOn := make(chan struct{})
-	agent := house.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
+	agent := deployment.addAgent("h1", func(att *wire.Attempt, stream wire.DRPCHost_RunStream) error {
 		<-goOn
 		return answer("ok")(att, stream)
 	})
-	entry := house.addEntry("e1")
-	house.publish()
+	entry := deployment.addEntry("e1")
+	deployment.publish()
 	report := agent.report()
 	report.Slots = 1
-	publishHosts(house, entry, report)
+	publishHosts(deployment, entry, report)
 	const callers = 6
 	replies := make(chan reply, callers)
 	for range callers {
@@ -287,7 +287,7 @@
 	for range callers {
 		report = agent.report()
 		report.Slots, report.Sequence = 1, report.GetSequence()+1
-		publishHosts(house, entry, report)
+		publishHosts(deployment, entry, report)
 		time.Sleep(2 * indexInterval)
 		goOn <- struct{}{}
 	}
--- a/entry/internal/callers/server.go
+++ b/entry/internal/callers/server.go
@@ -38,7 +38,7 @@
 // Config is what a Server needs from the program around it.
 type Config struct {
 	Self         *wire.Node      // this entry, with its incarnation
-	View         *view.Holder    // what the entry knows of the house
+	View         *view.Holder    // what the entry knows of the deployment
 	Pool         *peer.Pool      // connections to agents and other entries
 	Store        *kv.Store       // the platform's service, for keys without an owner
 	Clock        clockwork.Clock // the only source of time
--- a/entry/internal/callers/standing.go
+++ b/entry/internal/callers/standing.go
@@ -21,7 +21,7 @@
 }
 
 // isLarge reports whether the customer asks for much more than its share of
-// the house. One entry's own requests would not tell: each customer's callers
+// the deployment. One entry's own requests would not tell: each customer's callers
 // gather on a few entries.
 func (s *Server) isLarge(now *index, name string) bool {
 	s.standings.mu.Lock()
@@ -35,7 +35,7 @@
 
 func (s *Server) uses(now *index) map[string]limit.Use {
 	uses := make(map[string]limit.Use)
-	for _, each := range now.house.customers {
+	for _, each := range now.deployment.customers {
 		weight, _ := each.standing()
 		uses[each.name] = limit.Use{Weight: weight}
 	}
--- a/entry/internal/cmd/process.go
+++ b/entry/internal/cmd/process.go
@@ -46,26 +46,26 @@
 type parts struct {
 	dig.In
 
-	Settings  *wire.EntrySettings
-	Node      *wire.Node
-	Clock     clockwork.Clock
-	Log       *slog.Logger
-	Keys      *peer.Keys
-	Pool      *peer.Pool
-	Listeners *listeners
-	Callers   *callers.Server
-	Operators *operators.API
-	Console   *console.Console
-	House     *control.House
-	Self      *control.Self
-	Server    *control.Server
-	Syncer    *control.Syncer
-	Publisher *control.Publisher
-	HostList  *control.HostList
-	Watcher   *control.Watcher
-	Leases    *leases
-	Planner   *planner.Planner
-	Collector *store.Collector
+	Settings   *wire.EntrySettings
+	Node       *wire.Node
+	Clock      clockwork.Clock
+	Log        *slog.Logger
+	Keys       *peer.Keys
+	Pool       *peer.Pool
+	Listeners  *listeners
+	Callers    *callers.Server
+	Operators  *operators.API
+	Console    *console.Console
+	Deployment *control.Deployment
+	Self       *control.Self
+	Server     *control.Server
+	Syncer     *control.Syncer
+	Publisher  *control.Publisher
+	HostList   *control.HostList
+	Watcher    *control.Watcher
+	Leases     *leases
+	Planner    *planner.Planner
+	Collector  *store.Collector
 }
 
 // process is one entry.
@@ -213,9 +213,9 @@
 // elsewhere.
 func (p *process) announceDrain() {
 	p.Self.Drain()
-	p.House.Members().ObserveEntry(p.Self.Latest(), p.Clock.Now())
+	p.Deployment.Members().ObserveEntry(p.Self.Latest(), p.Clock.Now())
 	p.Publisher.Wake()
-	p.House.Hurry()
+	p.Deployment.Hurry()
 }
 
 // ready reports whether this entry knows what is in force and takes callers.
@@ -223,7 +223,7 @@
 	if p.Self.Draining() {
 		return failure.New(failure.Leaving, "the entry drains", "use another")
 	}
-	if _, confirmed := p.House.Age(); !confirmed {
+	if _, confirmed := p.Deployment.Age(); !confirmed {
 		return failure.New(failure.Unavailable, "nobody has confirmed a document yet", "check kvUrl, node.hostsUrl and the other entries")
 	}
 	return nil
--- a/entry/internal/cmd/wiring.go
+++ b/entry/internal/cmd/wiring.go
@@ -62,7 +62,7 @@
 		func() *http.Client { return &http.Client{} },
 		func() *store.Parts { return store.NewParts(partsCacheBytes) },
 		newKeys, peer.NewPool, newListeners, newSelfNode, view.NewHolder, newService, store.New, store.NewCollector,
-		newCallers, control.NewHouse, newSelf, newExchange, newSyncer, newServer, newPublisher, newHostList,
+		newCallers, control.NewDeployment, newSelf, newExchange, newSyncer, newServer, newPublisher, newHostList,
 		newLeases, newWatcher, newPlanner, newOperators, newConsole,
 	)
 	return box
@@ -142,12 +142,12 @@
 	})
 }
 
-func newSelf(self *wire.Node, requests *callers.Server, house *control.House) *control.Self {
-	return control.NewSelf(self, requests.InFlight, requests.Demand, house.Known, house.HomeRevision)
+func newSelf(self *wire.Node, requests *callers.Server, deployment *control.Deployment) *control.Self {
+	return control.NewSelf(self, requests.InFlight, requests.Demand, deployment.Known, deployment.HomeRevision)
 }
 
-func newExchange(house *control.House, self *control.Self) *control.Exchange {
-	return control.NewExchange(house, self.Latest)
+func newExchange(deployment *control.Deployment, self *control.Self) *control.Exchange {
+	return control.NewExchange(deployment, self.Latest)
 }
 
 func newSyncer(set *wire.EntrySettings, exchange *control.Exchange, pool *peer.Pool, docs *store.Store) *control.Syncer {
@@ -159,12 +159,12 @@
 	return control.NewServer(exchange, delegate, keys != nil, syncer.Pull)
 }
 
-func newPublisher(house *control.House, self *control.Self) *control.Publisher {
-	return control.NewPublisher(house, self.Make)
+func newPublisher(deployment *control.Deployment, self *control.Self) *control.Publisher {
+	return control.NewPublisher(deployment, self.Make)
 }
 
-func newHostList(set *wire.EntrySettings, house *control.House, client *http.Client) *control.HostList {
-	return control.NewHostList(house, set.GetNode().GetHostsUrl(), client)
+func newHostList(set *wire.EntrySettings, deployment *control.Deployment, client *http.Client) *control.HostList {
+	return control.NewHostList(deployment, set.GetNode().GetHostsUrl(), client)
 }
 
 // leases are what this entry may hold.
@@ -173,7 +173,7 @@
 	planner *control.Contender
 }
 
-func newLeases(set *wire.EntrySettings, house *control.House, self *wire.Node, service *kv.Store,
+func newLeases(set *wire.EntrySettings, deployment *control.Deployment, self *wire.Node, service *kv.Store,
 	clock clockwork.Clock, log *slog.Logger) *leases {
 	ttl := orDefault(set.GetLeaseTtl().AsDuration(), defaultLeaseTTL)
 	claim := func(ctx context.Context, name string) *lease.Holder {
@@ -182,35 +182,35 @@
 	near := func(other *wire.Node) bool { return other.GetFailureDomain() == self.GetFailureDomain() }
 	all := func(*wire.Node) bool { return true }
 	return &leases{
-		watch:   control.NewContender("watch/"+self.GetFailureDomain(), house, near, claim),
-		planner: control.NewContender("planner", house, all, claim),
+		watch:   control.NewContender("watch/"+self.GetFailureDomain(), deployment, near, claim),
+		planner: control.NewContender("planner", deployment, all, claim),
 	}
 }
 
-func newWatcher(house *control.House, docs *store.Store, service *kv.Store, held *leases) *control.Watcher {
-	return control.NewWatcher(house, docs, service, func() bool {
+func newWatcher(deployment *control.Deployment, docs *store.Store, service *kv.Store, held *leases) *control.Watcher {
+	return control.NewWatcher(deployment, docs, service, func() bool {
 		_, ok := held.watch.Holding()
 		return ok
 	})
 }
 
-func newPlanner(house *control.House, holder *view.Holder, service *kv.Store, held *leases,
+func newPlanner(deployment *control.Deployment, holder *view.Holder, service *kv.Store, held *leases,
 	clock clockwork.Clock, log *slog.Logger) *planner.Planner {
 	return planner.New(planner.Config{
 		View:    holder,
 		Service: service,
 		Holding: held.planner.Holding,
-		Offer:   func(plan *wire.Plan) { house.OfferPlan(plan, "planner") },
+		Offer:   func(plan *wire.Plan) { deployment.OfferPlan(plan, "planner") },
 		Clock:   clock,
 		Log:     log,
 	})
 }
 
-func newOperators(set *wire.EntrySettings, holder *view.Holder, house *control.House, docs *store.Store,
+func newOperators(set *wire.EntrySettings, holder *view.Holder, deployment *control.Deployment, docs *store.Store,
 	service *kv.Store, clock clockwork.Clock, log *slog.Logger) *operators.API {
 	return operators.New(operators.Config{
 		View:               holder,
-		House:              house,
+		Deployment:         deployment,
 		Docs:               docs,
 		Service:            service,
 		Clock:              clock,
--- a/entry/internal/console/console_test.go
+++ b/entry/internal/console/console_test.go
@@ -21,14 +21,14 @@
 	"comfreyrelay.example/relay/wire"
 )
 
-// house is a fake of the entry behind the console.
-type house struct {
+// deployment is a fake of the entry behind the console.
+type deployment struct {
 	doc       *wire.Document
 	revision  uint32
 	submitted []console.Submission
 }
 
-func (h *house) config() console.Config {
+func (h *deployment) config() console.Config {
 	return console.Config{
 		Authenticate: func(key string) (string, bool) {
 			return "first-operator", key == document.ExampleOperatorKey
@@ -39,7 +39,7 @@
 	}
 }
 
-func (h *house) submit(_ context.Context, sub console.Submission) (uint32, *console.Conflict, error) {
+func (h *deployment) submit(_ context.Context, sub console.Submission) (uint32, *console.Conflict, error) {
 	if sub.BaseRevision != h.revision {
 		conflict := &console.Conflict{
 			Current: h.revision,
@@ -54,7 +54,7 @@
 }
 
 // start serves the console and returns its address and a client with cookies.
-func start(t *testing.T, hse *house) (string, *http.Client) {
+func start(t *testing.T, hse *deployment) (string, *http.Client) {
 	t.Helper()
 	mux := chi.NewRouter()
 	console.New(hse.config()).Routes(mux)
@@ -124,7 +124,7 @@
 }
 
 func TestFormMakesTheDocumentInForce(t *testing.T) {
-	hse := &house{doc: document.Example(), revision: 7}
+	hse := &deployment{doc: document.Example(), revision: 7}
 	base, client := start(t, hse)
 	values := controls(signIn(t, client, base))
 	values.Set("action", "submit")
@@ -141,7 +141,7 @@
 }
 
 func TestFormChangesAndAddsItems(t *testing.T) {
-	hse := &house{doc: document.Example(), revision: 7}
+	hse := &deployment{doc: document.Example(), revision: 7}
 	base, client := start(t, hse)
 	values := controls(signIn(t, client, base))
 	values.Set("objective", "originBytes")
@@ -171,7 +171,7 @@
 }
 
 func TestMessageStandsBesideItsField(t *testing.T) {
-	hse := &house{doc: document.Example(), revision: 7}
+	hse := &deployment{doc: document.Example(), revision: 7}
 	base, client := start(t, hse)
 	values := controls(signIn(t, client, base))
 	values.Set("models.0.version", "not a hash")
@@ -196,7 +196,7 @@
 // meanwhile. Sequence: two operators open the form, both submit. Cause: the
 // second form starts from a revision that is no longer in force.
 func TestSecondOperatorIsToldOfTheConflict(t *testing.T) {
-	hse := &house{doc: document.Example(), revision: 7}
+	hse := &deployment{doc: document.Example(), revision: 7}
 	base, client := start(t, hse)
 	values := controls(signIn(t, client, base))
 	hse.revision = 8
@@ -215,7 +215,7 @@
 }
 
 func TestNobodyUnknownGetsIn(t *testing.T) {
-	hse := &house{doc: document.Example(), revision: 7}
+	hse := &deployment{doc: document.Example(), revision: 7}
 	base, client := start(t, hse)
 	post(t, client, base+"/console/login", url.Values{"key": {"wrong"}}, http.StatusUnauthorized)
 	post(t, client, base+"/console/document", url.Values{"action": {"submit"}}, http.StatusUnauthorized)
@@ -231,7 +231,7 @@
 // operator fills a customer's weight and forgets the name. Cause: a row
 // without a name was taken for a removed one.
 func TestRowWithoutNameIsAnError(t *testing.T) {
-	hse := &house{doc: document.Example(), revision: 7}
+	hse := &deployment{doc: document.Example(), revision: 7}
 	base, client := start(t, hse)
 	values := controls(signIn(t, client, base))
 	values.Set("customers.1.weight", "3")
--- a/entry/internal/control/contender.go
+++ b/entry/internal/control/contender.go
@@ -15,7 +15,7 @@
 
 const (
 	// contenders is how many entries claim one lease. Each waiting one costs the
-	// service a watch, so that all of a large house may not; one alone would
+	// service a watch, so that all of a large deployment may not; one alone would
 	// leave the lease free until the others notice that it is gone.
 	contenders = 3
 	// contendInterval is how often an entry looks whether it should claim.
@@ -44,9 +44,9 @@
 
 // NewContender returns a Contender for the lease with the name; scope tells
 // which entries may hold it.
-func NewContender(name string, house *House, scope func(*wire.Node) bool,
+func NewContender(name string, deployment *Deployment, scope func(*wire.Node) bool,
 	claim func(ctx context.Context, name string) *lease.Holder) *Contender {
-	return &Contender{name: name, self: house.self, scope: scope, view: house.view, clock: house.clock, claim: claim}
+	return &Contender{name: name, self: deployment.self, scope: scope, view: deployment.view, clock: deployment.clock, claim: claim}
 }
 
 // Run claims and withdraws until ctx ends, then waits until the lease is given
--- a/entry/internal/control/control_test.go
+++ b/entry/internal/control/control_test.go
@@ -107,10 +107,10 @@
 		time.Sleep(10 * time.Second)
 		reborn := f.startEntry("entry-03", regionOf(3))
 		time.Sleep(5 * time.Second)
-		if got := reborn.house.Known().GetRevision(); got != 1 {
+		if got := reborn.deployment.Known().GetRevision(); got != 1 {
 			t.Errorf("got revision %d in a process started in the outage, want 1 from its peers", got)
 		}
-		if age, known := reborn.house.Age(); !known || age < 20*time.Minute {
+		if age, known := reborn.deployment.Age(); !known || age < 20*time.Minute {
 			t.Errorf("got age %v (known %t) in it, want what its peers know: over 20m", age, known)
 		}
 		time.Sleep(40 * time.Minute)
@@ -128,7 +128,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		f.expect("after the return", 2)
-		if age, _ := f.any().house.Age(); age > time.Minute {
+		if age, _ := f.any().deployment.Age(); age > time.Minute {
 			t.Errorf("got age %v after the return, want it confirmed", age)
 		}
 	})
@@ -206,7 +206,7 @@
 }
 
 // TestAgentSpeaksForItselfOnly: an agent's report on another host must have no
-// effect, or one bad agent could take the whole house out of service.
+// effect, or one bad agent could take the whole deployment out of service.
 func TestAgentSpeaksForItselfOnly(t *testing.T) {
 	inFleet(t, 8, 1, 2, func(f *fleet) {
 		req := f.agents["agent-000"].request()
@@ -258,7 +258,7 @@
 		}
 		time.Sleep(35 * time.Minute)
 		for _, m := range f.entries {
-			if got := m.house.hosts.Len(); got != 3 {
+			if got := m.deployment.hosts.Len(); got != 3 {
 				t.Errorf("got %d members known to %s, want the 3 entries", got, m.node.GetId())
 			}
 			if got := m.exchange.sessions.remembered(); got != 0 {
@@ -328,10 +328,10 @@
 			}
 			time.Sleep(time.Second)
 		}
-		if got := f.entries["entry-02"].house.Known().GetRevision(); got != 1 {
+		if got := f.entries["entry-02"].deployment.Known().GetRevision(); got != 1 {
 			t.Errorf("got revision %d in the region cut off, want 1", got)
 		}
-		if age, _ := f.entries["entry-02"].house.Age(); age < time.Minute {
+		if age, _ := f.entries["entry-02"].deployment.Age(); age < time.Minute {
 			t.Errorf("got age %v there, want it to say over 1m", age)
 		}
 		f.set(func(f *fleet) { delete(f.cutOff, "c") })
--- a/entry/internal/control/house.go
+++ b/entry/internal/control/deployment.go
@@ -1,4 +1,4 @@
-// Package control keeps an entry's knowledge of the house: which document,
+// Package control keeps an entry's knowledge of the deployment: which document,
 // plan and drain marks are in force, which hosts and entries there are, and
 // how it passes between the key-value service, the entries and the agents.
 package control
@@ -41,8 +41,8 @@
 // Fetch gets parts by hash, in order; nil for those it lacks.
 type Fetch func(ctx context.Context, hashes []string) ([][]byte, error)
 
-// House is what one entry knows. Its methods are safe for concurrent use.
-type House struct {
+// Deployment is what one entry knows. Its methods are safe for concurrent use.
+type Deployment struct {
 	self  *wire.Node
 	clock clockwork.Clock
 	log   *slog.Logger
@@ -62,9 +62,9 @@
 	urgent  chan struct{}         // closed and replaced when a node leaves
 }
 
-// NewHouse returns a House that knows nothing yet.
-func NewHouse(self *wire.Node, parts *store.Parts, holder *view.Holder, clock clockwork.Clock, log *slog.Logger) *House {
-	return &House{
+// NewDeployment returns a Deployment that knows nothing yet.
+func NewDeployment(self *wire.Node, parts *store.Parts, holder *view.Holder, clock clockwork.Clock, log *slog.Logger) *Deployment {
+	return &Deployment{
 		self:       self,
 		clock:      clock,
 		log:        log,
@@ -80,20 +80,20 @@
 }
 
 // ID returns this entry's id.
-func (h *House) ID() string { return h.self.GetId() }
+func (h *Deployment) ID() string { return h.self.GetId() }
 
 // Members returns the hosts and entries known.
-func (h *House) Members() *Members { return h.hosts }
+func (h *Deployment) Members() *Members { return h.hosts }
 
 // Known returns what messages to other processes bear.
-func (h *House) Known() *wire.Known {
+func (h *Deployment) Known() *wire.Known {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.state.Known(h.clock.Now())
 }
 
 // Root returns the root in force, or nil.
-func (h *House) Root() *wire.Root {
+func (h *Deployment) Root() *wire.Root {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.state.Root()
@@ -101,7 +101,7 @@
 
 // InForce returns the document in force and its revision; nil and 0 where there
 // is none. It is ahead of the view by up to one build.
-func (h *House) InForce() (uint32, *wire.Document) {
+func (h *Deployment) InForce() (uint32, *wire.Document) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.state.Root().GetRevision(), h.doc
@@ -109,7 +109,7 @@
 
 // Age returns how old the knowledge is; known is false where nobody ever
 // confirmed it.
-func (h *House) Age() (age time.Duration, known bool) {
+func (h *Deployment) Age() (age time.Duration, known bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.state.Age(h.clock.Now())
@@ -117,7 +117,7 @@
 
 // HomeRevision returns the lowest revision in force on the live hosts that
 // report to this entry; 0 where there are none.
-func (h *House) HomeRevision() uint32 {
+func (h *Deployment) HomeRevision() uint32 {
 	snap, _ := h.view.Load()
 	lowest, found := uint32(0), false
 	for _, host := range snap.Hosts {
@@ -133,7 +133,7 @@
 }
 
 // touch marks the view as outdated.
-func (h *House) touch() {
+func (h *Deployment) touch() {
 	select {
 	case h.dirty <- struct{}{}:
 	default:
@@ -141,14 +141,14 @@
 }
 
 // wakeLocked ends all calls that are held until a revision moves.
-func (h *House) wakeLocked() {
+func (h *Deployment) wakeLocked() {
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
 
 // Hurry ends the calls that entries hold, so that they learn at once of a node
 // that leaves. Agents' calls stay: with many agents that would be a storm.
-func (h *House) Hurry() {
+func (h *Deployment) Hurry() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	close(h.urgent)
@@ -156,7 +156,7 @@
 }
 
 // news returns the channels that close at the next change and the next hurry.
-func (h *House) news() (changed, urgent <-chan struct{}) {
+func (h *Deployment) news() (changed, urgent <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.changed, h.urgent
@@ -164,7 +164,7 @@
 
 // ObserveKnown takes over the confirmation that a message bears and reports
 // whether its sender knows something newer.
-func (h *House) ObserveKnown(known *wire.Known) bool {
+func (h *Deployment) ObserveKnown(known *wire.Known) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.state.ObserveKnown(known, h.clock.Now())
@@ -172,7 +172,7 @@
 }
 
 // Confirm notes that the service confirmed the revision at the moment.
-func (h *House) Confirm(rev uint32, at time.Time) {
+func (h *Deployment) Confirm(rev uint32, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.state.Confirm(rev, at)
@@ -180,7 +180,7 @@
 
 // OfferRoot takes a root from anyone: where it is newer, it fetches the parts
 // that lack, assembles the document and brings it into force.
-func (h *House) OfferRoot(ctx context.Context, root *wire.Root, source string, fetch Fetch) error {
+func (h *Deployment) OfferRoot(ctx context.Context, root *wire.Root, source string, fetch Fetch) error {
 	root = revision.Expand(h.Root(), root)
 	if root == nil || !h.wants(root, source) {
 		return nil
@@ -201,7 +201,7 @@
 }
 
 // wants judges a root before any part is fetched.
-func (h *House) wants(root *wire.Root, source string) bool {
+func (h *Deployment) wants(root *wire.Root, source string) bool {
 	h.mu.Lock()
 	verdict := h.state.JudgeRoot(root)
 	h.mu.Unlock()
@@ -212,7 +212,7 @@
 }
 
 // broken counts and logs a broken invariant.
-func (h *House) broken(rule string, args ...any) {
+func (h *Deployment) broken(rule string, args ...any) {
 	counters.Add("broken."+rule, 1)
 	h.log.Error("invariant broke", append([]any{"rule", rule}, args...)...)
 	onBroken(rule)
@@ -220,7 +220,7 @@
 
 // turn waits until no other root is being assembled, but not for long: the
 // other's source may hang.
-func (h *House) turn(ctx context.Context) (release func()) {
+func (h *Deployment) turn(ctx context.Context) (release func()) {
 	select {
 	case h.assembling <- struct{}{}:
 		return func() { <-h.assembling }
@@ -230,7 +230,7 @@
 	return func() {}
 }
 
-func (h *House) assemble(ctx context.Context, root *wire.Root, fetch Fetch) (*wire.Document, error) {
+func (h *Deployment) assemble(ctx context.Context, root *wire.Root, fetch Fetch) (*wire.Document, error) {
 	if len(root.GetParts()) == 0 || document.ContentHash(root.GetParts()) != root.GetAudit().GetContentHash() {
 		return nil, failure.New(failure.Corrupt, "a root does not match its content hash", "fetch it from another process")
 	}
@@ -255,7 +255,7 @@
 	})
 }
 
-func (h *House) adoptRoot(root *wire.Root, doc *wire.Document, source string) {
+func (h *Deployment) adoptRoot(root *wire.Root, doc *wire.Document, source string) {
 	h.mu.Lock()
 	adopted := h.state.AdoptRoot(root) == revision.Newer
 	if adopted {
@@ -273,7 +273,7 @@
 }
 
 // remember keeps the root to send differences from; the caller holds the lock.
-func (h *House) remember(root *wire.Root) {
+func (h *Deployment) remember(root *wire.Root) {
 	h.recent[root.GetRevision()] = root
 	for old := range h.recent {
 		if old+recentRoots <= root.GetRevision() {
@@ -283,7 +283,7 @@
 }
 
 // OfferPlan takes a plan from anyone.
-func (h *House) OfferPlan(plan *wire.Plan, source string) {
+func (h *Deployment) OfferPlan(plan *wire.Plan, source string) {
 	if plan == nil {
 		return
 	}
@@ -304,7 +304,7 @@
 }
 
 // OfferDrains takes the operators' marks from anyone.
-func (h *House) OfferDrains(marks *wire.DrainMarks, source string) {
+func (h *Deployment) OfferDrains(marks *wire.DrainMarks, source string) {
 	if marks == nil {
 		return
 	}
@@ -322,7 +322,7 @@
 
 // lacking returns what a message's sender lacks, nil where it has it; the root
 // as a difference where the sender takes that.
-func (h *House) lacking(known *wire.Known, deltas bool) (root *wire.Root, plan *wire.Plan, drains *wire.DrainMarks) {
+func (h *Deployment) lacking(known *wire.Known, deltas bool) (root *wire.Root, plan *wire.Plan, drains *wire.DrainMarks) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	lacksRoot, lacksPlan, lacksDrains := h.state.Lacks(known)
@@ -342,7 +342,7 @@
 }
 
 // lacks reports whether a message's sender lacks anything.
-func (h *House) lacks(known *wire.Known) bool {
+func (h *Deployment) lacks(known *wire.Known) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	root, plan, drains := h.state.Lacks(known)
--- a/entry/internal/control/exchange.go
+++ b/entry/internal/control/exchange.go
@@ -24,9 +24,9 @@
 
 // Exchange composes and takes in the messages between this entry and others.
 type Exchange struct {
-	house    *House
-	self     *wire.Node
-	sessions *sessions
+	deployment *Deployment
+	self       *wire.Node
+	sessions   *sessions
 	// own returns this entry's report on itself.
 	own func() *wire.EntryReport
 
@@ -38,20 +38,20 @@
 }
 
 // NewExchange returns an Exchange; own returns this entry's newest report.
-func NewExchange(house *House, own func() *wire.EntryReport) *Exchange {
+func NewExchange(deployment *Deployment, own func() *wire.EntryReport) *Exchange {
 	return &Exchange{
-		house:     house,
-		self:      house.self,
-		sessions:  newSessions(),
-		own:       own,
-		allowance: spread.NewAllowance(reportBytesPerSecond, reportBurst, house.clock.Now()),
+		deployment: deployment,
+		self:       deployment.self,
+		sessions:   newSessions(),
+		own:        own,
+		allowance:  spread.NewAllowance(reportBytesPerSecond, reportBurst, deployment.clock.Now()),
 	}
 }
 
 // candidates returns the reports that could be sent, from the current view: all
 // of them, and those to pass on to entries.
 func (x *Exchange) candidates() (all, forEntries []spread.Candidate) {
-	snap, _ := x.house.view.Load()
+	snap, _ := x.deployment.view.Load()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.basis != snap {
@@ -132,7 +132,7 @@
 
 // entriesFor returns the entry reports that a node should receive.
 func (x *Exchange) entriesFor(with *session, now time.Time) []*wire.EntryReport {
-	snap, _ := x.house.view.Load()
+	snap, _ := x.deployment.view.Load()
 	with.mu.Lock()
 	defer with.mu.Unlock()
 	with.entries.SetRelay(relayFor(with.node, len(snap.Entries)))
@@ -144,7 +144,7 @@
 
 // hearHosts takes in reports that another entry passed on.
 func (x *Exchange) observeHosts(with *session, reports []*wire.HostReport) {
-	now := x.house.clock.Now()
+	now := x.deployment.clock.Now()
 	news, hurry := false, false
 	for _, report := range reports {
 		report, whole := x.completed(with, report)
@@ -154,7 +154,7 @@
 		with.mu.Lock()
 		with.hosts.Received(report, now)
 		with.mu.Unlock()
-		if x.house.hosts.ObserveHost(report, now) {
+		if x.deployment.hosts.ObserveHost(report, now) {
 			news = true
 			hurry = hurry || x.leaves(report)
 		}
@@ -165,7 +165,7 @@
 // completed returns a report made whole, or notes that the whole one must be
 // asked for.
 func (x *Exchange) completed(with *session, report *wire.HostReport) (*wire.HostReport, bool) {
-	whole, ok := x.house.hosts.Complete(report)
+	whole, ok := x.deployment.hosts.Complete(report)
 	if !ok {
 		counters.Add("wholeWanted", 1)
 		with.want(report.GetNode().GetId())
@@ -179,21 +179,21 @@
 	if !report.GetLeaving() {
 		return false
 	}
-	snap, _ := x.house.view.Load()
+	snap, _ := x.deployment.view.Load()
 	host, known := findHost(snap, report.GetNode().GetId())
 	return known && !host.Report().GetLeaving()
 }
 
 // hearEntries takes in reports of entries.
 func (x *Exchange) observeEntries(with *session, reports []*wire.EntryReport) {
-	now := x.house.clock.Now()
+	now := x.deployment.clock.Now()
 	news, hurry := false, false
 	for _, report := range reports {
 		id := report.GetNode().GetId()
 		if id == x.self.GetId() {
 			continue
 		}
-		report, whole := x.house.hosts.CompleteEntry(report)
+		report, whole := x.deployment.hosts.CompleteEntry(report)
 		if !whole {
 			with.want(id)
 			continue
@@ -201,7 +201,7 @@
 		with.mu.Lock()
 		with.entries.Received(report, now)
 		with.mu.Unlock()
-		if x.house.hosts.ObserveEntry(report, now) {
+		if x.deployment.hosts.ObserveEntry(report, now) {
 			news = true
 			hurry = hurry || x.drains(report)
 		}
@@ -213,7 +213,7 @@
 	if !report.GetDraining() {
 		return false
 	}
-	snap, _ := x.house.view.Load()
+	snap, _ := x.deployment.view.Load()
 	for _, entry := range snap.Entries {
 		if entry.Report().GetNode().GetId() == report.GetNode().GetId() {
 			return !entry.Report().GetDraining()
@@ -226,16 +226,16 @@
 // view shows it: messages are made from the view.
 func (x *Exchange) stir(news, hurry bool) {
 	if hurry {
-		x.house.hurry.Store(true)
+		x.deployment.hurry.Store(true)
 	}
 	if news {
-		x.house.touch()
+		x.deployment.touch()
 	}
 }
 
 // request composes a call to another entry.
 func (x *Exchange) request(with *session, wait time.Duration) *wire.SyncRequest {
-	now := x.house.clock.Now()
+	now := x.deployment.clock.Now()
 	from := x.self
 	with.mu.Lock()
 	if with.knowsUs {
@@ -244,7 +244,7 @@
 	with.mu.Unlock()
 	return &wire.SyncRequest{
 		From:       from,
-		Known:      x.house.Known(),
+		Known:      x.deployment.Known(),
 		WaitMillis: uint32(wait.Milliseconds()),
 		KnownOnly:  wait > 0,
 		DeltaRoots: true,
@@ -257,14 +257,14 @@
 
 // reply composes the answer to a call.
 func (x *Exchange) reply(req *wire.SyncRequest, with *session) *wire.SyncReply {
-	now := x.house.clock.Now()
+	now := x.deployment.clock.Now()
 	// What else there is to say of the sender stands in its own report.
 	from := &wire.Node{Id: x.self.GetId()}
 	reply := &wire.SyncReply{
-		From: from, Known: x.house.Known(), Entries: x.entriesFor(with, now), WholeWanted: with.takeWanted(),
+		From: from, Known: x.deployment.Known(), Entries: x.entriesFor(with, now), WholeWanted: with.takeWanted(),
 	}
 	if !req.GetKnownOnly() {
-		reply.Root, reply.Plan, reply.Drains = x.house.lacking(req.GetKnown(), req.GetDeltaRoots())
+		reply.Root, reply.Plan, reply.Drains = x.deployment.lacking(req.GetKnown(), req.GetDeltaRoots())
 	}
 	if isAgent(req.GetFrom()) {
 		reply.Plan = planFor(reply.Plan, req.GetFrom().GetFailureDomain())
@@ -293,12 +293,12 @@
 func (x *Exchange) takeReply(ctx context.Context, with *session, reply *wire.SyncReply, fetch Fetch) {
 	source := "entry " + reply.GetFrom().GetId()
 	with.observeWanted(reply.GetWholeWanted(), x.self.GetId())
-	x.house.OfferDrains(reply.GetDrains(), source)
-	if err := x.house.OfferRoot(ctx, reply.GetRoot(), source, fetch); err != nil {
-		x.house.log.Warn("document not assembled", "revision", reply.GetRoot().GetRevision(), "source", source, "error", err)
+	x.deployment.OfferDrains(reply.GetDrains(), source)
+	if err := x.deployment.OfferRoot(ctx, reply.GetRoot(), source, fetch); err != nil {
+		x.deployment.log.Warn("document not assembled", "revision", reply.GetRoot().GetRevision(), "source", source, "error", err)
 	}
-	x.house.OfferPlan(reply.GetPlan(), source)
-	x.house.ObserveKnown(reply.GetKnown())
+	x.deployment.OfferPlan(reply.GetPlan(), source)
+	x.deployment.ObserveKnown(reply.GetKnown())
 	x.observeHosts(with, reply.GetHosts())
 	x.observeEntries(with, reply.GetEntries())
 }
--- a/entry/internal/control/fleet_test.go
+++ b/entry/internal/control/fleet_test.go
@@ -66,16 +66,16 @@
 
 // member is one entry process.
 type member struct {
-	fleet    *fleet
-	node     *wire.Node
-	house    *House
-	server   *Server
-	exchange *Exchange
-	docs     *store.Store
-	view     *view.Holder
-	watching *Contender
-	stop     context.CancelFunc
-	ended    sync.WaitGroup
+	fleet      *fleet
+	node       *wire.Node
+	deployment *Deployment
+	server     *Server
+	exchange   *Exchange
+	docs       *store.Store
+	view       *view.Holder
+	watching   *Contender
+	stop       context.CancelFunc
+	ended      sync.WaitGroup
 }
 
 func newFleet(ctx context.Context, t *testing.T, seed uint64) *fleet {
@@ -112,9 +112,9 @@
 	parts := store.NewParts(1 << 20)
 	service := f.gate(region)
 	m.docs = store.New(service, parts, clock, log)
-	m.house = NewHouse(m.node, parts, m.view, clock, log)
-	self := NewSelf(m.node, func() int { return 0 }, func() []*wire.Demand { return nil }, m.house.Known, m.house.HomeRevision)
-	exchange := NewExchange(m.house, self.Latest)
+	m.deployment = NewDeployment(m.node, parts, m.view, clock, log)
+	self := NewSelf(m.node, func() int { return 0 }, func() []*wire.Demand { return nil }, m.deployment.Known, m.deployment.HomeRevision)
+	exchange := NewExchange(m.deployment, self.Latest)
 	m.exchange = exchange
 	syncer := NewSyncer(exchange, nil, m.docs.Fetch, entryWait)
 	syncer.call = func(ctx context.Context, to *wire.Node, req *wire.SyncRequest) (*wire.SyncReply, error) {
@@ -124,13 +124,13 @@
 		return f.parts(ctx, region, to.GetId(), req)
 	}
 	m.server = NewServer(exchange, Delegate{}, false, syncer.Pull)
-	publisher := NewPublisher(m.house, self.Make)
-	m.watching = NewContender("watch/"+m.node.GetFailureDomain(), m.house,
+	publisher := NewPublisher(m.deployment, self.Make)
+	m.watching = NewContender("watch/"+m.node.GetFailureDomain(), m.deployment,
 		func(other *wire.Node) bool { return other.GetFailureDomain() == m.node.GetFailureDomain() },
 		func(ctx context.Context, name string) *lease.Holder {
 			return lease.Run(ctx, service, clock, name, m.node.GetIncarnation(), 5*time.Second, time.Second, log)
 		})
-	watcher := NewWatcher(m.house, m.docs, service, func() bool { _, ok := m.watching.Holding(); return ok })
+	watcher := NewWatcher(m.deployment, m.docs, service, func() bool { _, ok := m.watching.Holding(); return ok })
 	f.mu.Lock()
 	f.entries[id] = m
 	f.mu.Unlock()
@@ -153,7 +153,7 @@
 	members := f.members()
 	f.mu.Unlock()
 	for _, m := range members {
-		m.house.hosts.ObserveList(list, time.Now())
+		m.deployment.hosts.ObserveList(list, time.Now())
 	}
 }
 
@@ -369,7 +369,7 @@
 	ctx, cancel := context.WithTimeout(f.ctx, 20*time.Second)
 	defer cancel()
 	root, err := m.docs.Submit(ctx, store.Submission{
-		Document: doc, BaseRevision: m.house.Root().GetRevision(),
+		Document: doc, BaseRevision: m.deployment.Root().GetRevision(),
 		SubmissionID: fmt.Sprintf("%s-%d-%d", m.node.GetId(), priority, time.Now().UnixNano()), Operator: "marta",
 	})
 	if err != nil {
@@ -378,7 +378,7 @@
 	f.mu.Lock()
 	f.accepted[root.GetRevision()] = time.Now()
 	f.mu.Unlock()
-	return root.GetRevision(), m.house.OfferRoot(ctx, root, "operator", m.docs.Fetch)
+	return root.GetRevision(), m.deployment.OfferRoot(ctx, root, "operator", m.docs.Fetch)
 }
 
 // any returns one of the entries.
@@ -401,7 +401,7 @@
 	defer f.mu.Unlock()
 	found := map[string]uint32{}
 	for id, m := range f.entries {
-		found[id] = m.house.Known().GetRevision()
+		found[id] = m.deployment.Known().GetRevision()
 	}
 	for id, agent := range f.agents {
 		found[id] = agent.revision()
--- a/entry/internal/control/fuzz_test.go
+++ b/entry/internal/control/fuzz_test.go
@@ -18,9 +18,9 @@
 func lonely() (*Server, *Exchange) {
 	clock := clockwork.NewFakeClock()
 	self := &wire.Node{Id: "entry-0", Incarnation: "i1", Role: "entry"}
-	house := NewHouse(self, store.NewParts(1<<20), view.NewHolder(), clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	deployment := NewDeployment(self, store.NewParts(1<<20), view.NewHolder(), clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	report := &wire.EntryReport{Node: self, Sequence: 1}
-	exchange := NewExchange(house, func() *wire.EntryReport { return report })
+	exchange := NewExchange(deployment, func() *wire.EntryReport { return report })
 	return NewServer(exchange, Delegate{}, false, func(*wire.Node) {}), exchange
 }
 
@@ -53,7 +53,7 @@
 		}
 		req.WaitMillis = 0
 		server, _ := lonely()
-		if _, err := server.Sync(context.Background(), req); err == nil && server.house.Root() != nil {
+		if _, err := server.Sync(context.Background(), req); err == nil && server.deployment.Root() != nil {
 			t.Errorf("got a root in force from one message, want none")
 		}
 	})
@@ -72,11 +72,11 @@
 			return
 		}
 		_, exchange := lonely()
-		with := exchange.sessions.of(&wire.Node{Id: "entry-1"}, exchange.house.clock.Now())
+		with := exchange.sessions.of(&wire.Node{Id: "entry-1"}, exchange.deployment.clock.Now())
 		exchange.takeReply(context.Background(), with, reply, func(context.Context, []string) ([][]byte, error) { return nil, nil })
-		if root := exchange.house.Root(); root != nil {
+		if root := exchange.deployment.Root(); root != nil {
 			t.Errorf("got %v in force without its parts", root)
 		}
-		NewPublisher(exchange.house, exchange.own).Build()
+		NewPublisher(exchange.deployment, exchange.own).Build()
 	})
 }
--- a/entry/internal/control/hostlist.go
+++ b/entry/internal/control/hostlist.go
@@ -13,13 +13,13 @@
 
 // HostList reads the platform's list of hosts.
 type HostList struct {
-	house  *House
-	reader *hostlist.Reader
+	deployment *Deployment
+	reader     *hostlist.Reader
 }
 
 // NewHostList returns a reader of the list at the base address.
-func NewHostList(house *House, baseURL string, client *http.Client) *HostList {
-	return &HostList{house: house, reader: hostlist.NewReader(baseURL, client)}
+func NewHostList(deployment *Deployment, baseURL string, client *http.Client) *HostList {
+	return &HostList{deployment: deployment, reader: hostlist.NewReader(baseURL, client)}
 }
 
 // Run reads the list until ctx ends. A failed read changes nothing.
@@ -28,12 +28,12 @@
 		listed, err := l.reader.Read(ctx)
 		if err != nil {
 			counters.Add("hostListFailed", 1)
-			l.house.log.Debug("host list not read", "error", err)
-			sleep(ctx, l.house.clock, jittered(listInterval/2))
+			l.deployment.log.Debug("host list not read", "error", err)
+			sleep(ctx, l.deployment.clock, jittered(listInterval/2))
 			continue
 		}
-		l.house.hosts.ObserveList(listed, l.house.clock.Now())
-		l.house.touch()
-		sleep(ctx, l.house.clock, jittered(2*listInterval))
+		l.deployment.hosts.ObserveList(listed, l.deployment.clock.Now())
+		l.deployment.touch()
+		sleep(ctx, l.deployment.clock, jittered(2*listInterval))
 	}
 }
--- a/entry/internal/control/offer.go
+++ b/entry/internal/control/offer.go
@@ -26,24 +26,24 @@
 // none: one bad agent must not be able to put a document of its own in force.
 func (s *Server) takeOffer(ctx context.Context, req *wire.SyncRequest) {
 	root := req.GetRoot()
-	if root == nil || s.house.Root() != nil || len(req.GetParts()) != len(root.GetParts()) {
+	if root == nil || s.deployment.Root() != nil || len(req.GetParts()) != len(root.GetParts()) {
 		return
 	}
 	if !s.believes(rootID(root), req.GetFrom().GetId()) {
 		return
 	}
 	source := "agent " + req.GetFrom().GetId()
-	err := s.house.OfferRoot(ctx, root, source, func(_ context.Context, hashes []string) ([][]byte, error) {
+	err := s.deployment.OfferRoot(ctx, root, source, func(_ context.Context, hashes []string) ([][]byte, error) {
 		return pick(root, req.GetParts(), hashes), nil
 	})
 	if err != nil {
-		s.house.log.Warn("document of an agent not assembled", "source", source, "error", err)
+		s.deployment.log.Warn("document of an agent not assembled", "source", source, "error", err)
 	}
 }
 
 // believes reports whether enough agents offered the root, or one did for long.
 func (s *Server) believes(id, agent string) bool {
-	now := s.house.clock.Now()
+	now := s.deployment.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	offer := s.offers[id]
