--- a/entry/internal/control/publisher.go
+++ b/entry/internal/control/publisher.go
@@ -11,7 +11,7 @@
 const (
 	// buildGap is the least time between two views.
 	buildGap = 50 * time.Millisecond
-	// buildShare keeps building to a small part of one core in large houses:
+	// buildShare keeps building to a small part of one core in large deployments:
 	// the gap is at least this many times what the last view took.
 	buildShare = 50
 	// buildInterval is the most time between two views: silence is a change
@@ -29,8 +29,8 @@
 
 // Publisher builds the views that the rest of the entry reads.
 type Publisher struct {
-	house *House
-	own   func() *wire.EntryReport
+	deployment *Deployment
+	own        func() *wire.EntryReport
 	// beatAt is when the own report was last made, told what it said: the
 	// document revisions here and on the hosts that report here.
 	beatAt time.Time
@@ -38,13 +38,13 @@
 }
 
 // NewPublisher returns a Publisher; own makes a new report on this entry.
-func NewPublisher(house *House, own func() *wire.EntryReport) *Publisher {
-	return &Publisher{house: house, own: own}
+func NewPublisher(deployment *Deployment, own func() *wire.EntryReport) *Publisher {
+	return &Publisher{deployment: deployment, own: own}
 }
 
 // Run builds views until ctx ends.
 func (p *Publisher) Run(ctx context.Context) {
-	clock := p.house.clock
+	clock := p.deployment.clock
 	last := clock.Now()
 	for ctx.Err() == nil {
 		began := clock.Now()
@@ -57,10 +57,10 @@
 }
 
 func (p *Publisher) await(ctx context.Context) {
-	timer := p.house.clock.NewTimer(buildInterval)
+	timer := p.deployment.clock.NewTimer(buildInterval)
 	defer timer.Stop()
 	select {
-	case <-p.house.dirty:
+	case <-p.deployment.dirty:
 	case <-timer.Chan():
 	case <-ctx.Done():
 	}
@@ -70,18 +70,18 @@
 // itself stood still.
 func (p *Publisher) noticePause(gap time.Duration) {
 	if gap > pauseLimit {
-		p.house.log.Warn("this process stood still", "seconds", gap.Seconds())
+		p.deployment.log.Warn("this process stood still", "seconds", gap.Seconds())
 		counters.Add("pauses", 1)
-		p.house.hosts.Adjust(gap)
+		p.deployment.hosts.Adjust(gap)
 	}
 }
 
 // Wake has a view built soon.
-func (p *Publisher) Wake() { p.house.touch() }
+func (p *Publisher) Wake() { p.deployment.touch() }
 
 // due reports whether the own report should be made anew, and notes that it is.
 func (p *Publisher) due(now time.Time) bool {
-	revisions := [2]uint32{p.house.Root().GetRevision(), p.house.HomeRevision()}
+	revisions := [2]uint32{p.deployment.Root().GetRevision(), p.deployment.HomeRevision()}
 	since := now.Sub(p.beatAt)
 	if since < heartbeat && (revisions == p.told || since < newsGap) {
 		return false
@@ -92,26 +92,26 @@
 
 // Build publishes one view.
 func (p *Publisher) Build() {
-	now := p.house.clock.Now()
-	hurry := p.house.hurry.Swap(false)
+	now := p.deployment.clock.Now()
+	hurry := p.deployment.hurry.Swap(false)
 	if p.due(now) {
-		p.house.hosts.ObserveEntry(p.own(), now)
+		p.deployment.hosts.ObserveEntry(p.own(), now)
 	}
-	p.house.mu.Lock()
-	root, plan, drains := p.house.state.Root(), p.house.state.Plan(), p.house.state.Drains()
-	doc, confirmedAt := p.house.doc, p.house.state.ConfirmedAt()
-	p.house.mu.Unlock()
-	entries := p.house.hosts.Entries(now)
-	p.house.view.Store(&view.Snapshot{
+	p.deployment.mu.Lock()
+	root, plan, drains := p.deployment.state.Root(), p.deployment.state.Plan(), p.deployment.state.Drains()
+	doc, confirmedAt := p.deployment.doc, p.deployment.state.ConfirmedAt()
+	p.deployment.mu.Unlock()
+	entries := p.deployment.hosts.Entries(now)
+	p.deployment.view.Store(&view.Snapshot{
 		Revision:     root.GetRevision(),
 		PlanRevision: plan.GetPlanRevision(),
 		Document:     doc,
 		Plan:         plan,
-		Hosts:        p.house.hosts.Hosts(now, drains, entries),
+		Hosts:        p.deployment.hosts.Hosts(now, drains, entries),
 		Entries:      entries,
 		ConfirmedAt:  confirmedAt,
 	})
 	if hurry {
-		p.house.Hurry()
+		p.deployment.Hurry()
 	}
 }
--- a/entry/internal/control/server.go
+++ b/entry/internal/control/server.go
@@ -33,9 +33,9 @@
 
 // Server is the Control service of an entry.
 type Server struct {
-	exchange *Exchange
-	house    *House
-	delegate Delegate
+	exchange   *Exchange
+	deployment *Deployment
+	delegate   Delegate
 	// secure: callers prove who they are.
 	secure bool
 	// pull asks an entry that knows more; it returns at once.
@@ -49,12 +49,12 @@
 // NewServer returns the service.
 func NewServer(exchange *Exchange, delegate Delegate, secure bool, pull func(*wire.Node)) *Server {
 	return &Server{
-		exchange: exchange,
-		house:    exchange.house,
-		delegate: delegate,
-		secure:   secure,
-		pull:     pull,
-		offers:   map[string]*agentOffer{},
+		exchange:   exchange,
+		deployment: exchange.deployment,
+		delegate:   delegate,
+		secure:     secure,
+		pull:       pull,
+		offers:     map[string]*agentOffer{},
 	}
 }
 
@@ -87,12 +87,12 @@
 	}
 	counters.Add("syncServed", 1)
 	countMessage("bytesIn", kindOf(req.GetFrom()), req)
-	from, known := s.house.hosts.Describe(req.GetFrom())
+	from, known := s.deployment.hosts.Describe(req.GetFrom())
 	if !known {
 		return s.askWho(req), nil
 	}
 	req.From = from
-	with := s.exchange.sessions.of(from, s.house.clock.Now())
+	with := s.exchange.sessions.of(from, s.deployment.clock.Now())
 	s.take(ctx, with, req)
 	if !with.wants() {
 		s.hold(ctx, req)
@@ -107,12 +107,12 @@
 func (s *Server) askWho(req *wire.SyncRequest) *wire.SyncReply {
 	counters.Add("describeWanted", 1)
 	return &wire.SyncReply{
-		From: &wire.Node{Id: s.house.ID()}, Known: s.house.Known(), WholeWanted: []string{req.GetFrom().GetId()},
+		From: &wire.Node{Id: s.deployment.ID()}, Known: s.deployment.Known(), WholeWanted: []string{req.GetFrom().GetId()},
 	}
 }
 
 func (s *Server) take(ctx context.Context, with *session, req *wire.SyncRequest) {
-	behind := s.house.ObserveKnown(req.GetKnown())
+	behind := s.deployment.ObserveKnown(req.GetKnown())
 	if isAgent(req.GetFrom()) {
 		s.takeAgent(ctx, with, req)
 		return
@@ -127,8 +127,8 @@
 
 // takeAgent takes an agent's word on its own host only.
 func (s *Server) takeAgent(ctx context.Context, with *session, req *wire.SyncRequest) {
-	now := s.house.clock.Now()
-	s.house.hosts.Touch(req.GetFrom(), now)
+	now := s.deployment.clock.Now()
+	s.deployment.hosts.Touch(req.GetFrom(), now)
 	with.loseWanted(req.GetWholeWanted())
 	for _, report := range req.GetHosts() {
 		if report.GetNode() == nil { // an amendment of the sender's own
@@ -147,7 +147,7 @@
 		report.Revision = req.GetKnown().GetRevision()
 		report.PlanRevision = req.GetKnown().GetPlanRevision()
 		hurry := s.exchange.leaves(report)
-		s.exchange.stir(s.house.hosts.ObserveHost(report, now), hurry)
+		s.exchange.stir(s.deployment.hosts.ObserveHost(report, now), hurry)
 		with.mu.Lock()
 		with.hosts.Received(report, now)
 		with.mu.Unlock()
@@ -167,14 +167,14 @@
 	if wait <= 0 {
 		return
 	}
-	timer := s.house.clock.NewTimer(wait)
+	timer := s.deployment.clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		changed, urgent := s.house.news()
+		changed, urgent := s.deployment.news()
 		if agent {
 			urgent = nil
 		}
-		if s.house.lacks(req.GetKnown()) {
+		if s.deployment.lacks(req.GetKnown()) {
 			return
 		}
 		select {
@@ -198,10 +198,10 @@
 		return nil, failure.New(failure.Invalid, "too many hashes in one message", "ask for fewer at once")
 	}
 	countMessage("bytesIn", "parts", req)
-	reply := &wire.PartsReply{Known: s.house.Known(), Parts: make([][]byte, len(req.GetHashes()))}
+	reply := &wire.PartsReply{Known: s.deployment.Known(), Parts: make([][]byte, len(req.GetHashes()))}
 	size := 0
 	for i, hash := range req.GetHashes() {
-		content := s.house.parts.Get(hash)
+		content := s.deployment.parts.Get(hash)
 		if size += len(content); size > maxPartsBytes {
 			break // The caller asks again for those it did not get.
 		}
--- a/entry/internal/control/session.go
+++ b/entry/internal/control/session.go
@@ -132,7 +132,7 @@
 func restarted(held, seen string) bool { return held != "" && seen != "" && held != seen }
 
 // refreshFor returns the age at which an unchanged report is sent again to the
-// node, in a house of the number of hosts.
+// node, in a deployment of the number of hosts.
 func refreshFor(node *wire.Node, hosts int) time.Duration {
 	if isAgent(node) {
 		return max(refreshAgent, time.Duration(hosts)*refreshAgentPerHost)
@@ -141,7 +141,7 @@
 }
 
 // relayFor returns the age at which the report of a third entry is passed on to
-// the node again, in a house of the number of entries.
+// the node again, in a deployment of the number of entries.
 func relayFor(node *wire.Node, entries int) time.Duration {
 	if isAgent(node) {
 		return relayToAgent
--- a/entry/internal/control/syncer.go
+++ b/entry/internal/control/syncer.go
@@ -30,8 +30,8 @@
 
 // Syncer keeps calls to this entry's neighbours.
 type Syncer struct {
-	exchange *Exchange
-	house    *House
+	exchange   *Exchange
+	deployment *Deployment
 	// call makes one Sync call; parts one Parts call. Seams for tests.
 	call  func(ctx context.Context, node *wire.Node, req *wire.SyncRequest) (*wire.SyncReply, error)
 	parts func(ctx context.Context, node *wire.Node, req *wire.PartsRequest) (*wire.PartsReply, error)
@@ -56,8 +56,8 @@
 		return wire.NewDRPCControlClient(pool.Conn(ctx, node.GetControlAddress()))
 	}
 	return &Syncer{
-		exchange: exchange,
-		house:    exchange.house,
+		exchange:   exchange,
+		deployment: exchange.deployment,
 		call: func(ctx context.Context, node *wire.Node, req *wire.SyncRequest) (*wire.SyncReply, error) {
 			return client(ctx, node).Sync(ctx, req)
 		},
@@ -66,7 +66,7 @@
 		},
 		fallback: fallback,
 		wait:     wait,
-		log:      exchange.house.log,
+		log:      exchange.deployment.log,
 		running:  map[string]context.CancelFunc{},
 		pulling:  map[string]bool{},
 		pulled:   make(chan struct{}),
@@ -79,24 +79,24 @@
 	s.mu.Lock()
 	s.base = ctx
 	s.mu.Unlock()
-	forgotAt := s.house.clock.Now()
+	forgotAt := s.deployment.clock.Now()
 	for ctx.Err() == nil {
 		s.choose(ctx)
-		now := s.house.clock.Now()
+		now := s.deployment.clock.Now()
 		s.exchange.sessions.prune(now)
 		if now.Sub(forgotAt) >= forgetInterval {
 			forgotAt = now
-			s.house.hosts.Forget(now)
-			s.exchange.sessions.forget(s.house.hosts.Knows)
+			s.deployment.hosts.Forget(now)
+			s.exchange.sessions.forget(s.deployment.hosts.Knows)
 		}
-		sleep(ctx, s.house.clock, chooseInterval)
+		sleep(ctx, s.deployment.clock, chooseInterval)
 	}
 }
 
 // choose starts and stops calls so that they match the neighbours.
 func (s *Syncer) choose(ctx context.Context) {
 	wanted := map[string]*wire.Node{}
-	for _, node := range spread.Neighbours(s.exchange.self, s.house.hosts.Reachable(s.house.clock.Now())) {
+	for _, node := range spread.Neighbours(s.exchange.self, s.deployment.hosts.Reachable(s.deployment.clock.Now())) {
 		wanted[node.GetId()+" "+node.GetControlAddress()] = node
 	}
 	s.mu.Lock()
@@ -120,11 +120,11 @@
 func (s *Syncer) keep(ctx context.Context, node *wire.Node) {
 	pause := retryLeast
 	for ctx.Err() == nil {
-		began := s.house.clock.Now()
+		began := s.deployment.clock.Now()
 		if err := s.once(ctx, node, s.wait); err != nil {
 			s.log.Debug("sync failed", "peer", node.GetId(), "error", err)
 			counters.Add("syncFailed", 1)
-			sleep(ctx, s.house.clock, jittered(pause))
+			sleep(ctx, s.deployment.clock, jittered(pause))
 			pause = min(2*pause, retryMost)
 			continue
 		}
@@ -132,8 +132,8 @@
 		s.awaitPull(ctx)
 		// A neighbour that answers at once each time (it drains, or knows less
 		// than it says) must not turn this into a busy loop.
-		if rest := retryLeast/4 - s.house.clock.Since(began); rest > 0 {
-			sleep(ctx, s.house.clock, rest)
+		if rest := retryLeast/4 - s.deployment.clock.Since(began); rest > 0 {
+			sleep(ctx, s.deployment.clock, rest)
 		}
 	}
 }
@@ -141,7 +141,7 @@
 func (s *Syncer) once(ctx context.Context, node *wire.Node, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callGrace)
 	defer cancel()
-	with := s.exchange.sessions.of(withoutIncarnation(node), s.house.clock.Now())
+	with := s.exchange.sessions.of(withoutIncarnation(node), s.deployment.clock.Now())
 	req := s.exchange.request(with, wait)
 	counters.Add("syncCalls", 1)
 	countMessage("bytesOut", "entry", req)
@@ -151,7 +151,7 @@
 	}
 	countMessage("bytesIn", "entry", reply)
 	s.exchange.takeReply(ctx, with, reply, s.fetchFrom(node))
-	if wait > 0 && s.house.ObserveKnown(reply.GetKnown()) {
+	if wait > 0 && s.deployment.ObserveKnown(reply.GetKnown()) {
 		s.Pull(node)
 	}
 	return nil
@@ -167,7 +167,7 @@
 	if !busy {
 		return
 	}
-	timer := s.house.clock.NewTimer(pullPatience)
+	timer := s.deployment.clock.NewTimer(pullPatience)
 	defer timer.Stop()
 	select {
 	case <-done:
@@ -214,7 +214,7 @@
 	if len(lacking) == 0 {
 		return false
 	}
-	req := &wire.PartsRequest{From: s.exchange.self, Known: s.house.Known()}
+	req := &wire.PartsRequest{From: s.exchange.self, Known: s.deployment.Known()}
 	for _, at := range lacking[:min(len(lacking), maxHashes)] {
 		req.Hashes = append(req.Hashes, hashes[at])
 	}
@@ -250,7 +250,7 @@
 // of the same news at the same moment: one of them is asked, and another only
 // where it takes long.
 func (s *Syncer) Pull(node *wire.Node) {
-	now := s.house.clock.Now()
+	now := s.deployment.clock.Now()
 	s.mu.Lock()
 	ctx := s.base
 	busy := len(s.pulling) > 0 && now.Sub(s.pulledAt) < pullPatience
--- a/entry/internal/control/watcher.go
+++ b/entry/internal/control/watcher.go
@@ -36,16 +36,16 @@
 // Watcher learns from the service: by watches while this process holds its
 // failure domain's watch lease, and by rare reads always.
 type Watcher struct {
-	house   *House
-	docs    *store.Store
-	service *kv.Store
+	deployment *Deployment
+	docs       *store.Store
+	service    *kv.Store
 	// holding reports whether this process should watch.
 	holding func() bool
 }
 
 // NewWatcher returns a Watcher.
-func NewWatcher(house *House, docs *store.Store, service *kv.Store, holding func() bool) *Watcher {
-	return &Watcher{house: house, docs: docs, service: service, holding: holding}
+func NewWatcher(deployment *Deployment, docs *store.Store, service *kv.Store, holding func() bool) *Watcher {
+	return &Watcher{deployment: deployment, docs: docs, service: service, holding: holding}
 }
 
 // Run watches and reads until ctx ends.
@@ -62,14 +62,14 @@
 	pause := backoffLeast
 	for ctx.Err() == nil {
 		if err := w.ReadAll(ctx); err != nil {
-			w.house.log.Debug("service not read", "error", err)
+			w.deployment.log.Debug("service not read", "error", err)
 			counters.Add("readFailed", 1)
-			sleep(ctx, w.house.clock, jittered(pause))
+			sleep(ctx, w.deployment.clock, jittered(pause))
 			pause = min(2*pause, pollInterval)
 			continue
 		}
 		pause = backoffLeast
-		sleep(ctx, w.house.clock, jittered(2*pollInterval))
+		sleep(ctx, w.deployment.clock, jittered(2*pollInterval))
 	}
 }
 
@@ -86,7 +86,7 @@
 
 // ReadRoot reads the root and brings it into force where it is newer.
 func (w *Watcher) ReadRoot(ctx context.Context) error {
-	began := w.house.clock.Now()
+	began := w.deployment.clock.Now()
 	root, err := w.docs.Root(ctx)
 	if err != nil {
 		return err
@@ -95,18 +95,18 @@
 }
 
 func (w *Watcher) takeRoot(ctx context.Context, root *wire.Root, confirmedAt time.Time) error {
-	if root.GetRevision() < w.house.Root().GetRevision() {
+	if root.GetRevision() < w.deployment.Root().GetRevision() {
 		// The service lost writes or was restored from an old backup. What is in
 		// force stays; operators must learn of it.
 		counters.Add("serviceBehind", 1)
-		w.house.log.Error("the service is behind", "serviceRevision", root.GetRevision(),
-			"revision", w.house.Root().GetRevision(), "remedy", "restore document/ in the key-value service")
+		w.deployment.log.Error("the service is behind", "serviceRevision", root.GetRevision(),
+			"revision", w.deployment.Root().GetRevision(), "remedy", "restore document/ in the key-value service")
 		return nil
 	}
-	if err := w.house.OfferRoot(ctx, root, "service", w.docs.Fetch); err != nil {
+	if err := w.deployment.OfferRoot(ctx, root, "service", w.docs.Fetch); err != nil {
 		return err
 	}
-	w.house.Confirm(root.GetRevision(), confirmedAt)
+	w.deployment.Confirm(root.GetRevision(), confirmedAt)
 	return nil
 }
 
@@ -124,7 +124,7 @@
 	if err := proto.Unmarshal(value, plan); err != nil {
 		return failure.Wrap(err, failure.Corrupt, "the stored plan cannot be read", "delete the key plan; the planner writes it anew")
 	}
-	w.house.OfferPlan(plan, "service")
+	w.deployment.OfferPlan(plan, "service")
 	return nil
 }
 
@@ -142,7 +142,7 @@
 		}
 	}
 	if marks.Revision > 0 {
-		w.house.OfferDrains(marks, "service")
+		w.deployment.OfferDrains(marks, "service")
 	}
 	return nil
 }
@@ -155,7 +155,7 @@
 	for ctx.Err() == nil {
 		if !w.holding() {
 			after = kv.Latest
-			sleep(ctx, w.house.clock, holdCheck)
+			sleep(ctx, w.deployment.clock, holdCheck)
 			continue
 		}
 		next, err := w.watchOnce(ctx, prefix, after, read)
@@ -167,8 +167,8 @@
 		// the watch did not tell.
 		after = kv.Latest
 		counters.Add("watchFailed", 1)
-		w.house.log.Debug("watch failed", "prefix", prefix, "error", err)
-		sleep(ctx, w.house.clock, jittered(pause))
+		w.deployment.log.Debug("watch failed", "prefix", prefix, "error", err)
+		sleep(ctx, w.deployment.clock, jittered(pause))
 		pause = min(2*pause, backoffMost)
 	}
 }
@@ -184,7 +184,7 @@
 		}
 		return now, read(ctx)
 	}
-	began := w.house.clock.Now()
+	began := w.deployment.clock.Now()
 	changes, now, err := w.service.Watch(ctx, prefix, after, watchWait)
 	if err != nil {
 		return 0, err
@@ -204,7 +204,7 @@
 // confirmQuiet notes that the root did not change up to the end of a watch.
 func (w *Watcher) confirmQuiet(prefix string, began time.Time) {
 	if prefix == store.RootKey {
-		w.house.Confirm(w.house.Root().GetRevision(), began.Add(min(watchWait, w.house.clock.Since(began))))
+		w.deployment.Confirm(w.deployment.Root().GetRevision(), began.Add(min(watchWait, w.deployment.clock.Since(began))))
 	}
 }
 
@@ -220,7 +220,7 @@
 		if err != nil {
 			return err
 		}
-		return w.takeRoot(ctx, root, w.house.clock.Now())
+		return w.takeRoot(ctx, root, w.deployment.clock.Now())
 	case PlanKey:
 		return w.takePlan(last.Value())
 	}
--- a/entry/internal/gateway/births_test.go
+++ b/entry/internal/gateway/births_test.go
@@ -19,7 +19,7 @@
 }
 
 // born registers an endpoint again, in the incarnation given.
-func (h *house) born(end *endpoint, incarnation int64, revision uint64) {
+func (h *deployment) born(end *endpoint, incarnation int64, revision uint64) {
 	h.state.Apply([]site.Record{{Kind: site.EndpointRecord, ID: end.id, Revision: revision, Endpoint: fleet.Registration{
 		ID: end.id, Born: incarnation, Service: "app", Address: end.address, Slots: 4,
 	}}}, revision)
@@ -32,7 +32,7 @@
 func TestRequestOfAFormerIncarnationIsGivenUpAtOnce(t *testing.T) {
 	arrived := make(chan struct{}, 1)
 	end := newEndpoint(t, "i-1", silent(t, arrived))
-	h := newHouse(t)
+	h := newDeployment(t)
 	h.born(end, 1000, 2)
 	began := h.clock.Now()
 	go func() {
@@ -56,7 +56,7 @@
 	end.mu.Lock()
 	end.accepted = func() { conns++ }
 	end.mu.Unlock()
-	h := newHouse(t)
+	h := newDeployment(t)
 	for incarnation := range 3 {
 		h.born(end, int64(1000*(incarnation+1)), uint64(2+incarnation))
 		for range 2 {
@@ -75,7 +75,7 @@
 func TestNextIncarnationMayHaveWhatTheFormerOneLost(t *testing.T) {
 	arrived := make(chan struct{}, 1)
 	end := newEndpoint(t, "i-1", silent(t, arrived))
-	h := newHouse(t)
+	h := newDeployment(t)
 	h.born(end, 1000, 2)
 	go func() {
 		<-arrived
--- a/entry/internal/gateway/house_test.go
+++ b/entry/internal/gateway/deployment_test.go
@@ -181,8 +181,8 @@
 	}
 }
 
-// house is a gateway before endpoints.
-type house struct {
+// deployment is a gateway before endpoints.
+type deployment struct {
 	clock *clockwork.FakeClock
 	now   time.Duration // of the freshness clock
 	// asked is called when somebody asks for the age of what is known, before it is told;
@@ -207,9 +207,9 @@
 	{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, MaxAttempts: 1, Public: true},
 }
 
-func newHouse(t *testing.T, endpoints ...*endpoint) *house {
+func newDeployment(t *testing.T, endpoints ...*endpoint) *deployment {
 	t.Helper()
-	h := &house{clock: clockwork.NewFakeClock(), log: &output{}, told: make(chan site.Report, 16), slack: 100}
+	h := &deployment{clock: clockwork.NewFakeClock(), log: &output{}, told: make(chan site.Report, 16), slack: 100}
 	fresh := freshness.NewTracker(func() time.Duration {
 		if h.asked != nil {
 			h.asked()
@@ -251,7 +251,7 @@
 
 // tick moves the clock on while a request waits for it, five times as fast as the
 // clock on the wall: nothing is decided by how long the network takes.
-func (h *house) tick(ctx context.Context) {
+func (h *deployment) tick(ctx context.Context) {
 	for h.clock.BlockUntilContext(ctx, 1) == nil {
 		h.clock.Advance(5 * time.Millisecond)
 		time.Sleep(time.Millisecond)
@@ -267,7 +267,7 @@
 	close  bool // the connection is not to be used again
 }
 
-func (h *house) send(t *testing.T, path, key, body string) answer {
+func (h *deployment) send(t *testing.T, path, key, body string) answer {
 	t.Helper()
 	h.ids++
 	req, err := http.NewRequest(http.MethodPost, h.server.URL+path, strings.NewReader(body))
@@ -292,7 +292,7 @@
 }
 
 // begun waits until a caller was sent so many events of an answer.
-func (h *house) begun(t *testing.T, events int) {
+func (h *deployment) begun(t *testing.T, events int) {
 	t.Helper()
 	for range 2000 {
 		if h.gateway.Figures()["events"] >= int64(events) {
--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -23,7 +23,7 @@
 
 func TestAnswerOfAnEndpointIsRelayed(t *testing.T) {
 	end := newEndpoint(t, "i-1", whole("hello"))
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	got := h.send(t, "/once/a?b=c", "key-1", "body")
 	got.check(t, 200, "hello", true)
 	if got, want := got.header.Get("X-Server-Stamp"), "s-hello"; got != want {
@@ -40,7 +40,7 @@
 // program or by the library under it.
 func TestWhatRunsOnceIsSentOnce(t *testing.T) {
 	one, two := newEndpoint(t, "i-1", nil, nil), newEndpoint(t, "i-2", nil, nil)
-	h := newHouse(t, one, two)
+	h := newDeployment(t, one, two)
 	for _, path := range []string{"/once/a", "/two/a"} {
 		h.send(t, path, "key-1", "").check(t, 502, "", true)
 	}
@@ -54,7 +54,7 @@
 // connection that turns out to be closed.
 func TestKeptConnectionThatBreaksIsNoReasonToSendAgain(t *testing.T) {
 	end := newEndpoint(t, "i-1", whole("first"), nil, whole("never"))
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.send(t, "/once/a", "key-1", "").check(t, 200, "first", true)
 	h.send(t, "/once/a", "key-1", "").check(t, 502, "", true)
 	if got, want := sum(end), 2; got != want {
@@ -64,7 +64,7 @@
 
 func TestRefusalThatProvesNotRunGoesElsewhere(t *testing.T) {
 	one, two := newEndpoint(t, "i-1", notRun), newEndpoint(t, "i-2", notRun)
-	h := newHouse(t, one, two)
+	h := newDeployment(t, one, two)
 	h.send(t, "/two/a", "key-1", "").check(t, 503, "", true)
 	if got, want := sum(one, two), 2; got != want {
 		t.Errorf("got %d sendings, want %d", got, want)
@@ -77,7 +77,7 @@
 
 func TestRefusedCallerHearsWhenToComeBack(t *testing.T) {
 	one, two, three := newEndpoint(t, "i-1", notRun), newEndpoint(t, "i-2", notRun), newEndpoint(t, "i-3", notRun)
-	h := newHouse(t, one, two, three)
+	h := newDeployment(t, one, two, three)
 	got := h.send(t, "/once/a", "key-1", "")
 	got.check(t, 503, "", true)
 	if got.header.Get("Retry-After") == "" {
@@ -91,7 +91,7 @@
 // written to the caller and then taken for an answer that broke off.
 func TestSecondFailureIsAnswered(t *testing.T) {
 	one, two := newEndpoint(t, "i-1", failing(500)), newEndpoint(t, "i-2", failing(500))
-	h := newHouse(t, one, two)
+	h := newDeployment(t, one, two)
 	got := h.send(t, "/safe/a", "key-1", "")
 	got.check(t, 500, "fail", true)
 	if got, want := got.header.Get("X-Server-Stamp"), "f"; got != want {
@@ -109,7 +109,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			one, two := newEndpoint(t, "i-1", first), newEndpoint(t, "i-2", first)
-			h := newHouse(t, one, two)
+			h := newDeployment(t, one, two)
 			// One of the two is asked first and spoils its answer; the other's
 			// first is spoilt too, so both are made sound for the second send.
 			one.mu.Lock()
@@ -127,11 +127,11 @@
 // Cause: what is read next is taken for the answer to what was sent last.
 func TestAnswerToAnotherRequestReachesNobody(t *testing.T) {
 	extra := func(id string) []byte { return append(whole("first")(id), whole("extra")(id)...) }
-	h := newHouse(t, newEndpoint(t, "i-1", extra))
+	h := newDeployment(t, newEndpoint(t, "i-1", extra))
 	h.send(t, "/once/a", "key-1", "").check(t, 200, "first", true)
 	h.send(t, "/once/a", "key-1", "").check(t, 200, "ok", true)
 	late := func(id string) []byte { return append(whole("late")("id-0"), whole("mine")(id)...) }
-	h = newHouse(t, newEndpoint(t, "i-1", late))
+	h = newDeployment(t, newEndpoint(t, "i-1", late))
 	h.send(t, "/once/a", "key-1", "").check(t, 200, "mine", true)
 }
 
@@ -140,7 +140,7 @@
 // passed on as they come, or the stream begins anew.
 func TestStreamGoesOnElsewhereAfterTheLastWholeEvent(t *testing.T) {
 	one, two := newEndpoint(t, "i-1", events(1, 3, true)), newEndpoint(t, "i-2", events(1, 3, true))
-	h := newHouse(t, one, two)
+	h := newDeployment(t, one, two)
 	resumed := events(3, 5, false)
 	for _, end := range []*endpoint{one, two} {
 		end.mu.Lock()
@@ -166,7 +166,7 @@
 }
 
 func TestStreamThatNobodyTakesOverDoesNotLookWhole(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1", events(1, 3, true)))
+	h := newDeployment(t, newEndpoint(t, "i-1", events(1, 3, true)))
 	got := h.send(t, "/stream/a", "key-1", "")
 	if got.whole {
 		t.Errorf("got a whole answer %q, want one that broke off", got.body)
@@ -177,7 +177,7 @@
 }
 
 func TestUnknownKeysAndRoutes(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1"))
+	h := newDeployment(t, newEndpoint(t, "i-1"))
 	h.send(t, "/once/a", "other", "").check(t, 401, "", true)
 	h.send(t, "/once/a", "", "").check(t, 401, "", true)
 	h.send(t, "/none/a", "key-1", "").check(t, 404, "", true)
@@ -189,7 +189,7 @@
 // the store for seconds. Cause: what it knew last was taken for what is in force.
 func TestOldKnowledgeOpensAndRefusesNothingForGood(t *testing.T) {
 	end := newEndpoint(t, "i-1")
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.now = 3500 * time.Millisecond
 	h.send(t, "/once/a", "key-1", "").check(t, 200, "ok", true)
 	h.send(t, "/once/a", "other", "").check(t, 503, "", true)
@@ -205,7 +205,7 @@
 // age after, so an old one counted as proven just now.
 func TestConfigurationIsNoNewerThanItsAge(t *testing.T) {
 	end := newEndpoint(t, "i-1")
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	newer := catalog.Spec{Version: 2, Services: []catalog.Service{{Name: "app"}}, Limits: catalog.Limits{BodyBytes: 100},
 		Customers: []catalog.Customer{{Name: "mine", Keys: []string{"key-2"}}}}
 	for _, route := range testRoutes {
@@ -226,7 +226,7 @@
 
 func TestBadInputReachesNoEndpoint(t *testing.T) {
 	end := newEndpoint(t, "i-1")
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.send(t, "/once/a", "key-1", strings.Repeat("x", 101)).check(t, 413, "", true)
 	req, err := http.NewRequest(http.MethodGet, h.server.URL+"/once/a", nil)
 	if err != nil {
@@ -248,7 +248,7 @@
 
 func TestDrainingEntryProvesThatNothingRan(t *testing.T) {
 	end := newEndpoint(t, "i-1")
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.gateway.Drain()
 	got := h.send(t, "/once/a", "key-1", "")
 	got.check(t, 503, "", true)
@@ -261,7 +261,7 @@
 }
 
 func TestEntryWithoutAConfigurationSaysSo(t *testing.T) {
-	h := newHouse(t)
+	h := newDeployment(t)
 	empty := site.NewState(h.clock.Now, fleet.New(h.clock.Now), freshness.NewTracker(func() time.Duration { return 0 }))
 	server := httptest.NewServer(gateway.New(gateway.Config{
 		State: empty, Pool: upstream.NewPool(time.Now), Wire: platform.Wire(), Clock: h.clock, Log: slog.New(slog.DiscardHandler),
@@ -293,7 +293,7 @@
 		_, _ = reader.ReadByte() // ends when the entry closes
 		close(ended)
 	}()
-	h := newHouse(t, &endpoint{id: "i-1", address: lis.Addr().String()})
+	h := newDeployment(t, &endpoint{id: "i-1", address: lis.Addr().String()})
 	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -312,7 +312,7 @@
 func TestRequestWithoutAnAnswerMayHaveRun(t *testing.T) {
 	ended := make(chan struct{})
 	silent := func(string) []byte { <-ended; return nil }
-	h := newHouse(t, newEndpoint(t, "i-1", silent))
+	h := newDeployment(t, newEndpoint(t, "i-1", silent))
 	got := h.send(t, "/once/a", "key-1", "")
 	close(ended)
 	got.check(t, 504, "", true)
@@ -322,7 +322,7 @@
 // right after it.
 func TestRefusalIsStillProofWhenTheTimeIsOver(t *testing.T) {
 	one := newEndpoint(t, "i-1", notRun)
-	h := newHouse(t, one)
+	h := newDeployment(t, one)
 	h.send(t, "/two/a", "key-1", "").check(t, 503, "", true)
 	if got, want := sum(one), 1; got != want {
 		t.Errorf("got %d sendings, want %d", got, want)
@@ -359,7 +359,7 @@
 			_, _ = conn.Write(whole("ok")("id-2"))
 		}
 	}()
-	h := newHouse(t, &endpoint{id: "i-1", address: lis.Addr().String()})
+	h := newDeployment(t, &endpoint{id: "i-1", address: lis.Addr().String()})
 	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/entry/internal/gateway/held_test.go
+++ b/entry/internal/gateway/held_test.go
@@ -13,13 +13,13 @@
 	"comfreyrelay.example/relay/quarantine"
 )
 
-// printOf is the fingerprint of what house.send sends.
+// printOf is the fingerprint of what deployment.send sends.
 func printOf(path, body string) quarantine.Fingerprint {
 	return quarantine.Of("mine", http.MethodPost, "h", path, []byte(body))
 }
 
 // ended lets an entry learn that so many endpoints ended under a request.
-func (h *house) ended(print quarantine.Fingerprint, count int) {
+func (h *deployment) ended(print quarantine.Fingerprint, count int) {
 	for i := range count {
 		h.state.Ledger().Observe(quarantine.Report{
 			End: quarantine.End{Endpoint: fmt.Sprintf("gone-%d", i)}, Suspects: []quarantine.Fingerprint{print},
@@ -29,7 +29,7 @@
 
 func TestHeldRequestIsRefusedAtOnce(t *testing.T) {
 	end := newEndpoint(t, "i-1")
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.ended(printOf("/safe/a", "deadly"), 3)
 	got := h.send(t, "/safe/a", "key-1", "deadly")
 	got.check(t, http.StatusServiceUnavailable, "endpoints ended under this request", true)
@@ -49,7 +49,7 @@
 // it waits for a place while the third end is learned. Cause: only its arrival was checked. It
 // is answered as soon as that is learned: the clock stands still here.
 func TestHeldRequestThatWaitsIsAnsweredAtOnce(t *testing.T) {
-	h := newHouse(t)
+	h := newDeployment(t)
 	h.freeze()
 	answered := make(chan answer)
 	go func() { answered <- h.send(t, "/safe/a", "key-1", "deadly") }()
@@ -66,7 +66,7 @@
 // ends that endpoint too; one that is being answered goes on.
 func TestHeldRequestInProgressIsGivenUp(t *testing.T) {
 	reached, release := make(chan struct{}), make(chan struct{})
-	h := newHouse(t, newEndpoint(t, "i-1", func(id string) []byte {
+	h := newDeployment(t, newEndpoint(t, "i-1", func(id string) []byte {
 		close(reached)
 		<-release
 		return whole("late")(id)
@@ -91,7 +91,7 @@
 		_, _ = io.WriteString(w, "id: 2\ndata: two\n\n")
 	}))
 	t.Cleanup(engine.Close)
-	h := newHouse(t, &endpoint{id: "i-1", address: engine.Listener.Addr().String()})
+	h := newDeployment(t, &endpoint{id: "i-1", address: engine.Listener.Addr().String()})
 	req, err := http.NewRequest(http.MethodPost, h.server.URL+"/stream/a", strings.NewReader("long"))
 	if err != nil {
 		t.Fatal(err)
@@ -125,7 +125,7 @@
 		end.accepted = func() { _ = end.listener.Close() }
 		end.mu.Unlock()
 	}
-	h := newHouse(t, one, two)
+	h := newDeployment(t, one, two)
 	h.ended(printOf("/safe/a", "deadly"), 2)
 	h.send(t, "/safe/a", "key-1", "deadly").check(t, http.StatusBadGateway, "endpoints ended under this request", true)
 	if got, want := sum(one, two), 1; got != want {
@@ -138,7 +138,7 @@
 	end.mu.Lock()
 	end.accepted = func() { _ = end.listener.Close() }
 	end.mu.Unlock()
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.send(t, "/once/a", "key-1", "deadly").check(t, http.StatusBadGateway, "", true)
 	got := <-h.told
 	if got.End.Endpoint != "i-1" || len(got.Suspects) != 1 || got.Suspects[0] != printOf("/once/a", "deadly") || len(got.Running) != 0 {
@@ -153,7 +153,7 @@
 	end.mu.Lock()
 	end.accepted = func() { _ = end.listener.Close() }
 	end.mu.Unlock()
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.send(t, "/stream/a", "key-1", "long")
 	got := <-h.told
 	if len(got.Suspects) != 0 || len(got.Running) != 1 || got.Running[0] != printOf("/stream/a", "long") {
@@ -164,7 +164,7 @@
 // An answer that refuses acquits nobody: an endpoint that reads no request to its end answers
 // the deadly one too.
 func TestRefusalByAnEndpointAcquitsNobody(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1", failing(http.StatusBadRequest)))
+	h := newDeployment(t, newEndpoint(t, "i-1", failing(http.StatusBadRequest)))
 	print := printOf("/safe/a", "deadly")
 	h.ended(print, 2)
 	h.send(t, "/safe/a", "key-1", "deadly").check(t, http.StatusBadRequest, "fail", true)
@@ -176,7 +176,7 @@
 // refused later. Sequence: two ends, then it is served; then one more end. Cause: ends were
 // added up though a good answer shows that it ends nothing.
 func TestServedRequestIsAcquitted(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1"))
+	h := newDeployment(t, newEndpoint(t, "i-1"))
 	print := printOf("/safe/a", "beside")
 	h.ended(print, 2)
 	h.send(t, "/safe/a", "key-1", "beside").check(t, http.StatusOK, "ok", true)
@@ -192,7 +192,7 @@
 // Symptom: after some thousand refusals an entry refuses every request with a body, "too many
 // bodies in memory". Cause: the bytes of a held request's body were counted and not given back.
 func TestHeldRequestLeavesNothingInMemory(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1"))
+	h := newDeployment(t, newEndpoint(t, "i-1"))
 	h.ended(printOf("/safe/a", "deadly"), 3)
 	h.send(t, "/safe/a", "key-1", "deadly").check(t, http.StatusServiceUnavailable, "", true)
 	h.send(t, "/safe/a", "key-1", "other").check(t, http.StatusOK, "", true)
--- a/entry/internal/gateway/inquest_test.go
+++ b/entry/internal/gateway/inquest_test.go
@@ -58,7 +58,7 @@
 		end  *endpoint
 		want string
 	}{{ended, "ended=true"}, {lives, "ended=false"}} {
-		h := newHouse(t, one.end)
+		h := newDeployment(t, one.end)
 		h.send(t, "/once/a", "key-1", "body").check(t, 502, "", true)
 		h.log.line(t, `msg="endpoint looked at"`, "endpoint="+one.end.id, one.want, "requests=[id-1]", "events=[0]")
 	}
@@ -67,7 +67,7 @@
 // Two tries of one request have ids of their own; the log shows that they are the same.
 func TestLogShowsThatARequestCameAgain(t *testing.T) {
 	end := newEndpoint(t, "i-1")
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.send(t, "/safe/a", "key-1", "body")
 	h.send(t, "/safe/a", "key-1", "body")
 	h.send(t, "/safe/a", "key-1", "other")
--- a/entry/internal/gateway/limit_test.go
+++ b/entry/internal/gateway/limit_test.go
@@ -20,7 +20,7 @@
 // Guards against requests that wait in vain for an endpoint whose rate limit can't admit them
 // in time, and against a time to return that is too early.
 func TestRequestBeyondRateLimitIsRefusedAtOnce(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1", limiting("0.25")))
+	h := newDeployment(t, newEndpoint(t, "i-1", limiting("0.25")))
 	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
 	h.freeze()
 	got := h.send(t, "/safe/a", "key-1", "")
@@ -35,7 +35,7 @@
 // nothing but time brings the next credit.
 func TestRequestWaitsForCreditOfRateLimit(t *testing.T) {
 	end := newEndpoint(t, "i-1", limiting("2"), limiting("2"))
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
 	h.freeze()
 	answered := make(chan answer)
@@ -51,7 +51,7 @@
 
 // Guards against an entry without a part of a rate limit that keeps its callers.
 func TestEntryWithoutPartOfRateLimitSendsCallersElsewhere(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1", limiting("1")))
+	h := newDeployment(t, newEndpoint(t, "i-1", limiting("1")))
 	var others []string
 	for i := range 98 {
 		others = append(others, fmt.Sprint("other-", i))
@@ -76,7 +76,7 @@
 		<-release
 		return whole("old")(id)
 	}, limiting("0.25"))
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	old := make(chan answer)
 	go func() { old <- h.send(t, "/safe/old", "key-1", "") }()
 	<-reached
@@ -90,7 +90,7 @@
 // Guards against entries that go by a rate limit which the endpoint has changed: only who sends
 // there sees that.
 func TestChangedRateLimitIsToldToOtherEntries(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1", limiting("100"), limiting("100"), limiting("50"), limiting("50")))
+	h := newDeployment(t, newEndpoint(t, "i-1", limiting("100"), limiting("100"), limiting("50"), limiting("50")))
 	for range 4 {
 		h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
 	}
--- a/entry/internal/gateway/silence_test.go
+++ b/entry/internal/gateway/silence_test.go
@@ -12,7 +12,7 @@
 // for a moment while no other endpoint had room.
 func TestStreamOfASilentEndpointIsNotBrokenOffWhereNoOtherHasRoom(t *testing.T) {
 	end := newEndpoint(t, "i-1", pausing(1, 5, 2))
-	h := newHouse(t, end)
+	h := newDeployment(t, end)
 	h.freeze()
 	answered := make(chan answer)
 	go func() { answered <- h.send(t, "/stream/a", "key-1", "") }()
@@ -30,7 +30,7 @@
 // against a log that doesn't tell why it moved.
 func TestStreamOfASilentEndpointMovesOnceAnotherHasRoom(t *testing.T) {
 	dead, alive := newEndpoint(t, "i-dead", pausing(1, 5, 2)), newEndpoint(t, "i-alive", events(3, 5, false))
-	h := newHouse(t, dead)
+	h := newDeployment(t, dead)
 	h.freeze()
 	answered := make(chan answer)
 	go func() { answered <- h.send(t, "/stream/a", "key-1", "") }()
@@ -50,7 +50,7 @@
 // still come, and nobody else may give one.
 func TestStreamOfASilentEndpointIsNotBrokenOffWhereRepeatsAreUsedUp(t *testing.T) {
 	silent, other := newEndpoint(t, "i-1", pausing(1, 5, 2)), newEndpoint(t, "i-2")
-	h := newHouse(t, silent)
+	h := newDeployment(t, silent)
 	h.slack = 0
 	h.freeze()
 	answered := make(chan answer)
@@ -68,7 +68,7 @@
 
 // cutStream sends a stream whose only endpoint breaks off after two events, and returns once it
 // waits for another one.
-func (h *house) cutStream(t *testing.T) <-chan answer {
+func (h *deployment) cutStream(t *testing.T) <-chan answer {
 	t.Helper()
 	h.freeze()
 	answered := make(chan answer, 1)
@@ -88,7 +88,7 @@
 func TestStreamThatWasCutWaitsForRoomAsLongAsItsCallerDoes(t *testing.T) {
 	for name, drain := range map[string]bool{"serving": false, "draining": true} {
 		t.Run(name, func(t *testing.T) {
-			h := newHouse(t, newEndpoint(t, "i-1", events(1, 3, true)))
+			h := newDeployment(t, newEndpoint(t, "i-1", events(1, 3, true)))
 			answered := h.cutStream(t)
 			if drain {
 				h.gateway.Drain()
@@ -108,7 +108,7 @@
 // Guards against a stream that is broken off because repeats were used up at the moment when its
 // endpoint broke off: more requests allow more repeats.
 func TestStreamThatWasCutWaitsForTheBudget(t *testing.T) {
-	h := newHouse(t, newEndpoint(t, "i-1", events(1, 3, true)))
+	h := newDeployment(t, newEndpoint(t, "i-1", events(1, 3, true)))
 	h.slack = 0
 	answered := h.cutStream(t)
 	other := newEndpoint(t, "i-2", whole("a"), whole("b"), whole("c"), whole("d"), whole("e"), whole("f"), whole("g"), events(3, 5, false))
@@ -120,7 +120,7 @@
 }
 
 // pass lets the time of a frozen clock go by in steps until a request is answered.
-func (h *house) pass(answered <-chan answer, span time.Duration) answer {
+func (h *deployment) pass(answered <-chan answer, span time.Duration) answer {
 	const step = 100 * time.Millisecond
 	for passed := time.Duration(0); passed < span; passed += step {
 		select {
--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -50,7 +50,7 @@
 			"timeout_ms": 5000, "target_latency_ms": 2000, "service": "app", "max_attempts": 2,
 		}},
 		"services": []map[string]any{{"name": "app"}},
-		"tenants":  []map[string]any{{"name": "house", "api_keys": []string{"key-1"}}},
+		"tenants":  []map[string]any{{"name": "deployment", "api_keys": []string{"key-1"}}},
 	})
 	for i := range workers {
 		id := fmt.Sprintf("i-%d", i)
@@ -267,7 +267,7 @@
 				"timeout_ms": 5000, "target_latency_ms": 2000, "service": "app", "max_attempts": 2},
 		},
 		"services": []map[string]any{{"name": "app"}},
-		"tenants":  []map[string]any{{"name": "house", "api_keys": []string{"key-1"}}},
+		"tenants":  []map[string]any{{"name": "deployment", "api_keys": []string{"key-1"}}},
 	})
 	for _, one := range f.entries {
 		eventually(f.t, "the mark is in force", func() error {
--- a/entry/internal/onsite/whole_test.go
+++ b/entry/internal/onsite/whole_test.go
@@ -98,7 +98,7 @@
 				"timeout_ms": 5000, "target_latency_ms": 500, "service": "app", "max_attempts": 1,
 			}},
 			"services": []map[string]any{{"name": "app"}},
-			"tenants":  []map[string]any{{"name": "house", "api_keys": keys}},
+			"tenants":  []map[string]any{{"name": "deployment", "api_keys": keys}},
 		}
 	}
 	standIn.Put("op/config", config(1, "key-1"))
@@ -145,7 +145,7 @@
 		t.Errorf("got %+v, want this entry for some time", answer)
 	}
 	got, body := call(t, set, "key-1")
-	if got != 200 || body != "/x/y?z=1 for house" {
+	if got != 200 || body != "/x/y?z=1 for deployment" {
 		t.Errorf("got %d %q, want the worker's answer", got, body)
 	}
 
--- a/entry/internal/operators/operators.go
+++ b/entry/internal/operators/operators.go
@@ -1,5 +1,5 @@
 // Package operators serves the operators' HTTP API: the document, its history,
-// the state of the house and drains. The console calls the same methods.
+// the state of the deployment and drains. The console calls the same methods.
 package operators
 
 import (
@@ -29,12 +29,12 @@
 
 // Config is what the API needs.
 type Config struct {
-	View    *view.Holder
-	House   *control.House
-	Docs    *store.Store
-	Service *kv.Store
-	Clock   clockwork.Clock
-	Log     *slog.Logger
+	View       *view.Holder
+	Deployment *control.Deployment
+	Docs       *store.Store
+	Service    *kv.Store
+	Clock      clockwork.Clock
+	Log        *slog.Logger
 	// BootstrapKeyHashes may act while no document is in force.
 	BootstrapKeyHashes []string
 }
@@ -64,9 +64,9 @@
 }
 
 // InForce returns the revision and document in force; nil where there is none.
-// It reads the house and not the view: an operator who submits twice in a moment
+// It reads the deployment and not the view: an operator who submits twice in a moment
 // would else get the base before his own first change, and a conflict with it.
-func (a *API) InForce() (uint32, *wire.Document) { return a.cfg.House.InForce() }
+func (a *API) InForce() (uint32, *wire.Document) { return a.cfg.Deployment.InForce() }
 
 // Validate returns everything wrong in a document's text, and the document
 // where nothing is.
@@ -80,7 +80,7 @@
 
 // Problems returns what is wrong with a document in view of the hosts known.
 func (a *API) Problems(doc *wire.Document) []document.Problem {
-	return document.CheckAgainstHosts(doc, a.cfg.House.Members().EnginesByDomain())
+	return document.CheckAgainstHosts(doc, a.cfg.Deployment.Members().EnginesByDomain())
 }
 
 // Submit makes a document the next revision and brings it into force here.
@@ -107,10 +107,10 @@
 	}
 	a.cfg.Log.Info("document accepted", "revision", root.GetRevision(), "operator", root.GetAudit().GetOperator(),
 		"fromAddress", root.GetAudit().GetFromAddress(), "reason", root.GetAudit().GetReason())
-	if err := a.cfg.House.OfferRoot(ctx, root, "operator", a.cfg.Docs.Fetch); err != nil {
+	if err := a.cfg.Deployment.OfferRoot(ctx, root, "operator", a.cfg.Docs.Fetch); err != nil {
 		a.cfg.Log.Warn("accepted document not yet in force here", "revision", root.GetRevision(), "error", err)
 	}
-	a.cfg.House.Confirm(root.GetRevision(), began)
+	a.cfg.Deployment.Confirm(root.GetRevision(), began)
 	return root.GetRevision(), nil
 }
 
@@ -148,7 +148,7 @@
 		return err
 	}
 	a.cfg.Log.Info("drain mark", "host", host, "drain", drain, "operator", operator, "fromAddress", fromAddress)
-	return control.NewWatcher(a.cfg.House, a.cfg.Docs, a.cfg.Service, nil).ReadDrains(ctx)
+	return control.NewWatcher(a.cfg.Deployment, a.cfg.Docs, a.cfg.Service, nil).ReadDrains(ctx)
 }
 
 func (a *API) knowsHost(id string) bool {
--- a/entry/internal/operators/operators_test.go
+++ b/entry/internal/operators/operators_test.go
@@ -31,12 +31,12 @@
 
 // office is one entry's operators' API over a service in memory.
 type office struct {
-	t         *testing.T
-	api       *API
-	house     *control.House
-	publisher *control.Publisher
-	routes    chi.Router
-	down      bool
+	t          *testing.T
+	api        *API
+	deployment *control.Deployment
+	publisher  *control.Publisher
+	routes     chi.Router
+	down       bool
 	// skipBuild leaves the view as it was after a call.
 	skipBuild bool
 }
@@ -56,11 +56,11 @@
 	parts := store.NewParts(1 << 20)
 	node := &wire.Node{Id: "entry-0", Incarnation: "i1", Role: "entry", FailureDomain: "zona-uno"}
 	holder := view.NewHolder()
-	o.house = control.NewHouse(node, parts, holder, clock, log)
-	self := control.NewSelf(node, func() int { return 0 }, func() []*wire.Demand { return nil }, o.house.Known, o.house.HomeRevision)
-	o.publisher = control.NewPublisher(o.house, self.Make)
+	o.deployment = control.NewDeployment(node, parts, holder, clock, log)
+	self := control.NewSelf(node, func() int { return 0 }, func() []*wire.Demand { return nil }, o.deployment.Known, o.deployment.HomeRevision)
+	o.publisher = control.NewPublisher(o.deployment, self.Make)
 	o.api = New(Config{
-		View: holder, House: o.house, Docs: store.New(service, parts, clock, log), Service: service,
+		View: holder, Deployment: o.deployment, Docs: store.New(service, parts, clock, log), Service: service,
 		Clock: clock, Log: log, BootstrapKeyHashes: []string{document.KeyHash(bootKey)},
 	})
 	o.api.Routes(o.routes)
@@ -205,7 +205,7 @@
 	o := newOffice(t)
 	o.want(http.StatusOK, "POST", "/v1/document", bootKey, submissionOf(0, 1, "one"))
 	o.want(http.StatusNotFound, "POST", "/v1/hosts/nobody/drain", martaKey, map[string]any{"drain": true})
-	o.house.Members().ObserveHost(&wire.HostReport{
+	o.deployment.Members().ObserveHost(&wire.HostReport{
 		Node: &wire.Node{Id: "agent-0", Incarnation: "i1", Role: "agent"}, Sequence: 1, Home: "entry-0",
 	}, time.Now())
 	o.publisher.Build()
@@ -233,7 +233,7 @@
 	model := document.Example().GetModels()[0]
 	domain := model.GetReplicas()[0].GetFailureDomain()
 	for i, state := range []string{"serving", "fetching"} {
-		o.house.Members().ObserveHost(&wire.HostReport{
+		o.deployment.Members().ObserveHost(&wire.HostReport{
 			Node:     &wire.Node{Id: "agent-" + state, Incarnation: "i1", Role: "agent", FailureDomain: domain},
 			Sequence: 1, Home: "entry-0",
 			Versions: []*wire.VersionState{{
--- a/entry/internal/operators/status.go
+++ b/entry/internal/operators/status.go
@@ -45,18 +45,18 @@
 	Nodes          []Node `json:"nodes"`
 }
 
-// Status returns what this entry knows of the house.
+// Status returns what this entry knows of the deployment.
 func (a *API) Status() Status {
 	snap, _ := a.cfg.View.Load()
-	known := a.cfg.House.Known()
+	known := a.cfg.Deployment.Known()
 	status := Status{
-		Entry:          a.cfg.House.ID(),
+		Entry:          a.cfg.Deployment.ID(),
 		Revision:       known.GetRevision(),
 		PlanRevision:   known.GetPlanRevision(),
 		AgeMillis:      NeverConfirmed,
 		LowestRevision: known.GetRevision(),
 	}
-	if age, confirmed := a.cfg.House.Age(); confirmed {
+	if age, confirmed := a.cfg.Deployment.Age(); confirmed {
 		status.AgeMillis = millisOf(age)
 	}
 	now := a.cfg.Clock.Now()
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -172,7 +172,7 @@
 		return failure.Wrap(err, failure.Internal, "a plan cannot be encoded", "report this")
 	}
 	if len(value) > kv.MaxValueBytes {
-		return failure.New(failure.Exhausted, "the plan is larger than the service's largest value", "spread the models over more houses")
+		return failure.New(failure.Exhausted, "the plan is larger than the service's largest value", "spread the models over more deployments")
 	}
 	if _, ok := p.cfg.Holding(); !ok {
 		p.fence = 0
--- a/entry/internal/store/collect.go
+++ b/entry/internal/store/collect.go
@@ -17,7 +17,7 @@
 const collectGrace = 10 * time.Minute
 
 // listShards is the number of listings that one pass over all parts takes: the
-// parts of a large house do not fit one answer.
+// parts of a large deployment do not fit one answer.
 const listShards = 16
 
 // garbage is an unreferenced part as it was first seen.
--- a/relay/budget/budget_test.go
+++ b/relay/budget/budget_test.go
@@ -14,7 +14,7 @@
 	"comfreyrelay.example/relay/failure"
 )
 
-// The service's rates and the entries of one house.
+// The service's rates and the entries of one deployment.
 const (
 	serviceReads  = 2000
 	serviceWrites = 300
--- a/relay/document/document.go
+++ b/relay/document/document.go
@@ -1,5 +1,5 @@
 // Package document reads, checks, compares, splits and joins the operators'
-// document: the entire desired state of one house.
+// document: the entire desired state of one deployment.
 package document
 
 import (
--- a/relay/document/split_test.go
+++ b/relay/document/split_test.go
@@ -149,7 +149,7 @@
 	})
 }
 
-// Symptom: no host of a house without services ever learns of its document.
+// Symptom: no host of a deployment without services ever learns of its document.
 // Sequence: the empty section of services becomes a part without bytes; a
 // process asks another for it and gets what also means "I lack it", for ever.
 // Cause: empty parts were stored and listed.
--- a/relay/fallback/fallback.go
+++ b/relay/fallback/fallback.go
@@ -134,7 +134,7 @@
 
 // look moves the times on. After a pause all that is held is old: without a
 // new start of the outage's time, a process that wakes would take the whole
-// house for cut off from the service until its next reply.
+// deployment for cut off from the service until its next reply.
 func (c *Core) look(in Input) {
 	gap := in.Now.Sub(c.looked)
 	if !c.looked.IsZero() && (gap > c.limits.Pause || gap < 0) {
--- a/relay/hostlist/hostlist_test.go
+++ b/relay/hostlist/hostlist_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// Symptom: after a broken answer the house looks as it did long ago for ever.
+// Symptom: after a broken answer the deployment looks as it did long ago for ever.
 // Sequence: a list that cannot be read comes with a new tag, the next read is
 // answered by "not modified". Cause: the tag was kept without the list.
 func TestBrokenListLeavesTheTag(t *testing.T) {
--- a/relay/limit/bucket.go
+++ b/relay/limit/bucket.go
@@ -1,5 +1,5 @@
 // Package limit holds the decisions that keep customers within their limits
-// and fair to one another: token buckets, the share of a house-wide limit that
+// and fair to one another: token buckets, the share of a deployment-wide limit that
 // one entry holds, and the fair queue.
 package limit
 
--- a/relay/limit/share.go
+++ b/relay/limit/share.go
@@ -2,7 +2,7 @@
 
 import "comfreyrelay.example/relay/wire"
 
-// Share returns the fraction of a house-wide limit that the entry self holds
+// Share returns the fraction of a deployment-wide limit that the entry self holds
 // for one customer. Every entry computes it from the same demand reports, so
 // no write per request is needed.
 //
--- a/relay/limit/standing.go
+++ b/relay/limit/standing.go
@@ -1,6 +1,6 @@
 package limit
 
-// Use is what one customer asks of the whole house.
+// Use is what one customer asks of the whole deployment.
 type Use struct {
 	Weight float64 // share under overload; above 0
 	Demand float64 // in any unit of work a second; 0: not active
--- a/relay/membership/membership.go
+++ b/relay/membership/membership.go
@@ -181,7 +181,7 @@
 
 // ObserveList takes the platform's list, or the table's share of it; absence alone
 // changes no host's use. total is the length of the whole list: an empty one is
-// an outage of the list, not of the house, and changes nothing.
+// an outage of the list, not of the deployment, and changes nothing.
 func (t *Table) ObserveList(list []Listed, total int, now time.Time) {
 	if total == 0 {
 		return
@@ -198,7 +198,7 @@
 }
 
 // Adjust moves the times last seen after this process itself stood still
-// (paused, or its clock jumped): otherwise it would wake, find the whole house
+// (paused, or its clock jumped): otherwise it would wake, find the whole deployment
 // silent and route to nobody until every host has reported again.
 func (t *Table) Adjust(jump time.Duration) {
 	for _, held := range t.members {
--- a/relay/peer/keys.go
+++ b/relay/peer/keys.go
@@ -134,7 +134,7 @@
 func verifyChain(state tls.ConnectionState, pool *x509.CertPool) error {
 	if len(state.PeerCertificates) == 0 {
 		return failure.New(failure.Unauthorized, "the peer showed no certificate",
-			"give it keys signed by the house's authority")
+			"give it keys signed by the deployment's authority")
 	}
 	intermediates := x509.NewCertPool()
 	for _, cert := range state.PeerCertificates[1:] {
--- a/relay/peer/keys_test.go
+++ b/relay/peer/keys_test.go
@@ -21,13 +21,13 @@
 	return keys
 }
 
-func TestOnlyTheHousesAuthorityIsAccepted(t *testing.T) {
+func TestOnlyTheDeploymentsAuthorityIsAccepted(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	house, other := newAuthority(t), newAuthority(t)
-	entry := load(t, house.issue(t, t.TempDir(), "entry-1", RoleEntry), clock)
+	deployment, other := newAuthority(t), newAuthority(t)
+	entry := load(t, deployment.issue(t, t.TempDir(), "entry-1", RoleEntry), clock)
 	stranger := load(t, other.issue(t, t.TempDir(), "entry-1", RoleEntry), clock)
 	lis := listen(t, "127.0.0.1:0")
-	serve(t, lis, load(t, house.issue(t, t.TempDir(), "agent-1", RoleAgent), clock), answering())
+	serve(t, lis, load(t, deployment.issue(t, t.TempDir(), "agent-1", RoleAgent), clock), answering())
 	theirs := listen(t, "127.0.0.1:0")
 	serve(t, theirs, load(t, other.issue(t, t.TempDir(), "agent-1", RoleAgent), clock), answering())
 	for _, test := range []struct {
@@ -36,7 +36,7 @@
 		address string
 		works   bool
 	}{
-		{"the house's keys", entry, lis.Addr().String(), true},
+		{"the deployment's keys", entry, lis.Addr().String(), true},
 		{"another authority's client", stranger, lis.Addr().String(), false},
 		{"another authority's server", entry, theirs.Addr().String(), false},
 		{"clear text to a server with keys", nil, lis.Addr().String(), false},
@@ -97,11 +97,11 @@
 // between. Cause: the process dropped its good keys for files that do not parse.
 func TestHalfWrittenFileKeepsTheOldKeys(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	house := newAuthority(t)
-	entry := load(t, house.issue(t, t.TempDir(), "entry-1", RoleEntry), clock)
+	deployment := newAuthority(t)
+	entry := load(t, deployment.issue(t, t.TempDir(), "entry-1", RoleEntry), clock)
 	for _, half := range []string{"certificate", "key", "authority"} {
 		t.Run(half, func(t *testing.T) {
-			files := house.issue(t, t.TempDir(), "agent-1", RoleAgent)
+			files := deployment.issue(t, t.TempDir(), "agent-1", RoleAgent)
 			name := map[string]string{
 				"certificate": files.GetCertificateFile(), "key": files.GetKeyFile(), "authority": files.GetAuthorityFile(),
 			}[half]
@@ -136,7 +136,7 @@
 
 func TestRequireRefusesTheWrongRole(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	house := newAuthority(t)
+	deployment := newAuthority(t)
 	server := &hostServer{have: func(ctx context.Context, _ *wire.HaveRequest) (*wire.HaveReply, error) {
 		if caller, known := CallerOf(ctx); !known || caller.Node() != "node-1" {
 			t.Errorf("got caller %q (known %t), want node-1 from its certificate", caller.Node(), known)
@@ -144,9 +144,9 @@
 		return &wire.HaveReply{}, Require(ctx, true, RoleEntry)
 	}}
 	lis := listen(t, "127.0.0.1:0")
-	serve(t, lis, load(t, house.issue(t, t.TempDir(), "agent-1", RoleAgent), clock), server)
+	serve(t, lis, load(t, deployment.issue(t, t.TempDir(), "agent-1", RoleAgent), clock), server)
 	for role, works := range map[string]bool{RoleEntry: true, RoleAgent: false, "operator": false, "": false} {
-		keys := load(t, house.issue(t, t.TempDir(), "node-1", role), clock)
+		keys := load(t, deployment.issue(t, t.TempDir(), "node-1", role), clock)
 		if err := call(t, keys, lis.Addr().String()); (err == nil) != works {
 			t.Errorf("role %q: got error %v, want it to work: %t", role, err, works)
 		}
--- a/relay/peer/meter_test.go
+++ b/relay/peer/meter_test.go
@@ -46,10 +46,10 @@
 		}
 		return nil
 	}
-	clock, house := clockwork.NewFakeClock(), newAuthority(t)
+	clock, deployment := clockwork.NewFakeClock(), newAuthority(t)
 	lis := listen(t, "127.0.0.1:0")
-	serve(t, lis, load(t, house.issue(t, t.TempDir(), "agent-1", RoleAgent), clock), server)
-	keys := load(t, house.issue(t, t.TempDir(), "entry-1", RoleEntry), clock)
+	serve(t, lis, load(t, deployment.issue(t, t.TempDir(), "agent-1", RoleAgent), clock), server)
+	keys := load(t, deployment.issue(t, t.TempDir(), "entry-1", RoleEntry), clock)
 	pool := NewPool(keys)
 	defer pool.Close()
 	client := wire.NewDRPCHostClient(pool.Conn(t.Context(), lis.Addr().String()))
--- a/relay/peer/pki_test.go
+++ b/relay/peer/pki_test.go
@@ -22,7 +22,7 @@
 	"comfreyrelay.example/relay/wire"
 )
 
-// authority signs certificates of one house.
+// authority signs certificates of one deployment.
 type authority struct {
 	cert *x509.Certificate
 	key  *ecdsa.PrivateKey
--- a/relay/spread/neighbours.go
+++ b/relay/spread/neighbours.go
@@ -12,19 +12,19 @@
 )
 
 const (
-	// smallHouse is the number of other entries up to which each calls all.
-	smallHouse = 12
+	// smallDeployment is the number of other entries up to which each calls all.
+	smallDeployment = 12
 	// nearNeighbours bounds the calls to entries of the own failure domain.
 	nearNeighbours = 4
 	// farNeighbours bounds the calls to entries of other failure domains.
 	farNeighbours = 3
 )
 
-// AllCallAll reports whether a house of the number of entries, this one
+// AllCallAll reports whether a deployment of the number of entries, this one
 // included, is so small that each calls all others: what an entry knows first
 // hand it then tells everybody itself, and passing on the rest would multiply
 // the bytes by the number of entries.
-func AllCallAll(entries int) bool { return entries <= smallHouse+1 }
+func AllCallAll(entries int) bool { return entries <= smallDeployment+1 }
 
 // Neighbours returns the entries that self keeps a call to, of those given. A
 // few are of its own failure domain, a few of others by rendezvous hash, and
@@ -34,7 +34,7 @@
 	others := slices.DeleteFunc(slices.Clone(entries), func(node *wire.Node) bool {
 		return node.GetId() == self.GetId() || node.GetControlAddress() == ""
 	})
-	if len(others) <= smallHouse {
+	if len(others) <= smallDeployment {
 		return others
 	}
 	byID := make(map[string]*wire.Node, len(others))
--- a/relay/spread/spread_test.go
+++ b/relay/spread/spread_test.go
@@ -13,7 +13,7 @@
 
 var start = time.Date(2026, 1, 7, 9, 0, 0, 0, time.UTC)
 
-func house(count, domains int) []*wire.Node {
+func deployment(count, domains int) []*wire.Node {
 	nodes := make([]*wire.Node, count)
 	for i := range nodes {
 		nodes[i] = &wire.Node{
@@ -29,14 +29,14 @@
 // until the safety net's slow read.
 func TestNewsReachesEveryEntry(t *testing.T) {
 	for _, count := range []int{1, 2, 9, 13, 40, 820} {
-		nodes := house(count, min(count, 34))
+		nodes := deployment(count, min(count, 34))
 		rounds, calls := flood(nodes)
 		t.Logf("%d entries: %d rounds, at most %d calls from one", count, rounds, calls)
 		if rounds < 0 {
 			t.Errorf("got entries that never hear of news among %d, want none", count)
 		}
-		if calls > smallHouse {
-			t.Errorf("got %d calls kept by one of %d entries, want at most %d", calls, count, smallHouse)
+		if calls > smallDeployment {
+			t.Errorf("got %d calls kept by one of %d entries, want at most %d", calls, count, smallDeployment)
 		}
 	}
 }
@@ -72,11 +72,11 @@
 	return rounds, mostCalls
 }
 
-// TestNeighboursOfAnyHouse: with any set of entries, however spread over
+// TestNeighboursOfAnyDeployment: with any set of entries, however spread over
 // failure domains, the graph of calls stays whole.
-func TestNeighboursOfAnyHouse(t *testing.T) {
+func TestNeighboursOfAnyDeployment(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		nodes := house(rapid.IntRange(1, 80).Draw(t, "entries"), rapid.IntRange(1, 12).Draw(t, "domains"))
+		nodes := deployment(rapid.IntRange(1, 80).Draw(t, "entries"), rapid.IntRange(1, 12).Draw(t, "domains"))
 		nodes = nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "gone"):]
 		if rounds, _ := flood(nodes); rounds < 0 {
 			t.Fatal("got entries that never hear of news, want none")
--- a/relay/view/view.go
+++ b/relay/view/view.go
@@ -1,4 +1,4 @@
-// Package view holds what one process knows of the house at one moment: the
+// Package view holds what one process knows of the deployment at one moment: the
 // document and plan in force, and the latest reports of hosts and entries.
 package view
 
--- a/standin/internal/load/caller_test.go
+++ b/standin/internal/load/caller_test.go
@@ -20,9 +20,9 @@
 	"comfreyrelay.example/standin/internal/answer"
 )
 
-// house is a fake of the system: it answers which entry to use, and posts by a
+// deployment is a fake of the system: it answers which entry to use, and posts by a
 // function.
-type house struct {
+type deployment struct {
 	directory directoryReply
 	// reply answers post n, counted from 1 over all entries.
 	reply func(n int, post post) (*http.Response, error)
@@ -38,7 +38,7 @@
 	modelBody
 }
 
-func (h *house) RoundTrip(request *http.Request) (*http.Response, error) {
+func (h *deployment) RoundTrip(request *http.Request) (*http.Response, error) {
 	if request.Method == http.MethodGet {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -56,7 +56,7 @@
 	return h.reply(n, received)
 }
 
-func (h *house) entries() []string {
+func (h *deployment) entries() []string {
 	var entries []string
 	for _, received := range h.posts {
 		entries = append(entries, received.entry)
@@ -88,8 +88,8 @@
 	return respond(http.StatusServiceUnavailable, body)
 }
 
-// runOne sends one request through the fake house.
-func runOne(t *testing.T, fake *house, change func(*Options)) Summary {
+// runOne sends one request through the fake deployment.
+func runOne(t *testing.T, fake *deployment, change func(*Options)) Summary {
 	t.Helper()
 	options := Options{
 		Entries:     []string{"seed:1"},
@@ -257,7 +257,7 @@
 				if test.change == nil {
 					test.change = func(*Options) {}
 				}
-				fake := &house{reply: test.reply}
+				fake := &deployment{reply: test.reply}
 				summary := runOne(t, fake, test.change)
 				test.want.Requests = 1
 				if summary.Counts != test.want {
@@ -292,7 +292,7 @@
 
 func TestDirectoryIsKeptForItsTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fake := &house{directory: directoryReply{Use: "a:1", TTLSeconds: 30}}
+		fake := &deployment{directory: directoryReply{Use: "a:1", TTLSeconds: 30}}
 		caller := &directory{entries: []string{"seed:1"}, client: &http.Client{Transport: fake}, clock: clockwork.NewRealClock()}
 		ask := func(want int) {
 			t.Helper()
@@ -316,7 +316,7 @@
 
 func TestArrivalsDoNotWaitForAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fake := &house{directory: directoryReply{Use: "a:1", TTLSeconds: 3600}}
+		fake := &deployment{directory: directoryReply{Use: "a:1", TTLSeconds: 3600}}
 		fake.reply = func(_ int, received post) (*http.Response, error) {
 			time.Sleep(time.Second)
 			return right(received), nil
