--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -175,6 +175,7 @@
 // kill kills processes at once and starts them again; engines come back as others, without
 // weights. One that has ended meanwhile is left to whoever ended it.
 func (r *run) kill(ctx context.Context, length time.Duration, members ...*site.Member) error {
+	started := time.Now()
 	var killed []*site.Member
 	var records sync.WaitGroup
 	for _, m := range members {
@@ -197,13 +198,21 @@
 		if m.Kind == site.Engine {
 			begin = r.site.Replace
 		}
-		if err := begin(ctx, m); err != nil {
+		if err := begin(ctx, m); err != nil && !r.killedSince(m, started) {
 			return err
 		}
 	}
 	return nil
 }
 
+// killedSince reports whether another event killed a member after a moment: that one starts it
+// again.
+func (r *run) killedSince(m *site.Member, at time.Time) bool {
+	return r.strikeWithin(at, time.Now(), func(one *strike) bool {
+		return kills[one.kind] && one.from.After(at) && one.hits(m.ID)
+	})
+}
+
 // stop asks a process of the system to end, as the platform does, and starts it again.
 func (r *run) stop(ctx context.Context, m *site.Member) error {
 	r.stops.add(m)
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -85,6 +85,9 @@
 	linkNarrow: true, linkReset: true, killEntries: true, killAll: true,
 }
 
+// kills are the kinds of event that end processes.
+var kills = map[kind]bool{killEntry: true, killAgent: true, killEngine: true, killEntries: true, killAll: true}
+
 // rule is how one kind of event is drawn.
 type rule struct {
 	kind              kind
@@ -194,10 +197,16 @@
 			found.target = random.IntN(counts[one.target])
 		}
 		name := fmt.Sprint(one.target, found.target)
-		if one.target != "" && (busy[name] > at || struck(busy, one.target, counts[one.target], at) > busyPart*float64(counts[one.target])) {
+		if one.target == "" {
+			// Of events that strike many, one of a kind lasts at a time.
+			name = string(one.kind)
+		}
+		if busy[name] > at || one.target != "" && struck(busy, one.target, counts[one.target], at) > busyPart*float64(counts[one.target]) {
 			continue
 		}
-		busy[name] = at + found.length + recovery
+		if one.target != "" || found.length > 0 {
+			busy[name] = at + found.length + recovery
+		}
 		events = append(events, found)
 	}
 	return events
