--- a/relay/peer/server_test.go
+++ b/relay/peer/server_test.go
@@ -12,7 +12,7 @@
 	"storj.io/drpc/drpcwire"
 )
 
-// closing tells when the server closes a connection.
+// closing notes when the server closes a connection.
 type closing struct {
 	net.Conn
 
@@ -69,7 +69,7 @@
 			if _, err := conn.Write(test.first); err != nil {
 				t.Fatal(err)
 			}
-			<-lis.closed // else the test's own time limit tells
+			<-lis.closed // else the test's own time limit ends it
 			cancel()
 			<-done
 		})
--- a/relay/placement/placement.go
+++ b/relay/placement/placement.go
@@ -22,7 +22,7 @@
 type Host struct {
 	ID            string
 	FailureDomain string
-	// Leaving hosts said, or were told, that they go.
+	// Leaving hosts are those that leave, by themselves or by an operator.
 	Leaving bool
 	// Away is how long the host has been leaving or silent; 0: usable.
 	Away time.Duration
--- a/relay/quarantine/fleet_test.go
+++ b/relay/quarantine/fleet_test.go
@@ -189,7 +189,7 @@
 			}
 			to.running = slices.Delete(to.running, at, at+1)
 			if req.entry.ledger.Served(req.print) {
-				f.tell(req.entry, Report{Served: []Fingerprint{req.print}})
+				f.publish(req.entry, Report{Served: []Fingerprint{req.print}})
 			}
 		})
 	})
@@ -246,7 +246,7 @@
 		f.after(stored/2, func() {
 			if !entry.dead {
 				entry.ledger.Observe(report)
-				f.tell(entry, report)
+				f.publish(entry, report)
 			}
 		})
 	}
@@ -261,14 +261,14 @@
 	}
 }
 
-// tell brings a report to the store and from there to all entries that can be reached.
-func (f *simFleet) tell(from *simEntry, report Report) {
+// publish writes a report to the store and from there to all entries that can be reached.
+func (f *simFleet) publish(from *simEntry, report Report) {
 	f.after(max(stored/2, from.cutUntil-f.now), func() {
 		if from.dead {
 			return
 		}
 		if from.cutUntil > f.now {
-			f.tell(from, report)
+			f.publish(from, report)
 			return
 		}
 		f.writes++
--- a/relay/quarantine/flood_test.go
+++ b/relay/quarantine/flood_test.go
@@ -34,7 +34,7 @@
 
 // Symptom: a request that had ended three engines was sent again, and ended more. Sequence:
 // 10,000 different requests end three engines each, others are in progress there and break
-// too. Cause: at the bound what was told longest ago was forgotten, a held request as well as
+// too. Cause: at the bound what was reported longest ago was forgotten, a held request as well as
 // one that broke once: 910 of the 10,000 were held at the end.
 func TestHeldRequestsOutlastOthers(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -49,9 +49,9 @@
 	}
 }
 
-// Where even those that are held are too many, those told longest ago go, each with a word, and
+// Where even those that are held are too many, those reported longest ago go, each with a word, and
 // there is room to learn of new ones.
-func TestHeldRequestsAreForgottenLastAndTold(t *testing.T) {
+func TestHeldRequestsAreForgottenLastAndReported(t *testing.T) {
 	now := time.Unix(1000, 0)
 	led := NewLedger(func() time.Time { return now })
 	forgotten := map[Fingerprint]bool{}
--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -39,8 +39,8 @@
 
 var errLength = failure.New(failure.Invalid, "the fingerprint has the wrong length", "write 32 hexadecimal digits")
 
-// Ledger knows under which requests endpoints ended, by what this entry saw and others told.
-// It counts distinct ends, so that what is told twice, late or in any order counts once, and
+// Ledger knows under which requests endpoints ended, by what this entry saw and others reported.
+// It counts distinct ends, so that what is reported twice, late or in any order counts once, and
 // nobody has to agree with anybody. It is safe for concurrent use.
 type Ledger struct {
 	clock func() time.Time
@@ -49,27 +49,27 @@
 	mu    sync.RWMutex
 	known map[Fingerprint]*record
 	ended map[End]*ending
-	// tellings is in the order of telling; a pair that was told again stands several times.
-	tellings []telling
-	pairs    int
+	// queue is in the order of report; a pair that was reported again stands several times.
+	queue []queued
+	pairs int
 	// ranks has the requests by what is forgotten first where there is no room: by what weighs
 	// on them, so that one end is forgotten before two, and those that are held last. Each list
-	// is in the order of telling.
+	// is in the order of report.
 	ranks [heldRank + 1]list.List
 	// pairsOf is the pairs of the requests of each rank.
 	pairsOf   [heldRank + 1]int
 	forgotten int // held ones that were forgotten for want of room
-	// maybeHeld is called after a report by which one more request may be held, tellForgotten
+	// maybeHeld is called after a report by which one more request may be held, notifyForgotten
 	// with each held one that is forgotten for want of room.
-	maybeHeld     func()
-	tellForgotten func(Fingerprint)
+	maybeHeld       func()
+	notifyForgotten func(Fingerprint)
 }
 
 // NewLedger returns a Ledger that knows of no end.
 func NewLedger(clock func() time.Time) *Ledger {
 	return &Ledger{
 		clock: clock, start: clock().Add(-1), known: map[Fingerprint]*record{}, ended: map[End]*ending{},
-		maybeHeld: func() {}, tellForgotten: func(Fingerprint) {},
+		maybeHeld: func() {}, notifyForgotten: func(Fingerprint) {},
 	}
 }
 
@@ -80,7 +80,7 @@
 func (l *Ledger) Observe(report Report) {
 	maybeHeld, forgotten := l.take(report)
 	for _, print := range forgotten {
-		l.tellForgotten(print)
+		l.notifyForgotten(print)
 	}
 	if maybeHeld {
 		l.maybeHeld()
@@ -96,7 +96,7 @@
 	for _, print := range report.Served {
 		if rec := l.known[print]; rec != nil {
 			rec.acquit(now)
-			rec.told = now
+			rec.reported = now
 			l.sort(rec)
 		}
 	}
@@ -138,8 +138,8 @@
 		}
 		one.weight = weight
 	}
-	one.told, rec.newest = now, now
-	l.tellings = append(l.tellings, telling{one, now})
+	one.reported, rec.newest = now, now
+	l.queue = append(l.queue, queued{one, now})
 	l.sort(rec)
 	l.ranks[rec.rank].MoveToBack(rec.place)
 	return rec.weight >= heldWeight
@@ -158,10 +158,10 @@
 	return l.start.Add(time.Duration(rec.newest)).Add(HoldTime), true
 }
 
-// expire drops what was told too long ago, so that who asks meets nothing of it.
+// expire drops what was reported too long ago.
 func (l *Ledger) expire(now moment) {
 	l.mu.RLock()
-	expired := len(l.tellings) > 0 && !l.tellings[0].at.before(now, HoldTime)
+	expired := len(l.queue) > 0 && !l.queue[0].at.before(now, HoldTime)
 	l.mu.RUnlock()
 	if !expired {
 		return
@@ -183,7 +183,7 @@
 // unexplained returns what weighs on a request of its newest ends that did not also happen under
 // another one on which more weighs: where they did it only ran beside that one. One that is to
 // blame is explained by no other for long, since it comes alone sooner or later. It looks no
-// further than is needed to hold the request, and tells at how many requests it looked. l.mu is
+// further than is needed to hold the request, and returns at how many requests it looked. l.mu is
 // held for reading.
 func (l *Ledger) unexplained(rec *record) (left, looked int) {
 	ends := 0
@@ -200,8 +200,8 @@
 	return left, looked
 }
 
-// Renew returns what is to be told again so that a held request that still comes stays held,
-// also at entries that start later; nothing while the last telling is new enough.
+// Renew returns what to report again so that a held request that still comes stays held,
+// also at entries that start later; nothing while the last report is new enough.
 func (l *Ledger) Renew(print Fingerprint) []Report {
 	now := l.now()
 	l.mu.RLock()
@@ -231,8 +231,8 @@
 
 // Served notes that an endpoint ran a request to a good end, and reports whether the other
 // entries have to learn of it: one further end would hold the request at an entry that knows
-// only what all were told.
-func (l *Ledger) Served(print Fingerprint) (tell bool) {
+// only what was reported to all.
+func (l *Ledger) Served(print Fingerprint) (report bool) {
 	l.mu.RLock()
 	known := l.known[print] != nil
 	l.mu.RUnlock()
@@ -248,10 +248,10 @@
 	now := l.now()
 	rec.acquit(now)
 	l.sort(rec)
-	if !rec.suspectedSince(rec.told) {
+	if !rec.suspectedSince(rec.reported) {
 		return false
 	}
-	rec.told = now
+	rec.reported = now
 	return true
 }
 
@@ -261,7 +261,7 @@
 
 // NotifyForgotten lets the function be called with each held request that is forgotten because
 // there is no room, without a lock. It is called before anything is observed.
-func (l *Ledger) NotifyForgotten(tell func(Fingerprint)) { l.tellForgotten = tell }
+func (l *Ledger) NotifyForgotten(notify func(Fingerprint)) { l.notifyForgotten = notify }
 
 // Forgotten returns how many held requests were forgotten because there was no room.
 func (l *Ledger) Forgotten() int {
--- a/relay/quarantine/ledger_test.go
+++ b/relay/quarantine/ledger_test.go
@@ -74,7 +74,7 @@
 	})
 }
 
-// What is told in any order, twice, or late comes to the same.
+// What is reported in any order, twice, or late comes to the same.
 func TestOrderOfReportsChangesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		names := []string{"a", "b", "c", "d"}
@@ -118,8 +118,8 @@
 	for i := range 3 * maxPairs {
 		led.Observe(Report{End: End{Endpoint: fmt.Sprintf("i-%d", i/12)}, Suspects: printsOf([]string{fmt.Sprint(i)})})
 	}
-	if requests, ends := led.Size(); requests > maxPairs || ends > maxPairs || len(led.tellings) > maxTellings {
-		t.Errorf("got %d requests, %d ends and %d in order, want %d at most", requests, ends, len(led.tellings), maxPairs)
+	if requests, ends := led.Size(); requests > maxPairs || ends > maxPairs || len(led.queue) > maxQueue {
+		t.Errorf("got %d requests, %d ends and %d in order, want %d at most", requests, ends, len(led.queue), maxPairs)
 	}
 	now = now.Add(HoldTime)
 	led.Observe(Report{End: End{Endpoint: "last"}, Suspects: printsOf([]string{"last"})})
@@ -152,8 +152,8 @@
 	}
 }
 
-// Parts that are told apart by their lengths make no request look like another.
-func TestFingerprintTellsRequestsApart(t *testing.T) {
+// Parts that differ by their lengths make no request look like another.
+func TestFingerprintDistinguishesRequests(t *testing.T) {
 	seen := map[Fingerprint]string{}
 	for _, one := range [][5]string{
 		{"c", "POST", "h", "/a", "b"}, {"cP", "OST", "h", "/a", "b"}, {"c", "POST", "h/", "a", "b"}, {"c", "POST", "h", "/ab", ""},
--- a/relay/quarantine/record.go
+++ b/relay/quarantine/record.go
@@ -14,9 +14,9 @@
 	// more often than endpoints end.
 	weight int
 	good   moment // when a good answer was last reported; 0: none was
-	// told is when one was last told of to all, which entries that start later read too.
-	told moment
-	// newest is when any pair was last told.
+	// reported is when one was last reported to all, which entries that start later read too.
+	reported moment
+	// newest is when any pair was last reported.
 	newest moment
 	// place is where it stands in the ledger's list of its rank.
 	place *list.Element
@@ -32,12 +32,12 @@
 
 // pair is one end under one request.
 type pair struct {
-	rec     *record
-	ending  *ending
-	weight  int8
-	counts  bool // it was not learned before the last good answer, nor shortly after it
-	learned moment
-	told    moment // when it was learned, or told again
+	rec      *record
+	ending   *ending
+	weight   int8
+	counts   bool // it was not learned before the last good answer, nor shortly after it
+	learned  moment
+	reported moment // when it was learned, or reported again
 }
 
 // moment is a time since the ledger's start: a third of the room of a time.Time. The start itself
@@ -53,8 +53,8 @@
 // so shortly after that the end does not count.
 func (m moment) servedBefore(learned moment) bool { return m > 0 && m.before(learned, goodTime) }
 
-// telling is a pair in the order of telling.
-type telling struct {
+// queued is a pair in the order of report.
+type queued struct {
 	pair *pair
 	at   moment
 }
--- a/relay/quarantine/report.go
+++ b/relay/quarantine/report.go
@@ -5,10 +5,10 @@
 // End names one incarnation of an endpoint that ended.
 type End struct {
 	Endpoint string `json:"endpoint"`
-	Born     int64  `json:"born,omitempty"` // Unix milliseconds by its own host's clock; 0: not told
+	Born     int64  `json:"born,omitempty"` // Unix milliseconds by its own host's clock; 0: unknown
 }
 
-// Report is what one entry saw and tells the others: requests in progress at an endpoint when
+// Report is what one entry saw and reports to the others: requests in progress at an endpoint when
 // it ended, or requests that were served after such ends.
 type Report struct {
 	End End `json:"end,omitzero"`
--- a/relay/quarantine/room.go
+++ b/relay/quarantine/room.go
@@ -6,8 +6,8 @@
 	// maxPairs bounds what is remembered, in requests at ends: a region of 900 engines with a
 	// dozen requests each that ends at once, twice.
 	maxPairs = 1 << 15
-	// maxTellings bounds the tellings in their order, old ones of pairs that were told again too.
-	maxTellings = maxPairs + maxPairs/2
+	// maxQueue bounds the queue, with former places of pairs that were reported again.
+	maxQueue = maxPairs + maxPairs/2
 	// sparePairs of them are kept free of requests that are held, or nothing could be learned of
 	// further ones.
 	sparePairs = maxPairs / 16
@@ -72,22 +72,22 @@
 	return slices.DeleteFunc(pairs, func(other *pair) bool { return other == one })
 }
 
-// forgetOld drops what was told too long ago; l.mu is held.
+// forgetOld drops what was reported too long ago; l.mu is held.
 func (l *Ledger) forgetOld(now moment) {
-	for len(l.tellings) > 0 && !l.tellings[0].at.before(now, HoldTime) {
-		oldest := l.tellings[0]
-		l.tellings = l.tellings[1:]
+	for len(l.queue) > 0 && !l.queue[0].at.before(now, HoldTime) {
+		oldest := l.queue[0]
+		l.queue = l.queue[1:]
 		if oldest.newest() {
 			l.drop(oldest.pair)
 		}
 	}
-	if len(l.tellings) > maxTellings {
-		l.tellings = slices.DeleteFunc(l.tellings, func(one telling) bool { return !one.newest() })
+	if len(l.queue) > maxQueue {
+		l.queue = slices.DeleteFunc(l.queue, func(one queued) bool { return !one.newest() })
 	}
 }
 
-// newest reports whether the pair is remembered and was not told again since.
-func (t telling) newest() bool { return t.pair.rec != nil && t.pair.told == t.at }
+// newest reports whether the pair is remembered and was not reported again since.
+func (t queued) newest() bool { return t.pair.rec != nil && t.pair.reported == t.at }
 
 // makeRoom drops pairs that are beyond the bounds and returns the held requests that were
 // forgotten; l.mu is held.
@@ -113,7 +113,7 @@
 	return forgotten
 }
 
-// leastOf returns the request of a rank that is forgotten first: the one told of longest ago, but
+// leastOf returns the request of a rank that is forgotten first: the one reported longest ago, but
 // for one that is held if another is near; l.mu is held.
 func (l *Ledger) leastOf(rank int) *record {
 	oldest := l.ranks[rank].Front()
--- a/relay/revision/delta.go
+++ b/relay/revision/delta.go
@@ -8,7 +8,7 @@
 )
 
 // Slim returns the root as it travels between processes: the audit record
-// stays in the service, but for what tells two roots apart.
+// stays in the service, but for what distinguishes two roots.
 func Slim(root *wire.Root) *wire.Root {
 	return &wire.Root{
 		Revision:     root.GetRevision(),
@@ -48,7 +48,7 @@
 
 // Expand returns the whole root for a received one; nil where it is a
 // difference from another revision than the one held. Whether the result is
-// right its content hash tells.
+// right its content hash shows.
 func Expand(held, root *wire.Root) *wire.Root {
 	if root == nil || root.GetDeltaBase() == 0 {
 		return root
--- a/relay/revision/revision.go
+++ b/relay/revision/revision.go
@@ -1,5 +1,5 @@
 // Package revision decides which document, plan and drain marks a process
-// holds in force, whoever told it: the key-value service, another entry or an
+// holds in force, whatever its source: the key-value service, another entry or an
 // agent. What is in force never falls back to something older.
 package revision
 
--- a/relay/route/route_test.go
+++ b/relay/route/route_test.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// Symptom: hosts are overfilled although every report tells their load. Our
+// Symptom: hosts are overfilled although every report has their load. Our
 // own attempts that began after the report was made and before it arrived are
 // neither in it nor added to it.
 func TestAttemptsThatAReportDoesNotShow(t *testing.T) {
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -128,7 +128,7 @@
 	running, queued := kept.Running, kept.Queued
 	kept.Host = report
 	if report.SeenAt.Before(kept.learned) {
-		kept.Running, kept.Queued = running, queued // a frame told us later news
+		kept.Running, kept.Queued = running, queued // a frame brought later news
 		return kept, true
 	}
 	kept.learned = report.SeenAt
--- a/relay/route/trace.go
+++ b/relay/route/trace.go
@@ -23,7 +23,7 @@
 	t.next = (t.next + 1) % traceLength
 }
 
-// at returns what was in progress at the time; what the trace no longer tells
+// at returns what was in progress at the time; what the trace no longer holds
 // counts as none.
 func (t *trace) at(when time.Time) int {
 	for back := 1; back <= traceLength; back++ {
--- a/relay/schema/lines.go
+++ b/relay/schema/lines.go
@@ -12,7 +12,7 @@
 // where the value stands, or where the object stands that lacks it.
 func Lines(text []byte, problems []Problem) string {
 	lines := linesOf(text)
-	var told []string
+	var messages []string
 	for _, problem := range problems {
 		line := 1
 		for path := problem.Path(); path != ""; path = path[:strings.LastIndexByte(path, '/')] {
@@ -21,9 +21,9 @@
 				break
 			}
 		}
-		told = append(told, fmt.Sprintf("line %d: %s", line, problem))
+		messages = append(messages, fmt.Sprintf("line %d: %s", line, problem))
 	}
-	return strings.Join(told, "\n")
+	return strings.Join(messages, "\n")
 }
 
 // linesOf returns the line of each value of a JSON text by its pointer, as far as the
--- a/relay/schema/problem.go
+++ b/relay/schema/problem.go
@@ -9,7 +9,7 @@
 	"strings"
 )
 
-// Problem is one thing wrong in a JSON text, told to the person who wrote it.
+// Problem is one thing wrong in a JSON text, reported to the person who wrote it.
 type Problem struct {
 	path    string // JSON pointer; empty means the whole text
 	message string // what is wrong, without a trailing period
--- a/relay/schema/schema.go
+++ b/relay/schema/schema.go
@@ -1,4 +1,4 @@
-// Package schema checks JSON texts against a JSON schema and tells everything
+// Package schema checks JSON texts against a JSON schema and reports everything
 // that is wrong at once, each with its path and a remedy.
 //
 // Beside the standard keywords it reads "x-remedy": the advice to give where a
--- a/relay/settings/reload.go
+++ b/relay/settings/reload.go
@@ -16,7 +16,7 @@
 const reloadInterval = 2 * time.Second
 
 // Reloader reads a settings file again when it changed, with or without SIGHUP.
-// A file that cannot be read or is wrong changes nothing and is told in the log.
+// A file that cannot be read or is wrong changes nothing and is logged.
 type Reloader[T any] struct {
 	File  string // empty: settings never change, SIGHUP does nothing
 	Load  func(file string) (T, error)
--- a/relay/settings/settings.go
+++ b/relay/settings/settings.go
@@ -116,7 +116,7 @@
 
 // fill checks the tree's form, decodes it with the defaults and checks its
 // meaning. What breaks the form is taken out before, so that all mistakes are
-// told at once.
+// reported at once.
 func fill(tree any, checker *schema.Checker, set proto.Message, check func() []schema.Problem) []schema.Problem {
 	known := checker.Check(tree)
 	checker.Prune(tree, known)
@@ -155,7 +155,7 @@
 	scratch := set.ProtoReflect().New().Interface()
 	err := protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(text, scratch)
 	if err == nil || !strings.Contains(err.Error(), "duplicate field") {
-		return nil // other mistakes are told by the schema
+		return nil // other mistakes are reported by the schema
 	}
 	return failure.New(failure.Invalid, name+": "+schema.DecodeMessage(err), "keep one of the two")
 }
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -49,7 +49,7 @@
 )
 
 // confirm asks whether what is known is all there is, which costs next to nothing beside what
-// was told. Where it is not, the next watch is begun at once.
+// was reported. Where it is not, the next watch is begun at once.
 func (f *Follower) confirm(ctx context.Context) error {
 	asked := f.State.Fresh().Now()
 	_, revision, err := f.Store.Watch(ctx, "", kv.Latest, 0)
@@ -81,7 +81,7 @@
 type Follower struct {
 	Store *kv.Store
 	State *State
-	// Mirror takes what the store tells on its way to State.
+	// Mirror takes what the store sends on its way to State.
 	Mirror *Mirror
 	Clock  clockwork.Clock
 	Log    *slog.Logger
@@ -107,7 +107,7 @@
 	loggedAt   time.Time
 	answeredAt time.Time // when the last call that succeeded ended
 	// silent: the store was not watched, and those who did fell silent. Changes
-	// that it tells at once may have been made meanwhile.
+	// that it sends at once may have been made meanwhile.
 	silent bool
 }
 
--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -18,7 +18,7 @@
 
 // Mirror holds the store's keys as far as they are known, and is the one way by
 // which they reach a State: from the store itself, and from other entries that
-// follow it. What both tell overlaps and comes in any order; of each key only the
+// follow it. What both send overlaps and comes in any order; of each key only the
 // newest revision is taken. It is safe for concurrent use.
 type Mirror struct {
 	state  *State
--- a/relay/site/mirror_test.go
+++ b/relay/site/mirror_test.go
@@ -13,7 +13,7 @@
 )
 
 // Symptom: an entry names a host that is gone. Sequence: an entry's own watch is
-// waiting; another entry tells it that a key was deleted; the watch then brings
+// waiting; another entry reports that a key was deleted; the watch then brings
 // the older value. Cause: what came last was taken for newest.
 func TestOlderValueDoesNotComeBack(t *testing.T) {
 	w := newWorld()
@@ -128,7 +128,7 @@
 
 // Symptom: memory grows for as long as hosts are replaced. Cause: each deletion
 // was remembered for ever. Who asks for more than is remembered gets everything.
-func TestOldDeletionsAreForgottenAndWholeIsTold(t *testing.T) {
+func TestOldDeletionsAreForgottenAndWholeIsSent(t *testing.T) {
 	w := newWorld()
 	w.mirror.Reset([]kv.Entry{value("stays", 1)}, 1)
 	const hosts = 5000
--- a/relay/site/record.go
+++ b/relay/site/record.go
@@ -10,10 +10,10 @@
 	"comfreyrelay.example/relay/fleet"
 )
 
-// RecordKind says what a key of the store tells.
+// RecordKind says what a key of the store holds.
 type RecordKind int
 
-// The kinds; the zero kind tells nothing of concern.
+// The kinds; the zero kind holds nothing of concern.
 const (
 	CatalogRecord RecordKind = iota + 1
 	WeightsRecord
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// Symptom: callers are told of no entry after an outage of the store. Sequence:
-// leases run out while it is down; it comes back and tells the deletions; the
+// Symptom: callers get an empty list of entries after an outage of the store. Sequence:
+// leases run out while it is down; it comes back and reports the deletions; the
 // entries register again a second later. Cause: what is missing was taken for
 // gone at once.
 func TestEntriesThatLapsedInAnOutageStay(t *testing.T) {
@@ -149,7 +149,7 @@
 
 // Guards against old weights that are used for too long by an entry that started after newer ones
 // were declared and counts their time from its own start.
-func TestVersionIsAsOldAsHostsTell(t *testing.T) {
+func TestVersionIsAsOldAsHostsReport(t *testing.T) {
 	for name, hostFirst := range map[string]bool{"host first": true, "store first": false} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld()
@@ -372,7 +372,7 @@
 }
 
 // Symptom: a key that was taken away opens a route for longer than its bound.
-// Sequence: a watch is cut after a moment and tells no change. Cause: the proof
+// Sequence: a watch is cut after a moment and reports no change. Cause: the proof
 // was taken to reach to the end of the time that it should have waited.
 func TestWatchThatEndsEarlyProvesItsBeginningOnly(t *testing.T) {
 	w := newWorld()
@@ -458,6 +458,6 @@
 		t.Errorf("got %d readings of everything, want %d: the store's revision is still 20", got, want)
 	}
 	if age, _ := w.fresh.Age(); age > time.Second {
-		t.Errorf("got knowledge %v old, want new: the store told its revision", age)
+		t.Errorf("got knowledge %v old, want new: the store sent its revision", age)
 	}
 }
--- a/relay/site/sources.go
+++ b/relay/site/sources.go
@@ -64,7 +64,7 @@
 func Trust(apply time.Duration) time.Duration { return max(leastTrust, apply-trustMargin) }
 
 // TrustOfLost is Trust where those who follow the store for this entry lost it: nothing newer
-// will come from them, and all whom they tell ask the store at the same moment. Over a link
+// will come from them, and all to whom they send ask the store at the same moment. Over a link
 // between regions one of eleven such entries had its answer after 0.7 s.
 func TrustOfLost(apply time.Duration) time.Duration { return Trust(apply) / 2 }
 
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -38,7 +38,7 @@
 	missing  map[string]time.Time // entries whose registration ended, by when they are dropped
 	wanted   map[string]Wanted
 	history  map[string][]rollout.Declared // by model, newest last
-	// early is what hosts told of versions whose declaration is not known yet.
+	// early is what hosts reported of versions whose declaration is not known yet.
 	early   map[string][]rollout.Declared
 	settled time.Time // registrations that end before it may be back
 	changed chan struct{}
@@ -243,15 +243,15 @@
 		revision = rec.Revision
 	}
 	list := s.history[rec.ID]
-	for _, told := range s.early[rec.ID] {
+	for _, declared := range s.early[rec.ID] {
 		switch {
-		case told.Version < rec.Weights:
-			list = append(list, told)
-		case told.Version == rec.Weights && told.At.Before(since):
-			since = told.At
+		case declared.Version < rec.Weights:
+			list = append(list, declared)
+		case declared.Version == rec.Weights && declared.At.Before(since):
+			since = declared.At
 		}
 	}
-	s.early[rec.ID] = slices.DeleteFunc(s.early[rec.ID], func(told rollout.Declared) bool { return told.Version <= rec.Weights })
+	s.early[rec.ID] = slices.DeleteFunc(s.early[rec.ID], func(declared rollout.Declared) bool { return declared.Version <= rec.Weights })
 	list = append(list, rollout.Declared{Version: rec.Weights, At: since})
 	s.history[rec.ID] = list[max(0, len(list)-maxHistory):]
 	s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: since}
@@ -279,16 +279,16 @@
 		s.changed = make(chan struct{})
 		return
 	}
-	told := rollout.Declared{Version: version, At: at}
+	declared := rollout.Declared{Version: version, At: at}
 	switch want, known := s.wanted[model]; {
 	case known && version < want.Version:
 		// The store holds the newest declaration alone, and the time of the versions before
 		// this one ends sooner than by that.
 		if len(s.history[model]) < maxHistory {
-			s.history[model] = slices.Insert(s.history[model], 0, told)
+			s.history[model] = slices.Insert(s.history[model], 0, declared)
 		}
 	case len(s.early[model]) < maxHistory:
-		s.early[model] = append(s.early[model], told)
+		s.early[model] = append(s.early[model], declared)
 	}
 }
 
--- a/relay/spread/digest.go
+++ b/relay/spread/digest.go
@@ -28,7 +28,7 @@
 	Nearness int
 }
 
-// summary is what of a report is worth telling when it changes.
+// summary is what of a report is worth sending when it changes.
 type summary struct {
 	incarnation   string
 	home          string // a new home is the one whose word on the host counts
@@ -82,7 +82,7 @@
 	summary  summary
 	sequence uint64
 	at       time.Time
-	// whole is the sequence of the whole report behind it, told at wholeAt.
+	// whole is the sequence of the whole report behind it, sent at wholeAt.
 	whole   uint64
 	wholeAt time.Time
 }
@@ -102,7 +102,7 @@
 	routes bool
 }
 
-// NewDigest returns the memory for one receiver; routes tells that it sends
+// NewDigest returns the memory for one receiver; routes says that it sends
 // requests to hosts.
 func NewDigest(refresh time.Duration, routes bool) *Digest {
 	return &Digest{marks: map[string]mark{}, refresh: refresh, routes: routes}
@@ -130,12 +130,12 @@
 // compose returns the report as it should be sent, and notes that it is.
 func (d *Digest) compose(report *wire.HostReport, now time.Time) *wire.HostReport {
 	id := report.GetNode().GetId()
-	held, told := d.marks[id]
+	held, seen := d.marks[id]
 	next := mark{
 		summary: summarize(report), sequence: report.GetSequence(), at: now,
 		whole: report.GetSequence(), wholeAt: now,
 	}
-	if !told || next.summary.differs(held.summary) || now.Sub(held.wholeAt) >= wholeRefreshes*d.refresh {
+	if !seen || next.summary.differs(held.summary) || now.Sub(held.wholeAt) >= wholeRefreshes*d.refresh {
 		d.marks[id] = next
 		if !d.routes {
 			return WithoutLoad(report)
@@ -175,14 +175,14 @@
 	changed
 	// routine: another load, or a refresh.
 	routine
-	// known: nothing to tell.
+	// known: nothing to send.
 	known
 )
 
 // news returns how soon the receiver should get the report.
 func (d *Digest) news(report *wire.HostReport, now time.Time) urgency {
-	held, told := d.marks[report.GetNode().GetId()]
-	if !told {
+	held, seen := d.marks[report.GetNode().GetId()]
+	if !seen {
 		return changed
 	}
 	fresh := summarize(report)
@@ -227,11 +227,11 @@
 	var chosen []*wire.HostReport
 	for _, candidate := range news {
 		id := candidate.Report.GetNode().GetId()
-		before, told := d.marks[id]
+		before, seen := d.marks[id]
 		report := d.compose(candidate.Report, now)
 		size := proto.Size(report)
 		if size > bytes && candidate.urgency != urgent {
-			d.restore(id, before, told)
+			d.restore(id, before, seen)
 			break
 		}
 		bytes -= size
@@ -242,8 +242,8 @@
 }
 
 // restore takes back what was noted of a report that did not fit.
-func (d *Digest) restore(id string, before mark, told bool) {
-	if !told {
+func (d *Digest) restore(id string, before mark, seen bool) {
+	if !seen {
 		delete(d.marks, id)
 		return
 	}
--- a/relay/spread/entries.go
+++ b/relay/spread/entries.go
@@ -46,7 +46,7 @@
 func (d *EntryDigest) Received(report *wire.EntryReport, now time.Time) {
 	id, incarnation := report.GetNode().GetId(), report.GetNode().GetIncarnation()
 	describedAt := now
-	if held, told := d.marks[id]; told && held.incarnation == incarnation {
+	if held, seen := d.marks[id]; seen && held.incarnation == incarnation {
 		describedAt = held.describedAt
 	}
 	d.marks[id] = entryMark{
@@ -64,8 +64,8 @@
 // form returns the report as it should be sent now, and whether its description
 // goes with it.
 func (d *EntryDigest) form(report *wire.EntryReport, age time.Duration, now time.Time) (sent *wire.EntryReport, described bool) {
-	held, told := d.marks[report.GetNode().GetId()]
-	known := told && held.incarnation == report.GetNode().GetIncarnation() && now.Sub(held.describedAt) < describeAgain
+	held, seen := d.marks[report.GetNode().GetId()]
+	known := seen && held.incarnation == report.GetNode().GetIncarnation() && now.Sub(held.describedAt) < describeAgain
 	sent = agedEntry(report, age)
 	if known {
 		sent.Node = membership.NameOnly(sent.Node)
@@ -97,8 +97,8 @@
 
 // newer reports whether the receiver lacks this report.
 func (d *EntryDigest) newer(report *wire.EntryReport) bool {
-	held, told := d.marks[report.GetNode().GetId()]
-	return !told || membership.Newer(report.GetNode().GetIncarnation(), report.GetSequence(), held.incarnation, held.sequence)
+	held, seen := d.marks[report.GetNode().GetId()]
+	return !seen || membership.Newer(report.GetNode().GetIncarnation(), report.GetSequence(), held.incarnation, held.sequence)
 }
 
 // news reports whether a third entry's report is worth passing on.
@@ -110,10 +110,10 @@
 }
 
 // unreported reports whether the receiver does not know of the entry as it is:
-// it was never told of it, or before it drained or started anew.
+// it was never notified of it, or before it drained or started anew.
 func (d *EntryDigest) unreported(report *wire.EntryReport) bool {
-	held, told := d.marks[report.GetNode().GetId()]
-	return !told || report.GetDraining() != held.draining || report.GetNode().GetIncarnation() != held.incarnation
+	held, seen := d.marks[report.GetNode().GetId()]
+	return !seen || report.GetDraining() != held.draining || report.GetNode().GetIncarnation() != held.incarnation
 }
 
 // SelectRare is like Select for a receiver that only needs to know which
--- a/relay/spread/entries_test.go
+++ b/relay/spread/entries_test.go
@@ -12,7 +12,7 @@
 // Symptom: in a deployment of hundreds of entries a neighbour never learns of the
 // far ones. Sequence: the near entries' reports change all the time, and each
 // message has room for a few. Cause: refreshes of the near took the room
-// before anything was told of the far.
+// before anything was sent of the far.
 func TestFarEntriesAreHeardOf(t *testing.T) {
 	const entries, roomBytes, rounds = 300, 600, 120
 	own := &wire.EntryReport{Node: &wire.Node{Id: "own", Incarnation: "1", FailureDomain: "d0", Region: "r0"}}
--- a/relay/spread/neighbours.go
+++ b/relay/spread/neighbours.go
@@ -1,4 +1,4 @@
-// Package spread decides who tells whom what: which entries an entry keeps
+// Package spread decides which node sends what to which: which entries an entry keeps
 // calls to, which reports go into one message, and which hosts an agent learns
 // of.
 package spread
@@ -22,7 +22,7 @@
 
 // AllCallAll reports whether a deployment of the number of entries, this one
 // included, is so small that each calls all others: what an entry knows first
-// hand it then tells everybody itself, and passing on the rest would multiply
+// hand it then notifies all itself, and passing on the rest would multiply
 // the bytes by the number of entries.
 func AllCallAll(entries int) bool { return entries <= smallDeployment+1 }
 
--- a/relay/spread/spread_test.go
+++ b/relay/spread/spread_test.go
@@ -125,7 +125,7 @@
 	}{
 		{"first", send(0, report("a", 1)), "a "},
 		{"same again", send(time.Second, report("a", 1)), ""},
-		{"nothing worth telling", send(2*time.Second, report("a", 2)), ""},
+		{"nothing worth sending", send(2*time.Second, report("a", 2)), ""},
 		{"refresh", send(11*time.Second, report("a", 3)), "a "},
 		{"another state", send(12*time.Second, changed), "a "},
 		{"a little busier", send(13*time.Second, busier), ""},
--- a/standin/internal/cmd/cmd_kv.go
+++ b/standin/internal/cmd/cmd_kv.go
@@ -19,7 +19,7 @@
 	return &cli.Command{
 		Name:    "kv",
 		Short:   "the platform's key-value service",
-		Long:    "Keeps keys in memory. POST /faults sets fault knobs, GET /ledger tells who called what.",
+		Long:    "Keeps keys in memory. POST /faults sets fault knobs, GET /ledger shows who called what.",
 		Options: &opts,
 		Run: func(ctx context.Context, _ []string) error {
 			service := kvservice.New(kvservice.Options{
--- a/standin/internal/cmd/cmd_origin.go
+++ b/standin/internal/cmd/cmd_origin.go
@@ -19,7 +19,7 @@
 	return &cli.Command{
 		Name:    "origin",
 		Short:   "the origin of weights",
-		Long:    "Serves the versions that comfreystandin publish makes. POST /faults sets fault knobs, GET /ledger tells what was sent.",
+		Long:    "Serves the versions that comfreystandin publish makes. POST /faults sets fault knobs, GET /ledger shows what was sent.",
 		Options: &opts,
 		Run: func(ctx context.Context, _ []string) error {
 			service := origin.New(origin.Options{
--- a/standin/internal/engine/cache.go
+++ b/standin/internal/engine/cache.go
@@ -17,7 +17,7 @@
 // maxEvents bounds the events kept for readers; the oldest go first.
 const maxEvents = 1024
 
-// CacheEvent tells that a prefix came into the cache or left it.
+// CacheEvent reports that a prefix came into the cache or left it.
 type CacheEvent struct {
 	// N grows by one with each event; a gap is a lost event.
 	N      uint64 `json:"n"`
--- a/standin/internal/engine/generate.go
+++ b/standin/internal/engine/generate.go
@@ -169,7 +169,7 @@
 }
 
 // checkResumed notices an answer continued from tokens of another version or
-// request. An engine would go on; the ledger tells.
+// request. An engine would go on; the ledger shows it.
 func (e *Engine) checkResumed(current *run) {
 	for i, token := range current.request.ResumeTokens {
 		if token == current.text.Token(i) {
--- a/standin/internal/engine/handler.go
+++ b/standin/internal/engine/handler.go
@@ -99,7 +99,7 @@
 	writeJSON(w, struct{}{})
 }
 
-// writeOrderError tells the fence in force with a refusal of an old one.
+// writeOrderError sends the fence in force with a refusal of an old one.
 func (e *Engine) writeOrderError(w http.ResponseWriter, err error) {
 	if failure.KindOf(err) != failure.Stale {
 		writeError(w, err)
--- a/standin/internal/engine/handler_test.go
+++ b/standin/internal/engine/handler_test.go
@@ -113,7 +113,7 @@
 // for nobody, and one that ended the stream cleanly would show a cut answer as
 // whole. Sequence: a long generation begins; the client goes, or an order takes
 // the weights away. Cause: the stream must end with the run, and only a broken
-// connection tells the reader that no end comes.
+// connection shows the reader that no end comes.
 func TestGenerateIsCut(t *testing.T) {
 	tests := []struct {
 		name string
--- a/standin/internal/engine/orders.go
+++ b/standin/internal/engine/orders.go
@@ -17,7 +17,7 @@
 	orderRole   = "role"
 )
 
-// Order is what the host's agent tells the engine to do.
+// Order is what the host's agent orders the engine to do.
 type Order struct {
 	Fence       uint64         `json:"fence"`
 	Order       string         `json:"order"`
@@ -215,7 +215,7 @@
 		sizes[i] = len(bytes)
 	}
 	if len(hashes) == 1 {
-		return nil // one chunk is whole by itself, and its manifest's chunk size cannot be told
+		return nil // one chunk is whole by itself, and its manifest's chunk size cannot be known
 	}
 	if rebuilt := rebuild(model, base, hashes, sizes); rebuilt != version {
 		return failure.New(failure.Corrupt, "the chunks are not those of version "+version, "order the chunks of one manifest, in its order")
--- a/standin/internal/hostlist/hostlist.go
+++ b/standin/internal/hostlist/hostlist.go
@@ -197,7 +197,7 @@
 	}
 }
 
-// ledger tells how often each caller asked.
+// ledger shows how often each caller asked.
 func (s *Service) ledger(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/internal/kvservice/client_test.go
+++ b/standin/internal/kvservice/client_test.go
@@ -108,7 +108,7 @@
 }
 
 // TestWatchFaults: a watch is dropped, its history is compacted, or it goes
-// silent. The client must tell each from "nothing changed", or its caller
+// silent. The client must distinguish each from "nothing changed", or its caller
 // would go on with an old document.
 func TestWatchFaults(t *testing.T) {
 	store, service := start(t, Options{})
--- a/standin/internal/kvservice/faults.go
+++ b/standin/internal/kvservice/faults.go
@@ -17,7 +17,7 @@
 	// LoseRequests is the fraction of writes whose connection is closed
 	// without a reply and without an effect.
 	LoseRequests float64 `json:"loseRequests"`
-	// WatchSilent lets watches hang and tell nothing.
+	// WatchSilent lets watches hang and report nothing.
 	WatchSilent bool `json:"watchSilent"`
 	// Compact forgets the history once.
 	Compact bool `json:"compact"`
--- a/standin/internal/load/caller.go
+++ b/standin/internal/load/caller.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 )
 
-// grace is how long beyond the deadline the caller still waits, to tell a late
+// grace is how long beyond the deadline the caller still waits, to distinguish a late
 // answer from none.
 const grace = 2 * time.Second
 
@@ -25,17 +25,17 @@
 type result struct {
 	verdict
 	attempts int
-	// refused tells that an earlier attempt was not run.
+	// refused: an earlier attempt was not run.
 	refused bool
 	took    time.Duration // from the arrival
 	key     string
 	// contradicted: one of two sendings was answered, and the other, which was
-	// told of later than the answered one was sent, called not run. A sending
+	// refused later than the answered one was sent, called not run. A sending
 	// that begins after the caller received "not run" is a new wish of the caller's:
 	// the word was true when it was given.
 	contradicted bool
 	sentAt       time.Time // of the last attempt
-	toldAt       time.Time // when its outcome was known
+	knownAt      time.Time // when its outcome was known
 }
 
 // caller carries one request through to its end.
@@ -93,7 +93,7 @@
 		one, other = other, one
 	}
 	one.attempts += other.attempts
-	one.contradicted = one.outcome == Answered && other.outcome == NotRun && !one.sentAt.After(other.toldAt)
+	one.contradicted = one.outcome == Answered && other.outcome == NotRun && !one.sentAt.After(other.knownAt)
 	return one
 }
 
@@ -106,7 +106,7 @@
 		found.attempts++
 		found.sentAt = c.load.clock.Now()
 		found.verdict = c.attempt(ctx, skip, spares)
-		found.toldAt = c.load.clock.Now()
+		found.knownAt = c.load.clock.Now()
 		if !c.mayRepeat(found) {
 			return found
 		}
--- a/standin/internal/load/reading_test.go
+++ b/standin/internal/load/reading_test.go
@@ -55,15 +55,15 @@
 	body := strings.NewReader(streamOf(d.Input))
 	switch d.Cmd {
 	case "entry":
-		return tell(by.readStream(ctx, current, body, entryEvent))
+		return describe(by.readStream(ctx, current, body, entryEvent))
 	case "engine":
-		return tell(by.readStream(ctx, current, body, engineEvent))
+		return describe(by.readStream(ctx, current, body, engineEvent))
 	}
 	d.Fatalf(t, "unknown command %s", d.Cmd)
 	return ""
 }
 
-func tell(judged verdict) string {
+func describe(judged verdict) string {
 	return fmt.Sprintf("%s kind=%q version=%q tokens=%d retryAfter=%s spares=%v\n%s\n", judged.outcome, judged.kind,
 		judged.version, judged.tokens, judged.retryAfter, judged.spares, judged.detail)
 }
--- a/standin/internal/load/send.go
+++ b/standin/internal/load/send.go
@@ -28,7 +28,7 @@
 	kept *http.Client
 	// fresh makes a connection for each request that is not repeatable. An
 	// entry may close a kept one just as the request goes out, and then nobody
-	// could tell whether it ran.
+	// could know whether it ran.
 	fresh    *http.Client
 	clock    clockwork.Clock
 	versions *versions
--- a/standin/internal/load/tally.go
+++ b/standin/internal/load/tally.go
@@ -14,7 +14,7 @@
 	digits        = 3
 )
 
-// maxExamples bounds the faults told in detail, and the kinds of failure.
+// maxExamples bounds the faults listed in detail, and the kinds of failure.
 const (
 	maxExamples = 20
 	maxKinds    = 50
--- a/standin/internal/origin/ledger.go
+++ b/standin/internal/origin/ledger.go
@@ -7,7 +7,7 @@
 	"sync"
 )
 
-// maxNames bounds the callers that the ledger tells apart.
+// maxNames bounds the callers that the ledger distinguishes.
 const maxNames = 10000
 
 // VersionLine counts what was sent of one version's chunks. A chunk that two
--- a/standin/internal/origin/origin.go
+++ b/standin/internal/origin/origin.go
@@ -22,7 +22,7 @@
 const (
 	maxBodyBytes = 1 << 16
 	maxVersions  = 1000
-	// retryAfterSeconds is what a refused caller is told to wait.
+	// retryAfterSeconds is what a refused caller should wait.
 	retryAfterSeconds = "1"
 )
 
--- a/standin/internal/origin/origin_test.go
+++ b/standin/internal/origin/origin_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// TestFaults: each knob shows, and the ledger tells of it.
+// TestFaults: each knob shows, and the ledger reports it.
 func TestFaults(t *testing.T) {
 	service, url := start(t, Options{})
 	made := publish(t, service, Publication{Model: "parcel", Mib: 0.25, ChunkKib: 128, Seed: 1})
--- a/standin/internal/origin/weights.go
+++ b/standin/internal/origin/weights.go
@@ -59,7 +59,7 @@
 	return hasher.Sum(nil), nil
 }
 
-// seedOf mixes everything that tells one chunk from another.
+// seedOf mixes everything that distinguishes one chunk from another.
 func seedOf(pub Publication, index int) [32]byte {
 	hasher := blake3.New()
 	_, _ = hasher.WriteString(pub.Model + "\x00" + pub.Kind + "\x00")
--- a/standin/internal/service/handler.go
+++ b/standin/internal/service/handler.go
@@ -36,7 +36,7 @@
 	}
 	body, err := s.Call(r.Context(), call.RequestID, call.Body)
 	if errors.Is(err, errReplyLost) || s.dead() {
-		// The caller sees a broken connection and cannot tell whether it ran.
+		// The caller sees a broken connection and does not know whether it ran.
 		panic(http.ErrAbortHandler)
 	}
 	if err != nil {
--- a/standin/internal/site/endpoint.go
+++ b/standin/internal/site/endpoint.go
@@ -54,7 +54,7 @@
 			since = time.Now()
 		}
 		gone := draining && time.Since(since) > time.Duration(p.options.LeaveMillis)*time.Millisecond
-		p.tell(ctx, worker.Registration(p.options.Address, draining), beat, gone)
+		p.announce(ctx, worker.Registration(p.options.Address, draining), beat, gone)
 		wait := time.NewTimer(min(beat, registerLook))
 		select {
 		case <-ctx.Done():
@@ -66,7 +66,7 @@
 // registerLook is how often a changed registration is looked for: an engine's weights.
 const registerLook = 300 * time.Millisecond
 
-func (p *part) tell(ctx context.Context, said map[string]any, beat time.Duration, gone bool) {
+func (p *part) announce(ctx context.Context, said map[string]any, beat time.Duration, gone bool) {
 	key := "servers/" + p.options.Endpoint.ID
 	method, query := http.MethodPut, url.Values{"key": {key}, "ttl": {(lifetimes * beat).String()}}
 	if gone {
