--- a/entry/internal/store/submit.go
+++ b/entry/internal/store/submit.go
@@ -117,7 +117,7 @@
 	open := kind == failure.Unavailable || kind == failure.Exhausted || again(err) || kind == failure.Internal
 	if a.maybe && open {
 		return failure.Wrap(err, failure.Ambiguous, "the document may have been accepted or not: the service's reply was lost",
-			"submit it again with the same submissionId, which shows it; or look at the audit trail")
+			"submit it again with the same submissionId to learn which; or look at the audit trail")
 	}
 	if kind == failure.Stale {
 		return failure.Wrap(err, failure.Unavailable, "the document was not accepted: the root key kept moving", "submit it again")
