agent: report the engine to entries only once it was asked

What callers may see: after a restart of an agent its sound engine gets no requests for a moment, and streams that show nothing for a quarter of a second move to other engines. Cause: an agent listens before it asks its engine for the first time, and the state that it sends to an entry at once says 'not alive' where nothing is known. What entries send is taken at once as before. Evidence: TestAgentThatStartsReportsNoEngineDeadThatItHasNotAsked, with an engine that answers 50 ms late: a first state with alive=false before, alive=true after; an engine that fails is reported dead as before. Conclusion: no state says what the agent doesn't know.

--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -43,6 +43,9 @@
 
 // beat lets those followers send whose time has come.
 func (f *feed) beat() {
+	if !f.watch.known() {
+		return
+	}
 	now := f.clock.Now()
 	version := f.watch.version()
 	f.mu.Lock()
@@ -52,12 +55,15 @@
 	}
 }
 
-// Follow streams the engine's state until the entry goes.
+// Follow streams the engine's state until the entry goes, from the first beat on at which it
+// is known.
 func (f *feed) Follow(stream wire.DRPCFeed_FollowStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	listener := &follower{feed: f, gap: usualGap, due: make(chan struct{}, 1)}
-	listener.due <- struct{}{}
+	if f.watch.known() {
+		listener.due <- struct{}{}
+	}
 	f.add(listener)
 	defer f.remove(listener)
 	go func() {
--- /dev/null
+++ b/agent/internal/onsite/feed_test.go
@@ -0,0 +1,86 @@
+package onsite
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"storj.io/drpc/drpcconn"
+
+	"comfreyrelay.example/platform"
+	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/wire"
+)
+
+// Guards against an agent that restarts and reports its engine dead before it asked it: entries
+// then move the engine's streams away, and choose it no more for a moment.
+func TestAgentThatStartsReportsNoEngineDeadThatItHasNotAsked(t *testing.T) {
+	for name, test := range map[string]struct {
+		handler func(asked <-chan struct{}) http.Handler
+		alive   bool
+	}{
+		"sound": {func(asked <-chan struct{}) http.Handler {
+			engine := platformtest.NewEngine(testModel, 1, nil)
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				<-asked
+				engine.ServeHTTP(w, r)
+			})
+		}, true},
+		"dead": {func(<-chan struct{}) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) })
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked := make(chan struct{})
+			host := httptest.NewServer(test.handler(asked))
+			defer host.Close()
+			stream := followNewAgent(t, host.URL)
+			time.AfterFunc(50*time.Millisecond, func() { close(asked) })
+			state, err := stream.Recv()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := state.GetAlive(); got != test.alive {
+				t.Errorf("got a first state with alive=%t, want %t", got, test.alive)
+			}
+		})
+	}
+}
+
+// followNewAgent follows an agent whose engine serves at the URL, from before it first asks
+// the engine.
+func followNewAgent(t *testing.T, engineURL string) wire.DRPCFeed_FollowClient {
+	t.Helper()
+	clock, log := clockwork.NewRealClock(), slog.New(slog.DiscardHandler)
+	looks := newWatch(platform.NewEngine(engineURL, http.DefaultClient), clock, log)
+	served := newFeed(looks, newGuide(), newPace(clock.Now), clock)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		if err := serveFeed(ctx, lis, served); err != nil && !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	}()
+	go looks.run(ctx)
+	raw, err := net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := drpcconn.New(raw)
+	t.Cleanup(func() { _ = conn.Close() })
+	stream, err := wire.NewDRPCFeedClient(conn).Follow(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return stream
+}
--- a/agent/internal/onsite/watch.go
+++ b/agent/internal/onsite/watch.go
@@ -39,6 +39,7 @@
 	sequence uint64 // grows with each change
 	state    platform.EngineReport
 	alive    bool
+	judged   bool // the engine answered once or was found dead
 	failures int
 	reading  int64 // prompt tokens that entries sent and that are not read
 	final    int   // requests of entries that can't go on at another engine
@@ -75,6 +76,7 @@
 	defer w.mu.Unlock()
 	if err != nil {
 		w.failures++
+		w.judged = w.judged || w.failures >= deadPolls
 		if w.failures >= deadPolls && w.alive {
 			w.alive = false
 			w.log.Warn("dependency lost", "dependency", "engine", "error", err)
@@ -82,7 +84,7 @@
 		}
 		return
 	}
-	w.failures = 0
+	w.failures, w.judged = 0, true
 	if w.state.Born != 0 && report.Born != w.state.Born {
 		w.log.Warn("the engine started again", "born", report.Born, "before", w.state.Born, "loaded", report.Loaded)
 	}
@@ -140,6 +142,14 @@
 	return w.state, w.alive
 }
 
+// known reports whether the state says anything of the engine: an agent that has just started
+// knows nothing of it.
+func (w *watch) known() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.judged
+}
+
 // version returns a number that grows with each change of what entries receive.
 func (w *watch) version() uint64 {
 	w.mu.Lock()
