dispatch: an answer in progress leaves its host only once another one has room

What callers see: on deployments with the product's own document an answer in progress is lost where its host shows nothing for a second or more, though the host is sound and goes on; one that leaves a slow host is lost where the others are full. A pause of the entry itself counted as the host's. What may not be repeated was given up too, though no other attempt was allowed. Change: an attempt that began ends only once a place at another host is taken and its retry paid for; what may not be repeated and began waits to its end. Frames are read by a goroutine of the attempt, one each time it is asked, so that all is decided in one place. Evidence: three tests failed before (unknown after 1 or 2 attempts in place of answered after 1; a fourth, that a silent host is left where there is room and no place stays taken, passed). Why it works: the place is taken under the lane's lock, so nobody else gets it; it is given back where the attempt is not made. Conclusion: no path is left that gives up an answer in progress for want of bytes alone.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -132,6 +132,7 @@
 	}
 	ctx, cancel := clockwork.WithDeadline(ctx, d.cfg.Clock, run.cutoff())
 	defer cancel()
+	defer run.release()
 	err := run.loop(ctx)
 	return run.result(err)
 }
@@ -165,8 +166,20 @@
 	}
 }
 
+// release gives a place back that was reserved and is not used.
+func (r *run) release() {
+	if r.reserved != nil {
+		r.lane.finish(*r.reserved, route.Result{End: route.EndCancelled})
+		r.reserved = nil
+	}
+}
+
 // place waits for a host; a resumed answer stays with its version.
 func (r *run) place(ctx context.Context) (route.Choice, *failure.Error) {
+	if next := r.reserved; next != nil {
+		r.reserved = nil
+		return *next, nil
+	}
 	before := r.dispatcher.cfg.Clock.Now()
 	choice, err := r.lane.acquire(ctx, r.req, r.ask)
 	r.queued += r.dispatcher.cfg.Clock.Since(before)
@@ -206,7 +219,7 @@
 		return errGivenUp(end.reason)
 	case r.progress.Number() >= retry.MaxAttempts:
 		return errGivenUp(end.reason)
-	case !end.refused && !end.left && !r.req.Retry():
+	case !end.refused && r.reserved == nil && !r.req.Retry():
 		return errBudget(end.reason)
 	}
 	return nil
@@ -216,7 +229,7 @@
 // refusal another host is tried at once, for the first time.
 func (r *run) pause(ctx context.Context, end attemptEnd) bool {
 	next := int(r.progress.Number()) + 1
-	if end.left || end.refused && next == 2 {
+	if r.reserved != nil || end.refused && next == 2 {
 		return true
 	}
 	timer := r.dispatcher.cfg.Clock.NewTimer(retry.Backoff(next, rand.Float64())) //nolint:gosec // jitter, not a secret
--- a/entry/internal/dispatch/lane.go
+++ b/entry/internal/dispatch/lane.go
@@ -128,6 +128,24 @@
 	return waiting, placement{}
 }
 
+// reserve takes a place at another host than that of a choice, without waiting, for an answer in
+// progress there; false: none has room.
+func (l *lane) reserve(req *Request, ask func() route.Ask, from route.Choice) (route.Choice, bool) {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	choice, reason := l.pick(now, req, ask)
+	if reason != route.Chosen {
+		return route.Choice{}, false
+	}
+	if choice.Host.ID == from.Host.ID { // no other host serves it
+		l.table.Finish(now, choice, route.Result{End: route.EndCancelled})
+		l.inFlight--
+		return route.Choice{}, false
+	}
+	return choice, true
+}
+
 // pick reserves a host with room. The lock is held.
 func (l *lane) pick(now time.Time, req *Request, ask func() route.Ask) (route.Choice, route.Reason) {
 	want := ask()
--- a/entry/internal/dispatch/progress.go
+++ b/entry/internal/dispatch/progress.go
@@ -72,6 +72,9 @@
 // Number returns the current attempt's number, from 1; 0 before the first.
 func (p *Progress) Number() uint32 { return uint32(len(p.attempts)) }
 
+// Begun reports whether the back end of the current attempt said that it began.
+func (p *Progress) Begun() bool { return p.begun }
+
 // Version returns the version of the current attempt.
 func (p *Progress) Version() string { return p.version }
 
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -9,7 +9,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"comfreyrelay.example/relay/retry"
 	"comfreyrelay.example/relay/route"
 	"comfreyrelay.example/relay/wire"
 )
@@ -18,13 +17,6 @@
 const (
 	cancelTimeout = 300 * time.Millisecond
 	cutoffShare   = 10 // of the time left is kept for a cancel, at most
-	// A silent host is given up for a repeatable request after a multiple of
-	// what is usual, within bounds.
-	patienceFactor = 10
-	minPatience    = time.Second
-	maxPatience    = 10 * time.Second
-	// impatience for what may not be repeated only costs an unknown outcome.
-	onceFactor = 3
 	// A host's speed is looked at after so many tokens, or so much time.
 	speedEvery = 8
 	speedTime  = 150 * time.Millisecond
@@ -46,6 +38,8 @@
 	firstToken time.Duration
 	gone       bool // the caller is gone; the answer is collected all the same
 	moved      bool // it left a slow host once already
+	// reserved is the place of the next attempt, whose retry is paid for; nil: none.
+	reserved *route.Choice
 }
 
 // attemptEnd is how one attempt ended.
@@ -54,7 +48,7 @@
 	refused    bool // proved not run, by the agent
 	cancelled  bool // by the caller or the deadline: not the host's fault
 	reason     string
-	left       bool // by us, for a quicker host; its retry is paid for
+	left       bool // by us, for a quicker host
 	retryAfter time.Duration
 }
 
@@ -110,30 +104,69 @@
 func (r *run) exchange(ctx context.Context, choice route.Choice, message *wire.Attempt, timing *timing) attemptEnd {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := r.watch(cancel)
-	defer watch.stop()
-	stream, handedOut, err := r.dispatcher.cfg.Hosts.Run(ctx, choice.Host.Address, message)
+	first := r.firstPatience()
+	stream, handedOut, err := r.open(ctx, cancel, choice, message, first)
 	if handedOut {
 		r.progress.HandedOut()
 	}
 	if err != nil {
-		return r.failed(ctx, watch, "the host cannot be reached")
+		return attemptEnd{reason: "the host cannot be reached", cancelled: ended(ctx) && !errors.Is(err, errSilent)}
 	}
 	defer func() { _ = stream.Close() }()
+	frames := newReceiver(stream)
+	defer frames.stop()
+	quiet := newSilence(r.dispatcher.cfg.Clock, first)
+	defer quiet.stop()
 	for {
-		frame, err := stream.Recv()
-		if err != nil {
-			return r.failed(ctx, watch, streamReason(err))
+		got, waited := r.await(choice, frames, quiet)
+		if !waited {
+			return attemptEnd{reason: "the host was silent for too long"}
+		}
+		if got.err != nil {
+			return attemptEnd{reason: streamReason(got.err), cancelled: ended(ctx)}
 		}
-		watch.restart()
-		step := r.progress.Take(frame)
-		r.note(choice, frame, step)
-		if end, over := r.follow(choice, frame, step, timing, watch); over {
+		step := r.progress.Take(got.frame)
+		r.note(choice, got.frame, step)
+		if end, over := r.follow(choice, got.frame, step, timing, quiet); over {
 			return end
 		}
 	}
 }
 
+// await waits for the host's next frame; false: the attempt ends before it came.
+func (r *run) await(choice route.Choice, frames *receiver, quiet *silence) (received, bool) {
+	frames.ask()
+	quiet.restart()
+	for {
+		select {
+		case got := <-frames.got:
+			return got, true
+		case <-quiet.looks():
+			if quiet.look() && r.leaveSilent(choice) {
+				return received{}, false
+			}
+		}
+	}
+}
+
+// errSilent says that a host did not take an attempt in time.
+var errSilent = errors.New("the host did not take the attempt in time")
+
+// open hands the attempt out, within the time that is waited for a silent host.
+func (r *run) open(ctx context.Context, cancel context.CancelFunc, choice route.Choice, message *wire.Attempt, limit time.Duration) (Stream, bool, error) {
+	var late atomic.Bool
+	timer := r.dispatcher.cfg.Clock.AfterFunc(limit, func() {
+		late.Store(true)
+		cancel()
+	})
+	defer timer.Stop()
+	stream, handedOut, err := r.dispatcher.cfg.Hosts.Run(ctx, choice.Host.Address, message)
+	if err != nil && late.Load() {
+		err = errSilent
+	}
+	return stream, handedOut, err
+}
+
 func streamReason(err error) string {
 	if errors.Is(err, io.EOF) {
 		return "the host ended the answer early"
@@ -141,13 +174,6 @@
 	return "the connection to the host broke"
 }
 
-func (r *run) failed(ctx context.Context, watch *watch, reason string) attemptEnd {
-	if watch.fired.Load() {
-		return attemptEnd{reason: "the host was silent for too long"}
-	}
-	return attemptEnd{reason: reason, cancelled: ended(ctx)}
-}
-
 // note takes the host's word on its load. Frames of tokens carry none.
 func (r *run) note(choice route.Choice, frame *wire.Frame, step Step) {
 	switch step.Kind {
@@ -158,10 +184,10 @@
 }
 
 // follow does what a step asks for.
-func (r *run) follow(choice route.Choice, frame *wire.Frame, step Step, timing *timing, watch *watch) (attemptEnd, bool) {
+func (r *run) follow(choice route.Choice, frame *wire.Frame, step Step, timing *timing, quiet *silence) (attemptEnd, bool) {
 	switch step.Kind {
 	case StepRelay:
-		return r.relay(choice, step, timing, watch)
+		return r.relay(choice, step, timing, quiet)
 	case StepWhole:
 		return attemptEnd{whole: true}, true
 	case StepRefused:
@@ -177,15 +203,15 @@
 // relay passes tokens on. While the caller takes them, no frame is read: the
 // transport's flow control slows the host down, and a slow caller costs only
 // the buffers of one connection.
-func (r *run) relay(choice route.Choice, step Step, timing *timing, watch *watch) (attemptEnd, bool) {
+func (r *run) relay(choice route.Choice, step Step, timing *timing, quiet *silence) (attemptEnd, bool) {
 	timing.tokens(len(step.Tokens))
 	if timing.count == len(step.Tokens) && timing.count > 0 {
-		_, watch.limit = r.patience()
+		_, quiet.limit = r.patience()
 	}
 	if r.firstToken == 0 {
 		r.firstToken = r.dispatcher.cfg.Clock.Since(r.started)
 	}
-	if err := r.hand(step.Tokens, watch); err == nil {
+	if err := r.hand(step.Tokens); err == nil {
 		return r.leaveIfSlow(choice, timing)
 	}
 	r.gone = true
@@ -196,26 +222,23 @@
 }
 
 // hand passes tokens to the caller that wants them as they come.
-func (r *run) hand(tokens []string, watch *watch) error {
+func (r *run) hand(tokens []string) error {
 	if r.sink.Tokens == nil || r.gone || len(tokens) == 0 {
 		return nil
 	}
 	r.progress.Handed()
-	watch.pause()
-	defer watch.restart()
 	return r.sink.Tokens(r.progress.Version(), tokens)
 }
 
 // leaveIfSlow gives up a host that is left out as slow, once and for what may
 // be resumed: at a tenth of the speed most answers in progress there would miss
-// their deadline. The retry is taken from the budget first; without it the
-// answer stays where it is.
+// their deadline. Without room elsewhere the answer stays where it is.
 func (r *run) leaveIfSlow(choice route.Choice, timing *timing) (attemptEnd, bool) {
 	if !timing.due() {
 		return attemptEnd{}, false
 	}
 	slow := r.lane.speed(choice, timing.gap())
-	if !slow || r.moved || !r.req.Repeatable || r.progress.Number() >= retry.MaxAttempts || !r.req.Retry() {
+	if !slow || r.moved || !r.req.Repeatable || !r.reserve(choice) {
 		return attemptEnd{}, false
 	}
 	r.moved = true
@@ -253,47 +276,6 @@
 	return err == nil && reply.GetState() == "neverBegun"
 }
 
-// watch cancels an attempt whose host falls silent.
-type watch struct {
-	timer clockwork.Timer
-	limit time.Duration // of silence
-	fired atomic.Bool
-}
-
-// watch starts with the patience for a first token; tokens narrows it. A plain
-// service says nothing until it is done, so only the deadline bounds it.
-func (r *run) watch(cancel context.CancelFunc) *watch {
-	watch := &watch{limit: r.req.Deadline.Sub(r.started)}
-	if r.req.Service == "" {
-		first, _ := r.patience()
-		watch.limit = first
-	}
-	watch.timer = r.dispatcher.cfg.Clock.AfterFunc(watch.limit, func() {
-		watch.fired.Store(true)
-		cancel()
-	})
-	return watch
-}
-
-func (r *run) patience() (first, between time.Duration) {
-	first, between = r.lane.patience()
-	if !r.req.Repeatable {
-		first, between = first*onceFactor, between*onceFactor
-	}
-	return bounded(first * patienceFactor), bounded(between * patienceFactor)
-}
-
-func bounded(patience time.Duration) time.Duration {
-	if patience == 0 {
-		return maxPatience // nothing is known yet
-	}
-	return min(maxPatience, max(minPatience, patience))
-}
-
-func (w *watch) restart() { w.timer.Reset(w.limit) }
-func (w *watch) pause()   { w.timer.Stop() }
-func (w *watch) stop()    { w.timer.Stop() }
-
 // timing measures one attempt.
 type timing struct {
 	clock   clockwork.Clock
--- a/entry/internal/dispatch/run_test.go
+++ b/entry/internal/dispatch/run_test.go
@@ -20,6 +20,7 @@
 // scripted is what a fake host does with an attempt, frame by frame.
 type scripted struct {
 	wait  time.Duration // on the fake clock, before the frame
+	looks int           // that pass before the frame, each of patienceLook
 	frame *wire.Frame
 	stall bool // no frame comes, however long the wait
 	err   error
@@ -58,6 +59,10 @@
 		step := steps[0]
 		steps = steps[1:]
 		h.clock.Advance(step.wait)
+		for range step.looks {
+			h.clock.Advance(patienceLook)
+			time.Sleep(time.Millisecond)
+		}
 		if step.stall {
 			<-ctx.Done()
 		}
@@ -190,6 +195,104 @@
 	}
 }
 
+// silentAt answers as answerAt does, but shows nothing for twice the longest patience after some
+// tokens.
+func silentAt(att *wire.Attempt, begun int) []scripted {
+	steps := answerAt(att, 20*time.Millisecond)
+	steps[begun].looks = int(2 * maxPatience / patienceLook)
+	return steps
+}
+
+// Guards against an answer in progress that is lost: its host is silent for a while, and is given
+// up though no other one has room.
+func TestAnswerStaysAtASilentHostWhereNoOtherHasRoom(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		hosts      int
+		repeatable bool
+		budget     bool
+	}{
+		{"the only host", 1, true, true},
+		{"no retry left", 3, true, false},
+		{"may not be repeated", 3, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			hosts := &fakeHosts{cancelState: "running", script: func(_ string, att *wire.Attempt) ([]scripted, bool) {
+				return silentAt(att, 5), true
+			}}
+			dispatcher := newTestDispatcher(hosts, test.hosts)
+			advanceWhileWaiting(t, hosts.clock)
+			req := testRequest(hosts, 1, test.repeatable)
+			req.Retry = func() bool { return test.budget }
+			result := dispatcher.Do(context.Background(), req, Sink{})
+			if result.Outcome != Answered || result.Attempts != 1 {
+				t.Errorf("got %s after %d attempts, want %s after 1: %v", result.Outcome, result.Attempts, Answered, result.Err)
+			}
+		})
+	}
+}
+
+// Guards against an answer in progress that waits for a silent host to its deadline though another
+// one has room, and against a place there that stays taken.
+func TestAnswerLeavesASilentHostForOneWithRoom(t *testing.T) {
+	silent := ""
+	hosts := &fakeHosts{cancelState: "running"}
+	hosts.script = func(address string, att *wire.Attempt) ([]scripted, bool) {
+		if silent == "" {
+			silent = address
+			steps := answerAt(att, 20*time.Millisecond)
+			steps[5].looks, steps[5].stall = int(2*maxPatience/patienceLook), true
+			return steps, true
+		}
+		return answerAt(att, 20*time.Millisecond), true
+	}
+	dispatcher := newTestDispatcher(hosts, 3)
+	advanceWhileWaiting(t, hosts.clock)
+	result := dispatcher.Do(context.Background(), testRequest(hosts, 1, true), Sink{})
+	if result.Outcome != Answered || result.Attempts != 2 || result.Host == silent {
+		t.Errorf("got %s after %d attempts at %s, want %s after 2 elsewhere than at %s: %v",
+			result.Outcome, result.Attempts, result.Host, Answered, silent, result.Err)
+	}
+	if got := dispatcher.lane("lane").busy(); got != 0 {
+		t.Errorf("got %d places taken after the answer, want none", got)
+	}
+}
+
+// Guards against an answer that leaves a slow host and is lost, since no other one has room.
+func TestAnswerStaysAtASlowHostWhereNoOtherHasRoom(t *testing.T) {
+	slow := ""
+	hosts := &fakeHosts{script: func(address string, att *wire.Attempt) ([]scripted, bool) {
+		if address == slow {
+			return answerAt(att, 200*time.Millisecond), true
+		}
+		return answerAt(att, 20*time.Millisecond), true
+	}}
+	dispatcher := newTestDispatcher(hosts, 4)
+	for number := range 40 {
+		dispatcher.Do(context.Background(), testRequest(hosts, number, true), Sink{})
+	}
+	slow = hosts.attempts[0]
+	before := len(hosts.attempts)
+	queue := dispatcher.lane("lane")
+	fill := func() {
+		queue.mu.Lock()
+		defer queue.mu.Unlock()
+		others := func() route.Ask { return route.Ask{Versions: []string{"v1"}, Exclude: []string{slow}} }
+		for reason := route.Chosen; reason == route.Chosen; {
+			_, reason = queue.pick(hosts.clock.Now(), testRequest(hosts, 1, true), others)
+		}
+	}
+	sink := Sink{Tokens: func(string, []string) error { fill(); return nil }}
+	advanceWhileWaiting(t, hosts.clock)
+	result := dispatcher.Do(context.Background(), testRequest(hosts, 0, true), sink)
+	if result.Outcome != Answered {
+		t.Errorf("got %s, want %s: %v", result.Outcome, Answered, result.Err)
+	}
+	if got := hosts.attempts[before:]; len(got) != 1 || got[0] != slow {
+		t.Errorf("got attempts on %q, want one on %s", got, slow)
+	}
+}
+
 // advanceWhileWaiting lets the waits between attempts pass.
 func advanceWhileWaiting(t *testing.T, clock *clockwork.FakeClock) {
 	done := make(chan struct{})
