gateway: stop the tests' clock also where a request waits already

Cause: the test freezes the fake clock before it sends its request. The goroutine that moves the clock sees that in BlockUntilContext, which doesn't look at its context where somebody waits already. Where the goroutine ran for the first time only after the request had come, the clock was never frozen: 1.8 s and what went by. Conclusion: a fault of the harness; checks are unchanged.

--- a/entry/internal/gateway/deployment_test.go
+++ b/entry/internal/gateway/deployment_test.go
@@ -250,9 +250,10 @@
 }
 
 // tick moves the clock on while a request waits for it, five times as fast as the
-// clock on the wall: nothing is decided by how long the network takes.
+// clock on the wall: nothing is decided by how long the network takes. The end of ctx is looked at
+// where requests wait already, too: BlockUntilContext doesn't.
 func (h *deployment) tick(ctx context.Context) {
-	for h.clock.BlockUntilContext(ctx, 1) == nil {
+	for h.clock.BlockUntilContext(ctx, 1) == nil && ctx.Err() == nil {
 		h.clock.Advance(5 * time.Millisecond)
 		time.Sleep(time.Millisecond)
 	}
