all: call what a process reports a report

Cause: 'word' stood for reports, answers and messages in 45 comment lines and two types, so that a reader looked for words. No behaviour, wire field, log or setting changes.

--- a/agent/internal/cmd/keys_test.go
+++ b/agent/internal/cmd/keys_test.go
@@ -124,7 +124,7 @@
 // Symptom: a process makes an agent run, cancel or hand out what it has no
 // right to. Sequence: calls of each kind with the keys of each role, with those
 // of another node, of another deployment, and with none. Cause: a call that does not
-// look at the certificate, or believes the message's word on who sent it.
+// look at the certificate, or believes what the message says of its sender.
 func TestCallersAreKnownByTheirKeys(t *testing.T) {
 	t.Parallel()
 	deployment, stranger := newAuthority(t), newAuthority(t)
--- a/agent/internal/control/knowledge.go
+++ b/agent/internal/control/knowledge.go
@@ -120,7 +120,7 @@
 	return nodes
 }
 
-// hosts returns the hosts known, by id. The home entries' word counts for
+// hosts returns the hosts known, by id. The home entries' reports count for
 // whether they are lost.
 func (k *knowledge) hosts(now time.Time) []view.Host {
 	drained := map[string]bool{}
--- a/agent/internal/onsite/feed.go
+++ b/agent/internal/onsite/feed.go
@@ -16,7 +16,7 @@
 	leastGap = 25 * time.Millisecond
 	usualGap = 250 * time.Millisecond
 	// sendAnyway is the longest time between two states where the entry wants them
-	// more often: one that receives nothing for a few of these takes the agent's word no
+	// more often: one that receives nothing for a few of these takes the agent's report no
 	// longer.
 	sendAnyway = 250 * time.Millisecond
 )
--- a/agent/internal/onsite/pace.go
+++ b/agent/internal/onsite/pace.go
@@ -14,9 +14,9 @@
 	lagHigh = 150 * time.Millisecond
 	// lagLow is the delay below which they take more again.
 	lagLow = 80 * time.Millisecond
-	// lagStale is the age at which an entry's word of a delay is no longer taken.
+	// lagStale is the age at which an entry's report of a delay is no longer taken.
 	lagStale = 700 * time.Millisecond
-	// paceStep is the time between two changes, a little more than such a word
+	// paceStep is the time between two changes, a little more than such a report
 	// takes to come.
 	paceStep = 100 * time.Millisecond
 	// leastPart is the part of the usual rate that is always taken, so that the
@@ -27,7 +27,7 @@
 )
 
 // pace decides which part of its usual share of the link the transfer of weights
-// takes. The platform's word of the link's rate may be wrong for a while: weights sent at
+// takes. The rate that the platform declares for the link may be wrong for a while: weights sent at
 // the full rate then stand before a narrow link, and requests behind them. Entries
 // measure that delay and report it; the part is halved while it is high and grows
 // slowly while it is low.
@@ -40,20 +40,20 @@
 	now func() time.Time
 
 	mu      sync.Mutex
-	words   map[*follower]delayWord
+	reports map[*follower]delayReport
 	part    float64
 	stepped time.Time
 }
 
-// delayWord is what one entry reported of the delay on its way to this host.
-type delayWord struct {
+// delayReport is what one entry reported of the delay on its way to this host.
+type delayReport struct {
 	lag  time.Duration
 	near bool // the entry is of the host's failure domain
 	at   time.Time
 }
 
 func newPace(now func() time.Time) *pace {
-	return &pace{now: now, part: 1, words: map[*follower]delayWord{}}
+	return &pace{now: now, part: 1, reports: map[*follower]delayReport{}}
 }
 
 // observe takes over the delay that an entry reports.
@@ -61,14 +61,14 @@
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.words[from] = delayWord{lag: lag, near: near, at: now}
+	p.reports[from] = delayReport{lag: lag, near: near, at: now}
 }
 
-// leave forgets the word of an entry that follows no more.
+// leave forgets the report of an entry that follows no more.
 func (p *pace) leave(from *follower) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.words, from)
+	delete(p.reports, from)
 }
 
 // delay returns the delay of the host's link that entries reported lately; 0: none.
@@ -83,13 +83,13 @@
 // one reported any; p.mu is held.
 func (p *pace) lag(now time.Time) time.Duration {
 	var near, far []time.Duration
-	for _, word := range p.words {
+	for _, report := range p.reports {
 		switch {
-		case now.Sub(word.at) > lagStale:
-		case word.near:
-			near = append(near, word.lag)
+		case now.Sub(report.at) > lagStale:
+		case report.near:
+			near = append(near, report.lag)
 		default:
-			far = append(far, word.lag)
+			far = append(far, report.lag)
 		}
 	}
 	if len(near) == 0 {
--- a/agent/internal/onsite/pace_test.go
+++ b/agent/internal/onsite/pace_test.go
@@ -45,7 +45,7 @@
 // Symptom: a version that had left the origin whole was on the hosts 3 to 10 s later, and
 // in force too late. Sequence: configurations in quick succession fill the links between
 // failure domains and keep one entry of each domain busy; these entries see messages to and
-// from hosts 0.2 to 0.9 s late and say so. Cause: the highest word counted, so the hosts
+// from hosts 0.2 to 0.9 s late and say so. Cause: the highest report counted, so the hosts
 // left their own links, which were free, to requests.
 func TestDelayElsewhereSlowsNoWeights(t *testing.T) {
 	for _, one := range []struct {
--- a/bench/internal/deployment/operate.go
+++ b/bench/internal/deployment/operate.go
@@ -121,7 +121,7 @@
 var errNotServing = errors.New("not every host serves the version")
 
 // WaitServing waits until each of the hosts has the version loaded, by the
-// engines' own word, and returns the time of the last one's. Hosts that alive
+// engines' own reports, and returns the time of the last one's. Hosts that alive
 // reports as dead are not waited for.
 func (h *Deployment) WaitServing(ctx context.Context, hosts []*Member, version string, alive func(*Member) bool) error {
 	waiting := append([]*Member(nil), hosts...)
--- a/ctl/internal/client/deployment.go
+++ b/ctl/internal/client/deployment.go
@@ -36,10 +36,10 @@
 	Role          string `json:"role"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failureDomain"`
-	// Revision in force there, by its latest word.
+	// Revision in force there, by its latest report.
 	Revision     uint32 `json:"revision"`
 	PlanRevision uint32 `json:"planRevision"`
-	// AgeMillis is how old that word is.
+	// AgeMillis is how old that report is.
 	AgeMillis int64 `json:"ageMillis"`
 	Leaving   bool  `json:"leaving"`
 	Lost      bool  `json:"lost"`
--- a/entry/internal/callers/claims.go
+++ b/entry/internal/callers/claims.go
@@ -62,7 +62,7 @@
 	return &wire.ClaimReply{State: string(verdict.State), Answer: verdict.Answer, MovedTo: verdict.To}, nil
 }
 
-// Settle takes another entry's word on how a claimed key ended, or the keys of
+// Settle takes another entry's report of how a claimed key ended, or the keys of
 // one that shuts down.
 func (s *Server) Settle(_ context.Context, ask *wire.SettleRequest) (*wire.SettleReply, error) {
 	if ask.GetHandover() != nil {
@@ -184,7 +184,7 @@
 		"if this key was never sent before, make a new one with the owner from GET /v1/entries; else look for the request's effect"))
 }
 
-// settle reports to the ticket's owner how the run ended. Where the word is
+// settle reports to the ticket's owner how the run ended. Where the report is
 // lost the key stays granted, and a later sending of it gets unknown.
 func (s *Server) settle(ctx context.Context, won *ticket, outcome once.Outcome, answer []byte) {
 	if won.platform {
--- a/entry/internal/callers/requests.go
+++ b/entry/internal/callers/requests.go
@@ -67,7 +67,7 @@
 }
 
 // callsRepeatable reports whether the service's endpoint may be called again:
-// the caller's word alone is not enough.
+// what the caller says alone is not enough.
 func (h *deployment) callsRepeatable(service string) bool {
 	return h.classes[h.services[service].GetEndpoint()].GetCallsRepeatable()
 }
--- a/entry/internal/control/amend_test.go
+++ b/entry/internal/control/amend_test.go
@@ -38,7 +38,7 @@
 }
 
 // Symptom: a host that leaves gets new work. Sequence: 200 busy hosts, of which
-// one says that it leaves. Cause: its word waits behind reports of load.
+// one says that it leaves. Cause: its report waits behind reports of load.
 func TestLeavingIsKnownSoon(t *testing.T) {
 	inFleet(t, 14, 9, 200, func(f *fleet) {
 		f.set(func(f *fleet) { f.working = true })
@@ -74,7 +74,7 @@
 }
 
 // Symptom: a host that died keeps getting work from entries that it does not
-// report to. Sequence: 200 busy hosts, one dies. Cause: the word that it is lost
+// report to. Sequence: 200 busy hosts, one dies. Cause: the report that it is lost
 // waits, or an amendment hides it.
 func TestLossIsKnownSoon(t *testing.T) {
 	inFleet(t, 15, 9, 200, func(f *fleet) {
--- a/entry/internal/control/offer.go
+++ b/entry/internal/control/offer.go
@@ -22,7 +22,7 @@
 }
 
 // takeOffer lets an entry that was started in an outage learn the document from
-// agents. An agent's word on the document counts only while this entry has
+// agents. An agent's report of the document counts only while this entry has
 // none: one bad agent must not be able to put a document of its own in force.
 func (s *Server) takeOffer(ctx context.Context, req *wire.SyncRequest) {
 	root := req.GetRoot()
--- a/entry/internal/control/server.go
+++ b/entry/internal/control/server.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// takeAgent takes an agent's word on its own host only.
+// takeAgent takes an agent's report of its own host only.
 func (s *Server) takeAgent(ctx context.Context, with *session, req *wire.SyncRequest) {
 	now := s.deployment.clock.Now()
 	s.deployment.hosts.Touch(req.GetFrom(), now)
--- a/entry/internal/dispatch/progress.go
+++ b/entry/internal/dispatch/progress.go
@@ -240,7 +240,7 @@
 	return Step{Kind: StepWhole}
 }
 
-// refused takes an agent's refusal as proof only as its first word: after
+// refused takes an agent's refusal as proof only as its first frame: after
 // "begin" the back end has seen the attempt.
 func (p *Progress) refused(frame *wire.Frame) Step {
 	if p.begun || frame.GetSequence() != 0 {
--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -174,7 +174,7 @@
 	return "the connection to the host broke"
 }
 
-// note takes the host's word on its load. Frames of tokens carry none.
+// note takes the host's report of its load. Frames of tokens carry none.
 func (r *run) note(choice route.Choice, frame *wire.Frame, step Step) {
 	switch step.Kind {
 	case StepBegin, StepWhole:
--- a/entry/internal/onsite/delay_meter.go
+++ b/entry/internal/onsite/delay_meter.go
@@ -72,8 +72,8 @@
 	m.asked, m.last = 0, 0
 }
 
-// word is the times of one message from an agent.
-type word struct {
+// messageTimes is the times of one message from an agent.
+type messageTimes struct {
 	agent      int64         // when the agent started
 	sent       time.Duration // by the agent's clock
 	echo, held time.Duration // the newest message that it had, by this entry's clock, and for how long; 0: none
@@ -81,7 +81,7 @@
 
 // delay takes a message's times and returns what the way there or back takes beyond
 // the least.
-func (m *delayMeter) delay(now time.Duration, msg word) time.Duration {
+func (m *delayMeter) delay(now time.Duration, msg messageTimes) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.newest = max(m.back(now, msg), m.round(now, msg))
@@ -95,7 +95,7 @@
 }
 
 // back returns the delay of the message alone.
-func (m *delayMeter) back(now time.Duration, msg word) time.Duration {
+func (m *delayMeter) back(now time.Duration, msg messageTimes) time.Duration {
 	took := now - msg.sent
 	m.least += time.Duration(clockDrift * float64(now-m.at))
 	if !m.known || msg.agent != m.agent || took < m.least {
@@ -106,7 +106,7 @@
 }
 
 // round returns the delay of what came back or should have.
-func (m *delayMeter) round(now time.Duration, msg word) time.Duration {
+func (m *delayMeter) round(now time.Duration, msg messageTimes) time.Duration {
 	found := time.Duration(0)
 	if msg.echo > 0 {
 		took := now - msg.echo - msg.held
--- a/entry/internal/onsite/delay_meter_test.go
+++ b/entry/internal/onsite/delay_meter_test.go
@@ -9,7 +9,7 @@
 
 // Symptom: engines behind squeezed links get requests all the time, which wait
 // there for a second and more. Sequence: a link is squeezed, the stream of its
-// agent's words breaks and is begun anew. Cause: the first message of a stream was
+// agent's reports breaks and is begun anew. Cause: the first message of a stream was
 // taken to have come in the usual time.
 func TestDelayIsWhatAMessageTookBeyondTheLeast(t *testing.T) {
 	m := newDelayMeter()
@@ -22,7 +22,7 @@
 		// from its own start.
 		{1, 2400, 8290, 1009}, {2, 3000, 50, 0}, {2, 3300, 100, 250},
 	} {
-		if got, want := m.delay(one.arrived*ms, word{agent: one.agent, sent: one.sent * ms}).Round(ms), one.want*ms; got != want {
+		if got, want := m.delay(one.arrived*ms, messageTimes{agent: one.agent, sent: one.sent * ms}).Round(ms), one.want*ms; got != want {
 			t.Errorf("message %d: got %v, want %v", i, got, want)
 		}
 	}
@@ -31,11 +31,11 @@
 // Symptom: requests reach an engine 1 to 2 s after they were sent, some after their
 // callers left, while its state is 10 ms old. Sequence: new weights on their way to
 // the host fill its narrow link in that direction alone. Cause: the delay of the
-// agent's words says nothing of the way there.
+// agent's reports says nothing of the way there.
 func TestWayThereIsPartOfTheDelay(t *testing.T) {
 	m := newDelayMeter()
 	at := func(now, echo, held time.Duration) time.Duration {
-		return m.delay(now*ms, word{agent: 1, sent: (now + 4000) * ms, echo: echo * ms, held: held * ms}).Round(ms)
+		return m.delay(now*ms, messageTimes{agent: 1, sent: (now + 4000) * ms, echo: echo * ms, held: held * ms}).Round(ms)
 	}
 	m.ask(100 * ms)
 	if got := at(108, 100, 5); got != 0 {
@@ -76,7 +76,7 @@
 	m := newDelayMeter()
 	for second := range 86400 {
 		sent := time.Duration(second) * time.Second
-		if got := m.delay(sent+sent/10000, word{agent: 1, sent: sent}); got > ms {
+		if got := m.delay(sent+sent/10000, messageTimes{agent: 1, sent: sent}); got > ms {
 			t.Fatalf("after %v: got %v, want none", sent, got)
 		}
 	}
--- a/entry/internal/onsite/feed.go
+++ b/entry/internal/onsite/feed.go
@@ -140,7 +140,7 @@
 	f := d.feeds
 	observed := stateOf(state)
 	// An entry that sends there seldom learns from the others.
-	observed.Delay = max(d.path.delay(f.clock.Since(f.began), wordOf(state)), time.Duration(state.GetLagMillis())*time.Millisecond)
+	observed.Delay = max(d.path.delay(f.clock.Since(f.began), timesOf(state)), time.Duration(state.GetLagMillis())*time.Millisecond)
 	f.state.Fleet().Observe(d.engine.Service, d.engine.Address, observed)
 }
 
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -143,8 +143,8 @@
 	return domain
 }
 
-func wordOf(state *wire.EngineState) word {
-	return word{
+func timesOf(state *wire.EngineState) messageTimes {
+	return messageTimes{
 		agent: state.GetAgentBorn(), sent: time.Duration(state.GetSentMillis()) * time.Millisecond,
 		echo: time.Duration(state.GetEchoMillis()) * time.Millisecond,
 		held: time.Duration(state.GetEchoHeldMillis()) * time.Millisecond,
--- a/entry/internal/operators/status.go
+++ b/entry/internal/operators/status.go
@@ -19,10 +19,10 @@
 	Region        string `json:"region"`
 	FailureDomain string `json:"failureDomain"`
 	Incarnation   string `json:"incarnation"`
-	// Revision and PlanRevision are in force there, by its latest word.
+	// Revision and PlanRevision are in force there, by its latest report.
 	Revision     uint32 `json:"revision"`
 	PlanRevision uint32 `json:"planRevision"`
-	// AgeMillis is how old that word is.
+	// AgeMillis is how old that report is.
 	AgeMillis int64 `json:"ageMillis"`
 	Leaving   bool  `json:"leaving"`
 	Lost      bool  `json:"lost"`
@@ -74,7 +74,7 @@
 	for _, host := range snap.Hosts {
 		report := host.Report()
 		node := newNode(report.GetNode(), millisOf(now.Sub(host.SeenAt())), host.Leaving(), host.Lost())
-		// The report of a far host comes rarely; its home entry's word often.
+		// The report of a far host comes rarely; its home entry's report often.
 		node.Revision = max(report.GetRevision(), homes[report.GetHome()])
 		node.PlanRevision = report.GetPlanRevision()
 		node.Running, node.Queued = report.GetRunning(), report.GetQueued()
--- a/relay/admit/limit.go
+++ b/relay/admit/limit.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// Queue takes the engine's own word on its load.
+// Queue takes the engine's own report of its load.
 func (l *Limit) Queue(now time.Time, running, queued int) {
 	if float64(queued) > math.Max(1, queuedRatio*float64(running)) {
 		l.shrink(now)
--- a/relay/burst/burst.go
+++ b/relay/burst/burst.go
@@ -114,7 +114,7 @@
 	undeliveredTurns = 6
 	// fewHolders is the holders up to which each is looked at.
 	fewHolders = 2
-	// silentTime is the time without a word after which a peer that failed is
+	// silentTime is the time without a message after which a peer that failed is
 	// taken to be gone.
 	silentTime = 3 * time.Second
 	// overtakers is the hosts of lower rank that an owner asks before it
--- a/relay/fallback/sim_test.go
+++ b/relay/fallback/sim_test.go
@@ -17,7 +17,7 @@
 const (
 	fetchSteps    = 20 // a model's bytes and its load
 	unwantedSteps = 30 // agent/internal/orders gives weights up after these
-	lostSteps     = 4  // a home entry's word that a host is silent
+	lostSteps     = 4  // a home entry's report that a host is silent
 )
 
 // machine is one host: what its agent would do.
--- a/relay/fleet/births.go
+++ b/relay/fleet/births.go
@@ -15,14 +15,14 @@
 	return l.ID == other.ID && (l.Born == other.Born || l.Born == 0 || other.Born == 0)
 }
 
-// maxFormer bounds the births remembered of births that are over: words that come
+// maxFormer bounds the births remembered of births that are over: reports that come
 // late are of the last few.
 const maxFormer = 4
 
 // births is what the two sources reported of an endpoint's births, the registration
-// and the agent on its host. Either may lag behind the other, and an old word may
+// and the agent on its host. Either may lag behind the other, and an old report may
 // come late. Hosts' clocks differ, so a birth says only that it is another:
-// births that both sources report are believed; else the one that changed its word
+// births that both sources report are believed; else the one that changed its report
 // last, unless that is of an incarnation that was over before.
 type births struct {
 	current    int64 // 0: none is known
@@ -31,10 +31,10 @@
 	former     []int64 // births that are over, newest last
 }
 
-// register takes a registration's word and reports whether another incarnation began.
+// register takes the birth of a registration and reports whether another incarnation began.
 func (l *births) register(born int64) bool { return l.learn(&l.registered, born) }
 
-// observe takes the agent's word and reports whether another incarnation began.
+// observe takes the birth that the agent reports and returns whether another incarnation began.
 func (l *births) observe(born int64) bool { return l.learn(&l.observed, born) }
 
 func (l *births) learn(source *int64, born int64) bool {
--- a/relay/fleet/births_test.go
+++ b/relay/fleet/births_test.go
@@ -15,7 +15,7 @@
 //
 // Symptom: requests go to an engine that has nothing loaded, wait for answers
 // that never come, or stay away from one that is well. Sequence: the engine dies
-// and starts again under the id it had; its registration, its agent's word and
+// and starts again under the id it had; its registration, its agent's report and
 // the answers to what it ran before come in any order. Cause: what was known of
 // the former incarnation was taken for the new one's.
 func TestBirths(t *testing.T) {
@@ -71,7 +71,7 @@
 	})
 }
 
-// Whatever order the words come in: once both sources reported the newest incarnation,
+// Whatever order the reports come in: once both sources reported the newest incarnation,
 // nothing of a former one counts, and no request of a former incarnation is counted
 // there.
 func TestNewestIncarnationIsBelievedInTheEnd(t *testing.T) {
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// feedStale is the age at which an agent's word is no longer taken: it
+	// feedStale is the age at which an agent's report is no longer taken: it
 	// sends at least four times as often.
 	feedStale = 900 * time.Millisecond
 	// sampleDelay is how much older a state is than its arrival: the engine's
 	// answer to its agent, the way between failure domains, and the two
 	// processes' turns at their processors.
 	sampleDelay = 6 * time.Millisecond
-	// lateReport is the delay on the way beyond which an agent's word is that of a
+	// lateReport is the delay on the way beyond which an agent's report is that of a
 	// host behind a link that is squeezed: answers take the same way, and targets
 	// of 300 to 500 ms leave less beside a pass and a half of the engine.
 	lateReport = 200 * time.Millisecond
@@ -74,7 +74,7 @@
 	return Incarnation{ID: e.reg.ID, Born: e.births.current}
 }
 
-// followed reports whether the agent's word is new enough.
+// followed reports whether the agent's report is new enough.
 func (e *endpoint) followed(now time.Time) bool {
 	return !e.stateAt.IsZero() && now.Sub(e.stateAt) < feedStale
 }
@@ -96,10 +96,10 @@
 	return 1 + e.proven
 }
 
-// noReport stands for the age of an agent's word where none came.
+// noReport stands for the age of an agent's report where none came.
 const noReport = -time.Millisecond
 
-// stateAge returns the age of the agent's word.
+// stateAge returns the age of the agent's report.
 func (e *endpoint) stateAge(now time.Time) time.Duration {
 	if e.stateAt.IsZero() {
 		return noReport
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -40,7 +40,7 @@
 	Pace    float64 // over 1: slow
 	Busy    bool    // an order is in progress, nothing new is begun
 	Loaded  map[string]uint64
-	// Delay is how much longer than usual the word was on its way.
+	// Delay is how much longer than usual the report was on its way.
 	Delay time.Duration
 	// Reading is the prompt tokens that other entries sent and that are not
 	// read yet.
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -39,7 +39,7 @@
 	unread      int  // prompt tokens before this request's, as known at the choice
 	home        bool // the engine was home to this entry
 	stateAge    time.Duration
-	delay       time.Duration // of the agent's word on its way
+	delay       time.Duration // of the agent's report on its way
 	begun       bool          // the first event came; guarded by the group's lock
 	done        bool
 }
@@ -73,10 +73,10 @@
 // Home reports whether the engine was home to this entry.
 func (g *Grant) Home() bool { return g.home }
 
-// Delay returns how much longer than usual the agent's word was on its way.
+// Delay returns how much longer than usual the agent's report was on its way.
 func (g *Grant) Delay() time.Duration { return g.delay }
 
-// StateAge returns the age of the agent's word at the choice, -1 ms where none came.
+// StateAge returns the age of the agent's report at the choice, -1 ms where none came.
 func (g *Grant) StateAge() time.Duration { return g.stateAge }
 
 // Alive reports whether the endpoint is not known to be dead: the agent on its
--- a/relay/fleet/timely_test.go
+++ b/relay/fleet/timely_test.go
@@ -10,7 +10,7 @@
 
 // Symptom: requests wait 1.2 s at engines that don't answer, then at the next, while
 // sound engines have room. Sequence: the links of eight of a hundred hosts are
-// squeezed for 7 s; their agents' words come late or not at all, and nothing is known
+// squeezed for 7 s; their agents' reports come late or not at all, and nothing is known
 // to run there. Cause: what is not known was taken for idle.
 func TestEngineWithoutTimelyReportsIsNotTakenForIdle(t *testing.T) {
 	late := fleet.EngineState{Alive: true, Delay: 600 * time.Millisecond}
@@ -63,7 +63,7 @@
 }
 
 // Symptom: a request begins on an old version after its time (VERSION of the
-// platform's rules). Sequence: a host's link is squeezed and its agent's word comes
+// platform's rules). Sequence: a host's link is squeezed and its agent's report comes
 // 0.7 s late; 1.6 s before the version ends its home entry sends a request there to
 // see whether it answers; the request stands 1.6 s in the link and begins 72 ms after
 // the end, though the entry gave it up before. Cause: what is sent shortly before an
--- a/relay/membership/membership.go
+++ b/relay/membership/membership.go
@@ -131,7 +131,7 @@
 	return true
 }
 
-// replaces reports whether a report is news. The word that a host is lost comes
+// replaces reports whether a report is news. The report that a host is lost comes
 // from its home entry and bears the last sequence number that the host used.
 func replaces(report, held *wire.HostReport) bool {
 	incarnation, heldIncarnation := report.GetNode().GetIncarnation(), held.GetNode().GetIncarnation()
@@ -233,7 +233,7 @@
 	HostCount int
 }
 
-// lostHost trusts the home entry of a far host: its word or its own loss counts
+// lostHost trusts the home entry of a far host: its report or its own loss counts
 // for more than silence about the host, which is the rule there.
 func (t *Table) lostHost(held *member, now time.Time, out Outlook) bool {
 	silence := now.Sub(held.seenAt)
@@ -255,7 +255,7 @@
 }
 
 // leaving joins the three sources: any one of them stops new work. A host's
-// own newest word counts, so that one that was taken back, or restarted, is
+// own newest report counts, so that one that was taken back, or restarted, is
 // back at once.
 func leaving(held *member, said, drained bool) bool {
 	return said || drained || (held.listed != nil && held.listed.State == StateLeaving)
--- a/relay/once/table.go
+++ b/relay/once/table.go
@@ -175,7 +175,7 @@
 }
 
 // Settle records how the run of a grant ended and reports whether it counted:
-// only the holder's word counts, and only once. After notRun and the Hold the
+// only the holder's report counts, and only once. After notRun and the Hold the
 // key is as if it had never been claimed.
 //
 // A claimant that gave up waiting for its claim's reply settles notRun. Where
--- a/relay/quarantine/flood_test.go
+++ b/relay/quarantine/flood_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// Where even those that are held are too many, those reported longest ago go, each with a word, and
+// Where even those that are held are too many, those reported longest ago go, each with a log line, and
 // there is room to learn of new ones.
 func TestHeldRequestsAreForgottenLastAndReported(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/relay/route/pick.go
+++ b/relay/route/pick.go
@@ -106,7 +106,7 @@
 	return float64(each.load()) < slots+headroom(slots)
 }
 
-// headroom is the queue that keeps an engine busy while word of a free slot
+// headroom is the queue that keeps an engine busy while the report of a free slot
 // travels.
 func headroom(slots float64) float64 { return max(1, slots/8) }
 
--- a/relay/route/table.go
+++ b/relay/route/table.go
@@ -149,7 +149,7 @@
 	}
 }
 
-// Load takes a host's own word on its load, which came with a frame.
+// Load takes a host's own report of its load, which came with a frame.
 func (t *Table) Load(now time.Time, id string, running, queued int) {
 	each := t.byID[id]
 	if each == nil {
--- a/relay/spread/digest.go
+++ b/relay/spread/digest.go
@@ -31,7 +31,7 @@
 // summary is what of a report is worth sending when it changes.
 type summary struct {
 	incarnation   string
-	home          string // a new home is the one whose word on the host counts
+	home          string // a new home is the one whose report of the host counts
 	leaving, lost bool
 	states        uint64 // hash of the versions' states
 	load          int    // running and queued requests
--- a/relay/view/view.go
+++ b/relay/view/view.go
@@ -22,7 +22,7 @@
 	return Host{report: report, seenAt: seenAt, leaving: leaving, lost: lost}
 }
 
-// Report returns the host's own words; the caller does not change them.
+// Report returns the host's own report; the caller does not change them.
 func (h Host) Report() *wire.HostReport { return h.report }
 
 // SeenAt returns when the report was made, by the local clock.
@@ -47,7 +47,7 @@
 	return Peer{report: report, seenAt: seenAt, leaving: leaving, lost: lost}
 }
 
-// Report returns the entry's own words.
+// Report returns the entry's own report.
 func (p Peer) Report() *wire.EntryReport { return p.report }
 
 // SeenAt returns when the report was made, by the local clock.
--- a/standin/internal/load/caller.go
+++ b/standin/internal/load/caller.go
@@ -32,7 +32,7 @@
 	// contradicted: one of two sendings was answered, and the other, which was
 	// refused later than the answered one was sent, called not run. A sending
 	// that begins after the caller received "not run" is a new wish of the caller's:
-	// the word was true when it was given.
+	// the promise was true when it was given.
 	contradicted bool
 	sentAt       time.Time // of the last attempt
 	knownAt      time.Time // when its outcome was known
