soak: probe the configuration in force, drains, work after the caller left, callers that stay on connections

Change: probes go straight to each entry on routes that come and go (CONFIG); runs at an endpoint that was asked to leave (DRAIN); runs that go on (GONE); one request in four goes over an open connection until its process is gone. What is judged within bounds of time has a file of its own. Also: of a request's runs the one that ended last says who broke off. TestJudge has a script for each rule.

--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -232,13 +232,22 @@
 }
 
 // replaceTime is how long an endpoint that drains goes on: it serves what it had.
-var replaceTime = bounds.Drain + 2*time.Second
+var replaceTime = bounds.Drain + 4*time.Second
+
+// leave is an endpoint that was asked to leave.
+type leave struct {
+	endpoint string // its id
+	at       time.Time
+}
 
 // replace lets a plain endpoint drain and starts another one in its place.
 func (r *run) replace(ctx context.Context, m *site.Member) error {
 	if err := r.site.Leave(ctx, m); err != nil {
 		return err
 	}
+	r.mu.Lock()
+	r.left = append(r.left, leave{endpoint: m.ID, at: time.Now()})
+	r.mu.Unlock()
 	if err := sleep(ctx, replaceTime); err != nil {
 		return err
 	}
--- a/bench/internal/sitesoak/caller.go
+++ b/bench/internal/sitesoak/caller.go
@@ -8,10 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +55,7 @@
 	tokens int
 	domain string
 	leaves bool // its caller leaves early
+	stays  bool // its caller uses an open connection until its process is gone
 }
 
 // callers send requests and keep the record of their tries. They are the callers of one
@@ -126,7 +129,7 @@
 
 // send sends a request once; nil: no connection came about.
 func (c *callers) send(ctx context.Context, wanted *request, left time.Duration, after int) *Try {
-	conn, err := c.connect(ctx)
+	conn, err := c.connect(ctx, wanted.stays)
 	if err != nil {
 		return nil
 	}
@@ -285,8 +288,16 @@
 	}
 }
 
-// connect returns a kept connection to one of the entries named, or a new one.
-func (c *callers) connect(ctx context.Context) (*connection, error) {
+// connect returns a kept connection to one of the entries named, or a new one. Callers that stay
+// take a kept one to any entry.
+func (c *callers) connect(ctx context.Context, stays bool) (*connection, error) {
+	if stays {
+		for _, address := range c.kept() {
+			if conn := c.take(address); conn != nil {
+				return conn, nil
+			}
+		}
+	}
 	named, err := c.entries(ctx)
 	if err != nil {
 		return nil, err
@@ -316,6 +327,15 @@
 	}
 }
 
+// kept returns the entries with a kept connection, by chance.
+func (c *callers) kept() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := slices.Sorted(maps.Keys(c.idle))
+	c.random.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	return found
+}
+
 func (c *callers) take(address string) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/bench/internal/sitesoak/judge.go
+++ b/bench/internal/sitesoak/judge.go
@@ -1,6 +1,7 @@
 package sitesoak
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -21,14 +22,14 @@
 	goneSlack = 500 * time.Millisecond
 	// goneFew is how many may do so later.
 	goneFew = 3
+	// workPart is the part of the requests whose callers left that may go on for goneSlack, and
+	// workOf of how many that is judged at least.
+	workPart = 0.25
+	workOf   = 8
 	// timeSlack is left of a request's time where its end is taken for that of the time.
 	timeSlack = 150 * time.Millisecond
 	// rotSlack is how long before its load a chunk may have turned bad.
 	rotSlack = 3 * time.Second
-	// servedPart is the part of the requests that is served at least once all faults are over.
-	servedPart = 0.25
-	// servedOf is of how many that is judged at least.
-	servedOf = 20
 )
 
 // judge checks the rules.
@@ -44,6 +45,7 @@
 		entries[m.Callers()] = m
 	}
 	gone := 0
+	var after workAfter
 	for _, group := range r.callers {
 		for _, one := range group.record() {
 			tries[one.ID] = one
@@ -53,19 +55,25 @@
 			r.judgeTry(one, runs)
 			r.judgeLoss(one, runs, entries[one.Entry])
 			gone += r.late(one, runs, entries[one.Entry])
+			r.workAfter(&after, one, runs, entries[one.Entry])
 		}
 	}
+	if after.of >= workOf && float64(after.on) > workPart*float64(after.of) {
+		r.violate("GONE", fmt.Sprintf("endpoints were at work on %d of %d requests %v after their callers had left", after.on, after.of, goneSlack))
+	}
 	if gone > goneFew {
 		r.violate("GONE", fmt.Sprintf("%d requests reached endpoints over %v after their callers had left", gone, goneSlack))
 	}
 	for _, one := range r.runs {
-		if tries[one.ID] == nil {
+		if tries[one.ID] == nil && !isProbe(one.ID) {
 			r.violate("UNASKED", fmt.Sprintf("%s ran %s, which nobody sent", one.Endpoint, one.ID))
 		}
 	}
 	r.judgeRepeats(byID, tries)
 	r.judgeLoads()
 	r.judgeVersions(tries, entries)
+	r.judgeDrains(tries, entries)
+	r.judgeConfigs(r.operator.changes)
 	r.judgeEnd()
 	result.Connections, result.Reset = map[string]float64{}, r.reset
 	for kind, most := range r.peaks {
@@ -106,7 +114,7 @@
 		res.Failed++
 		res.Failures[one.failure()]++
 	}
-	if one.Broken != "" && len(runs) > 0 && brokeOff(runs[len(runs)-1]) {
+	if one.Broken != "" && len(runs) > 0 && brokeOff(lastToEnd(runs)) {
 		res.CutOff++
 	}
 }
@@ -133,6 +141,20 @@
 	return count
 }
 
+// lastToEnd returns the run that ended last. An endpoint that stood still notes a request that was
+// taken from it meanwhile after the endpoint that had it next.
+func lastToEnd(runs []platformtest.Run) platformtest.Run {
+	return slices.MaxFunc(runs, func(left, right platformtest.Run) int {
+		switch {
+		case left.Ended == 0:
+			return 1
+		case right.Ended == 0:
+			return -1
+		}
+		return cmp.Compare(left.Ended, right.Ended)
+	})
+}
+
 func brokeOff(last platformtest.Run) bool { return last.End == platformtest.Cut }
 
 // judgeTry checks what a single request promises.
@@ -179,7 +201,7 @@
 		return
 	}
 	if len(runs) > 0 {
-		last := runs[len(runs)-1]
+		last := lastToEnd(runs)
 		if brokeOff(last) || r.disturbed(last.Endpoint, sent, ended) {
 			return
 		}
@@ -234,6 +256,30 @@
 	return count
 }
 
+// workAfter counts requests whose callers left while they ran, and those of them that went on.
+type workAfter struct{ of, on int }
+
+// workAfter counts the runs of a request that may be repeated, at entries in touch.
+func (r *run) workAfter(count *workAfter, one *Try, runs []platformtest.Run, entry *site.Member) {
+	left := time.Unix(0, one.Ended)
+	if !one.Left || !one.request.route.repeatable() || r.outOfTouch(entry, left, left.Add(goneSlack)) {
+		return
+	}
+	for _, found := range runs {
+		began, ended := time.Unix(0, found.Began), time.Unix(0, found.Ended)
+		if found.Began == 0 || began.After(left) || found.Ended != 0 && ended.Before(left) {
+			continue
+		}
+		goesOn := found.Ended == 0 || ended.After(left.Add(goneSlack))
+		if goesOn {
+			count.on++
+		}
+		if goesOn || found.End == platformtest.Gone {
+			count.of++
+		}
+	}
+}
+
 // judgeRepeats checks the budget that all entries share.
 func (r *run) judgeRepeats(byID map[string][]platformtest.Run, tries map[string]*Try) {
 	requests, repeats := map[string][]int64{}, map[string][]int64{}
@@ -293,63 +339,3 @@
 		return struck.kind == spoilChunk && struck.member == one.member && !struck.from.After(at) && struck.from.Add(rotSlack).After(at)
 	})
 }
-
-// judgeVersions checks that no request begins on weights that ended long ago, at entries that
-// ran undisturbed while the store and the links were sound.
-func (r *run) judgeVersions(tries map[string]*Try, entries map[string]*site.Member) {
-	for _, one := range r.runs {
-		sent := tries[one.ID]
-		if one.Version == 0 || one.Began == 0 || sent == nil {
-			continue
-		}
-		for _, newer := range r.operator.named {
-			began := time.Unix(0, one.Began)
-			if newer.version <= one.Version || began.Before(newer.at.Add(bounds.Version)) {
-				continue
-			}
-			if !r.outOfTouch(entries[sent.Entry], newer.at, began) {
-				r.violate("VERSION", fmt.Sprintf("%s arrived at %s %v and began on version %d %v after version %d",
-					one.ID, one.Endpoint, time.Unix(0, one.Arrived).Sub(newer.at), one.Version, began.Sub(newer.at), newer.version))
-			}
-			break
-		}
-	}
-}
-
-// outOfTouch reports whether bounds of time don't hold for an entry at a moment: it was
-// disturbed shortly before, or the store, a link or this machine was in the time since.
-func (r *run) outOfTouch(entry *site.Member, since, at time.Time) bool {
-	if r.strikeWithin(at, at, func(one *strike) bool { return one.hits(entry.ID) }) {
-		return true
-	}
-	away := r.strikeWithin(since, at, func(one *strike) bool {
-		return one.member == nil || one.member.Kind == site.Store || doorFaults[one.kind].Status != 0 || linkFaults[one.kind] != platformtest.LinkFaults{} || doorFaults[one.kind].Link != platformtest.LinkFaults{}
-	})
-	return away || r.stops.hit(entry, at) || r.stalls.within(since, at)
-}
-
-// judgeEnd checks that the deployment serves once all faults are over.
-func (r *run) judgeEnd() {
-	total, served := 0, 0
-	var last int64
-	for _, group := range r.callers {
-		for _, one := range group.record() {
-			last = max(last, one.Sent)
-		}
-	}
-	from := last - (endTime / 4).Nanoseconds()
-	for _, group := range r.callers {
-		for _, one := range group.record() {
-			if one.Sent < from {
-				continue
-			}
-			total++
-			if one.Whole && one.Status < http.StatusMultipleChoices {
-				served++
-			}
-		}
-	}
-	if total >= servedOf && float64(served) < servedPart*float64(total) {
-		r.violate("RECOVER", fmt.Sprintf("%d of the last %d requests were served", served, total))
-	}
-}
--- a/bench/internal/sitesoak/judge_test.go
+++ b/bench/internal/sitesoak/judge_test.go
@@ -27,6 +27,9 @@
 //	try ID route=NAME entry=NAME sent=S ended=S status=N [whole] [left] [broken] [key=KEY] [wrong]
 //	run ID endpoint=NAME arrived=S [began=S] [ended=S] end=END [version=N]
 //	load ENGINE VERSION AT [bad]
+//	leave ENDPOINT AT
+//	change AT [probe0]
+//	probe ENTRY SENT there|absent
 func TestJudge(t *testing.T) {
 	datadriven.RunTest(t, "testdata/judge", func(t *testing.T, d *datadriven.TestData) string {
 		j := newJudged()
@@ -125,6 +128,13 @@
 			return err
 		}
 		r.loads = append(r.loads, load{Load: one, member: j.member(words[1])})
+	case "leave":
+		r.left = append(r.left, leave{endpoint: words[1], at: at(words[2])})
+	case "change":
+		r.operator.changes = append(r.operator.changes, change{from: at(words[1]), at: at(words[1]), probes: [probeRoutes]bool{len(words) > 2}})
+	case "probe":
+		sent := at(words[2])
+		r.probes = append(r.probes, probe{entry: j.member(words[1]), sent: sent, ended: sent, there: words[3] == "there"})
 	default:
 		return fmt.Errorf("%s is unknown", words[0])
 	}
--- a/bench/internal/sitesoak/operator.go
+++ b/bench/internal/sitesoak/operator.go
@@ -101,7 +101,8 @@
 	slow     bool
 	revoked  map[string]time.Time // by key, when that was acknowledged
 	named    []declared
-	changes  []declared // of the configuration
+	changes  []change // of the configuration
+	probes   [probeRoutes]bool
 }
 
 // maxConns returns how many connections each endpoint takes from all callers: as many for each
@@ -148,11 +149,14 @@
 func (o *operator) change(ctx context.Context) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	switch o.random.IntN(3) {
+	switch o.random.IntN(4) {
 	case 0:
 		o.extra = (o.extra + 1) % 40
 	case 1:
 		o.slow = !o.slow
+	case 2:
+		at := o.random.IntN(probeRoutes)
+		o.probes[at] = !o.probes[at]
 	default:
 		customer := o.random.IntN(customers)
 		o.keys[customer] = append(o.keys[customer], o.issue())
@@ -184,9 +188,7 @@
 	o.version += 1 + o.random.IntN(3)
 	from := time.Now()
 	at, err := o.site.Put(ctx, "op/config", o.config())
-	if err == nil {
-		o.changes = append(o.changes, declared{version: uint64(o.version), from: from, at: at})
-	}
+	o.changes = append(o.changes, change{from: from, at: at, probes: o.probes})
 	return err
 }
 
@@ -224,6 +226,11 @@
 	for i := range o.extra {
 		list = append(list, object{"name": fmt.Sprint("extra-", i), "host": "c.example", "path_prefix": fmt.Sprintf("/x%d/", i), "kind": kindSafe, "timeout_ms": 1000, "service": site.AppService, "max_attempts": 1})
 	}
+	for i, there := range o.probes {
+		if there {
+			list = append(list, object{"name": fmt.Sprint("probe-", i), "host": probeHost, "path_prefix": probePath(i), "kind": kindSafe, "timeout_ms": probeTime.Milliseconds(), "service": site.AppService, "max_attempts": 1, "public": true})
+		}
+	}
 	tenants := []object{}
 	for i, keys := range o.keys {
 		tenants = append(tenants, object{"name": customerName(i), "api_keys": keys, "priority": i % 2})
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -91,8 +91,10 @@
 	leaving  atomic.Bool  // callers leave early
 	stops    stops
 	stalls   stalls
+	probes   []probe // in order
 
 	mu       sync.Mutex
+	left     []leave   // endpoints that were asked to leave
 	strikes  []*strike // faults
 	runs     []platformtest.Run
 	loads    []load
@@ -202,6 +204,7 @@
 		load.Go(func() { r.call(loadCtx, i, requests) })
 	}
 	load.Go(func() { r.stalls.watch(loadCtx) })
+	load.Go(func() { r.probe(loadCtx) })
 	began := time.Now()
 	for _, one := range events {
 		if err := sleep(ctx, warmTime+one.at-time.Since(began)); err != nil {
@@ -247,6 +250,10 @@
 	}
 }
 
+// stayOf is of how many requests one goes over a connection that is open, whatever the directory
+// says.
+const stayOf = 4
+
 // request draws a request.
 func (r *run) request(random *rand.Rand, domain, number int) *request {
 	at := random.Float64()
@@ -257,7 +264,7 @@
 			break
 		}
 	}
-	wanted := &request{route: chosen, leaves: r.leaving.Load() && random.IntN(3) == 0, key: r.operator.key(random), domain: domains[domain]}
+	wanted := &request{route: chosen, leaves: r.leaving.Load() && random.IntN(3) == 0, stays: random.IntN(stayOf) == 0, key: r.operator.key(random), domain: domains[domain]}
 	wanted.work.Subject = domains[domain] + "-" + strconv.Itoa(number)
 	if chosen.stream {
 		wanted.tokens = int(min(3*chosen.prompt, 1+chosen.prompt*random.ExpFloat64()))
