--- a/bench/internal/policy/policy_test.go
+++ b/bench/internal/policy/policy_test.go
@@ -131,3 +131,21 @@
 		t.Errorf("got %v for a folder that is not there, want kind invalid", err)
 	}
 }
+
+// Guards against a load file that no longer fits the schema, or is named other than its file.
+func TestLoadFilesCanBeRead(t *testing.T) {
+	files, err := filepath.Glob("../../loads/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("got files %v, %v; want some", files, err)
+	}
+	for _, file := range files {
+		load, err := Read(file)
+		if err != nil {
+			t.Errorf("%s: %v", file, err)
+			continue
+		}
+		if got, want := load.Name, strings.TrimSuffix(filepath.Base(file), ".json"); got != want {
+			t.Errorf("got name %q in %s, want %q", got, file, want)
+		}
+	}
+}
