onsite: an entry that ends writes its last answers whole

What callers see: the last request that a stopping entry serves ends with a closed connection and no answer, or a stream without its end, though its endpoint ran it and its handler gave the answer (LOST, around a planned stop). Cause: a draining entry looks each 20 ms whether requests are in progress, which it counts in its handler. The library writes a small answer, and the end of each, only after the handler returned; it reads a request's head before the handler begins. Between these moments nothing counted as in progress, and the end closed all connections at once. Why it works: the library counts a connection as active from the first byte of a request to the last one of its answer.

--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -53,6 +53,9 @@
 	endMargin = 900 * time.Millisecond
 	// drainLook is how often a draining entry looks whether it is done.
 	drainLook = 20 * time.Millisecond
+	// shutdownTime bounds the end of answers whose handlers have returned: the library writes
+	// what is left of them after that.
+	shutdownTime = 300 * time.Millisecond
 )
 
 // Run runs an entry until drain ends, then lets requests finish; it stops at once
@@ -228,22 +231,36 @@
 	return all, nil
 }
 
+// serve answers requests until ctx ends and the answers in progress are written.
 func (e *entry) serve(ctx context.Context, group *errgroup.Group, lis net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
 	group.Go(func() error {
-		release := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer release()
+		ended := make(chan struct{})
+		release := context.AfterFunc(ctx, func() {
+			defer close(ended)
+			shutdown(server)
+		})
 		err := server.Serve(lis)
-		if ctx.Err() != nil {
-			return nil
+		if release() {
+			return err
 		}
-		return err
+		<-ended
+		return nil
 	})
 }
 
+// shutdown closes idle connections at once and the others once their answers are written.
+func shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
 // ready reports whether this entry knows what is in force and takes callers.
 func (e *entry) ready() error {
 	if e.draining.Load() {
--- /dev/null
+++ b/entry/internal/onsite/shutdown_test.go
@@ -0,0 +1,56 @@
+package onsite
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// lateListener takes connections of a process that gets its turn late: each write waits.
+type lateListener struct{ net.Listener }
+
+func (l lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return lateConn{conn}, err
+}
+
+type lateConn struct{ net.Conn }
+
+func (c lateConn) Write(bytes []byte) (int, error) {
+	time.Sleep(100 * time.Millisecond)
+	return c.Conn.Write(bytes)
+}
+
+// Guards against an answer that is lost though its request was served: the entry ends as its
+// last handler returns, and the library writes the end of the answer only after that.
+func TestEntryThatEndsWritesItsLastAnswerWhole(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	var group errgroup.Group
+	one := &entry{log: slog.New(slog.DiscardHandler)}
+	one.serve(ctx, &group, lateListener{lis}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "whole")
+		end()
+	}))
+	resp, err := http.Get("http://" + lis.Addr().String())
+	if err != nil {
+		t.Fatalf("got %v, want the answer", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "whole" {
+		t.Errorf("got %q, %v; want the whole answer", body, err)
+	}
+	if err := group.Wait(); err != nil {
+		t.Errorf("got %v, want a clean end", err)
+	}
+}
