gateway: release the caller of a stream at a host that stands still before it gives up

Hosts freeze for 3.3 s; their streams have no other engine with room, their callers give up after a pause of 2.4 s and the engines go on once they wake. A caller that leaves by itself doesn't come back. Change: shortly before its caller would give it up (0.4 s, two looks at most) an attempt ends where the caller has no part of the answer, which gets a 502, or where the agent on the endpoint's host sends nothing either, as on a host that stands still or is cut off. A stream in progress at a silent endpoint whose host reports is kept as before: it may be sound, and silence alone is no reason to end an answer. Evidence: TestCallerOfASilentHostIsReleasedBeforeItGivesUp got no answer in 20 s before; it and TestStreamOfASilentEndpointWhoseHostReportsIsKept pass five times. Why it works: a caller whose connection ends sends its request again, after the last event that it has.

--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -65,7 +65,7 @@
 	default:
 		x.runs++
 	}
-	if x.final || x.mayRun && !x.route.Repeatable() {
+	if x.final || x.mayRun && !x.route.Repeatable() || outcome == fleet.Silent && x.silence.reason == callerGivesUp {
 		return x.notServed("an endpoint "+outcome.String(), 0)
 	}
 	if x.reserved != nil {
--- a/entry/internal/gateway/silence.go
+++ b/entry/internal/gateway/silence.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
 )
 
@@ -17,8 +18,19 @@
 	// repeatTargets is how many targets a request that may be repeated waits
 	// for its answer before another endpoint is tried.
 	repeatTargets = 3
+	// Callers give up a stream that shows nothing for the longest of callerPause, so many
+	// targets and so many of the pauses that are in time.
+	callerPause   = 2 * time.Second
+	callerTargets = 4
+	callerGaps    = 8
+	// callerMargin is left of that time for a caller to learn that its stream can't go on
+	// here: more than the time between two looks.
+	callerMargin = 400 * time.Millisecond
 )
 
+// callerGivesUp is the reason to end an attempt at a silent endpoint without a place at another.
+const callerGivesUp = "caller about to give up"
+
 // silence is how an attempt waited for bytes.
 type silence struct {
 	reason    string        // why it waited no longer; empty: it did
@@ -46,7 +58,12 @@
 		return "caller"
 	case grant.Over():
 		return "endpoint started again"
-	case !x.route.Repeatable() || !x.attemptsLeft(x.runs+1):
+	case !x.route.Repeatable():
+		return ""
+	case !x.attemptsLeft(x.runs + 1):
+		if waited >= x.stall() && x.callerAboutToLeave(grant) {
+			return callerGivesUp
+		}
 		return ""
 	}
 	reason := ""
@@ -58,6 +75,9 @@
 	if reason == "" || x.reserve() {
 		return reason
 	}
+	if x.callerAboutToLeave(grant) {
+		return callerGivesUp
+	}
 	if !x.silence.kept {
 		x.silence.kept = true
 		x.gateway.cfg.Log.Info("silent endpoint kept", "request", x.req.ID, "endpoint", grant.ID(), "reason", reason,
@@ -66,6 +86,22 @@
 	return ""
 }
 
+// callerAboutToLeave reports whether the caller of a stream will soon give it up and loses nothing
+// if the attempt ends: it has no part of the answer, or the endpoint's host sends no reports
+// either. A caller that leaves by itself doesn't come back, and its endpoint goes on with the
+// request once its host does; one that gets an answer may go on through another entry.
+func (x *exchange) callerAboutToLeave(grant *fleet.Grant) bool {
+	if x.route.Kind != catalog.Stream || x.events > 0 && grant.Followed() {
+		return false
+	}
+	shown := x.arrived
+	if x.events > 0 {
+		shown = x.eventAt
+	}
+	bears := max(callerPause, callerTargets*x.route.Target, callerGaps*x.route.Gap)
+	return x.gateway.cfg.Clock.Since(shown) >= bears-callerMargin
+}
+
 func (x *exchange) stall() time.Duration {
 	switch {
 	case x.events > 0:
--- a/entry/internal/gateway/silence_test.go
+++ b/entry/internal/gateway/silence_test.go
@@ -66,6 +66,53 @@
 	}
 }
 
+// Guards against callers that give up a stream at a host that stands still, which don't come back:
+// one without an event gets an answer before, one with a part of it a closed connection.
+func TestCallerOfASilentHostIsReleasedBeforeItGivesUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		script func(id string) []byte
+		events int
+		status int
+	}{
+		"no event":   {func(string) []byte { return []byte(pause) }, 0, 502},
+		"two events": {pausing(1, 5, 2), 2, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			end := newEndpoint(t, "i-1", test.script)
+			defer close(end.resume)
+			h := newDeployment(t, end)
+			h.freeze()
+			answered := make(chan answer)
+			go func() { answered <- h.send(t, "/stream/a", "key-1", "") }()
+			h.begun(t, test.events)
+			for len(end.requests()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			h.clock.Advance(3700 * time.Millisecond) // callers bear 4 s here
+			got := <-answered
+			if got.status != test.status || got.whole != (test.events == 0) {
+				t.Errorf("got %d whole %v, want %d whole %v", got.status, got.whole, test.status, test.events == 0)
+			}
+		})
+	}
+}
+
+// Guards against a stream that is broken off shortly before its caller would give it up, though the
+// agent on the endpoint's host reports: its answer may still come.
+func TestStreamOfASilentEndpointWhoseHostReportsIsKept(t *testing.T) {
+	end := newEndpoint(t, "i-1", pausing(1, 5, 2))
+	h := newDeployment(t, end)
+	h.freeze()
+	answered := make(chan answer)
+	go func() { answered <- h.send(t, "/stream/a", "key-1", "") }()
+	h.begun(t, 2)
+	h.clock.Advance(3700 * time.Millisecond)
+	h.state.Fleet().Observe("app", end.address, fleet.EngineState{Alive: true})
+	h.log.line(t, "endpoint=i-1", "silent")
+	close(end.resume)
+	h.pass(answered, 200*time.Millisecond).check(t, 200, "id: 1\n", true)
+}
+
 // cutStream sends a stream whose only endpoint breaks off after two events, and returns once it
 // waits for another one.
 func (h *deployment) cutStream(t *testing.T) <-chan answer {
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -90,6 +90,13 @@
 	return !g.end.followed(g.group.clock()) || g.end.state.Alive
 }
 
+// Followed reports whether the agent on the endpoint's host reports, whatever it says.
+func (g *Grant) Followed() bool {
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	return g.end.followed(g.group.clock())
+}
+
 // Answered takes over what the endpoint sent with its answer.
 func (g *Grant) Answered(load *call.Load) {
 	if load == nil {
