spec: model how old the proof of the keys in force is

Change: spec/freshness.pml has six rules, each named by its function: a reading proves what the store held as it began; a source takes its age before what it sends; an entry counts it from when it asked; the clock goes on during a suspension; a request takes the age before the configuration; keys count only within the bound.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -149,6 +149,8 @@
 }
 
 // prepare reads a request and finds its route and customer.
+//
+// Rule ORDER of spec/freshness.pml.
 func (g *Gateway) prepare(x *exchange, r *http.Request) *refusal {
 	req, err := g.cfg.Wire.Read(r)
 	if err != nil {
@@ -178,6 +180,8 @@
 
 // route finds the request's route and customer. Only a configuration that is surely in force may
 // refuse a request for good: an entry that may be behind asks the caller to come back.
+//
+// Rule LIMIT of spec/freshness.pml.
 func (g *Gateway) route(x *exchange) *refusal {
 	bounds := g.cfg.Bounds()
 	age, known := x.age, x.proven
--- a/entry/internal/onsite/news.go
+++ b/entry/internal/onsite/news.go
@@ -97,6 +97,8 @@
 
 // send sends what changed after the revision sent. The age is taken before the
 // changes, so that these hold all that the proof speaks of.
+//
+// Rule AGEFIRST of spec/freshness.pml.
 func (s *newsServer) send(stream wire.DRPCNews_ShareStream, answers uint64, sent *uint64, parts bool) (<-chan struct{}, error) {
 	age, proven := s.state.Fresh().Age()
 	changes, changed := s.mirror.Since(*sent)
@@ -225,6 +227,8 @@
 
 // prove takes over the age of what the source knows: it made the reply after it
 // had read the request, and so after that was sent.
+//
+// Rule SENT of spec/freshness.pml.
 func (r *newsReader) prove(reply *wire.NewsReply) {
 	sent, ok := r.asked[reply.GetAnswers()]
 	if !ok || !reply.GetProven() {
--- a/relay/freshness/clock.go
+++ b/relay/freshness/clock.go
@@ -7,6 +7,8 @@
 )
 
 // BootClock returns the time since the machine's start, suspensions included.
+//
+// Rule CLOCK of spec/freshness.pml.
 func BootClock() time.Duration {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -295,6 +295,8 @@
 }
 
 // watch waits for changes once.
+//
+// Rule BEGIN of spec/freshness.pml.
 func (f *Follower) watch(ctx context.Context) error {
 	began := f.State.Fresh().Now()
 	wait := f.wait()
