gateway: keep a stream without an event where its engine is reported alive

Change: it applies to streams without an event where the host sends no reports or reports its engine dead, to those in progress where the host sends none. Conclusion: what is released is at a host that stands still, is cut off or lost its engine.

--- a/entry/internal/gateway/silence.go
+++ b/entry/internal/gateway/silence.go
@@ -86,12 +86,12 @@
 	return ""
 }
 
-// callerAboutToLeave reports whether the caller of a stream will soon give it up and loses nothing
-// if the attempt ends: it has no part of the answer, or the endpoint's host sends no reports
-// either. A caller that leaves by itself doesn't come back, and its endpoint goes on with the
-// request once its host does; one that gets an answer may go on through another entry.
+// callerAboutToLeave reports whether the caller of a stream at an endpoint that is probably dead
+// will soon give it up. A caller that leaves by itself doesn't come back, and its endpoint goes
+// on with the request once its host does; one that gets an answer, or whose connection ends, may go
+// on through another entry.
 func (x *exchange) callerAboutToLeave(grant *fleet.Grant) bool {
-	if x.route.Kind != catalog.Stream || x.events > 0 && grant.Followed() {
+	if x.route.Kind != catalog.Stream || x.maySurvive(grant) {
 		return false
 	}
 	shown := x.arrived
@@ -102,6 +102,12 @@
 	return x.gateway.cfg.Clock.Since(shown) >= bears-callerMargin
 }
 
+// maySurvive reports whether a silent endpoint may still go on. Where its host reports, an answer
+// that was begun is ended by nothing that it says: it may be wrong about the endpoint.
+func (x *exchange) maySurvive(grant *fleet.Grant) bool {
+	return grant.Followed() && (x.events > 0 || grant.Alive())
+}
+
 func (x *exchange) stall() time.Duration {
 	switch {
 	case x.events > 0:
--- a/entry/internal/gateway/silence_test.go
+++ b/entry/internal/gateway/silence_test.go
@@ -97,20 +97,35 @@
 	}
 }
 
-// Guards against a stream that is broken off shortly before its caller would give it up, though the
-// agent on the endpoint's host reports: its answer may still come.
+// Guards against a stream that ends shortly before its caller would give it up, though its answer may
+// still come: the agent on the endpoint's host reports it alive, or it has given a part.
 func TestStreamOfASilentEndpointWhoseHostReportsIsKept(t *testing.T) {
-	end := newEndpoint(t, "i-1", pausing(1, 5, 2))
-	h := newDeployment(t, end)
-	h.freeze()
-	answered := make(chan answer)
-	go func() { answered <- h.send(t, "/stream/a", "key-1", "") }()
-	h.begun(t, 2)
-	h.clock.Advance(3700 * time.Millisecond)
-	h.state.Fleet().Observe("app", end.address, fleet.EngineState{Alive: true})
-	h.log.line(t, "endpoint=i-1", "silent")
-	close(end.resume)
-	h.pass(answered, 200*time.Millisecond).check(t, 200, "id: 1\n", true)
+	for name, test := range map[string]struct {
+		script func(id string) []byte
+		events int
+		alive  bool
+	}{
+		"no event, alive":           {func(id string) []byte { return append([]byte(pause), events(1, 5, false)(id)...) }, 0, true},
+		"two events, alive":         {pausing(1, 5, 2), 2, true},
+		"two events, reported dead": {pausing(1, 5, 2), 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			end := newEndpoint(t, "i-1", test.script)
+			h := newDeployment(t, end)
+			h.freeze()
+			answered := make(chan answer)
+			go func() { answered <- h.send(t, "/stream/a", "key-1", "") }()
+			h.begun(t, test.events)
+			for len(end.requests()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			h.clock.Advance(3700 * time.Millisecond) // callers bear 4 s here
+			h.state.Fleet().Observe("app", end.address, fleet.EngineState{Alive: test.alive})
+			h.log.line(t, "endpoint=i-1", "silent")
+			close(end.resume)
+			h.pass(answered, 200*time.Millisecond).check(t, 200, "id: 1\n", true)
+		})
+	}
 }
 
 // cutStream sends a stream whose only endpoint breaks off after two events, and returns once it
