soak: judge nothing where a run was interrupted before its records were read

Cause: the interrupt ended the reading and the requests were judged without runs. Change: an interrupted run ends with its error.

--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -133,6 +133,9 @@
 			r.collect(ctx, m)
 		}
 	}
+	if ctx.Err() != nil { // without the records nothing can be judged
+		return result, ctx.Err()
+	}
 	r.judge(&result)
 	return result, r.failed
 }
