dispatch: an attempt that was ended as the host took it is the host's silence

Cause, by reading: where the time for a silent host is over just as the host takes the attempt, the stream's end counted as the caller's, and the request was not tried again. Change: a timer that has fired says that the attempt ended by silence. No test holds the moment.

--- a/entry/internal/dispatch/run.go
+++ b/entry/internal/dispatch/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -154,14 +153,12 @@
 
 // open hands the attempt out, within the time that is waited for a silent host.
 func (r *run) open(ctx context.Context, cancel context.CancelFunc, choice route.Choice, message *wire.Attempt, limit time.Duration) (Stream, bool, error) {
-	var late atomic.Bool
-	timer := r.dispatcher.cfg.Clock.AfterFunc(limit, func() {
-		late.Store(true)
-		cancel()
-	})
-	defer timer.Stop()
+	timer := r.dispatcher.cfg.Clock.AfterFunc(limit, cancel)
 	stream, handedOut, err := r.dispatcher.cfg.Hosts.Run(ctx, choice.Host.Address, message)
-	if err != nil && late.Load() {
+	if !timer.Stop() { // it ended ctx, and the stream with it
+		if err == nil {
+			_ = stream.Close()
+		}
 		err = errSilent
 	}
 	return stream, handedOut, err
