gateway: log what endpoints' answers say of leaving and rest

Neither header was decoded, so that no line could tell an answer that was not read from one that was read and lost. No decision changes.

--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -60,7 +60,7 @@
 	if x.sends > 1 && x.events > 0 {
 		x.gateway.figures.resumed.Add(1)
 	}
-	if outcome == fleet.Served {
+	if outcome == fleet.Served && !x.head.Leaving {
 		x.gateway.cfg.Log.Debug("attempt", x.attemptFields(grant, outcome)...)
 		return
 	}
@@ -73,6 +73,7 @@
 		"outcome", outcome.String(), "occupied", grant.Occupied(), "unread", grant.Unread(), "home", grant.Home(),
 		"stateAgeMillis", grant.StateAge().Milliseconds(), "delayMillis", grant.Delay().Milliseconds(),
 		"version", grant.Version(), "events", x.events, "print", x.print,
+		"leaving", x.head.Leaving, "restMillis", x.head.Rest.Milliseconds(),
 		"gaveUp", x.silence.reason, "silentMillis", x.silence.waited.Milliseconds(), "oversleptMillis", x.silence.overslept.Milliseconds(),
 	}
 }
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -284,6 +284,7 @@
 	final        bool          // the answer was begun and can't go on at another endpoint
 	status       int           // of the answer that the caller got whole; 0: none yet
 	silence      silence       // of the newest attempt
+	head         call.Answer   // of the newest attempt; zero: none came
 	reserved     *fleet.Grant  // place of the next attempt; nil: none yet
 }
 
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -137,7 +137,7 @@
 // attempt sends the request to one endpoint and relays its answer.
 func (x *exchange) attempt(ctx context.Context, grant *fleet.Grant) fleet.Outcome {
 	g := x.gateway
-	x.tries, x.silence = append(x.tries, grant.Incarnation()), silence{}
+	x.tries, x.silence, x.head = append(x.tries, grant.Incarnation()), silence{}, call.Answer{}
 	if ctx.Err() != nil || !g.cfg.Clock.Now().Before(x.adm.End) {
 		return fleet.Abandoned
 	}
@@ -178,6 +178,7 @@
 		giveUp(conn, err)
 		return x.brokenBy(ctx, silentOr(err, fleet.Broken))
 	}
+	x.head = answer
 	grant.Answered(answer.Load)
 	x.applyLimit(grant, answer)
 	return x.take(ctx, grant, conn, resp, answer)
--- a/relay/call/call.go
+++ b/relay/call/call.go
@@ -63,6 +63,11 @@
 	// together; valid where Limited.
 	Limit   float64
 	Limited bool
+	// Leaving: the endpoint takes its leave and should get nothing new.
+	Leaving bool
+	// Rest is how long the endpoint, which turned the request away, wants nothing from this
+	// entry; 0 where not said.
+	Rest time.Duration
 	// Idle is how long the endpoint keeps an idle connection; 0 where not
 	// said.
 	Idle time.Duration
