gateway: failing tests of endpoints that leave or ask for rest

On this code an endpoint that said in an answer that it leaves gets 11 requests (half of what is sent; the number varies) where 1 is allowed, and one that asked for 3 s of rest gets a second request after 2.9 s.

--- /dev/null
+++ b/entry/internal/gateway/leaving_test.go
@@ -0,0 +1,77 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// leaving answers that the endpoint leaves.
+func leaving(id string) []byte {
+	return []byte(head(200, id, "X-Server-Stamp: s\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"))
+}
+
+// resting refuses a request and asks for so many seconds of rest.
+func resting(seconds string) func(id string) []byte {
+	return func(id string) []byte {
+		return []byte(head(503, id, "X-Not-Executed: 1\r\nRetry-After: "+seconds+"\r\nContent-Length: 0\r\n\r\n"))
+	}
+}
+
+// sendStopped sends a request to a gateway whose clock is stopped, where one that waits would wait
+// for ever.
+func (h *deployment) sendStopped(t *testing.T, path string) answer {
+	t.Helper()
+	answered := make(chan answer, 1)
+	go func() { answered <- h.send(t, path, "key-1", "") }()
+	return h.await(t, answered)
+}
+
+// await returns the answer to a request. One that waits is brought to its deadline, so that the
+// server can end.
+func (h *deployment) await(t *testing.T, answered <-chan answer) answer {
+	t.Helper()
+	select {
+	case got := <-answered:
+		return got
+	case <-time.After(stuck):
+		t.Error("got no answer, want one without a wait")
+	}
+	go h.tick(t.Context())
+	return <-answered
+}
+
+// stuck is the time after which a request counts as waiting for a clock that is stopped.
+const stuck = 10 * time.Second
+
+// Guards against further requests to an endpoint that said in an answer that it leaves.
+func TestEndpointThatSaidItLeavesGetsNothingNew(t *testing.T) {
+	gone, stays := newEndpoint(t, "i-1", leaving, leaving), newEndpoint(t, "i-2")
+	h := newDeployment(t, gone, stays)
+	for sum(gone) == 0 {
+		h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	}
+	for range 20 {
+		h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	}
+	if got, want := sum(gone), 1; got != want {
+		t.Errorf("got %d requests at the endpoint that leaves, want %d", got, want)
+	}
+}
+
+// Guards against requests to an endpoint that refused one and asked for rest, before the rest ends.
+func TestEndpointGetsTheRestItAskedFor(t *testing.T) {
+	tired, other := newEndpoint(t, "i-1", resting("3"), resting("1")), newEndpoint(t, "i-2")
+	h := newDeployment(t, tired, other)
+	for sum(tired) == 0 {
+		h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	}
+	h.freeze()
+	h.clock.Advance(2900 * time.Millisecond)
+	for range 20 {
+		h.sendStopped(t, "/safe/a").check(t, http.StatusOK, "ok", true)
+	}
+	if got, want := sum(tired), 1; got != want {
+		t.Errorf("got %d requests at the endpoint within its rest, want %d", got, want)
+	}
+}
