fleet: send nothing new to an endpoint that said in an answer that it leaves

Callers' requests reached an engine 2.0 to 2.4 s after the entry that sent them had passed on an answer in which the engine said that it leaves (DRAIN). They were served, but an engine that leaves may end under any of them.

Cause: only the registration in the platform's store made an entry keep away, and the store was away: it never took the engine's report. The answer's header was relayed and not used.

An entry now keeps what an endpoint itself says beside its registration, by incarnation. Nothing in the store takes it back; it outlives a registration that lapses and returns. A choice is checked once more before the request goes out, where a connection had to be made or a place was reserved before.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -146,10 +146,11 @@
 // place waits for an endpoint with room. Where none comes in time the refusal
 // says when to come back.
 func (x *exchange) place(ctx context.Context) (*fleet.Grant, *refusal) {
-	if grant := x.reserved; grant != nil {
+	if grant := x.reserved; grant != nil && grant.Good() {
 		x.reserved = nil
 		return grant, nil
 	}
+	x.release()
 	g := x.gateway
 	group := g.cfg.State.Fleet().Group(x.service)
 	queue := g.line(x.service)
--- a/entry/internal/gateway/figures.go
+++ b/entry/internal/gateway/figures.go
@@ -41,6 +41,7 @@
 		"inFlight":         g.inFlight.Load(),
 		"bodyBytes":        g.bodies.Load(),
 		"limitedEndpoints": int64(g.cfg.State.Fleet().LimitedEndpoints()),
+		"notices":          int64(g.cfg.State.Fleet().Notices()),
 		"connectionUses":   int64(uses),
 		"connectionDials":  int64(dials),
 	}
--- a/entry/internal/gateway/leaving_test.go
+++ b/entry/internal/gateway/leaving_test.go
@@ -4,6 +4,9 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"comfreyrelay.example/relay/fleet"
+	"comfreyrelay.example/relay/site"
 )
 
 // leaving answers that the endpoint leaves.
@@ -59,6 +62,23 @@
 	}
 }
 
+// Guards against an endpoint that counts as staying again once its registration, which lapsed while
+// the store was away, is back.
+func TestEndpointThatSaidItLeavesStaysOutWhenItsRegistrationReturns(t *testing.T) {
+	gone := newEndpoint(t, "i-1", leaving, leaving)
+	h := newDeployment(t, gone)
+	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
+	h.state.Apply([]site.Record{{Kind: site.EndpointRecord, ID: "i-1", Gone: true}}, 2)
+	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusServiceUnavailable, "no endpoint", true)
+	h.state.Apply([]site.Record{{Kind: site.EndpointRecord, ID: "i-1", Endpoint: fleet.Registration{
+		ID: "i-1", Service: "app", Address: gone.address, Slots: 4,
+	}}}, 3)
+	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusServiceUnavailable, "no endpoint", true)
+	if got, want := sum(gone), 1; got != want {
+		t.Errorf("got %d requests at the endpoint that leaves, want %d", got, want)
+	}
+}
+
 // Guards against requests to an endpoint that refused one and asked for rest, before the rest ends.
 func TestEndpointGetsTheRestItAskedFor(t *testing.T) {
 	tired, other := newEndpoint(t, "i-1", resting("3"), resting("1")), newEndpoint(t, "i-2")
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -55,7 +55,7 @@
 		return refused
 	}
 	switch outcome {
-	case fleet.Unreachable:
+	case fleet.Unreachable, fleet.Withheld:
 		// Nothing was sent: this is still the same sending.
 		if len(x.tries) >= maxUnreachable {
 			return x.notServed("no endpoint can be reached", soonReturn)
@@ -153,6 +153,11 @@
 		conn.Close()
 		return fleet.Abandoned
 	}
+	if !grant.Good() {
+		// The endpoint said so while the connection was made.
+		conn.Close()
+		return fleet.Withheld
+	}
 	release := context.AfterFunc(ctx, conn.Cancel)
 	defer release()
 	x.sends++
@@ -181,6 +186,7 @@
 	x.head = answer
 	grant.Answered(answer.Load)
 	x.applyLimit(grant, answer)
+	x.applyNotice(grant, answer)
 	return x.take(ctx, grant, conn, resp, answer)
 }
 
@@ -204,6 +210,17 @@
 		"service", x.service, "limited", answer.Limited, "perSecond", answer.Limit)
 }
 
+// applyNotice takes over what the answer says of new requests to its endpoint.
+func (x *exchange) applyNotice(grant *fleet.Grant, answer call.Answer) {
+	if answer.Elsewhere {
+		return
+	}
+	if answer.Leaving && grant.Leaves() {
+		x.gateway.cfg.Log.Info("endpoint leaves", "request", x.req.ID, "endpoint", grant.ID(), "address", grant.Address(),
+			"service", x.service)
+	}
+}
+
 // expected returns the version that the endpoint must have: once only a newer
 // one may serve, an engine that went back would begin on an old one.
 func (x *exchange) expected(grant *fleet.Grant) uint64 {
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -63,6 +63,7 @@
 	ejected  time.Time // chosen no more until then
 	errors   float64   // smoothed share of answers that were failures
 	limit    rateLimit
+	notice   notice
 }
 
 func newEndpoint(reg Registration, born births) *endpoint {
@@ -112,9 +113,17 @@
 	return e.reg.Loaded[model]
 }
 
+// leaves reports whether the endpoint leaves, as it registered or said in an answer.
+func (e *endpoint) leaves() bool { return e.reg.Leaving || e.notice.leaves }
+
+// barred reports whether the endpoint itself wants nothing new, or is gone.
+func (e *endpoint) barred(now time.Time) bool {
+	return e.leaves() || !e.gone.IsZero() && !now.Before(e.gone)
+}
+
 // open reports whether the endpoint takes new requests, as far as known.
 func (e *endpoint) open(now time.Time) bool {
-	if e.reg.Leaving || now.Before(e.ejected) || !e.gone.IsZero() && !now.Before(e.gone) {
+	if e.barred(now) || now.Before(e.ejected) {
 		return false
 	}
 	if !e.otherAt.IsZero() && now.Sub(e.otherAt) < feedStale {
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -19,11 +19,12 @@
 	Broken                     // the connection or the answer broke off
 	Silent                     // no answer came in time
 	Abandoned                  // the caller left or its time was over
+	Withheld                   // nothing was sent, as the endpoint wants nothing new any more
 )
 
 // String returns the name for logs.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "refused", "moved", "unreachable", "broken", "silent", "abandoned"}[o]
+	return [...]string{"served", "failed", "refused", "moved", "unreachable", "broken", "silent", "abandoned", "withheld"}[o]
 }
 
 // Grant is one request's place at an endpoint.
@@ -165,7 +166,7 @@
 		e.eject(now)
 		e.proven = 0
 		failed = 1
-	case Abandoned:
+	case Abandoned, Withheld:
 		return
 	}
 	e.errors += errorWeight * (failed - e.errors)
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -26,16 +26,17 @@
 	// byAddress is the same by address: one endpoint, and those that had it before
 	// until their registrations end.
 	byAddress map[string][]*endpoint
-	dealt     bool          // the engines were shared out among the entries
-	self      string        // id of this entry
-	others    []string      // ids of the other entries
-	changed   chan struct{} // closed and replaced when room may have come
+	dealt     bool                  // the engines were shared out among the entries
+	self      string                // id of this entry
+	others    []string              // ids of the other entries
+	changed   chan struct{}         // closed and replaced when room may have come
+	notices   map[string]keptNotice // by id, of endpoints whose registration ended
 	// moved gets a value when what this entry has unread at an address changes.
 	moved map[string]chan struct{}
 }
 
 func newGroup(clock func() time.Time, random func() float64) *Group {
-	return &Group{clock: clock, random: random, endpoints: map[string]*endpoint{}, changed: make(chan struct{}), moved: map[string]chan struct{}{}}
+	return &Group{clock: clock, random: random, endpoints: map[string]*endpoint{}, changed: make(chan struct{}), moved: map[string]chan struct{}{}, notices: map[string]keptNotice{}}
 }
 
 // ReadingChanged returns a channel that receives a value after what this entry
@@ -83,6 +84,7 @@
 	if end.births.register(reg.Born) {
 		end = g.begin(end)
 	}
+	g.returnNotice(end)
 	if !end.births.accepts(reg.Born) {
 		reg.Loaded = nil // of a former incarnation
 	}
@@ -125,6 +127,7 @@
 	dropped := false
 	for id, end := range g.endpoints {
 		if !end.gone.IsZero() && !now.Before(end.gone) && len(end.running) == 0 {
+			g.keepNotice(now, end)
 			delete(g.endpoints, id)
 			dropped = true
 		}
@@ -194,7 +197,7 @@
 	var list []Engine
 	for _, address := range slices.Sorted(maps.Keys(g.byAddress)) {
 		at := g.byAddress[address]
-		stays := slices.ContainsFunc(at, func(end *endpoint) bool { return !end.reg.Leaving })
+		stays := slices.ContainsFunc(at, func(end *endpoint) bool { return !end.leaves() })
 		list = append(list, Engine{Service: service, Address: address, FailureDomain: at[0].reg.FailureDomain, Leaving: !stays})
 	}
 	return list
--- /dev/null
+++ b/relay/fleet/notice_test.go
@@ -0,0 +1,77 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"comfreyrelay.example/relay/fleet"
+)
+
+// plain registers a plain endpoint.
+func (w *world) plain(id string, born int64) {
+	w.fleet.Register(fleet.Registration{ID: id, Born: born, Service: "app", Address: id + ":80", FailureDomain: "d1", Slots: 4})
+}
+
+func (w *world) pickPlain() (*fleet.Grant, fleet.Verdict) {
+	return w.fleet.Group("app").Pick(fleet.Need{Domain: "d1", Entries: 1})
+}
+
+// Guards against a notice that is lost with a registration that lapses and returns, and against one
+// that binds the next incarnation of an endpoint.
+func TestNoticeHoldsForItsIncarnation(t *testing.T) {
+	for name, give := range map[string]func(*fleet.Grant){
+		"leaving": func(grant *fleet.Grant) { grant.Leaves() },
+	} {
+		w := newWorld()
+		w.plain("a", 1)
+		grant, _ := w.pickPlain()
+		give(grant)
+		grant.Done(fleet.Served)
+		w.fleet.Remove("a", w.now)
+		w.now = w.now.Add(10 * time.Second)
+		w.plain("b", 1)
+		w.fleet.Remove("b", w.now)
+		w.plain("a", 1)
+		if _, verdict := w.pickPlain(); verdict == fleet.Granted {
+			t.Errorf("%s: got a grant once the registration is back, want none", name)
+		}
+		w.plain("a", 2)
+		if _, verdict := w.pickPlain(); verdict != fleet.Granted {
+			t.Errorf("%s: got verdict %v for the next incarnation, want a grant", name, verdict)
+		}
+	}
+}
+
+// Guards against a choice that still stands once the endpoint wants nothing new.
+func TestGrantIsNoLongerGood(t *testing.T) {
+	w := newWorld()
+	w.plain("a", 0)
+	first, _ := w.pickPlain()
+	second, _ := w.pickPlain()
+	if !second.Good() {
+		t.Fatal("got a grant that isn't good, want one that is")
+	}
+	first.Leaves()
+	if second.Good() {
+		t.Errorf("got a grant that is good at an endpoint that leaves, want one that isn't")
+	}
+}
+
+// Guards against endpoints kept out of notices that are remembered without bound.
+func TestNoticesAreBounded(t *testing.T) {
+	w := newWorld()
+	for i := range 5000 {
+		id := address(i)
+		w.plain(id, 0)
+		grant, verdict := w.pickPlain()
+		if verdict != fleet.Granted {
+			t.Fatalf("got verdict %v, want a grant", verdict)
+		}
+		grant.Leaves()
+		grant.Done(fleet.Served)
+		w.fleet.Remove(id, w.now)
+	}
+	if got, want := w.fleet.Notices(), 1024; got > want {
+		t.Errorf("got %d notices of endpoints that are gone, want at most %d", got, want)
+	}
+}
