agent: report to entries that the engine leaves

Its agent asks it for its state every 30 to 80 ms and dropped the header.

The agent passes it on with the engine's state, and entries send nothing new while a recent report says so. Unlike an entry's own answer a report is of an address and may lag behind a change of the engine there, so that it isn't kept.

The tests fail or don't build without the change.

--- a/agent/internal/onsite/feed_test.go
+++ b/agent/internal/onsite/feed_test.go
@@ -53,6 +53,32 @@
 	}
 }
 
+// Guards against entries that go on sending to an engine which said to its agent that it leaves,
+// until each has passed on an answer of it.
+func TestAgentReportsThatItsEngineLeaves(t *testing.T) {
+	engine := platformtest.NewEngine(testModel, 1, nil)
+	host := httptest.NewServer(engine)
+	defer host.Close()
+	stream := followNewAgent(t, host.URL)
+	first, err := stream.Recv()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.GetLeaving() {
+		t.Errorf("got an engine that leaves, want one that stays")
+	}
+	engine.Leave()
+	for {
+		state, err := stream.Recv()
+		if err != nil {
+			t.Fatalf("got %v, want a state of an engine that leaves", err)
+		}
+		if state.GetLeaving() {
+			return
+		}
+	}
+}
+
 // followNewAgent follows an agent whose engine serves at the URL, from before it first asks
 // the engine.
 func followNewAgent(t *testing.T, engineURL string) wire.DRPCFeed_FollowClient {
--- a/agent/internal/onsite/watch.go
+++ b/agent/internal/onsite/watch.go
@@ -91,6 +91,9 @@
 	if !w.alive {
 		w.log.Info("dependency regained", "dependency", "engine", "born", report.Born, "loaded", report.Loaded, "orders", report.Orders)
 	}
+	if report.Leaving && !w.state.Leaving {
+		w.log.Info("the engine leaves", "born", report.Born, "running", report.Running, "queued", report.Queued)
+	}
 	if !w.alive || !sameReport(report, w.state) {
 		w.state, w.alive = report, true
 		w.sequence++
@@ -99,7 +102,7 @@
 
 func sameReport(left, right platform.EngineReport) bool {
 	return left.Born == right.Born && left.Running == right.Running && left.Queued == right.Queued && left.Busy == right.Busy &&
-		left.Orders == right.Orders && left.Pace == right.Pace && maps.Equal(left.Loaded, right.Loaded)
+		left.Orders == right.Orders && left.Pace == right.Pace && left.Leaving == right.Leaving && maps.Equal(left.Loaded, right.Loaded)
 }
 
 // addReading counts an entry's report of its prompts.
@@ -166,6 +169,7 @@
 		Running: uint32(w.state.Running), Queued: uint32(w.state.Queued),
 		KvUsed: w.state.KVUsed, KvTotal: w.state.KVTotal, Pace: w.state.Pace,
 		Busy: w.state.Busy || w.ordering, Reading: uint32(max(0, w.reading)),
+		Leaving: w.state.Leaving,
 	}
 	for model, version := range w.state.Loaded {
 		state.Loaded = append(state.Loaded, &wire.LoadedWeights{Model: model, Version: version})
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -154,7 +154,7 @@
 func stateOf(state *wire.EngineState) fleet.EngineState {
 	found := fleet.EngineState{
 		Born: state.GetBorn(), Alive: state.GetAlive(), Running: int(state.GetRunning()), Queued: int(state.GetQueued()),
-		Pace: state.GetPace(), Busy: state.GetBusy(), Loaded: map[string]uint64{},
+		Pace: state.GetPace(), Busy: state.GetBusy(), Leaving: state.GetLeaving(), Loaded: map[string]uint64{},
 		Reading: max(0, int(state.GetReading())-int(state.GetReadingYours())),
 	}
 	for _, one := range state.GetLoaded() {
--- a/entry/internal/onsite/onsite_test.go
+++ b/entry/internal/onsite/onsite_test.go
@@ -333,3 +333,10 @@
 		t.Errorf("got %+v, want what is given", got)
 	}
 }
+
+// Guards against an agent's report that its engine leaves and that the entry drops.
+func TestReportOfAnEngineThatLeavesIsTaken(t *testing.T) {
+	if got := stateOf(&wire.EngineState{Leaving: true}); !got.Leaving {
+		t.Errorf("got an engine that stays, want one that leaves")
+	}
+}
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -121,12 +121,12 @@
 	return e.leaves() || e.notice.rests(now) || !e.gone.IsZero() && !now.Before(e.gone)
 }
 
-// here reports whether the endpoint is at its address and runs, as far as known.
+// here reports whether the endpoint is at its address, runs and stays, as far as known.
 func (e *endpoint) here(now time.Time) bool {
 	if !e.gone.IsZero() && !now.Before(e.gone) || !e.otherAt.IsZero() && now.Sub(e.otherAt) < feedStale {
 		return false
 	}
-	return !e.followed(now) || e.state.Alive
+	return !e.followed(now) || e.state.Alive && !e.state.Leaving
 }
 
 // open reports whether the endpoint takes new requests, as far as known.
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -39,6 +39,7 @@
 	Queued  int
 	Pace    float64 // over 1: slow
 	Busy    bool    // an order is in progress, nothing new is begun
+	Leaving bool    // it gets nothing new
 	Loaded  map[string]uint64
 	// Delay is how much longer than usual the report was on its way.
 	Delay time.Duration
--- a/relay/fleet/notice_test.go
+++ b/relay/fleet/notice_test.go
@@ -113,3 +113,17 @@
 		t.Errorf("got %d notices of endpoints that are gone, want at most %d", got, want)
 	}
 }
+
+// Guards against an engine that is chosen though its agent reports that it leaves, and against one
+// that is kept out for what its agent reported of another one before it at its address.
+func TestEngineThatLeavesByItsAgentsReport(t *testing.T) {
+	w := newWorld()
+	w.engine(0, 1)
+	w.own()
+	w.state(0, fleet.EngineState{Alive: true, Leaving: true})
+	if _, verdict := w.fleet.Group("llm").Pick(need); verdict != fleet.Nobody {
+		t.Errorf("got verdict %v of an engine that leaves, want nobody", verdict)
+	}
+	w.state(0, fleet.EngineState{Alive: true})
+	w.pick(t, need)
+}
