gateway: count no end of an endpoint that leaves against its requests

An endpoint that leaves exits by itself, and cuts off what it still runs. The gateway counted that as an end under these requests; after three a request is held for ten minutes, though nothing was wrong with it. No caller was seen to meet it.

Cause: whether the endpoint leaves wasn't looked at, neither in its registration nor in its answers. The line of the look has it as left.

TestEndOfAnEndpointThatLeftCountsAgainstNoRequest failed before.

--- a/entry/internal/gateway/inquest.go
+++ b/entry/internal/gateway/inquest.go
@@ -114,8 +114,10 @@
 	q.mu.Lock()
 	delete(q.open, one.grant.Incarnation())
 	q.mu.Unlock()
-	q.log.Info("endpoint looked at", one.fields(ended, err)...)
-	if !ended {
+	// One that leaves ends by itself.
+	left := one.grant.Leaving()
+	q.log.Info("endpoint looked at", append(one.fields(ended, err), "left", left)...)
+	if !ended || left {
 		return
 	}
 	report := one.report()
--- a/entry/internal/gateway/inquest_test.go
+++ b/entry/internal/gateway/inquest_test.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// Guards against requests that are held since endpoints which had said that they leave ended under
+// them: such an endpoint ends by itself.
+func TestEndOfAnEndpointThatLeftCountsAgainstNoRequest(t *testing.T) {
+	leaves := newEndpoint(t, "i-1", func(id string) []byte {
+		return []byte(strings.Replace(string(events(1, 2, true)(id)), "\r\n", "\r\nServer-Leaving: 1\r\n", 1))
+	})
+	leaves.mu.Lock()
+	leaves.accepted = func() { _ = leaves.listener.Close() }
+	leaves.mu.Unlock()
+	h := newDeployment(t, leaves)
+	h.send(t, "/stream/a", "key-1", "body")
+	h.log.line(t, `msg="endpoint looked at"`, "endpoint=i-1", "ended=true", "left=true")
+	if _, ends := h.state.Ledger().Size(); ends != 0 {
+		t.Errorf("got %d ends that count, want none", ends)
+	}
+}
+
 // Two tries of one request have ids of their own; the log shows that they are the same.
 func TestLogShowsThatARequestCameAgain(t *testing.T) {
 	end := newEndpoint(t, "i-1")
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -218,7 +218,7 @@
 	if answer.Rest > 0 {
 		grant.Rest(answer.Rest)
 	}
-	if answer.Leaving && grant.Leaves() {
+	if answer.Leaving && grant.NoteLeaving() {
 		x.gateway.cfg.Log.Info("endpoint leaves", "request", x.req.ID, "endpoint", grant.ID(), "address", grant.Address(),
 			"service", x.service)
 	}
--- a/relay/fleet/notice.go
+++ b/relay/fleet/notice.go
@@ -15,8 +15,9 @@
 
 func (n notice) rests(now time.Time) bool { return now.Before(n.restUntil) }
 
-// Leaves notes that the endpoint said in an answer that it leaves, and reports whether that is new.
-func (g *Grant) Leaves() bool {
+// NoteLeaving notes that the endpoint said in an answer that it leaves, and reports whether that is
+// new.
+func (g *Grant) NoteLeaving() bool {
 	g.group.mu.Lock()
 	defer g.group.mu.Unlock()
 	if g.end.notice.leaves {
@@ -26,6 +27,13 @@
 	return true
 }
 
+// Leaving reports whether the endpoint leaves, as it registered or said in an answer.
+func (g *Grant) Leaving() bool {
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	return g.end.leaves()
+}
+
 // Rest notes that the endpoint turned a request away and wants none for so long. Rests don't
 // shorten each other: answers overtake one another.
 func (g *Grant) Rest(wait time.Duration) {
--- a/relay/fleet/notice_test.go
+++ b/relay/fleet/notice_test.go
@@ -49,7 +49,7 @@
 // that binds the next incarnation of an endpoint.
 func TestNoticeHoldsForItsIncarnation(t *testing.T) {
 	for name, give := range map[string]func(*fleet.Grant){
-		"leaving": func(grant *fleet.Grant) { grant.Leaves() },
+		"leaving": func(grant *fleet.Grant) { grant.NoteLeaving() },
 		"rest":    func(grant *fleet.Grant) { grant.Rest(time.Minute) },
 	} {
 		w := newWorld()
@@ -89,7 +89,7 @@
 	if !second.Good() {
 		t.Errorf("got a grant that isn't good after the rest, want one that is")
 	}
-	first.Leaves()
+	first.NoteLeaving()
 	if second.Good() {
 		t.Errorf("got a grant that is good at an endpoint that leaves, want one that isn't")
 	}
@@ -105,7 +105,7 @@
 		if verdict != fleet.Granted {
 			t.Fatalf("got verdict %v, want a grant", verdict)
 		}
-		grant.Leaves()
+		grant.NoteLeaving()
 		grant.Done(fleet.Served)
 		w.fleet.Remove(id, w.now)
 	}
