fleet: ask an engine that refuses with room less and less often

An entry asked it again 40 ms after each refusal.

With each refusal in a row by an engine that had room by its agent's report the pause doubles, up to a second; a served request or a first event ends that. Endpoints of whose room nobody reports keep 40 ms: they may be full.

--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -24,8 +24,10 @@
 	// silence; it doubles with each in a row up to maxEjection.
 	firstEjection = 250 * time.Millisecond
 	maxEjection   = 4 * time.Second
-	// fullPause is the pause after a refusal.
-	fullPause = 40 * time.Millisecond
+	// fullPause is the pause after a refusal. It doubles up to maxFullPause with each in a row by
+	// an endpoint that had room by its agent's report, which is then no reason to send there.
+	fullPause    = 40 * time.Millisecond
+	maxFullPause = time.Second
 	// movedPause is the pause after another endpoint answered at the address:
 	// the registration ends soon.
 	movedPause = 2 * time.Second
@@ -60,6 +62,7 @@
 	loadAt   time.Time
 	proven   int       // own requests served in a row without a timely report of the agent
 	failures int       // to connect or to answer, in a row
+	refusals int       // in a row, with room by the agent's report
 	ejected  time.Time // chosen no more until then
 	errors   float64   // smoothed share of answers that were failures
 	limit    rateLimit
@@ -187,6 +190,14 @@
 	return longest
 }
 
+// refuse keeps new requests away after a refusal; hadRoom as for note.
+func (e *endpoint) refuse(now time.Time, hadRoom bool) {
+	e.ejected = now.Add(min(fullPause<<min(e.refusals, 5), maxFullPause))
+	if hadRoom {
+		e.refusals++
+	}
+}
+
 // eject keeps new requests away for a while that doubles with each failure.
 func (e *endpoint) eject(now time.Time) {
 	pause := min(firstEjection<<min(e.failures, 5), maxEjection)
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -112,6 +112,7 @@
 func (g *Grant) Began() {
 	g.group.mu.Lock()
 	defer g.group.mu.Unlock()
+	g.end.refusals = 0
 	g.began()
 }
 
@@ -122,6 +123,11 @@
 	}
 }
 
+// hadRoom reports whether the endpoint had room at the choice, by its agent's report.
+func (g *Grant) hadRoom() bool {
+	return g.stateAge != noReport && g.stateAge < feedStale && g.occupied < g.end.reg.Slots
+}
+
 // Done gives the place back and takes the outcome as evidence. Calls after the
 // first do nothing.
 func (g *Grant) Done(outcome Outcome) {
@@ -141,23 +147,24 @@
 	if !g.end.stateAt.IsZero() {
 		g.end.ended = append(g.end.ended, now)
 	}
-	g.end.note(now, outcome)
+	g.end.note(now, outcome, g.hadRoom())
 	g.group.forget()
 	g.group.wake()
 }
 
-// note takes an outcome as evidence of how the endpoint does.
-func (e *endpoint) note(now time.Time, outcome Outcome) {
+// note takes an outcome as evidence of how the endpoint does. hadRoom: it had room by its agent's
+// report.
+func (e *endpoint) note(now time.Time, outcome Outcome, hadRoom bool) {
 	failed := 0.0
 	switch outcome {
 	case Served:
-		e.failures = 0
+		e.failures, e.refusals = 0, 0
 		e.proven++
 	case Failed, Broken:
 		failed = 1
 		e.proven = 0
 	case Refused:
-		e.ejected = now.Add(fullPause)
+		e.refuse(now, hadRoom)
 		return
 	case Moved:
 		e.ejected = now.Add(movedPause)
