fleet: wake requests at the end of an endpoint's pause

A request that waits for a plain endpoint, which refused or failed one before, waited on after the pause was over until something else happened at its service, up to its bound; found beside the rest, whose end had to be announced for the same reason. No caller was seen to meet it.

TestEndOfAPauseIsKnown failed before (no time).

--- a/relay/fleet/backlog.go
+++ b/relay/fleet/backlog.go
@@ -3,8 +3,8 @@
 import "time"
 
 // AdmitsAt returns when the next endpoint that keeps requests off for a time admits one of this
-// entry: by its rate limit, or at the end of its rest. Zero: none does so. Nothing else announces
-// that time.
+// entry: by its rate limit, at the end of its rest, or of the pause after it failed. Zero: none
+// does so. Nothing else announces that time.
 func (g *Group) AdmitsAt() time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -15,6 +15,7 @@
 			next = earliestAfter(now, next, end.limit.admitsAt(now))
 		}
 		next = earliestAfter(now, next, end.notice.restUntil)
+		next = earliestAfter(now, next, end.ejected)
 	}
 	return next
 }
--- a/relay/fleet/refusal_test.go
+++ b/relay/fleet/refusal_test.go
@@ -52,3 +52,15 @@
 		w.now = w.now.Add(40 * time.Millisecond)
 	}
 }
+
+// Guards against a request that waits on after its endpoint's pause is over, since nothing happens
+// then that would wake it.
+func TestEndOfAPauseIsKnown(t *testing.T) {
+	w := newWorld()
+	w.plain("a", 0)
+	grant, _ := w.pickPlain()
+	grant.Done(fleet.Refused)
+	if got, want := w.fleet.Group("app").AdmitsAt(), w.now.Add(40*time.Millisecond); !got.Equal(want) {
+		t.Errorf("got %v as the end of the pause, want %v", got, want)
+	}
+}
