agent: bound the weights on their way to a serving host in bytes

Links of hosts narrow to an eighth; four chunks, 128 KB, stand before such a link for 1.1 s, and requests sent before the delay shows arrive behind them.

The bound was four chunks, whatever their size: 96 KB where chunks have 24 KB and 128 KB where they have 32. It is 96 KB now, four or three chunks.

--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -58,11 +58,13 @@
 	// other hosts out.
 	originConns = 2
 	originIdle  = 100 * time.Millisecond
-	// fetches is the chunks that are on their way to a host at once while its engine serves:
-	// a request behind them waits for all. idleFetches is the same while nothing runs, when
-	// the link should never be idle.
-	fetches     = 4
-	idleFetches = 8
+	// servingBytes bounds the chunks that are on their way to a host at once while its engine serves:
+	// requests wait behind all of them where its link becomes narrow. idleFetches is the chunks while
+	// nothing runs, when the link should never be idle.
+	servingBytes = 96 << 10
+	idleFetches  = 8
+	// usualChunk is the size of a chunk where none is declared, bytes.
+	usualChunk = 32 << 10
 	// crowdedPart is the part of the usual rate under which requests wait behind
 	// weights: one halving and a little.
 	crowdedPart = 0.6
@@ -258,7 +260,17 @@
 	case report.Running == 0:
 		return idleFetches
 	}
-	return fetches
+	want, _ := a.guide.weights()
+	return servingFetches(want.size)
+}
+
+// servingFetches returns how many chunks of so many bytes may be on their way to a host that
+// serves; 0 bytes: unknown.
+func servingFetches(size int) int {
+	if size <= 0 {
+		size = usualChunk
+	}
+	return max(1, servingBytes/size)
 }
 
 func verify(chunk, hash []byte) bool {
