--- a/relay/fleet/notice_test.go
+++ b/relay/fleet/notice_test.go
@@ -127,3 +127,73 @@
 	w.state(0, fleet.EngineState{Alive: true})
 	w.pick(t, need)
 }
+
+// Guards against a request that is refused though an endpoint may take it in time, and against one
+// that waits though none will.
+func TestBacklogOfRests(t *testing.T) {
+	const rest = 3 * time.Second
+	for name, test := range map[string]struct {
+		// give says what each endpoint did; tried are those that the request was at.
+		give  map[string]func(*fleet.Grant)
+		tried []string
+		want  fleet.Backlog
+		ok    bool
+	}{
+		"all rest": {
+			give: map[string]func(*fleet.Grant){"a": resting(rest), "b": resting(2 * rest)},
+			want: fleet.Backlog{Wait: rest, Rest: true}, ok: true,
+		},
+		"the first to end was tried": {
+			give:  map[string]func(*fleet.Grant){"a": resting(rest), "b": resting(2 * rest)},
+			tried: []string{"a"},
+			want:  fleet.Backlog{Wait: 2 * rest, Rest: true}, ok: true,
+		},
+		"all were tried": {
+			give:  map[string]func(*fleet.Grant){"a": resting(2 * rest), "b": resting(rest)},
+			tried: []string{"a", "b"},
+			want:  fleet.Backlog{Wait: rest, Rest: true, Tried: true}, ok: true,
+		},
+		"one leaves": {
+			give: map[string]func(*fleet.Grant){"a": resting(rest), "b": func(grant *fleet.Grant) { grant.NoteLeaving() }},
+			want: fleet.Backlog{Wait: rest, Rest: true}, ok: true,
+		},
+		"one is free":   {give: map[string]func(*fleet.Grant){"a": resting(rest)}},
+		"one is paused": {give: map[string]func(*fleet.Grant){"a": resting(rest), "b": func(grant *fleet.Grant) { grant.Done(fleet.Unreachable) }}},
+		"one is limited and has credit": {
+			give: map[string]func(*fleet.Grant){"a": resting(rest), "b": func(grant *fleet.Grant) { grant.Limited(10, true) }},
+			ok:   true,
+		},
+		"one is limited for longer than the rest": {
+			give: map[string]func(*fleet.Grant){"a": resting(time.Second), "b": func(grant *fleet.Grant) { grant.Limited(0.25, true) }},
+			want: fleet.Backlog{Wait: time.Second, Rest: true}, ok: true,
+		},
+	} {
+		w := newWorld()
+		grants := map[string]*fleet.Grant{}
+		for _, id := range []string{"a", "b"} {
+			w.plain(id, 0)
+			for grants[id] == nil {
+				grant, _ := w.pickPlain()
+				grants[grant.ID()] = grant
+			}
+		}
+		need := fleet.Need{Domain: "d1", Entries: 1}
+		for id, give := range test.give {
+			give(grants[id])
+		}
+		w.now = w.now.Add(100 * time.Millisecond)
+		for _, id := range test.tried {
+			need.Exclude = append(need.Exclude, grants[id].Incarnation())
+		}
+		if test.want.Wait > 0 {
+			test.want.Wait -= 100 * time.Millisecond
+		}
+		if got, ok := w.fleet.Group("app").Backlog(need, 0); ok != test.ok || ok && got != test.want {
+			t.Errorf("%s: got %+v, %v, want %+v, %v", name, got, ok, test.want, test.ok)
+		}
+	}
+}
+
+func resting(wait time.Duration) func(*fleet.Grant) {
+	return func(grant *fleet.Grant) { grant.Rest(wait) }
+}
