--- a/review/rig/case_hang.go
+++ b/review/rig/case_hang.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"sync"
 	"time"
@@ -21,10 +22,8 @@
 		// are started again.
 		afterAck = 20 * time.Millisecond
 		down     = 500 * time.Millisecond
-		// readsBeforeSilence is the number of staged pieces of 96 that an agent reads before its
-		// connections go silent.
-		readsBeforeSilence = 20
-		observed           = 20 * time.Second
+		// observed is for how long requests are judged.
+		observed = 20 * time.Second
 	)
 	site, err := w.startModelSite(entries, engines, key)
 	if err != nil {
@@ -39,7 +38,7 @@
 	back := named
 	if trouble {
 		time.Sleep(afterAck)
-		if err := site.restartAll(down, readsBeforeSilence); err != nil {
+		if err := site.restartAll(down); err != nil {
 			return 0, err
 		}
 		back = time.Now()
@@ -52,24 +51,60 @@
 }
 
 // restartAll kills all programs of the system at once and starts them again. Unless TROUBLE is
-// "kill", the connections to an engine go silent after so many reads of its staged pieces.
-func (s *modelSite) restartAll(down time.Duration, reads int) error {
+// "kill", all connections that are open to the engines go silent once each agent reads staged pieces.
+func (s *modelSite) restartAll(down time.Duration) error {
 	var killed sync.WaitGroup
 	for _, p := range s.programs {
 		killed.Go(p.kill)
 	}
 	killed.Wait()
 	time.Sleep(down)
-	if os.Getenv("TROUBLE") != "kill" {
-		for _, one := range s.llms {
-			one.muteAtRead(reads)
-		}
-	}
+	before := s.reads()
 	for _, p := range s.programs {
 		if err := p.begin(); err != nil {
 			return err
 		}
 	}
+	if os.Getenv("TROUBLE") == "kill" {
+		return nil
+	}
+	return s.silenceWhileReading(before)
+}
+
+// reads returns how many staged pieces were read from each engine.
+func (s *modelSite) reads() []int {
+	var counts []int
+	for _, one := range s.llms {
+		counts = append(counts, one.readCount())
+	}
+	return counts
+}
+
+// silenceWhileReading waits until every agent reads staged pieces, then makes all connections that
+// are open to the engines go silent at once.
+func (s *modelSite) silenceWhileReading(before []int) error {
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		reading := 0
+		for i, count := range s.reads() {
+			if count-before[i] >= chunkCount {
+				return fmt.Errorf("the agent of %s was done before the others began to read", s.llms[i].id)
+			}
+			if count > before[i] {
+				reading++
+			}
+		}
+		if reading == len(s.llms) {
+			break
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("%d of %d agents read what is staged", reading, len(s.llms))
+		}
+	}
+	open := 0
+	for _, one := range s.llms {
+		open += one.doors.mute()
+	}
+	s.world.record.add("engines", "%d open connections to the engines go silent", open)
 	return nil
 }
 
--- a/review/rig/case_removal.go
+++ b/review/rig/case_removal.go
@@ -16,7 +16,7 @@
 		entries = 3
 		rounds  = 4
 		// linger is how much longer than drain_ms a leaving worker serves.
-		linger = 1200 * time.Millisecond
+		linger = 2 * time.Second
 		// beforeSilence is the time from the registration of a new worker to the disruption.
 		beforeSilence = 400 * time.Millisecond
 		// beforeRemoval is the time from the disruption to the removal.
@@ -32,7 +32,7 @@
 	next := 0
 	begin := func() (*worker, error) {
 		next++
-		one, err := w.startWorker("desk", next, fmt.Sprintf("i-desk-%d", next), 60*time.Millisecond)
+		one, err := w.startWorker("desk", next, fmt.Sprintf("i-desk-%d", next), 100*time.Millisecond)
 		if err == nil {
 			platform.put("servers/"+one.id, one.registration(1))
 		}
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -23,7 +23,9 @@
 	firstToken  = 60 * time.Millisecond
 	eventGap    = 50 * time.Millisecond
 	eventCount  = 10
-	modelName   = "daka510000"
+	// readTime is the time to read a staged piece back.
+	readTime  = 10 * time.Millisecond
+	modelName = "daka510000"
 )
 
 // chunk returns a piece of a version's weights.
@@ -52,9 +54,8 @@
 	running map[chan struct{}]bool // closed when an order cuts the request off
 	waiting int
 	begun   []begun
-	// onRead is called after each piece that was read from the staging area; nil: it is not.
-	onRead func()
-	doors  *mutableListener
+	reads   int // of staged pieces
+	doors   *mutableListener
 }
 
 // startEngine starts an engine with version 1 loaded and staged.
@@ -71,16 +72,11 @@
 	return one, err
 }
 
-// muteAtRead makes the engine's open connections go silent once so many pieces were read from its
-// staging area, counted from now on.
-func (e *engine) muteAtRead(count int) {
+// readCount returns how many staged pieces were read so far.
+func (e *engine) readCount() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.onRead = func() {
-		if count--; count == 0 {
-			e.record.add(e.id, "%d open connections go silent", e.doors.mute())
-		}
-	}
+	return e.reads
 }
 
 // registration is the engine's entry in the store.
@@ -146,6 +142,9 @@
 }
 
 func (e *engine) serveGet(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("num") {
+		time.Sleep(readTime)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !r.URL.Query().Has("num") {
@@ -162,9 +161,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if e.onRead != nil {
-		e.onRead()
-	}
+	e.reads++
 	_, _ = w.Write(data)
 }
 
