--- a/review/rig/case_emptied.go
+++ b/review/rig/case_emptied.go
@@ -43,7 +43,7 @@
 	stop := make(chan struct{})
 	for i := 1; i <= entries; i++ {
 		for _, key := range []string{firstKey, lastKey, unknownKey} {
-			all.run(i, request{host: "review.example", path: "/desk/work", key: key, deadline: 2 * time.Second, gap: 100 * time.Millisecond}, stop)
+			all.run(i, request{host: "review.example", path: "/desk/lookup", key: key, deadline: 2 * time.Second, gap: 100 * time.Millisecond}, stop)
 		}
 	}
 	time.Sleep(3 * time.Second)
--- a/review/rig/case_removal.go
+++ b/review/rig/case_removal.go
@@ -61,7 +61,7 @@
 	stop := make(chan struct{})
 	for i := 1; i <= entries; i++ {
 		for range 3 {
-			all.run(i, request{host: "review.example", path: "/desk/work", key: key, deadline: 2 * time.Second, gap: 60 * time.Millisecond}, stop)
+			all.run(i, request{host: "review.example", path: "/desk/lookup", key: key, deadline: 2 * time.Second, gap: 60 * time.Millisecond}, stop)
 		}
 	}
 	time.Sleep(2 * time.Second)
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -86,7 +86,7 @@
 	for i := 1; i <= s.entries; i++ {
 		for range callersOfEntry {
 			all.run(i, request{
-				host: "review.example", path: "/note/work", key: s.key, deadline: 6 * time.Second, gap: 60 * time.Millisecond,
+				host: "review.example", path: "/note/draft", key: s.key, deadline: 6 * time.Second, gap: 60 * time.Millisecond,
 				headers: map[string]string{"X-Model": modelName, "X-Token-Counts": "600,50", "X-Prompt-Prefix": "5c1e07a2:40,91bd3f06:560"},
 			}, stop)
 		}
