gateway: log and count the decisions of the retry budget

The output could not tell whether a retry was allowed by what an entry had forgotten or by too large a share, nor whether retries were sent long after they had been allowed. Each decision now has a line with what was left, the entries that share the constant and the time since the process started; an attempt says how long its retry waited, and served retries are logged like failed ones. gateway.retries and gateway.retriesDenied count both.

What is decided is unchanged.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 // Gateway is the HTTP handler for callers. It is safe for concurrent use.
 type Gateway struct {
 	cfg        Config
+	startedAt  time.Time
 	closeConns atomic.Bool // answers close their connection
 	draining   atomic.Bool // new requests are refused
 	inFlight   atomic.Int64
@@ -95,7 +96,7 @@
 	}
 	g := &Gateway{
 		inProgress: map[*exchange]context.CancelCauseFunc{},
-		cfg:        cfg, retryBudgets: map[string]*retry.Window{}, waitQueues: map[string]*waitQueue{},
+		cfg:        cfg, startedAt: cfg.Clock.Now(), retryBudgets: map[string]*retry.Window{}, waitQueues: map[string]*waitQueue{},
 		crashChecks: crashChecker{
 			pool: cfg.Pool, clock: cfg.Clock, log: cfg.Log, ledger: cfg.State.Ledger(), publish: cfg.Publish,
 			running: map[fleet.Incarnation]*crashCheck{},
@@ -272,6 +273,8 @@
 	tried            []fleet.Incarnation // endpoints that were chosen so far
 	sends            int                 // attempts that got a connection
 	sentAt           time.Time           // start of the latest send
+	retryAllowedAt   time.Time           // when the retry budget admitted the latest retry; zero before the first
+	retryDenied      bool                // the latest decision of the retry budget was a refusal
 	attemptsUsed     int                 // failed attempts that may have run; compared with the route's limit
 	mayHaveRun       bool                // an endpoint may have run the request
 	mayHaveRunBefore bool                // mayHaveRun before the latest attempt
--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -4,21 +4,25 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"math"
 	"sync/atomic"
+	"time"
 
 	"comfreyrelay.example/relay/fleet"
 )
 
 // counters holds the gateway's metrics.
 type counters struct {
-	served      atomic.Int64
-	refused     atomic.Int64
-	failed      atomic.Int64
-	attempts    atomic.Int64
-	resumed     atomic.Int64
-	quarantined atomic.Int64 // refused because endpoints ended while running them
-	brokenOff   atomic.Int64 // answers cut off after their header was sent
-	events      atomic.Int64 // stream events sent to callers
+	served        atomic.Int64
+	refused       atomic.Int64
+	failed        atomic.Int64
+	attempts      atomic.Int64
+	retries       atomic.Int64 // retries that the budget admitted
+	retriesDenied atomic.Int64 // requests that found no retry left in the budget
+	resumed       atomic.Int64
+	quarantined   atomic.Int64 // refused because endpoints ended while running them
+	brokenOff     atomic.Int64 // answers cut off after their header was sent
+	events        atomic.Int64 // stream events sent to callers
 }
 
 // Counters returns the metrics by name.
@@ -32,6 +36,8 @@
 		"failed":           g.counters.failed.Load(),
 		"attempts":         g.counters.attempts.Load(),
 		"resumed":          g.counters.resumed.Load(),
+		"retries":          g.counters.retries.Load(),
+		"retriesDenied":    g.counters.retriesDenied.Load(),
 		"held":             g.counters.quarantined.Load(),
 		"brokenOff":        g.counters.brokenOff.Load(),
 		"events":           g.counters.events.Load(),
@@ -61,7 +67,7 @@
 	if x.sends > 1 && x.events > 0 {
 		x.gateway.counters.resumed.Add(1)
 	}
-	if outcome == fleet.Served && !x.answerHead.Leaving {
+	if outcome == fleet.Served && !x.answerHead.Leaving && x.sends == 1 {
 		x.gateway.cfg.Log.Debug("attempt", x.attemptFields(grant, outcome)...)
 		return
 	}
@@ -74,11 +80,36 @@
 		"outcome", outcome.String(), "occupied", grant.Occupied(), "unread", grant.PendingPrefill(), "home", grant.Home(),
 		"stateAgeMillis", grant.StateAge().Milliseconds(), "delayMillis", grant.Delay().Milliseconds(),
 		"version", grant.Version(), "events", x.events, "print", x.fingerprint,
+		"retryWaitMillis", x.retryWait().Milliseconds(),
 		"leaving", x.answerHead.Leaving, "restMillis", x.answerHead.BackOff.Milliseconds(),
 		"gaveUp", x.responseWait.stopReason, "silentMillis", x.responseWait.idle.Milliseconds(), "oversleptMillis", x.responseWait.wakeupDelay.Milliseconds(),
 	}
 }
 
+// retryWait returns the time between the latest retry's admission by the budget and its send.
+func (x *exchange) retryWait() time.Duration {
+	if x.retryAllowedAt.IsZero() || x.sentAt.Before(x.retryAllowedAt) {
+		return 0
+	}
+	return x.sentAt.Sub(x.retryAllowedAt)
+}
+
+// logRetry counts a decision of the retry budget and logs it with its inputs. A request that keeps
+// asking is logged once for each run of refusals.
+func (x *exchange) logRetry(allowed bool, left float64, entries int) {
+	g := x.gateway
+	if allowed {
+		g.counters.retries.Add(1)
+	} else if x.retryDenied {
+		return
+	} else {
+		g.counters.retriesDenied.Add(1)
+	}
+	x.retryDenied = !allowed
+	g.cfg.Log.Info("retry", "request", x.req.ID, "service", x.service, "send", x.sends+1, "allowed", allowed,
+		"left", math.Round(left), "entries", entries, "upMillis", g.cfg.Clock.Since(g.startedAt).Milliseconds())
+}
+
 // logEnd counts a finished request and logs the outcome and the values that led to it.
 func (x *exchange) logEnd(reason string, status int) {
 	g := x.gateway
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -109,10 +109,15 @@
 // takeRetry takes one retry from the service's budget and reports whether one was left.
 func (x *exchange) takeRetry() bool {
 	g := x.gateway
-	bounds := g.cfg.Bounds()
+	bounds, entries, now := g.cfg.Bounds(), g.cfg.Entries(), g.cfg.Clock.Now()
 	// Entries that started recently may not be known yet, so the share allows for a few more.
-	share := bounds.Slack / float64(g.cfg.Entries()+assumedNewEntries)
-	return g.retryBudget(x.service).AllowRepeat(g.cfg.Clock.Now(), bounds.Ratio*budgetFactor, share*budgetFactor)
+	share := bounds.Slack / float64(entries+assumedNewEntries)
+	allowed, left := g.retryBudget(x.service).AllowRepeat(now, bounds.Ratio*budgetFactor, share*budgetFactor)
+	x.logRetry(allowed, left, entries)
+	if allowed {
+		x.retryAllowedAt = now
+	}
+	return allowed
 }
 
 const (
--- a/relay/retry/window.go
+++ b/relay/retry/window.go
@@ -31,9 +31,10 @@
 	w.requests[0]++
 }
 
-// AllowRepeat reports whether a request may be sent once more, and counts the repeat if so.
-// ratio is the number of repeats allowed per request, and slack is added to the total.
-func (w *Window) AllowRepeat(now time.Time, ratio, slack float64) bool {
+// AllowRepeat reports whether a request may be sent once more, and counts the repeat if so. It also
+// returns how many repeats were left before. ratio is the number of repeats allowed per request, and
+// slack is added to the total.
+func (w *Window) AllowRepeat(now time.Time, ratio, slack float64) (allowed bool, left float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
@@ -42,11 +43,12 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	if float64(repeats+1) > ratio*float64(requests)+slack {
-		return false
+	left = ratio*float64(requests) + slack - float64(repeats)
+	if left < 1 {
+		return false, left
 	}
 	w.repeats[0]++
-	return true
+	return true, left
 }
 
 // advance drops the buckets that have left the window and starts new ones.
--- a/relay/retry/window_test.go
+++ b/relay/retry/window_test.go
@@ -24,7 +24,7 @@
 		for range rapid.IntRange(1, 400).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gapMillis")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "repeat") {
-				if window.AllowRepeat(now, ratio, slack) {
+				if allowed, _ := window.AllowRepeat(now, ratio, slack); allowed {
 					events = append(events, event{now, true})
 				}
 				continue
@@ -53,10 +53,12 @@
 func TestRepeatsAreAllowedAgainAfterWindow(t *testing.T) {
 	window := retry.NewWindow(10 * time.Second)
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	if !window.AllowRepeat(now, 0.2, 1) || window.AllowRepeat(now, 0.2, 1) {
-		t.Errorf("got other than one repeat with a slack of one")
+	for i, want := range []bool{true, false} {
+		if got, _ := window.AllowRepeat(now, 0.2, 1); got != want {
+			t.Errorf("repeat %d with a slack of one: got %v, want %v", i+1, got, want)
+		}
 	}
-	if !window.AllowRepeat(now.Add(11*time.Second), 0.2, 1) {
+	if got, _ := window.AllowRepeat(now.Add(11*time.Second), 0.2, 1); !got {
 		t.Errorf("got no repeat after the window, want one")
 	}
 }
