--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -25,6 +25,7 @@
 	url     string
 	workers []*platformtest.Worker
 	entries []*runningEntry
+	bounds  *wire.SiteBounds // of entries that are started
 
 	mu            sync.Mutex
 	lastRequestID int
@@ -40,7 +41,7 @@
 // newTestFleet starts the given numbers of entries and workers. hold blocks a worker's request until it returns; it may be nil.
 func newTestFleet(t *testing.T, entries, workers int, hold func(body []byte)) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: platformtest.NewStore()}
+	f := &testFleet{t: t, store: platformtest.NewStore(), bounds: &wire.SiteBounds{GraceMillis: 8000}}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.url = server.URL
@@ -89,7 +90,7 @@
 		CallersAddress: freeAddress(f.t), KvUrl: f.url,
 		Site: &wire.SiteSettings{
 			ReadyAddress: freeAddress(f.t), DirectoryAddress: freeAddress(f.t), AgentPort: 7700, MemoryMegabytes: 128,
-			Bounds: &wire.SiteBounds{GraceMillis: 8000},
+			Bounds: f.bounds,
 		},
 	}
 }
