site: share the retry budget by the most entries known within an hour

While the store turned entries away, their registrations lapsed, and those that were left divided the constant part of the budget by two or three though nine sent requests; without any registration each took itself for the only one.

Cause: the number of registered entries was read as the number of those that send. An entry that the store turns away goes on serving as long as its configuration is proven, by the store or by other entries.

Now the share is computed from the most entries that were known at one time within an hour, as long as a region may be without the store. What an entry stores of its reports is bounded by the same count. The choice of endpoints still uses the registered ones.

TestEntriesWithoutRegistrationsKeepToTheRetryBudget failed before (26 repeats, 25.4 allowed, 3 of 3 runs with the old count) and passes 3 of 3; it now waits until all entries know each other before their registrations lapse. TestPeakCountsEntriesWhoseRegistrationLapsed is new.

--- a/entry/internal/gateway/deployment_test.go
+++ b/entry/internal/gateway/deployment_test.go
@@ -248,7 +248,7 @@
 		Bounds: func() gateway.Bounds {
 			return gateway.Bounds{MaxKeyAge: 4 * time.Second, MaxConfigAge: 2 * time.Second, VersionRollout: 8 * time.Second, Ratio: 0.2, Slack: h.retrySlack, Window: retryWindow}
 		},
-		Entries: func() int { return 1 },
+		Entries: func() int { return 1 }, PeakEntries: func() int { return 1 },
 		Publish: func(report site.Report) { h.published <- report },
 	})
 	h.uptime = retryWindow // the slack of one window is earned
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -70,6 +70,9 @@
 	Publish func(site.Report)
 	// Entries returns how many entries share the endpoints, at least 1.
 	Entries func() int
+	// PeakEntries returns how many entries may send requests, at least 1. Unlike Entries, it counts
+	// those that stopped being registered only recently.
+	PeakEntries func() int
 }
 
 // Gateway is the HTTP handler for callers. It is safe for concurrent use.
--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -259,7 +259,7 @@
 	empty := site.NewState(h.clock.Now, fleet.New(h.clock.Now), freshness.NewTracker(func() time.Duration { return 0 }))
 	server := httptest.NewServer(gateway.New(gateway.Config{
 		State: empty, Pool: upstream.NewPool(time.Now), Wire: platform.Wire(), Clock: h.clock, BootClock: h.bootClock, Log: slog.New(slog.DiscardHandler),
-		Bounds: func() gateway.Bounds { return gateway.Bounds{} }, Entries: func() int { return 1 },
+		Bounds: func() gateway.Bounds { return gateway.Bounds{} }, Entries: func() int { return 1 }, PeakEntries: func() int { return 1 },
 	}))
 	defer server.Close()
 	h.server = server
--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -107,7 +107,7 @@
 	}
 	x.retryDenied = !allowed
 	g.cfg.Log.Info("retry", "request", x.req.ID, "service", x.service, "send", x.sends+1, "allowed", allowed,
-		"left", math.Floor(left), "entries", g.cfg.Entries(), "upMillis", (g.cfg.BootClock() - g.startedAt).Milliseconds())
+		"left", math.Floor(left), "entries", g.cfg.PeakEntries(), "upMillis", (g.cfg.BootClock() - g.startedAt).Milliseconds())
 }
 
 // logEnd counts a finished request and logs the outcome and the values that led to it.
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -125,7 +125,7 @@
 	return retry.Limit{
 		Ratio: bounds.Ratio * budgetFactor,
 		// Entries that started recently may not be known yet, so the share allows for a few more.
-		Slack: bounds.Slack * budgetFactor / float64(g.cfg.Entries()+assumedNewEntries),
+		Slack: bounds.Slack * budgetFactor / float64(g.cfg.PeakEntries()+assumedNewEntries),
 		Span:  bounds.Window,
 	}
 }
--- a/entry/internal/onsite/retry_budget_test.go
+++ b/entry/internal/onsite/retry_budget_test.go
@@ -127,8 +127,9 @@
 // Guards against entries whose registrations lapse while the store refuses their writes: each takes
 // itself for the only one and uses the whole constant part of the retry budget.
 func TestEntriesWithoutRegistrationsKeepToTheRetryBudget(t *testing.T) {
-	const interval = 400 * time.Millisecond
-	f := newRefusingFleet(t, 9)
+	const entries, interval = 9, 400 * time.Millisecond
+	f := newRefusingFleet(t, entries)
+	f.awaitListed(entries)
 	f.store.SetFault(func(r *http.Request) platformtest.Fault {
 		if r.Method == http.MethodPost {
 			return platformtest.Busy
@@ -136,14 +137,7 @@
 		return platformtest.None
 	})
 	f.store.EndLeases()
-	for _, entry := range f.entries {
-		eventually(t, "the other entries are gone from the directory", func() error {
-			if count := f.listedEntries(entry); count > 1 {
-				return fmt.Errorf("%d are listed", count)
-			}
-			return nil
-		})
-	}
+	f.awaitListed(1)
 	time.Sleep(retryWindow)
 	for range 2 * retryWindow / interval {
 		f.sendToAll()
@@ -152,6 +146,19 @@
 	f.checkRetryBudget()
 }
 
+// awaitListed waits until each entry directs callers to the given number of entries.
+func (f *refusingFleet) awaitListed(want int) {
+	f.t.Helper()
+	for _, entry := range f.entries {
+		eventually(f.t, fmt.Sprint("entries listed: ", want), func() error {
+			if got := f.listedEntries(entry); got != want {
+				return fmt.Errorf("%d are listed", got)
+			}
+			return nil
+		})
+	}
+}
+
 // listedEntries returns the number of entries to which an entry directs callers.
 func (f *refusingFleet) listedEntries(entry *runningEntry) int {
 	f.t.Helper()
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -99,14 +99,13 @@
 	e.mirror = site.NewMirror(e.state, platform.DecodeRecord, clock, log)
 	e.applySettings(cfg)
 	e.store = platform.NewStore(cfg.GetKvUrl(), storeClient())
-	entryCount := func() int { return max(1, len(e.state.Entries())) }
-	e.reporter = newReporter(e.store, platform.ReportPrefix(cfg.GetNode().GetId(), e.self.Incarnation), entryCount, clock, log)
+	e.reporter = newReporter(e.store, platform.ReportPrefix(cfg.GetNode().GetId(), e.self.Incarnation), e.state.PeakEntryCount, clock, log)
 	e.gateway = gateway.New(gateway.Config{
 		State: e.state, Pool: upstream.NewPool(clock.Now), Wire: platform.Wire(), Clock: clock, BootClock: freshness.BootClock, Log: log,
 		Domain:  self.GetFailureDomain(),
 		Publish: e.reporter.publish,
 		Bounds:  func() gateway.Bounds { return e.bounds.Load().gateway },
-		Entries: entryCount,
+		Entries: e.state.EntryCount, PeakEntries: e.state.PeakEntryCount,
 	})
 	return e
 }
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -120,6 +120,36 @@
 	}
 }
 
+// Guards against entries that take themselves for few, because the store refuses the others' calls
+// and their registrations lapse, and then exceed a limit that all share.
+func TestPeakCountsEntriesWhoseRegistrationLapsed(t *testing.T) {
+	const entries, peakMemory = 9, time.Hour
+	w := newTestSite()
+	check := func(when string, wantKnown, wantPeak int) {
+		t.Helper()
+		if got := w.state.EntryCount(); got != wantKnown {
+			t.Errorf("%s: got %d known entries, want %d", when, got, wantKnown)
+		}
+		if got := w.state.PeakEntryCount(); got != wantPeak {
+			t.Errorf("%s: got a peak of %d, want %d", when, got, wantPeak)
+		}
+	}
+	check("at the start", 1, 1)
+	for i := range entries {
+		w.state.Apply([]site.Record{{Kind: site.EntryRecord, ID: fmt.Sprint("e-", i)}}, uint64(1+i))
+	}
+	check("with all entries", entries, entries)
+	w.clock.Advance(2 * peakMemory)
+	for i := 2; i < entries; i++ {
+		w.state.Apply([]site.Record{{Kind: site.EntryRecord, ID: fmt.Sprint("e-", i), Removed: true}}, uint64(100+i))
+	}
+	check("after registrations lapsed", 2, entries)
+	w.clock.Advance(peakMemory)
+	check("an hour later", 2, entries)
+	w.clock.Advance(time.Second)
+	check("after that", 2, 2)
+}
+
 func TestResetDropsKeysMissingFromTheStore(t *testing.T) {
 	w := newTestSite()
 	w.mirror.Reset([]kv.Entry{value("e-1", 1), value("e-3", 2), value("endpoint/i-1", 3)}, 3)
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -36,6 +36,7 @@
 	revision uint64 // of the store, never decreases
 	entries  map[string]Entry
 	expiring map[string]time.Time // when to drop each entry whose registration ended
+	peak     entryPeak
 	wanted   map[string]Wanted
 	history  map[string][]rollout.Declared // by model, newest last
 	// undeclared holds, by model, the declaration times that hosts reported of versions
@@ -98,9 +99,47 @@
 	return maps.Clone(s.entries)
 }
 
+// EntryCount returns the number of known entries, at least 1: this process is one.
+func (s *State) EntryCount() int {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropExpired(now)
+	return max(1, len(s.entries))
+}
+
+// PeakEntryCount returns the largest number of entries that were known at a time within
+// peakMemory. An entry whose registration lapsed because the store refuses its calls may still send
+// requests, so limits that all entries share are divided by this number.
+func (s *State) PeakEntryCount() int {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropExpired(now)
+	return max(1, s.peak.update(now, len(s.entries)))
+}
+
+// peakMemory is as long as a region may be without the store.
+const peakMemory = time.Hour
+
+// entryPeak is the largest number of entries that were known at a time.
+type entryPeak struct {
+	count  int
+	seenAt time.Time // when count entries were last known
+}
+
+// update takes the present number of entries into account and returns the peak.
+func (p *entryPeak) update(now time.Time, count int) int {
+	if count >= p.count || now.Sub(p.seenAt) > peakMemory {
+		p.count, p.seenAt = count, now
+	}
+	return p.count
+}
+
 // dropExpired drops the entries whose registration ended and whose grace period is over.
 // The caller holds s.mu.
 func (s *State) dropExpired(now time.Time) {
+	s.peak.update(now, len(s.entries))
 	for id, at := range s.expiring {
 		if !now.Before(at) {
 			delete(s.entries, id)
