fleet: share connections by the most entries known within an hour

Same class as the retry budget's share: an entry that knows few others, since the store turned them away and their registrations lapsed, took their parts of an endpoint's connections, while they went on using them. The endpoint resets what is beyond its maximum, and requests are lost with it.

The share is now divided by the peak number of entries. Where fewer are left for good, each has fewer connections than it might for an hour; an entry always may have one.

TestConnectionsToAnEndpointAreSharedByAllEntries has two cases more, which failed before: 198 connections where 110 are accepted (9 entries that know only themselves), 1,026 where 460 are (38 that know two).

--- a/entry/internal/gateway/limit_test.go
+++ b/entry/internal/gateway/limit_test.go
@@ -56,7 +56,7 @@
 	for i := range 98 {
 		others = append(others, fmt.Sprint("other-", i))
 	}
-	h.state.Fleet().SetEntries("self", others)
+	h.state.Fleet().SetEntries("self", others, 1+len(others))
 	h.send(t, "/safe/a", "key-1", "").check(t, http.StatusOK, "ok", true)
 	h.stopClock()
 	got := h.send(t, "/safe/a", "key-1", "")
--- a/entry/internal/onsite/feeds.go
+++ b/entry/internal/onsite/feeds.go
@@ -57,7 +57,7 @@
 	for ctx.Err() == nil {
 		changed := f.state.Changed()
 		next := f.computePlan()
-		f.state.Fleet().SetEntries(f.entryID, next.otherEntries)
+		f.state.Fleet().SetEntries(f.entryID, next.otherEntries, f.state.PeakEntryCount())
 		f.state.Fleet().SetAssignments(next.parts)
 		f.state.Fleet().SetRolloutPositions(next.rolloutPositions)
 		for _, eng := range next.engines {
--- a/relay/fleet/conns.go
+++ b/relay/fleet/conns.go
@@ -15,7 +15,7 @@
 	if g.maxConns <= 0 {
 		return math.MaxInt
 	}
-	return max(1, int(connFraction*float64(g.maxConns)/float64(1+len(g.others)+undiscoveredEntries)))
+	return max(1, int(connFraction*float64(g.maxConns)/float64(max(g.peakEntries, 1+len(g.others))+undiscoveredEntries)))
 }
 
 // connLimitReached reports whether this entry uses as many connections to an endpoint as it may.
--- a/relay/fleet/conns_test.go
+++ b/relay/fleet/conns_test.go
@@ -12,8 +12,12 @@
 // Guards against entries that together open more connections to an endpoint than it accepts: the
 // endpoint resets the excess ones.
 func TestConnectionsToAnEndpointAreSharedByAllEntries(t *testing.T) {
-	for _, tc := range []struct{ entries, maxConns, slots int }{{9, 110, 6}, {9, 48, 8}, {38, 460, 6}, {98, 1200, 64}, {9, 0, 6}} {
-		t.Run(fmt.Sprintf("%d entries, %d connections", tc.entries, tc.maxConns), func(t *testing.T) {
+	for _, tc := range []struct{ entries, known, maxConns, slots int }{
+		{9, 9, 110, 6}, {9, 9, 48, 8}, {38, 38, 460, 6}, {98, 98, 1200, 64}, {9, 9, 0, 6},
+		// The registrations of the others have lapsed.
+		{9, 1, 110, 6}, {38, 2, 460, 6},
+	} {
+		t.Run(fmt.Sprintf("%d of %d entries known, %d connections", tc.known, tc.entries, tc.maxConns), func(t *testing.T) {
 			now := time.Now()
 			inUse, idle := 0, 0
 			for i := range tc.entries {
@@ -21,10 +25,10 @@
 				flt.Configure(catalog.New(catalog.Spec{Services: []catalog.Service{{Name: "app", MaxConns: tc.maxConns}}}))
 				flt.Register(fleet.Registration{ID: "e", Service: "app", Address: "10.0.0.1:80", FailureDomain: "d", Slots: tc.slots})
 				var others []string
-				for j := range tc.entries - 1 {
+				for j := range tc.known - 1 {
 					others = append(others, fmt.Sprint("other-", i, j))
 				}
-				flt.SetEntries("self", others)
+				flt.SetEntries("self", others, tc.entries)
 				// The endpoint queues any number of requests.
 				need := fleet.Need{Domain: "d", Entries: tc.entries, Extra: 1000}
 				var grants []*fleet.Grant
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -57,6 +57,7 @@
 	serviceByID map[string]string // by endpoint id
 	self        string            // id of this entry
 	others      []string          // ids of the other entries
+	peakEntries int               // entries that may send requests, 0 if unknown
 }
 
 // New returns an empty Fleet.
@@ -86,7 +87,7 @@
 	grp := f.groups[service]
 	if grp == nil {
 		grp = newGroup(f.clock, f.random)
-		grp.self, grp.others = f.self, f.others
+		grp.self, grp.others, grp.peakEntries = f.self, f.others, f.peakEntries
 		f.groups[service] = grp
 	}
 	return grp
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -29,6 +29,7 @@
 	assigned     bool                   // setParts has been called
 	self         string                 // id of this entry
 	others       []string               // ids of the other entries
+	peakEntries  int                    // entries that may send requests, 0 if unknown
 	changed      chan struct{}          // closed and replaced when capacity may have become free
 	savedNotices map[string]savedNotice // by id, of endpoints whose registration ended
 	// prefillChanged holds, by address, channels that receive a value when this entry's prompt
--- a/relay/fleet/limit.go
+++ b/relay/fleet/limit.go
@@ -188,20 +188,21 @@
 }
 
 // SetEntries sets the ids of the entries that share the endpoints' limits: this entry and the
-// others.
-func (f *Fleet) SetEntries(self string, others []string) {
+// others. peak is the number of entries that may send requests, including those whose registrations
+// have lapsed; they share the endpoints' connections.
+func (f *Fleet) SetEntries(self string, others []string, peak int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.self, f.others = self, others
+	f.self, f.others, f.peakEntries = self, others, peak
 	for _, grp := range f.groups {
-		grp.setEntries(self, others)
+		grp.setEntries(self, others, peak)
 	}
 }
 
-func (g *Group) setEntries(self string, others []string) {
+func (g *Group) setEntries(self string, others []string, peak int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.self, g.others = self, others
+	g.self, g.others, g.peakEntries = self, others, peak
 	g.updateLimitShares()
 }
 
--- a/relay/fleet/limit_test.go
+++ b/relay/fleet/limit_test.go
@@ -99,7 +99,7 @@
 			}
 		}
 		f.schedule(time.Duration(f.random.Int64N(int64(maxPropagation))), func() {
-			e.fleet.SetEntries(e.id, others)
+			e.fleet.SetEntries(e.id, others, 1+len(others))
 			var engines []deal.Place
 			for _, eng := range e.fleet.Engines() {
 				engines = append(engines, deal.Place{ID: eng.Address, Region: "r", FailureDomain: eng.FailureDomain})
