--- a/bench/internal/cmd/cmd_soak_platform.go
+++ b/bench/internal/cmd/cmd_soak_platform.go
@@ -19,7 +19,7 @@
 	Engines int     `long:"engines" default:"14" description:"number of engines, each with its agent"`
 	Load    float64 `long:"load" default:"0.8" description:"request load as a fraction of the engines' capacity"`
 	Gap     float64 `long:"gap" default:"0.8" description:"mean time between two events, in seconds"`
-	Events  string  `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" description:"which events to inject: all, none, planned operations, or planned operations and hiccups"`
+	Events  string  `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" description:"which events to inject: all, none, planned operations, planned operations and hiccups, or failures that strain the retry budget"`
 }
 
 const soakPlatformHelp = `Injects planned operations, hiccups and faults into a deployment behind a platform: plain
@@ -54,7 +54,8 @@
 		Bin: options.Bin, Log: log, Progress: logger(), Seed: options.Seed,
 		Length: time.Duration(options.Seconds * float64(time.Second)), Gap: time.Duration(options.Gap * float64(time.Second)),
 		Entries: options.Entries, Engines: options.Engines, Load: options.Load,
-		Planned: options.Events != "none", Hiccups: options.Events == "all" || options.Events == "hiccups", Faults: options.Events == "all",
+		Planned: options.Events == "all" || options.Events == "planned" || options.Events == "hiccups",
+		Hiccups: options.Events == "all" || options.Events == "hiccups", Faults: options.Events == "all", Failures: options.Events == "failures",
 	})
 	if err != nil {
 		result.Error = err.Error()
--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -32,6 +32,7 @@
 var partFaults = map[kind]func(*platformtest.PartFaults){
 	slowEngine:   func(f *platformtest.PartFaults) { f.Slow = 3 },
 	breakStreams: func(f *platformtest.PartFaults) { f.Broken = 0.03 },
+	breakEngines: func(f *platformtest.PartFaults) { f.Broken = 0.9 },
 	spoilChunk:   func(f *platformtest.PartFaults) { f.Spoil = true },
 	linkSilent:   func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSilent] },
 	linkOneWay:   func(f *platformtest.PartFaults) { f.Link = linkFaults[linkOneWay] },
@@ -75,15 +76,11 @@
 		return toggleFor(ctx, event.length, func(on bool) error { return r.site.ChangeWay(ctx, m, valueIf(on, faults)) })
 	}
 	if change, ok := partFaults[event.kind]; ok {
-		return toggleFor(ctx, event.length, func(on bool) error {
-			return r.site.Change(ctx, m, func(f *platformtest.PartFaults) {
-				doors, ways := f.Doors, f.Ways
-				*f = platformtest.PartFaults{Doors: doors, Ways: ways}
-				if on {
-					change(f)
-				}
-			})
-		})
+		members := []*site.Member{m}
+		if m == nil {
+			members = r.site.Members(site.Engine)
+		}
+		return toggleFor(ctx, event.length, func(on bool) error { return r.changeFaults(ctx, members, on, change) })
 	}
 	switch event.kind {
 	case changeConfig:
@@ -123,6 +120,23 @@
 	return fmt.Errorf("event kind %s has no action", event.kind)
 }
 
+// changeFaults replaces the faults of members by those that change sets, or by none if on is not set.
+// A member that has ended is left to the event that ended it.
+func (r *run) changeFaults(ctx context.Context, members []*site.Member, on bool, change func(*platformtest.PartFaults)) error {
+	var errs []error
+	for _, m := range members {
+		err := r.site.Change(ctx, m, func(f *platformtest.PartFaults) {
+			doors, ways := f.Doors, f.Ways
+			*f = platformtest.PartFaults{Doors: doors, Ways: ways}
+			if on {
+				change(f)
+			}
+		})
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
 // burstFactor is added to the load factor of 1 during a burst.
 const burstFactor int64 = 1
 
--- a/bench/internal/sitesoak/checks_test.go
+++ b/bench/internal/sitesoak/checks_test.go
@@ -203,7 +203,8 @@
 // programs.
 const binEnv = "COMFREY_BIN"
 
-// TestShortSoak runs two seeds: one with planned operations and hiccups, one with faults too.
+// TestShortSoak runs three seeds: one with planned operations and hiccups, one with faults too, and
+// one with the failures that strain the retry budget.
 func TestShortSoak(t *testing.T) {
 	bin := os.Getenv(binEnv)
 	if bin == "" {
@@ -212,6 +213,7 @@
 	for name, options := range map[string]Options{
 		"planned and hiccups": {Seed: 3, Planned: true, Hiccups: true},
 		"all":                 {Seed: 5, Planned: true, Hiccups: true, Faults: true},
+		"failures":            {Seed: 1, Failures: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			options.Bin, options.Log, options.Progress = bin, io.Discard, slog.New(slog.DiscardHandler)
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -48,6 +48,7 @@
 	pauseEngine  kind = "pauseEngine"
 	slowEngine   kind = "slowEngine"
 	breakStreams kind = "breakStreams"
+	breakEngines kind = "breakEngines" // all engines break off nearly all streams
 	spoilChunk   kind = "spoilChunk"
 	linkSilent   kind = "linkSilent"
 	linkOneWay   kind = "linkOneWay"
@@ -95,7 +96,7 @@
 	minLength, maxLength time.Duration
 }
 
-// planned, hiccups and faults are the sets of rules that a run may draw events from.
+// planned, hiccups, faults and failures are the sets of rules that a run may draw events from.
 var (
 	planned = []eventRule{
 		{changeConfig, "", 10, 0, 0},
@@ -126,6 +127,7 @@
 		{pauseEngine, site.Engine, 2, time.Second, 6 * time.Second},
 		{slowEngine, site.Engine, 2, 2 * time.Second, 6 * time.Second},
 		{breakStreams, site.Engine, 2, 2 * time.Second, 6 * time.Second},
+		{breakEngines, "", 1, 300 * time.Millisecond, 3 * time.Second},
 		{spoilChunk, site.Engine, 2, 0, 0},
 		{linkSilent, site.Engine, 2, time.Second, 5 * time.Second},
 		{linkOneWay, site.Engine, 1, time.Second, 5 * time.Second},
@@ -154,6 +156,12 @@
 		{killEntries, "", 1, time.Second, time.Second},
 		{killAll, "", 1, 2 * time.Second, 2 * time.Second},
 	}
+	// failures strain the retry budget: requests fail everywhere while entries are restarted.
+	failures = []eventRule{
+		{breakEngines, "", 3, time.Second, 8 * time.Second},
+		{killEntries, "", 3, 300 * time.Millisecond, 300 * time.Millisecond},
+		{storeLapses, site.Store, 1, 0, 0},
+	}
 )
 
 func isPlanned(k kind) bool {
