retry: bear any reading of the boot clock

BootClock returns the largest value if the clock cannot be read. The end of the bucket after it overflowed, and the next index was negative: an entry would have ended with its first request. TestWindowBearsAnyReadingOfItsClock panicked before.

--- a/relay/retry/window.go
+++ b/relay/retry/window.go
@@ -84,15 +84,21 @@
 		*w.bucket(number) = 0
 	}
 	w.newest = current
-	perSecond := earnedFraction * limit.Slack / w.span.Seconds()
-	from := max(w.slackTo, time.Duration(current-windowBuckets+1)*w.length)
-	for from < now {
-		number := int64(from / w.length)
-		end := min(now, time.Duration(number+1)*w.length)
+	w.earnSlack(max(w.slackTo, time.Duration(current-windowBuckets+1)*w.length), now, limit.Slack)
+	w.slackTo = now
+}
+
+// earnSlack adds the slack earned within a time that ends in the newest bucket. The caller holds w.mu.
+func (w *Window) earnSlack(from, to time.Duration, slack float64) {
+	perSecond := earnedFraction * slack / w.span.Seconds()
+	for number := int64(from / w.length); from < to; number++ {
+		end := to
+		if number < w.newest {
+			end = time.Duration(number+1) * w.length
+		}
 		*w.bucket(number) += perSecond * (end - from).Seconds()
 		from = end
 	}
-	w.slackTo = now
 }
 
 // resize applies another span, after which all repeats have to be earned again. The caller holds
--- a/relay/retry/window_test.go
+++ b/relay/retry/window_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"math"
 	"sort"
 	"testing"
 	"time"
@@ -163,6 +164,18 @@
 	}
 }
 
+// A clock that fails returns the largest value, and may be right again later.
+func TestWindowBearsAnyReadingOfItsClock(t *testing.T) {
+	limit := retry.Limit{Ratio: 1, Slack: 10, Span: testSpan}
+	window := retry.NewWindow(0)
+	for _, now := range []time.Duration{0, time.Second, math.MaxInt64, math.MaxInt64, time.Second, 2 * time.Second} {
+		window.AddRequest(now, limit)
+		if _, left := window.AllowRepeat(now, limit); left < 0 || left > 2*limit.Slack {
+			t.Errorf("got %.1f left at %v, want at most what two spans earn", left, now)
+		}
+	}
+}
+
 // After the span is changed, what was earned before it counts no more.
 func TestChangedSpanStartsAnew(t *testing.T) {
 	before := retry.Limit{Ratio: 1, Slack: 10, Span: 10 * time.Second}
