gateway: publish the metrics once in a process

A process that starts several gateways at one moment could end with "Reuse of exported var name: gateway": each found the name free and published it. Only test processes run several.

--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"expvar"
 	"fmt"
 	"io"
 	"log/slog"
@@ -9,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -380,3 +382,23 @@
 		t.Errorf("got %d, close %v, want 200 with Connection: close", resp.StatusCode, resp.Close)
 	}
 }
+
+// Guards against a panic of a process that starts several gateways at the same moment: each found the
+// name of the metrics free and published it.
+func TestMetricsArePublishedOnce(t *testing.T) {
+	const gateways = 64
+	begin := make(chan struct{})
+	var publishers sync.WaitGroup
+	for range gateways {
+		h := newDeployment(t)
+		publishers.Go(func() {
+			<-begin
+			h.gateway.PublishMetrics()
+		})
+	}
+	close(begin)
+	publishers.Wait()
+	if expvar.Get("gateway") == nil {
+		t.Errorf("got no metrics of the gateways")
+	}
+}
--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"log/slog"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,12 +54,13 @@
 	}
 }
 
-// PublishMetrics exports the counters under /debug/vars. The name is already taken only when a test
-// process runs several gateways.
+// publishOnce lets only one gateway of a process publish its metrics, since a name can be published
+// once. Only tests run several.
+var publishOnce sync.Once
+
+// PublishMetrics exports the counters under /debug/vars.
 func (g *Gateway) PublishMetrics() {
-	if expvar.Get("gateway") == nil {
-		expvar.Publish("gateway", expvar.Func(func() any { return g.Counters() }))
-	}
+	publishOnce.Do(func() { expvar.Publish("gateway", expvar.Func(func() any { return g.Counters() })) })
 }
 
 // logAttempt counts one attempt and logs its outcome.
