entry: publish the state once in a process

The same check before publishing as in package gateway, by which a test process that starts entries at the same moment can panic.

--- a/entry/internal/cmd/process.go
+++ b/entry/internal/cmd/process.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -236,13 +237,13 @@
 	return nil
 }
 
-// publishVars publishes the entry's state under /debug/vars. If the name is
-// already taken, another entry of the same test process has published it.
+// publishOnce lets only one entry of a process publish its state, since a name can be published
+// once. Only tests run several.
+var publishOnce sync.Once
+
+// publishVars publishes the entry's state under /debug/vars.
 func (p *process) publishVars() {
-	if expvar.Get("entryState") != nil {
-		return
-	}
-	expvar.Publish("entryState", expvar.Func(p.stateVars))
+	publishOnce.Do(func() { expvar.Publish("entryState", expvar.Func(p.stateVars)) })
 }
 
 // stateVars returns the state that publishVars exposes.
