site: tell silent connections from an outage of the store

Callers saw: for up to 4 s after an endpoint's registration was removed their requests still reached it, and those in progress when it exited got 502.

Cause: an entry took any failed call for an outage of the store, after which it keeps registrations that end for 2.2 s, since live owners register again within 2 s. When the open connections to the store go silent, the watch fails by its time-out after 2.6 s although the store answers on new connections all the while. The removal was learned then, and the endpoint kept for 2.2 s more.

Change: site.Contact records the calls that were and were not answered, on open and on new connections. Registrations that end are kept only after an outage in which they may have lapsed: one and a half heartbeat intervals or more without an answer since the store was last available for a whole interval. The interval is a setting that the platform names. A renewal of the entry's lease that waits 0.4 s is repeated on a new connection; if that is answered in less than half the time, calls on older connections are ended and made again. Renewals are made each second in place of 1.2 s. The first answer after a silent watch may hold older changes, so it doesn't count as live.

Why it works: with 1 s between renewals and 0.4 s of waiting, at most 1.5 s pass between the last answer before the silence and the first one after it, less than the 1.8 s in which no registration can lapse at a heartbeat of 1.2 s. The removal is learned then and the endpoint dropped at once.

TestEntriesThatLapsedInAnOutageAreKept and TestUnreadableRegistrationRemovesEndpoint make the outage by the time between two answers, since marking the store as lost no longer starts the grace period; what they check is unchanged.

--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -26,6 +26,7 @@
 	t       *testing.T
 	store   *platformtest.Store
 	url     string
+	conns   *platformtest.SilenceableListener // of the store
 	workers []*platformtest.Worker
 	entries []*runningEntry
 	bounds  *wire.SiteBounds // of entries that are started
@@ -37,6 +38,7 @@
 // runningEntry is an entry that runs in the test process.
 type runningEntry struct {
 	cfg  *wire.EntrySettings
+	log  *logBuffer
 	kill context.CancelFunc
 	done chan struct{}
 }
@@ -45,7 +47,10 @@
 func newTestFleet(t *testing.T, entries, workers int, hold func(body []byte)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, store: platformtest.NewStore(), bounds: &wire.SiteBounds{GraceMillis: 8000, RetryRatio: ampleRetryRatio}}
-	server := httptest.NewServer(f.store)
+	server := httptest.NewUnstartedServer(f.store)
+	f.conns = platformtest.NewSilenceableListener(server.Listener)
+	server.Listener = f.conns
+	server.Start()
 	t.Cleanup(server.Close)
 	f.url = server.URL
 	f.store.Put("op/config", map[string]any{
@@ -101,10 +106,10 @@
 // startAsync starts an entry without waiting until it is ready.
 func (f *testFleet) startAsync(cfg *wire.EntrySettings) *runningEntry {
 	ctx, kill := context.WithCancel(context.Background())
-	started := &runningEntry{cfg: cfg, kill: kill, done: make(chan struct{})}
+	started := &runningEntry{cfg: cfg, log: &logBuffer{}, kill: kill, done: make(chan struct{})}
 	go func() {
 		defer close(started.done)
-		if err := Run(ctx, ctx, cfg, &logBuffer{}); err != nil {
+		if err := Run(ctx, ctx, cfg, started.log); err != nil {
 			f.t.Errorf("%s ended: %v", cfg.GetNode().GetId(), err)
 		}
 	}()
--- a/entry/internal/onsite/registrar.go
+++ b/entry/internal/onsite/registrar.go
@@ -17,7 +17,16 @@
 	// registrationTTL is how long a crashed entry is still listed for callers. Three renewals may
 	// fail within it.
 	registrationTTL = 4 * time.Second
-	renewInterval   = 1200 * time.Millisecond
+	// maxRenewInterval is the longest time between two renewals. They also show that the store is
+	// available and that open connections to it are not silent.
+	maxRenewInterval = time.Second
+	// renewHeartbeats is the time between two renewals in heartbeat intervals of endpoints, if that
+	// is shorter. A silent connection is then found before an outage of that length would let
+	// their registrations lapse.
+	renewHeartbeats = 5.0 / 6
+	// firstRenewTimeout is how long a renewal waits for an answer before it is repeated, on a new
+	// connection.
+	firstRenewTimeout = 400 * time.Millisecond
 	// registerRetryPause is the pause after a failed call.
 	registerRetryPause = 300 * time.Millisecond
 	// revokeTimeout limits the time for removing the registration on shutdown.
@@ -26,12 +35,13 @@
 
 // registrar keeps this entry registered in the store, as a key that is bound to a lease.
 type registrar struct {
-	store *kv.Store
-	key   string
-	value site.Entry
-	ready func() error
-	clock clockwork.Clock
-	log   *slog.Logger
+	store   *kv.Store
+	contact *site.Contact
+	key     string
+	value   site.Entry
+	ready   func() error
+	clock   clockwork.Clock
+	log     *slog.Logger
 
 	lease      string // empty if none is granted
 	registered bool   // whether the key is written under the lease
@@ -41,7 +51,7 @@
 // cancelled.
 func (r *registrar) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := renewInterval
+		wait := min(maxRenewInterval, time.Duration(renewHeartbeats*float64(r.contact.Heartbeat())))
 		if err := r.advance(ctx); err != nil {
 			wait = registerRetryPause
 			if ctx.Err() == nil {
@@ -77,7 +87,7 @@
 
 // renew extends the lease and drops the registration if the lease has expired.
 func (r *registrar) renew(ctx context.Context) error {
-	err := r.store.KeepAlive(ctx, r.lease)
+	err := r.keepAlive(ctx)
 	if err != nil && failure.KindOf(err) == failure.NotFound {
 		r.log.Warn("the registration lapsed", "lease", r.lease)
 		r.lease, r.registered = "", false
@@ -85,6 +95,18 @@
 	return err
 }
 
+// keepAlive extends the lease. It repeats a call that was not answered, because its connection may
+// have gone silent.
+func (r *registrar) keepAlive(ctx context.Context) error {
+	firstCtx, cancel := context.WithTimeout(ctx, firstRenewTimeout)
+	defer cancel()
+	err := r.store.KeepAlive(firstCtx, r.lease)
+	if err == nil || failure.KindOf(err) != failure.Ambiguous || ctx.Err() != nil {
+		return err
+	}
+	return r.store.KeepAlive(ctx, r.lease)
+}
+
 // write creates the key or replaces one that an earlier incarnation left. If the response to a
 // write was lost, the next write conflicts with it, and overwrite recognizes the key as its own.
 func (r *registrar) write(ctx context.Context) error {
--- a/entry/internal/onsite/reporter_test.go
+++ b/entry/internal/onsite/reporter_test.go
@@ -32,7 +32,7 @@
 	kvStore := platformtest.NewStore()
 	server := httptest.NewServer(kvStore)
 	t.Cleanup(server.Close)
-	rep := newReporter(platform.NewStore(server.URL, storeClient()), platform.ReportPrefix("entry-1", "one"), oneEntry,
+	rep := newReporter(platform.NewStore(server.URL, newStoreClient(site.NewContact(freshness.BootClock), slog.New(slog.DiscardHandler))), platform.ReportPrefix("entry-1", "one"), oneEntry,
 		clockwork.NewRealClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -149,7 +149,7 @@
 	server := httptest.NewServer(standIn)
 	t.Cleanup(server.Close)
 	clock := clockwork.NewFakeClock()
-	rep := newReporter(platform.NewStore(server.URL, storeClient()), platform.ReportPrefix("entry-1", "one"),
+	rep := newReporter(platform.NewStore(server.URL, newStoreClient(site.NewContact(freshness.BootClock), slog.New(slog.DiscardHandler))), platform.ReportPrefix("entry-1", "one"),
 		func() int { return entries }, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	for sent := 0; sent < total; {
 		for range 3 {
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -98,7 +98,7 @@
 	}
 	e.mirror = site.NewMirror(e.state, platform.DecodeRecord, clock, log)
 	e.applySettings(cfg)
-	e.store = platform.NewStore(cfg.GetKvUrl(), storeClient())
+	e.store = platform.NewStore(cfg.GetKvUrl(), newStoreClient(e.state.Contact(), log))
 	e.reporter = newReporter(e.store, platform.ReportPrefix(cfg.GetNode().GetId(), e.self.Incarnation), e.state.PeakEntryCount, clock, log)
 	e.gateway = gateway.New(gateway.Config{
 		State: e.state, Pool: upstream.NewPool(clock.Now), Wire: platform.Wire(), Clock: clock, BootClock: freshness.BootClock, Log: log,
@@ -110,22 +110,12 @@
 	return e
 }
 
-// applySettings applies the settings that may change at runtime, which are the bounds.
+// applySettings applies the settings that may change at runtime, which are the bounds and the
+// heartbeat interval of endpoints.
 func (e *entry) applySettings(cfg *wire.EntrySettings) {
 	newBounds := newBounds(cfg.GetSite().GetBounds())
 	e.bounds.Store(&newBounds)
-}
-
-// storeClient returns an HTTP client for the store whose connections are closed when the store
-// stops responding.
-func storeClient() *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         upstream.Dial,
-			MaxIdleConnsPerHost: 3, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	e.state.Contact().SetHeartbeat(time.Duration(cfg.GetSite().GetHeartbeatMillis() * float64(time.Millisecond)))
 }
 
 func (e *entry) run(drain, kill context.Context) error {
@@ -190,7 +180,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	context.AfterFunc(drain, cancel)
 	reg := &registrar{
-		store: e.store, key: platform.EntryKey(e.cfg.GetNode().GetId()), value: e.self,
+		store: e.store, contact: e.state.Contact(), key: platform.EntryKey(e.cfg.GetNode().GetId()), value: e.self,
 		ready: e.ready, clock: e.clock, log: e.log,
 	}
 	group.Go(func() error {
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -110,8 +111,9 @@
 	failures      int
 	loggedAt      time.Time
 	lastSuccessAt time.Time // when the last successful call ended
-	// unwatched is set while other entries are followed instead of the store. If they then
-	// stop answering, changes that the store sends at once may have been made in between.
+	// unwatched is set while other entries are followed instead of the store, and after a watch
+	// on a silent connection. Changes that the store then sends at once may have been made in
+	// between.
 	unwatched bool
 }
 
@@ -152,6 +154,11 @@
 			synced = false
 			continue
 		}
+		if errors.Is(err, ErrSilentConnection) {
+			// The next answer may contain changes that were made since the last one.
+			f.unwatched = true
+			continue
+		}
 		f.recordFailure(ctx, err)
 		f.sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
 	}
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -43,6 +43,14 @@
 	return w
 }
 
+// loseStoreFor lets the store answer, be unavailable for the given time and answer again.
+func (w *testSite) loseStoreFor(outage time.Duration) {
+	contact := w.state.Contact()
+	contact.Answered(contact.Now(), true)
+	w.clock.Advance(outage)
+	contact.Answered(contact.Now(), true)
+}
+
 // decode decodes the keys of the scripted store.
 func decode(entry kv.Entry) (site.Record, error) {
 	name, isWeights := strings.CutPrefix(entry.Key(), "weights/")
@@ -98,9 +106,7 @@
 func TestEntriesThatLapsedInAnOutageAreKept(t *testing.T) {
 	w := newTestSite()
 	w.state.Apply([]site.Record{{Kind: site.EntryRecord, ID: "e-1", Entry: site.Entry{CallersAddress: "10.0.0.1:1"}}}, 1)
-	w.state.MarkStoreLost()
-	w.clock.Advance(10 * time.Second)
-	w.state.MarkStoreRegained()
+	w.loseStoreFor(10 * time.Second)
 	w.state.Apply([]site.Record{{Kind: site.EntryRecord, ID: "e-1", Removed: true}}, 5)
 	if got, want := len(w.state.Entries()), 1; got != want {
 		t.Errorf("got %d entries right after the outage, want %d", got, want)
@@ -383,8 +389,7 @@
 		return verdict
 	}
 	w.mirror.Apply(0, []kv.Entry{value("endpoint/a", 1)}, 1, true)
-	w.state.MarkStoreLost()
-	w.state.MarkStoreRegained()
+	w.loseStoreFor(10 * time.Second)
 	for step, test := range []struct {
 		entries []kv.Entry
 		want    fleet.Verdict
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -29,6 +29,8 @@
 	fresh  *freshness.Tracker
 	ledger *quarantine.Ledger
 
+	contact *Contact
+
 	catalog   atomic.Pointer[catalog.Catalog] // nil before the first was read
 	storeLost atomic.Bool
 
@@ -42,14 +44,12 @@
 	// undeclared holds, by model, the declaration times that hosts reported of versions
 	// whose declaration was not read yet.
 	undeclared map[string][]rollout.Declared
-	graceUntil time.Time // registrations that end before it are kept until then
+	// graceUntil is when other entries' grace period ends, in which registrations that end are
+	// kept.
+	graceUntil time.Time
 	changed    chan struct{}
 }
 
-// recoveryGrace is how long a registration may be missing after the store recovers
-// although its owner is alive: owners register again within two seconds.
-const recoveryGrace = 2200 * time.Millisecond
-
 // maxHistory bounds the declarations kept per model. Only a few are recent enough to
 // matter.
 const maxHistory = 16
@@ -58,6 +58,7 @@
 func NewState(clock func() time.Time, flt *fleet.Fleet, fresh *freshness.Tracker) *State {
 	return &State{
 		clock: clock, fleet: flt, fresh: fresh, ledger: quarantine.NewLedger(clock),
+		contact: NewContact(fresh.Now),
 		entries: map[string]Entry{}, expiring: map[string]time.Time{}, wanted: map[string]Wanted{},
 		history: map[string][]rollout.Declared{}, undeclared: map[string][]rollout.Declared{},
 		changed: make(chan struct{}),
@@ -73,6 +74,9 @@
 // Freshness returns the tracker of how old this view is.
 func (s *State) Freshness() *freshness.Tracker { return s.fresh }
 
+// Contact returns the record of the calls that the store answered.
+func (s *State) Contact() *Contact { return s.contact }
+
 // Ledger returns the record of the requests during which endpoints ended.
 func (s *State) Ledger() *quarantine.Ledger { return s.ledger }
 
@@ -179,25 +183,15 @@
 	return 0
 }
 
-// MarkStoreLost records that the store does not answer. Registrations that lapse from now on are
-// kept for recoveryGrace, since their owners may register again once it recovers.
-func (s *State) MarkStoreLost() {
-	s.storeLost.Store(true)
-	s.extendGrace()
-}
+// MarkStoreLost records that the store does not answer.
+func (s *State) MarkStoreLost() { s.storeLost.Store(true) }
 
-// MarkStoreRegained records that the store answers again, and restarts the grace period.
-func (s *State) MarkStoreRegained() {
-	s.storeLost.Store(false)
-	s.extendGrace()
-}
+// MarkStoreRegained records that the store answers again.
+func (s *State) MarkStoreRegained() { s.storeLost.Store(false) }
 
 // StoreLost reports whether the store does not answer this process.
 func (s *State) StoreLost() bool { return s.storeLost.Load() }
 
-// extendGrace keeps registrations that end within recoveryGrace from now.
-func (s *State) extendGrace() { s.KeepRegistrationsFor(recoveryGrace) }
-
 // KeepRegistrationsFor keeps registrations that end within the given time from now at least until it
 // is over. It is called when another entry found that the store was unreachable.
 func (s *State) KeepRegistrationsFor(wait time.Duration) {
@@ -212,7 +206,12 @@
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(0, s.graceUntil.Sub(now))
+	return s.graceEnd(now).Sub(now)
+}
+
+// graceEnd returns until when registrations that end now are kept. The caller holds s.mu.
+func (s *State) graceEnd(now time.Time) time.Time {
+	return laterOf(now.Add(s.contact.GraceLeft()), s.graceUntil)
 }
 
 // Apply applies changes of the store up to a revision. It ignores catalogs and weight
@@ -275,7 +274,7 @@
 	if rec.Withdrawn {
 		return now
 	}
-	return laterOf(now, s.graceUntil)
+	return s.graceEnd(now)
 }
 
 // recordDeclaration records a newer version. Its fencing number is the revision of the
