platform: require keys if the list of tenants is empty

Callers saw: once a configuration took the last tenant away, every request ran, with the keys that were taken away and with keys that no configuration ever held, and without a tenant's name.

Cause: the list of tenants was decoded into a slice, so that an empty list and an absent one became the same, and the catalog required keys only if it listed a customer.

Change: a configuration that contains the field requires keys, whatever it lists. `null` counts as contained too: an encoder may write an empty list that way, and to refuse is the lesser harm. A configuration without the field still needs no key. Entries pass the configuration on to one another as it was written and decode it by the same function. The product's own document refuses a customer that no list names, so that an empty list opens nothing there.

--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -53,15 +53,7 @@
 	server.Start()
 	t.Cleanup(server.Close)
 	f.url = server.URL
-	f.store.Put("op/config", map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "r-1", "host": "a.example", "path_prefix": "/x/", "kind": "idempotent",
-			"timeout_ms": 5000, "target_latency_ms": 2000, "service": "app", "max_attempts": 2,
-		}},
-		"services": []map[string]any{{"name": "app"}},
-		"tenants":  []map[string]any{{"name": "deployment", "api_keys": []string{"key-1"}}},
-	})
+	f.store.Put("op/config", fleetConfig(1, []map[string]any{{"name": "deployment", "api_keys": []string{"key-1"}}}))
 	for i := range workers {
 		id := fmt.Sprintf("i-%d", i)
 		worker, err := platformtest.NewWorker(id, platformtest.Behaviour{
@@ -80,6 +72,19 @@
 	return f
 }
 
+// fleetConfig returns a configuration with one route to the workers.
+func fleetConfig(version int, tenants []map[string]any) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "r-1", "host": "a.example", "path_prefix": "/x/", "kind": "idempotent",
+			"timeout_ms": 5000, "target_latency_ms": 2000, "service": "app", "max_attempts": 2,
+		}},
+		"services": []map[string]any{{"name": "app"}},
+		"tenants":  tenants,
+	}
+}
+
 // start adds an entry and waits until it is ready.
 func (f *testFleet) start() *runningEntry {
 	f.t.Helper()
--- a/entry/internal/onsite/run_test.go
+++ b/entry/internal/onsite/run_test.go
@@ -217,3 +217,20 @@
 	}
 	return resp.StatusCode, string(text)
 }
+
+// Guards against a configuration that takes the last customer away and thereby opens its routes to
+// every key.
+func TestNoKeyIsAcceptedOnceLastCustomerIsGone(t *testing.T) {
+	f := newTestFleet(t, 1, 1, nil)
+	entry := f.entries[0]
+	if got := f.send(entry, "body"); got != http.StatusOK {
+		t.Fatalf("got %d with a key in force, want 200", got)
+	}
+	f.store.Put("op/config", fleetConfig(2, []map[string]any{}))
+	eventually(t, "the key is rejected", func() error {
+		if got := f.send(entry, "body"); got != http.StatusUnauthorized {
+			return fmt.Errorf("status %d", got)
+		}
+		return nil
+	})
+}
--- a/relay/catalog/catalog.go
+++ b/relay/catalog/catalog.go
@@ -126,6 +126,9 @@
 	Services  []Service
 	Customers []Customer
 	Limits    Limits
+	// RequiresKeys is set if requests need a customer's key unless their route is public. Without
+	// customers all of these are then rejected. Customers imply it.
+	RequiresKeys bool
 }
 
 // Catalog is one version of the declared state. It is immutable.
@@ -148,7 +151,7 @@
 		services:     map[string]*Service{},
 		customers:    map[string]*Customer{},
 		limits:       spec.Limits,
-		requiresKeys: len(spec.Customers) > 0,
+		requiresKeys: spec.RequiresKeys || len(spec.Customers) > 0,
 		unresumable:  map[string]bool{},
 	}
 	for i := range spec.Routes {
