catalog: let no customer hold a blank key

Callers would see: requests without a key run in the name of a customer one of whose keys is an empty string.

Cause: keys are looked up as they are written, and a request without a key carries the empty one.

Test: TestBlankKeyBelongsToNobody failed before the change (customer a for a blank key) and passes now.

--- a/relay/catalog/catalog.go
+++ b/relay/catalog/catalog.go
@@ -174,6 +174,7 @@
 			cat.customers[key] = &spec.Customers[i]
 		}
 	}
+	delete(cat.customers, "") // the key of requests that carry none
 	return cat
 }
 
--- a/relay/catalog/catalog_test.go
+++ b/relay/catalog/catalog_test.go
@@ -38,3 +38,15 @@
 		t.Errorf("got a route without the prefix's last slash")
 	}
 }
+
+// Guards against requests without a key that run in a customer's name because one of the customer's
+// keys is blank.
+func TestBlankKeyBelongsToNobody(t *testing.T) {
+	cat := catalog.New(catalog.Spec{Customers: []catalog.Customer{{Name: "a", Keys: []string{"", "k1"}}}})
+	if customer, ok := cat.Customer(""); ok {
+		t.Errorf("got customer %s for a blank key, want none", customer.Name)
+	}
+	if _, ok := cat.Customer("k1"); !ok {
+		t.Error("got no customer for k1, want the one that holds it")
+	}
+}
