site: prove the data fresh after a watch on a silent connection

Cause: the watch that is ended when connections go silent proves nothing about the age of the data, and the next one does so only at its end. On a lossy link, where a renewal may wait too long without any silence, entries whose watches are ended again and again would refuse requests with keys.

Change: the follower asks for the store's newest revision first, one call for each silence. If it is the known one, the data is fresh and the next change is live.

Tests: TestDataIsProvenAfterSilence, and TestVersionDeclaredDuringSilenceCountsFromLastAnswer for changes that the next watch brings.

--- a/entry/internal/onsite/silence_test.go
+++ b/entry/internal/onsite/silence_test.go
@@ -21,8 +21,9 @@
 // entries take silent connections to the store for an outage in which registrations of live owners
 // lapse.
 func TestEndpointRemovedDuringSilenceGetsNoRequests(t *testing.T) {
+	const entries = 6 // so many that some follow others in place of the store
 	f := newTestFleet(t, 0, 3, nil)
-	for number := range 3 {
+	for number := range entries {
 		cfg := f.settings(number)
 		cfg.Node.LogLevel = "info"
 		// No delay of this test's process can pass for an outage.
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -50,9 +50,9 @@
 	meanRetryDelay = 120 * time.Millisecond
 )
 
-// confirmLatest asks the store for its latest revision, after an answer that may be truncated,
-// and records the data as fresh if the mirror has reached it. The call costs next to nothing
-// compared with the answer. Otherwise the next watch begins at once.
+// confirmLatest asks the store for its latest revision, after an answer that may be truncated or a
+// watch that was ended, and records the data as fresh if the mirror has reached it. The call costs
+// next to nothing compared with a large answer. Otherwise the next watch begins at once.
 func (f *Follower) confirmLatest(ctx context.Context) error {
 	asked := f.State.Freshness().Now()
 	_, revision, err := f.Store.Watch(ctx, "", kv.Latest, 0)
@@ -64,7 +64,7 @@
 		f.unwatched = false
 		f.State.Freshness().Prove(asked)
 	}
-	f.Log.Info("a large part of the history was read", "revision", known, "newest", revision)
+	f.Log.Info("asked for the newest revision", "revision", known, "newest", revision)
 	return nil
 }
 
@@ -157,7 +157,9 @@
 		if errors.Is(err, ErrSilentConnection) {
 			// The next answer may contain changes that were made since the last one.
 			f.unwatched = true
-			continue
+			if err = f.confirmLatest(ctx); err == nil {
+				continue
+			}
 		}
 		f.recordFailure(ctx, err)
 		f.sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
@@ -333,6 +335,7 @@
 	ended := f.State.Freshness().Now()
 	f.Mirror.Apply(after, changes, now, !f.unwatched || ended-began > liveWatchThreshold)
 	if maybeTruncated(changes) {
+		f.Log.Info("a large part of the history was read", "revision", f.Mirror.Revision(), "changes", len(changes))
 		return f.confirmLatest(ctx)
 	}
 	f.unwatched = false
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -364,6 +364,46 @@
 	}
 }
 
+// Guards against requests that begin on an older version for too long, because a version that was
+// declared while the connection was silent counts from when it was received.
+func TestVersionDeclaredDuringSilenceCountsFromLastAnswer(t *testing.T) {
+	const silence = 1400 * time.Millisecond
+	w := newTestSite()
+	steps := w.follow(t, func() ([]kv.Entry, uint64, error) {
+		w.latest = 30
+		w.clock.Advance(silence)
+		return nil, 0, site.ErrSilentConnection
+	}, func() ([]kv.Entry, uint64, error) {
+		return []kv.Entry{kv.NewEntry("weights/m", []byte("22"), 30, false)}, 30, nil
+	})
+	want, ok := w.state.WantedOf("m")
+	if age := w.clock.Since(want.Since); !ok || age < silence {
+		t.Errorf("got a version declared %v ago, want at least the %v of silence", age, silence)
+	}
+	if got, want := steps.lists, 1; got != want {
+		t.Errorf("got %d full reads, want %d", got, want)
+	}
+}
+
+// Guards against entries that refuse requests because ended watches prove nothing about the age of
+// their data.
+func TestDataIsProvenAfterSilence(t *testing.T) {
+	w := newTestSite()
+	w.follow(t, func() ([]kv.Entry, uint64, error) {
+		w.latest = w.mirror.Revision()
+		w.clock.Advance(1400 * time.Millisecond)
+		return nil, 0, site.ErrSilentConnection
+	}, func() ([]kv.Entry, uint64, error) {
+		if age, known := w.fresh.Age(); !known || age > 0 {
+			t.Errorf("got data %v old, want fresh data: the store returned its revision", age)
+		}
+		if w.state.StoreLost() {
+			t.Error("got a store that counts as lost, want one that answers")
+		}
+		return nil, w.mirror.Revision(), nil
+	})
+}
+
 func TestUnreadableValueKeepsTheLastGoodOne(t *testing.T) {
 	w := newTestSite()
 	w.follow(t, func() ([]kv.Entry, uint64, error) {
