site: date versions found after silence from the last proof

Callers see: requests begin on an older version of the weights later than its time allows.

Change: after any failed call, changes that are received at once or by a full read may have been made since the data was last proven to be the newest, and are dated from there, unless site.Contact knows of an outage meanwhile. That age is taken in place of the time of the last update, which proves nothing in an entry that follows others.

Tests: two cases of TestVersionDeclaredDuringSilenceCountsFromLastProof failed before (dated 0.3 s ago, 2 and 3 s of silence). TestVersionDeclaredAfterAnOutageIsNew plays its outage by the times of answered calls now; what it checks is unchanged.

--- a/entry/internal/onsite/news.go
+++ b/entry/internal/onsite/news.go
@@ -217,7 +217,7 @@
 		r.state.KeepRegistrationsFor(time.Duration(settle) * time.Millisecond)
 	}
 	if reply.GetWhole() {
-		r.mirror.Reset(changes, reply.GetRevision())
+		r.mirror.Reset(changes, reply.GetRevision(), true)
 	} else if !r.mirror.Apply(r.revision, changes, reply.GetRevision(), true) {
 		return false
 	}
--- a/entry/internal/onsite/news_test.go
+++ b/entry/internal/onsite/news_test.go
@@ -99,7 +99,7 @@
 // becomes too old or the stream ends.
 func TestEntryFollowsAnother(t *testing.T) {
 	source := newReplica()
-	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", []byte("v"), 5, false)}, 7)
+	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", []byte("v"), 5, false)}, 7, true)
 	source.state.Freshness().Prove(0)
 	address, stop := source.serve(t)
 	reader, client := startFollowing(t, address)
@@ -234,7 +234,7 @@
 		t.Fatal(err)
 	}
 	source := newReplica()
-	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", value, 5, false), kv.NewEntry("e-2", []byte("v"), 6, false)}, 7)
+	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", value, 5, false), kv.NewEntry("e-2", []byte("v"), 6, false)}, 7, true)
 	source.state.Freshness().Prove(0)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -269,7 +269,7 @@
 	entries = append(entries, kv.NewEntry("k6", packs, 7, false), kv.NewEntry("k7", nil, 8, true))
 	replies := splitLargeValues((&newsServer{}).buildReplies(site.Changes{Entries: entries, Revision: 9, Full: false}))
 	k := newReplica()
-	k.mirror.Reset(nil, 1)
+	k.mirror.Reset(nil, 1, true)
 	reader := &newsReader{state: k.state, mirror: k.mirror, revision: 1, requestTimes: map[uint64]time.Duration{}}
 	for i, reply := range replies {
 		size := 0
@@ -303,7 +303,7 @@
 // of the platform's rules). The entries' logs showed this twice.
 func TestFollowersWatchStoreSoonerWhenSourceLosesIt(t *testing.T) {
 	source := newReplica()
-	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", []byte("v"), 5, false)}, 7)
+	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", []byte("v"), 5, false)}, 7, true)
 	source.state.Freshness().Prove(0)
 	address, _ := source.serve(t)
 	reader, client := startFollowing(t, address)
--- a/entry/internal/onsite/reporter_test.go
+++ b/entry/internal/onsite/reporter_test.go
@@ -53,7 +53,7 @@
 	}
 	state := site.NewState(time.Now, fleet.New(time.Now), freshness.NewTracker(func() time.Duration { return 0 }))
 	mirror := site.NewMirror(state, platform.DecodeRecord, clockwork.NewRealClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
-	mirror.Reset(entries, 1)
+	mirror.Reset(entries, 1, true)
 	if _, held := state.Ledger().Held(crashFingerprint); !held {
 		return fmt.Errorf("%d keys, request not quarantined", len(entries))
 	}
@@ -204,7 +204,7 @@
 	for b.Loop() {
 		state := site.NewState(time.Now, fleet.New(time.Now), freshness.NewTracker(func() time.Duration { return 0 }))
 		mirror := site.NewMirror(state, platform.DecodeRecord, clockwork.NewRealClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
-		mirror.Reset(stored, entries)
+		mirror.Reset(stored, entries, true)
 	}
 	b.ReportMetric(float64(size), "bytes")
 }
--- a/relay/site/contact.go
+++ b/relay/site/contact.go
@@ -40,7 +40,9 @@
 	// steadyUntil is the end of the latest such period that lasted for a heartbeat interval, so
 	// that each owner could renew its registration.
 	steadyUntil time.Duration
-	graceUntil  time.Duration
+	// outageEndedAt is when the latest outage ended in which registrations may have lapsed.
+	outageEndedAt time.Duration
+	hadOutage     bool
 	// silence is for how long the latest call on an open connection waited in vain, and silentAt
 	// is when it was given up. Both are zero if a call was answered since.
 	silence, silentAt time.Duration
@@ -110,7 +112,7 @@
 	minOutage := time.Duration(minOutageHeartbeats * float64(c.heartbeat))
 	if c.refused || began-c.availableUntil >= minOutage {
 		if away := began - c.steadyUntil; away >= minOutage {
-			outage, c.graceUntil = away, now+recoveryGrace
+			outage, c.outageEndedAt, c.hadOutage = away, now, true
 		}
 		c.refused, c.availableSince = false, began
 	}
@@ -141,5 +143,17 @@
 	now := c.clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(0, c.graceUntil-now)
+	if !c.hadOutage {
+		return 0
+	}
+	return max(0, c.outageEndedAt+recoveryGrace-now)
+}
+
+// OutageWithin reports whether an outage in which registrations may have lapsed ended within the
+// given time before now.
+func (c *Contact) OutageWithin(ago time.Duration) bool {
+	now := c.clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hadOutage && now-c.outageEndedAt <= ago
 }
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -111,9 +111,8 @@
 	failures      int
 	loggedAt      time.Time
 	lastSuccessAt time.Time // when the last successful call ended
-	// unwatched is set while other entries are followed instead of the store, and after a watch
-	// on a silent connection. Changes that the store then sends at once may have been made in
-	// between.
+	// unwatched is set while other entries are followed instead of the store, and after a failed
+	// call. Changes that the store then sends at once may have been made in between.
 	unwatched bool
 }
 
@@ -223,7 +222,7 @@
 // failureLogInterval.
 func (f *Follower) recordFailure(ctx context.Context, err error) {
 	f.State.MarkStoreLost()
-	f.unwatched = false
+	f.unwatched = true
 	f.failures++
 	message := "dependency lost"
 	if f.down {
@@ -283,11 +282,17 @@
 	f.partialRead = nil
 	f.recordSuccess()
 	f.unwatched = false
-	f.Mirror.Reset(read.entries, read.revision)
+	f.Mirror.Reset(read.entries, read.revision, f.hadOutage())
 	f.State.Freshness().Prove(read.began)
 	return nil
 }
 
+// hadOutage reports whether the store was unavailable since the last successful call. Nothing was
+// changed meanwhile, so that what it sends now counts as new.
+func (f *Follower) hadOutage() bool {
+	return f.State.Contact().OutageWithin(f.Clock.Since(f.lastSuccessAt))
+}
+
 // readPage returns the entries after those already read, and whether there are more. A store
 // without paging returns everything at once.
 func (f *Follower) readPage(ctx context.Context, read []kv.Entry) (entries []kv.Entry, more bool, err error) {
@@ -333,7 +338,7 @@
 	}
 	f.recordSuccess()
 	ended := f.State.Freshness().Now()
-	f.Mirror.Apply(after, changes, now, !f.unwatched || ended-began > liveWatchThreshold)
+	f.Mirror.Apply(after, changes, now, !f.unwatched || ended-began > liveWatchThreshold || f.hadOutage())
 	if maybeTruncated(changes) {
 		f.Log.Info("a large part of the history was read", "revision", f.Mirror.Revision(), "changes", len(changes))
 		return f.confirmLatest(ctx)
--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -54,7 +54,7 @@
 // Apply merges all changes after one revision up to another. If after is newer than the
 // known revision, changes in between are missing: it then applies nothing and returns
 // false. Live means that the changes were received as they were made; otherwise they may
-// have been made at any time since the previous update.
+// have been made at any time since the data was last proven to be the newest.
 func (m *Mirror) Apply(after uint64, changes []kv.Entry, revision uint64, live bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -76,14 +76,14 @@
 }
 
 // Reset merges a full read of the store at a revision and treats known keys that are
-// missing from it as deleted.
-func (m *Mirror) Reset(entries []kv.Entry, revision uint64) {
+// missing from it as deleted. Live is as in Apply.
+func (m *Mirror) Reset(entries []kv.Entry, revision uint64, live bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if revision >= m.revision {
 		entries = append(slices.Clone(entries), m.deletionsMissingFrom(entries, revision)...)
 	}
-	m.applyLocked(entries, max(1, revision), true)
+	m.applyLocked(entries, max(1, revision), live)
 }
 
 // deletionsMissingFrom returns a deletion for each known key that is missing from a full
@@ -106,8 +106,8 @@
 // the State. The caller holds m.mu.
 func (m *Mirror) applyLocked(entries []kv.Entry, revision uint64, live bool) {
 	delay := time.Duration(0)
-	if !live && !m.updatedAt.IsZero() {
-		delay = m.clock.Since(m.updatedAt)
+	if !live {
+		delay = m.maxDelay()
 	}
 	m.updatedAt = m.clock.Now()
 	var records []Record
@@ -131,6 +131,18 @@
 	}
 }
 
+// maxDelay returns for how long a change that is received now may have been in the store: since the
+// data was proven to be the newest. The caller holds m.mu.
+func (m *Mirror) maxDelay() time.Duration {
+	if age, proven := m.state.Freshness().Age(); proven {
+		return age
+	}
+	if m.revision == 0 {
+		return 0
+	}
+	return m.clock.Since(m.updatedAt)
+}
+
 // supersedes reports whether an entry replaces the known one of the same key. A key that
 // is missing from a full read counts as deleted at the revision of that read, which may
 // equal the revision of the key's last change.
--- a/relay/site/mirror_test.go
+++ b/relay/site/mirror_test.go
@@ -17,7 +17,7 @@
 // is taken for the newest.
 func TestOlderRevisionDoesNotReplaceNewer(t *testing.T) {
 	w := newTestSite()
-	w.mirror.Reset([]kv.Entry{value("e-1", 1)}, 10)
+	w.mirror.Reset([]kv.Entry{value("e-1", 1)}, 10, true)
 	w.mirror.Apply(10, []kv.Entry{deletion("e-1", 15)}, 16, true)
 	w.mirror.Apply(10, []kv.Entry{value("e-1", 12)}, 14, true)
 	if got := w.state.Entries(); len(got) != 0 {
@@ -34,7 +34,7 @@
 // resumes after later changes, and the gap between goes unnoticed.
 func TestChangesAfterAGapAreRefused(t *testing.T) {
 	w := newTestSite()
-	w.mirror.Reset(nil, 10)
+	w.mirror.Reset(nil, 10, true)
 	if w.mirror.Apply(12, []kv.Entry{value("e-1", 13)}, 13, true) {
 		t.Error("got changes after 12 applied where 10 is known, want them refused")
 	}
@@ -48,7 +48,7 @@
 // version's age from when it received the declaration.
 func TestVersionLearnedLateCountsFromEarliestDeclaration(t *testing.T) {
 	w := newTestSite()
-	w.mirror.Reset(nil, 10)
+	w.mirror.Reset(nil, 10, true)
 	w.clock.Advance(2 * time.Second)
 	w.mirror.Apply(10, []kv.Entry{kv.NewEntry("weights/m", []byte("22"), 11, false)}, 11, false)
 	want, _ := w.state.WantedOf("m")
@@ -78,7 +78,7 @@
 			}
 			changes, _ := from.mirror.Since(known)
 			if changes.Full {
-				to.mirror.Reset(changes.Entries, changes.Revision)
+				to.mirror.Reset(changes.Entries, changes.Revision, true)
 			} else if !to.mirror.Apply(known, changes.Entries, changes.Revision, true) {
 				t.Fatalf("got changes after %d refused where %d is known", known, to.mirror.Revision())
 			}
@@ -130,7 +130,7 @@
 // kept forever. A caller that asks for changes older than those kept gets the full state.
 func TestOldDeletionsArePrunedAndFullStateIsSent(t *testing.T) {
 	w := newTestSite()
-	w.mirror.Reset([]kv.Entry{value("stays", 1)}, 1)
+	w.mirror.Reset([]kv.Entry{value("stays", 1)}, 1, true)
 	const hosts = 5000
 	for i := range uint64(hosts) {
 		w.mirror.Apply(w.mirror.Revision(), []kv.Entry{value(fmt.Sprint("host-", i), 2*i+2)}, 2*i+2, true)
--- a/relay/site/site_test.go
+++ b/relay/site/site_test.go
@@ -31,7 +31,8 @@
 	// keys as entries of that name. The key "bad" cannot be decoded.
 	mirror *site.Mirror
 	fresh  *freshness.Tracker
-	latest uint64 // the store's revision; if 0, it grows by ten with each full read
+	latest uint64     // the store's revision; if 0, it grows by ten with each full read
+	listed []kv.Entry // also returned by a full read
 }
 
 func newTestSite() *testSite {
@@ -86,7 +87,7 @@
 	w := newTestSite()
 	w.mirror.Apply(0, []kv.Entry{value("catalog", 7)}, 10, true)
 	w.mirror.Apply(0, []kv.Entry{value("catalog", 5)}, 9, true)
-	w.mirror.Reset([]kv.Entry{value("catalog", 6)}, 8)
+	w.mirror.Reset([]kv.Entry{value("catalog", 6)}, 8, true)
 	if got, want := w.state.Catalog().Version(), uint64(7); got != want {
 		t.Errorf("got version %d, want %d", got, want)
 	}
@@ -158,8 +159,8 @@
 
 func TestResetDropsKeysMissingFromTheStore(t *testing.T) {
 	w := newTestSite()
-	w.mirror.Reset([]kv.Entry{value("e-1", 1), value("e-3", 2), value("endpoint/i-1", 3)}, 3)
-	w.mirror.Reset([]kv.Entry{value("e-2", 4), value("e-3", 2)}, 5)
+	w.mirror.Reset([]kv.Entry{value("e-1", 1), value("e-3", 2), value("endpoint/i-1", 3)}, 3, true)
+	w.mirror.Reset([]kv.Entry{value("e-2", 4), value("e-3", 2)}, 5, true)
 	if _, ok := w.state.Entries()["e-1"]; ok || len(w.state.Entries()) != 2 {
 		t.Errorf("got %v, want e-2 and e-3 alone", w.state.Entries())
 	}
@@ -254,7 +255,7 @@
 	return &kv.Store{
 		List: func(context.Context, string) ([]kv.Entry, error) {
 			s.lists++
-			return []kv.Entry{kv.NewEntry("catalog", nil, uint64(s.lists), false)}, nil
+			return append([]kv.Entry{kv.NewEntry("catalog", nil, uint64(s.lists), false)}, s.site.listed...), nil
 		},
 		Watch: func(ctx context.Context, _ string, after uint64, _ time.Duration) ([]kv.Entry, uint64, error) {
 			if after == kv.Latest && s.site.latest > 0 {
@@ -353,7 +354,7 @@
 func TestVersionDeclaredAfterAnOutageIsNew(t *testing.T) {
 	w := newTestSite()
 	w.follow(t, func() ([]kv.Entry, uint64, error) {
-		w.clock.Advance(8 * time.Second)
+		w.loseStoreFor(8 * time.Second)
 		return nil, 0, failure.New(failure.Unavailable, "the store is down", "wait")
 	}, func() ([]kv.Entry, uint64, error) {
 		return []kv.Entry{kv.NewEntry("weights/m", []byte("22"), 30, false)}, 30, nil
@@ -365,23 +366,42 @@
 }
 
 // Guards against requests that begin on an older version for too long, because a version that was
-// declared while the connection was silent counts from when it was received.
-func TestVersionDeclaredDuringSilenceCountsFromLastAnswer(t *testing.T) {
-	const silence = 1400 * time.Millisecond
-	w := newTestSite()
-	steps := w.follow(t, func() ([]kv.Entry, uint64, error) {
-		w.latest = 30
-		w.clock.Advance(silence)
-		return nil, 0, site.ErrSilentConnection
-	}, func() ([]kv.Entry, uint64, error) {
-		return []kv.Entry{kv.NewEntry("weights/m", []byte("22"), 30, false)}, 30, nil
-	})
-	want, ok := w.state.WantedOf("m")
-	if age := w.clock.Since(want.Since); !ok || age < silence {
-		t.Errorf("got a version declared %v ago, want at least the %v of silence", age, silence)
-	}
-	if got, want := steps.lists, 1; got != want {
-		t.Errorf("got %d full reads, want %d", got, want)
+// declared while the store did not answer this process counts from when it was received, although
+// the store was available all the while.
+func TestVersionDeclaredDuringSilenceCountsFromLastProof(t *testing.T) {
+	for name, test := range map[string]struct {
+		silence time.Duration
+		err     error
+		lists   int
+	}{
+		"silent connection":          {1400 * time.Millisecond, site.ErrSilentConnection, 1},
+		"time-out":                   {2 * time.Second, failure.New(failure.Unavailable, "no answer", "wait"), 1},
+		"time-out, then a full read": {3 * time.Second, failure.New(failure.Unavailable, "no answer", "wait"), 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestSite()
+			weights := kv.NewEntry("weights/m", []byte("22"), 30, false)
+			contact := w.state.Contact()
+			steps := w.follow(t, func() ([]kv.Entry, uint64, error) {
+				contact.Answered(contact.Now(), true)
+				w.latest = 30
+				for range 4 { // other calls of this process
+					w.clock.Advance(test.silence / 4)
+					contact.Answered(contact.Now(), false)
+				}
+				w.listed = []kv.Entry{weights}
+				return nil, 0, test.err
+			}, func() ([]kv.Entry, uint64, error) {
+				return []kv.Entry{weights}, 30, nil
+			})
+			want, ok := w.state.WantedOf("m")
+			if age := w.clock.Since(want.Since); !ok || age < test.silence {
+				t.Errorf("got a version declared %v ago, want at least the %v of silence", age, test.silence)
+			}
+			if got, want := steps.lists, test.lists; got != want {
+				t.Errorf("got %d full reads, want %d", got, want)
+			}
+		})
 	}
 }
 
