news: send how long ago versions were declared

Cause: an entry that follows others dated a version from when it received it, although its source may have learned of it late and knows since when it may stand.

Change: a reply with changes carries the known versions with their ages, as agents report them already; the follower takes the earlier date.

Test: TestFollowerDatesVersionsAsItsSource; without the ages the follower dates a version now that its source knows to be 3 s old.

--- a/entry/internal/onsite/news.go
+++ b/entry/internal/onsite/news.go
@@ -111,6 +111,9 @@
 			reply.Answers, reply.Proven, reply.AgeMicros = requestNumber, proven, uint64(age.Microseconds())+1
 			reply.SettleMillis = uint32(s.state.GraceLeft().Milliseconds())
 			reply.StoreLost = s.state.StoreLost()
+			if len(changes.Entries) > 0 {
+				reply.Declared = declaredWeights(s.state.Declarations())
+			}
 		}
 		if err := stream.Send(reply); err != nil {
 			return nil, err
@@ -120,6 +123,15 @@
 	return changed, nil
 }
 
+// declaredWeights encodes declarations.
+func declaredWeights(declarations []site.Declaration) []*wire.DeclaredWeights {
+	var declared []*wire.DeclaredWeights
+	for _, known := range declarations {
+		declared = append(declared, &wire.DeclaredWeights{Model: known.Model, Version: known.Version, AgeMillis: uint32(known.Age.Milliseconds())})
+	}
+	return declared
+}
+
 // buildReplies distributes changes over replies. Only the last reply has the revision.
 func (s *newsServer) buildReplies(changes site.Changes) []*wire.NewsReply {
 	reply := &wire.NewsReply{Whole: changes.Full}
@@ -221,6 +233,9 @@
 	} else if !r.mirror.Apply(r.revision, changes, reply.GetRevision(), true) {
 		return false
 	}
+	for _, weights := range reply.GetDeclared() {
+		r.state.RecordDeclarationAge(weights.GetModel(), weights.GetVersion(), time.Duration(weights.GetAgeMillis())*time.Millisecond)
+	}
 	r.revision = reply.GetRevision()
 	r.updateFreshness(reply)
 	return true
--- a/entry/internal/onsite/news_test.go
+++ b/entry/internal/onsite/news_test.go
@@ -25,7 +25,8 @@
 	"comfreyrelay.example/relay/wire"
 )
 
-// replica is one entry's copy of the store, with its own clock for freshness.
+// replica is one entry's copy of the store, with its own clock for freshness. It decodes keys below
+// "weights/" as a declared version that equals the key's revision, and others as entries.
 type replica struct {
 	state  *site.State
 	mirror *site.Mirror
@@ -38,6 +39,9 @@
 	fresh := freshness.NewTracker(func() time.Duration { return time.Duration(k.now.Load()) })
 	k.state = site.NewState(clock.Now, fleet.New(clock.Now), fresh)
 	decode := func(entry kv.Entry) (site.Record, error) {
+		if strings.HasPrefix(entry.Key(), "weights/") {
+			return site.Record{Kind: site.WeightsRecord, ID: "m", Weights: entry.Revision()}, nil
+		}
 		return site.Record{Kind: site.EntryRecord, ID: entry.Key(), Removed: entry.Deleted()}, nil
 	}
 	k.mirror = site.NewMirror(k.state, decode, clock, slog.New(slog.DiscardHandler))
@@ -94,6 +98,32 @@
 	return k, client
 }
 
+// Guards against requests that begin on an older version for too long at an entry that follows
+// another, because the version's time counts from when the follower received it.
+func TestFollowerDatesVersionsAsItsSource(t *testing.T) {
+	const age = 3 * time.Second
+	source := newReplica()
+	source.mirror.Reset([]kv.Entry{kv.NewEntry("e-1", []byte("v"), 5, false)}, 7, true)
+	address, _ := source.serve(t)
+	reader, _ := startFollowing(t, address)
+	eventually(t, "the full state", func() error {
+		if reader.mirror.Revision() == 7 {
+			return nil
+		}
+		return errors.New("not yet")
+	})
+	source.state.Freshness().Prove(0)
+	source.now.Add(int64(age))
+	source.mirror.Apply(7, []kv.Entry{kv.NewEntry("weights/m", nil, 9, false)}, 9, false)
+	eventually(t, "the version is dated", func() error {
+		declared := reader.state.Declarations()
+		if len(declared) != 1 || declared[0].Version != 9 || declared[0].Age < age {
+			return fmt.Errorf("got %+v, want an age of %v", declared, age)
+		}
+		return nil
+	})
+}
+
 // Guards against each configuration crossing the link between regions once per entry. An entry
 // gets everything from another entry, with its age, and watches the store itself when that data
 // becomes too old or the stream ends.
--- a/relay/site/state.go
+++ b/relay/site/state.go
@@ -298,8 +298,32 @@
 	s.wanted[rec.ID] = Wanted{Model: rec.ID, Version: rec.Weights, Revision: revision, Since: since}
 }
 
-// RecordDeclarationAge records for how long a host has known that a version was declared. Without it, an
-// entry that started after the declaration would count the version's age from its own start.
+// maxDeclarationAge is the upper limit of the ages that Declarations returns.
+const maxDeclarationAge = time.Hour
+
+// Declaration is a declared version of a model's weights and the time since its declaration.
+type Declaration struct {
+	Model   string
+	Version uint64
+	Age     time.Duration
+}
+
+// Declarations returns all known declarations, sorted by model, oldest first.
+func (s *State) Declarations() []Declaration {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []Declaration
+	for _, model := range slices.Sorted(maps.Keys(s.history)) {
+		for _, known := range s.history[model] {
+			found = append(found, Declaration{Model: model, Version: known.Version, Age: min(now.Sub(known.At), maxDeclarationAge)})
+		}
+	}
+	return found
+}
+
+// RecordDeclarationAge records for how long a host or another entry has known that a version was declared.
+// Without it, an entry that started or received the version later would count its age from then.
 func (s *State) RecordDeclarationAge(model string, version uint64, age time.Duration) {
 	at := s.clock().Add(-age)
 	s.mu.Lock()
