soak: make connections to the store go silent

Its checks exempt the time of each fault on a link, old and new connections alike.

For the checks of time limits a silence counts as a reset does: an entry is exempt for the time of contact after it, and neither the store nor a link as disturbed. DRAIN is checked for requests that were both sent and passed on outside of that time. The link of the stand-in takes the silence from the listener of the tests.

--- a/bench/internal/site/site.go
+++ b/bench/internal/site/site.go
@@ -445,6 +445,12 @@
 	return err
 }
 
+// Deregister removes an endpoint's registration, which goes on serving.
+func (s *Site) Deregister(ctx context.Context, m *Member) error {
+	_, err := control(ctx, http.MethodPost, m, "/deregister", nil)
+	return err
+}
+
 // Put writes a key of the store, as an operator would, and returns the time of the
 // acknowledgement.
 func (s *Site) Put(ctx context.Context, key string, value any) (time.Time, error) {
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -48,9 +48,9 @@
 	Load float64
 	// Gap is the mean time between two events.
 	Gap time.Duration
-	// Planned, Hiccups, Faults and Failures enable the sets of events.
-	Planned, Hiccups, Faults, Failures bool
-	Progress                           *slog.Logger
+	// Planned, Hiccups, Faults, Failures and Silences enable the sets of events.
+	Planned, Hiccups, Faults, Failures, Silences bool
+	Progress                                     *slog.Logger
 }
 
 // Result is the summary of a run, printed as one line of JSON.
@@ -184,7 +184,7 @@
 	for _, set := range []struct {
 		on    bool
 		rules []eventRule
-	}{{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures}} {
+	}{{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures}, {r.options.Silences, silences}} {
 		if set.on {
 			enabled = append(enabled, set.rules...)
 		}
--- a/standin/internal/site/endpoint.go
+++ b/standin/internal/site/endpoint.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,27 +36,40 @@
 		connections, refused := p.lis.Counts()
 		writeJSON(w, platformtest.Record{Runs: worker.Runs(), Loads: worker.Loads(), Connections: connections, Refused: refused})
 	})
-	leaving := &atomic.Bool{}
-	p.control.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { leaving.Store(true) })
+	reg := &registration{part: p, worker: worker, heartbeat: time.Duration(p.options.HeartbeatMillis) * time.Millisecond}
+	p.control.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { reg.leaving.Store(true) })
+	p.control.HandleFunc("POST /deregister", func(_ http.ResponseWriter, r *http.Request) { reg.end(r.Context()) })
 	p.run = func(ctx context.Context) error {
-		p.register(ctx, worker, leaving)
+		reg.run(ctx)
 		return nil
 	}
 }
 
-// register renews the endpoint's registration until ctx is done. An endpoint that leaves
-// is registered as draining and deregisters after LeaveMillis.
-func (p *part) register(ctx context.Context, worker *platformtest.Endpoint, leaving *atomic.Bool) {
-	heartbeat := time.Duration(p.options.HeartbeatMillis) * time.Millisecond
+// registration keeps an endpoint registered in the store.
+type registration struct {
+	part      *part
+	worker    *platformtest.Endpoint
+	heartbeat time.Duration
+	leaving   atomic.Bool
+
+	mu    sync.Mutex
+	ended bool // removed for good
+}
+
+// run renews the registration until ctx is done. An endpoint that leaves is registered as draining and
+// deregisters after LeaveMillis.
+func (g *registration) run(ctx context.Context) {
 	var leavingSince time.Time
 	for ctx.Err() == nil {
-		draining := leaving.Load()
+		draining := g.leaving.Load()
 		if draining && leavingSince.IsZero() {
 			leavingSince = time.Now()
 		}
-		deregister := draining && time.Since(leavingSince) > time.Duration(p.options.LeaveMillis)*time.Millisecond
-		p.sendRegistration(ctx, worker.Registration(p.options.Address, draining), heartbeat, deregister)
-		wait := time.NewTimer(min(heartbeat, registrationPollInterval))
+		if draining && time.Since(leavingSince) > time.Duration(g.part.options.LeaveMillis)*time.Millisecond {
+			g.end(ctx)
+		}
+		g.renew(ctx, draining)
+		wait := time.NewTimer(min(g.heartbeat, registrationPollInterval))
 		select {
 		case <-ctx.Done():
 		case <-wait.C:
@@ -63,6 +77,23 @@
 	}
 }
 
+// renew writes the registration unless it ended.
+func (g *registration) renew(ctx context.Context, draining bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.ended {
+		g.part.sendRegistration(ctx, g.worker.Registration(g.part.options.Address, draining), g.heartbeat, false)
+	}
+}
+
+// end removes the registration. The endpoint goes on serving.
+func (g *registration) end(ctx context.Context) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended = true
+	g.part.sendRegistration(ctx, nil, g.heartbeat, true)
+}
+
 // registrationPollInterval is the longest time between registrations, so that a change of
 // the engine's weights is published soon.
 const registrationPollInterval = 300 * time.Millisecond
