soak: excuse late requests by their send time after silences alone

Cause: excused a request to a leaving endpoint if its entry was exempt when the request was sent, after any fault, and so narrowed DRAIN for faults where no trace shows that this is allowed.

Change: only a silence excuses by the send time; other faults by the time of arrival, as before.

--- a/bench/internal/sitesoak/checks_time.go
+++ b/bench/internal/sitesoak/checks_time.go
@@ -54,12 +54,17 @@
 			continue
 		}
 		entry := entries[sent.Entry]
-		if !r.timingExempt(entry, left.at, arrived) && !r.timingExempt(entry, left.at, time.Unix(0, sent.Sent)) {
+		if !r.timingExempt(entry, left.at, arrived) && !r.silentBefore(entry, time.Unix(0, sent.Sent)) {
 			r.recordViolation("DRAIN", fmt.Sprintf("request %s of %s arrived at %s %v after the endpoint was asked to drain or removed", execution.ID, entry.Name, execution.Endpoint, arrived.Sub(left.at)))
 		}
 	}
 }
 
+// silentBefore reports whether connections of an entry went silent shortly before a time.
+func (r *run) silentBefore(entry *site.Member, at time.Time) bool {
+	return r.faultWithin(at, at, func(fault *faultRecord) bool { return isSilence(fault.kind) && fault.affects(entry.ID) })
+}
+
 // timingExempt reports whether time limits are not checked for an entry at a time: it was
 // affected by a fault or stopped shortly before, or the store, a link or this machine was
 // disturbed since the earlier time. Silent connections disturb neither the store nor a link.
