--- a/review/rig-2/site.go
+++ b/review/rig-2/site.go
@@ -221,6 +221,11 @@
 	}
 }
 
+// machines returns all machines of the system.
+func (s *site) machines() []*machine {
+	return append(append([]*machine(nil), s.agents...), s.entries...)
+}
+
 // start starts the process of a machine, as the deploy file says.
 func (s *site) start(m *machine) error {
 	cmd := exec.Command(filepath.Join(s.root, m.program))
@@ -263,7 +268,7 @@
 
 // startAll starts all processes and waits until the entries are ready.
 func (s *site) startAll(ctx context.Context) error {
-	for _, m := range append(append([]*machine(nil), s.agents...), s.entries...) {
+	for _, m := range s.machines() {
 		if err := s.start(m); err != nil {
 			return err
 		}
@@ -295,7 +300,7 @@
 
 // stop kills all processes and ends the stand-ins.
 func (s *site) stop() {
-	for _, m := range append(append([]*machine(nil), s.agents...), s.entries...) {
+	for _, m := range s.machines() {
 		m.kill()
 	}
 	for _, server := range s.servers {
