review: show that an extra rejection makes a request run twice

An answer without an id is taken for the request's own, also on a connection that served another request before.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -24,11 +24,11 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	name := flag.String("case", "", "frozen or forgotten")
+	name := flag.String("case", "", "frozen, forgotten or extra")
 	root := flag.String("root", ".", "root of the repository")
 	recordPath := flag.String("record", "record.txt", "where the record is written")
 	flag.Parse()
-	play := map[string]func(context.Context, *site, string) (bool, error){"frozen": playFrozen, "forgotten": playForgotten}[*name]
+	play := map[string]func(context.Context, *site, string) (bool, error){"frozen": playFrozen, "forgotten": playForgotten, "extra": playExtra}[*name]
 	if play == nil {
 		fmt.Println("no such case")
 		return exitCannot
--- a/review/rig-2/site.go
+++ b/review/rig-2/site.go
@@ -30,6 +30,9 @@
 const (
 	modelService  = "rezago-llm"
 	originService = "legado-bridge"
+	plainService  = "mostrador"
+	plainHost     = "voka93.example"
+	plainPath     = "/filo73/"
 	routeHost     = "cubo38.example"
 	routePath     = "/levo940/"
 	tenantKey     = "jnbanfqasnmgkcuyj8pj"
@@ -61,6 +64,8 @@
 	entries   []*machine
 	agents    []*machine
 	workers   []*worker // workers[i] is beside agents[i]
+	plain     []*plainWorker
+	listeners []net.Listener
 	servers   []*http.Server
 }
 
@@ -97,6 +102,15 @@
 			return s, err
 		}
 	}
+	for i, zone := range zones {
+		worker := newPlainWorker(fmt.Sprintf("i-desk-%d", i+1), fmt.Sprintf("%s:%d", s.ip(3, i), workerPort), zone.name, rec)
+		lis, err := net.Listen("tcp", worker.address)
+		if err != nil {
+			return s, err
+		}
+		s.plain, s.listeners = append(s.plain, worker), append(s.listeners, lis)
+		go worker.serve(lis)
+	}
 	s.store.put("op/config", s.config())
 	s.beat()
 	go func() {
@@ -113,6 +127,9 @@
 	for _, worker := range s.workers {
 		s.store.put("servers/"+worker.id, worker.registration())
 	}
+	for _, worker := range s.plain {
+		s.store.put("servers/"+worker.id, worker.registration())
+	}
 }
 
 // findSubnet picks a second address byte under 127.0.0.0/8 whose ports are free.
@@ -205,6 +222,9 @@
 			"name": "r-1", "host": routeHost, "path_prefix": routePath, "kind": "streaming", "timeout_ms": 6000,
 			"target_latency_ms": 500, "priority": 1, "service": modelService, "max_attempts": 2, "public": false,
 			"sticky": true, "resumable": true, "gap_aim_ms": 400,
+		}, {
+			"name": "r-2", "host": plainHost, "path_prefix": plainPath, "kind": "non_idempotent", "timeout_ms": 1000,
+			"target_latency_ms": 100, "priority": 2, "service": plainService, "max_attempts": 1, "public": false,
 		}},
 		"services": []map[string]any{
 			{"name": modelService, "health_path": "/health", "max_conns": 274, "protocol": "h1", "tls": false, "engine": map[string]any{
@@ -214,6 +234,7 @@
 				"pairs_per_m": 1.47, "chunk": 2048, "report_lag_ms": 200.0, "usual": map[string]any{"prompt": 977, "answer": 94},
 				"layers": 16, "layer_mb": 4540.0, "chunks": pieces, "chunk_bytes": pieceBytes,
 			}},
+			{"name": plainService, "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": false},
 			{"name": originService, "origin": fmt.Sprintf("%s:%d", s.ip(0, 1), originPort), "zone": "xela-sala", "link_mbps": originMbps, "max_conns": 48},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
@@ -306,4 +327,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	for _, lis := range s.listeners {
+		_ = lis.Close()
+	}
 }
