gateway: log the shared parts of prompts

The logs could not show what requests at an endpoint's end have in common: fingerprints cover a whole request and differ between requests that share a part of their prompts. The lines of answers and of endpoint checks now list the IDs of a prompt's parts without the last one, which is the request's own.

No decision changes.

--- a/entry/internal/gateway/crashcheck.go
+++ b/entry/internal/gateway/crashcheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,6 +40,7 @@
 	id          string
 	elapsed     time.Duration // since it was sent
 	events      int
+	parts       []string // of its prompt that other requests may have too
 }
 
 // awaitCrashCheck starts a check whether the endpoint ended while it ran the request. A request
@@ -49,7 +51,7 @@
 		return
 	}
 	g := x.gateway
-	done := g.crashChecks.add(grant, interruptedRequest{fingerprint: x.fingerprint, id: x.req.ID, elapsed: g.cfg.Clock.Since(x.sentAt), events: x.events})
+	done := g.crashChecks.add(grant, interruptedRequest{fingerprint: x.fingerprint, id: x.req.ID, elapsed: g.cfg.Clock.Since(x.sentAt), events: x.events, parts: x.req.SharedParts})
 	if done == nil || !g.cfg.State.Ledger().Suspected(x.fingerprint) {
 		return
 	}
@@ -146,12 +148,14 @@
 func (c *crashCheck) fields(ended bool, err error) []any {
 	ids, prints := make([]string, 0, len(c.requests)), make([]string, 0, len(c.requests))
 	ran, events := make([]int64, 0, len(c.requests)), make([]int, 0, len(c.requests))
+	parts := make([]string, 0, len(c.requests))
 	for _, req := range c.requests {
 		ids, prints = append(ids, req.id), append(prints, req.fingerprint.String())
 		ran, events = append(ran, req.elapsed.Milliseconds()), append(events, req.events)
+		parts = append(parts, strings.Join(req.parts, ","))
 	}
 	return []any{
 		"endpoint", c.grant.ID(), "born", c.grant.Incarnation().Born, "address", c.grant.Address(), "ended", ended, "error", err,
-		"requests", ids, "prints", prints, "ranMillis", ran, "events", events, "leftOut", c.omitted,
+		"requests", ids, "prints", prints, "ranMillis", ran, "events", events, "parts", parts, "leftOut", c.omitted,
 	}
 }
--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"log/slog"
 	"math"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,7 +134,7 @@
 		"heldMillis", x.queuedFor.Milliseconds(), "ageMillis", x.configAgeMillis(),
 	}
 	if x.req != nil {
-		fields = append(fields, "request", x.req.ID, "deadlineMillis", x.req.Deadline.Milliseconds())
+		fields = append(fields, "request", x.req.ID, "deadlineMillis", x.req.Deadline.Milliseconds(), "parts", strings.Join(x.req.SharedParts, ","))
 	}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "service", x.service, "sends", x.sends,
--- a/relay/call/call.go
+++ b/relay/call/call.go
@@ -27,6 +27,9 @@
 	Prompt      int // tokens
 	MaxAnswer   int // tokens
 	Hint        int // the caller's estimate of the answer's tokens; 0 if none
+	// SharedParts are the IDs of the prompt's parts, in order, without the last one, which is
+	// the request's own; nil if the request states none.
+	SharedParts []string
 }
 
 // Sending holds what the system adds to a request sent to an endpoint.
