onsite: show that requests that share a crashing part are not stopped

Callers get 502 while engine after engine ends under requests that differ but have one part of their prompts in common.

The simulated worker can crash on a part of a prompt.

--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -15,6 +15,10 @@
 	"comfreyrelay.example/relay/wire"
 )
 
+// crashPart is the ID of a part that makes any request with it in its prompt crash the endpoint that
+// starts to run it.
+const crashPart = "dead"
+
 // crashBody is the body of a request that crashes every endpoint that starts to run it.
 const crashBody = "deadly"
 
@@ -57,7 +61,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("i-%d", i)
 		worker, err := platformtest.NewWorker(id, platformtest.Behaviour{
-			Crashes: func(body []byte) bool { return string(body) == crashBody }, Hold: hold,
+			Crashes: func(body []byte) bool { return string(body) == crashBody }, CrashPart: crashPart, Hold: hold,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -139,6 +143,12 @@
 
 // send sends a request to an entry and returns the status, or 0 if the connection failed.
 func (f *testFleet) send(to *runningEntry, body string) int {
+	f.t.Helper()
+	return f.sendPrompt(to, body, "")
+}
+
+// sendPrompt sends a request with the given parts of its prompt, and returns what send does.
+func (f *testFleet) sendPrompt(to *runningEntry, body, prompt string) int {
 	f.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+to.cfg.GetCallersAddress()+"/x/y", strings.NewReader(body))
 	if err != nil {
@@ -151,6 +161,9 @@
 	req.Host = "a.example"
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("Authorization", "Bearer key-1")
+	if prompt != "" {
+		req.Header.Set("X-Prompt-Prefix", prompt)
+	}
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
 	resp, err := transport.RoundTrip(req)
@@ -212,6 +225,75 @@
 	}
 }
 
+// Guards against engines that crash one after another under requests that differ but have one part
+// of their prompts in common. Three of them reach endpoints at most once all entries could know of
+// the fifth crash, and requests that share the caller and the other parts are served.
+func TestRequestsWithPartThatEndsEndpointsAreStopped(t *testing.T) {
+	for name, prompt := range map[string]string{
+		"first part":  crashPart + ":40,f1:9,%x:5",
+		"second part": "f1:40," + crashPart + ":9,%x:5",
+	} {
+		t.Run(name, func(t *testing.T) { testCrashingPart(t, prompt) })
+	}
+}
+
+// testCrashingPart tests requests with prompts that the format makes different; the crashing part is
+// in each of them.
+func testCrashingPart(t *testing.T, promptFormat string) {
+	const contactCrashes = 5
+	f := newTestFleet(t, 9, 40, nil)
+	sent := 0
+	send := func(to *runningEntry, format string) int {
+		sent++
+		return f.sendPrompt(to, fmt.Sprint("body-", sent), fmt.Sprintf(format, sent))
+	}
+	checkSound := func(entries []*runningEntry) {
+		t.Helper()
+		for _, to := range entries {
+			if got := send(to, "f1:40,ab:9,%x:5"); got != http.StatusOK {
+				t.Errorf("got %d for a request with the other parts, want 200", got)
+			}
+		}
+	}
+	checkSound(f.entries)
+	crashes := func() int {
+		count := 0
+		for _, worker := range f.workers {
+			count += worker.CrashCount()
+		}
+		return count
+	}
+	for i := range 2 * contactCrashes {
+		if crashes() >= contactCrashes {
+			break
+		}
+		send(f.entries[i%len(f.entries)], promptFormat)
+	}
+	if got := crashes(); got < 3 {
+		t.Fatalf("got %d crashes, want enough to identify the part", got)
+	}
+	f.awaitPropagation()
+	f.entries[0].stop()
+	current := append(f.entries[1:9:9], f.start())
+	arrived := func() int {
+		count := 0
+		for _, worker := range f.workers {
+			count += worker.PartCount(crashPart)
+		}
+		return count
+	}
+	before := arrived()
+	for _, to := range current {
+		if got := send(to, promptFormat); got == http.StatusOK {
+			t.Errorf("got %d for a request that crashes every endpoint", got)
+		}
+	}
+	if got, want := arrived()-before, 3; got > want {
+		t.Errorf("got %d sends with the part later than all entries could know of the crashes, want %d at most", got, want)
+	}
+	checkSound(current)
+}
+
 // Guards against requests that are lost or rejected because they ran on the same endpoint as a
 // request that crashes endpoints. Requests are in progress at all endpoints when two of these
 // crash. Each request must succeed, on another endpoint if its own crashed.
