quarantine: hold the parts of prompts under which endpoints end

Callers got 502 and 503 while 71 and 94 engines ended one after another under requests that differ but have one part of their prompts in common (BUDGET).

Cause: ends were counted by a fingerprint of the whole request, so requests that share their cause never reached three.

Change: reports of an end also list the shared parts of prompts of requests that the endpoint had not kept running with; four ends hold a part everywhere, whatever else a request with it holds. An entry that knows a part to be sound tells the others when three ends are reported of it; an answer in progress clears a part that is held. Parts of requests at silent endpoints are not counted, since these ends are found late.

--- a/entry/internal/gateway/crashcheck.go
+++ b/entry/internal/gateway/crashcheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -41,18 +42,26 @@
 	elapsed     time.Duration // since it was sent
 	events      int
 	parts       []string // of its prompt that other requests may have too
+	// suspectParts are the fingerprints of parts that may have caused the interruption.
+	suspectParts []quarantine.Fingerprint
 }
 
 // awaitCrashCheck starts a check whether the endpoint ended while it ran the request. A request
-// that one more end would quarantine waits for the result, so that it does not crash another
-// endpoint in the meantime.
+// that one more end would quarantine, or a part of it, waits for the result, so that it does not
+// crash another endpoint in the meantime.
 func (x *exchange) awaitCrashCheck(ctx context.Context, grant *fleet.Grant, outcome fleet.Outcome) {
 	if outcome != fleet.Broken && outcome != fleet.Silent {
 		return
 	}
 	g := x.gateway
-	done := g.crashChecks.add(grant, interruptedRequest{fingerprint: x.fingerprint, id: x.req.ID, elapsed: g.cfg.Clock.Since(x.sentAt), events: x.events, parts: x.req.SharedParts})
-	if done == nil || !g.cfg.State.Ledger().Suspected(x.fingerprint) {
+	req := interruptedRequest{fingerprint: x.fingerprint, id: x.req.ID, elapsed: g.cfg.Clock.Since(x.sentAt), events: x.events, parts: x.req.SharedParts}
+	if outcome == fleet.Broken && !x.survived {
+		// The end of a silent endpoint is found late: parts that were answered meanwhile elsewhere
+		// would look as if they never were.
+		req.suspectParts = x.parts
+	}
+	done := g.crashChecks.add(grant, req)
+	if done == nil || !x.isSuspected() {
 		return
 	}
 	select {
@@ -140,6 +149,11 @@
 		} else {
 			result.Suspects = append(result.Suspects, req.fingerprint)
 		}
+		for _, part := range req.suspectParts {
+			if !slices.Contains(result.Parts, part) {
+				result.Parts = append(result.Parts, part)
+			}
+		}
 	}
 	return result
 }
--- a/entry/internal/gateway/deployment_test.go
+++ b/entry/internal/gateway/deployment_test.go
@@ -283,6 +283,12 @@
 }
 
 func (h *deployment) send(t *testing.T, path, key, body string) answer {
+	t.Helper()
+	return h.sendPrompt(t, path, key, body, "")
+}
+
+// sendPrompt sends a request with the given parts of its prompt, none if empty.
+func (h *deployment) sendPrompt(t *testing.T, path, key, body, prompt string) answer {
 	t.Helper()
 	h.lastID++
 	req, err := http.NewRequest(http.MethodPost, h.server.URL+path, strings.NewReader(body))
@@ -295,6 +301,9 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
+	if prompt != "" {
+		req.Header.Set("X-Prompt-Prefix", prompt)
+	}
 	transport := &http.Transport{DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	resp, err := transport.RoundTrip(req)
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -108,6 +108,10 @@
 		},
 	}
 	cfg.State.Ledger().NotifyMaybeHeld(g.cancelQuarantined)
+	cfg.State.Ledger().NotifyProven(func(parts []quarantine.Fingerprint) {
+		cfg.Log.Info("parts known to be harmless reported", "prints", parts)
+		cfg.Publish(site.Report{Report: quarantine.Report{ProvenParts: parts}})
+	})
 	cfg.State.Ledger().NotifyForgotten(func(fingerprint quarantine.Fingerprint) {
 		cfg.Log.Warn("quarantined request forgotten, too many endpoint ends recorded for other requests", "print", fingerprint)
 	})
@@ -182,6 +186,9 @@
 		return refused
 	}
 	x.fingerprint = quarantine.NewFingerprint(x.customerName(), req.Method, req.Host, req.Target, req.Body)
+	for _, id := range req.SharedParts {
+		x.parts = append(x.parts, quarantine.NewPartFingerprint(id))
+	}
 	return nil
 }
 
@@ -274,6 +281,7 @@
 	ageKnown    bool              // whether configAge is known
 	bodyBytes   int64             // size that was added to Gateway.bodyBytes
 	fingerprint quarantine.Fingerprint
+	parts       []quarantine.Fingerprint // of req.SharedParts, in their order
 
 	tried            []fleet.Incarnation // endpoints that were chosen so far
 	sends            int                 // attempts that got a connection
@@ -287,6 +295,9 @@
 	answerHeader     http.Header // header of the answer that the caller gets; nil until it begins
 	events           int
 	answering        atomic.Bool   // set with the first event
+	sendEvents       int           // events of the latest attempt
+	sendFirstEventAt time.Time     // when the first of them arrived
+	survived         bool          // the latest attempt showed that its endpoint keeps running
 	firstEventAfter  time.Duration // time from arrival to the first event
 	lastEventAt      time.Time
 	longestPause     time.Duration // between two events
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -154,6 +154,7 @@
 func (x *exchange) attempt(ctx context.Context, grant *fleet.Grant) fleet.Outcome {
 	g := x.gateway
 	x.tried, x.responseWait, x.answerHead = append(x.tried, grant.Incarnation()), responseWait{}, call.Answer{}
+	x.sendEvents, x.survived = 0, false
 	if ctx.Err() != nil || !g.cfg.Clock.Now().Before(x.adm.Deadline) {
 		return fleet.Abandoned
 	}
--- a/entry/internal/gateway/stream.go
+++ b/entry/internal/gateway/stream.go
@@ -36,6 +36,7 @@
 			x.writeHeader(resp)
 		}
 		x.recordEventTime()
+		x.noteProgress()
 		grant.Began()
 		x.events++
 		x.adm.Started = true
--- a/relay/quarantine/eviction.go
+++ b/relay/quarantine/eviction.go
@@ -28,7 +28,7 @@
 const heldRank = heldScore
 
 // updateRank moves a request to the rank of its score. l.mu must be locked.
-func (l *Ledger) updateRank(rec *requestRecord) {
+func (l *Ledger) updateRank(rec *subject) {
 	rank := min(rec.score, heldRank)
 	if len(rec.observations) > keptObservationsPerRequest {
 		rank = 0
@@ -61,7 +61,7 @@
 	l.updateRank(rec)
 	if len(rec.observations) == 0 {
 		l.ranks[rec.rank].Remove(rec.rankElement)
-		delete(l.requests, rec.fingerprint)
+		delete(l.subjects, rec.fingerprint)
 	}
 	endRec.observations = removeFrom(endRec.observations, obs)
 	if len(endRec.observations) == 0 {
@@ -121,16 +121,16 @@
 // evictionCandidate returns the request of a rank to evict next: the one that was reported longest
 // ago among the first evictionScanLimit that are not held, or the very first if all of those are
 // held. l.mu must be locked.
-func (l *Ledger) evictionCandidate(rank int) *requestRecord {
+func (l *Ledger) evictionCandidate(rank int) *subject {
 	oldest := l.ranks[rank].Front()
 	elem := oldest
 	for range evictionScanLimit {
-		if rec := elem.Value.(*requestRecord); !l.isHeld(rec) {
+		if rec := elem.Value.(*subject); !l.isHeld(rec) {
 			return rec
 		}
 		if elem = elem.Next(); elem == nil {
 			break
 		}
 	}
-	return oldest.Value.(*requestRecord)
+	return oldest.Value.(*subject)
 }
--- a/relay/quarantine/fingerprint.go
+++ b/relay/quarantine/fingerprint.go
@@ -2,9 +2,10 @@
 // tells which requests to hold.
 //
 // An end is the termination of one incarnation of an endpoint, for whatever reason. Each entry
-// reports the requests that were in progress at an ended endpoint to all other entries. A
-// request that was in progress at enough ends, unless another request explains them, is held:
-// it is refused and not sent to any further endpoint.
+// reports the requests that were in progress at an ended endpoint to all other entries, and the
+// parts of their prompts that other requests may have too. A request that was in progress at enough
+// ends, unless something else explains them, is held: it is refused and not sent to any further
+// endpoint. So is each request with a part that is held.
 package quarantine
 
 import (
@@ -18,7 +19,7 @@
 // probability that any two have the same fingerprint is below 1 in 10^20.
 const fingerprintBytes = 16
 
-// Fingerprint identifies the content of a request. A repeated request has the same
+// Fingerprint identifies the content of a request, or a part of the prompts of several. A repeated request has the same
 // fingerprint at every entry and with any request ID. A customer cannot choose a body that
 // makes it collide with another customer's request.
 type Fingerprint [fingerprintBytes]byte
@@ -37,6 +38,13 @@
 	return Fingerprint(hash.Sum(nil)[:fingerprintBytes])
 }
 
+// NewPartFingerprint returns the fingerprint of a part of a prompt. It is the same in each request
+// that has the part.
+func NewPartFingerprint(id string) Fingerprint {
+	sum := sha256.Sum256([]byte("prompt part " + id))
+	return Fingerprint(sum[:fingerprintBytes])
+}
+
 // String returns the fingerprint in hexadecimal.
 func (p Fingerprint) String() string { return hex.EncodeToString(p[:]) }
 
--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -20,8 +20,15 @@
 	suspectScore = 2
 	runningScore = 1
 	heldScore    = endsToHold * suspectScore
-	// suspectedScore is the score from which one more end reaches heldScore.
-	suspectedScore = heldScore - suspectScore
+	// heldPartScore is the score from which a part of prompts can be held. It takes one end more than
+	// a request, since requests with a common part run at several endpoints at once.
+	heldPartScore = (endsToHold + 1) * suspectScore
+	// heldProvenPartScore is that score for a part with which endpoints have kept running before.
+	heldProvenPartScore = 2 * endsToHold * suspectScore
+	// survivedGrace is the time after an endpoint kept running with a part during which ends do not
+	// count against the part. Reports of ends before that usually arrive within it, and a part that
+	// begins to crash endpoints is held soon after it.
+	survivedGrace = 3 * time.Second
 	// servedGrace is the time after a successful answer during which ends do not count against
 	// a request: a frequent request is in progress at any endpoint that ends. It is longer than
 	// reports of earlier ends take to arrive.
@@ -36,16 +43,17 @@
 
 var errFingerprintLength = failure.New(failure.Invalid, "the fingerprint has the wrong length", "send 32 hexadecimal digits")
 
-// Ledger records which requests were in progress when endpoints ended, as seen by this entry and
-// reported by others. It counts distinct ends, so a report that arrives twice, late or in another
+// Ledger records which requests, and which parts of their prompts, were in progress when endpoints
+// ended, as seen by this entry and reported by others. It counts distinct ends, so a report that arrives twice, late or in another
 // order does not change the result, and entries need no consensus. It is safe for concurrent use.
 type Ledger struct {
 	clock func() time.Time
 	start time.Time // zero of timestamps: 1 ns before creation, so that the first timestamp is not 0
 
-	mu       sync.RWMutex
-	requests map[Fingerprint]*requestRecord
-	ends     map[End]*endRecord
+	mu        sync.RWMutex
+	subjects  map[Fingerprint]*subject
+	ends      map[End]*endRecord
+	survivors survivors
 	// queue orders observations by report time, for expiry. An observation that was reported again is
 	// queued several times.
 	queue            []queueEntry
@@ -56,17 +64,19 @@
 	// observationsByRank counts the observations of the requests of each rank.
 	observationsByRank [heldRank + 1]int
 	forgotten          int // number of held requests that were evicted
-	// onMaybeHeld is called after a report that may have caused a further request to be held,
-	// onForgotten with each held request that was evicted.
+	// onMaybeHeld is called after a report that may have caused a further request or part to be
+	// held, onProven with parts with which endpoints kept running and that other entries may hold,
+	// onForgotten with each held request or part that was evicted.
 	onMaybeHeld func()
+	onProven    func([]Fingerprint)
 	onForgotten func(Fingerprint)
 }
 
 // NewLedger returns an empty Ledger.
 func NewLedger(clock func() time.Time) *Ledger {
 	return &Ledger{
-		clock: clock, start: clock().Add(-1), requests: map[Fingerprint]*requestRecord{}, ends: map[End]*endRecord{},
-		onMaybeHeld: func() {}, onForgotten: func(Fingerprint) {},
+		clock: clock, start: clock().Add(-1), subjects: map[Fingerprint]*subject{}, ends: map[End]*endRecord{},
+		onMaybeHeld: func() {}, onProven: func([]Fingerprint) {}, onForgotten: func(Fingerprint) {},
 	}
 }
 
@@ -76,7 +86,10 @@
 // Observe applies a report of this entry or of another one, and calls the notification functions
 // where they apply.
 func (l *Ledger) Observe(report Report) {
-	maybeHeld, forgotten := l.apply(report)
+	maybeHeld, proven, forgotten := l.apply(report)
+	if len(proven) > 0 {
+		l.onProven(proven)
+	}
 	for _, fp := range forgotten {
 		l.onForgotten(fp)
 	}
@@ -85,38 +98,80 @@
 	}
 }
 
-// apply updates the records by a report. It returns whether a further request may be held now, and
-// the held requests that were evicted.
-func (l *Ledger) apply(report Report) (maybeHeld bool, forgotten []Fingerprint) {
+// apply updates the records by a report. It returns whether a further request or part may be held
+// now, the parts with which endpoints kept running though other entries may hold them after one more
+// end, and the held subjects that were evicted.
+func (l *Ledger) apply(report Report) (maybeHeld bool, proven, forgotten []Fingerprint) {
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, fp := range report.Served {
-		if rec := l.requests[fp]; rec != nil {
+		if rec := l.subjects[fp]; rec != nil {
 			rec.markServed(now)
 			rec.servedReported = now
 			l.updateRank(rec)
 		}
 	}
+	for _, fp := range report.ProvenParts {
+		maybeHeld = l.applySurvival(fp, survival{reported: true}) || maybeHeld
+	}
+	for _, fp := range report.SurvivedParts {
+		maybeHeld = l.applySurvival(fp, survival{at: now, reported: true}) || maybeHeld
+	}
 	for _, fp := range report.Suspects {
-		maybeHeld = l.addObservation(now, fp, report.End, suspectScore) || maybeHeld
+		maybeHeld = l.addObservation(now, l.subject(fp, false), report.End, suspectScore) || maybeHeld
 	}
 	for _, fp := range report.Running {
-		maybeHeld = l.addObservation(now, fp, report.End, runningScore) || maybeHeld
+		maybeHeld = l.addObservation(now, l.subject(fp, false), report.End, runningScore) || maybeHeld
+	}
+	for _, fp := range report.Parts {
+		part := l.subject(fp, true)
+		maybeHeld = l.addObservation(now, part, report.End, suspectScore) || maybeHeld
+		if part.proven && !part.provenReported && part.suspectedByOthers() {
+			part.provenReported = true
+			proven = append(proven, fp)
+		}
 	}
 	l.dropExpired(now)
-	return maybeHeld, l.evict()
+	return maybeHeld, proven, l.evict()
 }
 
-// addObservation records that a request was in progress at an end, and reports whether the request
-// may be held now. l.mu must be locked.
-func (l *Ledger) addObservation(now timestamp, fp Fingerprint, end End, score int8) bool {
-	rec := l.requests[fp]
+// applySurvival applies a report that an endpoint kept running with a part. It returns whether
+// something may be held now whose ends the part explained before. l.mu must be locked.
+func (l *Ledger) applySurvival(fp Fingerprint, reported survival) (maybeHeld bool) {
+	l.survivors.update(fp, reported)
+	part := l.subjects[fp]
+	if part == nil {
+		return false
+	}
+	part.proven, part.provenReported = true, true
+	if reported.at > 0 {
+		part.markServed(reported.at)
+		part.servedReported = reported.at
+		l.updateRank(part)
+	}
+	return true
+}
+
+// subject returns the record of a request or a part, which is added if it is missing. l.mu must be
+// locked.
+func (l *Ledger) subject(fp Fingerprint, isPart bool) *subject {
+	rec := l.subjects[fp]
 	if rec == nil {
-		rec = &requestRecord{fingerprint: fp}
+		rec = &subject{fingerprint: fp, isPart: isPart}
+		if isPart {
+			known, ok := l.survivors.find(fp)
+			rec.lastServed, rec.proven, rec.provenReported = known.at, ok, known.reported
+		}
 		rec.rankElement = l.ranks[0].PushBack(rec)
-		l.requests[fp] = rec
+		l.subjects[fp] = rec
 	}
+	return rec
+}
+
+// addObservation records that a request or a part was in progress at an end, and reports whether it
+// may be held now. l.mu must be locked.
+func (l *Ledger) addObservation(now timestamp, rec *subject, end End, score int8) bool {
 	endRec := l.ends[end]
 	if endRec == nil {
 		endRec = &endRecord{id: end}
@@ -124,7 +179,7 @@
 	}
 	obs := endRec.find(rec)
 	if obs == nil {
-		obs = &observation{rec: rec, end: endRec, firstReported: now, counts: !rec.lastServed.discounts(now)}
+		obs = &observation{rec: rec, end: endRec, firstReported: now, counts: !rec.discounts(rec.lastServed, now)}
 		rec.observations = append(rec.observations, obs)
 		endRec.observations = append(endRec.observations, obs)
 		l.observationCount++
@@ -140,15 +195,15 @@
 	l.queue = append(l.queue, queueEntry{obs, now})
 	l.updateRank(rec)
 	l.ranks[rec.rank].MoveToBack(rec.rankElement)
-	return rec.score >= heldScore
+	return rec.score >= rec.heldScore(rec.proven)
 }
 
-// Held reports whether a request is held, and until when if nothing further is reported of it.
+// Held reports whether a request or a part is held, and until when if nothing further is reported of it.
 func (l *Ledger) Held(fp Fingerprint) (until time.Time, held bool) {
 	l.expire(l.now())
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	rec := l.requests[fp]
+	rec := l.subjects[fp]
 	if rec == nil || !l.isHeld(rec) {
 		return time.Time{}, false
 	}
@@ -169,63 +224,68 @@
 }
 
 // isHeld reports whether a request is held. l.mu must be locked, for reading at least.
-func (l *Ledger) isHeld(rec *requestRecord) bool {
-	if rec.score < heldScore {
+func (l *Ledger) isHeld(rec *subject) bool {
+	limit := rec.heldScore(rec.proven)
+	if rec.score < limit {
 		return false
 	}
 	score, _ := l.unexplainedScore(rec)
-	return score >= heldScore
+	return score >= limit
 }
 
-// unexplainedScore returns the score of a request from its latest ends, without those at which
-// another request with a higher score was in progress: that request explains the end, and this one
-// may only have run beside it. A request that does cause ends is not explained by another one for
-// long, since sooner or later an endpoint ends under it alone. The scan stops once the score is
+// unexplainedScore returns the score of a request or a part from its latest ends, without those that
+// another one explains: this one may only have run beside it. A request that does cause ends is not
+// explained by another one for long, since sooner or later an endpoint ends under it alone. The scan stops once the score is
 // enough to hold the request; examined is the number of observations that it covered. l.mu must be
 // locked, for reading at least.
-func (l *Ledger) unexplainedScore(rec *requestRecord) (score, examined int) {
-	ends := 0
+func (l *Ledger) unexplainedScore(rec *subject) (score, examined int) {
+	ends, limit := 0, rec.heldScore(rec.proven)
 	for _, obs := range slices.Backward(rec.observations) {
-		if !obs.counts || ends == maxScoredEnds || score >= heldScore {
+		if !obs.counts || ends == maxScoredEnds || score >= limit {
 			break
 		}
 		ends++
 		examined += len(obs.end.observations)
-		if !slices.ContainsFunc(obs.end.observations, func(other *observation) bool { return other.rec.score > rec.score }) {
+		if !slices.ContainsFunc(obs.end.observations, func(other *observation) bool { return other.rec.explains(rec) }) {
 			score += int(obs.score)
 		}
 	}
 	return score, examined
 }
 
-// Renew returns the reports to repeat so that a held request that is still being sent stays held,
+// Renew returns the reports to repeat so that a held request or part that is still being sent stays held,
 // also at entries that start later. It returns none if the last report is less than half of
 // HoldTime old.
 func (l *Ledger) Renew(fp Fingerprint) []Report {
 	now := l.now()
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	rec := l.requests[fp]
+	rec := l.subjects[fp]
 	if rec == nil || rec.lastReported.isRecent(now, HoldTime/2) {
 		return nil
 	}
 	var reports []Report
 	for _, obs := range rec.observations[max(0, len(rec.observations)-maxScoredEnds):] {
-		report := Report{End: obs.end.id, Suspects: []Fingerprint{fp}}
-		if obs.score == runningScore {
-			report.Suspects, report.Running = nil, report.Suspects
+		report := Report{End: obs.end.id}
+		switch {
+		case rec.isPart:
+			report.Parts = []Fingerprint{fp}
+		case obs.score == runningScore:
+			report.Running = []Fingerprint{fp}
+		default:
+			report.Suspects = []Fingerprint{fp}
 		}
 		reports = append(reports, report)
 	}
 	return reports
 }
 
-// Suspected reports whether one more end may cause the request to be held.
+// Suspected reports whether one more end may cause the request or the part to be held.
 func (l *Ledger) Suspected(fp Fingerprint) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	rec := l.requests[fp]
-	return rec != nil && rec.score >= suspectedScore
+	rec := l.subjects[fp]
+	return rec != nil && rec.score >= rec.heldScore(rec.proven)-suspectScore
 }
 
 // Served records that an endpoint answered a request successfully. It reports whether the other
@@ -233,24 +293,38 @@
 // after one more end.
 func (l *Ledger) Served(fp Fingerprint) (report bool) {
 	l.mu.RLock()
-	known := l.requests[fp] != nil
+	known := l.subjects[fp] != nil
 	l.mu.RUnlock()
 	if !known {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rec := l.requests[fp]
+	return l.recordServed(fp, l.now())
+}
+
+// PartSurvived records that an endpoint kept running with a part of a prompt. It reports whether the
+// other entries must be informed, for the same reason as Served.
+func (l *Ledger) PartSurvived(fp Fingerprint) (report bool) {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.survivors.update(fp, survival{at: now})
+	return l.recordServed(fp, now)
+}
+
+// recordServed implements Served and PartSurvived. l.mu must be locked.
+func (l *Ledger) recordServed(fp Fingerprint, now timestamp) (report bool) {
+	rec := l.subjects[fp]
 	if rec == nil {
 		return false
 	}
-	now := l.now()
 	rec.markServed(now)
 	l.updateRank(rec)
-	if !rec.suspectedIfLastServed(rec.servedReported) {
+	if !rec.suspectedByOthers() {
 		return false
 	}
-	rec.servedReported = now
+	rec.servedReported, rec.provenReported = now, true
 	return true
 }
 
@@ -258,6 +332,11 @@
 // held. Notify must be called before the first Observe.
 func (l *Ledger) NotifyMaybeHeld(maybeHeld func()) { l.onMaybeHeld = maybeHeld }
 
+// NotifyProven sets the function that is called, with no lock held, with parts with which endpoints
+// kept running, once other entries may hold them after one more end: those must be informed.
+// NotifyProven must be called before the first Observe.
+func (l *Ledger) NotifyProven(notify func([]Fingerprint)) { l.onProven = notify }
+
 // NotifyForgotten sets the function that is called, with no lock held, with each held request that
 // is evicted because there is no room. NotifyForgotten must be called before the first Observe.
 func (l *Ledger) NotifyForgotten(notify func(Fingerprint)) { l.onForgotten = notify }
@@ -269,9 +348,9 @@
 	return l.forgotten
 }
 
-// Size returns the number of requests and of ends that are remembered.
-func (l *Ledger) Size() (requests, ends int) {
+// Size returns the number of requests and parts, and of ends, that are remembered.
+func (l *Ledger) Size() (subjects, ends int) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return len(l.requests), len(l.ends)
+	return len(l.subjects), len(l.ends)
 }
--- a/relay/quarantine/ledger_test.go
+++ b/relay/quarantine/ledger_test.go
@@ -21,11 +21,27 @@
 	return fps
 }
 
-// TestLedger runs the script testdata/ledger.
+// partsOf returns the fingerprints of parts of prompts with these names.
+func partsOf(names []string) []Fingerprint {
+	var fps []Fingerprint
+	for _, name := range names {
+		fps = append(fps, NewPartFingerprint(name))
+	}
+	return fps
+}
+
+// TestLedger runs the scripts testdata/ledger, of requests, and testdata/parts, of parts of their
+// prompts.
 func TestLedger(t *testing.T) {
+	for _, script := range []string{"ledger", "parts"} {
+		t.Run(script, func(t *testing.T) { testLedger(t, "testdata/"+script) })
+	}
+}
+
+func testLedger(t *testing.T, script string) {
 	now := time.Unix(1000, 0)
 	led := NewLedger(func() time.Time { return now })
-	datadriven.RunTest(t, "testdata/ledger", func(t *testing.T, td *datadriven.TestData) string {
+	datadriven.RunTest(t, script, func(t *testing.T, td *datadriven.TestData) string {
 		names := func(key string) []string {
 			if !td.HasArg(key) {
 				return nil
@@ -40,20 +56,33 @@
 		case "end":
 			var id string
 			td.ScanArgs(t, "of", &id)
-			notified := false
+			notified, proven := false, 0
 			led.NotifyMaybeHeld(func() { notified = true })
-			led.Observe(Report{End: End{Endpoint: id}, Suspects: fingerprintsOf(names("suspects")), Running: fingerprintsOf(names("running"))})
-			if notified {
+			led.NotifyProven(func(parts []Fingerprint) { proven += len(parts) })
+			led.Observe(Report{
+				End: End{Endpoint: id}, Suspects: fingerprintsOf(names("suspects")), Running: fingerprintsOf(names("running")), Parts: partsOf(names("parts")),
+			})
+			switch {
+			case notified:
 				return "notified"
+			case proven > 0:
+				return fmt.Sprintf("%d reported as proven", proven)
 			}
 		case "served":
 			led.Served(fingerprintsOf(names("what"))[0])
+		case "survived":
+			if led.PartSurvived(partsOf(names("what"))[0]) {
+				return "to be reported"
+			}
+		case "reported":
+			led.Observe(Report{ProvenParts: partsOf(names("proven")), SurvivedParts: partsOf(names("survived"))})
 		case "wait":
 			var seconds int
 			td.ScanArgs(t, "seconds", &seconds)
 			now = now.Add(time.Duration(seconds) * time.Second)
 		case "renew":
-			reports := led.Renew(fingerprintsOf(names("what"))[0])
+			fp := append(fingerprintsOf(names("what")), partsOf(names("part"))...)[0]
+			reports := led.Renew(fp)
 			for _, report := range reports {
 				led.Observe(report)
 			}
@@ -65,6 +94,11 @@
 					held = append(held, fmt.Sprintf("%s for %v", name, until.Sub(now)))
 				}
 			}
+			for _, name := range names("parts") {
+				if until, ok := led.Held(NewPartFingerprint(name)); ok {
+					held = append(held, fmt.Sprintf("part %s for %v", name, until.Sub(now)))
+				}
+			}
 			if len(held) == 0 {
 				return "none"
 			}
--- a/relay/quarantine/limits_test.go
+++ b/relay/quarantine/limits_test.go
@@ -113,7 +113,7 @@
 	for _, explained := range []bool{false, true} {
 		for _, ends := range []int{100, 5000} {
 			led, frequent := floodedLedger(ends, explained)
-			score, examined := led.unexplainedScore(led.requests[frequent])
+			score, examined := led.unexplainedScore(led.subjects[frequent])
 			if limit := maxScoredEnds * 6; examined > limit {
 				t.Errorf("got %d observations examined with %d ends (explained: %v), want %d at most", examined, ends, explained, limit)
 			}
--- a/relay/quarantine/report.go
+++ b/relay/quarantine/report.go
@@ -19,6 +19,14 @@
 	Running []Fingerprint `json:"running,omitempty"`
 	// Served were answered successfully by an endpoint after they had been in progress at ends.
 	Served []Fingerprint `json:"served,omitempty"`
+	// Parts are the shared parts in the prompts of requests that the endpoint had not yet kept
+	// running with.
+	Parts []Fingerprint `json:"parts,omitempty"`
+	// ProvenParts are parts with which an endpoint kept running at some time.
+	ProvenParts []Fingerprint `json:"provenParts,omitempty"`
+	// SurvivedParts are parts with which an endpoint kept running after they had been in progress at
+	// ends.
+	SurvivedParts []Fingerprint `json:"survivedParts,omitempty"`
 }
 
 // UnmarshalText parses a fingerprint in hexadecimal.
--- a/relay/quarantine/simulation_test.go
+++ b/relay/quarantine/simulation_test.go
@@ -53,7 +53,8 @@
 }
 
 // simFleet simulates entries that share a store and send requests to endpoints, in virtual time.
-// The deadly request ends every endpoint that runs it.
+// A deadly request ends every endpoint that runs it. Deadly requests are all the same, or differ and
+// have a part of their prompts in common.
 type simFleet struct {
 	random *rand.Rand
 	now    time.Duration
@@ -67,14 +68,18 @@
 	endpointsStarted int // for endpoint IDs
 
 	deadly           Fingerprint
-	deadlyEnds       int           // caused by the deadly request
-	thirdEndAt       time.Duration // when the deadly request caused its third end; 0: not yet
-	lateSends        int           // deadly ones by connected entries, later than reconnectTimeout after thirdEndAt
+	knownEnds        int           // deadly ends from which on all entries must know what causes them
+	deadlyEnds       int           // caused by deadly requests
+	knownAt          time.Duration // when knownEnds were reached; 0: not yet
+	lateSends        int           // deadly ones by connected entries, later than reconnectTimeout after knownAt
 	deadlySends      int
+	deadlyRequests   int // that differ from each other
 	harmlessRequests int
-	harmlessRefused  int // harmless requests refused because they were held
-	otherEnds        int // ends not caused by the deadly request
-	maxWritesPerEnd  int // reports written to the store about one end
+	lastDeadlyEnd    time.Duration
+	sharing          []*sharingCall // harmless requests that have a part in common with deadly ones
+	harmlessRefused  int            // harmless requests refused because they were held
+	otherEnds        int            // ends not caused by the deadly request
+	maxWritesPerEnd  int            // reports written to the store about one end
 }
 
 type simEntry struct {
@@ -91,9 +96,18 @@
 	running []*simRequest
 }
 
+// sharingCall is the first call of a harmless request that has a part in common with deadly ones.
+type sharingCall struct {
+	at      time.Duration
+	refused bool
+}
+
 // simRequest is one call of a request by its caller.
 type simRequest struct {
 	fingerprint   Fingerprint
+	parts         []Fingerprint
+	deadly        bool
+	sharing       *sharingCall // nil if it has no part in common with deadly ones
 	entry         *simEntry
 	attempts      int
 	callerRetries int // how often the caller will call again
@@ -101,7 +115,7 @@
 }
 
 func newSimFleet(seed uint64, entries, endpoints int) *simFleet {
-	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), deadly: NewFingerprint("c", "POST", "h", "/deadly", nil)}
+	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), knownEnds: endsToHold, deadly: NewFingerprint("c", "POST", "h", "/deadly", nil)}
 	for range entries {
 		f.addEntry()
 	}
@@ -114,6 +128,7 @@
 func (f *simFleet) addEntry() *simEntry {
 	entry := &simEntry{connectedSince: f.now}
 	entry.ledger = NewLedger(func() time.Time { return time.Unix(1, 0).Add(f.now) })
+	entry.ledger.NotifyProven(func(parts []Fingerprint) { f.publish(entry, Report{ProvenParts: parts}) })
 	for _, report := range f.store {
 		entry.ledger.Observe(report)
 	}
@@ -159,7 +174,20 @@
 // submit calls a random entry with a request; if it fails, the caller calls again up to
 // callerRetries times.
 func (f *simFleet) submit(fp Fingerprint, callerRetries int) {
-	f.send(&simRequest{fingerprint: fp, entry: f.randomLiveEntry(), callerRetries: callerRetries})
+	f.submitRequest(simRequest{fingerprint: fp, deadly: fp == f.deadly, callerRetries: callerRetries})
+}
+
+func (f *simFleet) submitRequest(req simRequest) {
+	req.entry, req.attempts = f.randomLiveEntry(), 0
+	f.send(&req)
+}
+
+// refuses reports whether the entry holds a request or a part of its prompt.
+func (e *simEntry) refuses(req *simRequest) bool {
+	return slices.ContainsFunc(append(req.parts[:len(req.parts):len(req.parts)], req.fingerprint), func(fp Fingerprint) bool {
+		_, held := e.ledger.Held(fp)
+		return held
+	})
 }
 
 // send sends a request to a random endpoint after a random wait for capacity.
@@ -168,10 +196,13 @@
 		if req.entry.stopped {
 			return
 		}
-		if _, held := req.entry.ledger.Held(req.fingerprint); held {
-			if req.fingerprint != f.deadly {
+		if req.entry.refuses(req) {
+			if !req.deadly {
 				f.harmlessRefused++
 			}
+			if req.sharing != nil {
+				req.sharing.refused = true
+			}
 			return
 		}
 		endpoint := f.endpoints[f.random.IntN(len(f.endpoints))]
@@ -182,11 +213,12 @@
 		req.attempts++
 		req.sentAt = f.now
 		endpoint.running = append(endpoint.running, req)
-		if req.fingerprint == f.deadly {
+		if req.deadly {
 			f.recordDeadlySend(req)
 			f.schedule(deadlyRunTime, func() { f.endEndpoint(endpoint, true) })
 			return
 		}
+		f.schedule(partialAnswerTime, func() { f.surviveParts(endpoint, req) })
 		f.schedule(harmlessRunTime, func() {
 			index := slices.Index(endpoint.running, req)
 			if endpoint.down || index < 0 || req.entry.stopped {
@@ -200,10 +232,22 @@
 	})
 }
 
+// surviveParts records that an endpoint kept running with a request, if it is still in progress there.
+func (f *simFleet) surviveParts(endpoint *simEndpoint, req *simRequest) {
+	if endpoint.down || req.entry.stopped || !slices.Contains(endpoint.running, req) {
+		return
+	}
+	for _, part := range req.parts {
+		if req.entry.ledger.PartSurvived(part) {
+			f.publish(req.entry, Report{SurvivedParts: []Fingerprint{part}})
+		}
+	}
+}
+
 func (f *simFleet) recordDeadlySend(req *simRequest) {
 	f.deadlySends++
 	connected := f.now-req.entry.connectedSince > reconnectTimeout || req.entry.connectedSince == 0
-	if f.thirdEndAt > 0 && f.now > f.thirdEndAt+reconnectTimeout && connected {
+	if f.knownAt > 0 && f.now > f.knownAt+reconnectTimeout && connected {
 		f.lateSends++
 	}
 }
@@ -216,8 +260,9 @@
 	endpoint.down = true
 	if deadly {
 		f.deadlyEnds++
-		if f.deadlyEnds == endsToHold {
-			f.thirdEndAt = f.now
+		f.lastDeadlyEnd = f.now
+		if f.deadlyEnds == f.knownEnds {
+			f.knownAt = f.now
 		}
 	} else {
 		f.otherEnds++
@@ -242,6 +287,7 @@
 			report.Running = append(report.Running, req.fingerprint)
 		} else {
 			report.Suspects = append(report.Suspects, req.fingerprint)
+			report.Parts = append(report.Parts, req.parts...)
 		}
 		f.retry(req)
 	}
@@ -262,7 +308,11 @@
 	if req.attempts < maxAttempts {
 		f.send(req)
 	} else if req.callerRetries > 0 {
-		f.schedule(100*time.Millisecond, func() { f.submit(req.fingerprint, req.callerRetries-1) })
+		f.schedule(100*time.Millisecond, func() {
+			again := *req
+			again.callerRetries--
+			f.submitRequest(again)
+		})
 	}
 }
 
@@ -356,13 +406,89 @@
 	})
 }
 
+// Guards against the failure of the entry's TestRequestsWithPartThatEndsEndpointsAreStopped at any
+// fleet size: requests that differ but have a part of their prompts in common end one endpoint after
+// another. Beside them come requests that have all other parts.
+func TestDeadlyPartIsHeldEverywhere(t *testing.T) {
+	deadly, shared := NewPartFingerprint("deadly"), NewPartFingerprint("shared")
+	for _, size := range []struct {
+		entries, endpoints, load int
+		every                    time.Duration // mean interval between two deadly requests
+		shared                   time.Duration // mean interval between two harmless requests with the shared part
+		parts                    []Fingerprint // of deadly requests
+		seeds                    uint64
+	}{
+		{9, 14, 80, 250 * time.Millisecond, 700 * time.Millisecond, []Fingerprint{shared, deadly}, 10},
+		{9, 14, 80, 250 * time.Millisecond, 300 * time.Millisecond, []Fingerprint{deadly, shared}, 10},
+		{9, 14, 80, 2 * time.Second, time.Second, []Fingerprint{shared, deadly}, 5},
+		{98, 138, 800, 50 * time.Millisecond, 200 * time.Millisecond, []Fingerprint{shared, deadly}, 3},
+		{98, 138, 800, 600 * time.Millisecond, time.Second, []Fingerprint{shared, deadly}, 3},
+	} {
+		for seed := uint64(1); seed <= size.seeds; seed++ {
+			t.Run(fmt.Sprintf("%d entries, each %v, shared each %v, seed %d", size.entries, size.every, size.shared, seed), func(t *testing.T) {
+				f := newSimFleet(seed, size.entries, size.endpoints)
+				f.knownEnds = contactEnds
+				f.scheduleLoadAndFaults(size.load)
+				f.every(size.shared, func() { f.submitSharing([]Fingerprint{shared}) })
+				f.schedule(10*time.Second, func() {
+					f.every(size.every, func() {
+						f.deadlyRequests++
+						name := fmt.Sprintf("/deadly/%d", f.deadlyRequests)
+						f.submitRequest(simRequest{fingerprint: NewFingerprint("c", "POST", "h", name, nil), parts: size.parts, deadly: true, callerRetries: 1})
+					})
+				})
+				f.run()
+				f.check(t)
+				f.checkSharing(t)
+			})
+		}
+	}
+}
+
+// contactEnds is the number of ends after which, and the time of contact, the platform allows no more
+// than three requests with the part.
+const contactEnds = 5
+
+// submitSharing submits a harmless request with the given parts in its prompt.
+func (f *simFleet) submitSharing(parts []Fingerprint) {
+	f.harmlessRequests++
+	name := fmt.Sprintf("/sharing/%d", f.harmlessRequests)
+	call := &sharingCall{at: f.now}
+	f.sharing = append(f.sharing, call)
+	f.submitRequest(simRequest{fingerprint: NewFingerprint("c", "POST", "h", name, nil), parts: parts, sharing: call, callerRetries: 1})
+}
+
+// checkSharing checks that requests that have a part in common with deadly ones are accepted once all
+// entries had twice the time to learn what causes the ends.
+func (f *simFleet) checkSharing(t *testing.T) {
+	t.Helper()
+	since := f.lastDeadlyEnd
+	if f.knownAt > 0 {
+		since = f.knownAt
+	}
+	total, refused := 0, 0
+	for _, call := range f.sharing {
+		if call.at < since+2*reconnectTimeout {
+			continue
+		}
+		total++
+		if call.refused {
+			refused++
+		}
+	}
+	if total < 10 || refused > total/2 {
+		t.Errorf("got %d of %d requests with the shared part refused, want half of 10 or more at most", refused, total)
+	}
+	t.Logf("%d of %d requests with the shared part refused", refused, total)
+}
+
 func (f *simFleet) check(t *testing.T) {
 	t.Helper()
 	if f.deadlyEnds < endsToHold {
 		t.Fatalf("got %d ends under the deadly request, want enough to hold it", f.deadlyEnds)
 	}
 	if f.lateSends > 3 {
-		t.Errorf("got %d sends by connected entries later than %v after the third end, want 3 at most", f.lateSends, reconnectTimeout)
+		t.Errorf("got %d sends by connected entries later than %v after %d ends, want 3 at most", f.lateSends, reconnectTimeout, f.knownEnds)
 	}
 	if f.harmlessRefused > f.harmlessRequests/1000 {
 		t.Errorf("got %d of %d harmless requests refused, want 1 in 1000 at most", f.harmlessRefused, f.harmlessRequests)
