gateway: bound the header and the body of an endpoint's answer

An endpoint in trouble may send bytes that are no answer without end. The entry read such a header to the caller's deadline, all of it kept in memory, and sent a body without end on to its caller; where the endpoint stopped in the end, the caller got a complete success.

A header may have 64 KiB now, and a body 8 MiB, streams too; beyond that the connection is closed and the caller's answer is cut off or another endpoint is tried. Events and rejections had bounds.

--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -18,10 +18,29 @@
 	maxBufferedAnswerBytes = 256 << 10
 	// maxDiscardBytes limits an answer that is read and discarded to keep its connection.
 	maxDiscardBytes = 64 << 10
+	// maxAnswerBytes limits an answer that is relayed while it is received.
+	maxAnswerBytes = 8 << 20
 	// firstServerError is the lowest status that reports a failure of the endpoint.
 	firstServerError = 500
 )
 
+// boundedBody is the body of an answer, which fails once more than left bytes were read.
+type boundedBody struct {
+	io.ReadCloser
+	left int
+}
+
+var errAnswerTooLong = errors.New("the answer is too long")
+
+func (b *boundedBody) Read(into []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errAnswerTooLong
+	}
+	n, err := b.ReadCloser.Read(into)
+	b.left -= n
+	return n, err
+}
+
 // discardAnswer reads an answer to its end and drops it. It fails if the answer is too long.
 func discardAnswer(resp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
@@ -50,6 +69,7 @@
 		conn.Close()
 		return fleet.Broken
 	}
+	resp.Body = &boundedBody{ReadCloser: resp.Body, left: maxAnswerBytes}
 	if resp.StatusCode == http.StatusOK && x.route.Kind == catalog.Stream {
 		return x.relayStream(ctx, grant, conn, resp, answer)
 	}
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -23,6 +23,8 @@
 	readBufferSize = 4 << 10
 	// writeBufferSize lets a usual request be sent in one packet.
 	writeBufferSize = 2 << 10
+	// maxHeadBytes limits the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
 	// pollInterval is how often a waiting read checks whether to continue.
 	pollInterval = 250 * time.Millisecond
 )
@@ -31,6 +33,9 @@
 // stopped.
 var errReadAbandoned = errors.New("gave up reading the response")
 
+// errHeadTooLong is returned if the header of a response exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("the header of the response is too long")
+
 // Conn is a connection to one endpoint. Except for Cancel, its methods may not be
 // called concurrently.
 type Conn struct {
@@ -41,6 +46,10 @@
 	idleSince   time.Time     // when it was put into the pool
 	idleTimeout time.Duration // how long it may be reused while idle
 
+	// inHead tells that a header is read; headLeft is how much of it may still be read.
+	inHead   bool
+	headLeft int
+
 	cancelled atomic.Bool
 	// keepWaiting is called every pollInterval while a read waits; false ends the read.
 	keepWaiting func(waited time.Duration) bool
@@ -69,8 +78,11 @@
 	return c.writer.Flush()
 }
 
-// Receive reads the response to the request up to its body.
+// Receive reads the response to the request up to its body. It fails if the header is longer than
+// maxHeadBytes.
 func (c *Conn) Receive(req *http.Request) (*http.Response, error) {
+	c.inHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.inHead = false }()
 	return http.ReadResponse(c.reader, req)
 }
 
@@ -99,6 +111,20 @@
 type pollingReader struct{ conn *Conn }
 
 func (r pollingReader) Read(buf []byte) (int, error) {
+	c := r.conn
+	if !c.inHead {
+		return r.poll(buf)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.poll(buf)
+	c.headLeft -= n
+	return n, err
+}
+
+// poll reads once data has arrived.
+func (r pollingReader) poll(buf []byte) (int, error) {
 	c := r.conn
 	// The wait is counted in poll intervals instead of elapsed time: after this process was
 	// stalled, the next read still gets the data that arrived meanwhile.
