gateway: test answers that have neither a length nor chunks

Such an answer ends with its connection, a stream too, and a stream that ends inside an event has been broken off. The code did so; no test said it.

The simulated endpoint no longer sends the mark that makes it close.

--- a/entry/internal/gateway/deployment_test.go
+++ b/entry/internal/gateway/deployment_test.go
@@ -85,7 +85,8 @@
 			return
 		}
 		now, later, paused := bytes.Cut(answer, []byte(pause))
-		if _, err := conn.Write(now); err != nil || bytes.HasSuffix(now, []byte(cutOff)) {
+		now, cut := bytes.CutSuffix(now, []byte(cutOff))
+		if _, err := conn.Write(now); err != nil || cut {
 			return
 		}
 		if !paused {
@@ -99,7 +100,7 @@
 }
 
 const (
-	// cutOff at the end of an answer closes the connection.
+	// cutOff at the end of an answer closes the connection; it is not sent.
 	cutOff = "\x00"
 	// pause in an answer makes the endpoint wait until resume is closed.
 	pause = "<pause>"
