gateway: allow answers of exactly the bound, and wrap comments

An answer of 8 MiB to the byte failed after its last byte. No other change of logic; the comments of the quarantine keep to the width of a line.

--- a/entry/internal/gateway/quarantine.go
+++ b/entry/internal/gateway/quarantine.go
@@ -128,8 +128,8 @@
 }
 
 // reportServed records that a request was served, which shows that it does not crash endpoints and
-// was only in progress where some crashed. It is reported to the other entries if one
-// more end would have quarantined it. An answer with an error status proves nothing: the request may not have run.
+// was only in progress where some crashed. It is reported to the other entries if one more end would
+// have quarantined it. An answer with an error status proves nothing: the request may not have run.
 func (x *exchange) reportServed(outcome fleet.Outcome) {
 	g := x.gateway
 	if outcome != fleet.Served || x.status >= http.StatusMultipleChoices {
--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -24,7 +24,7 @@
 	firstServerError = 500
 )
 
-// boundedBody is the body of an answer, which fails once more than left bytes were read.
+// boundedBody is the body of an answer. Reading it fails if it has left bytes or more.
 type boundedBody struct {
 	io.ReadCloser
 	left int
@@ -69,7 +69,7 @@
 		conn.Close()
 		return fleet.Broken
 	}
-	resp.Body = &boundedBody{ReadCloser: resp.Body, left: maxAnswerBytes}
+	resp.Body = &boundedBody{ReadCloser: resp.Body, left: maxAnswerBytes + 1}
 	if resp.StatusCode == http.StatusOK && x.route.Kind == catalog.Stream {
 		return x.relayStream(ctx, grant, conn, resp, answer)
 	}
--- a/relay/quarantine/ledger.go
+++ b/relay/quarantine/ledger.go
@@ -44,8 +44,9 @@
 var errFingerprintLength = failure.New(failure.Invalid, "the fingerprint has the wrong length", "send 32 hexadecimal digits")
 
 // Ledger records which requests, and which parts of their prompts, were in progress when endpoints
-// ended, as seen by this entry and reported by others. It counts distinct ends, so a report that arrives twice, late or in another
-// order does not change the result, and entries need no consensus. It is safe for concurrent use.
+// ended, as seen by this entry and reported by others. It counts distinct ends, so a report that
+// arrives twice, late or in another order does not change the result, and entries need no consensus.
+// It is safe for concurrent use.
 type Ledger struct {
 	clock func() time.Time
 	start time.Time // zero of timestamps: 1 ns before creation, so that the first timestamp is not 0
@@ -198,7 +199,8 @@
 	return rec.score >= rec.heldScore(rec.proven)
 }
 
-// Held reports whether a request or a part is held, and until when if nothing further is reported of it.
+// Held reports whether a request or a part is held, and until when if nothing further is reported of
+// it.
 func (l *Ledger) Held(fp Fingerprint) (until time.Time, held bool) {
 	l.expire(l.now())
 	l.mu.RLock()
@@ -235,9 +237,9 @@
 
 // unexplainedScore returns the score of a request or a part from its latest ends, without those that
 // another one explains: this one may only have run beside it. A request that does cause ends is not
-// explained by another one for long, since sooner or later an endpoint ends under it alone. The scan stops once the score is
-// enough to hold the request; examined is the number of observations that it covered. l.mu must be
-// locked, for reading at least.
+// explained by another one for long, since sooner or later an endpoint ends under it alone. The scan
+// stops once the score is enough to hold rec; examined is the number of observations that it covered.
+// l.mu must be locked, for reading at least.
 func (l *Ledger) unexplainedScore(rec *subject) (score, examined int) {
 	ends, limit := 0, rec.heldScore(rec.proven)
 	for _, obs := range slices.Backward(rec.observations) {
@@ -253,8 +255,8 @@
 	return score, examined
 }
 
-// Renew returns the reports to repeat so that a held request or part that is still being sent stays held,
-// also at entries that start later. It returns none if the last report is less than half of
+// Renew returns the reports to repeat so that a held request or part that is still being sent stays
+// held, also at entries that start later. It returns none if the last report is less than half of
 // HoldTime old.
 func (l *Ledger) Renew(fp Fingerprint) []Report {
 	now := l.now()
