endless: check calls in one place

The check that a call under bytes without end fails and closes its connection stood in the tests of entries, agents and comfreyctl; it is one function now, with the same bounds. No product code changed.

--- a/agent/internal/onsite/endless_test.go
+++ b/agent/internal/onsite/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"comfreyrelay.example/platform"
 	"comfreyrelay.example/relay/endless"
@@ -48,7 +47,11 @@
 	}
 	for _, call := range calls {
 		for _, answer := range answers {
-			t.Run(call.name+" "+answer.name, func(t *testing.T) { checkCutOff(t, answer.prefix, answer.repeated, false, call.call) })
+			t.Run(call.name+" "+answer.name, func(t *testing.T) {
+				if err := endless.Check(t.Context(), answer.prefix, answer.repeated, false, call.call); err != nil {
+					t.Error(err)
+				}
+			})
 		}
 	}
 	fromPeer := func(ctx context.Context, address string) error {
@@ -64,37 +67,15 @@
 			}
 		}
 	}
-	t.Run("no frames of an agent", func(t *testing.T) { checkCutOff(t, "", "garbage ", true, fromPeer) })
-	// A message frame that is not the last one: its control byte, stream 1, message 1, one byte of data.
-	t.Run("message of an agent", func(t *testing.T) { checkCutOff(t, "", "\x04\x01\x01\x01x", true, fromPeer) })
-}
-
-// checkCutOff calls an endless server and checks that the call fails and closes the connection. If
-// mayStayOpen is set, the connection may also be left unread until its time-out.
-func checkCutOff(t *testing.T, prefix, repeated string, mayStayOpen bool, call func(ctx context.Context, address string) error) {
-	t.Helper()
-	server, err := endless.Listen(prefix, repeated)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
-	if err := call(ctx, server.Address()); err == nil || ctx.Err() != nil {
-		t.Errorf("got %v, want an error before the time-out", err)
-	}
-	closedWithin := 20 * time.Second
-	if mayStayOpen {
-		closedWithin = time.Second
-	}
-	select {
-	case closed := <-server.ClosedByPeer():
-		if !closed {
-			t.Error("got all bytes read that the peer would send, want the connection closed")
-		}
-	case <-time.After(closedWithin):
-		if !mayStayOpen {
-			t.Error("got the connection kept open, want it closed")
-		}
+	for _, frames := range []struct{ name, repeated string }{
+		{"no frames of an agent", "garbage "},
+		// A message frame that is not the last one: its control byte, stream 1, message 1, one byte of data.
+		{"message of an agent", "\x04\x01\x01\x01x"},
+	} {
+		t.Run(frames.name, func(t *testing.T) {
+			if err := endless.Check(t.Context(), "", frames.repeated, true, fromPeer); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
--- a/ctl/internal/client/endless_test.go
+++ b/ctl/internal/client/endless_test.go
@@ -1,6 +1,7 @@
 package client_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -20,25 +21,16 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			server, err := endless.Listen(test.prefix, test.repeated)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(server.Close)
-			apiClient, err := client.New(client.Options{Entries: []string{server.Address()}, Timeout: time.Minute, Clock: clockwork.NewRealClock()})
-			if err != nil {
-				t.Fatal(err)
-			}
-			if _, err := apiClient.Audit(t.Context(), 0, 1); err == nil {
-				t.Error("got no error, want one")
-			}
-			select {
-			case closed := <-server.ClosedByPeer():
-				if !closed {
-					t.Error("got all bytes read that the entry would send, want the connection closed")
+			err := endless.Check(t.Context(), test.prefix, test.repeated, false, func(ctx context.Context, address string) error {
+				apiClient, err := client.New(client.Options{Entries: []string{address}, Timeout: time.Minute, Clock: clockwork.NewRealClock()})
+				if err != nil {
+					t.Fatal(err)
 				}
-			case <-time.After(20 * time.Second):
-				t.Error("got the connection kept open, want it closed")
+				_, err = apiClient.Audit(ctx, 0, 1)
+				return err
+			})
+			if err != nil {
+				t.Error(err)
 			}
 		})
 	}
--- a/entry/internal/onsite/endless_test.go
+++ b/entry/internal/onsite/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -28,46 +27,19 @@
 	{"error body", "HTTP/1.1 500 X\r\n\r\n", "x"},
 }
 
-// checkCutOff calls an endless server and checks that the call fails and closes the connection. If
-// mayStayOpen is set, the connection may also be left unread until its time-out.
-func checkCutOff(t *testing.T, prefix, repeated string, mayStayOpen bool, call func(ctx context.Context, address string) error) {
-	t.Helper()
-	server, err := endless.Listen(prefix, repeated)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
-	if err := call(ctx, server.Address()); err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		t.Errorf("got %v, want an error before the time-out", err)
-	}
-	closedWithin := 20 * time.Second
-	if mayStayOpen {
-		closedWithin = time.Second
-	}
-	select {
-	case closed := <-server.ClosedByPeer():
-		if !closed {
-			t.Error("got all bytes read that the peer would send, want the connection closed")
-		}
-	case <-time.After(closedWithin):
-		if !mayStayOpen {
-			t.Error("got the connection kept open, want it closed")
-		}
-	}
-}
-
 // Guards against an entry that runs out of memory under a store whose answer does not end.
 func TestEndlessAnswerOfStoreIsCutOff(t *testing.T) {
 	for _, test := range endlessAnswers {
 		t.Run(test.name, func(t *testing.T) {
-			checkCutOff(t, test.prefix, test.repeated, false, func(ctx context.Context, address string) error {
+			err := endless.Check(t.Context(), test.prefix, test.repeated, false, func(ctx context.Context, address string) error {
 				contact := site.NewContact(freshness.NewTracker(func() time.Duration { return 0 }).Now)
 				store := platform.NewStore("http://"+address, newStoreClient(contact, slog.New(slog.DiscardHandler)))
 				_, _, err := store.Get(ctx, "op/config")
 				return err
 			})
+			if err != nil {
+				t.Error(err)
+			}
 		})
 	}
 }
@@ -86,7 +58,7 @@
 func TestEndlessBytesOfPeersAreCutOff(t *testing.T) {
 	for _, test := range endlessFrames {
 		t.Run(test.name, func(t *testing.T) {
-			checkCutOff(t, test.prefix, test.repeated, true, func(ctx context.Context, address string) error {
+			err := endless.Check(t.Context(), test.prefix, test.repeated, true, func(ctx context.Context, address string) error {
 				pool := peer.NewPool(nil)
 				defer func() { _ = pool.Close() }()
 				stream, err := wire.NewDRPCFeedClient(pool.Conn(ctx, address)).Follow(ctx)
@@ -102,6 +74,9 @@
 					}
 				}
 			})
+			if err != nil {
+				t.Error(err)
+			}
 		})
 	}
 }
--- a/relay/endless/endless.go
+++ b/relay/endless/endless.go
@@ -2,13 +2,60 @@
 package endless
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
+	"time"
 )
 
 // maxBytes is how many bytes a Server sends on a connection that its peer does not close.
 const maxBytes = 256 << 20
 
+const (
+	// callTimeout is the time within which a call must notice that the answer does not end.
+	callTimeout = time.Minute
+	// closeTimeout is the time within which the connection must be closed after the call failed.
+	closeTimeout = 20 * time.Second
+	// unreadTime is how long a connection that may stay open is watched.
+	unreadTime = time.Second
+)
+
+// Check makes a call to a Server and returns an error unless the call fails and the connection is
+// closed. If mayStayOpen is set, the connection may also be left unread.
+func Check(ctx context.Context, prefix, repeated string, mayStayOpen bool, call func(ctx context.Context, address string) error) error {
+	server, err := Listen(prefix, repeated)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = call(ctx, server.Address())
+	if err == nil {
+		return errors.New("got no error from the call, want one")
+	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("got the call ended by its time-out: %w", err)
+	}
+	watch := closeTimeout
+	if mayStayOpen {
+		watch = unreadTime
+	}
+	select {
+	case closed := <-server.ClosedByPeer():
+		if !closed {
+			return errors.New("got all bytes read that the peer would send, want the connection closed")
+		}
+	case <-time.After(watch):
+		if !mayStayOpen {
+			return errors.New("got the connection kept open, want it closed")
+		}
+	}
+	return nil
+}
+
 // Server accepts connections, waits for the first bytes on each, and then sends a prefix once and a
 // text again and again until the peer closes the connection.
 type Server struct {
