gateway: log what shows that an answer belongs to its attempt

The line of an attempt has the answer's status, whether the answer names the attempt, how many answers the connection returned before and how many were dropped; served ones are logged at level info too if their answer names no attempt. New counters: unnamedAnswers, droppedAnswers and connectionsUnexpectedData. No decision changes.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -306,6 +306,7 @@
 	status           int           // status of the completed answer; 0 before that
 	responseWait     responseWait  // of the latest attempt
 	answerHead       call.Answer   // of the latest attempt; zero if no answer arrived
+	answerOrigin     answerOrigin  // of the latest attempt
 	reserved         *fleet.Grant  // slot for the next attempt, nil if none is reserved
 }
 
--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -25,33 +25,39 @@
 	quarantined   atomic.Int64 // refused because endpoints ended while running them
 	brokenOff     atomic.Int64 // answers cut off after their header was sent
 	events        atomic.Int64 // stream events sent to callers
+	// unnamedAnswers counts answers without the request's ID on connections that returned one before.
+	unnamedAnswers atomic.Int64
+	droppedAnswers atomic.Int64 // answers to other requests
 }
 
 // Counters returns the metrics by name.
 func (g *Gateway) Counters() map[string]int64 {
-	uses, dials := g.cfg.Pool.Counts()
+	conns := g.cfg.Pool.Counts()
 	ledger := g.cfg.State.Ledger()
 	suspects, ends := ledger.Size()
 	return map[string]int64{
-		"served":           g.counters.served.Load(),
-		"refused":          g.counters.refused.Load(),
-		"failed":           g.counters.failed.Load(),
-		"attempts":         g.counters.attempts.Load(),
-		"resumed":          g.counters.resumed.Load(),
-		"retries":          g.counters.retries.Load(),
-		"retriesDenied":    g.counters.retriesDenied.Load(),
-		"held":             g.counters.quarantined.Load(),
-		"brokenOff":        g.counters.brokenOff.Load(),
-		"events":           g.counters.events.Load(),
-		"suspects":         int64(suspects),
-		"ends":             int64(ends),
-		"heldForgotten":    int64(ledger.Forgotten()),
-		"inFlight":         g.inFlight.Load(),
-		"bodyBytes":        g.bodyBytes.Load(),
-		"limitedEndpoints": int64(g.cfg.State.Fleet().LimitedEndpoints()),
-		"notices":          int64(g.cfg.State.Fleet().Notices()),
-		"connectionUses":   int64(uses),
-		"connectionDials":  int64(dials),
+		"served":                    g.counters.served.Load(),
+		"refused":                   g.counters.refused.Load(),
+		"failed":                    g.counters.failed.Load(),
+		"attempts":                  g.counters.attempts.Load(),
+		"resumed":                   g.counters.resumed.Load(),
+		"retries":                   g.counters.retries.Load(),
+		"retriesDenied":             g.counters.retriesDenied.Load(),
+		"held":                      g.counters.quarantined.Load(),
+		"brokenOff":                 g.counters.brokenOff.Load(),
+		"events":                    g.counters.events.Load(),
+		"suspects":                  int64(suspects),
+		"ends":                      int64(ends),
+		"heldForgotten":             int64(ledger.Forgotten()),
+		"inFlight":                  g.inFlight.Load(),
+		"bodyBytes":                 g.bodyBytes.Load(),
+		"limitedEndpoints":          int64(g.cfg.State.Fleet().LimitedEndpoints()),
+		"notices":                   int64(g.cfg.State.Fleet().Notices()),
+		"unnamedAnswers":            g.counters.unnamedAnswers.Load(),
+		"droppedAnswers":            g.counters.droppedAnswers.Load(),
+		"connectionUses":            int64(conns.Uses),
+		"connectionDials":           int64(conns.Dials),
+		"connectionsUnexpectedData": int64(conns.Unexpected),
 	}
 }
 
@@ -70,7 +76,7 @@
 	if x.sends > 1 && x.events > 0 {
 		x.gateway.counters.resumed.Add(1)
 	}
-	if outcome == fleet.Served && !x.answerHead.Leaving && x.sends == 1 {
+	if outcome == fleet.Served && !x.answerHead.Leaving && x.sends == 1 && x.answerOrigin.named && x.answerOrigin.dropped == 0 {
 		x.gateway.cfg.Log.Debug("attempt", x.attemptFields(grant, outcome)...)
 		return
 	}
@@ -84,6 +90,7 @@
 		"stateAgeMillis", grant.StateAge().Milliseconds(), "delayMillis", grant.Delay().Milliseconds(),
 		"version", grant.Version(), "events", x.events, "print", x.fingerprint,
 		"retryWaitMillis", x.retryWait().Milliseconds(),
+		"answer", x.answerOrigin.status, "named", x.answerOrigin.named, "connAnswers", x.answerOrigin.earlier, "dropped", x.answerOrigin.dropped,
 		"leaving", x.answerHead.Leaving, "restMillis", x.answerHead.BackOff.Milliseconds(),
 		"gaveUp", x.responseWait.stopReason, "silentMillis", x.responseWait.idle.Milliseconds(), "oversleptMillis", x.responseWait.wakeupDelay.Milliseconds(),
 	}
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -154,6 +154,7 @@
 func (x *exchange) attempt(ctx context.Context, grant *fleet.Grant) fleet.Outcome {
 	g := x.gateway
 	x.tried, x.responseWait, x.answerHead = append(x.tried, grant.Incarnation()), responseWait{}, call.Answer{}
+	x.answerOrigin = answerOrigin{}
 	x.sendEvents, x.survived = 0, false
 	if ctx.Err() != nil || !g.cfg.Clock.Now().Before(x.adm.Deadline) {
 		return fleet.Abandoned
@@ -278,9 +279,19 @@
 	return otherwise
 }
 
+// answerOrigin describes what shows that an answer belongs to the attempt.
+type answerOrigin struct {
+	status  int  // of the answer; 0 if none arrived
+	named   bool // the answer has the request's ID
+	earlier int  // answers that the connection returned to earlier requests
+	dropped int  // answers to other requests that were dropped during the attempt
+}
+
 // receive reads the head of the answer. It discards answers that belong to an earlier request on
 // the connection.
 func (x *exchange) receive(conn *upstream.Conn, out *http.Request) (*http.Response, call.Answer, error) {
+	origin, counters := &x.answerOrigin, &x.gateway.counters
+	origin.earlier = conn.Responses()
 	for range maxStrayAnswers {
 		resp, err := conn.Receive(out)
 		if err != nil {
@@ -288,8 +299,14 @@
 		}
 		answer := x.gateway.cfg.Wire.Decode(resp)
 		if answer.ID == "" || answer.ID == x.req.ID {
+			origin.status, origin.named = resp.StatusCode, answer.ID != ""
+			if !origin.named && origin.earlier > 0 {
+				counters.unnamedAnswers.Add(1)
+			}
 			return resp, answer, nil
 		}
+		origin.dropped++
+		counters.droppedAnswers.Add(1)
 		x.gateway.cfg.Log.Warn("an answer to another request was dropped", "request", x.req.ID, "of", answer.ID)
 		if err := discardAnswer(resp); err != nil {
 			return nil, call.Answer{}, err
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -45,6 +45,7 @@
 	writer      *bufio.Writer
 	idleSince   time.Time     // when it was put into the pool
 	idleTimeout time.Duration // how long it may be reused while idle
+	responses   int           // received so far, including those that were dropped
 
 	// inHead tells that a header is read; headLeft is how much of it may still be read.
 	inHead   bool
@@ -83,9 +84,16 @@
 func (c *Conn) Receive(req *http.Request) (*http.Response, error) {
 	c.inHead, c.headLeft = true, maxHeadBytes
 	defer func() { c.inHead = false }()
-	return http.ReadResponse(c.reader, req)
+	resp, err := http.ReadResponse(c.reader, req)
+	if err == nil {
+		c.responses++
+	}
+	return resp, err
 }
 
+// Responses returns the number of responses received on the connection.
+func (c *Conn) Responses() int { return c.responses }
+
 // Cancel abandons the request: reads and writes in progress and later ones fail, and
 // Close resets the connection. After an orderly close the kernel would still deliver
 // the data in its send queue, so that over a slow link a request would reach its
@@ -152,29 +160,46 @@
 	}
 }
 
-// reusable reports whether an idle connection is still open and has received no
-// data. Unexpected bytes belong to no request and could not be distinguished from
-// the next response.
-func (c *Conn) reusable() bool {
+// idleState is the state of an idle connection.
+type idleState int
+
+const (
+	idleOpen   idleState = iota
+	idleClosed           // by the endpoint, or failed
+	// idleUnexpectedData means that data arrived. It belongs to no request and could not be
+	// distinguished from the next response.
+	idleUnexpectedData
+)
+
+// idleState checks an idle connection. Only one in state idleOpen may be reused.
+func (c *Conn) idleState() idleState {
 	if c.reader.Buffered() > 0 {
-		return false
+		return idleUnexpectedData
 	}
 	sysConn, ok := c.netConn.(syscall.Conn)
 	if !ok {
-		return true
+		return idleOpen
 	}
 	rawConn, err := sysConn.SyscallConn()
 	if err != nil {
-		return false
+		return idleClosed
 	}
-	open := false
+	state := idleClosed
 	err = rawConn.Read(func(fd uintptr) bool {
 		var buf [1]byte
 		n, err := syscall.Read(int(fd), buf[:])
-		open = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
+		switch {
+		case n > 0:
+			state = idleUnexpectedData
+		case n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)):
+			state = idleOpen
+		}
 		return true
 	})
-	return err == nil && open
+	if err != nil {
+		return idleClosed
+	}
+	return state
 }
 
 // fullyRead reports whether a response body was read to its end and no data
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -44,8 +44,15 @@
 	mu        sync.Mutex
 	idle      map[Target][]*Conn // newest last
 	lastSweep time.Time
-	dials     uint64
-	uses      uint64
+	counts    Counts
+}
+
+// Counts counts the connections that a pool handed out.
+type Counts struct {
+	Uses  uint64 // connections requested
+	Dials uint64 // of these, how many were dialled
+	// Unexpected is the number of idle connections that were closed because data had arrived.
+	Unexpected uint64
 }
 
 // NewPool returns an empty pool.
@@ -84,14 +91,16 @@
 		if conn == nil {
 			break
 		}
-		if conn.reusable() {
+		state := conn.idleState()
+		if state == idleOpen {
 			return conn, nil
 		}
 		conn.Close()
+		if state == idleUnexpectedData {
+			p.count(func(counts *Counts) { counts.Unexpected++ })
+		}
 	}
-	p.mu.Lock()
-	p.dials++
-	p.mu.Unlock()
+	p.count(func(counts *Counts) { counts.Dials++ })
 	netConn, err := p.dial(ctx, target.Address)
 	if err != nil {
 		return nil, err
@@ -105,7 +114,7 @@
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.uses++
+	p.counts.Uses++
 	p.sweep(now)
 	conns := p.idle[target]
 	for len(conns) > 0 {
@@ -192,10 +201,15 @@
 	return true, nil
 }
 
-// Counts returns how many connections were requested and how many of them were
-// dialled.
-func (p *Pool) Counts() (uses, dials uint64) {
+func (p *Pool) count(change func(*Counts)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.counts)
+}
+
+// Counts returns the counts since the pool was created.
+func (p *Pool) Counts() Counts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.uses, p.dials
+	return p.counts
 }
