--- a/bench/internal/cmd/cmd_soak_platform.go
+++ b/bench/internal/cmd/cmd_soak_platform.go
@@ -19,7 +19,7 @@
 	Engines int     `long:"engines" default:"14" description:"number of engines, each with its agent"`
 	Load    float64 `long:"load" default:"0.8" description:"request load as a fraction of the engines' capacity"`
 	Gap     float64 `long:"gap" default:"0.8" description:"mean time between two events, in seconds"`
-	Events  string  `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" choice:"silences" description:"which events to inject: all, none, planned operations, planned operations and hiccups, failures that strain the retry budget, or connections to the store that go silent beside planned operations"`
+	Events  string  `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" choice:"silences" choice:"answers" description:"which events to inject: all, none, planned operations, planned operations and hiccups, failures that strain the retry budget, connections to the store that go silent beside planned operations, or answers of endpoints that belong to no request beside planned operations"`
 }
 
 const soakPlatformHelp = `Injects planned operations, hiccups and faults into a deployment behind a platform: plain
@@ -54,9 +54,9 @@
 		Bin: options.Bin, Log: log, Progress: logger(), Seed: options.Seed,
 		Length: time.Duration(options.Seconds * float64(time.Second)), Gap: time.Duration(options.Gap * float64(time.Second)),
 		Entries: options.Entries, Engines: options.Engines, Load: options.Load,
-		Planned: options.Events == "all" || options.Events == "planned" || options.Events == "hiccups" || options.Events == "silences",
+		Planned: options.Events == "all" || options.Events == "planned" || options.Events == "hiccups" || options.Events == "silences" || options.Events == "answers",
 		Hiccups: options.Events == "all" || options.Events == "hiccups", Faults: options.Events == "all", Failures: options.Events == "failures",
-		Silences: options.Events == "silences",
+		Silences: options.Events == "silences", Answers: options.Events == "answers",
 	})
 	if err != nil {
 		result.Error = err.Error()
--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -34,22 +34,36 @@
 	breakStreams: func(f *platformtest.PartFaults) { f.Broken = 0.03 },
 	breakEngines: func(f *platformtest.PartFaults) { f.Broken = 0.9 },
 	spoilChunk:   func(f *platformtest.PartFaults) { f.Spoil = true },
-	linkSilent:   func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSilent] },
-	linkOneWay:   func(f *platformtest.PartFaults) { f.Link = linkFaults[linkOneWay] },
-	linkSlow:     func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSlow] },
-	linkNarrow:   func(f *platformtest.PartFaults) { f.Link = linkFaults[linkNarrow] },
-	linkReset:    func(f *platformtest.PartFaults) { f.Link = linkFaults[linkReset] },
-	storeBusy:    func(f *platformtest.PartFaults) { f.Calls, f.Share = "busy", 1 },
-	storeSilent:  func(f *platformtest.PartFaults) { f.Calls, f.Share = "silent", 1 },
-	storeSlow:    func(f *platformtest.PartFaults) { f.Calls, f.Share = "slow", 1 },
-	storeLost:    func(f *platformtest.PartFaults) { f.Calls, f.Share = "lost", 0.3 },
-	storeLate:    func(f *platformtest.PartFaults) { f.Calls, f.Share = "late", 0.2 },
-	storeForgets: func(f *platformtest.PartFaults) { f.Compact = true },
-	storeLapses:  func(f *platformtest.PartFaults) { f.Calls, f.Share, f.Lapse = "busy", 1, true },
-	originDown:   func(f *platformtest.PartFaults) { f.Refuse = true },
-	originSpoilt: func(f *platformtest.PartFaults) { f.Manifests = 1 },
+
+	extraRejections:  func(f *platformtest.PartFaults) { f.Extra, f.ExtraShare = platformtest.ExtraRejection, extraShare },
+	extraMisdirected: func(f *platformtest.PartFaults) { f.Extra, f.ExtraShare = platformtest.ExtraMisdirected, extraShare },
+	extraCopies:      func(f *platformtest.PartFaults) { f.Extra, f.ExtraShare = platformtest.ExtraCopy, extraShare },
+	extraNamed:       func(f *platformtest.PartFaults) { f.Extra, f.ExtraShare = platformtest.ExtraNamed, extraShare },
+	shedNamed:        func(f *platformtest.PartFaults) { f.Shed = shedShare },
+	shedUnnamed:      func(f *platformtest.PartFaults) { f.Shed, f.ShedUnnamed = shedShare, true },
+	linkSilent:       func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSilent] },
+	linkOneWay:       func(f *platformtest.PartFaults) { f.Link = linkFaults[linkOneWay] },
+	linkSlow:         func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSlow] },
+	linkNarrow:       func(f *platformtest.PartFaults) { f.Link = linkFaults[linkNarrow] },
+	linkReset:        func(f *platformtest.PartFaults) { f.Link = linkFaults[linkReset] },
+	storeBusy:        func(f *platformtest.PartFaults) { f.Calls, f.Share = "busy", 1 },
+	storeSilent:      func(f *platformtest.PartFaults) { f.Calls, f.Share = "silent", 1 },
+	storeSlow:        func(f *platformtest.PartFaults) { f.Calls, f.Share = "slow", 1 },
+	storeLost:        func(f *platformtest.PartFaults) { f.Calls, f.Share = "lost", 0.3 },
+	storeLate:        func(f *platformtest.PartFaults) { f.Calls, f.Share = "late", 0.2 },
+	storeForgets:     func(f *platformtest.PartFaults) { f.Compact = true },
+	storeLapses:      func(f *platformtest.PartFaults) { f.Calls, f.Share, f.Lapse = "busy", 1, true },
+	originDown:       func(f *platformtest.PartFaults) { f.Refuse = true },
+	originSpoilt:     func(f *platformtest.PartFaults) { f.Manifests = 1 },
 }
 
+const (
+	// extraShare is the fraction of answers that an endpoint follows by an extra one.
+	extraShare = 0.06
+	// shedShare is the fraction of requests that an endpoint rejects.
+	shedShare = 0.3
+)
+
 var linkFaults = map[kind]platformtest.LinkFaults{
 	linkSilent: {Silent: true}, linkOneWay: {OneWay: true}, linkSlow: {DelayMillis: 40}, linkNarrow: {BytesPerSecond: 20_000}, linkReset: {Reset: true},
 	waySilent: {Silent: true}, wayOneWay: {OneWay: true}, waySlow: {DelayMillis: 40}, wayNarrow: {BytesPerSecond: 5_000}, wayReset: {Reset: true},
@@ -324,6 +338,8 @@
 	r.runs = append(r.runs, record.Runs...)
 	r.peaks[m.Kind] = max(r.peaks[m.Kind], record.Connections)
 	r.reset += record.Refused
+	r.extra += record.Extra
+	r.dialled += record.Dialled
 	for _, load := range record.Loads {
 		r.loads = append(r.loads, engineLoad{Load: load, member: m})
 	}
--- a/bench/internal/sitesoak/checks.go
+++ b/bench/internal/sitesoak/checks.go
@@ -80,6 +80,7 @@
 	for kind, most := range r.peaks {
 		result.Connections[kind] = float64(most) / float64(r.operator.maxConns[kind])
 	}
+	result.Extra, result.Dialled = r.extra, r.dialled
 	result.Broken, result.Examples, result.Missing, result.Stalls = r.broken, r.examples, r.missing, r.stalls.count()
 }
 
@@ -107,6 +108,7 @@
 func (res *Result) count(try *Try, runs []platformtest.Run) {
 	res.Requests++
 	res.Resumed += max(0, countBegan(runs)-1)
+	res.countRejected(try, runs)
 	switch {
 	case try.Whole && try.Status < http.StatusMultipleChoices:
 		res.Served++
@@ -121,6 +123,21 @@
 	}
 }
 
+// countRejected counts a request that must run once if an endpoint rejected it.
+func (res *Result) countRejected(try *Try, runs []platformtest.Run) {
+	rejected := slices.ContainsFunc(runs, func(found platformtest.Run) bool { return found.End == platformtest.Refusal })
+	if !rejected || try.request.route.repeatable() {
+		return
+	}
+	res.OnceRejected++
+	if len(runs) > 1 {
+		res.OnceResent++
+	}
+	if try.Whole && try.Status < http.StatusMultipleChoices {
+		res.OnceServed++
+	}
+}
+
 // failure returns the key in Result.Failures of a try that was not served.
 func (t *Try) failure() string {
 	switch {
--- a/bench/internal/sitesoak/checks_test.go
+++ b/bench/internal/sitesoak/checks_test.go
@@ -203,9 +203,9 @@
 // programs.
 const binEnv = "COMFREY_BIN"
 
-// TestShortSoak runs four seeds: one with planned operations and hiccups, one with faults too, one
+// TestShortSoak runs five seeds: one with planned operations and hiccups, one with faults too, one
 // with the failures that strain the retry budget, and one with connections to the store that go
-// silent.
+// silent, and one with answers of endpoints that belong to no request.
 func TestShortSoak(t *testing.T) {
 	bin := os.Getenv(binEnv)
 	if bin == "" {
@@ -216,6 +216,7 @@
 		"all":                 {Seed: 5, Planned: true, Hiccups: true, Faults: true},
 		"failures":            {Seed: 1, Failures: true},
 		"silences":            {Seed: 69, Planned: true, Silences: true},
+		"answers":             {Seed: 4, Planned: true, Answers: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			options.Bin, options.Log, options.Progress = bin, io.Discard, slog.New(slog.DiscardHandler)
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -86,6 +86,17 @@
 	removeApp kind = "removeApp" // a plain endpoint's registration is removed without notice, it serves on and is replaced
 )
 
+// Answers: endpoints send answers that belong to no request, or reject requests. They excuse no
+// violation.
+const (
+	extraRejections  kind = "extraRejections"
+	extraMisdirected kind = "extraMisdirected"
+	extraCopies      kind = "extraCopies"
+	extraNamed       kind = "extraNamed"
+	shedNamed        kind = "shedNamed"
+	shedUnnamed      kind = "shedUnnamed" // rejections name no request
+)
+
 // isSilence reports whether open connections go silent in an event.
 func isSilence(k kind) bool { return k == doorMute || k == doorsMute }
 
@@ -180,6 +191,20 @@
 	}
 )
 
+// answerFaults are the rules of Options.Answers.
+var answerFaults = []eventRule{
+	{extraRejections, site.App, 3, 3 * time.Second, 8 * time.Second},
+	{extraRejections, site.Engine, 2, 3 * time.Second, 8 * time.Second},
+	{extraMisdirected, site.App, 2, 3 * time.Second, 8 * time.Second},
+	{extraMisdirected, site.Engine, 1, 3 * time.Second, 8 * time.Second},
+	{extraCopies, site.App, 2, 3 * time.Second, 8 * time.Second},
+	{extraCopies, site.Engine, 2, 3 * time.Second, 8 * time.Second},
+	{extraNamed, site.App, 1, 3 * time.Second, 8 * time.Second},
+	{extraNamed, site.Engine, 1, 3 * time.Second, 8 * time.Second},
+	{shedNamed, site.App, 2, 3 * time.Second, 8 * time.Second},
+	{shedUnnamed, site.App, 2, 3 * time.Second, 8 * time.Second},
+}
+
 func isPlanned(k kind) bool {
 	return k == removeApp || slices.ContainsFunc(planned, func(rule eventRule) bool { return rule.kind == k })
 }
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -49,8 +49,8 @@
 	// Gap is the mean time between two events.
 	Gap time.Duration
 	// Planned, Hiccups, Faults, Failures and Silences enable the sets of events.
-	Planned, Hiccups, Faults, Failures, Silences bool
-	Progress                                     *slog.Logger
+	Planned, Hiccups, Faults, Failures, Silences, Answers bool
+	Progress                                              *slog.Logger
 }
 
 // Result is the summary of a run, printed as one line of JSON.
@@ -75,6 +75,13 @@
 	// of its limit. Reset counts connections beyond the limit, which were reset.
 	Connections map[string]float64 `json:"connections"`
 	Reset       int                `json:"reset"`
+	Dialled     int                `json:"dialled"`
+	// Extra counts the extra answers of endpoints. OnceRejected counts the requests that must run
+	// once which an endpoint rejected, and OnceResent those of them that came to another endpoint.
+	Extra        int `json:"extra"`
+	OnceRejected int `json:"onceRejected"`
+	OnceResent   int `json:"onceResent"`
+	OnceServed   int `json:"onceServed"` // of OnceRejected
 	// Broken counts violations by rule. Examples holds the first few of each.
 	Broken   map[string]int `json:"broken"`
 	Examples []string       `json:"examples,omitempty"`
@@ -101,6 +108,8 @@
 	loads      []engineLoad
 	peaks      map[string]int // peak connections of one endpoint, by kind
 	reset      int
+	extra      int // extra answers of endpoints
+	dialled    int // connections opened to endpoints
 	missing    int
 	broken     map[string]int
 	examples   []string
@@ -184,7 +193,7 @@
 	for _, set := range []struct {
 		on    bool
 		rules []eventRule
-	}{{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures}, {r.options.Silences, silences}} {
+	}{{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures}, {r.options.Silences, silences}, {r.options.Answers, answerFaults}} {
 		if set.on {
 			enabled = append(enabled, set.rules...)
 		}
--- a/standin/internal/link/link.go
+++ b/standin/internal/link/link.go
@@ -22,6 +22,7 @@
 	limit     int // maximum number of open connections; 0 means no limit
 	peak      int // most connections open at the same time
 	refused   int
+	dialled   int       // connections admitted
 	busyUntil time.Time // when the bytes written so far have passed the rate-limited link
 }
 
@@ -65,6 +66,13 @@
 	return l.peak, l.refused
 }
 
+// Dialled returns how many connections were admitted.
+func (l *Listener) Dialled() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dialled
+}
+
 // Accept returns the next connection within the limit.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -89,6 +97,7 @@
 		return nil
 	}
 	l.open[c] = true
+	l.dialled++
 	l.peak = max(l.peak, len(l.open))
 	return c
 }
--- a/standin/internal/site/endpoint.go
+++ b/standin/internal/site/endpoint.go
@@ -25,16 +25,18 @@
 	}
 	worker := platformtest.NewEndpoint(options, ctx.Done())
 	worker.SetLoadTime(time.Duration(p.options.WarmMillis) * time.Millisecond)
-	p.handler = worker
+	p.handler, p.extra = worker, platformtest.NewExtraAnswers(options.Seed)
 	p.faults = func(f platformtest.PartFaults) {
 		worker.SetFaults(f.Broken, f.Slow)
+		worker.SetShed(f.Shed, f.ShedUnnamed)
+		p.extra.Set(f.ExtraShare, f.Extra)
 		if f.Spoil {
 			worker.CorruptChunk()
 		}
 	}
 	p.control.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
 		connections, refused := p.lis.Counts()
-		writeJSON(w, platformtest.Record{Runs: worker.Runs(), Loads: worker.Loads(), Connections: connections, Refused: refused})
+		writeJSON(w, platformtest.Record{Runs: worker.Runs(), Loads: worker.Loads(), Connections: connections, Refused: refused, Extra: p.extra.Sent(), Dialled: p.lis.Dialled()})
 	})
 	reg := &registration{part: p, worker: worker, heartbeat: time.Duration(p.options.HeartbeatMillis) * time.Millisecond}
 	p.control.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { reg.leaving.Store(true) })
--- a/standin/internal/site/site.go
+++ b/standin/internal/site/site.go
@@ -32,6 +32,7 @@
 	extraServers []listenerHandler
 	// faults applies the faults that the link does not handle.
 	faults func(platformtest.PartFaults)
+	extra  *platformtest.ExtraAnswers      // nil for parts without them
 	run    func(ctx context.Context) error // runs alongside the servers; may be nil
 }
 
@@ -103,10 +104,10 @@
 	if p.handler == nil {
 		p.handler = http.NotFoundHandler()
 	}
-	group.Go(func() error { return serve(ctx, p.lis, p.handler) })
-	group.Go(func() error { return serve(ctx, control, p.control) })
+	group.Go(func() error { return serve(ctx, p.lis, p.handler, p.extra) })
+	group.Go(func() error { return serve(ctx, control, p.control, nil) })
 	for _, more := range p.extraServers {
-		group.Go(func() error { return serve(ctx, more.lis, more.handler) })
+		group.Go(func() error { return serve(ctx, more.lis, more.handler, nil) })
 	}
 	if p.run != nil {
 		group.Go(func() error { return p.run(ctx) })
@@ -114,9 +115,13 @@
 	return group.Wait()
 }
 
-func serve(ctx context.Context, lis net.Listener, handler http.Handler) error {
+// serve serves HTTP until ctx is done, with extra answers unless extra is nil.
+func serve(ctx context.Context, lis net.Listener, handler http.Handler, extra *platformtest.ExtraAnswers) error {
 	const headerTimeout = 10 * time.Second
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	if extra != nil {
+		lis, server.Handler, server.ConnContext = extra.Listen(lis), extra.Handler(handler), extra.ConnContext
+	}
 	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
 	err := server.Serve(lis)
 	if ctx.Err() != nil {
