gateway: accept an answer that names no request only on a new connection

Callers: requests that must run once ran at two endpoints, and callers got the answers of others (TWICE, MIXED; and with ATTEMPTS more endpoints than their route allows).

Cause: an endpoint sends one answer too many; it lies on the kept connection when the next request is sent there. If it named no request it was taken for the answer to that one, so that a leftover "not run" let the request go to a second endpoint while the first ran it.

An answer without an ID belongs to a request now only if the connection returned none before. Otherwise it is dropped, its connection is not reused, and the request's own answer is awaited; a request that may be repeated goes on to another endpoint at once after a rejection, as before, but the attempt counts. Without a named answer the outcome is unproven: nothing is sent again that must run once, and its caller is not told that it did not run. For 30 s after such an answer, requests that must run once use new connections to that endpoint, where a rejection that names nothing is proof again.

--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -25,7 +25,7 @@
 	quarantined   atomic.Int64 // refused because endpoints ended while running them
 	brokenOff     atomic.Int64 // answers cut off after their header was sent
 	events        atomic.Int64 // stream events sent to callers
-	// unnamedAnswers counts answers without the request's ID on connections that returned one before.
+	// unnamedAnswers counts answers without an ID on connections that returned one before.
 	unnamedAnswers atomic.Int64
 	droppedAnswers atomic.Int64 // answers to other requests
 }
@@ -76,7 +76,7 @@
 	if x.sends > 1 && x.events > 0 {
 		x.gateway.counters.resumed.Add(1)
 	}
-	if outcome == fleet.Served && !x.answerHead.Leaving && x.sends == 1 && x.answerOrigin.named && x.answerOrigin.dropped == 0 {
+	if outcome == fleet.Served && !x.answerHead.Leaving && x.sends == 1 && x.answerOrigin.named && x.answerOrigin.dropped+x.answerOrigin.unnamed == 0 {
 		x.gateway.cfg.Log.Debug("attempt", x.attemptFields(grant, outcome)...)
 		return
 	}
@@ -90,7 +90,7 @@
 		"stateAgeMillis", grant.StateAge().Milliseconds(), "delayMillis", grant.Delay().Milliseconds(),
 		"version", grant.Version(), "events", x.events, "print", x.fingerprint,
 		"retryWaitMillis", x.retryWait().Milliseconds(),
-		"answer", x.answerOrigin.status, "named", x.answerOrigin.named, "connAnswers", x.answerOrigin.earlier, "dropped", x.answerOrigin.dropped,
+		"answer", x.answerOrigin.status, "named", x.answerOrigin.named, "connAnswers", x.answerOrigin.earlier, "dropped", x.answerOrigin.dropped, "unnamed", x.answerOrigin.unnamed,
 		"leaving", x.answerHead.Leaving, "restMillis", x.answerHead.BackOff.Milliseconds(),
 		"gaveUp", x.responseWait.stopReason, "silentMillis", x.responseWait.idle.Milliseconds(), "oversleptMillis", x.responseWait.wakeupDelay.Milliseconds(),
 	}
--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -58,7 +58,7 @@
 		if answer.Misdirected {
 			outcome = fleet.Moved
 		}
-		if discardAnswer(resp) != nil {
+		if upstream.EndsWithConnection(resp) || discardAnswer(resp) != nil {
 			conn.Close()
 			return outcome
 		}
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 	"time"
 
 	"comfreyrelay.example/entry/internal/upstream"
@@ -145,9 +143,6 @@
 	budgetFactor = 0.85
 	// retryPollInterval is how often a waiting stream checks the retry budget.
 	retryPollInterval = 50 * time.Millisecond
-	// maxStrayAnswers limits the answers read from a connection to find the one that belongs to
-	// the request.
-	maxStrayAnswers = 2
 )
 
 // attempt sends the request to one endpoint and relays its answer.
@@ -159,7 +154,7 @@
 	if ctx.Err() != nil || !g.cfg.Clock.Now().Before(x.adm.Deadline) {
 		return fleet.Abandoned
 	}
-	conn, err := g.cfg.Pool.Get(ctx, upstream.Target{Address: grant.Address(), Born: grant.Incarnation().Born})
+	conn, err := x.connect(ctx, grant)
 	if err != nil {
 		if ctx.Err() != nil {
 			return fleet.Abandoned
@@ -195,10 +190,10 @@
 	}
 	conn.SetReadWait(x.waitPolicy(ctx, grant))
 	defer func() { x.responseWait.wakeupDelay = conn.WakeDelay() }()
-	resp, answer, err := x.receive(conn, out)
+	resp, answer, err := x.receive(grant, conn, out)
 	if err != nil {
 		closeAfterError(conn, err)
-		return x.abandonedOr(ctx, silentOutcome(err, fleet.Broken))
+		return x.abandonedOr(ctx, x.receiveOutcome(err))
 	}
 	x.answerHead = answer
 	grant.ApplyLoad(answer.Load)
@@ -207,6 +202,16 @@
 	return x.relayAnswer(ctx, grant, conn, resp, answer)
 }
 
+// connect returns a connection for the next attempt. Only on a new one can a rejection that names no
+// request be a proof, so a request that must run once gets one if the endpoint may send such answers.
+func (x *exchange) connect(ctx context.Context, grant *fleet.Grant) (*upstream.Conn, error) {
+	target := upstream.Target{Address: grant.Address(), Born: grant.Incarnation().Born}
+	if !x.route.Repeatable() && grant.AnswersUnnamed() {
+		return x.gateway.cfg.Pool.Dial(ctx, target)
+	}
+	return x.gateway.cfg.Pool.Get(ctx, target)
+}
+
 // applyRateLimit applies the rate limit stated in the answer and publishes changes to the other
 // entries. It ignores an answer from a different endpoint that now has the address.
 func (x *exchange) applyRateLimit(grant *fleet.Grant, answer call.Answer) {
@@ -278,39 +283,3 @@
 	}
 	return otherwise
 }
-
-// answerOrigin describes what shows that an answer belongs to the attempt.
-type answerOrigin struct {
-	status  int  // of the answer; 0 if none arrived
-	named   bool // the answer has the request's ID
-	earlier int  // answers that the connection returned to earlier requests
-	dropped int  // answers to other requests that were dropped during the attempt
-}
-
-// receive reads the head of the answer. It discards answers that belong to an earlier request on
-// the connection.
-func (x *exchange) receive(conn *upstream.Conn, out *http.Request) (*http.Response, call.Answer, error) {
-	origin, counters := &x.answerOrigin, &x.gateway.counters
-	origin.earlier = conn.Responses()
-	for range maxStrayAnswers {
-		resp, err := conn.Receive(out)
-		if err != nil {
-			return nil, call.Answer{}, err
-		}
-		answer := x.gateway.cfg.Wire.Decode(resp)
-		if answer.ID == "" || answer.ID == x.req.ID {
-			origin.status, origin.named = resp.StatusCode, answer.ID != ""
-			if !origin.named && origin.earlier > 0 {
-				counters.unnamedAnswers.Add(1)
-			}
-			return resp, answer, nil
-		}
-		origin.dropped++
-		counters.droppedAnswers.Add(1)
-		x.gateway.cfg.Log.Warn("an answer to another request was dropped", "request", x.req.ID, "of", answer.ID)
-		if err := discardAnswer(resp); err != nil {
-			return nil, call.Answer{}, err
-		}
-	}
-	return nil, call.Answer{}, errors.New("the connection returned only answers to other requests")
-}
--- a/entry/internal/gateway/stall.go
+++ b/entry/internal/gateway/stall.go
@@ -60,6 +60,8 @@
 		return "caller"
 	case grant.Restarted():
 		return "endpoint started again"
+	case x.answerOrigin.unnamed > 0 && x.answerOrigin.status == 0 && waited >= x.stallTimeout():
+		return "no answer names the request"
 	case !x.route.Repeatable():
 		return ""
 	case !x.attemptsLeft(x.attemptsUsed + 1):
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -46,6 +46,7 @@
 	idleSince   time.Time     // when it was put into the pool
 	idleTimeout time.Duration // how long it may be reused while idle
 	responses   int           // received so far, including those that were dropped
+	retired     bool          // not to be reused
 
 	// inHead tells that a header is read; headLeft is how much of it may still be read.
 	inHead   bool
@@ -91,6 +92,15 @@
 	return resp, err
 }
 
+// Retire makes the pool close the connection instead of keeping it.
+func (c *Conn) Retire() { c.retired = true }
+
+// EndsWithConnection reports whether only the end of its connection ends a response, so that no other
+// response can follow it.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // Responses returns the number of responses received on the connection.
 func (c *Conn) Responses() int { return c.responses }
 
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -100,6 +100,17 @@
 			p.count(func(counts *Counts) { counts.Unexpected++ })
 		}
 	}
+	return p.connect(ctx, target)
+}
+
+// Dial opens a new connection to the target, whatever the pool has. If it fails, no request data
+// was sent.
+func (p *Pool) Dial(ctx context.Context, target Target) (*Conn, error) {
+	p.count(func(counts *Counts) { counts.Uses++ })
+	return p.connect(ctx, target)
+}
+
+func (p *Pool) connect(ctx context.Context, target Target) (*Conn, error) {
 	p.count(func(counts *Counts) { counts.Dials++ })
 	netConn, err := p.dial(ctx, target.Address)
 	if err != nil {
@@ -159,8 +170,7 @@
 // endpoint sent, or 0 if it sent none.
 func (p *Pool) Put(conn *Conn, resp *http.Response, idleTimeout time.Duration, limit int) {
 	conn.SetReadWait(nil)
-	if resp.Close || conn.cancelled.Load() || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 ||
-		!fullyRead(resp.Body, conn.reader) {
+	if resp.Close || conn.retired || conn.cancelled.Load() || EndsWithConnection(resp) || !fullyRead(resp.Body, conn.reader) {
 		conn.Close()
 		return
 	}
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -65,6 +65,7 @@
 	refusals         int       // consecutive, with a free slot by the agent's report
 	ejectedUntil     time.Time // not chosen until then
 	errorRate        float64   // smoothed fraction of failed answers
+	unnamedAt        time.Time // latest answer that named no request; zero: none
 	limit            rateLimit
 	notice           notice
 }
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -20,11 +20,12 @@
 	Silent                     // no answer arrived in time
 	Abandoned                  // the caller disconnected or its deadline passed
 	Withheld                   // nothing was sent, because the endpoint accepts no new requests any more
+	Unproven                   // an answer arrived that does not show which request it belongs to
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "refused", "moved", "unreachable", "broken", "silent", "abandoned", "withheld"}[o]
+	return [...]string{"served", "failed", "refused", "moved", "unreachable", "broken", "silent", "abandoned", "withheld", "unproven"}[o]
 }
 
 // Grant is the place of one request at the endpoint chosen for it.
@@ -109,6 +110,24 @@
 	g.endpoint.load, g.endpoint.loadAt = load.Running+load.Waiting, g.group.clock()
 }
 
+// unnamedMemory is how long an endpoint counts as one whose answers may name no request.
+const unnamedMemory = 30 * time.Second
+
+// NoteUnnamedAnswer records that the endpoint sent an answer that names no request.
+func (g *Grant) NoteUnnamedAnswer() {
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	g.endpoint.unnamedAt = g.group.clock()
+}
+
+// AnswersUnnamed reports whether the endpoint recently sent an answer that names no request.
+func (g *Grant) AnswersUnnamed() bool {
+	g.group.mu.Lock()
+	defer g.group.mu.Unlock()
+	at := g.endpoint.unnamedAt
+	return !at.IsZero() && g.group.clock().Sub(at) < unnamedMemory
+}
+
 // Began records the first event: the prompt has been processed.
 func (g *Grant) Began() {
 	g.group.mu.Lock()
@@ -175,7 +194,7 @@
 		e.eject(now)
 		e.servedUnreported = 0
 		failed = 1
-	case Abandoned, Withheld:
+	case Abandoned, Withheld, Unproven:
 		return
 	}
 	e.errorRate += errorWeight * (failed - e.errorRate)
