gateway: use new connections only where endpoints may not name their answers

An extra answer made requests that must run once use new connections to its endpoint for 30 s, though the named answer that followed had proven it to be an extra one. Only an answer that stayed in doubt does that now, and one without a name on a new connection.

--- a/entry/internal/gateway/receive.go
+++ b/entry/internal/gateway/receive.go
@@ -44,11 +44,11 @@
 			return nil, call.Answer{}, err
 		}
 		answer := x.gateway.cfg.Wire.Decode(resp)
-		if answer.ID == "" {
-			grant.NoteUnnamedAnswer()
-		}
 		if origin.proves(answer, x.req.ID) {
 			origin.status, origin.named = resp.StatusCode, answer.ID != ""
+			if !origin.named {
+				grant.NoteUnnamedAnswer()
+			}
 			return resp, answer, nil
 		}
 		if answer.ID == "" {
@@ -88,11 +88,15 @@
 		"answer", resp.StatusCode, "connAnswers", x.answerOrigin.earlier)
 }
 
-// receiveOutcome returns the outcome of an attempt without an answer.
-func (x *exchange) receiveOutcome(err error) fleet.Outcome {
+// receiveOutcome returns the outcome of an attempt without an answer. If no answer followed one that
+// names no request, that one was probably the endpoint's answer to this request.
+func (x *exchange) receiveOutcome(grant *fleet.Grant, err error) fleet.Outcome {
 	gaveUp := errors.Is(err, errUnproven) || upstream.IsReadAbandoned(err)
-	if x.answerOrigin.unnamed > 0 && gaveUp {
-		return fleet.Unproven
+	if x.answerOrigin.unnamed == 0 || !gaveUp {
+		return silentOutcome(err, fleet.Broken)
+	}
+	if !x.route.Repeatable() {
+		grant.NoteUnnamedAnswer()
 	}
-	return silentOutcome(err, fleet.Broken)
+	return fleet.Unproven
 }
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -193,7 +193,7 @@
 	resp, answer, err := x.receive(grant, conn, out)
 	if err != nil {
 		closeAfterError(conn, err)
-		return x.abandonedOr(ctx, x.receiveOutcome(err))
+		return x.abandonedOr(ctx, x.receiveOutcome(grant, err))
 	}
 	x.answerHead = answer
 	grant.ApplyLoad(answer.Load)
--- a/relay/fleet/endpoint.go
+++ b/relay/fleet/endpoint.go
@@ -65,7 +65,7 @@
 	refusals         int       // consecutive, with a free slot by the agent's report
 	ejectedUntil     time.Time // not chosen until then
 	errorRate        float64   // smoothed fraction of failed answers
-	unnamedAt        time.Time // latest answer that named no request; zero: none
+	unnamedAt        time.Time // latest answer to a request that did not name it; zero: none
 	limit            rateLimit
 	notice           notice
 }
--- a/relay/fleet/grant.go
+++ b/relay/fleet/grant.go
@@ -113,14 +113,14 @@
 // unnamedMemory is how long an endpoint counts as one whose answers may name no request.
 const unnamedMemory = 30 * time.Second
 
-// NoteUnnamedAnswer records that the endpoint sent an answer that names no request.
+// NoteUnnamedAnswer records that the endpoint answered a request without naming it.
 func (g *Grant) NoteUnnamedAnswer() {
 	g.group.mu.Lock()
 	defer g.group.mu.Unlock()
 	g.endpoint.unnamedAt = g.group.clock()
 }
 
-// AnswersUnnamed reports whether the endpoint recently sent an answer that names no request.
+// AnswersUnnamed reports whether the endpoint recently answered a request without naming it.
 func (g *Grant) AnswersUnnamed() bool {
 	g.group.mu.Lock()
 	defer g.group.mu.Unlock()
