upstream: cancel only the use of a connection that a caller left

The connection of a request went back to the pool before its answer was written to the caller, and the request's cancellation still held it: a caller that left then, or a deadline that passed, cancelled a connection that the pool kept or that another request used already; that one ended broken, with 502 if it must run once.

Found by reading, while looking for what else acts on a connection for the wrong request.

--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -171,7 +171,7 @@
 		conn.Close()
 		return fleet.Withheld
 	}
-	stopCancel := context.AfterFunc(ctx, conn.Cancel)
+	stopCancel := context.AfterFunc(ctx, conn.CancelFunc())
 	defer stopCancel()
 	x.sends++
 	x.sentAt = g.cfg.Clock.Now()
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -53,6 +54,8 @@
 	headLeft int
 
 	cancelled atomic.Bool
+	mu        sync.Mutex // guards uses, and cancelling against the end of a use
+	uses      int        // ended uses
 	// keepWaiting is called every pollInterval while a read waits; false ends the read.
 	keepWaiting func(waited time.Duration) bool
 	wakeDelay   time.Duration // largest delay of a read's wake-up after its poll deadline
@@ -109,6 +112,36 @@
 // the data in its send queue, so that over a slow link a request would reach its
 // endpoint long after its caller left. Cancel may be called from any goroutine.
 func (c *Conn) Cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel()
+}
+
+// CancelFunc returns a function that cancels the current use of the connection. It does nothing once
+// that use has ended: the connection may serve another request by then.
+func (c *Conn) CancelFunc() func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	use := c.uses
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.uses == use {
+			c.cancel()
+		}
+	}
+}
+
+// endUse ends the current use and reports whether the connection may be reused.
+func (c *Conn) endUse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uses++
+	return !c.cancelled.Load()
+}
+
+// cancel cancels the connection. The caller holds c.mu.
+func (c *Conn) cancel() {
 	c.cancelled.Store(true)
 	if tcp, ok := c.netConn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -170,7 +170,7 @@
 // endpoint sent, or 0 if it sent none.
 func (p *Pool) Put(conn *Conn, resp *http.Response, idleTimeout time.Duration, limit int) {
 	conn.SetReadWait(nil)
-	if resp.Close || conn.retired || conn.cancelled.Load() || EndsWithConnection(resp) || !fullyRead(resp.Body, conn.reader) {
+	if resp.Close || conn.retired || EndsWithConnection(resp) || !fullyRead(resp.Body, conn.reader) || !conn.endUse() {
 		conn.Close()
 		return
 	}
