onsite: verify staged chunks on connections of their own

The verification uses a connection that is new when it begins and reads each chunk once, so that nothing left over on it can have the digest of the chunk that is asked for.

Costs one connection for each load of an engine.

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -279,6 +279,7 @@
 		l.log.Warn("chunks in memory cannot be staged", "version", name, "error", err)
 		return
 	}
+	l.stage.beginVerification()
 	bad, err := l.mgr.VerifyStored(checkCtx, name)
 	if bad > 0 || err != nil {
 		l.log.Warn("staged weights are not whole", "version", name, "bad", bad, "error", err)
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -120,7 +120,8 @@
 
 func newAgent(set *wire.AgentSettings, log *slog.Logger) *agent {
 	clock := clockwork.NewRealClock()
-	engine := platform.NewEngine(strings.TrimSuffix(set.GetEndpointUrl(), "/"), newEngineHTTPClient())
+	engineURL := strings.TrimSuffix(set.GetEndpointUrl(), "/")
+	engine := platform.NewEngine(engineURL, newEngineHTTPClient())
 	a := &agent{
 		set: set, log: log, clock: clock, guidance: newGuidanceStore(), pool: peer.NewPool(nil),
 		originHTTP: newOriginHTTPClient(),
@@ -128,6 +129,7 @@
 	a.poller = newEnginePoller(engine, clock, log)
 	a.pacer = newPacer(clock.Now)
 	a.stage = newStage(engine, a.guidance, int(prefetchMemoryShare*float64(set.GetSite().GetMemoryMegabytes())*(1<<20)))
+	a.stage.verifier = platform.NewEngine(engineURL, newEngineHTTPClient())
 	a.stage.manifest = a.currentManifest
 	a.mgr = weights.New(weights.Config{
 		Self: a.self(), Clock: clock, Log: log,
--- a/agent/internal/onsite/stage.go
+++ b/agent/internal/onsite/stage.go
@@ -22,7 +22,9 @@
 // to download their share of it from the origin, seconds after the other hosts, which wait
 // for that share.
 type stage struct {
-	engine   *platform.Engine
+	engine *platform.Engine
+	// verifier reads chunks back on connections of its own.
+	verifier *platform.Engine
 	guidance *guidanceStore
 	memory   *memoryStore
 	// manifest returns the manifest of the version being fetched; nil while unknown.
@@ -37,7 +39,7 @@
 }
 
 func newStage(engine *platform.Engine, guidance *guidanceStore, memoryCapacity int) *stage {
-	return &stage{engine: engine, guidance: guidance, memory: newMemoryStore(memoryCapacity), indexesByDigest: map[digest][]int{}, digestByIndex: map[int]digest{}}
+	return &stage{engine: engine, verifier: engine, guidance: guidance, memory: newMemoryStore(memoryCapacity), indexesByDigest: map[digest][]int{}, digestByIndex: map[int]digest{}}
 }
 
 // fits reports whether a version of this size fits into memory.
@@ -147,13 +149,22 @@
 	if data, ok := s.memory.get(digest(hash)); ok {
 		return data, nil
 	}
-	return s.readBack(ctx, hash)
+	return s.read(ctx, s.engine, hash)
 }
 
+// beginVerification makes the following calls of readBack use new connections: on a used one, an answer
+// to an earlier read of a chunk may be left over.
+func (s *stage) beginVerification() { s.verifier.CloseIdleConnections() }
+
 // readBack returns a chunk as it is in the staging area now, which is what the engine
-// would load. A corrupted chunk is staged again if memory has a copy of it. If the chunk is
-// staged at several indexes, a corrupted one is returned in preference to an intact one.
+// would load.
 func (s *stage) readBack(ctx context.Context, hash []byte) ([]byte, error) {
+	return s.read(ctx, s.verifier, hash)
+}
+
+// read returns a chunk that the engine sends from its staging area. A corrupted chunk is staged again if memory has a copy of it. If the chunk is
+// staged at several indexes, a corrupted one is returned in preference to an intact one.
+func (s *stage) read(ctx context.Context, engine *platform.Engine, hash []byte) ([]byte, error) {
 	want, ok := s.guidance.newestWanted()
 	indexes := s.indexesOf(digest(hash))
 	if !ok || len(indexes) == 0 {
@@ -161,7 +172,7 @@
 	}
 	var data []byte
 	for _, index := range indexes {
-		staged, err := s.readOrRepair(ctx, want.model, index, digest(hash))
+		staged, err := s.readOrRepair(ctx, engine, want.model, index, digest(hash))
 		if err != nil {
 			return nil, err
 		}
@@ -174,8 +185,8 @@
 
 // readOrRepair returns what is staged at an index. If that is not the expected chunk and
 // memory has a copy of it, the copy is staged and read back first.
-func (s *stage) readOrRepair(ctx context.Context, model string, index int, sum digest) ([]byte, error) {
-	staged, err := s.engine.StagedChunk(ctx, model, index, manifest.MaxChunkBytes)
+func (s *stage) readOrRepair(ctx context.Context, engine *platform.Engine, model string, index int, sum digest) ([]byte, error) {
+	staged, err := engine.StagedChunk(ctx, model, index, manifest.MaxChunkBytes)
 	if err != nil && failure.KindOf(err) != failure.NotFound {
 		return nil, err
 	}
@@ -186,10 +197,10 @@
 	if !ok {
 		return staged, err
 	}
-	if err := s.engine.Stage(ctx, model, index, backup); err != nil {
+	if err := engine.Stage(ctx, model, index, backup); err != nil {
 		return nil, err
 	}
-	return s.engine.StagedChunk(ctx, model, index, manifest.MaxChunkBytes)
+	return engine.StagedChunk(ctx, model, index, manifest.MaxChunkBytes)
 }
 
 // drop forgets a chunk. Its staged bytes stay until another chunk overwrites them.
