gateway: keep a rate limit when an answer of unknown age states none

An answer that names no request, left on a kept connection, was applied to the endpoint's rate limit as of now: one that states no limit removed the limit, for the other entries too (LIMIT). Such an answer may only add a limit or lower it now.

Found by reading the new code for what else an answer decides. The script failed before (the limit was lifted once) and passes with the race detector; not seen in a run of processes.

--- a/entry/internal/gateway/crashcheck_test.go
+++ b/entry/internal/gateway/crashcheck_test.go
@@ -20,6 +20,12 @@
 	return o.text.Write(text)
 }
 
+func (o *logBuffer) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
 // awaitLine waits for a line that contains all words and returns it.
 func (o *logBuffer) awaitLine(t *testing.T, words ...string) string {
 	t.Helper()
--- a/entry/internal/gateway/receive.go
+++ b/entry/internal/gateway/receive.go
@@ -70,7 +70,9 @@
 func (x *exchange) awaitsNamed(grant *fleet.Grant, resp *http.Response, answer call.Answer) bool {
 	x.answerOrigin.unnamed++
 	x.gateway.counters.unnamedAnswers.Add(1)
-	x.applyRateLimit(grant, answer)
+	if answer.Limited && !answer.Misdirected {
+		x.reportLimit(grant, answer, grant.TightenLimit(answer.Limit))
+	}
 	x.applyAvailability(grant, answer)
 	if upstream.EndsWithConnection(resp) {
 		return false
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -218,7 +218,11 @@
 	if answer.Misdirected {
 		return
 	}
-	change := grant.ApplyLimit(answer.Limit, answer.Limited)
+	x.reportLimit(grant, answer, grant.ApplyLimit(answer.Limit, answer.Limited))
+}
+
+// reportLimit logs a changed rate limit and publishes it to the other entries.
+func (x *exchange) reportLimit(grant *fleet.Grant, answer call.Answer, change fleet.LimitChange) {
 	switch change {
 	case fleet.LimitKept:
 		return
--- a/entry/internal/gateway/unnamed_test.go
+++ b/entry/internal/gateway/unnamed_test.go
@@ -18,7 +18,10 @@
 
 // answerParts are the words of the scripts for what an endpoint sends.
 var answerParts = map[string]func(id, body string) []byte{
-	"whole":              func(id, body string) []byte { return complete(body)(id) },
+	"whole": func(id, body string) []byte { return complete(body)(id) },
+	"limited": func(id, body string) []byte {
+		return []byte(head(200, id, fmt.Sprintf("X-Server-Stamp: s\r\nServer-Limit: 50\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+	},
 	"rejection":          func(_, _ string) []byte { return unnamed("503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n") },
 	"rejection-named":    func(id, _ string) []byte { return notRun(id) },
 	"rejection-unframed": func(_, _ string) []byte { return unnamed("503 X\r\nX-Not-Executed: 1\r\n\r\n") },
@@ -54,6 +57,8 @@
 			return "may have run\n"
 		}
 		return fmt.Sprintf("%d %q\n", got.status, strings.TrimSpace(got.body))
+	case "lifted":
+		return fmt.Sprintln(strings.Count(s.h.log.String(), "limited=false"))
 	case "counts":
 		s.mu.Lock()
 		connections := s.connections
--- a/relay/fleet/limit.go
+++ b/relay/fleet/limit.go
@@ -127,6 +127,18 @@
 	return LimitKept
 }
 
+// TightenLimit applies a rate limit of an answer whose age is unknown, unless a lower one is in force.
+func (g *Grant) TightenLimit(perSecond float64) LimitChange {
+	g.group.mu.Lock()
+	current := &g.endpoint.limit
+	tighter := !current.active() || perSecond < current.perSecond
+	g.group.mu.Unlock()
+	if !tighter {
+		return LimitKept
+	}
+	return g.ApplyLimit(perSecond, true)
+}
+
 // LimitReport is a changed limit of an endpoint, as one entry reports it to the others.
 type LimitReport struct {
 	Incarnation
