--- a/agent/internal/onsite/stage.go
+++ b/agent/internal/onsite/stage.go
@@ -162,8 +162,9 @@
 	return s.read(ctx, s.verifier, hash)
 }
 
-// read returns a chunk that the engine sends from its staging area. A corrupted chunk is staged again if memory has a copy of it. If the chunk is
-// staged at several indexes, a corrupted one is returned in preference to an intact one.
+// read returns a chunk from the engine's staging area. A corrupted chunk is staged again if memory
+// has a copy of it. If the chunk is staged at several indexes, a corrupted one is returned in
+// preference to an intact one.
 func (s *stage) read(ctx context.Context, engine *platform.Engine, hash []byte) ([]byte, error) {
 	want, ok := s.guidance.newestWanted()
 	indexes := s.indexesOf(digest(hash))
