onsite: log how old the verification of staged chunks is when a load is ordered

The logs could not tell four hypotheses apart:

The order relies on an old verification: the host stood still between the two. Then verifiedAgeMillis, by a clock that counts suspensions, is over 3000 while verifyMillis is short. 2. The verification itself is slow or stands still: verifyMillis is over 3000. 3. Chunks are written after the verification: stagedSince is over 0. 4. The engine accepts the order late: answerMillis is over 3000.

No decision changes.

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -62,6 +62,7 @@
 	mgr             *weights.Manager
 	stage           *stage
 	clock           clockwork.Clock
+	bootClock       func() time.Duration // counts suspensions of the host
 	log             *slog.Logger
 	self            string       // node ID of this host
 	oldVersionLimit atomic.Int64 // how long a version may be used after a newer one was declared, nanoseconds
@@ -279,8 +280,10 @@
 		l.log.Warn("chunks in memory cannot be staged", "version", name, "error", err)
 		return
 	}
+	written, verifiedAt := l.stage.writeCount(), l.bootClock()
 	l.stage.beginVerification()
 	bad, err := l.mgr.VerifyStored(checkCtx, name)
+	verifyTime, repaired := l.bootClock()-verifiedAt, l.stage.writeCount()-written
 	if bad > 0 || err != nil {
 		l.log.Warn("staged weights are not whole", "version", name, "bad", bad, "error", err)
 		l.retryAt = l.clock.Now().Add(loaderInterval)
@@ -298,12 +301,15 @@
 		l.poller.setLoadPending(false)
 		return
 	}
+	sentAt := l.bootClock()
 	orderCtx, cancelOrder := context.WithTimeout(ctx, orderTimeout)
 	defer cancelOrder()
 	err = l.engine.Load(orderCtx, platform.Order{
 		Model: want.model, Version: want.version, Orders: report.Orders, Fence: want.fence, Cutover: want.cutover,
 	})
-	l.log.Info("order", "version", name, "fence", want.fence, "orders", report.Orders, "running", report.Running, "error", err)
+	l.log.Info("order", "version", name, "fence", want.fence, "orders", report.Orders, "running", report.Running, "error", err,
+		"verifyMillis", verifyTime.Milliseconds(), "verifiedAgeMillis", (sentAt - verifiedAt).Milliseconds(),
+		"answerMillis", (l.bootClock() - sentAt).Milliseconds(), "repaired", repaired, "stagedSince", l.stage.writeCount()-written-repaired)
 	l.poller.poll(ctx)
 	if err == nil {
 		return
--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -22,6 +22,7 @@
 	"comfreyrelay.example/agent/internal/weights"
 	"comfreyrelay.example/platform"
 	"comfreyrelay.example/relay/failure"
+	"comfreyrelay.example/relay/freshness"
 	"comfreyrelay.example/relay/logging"
 	"comfreyrelay.example/relay/manifest"
 	"comfreyrelay.example/relay/node"
@@ -151,7 +152,7 @@
 	})
 	a.stage.onLost = a.mgr.MarkChunkLost
 	a.loader = &loader{
-		engine: engine, poller: a.poller, guidance: a.guidance, mgr: a.mgr, stage: a.stage, clock: clock, log: log,
+		engine: engine, poller: a.poller, guidance: a.guidance, mgr: a.mgr, stage: a.stage, clock: clock, bootClock: freshness.BootClock, log: log,
 		self: a.self().GetId(), linkRate: linkRate(set.GetSite()),
 	}
 	a.apply(set)
--- a/agent/internal/onsite/stage.go
+++ b/agent/internal/onsite/stage.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"comfreyrelay.example/platform"
 	"comfreyrelay.example/relay/failure"
@@ -32,6 +33,7 @@
 	// onLost is called with the hash of a chunk that this host no longer has because
 	// another chunk overwrote it. It may be nil.
 	onLost func(hash []byte)
+	writes atomic.Uint64 // chunks written to the staging area
 
 	mu              sync.Mutex
 	indexesByDigest map[digest][]int // indexes at which a chunk is staged, as far as known
@@ -68,9 +70,18 @@
 	return s.memory.addPending(digest(hash), data)
 }
 
+// write writes a chunk to an index of the staging area.
+func (s *stage) write(ctx context.Context, model string, index int, data []byte) error {
+	s.writes.Add(1)
+	return s.engine.Stage(ctx, model, index, data)
+}
+
+// writeCount returns how many chunks were written to the staging area so far.
+func (s *stage) writeCount() uint64 { return s.writes.Load() }
+
 // stageAt stages a chunk at an index and records it.
 func (s *stage) stageAt(ctx context.Context, model string, index int, sum digest, data []byte) error {
-	if err := s.engine.Stage(ctx, model, index, data); err != nil {
+	if err := s.write(ctx, model, index, data); err != nil {
 		return err
 	}
 	s.memory.markStaged(sum, data)
@@ -198,7 +209,7 @@
 	if !ok {
 		return staged, err
 	}
-	if err := engine.Stage(ctx, model, index, backup); err != nil {
+	if err := s.write(ctx, model, index, backup); err != nil {
 		return nil, err
 	}
 	return engine.StagedChunk(ctx, model, index, manifest.MaxChunkBytes)
