--- a/agent/internal/onsite/onsite_test.go
+++ b/agent/internal/onsite/onsite_test.go
@@ -41,6 +41,12 @@
 
 // newTestSite starts one host per loaded version; 0 means an engine without weights.
 func newTestSite(t *testing.T, loaded ...uint64) *testSite {
+	t.Helper()
+	return newAdjustedSite(t, func(*testSite, *agent) {}, loaded...)
+}
+
+// newAdjustedSite is like newTestSite; adjust may change each agent before it starts.
+func newAdjustedSite(t *testing.T, adjust func(s *testSite, member *agent), loaded ...uint64) *testSite {
 	t.Helper()
 	s := &testSite{origin: platformtest.NewOrigin(testModel)}
 	server := httptest.NewServer(s.origin)
@@ -72,6 +78,7 @@
 		s.nodes = append(s.nodes, &wire.Node{
 			Id: strings.TrimPrefix(engineServer.URL, "http://"), Region: "r", FailureDomain: "d", ControlAddress: lis.Addr().String(),
 		})
+		adjust(s, member)
 		running.Go(func() { _ = member.run(ctx, lis) })
 	}
 	return s
--- a/relay/freshness/freshness_test.go
+++ b/relay/freshness/freshness_test.go
@@ -40,3 +40,17 @@
 		t.Errorf("got %v after %v, want a clock that advances", after, before)
 	}
 }
+
+// Guards against acting on an observation from before a suspension.
+func TestProofExpiresDuringASuspension(t *testing.T) {
+	now := time.Minute
+	proof := freshness.NewProof(func() time.Duration { return now })
+	now += 2 * time.Second
+	if !proof.Holds(2 * time.Second) {
+		t.Errorf("got a proof of age %v expired, want it to hold for 2s", proof.Age())
+	}
+	now += time.Millisecond
+	if proof.Holds(2 * time.Second) {
+		t.Errorf("got a proof of age %v valid, want it expired after 2s", proof.Age())
+	}
+}
