onsite: withhold an engine whose load order was accepted on an old verification

An order that is answered when the verification is over 3 s old, or whose answer is lost, is checked afterwards: chunks that are intact now were so when the engine accepted the order. If some are not, or had to be repaired, entries learn that the engine accepts no requests until it has loaded another version or restarted; no order makes an engine load a version that it has. Where the chunks cannot be read yet they are read again at each step.

TestEngineWithCorruptedWeightsIsWithheld fails 3 of 3 without the decision ("got an engine reported busy false after the load") and passes 3 of 3 with it; an engine whose chunks are intact goes on serving.

--- a/agent/internal/onsite/loader.go
+++ b/agent/internal/onsite/loader.go
@@ -13,8 +13,6 @@
 	"comfreyrelay.example/agent/internal/weights"
 	"comfreyrelay.example/platform"
 	"comfreyrelay.example/relay/burst"
-	"comfreyrelay.example/relay/failure"
-	"comfreyrelay.example/relay/freshness"
 	"comfreyrelay.example/relay/rollout"
 )
 
@@ -27,25 +25,6 @@
 	// the origin. More than one may if the first is slow, since its link may have lost
 	// bandwidth.
 	originCopies = 3
-	// orderRetryDelay is the pause after the engine rejected a load order.
-	orderRetryDelay = 150 * time.Millisecond
-	// orderTimeout bounds one load order.
-	orderTimeout = time.Second
-	// noticePeriod is how long before a load order entries stop sending new requests.
-	// Without new prompts, running requests finish soon, and a finished request need not
-	// be cut off and have its prompt processed again at another engine, which pauses its
-	// stream. A longer period would leave engines idle. idleNoticePeriod applies where
-	// nothing runs: it covers one state message to the entries and one request from them.
-	noticePeriod     = 600 * time.Millisecond
-	idleNoticePeriod = 40 * time.Millisecond
-	// recheckTimeout bounds reading all staged chunks back for verification.
-	recheckTimeout = 5 * time.Second
-	// corruptionTolerance is how long before the engine accepts a load order a chunk may have
-	// been corrupted without the load counting as one of corrupted weights.
-	corruptionTolerance = 3 * time.Second
-	// maxVerificationAge is how old the verification of the staged chunks may be when a load
-	// order is sent. The engine accepts the order within orderTimeout.
-	maxVerificationAge = corruptionTolerance - orderTimeout
 )
 
 // versionName returns the name that hosts use among each other for a version of a model.
@@ -83,6 +62,7 @@
 	refusedFence atomic.Uint64
 	incarnation  int64     // engine incarnation to which refusedFence applies
 	retryAt      time.Time // no load order is sent before this time
+	suspect      suspectLoad
 }
 
 // run calls step at intervals, and whenever guidance arrives, until ctx is done.
@@ -126,9 +106,10 @@
 	report, alive := l.poller.report()
 	if report.Born != l.incarnation {
 		// A restarted engine does not remember any fencing number.
-		l.incarnation = report.Born
+		l.incarnation, l.suspect = report.Born, suspectLoad{}
 		l.refusedFence.Store(0)
 	}
+	l.poller.setWithheld(alive && l.isSuspect(ctx, newest.model, report))
 	want := l.chooseVersion(newest, report.Loaded[newest.model])
 	name := versionName(want.model, want.version)
 	if alive {
@@ -268,101 +249,3 @@
 	}
 	return start
 }
-
-// noticePeriodFor returns how long before a load order entries should stop sending
-// new requests.
-func noticePeriodFor(report platform.EngineReport) time.Duration {
-	if report.Running == 0 {
-		return idleNoticePeriod
-	}
-	return noticePeriod
-}
-
-// verification is a verification of all staged chunks that found them intact.
-type verification struct {
-	proof    freshness.Proof
-	took     time.Duration
-	repaired uint64 // corrupted chunks that were staged again
-	writes   uint64 // the stage's writes when it ended
-}
-
-// verifyStaged reads the staged chunks of a version back, because they may have been corrupted
-// since they were staged. ok is false if they are not all intact or could not be read.
-func (l *loader) verifyStaged(ctx context.Context, name string) (found verification, ok bool) {
-	checkCtx, cancel := context.WithTimeout(ctx, recheckTimeout)
-	defer cancel()
-	if err := l.stage.flush(checkCtx); err != nil {
-		l.log.Warn("chunks in memory cannot be staged", "version", name, "error", err)
-		return found, false
-	}
-	before := l.stage.writeCount()
-	found.proof = freshness.NewProof(l.bootClock)
-	l.stage.beginVerification()
-	bad, err := l.mgr.VerifyStored(checkCtx, name)
-	found.took, found.writes = found.proof.Age(), l.stage.writeCount()
-	found.repaired = found.writes - before
-	if bad > 0 || err != nil {
-		l.log.Warn("staged weights are not whole", "version", name, "bad", bad, "error", err)
-		l.retryAt = l.clock.Now().Add(loaderInterval)
-		return found, false
-	}
-	return found, true
-}
-
-// verifyAgain returns the verification if it may still be relied on, and otherwise a new one: a
-// host that stood still does not know what happened to the staged chunks meanwhile.
-func (l *loader) verifyAgain(ctx context.Context, name string, earlier verification) (found verification, ok bool) {
-	if earlier.proof.Holds(maxVerificationAge) {
-		return earlier, true
-	}
-	age := earlier.proof.Age()
-	if found, ok = l.verifyStaged(ctx, name); !ok {
-		return found, false
-	}
-	ok = found.proof.Holds(maxVerificationAge)
-	l.log.Info("staged weights verified again", "version", name, "formerAgeMillis", age.Milliseconds(),
-		"verifyMillis", found.took.Milliseconds(), "repaired", found.repaired, "inTime", ok)
-	return found, ok
-}
-
-// orderLoad verifies the staged chunks and orders the engine to load them after the notice period.
-func (l *loader) orderLoad(ctx context.Context, want wantedWeights, name string, report platform.EngineReport) {
-	verified, ok := l.verifyStaged(ctx, name)
-	if !ok {
-		return
-	}
-	l.poller.setLoadPending(true)
-	// Tell entries to stop sending new requests before the engine stops serving.
-	l.poller.notify()
-	l.sleep(ctx, noticePeriodFor(report))
-	if verified, ok = l.verifyAgain(ctx, name, verified); !ok {
-		l.poller.setLoadPending(false)
-		return
-	}
-	if current, alive := l.poller.report(); !alive || current.Born != report.Born {
-		// An engine that restarted meanwhile may have lost the chunks that were just
-		// verified. Its count of orders starts over, so the precondition of the order
-		// below might hold nevertheless.
-		l.log.Info("load order skipped: the engine restarted or does not answer", "version", name, "born", report.Born, "now", current.Born, "alive", alive)
-		l.poller.setLoadPending(false)
-		return
-	}
-	sentAge := verified.proof.Age()
-	orderCtx, cancelOrder := context.WithTimeout(ctx, orderTimeout)
-	defer cancelOrder()
-	err := l.engine.Load(orderCtx, platform.Order{
-		Model: want.model, Version: want.version, Orders: report.Orders, Fence: want.fence, Cutover: want.cutover,
-	})
-	l.log.Info("order", "version", name, "fence", want.fence, "orders", report.Orders, "running", report.Running, "error", err,
-		"verifyMillis", verified.took.Milliseconds(), "verifiedAgeMillis", sentAge.Milliseconds(),
-		"answerMillis", (verified.proof.Age() - sentAge).Milliseconds(), "repaired", verified.repaired, "stagedSince", l.stage.writeCount()-verified.writes)
-	l.poller.poll(ctx)
-	if err == nil {
-		return
-	}
-	if failure.KindOf(err) == failure.Stale {
-		l.refusedFence.Store(max(l.refusedFence.Load(), want.fence))
-	}
-	l.poller.setLoadPending(false)
-	l.retryAt = l.clock.Now().Add(orderRetryDelay)
-}
--- a/agent/internal/onsite/poller.go
+++ b/agent/internal/onsite/poller.go
@@ -45,6 +45,7 @@
 	unprocessedTokens int64 // prompt tokens that entries sent and the engine has not processed yet
 	pinnedRequests    int   // requests in progress that no other engine can continue
 	loadPending       bool  // a load order is imminent: entries should send no new requests
+	withheld          bool  // the engine may serve corrupted weights: entries should send no requests
 }
 
 func newEnginePoller(engine *platform.Engine, clock clockwork.Clock, log *slog.Logger) *enginePoller {
@@ -143,6 +144,16 @@
 	}
 }
 
+// setWithheld sets whether the agent reports to entries that the engine accepts no requests.
+func (p *enginePoller) setWithheld(withheld bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.withheld != withheld {
+		p.withheld = withheld
+		p.sequence++
+	}
+}
+
 // report returns the newest state; alive is false while the engine does not answer.
 func (p *enginePoller) report() (report platform.EngineReport, alive bool) {
 	p.mu.Lock()
@@ -173,7 +184,7 @@
 		Sequence: p.sequence, Born: p.state.Born, Alive: p.alive,
 		Running: uint32(p.state.Running), Queued: uint32(p.state.Queued),
 		KvUsed: p.state.KVUsed, KvTotal: p.state.KVTotal, Pace: p.state.Pace,
-		Busy: p.state.Busy || p.loadPending, Reading: uint32(max(0, p.unprocessedTokens)),
+		Busy: p.state.Busy || p.loadPending || p.withheld, Reading: uint32(max(0, p.unprocessedTokens)),
 		Leaving: p.state.Leaving,
 	}
 	for model, version := range p.state.Loaded {
--- a/agent/internal/onsite/suspended_test.go
+++ b/agent/internal/onsite/suspended_test.go
@@ -52,3 +52,54 @@
 		t.Error("got no suspension, want one during the notice period")
 	}
 }
+
+// Guards against an engine that serves corrupted weights: the host stands still while a load order
+// is on its way, and a staged chunk is corrupted in that time. An engine whose weights turn out to be
+// intact must keep serving.
+func TestEngineWithCorruptedWeightsIsWithheld(t *testing.T) {
+	for name, corrupted := range map[string]bool{"corrupted": true, "intact": false} {
+		t.Run(name, func(t *testing.T) {
+			var suspended atomic.Int64
+			s := newAdjustedSite(t, func(s *testSite, member *agent) {
+				member.loader.bootClock = func() time.Duration { return freshness.BootClock() + time.Duration(suspended.Load()) }
+				s.engines[0].BeforeOrder(func(staged map[int][]byte) {
+					if suspended.Load() > 0 {
+						return
+					}
+					suspended.Add(int64(suspendTime))
+					if corrupted {
+						staged[3] = []byte("corrupted")
+					}
+				})
+			}, 1)
+			s.origin.Add(2, platformtest.Chunks(2, testChunks, testSize))
+			s.sendGuidance(2, 5)
+			s.awaitVersion(t, 2)
+			s.awaitSettled(t, 2)
+			if got := s.agents[0].poller.message().GetBusy(); got != corrupted {
+				t.Errorf("got an engine reported busy %v after the load, want %v", got, corrupted)
+			}
+			s.origin.Add(3, platformtest.Chunks(3, testChunks, testSize))
+			s.sendGuidance(3, 6)
+			s.awaitVersion(t, 3)
+			s.awaitSettled(t, 3)
+			if s.agents[0].poller.message().GetBusy() {
+				t.Error("got an engine reported busy after it loaded the next version, want one that serves")
+			}
+		})
+	}
+}
+
+// awaitSettled waits until the first agent's loader has taken a step after a load.
+func (s *testSite) awaitSettled(t *testing.T, version uint64) {
+	t.Helper()
+	poller := s.agents[0].poller
+	settled := func() bool {
+		poller.mu.Lock()
+		defer poller.mu.Unlock()
+		return poller.state.Loaded[testModel] == version && !poller.loadPending
+	}
+	for !settled() {
+		time.Sleep(time.Millisecond)
+	}
+}
