onsite: read the engine's report again before a load order

An engine that restarted without staged chunks meanwhile has its count of orders reset, so that the precondition of the order holds and it loads chunks that are missing (WHOLE). Found by reading, not seen in a run of processes.

One more report from the agent's own host for each load.

--- a/agent/internal/onsite/order.go
+++ b/agent/internal/onsite/order.go
@@ -153,6 +153,8 @@
 		l.poller.setLoadPending(false)
 		return
 	}
+	// The newest report may be from before a suspension of this host.
+	l.poller.poll(ctx)
 	if current, alive := l.poller.report(); !alive || current.Born != report.Born {
 		// An engine that restarted meanwhile may have lost the chunks that were just
 		// verified. Its count of orders starts over, so the precondition of the order
--- a/agent/internal/onsite/suspended_test.go
+++ b/agent/internal/onsite/suspended_test.go
@@ -15,17 +15,18 @@
 // suspendTime is how long the tests' hosts stand still.
 const suspendTime = 4 * time.Second
 
-// noticeClock is a clock that calls onNotice when the loader waits for the notice period of a busy engine.
+// noticeClock is a clock that calls onNotice in place of the notice period of a busy engine.
 type noticeClock struct {
 	clockwork.Clock
 	onNotice func()
 }
 
 func (c noticeClock) After(wait time.Duration) <-chan time.Time {
-	if wait == noticePeriod {
-		c.onNotice()
+	if wait != noticePeriod {
+		return c.Clock.After(wait)
 	}
-	return c.Clock.After(wait)
+	c.onNotice()
+	return c.Clock.After(0)
 }
 
 // Guards against an engine that serves corrupted weights (rule WHOLE of the platform): a staged chunk is
@@ -53,6 +54,23 @@
 	}
 }
 
+// Guards against an engine that loads missing chunks: it restarts without any while its agent stands
+// still, and the agent sends the order by a report from before.
+func TestLoadOrderAfterSuspensionReadsReportAgain(t *testing.T) {
+	var once sync.Once
+	s := newAdjustedSite(t, func(s *testSite, member *agent) {
+		engine := s.engines[len(s.engines)-1]
+		engine.SetRunning(1) // idle engines get a shorter notice
+		member.loader.clock = noticeClock{member.loader.clock, func() {
+			once.Do(func() { engine.Restart(2000, true) })
+		}}
+	}, 1)
+	s.origin.Add(2, platformtest.Chunks(2, testChunks, testSize))
+	s.sendGuidance(2, 5)
+	s.awaitVersion(t, 2)
+	s.checkLoads(t)
+}
+
 // Guards against an engine that serves corrupted weights: the host stands still while a load order
 // is on its way, and a staged chunk is corrupted in that time. An engine whose weights turn out to be
 // intact must keep serving.
