freshness: count suspensions in the time of entries and agents on a platform

An entry took an older version of weights for usable, an endpoint's report for recent, and a caller's deadline for later, by the length of the suspension; an agent loaded a version as much later. Keys and the freshness of the configuration had a clock that counts suspensions already.

freshness.Clock gives both one time that includes suspensions and does not step with the time of day. It compares the two clocks of the machine at most every 20 ms, so that it costs no system call per reading; a Proof still reads the one that counts suspensions itself. Timers run as before; what they guard checks the time again when it acts.

Found by reading; the machines and stand-ins here cannot suspend, so no run shows it. Processes with the product's own document keep their clocks: leases compare the time of day too.

--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -120,7 +120,7 @@
 }
 
 func newAgent(set *wire.AgentSettings, log *slog.Logger) *agent {
-	clock := clockwork.NewRealClock()
+	clock := freshness.NewClock()
 	engineURL := strings.TrimSuffix(set.GetEndpointUrl(), "/")
 	engine := platform.NewEngine(engineURL, newEngineHTTPClient())
 	a := &agent{
--- a/agent/internal/onsite/suspended_test.go
+++ b/agent/internal/onsite/suspended_test.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// Guards against an agent whose deadlines for loading a version are later by the time for which its
+// machine was suspended (rule VERSION of the platform).
+func TestAgentClockCountsSuspensions(t *testing.T) {
+	s := newTestSite(t, 1)
+	if _, ok := s.agents[0].clock.(*freshness.Clock); !ok {
+		t.Errorf("got a clock of type %T, want one that counts suspensions", s.agents[0].clock)
+	}
+}
+
 // Guards against an engine that loads missing chunks: it restarts without any while its agent stands
 // still, and the agent sends the order by a report from before.
 func TestLoadOrderAfterSuspensionReadsReportAgain(t *testing.T) {
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -85,7 +85,7 @@
 }
 
 func newEntry(cfg *wire.EntrySettings, log *slog.Logger) *entry {
-	clock := clockwork.NewRealClock()
+	clock := freshness.NewClock()
 	self := node.Describe(cfg.GetNode(), peer.RoleEntry, cfg.GetCallersAddress())
 	e := &entry{
 		cfg: cfg, log: log, clock: clock,
--- a/relay/freshness/freshness_test.go
+++ b/relay/freshness/freshness_test.go
@@ -54,3 +54,37 @@
 		t.Errorf("got a proof of age %v valid, want it expired after 2s", proof.Age())
 	}
 }
+
+// Guards against ages and deadlines that a suspension stretches: the steady clock stands still.
+func TestClockCountsSuspensions(t *testing.T) {
+	boot, steady := time.Minute, time.Second
+	clock := freshness.NewClockOf(time.Now(), func() time.Duration { return boot }, func() time.Duration { return steady })
+	since := clock.Now()
+	boot, steady = boot+time.Second, steady+time.Second
+	if got, want := clock.Since(since), time.Second; got != want {
+		t.Errorf("got %v after a second, want %v", got, want)
+	}
+	boot, steady = boot+4*time.Second, steady+20*time.Millisecond
+	if got, want := clock.Since(since).Round(100*time.Millisecond), 5*time.Second; got != want {
+		t.Errorf("got %v after a suspension of 4s, want %v", got, want)
+	}
+}
+
+// Guards against a clock that stays ahead because its process stood still between two readings.
+func TestClockIgnoresPauseBetweenReadings(t *testing.T) {
+	now, pause, startedAt := time.Duration(0), 4*time.Second, time.Now()
+	read := func() time.Duration { return now }
+	clock := freshness.NewClockOf(startedAt, read, func() time.Duration { now += pause; return now })
+	pause = 0
+	for range 2 {
+		now += time.Second
+		if got := clock.Since(startedAt.Round(0)); got > now {
+			t.Errorf("got %v, want at most %v", got, now)
+		}
+	}
+	before := clock.Now()
+	now += time.Second
+	if got, want := clock.Since(before), time.Second; got != want {
+		t.Errorf("got %v after a second, want %v", got, want)
+	}
+}
