onsite: log large and slow answers of the store and what an entry follows

The collected logs of the incident could not tell whether a change was late because many entries read it over one link: nothing said how long an answer of the store took, how large it was, or why an entry that follows others began to read the store itself.

- storeTransport logs answers from 64 KB on and bodies that took 200 ms: path, bytes, time to the head and for the body.
- Follower logs each change between the store and other entries as the source, with the age that decided.
- Metrics: configAgeMillis, configVersion and outdatedRoutes, requests routed by a configuration that was not proven to be the newest within its bound.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -208,6 +208,9 @@
 		}
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
+	if !known || age > bounds.MaxConfigAge {
+		g.counters.outdatedRoutes.Add(1)
+	}
 	x.route = route
 	x.service = route.Service(x.req.ID)
 	x.initAdmission()
--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -28,6 +28,9 @@
 	// unnamedAnswers counts answers without an ID on connections that returned one before.
 	unnamedAnswers atomic.Int64
 	droppedAnswers atomic.Int64 // answers to other requests
+	// outdatedRoutes counts requests whose route comes from a configuration that was not proven to be
+	// the newest within its bound.
+	outdatedRoutes atomic.Int64
 }
 
 // Counters returns the metrics by name.
@@ -35,7 +38,15 @@
 	conns := g.cfg.Pool.Counts()
 	ledger := g.cfg.State.Ledger()
 	suspects, ends := ledger.Size()
+	age, _ := g.cfg.State.Freshness().Age()
+	version := uint64(0)
+	if cat := g.cfg.State.Catalog(); cat != nil {
+		version = cat.Version()
+	}
 	return map[string]int64{
+		"configAgeMillis":           age.Milliseconds(),
+		"configVersion":             int64(version),
+		"outdatedRoutes":            g.counters.outdatedRoutes.Load(),
 		"served":                    g.counters.served.Load(),
 		"refused":                   g.counters.refused.Load(),
 		"failed":                    g.counters.failed.Load(),
--- a/entry/internal/onsite/store_client.go
+++ b/entry/internal/onsite/store_client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptrace"
@@ -19,6 +20,10 @@
 const (
 	maxIdleStoreConns = 3
 	storeIdleTimeout  = 20 * time.Second
+	// loggedAnswerBytes and loggedAnswerTime are the size of an answer and the time for its body from
+	// which on it is logged. Entries of a region share the link over which they read.
+	loggedAnswerBytes = 64 << 10
+	loggedAnswerTime  = 200 * time.Millisecond
 )
 
 // storeTransport sends the calls to the store and records in a Contact which of them were answered.
@@ -81,10 +86,35 @@
 	default:
 		t.react(t.contact.Answered(call.began, !reused.Load()))
 	}
+	resp.Body = &storeBody{ReadCloser: resp.Body, transport: t, path: req.URL.Path, began: call.began, headAt: t.contact.Now()}
 	// The request's own context, which the client cancels once it has read the body, ends ctx.
 	return resp, nil
 }
 
+// storeBody is the body of an answer. It is logged once it is closed, if it was large or slow.
+type storeBody struct {
+	io.ReadCloser
+	transport     *storeTransport
+	path          string
+	began, headAt time.Duration // of the call, and when the head of its answer arrived
+	bytes         int
+}
+
+func (b *storeBody) Read(into []byte) (int, error) {
+	count, err := b.ReadCloser.Read(into)
+	b.bytes += count
+	return count, err
+}
+
+func (b *storeBody) Close() error {
+	took := b.transport.contact.Now() - b.headAt
+	if b.bytes >= loggedAnswerBytes || took >= loggedAnswerTime {
+		b.transport.log.Info("large or slow answer of the store", "path", b.path, "bytes", b.bytes,
+			"headMillis", (b.headAt - b.began).Milliseconds(), "bodyMillis", took.Milliseconds())
+	}
+	return b.ReadCloser.Close()
+}
+
 // refusesCalls reports whether a status means that the store does not serve this process for now. It
 // may refuse the owners of registrations too.
 func refusesCalls(status int) bool {
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -114,6 +114,7 @@
 	// unwatched is set while other entries are followed instead of the store, and after a failed
 	// call. Changes that the store then sends at once may have been made in between.
 	unwatched bool
+	following bool // other entries are followed instead of the store
 }
 
 // Run follows the store, or the entries that this one follows, until ctx ends.
@@ -131,9 +132,11 @@
 		}
 		if trust := f.sourceTrust(); synced && trust > 0 {
 			f.unwatched = true
+			f.setFollowing(true)
 			f.sleep(ctx, min(trust, sourceCheckInterval))
 			continue
 		}
+		f.setFollowing(false)
 		if f.down && f.Clock.Since(f.lastSuccessAt) > maxHistoryOutage {
 			synced = false
 		}
@@ -165,6 +168,18 @@
 	}
 }
 
+// setFollowing records whether other entries are followed instead of the store, and logs changes with
+// the state that decided them.
+func (f *Follower) setFollowing(following bool) {
+	if f.following == following {
+		return
+	}
+	f.following = following
+	age, proven := f.State.Freshness().Age()
+	f.Log.Info("source of changes", "otherEntries", following, "ageMillis", age.Milliseconds(), "proven", proven,
+		"revision", f.Mirror.Revision(), "sourcesReachStore", f.SourcesReachStore != nil && f.SourcesReachStore())
+}
+
 // join reads the entries' registrations and, if this entry follows others, waits for them to
 // send the store's keys. Otherwise entries of a region that start together would each read
 // the whole store over the same link.
