gateway, onsite: add failing tests of a change that reaches entries late

- TestConfigurationThatMayBeReplacedRoutesNothing: an entry routes by a configuration that was last proven to be the newest longer ago than the bound, though the store answers it.

--- a/entry/internal/gateway/gateway_test.go
+++ b/entry/internal/gateway/gateway_test.go
@@ -196,6 +196,30 @@
 	h.send(t, "/open/a", "", "").check(t, 200, "ok", true)
 }
 
+// Guards against requests that are routed by a configuration that was replaced longer ago than the
+// bound for a change, while the newer one is still on its way to the entry.
+func TestConfigurationThatMayBeReplacedRoutesNothing(t *testing.T) {
+	ep := newEndpoint(t, "i-1")
+	h := newDeployment(t, ep)
+	h.freshnessNow = 1900 * time.Millisecond
+	h.state.Contact().Answered(h.freshnessNow, false)
+	h.send(t, "/once/a", "key-1", "").check(t, 200, "ok", true)
+	h.send(t, "/open/a", "", "").check(t, 200, "ok", true)
+	h.freshnessNow = 2100 * time.Millisecond
+	for path, key := range map[string]string{"/once/a": "key-1", "/open/a": ""} {
+		got := h.send(t, path, key, "")
+		got.check(t, 503, "", true)
+		if got.header.Get("Retry-After") == "" {
+			t.Errorf("got no Retry-After for %s, want one", path)
+		}
+	}
+	if got, want := requestCount(ep), 2; got != want {
+		t.Errorf("got %d requests at the endpoint, want %d", got, want)
+	}
+	h.state.Freshness().Prove(h.freshnessNow)
+	h.send(t, "/once/a", "key-1", "").check(t, 200, "ok", true)
+}
+
 // Guards against an entry that reconnects to the store and runs a request with a revoked key, or
 // refuses a new route with 404. An update arrives and is confirmed while the request is being
 // routed: if the configuration is read before its age, the old one counts as just confirmed.
