gateway: route nothing by a configuration that may have been replaced longer ago than the bound

Cause: an entry knew that it had not proven its configuration for longer than the bound, and used that only against final refusals (401, 404) and, later, keys. A route that it found was used at any age.

Change: a request is answered 503 with Retry-After, and its connection closed, once the configuration is older than the bound while the store is available. Available means: a call was answered within 1.5 s and none was refused on a new connection since, or a part of an answer arrived within 1 s here or at a source. In an outage nothing can be changed, so routing goes on as before until the keys' bound.

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -44,7 +44,8 @@
 	// MaxKeyAge is the maximum age of the configuration by which a key is accepted, so that a
 	// revoked key stops working within this time.
 	MaxKeyAge time.Duration
-	// MaxConfigAge is the maximum age of the configuration by which a request is refused for good.
+	// MaxConfigAge is the maximum age of the configuration by which a request is refused for good, or
+	// routed while the store is available.
 	MaxConfigAge time.Duration
 	// VersionRollout is how long after its declaration a model version must be in use everywhere.
 	VersionRollout time.Duration
@@ -194,7 +195,8 @@
 
 // route finds the request's route and customer. A request is refused for good only by a
 // configuration that is known to be current. If it may be out of date, the caller is asked to
-// retry.
+// retry. A configuration that may have been replaced longer ago than the bound for a change does not
+// route requests either, because they would be handled by what is no longer in force.
 //
 // Rule LIMIT of spec/freshness.pml.
 func (g *Gateway) route(x *exchange) *refusal {
@@ -209,6 +211,11 @@
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
 	if !known || age > bounds.MaxConfigAge {
+		if g.cfg.State.Contact().Available() {
+			g.counters.outdatedRefusals.Add(1)
+			return &refusal{status: http.StatusServiceUnavailable, reason: "the configuration may be out of date", retryAfter: shortRetryAfter, closeConn: true}
+		}
+		// Nothing is changed while the store is unavailable.
 		g.counters.outdatedRoutes.Add(1)
 	}
 	x.route = route
--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -28,9 +28,9 @@
 	// unnamedAnswers counts answers without an ID on connections that returned one before.
 	unnamedAnswers atomic.Int64
 	droppedAnswers atomic.Int64 // answers to other requests
-	// outdatedRoutes counts requests whose route comes from a configuration that was not proven to be
-	// the newest within its bound.
-	outdatedRoutes atomic.Int64
+	// outdatedRoutes counts requests that were routed, and outdatedRefusals those that were refused,
+	// by a configuration that was not proven to be the newest within its bound.
+	outdatedRoutes, outdatedRefusals atomic.Int64
 }
 
 // Counters returns the metrics by name.
@@ -47,6 +47,7 @@
 		"configAgeMillis":           age.Milliseconds(),
 		"configVersion":             int64(version),
 		"outdatedRoutes":            g.counters.outdatedRoutes.Load(),
+		"outdatedRefusals":          g.counters.outdatedRefusals.Load(),
 		"served":                    g.counters.served.Load(),
 		"refused":                   g.counters.refused.Load(),
 		"failed":                    g.counters.failed.Load(),
--- a/entry/internal/onsite/news_client.go
+++ b/entry/internal/onsite/news_client.go
@@ -168,6 +168,7 @@
 		s.countStoreBacked(&storeBacked, !reply.GetStoreLost())
 		if storeBacked {
 			s.lastStoreBackedReply.Store(s.clock.Now().UnixNano())
+			s.state.Contact().Received()
 		}
 		if !up {
 			up = true
--- a/entry/internal/onsite/store_client.go
+++ b/entry/internal/onsite/store_client.go
@@ -102,7 +102,10 @@
 
 func (b *storeBody) Read(into []byte) (int, error) {
 	count, err := b.ReadCloser.Read(into)
-	b.bytes += count
+	if count > 0 {
+		b.bytes += count
+		b.transport.contact.Received()
+	}
 	return count, err
 }
 
--- a/relay/site/contact.go
+++ b/relay/site/contact.go
@@ -18,6 +18,12 @@
 	// recoveryGrace is how long a registration may be missing after the store recovers
 	// although its owner is alive: owners register again within two seconds.
 	recoveryGrace = 2200 * time.Millisecond
+	// answerMemory is for how long an answered call shows that the store is available: the time
+	// between two renewals of a registration, and that for an unanswered one to be repeated.
+	answerMemory = 1500 * time.Millisecond
+	// receiptMemory is for how long a part of an answer, or a source that reaches the store, shows
+	// it. Both arrive several times a second.
+	receiptMemory = time.Second
 )
 
 // ErrSilentConnection is the error of a call to the store that was ended because its connection went
@@ -43,6 +49,9 @@
 	// outageEndedAt is when the latest outage ended in which registrations may have lapsed.
 	outageEndedAt time.Duration
 	hadOutage     bool
+	// receivedAt is when the latest part of an answer arrived, here or at a source.
+	receivedAt time.Duration
+	received   bool
 	// silence is for how long the latest call on an open connection waited in vain, and silentAt
 	// is when it was given up. Both are zero if a call was answered since.
 	silence, silentAt time.Duration
@@ -137,6 +146,24 @@
 	c.silence, c.silentAt = now-began, now
 }
 
+// Received records that a part of an answer arrived, at this process or at an entry that it follows.
+func (c *Contact) Received() {
+	now := c.clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receivedAt, c.received = now, true
+}
+
+// Available reports whether the store is known to be available, so that operators can change what it
+// holds.
+func (c *Contact) Available() bool {
+	now := c.clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answers := c.known && !c.refused && now-c.availableUntil <= answerMemory
+	return answers || c.received && now-c.receivedAt <= receiptMemory
+}
+
 // GraceLeft returns for how much longer registrations that end are kept, because the store may just
 // have been unavailable to their owners.
 func (c *Contact) GraceLeft() time.Duration {
--- a/relay/site/contact_test.go
+++ b/relay/site/contact_test.go
@@ -65,3 +65,32 @@
 	}
 	return strings.Join(shown, " ")
 }
+
+// Guards against requests that are refused throughout an outage of the store, in which nothing can be
+// changed, and against a store that passes for unavailable while it sends a large answer.
+func TestStoreIsAvailableWhileItAnswers(t *testing.T) {
+	now := time.Duration(0)
+	contact := site.NewContact(func() time.Duration { return now })
+	check := func(when string, want bool) {
+		t.Helper()
+		if got := contact.Available(); got != want {
+			t.Errorf("%s: got available %t, want %t", when, got, want)
+		}
+	}
+	check("before the first call", false)
+	contact.Answered(now, true)
+	now += time.Second
+	check("between two renewals", true)
+	now += time.Second
+	check("without an answer for two renewals", false)
+	contact.Received()
+	check("during a large answer", true)
+	contact.Unanswered(now, true)
+	check("while a large answer delays others", true)
+	now += 1500 * time.Millisecond
+	contact.Answered(now, true)
+	contact.Unanswered(now, false)
+	check("after a silent connection", true)
+	contact.Unanswered(now, true)
+	check("after a refused call", false)
+}
