site: leave a change to sources that are slow to read it

Cause: an entry that follows others reads the store itself once their data is older than the bound less 0.6 s. Two sources that read 849 KB over the link between regions are that slow if the change comes late in their watch. All followers then begin to read the same value over the same link: twelve readers need 4.3 s in place of 0.7, the sources' own calls and the renewals time out, all entries count the store as lost and read again. The class: a fallback that answers congestion with more load on what is congested.

Change: while a source answers and reaches the store, an entry whose data is too old asks for the newest revision alone. If it is the one it knows, that is its proof. If not, it leaves the change to the sources for 4 to 6 s, and reads only what changed of the endpoints, so that leaving ones get nothing. Without such a source it reads the store at once, as before.

--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -133,7 +133,7 @@
 	}
 	follower := &site.Follower{
 		Store: e.store, State: e.state, Mirror: e.mirror, Clock: e.clock, Log: e.log, SourceTrust: news.storeNotNeededFor, WatchTimeout: news.watchWait,
-		EntriesPrefix: platform.EntryPrefix, HasSources: news.followsOthers, SourcesReachStore: news.sourceHasStore,
+		EndpointsPrefix: platform.EndpointPrefix, EntriesPrefix: platform.EntryPrefix, HasSources: news.followsOthers, SourcesReachStore: news.sourceHasStore,
 	}
 	agentFeeds := &feedManager{state: e.state, pool: pool, agentPort: e.cfg.GetSite().GetAgentPort(),
 		entryID: e.cfg.GetNode().GetId(), domain: e.self.FailureDomain,
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -46,6 +46,13 @@
 	minJoinWait = time.Second
 	// maxJoinWait bounds that wait while the other entries keep answering.
 	maxJoinWait = 8 * time.Second
+	// maxSourceWait is the minimum time for which a change is left to sources that reach the store,
+	// and are slow to read it. An entry waits up to one and a half times as long, so that entries
+	// which waited in vain don't all read at the same moment. Two sources of a region take 2.3 s
+	// for the largest value over a link of 10 Mbit/s.
+	maxSourceWait = 4 * time.Second
+	// historyWait is the wait time of a watch that only asks for changes already made.
+	historyWait = time.Millisecond
 	// meanRetryDelay is the mean delay before a failed call is retried.
 	meanRetryDelay = 120 * time.Millisecond
 )
@@ -94,6 +101,9 @@
 	// WatchTimeout returns the timeout of one watch. Nil means watchWait.
 	WatchTimeout func() time.Duration
 
+	// EndpointsPrefix is the key prefix of the endpoints' registrations. An entry whose sources are
+	// slow reads only their changes itself.
+	EndpointsPrefix string
 	// EntriesPrefix is the key prefix of the entries' registrations. If it is empty, a
 	// starting entry reads the whole store itself.
 	EntriesPrefix string
@@ -115,6 +125,8 @@
 	// call. Changes that the store then sends at once may have been made in between.
 	unwatched bool
 	following bool // other entries are followed instead of the store
+	// sourcesUntil is until when the known change is left to the sources; zero if there is none.
+	sourcesUntil time.Time
 }
 
 // Run follows the store, or the entries that this one follows, until ctx ends.
@@ -133,9 +145,18 @@
 		if trust := f.sourceTrust(); synced && trust > 0 {
 			f.unwatched = true
 			f.setFollowing(true)
+			f.sourcesUntil = time.Time{}
 			f.sleep(ctx, min(trust, sourceCheckInterval))
 			continue
 		}
+		if synced && f.sourcesReachStore() && f.leavesChangeToSources() {
+			if err = f.checkBesideSources(ctx); err == nil {
+				continue
+			}
+			f.recordFailure(ctx, err)
+			f.sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
+			continue
+		}
 		f.setFollowing(false)
 		if f.down && f.Clock.Since(f.lastSuccessAt) > maxHistoryOutage {
 			synced = false
@@ -177,7 +198,49 @@
 	f.following = following
 	age, proven := f.State.Freshness().Age()
 	f.Log.Info("source of changes", "otherEntries", following, "ageMillis", age.Milliseconds(), "proven", proven,
-		"revision", f.Mirror.Revision(), "sourcesReachStore", f.SourcesReachStore != nil && f.SourcesReachStore())
+		"revision", f.Mirror.Revision(), "sourcesReachStore", f.sourcesReachStore())
+}
+
+// sourcesReachStore reports whether a followed entry answers and reaches the store.
+func (f *Follower) sourcesReachStore() bool {
+	return f.SourcesReachStore != nil && f.SourcesReachStore()
+}
+
+// leavesChangeToSources reports whether the sources still have time to bring a change that they lack.
+func (f *Follower) leavesChangeToSources() bool {
+	return f.sourcesUntil.IsZero() || f.Clock.Now().Before(f.sourcesUntil)
+}
+
+// checkBesideSources asks the store whether the data of the sources, which became too old, is still
+// the newest. If not, the sources are probably reading a large value. If all entries that follow them
+// read it too, it would cross the link that they share once for each, and none would have it in time.
+// Only the changes of endpoints are read, which must not wait for it.
+func (f *Follower) checkBesideSources(ctx context.Context) error {
+	asked := f.State.Freshness().Now()
+	_, revision, err := f.Store.Watch(ctx, "", kv.Latest, 0)
+	if err != nil {
+		return err
+	}
+	f.recordSuccess()
+	known := f.Mirror.Revision()
+	if revision == known {
+		f.sourcesUntil = time.Time{}
+		f.State.Freshness().Prove(asked)
+		f.sleep(ctx, minWatchInterval)
+		return nil
+	}
+	if f.sourcesUntil.IsZero() {
+		f.sourcesUntil = f.Clock.Now().Add(maxSourceWait + rand.N(maxSourceWait/2))
+		age, _ := f.State.Freshness().Age()
+		f.Log.Info("leaving a change to the sources", "revision", known, "newest", revision, "ageMillis", age.Milliseconds())
+	}
+	changes, _, err := f.Store.Watch(ctx, f.EndpointsPrefix, known, historyWait)
+	if err != nil && failure.KindOf(err) != failure.Stale {
+		return err
+	}
+	f.Mirror.ApplySome(changes)
+	f.sleep(ctx, sourceCheckInterval)
+	return nil
 }
 
 // join reads the entries' registrations and, if this entry follows others, waits for them to
@@ -199,7 +262,7 @@
 	began := f.Clock.Now()
 	timeout := f.Clock.After(minJoinWait + rand.N(minJoinWait))
 	syncing := func() bool {
-		return f.SourcesReachStore != nil && f.SourcesReachStore() && f.Clock.Since(began) < maxJoinWait
+		return f.sourcesReachStore() && f.Clock.Since(began) < maxJoinWait
 	}
 	for {
 		changed := f.State.Changed()
--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// ApplySome merges some of the changes after the known revision, which does not advance: other changes
+// may be missing.
+func (m *Mirror) ApplySome(changes []kv.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applyLocked(changes, 0, false)
+}
+
 // Reset merges a full read of the store at a revision and treats known keys that are
 // missing from it as deleted. Live is as in Apply.
 func (m *Mirror) Reset(entries []kv.Entry, revision uint64, live bool) {
