site: leave time in a watch for its answer

Cause: with a bound of 2 s a watch of 1.8 s leaves 0.2 s for the answer. A large change that comes at the end of the watch takes 0.2 to 0.6 s over the link between regions, and a slow store delays each answer; both make the configuration older than its bound for a moment, and since routes are bounded, requests are refused meanwhile.

Change: the timeout of a watch is shorter by twice the delay of the latest answer and by the time that a large answer took within the last minute. Where answers take no time it stays 1.8 s. The store counts as available for 1.2 s after an answer in place of 1.5, the time between two renewals: an outage is noticed sooner.

What remains is the first second of the outage, where it hits watches that are nearly over.

--- a/entry/internal/onsite/news_client.go
+++ b/entry/internal/onsite/news_client.go
@@ -68,8 +68,11 @@
 	return s.clock.Now().UnixNano()-s.lastStoreBackedReply.Load() < int64(newsTimeout)
 }
 
-// watchWait returns the wait time of this entry's own watches of the store.
-func (s *newsClient) watchWait() time.Duration { return site.WatchWait(s.apply(), s.followed.Load()) }
+// watchWait returns the wait time of this entry's own watches of the store, given the time that an
+// answer may take.
+func (s *newsClient) watchWait(answer time.Duration) time.Duration {
+	return site.WatchWait(s.apply(), s.followed.Load(), answer)
+}
 
 // run keeps a stream open to each source until ctx is cancelled.
 func (s *newsClient) run(ctx context.Context) {
--- a/entry/internal/onsite/store_client.go
+++ b/entry/internal/onsite/store_client.go
@@ -20,10 +20,10 @@
 const (
 	maxIdleStoreConns = 3
 	storeIdleTimeout  = 20 * time.Second
-	// loggedAnswerBytes and loggedAnswerTime are the size of an answer and the time for its body from
+	// largeAnswerBytes and slowAnswerTime are the size of an answer and the time for its body from
 	// which on it is logged. Entries of a region share the link over which they read.
-	loggedAnswerBytes = 64 << 10
-	loggedAnswerTime  = 200 * time.Millisecond
+	largeAnswerBytes = 64 << 10
+	slowAnswerTime   = 200 * time.Millisecond
 )
 
 // storeTransport sends the calls to the store and records in a Contact which of them were answered.
@@ -111,7 +111,10 @@
 
 func (b *storeBody) Close() error {
 	took := b.transport.contact.Now() - b.headAt
-	if b.bytes >= loggedAnswerBytes || took >= loggedAnswerTime {
+	if b.bytes >= largeAnswerBytes {
+		b.transport.contact.Transferred(took)
+	}
+	if b.bytes >= largeAnswerBytes || took >= slowAnswerTime {
 		b.transport.log.Info("large or slow answer of the store", "path", b.path, "bytes", b.bytes,
 			"headMillis", (b.headAt - b.began).Milliseconds(), "bodyMillis", took.Milliseconds())
 	}
--- a/relay/site/contact.go
+++ b/relay/site/contact.go
@@ -19,11 +19,14 @@
 	// although its owner is alive: owners register again within two seconds.
 	recoveryGrace = 2200 * time.Millisecond
 	// answerMemory is for how long an answered call shows that the store is available: the time
-	// between two renewals of a registration, and that for an unanswered one to be repeated.
-	answerMemory = 1500 * time.Millisecond
+	// between two renewals of a registration, and that for an answer.
+	answerMemory = 1200 * time.Millisecond
 	// receiptMemory is for how long a part of an answer, or a source that reaches the store, shows
 	// it. Both arrive several times a second.
 	receiptMemory = time.Second
+	// transferMemory is for how long the transfer of a large answer is expected again, because
+	// configurations are often changed several times.
+	transferMemory = time.Minute
 )
 
 // ErrSilentConnection is the error of a call to the store that was ended because its connection went
@@ -52,6 +55,8 @@
 	// receivedAt is when the latest part of an answer arrived, here or at a source.
 	receivedAt time.Duration
 	received   bool
+	// transfer is the longest time that a large answer took to arrive, and transferredAt is when.
+	transfer, transferredAt time.Duration
 	// silence is for how long the latest call on an open connection waited in vain, and silentAt
 	// is when it was given up. Both are zero if a call was answered since.
 	silence, silentAt time.Duration
@@ -154,6 +159,27 @@
 	c.receivedAt, c.received = now, true
 }
 
+// Transferred records how long the body of a large answer took to arrive.
+func (c *Contact) Transferred(took time.Duration) {
+	now := c.clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if took >= c.transfer || now-c.transferredAt > transferMemory {
+		c.transfer, c.transferredAt = took, now
+	}
+}
+
+// Transfer returns how long a large answer may take to arrive, or 0 if none arrived recently.
+func (c *Contact) Transfer() time.Duration {
+	now := c.clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now-c.transferredAt > transferMemory {
+		return 0
+	}
+	return c.transfer
+}
+
 // Available reports whether the store is known to be available, so that operators can change what it
 // holds.
 func (c *Contact) Available() bool {
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -98,8 +98,9 @@
 	// SourceTrust returns for how long the data from other entries is still fresh enough that
 	// the store need not be watched. Nil means that it always must be.
 	SourceTrust func() time.Duration
-	// WatchTimeout returns the timeout of one watch. Nil means watchWait.
-	WatchTimeout func() time.Duration
+	// WatchTimeout returns the timeout of one watch, given the time that its answer may take. Nil
+	// means watchWait.
+	WatchTimeout func(answer time.Duration) time.Duration
 
 	// EndpointsPrefix is the key prefix of the endpoints' registrations. An entry whose sources are
 	// slow reads only their changes itself.
@@ -125,6 +126,8 @@
 	// call. Changes that the store then sends at once may have been made in between.
 	unwatched bool
 	following bool // other entries are followed instead of the store
+	// answerDelay is the time that the latest watch without changes took beyond its timeout.
+	answerDelay time.Duration
 	// sourcesUntil is until when the known change is left to the sources; zero if there is none.
 	sourcesUntil time.Time
 }
@@ -394,12 +397,13 @@
 	return f.SourceTrust()
 }
 
-// watchTimeout returns how long one watch waits for changes.
+// watchTimeout returns how long one watch waits for changes. The proof of a watch without changes is
+// as old as the next watch takes, with the delays of the store's answers to both.
 func (f *Follower) watchTimeout() time.Duration {
 	if f.WatchTimeout == nil {
 		return watchWait
 	}
-	return f.WatchTimeout()
+	return f.WatchTimeout(f.State.Contact().Transfer() + 2*f.answerDelay)
 }
 
 // watch waits once for changes after the known revision, applies them, and records how fresh
@@ -423,6 +427,7 @@
 	}
 	f.unwatched = false
 	if len(changes) == 0 && ended-began >= wait {
+		f.answerDelay = ended - began - wait
 		// The store watched for the whole timeout, measured on its own clock from a
 		// later start than ours. A watch that returned sooner was cut short and
 		// proves only what held when it began.
--- a/relay/site/sources.go
+++ b/relay/site/sources.go
@@ -22,7 +22,10 @@
 	// watchMargin is the age that a source's data gains on its way to the other entries:
 	// one request between two entries, and scheduling delays.
 	watchMargin = 500 * time.Millisecond
-	// minWatchWait is the lower limit of a source's watch timeout and so bounds its calls.
+	// directMargin is the part of the bound that is reserved for applying a change in an entry that
+	// watches the store for itself alone.
+	directMargin = 100 * time.Millisecond
+	// minWatchWait is the lower limit of a watch timeout and so bounds the calls.
 	minWatchWait = 300 * time.Millisecond
 )
 
@@ -65,11 +68,13 @@
 // takes longer over a link between regions.
 func MaxLostSourceAge(apply time.Duration) time.Duration { return MaxSourceAge(apply) / 2 }
 
-// WatchWait returns the timeout of a watch, which is shorter if other entries may follow this
-// one.
-func WatchWait(apply time.Duration, followed bool) time.Duration {
-	if !followed {
-		return watchWait
+// WatchWait returns the timeout of a watch, given the bound within which a change must apply and the
+// time that the answer may take. A change that comes at the end of the watch must still arrive within
+// the bound. If other entries follow this one, the timeout is shorter.
+func WatchWait(apply time.Duration, followed bool, answer time.Duration) time.Duration {
+	limit := apply - directMargin
+	if followed {
+		limit = MaxSourceAge(apply) - watchMargin
 	}
-	return min(watchWait, max(minWatchWait, MaxSourceAge(apply)-watchMargin))
+	return min(watchWait, max(minWatchWait, limit-answer))
 }
