upstream: take no interim response for the answer to a request

The same symptom came from a neighbouring cause: a signed interim response (1xx) was relayed as the final one, and net/http then completed it as an empty 200; statuses below 100 made the handler panic, 101 was relayed too.

Change: Receive skips up to eight interim responses, within the limit of one head, and fails on a status that can't end a request.

--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -26,6 +26,8 @@
 	writeBufferSize = 2 << 10
 	// maxHeadBytes limits the status line and the headers of a response.
 	maxHeadBytes = 64 << 10
+	// maxInterimResponses limits the interim responses before a final one.
+	maxInterimResponses = 8
 	// pollInterval is how often a waiting read checks whether to continue.
 	pollInterval = 250 * time.Millisecond
 )
@@ -34,6 +36,9 @@
 // stopped.
 var errReadAbandoned = errors.New("gave up reading the response")
 
+// errStatus is returned if a response has a status that cannot end a request.
+var errStatus = errors.New("the status of the response is not one that ends a request")
+
 // errHeadTooLong is returned if the header of a response exceeds maxHeadBytes.
 var errHeadTooLong = errors.New("the header of the response is too long")
 
@@ -83,16 +88,25 @@
 	return c.writer.Flush()
 }
 
-// Receive reads the response to the request up to its body. It fails if the header is longer than
-// maxHeadBytes.
+// Receive reads the final response to the request up to its body. It fails if the headers up to it are
+// longer than maxHeadBytes, or if the status is none that ends a request.
 func (c *Conn) Receive(req *http.Request) (*http.Response, error) {
 	c.inHead, c.headLeft = true, maxHeadBytes
 	defer func() { c.inHead = false }()
-	resp, err := http.ReadResponse(c.reader, req)
-	if err == nil {
-		c.responses++
+	for range maxInterimResponses {
+		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode >= http.StatusOK:
+			c.responses++
+			return resp, nil
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errStatus
+		}
 	}
-	return resp, err
+	return nil, errStatus
 }
 
 // Retire makes the pool close the connection instead of keeping it.
