site: prove the data as of an earlier question once its changes are known

Cause: after a large answer an entry asks the store for its newest revision, and the answer counted as a proof only if nothing was missing. While a large configuration is changed again and again something always is, so nothing was proven until the series ended, and since routes are bounded requests were refused; followers gave their sources up after 4 to 6 s although these brought one change after another, and read the store themselves.

Change: such a question makes a claim (time, revision) that proves the data once all changes up to the revision are known, whoever brings them. Followers leave changes to sources for as long as these bring some.

TestDataIsProvenOnceClaimedChangesAreKnown.

--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -46,8 +46,8 @@
 	minJoinWait = time.Second
 	// maxJoinWait bounds that wait while the other entries keep answering.
 	maxJoinWait = 8 * time.Second
-	// maxSourceWait is the minimum time for which a change is left to sources that reach the store,
-	// and are slow to read it. An entry waits up to one and a half times as long, so that entries
+	// maxSourceWait is the minimum time for which a change is left to sources that reach the store
+	// and bring nothing. An entry waits up to one and a half times as long, so that entries
 	// which waited in vain don't all read at the same moment. Two sources of a region take 2.3 s
 	// for the largest value over a link of 10 Mbit/s.
 	maxSourceWait = 4 * time.Second
@@ -58,18 +58,18 @@
 )
 
 // confirmLatest asks the store for its latest revision, after an answer that may be truncated or a
-// watch that was ended, and records the data as fresh if the mirror has reached it. The call costs
-// next to nothing compared with a large answer. Otherwise the next watch begins at once.
+// watch that was ended, and records the data as fresh once the mirror has reached it. The call costs
+// next to nothing compared with a large answer. If changes are missing, the next watch begins at once.
 func (f *Follower) confirmLatest(ctx context.Context) error {
 	asked := f.State.Freshness().Now()
 	_, revision, err := f.Store.Watch(ctx, "", kv.Latest, 0)
 	if err != nil {
 		return err
 	}
+	f.Mirror.ProveAt(asked, revision)
 	known := f.Mirror.Revision()
-	if revision == known {
+	if known >= revision {
 		f.unwatched = false
-		f.State.Freshness().Prove(asked)
 	}
 	f.Log.Info("asked for the newest revision", "revision", known, "newest", revision)
 	return nil
@@ -128,8 +128,10 @@
 	following bool // other entries are followed instead of the store
 	// answerDelay is the time that the latest watch without changes took beyond its timeout.
 	answerDelay time.Duration
-	// sourcesUntil is until when the known change is left to the sources; zero if there is none.
-	sourcesUntil time.Time
+	// sourcesUntil is until when a change is left to the sources, unless they bring another one after
+	// sourcesRevision; zero if no change is missing.
+	sourcesUntil    time.Time
+	sourcesRevision uint64
 }
 
 // Run follows the store, or the entries that this one follows, until ctx ends.
@@ -211,7 +213,7 @@
 
 // leavesChangeToSources reports whether the sources still have time to bring a change that they lack.
 func (f *Follower) leavesChangeToSources() bool {
-	return f.sourcesUntil.IsZero() || f.Clock.Now().Before(f.sourcesUntil)
+	return f.sourcesUntil.IsZero() || f.Mirror.Revision() > f.sourcesRevision || f.Clock.Now().Before(f.sourcesUntil)
 }
 
 // checkBesideSources asks the store whether the data of the sources, which became too old, is still
@@ -225,15 +227,15 @@
 		return err
 	}
 	f.recordSuccess()
+	f.Mirror.ProveAt(asked, revision)
 	known := f.Mirror.Revision()
-	if revision == known {
+	if known >= revision {
 		f.sourcesUntil = time.Time{}
-		f.State.Freshness().Prove(asked)
 		f.sleep(ctx, minWatchInterval)
 		return nil
 	}
-	if f.sourcesUntil.IsZero() {
-		f.sourcesUntil = f.Clock.Now().Add(maxSourceWait + rand.N(maxSourceWait/2))
+	if f.sourcesUntil.IsZero() || known > f.sourcesRevision {
+		f.sourcesUntil, f.sourcesRevision = f.Clock.Now().Add(maxSourceWait+rand.N(maxSourceWait/2)), known
 		age, _ := f.State.Freshness().Age()
 		f.Log.Info("leaving a change to the sources", "revision", known, "newest", revision, "ageMillis", age.Milliseconds())
 	}
--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -16,6 +16,15 @@
 // hosts in a large fleet.
 const maxDeletions = 4096
 
+// maxClaims bounds the claims that wait for changes. A process that lacks a change makes a few each second.
+const maxClaims = 32
+
+// claim is a revision that was the store's newest at a time or later.
+type claim struct {
+	at       time.Duration // on the clock of State.Freshness
+	revision uint64
+}
+
 // Mirror holds the known keys of the store and is the only path by which they reach
 // a State, whether they come from the store itself or from other entries that follow
 // it. The two overlap and arrive in any order, so only the newest revision of each key
@@ -34,6 +43,7 @@
 	prunedRevision uint64
 	updatedAt      time.Time     // time of the last update; zero before the first
 	changed        chan struct{} // closed and replaced when revision grows
+	claims         []claim       // with revisions that are not known yet
 }
 
 // NewMirror returns an empty Mirror. The function decode decodes a key; a zero Record
@@ -137,6 +147,28 @@
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
+	m.claims = slices.DeleteFunc(m.claims, m.proveClaim)
+}
+
+// ProveAt records the data as proven at a time, now or once all changes up to the revision are known,
+// which was the store's newest at that time or later. The data thus stays proven while the store
+// changes again and again.
+func (m *Mirror) ProveAt(at time.Duration, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if made := (claim{at, revision}); !m.proveClaim(made) && len(m.claims) < maxClaims {
+		m.claims = append(m.claims, made)
+	}
+}
+
+// proveClaim records the data as proven at the time of a claim, unless changes up to its revision are
+// missing. It reports whether it did. The caller holds m.mu.
+func (m *Mirror) proveClaim(made claim) bool {
+	if m.revision == 0 || made.revision > m.revision {
+		return false
+	}
+	m.state.Freshness().Prove(made.at)
+	return true
 }
 
 // maxDelay returns for how long a change that is received now may have been in the store: since the
--- a/relay/site/mirror_test.go
+++ b/relay/site/mirror_test.go
@@ -145,3 +145,30 @@
 		t.Errorf("got whole=%v and %d recent changes, want only some changes", late.Full, len(late.Entries))
 	}
 }
+
+// Guards against data that is proven by nothing while a store changes again and again: each time that
+// an entry asks for the newest revision, another change is missing.
+func TestDataIsProvenOnceClaimedChangesAreKnown(t *testing.T) {
+	w := newTestSite()
+	w.mirror.Reset([]kv.Entry{value("catalog", 3)}, 5, true)
+	w.clock.Advance(time.Second)
+	w.mirror.ProveAt(w.fresh.Now(), 7)
+	w.clock.Advance(time.Second)
+	w.mirror.Apply(5, []kv.Entry{value("catalog", 6)}, 6, true)
+	if _, proven := w.fresh.Age(); proven {
+		t.Errorf("got a proof while a change is missing that was made before the time of the proof")
+	}
+	w.mirror.ApplySome([]kv.Entry{value("catalog", 7)})
+	if _, proven := w.fresh.Age(); proven {
+		t.Errorf("got a proof after some changes, want none: others may be missing")
+	}
+	w.mirror.Apply(6, []kv.Entry{value("catalog", 8)}, 8, true)
+	if age, proven := w.fresh.Age(); !proven || age != time.Second {
+		t.Errorf("got age %v, proven %t, want the time since the revision was asked for", age, proven)
+	}
+	w.clock.Advance(time.Second)
+	w.mirror.ProveAt(w.fresh.Now(), 8)
+	if age, proven := w.fresh.Age(); !proven || age != 0 {
+		t.Errorf("got age %v, proven %t, want a proof at once where nothing is missing", age, proven)
+	}
+}
