--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -24,9 +24,6 @@
 	// liveWatchThreshold separates changes made during a watch from earlier ones: the
 	// store answers a watch sooner than this if the changes were made before it began.
 	liveWatchThreshold = 100 * time.Millisecond
-	// sourceCheckInterval is how often an entry that follows other entries checks whether
-	// they still reach the store.
-	sourceCheckInterval = 400 * time.Millisecond
 	// truncationMinChanges and truncationMinBytes are the sizes from which the answer to a
 	// watch may be truncated: a quarter of what the store returns in one answer.
 	truncationMinChanges = 125
@@ -40,19 +37,6 @@
 	maxReadDuration = 4 * time.Second
 	// failureLogInterval is the minimum time between log lines about consecutive failures.
 	failureLogInterval = time.Second
-	// minJoinWait is the minimum time that a starting entry waits for other entries to send
-	// the store's keys. It waits up to twice as long, so that entries which waited in vain
-	// don't all read the store at the same moment.
-	minJoinWait = time.Second
-	// maxJoinWait bounds that wait while the other entries keep answering.
-	maxJoinWait = 8 * time.Second
-	// maxSourceWait is the minimum time for which a change is left to sources that reach the store
-	// and bring nothing. An entry waits up to one and a half times as long, so that entries
-	// which waited in vain don't all read at the same moment. Two sources of a region take 2.3 s
-	// for the largest value over a link of 10 Mbit/s.
-	maxSourceWait = 4 * time.Second
-	// historyWait is the wait time of a watch that only asks for changes already made.
-	historyWait = time.Millisecond
 	// meanRetryDelay is the mean delay before a failed call is retried.
 	meanRetryDelay = 120 * time.Millisecond
 )
@@ -117,7 +101,9 @@
 
 	partialRead *snapshotRead // an interrupted read of the whole store, or nil
 
-	down bool // the last call failed
+	joined bool // the entries were read, and sources had time to send the store's keys
+	synced bool // the whole store is known, and its changes since can be asked for
+	down   bool // the last call failed
 	// failures counts consecutive failed calls; loggedAt is when one was last logged.
 	failures      int
 	loggedAt      time.Time
@@ -136,158 +122,61 @@
 
 // Run follows the store, or the entries that this one follows, until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	synced, joined := false, false
 	for ctx.Err() == nil {
-		var err error
-		if !joined {
-			if err = f.join(ctx); err != nil {
-				f.recordFailure(ctx, err)
-				f.sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
-				continue
-			}
-			joined, synced = true, f.Mirror.Revision() > 0
-		}
-		if trust := f.sourceTrust(); synced && trust > 0 {
-			f.unwatched = true
-			f.setFollowing(true)
-			f.sourcesUntil = time.Time{}
-			f.sleep(ctx, min(trust, sourceCheckInterval))
-			continue
-		}
-		if synced && f.sourcesReachStore() && f.leavesChangeToSources() {
-			if err = f.checkBesideSources(ctx); err == nil {
-				continue
-			}
+		if err := f.step(ctx); err != nil {
 			f.recordFailure(ctx, err)
 			f.sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
-			continue
-		}
-		f.setFollowing(false)
-		if f.down && f.Clock.Since(f.lastSuccessAt) > maxHistoryOutage {
-			synced = false
-		}
-		if synced {
-			err = f.watch(ctx)
-		} else {
-			err = f.readAll(ctx)
-			synced = err == nil
-		}
-		if err == nil {
-			f.lastSuccessAt = f.Clock.Now()
-			f.recordSuccess()
-			continue
 		}
-		if failure.KindOf(err) == failure.Stale {
-			f.Log.Info("the store no longer holds the history, reading all keys again", "after", f.Mirror.Revision())
-			synced = false
-			continue
-		}
-		if errors.Is(err, ErrSilentConnection) {
-			// The next answer may contain changes that were made since the last one.
-			f.unwatched = true
-			if err = f.confirmLatest(ctx); err == nil {
-				continue
-			}
-		}
-		f.recordFailure(ctx, err)
-		f.sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
-	}
-}
-
-// setFollowing records whether other entries are followed instead of the store, and logs changes with
-// the state that decided them.
-func (f *Follower) setFollowing(following bool) {
-	if f.following == following {
-		return
 	}
-	f.following = following
-	age, proven := f.State.Freshness().Age()
-	f.Log.Info("source of changes", "otherEntries", following, "ageMillis", age.Milliseconds(), "proven", proven,
-		"revision", f.Mirror.Revision(), "sourcesReachStore", f.sourcesReachStore())
 }
 
-// sourcesReachStore reports whether a followed entry answers and reaches the store.
-func (f *Follower) sourcesReachStore() bool {
-	return f.SourcesReachStore != nil && f.SourcesReachStore()
-}
-
-// leavesChangeToSources reports whether the sources still have time to bring a change that they lack.
-func (f *Follower) leavesChangeToSources() bool {
-	return f.sourcesUntil.IsZero() || f.Mirror.Revision() > f.sourcesRevision || f.Clock.Now().Before(f.sourcesUntil)
-}
-
-// checkBesideSources asks the store whether the data of the sources, which became too old, is still
-// the newest. If not, the sources are probably reading a large value. If all entries that follow them
-// read it too, it would cross the link that they share once for each, and none would have it in time.
-// Only the changes of endpoints are read, which must not wait for it.
-func (f *Follower) checkBesideSources(ctx context.Context) error {
-	asked := f.State.Freshness().Now()
-	_, revision, err := f.Store.Watch(ctx, "", kv.Latest, 0)
-	if err != nil {
-		return err
+// step follows the sources, or the store for one call.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.joined {
+		if err := f.join(ctx); err != nil {
+			return err
+		}
+		f.joined, f.synced = true, f.Mirror.Revision() > 0
 	}
-	f.recordSuccess()
-	f.Mirror.ProveAt(asked, revision)
-	known := f.Mirror.Revision()
-	if known >= revision {
+	if trust := f.sourceTrust(); f.synced && trust > 0 {
+		f.unwatched = true
+		f.setFollowing(true)
 		f.sourcesUntil = time.Time{}
-		f.sleep(ctx, minWatchInterval)
+		f.sleep(ctx, min(trust, sourceCheckInterval))
 		return nil
 	}
-	if f.sourcesUntil.IsZero() || known > f.sourcesRevision {
-		f.sourcesUntil, f.sourcesRevision = f.Clock.Now().Add(maxSourceWait+rand.N(maxSourceWait/2)), known
-		age, _ := f.State.Freshness().Age()
-		f.Log.Info("leaving a change to the sources", "revision", known, "newest", revision, "ageMillis", age.Milliseconds())
+	if f.synced && f.sourcesReachStore() && f.leavesChangeToSources() {
+		return f.checkBesideSources(ctx)
 	}
-	changes, _, err := f.Store.Watch(ctx, f.EndpointsPrefix, known, historyWait)
-	if err != nil && failure.KindOf(err) != failure.Stale {
-		return err
-	}
-	f.Mirror.ApplySome(changes)
-	f.sleep(ctx, sourceCheckInterval)
-	return nil
-}
-
-// join reads the entries' registrations and, if this entry follows others, waits for them to
-// send the store's keys. Otherwise entries of a region that start together would each read
-// the whole store over the same link.
-func (f *Follower) join(ctx context.Context) error {
-	if f.EntriesPrefix == "" || f.HasSources == nil {
-		return nil
-	}
-	entries, err := f.Store.List(ctx, f.EntriesPrefix)
-	if err != nil {
-		return err
+	f.setFollowing(false)
+	if f.down && f.Clock.Since(f.lastSuccessAt) > maxHistoryOutage {
+		f.synced = false
 	}
-	f.recordSuccess()
-	f.Mirror.AddPartial(entries)
-	if !f.HasSources() {
+	err := f.readStore(ctx)
+	switch {
+	case err == nil:
+		f.lastSuccessAt = f.Clock.Now()
+		f.recordSuccess()
+	case failure.KindOf(err) == failure.Stale:
+		f.Log.Info("the store no longer holds the history, reading all keys again", "after", f.Mirror.Revision())
+		f.synced = false
 		return nil
+	case errors.Is(err, ErrSilentConnection):
+		// The next answer may contain changes that were made since the last one.
+		f.unwatched = true
+		return f.confirmLatest(ctx)
 	}
-	began := f.Clock.Now()
-	timeout := f.Clock.After(minJoinWait + rand.N(minJoinWait))
-	syncing := func() bool {
-		return f.sourcesReachStore() && f.Clock.Since(began) < maxJoinWait
-	}
-	for {
-		changed := f.State.Changed()
-		if revision := f.Mirror.Revision(); revision > 0 {
-			f.Log.Info("brought by other entries", "revision", revision, "tookMillis", f.Clock.Since(began).Milliseconds())
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timeout:
-			if syncing() {
-				timeout = f.Clock.After(minJoinWait/2 + rand.N(minJoinWait))
-				continue
-			}
-			f.Log.Info("other entries brought nothing, reading the store", "waitedMillis", f.Clock.Since(began).Milliseconds())
-			return nil
-		case <-changed:
-		}
+	return err
+}
+
+// readStore watches the store once. Before the first watch it reads the whole store.
+func (f *Follower) readStore(ctx context.Context) error {
+	if f.synced {
+		return f.watch(ctx)
 	}
+	err := f.readAll(ctx)
+	f.synced = err == nil
+	return err
 }
 
 // sleep pauses for the given time or until ctx ends.
