soak: change a large configuration that all entries read over one link

The soak had configurations of a few kilobytes, and each process its own connection to the store. The event set largeChanges gives the operator 4,000 more routes, lets all entries read the store over one link of 3.25 MB/s, and changes the configuration every three seconds in the mean beside endpoints that are replaced. Nothing of it excuses a violation.

--- a/bench/internal/site/site.go
+++ b/bench/internal/site/site.go
@@ -91,6 +91,9 @@
 	Bounds  Bounds
 	// MaxConns limits the connections that each endpoint and the origin accept, by kind.
 	MaxConns map[string]int
+	// StoreBytesPerSecond is the bandwidth at which all entries together read the store; 0 means no
+	// limit.
+	StoreBytesPerSecond float64
 }
 
 // Bounds are the limits that the platform requires the system to keep.
@@ -377,6 +380,7 @@
 			options.Ways[fmt.Sprintf("%s:%d", ip, controlPort)] = fmt.Sprintf("%s:%d", ip, agentPort)
 		}
 	case Store:
+		options.DoorsBytesPerSecond = s.config.StoreBytesPerSecond
 		for _, entry := range s.Members(Entry) {
 			options.Doors = append(options.Doors, s.storeAddress(entry))
 		}
--- a/bench/internal/sitesoak/checks_test.go
+++ b/bench/internal/sitesoak/checks_test.go
@@ -1,6 +1,7 @@
 package sitesoak
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"log/slog"
@@ -207,10 +208,11 @@
 // programs.
 const binEnv = "COMFREY_BIN"
 
-// TestShortSoak runs six seeds: one with planned operations and hiccups, one with faults too, one
+// TestShortSoak runs seven seeds: one with planned operations and hiccups, one with faults too, one
 // with the failures that strain the retry budget, one with connections to the store that go
-// silent, one with answers of endpoints that belong to no request, and one with agents that stand
-// still right after a staged chunk was corrupted.
+// silent, one with answers of endpoints that belong to no request, one with agents that stand
+// still right after a staged chunk was corrupted, and one with changes of a large configuration
+// that all entries read over one link.
 func TestShortSoak(t *testing.T) {
 	bin := os.Getenv(binEnv)
 	if bin == "" {
@@ -223,11 +225,12 @@
 		"silences":            {Seed: 69, Planned: true, Silences: true},
 		"answers":             {Seed: 4, Planned: true, Answers: true},
 		"agent freezes":       {Seed: 1, AgentFreezes: true},
+		"large changes":       {Seed: 1, LargeChanges: true, Entries: 15, Gap: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			options.Bin, options.Log, options.Progress = bin, io.Discard, slog.New(slog.DiscardHandler)
-			options.Length, options.Gap, options.Load = 25*time.Second, 700*time.Millisecond, 0.6
-			options.Entries, options.Engines = 6, 8
+			options.Length, options.Gap, options.Load = 25*time.Second, cmp.Or(options.Gap, 700*time.Millisecond), 0.6
+			options.Entries, options.Engines = cmp.Or(options.Entries, 6), 8
 			result, err := Run(t.Context(), options)
 			if err != nil {
 				t.Fatal(err)
--- a/bench/internal/sitesoak/operator.go
+++ b/bench/internal/sitesoak/operator.go
@@ -23,6 +23,8 @@
 	eventTokens = 5
 	idleTime    = 8 * time.Second
 	customers   = 6
+	// maxAddedRoutes limits the routes that changes add.
+	maxAddedRoutes = 40
 	// maxEvents limits the events of a stream.
 	maxEvents = 52
 )
@@ -153,7 +155,7 @@
 	defer o.mu.Unlock()
 	switch o.rng.IntN(4) {
 	case 0:
-		o.extraRoutes = (o.extraRoutes + 1) % 40
+		o.extraRoutes = o.extraRoutes - o.extraRoutes%maxAddedRoutes + (o.extraRoutes+1)%maxAddedRoutes
 	case 1:
 		o.longTimeouts = !o.longTimeouts
 	case 2:
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -206,6 +206,12 @@
 	}
 )
 
+// largeChanges are the rules of Options.LargeChanges.
+var largeChanges = []eventRule{
+	{changeConfig, "", 10, 0, 0},
+	{replaceApp, site.App, 1, replaceTime, replaceTime},
+}
+
 // answerFaults are the rules of Options.Answers.
 var answerFaults = []eventRule{
 	{extraRejections, site.App, 3, 3 * time.Second, 8 * time.Second},
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -34,6 +34,10 @@
 	// the last event, and the recovery check covers a quarter of it before the last request.
 	settleTime = 8 * time.Second
 	appCount   = 3
+	// largeRoutes is the number of unused routes of large configurations. storeBandwidth, in bytes
+	// per second, lets two entries of each region read one in time, but not all of them.
+	largeRoutes    = 4000
+	storeBandwidth = 3.25e6
 )
 
 // Options configure a run.
@@ -48,10 +52,10 @@
 	Load float64
 	// Gap is the mean time between two events.
 	Gap time.Duration
-	// Planned, Hiccups, Faults, Failures, Silences, Answers, AgentFreezes and HostFreezes enable the
-	// sets of events.
-	Planned, Hiccups, Faults, Failures, Silences, Answers, AgentFreezes, HostFreezes bool
-	Progress                                                                         *slog.Logger
+	// Planned, Hiccups, Faults, Failures, Silences, Answers, AgentFreezes, HostFreezes and
+	// LargeChanges enable the sets of events.
+	Planned, Hiccups, Faults, Failures, Silences, Answers, AgentFreezes, HostFreezes, LargeChanges bool
+	Progress                                                                                       *slog.Logger
 }
 
 // Result is the summary of a run, printed as one line of JSON.
@@ -161,11 +165,13 @@
 	r.site, err = site.Start(ctx, site.Config{
 		Bin: r.options.Bin, Dir: dir, Log: r.options.Log, Domains: domains,
 		Entries: r.options.Entries, Engines: r.options.Engines, Apps: appCount, Spec: spec, Bounds: bounds, MaxConns: limits,
+		StoreBytesPerSecond: valueIf(r.options.LargeChanges, storeBandwidth),
 	})
 	if err != nil {
 		return err
 	}
 	r.operator = newOperator(r.site, limits, r.options.Seed)
+	r.operator.extraRoutes = valueIf(r.options.LargeChanges, largeRoutes)
 	r.operator.mu.Lock()
 	err = r.operator.write(ctx)
 	r.operator.mu.Unlock()
@@ -197,7 +203,7 @@
 	}{
 		{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures},
 		{r.options.Silences, silences}, {r.options.Answers, answerFaults},
-		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes},
+		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes}, {r.options.LargeChanges, largeChanges},
 	} {
 		if set.on {
 			enabled = append(enabled, set.rules...)
--- a/standin/internal/site/store.go
+++ b/standin/internal/site/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -24,13 +25,18 @@
 	store.EnableLeaseExpiry()
 	p.handler = store
 	proxies := map[string]*storeProxy{}
+	shared := platformtest.NewNarrowLink(nil, p.options.DoorsBytesPerSecond)
 	for _, address := range p.options.Doors {
 		lis, err := listen(address)
 		if err != nil {
 			return err
 		}
 		proxies[address] = &storeProxy{lis: lis, store: store}
-		p.extraServers = append(p.extraServers, listenerHandler{lis: lis, handler: proxies[address]})
+		var serving net.Listener = lis
+		if p.options.DoorsBytesPerSecond > 0 {
+			serving = shared.Share(lis)
+		}
+		p.extraServers = append(p.extraServers, listenerHandler{lis: serving, handler: proxies[address]})
 	}
 	keys := &expiringKeys{store: store, values: map[string]string{}, timers: map[string]*time.Timer{}}
 	p.control.HandleFunc("PUT /key", func(w http.ResponseWriter, r *http.Request) {
