--- a/relay/site/mirror.go
+++ b/relay/site/mirror.go
@@ -153,6 +153,8 @@
 // ProveAt records the data as proven at a time, now or once all changes up to the revision are known,
 // which was the store's newest at that time or later. The data thus stays proven while the store
 // changes again and again.
+//
+// Rule CLAIM of spec/freshness.pml.
 func (m *Mirror) ProveAt(at time.Duration, revision uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -12,7 +12,9 @@
  *             (freshness.BootClock)
  *   ORDER     a request takes the age before the configuration that judges it
  *             (gateway.Gateway.prepare)
- *   LIMIT     keys count only while the proof is younger than the bound
+ *   CLAIM     a question for the newest revision proves what is known at its time once all
+ *             changes up to that revision are known (site.Mirror.ProveAt)
+ *   LIMIT     keys and routes count only while the proof is younger than the bound
  *             (gateway.Gateway.route)
  */
 #define BOUND 1
@@ -62,6 +64,20 @@
 			sourceProven = began
 #else
 			sourceProven = now
+#endif
+		}
+	:: rounds < 2 ->
+		rounds = 2;
+		began = now;
+		read = gone; /* the newest revision, at any moment after the question */
+		atomic {
+#ifndef NO_CLAIM
+			if
+			:: sourceSaw >= read -> sourceProven = began
+			:: else
+			fi
+#else
+			sourceProven = began
 #endif
 		}
 	:: rounds >= 2 -> break
