onsite: take no refusal of the store for a part of an answer

Cause: the body of a 429 or 503 counted as a part of an answer, so the store passed for available in an outage in which it refuses calls, and requests were refused for the age of the configuration all through it (introduced with the bound on routes).

TestRefusingStoreIsNotAvailable failed before (503 and 429 available).

--- a/entry/internal/onsite/silence_test.go
+++ b/entry/internal/onsite/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 
 	"comfreyrelay.example/platform"
 	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/freshness"
 	"comfreyrelay.example/relay/site"
 )
 
@@ -120,3 +122,33 @@
 	}
 	return errors.New(fmt.Sprint("got no line with ", texts))
 }
+
+// Guards against requests that are refused throughout an outage, because the store's refusals pass for
+// parts of its answers.
+func TestRefusingStoreIsNotAvailable(t *testing.T) {
+	status := http.StatusOK
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(`{"as_of":1}`))
+	}))
+	defer server.Close()
+	contact := site.NewContact(freshness.BootClock)
+	client := newStoreClient(contact, slog.New(slog.DiscardHandler))
+	for _, want := range []struct {
+		status    int
+		available bool
+	}{{http.StatusServiceUnavailable, false}, {http.StatusTooManyRequests, false}, {http.StatusNotFound, true}, {http.StatusOK, true}} {
+		status = want.status
+		resp, err := client.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if got := contact.Available(); got != want.available {
+			t.Errorf("got available %t after status %d, want %t", got, want.status, want.available)
+		}
+	}
+}
--- a/entry/internal/onsite/store_client.go
+++ b/entry/internal/onsite/store_client.go
@@ -83,6 +83,7 @@
 		return nil, err
 	case refusesCalls(resp.StatusCode):
 		t.contact.Unanswered(call.began, true)
+		return resp, nil
 	default:
 		t.react(t.contact.Answered(call.began, !reused.Load()))
 	}
