site: end a watch before the data is older than the bound

Cause: a watch that ends early, with changes, proves only what held when it began.

Change: the timeout of a watch depends on the age of the data as it begins.

TestWatchAfterAnEarlyEndIsShorter; its field did not have the age before.

--- a/entry/internal/onsite/news_client.go
+++ b/entry/internal/onsite/news_client.go
@@ -68,10 +68,10 @@
 	return s.clock.Now().UnixNano()-s.lastStoreBackedReply.Load() < int64(newsTimeout)
 }
 
-// watchWait returns the wait time of this entry's own watches of the store, given the time that an
-// answer may take.
-func (s *newsClient) watchWait(answer time.Duration) time.Duration {
-	return site.WatchWait(s.apply(), s.followed.Load(), answer)
+// watchWait returns the wait time of this entry's own watches of the store, given the age of the data
+// and the time that an answer may take.
+func (s *newsClient) watchWait(age, answer time.Duration) time.Duration {
+	return site.WatchWait(s.apply(), s.followed.Load(), age, answer)
 }
 
 // run keeps a stream open to each source until ctx is cancelled.
--- a/relay/site/follower.go
+++ b/relay/site/follower.go
@@ -82,9 +82,9 @@
 	// SourceTrust returns for how long the data from other entries is still fresh enough that
 	// the store need not be watched. Nil means that it always must be.
 	SourceTrust func() time.Duration
-	// WatchTimeout returns the timeout of one watch, given the time that its answer may take. Nil
-	// means watchWait.
-	WatchTimeout func(answer time.Duration) time.Duration
+	// WatchTimeout returns the timeout of one watch, given the age of the data and the time that the
+	// answer may take. Nil means watchWait.
+	WatchTimeout func(age, answer time.Duration) time.Duration
 
 	// EndpointsPrefix is the key prefix of the endpoints' registrations. An entry whose sources are
 	// slow reads only their changes itself.
@@ -288,13 +288,14 @@
 	return f.SourceTrust()
 }
 
-// watchTimeout returns how long one watch waits for changes. The proof of a watch without changes is
-// as old as the next watch takes, with the delays of the store's answers to both.
+// watchTimeout returns how long one watch waits for changes. A watch that ended early, with changes,
+// proves only what held when it began, so the next one must end sooner.
 func (f *Follower) watchTimeout() time.Duration {
 	if f.WatchTimeout == nil {
 		return watchWait
 	}
-	return f.WatchTimeout(f.State.Contact().Transfer() + 2*f.answerDelay)
+	age, _ := f.State.Freshness().Age()
+	return f.WatchTimeout(age, f.answerDelay+f.State.Contact().Transfer())
 }
 
 // watch waits once for changes after the known revision, applies them, and records how fresh
--- a/relay/site/slow_sources_test.go
+++ b/relay/site/slow_sources_test.go
@@ -122,3 +122,35 @@
 		t.Errorf("got proven %t and watches after %v, want a proof without a watch", proven, s.watches)
 	}
 }
+
+// Guards against requests that are refused for a moment after each change: a watch that ends early
+// proves only what held when it began, and the next one lasts until that proof is too old.
+func TestWatchAfterAnEarlyEndIsShorter(t *testing.T) {
+	const early = 1500 * time.Millisecond
+	w := newTestSite()
+	var ages []time.Duration
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	store := &kv.Store{
+		List: func(context.Context, string) ([]kv.Entry, error) { return []kv.Entry{value("catalog", 3)}, nil },
+		Watch: func(_ context.Context, _ string, after uint64, _ time.Duration) ([]kv.Entry, uint64, error) {
+			if after == kv.Latest {
+				return nil, 5, nil
+			}
+			if len(ages) == 2 {
+				cancel()
+				return nil, after, ctx.Err()
+			}
+			w.clock.Advance(early)
+			return []kv.Entry{value("endpoint/i-1", after+1)}, after + 1, nil
+		},
+	}
+	follower := &site.Follower{
+		Store: store, State: w.state, Mirror: w.mirror, Clock: w.clock, Log: slog.New(slog.DiscardHandler),
+		WatchTimeout: func(age, _ time.Duration) time.Duration { ages = append(ages, age); return 2 * time.Second },
+	}
+	follower.Run(ctx)
+	if len(ages) != 2 || ages[1] < early {
+		t.Errorf("got ages %v when watches began, want %v at the second at least", ages, early)
+	}
+}
--- a/relay/site/sources.go
+++ b/relay/site/sources.go
@@ -68,13 +68,13 @@
 // takes longer over a link between regions.
 func MaxLostSourceAge(apply time.Duration) time.Duration { return MaxSourceAge(apply) / 2 }
 
-// WatchWait returns the timeout of a watch, given the bound within which a change must apply and the
-// time that the answer may take. A change that comes at the end of the watch must still arrive within
+// WatchWait returns the timeout of a watch, given the bound within which a change must apply, the age of
+// the data and the time that the answer may take. The data must be proven again before it is older than
 // the bound. If other entries follow this one, the timeout is shorter.
-func WatchWait(apply time.Duration, followed bool, answer time.Duration) time.Duration {
+func WatchWait(apply time.Duration, followed bool, age, answer time.Duration) time.Duration {
 	limit := apply - directMargin
 	if followed {
 		limit = MaxSourceAge(apply) - watchMargin
 	}
-	return min(watchWait, max(minWatchWait, limit-answer))
+	return min(watchWait, max(minWatchWait, limit-age-answer))
 }
--- a/relay/site/sources_test.go
+++ b/relay/site/sources_test.go
@@ -60,7 +60,7 @@
 		if got, most := MaxSourceAge(apply), apply-500*time.Millisecond; got > most {
 			t.Errorf("bound %v: trust %v, want at most %v", apply, got, most)
 		}
-		if got, most := WatchWait(apply, true, 0), MaxSourceAge(apply)-400*time.Millisecond; got > most {
+		if got, most := WatchWait(apply, true, 0, 0), MaxSourceAge(apply)-400*time.Millisecond; got > most {
 			t.Errorf("bound %v: a source waits %v, want at most %v", apply, got, most)
 		}
 	}
@@ -71,14 +71,16 @@
 func TestWatchLeavesTimeForItsAnswer(t *testing.T) {
 	for _, followed := range []bool{false, true} {
 		for _, apply := range []time.Duration{2 * time.Second, 3 * time.Second, 9 * time.Second} {
-			for _, answer := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
-				if got := WatchWait(apply, followed, answer); got+answer >= apply && got > minWatchWait {
-					t.Errorf("bound %v, followed %t: got a watch of %v, want less than %v", apply, followed, got, apply-answer)
+			for _, needed := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+				for _, got := range []time.Duration{WatchWait(apply, followed, needed, 0), WatchWait(apply, followed, 0, needed)} {
+					if got+needed >= apply && got > minWatchWait {
+						t.Errorf("bound %v, followed %t: got a watch of %v, want less than %v", apply, followed, got, apply-needed)
+					}
 				}
 			}
 		}
 	}
-	if got, want := WatchWait(2*time.Second, false, 0), watchWait; got != want {
+	if got, want := WatchWait(2*time.Second, false, 0, 0), watchWait; got != want {
 		t.Errorf("got a watch of %v where answers take no time, want %v", got, want)
 	}
 }
