--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -13,7 +13,8 @@
  *   ORDER     a request takes the age before the configuration that judges it
  *             (gateway.Gateway.prepare)
  *   CLAIM     a question for the newest revision proves what is known at its time once all
- *             changes up to that revision are known (site.Mirror.ProveAt)
+ *             changes up to that revision are known
+ *             (site.Mirror.ProveAt)
  *   LIMIT     keys and routes count only while the proof is younger than the bound
  *             (gateway.Gateway.route)
  */
