gateway: log what shows that a request did not run, first in the line

The line of an attempt has what the answer says now (notRun, signed, from), and that of an answered request whether an endpoint may have run it and whether it must run once; both begin with what decides about another send. Nothing is decided differently.

--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -97,12 +97,15 @@
 
 func (x *exchange) attemptFields(grant *fleet.Grant, outcome fleet.Outcome) []any {
 	return []any{
-		"request", x.req.ID, "send", x.sends, "endpoint", grant.ID(), "address", grant.Address(),
-		"outcome", outcome.String(), "occupied", grant.Occupied(), "unread", grant.PendingPrefill(), "home", grant.Home(),
+		// What decides about another send comes first, since collected lines may be cut short.
+		"request", x.req.ID, "send", x.sends, "outcome", outcome.String(), "answer", x.answerOrigin.status,
+		"notRun", x.answerHead.StatesNotRun, "signed", x.answerHead.Signed, "named", x.answerOrigin.named,
+		"connAnswers", x.answerOrigin.earlier, "from", x.answerHead.Endpoint, "endpoint", grant.ID(), "address", grant.Address(),
+		"occupied", grant.Occupied(), "unread", grant.PendingPrefill(), "home", grant.Home(),
 		"stateAgeMillis", grant.StateAge().Milliseconds(), "delayMillis", grant.Delay().Milliseconds(),
 		"version", grant.Version(), "events", x.events, "print", x.fingerprint,
 		"retryWaitMillis", x.retryWait().Milliseconds(),
-		"answer", x.answerOrigin.status, "named", x.answerOrigin.named, "connAnswers", x.answerOrigin.earlier, "dropped", x.answerOrigin.dropped, "unnamed", x.answerOrigin.unnamed,
+		"dropped", x.answerOrigin.dropped, "unnamed", x.answerOrigin.unnamed,
 		"leaving", x.answerHead.Leaving, "restMillis", x.answerHead.BackOff.Milliseconds(),
 		"gaveUp", x.responseWait.stopReason, "silentMillis", x.responseWait.idle.Milliseconds(), "oversleptMillis", x.responseWait.wakeupDelay.Milliseconds(),
 	}
@@ -148,15 +151,19 @@
 	if brokenOff {
 		g.counters.brokenOff.Add(1)
 	}
-	fields := []any{
-		"outcome", reason, "status", status, "tookMillis", g.cfg.Clock.Since(x.arrived).Milliseconds(),
-		"heldMillis", x.queuedFor.Milliseconds(), "ageMillis", x.configAgeMillis(),
+	var fields []any
+	if x.req != nil {
+		fields = append(fields, "request", x.req.ID)
 	}
+	fields = append(fields,
+		"status", status, "sends", x.sends, "mayHaveRun", x.mayHaveRun, "outcome", reason, "tookMillis", g.cfg.Clock.Since(x.arrived).Milliseconds(),
+		"heldMillis", x.queuedFor.Milliseconds(), "ageMillis", x.configAgeMillis(),
+	)
 	if x.req != nil {
-		fields = append(fields, "request", x.req.ID, "deadlineMillis", x.req.Deadline.Milliseconds(), "parts", strings.Join(x.req.SharedParts, ","))
+		fields = append(fields, "deadlineMillis", x.req.Deadline.Milliseconds(), "parts", strings.Join(x.req.SharedParts, ","))
 	}
 	if x.route != nil {
-		fields = append(fields, "route", x.route.Name, "service", x.service, "sends", x.sends,
+		fields = append(fields, "route", x.route.Name, "service", x.service, "once", !x.route.Repeatable(),
 			"events", x.events, "firstMillis", x.firstEventAfter.Milliseconds(), "pauseMillis", x.longestPause.Milliseconds(), "returned", x.adm.Retried,
 			"brokenOff", brokenOff, "endpoint", x.lastEndpoint(), "targetMillis", x.route.Target.Milliseconds(), "gapMillis", x.route.Gap.Milliseconds(), "print", x.fingerprint)
 	}
--- a/relay/call/call.go
+++ b/relay/call/call.go
@@ -55,8 +55,11 @@
 
 // Answer holds what the system reads from the headers of an endpoint's answer.
 type Answer struct {
-	ID     string // of the request it belongs to; empty if not given
-	NotRun bool   // the endpoint proves that it did not run the request
+	ID       string // of the request it belongs to; empty if not given
+	Endpoint string // ID of the endpoint that sent it; empty if not given
+	// StatesNotRun reports that it says that the endpoint did not run the request.
+	StatesNotRun bool
+	NotRun       bool // the endpoint proves that it did not run the request
 	// Misdirected reports that the address now belongs to another endpoint.
 	Misdirected bool
 	Signed      bool  // carries the endpoint's signature
