--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -41,20 +41,29 @@
 	extraNamed:       func(f *platformtest.PartFaults) { f.Extra, f.ExtraShare = platformtest.ExtraNamed, extraShare },
 	shedNamed:        func(f *platformtest.PartFaults) { f.Shed = shedShare },
 	shedUnnamed:      func(f *platformtest.PartFaults) { f.Shed, f.ShedUnnamed = shedShare, true },
-	linkSilent:       func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSilent] },
-	linkOneWay:       func(f *platformtest.PartFaults) { f.Link = linkFaults[linkOneWay] },
-	linkSlow:         func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSlow] },
-	linkNarrow:       func(f *platformtest.PartFaults) { f.Link = linkFaults[linkNarrow] },
-	linkReset:        func(f *platformtest.PartFaults) { f.Link = linkFaults[linkReset] },
-	storeBusy:        func(f *platformtest.PartFaults) { f.Calls, f.Share = "busy", 1 },
-	storeSilent:      func(f *platformtest.PartFaults) { f.Calls, f.Share = "silent", 1 },
-	storeSlow:        func(f *platformtest.PartFaults) { f.Calls, f.Share = "slow", 1 },
-	storeLost:        func(f *platformtest.PartFaults) { f.Calls, f.Share = "lost", 0.3 },
-	storeLate:        func(f *platformtest.PartFaults) { f.Calls, f.Share = "late", 0.2 },
-	storeForgets:     func(f *platformtest.PartFaults) { f.Compact = true },
-	storeLapses:      func(f *platformtest.PartFaults) { f.Calls, f.Share, f.Lapse = "busy", 1, true },
-	originDown:       func(f *platformtest.PartFaults) { f.Refuse = true },
-	originSpoilt:     func(f *platformtest.PartFaults) { f.Manifests = 1 },
+	misleadingStatuses: func(f *platformtest.PartFaults) {
+		f.Misleading, f.MisleadingShare = platformtest.MisleadingStatus, misleadingShare
+	},
+	misleadingClaims: func(f *platformtest.PartFaults) {
+		f.Misleading, f.MisleadingShare = platformtest.MisleadingClaim, misleadingShare
+	},
+	lostAnswers: func(f *platformtest.PartFaults) {
+		f.Misleading, f.MisleadingShare = platformtest.MisleadingLoss, misleadingShare
+	},
+	linkSilent:   func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSilent] },
+	linkOneWay:   func(f *platformtest.PartFaults) { f.Link = linkFaults[linkOneWay] },
+	linkSlow:     func(f *platformtest.PartFaults) { f.Link = linkFaults[linkSlow] },
+	linkNarrow:   func(f *platformtest.PartFaults) { f.Link = linkFaults[linkNarrow] },
+	linkReset:    func(f *platformtest.PartFaults) { f.Link = linkFaults[linkReset] },
+	storeBusy:    func(f *platformtest.PartFaults) { f.Calls, f.Share = "busy", 1 },
+	storeSilent:  func(f *platformtest.PartFaults) { f.Calls, f.Share = "silent", 1 },
+	storeSlow:    func(f *platformtest.PartFaults) { f.Calls, f.Share = "slow", 1 },
+	storeLost:    func(f *platformtest.PartFaults) { f.Calls, f.Share = "lost", 0.3 },
+	storeLate:    func(f *platformtest.PartFaults) { f.Calls, f.Share = "late", 0.2 },
+	storeForgets: func(f *platformtest.PartFaults) { f.Compact = true },
+	storeLapses:  func(f *platformtest.PartFaults) { f.Calls, f.Share, f.Lapse = "busy", 1, true },
+	originDown:   func(f *platformtest.PartFaults) { f.Refuse = true },
+	originSpoilt: func(f *platformtest.PartFaults) { f.Manifests = 1 },
 }
 
 const (
@@ -62,6 +71,8 @@
 	extraShare = 0.06
 	// shedShare is the fraction of requests that an endpoint rejects.
 	shedShare = 0.3
+	// misleadingShare is the fraction of requests to which an endpoint gives a misleading answer.
+	misleadingShare = 0.2
 )
 
 var linkFaults = map[kind]platformtest.LinkFaults{
--- a/bench/internal/sitesoak/caller.go
+++ b/bench/internal/sitesoak/caller.go
@@ -56,6 +56,7 @@
 	domain           string
 	leavesEarly      bool // its caller closes the connection early
 	reusesConnection bool // its caller prefers an open connection to any entry
+	chunked          bool // its body, if it has one, is sent in chunks
 }
 
 // callers sends the requests of one failure domain and records every try.
@@ -211,6 +212,9 @@
 			req.Header.Set("Last-Event-Id", strconv.Itoa(after))
 		}
 	}
+	if w.chunked && len(body) > 0 {
+		return writeChunked(to, req, body)
+	}
 	var text bytes.Buffer
 	if err := req.Write(&text); err != nil {
 		return err
@@ -219,6 +223,32 @@
 	return err
 }
 
+// chunkPause is the pause between the parts in which a body is sent.
+const chunkPause = 5 * time.Millisecond
+
+// writeChunked writes the HTTP request with its body in chunks: the header, each half of the body and the
+// end are sent one after the other.
+func writeChunked(to io.Writer, req *http.Request, body []byte) error {
+	req.Body, req.ContentLength = io.NopCloser(strings.NewReader("")), 0
+	var head bytes.Buffer
+	req.TransferEncoding = []string{"chunked"}
+	if err := req.Write(&head); err != nil {
+		return err
+	}
+	end := []byte("0\r\n\r\n")
+	parts := [][]byte{bytes.TrimSuffix(head.Bytes(), end)}
+	for _, half := range [][]byte{body[:len(body)/2], body[len(body)/2:]} {
+		parts = append(parts, fmt.Appendf(nil, "%x\r\n%s\r\n", len(half), half))
+	}
+	for _, part := range append(parts, end) {
+		if _, err := to.Write(part); err != nil {
+			return err
+		}
+		time.Sleep(chunkPause)
+	}
+	return nil
+}
+
 // read reads a complete answer and compares it with the endpoint's expected answer.
 func (t *Try) read(resp *http.Response, conn *connection, end time.Time) error {
 	good := resp.StatusCode < http.StatusMultipleChoices
--- a/bench/internal/sitesoak/checks.go
+++ b/bench/internal/sitesoak/checks.go
@@ -188,8 +188,7 @@
 	if ran > try.request.route.attempts {
 		r.recordViolation("ATTEMPTS", fmt.Sprintf("request %s ran %d times, but its route allows %d attempts", try.ID, ran, try.request.route.attempts))
 	}
-	promised := try.Status == http.StatusServiceUnavailable || try.Status == http.StatusTooManyRequests || try.Status == http.StatusRequestTimeout
-	if promised && ran > 0 && !try.request.route.repeatable() {
+	if promisesNotRun(try.Status) && ran > 0 && !try.request.route.repeatable() {
 		r.recordViolation("REFUSED", fmt.Sprintf("request %s was refused with status %d but ran", try.ID, try.Status))
 	}
 	r.operator.mu.Lock()
@@ -205,6 +204,15 @@
 	}
 }
 
+// promisesNotRun reports whether a status tells the caller that the request did not run and will not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // checkLoss checks that a request which its entry read was answered completely, unless the
 // endpoint broke off or a fault affected the entry or the endpoint.
 func (r *run) checkLoss(try *Try, runs []platformtest.Run, entry *site.Member) {
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -99,6 +99,14 @@
 	shedUnnamed      kind = "shedUnnamed" // rejections name no request
 )
 
+// Misleading answers: endpoints run requests and answer as if they had not, or not at all. They excuse
+// no violation.
+const (
+	misleadingStatuses kind = "misleadingStatuses"
+	misleadingClaims   kind = "misleadingClaims"
+	lostAnswers        kind = "lostAnswers"
+)
+
 // isSilence reports whether open connections go silent in an event.
 func isSilence(k kind) bool { return k == doorMute || k == doorsMute }
 
@@ -226,6 +234,15 @@
 	{shedUnnamed, site.App, 2, 3 * time.Second, 8 * time.Second},
 }
 
+// misleading are the rules of Options.Misleading.
+var misleading = []eventRule{
+	{misleadingStatuses, site.App, 4, 3 * time.Second, 8 * time.Second},
+	{misleadingClaims, site.App, 1, 3 * time.Second, 8 * time.Second},
+	{lostAnswers, site.App, 1, 3 * time.Second, 8 * time.Second},
+	{extraRejections, site.App, 1, 3 * time.Second, 8 * time.Second},
+	{shedNamed, site.App, 2, 3 * time.Second, 8 * time.Second},
+}
+
 func isPlanned(k kind) bool {
 	return k == removeApp || slices.ContainsFunc(planned, func(rule eventRule) bool { return rule.kind == k })
 }
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -52,10 +52,10 @@
 	Load float64
 	// Gap is the mean time between two events.
 	Gap time.Duration
-	// Planned, Hiccups, Faults, Failures, Silences, Answers, AgentFreezes, HostFreezes and
+	// Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AgentFreezes, HostFreezes and
 	// LargeChanges enable the sets of events.
-	Planned, Hiccups, Faults, Failures, Silences, Answers, AgentFreezes, HostFreezes, LargeChanges bool
-	Progress                                                                                       *slog.Logger
+	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AgentFreezes, HostFreezes, LargeChanges bool
+	Progress                                                                                                   *slog.Logger
 }
 
 // Result is the summary of a run, printed as one line of JSON.
@@ -202,7 +202,7 @@
 		rules []eventRule
 	}{
 		{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures},
-		{r.options.Silences, silences}, {r.options.Answers, answerFaults},
+		{r.options.Silences, silences}, {r.options.Answers, answerFaults}, {r.options.Misleading, misleading},
 		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes}, {r.options.LargeChanges, largeChanges},
 	} {
 		if set.on {
@@ -279,6 +279,9 @@
 // regardless of the directory.
 const reuseOneIn = 4
 
+// chunkedOneIn is the number of requests of which one sends its body in chunks.
+const chunkedOneIn = 3
+
 // request draws a random request.
 func (r *run) request(random *rand.Rand, domain, number int) *request {
 	remaining := random.Float64()
@@ -289,7 +292,8 @@
 			break
 		}
 	}
-	outgoing := &request{route: chosen, leavesEarly: r.leaveEarly.Load() && random.IntN(3) == 0, reusesConnection: random.IntN(reuseOneIn) == 0, key: r.operator.activeKey(random), domain: domains[domain]}
+	outgoing := &request{route: chosen, leavesEarly: r.leaveEarly.Load() && random.IntN(3) == 0, reusesConnection: random.IntN(reuseOneIn) == 0, key: r.operator.activeKey(random), domain: domains[domain],
+		chunked: number%chunkedOneIn == 0}
 	outgoing.work.Subject = domains[domain] + "-" + strconv.Itoa(number)
 	if chosen.stream {
 		outgoing.tokens = int(min(3*chosen.prompt, 1+chosen.prompt*random.ExpFloat64()))
--- a/entry/internal/gateway/deployment_test.go
+++ b/entry/internal/gateway/deployment_test.go
@@ -214,6 +214,7 @@
 	{Name: "once-two", Host: "h", Prefix: "/two/", Kind: catalog.Once, MaxAttempts: 2},
 	{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.Idempotent, MaxAttempts: 2},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true, MaxAttempts: 2},
+	{Name: "single", Host: "h", Prefix: "/single/", Kind: catalog.Stream, MaxAttempts: 2},
 	{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, MaxAttempts: 1, Public: true},
 }
 
--- a/standin/internal/site/endpoint.go
+++ b/standin/internal/site/endpoint.go
@@ -29,6 +29,7 @@
 	p.faults = func(f platformtest.PartFaults) {
 		worker.SetFaults(f.Broken, f.Slow)
 		worker.SetShed(f.Shed, f.ShedUnnamed)
+		worker.SetMisleading(f.MisleadingShare, f.Misleading)
 		p.extra.Set(f.ExtraShare, f.Extra)
 		if f.Spoil {
 			worker.CorruptChunk()
