gateway: send a request that must run once again only if its rejection is proven

Cause: decodeAnswer took any 421, and any answer with the header that states 'not run', for the proof, whatever else the answer said. An endpoint that runs a request and then answers 421, or states 'not run' in a success or with the signature of a run, got its request sent to the next endpoint.

Now platform/ only decodes (status, statement, signature, the endpoint that is named), and call.Answer.ProvesNotRun decides: a rejection's status, no signature, and either the statement or, for a 421, the ID of another endpoint than the one asked. Whether an attempt counts, and whether the request may run again, follow from that proof and no longer from the name of its outcome. A 421 without proof still keeps requests from the address for a while (Moved).

--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -301,6 +301,7 @@
 	attemptsUsed     int                 // failed attempts that may have run; compared with the route's limit
 	mayHaveRun       bool                // an endpoint may have run the request
 	mayHaveRunBefore bool                // mayHaveRun before the latest attempt
+	provenNotRun     bool                // the latest attempt is proven not to have run
 	queuedFor        time.Duration
 	answerHeader     http.Header // header of the answer that the caller gets; nil until it begins
 	events           int
--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -28,6 +28,9 @@
 	// unnamedAnswers counts answers without an ID on connections that returned one before.
 	unnamedAnswers atomic.Int64
 	droppedAnswers atomic.Int64 // answers to other requests
+	// unprovenRejections counts answers that did not prove what their status or their header says: that
+	// the request did not run.
+	unprovenRejections atomic.Int64
 	// outdatedRoutes counts requests that were routed, and outdatedRefusals those that were refused,
 	// by a configuration that was not proven to be the newest within its bound.
 	outdatedRoutes, outdatedRefusals atomic.Int64
@@ -67,6 +70,7 @@
 		"notices":                   int64(g.cfg.State.Fleet().Notices()),
 		"unnamedAnswers":            g.counters.unnamedAnswers.Load(),
 		"droppedAnswers":            g.counters.droppedAnswers.Load(),
+		"unprovenRejections":        g.counters.unprovenRejections.Load(),
 		"connectionUses":            int64(conns.Uses),
 		"connectionDials":           int64(conns.Dials),
 		"connectionsUnexpectedData": int64(conns.Unexpected),
@@ -98,7 +102,7 @@
 func (x *exchange) attemptFields(grant *fleet.Grant, outcome fleet.Outcome) []any {
 	return []any{
 		// What decides about another send comes first, since collected lines may be cut short.
-		"request", x.req.ID, "send", x.sends, "outcome", outcome.String(), "answer", x.answerOrigin.status,
+		"request", x.req.ID, "send", x.sends, "outcome", outcome.String(), "answer", x.answerHead.Status,
 		"notRun", x.answerHead.StatesNotRun, "signed", x.answerHead.Signed, "named", x.answerOrigin.named,
 		"connAnswers", x.answerOrigin.earlier, "from", x.answerHead.Endpoint, "endpoint", grant.ID(), "address", grant.Address(),
 		"occupied", grant.Occupied(), "unread", grant.PendingPrefill(), "home", grant.Home(),
--- a/entry/internal/gateway/receive.go
+++ b/entry/internal/gateway/receive.go
@@ -20,7 +20,7 @@
 
 // answerOrigin describes what shows that an answer belongs to the attempt.
 type answerOrigin struct {
-	status  int  // of the answer; 0 if none arrived
+	arrived bool // an answer that belongs to the attempt arrived
 	named   bool // the answer has the request's ID
 	earlier int  // answers that the connection returned to earlier requests
 	dropped int  // answers to other requests that were dropped during the attempt
@@ -45,7 +45,7 @@
 		}
 		answer := x.gateway.cfg.Wire.Decode(resp)
 		if origin.proves(answer, x.req.ID) {
-			origin.status, origin.named = resp.StatusCode, answer.ID != ""
+			origin.arrived, origin.named = true, answer.ID != ""
 			if !origin.named {
 				grant.NoteUnnamedAnswer()
 			}
@@ -70,14 +70,14 @@
 func (x *exchange) awaitsNamed(grant *fleet.Grant, resp *http.Response, answer call.Answer) bool {
 	x.answerOrigin.unnamed++
 	x.gateway.counters.unnamedAnswers.Add(1)
-	if answer.Limited && !answer.Misdirected {
+	if answer.Limited && !answer.Misdirected() {
 		x.reportLimit(grant, answer, grant.TightenLimit(answer.Limit))
 	}
 	x.applyAvailability(grant, answer)
 	if upstream.EndsWithConnection(resp) {
 		return false
 	}
-	return !answer.NotRun || !x.route.Repeatable() || !x.attemptsLeft(x.attemptsUsed+1) || !x.reserveEndpoint()
+	return !answer.ProvesNotRun(grant.ID()) || !x.route.Repeatable() || !x.attemptsLeft(x.attemptsUsed+1) || !x.reserveEndpoint()
 }
 
 // noteDropped counts and logs an answer that is dropped.
--- a/entry/internal/gateway/refuse.go
+++ b/entry/internal/gateway/refuse.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"comfreyrelay.example/relay/call"
 )
 
 // refusal is a final answer that the entry gives by itself.
@@ -15,15 +17,6 @@
 	closeConn  bool          // close the connection, so that the caller uses another entry
 }
 
-// provesNotRun reports whether the status tells the caller that the request did not run.
-func (r refusal) provesNotRun() bool {
-	switch r.status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
-		return true
-	}
-	return false
-}
-
 // refuseUnserved refuses a request that no endpoint served. Only if it certainly did not run does
 // it get a status that says so.
 func (x *exchange) refuseUnserved(reason string, wait time.Duration) *refusal {
@@ -64,7 +57,7 @@
 	if ref.closeConn || x.gateway.closeConns.Load() {
 		header.Set("Connection", "close")
 	}
-	if ref.retryAfter > 0 && ref.provesNotRun() {
+	if ref.retryAfter > 0 && call.PromisesNotRun(ref.status) {
 		x.gateway.cfg.Wire.Refuse(header, ref.retryAfter)
 	}
 	http.Error(x.w, ref.reason, ref.status)
--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -52,18 +52,18 @@
 
 // relayAnswer relays an endpoint's answer to the caller, or returns why it is not relayed.
 func (x *exchange) relayAnswer(ctx context.Context, grant *fleet.Grant, conn *upstream.Conn, resp *http.Response, answer call.Answer) fleet.Outcome {
-	if answer.NotRun {
-		x.mayHaveRun = x.mayHaveRunBefore
-		outcome := fleet.Refused
-		if answer.Misdirected {
-			outcome = fleet.Moved
-		}
-		if upstream.EndsWithConnection(resp) || discardAnswer(resp) != nil {
-			conn.Close()
-			return outcome
-		}
-		x.gateway.cfg.Pool.Put(conn, resp, answer.Idle, grant.MaxIdleConns())
-		return outcome
+	if answer.ProvesNotRun(grant.ID()) {
+		x.provenNotRun, x.mayHaveRun = true, x.mayHaveRunBefore
+		x.dropAnswer(grant, conn, resp, answer)
+		return rejectionOutcome(answer, fleet.Refused)
+	}
+	if answer.StatesNotRun || call.PromisesNotRun(answer.Status) {
+		x.gateway.counters.unprovenRejections.Add(1)
+	}
+	if answer.Misdirected() {
+		// The caller would take the status for the promise that the request did not run.
+		x.dropAnswer(grant, conn, resp, answer)
+		return fleet.Moved
 	}
 	if resp.StatusCode < http.StatusMultipleChoices && !answer.Signed {
 		conn.Close()
@@ -76,6 +76,23 @@
 	return x.relayBuffered(ctx, grant, conn, resp, answer)
 }
 
+// rejectionOutcome returns fleet.Moved if another endpoint has the address, and otherwise if not.
+func rejectionOutcome(answer call.Answer, otherwise fleet.Outcome) fleet.Outcome {
+	if answer.Misdirected() {
+		return fleet.Moved
+	}
+	return otherwise
+}
+
+// dropAnswer drops an answer that is not relayed, and keeps its connection if it can be reused.
+func (x *exchange) dropAnswer(grant *fleet.Grant, conn *upstream.Conn, resp *http.Response, answer call.Answer) {
+	if upstream.EndsWithConnection(resp) || discardAnswer(resp) != nil {
+		conn.Close()
+		return
+	}
+	x.gateway.cfg.Pool.Put(conn, resp, answer.Idle, grant.MaxIdleConns())
+}
+
 // relayBuffered reads the whole answer before it sends any of it. A truncated answer thus never
 // reaches the caller, and the request may be retried. Answers that exceed the buffer are relayed by
 // relayUnbuffered.
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -52,15 +52,14 @@
 	if refused := x.checkQuarantine(); refused != nil {
 		return refused
 	}
-	switch outcome {
-	case fleet.Unreachable, fleet.Withheld:
+	if outcome == fleet.Unreachable || outcome == fleet.Withheld {
 		// Nothing was sent, so this does not count as an attempt.
 		if len(x.tried) >= maxUnreachable {
 			return x.refuseUnserved("no endpoint can be reached", shortRetryAfter)
 		}
 		return nil
-	case fleet.Refused, fleet.Moved:
-	default:
+	}
+	if !x.provenNotRun {
 		x.attemptsUsed++
 	}
 	if x.notResumable || x.mayHaveRun && !x.route.Repeatable() || outcome == fleet.Silent && x.responseWait.stopReason == reasonCallerTimeout {
@@ -178,7 +177,7 @@
 	x.adm.Sent = true
 	// From here on the endpoint may run the request. However this attempt ends, the caller must
 	// not receive "not run" unless the endpoint proves it.
-	x.mayHaveRun, x.mayHaveRunBefore = true, x.mayHaveRun
+	x.mayHaveRun, x.mayHaveRunBefore, x.provenNotRun = true, x.mayHaveRun, false
 	remaining := x.adm.Deadline.Sub(g.cfg.Clock.Now())
 	out := g.cfg.Wire.Encode(x.req, call.Sending{
 		Endpoint: grant.ID(), Customer: x.customerName(), Remaining: remaining,
@@ -215,7 +214,7 @@
 // applyRateLimit applies the rate limit stated in the answer and publishes changes to the other
 // entries. It ignores an answer from a different endpoint that now has the address.
 func (x *exchange) applyRateLimit(grant *fleet.Grant, answer call.Answer) {
-	if answer.Misdirected {
+	if answer.Misdirected() {
 		return
 	}
 	x.reportLimit(grant, answer, grant.ApplyLimit(answer.Limit, answer.Limited))
@@ -239,7 +238,7 @@
 // applyAvailability applies what the answer says about new requests: that the endpoint wants none
 // for a while, or that it is leaving.
 func (x *exchange) applyAvailability(grant *fleet.Grant, answer call.Answer) {
-	if answer.Misdirected {
+	if answer.Misdirected() {
 		return
 	}
 	if answer.BackOff > 0 {
--- a/entry/internal/gateway/stall.go
+++ b/entry/internal/gateway/stall.go
@@ -60,7 +60,7 @@
 		return "caller"
 	case grant.Restarted():
 		return "endpoint started again"
-	case x.answerOrigin.unnamed > 0 && x.answerOrigin.status == 0 && waited >= x.stallTimeout():
+	case x.answerOrigin.unnamed > 0 && !x.answerOrigin.arrived && waited >= x.stallTimeout():
 		return "no answer names the request"
 	case !x.route.Repeatable():
 		return ""
--- a/relay/call/call.go
+++ b/relay/call/call.go
@@ -55,15 +55,13 @@
 
 // Answer holds what the system reads from the headers of an endpoint's answer.
 type Answer struct {
+	Status   int
 	ID       string // of the request it belongs to; empty if not given
 	Endpoint string // ID of the endpoint that sent it; empty if not given
 	// StatesNotRun reports that it says that the endpoint did not run the request.
 	StatesNotRun bool
-	NotRun       bool // the endpoint proves that it did not run the request
-	// Misdirected reports that the address now belongs to another endpoint.
-	Misdirected bool
-	Signed      bool  // carries the endpoint's signature
-	Load        *Load // nil if not given
+	Signed       bool  // carries the signature of an endpoint that ran the request
+	Load         *Load // nil if not given
 	// Limit is the requests a second that the endpoint accepts from all entries
 	// together; valid if Limited.
 	Limit   float64
