gateway: relay no unproven promise that a request did not run

Callers were told 503, 429 or 408 for requests that must run once and had run (REFUSED): they send such a request again, and its effect happens twice.

Cause: an entry checked its own refusals for this and relayed the status of an endpoint's answer as it was, whole, as the head of a stream or while it arrives. Now no answer whose status promises 'not run' is relayed on a route whose requests must run once unless the answer proves it; the caller gets 502, what the endpoint said stays in the attempt's line and in the metric unprovenRejections. Repeatable routes go on as before.

--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -60,10 +60,10 @@
 	if answer.StatesNotRun || call.PromisesNotRun(answer.Status) {
 		x.gateway.counters.unprovenRejections.Add(1)
 	}
-	if answer.Misdirected() {
+	if answer.Misdirected() || call.PromisesNotRun(answer.Status) && !x.route.Repeatable() {
 		// The caller would take the status for the promise that the request did not run.
 		x.dropAnswer(grant, conn, resp, answer)
-		return fleet.Moved
+		return rejectionOutcome(answer, fleet.Failed)
 	}
 	if resp.StatusCode < http.StatusMultipleChoices && !answer.Signed {
 		conn.Close()
