gateway: keep using an endpoint whose 421 does not show that another one has its address

An endpoint that answers 421 without proof was left out for a while, as if another one had its address: callers were refused though it serves. Now such an answer is a failure of the endpoint like another; one that names another endpoint, or states that nothing ran, still leaves it out.

TestEndpointWithUnprovenMisdirectionStaysInUse failed before: the second request got no answer while the clock stood.

--- a/entry/internal/gateway/proof_test.go
+++ b/entry/internal/gateway/proof_test.go
@@ -175,3 +175,13 @@
 	}
 	return text
 }
+
+// Guards against leaving an endpoint out for a while because of a 421 that does not show that another
+// endpoint has its address.
+func TestEndpointWithUnprovenMisdirectionStaysInUse(t *testing.T) {
+	bare := func(id string) []byte { return []byte(head(421, id, "Content-Length: 0\r\n\r\n")) }
+	h := newDeployment(t, newEndpoint(t, "i-1", bare))
+	h.stopClock()
+	h.sendWithStoppedClock(t, "/once/a").check(t, http.StatusBadGateway, "", true)
+	h.sendWithStoppedClock(t, "/once/a").check(t, http.StatusOK, "ok", true)
+}
--- a/entry/internal/gateway/relay.go
+++ b/entry/internal/gateway/relay.go
@@ -55,7 +55,10 @@
 	if answer.ProvesNotRun(grant.ID()) {
 		x.provenNotRun, x.mayHaveRun = true, x.mayHaveRunBefore
 		x.dropAnswer(grant, conn, resp, answer)
-		return rejectionOutcome(answer, fleet.Refused)
+		if answer.Misdirected() {
+			return fleet.Moved
+		}
+		return fleet.Refused
 	}
 	if answer.StatesNotRun || call.PromisesNotRun(answer.Status) {
 		x.gateway.counters.unprovenRejections.Add(1)
@@ -63,7 +66,7 @@
 	if answer.Misdirected() || call.PromisesNotRun(answer.Status) && !x.route.Repeatable() {
 		// The caller would take the status for the promise that the request did not run.
 		x.dropAnswer(grant, conn, resp, answer)
-		return rejectionOutcome(answer, fleet.Failed)
+		return fleet.Failed
 	}
 	if resp.StatusCode < http.StatusMultipleChoices && !answer.Signed {
 		conn.Close()
@@ -76,14 +79,6 @@
 	return x.relayBuffered(ctx, grant, conn, resp, answer)
 }
 
-// rejectionOutcome returns fleet.Moved if another endpoint has the address, and otherwise if not.
-func rejectionOutcome(answer call.Answer, otherwise fleet.Outcome) fleet.Outcome {
-	if answer.Misdirected() {
-		return fleet.Moved
-	}
-	return otherwise
-}
-
 // dropAnswer drops an answer that is not relayed, and keeps its connection if it can be reused.
 func (x *exchange) dropAnswer(grant *fleet.Grant, conn *upstream.Conn, resp *http.Response, answer call.Answer) {
 	if upstream.EndsWithConnection(resp) || discardAnswer(resp) != nil {
