callers: do not answer 503 for a key that may have run

A request whose once key has no owner, sent again while the key-value service is down, was answered 503 with outcome unknown, though its first sending had run: HTTP libraries and callers that go by the status take 503 for leave to send again, and not all keep the key. It is 502 now, like every other unknown outcome; outcome, kind and retryAfterMillis are as before.

It was the one such answer of this interface.

--- a/entry/internal/callers/claims_test.go
+++ b/entry/internal/callers/claims_test.go
@@ -129,7 +129,7 @@
 		return 0, failure.New(failure.Unavailable, "the store is down", "wait")
 	}
 	got := entry.request(t, change)
-	expect(t, got, http.StatusServiceUnavailable, dispatch.Unknown)
+	expect(t, got, http.StatusBadGateway, dispatch.Unknown)
 	deployment.store.Swap = swap
 	expect(t, entry.request(t, change), http.StatusBadGateway, dispatch.Unknown)
 	if got := len(agent.recordedAttempts()); got != 1 {
--- a/entry/internal/callers/keystore.go
+++ b/entry/internal/callers/keystore.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"net/http"
 	"sync"
 	"time"
 
@@ -162,8 +161,6 @@
 
 // storeUnavailable reports that the platform's store gave no result.
 func storeUnavailable() *problem {
-	prob := unknownOutcome(failure.New(failure.Unavailable, "the store for keys without an owner cannot be asked whether this one ran before",
+	return unknownOutcome(failure.New(failure.Unavailable, "the store for keys without an owner cannot be asked whether this one ran before",
 		"send the same key again later; if it was never sent before, make one with the owner from GET /v1/entries").WithRetryAfter(storeRetryAfter))
-	prob.status = http.StatusServiceUnavailable
-	return prob
 }
