--- a/entry/internal/callers/harness_test.go
+++ b/entry/internal/callers/harness_test.go
@@ -23,7 +23,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"comfreyrelay.example/entry/internal/dispatch"
-	"comfreyrelay.example/relay/call"
+	relaycall "comfreyrelay.example/relay/call"
 	"comfreyrelay.example/relay/kv"
 	"comfreyrelay.example/relay/peer"
 	"comfreyrelay.example/relay/view"
@@ -328,7 +328,7 @@
 	if got.status != status || got.answer.Outcome != outcome {
 		t.Fatalf("got status %d outcome %q, want %d %q: %s", got.status, got.answer.Outcome, status, outcome, got.raw)
 	}
-	if got.answer.Outcome == dispatch.Unknown && call.PromisesNotRun(got.status) {
+	if got.answer.Outcome == dispatch.Unknown && relaycall.PromisesNotRun(got.status) {
 		t.Errorf("got status %d for a request that may have run, want one that does not promise the opposite", got.status)
 	}
 }
