ctl: take no status without the entry's reason for proof that nothing was changed

A reply without an error kind, such as that of a proxy which lost the entry's reply, with status 503 or 429 made comfreyctl report that nothing was changed, and with 408 or 421 that the request is invalid, though the change may be in force. Its resubmission, which conflicts with itself, was then not recognised as possibly its own. For changes all of them are ambiguous now, as 502 and 504 were; for reads nothing changes but that 408, 421 and 429 are tried elsewhere.

TestStatusWithoutReasonIsNoProofThatNothingChanged failed before for 408, 421, 429 and 503.

--- a/ctl/internal/client/client_test.go
+++ b/ctl/internal/client/client_test.go
@@ -53,11 +53,32 @@
 	}
 }
 
+// Guards against reporting that nothing was changed because of a status without the entry's reason, such as
+// that of a proxy which lost the entry's reply: the change may be in force.
+func TestStatusWithoutReasonIsNoProofThatNothingChanged(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 502, 503, 504} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		err := submitOnce(t, strings.TrimPrefix(server.URL, "http://"))
+		if got, want := failure.KindOf(err), failure.Ambiguous; got != want {
+			t.Errorf("status %d: got %v (%v), want %v", status, got, err, want)
+		}
+		server.Close()
+	}
+}
+
 // A change that no entry could receive is reported as not made, not as ambiguous.
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	address := strings.TrimPrefix(server.URL, "http://")
 	server.Close()
+	if got, want := failure.KindOf(submitOnce(t, address)), failure.Unavailable; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// submitOnce submits a document to one entry and returns the error after all rounds.
+func submitOnce(t *testing.T, address string) error {
+	t.Helper()
 	clock := clockwork.NewFakeClock()
 	apiClient, err := client.New(client.Options{Entries: []string{address}, Timeout: 10 * time.Second, Clock: clock})
 	if err != nil {
@@ -72,7 +93,5 @@
 		}
 	}()
 	_, err = apiClient.Submit(t.Context(), &client.Submission{SubmissionID: "one", Document: []byte("{}")})
-	if got, want := failure.KindOf(err), failure.Unavailable; got != want {
-		t.Errorf("got %v (%v), want %v", got, err, want)
-	}
+	return err
 }
--- a/ctl/internal/client/reply.go
+++ b/ctl/internal/client/reply.go
@@ -103,8 +103,11 @@
 }
 
 // kindOfStatus derives the failure kind from the HTTP status, for replies without
-// a kind, such as those of a proxy between the client and the entry.
+// a kind, such as those of a proxy between the client and the entry. Such a reply
+// proves of no change that it had no effect: it may be that of a proxy which lost
+// the entry's.
 func kindOfStatus(status int, method string) failure.Kind {
+	isChange := method != http.MethodGet
 	switch status {
 	case http.StatusUnauthorized, http.StatusForbidden:
 		return failure.Unauthorized
@@ -112,18 +115,19 @@
 		return failure.NotFound
 	case http.StatusConflict:
 		return failure.Conflict
-	case http.StatusTooManyRequests:
-		return failure.Exhausted
-	case http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if isChange {
+			return failure.Ambiguous
+		}
 		return failure.Unavailable
 	}
 	if status < http.StatusInternalServerError {
 		return failure.Invalid
 	}
-	if method == http.MethodGet {
-		return failure.Unavailable
+	if isChange {
+		return failure.Ambiguous
 	}
-	return failure.Ambiguous
+	return failure.Unavailable
 }
 
 // remedyOf returns the default remedy for a failure kind.
