--- a/agent/internal/gate/gate_test.go
+++ b/agent/internal/gate/gate_test.go
@@ -453,6 +453,29 @@
 	}
 }
 
+// Guards against taking a status for a refusal that the engine's interface does not guarantee to be one:
+// the request may have run, so no other attempt may begin.
+func TestEngineStatusesThatProveNothing(t *testing.T) {
+	for _, status := range []int{
+		http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusNotFound, http.StatusBadRequest,
+	} {
+		gf := newGateFixture(t, nil)
+		gf.engine.generate = func(w http.ResponseWriter, _ *http.Request, _ func(string, any)) { w.WriteHeader(status) }
+		got := gf.run(newAttempt("r1", nil))
+		if want := "broken:" + reasonEndpointFailed; got.frameKinds() != want {
+			t.Errorf("status %d: got frames %q, want %q", status, got.frameKinds(), want)
+		}
+		got = gf.run(newAttempt("r1", func(att *wire.Attempt) { att.Attempt = 2 }))
+		if got := gf.engine.runCount("r1"); got != 1 {
+			t.Errorf("status %d: the engine saw the request %d times, want 1", status, got)
+		}
+		if want := "refused:" + reasonBegunBefore; got.frameKinds() != want {
+			t.Errorf("status %d, second attempt: got frames %q, want %q", status, got.frameKinds(), want)
+		}
+		gf.checkNothingInUse()
+	}
+}
+
 func TestUnreachableEngineProvesNothingRan(t *testing.T) {
 	gf := newGateFixture(t, func(cfg *Config) {
 		server := httptest.NewServer(nil)
@@ -637,6 +660,9 @@
 		{"unknown", http.StatusServiceUnavailable, "broken:" + reasonEndpointFailed},
 		{testClass, http.StatusConflict, "broken:" + reasonEndpointFailed},
 		{testClass, http.StatusInternalServerError, "broken:" + reasonEndpointFailed},
+		{testClass, http.StatusTooManyRequests, "broken:" + reasonEndpointFailed},
+		{testClass, http.StatusRequestTimeout, "broken:" + reasonEndpointFailed},
+		{testClass, http.StatusMisdirectedRequest, "broken:" + reasonEndpointFailed},
 	} {
 		gf := newGateFixture(t, func(cfg *Config) { cfg.Service, cfg.EndpointClass = "labels", tc.class })
 		gf.engine.call = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(tc.status) }
--- a/bench/internal/sitesoak/checks_test.go
+++ b/bench/internal/sitesoak/checks_test.go
@@ -208,11 +208,11 @@
 // programs.
 const binEnv = "COMFREY_BIN"
 
-// TestShortSoak runs seven seeds: one with planned operations and hiccups, one with faults too, one
+// TestShortSoak runs eight seeds: one with planned operations and hiccups, one with faults too, one
 // with the failures that strain the retry budget, one with connections to the store that go
-// silent, one with answers of endpoints that belong to no request, one with agents that stand
-// still right after a staged chunk was corrupted, and one with changes of a large configuration
-// that all entries read over one link.
+// silent, one with answers of endpoints that belong to no request, one with answers that mislead
+// about what ran, one with agents that stand still right after a staged chunk was corrupted, and
+// one with changes of a large configuration that all entries read over one link.
 func TestShortSoak(t *testing.T) {
 	bin := os.Getenv(binEnv)
 	if bin == "" {
@@ -224,6 +224,7 @@
 		"failures":            {Seed: 1, Failures: true},
 		"silences":            {Seed: 69, Planned: true, Silences: true},
 		"answers":             {Seed: 4, Planned: true, Answers: true},
+		"misleading":          {Seed: 5, Planned: true, Misleading: true},
 		"agent freezes":       {Seed: 1, AgentFreezes: true},
 		"large changes":       {Seed: 1, LargeChanges: true, Entries: 15, Gap: 3 * time.Second},
 	} {
