gate: cancel a request at the engine whoever notices its end first

An engine of the product's own document kept working for a caller that had left, or past a drain's deadline, in about one of 100 such requests: the end of the context triggers releaseOnDone, and the goroutine that relays the answer, which saw that it was triggered, left the cancel to it and finished the attempt; releaseOnDone then found the attempt finished and returned. Now both cancel before the attempt finishes, and the cancel is sent once.

--- a/agent/internal/gate/attempt.go
+++ b/agent/internal/gate/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	// its deadline; it shrinks the concurrency limit.
 	endpointOverloaded atomic.Bool
 	finished           atomic.Bool // set by finish and abort
+	engineCancel       sync.Once   // cancels the request at the engine
 }
 
 // admit decides whether an attempt may run. The caller must call finish on an
--- a/agent/internal/gate/generate.go
+++ b/agent/internal/gate/generate.go
@@ -37,14 +37,12 @@
 	}
 	stopWatching := g.releaseOnDone(active, stream)
 	reason := g.relayStream(active, reply, stream)
-	notTriggered := stopWatching()
+	stopWatching()
 	stream.Close()
 	if reason == "" {
 		return nil
 	}
-	if notTriggered {
-		g.cancelAtEngine(active)
-	}
+	g.cancelAtEngine(active)
 	active.finish(true)
 	if reply.lastSent { // sending the end frame failed: the caller has disconnected
 		return nil
@@ -56,9 +54,9 @@
 // attempt's context is done. The goroutine that relays the answer may block in a
 // send to a caller that stopped reading; without releaseOnDone it would occupy the
 // engine's slot and block every drain until TCP times out. The returned function
-// disables this and reports whether it had not been triggered yet.
-func (g *Gate) releaseOnDone(active *activeAttempt, stream *engine.Stream) func() bool {
-	return context.AfterFunc(active.ctx, func() {
+// disables this unless it was triggered before.
+func (g *Gate) releaseOnDone(active *activeAttempt, stream *engine.Stream) (disable func()) {
+	stop := context.AfterFunc(active.ctx, func() {
 		if active.finished.Load() {
 			return
 		}
@@ -69,13 +67,17 @@
 		g.cancelAtEngine(active)
 		active.finish(true)
 	})
+	return func() { stop() }
 }
 
-// cancelAtEngine asks the engine to stop the request.
+// cancelAtEngine asks the engine to stop the request, once. Both releaseOnDone and the goroutine that
+// relays the answer call it before the attempt finishes, since either may be the first to notice its end.
 func (g *Gate) cancelAtEngine(active *activeAttempt) {
-	if err := g.cfg.Engine.Cancel(active.request.GetRequestId()); err != nil {
-		g.cfg.Log.Debug("cannot cancel the request at the engine", "request", active.request.GetRequestId(), "error", err)
-	}
+	active.engineCancel.Do(func() {
+		if err := g.cfg.Engine.Cancel(active.request.GetRequestId()); err != nil {
+			g.cfg.Log.Debug("cannot cancel the request at the engine", "request", active.request.GetRequestId(), "error", err)
+		}
+	})
 }
 
 // replyGenerateError sends the last frame after the engine returned an error
