onsite: limit the time of each call of the engine

The limit sits in the HTTP client that all calls of an engine use, 3 s for a call that carries a chunk at most; after it the next call uses another connection.

--- a/agent/internal/onsite/run.go
+++ b/agent/internal/onsite/run.go
@@ -167,9 +167,14 @@
 // maxHeadBytes limits the status line and the headers of a response.
 const maxHeadBytes = 64 << 10
 
-// newEngineHTTPClient returns an HTTP client for the engine on this host.
+// engineCallTimeout limits a call of the engine on this host. No call carries more than a chunk or waits
+// for work, but the engine or the host may be slow.
+const engineCallTimeout = 3 * time.Second
+
+// newEngineHTTPClient returns an HTTP client for the engine on this host. A connection to it may go silent
+// for good while new ones work, so that no call may wait for it without a limit.
 func newEngineHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Timeout: engineCallTimeout, Transport: &http.Transport{
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
