onsite, fleet: let the operator alone say which weights are wanted

One registration that claims a version nobody declared stopped every rollout: entries took the highest version that any engine claims for the wanted one, and ignored the operator's declaration below it. Agents keep the highest version that an entry ever wanted, so that this outlasted the registration. Now the declared version is the wanted one, whatever engines claim; where none is declared, it is the version that most engines have loaded.

TestVersionThatOneEngineClaimsIsNotWanted failed before in both parts; TestGuidanceHasDeclaredWeightsAndHosts, for an entry without a declaration, passes as it is.

--- a/entry/internal/onsite/guidance.go
+++ b/entry/internal/onsite/guidance.go
@@ -93,14 +93,14 @@
 	})
 }
 
-// wantedWeights returns the declared version of a model's weights, or the newest version loaded
-// on any engine if none is declared.
-func (f *feedManager) wantedWeights(svc *catalog.Service, model string, newestLoaded uint64, load time.Duration, cutover bool) *wire.WantedWeights {
+// wantedWeights returns the declared version of a model's weights, or the version that most engines have
+// loaded if none is declared.
+func (f *feedManager) wantedWeights(svc *catalog.Service, model string, loaded uint64, load time.Duration, cutover bool) *wire.WantedWeights {
 	weights := &wire.WantedWeights{
-		Model: model, Version: max(1, newestLoaded), LoadSeconds: load.Seconds(),
+		Model: model, Version: max(1, loaded), LoadSeconds: load.Seconds(),
 		Chunks: uint32(svc.Engine.Chunks), ChunkBytes: uint32(svc.Engine.ChunkBytes), Cutover: cutover,
 	}
-	if declared, ok := f.state.WantedOf(model); ok && declared.Version >= weights.Version {
+	if declared, ok := f.state.WantedOf(model); ok {
 		weights.Version, weights.Fence = declared.Version, declared.Revision
 	}
 	return weights
--- a/entry/internal/onsite/onsite_test.go
+++ b/entry/internal/onsite/onsite_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -190,6 +192,30 @@
 	}
 }
 
+// Guards against a registration that claims a version nobody declared: entries wanted it everywhere, and no
+// later declaration was followed.
+func TestVersionThatOneEngineClaimsIsNotWanted(t *testing.T) {
+	state := newState(nil)
+	records := []site.Record{{Kind: site.CatalogRecord, Catalog: catalog.New(catalog.Spec{Version: 1, Services: []catalog.Service{
+		{Name: "llm", Engine: &catalog.Engine{Chunks: 4, ChunkBytes: 10, Loads: map[string]time.Duration{"m": time.Second}}},
+	}})}}
+	for i, loaded := range []uint64{1, math.MaxUint64, 1} {
+		id := fmt.Sprint("i-", i)
+		records = append(records, site.Record{Kind: site.EndpointRecord, ID: id, Endpoint: fleet.Registration{
+			ID: id, Service: "llm", Address: fmt.Sprintf("10.0.0.%d:80", i+1), FailureDomain: "d1", Slots: 4, Loaded: map[string]uint64{"m": loaded},
+		}})
+	}
+	state.Apply(records, 5)
+	manager := &feedManager{state: state, agentPort: 7700, clock: clockwork.NewFakeClock(), regions: map[string]string{"d1": "north"}}
+	if got, want := manager.currentGuidance().GetWanted()[0].GetVersion(), uint64(1); got != want {
+		t.Errorf("got version %d wanted before any declaration, want %d", got, want)
+	}
+	state.Apply([]site.Record{{Kind: site.WeightsRecord, ID: "m", Weights: 2}}, 6)
+	if got := manager.currentGuidance().GetWanted()[0]; got.GetVersion() != 2 || got.GetFence() != 6 {
+		t.Errorf("got %v wanted, want the declared version 2 with fence 6", got)
+	}
+}
+
 // testFeed is the feed of one engine, with the assignment from its manager's plans.
 type testFeed struct {
 	manager *feedManager
--- a/relay/fleet/fleet.go
+++ b/relay/fleet/fleet.go
@@ -194,13 +194,23 @@
 	return list
 }
 
-// Models returns the highest version of each model that an endpoint has loaded.
+// Models returns the version of each model that most endpoints report as loaded, the newest of several.
+// What a single endpoint reports may be wrong.
 func (f *Fleet) Models() map[string]uint64 {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	found := map[string]uint64{}
+	counts := map[string]map[uint64]int{}
 	for _, grp := range f.groups {
-		grp.addModels(found)
+		grp.countModels(counts)
+	}
+	found := map[string]uint64{}
+	for model, versions := range counts {
+		for version, count := range versions {
+			most := versions[found[model]]
+			if version > 0 && (found[model] == 0 || count > most || count == most && version > found[model]) {
+				found[model] = version
+			}
+		}
 	}
 	return found
 }
--- a/relay/fleet/group.go
+++ b/relay/fleet/group.go
@@ -209,16 +209,21 @@
 	return list
 }
 
-// addModels raises each version in found to the highest that an endpoint has loaded.
-func (g *Group) addModels(found map[string]uint64) {
+// countModels adds up how many endpoints report each version of each model. An endpoint counts once for
+// what its registration says and what its agent reports, which may be newer.
+func (g *Group) countModels(counts map[string]map[uint64]int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, ep := range g.endpoints {
-		for model, version := range ep.reg.Loaded {
-			found[model] = max(found[model], version)
+		loaded := ep.reg.Loaded
+		if len(ep.state.Loaded) > 0 {
+			loaded = ep.state.Loaded
 		}
-		for model, version := range ep.state.Loaded {
-			found[model] = max(found[model], version)
+		for model, version := range loaded {
+			if counts[model] == nil {
+				counts[model] = map[uint64]int{}
+			}
+			counts[model][version]++
 		}
 	}
 }
