--- a/bench/internal/cmd/cmd_soak_platform.go
+++ b/bench/internal/cmd/cmd_soak_platform.go
@@ -19,7 +19,7 @@
 	Engines int     `long:"engines" default:"14" description:"number of engines, each with its agent"`
 	Load    float64 `long:"load" default:"0.8" description:"request load as a fraction of the engines' capacity"`
 	Gap     float64 `long:"gap" default:"0.8" description:"mean time between two events, in seconds"`
-	Events  string  `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" choice:"silences" choice:"answers" choice:"misleading" choice:"freezes" choice:"hostFreezes" choice:"largeChanges" description:"which events to inject: all, none, planned operations, planned operations and hiccups, failures that strain the retry budget, connections to the store that go silent beside planned operations, answers of endpoints that belong to no request beside planned operations, answers of plain endpoints that mislead about what ran beside planned operations, agents that stand still right after a staged chunk was corrupted, beside new versions, or their hosts, changes of a large configuration that all entries read over one link"`
+	Events  string  `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" choice:"silences" choice:"answers" choice:"misleading" choice:"apps" choice:"freezes" choice:"hostFreezes" choice:"largeChanges" description:"which events to inject: all, none, planned operations, planned operations and hiccups, failures that strain the retry budget, connections to the store that go silent beside planned operations, answers of endpoints that belong to no request beside planned operations, answers of plain endpoints that mislead about what ran beside planned operations, these and faults of plain endpoints and their links beside answers that belong to no request, agents that stand still right after a staged chunk was corrupted, beside new versions, or their hosts, changes of a large configuration that all entries read over one link"`
 }
 
 const soakPlatformHelp = `Injects planned operations, hiccups and faults into a deployment behind a platform: plain
@@ -55,9 +55,10 @@
 		Length: time.Duration(options.Seconds * float64(time.Second)), Gap: time.Duration(options.Gap * float64(time.Second)),
 		Entries: options.Entries, Engines: options.Engines, Load: options.Load,
 		Planned: options.Events == "all" || options.Events == "planned" || options.Events == "hiccups" || options.Events == "silences" || options.Events == "answers" ||
-			options.Events == "misleading",
+			options.Events == "misleading" || options.Events == "apps",
 		Hiccups: options.Events == "all" || options.Events == "hiccups", Faults: options.Events == "all", Failures: options.Events == "failures",
-		Silences: options.Events == "silences", Answers: options.Events == "answers", Misleading: options.Events == "misleading",
+		Silences: options.Events == "silences", Answers: options.Events == "answers" || options.Events == "apps",
+		Misleading: options.Events == "misleading" || options.Events == "apps", AppFaults: options.Events == "apps",
 		AgentFreezes: options.Events == "freezes", HostFreezes: options.Events == "hostFreezes", LargeChanges: options.Events == "largeChanges",
 	})
 	if err != nil {
--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -131,7 +131,7 @@
 		return toggleFor(ctx, event.length, func(on bool) error { r.rate.Store(1 + valueIf(on, burstFactor)); return nil })
 	case impatience:
 		return toggleFor(ctx, event.length, func(on bool) error { r.leaveEarly.Store(on); return nil })
-	case hiccupEntry, hiccupAgent, hiccupEngine, pauseEntry, pauseAgent, pauseEngine:
+	case hiccupEntry, hiccupAgent, hiccupEngine, pauseEntry, pauseAgent, pauseEngine, pauseApp:
 		return pauseMembers(ctx, event.length, m)
 	case hiccupEntries:
 		return pauseMembers(ctx, event.length, r.site.Members(site.Entry)...)
@@ -143,7 +143,7 @@
 		return r.freezeAfterSpoil(ctx, event.length, m, r.site.Members(site.Agent)[event.target])
 	case freezeHost:
 		return r.freezeAfterSpoil(ctx, event.length, m, r.site.Members(site.Agent)[event.target], m)
-	case killEntry, killAgent, killEngine:
+	case killEntry, killAgent, killEngine, killApp:
 		return r.killAndRestart(ctx, event.length, m)
 	case killEntries:
 		return r.killAndRestart(ctx, event.length, r.site.Members(site.Entry)...)
@@ -233,8 +233,8 @@
 	return pauseMembers(ctx, length, frozen...)
 }
 
-// killAndRestart kills processes at the same time and restarts them after length. An engine
-// is replaced by a new one without weights. A process that had already ended is left to the
+// killAndRestart kills processes at the same time and restarts them after length. An endpoint
+// is replaced by a new one, an engine by one without weights. A process that had already ended is left to the
 // event that ended it.
 func (r *run) killAndRestart(ctx context.Context, length time.Duration, members ...*site.Member) error {
 	started := time.Now()
@@ -257,7 +257,7 @@
 	}
 	for _, m := range killed {
 		restart := r.site.Begin
-		if m.Kind == site.Engine {
+		if m.Kind == site.Engine || m.Kind == site.App {
 			restart = r.site.Replace
 		}
 		if err := restart(ctx, m); err != nil && !r.killedSince(m, started) {
--- a/bench/internal/sitesoak/checks_test.go
+++ b/bench/internal/sitesoak/checks_test.go
@@ -187,7 +187,7 @@
 func TestPlanRepeats(t *testing.T) {
 	counts := map[string]int{site.Entry: 9, site.Agent: 14, site.Engine: 14, site.App: 3, site.Store: 1, site.Origin: 1}
 	from := slices.Concat(planned, hiccups, faults, silences, agentFreezes, hostFreezes)
-	first, second := drawEvents(3, time.Hour, time.Second, from, counts), drawEvents(3, time.Hour, time.Second, from, counts)
+	first, second := drawEvents(3, time.Hour, time.Second, from, counts, maxBusyFraction), drawEvents(3, time.Hour, time.Second, from, counts, maxBusyFraction)
 	if !slices.Equal(first, second) {
 		t.Error("got two different plans for one seed, want the same")
 	}
@@ -208,11 +208,12 @@
 // programs.
 const binEnv = "COMFREY_BIN"
 
-// TestShortSoak runs eight seeds: one with planned operations and hiccups, one with faults too, one
+// TestShortSoak runs nine seeds: one with planned operations and hiccups, one with faults too, one
 // with the failures that strain the retry budget, one with connections to the store that go
 // silent, one with answers of endpoints that belong to no request, one with answers that mislead
-// about what ran, one with agents that stand still right after a staged chunk was corrupted, and
-// one with changes of a large configuration that all entries read over one link.
+// about what ran, one with these, kills, pauses and links of plain endpoints, one with agents that
+// stand still right after a staged chunk was corrupted, and one with changes of a large
+// configuration that all entries read over one link.
 func TestShortSoak(t *testing.T) {
 	bin := os.Getenv(binEnv)
 	if bin == "" {
@@ -225,6 +226,7 @@
 		"silences":            {Seed: 69, Planned: true, Silences: true},
 		"answers":             {Seed: 4, Planned: true, Answers: true},
 		"misleading":          {Seed: 5, Planned: true, Misleading: true},
+		"apps":                {Seed: 3, Planned: true, Answers: true, Misleading: true, AppFaults: true, Gap: 350 * time.Millisecond},
 		"agent freezes":       {Seed: 1, AgentFreezes: true},
 		"large changes":       {Seed: 1, LargeChanges: true, Entries: 15, Gap: 3 * time.Second},
 	} {
--- a/bench/internal/sitesoak/operator.go
+++ b/bench/internal/sitesoak/operator.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// favorPlain makes most of the requests those of plain endpoints.
+func favorPlain(routes []*route) {
+	const streamsDivisor, plainFactor = 3, 6.4 // the shares still add up to about 1
+	for _, one := range routes {
+		if one.stream {
+			one.share /= streamsDivisor
+		} else {
+			one.share *= plainFactor
+		}
+	}
+}
+
 // operator writes configurations and declares versions. It is safe for concurrent use.
 type operator struct {
 	site     *site.Site
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -76,6 +76,8 @@
 	wayReset     kind = "wayReset"
 	waySlow      kind = "waySlow"
 	wayNarrow    kind = "wayNarrow"
+	killApp      kind = "killApp"
+	pauseApp     kind = "pauseApp"
 	killEntries  kind = "killEntries"
 	killAll      kind = "killAll" // entries, agents and engines
 )
@@ -113,12 +115,12 @@
 // lossCauses are the faults of an entry or an endpoint, or of the link between them, that
 // may lose a request. An unavailable store, a killed agent and a hiccup must not lose one.
 var lossCauses = map[kind]bool{
-	killEntry: true, killEngine: true, pauseEntry: true, pauseEngine: true, freezeHost: true, linkSilent: true, linkOneWay: true,
+	killEntry: true, killEngine: true, killApp: true, pauseEntry: true, pauseEngine: true, pauseApp: true, freezeHost: true, linkSilent: true, linkOneWay: true,
 	linkNarrow: true, linkReset: true, killEntries: true, killAll: true,
 }
 
 // killKinds are the kinds of event that kill processes.
-var killKinds = map[kind]bool{killEntry: true, killAgent: true, killEngine: true, killEntries: true, killAll: true}
+var killKinds = map[kind]bool{killEntry: true, killAgent: true, killEngine: true, killApp: true, killEntries: true, killAll: true}
 
 // eventRule defines how often one kind of event is drawn, its target and its length.
 type eventRule struct {
@@ -243,6 +245,18 @@
 	{shedNamed, site.App, 2, 3 * time.Second, 8 * time.Second},
 }
 
+// appFaults are the rules of Options.AppFaults.
+var appFaults = []eventRule{
+	{killApp, site.App, 3, 300 * time.Millisecond, 2 * time.Second},
+	{pauseApp, site.App, 3, 300 * time.Millisecond, 4 * time.Second},
+	{linkSilent, site.App, 3, 300 * time.Millisecond, 4 * time.Second},
+	{linkOneWay, site.App, 3, 300 * time.Millisecond, 4 * time.Second},
+	{linkReset, site.App, 4, 0, 0},
+	{linkSlow, site.App, 1, time.Second, 4 * time.Second},
+	{killEntry, site.Entry, 1, 500 * time.Millisecond, 2 * time.Second},
+	{pauseEntry, site.Entry, 1, 500 * time.Millisecond, 3 * time.Second},
+}
+
 func isPlanned(k kind) bool {
 	return k == removeApp || slices.ContainsFunc(planned, func(rule eventRule) bool { return rule.kind == k })
 }
@@ -261,14 +275,17 @@
 }
 
 // No further event is drawn for a kind while more than maxBusyFraction of its members are
-// busy. recovery is the time a member has to recover before its next event.
+// busy. recovery is the time a member has to recover before its next event. With Options.AppFaults
+// more may be busy, so that a request finds several plain endpoints in trouble one after the other.
 const (
-	maxBusyFraction = 0.3
-	recovery        = 2 * time.Second
+	maxBusyFraction     = 0.3
+	maxBusyAppsFraction = 0.7
+	recovery            = 2 * time.Second
 )
 
-// drawEvents returns the events of a run. The same arguments give the same events.
-func drawEvents(seed uint64, length time.Duration, meanInterval time.Duration, rules []eventRule, counts map[string]int) []event {
+// drawEvents returns the events of a run. The same arguments give the same events. maxBusy is the
+// fraction of the members of a kind that may be busy when another event is drawn for it.
+func drawEvents(seed uint64, length, meanInterval time.Duration, rules []eventRule, counts map[string]int, maxBusy float64) []event {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	busy := map[string]time.Duration{}
 	nextInterval := func() time.Duration { return time.Duration(rng.ExpFloat64() * float64(meanInterval)) }
@@ -287,7 +304,7 @@
 			// Only one event of each kind without a single target is active at a time.
 			key = string(rule.kind)
 		}
-		if busy[key] > at || rule.target != "" && busyCount(busy, rule.target, counts[rule.target], at) > maxBusyFraction*float64(counts[rule.target]) {
+		if busy[key] > at || rule.target != "" && busyCount(busy, rule.target, counts[rule.target], at) > maxBusy*float64(counts[rule.target]) {
 			continue
 		}
 		if rule.target != "" || drawn.length > 0 {
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -52,10 +52,10 @@
 	Load float64
 	// Gap is the mean time between two events.
 	Gap time.Duration
-	// Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AgentFreezes, HostFreezes and
-	// LargeChanges enable the sets of events.
-	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AgentFreezes, HostFreezes, LargeChanges bool
-	Progress                                                                                                   *slog.Logger
+	// Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes
+	// and LargeChanges enable the sets of events.
+	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes, LargeChanges bool
+	Progress                                                                                                              *slog.Logger
 }
 
 // Result is the summary of a run, printed as one line of JSON.
@@ -172,6 +172,9 @@
 	}
 	r.operator = newOperator(r.site, limits, r.options.Seed)
 	r.operator.extraRoutes = valueIf(r.options.LargeChanges, largeRoutes)
+	if r.options.AppFaults {
+		favorPlain(r.operator.routes)
+	}
 	r.operator.mu.Lock()
 	err = r.operator.write(ctx)
 	r.operator.mu.Unlock()
@@ -202,7 +205,7 @@
 		rules []eventRule
 	}{
 		{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures},
-		{r.options.Silences, silences}, {r.options.Answers, answerFaults}, {r.options.Misleading, misleading},
+		{r.options.Silences, silences}, {r.options.Answers, answerFaults}, {r.options.Misleading, misleading}, {r.options.AppFaults, appFaults},
 		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes}, {r.options.LargeChanges, largeChanges},
 	} {
 		if set.on {
@@ -216,7 +219,11 @@
 	for _, kind := range []string{site.Entry, site.Agent, site.Engine, site.App, site.Store, site.Origin} {
 		counts[kind] = len(r.site.Members(kind))
 	}
-	return drawEvents(r.options.Seed, r.options.Length, r.options.Gap, enabled, counts)
+	maxBusy := maxBusyFraction
+	if r.options.AppFaults {
+		maxBusy = maxBusyAppsFraction
+	}
+	return drawEvents(r.options.Seed, r.options.Length, r.options.Gap, enabled, counts, maxBusy)
 }
 
 // runEvents runs the load and the events to their end.
