gateway: leave a connection alone once it may serve another request

Now the delay is passed to the function that decides about waiting, and an attempt does not touch its connection after it was returned. TestReturnedConnectionIsNotUsed failed before with the race detector.

--- a/entry/internal/gateway/cancel_test.go
+++ b/entry/internal/gateway/cancel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 )
@@ -41,3 +42,44 @@
 		t.Errorf("got %d connections, want %d", got, want)
 	}
 }
+
+// blockedWriter receives an answer whose body is not accepted before proceed is closed.
+type blockedWriter struct {
+	*httptest.ResponseRecorder
+	began, proceed chan struct{}
+}
+
+func (w *blockedWriter) Write(body []byte) (int, error) {
+	close(w.began)
+	<-w.proceed
+	return w.ResponseRecorder.Write(body)
+}
+
+// Guards against a request that still uses its connection to an endpoint while the connection already
+// serves another one. Only the race detector notices.
+func TestReturnedConnectionIsNotUsed(t *testing.T) {
+	first := &blockedWriter{httptest.NewRecorder(), make(chan struct{}), make(chan struct{})}
+	h := newDeployment(t, newEndpoint(t, "i-1", complete("first"), func(id string) []byte {
+		close(first.proceed)
+		return complete("second")(id)
+	}))
+	request := func(id string) *http.Request {
+		req := httptest.NewRequest(http.MethodPost, "/once/a", nil)
+		req.Host = "h"
+		req.Header.Set("X-Attempt-Id", id)
+		req.Header.Set("Authorization", "Bearer key-1")
+		return req
+	}
+	var served sync.WaitGroup
+	served.Go(func() { h.gateway.ServeHTTP(first, request("id-1")) })
+	<-first.began
+	second := httptest.NewRecorder()
+	h.gateway.ServeHTTP(second, request("id-2"))
+	served.Wait()
+	if first.Body.String() != "first" || second.Body.String() != "second" {
+		t.Errorf("got %q and %q, want the answers to both requests", first.Body, second.Body)
+	}
+	if got := h.gateway.Counters()["connectionDials"]; got != 1 {
+		t.Errorf("got %d connections, want one that serves both requests", got)
+	}
+}
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -188,7 +188,6 @@
 		return x.abandonedOr(ctx, fleet.Broken)
 	}
 	conn.SetReadWait(x.waitPolicy(ctx, grant))
-	defer func() { x.responseWait.wakeupDelay = conn.WakeDelay() }()
 	resp, answer, err := x.receive(grant, conn, out)
 	if err != nil {
 		closeAfterError(conn, err)
--- a/entry/internal/gateway/stall.go
+++ b/entry/internal/gateway/stall.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"comfreyrelay.example/entry/internal/upstream"
 	"comfreyrelay.example/relay/catalog"
 	"comfreyrelay.example/relay/fleet"
 )
@@ -36,16 +37,16 @@
 type responseWait struct {
 	stopReason  string        // why it stopped waiting; empty while it waits
 	idle        time.Duration // since the last data
-	wakeupDelay time.Duration // how late this process itself was woken
+	wakeupDelay time.Duration // largest delay with which this process itself was woken
 	keptLogged  bool          // it was logged that the attempt stays for lack of room elsewhere
 }
 
 // waitPolicy returns the function that decides whether the attempt keeps waiting for data. A
 // request that must not be repeated waits until its deadline, or until its endpoint has restarted
 // and cannot answer any more.
-func (x *exchange) waitPolicy(ctx context.Context, grant *fleet.Grant) func(time.Duration) bool {
-	return func(waited time.Duration) bool {
-		x.responseWait.idle = waited
+func (x *exchange) waitPolicy(ctx context.Context, grant *fleet.Grant) upstream.ReadWait {
+	return func(waited, late time.Duration) bool {
+		x.responseWait.idle, x.responseWait.wakeupDelay = waited, max(x.responseWait.wakeupDelay, late)
 		x.responseWait.stopReason = x.stopReason(ctx, grant, waited)
 		return x.responseWait.stopReason == ""
 	}
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -62,10 +62,13 @@
 	mu        sync.Mutex // guards uses, and cancelling against the end of a use
 	uses      int        // ended uses
 	// keepWaiting is called every pollInterval while a read waits; false ends the read.
-	keepWaiting func(waited time.Duration) bool
-	wakeDelay   time.Duration // largest delay of a read's wake-up after its poll deadline
+	keepWaiting ReadWait
 }
 
+// ReadWait decides whether a read that has waited for a time keeps waiting. late is how long after its
+// poll deadline the read was woken: a large value means that this process itself was stalled.
+type ReadWait func(waited, late time.Duration) bool
+
 func newConn(netConn net.Conn, target Target) *Conn {
 	c := &Conn{netConn: netConn, target: target}
 	c.reader = bufio.NewReaderSize(pollingReader{c}, readBufferSize)
@@ -75,7 +78,7 @@
 
 // SetReadWait sets the function that decides whether a read keeps waiting. With
 // nil, reads wait without a limit.
-func (c *Conn) SetReadWait(f func(waited time.Duration) bool) { c.keepWaiting, c.wakeDelay = f, 0 }
+func (c *Conn) SetReadWait(f ReadWait) { c.keepWaiting = f }
 
 // Send writes a request. The write fails at the deadline.
 func (c *Conn) Send(req *http.Request, deadline time.Time) error {
@@ -163,10 +166,6 @@
 	_ = c.netConn.SetDeadline(time.Unix(1, 0))
 }
 
-// WakeDelay returns the largest delay with which a waiting read was woken after its poll
-// deadline. A large value means that this process itself was stalled for that long.
-func (c *Conn) WakeDelay() time.Duration { return c.wakeDelay }
-
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.netConn.Close() }
 
@@ -209,9 +208,8 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		c.wakeDelay = max(c.wakeDelay, time.Since(deadline))
 		waited += pollInterval
-		if c.cancelled.Load() || c.keepWaiting == nil || !c.keepWaiting(waited) {
+		if c.cancelled.Load() || c.keepWaiting == nil || !c.keepWaiting(waited, time.Since(deadline)) {
 			return 0, errReadAbandoned
 		}
 	}
