gateway, onsite: answer every request before a planned stop ends the process

An entry refused new requests 2.5 s after the signal, but judged that before it had read the body, so that one whose body came later was sent on; a request that waited for a slot was sent when one became free, however late; and whatever was in progress at the end was cut off.

Now the gateway knows when the process ends: endpoints get no more time than that, what is still in progress shortly before gets 504, or 503 or 408 if nothing was sent; a drain refuses what has not been sent yet, whether its body still arrives or it waits.

--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -157,7 +157,7 @@
 	g := x.gateway
 	group := g.cfg.State.Fleet().Group(x.service)
 	queue := g.waitQueue(x.service)
-	holdUntil := x.adm.WaitUntil(g.cfg.Clock.Now())
+	holdUntil := g.stop.limit(x.adm.WaitUntil(g.cfg.Clock.Now()))
 	waiting := false
 	defer func() {
 		if waiting {
@@ -167,6 +167,9 @@
 	}()
 	verdict := fleet.Full
 	for {
+		if g.stop.draining() && !x.adm.Sent {
+			return nil, refuseDraining()
+		}
 		changed := group.Changed()
 		need := x.need()
 		if queue.isNext(&x.adm) {
@@ -182,8 +185,7 @@
 		if refused := x.refuseBlocked(group, need, queue, holdUntil); refused != nil {
 			return nil, refused
 		}
-		draining := g.draining.Load() && !x.adm.Sent
-		if !g.cfg.Clock.Now().Before(holdUntil) || ctx.Err() != nil || draining {
+		if !g.cfg.Clock.Now().Before(holdUntil) || ctx.Err() != nil {
 			return nil, x.refuseNoRoom(ctx, verdict, queue.length())
 		}
 		x.waitForRoom(ctx, queue, changed, holdUntil)
@@ -220,8 +222,13 @@
 	}
 	timer := clock.NewTimer(until.Sub(clock.Now()))
 	defer timer.Stop()
+	var drained <-chan struct{}
+	if !x.adm.Sent {
+		drained = x.gateway.stop.drained.Done()
+	}
 	select {
 	case <-ctx.Done():
+	case <-drained:
 	case <-wakeup:
 	case <-changed:
 	case <-timer.Chan():
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -81,7 +81,7 @@
 	cfg        Config
 	startedAt  time.Duration // reading of cfg.BootClock
 	closeConns atomic.Bool   // answers close their connection
-	draining   atomic.Bool   // new requests are refused
+	stop       *shutdown
 	inFlight   atomic.Int64
 	bodyBytes  atomic.Int64 // request bodies in memory
 	counters   counters
@@ -101,8 +101,8 @@
 		cfg.Publish = func(site.Report) {}
 	}
 	g := &Gateway{
-		inProgress: map[*exchange]context.CancelCauseFunc{},
-		cfg:        cfg, startedAt: cfg.BootClock(), retryBudgets: map[string]*retry.Window{}, waitQueues: map[string]*waitQueue{},
+		inProgress: map[*exchange]context.CancelCauseFunc{}, stop: newShutdown(cfg.Clock),
+		cfg: cfg, startedAt: cfg.BootClock(), retryBudgets: map[string]*retry.Window{}, waitQueues: map[string]*waitQueue{},
 		crashChecks: crashChecker{
 			pool: cfg.Pool, clock: cfg.Clock, log: cfg.Log, ledger: cfg.State.Ledger(), publish: cfg.Publish,
 			running: map[fleet.Incarnation]*crashCheck{},
@@ -124,9 +124,6 @@
 // be in transit, would be lost.
 func (g *Gateway) DisableKeepAlives() { g.closeConns.Store(true) }
 
-// Drain makes the gateway refuse new requests.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -155,6 +152,7 @@
 	defer cancel(nil)
 	deadlineTimer := g.cfg.Clock.AfterFunc(x.adm.Deadline.Sub(g.cfg.Clock.Now()), func() { cancel(context.DeadlineExceeded) })
 	defer deadlineTimer.Stop()
+	defer context.AfterFunc(g.stop.ended, func() { cancel(errShutdown) })()
 	g.track(x, cancel)
 	defer g.untrack(x)
 	x.run(ctx)
@@ -169,8 +167,8 @@
 		return &refusal{status: http.StatusBadRequest, reason: "malformed: " + err.Error()}
 	}
 	x.req = req
-	if g.draining.Load() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "draining", retryAfter: time.Millisecond, closeConn: true}
+	if g.stop.draining() {
+		return refuseDraining()
 	}
 	// The age must be read before the configuration. In the opposite order, an update that arrives
 	// in between would make the older configuration, which routes this request, look up to date.
@@ -186,6 +184,11 @@
 	if refused := g.readBody(x, r); refused != nil {
 		return refused
 	}
+	if g.stop.draining() {
+		// The drain began while the body arrived.
+		g.bodyBytes.Add(-x.bodyBytes)
+		return refuseDraining()
+	}
 	x.fingerprint = quarantine.NewFingerprint(x.customerName(), req.Method, req.Host, req.Target, req.Body)
 	for _, id := range req.SharedParts {
 		x.parts = append(x.parts, quarantine.NewPartFingerprint(id))
@@ -261,7 +264,9 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "too many request bodies in memory", retryAfter: shortRetryAfter, closeConn: true}
 	}
 	x.bodyBytes = reserved
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.adm.Deadline.Sub(g.cfg.Clock.Now())))
+	conn := http.NewResponseController(x.w)
+	_ = conn.SetReadDeadline(time.Now().Add(x.adm.Deadline.Sub(g.cfg.Clock.Now())))
+	defer context.AfterFunc(g.stop.ended, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
 	if err != nil {
 		g.bodyBytes.Add(-reserved)
@@ -271,7 +276,7 @@
 		}
 		return &refusal{status: http.StatusRequestTimeout, reason: "the body was not received completely", closeConn: true}
 	}
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	_ = conn.SetReadDeadline(time.Time{})
 	x.req.Body = body
 	return nil
 }
--- a/entry/internal/gateway/refuse.go
+++ b/entry/internal/gateway/refuse.go
@@ -34,12 +34,19 @@
 			return refused
 		}
 	}
+	shutdown := errors.Is(context.Cause(ctx), errShutdown)
+	if shutdown && !x.mayHaveRun {
+		return refuseDraining()
+	}
 	reason := "the time is over"
-	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch {
+	case shutdown:
+		reason = errShutdown.Error()
+	case !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		reason = "the caller disconnected"
 	}
 	if x.mayHaveRun {
-		return &refusal{status: http.StatusGatewayTimeout, reason: reason}
+		return &refusal{status: http.StatusGatewayTimeout, reason: reason, closeConn: shutdown}
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: shortRetryAfter}
 }
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -150,7 +150,7 @@
 	x.tried, x.responseWait, x.answerHead = append(x.tried, grant.Incarnation()), responseWait{}, call.Answer{}
 	x.answerOrigin = answerOrigin{}
 	x.sendEvents, x.survived = 0, false
-	if ctx.Err() != nil || !g.cfg.Clock.Now().Before(x.adm.Deadline) {
+	if ctx.Err() != nil || !g.cfg.Clock.Now().Before(x.deadline()) {
 		return fleet.Abandoned
 	}
 	conn, err := x.connect(ctx, grant)
@@ -178,7 +178,7 @@
 	// From here on the endpoint may run the request. However this attempt ends, the caller must
 	// not receive "not run" unless the endpoint proves it.
 	x.mayHaveRun, x.mayHaveRunBefore, x.provenNotRun = true, x.mayHaveRun, false
-	remaining := x.adm.Deadline.Sub(g.cfg.Clock.Now())
+	remaining := x.deadline().Sub(g.cfg.Clock.Now())
 	out := g.cfg.Wire.Encode(x.req, call.Sending{
 		Endpoint: grant.ID(), Customer: x.customerName(), Remaining: remaining,
 		Version: x.expectedVersion(grant), Urgency: x.adm.Rank(g.cfg.Clock.Now()), ResumeAfter: x.lastEventID,
@@ -200,6 +200,9 @@
 	return x.relayAnswer(ctx, grant, conn, resp, answer)
 }
 
+// deadline returns until when the request may be answered here.
+func (x *exchange) deadline() time.Time { return x.gateway.stop.limit(x.adm.Deadline) }
+
 // connect returns a connection for the next attempt. Only on a new one can a rejection that names no
 // request be a proof, so a request that must run once gets one if the endpoint may send such answers.
 func (x *exchange) connect(ctx context.Context, grant *fleet.Grant) (*upstream.Conn, error) {
--- a/entry/internal/onsite/quarantine_test.go
+++ b/entry/internal/onsite/quarantine_test.go
@@ -44,7 +44,9 @@
 	cfg  *wire.EntrySettings
 	log  *logBuffer
 	kill context.CancelFunc
-	done chan struct{}
+	// drain starts a graceful stop.
+	drain context.CancelFunc
+	done  chan struct{}
 }
 
 // newTestFleet starts the given numbers of entries and workers. hold blocks a worker's request until it returns; it may be nil.
@@ -114,11 +116,13 @@
 
 // startAsync starts an entry without waiting until it is ready.
 func (f *testFleet) startAsync(cfg *wire.EntrySettings) *runningEntry {
-	ctx, kill := context.WithCancel(context.Background())
-	started := &runningEntry{cfg: cfg, log: &logBuffer{}, kill: kill, done: make(chan struct{})}
+	draining, drain := context.WithCancel(context.Background())
+	killed, kill := context.WithCancel(context.Background())
+	context.AfterFunc(killed, drain)
+	started := &runningEntry{cfg: cfg, log: &logBuffer{}, kill: kill, drain: drain, done: make(chan struct{})}
 	go func() {
 		defer close(started.done)
-		if err := Run(ctx, ctx, cfg, started.log); err != nil {
+		if err := Run(draining, killed, cfg, started.log); err != nil {
 			f.t.Errorf("%s ended: %v", cfg.GetNode().GetId(), err)
 		}
 	}()
--- a/entry/internal/onsite/run.go
+++ b/entry/internal/onsite/run.go
@@ -52,6 +52,9 @@
 	// killMargin is subtracted from the grace period, so that the entry exits before the platform
 	// kills it.
 	killMargin = 900 * time.Millisecond
+	// answerTime is reserved at the end of the grace period for answers to the requests that are still
+	// in progress then.
+	answerTime = 250 * time.Millisecond
 	// drainPollInterval is how often a draining entry checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
 	// shutdownTimeout limits the time for writing the remainder of responses whose handlers have
@@ -277,11 +280,13 @@
 	startedAt := e.clock.Now()
 	e.draining.Store(true)
 	e.gateway.DisableKeepAlives()
+	end := startedAt.Add(e.bounds.Load().grace - killMargin)
+	e.gateway.EndAt(end.Add(-answerTime))
 	e.log.Info("draining", "inFlight", e.gateway.InFlight(), "graceMillis", e.bounds.Load().grace.Milliseconds())
 	e.sleep(kill, drainAcceptPeriod)
 	e.gateway.Drain()
 	e.sleep(kill, drainRejectPeriod)
-	for kill.Err() == nil && e.gateway.InFlight() > 0 && e.clock.Since(startedAt) < e.bounds.Load().grace-killMargin {
+	for kill.Err() == nil && e.gateway.InFlight() > 0 && e.clock.Now().Before(end) {
 		e.sleep(kill, drainPollInterval)
 	}
 	e.log.Info("drained", "inFlight", e.gateway.InFlight(), "tookMillis", e.clock.Since(startedAt).Milliseconds())
--- a/entry/internal/onsite/shutdown_test.go
+++ b/entry/internal/onsite/shutdown_test.go
@@ -1,7 +1,9 @@
 package onsite
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -55,3 +57,38 @@
 		t.Errorf("got %v, want no error from serve", err)
 	}
 }
+
+// Guards against a planned stop that cuts off requests without an answer: one that an endpoint still works
+// on at the end of the grace period, and one whose body has not arrived by then.
+func TestPlannedStopAnswersRequestsInProgress(t *testing.T) {
+	hold := make(chan struct{})
+	f := newTestFleet(t, 0, 1, func([]byte) { <-hold })
+	t.Cleanup(func() { close(hold) })
+	f.bounds.GraceMillis = 3500
+	stopped := f.start()
+	reading, err := net.Dial("tcp", stopped.cfg.GetCallersAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reading.Close() }()
+	_, _ = io.WriteString(reading, "POST /x/z HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: reading\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\n")
+	held := make(chan int, 1)
+	go func() { held <- f.send(stopped, "held") }()
+	eventually(t, "the endpoint has a request", func() error {
+		if f.workers[0].RequestCount("held") == 0 {
+			return errors.New("none yet")
+		}
+		return nil
+	})
+	stopped.drain()
+	if got := <-held; got != http.StatusGatewayTimeout {
+		t.Errorf("got status %d for a request that an endpoint works on, want 504", got)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(reading), nil)
+	if err != nil {
+		t.Fatalf("got %v for a request whose body did not arrive, want an answer", err)
+	}
+	if resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("got status %d for a request whose body did not arrive, want 408", resp.StatusCode)
+	}
+}
