gateway: test that many endless answers at once leave other callers alone

Another operator's report: a faulty worker sent bytes without end, the machine that had called it kept them all, ran out of memory, and the requests of others ended with it.

--- a/entry/internal/gateway/endless_test.go
+++ b/entry/internal/gateway/endless_test.go
@@ -1,7 +1,13 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,3 +60,70 @@
 		})
 	}
 }
+
+// maxHeapBytes is half of the memory of the smallest hosts that run an entry.
+const maxHeapBytes = 92 << 20
+
+// Guards against an entry that runs out of memory under many endless answers at once: the requests of
+// other callers would end with it.
+func TestManyEndlessAnswersLeaveOtherCallersAlone(t *testing.T) {
+	const okHead = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+	var endpoints []*endpoint
+	for i, prefix := range []string{okHead + "X-Pad: ", okHead + "\r\n", "", okHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"} {
+		server, err := endless.Listen(prefix, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		endpoints = append(endpoints, &endpoint{id: fmt.Sprint("endless-", i), address: server.Address()})
+	}
+	sound := newEndpoint(t, "sound")
+	h := newDeployment(t, append(endpoints, sound)...)
+	ctx, stopSampling := context.WithCancel(t.Context())
+	peak := make(chan uint64, 1)
+	go func() { peak <- peakHeap(ctx) }()
+	var callers sync.WaitGroup
+	for i := range 40 {
+		callers.Go(func() {
+			for n := range 5 {
+				h.sendAndDiscard(fmt.Sprintf("c%d-%d", i, n))
+			}
+		})
+	}
+	callers.Wait()
+	stopSampling()
+	got := <-peak
+	t.Logf("the heap grew to %d MiB", got>>20)
+	if got > maxHeapBytes {
+		t.Errorf("got a heap of %d MiB, want at most %d", got>>20, maxHeapBytes>>20)
+	}
+	if got := h.gateway.InFlight(); got != 0 {
+		t.Errorf("got %d requests in progress, want none", got)
+	}
+	if len(sound.requests()) == 0 {
+		t.Error("got no request at the sound endpoint, want those of other callers served there")
+	}
+}
+
+// sendAndDiscard sends a request and keeps nothing of its answer.
+func (h *deployment) sendAndDiscard(id string) {
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /once/a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nAuthorization: Bearer key-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", id)
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// peakHeap returns the largest heap until ctx is done.
+func peakHeap(ctx context.Context) uint64 {
+	var peak uint64
+	for ctx.Err() == nil {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		peak = max(peak, stats.HeapAlloc)
+		time.Sleep(2 * time.Millisecond)
+	}
+	return peak
+}
