gateway: leave a silent endpoint when half of the caller's time has passed

The wait for a silent endpoint was three times the route's target, or 1.1 s and two gaps within a stream. Found when looking for shares of the target elsewhere.

--- a/bench/internal/policy/entry.go
+++ b/bench/internal/policy/entry.go
@@ -16,9 +16,9 @@
 	// request is sent to another endpoint only if the previous one did not run
 	// it, as in a gateway.
 	maxSends = 4
-	// stallTimeoutFactor is the time to wait for a first event before another engine is
-	// tried, as a multiple of the target.
-	stallTimeoutFactor = 3
+	// silenceDivisor is the time to wait for a first event before another engine is tried, as a fraction of
+	// the time after which the caller gives up.
+	silenceDivisor = 2
 )
 
 // entry is a simulated entry that uses the product's own decision code.
@@ -213,7 +213,7 @@
 	work, to := x.work, x.host
 	s.after(s.delay(e.region, to.region), func() { to.arrive(x, work) })
 	if !x.adm.Started {
-		s.after(stallTimeoutFactor*millis(x.request.class.TargetMillis), func() {
+		s.after(x.adm.Patience/silenceDivisor, func() {
 			if x.work == work && !x.done && x.request.firstEventAt == 0 && to.unresponsive {
 				x.handleFailure(fleet.Silent)
 			}
--- a/entry/internal/gateway/stall.go
+++ b/entry/internal/gateway/stall.go
@@ -11,15 +11,9 @@
 )
 
 const (
-	// firstEventTargets is how long an engine's stream may take to its first event before another
-	// endpoint is tried, in multiples of the route's target.
-	firstEventTargets = 3
-	// minStreamStall is the shortest pause of a stream in progress that counts as a stall: longer
-	// than any pause within the target, shorter than callers tolerate.
-	minStreamStall = 1100 * time.Millisecond
-	// answerTargets is how long a repeatable request waits for its answer before another endpoint
-	// is tried, in multiples of the route's target.
-	answerTargets = 3
+	// silenceDivisor sets how long an endpoint may be silent before another one is tried, as a fraction of the
+	// caller's time. The rest is left for the other endpoint.
+	silenceDivisor = 2
 	// callerTimeoutMargin is how long before the caller abandons a stream it is informed that its stream
 	// cannot continue here. It exceeds the interval between two checks.
 	callerTimeoutMargin = 400 * time.Millisecond
@@ -112,13 +106,10 @@
 
 // stallTimeout returns how long the attempt waits for data before another endpoint is tried.
 func (x *exchange) stallTimeout() time.Duration {
-	switch {
-	case x.events > 0:
-		return max(minStreamStall, 2*x.route.Gap)
-	case x.engine() != nil:
-		return firstEventTargets * x.route.Target
+	if x.route.Kind == catalog.Stream {
+		return admission.Patience(x.route.Target, x.route.Gap) / silenceDivisor
 	}
-	return answerTargets * x.route.Target
+	return x.deadline().Sub(x.sentAt) / silenceDivisor
 }
 
 // reserveEndpoint takes a slot at another endpoint for the next attempt and reports whether it got
