admission: count a caller's patience from the end of its request, and no estimate of its own

The patience of a caller that still sends is not running out.

The mean length of the service decides now.

--- a/bench/internal/sitesoak/checks_test.go
+++ b/bench/internal/sitesoak/checks_test.go
@@ -148,6 +148,9 @@
 	if _, err := fmt.Sscan(values["status"], &try.Status); err != nil {
 		return err
 	}
+	if _, cut := values["cutWhileSending"]; !cut {
+		try.SentWhole = try.Sent
+	}
 	_, try.Whole = values["whole"]
 	_, try.Left = values["left"]
 	if _, broken := values["broken"]; broken {
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -222,6 +222,12 @@
 	{replaceApp, site.App, 1, replaceTime, replaceTime},
 }
 
+// entryStops are the rules of Options.Stops.
+var entryStops = []eventRule{
+	{stopEntry, site.Entry, 8, bounds.Grace, bounds.Grace},
+	{changeConfig, "", 1, 0, 0},
+}
+
 // answerFaults are the rules of Options.Answers.
 var answerFaults = []eventRule{
 	{extraRejections, site.App, 3, 3 * time.Second, 8 * time.Second},
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -52,10 +52,10 @@
 	Load float64
 	// Gap is the mean time between two events.
 	Gap time.Duration
-	// Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes
-	// and LargeChanges enable the sets of events.
-	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes, LargeChanges bool
-	Progress                                                                                                              *slog.Logger
+	// Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes,
+	// LargeChanges and Stops enable the sets of events.
+	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes, LargeChanges, Stops bool
+	Progress                                                                                                                     *slog.Logger
 }
 
 // Result is the summary of a run, printed as one line of JSON.
@@ -206,7 +206,7 @@
 	}{
 		{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures},
 		{r.options.Silences, silences}, {r.options.Answers, answerFaults}, {r.options.Misleading, misleading}, {r.options.AppFaults, appFaults},
-		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes}, {r.options.LargeChanges, largeChanges},
+		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes}, {r.options.LargeChanges, largeChanges}, {r.options.Stops, entryStops},
 	} {
 		if set.on {
 			enabled = append(enabled, set.rules...)
@@ -289,6 +289,12 @@
 // chunkedOneIn is the number of requests of which one sends its body in chunks.
 const chunkedOneIn = 3
 
+// With Options.Stops bodies in chunks take minBodyFraction to maxBodyFraction of their caller's time to send.
+const (
+	minBodyFraction = 0.4
+	maxBodyFraction = 0.9
+)
+
 // request draws a random request.
 func (r *run) request(random *rand.Rand, domain, number int) *request {
 	remaining := random.Float64()
@@ -301,6 +307,10 @@
 	}
 	outgoing := &request{route: chosen, leavesEarly: r.leaveEarly.Load() && random.IntN(3) == 0, reusesConnection: random.IntN(reuseOneIn) == 0, key: r.operator.activeKey(random), domain: domains[domain],
 		chunked: number%chunkedOneIn == 0}
+	if r.options.Stops && outgoing.chunked {
+		fraction := minBodyFraction + (maxBodyFraction-minBodyFraction)*random.Float64()
+		outgoing.bodyTime = time.Duration(fraction * float64(chosen.deadline))
+	}
 	outgoing.work.Subject = domains[domain] + "-" + strconv.Itoa(number)
 	if chosen.stream {
 		outgoing.tokens = int(min(3*chosen.prompt, 1+chosen.prompt*random.ExpFloat64()))
--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -27,16 +27,13 @@
 	x.adm.LimitDeadline(x.gateway.stop.limit(x.adm.Deadline))
 }
 
-// expectedAnswer returns the expected number of tokens of the answer.
+// expectedAnswer returns the expected number of tokens of the answer. The caller's own estimate is often far
+// off, and would keep requests with a large one from waiting.
 func (x *exchange) expectedAnswer(engine *catalog.Engine) int {
-	expected := engine.MeanAnswerTokens
-	if x.req.Hint > 0 {
-		expected = x.req.Hint
-	}
 	if x.req.MaxAnswer > 0 {
-		expected = min(expected, x.req.MaxAnswer)
+		return min(engine.MeanAnswerTokens, x.req.MaxAnswer)
 	}
-	return expected
+	return engine.MeanAnswerTokens
 }
 
 // waitQueue orders the requests that wait for a free slot at one service. Only its head waits for
--- a/entry/internal/gateway/gateway.go
+++ b/entry/internal/gateway/gateway.go
@@ -189,6 +189,8 @@
 		g.bodyBytes.Add(-x.bodyBytes)
 		return refuseDraining()
 	}
+	x.received = g.cfg.Clock.Now()
+	x.adm.Received(x.received)
 	x.fingerprint = quarantine.NewFingerprint(x.customerName(), req.Method, req.Host, req.Target, req.Body)
 	for _, id := range req.SharedParts {
 		x.parts = append(x.parts, quarantine.NewPartFingerprint(id))
@@ -291,6 +293,7 @@
 	customer    *catalog.Customer // nil on public routes
 	service     string
 	arrived     time.Time
+	received    time.Time         // when its body was complete
 	adm         admission.Request // decides when and where it is sent
 	configAge   time.Duration     // age of the configuration when it was read
 	ageKnown    bool              // whether configAge is known
--- a/entry/internal/gateway/stall.go
+++ b/entry/internal/gateway/stall.go
@@ -89,7 +89,7 @@
 	if x.route.Kind != catalog.Stream || x.mayStillAnswer(grant) {
 		return false
 	}
-	lastProgress := x.arrived
+	lastProgress := x.received
 	if x.events > 0 {
 		lastProgress = x.lastEventAt
 	}
--- a/relay/admission/admission_test.go
+++ b/relay/admission/admission_test.go
@@ -52,6 +52,11 @@
 	if got, want := begun.LatestStart().Sub(epoch), 4200*ms-margin(reread); got != want {
 		t.Errorf("answer in progress: got a latest start after %v, want %v, before its caller gives up", got, want)
 	}
+	slow := newStream(0, 12*time.Second)
+	slow.Received(epoch.Add(4 * time.Second))
+	if got, want := slow.LatestStart().Sub(epoch), 7200*ms-margin(first); got != want || slow.Hopeless(epoch.Add(4*time.Second)) {
+		t.Errorf("body received late: got a latest start after %v, want %v: its caller waits only from then on", got, want)
+	}
 	ending := newStream(0, 6*time.Second)
 	ending.LimitDeadline(epoch.Add(4 * time.Second))
 	if got, want := ending.LatestStart(), newStream(0, 4*time.Second).LatestStart(); !got.Equal(want) {
--- a/relay/admission/request.go
+++ b/relay/admission/request.go
@@ -48,7 +48,7 @@
 	// Sent is set once the request was sent to an endpoint.
 	Sent bool
 
-	lastProgress time.Time // arrival, or the last event that the caller received
+	lastProgress time.Time // when the request was received, or the last event reached the caller
 	tokens       int       // tokens of the answer that the caller received
 	latestStart  time.Time // see LatestStart
 }
@@ -76,6 +76,13 @@
 	}
 }
 
+// Received records that the request was received completely: its caller waits from then on. It must not be
+// called while the request waits in a Line.
+func (r *Request) Received(now time.Time) {
+	r.lastProgress = now
+	r.updateLatestStart()
+}
+
 // Progress records that the caller received a part of the answer with a number of tokens. It must not be
 // called while the request waits in a Line.
 func (r *Request) Progress(now time.Time, tokens int) {
