--- a/bench/internal/sitesoak/checks.go
+++ b/bench/internal/sitesoak/checks.go
@@ -143,6 +143,8 @@
 	switch {
 	case t.Left:
 		return "left"
+	case t.Broken != "" && t.SentWhole == 0:
+		return "broken while sending"
 	case t.Broken != "":
 		return "broken"
 	}
