--- a/entry/internal/gateway/admit.go
+++ b/entry/internal/gateway/admit.go
@@ -62,8 +62,11 @@
 	defer q.mu.Unlock()
 	q.order.Enter(req)
 	q.wakeups[req] = make(chan struct{}, 1)
+	if q.order.Len() == 1 {
+		return // it has just tried without success
+	}
 	if q.order.Head() == req {
-		q.wake(req) // it precedes requests that already tried without success
+		q.wake(req) // it precedes requests that already tried
 	}
 	if last := q.order.Last(); last != req {
 		q.wake(last) // its turn may come too late now
@@ -192,7 +195,8 @@
 		if g.stop.draining() && !x.adm.Sent {
 			return nil, refuseDraining()
 		}
-		changed := group.Changed()
+		// Both are read before the choice: what changes or ends after it must wake the request.
+		changed, admitsAt := group.Changed(), group.AdmitsAt()
 		need := x.need()
 		if queue.isNext(&x.adm) {
 			var grant *fleet.Grant
@@ -211,7 +215,7 @@
 		if !turnAt.Before(holdUntil) || ctx.Err() != nil {
 			return nil, x.refuseNoRoom(ctx, verdict, x.queueTime(group, need, queue.length()))
 		}
-		x.waitForRoom(ctx, queue, changed, holdUntil)
+		x.waitForRoom(ctx, queue, changed, admitsAt, holdUntil)
 	}
 }
 
@@ -234,12 +238,13 @@
 }
 
 // waitForRoom waits until the request should try for a slot again: until it is woken as the new
-// head of the queue, or, if it is the head, until capacity may have changed.
-func (x *exchange) waitForRoom(ctx context.Context, queue *waitQueue, changed <-chan struct{}, until time.Time) {
+// head of the queue, or, if it is the head, until capacity may have changed or an endpoint that blocks
+// requests admits them.
+func (x *exchange) waitForRoom(ctx context.Context, queue *waitQueue, changed <-chan struct{}, admitsAt, until time.Time) {
 	clock := x.gateway.cfg.Clock
 	wakeup, isHead := queue.status(&x.adm)
 	if isHead {
-		until = earliest(until, x.gateway.cfg.State.Fleet().Group(x.service).AdmitsAt())
+		until = earliest(until, admitsAt)
 	} else {
 		changed = nil
 	}
