gateway: log which connection an attempt used

Cause: a rejection that an endpoint repeats late names its request, so the attempt's line reads the same as one with a false rejection: endpoint, address and connAnswers don't tell whether two sends shared a connection. Change: attempt lines and lines of dropped answers have conn, the connection's number in the pool. Nothing is decided differently.

--- a/entry/internal/gateway/metrics.go
+++ b/entry/internal/gateway/metrics.go
@@ -104,7 +104,7 @@
 		// What decides about another send comes first, since collected lines may be cut short.
 		"request", x.req.ID, "send", x.sends, "outcome", outcome.String(), "answer", x.answerHead.Status,
 		"notRun", x.answerHead.StatesNotRun, "signed", x.answerHead.Signed, "named", x.answerOrigin.named,
-		"connAnswers", x.answerOrigin.earlier, "from", x.answerHead.Endpoint, "endpoint", grant.ID(), "address", grant.Address(),
+		"conn", x.answerOrigin.conn, "connAnswers", x.answerOrigin.earlier, "from", x.answerHead.Endpoint, "endpoint", grant.ID(), "address", grant.Address(),
 		"occupied", grant.Occupied(), "unread", grant.PendingPrefill(), "home", grant.Home(),
 		"stateAgeMillis", grant.StateAge().Milliseconds(), "delayMillis", grant.Delay().Milliseconds(),
 		"version", grant.Version(), "events", x.events, "print", x.fingerprint,
--- a/entry/internal/gateway/receive.go
+++ b/entry/internal/gateway/receive.go
@@ -20,11 +20,12 @@
 
 // answerOrigin describes what shows that an answer belongs to the attempt.
 type answerOrigin struct {
-	arrived bool // an answer that belongs to the attempt arrived
-	named   bool // the answer has the request's ID
-	earlier int  // answers that the connection returned to earlier requests
-	dropped int  // answers to other requests that were dropped during the attempt
-	unnamed int  // answers without an ID that were dropped during the attempt
+	conn    uint64 // number of the connection, 0 for none
+	arrived bool   // an answer that belongs to the attempt arrived
+	named   bool   // the answer has the request's ID
+	earlier int    // answers that the connection returned to earlier requests
+	dropped int    // answers to other requests that were dropped during the attempt
+	unnamed int    // answers without an ID that were dropped during the attempt
 }
 
 // proves reports whether an answer belongs to the request. One without an ID may be left over from
@@ -87,7 +88,7 @@
 		x.gateway.counters.droppedAnswers.Add(1)
 	}
 	x.gateway.cfg.Log.Warn("an answer to another request was dropped", "request", x.req.ID, "of", answer.ID, "endpoint", grant.ID(),
-		"answer", resp.StatusCode, "connAnswers", x.answerOrigin.earlier)
+		"answer", resp.StatusCode, "conn", x.answerOrigin.conn, "connAnswers", x.answerOrigin.earlier)
 }
 
 // receiveOutcome returns the outcome of an attempt without an answer. If no answer followed one that
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -163,6 +163,7 @@
 		}
 		return fleet.Unreachable
 	}
+	x.answerOrigin.conn = conn.Number()
 	if ctx.Err() != nil {
 		// The caller disconnected while the connection was established.
 		conn.Close()
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -47,6 +47,7 @@
 type Conn struct {
 	netConn     net.Conn
 	target      Target
+	number      uint64 // unique in its pool
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	idleSince   time.Time     // when it was put into the pool
@@ -69,8 +70,8 @@
 // poll deadline the read was woken: a large value means that this process itself was stalled.
 type ReadWait func(waited, late time.Duration) bool
 
-func newConn(netConn net.Conn, target Target) *Conn {
-	c := &Conn{netConn: netConn, target: target}
+func newConn(netConn net.Conn, target Target, number uint64) *Conn {
+	c := &Conn{netConn: netConn, target: target, number: number}
 	c.reader = bufio.NewReaderSize(pollingReader{c}, readBufferSize)
 	c.writer = bufio.NewWriterSize(netConn, writeBufferSize)
 	return c
@@ -121,6 +122,9 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// Number returns the connection's number in its pool, for logs.
+func (c *Conn) Number() uint64 { return c.number }
+
 // Responses returns the number of responses received on the connection.
 func (c *Conn) Responses() int { return c.responses }
 
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -111,12 +111,16 @@
 }
 
 func (p *Pool) connect(ctx context.Context, target Target) (*Conn, error) {
-	p.count(func(counts *Counts) { counts.Dials++ })
+	var number uint64
+	p.count(func(counts *Counts) {
+		counts.Dials++
+		number = counts.Dials
+	})
 	netConn, err := p.dial(ctx, target.Address)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(netConn, target), nil
+	return newConn(netConn, target, number), nil
 }
 
 // takeIdle removes the newest idle connection to the target from the pool. It
