--- a/bench/internal/cmd/cmd_soak_platform.go
+++ b/bench/internal/cmd/cmd_soak_platform.go
@@ -14,12 +14,13 @@
 
 type soakPlatformOptions struct {
 	common
-	Seconds float64 `long:"seconds" default:"60" description:"duration of the event phase, in seconds"`
-	Entries int     `long:"entries" default:"9" description:"entries"`
-	Engines int     `long:"engines" default:"14" description:"number of engines, each with its agent"`
-	Load    float64 `long:"load" default:"0.8" description:"request load as a fraction of the engines' capacity"`
-	Gap     float64 `long:"gap" default:"0.8" description:"mean time between two events, in seconds"`
-	Events  string  `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" choice:"silences" choice:"answers" choice:"misleading" choice:"apps" choice:"freezes" choice:"hostFreezes" choice:"largeChanges" choice:"stops" description:"which events to inject: all, none, planned operations, planned operations and hiccups, failures that strain the retry budget, connections to the store that go silent beside planned operations, answers of endpoints that belong to no request beside planned operations, answers of plain endpoints that mislead about what ran beside planned operations, these and faults of plain endpoints and their links beside answers that belong to no request, agents that stand still right after a staged chunk was corrupted, beside new versions, or their hosts, changes of a large configuration that all entries read over one link, planned stops of entries while callers send their bodies slowly"`
+	Seconds float64  `long:"seconds" default:"60" description:"duration of the event phase, in seconds"`
+	Entries int      `long:"entries" default:"9" description:"entries"`
+	Engines int      `long:"engines" default:"14" description:"number of engines, each with its agent"`
+	Load    float64  `long:"load" default:"0.8" description:"request load as a fraction of the engines' capacity"`
+	Gap     float64  `long:"gap" default:"0.8" description:"mean time between two events, in seconds"`
+	Events  string   `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" choice:"silences" choice:"answers" choice:"misleading" choice:"apps" choice:"freezes" choice:"hostFreezes" choice:"largeChanges" choice:"stops" choice:"copies" description:"which events to inject: all, none, planned operations, planned operations and hiccups, failures that strain the retry budget, connections to the store that go silent beside planned operations, answers of endpoints that belong to no request beside planned operations, answers of plain endpoints that mislead about what ran beside planned operations, these and faults of plain endpoints and their links beside answers that belong to no request, agents that stand still right after a staged chunk was corrupted, beside new versions, or their hosts, changes of a large configuration that all entries read over one link, planned stops of entries while callers send their bodies slowly, plain endpoints that repeat answers late and are also registered under former IDs"`
+	Kinds   []string `long:"kind" description:"draw only events of this kind, of any set; may be repeated"`
 }
 
 const soakPlatformHelp = `Injects planned operations, hiccups and faults into a deployment behind a platform: plain
@@ -60,7 +61,7 @@
 		Silences: options.Events == "silences", Answers: options.Events == "answers" || options.Events == "apps",
 		Misleading: options.Events == "misleading" || options.Events == "apps", AppFaults: options.Events == "apps",
 		AgentFreezes: options.Events == "freezes", HostFreezes: options.Events == "hostFreezes", LargeChanges: options.Events == "largeChanges",
-		Stops: options.Events == "stops",
+		Stops: options.Events == "stops", Copies: options.Events == "copies", Kinds: options.Kinds,
 	})
 	if err != nil {
 		result.Error = err.Error()
--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -41,6 +41,13 @@
 	extraNamed:       func(f *platformtest.PartFaults) { f.Extra, f.ExtraShare = platformtest.ExtraNamed, extraShare },
 	shedNamed:        func(f *platformtest.PartFaults) { f.Shed = shedShare },
 	shedUnnamed:      func(f *platformtest.PartFaults) { f.Shed, f.ShedUnnamed = shedShare, true },
+	formerIDs:        func(f *platformtest.PartFaults) { f.Former = true },
+	lateCopies: func(f *platformtest.PartFaults) {
+		f.Former, f.Extra, f.ExtraShare = true, platformtest.ExtraNamed, copyShare
+	},
+	shedCopies: func(f *platformtest.PartFaults) {
+		f.Former, f.Extra, f.ExtraShare, f.Shed = true, platformtest.ExtraNamed, copyShare, shedShare
+	},
 	misleadingStatuses: func(f *platformtest.PartFaults) {
 		f.Misleading, f.MisleadingShare = platformtest.MisleadingStatus, misleadingShare
 	},
@@ -69,6 +76,8 @@
 const (
 	// extraShare is the fraction of answers that an endpoint follows by an extra one.
 	extraShare = 0.06
+	// copyShare is the fraction of answers that an endpoint repeats late.
+	copyShare = 0.3
 	// shedShare is the fraction of requests that an endpoint rejects.
 	shedShare = 0.3
 	// misleadingShare is the fraction of requests to which an endpoint gives a misleading answer.
--- a/bench/internal/sitesoak/operator.go
+++ b/bench/internal/sitesoak/operator.go
@@ -85,14 +85,25 @@
 	}
 }
 
-// favorPlain makes most of the requests those of plain endpoints.
-func favorPlain(routes []*route) {
-	const streamsDivisor, plainFactor = 3, 6.4 // the shares still add up to about 1
+// Fractions of the requests that go to plain endpoints with Options.AppFaults and Options.Copies.
+const (
+	appsPlainShare   = 0.7
+	copiesPlainShare = 0.97
+)
+
+// favorPlain makes a fraction of the requests those of plain endpoints.
+func favorPlain(routes []*route, plainShare float64) {
+	plain := 0.0
+	for _, one := range routes {
+		if !one.stream {
+			plain += one.share
+		}
+	}
 	for _, one := range routes {
 		if one.stream {
-			one.share /= streamsDivisor
+			one.share *= (1 - plainShare) / (1 - plain)
 		} else {
-			one.share *= plainFactor
+			one.share *= plainShare / plain
 		}
 	}
 }
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -99,6 +99,10 @@
 	extraNamed       kind = "extraNamed"
 	shedNamed        kind = "shedNamed"
 	shedUnnamed      kind = "shedUnnamed" // rejections name no request
+	// The endpoints are also registered under former IDs and repeat answers late, those of rejections too.
+	formerIDs  kind = "formerIDs"
+	lateCopies kind = "lateCopies" // of former IDs
+	shedCopies kind = "shedCopies" // of former IDs and of rejected requests
 )
 
 // Misleading answers: endpoints run requests and answer as if they had not, or not at all. They excuse
@@ -251,6 +255,19 @@
 	{shedNamed, site.App, 2, 3 * time.Second, 8 * time.Second},
 }
 
+// copies are the rules of Options.Copies.
+var copies = []eventRule{
+	{lateCopies, site.App, 6, 3 * time.Second, 8 * time.Second},
+	{shedCopies, site.App, 3, 3 * time.Second, 8 * time.Second},
+	{formerIDs, site.App, 1, 3 * time.Second, 8 * time.Second},
+	{killApp, site.App, 2, 300 * time.Millisecond, 2 * time.Second},
+	{replaceApp, site.App, 1, replaceTime, replaceTime},
+	{linkReset, site.App, 1, 0, 0},
+	{killEntry, site.Entry, 1, 500 * time.Millisecond, 2 * time.Second},
+	{stopEntry, site.Entry, 1, bounds.Grace, bounds.Grace},
+	{hiccupEntry, site.Entry, 1, 300 * time.Millisecond, 950 * time.Millisecond},
+}
+
 // appFaults are the rules of Options.AppFaults.
 var appFaults = []eventRule{
 	{killApp, site.App, 3, 300 * time.Millisecond, 2 * time.Second},
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -53,9 +54,11 @@
 	// Gap is the mean time between two events.
 	Gap time.Duration
 	// Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes,
-	// LargeChanges and Stops enable the sets of events.
-	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes, LargeChanges, Stops bool
-	Progress                                                                                                                     *slog.Logger
+	// LargeChanges, Stops and Copies enable the sets of events.
+	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes, LargeChanges, Stops, Copies bool
+	// Kinds are the kinds of event to draw from all sets instead of those enabled; empty: the enabled sets.
+	Kinds    []string
+	Progress *slog.Logger
 }
 
 // Result is the summary of a run, printed as one line of JSON.
@@ -173,7 +176,10 @@
 	r.operator = newOperator(r.site, limits, r.options.Seed)
 	r.operator.extraRoutes = valueIf(r.options.LargeChanges, largeRoutes)
 	if r.options.AppFaults {
-		favorPlain(r.operator.routes)
+		favorPlain(r.operator.routes, appsPlainShare)
+	}
+	if r.options.Copies {
+		favorPlain(r.operator.routes, copiesPlainShare)
 	}
 	r.operator.mu.Lock()
 	err = r.operator.write(ctx)
@@ -207,9 +213,12 @@
 		{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures},
 		{r.options.Silences, silences}, {r.options.Answers, answerFaults}, {r.options.Misleading, misleading}, {r.options.AppFaults, appFaults},
 		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes}, {r.options.LargeChanges, largeChanges}, {r.options.Stops, entryStops},
+		{r.options.Copies, copies},
 	} {
-		if set.on {
-			enabled = append(enabled, set.rules...)
+		for _, rule := range set.rules {
+			if set.on && len(r.options.Kinds) == 0 || slices.Contains(r.options.Kinds, string(rule.kind)) {
+				enabled = append(enabled, rule)
+			}
 		}
 	}
 	if len(enabled) == 0 {
@@ -220,7 +229,7 @@
 		counts[kind] = len(r.site.Members(kind))
 	}
 	maxBusy := maxBusyFraction
-	if r.options.AppFaults {
+	if r.options.AppFaults || r.options.Copies {
 		maxBusy = maxBusyAppsFraction
 	}
 	return drawEvents(r.options.Seed, r.options.Length, r.options.Gap, enabled, counts, maxBusy)
--- a/standin/internal/site/endpoint.go
+++ b/standin/internal/site/endpoint.go
@@ -25,12 +25,14 @@
 	}
 	worker := platformtest.NewEndpoint(options, ctx.Done())
 	worker.SetLoadTime(time.Duration(p.options.WarmMillis) * time.Millisecond)
+	reg := &registration{part: p, worker: worker, heartbeat: time.Duration(p.options.HeartbeatMillis) * time.Millisecond}
 	p.handler, p.extra = worker, platformtest.NewExtraAnswers(options.Seed)
 	p.faults = func(f platformtest.PartFaults) {
 		worker.SetFaults(f.Broken, f.Slow)
 		worker.SetShed(f.Shed, f.ShedUnnamed)
 		worker.SetMisleading(f.MisleadingShare, f.Misleading)
 		p.extra.Set(f.ExtraShare, f.Extra)
+		reg.former.Store(f.Former)
 		if f.Spoil {
 			worker.CorruptChunk()
 		}
@@ -39,7 +41,6 @@
 		connections, refused := p.lis.Counts()
 		writeJSON(w, platformtest.Record{Runs: worker.Runs(), Loads: worker.Loads(), Connections: connections, Refused: refused, Extra: p.extra.Sent(), Dialled: p.lis.Dialled()})
 	})
-	reg := &registration{part: p, worker: worker, heartbeat: time.Duration(p.options.HeartbeatMillis) * time.Millisecond}
 	p.control.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { reg.leaving.Store(true) })
 	p.control.HandleFunc("POST /deregister", func(_ http.ResponseWriter, r *http.Request) { reg.end(r.Context()) })
 	p.run = func(ctx context.Context) error {
@@ -54,6 +55,7 @@
 	worker    *platformtest.Endpoint
 	heartbeat time.Duration
 	leaving   atomic.Bool
+	former    atomic.Bool // it is also registered under a former ID
 
 	mu    sync.Mutex
 	ended bool // removed for good
@@ -84,8 +86,13 @@
 func (g *registration) renew(ctx context.Context, draining bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.ended {
-		g.part.sendRegistration(ctx, g.worker.Registration(g.part.options.Address, draining), g.heartbeat, false)
+	if g.ended {
+		return
+	}
+	value, id := g.worker.Registration(g.part.options.Address, draining), g.part.options.Endpoint.ID
+	g.part.sendRegistration(ctx, id, value, g.heartbeat)
+	if g.former.Load() {
+		g.part.sendRegistration(ctx, id+"-former", value, g.heartbeat)
 	}
 }
 
@@ -94,18 +101,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ended = true
-	g.part.sendRegistration(ctx, nil, g.heartbeat, true)
+	g.part.sendRegistration(ctx, g.part.options.Endpoint.ID, nil, g.heartbeat)
 }
 
 // registrationPollInterval is the longest time between registrations, so that a change of
 // the engine's weights is published soon.
 const registrationPollInterval = 300 * time.Millisecond
 
-// sendRegistration writes the registration to the store, or deletes it.
-func (p *part) sendRegistration(ctx context.Context, registration map[string]any, heartbeat time.Duration, deregister bool) {
-	key := "servers/" + p.options.Endpoint.ID
+// sendRegistration writes the registration under an ID to the store, or deletes it if it is nil.
+func (p *part) sendRegistration(ctx context.Context, id string, registration map[string]any, heartbeat time.Duration) {
+	key := "servers/" + id
 	method, query := http.MethodPut, url.Values{"key": {key}, "ttl": {(ttlHeartbeats * heartbeat).String()}}
-	if deregister {
+	if registration == nil {
 		method = http.MethodDelete
 	}
 	body, err := json.Marshal(registration)
