upstream: send each request once on a connection, since an answer names the request and not the send

Callers saw: a request that must run once ran twice; the caller got one answer. Cause: an ID names a client attempt. An endpoint that is registered under two IDs (restarted at its address, the former registration hasn't lapsed) rejects a request under the former one, gets it again on the same kept connection, and its late copy of the rejection names the request: it was believed for the second send, which ran, and the request was sent a third time. Change: a connection remembers the IDs that it carried and is not used for one again; it is closed after 1,024 requests.

--- a/entry/internal/gateway/drawn_test.go
+++ b/entry/internal/gateway/drawn_test.go
@@ -90,6 +90,13 @@
 	return rejection && !a.Signed && (a.Statement || a.Status == http.StatusMisdirectedRequest && a.From == "other")
 }
 
+// misdirected returns the answer to a request that was sent for another endpoint: one that did not run it
+// and says so.
+func (a drawnAnswer) misdirected() drawnAnswer {
+	a.Runs, a.Signed, a.Status, a.From = false, false, http.StatusMisdirectedRequest, "own"
+	return a
+}
+
 // text returns the answer to a request.
 func (a drawnAnswer) text(endpoint, id, earlier, body string) string {
 	var out strings.Builder
@@ -164,6 +171,9 @@
 type faultyEndpoint struct {
 	id, address string
 	judge       *runJudge
+	checksID    bool // it rejects requests that were sent for another endpoint
+	// onRequest, if not nil, is called for each request with the ID of the endpoint that it was sent for.
+	onRequest func(expected string)
 
 	mu      sync.Mutex
 	answers []drawnAnswer
@@ -190,6 +200,11 @@
 	return ep
 }
 
+// registration registers the endpoint under an ID.
+func (e *faultyEndpoint) registration(id string) site.Record {
+	return site.Record{Kind: site.EndpointRecord, ID: id, Endpoint: fleet.Registration{ID: id, Service: "app", Address: e.address, Slots: 4}}
+}
+
 func (e *faultyEndpoint) next() drawnAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -208,7 +223,14 @@
 			return
 		}
 		answer := e.next()
-		id := req.Header.Get("X-Attempt-Id")
+		id, expected := req.Header.Get("X-Attempt-Id"), req.Header.Get("X-Expect-Instance")
+		e.judge.arrived(id, conn)
+		if e.onRequest != nil {
+			e.onRequest(expected)
+		}
+		if e.checksID && expected != e.id {
+			answer = answer.misdirected()
+		}
 		if answer.ID != "own" && answer.ID != "none" && earlier == "" {
 			answer.ID = "own" // there is no earlier request that it could name
 		}
@@ -280,10 +302,33 @@
 
 	mu     sync.Mutex
 	runs   map[string]int
-	bodies map[string][]string // received by endpoints
+	conns  map[string][]net.Conn // that requests were sent on
+	bodies map[string][]string   // received by endpoints
 	wrong  []string
 }
 
+func newRunJudge() *runJudge {
+	return &runJudge{runs: map[string]int{}, conns: map[string][]net.Conn{}, bodies: map[string][]string{}}
+}
+
+// arrived records on which connection a request was sent. An answer to the first send could be taken for
+// that to a second one on the same connection, since both name the request.
+func (j *runJudge) arrived(id string, conn net.Conn) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if slices.Contains(j.conns[id], conn) {
+		j.wrong = append(j.wrong, fmt.Sprintf("%s: sent twice on one connection", id))
+	}
+	j.conns[id] = append(j.conns[id], conn)
+}
+
+// finish stops the endpoints.
+func (j *runJudge) finish() {
+	for _, stop := range j.stop {
+		stop()
+	}
+}
+
 func (j *runJudge) ran(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -427,21 +472,19 @@
 // twice, has run though its caller was told that it did not, or got another request's answer or body.
 func TestDrawnExchangesRunOnceAndAreNotDenied(t *testing.T) {
 	rapid.Check(t, func(draw *rapid.T) {
-		judge := &runJudge{runs: map[string]int{}, bodies: map[string][]string{}}
-		defer func() {
-			for _, stop := range judge.stop {
-				stop()
-			}
-		}()
+		judge := newRunJudge()
+		defer judge.finish()
 		h := newDeployment(t)
 		defer h.server.Close()
 		var records []site.Record
 		for i := range 3 {
 			answers := rapid.SliceOfN(drawAnswer, 1, 6).Draw(draw, fmt.Sprintf("endpoint %d", i+1))
 			ep := newFaultyEndpoint(t, fmt.Sprintf("i-%d", i+1), answers, judge)
-			records = append(records, site.Record{Kind: site.EndpointRecord, ID: ep.id, Endpoint: fleet.Registration{
-				ID: ep.id, Service: "app", Address: ep.address, Slots: 4,
-			}})
+			ep.checksID = true
+			records = append(records, ep.registration(ep.id))
+			if rapid.Bool().Draw(draw, "is registered under a former ID too") {
+				records = append(records, ep.registration(ep.id+"-former"))
+			}
 		}
 		h.state.Apply(records, 2)
 		address := h.server.Listener.Addr().String()
--- a/entry/internal/gateway/run.go
+++ b/entry/internal/gateway/run.go
@@ -187,7 +187,7 @@
 		Endpoint: grant.ID(), Customer: x.customerName(), Remaining: remaining,
 		Version: x.expectedVersion(grant), Urgency: x.adm.Rank(), ResumeAfter: x.lastEventID,
 	})
-	if err := conn.Send(out, time.Now().Add(remaining)); err != nil {
+	if err := conn.Send(x.req.ID, out, time.Now().Add(remaining)); err != nil {
 		conn.Close()
 		return x.abandonedOr(ctx, fleet.Broken)
 	}
@@ -214,7 +214,7 @@
 	if !x.route.Repeatable() && grant.AnswersUnnamed() {
 		return x.gateway.cfg.Pool.Dial(ctx, target)
 	}
-	return x.gateway.cfg.Pool.Get(ctx, target)
+	return x.gateway.cfg.Pool.Get(ctx, target, x.req.ID)
 }
 
 // applyRateLimit applies the rate limit stated in the answer and publishes changes to the other
--- a/entry/internal/upstream/conn.go
+++ b/entry/internal/upstream/conn.go
@@ -9,10 +9,12 @@
 import (
 	"bufio"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -52,6 +54,7 @@
 	writer      *bufio.Writer
 	idleSince   time.Time     // when it was put into the pool
 	idleTimeout time.Duration // how long it may be reused while idle
+	requestIDs  []uint64      // hashes of the IDs of the requests that were sent
 	responses   int           // received so far, including those that were dropped
 	retired     bool          // not to be reused
 
@@ -81,8 +84,17 @@
 // nil, reads wait without a limit.
 func (c *Conn) SetReadWait(f ReadWait) { c.keepWaiting = f }
 
+// idSeed is the seed of the hashes of request IDs.
+var idSeed = maphash.MakeSeed()
+
+// carried reports whether a request with this ID was sent on the connection.
+func (c *Conn) carried(requestID string) bool {
+	return slices.Contains(c.requestIDs, maphash.String(idSeed, requestID))
+}
+
 // Send writes a request. The write fails at the deadline.
-func (c *Conn) Send(req *http.Request, deadline time.Time) error {
+func (c *Conn) Send(requestID string, req *http.Request, deadline time.Time) error {
+	c.requestIDs = append(c.requestIDs, maphash.String(idSeed, requestID))
 	if err := c.netConn.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
--- a/entry/internal/upstream/conn_test.go
+++ b/entry/internal/upstream/conn_test.go
@@ -25,7 +25,7 @@
 	}
 	defer func() { _ = lis.Close() }()
 	pool := NewPool(time.Now)
-	conn, err := pool.Get(context.Background(), Target{Address: lis.Addr().String()})
+	conn, err := pool.Get(context.Background(), Target{Address: lis.Addr().String()}, "id")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +41,7 @@
 	}
 	release := time.AfterFunc(50*time.Millisecond, conn.Cancel)
 	defer release.Stop()
-	if err := conn.Send(req, time.Now().Add(time.Minute)); err == nil {
+	if err := conn.Send("id", req, time.Now().Add(time.Minute)); err == nil {
 		t.Fatal("got no error from Send, want one: the peer read nothing")
 	}
 	conn.Close()
--- a/entry/internal/upstream/pool.go
+++ b/entry/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,8 @@
 	idleTimeoutMargin  = 700 * time.Millisecond
 	// maxIdle limits the idle connections to one target.
 	maxIdle = 12
+	// maxRequests limits the requests sent on one connection, which remembers all of them.
+	maxRequests = 1024
 )
 
 // Target is one incarnation of the endpoint at an address. Incarnations are kept apart because,
@@ -83,11 +86,19 @@
 	return sockErr
 }
 
-// Get returns an idle connection to the target or opens a new one. If it fails,
-// no request data was sent.
-func (p *Pool) Get(ctx context.Context, target Target) (*Conn, error) {
+// Get returns an idle connection to the target on which no request with this ID was sent, or opens a new
+// one. If it fails, no request data was sent.
+//
+// An ID in a response names the request but not the send: an endpoint that repeats its response late could
+// do so when the same request is sent again on the connection.
+func (p *Pool) Get(ctx context.Context, target Target, requestID string) (*Conn, error) {
+	return p.get(ctx, target, func(conn *Conn) bool { return !conn.carried(requestID) })
+}
+
+// get returns an open idle connection to the target that may be used, or opens a new one.
+func (p *Pool) get(ctx context.Context, target Target, usable func(*Conn) bool) (*Conn, error) {
 	for {
-		conn := p.takeIdle(target)
+		conn := p.takeIdle(target, usable)
 		if conn == nil {
 			break
 		}
@@ -123,25 +134,30 @@
 	return newConn(netConn, target, number), nil
 }
 
-// takeIdle removes the newest idle connection to the target from the pool. It
+// takeIdle removes the newest usable idle connection to the target from the pool. It
 // returns nil if there is none within its idle time-out.
-func (p *Pool) takeIdle(target Target) *Conn {
+func (p *Pool) takeIdle(target Target, usable func(*Conn) bool) *Conn {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Uses++
 	p.sweep(now)
 	conns := p.idle[target]
-	for len(conns) > 0 {
-		conn := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
+	for i := len(conns) - 1; i >= 0; i-- {
+		conn := conns[i]
+		if !usable(conn) {
+			continue
+		}
+		conns = slices.Delete(conns, i, i+1)
+		p.idle[target] = conns
 		if now.Sub(conn.idleSince) < conn.idleTimeout {
-			p.idle[target] = conns
 			return conn
 		}
 		conn.Close()
 	}
-	delete(p.idle, target)
+	if len(conns) == 0 {
+		delete(p.idle, target)
+	}
 	return nil
 }
 
@@ -174,7 +190,7 @@
 // endpoint sent, or 0 if it sent none.
 func (p *Pool) Put(conn *Conn, resp *http.Response, idleTimeout time.Duration, limit int) {
 	conn.SetReadWait(nil)
-	if resp.Close || conn.retired || EndsWithConnection(resp) || !fullyRead(resp.Body, conn.reader) || !conn.endUse() {
+	if resp.Close || conn.retired || len(conn.requestIDs) >= maxRequests || EndsWithConnection(resp) || !fullyRead(resp.Body, conn.reader) || !conn.endUse() {
 		conn.Close()
 		return
 	}
@@ -204,7 +220,7 @@
 // request; a refused connection shows that it does not. Any other failure shows neither
 // and is returned as an error.
 func (p *Pool) Listens(ctx context.Context, target Target) (bool, error) {
-	conn, err := p.Get(ctx, target)
+	conn, err := p.get(ctx, target, func(*Conn) bool { return true })
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return false, nil
 	}
