soak: draw plain endpoints' answers, beside kills, stops, releases and suspended processes

Cause: drawn answers were only tried in one process, with one entry and up to three callers; the users' runs are real processes on all cores. Change: events anything: half of the answers of a plain endpoint are random (status, statement, signature, IDs, sender, interim response, delay, end of the connection), three in ten of its answers are followed late by an extra one of any kind, half of such endpoints are also registered under a former ID; endpoints are killed, replaced, suspended and cut off meanwhile, entries killed, stopped, suspended and sent SIGHUP, the configuration changes, callers leave. An answer never proves falsely that nothing ran.

--- a/bench/internal/cmd/cmd_soak_platform.go
+++ b/bench/internal/cmd/cmd_soak_platform.go
@@ -19,7 +19,7 @@
 	Engines int      `long:"engines" default:"14" description:"number of engines, each with its agent"`
 	Load    float64  `long:"load" default:"0.8" description:"request load as a fraction of the engines' capacity"`
 	Gap     float64  `long:"gap" default:"0.8" description:"mean time between two events, in seconds"`
-	Events  string   `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" choice:"silences" choice:"answers" choice:"misleading" choice:"apps" choice:"freezes" choice:"hostFreezes" choice:"largeChanges" choice:"stops" choice:"copies" description:"which events to inject: all, none, planned operations, planned operations and hiccups, failures that strain the retry budget, connections to the store that go silent beside planned operations, answers of endpoints that belong to no request beside planned operations, answers of plain endpoints that mislead about what ran beside planned operations, these and faults of plain endpoints and their links beside answers that belong to no request, agents that stand still right after a staged chunk was corrupted, beside new versions, or their hosts, changes of a large configuration that all entries read over one link, planned stops of entries while callers send their bodies slowly, plain endpoints that repeat answers late and are also registered under former IDs"`
+	Events  string   `long:"events" default:"all" choice:"all" choice:"none" choice:"planned" choice:"hiccups" choice:"failures" choice:"silences" choice:"answers" choice:"misleading" choice:"apps" choice:"freezes" choice:"hostFreezes" choice:"largeChanges" choice:"stops" choice:"copies" choice:"anything" description:"which events to inject: all, none, planned operations, planned operations and hiccups, failures that strain the retry budget, connections to the store that go silent beside planned operations, answers of endpoints that belong to no request beside planned operations, answers of plain endpoints that mislead about what ran beside planned operations, these and faults of plain endpoints and their links beside answers that belong to no request, agents that stand still right after a staged chunk was corrupted, beside new versions, or their hosts, changes of a large configuration that all entries read over one link, planned stops of entries while callers send their bodies slowly, plain endpoints that repeat answers late and are also registered under former IDs, random answers of plain endpoints beside faults of them and of entries"`
 	Kinds   []string `long:"kind" description:"draw only events of this kind, of any set; may be repeated"`
 }
 
@@ -61,7 +61,7 @@
 		Silences: options.Events == "silences", Answers: options.Events == "answers" || options.Events == "apps",
 		Misleading: options.Events == "misleading" || options.Events == "apps", AppFaults: options.Events == "apps",
 		AgentFreezes: options.Events == "freezes", HostFreezes: options.Events == "hostFreezes", LargeChanges: options.Events == "largeChanges",
-		Stops: options.Events == "stops", Copies: options.Events == "copies", Kinds: options.Kinds,
+		Stops: options.Events == "stops", Copies: options.Events == "copies", Anything: options.Events == "anything", Kinds: options.Kinds,
 	})
 	if err != nil {
 		result.Error = err.Error()
--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -48,6 +48,11 @@
 	shedCopies: func(f *platformtest.PartFaults) {
 		f.Former, f.Extra, f.ExtraShare, f.Shed = true, platformtest.ExtraNamed, copyShare, shedShare
 	},
+	anyAnswers: drawAnswers,
+	anyFormer: func(f *platformtest.PartFaults) {
+		drawAnswers(f)
+		f.Former = true
+	},
 	misleadingStatuses: func(f *platformtest.PartFaults) {
 		f.Misleading, f.MisleadingShare = platformtest.MisleadingStatus, misleadingShare
 	},
@@ -73,7 +78,15 @@
 	originSpoilt: func(f *platformtest.PartFaults) { f.Manifests = 1 },
 }
 
+// drawAnswers makes a plain endpoint give random answers and extra answers.
+func drawAnswers(f *platformtest.PartFaults) {
+	f.Misleading, f.MisleadingShare = platformtest.MisleadingDrawn, drawnShare
+	f.Extra, f.ExtraShare = platformtest.ExtraDrawn, copyShare
+}
+
 const (
+	// drawnShare is the fraction of requests to which an endpoint gives a random answer.
+	drawnShare = 0.5
 	// extraShare is the fraction of answers that an endpoint follows by an extra one.
 	extraShare = 0.06
 	// copyShare is the fraction of answers that an endpoint repeats late.
--- a/bench/internal/sitesoak/checks_test.go
+++ b/bench/internal/sitesoak/checks_test.go
@@ -189,7 +189,7 @@
 // events of every kind.
 func TestPlanRepeats(t *testing.T) {
 	counts := map[string]int{site.Entry: 9, site.Agent: 14, site.Engine: 14, site.App: 3, site.Store: 1, site.Origin: 1}
-	from := slices.Concat(planned, hiccups, faults, silences, agentFreezes, hostFreezes)
+	from := slices.Concat(planned, hiccups, faults, silences, agentFreezes, hostFreezes, copies, anything)
 	first, second := drawEvents(3, time.Hour, time.Second, from, counts, maxBusyFraction), drawEvents(3, time.Hour, time.Second, from, counts, maxBusyFraction)
 	if !slices.Equal(first, second) {
 		t.Error("got two different plans for one seed, want the same")
@@ -211,12 +211,13 @@
 // programs.
 const binEnv = "COMFREY_BIN"
 
-// TestShortSoak runs nine seeds: one with planned operations and hiccups, one with faults too, one
+// TestShortSoak runs eleven seeds: one with planned operations and hiccups, one with faults too, one
 // with the failures that strain the retry budget, one with connections to the store that go
 // silent, one with answers of endpoints that belong to no request, one with answers that mislead
 // about what ran, one with these, kills, pauses and links of plain endpoints, one with agents that
-// stand still right after a staged chunk was corrupted, and one with changes of a large
-// configuration that all entries read over one link.
+// stand still right after a staged chunk was corrupted, one with changes of a large
+// configuration that all entries read over one link, one with late copies of answers and former
+// registrations, and one with random answers.
 func TestShortSoak(t *testing.T) {
 	bin := os.Getenv(binEnv)
 	if bin == "" {
@@ -232,10 +233,12 @@
 		"apps":                {Seed: 3, Planned: true, Answers: true, Misleading: true, AppFaults: true, Gap: 350 * time.Millisecond},
 		"agent freezes":       {Seed: 1, AgentFreezes: true},
 		"large changes":       {Seed: 1, LargeChanges: true, Entries: 15, Gap: 3 * time.Second},
+		"copies":              {Seed: 1, Copies: true, Entries: 3, Load: 2, Gap: 400 * time.Millisecond},
+		"anything":            {Seed: 1, Anything: true, Entries: 3, Load: 2, Gap: 400 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			options.Bin, options.Log, options.Progress = bin, io.Discard, slog.New(slog.DiscardHandler)
-			options.Length, options.Gap, options.Load = 25*time.Second, cmp.Or(options.Gap, 700*time.Millisecond), 0.6
+			options.Length, options.Gap, options.Load = 25*time.Second, cmp.Or(options.Gap, 700*time.Millisecond), cmp.Or(options.Load, 0.6)
 			options.Entries, options.Engines = cmp.Or(options.Entries, 6), 8
 			result, err := Run(t.Context(), options)
 			if err != nil {
--- a/bench/internal/sitesoak/operator.go
+++ b/bench/internal/sitesoak/operator.go
@@ -85,7 +85,8 @@
 	}
 }
 
-// Fractions of the requests that go to plain endpoints with Options.AppFaults and Options.Copies.
+// Fractions of the requests that go to plain endpoints with Options.AppFaults, and with Options.Copies or
+// Options.Anything.
 const (
 	appsPlainShare   = 0.7
 	copiesPlainShare = 0.97
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -103,6 +103,8 @@
 	formerIDs  kind = "formerIDs"
 	lateCopies kind = "lateCopies" // of former IDs
 	shedCopies kind = "shedCopies" // of former IDs and of rejected requests
+	anyAnswers kind = "anyAnswers" // random answers and extra answers, without and with a former ID
+	anyFormer  kind = "anyFormer"
 )
 
 // Misleading answers: endpoints run requests and answer as if they had not, or not at all. They excuse
@@ -268,6 +270,27 @@
 	{hiccupEntry, site.Entry, 1, 300 * time.Millisecond, 950 * time.Millisecond},
 }
 
+// anything are the rules of Options.Anything.
+var anything = []eventRule{
+	{anyAnswers, site.App, 6, 3 * time.Second, 8 * time.Second},
+	{anyFormer, site.App, 6, 3 * time.Second, 8 * time.Second},
+	{shedCopies, site.App, 2, 3 * time.Second, 8 * time.Second},
+	{killApp, site.App, 2, 300 * time.Millisecond, 2 * time.Second},
+	{pauseApp, site.App, 1, 300 * time.Millisecond, 3 * time.Second},
+	{replaceApp, site.App, 1, replaceTime, replaceTime},
+	{removeApp, site.App, 1, replaceTime, replaceTime},
+	{linkReset, site.App, 2, 0, 0},
+	{linkSilent, site.App, 1, 300 * time.Millisecond, 3 * time.Second},
+	{linkOneWay, site.App, 1, 300 * time.Millisecond, 3 * time.Second},
+	{killEntry, site.Entry, 1, 500 * time.Millisecond, 2 * time.Second},
+	{pauseEntry, site.Entry, 1, 500 * time.Millisecond, 3 * time.Second},
+	{stopEntry, site.Entry, 2, bounds.Grace, bounds.Grace},
+	{hangUp, site.Entry, 1, 0, 0},
+	{hiccupEntries, "", 2, 300 * time.Millisecond, 950 * time.Millisecond},
+	{changeConfig, "", 2, 0, 0},
+	{impatience, "", 1, 2 * time.Second, 5 * time.Second},
+}
+
 // appFaults are the rules of Options.AppFaults.
 var appFaults = []eventRule{
 	{killApp, site.App, 3, 300 * time.Millisecond, 2 * time.Second},
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -54,8 +54,8 @@
 	// Gap is the mean time between two events.
 	Gap time.Duration
 	// Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes,
-	// LargeChanges, Stops and Copies enable the sets of events.
-	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes, LargeChanges, Stops, Copies bool
+	// LargeChanges, Stops, Copies and Anything enable the sets of events.
+	Planned, Hiccups, Faults, Failures, Silences, Answers, Misleading, AppFaults, AgentFreezes, HostFreezes, LargeChanges, Stops, Copies, Anything bool
 	// Kinds are the kinds of event to draw from all sets instead of those enabled; empty: the enabled sets.
 	Kinds    []string
 	Progress *slog.Logger
@@ -178,7 +178,7 @@
 	if r.options.AppFaults {
 		favorPlain(r.operator.routes, appsPlainShare)
 	}
-	if r.options.Copies {
+	if r.options.Copies || r.options.Anything {
 		favorPlain(r.operator.routes, copiesPlainShare)
 	}
 	r.operator.mu.Lock()
@@ -213,7 +213,7 @@
 		{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures},
 		{r.options.Silences, silences}, {r.options.Answers, answerFaults}, {r.options.Misleading, misleading}, {r.options.AppFaults, appFaults},
 		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes}, {r.options.LargeChanges, largeChanges}, {r.options.Stops, entryStops},
-		{r.options.Copies, copies},
+		{r.options.Copies, copies}, {r.options.Anything, anything},
 	} {
 		for _, rule := range set.rules {
 			if set.on && len(r.options.Kinds) == 0 || slices.Contains(r.options.Kinds, string(rule.kind)) {
@@ -229,7 +229,7 @@
 		counts[kind] = len(r.site.Members(kind))
 	}
 	maxBusy := maxBusyFraction
-	if r.options.AppFaults || r.options.Copies {
+	if r.options.AppFaults || r.options.Copies || r.options.Anything {
 		maxBusy = maxBusyAppsFraction
 	}
 	return drawEvents(r.options.Seed, r.options.Length, r.options.Gap, enabled, counts, maxBusy)
