soak: restart plain endpoints at their addresses, and repeat answers late afterwards

Cause: former registrations were set by a fault of the stand-in; on a real machine they come from a restart at the same address.

--- a/bench/internal/sitesoak/act.go
+++ b/bench/internal/sitesoak/act.go
@@ -43,10 +43,12 @@
 	shedUnnamed:      func(f *platformtest.PartFaults) { f.Shed, f.ShedUnnamed = shedShare, true },
 	formerIDs:        func(f *platformtest.PartFaults) { f.Former = true },
 	lateCopies: func(f *platformtest.PartFaults) {
-		f.Former, f.Extra, f.ExtraShare = true, platformtest.ExtraNamed, copyShare
+		repeatAnswers(f)
+		f.Former = true
 	},
 	shedCopies: func(f *platformtest.PartFaults) {
-		f.Former, f.Extra, f.ExtraShare, f.Shed = true, platformtest.ExtraNamed, copyShare, shedShare
+		repeatAnswers(f)
+		f.Former, f.Shed = true, shedShare
 	},
 	anyAnswers: drawAnswers,
 	anyFormer: func(f *platformtest.PartFaults) {
@@ -78,6 +80,11 @@
 	originSpoilt: func(f *platformtest.PartFaults) { f.Manifests = 1 },
 }
 
+// repeatAnswers makes an endpoint repeat answers late.
+func repeatAnswers(f *platformtest.PartFaults) {
+	f.Extra, f.ExtraShare = platformtest.ExtraNamed, copyShare
+}
+
 // drawAnswers makes a plain endpoint give random answers and extra answers.
 func drawAnswers(f *platformtest.PartFaults) {
 	f.Misleading, f.MisleadingShare = platformtest.MisleadingDrawn, drawnShare
@@ -167,6 +174,11 @@
 		return r.freezeAfterSpoil(ctx, event.length, m, r.site.Members(site.Agent)[event.target], m)
 	case killEntry, killAgent, killEngine, killApp:
 		return r.killAndRestart(ctx, event.length, m)
+	case restartCopies:
+		if err := r.killAndRestart(ctx, 0, m); err != nil {
+			return err
+		}
+		return toggleFor(ctx, event.length, func(on bool) error { return r.changeFaults(ctx, []*site.Member{m}, on, repeatAnswers) })
 	case killEntries:
 		return r.killAndRestart(ctx, event.length, r.site.Members(site.Entry)...)
 	case killAll:
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -103,8 +103,11 @@
 	formerIDs  kind = "formerIDs"
 	lateCopies kind = "lateCopies" // of former IDs
 	shedCopies kind = "shedCopies" // of former IDs and of rejected requests
-	anyAnswers kind = "anyAnswers" // random answers and extra answers, without and with a former ID
-	anyFormer  kind = "anyFormer"
+	// restartCopies kills an endpoint, which starts again at its address at once and repeats answers late while its
+	// former registration lasts.
+	restartCopies kind = "restartCopies"
+	anyAnswers    kind = "anyAnswers" // random answers and extra answers, without and with a former ID
+	anyFormer     kind = "anyFormer"
 )
 
 // Misleading answers: endpoints run requests and answer as if they had not, or not at all. They excuse
@@ -122,11 +125,11 @@
 // may lose a request. An unavailable store, a killed agent and a hiccup must not lose one.
 var lossCauses = map[kind]bool{
 	killEntry: true, killEngine: true, killApp: true, pauseEntry: true, pauseEngine: true, pauseApp: true, freezeHost: true, linkSilent: true, linkOneWay: true,
-	linkNarrow: true, linkReset: true, killEntries: true, killAll: true,
+	linkNarrow: true, linkReset: true, killEntries: true, killAll: true, restartCopies: true,
 }
 
 // killKinds are the kinds of event that kill processes.
-var killKinds = map[kind]bool{killEntry: true, killAgent: true, killEngine: true, killApp: true, killEntries: true, killAll: true}
+var killKinds = map[kind]bool{killEntry: true, killAgent: true, killEngine: true, killApp: true, killEntries: true, killAll: true, restartCopies: true}
 
 // eventRule defines how often one kind of event is drawn, its target and its length.
 type eventRule struct {
@@ -262,6 +265,7 @@
 	{lateCopies, site.App, 6, 3 * time.Second, 8 * time.Second},
 	{shedCopies, site.App, 3, 3 * time.Second, 8 * time.Second},
 	{formerIDs, site.App, 1, 3 * time.Second, 8 * time.Second},
+	{restartCopies, site.App, 2, 4 * time.Second, 6 * time.Second},
 	{killApp, site.App, 2, 300 * time.Millisecond, 2 * time.Second},
 	{replaceApp, site.App, 1, replaceTime, replaceTime},
 	{linkReset, site.App, 1, 0, 0},
