--- a/GNUmakefile
+++ b/GNUmakefile
@@ -63,6 +63,13 @@
 	done; \
 	exit $$failed
 
+.PHONY: fuzz-peer
+fuzz-peer: ## draw exchanges with faulty endpoints from fresh seeds: SECONDS=60
+	@end=$$((SECONDS + $(SECONDS))); \
+	while [ $$SECONDS -lt $$end ]; do \
+	  (cd entry && RAPID_SEED=0 go test -race -count=1 -run TestDrawnExchanges ./internal/gateway); \
+	done
+
 .PHONY: lint
 lint: $(TOOLS)/golangci-lint ## check format, lint and vet of every module
 	@script/lint $(MODULES)
