soak: reject a kind of event that no set has

Change: an error that names it, before anything is started; TestUnknownKindIsAnError. Conclusion: no decision of the product changed.

--- a/bench/internal/sitesoak/checks_test.go
+++ b/bench/internal/sitesoak/checks_test.go
@@ -16,6 +16,7 @@
 
 	"comfreyrelay.example/bench/internal/site"
 	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/failure"
 )
 
 // TestChecks runs testdata/checks. Each input line is a recorded event with times in seconds,
@@ -207,6 +208,13 @@
 	}
 }
 
+// A misspelt kind must not give a run without events.
+func TestUnknownKindIsAnError(t *testing.T) {
+	if _, err := Run(t.Context(), Options{Kinds: []string{"killApp", "lateCopy"}}); failure.KindOf(err) != failure.Invalid {
+		t.Errorf("got %v, want an error of kind Invalid", err)
+	}
+}
+
 // binEnv names the environment variable, set by make, that holds the directory of the built
 // programs.
 const binEnv = "COMFREY_BIN"
--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -106,8 +106,8 @@
 	// restartCopies kills an endpoint, which starts again at its address at once and repeats answers late while its
 	// former registration lasts.
 	restartCopies kind = "restartCopies"
-	anyAnswers    kind = "anyAnswers" // random answers and extra answers, without and with a former ID
-	anyFormer     kind = "anyFormer"
+	anyAnswers    kind = "anyAnswers" // random answers and extra answers
+	anyFormer     kind = "anyFormer" // the same, of endpoints that are also registered under former IDs
 )
 
 // Misleading answers: endpoints run requests and answer as if they had not, or not at all. They excuse
--- a/bench/internal/sitesoak/run.go
+++ b/bench/internal/sitesoak/run.go
@@ -19,6 +19,7 @@
 
 	"comfreyrelay.example/bench/internal/site"
 	"comfreyrelay.example/platform/platformtest"
+	"comfreyrelay.example/relay/failure"
 )
 
 // bounds are the limits of the platform's smallest deployments.
@@ -129,6 +130,9 @@
 	r := &run{options: options, broken: map[string]int{}, peaks: map[string]int{}}
 	r.rate.Store(1)
 	result := Result{Bench: "soak-platform", Seed: options.Seed, Seconds: options.Length.Seconds(), Failures: map[string]int{}}
+	if err := r.checkKinds(); err != nil {
+		return result, err
+	}
 	dir, err := os.MkdirTemp("", "comfrey-soak-")
 	if err != nil {
 		return result, err
@@ -203,18 +207,36 @@
 	return found
 }
 
-// planEvents draws the events of the enabled sets.
-func (r *run) planEvents() []event {
-	var enabled []eventRule
-	for _, set := range []struct {
-		on    bool
-		rules []eventRule
-	}{
+// eventSet is a set of rules and whether its events are enabled.
+type eventSet struct {
+	on    bool
+	rules []eventRule
+}
+
+func (r *run) eventSets() []eventSet {
+	return []eventSet{
 		{r.options.Planned, planned}, {r.options.Hiccups, hiccups}, {r.options.Faults, faults}, {r.options.Failures, failures},
 		{r.options.Silences, silences}, {r.options.Answers, answerFaults}, {r.options.Misleading, misleading}, {r.options.AppFaults, appFaults},
 		{r.options.AgentFreezes, agentFreezes}, {r.options.HostFreezes, hostFreezes}, {r.options.LargeChanges, largeChanges}, {r.options.Stops, entryStops},
 		{r.options.Copies, copies}, {r.options.Anything, anything},
-	} {
+	}
+}
+
+// checkKinds fails if Options.Kinds names a kind that no set has.
+func (r *run) checkKinds() error {
+	for _, name := range r.options.Kinds {
+		isName := func(rule eventRule) bool { return string(rule.kind) == name }
+		if !slices.ContainsFunc(r.eventSets(), func(set eventSet) bool { return slices.ContainsFunc(set.rules, isName) }) {
+			return failure.New(failure.Invalid, "there is no kind of event "+strconv.Quote(name), "name one that a run with --events logs")
+		}
+	}
+	return nil
+}
+
+// planEvents draws the events of the enabled sets, or those of Options.Kinds.
+func (r *run) planEvents() []event {
+	var enabled []eventRule
+	for _, set := range r.eventSets() {
 		for _, rule := range set.rules {
 			if set.on && len(r.options.Kinds) == 0 || slices.Contains(r.options.Kinds, string(rule.kind)) {
 				enabled = append(enabled, rule)
