--- a/bench/internal/sitesoak/plan.go
+++ b/bench/internal/sitesoak/plan.go
@@ -107,7 +107,7 @@
 	// former registration lasts.
 	restartCopies kind = "restartCopies"
 	anyAnswers    kind = "anyAnswers" // random answers and extra answers
-	anyFormer     kind = "anyFormer" // the same, of endpoints that are also registered under former IDs
+	anyFormer     kind = "anyFormer"  // the same, of endpoints that are also registered under former IDs
 )
 
 // Misleading answers: endpoints run requests and answer as if they had not, or not at all. They excuse
